Lay out the project: positions, terms and the stand-in's log

Cause: every slice needs one vocabulary of terms and log positions before work can be split. Change: LogPosition, TermStart, DatabaseStatus, comparisons across terms, and the I/O-free log of a stand-in database with its rules for grants and replication. Conclusion: the slices can be built side by side on these types.

--- /dev/null
+++ b/beryltrack/__init__.py
@@ -0,0 +1,1 @@
+"""A database proxy with session consistency."""
--- /dev/null
+++ b/beryltrack/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Database groups: their members, terms, log positions and who leads them."""
--- /dev/null
+++ b/beryltrack/groups/messages.py
@@ -0,0 +1,92 @@
+"""Terms, log positions and the status that a database reports.
+
+Every slice speaks of positions in these types. All of them are flat tuples of
+numbers and text, so that CBOR carries them without a mapping of its own.
+"""
+
+from typing import NamedTuple
+
+PRIMARY = "primary"
+REPLICA = "replica"
+
+
+class LogPosition(NamedTuple):
+    """A place in a group's log.
+
+    Parameters
+    ----------
+    term : int
+        The term in which the entry at `offset` was written.
+    offset : int
+        The number of entries up to and with this one.
+    """
+
+    term: int
+    offset: int
+
+
+NO_POSITION = LogPosition(0, 0)
+
+
+class TermStart(NamedTuple):
+    """Where a term begins in a log.
+
+    Parameters
+    ----------
+    term : int
+        The term that begins.
+    offset : int
+        The offset of the last entry before the term's first entry.
+    """
+
+    term: int
+    offset: int
+
+
+class DatabaseStatus(NamedTuple):
+    """What one database says of itself.
+
+    Parameters
+    ----------
+    name : str
+        The database's name in its group.
+    role : str
+        `PRIMARY` or `REPLICA`: what the database believes that it is.
+    term : int
+        The highest term that the database has granted or seen. It refuses
+        writes and replication of lower terms.
+    received : LogPosition
+        The last entry in its log.
+    applied : LogPosition
+        The last entry that its readers can see.
+    history : tuple of TermStart
+        Where each term in its log begins, oldest first.
+    heard_age : float
+        Seconds since it last heard from its primary; 0.0 on a primary.
+    leaving : bool
+        True if the database is about to leave and wants no new work.
+    """
+
+    name: str
+    role: str
+    term: int
+    received: LogPosition
+    applied: LogPosition
+    history: tuple[TermStart, ...]
+    heard_age: float
+    leaving: bool
+
+
+class GrantReply(NamedTuple):
+    """A database's answer to a candidate that asks for a term.
+
+    Parameters
+    ----------
+    granted : bool
+        True if the database promised the term to this candidate alone.
+    status : DatabaseStatus
+        The database's state just after its decision.
+    """
+
+    granted: bool
+    status: DatabaseStatus
--- /dev/null
+++ b/beryltrack_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and load against the stand-ins."""
--- /dev/null
+++ b/beryltrack_standins/database/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for a database group: terms, a log and asynchronous replication."""
--- /dev/null
+++ b/beryltrack_standins/database/replica_log.py
@@ -0,0 +1,186 @@
+"""The log of one stand-in database and its rules for terms, without any I/O.
+
+Both the databases that speak PostgreSQL and the fakes of the bench use this
+model, so that the rules of a database group stand in one place.
+"""
+
+from typing import NamedTuple
+
+from beryltrack.groups.messages import (
+    NO_POSITION,
+    PRIMARY,
+    REPLICA,
+    DatabaseStatus,
+    GrantReply,
+    LogPosition,
+    TermStart,
+)
+
+
+class Entry(NamedTuple):
+    """One entry of the log.
+
+    Parameters
+    ----------
+    term : int
+        The term in which it was written.
+    statements : tuple of object
+        What a replica has to run to apply it; empty at the start of a term.
+    """
+
+    term: int
+    statements: tuple[object, ...]
+
+
+class ReplicaLog:
+    """The terms, log and positions of one database.
+
+    Parameters
+    ----------
+    name : str
+        The database's name in its group.
+    """
+
+    def __init__(self, name: str):
+        self.name = name
+        self.role = REPLICA
+        self.term = 0
+        self.granted_to = ""
+        self.entries: list[Entry] = []
+        self.applied_offset = 0
+        self.heard_at = 0.0
+        self.leaving = False
+        self.stopped_writes = False
+
+    @property
+    def received(self) -> LogPosition:
+        """The last entry in the log."""
+        return self.get_position(len(self.entries))
+
+    @property
+    def applied(self) -> LogPosition:
+        """The last entry that readers can see."""
+        return self.get_position(self.applied_offset)
+
+    @property
+    def history(self) -> tuple[TermStart, ...]:
+        """Where each term begins, oldest first."""
+        terms = [entry.term for entry in self.entries]
+        return tuple(
+            TermStart(term, offset)
+            for offset, term in enumerate(terms)
+            if offset == 0 or terms[offset - 1] != term
+        )
+
+    def get_position(self, offset: int) -> LogPosition:
+        """Return the position of the entry at `offset`."""
+        if offset == 0:
+            return NO_POSITION
+        return LogPosition(self.entries[offset - 1].term, offset)
+
+    def get_status(self, now: float) -> DatabaseStatus:
+        """Return what the database says of itself at the time `now` (seconds)."""
+        heard_age = 0.0 if self.role == PRIMARY else now - self.heard_at
+        return DatabaseStatus(
+            self.name,
+            self.role,
+            self.term,
+            self.received,
+            self.applied,
+            self.history,
+            heard_age,
+            self.leaving,
+        )
+
+    def grant(
+        self, term: int, candidate: str, lost_after: float, now: float
+    ) -> GrantReply:
+        """Promise a term to one candidate, and refuse all lower terms from then on.
+
+        Parameters
+        ----------
+        term : int
+            The term asked for.
+        candidate : str
+            Who asks, by a name unique to this attempt.
+        lost_after : float
+            Seconds without a word from the primary after which it counts as
+            lost. Zero for a planned hand-over.
+        now : float
+            The current time, seconds.
+
+        Returns
+        -------
+        GrantReply
+            The decision and the state after it.
+        """
+        repeated = term == self.term and candidate == self.granted_to
+        hears_primary = self.get_status(now).heard_age < lost_after
+        granted = repeated or (term > self.term and not hears_primary)
+        if granted and not repeated:
+            self._see_term(term)
+            self.granted_to = candidate
+        return GrantReply(granted, self.get_status(now))
+
+    def promote(self, term: int, candidate: str) -> bool:
+        """Become the primary of a term that this database granted to `candidate`."""
+        if self.term != term or self.granted_to != candidate:
+            return False
+        if self.role != PRIMARY:
+            self.role = PRIMARY
+            self.stopped_writes = False
+            self.append(())
+            self.applied_offset = len(self.entries)
+        return True
+
+    def append(self, statements: tuple[object, ...]) -> LogPosition:
+        """Append one entry of the own term, as the primary does at each commit."""
+        self.entries.append(Entry(self.term, statements))
+        return self.received
+
+    def can_write(self) -> bool:
+        """Return whether the database takes writes now."""
+        return self.role == PRIMARY and not self.stopped_writes
+
+    def receive(self, primary: "ReplicaLog", now: float, limit: int = 1000) -> bool:
+        """Copy new entries from a primary, unless its term is over.
+
+        Parameters
+        ----------
+        primary : ReplicaLog
+            The log to copy from.
+        now : float
+            The current time, seconds.
+        limit : int
+            The most entries to copy in one call.
+
+        Returns
+        -------
+        bool
+            True if the primary was heard, False if it was refused.
+        """
+        if primary.role != PRIMARY or primary.term < self.term:
+            return False
+        if primary.term > self.term:
+            self._see_term(primary.term)
+        self.heard_at = now
+        common = self._get_common_length(primary)
+        del self.entries[common:]
+        self.applied_offset = min(self.applied_offset, common)
+        self.entries.extend(primary.entries[common : common + limit])
+        return True
+
+    def _see_term(self, term: int) -> None:
+        """Adopt a higher term: whoever led a lower one stops leading."""
+        self.term = term
+        self.granted_to = ""
+        self.role = REPLICA
+
+    def _get_common_length(self, other: "ReplicaLog") -> int:
+        """Return how many first entries both logs share."""
+        length = min(len(self.entries), len(other.entries))
+        while (
+            length and self.entries[length - 1].term != other.entries[length - 1].term
+        ):
+            length -= 1
+        return length
