--- /dev/null
+++ b/beryltrack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: objects under paths, one subtree a team, checked and versioned."""
