--- /dev/null
+++ b/beryltrack/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: admission, the course of one request, retries and at-most-once."""
