Define the group view, the adapter protocol and the node's time

Change: GroupView, DatabaseView, DatabaseGroup and its messages, and a time that never goes back (the reactor's own follows the wall clock, which would break the bound of an age). Measured: nothing yet.

--- /dev/null
+++ b/beryltrack/clock.py
@@ -0,0 +1,28 @@
+"""The time of a node: seconds that never go back.
+
+Ages and timeouts are proven by this time, so it must not follow corrections
+of the wall clock, which the reactor's own `seconds` does.
+"""
+
+import time
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorCore
+
+
+def get_seconds(reactor: object) -> Callable[[], float]:
+    """Return the function that tells the time of a node.
+
+    Parameters
+    ----------
+    reactor : object
+        The running reactor, or a `task.Clock` in tests.
+
+    Returns
+    -------
+    callable
+        `time.monotonic` for a real reactor, else the clock's own `seconds`.
+    """
+    if IReactorCore.providedBy(reactor):
+        return time.monotonic
+    return reactor.seconds
--- /dev/null
+++ b/beryltrack/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Failover: detection of a lost primary, grants, promotion, hand-over."""
--- /dev/null
+++ b/beryltrack/groups/adapter.py
@@ -0,0 +1,97 @@
+"""The seam between beryltrack and what a database group offers.
+
+Everything that is particular to one kind of database stands behind the
+protocol `DatabaseGroup`. A group that arbitrates its primary otherwise needs
+another adapter and another proof, and no change elsewhere.
+"""
+
+from typing import NamedTuple, Protocol
+
+from returns.result import Result
+
+from beryltrack.groups.messages import DatabaseStatus, GrantReply
+
+NO_WAIT = -1
+
+
+class StatusWait(NamedTuple):
+    """What a status is waited for. The first change that comes ends the wait.
+
+    Parameters
+    ----------
+    term : int
+        The wait ends when the database's term is another one.
+    received : int
+        The wait ends when this offset is received; `NO_WAIT` for none.
+    applied : int
+        The wait ends when this offset is applied; `NO_WAIT` for none.
+    """
+
+    term: int
+    received: int = NO_WAIT
+    applied: int = NO_WAIT
+
+
+class PromoteReply(NamedTuple):
+    """A database's answer to a promotion.
+
+    Parameters
+    ----------
+    promoted : bool
+        True if the database leads the term now.
+    status : DatabaseStatus
+        Its state just after the decision.
+    """
+
+    promoted: bool
+    status: DatabaseStatus
+
+
+class ControlFailure(NamedTuple):
+    """Why a control request has no answer. It may have been carried out.
+
+    Parameters
+    ----------
+    database : str
+        The database that was asked.
+    text : str
+        What happened, in a short sentence.
+    """
+
+    database: str
+    text: str
+
+
+class DatabaseGroup(Protocol):
+    """Control requests to the databases of one group.
+
+    Each coroutine gives a `returns` result and raises nothing. Requests to one
+    database are answered in the order in which they were made. A request that
+    is not answered within the adapter's own time limit fails.
+    """
+
+    async def get_status(self, database: str) -> Result[DatabaseStatus, ControlFailure]:
+        """Return what a database says of itself now."""
+
+    async def wait_status(
+        self, database: str, wait: StatusWait, timeout: float
+    ) -> Result[DatabaseStatus, ControlFailure]:
+        """Return the status when `wait` is over, or after `timeout` seconds."""
+
+    async def grant(
+        self, database: str, term: int, candidate: str, lost_after: float
+    ) -> Result[GrantReply, ControlFailure]:
+        """Ask a database to promise `term` to one candidate alone."""
+
+    async def promote(
+        self, database: str, term: int, candidate: str
+    ) -> Result[PromoteReply, ControlFailure]:
+        """Make a database the primary of a term that it granted to `candidate`."""
+
+    async def stop_writes(
+        self, database: str, term: int
+    ) -> Result[DatabaseStatus, ControlFailure]:
+        """Let the primary of `term` take no more writes for a while."""
+
+    def close(self) -> None:
+        """Close all control connections."""
--- /dev/null
+++ b/beryltrack/groups/view.py
@@ -0,0 +1,152 @@
+"""The view that a node has of one database group.
+
+Routing, confirmation and failover all read this view. It is an immutable
+tuple, so that a decision is made on one consistent state, and it carries its
+proofs with it: a replica's age is counted from `fresh_at`, which is only ever
+set from a sample whose term a majority of the group confirmed afterwards.
+"""
+
+import math
+from typing import NamedTuple
+
+from beryltrack.groups.messages import (
+    NO_POSITION,
+    PRIMARY,
+    REPLICA,
+    LogPosition,
+    TermStart,
+)
+from beryltrack.groups.positions import covers
+
+NEVER = -math.inf
+
+
+class DatabaseView(NamedTuple):
+    """What a node knows of one database.
+
+    Parameters
+    ----------
+    name : str
+        The database's name in its group.
+    role : str
+        `PRIMARY` or `REPLICA`, as the database last said.
+    term : int
+        The highest term that it was seen in.
+    received : LogPosition
+        The last entry in its log.
+    applied : LogPosition
+        The last entry that its readers can see.
+    history : tuple of TermStart
+        Where each term in its log begins, oldest first.
+    reachable : bool
+        True if its last request was answered.
+    leaving : bool
+        True if it wants no new work, or an operator drains it.
+    seen_at : float
+        Send time, by the node's clock, of the last status that was answered.
+    fresh_at : float
+        Its readers see every write that was acknowledged before this time of
+        the node's clock. `NEVER` if nothing is proven.
+    heard_age : float
+        Seconds since it heard from its primary, as of `seen_at`.
+    apply_delay : float
+        Predicted seconds from an entry at the primary until it is applied
+        here; `math.inf` while the database is not known to catch up.
+    """
+
+    name: str
+    role: str = REPLICA
+    term: int = 0
+    received: LogPosition = NO_POSITION
+    applied: LogPosition = NO_POSITION
+    history: tuple[TermStart, ...] = ()
+    reachable: bool = False
+    leaving: bool = False
+    seen_at: float = NEVER
+    fresh_at: float = NEVER
+    heard_age: float = math.inf
+    apply_delay: float = math.inf
+
+
+class GroupView(NamedTuple):
+    """What a node knows of one database group.
+
+    Parameters
+    ----------
+    group : str
+        The group's name.
+    term : int
+        The highest term in which a primary was seen.
+    primary : str
+        The name of that primary; empty if none is known, or if a majority is
+        already known to have moved to a higher term.
+    head : LogPosition
+        The furthest position known of that primary's log.
+    confirmed_at : float
+        No higher term had a primary before this time of the node's clock.
+    databases : tuple of DatabaseView
+        All members, in the order of the settings.
+    """
+
+    group: str
+    term: int = 0
+    primary: str = ""
+    head: LogPosition = NO_POSITION
+    confirmed_at: float = NEVER
+    databases: tuple[DatabaseView, ...] = ()
+
+
+def get_database(view: GroupView, name: str) -> DatabaseView | None:
+    """Return the view of one database, or None if the group has none of the name.
+
+    Parameters
+    ----------
+    view : GroupView
+        The group's view.
+    name : str
+        The database's name.
+
+    Returns
+    -------
+    DatabaseView or None
+        The database's part of the view.
+    """
+    return next((item for item in view.databases if item.name == name), None)
+
+
+def get_primary(view: GroupView) -> DatabaseView | None:
+    """Return the view of the primary, or None if there is none."""
+    return get_database(view, view.primary) if view.primary else None
+
+
+def compute_age(database: DatabaseView, now: float) -> float:
+    """Return a proven upper bound of the age of what a database's readers see.
+
+    Parameters
+    ----------
+    database : DatabaseView
+        The database's view.
+    now : float
+        The current time of the node's clock, seconds.
+
+    Returns
+    -------
+    float
+        Seconds; `math.inf` if nothing is proven.
+    """
+    return now - database.fresh_at
+
+
+def has_applied(database: DatabaseView, token: LogPosition) -> bool:
+    """Return whether a database's readers see all that a token stands for."""
+    return covers(database.history, database.applied, token)
+
+
+def compute_majority(size: int) -> int:
+    """Return how many of a group's databases are a majority."""
+    return size // 2 + 1
+
+
+def is_primary(database: DatabaseView) -> bool:
+    """Return whether the database believes that it leads."""
+    return database.role == PRIMARY
--- /dev/null
+++ b/beryltrack/transactions/__init__.py
@@ -0,0 +1,1 @@
+"""Transactions: confirmation of commits by majority receipt."""
