Add the bench's command, deployments and fakes of a database group

Change: beryltrack-bench with one command per module of experiments/, the two deployments as JSON checked by a schema, nodes that crash and freeze under one clock, links with delays and one-way cuts, databases over ReplicaLog.

--- /dev/null
+++ b/beryltrack_bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""The experiments, one module each; see `beryltrack_bench.main`."""
--- /dev/null
+++ b/beryltrack_bench/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces: nodes, links, database groups, the platform."""
--- /dev/null
+++ b/beryltrack_bench/fakes/database.py
@@ -0,0 +1,257 @@
+"""A fake database: a `ReplicaLog`, replication over the links, and statements.
+
+A write appends one entry that carries its idempotency key, so that lost and
+doubled writes can be counted in the last primary's log. A read gives the keys
+that are visible together with the applied position.
+"""
+
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from beryltrack.groups.messages import DatabaseStatus, GrantReply, LogPosition
+from beryltrack_bench.deployment import ReplicationModel
+from beryltrack_bench.fakes.network import Network
+from beryltrack_bench.fakes.nodes import Node
+from beryltrack_standins.database.replica_log import ReplicaLog
+
+STOPPED_WRITES_LIMIT = 2.0
+
+
+class WriteRefused(Exception):
+    """SQLSTATE 25006: the database takes no writes; this one provably did not run."""
+
+
+class ReadResult(NamedTuple):
+    """What a read saw.
+
+    Parameters
+    ----------
+    keys : tuple of str
+        Keys of the writes that were visible, oldest first.
+    position : LogPosition
+        The applied position at which it ran.
+    """
+
+    keys: tuple[str, ...]
+    position: LogPosition
+
+
+class PromoteReply(NamedTuple):
+    """A database's answer to a promotion.
+
+    Parameters
+    ----------
+    promoted : bool
+        True if it leads the term now.
+    status : DatabaseStatus
+        Its state just after.
+    """
+
+    promoted: bool
+    status: DatabaseStatus
+
+
+class _Waiter(NamedTuple):
+    """A long poll that waits for the status to change."""
+
+    term: int
+    received: int
+    applied: int
+    leaving: bool
+    answer: Deferred
+
+
+class FakeDatabase:
+    """One database of a fake group.
+
+    Parameters
+    ----------
+    node : Node
+        Where it runs.
+    network : Network
+        The site's links.
+    model : ReplicationModel
+        The pace of replication.
+    rng : Random
+        Source of the apply lag.
+    """
+
+    def __init__(
+        self, node: Node, network: Network, model: ReplicationModel, rng: Random
+    ):
+        self.node = node
+        self.name = node.name
+        self.log = ReplicaLog(node.name)
+        self.peers: tuple[FakeDatabase, ...] = ()
+        self.lag_until = 0.0
+        self.service_time = 0.0
+        self._network = network
+        self._model = model
+        self._rng = rng
+        self._waiters: list[_Waiter] = []
+        self._applying = False
+
+    def start(self) -> None:
+        """Begin the primary's heartbeats; also after a restart."""
+        self._applying = False
+        self._waiters = []
+        self._tick()
+
+    def get_status(self) -> DatabaseStatus:
+        """Return what the database says of itself."""
+        return self.log.get_status(self.node.seconds())
+
+    def wait_status(
+        self, term: int, received: int, applied: int, timeout: float
+    ) -> Deferred:
+        """Give the status when it differs from what the caller knows; see the design.
+
+        Parameters
+        ----------
+        term, received, applied : int
+            Answer when the term is another, or an offset is reached. An offset
+            of -1 waits for nothing.
+        timeout : float
+            Seconds after which the answer comes in any case.
+        """
+        waiter = _Waiter(term, received, applied, self.log.leaving, Deferred())
+        if self._is_ready(waiter):
+            waiter.answer.callback(self.get_status())
+            return waiter.answer
+        self._waiters.append(waiter)
+        self.node.schedule(timeout, lambda: self._answer([waiter]), None)
+        return waiter.answer
+
+    def grant(self, term: int, candidate: str, lost_after: float) -> GrantReply:
+        """Promise a term to a candidate; see `ReplicaLog.grant`."""
+        reply = self.log.grant(term, candidate, lost_after, self.node.seconds())
+        self._notify()
+        return reply
+
+    def promote(self, term: int, candidate: str) -> PromoteReply:
+        """Lead a granted term; see `ReplicaLog.promote`."""
+        promoted = self.log.promote(term, candidate)
+        if promoted:
+            self._replicate()
+        self._notify()
+        return PromoteReply(promoted, self.get_status())
+
+    def stop_writes(self, term: int) -> DatabaseStatus:
+        """Take no more writes for a while, if this is the primary of the term."""
+        if self.log.term == term and self.log.can_write():
+            self.log.stopped_writes = True
+            self.node.schedule(
+                STOPPED_WRITES_LIMIT, lambda: self._resume_writes(term), None
+            )
+        return self.get_status()
+
+    def set_leaving(self, leaving: bool) -> None:
+        """Say that the database wants no new work."""
+        self.log.leaving = leaving
+        self._notify()
+
+    def write(self, *keys: str) -> Deferred:
+        """Commit one write transaction that carries some keys.
+
+        Returns
+        -------
+        Deferred
+            The `LogPosition` of the commit; fails with `WriteRefused`.
+        """
+        return self._run(lambda: self._commit(keys))
+
+    def read(self) -> Deferred:
+        """Give a `ReadResult`."""
+        return self._run(lambda: ReadResult(self.get_keys(), self.log.applied))
+
+    def get_keys(self) -> tuple[str, ...]:
+        """Return the keys of all applied writes, oldest first."""
+        entries = self.log.entries[: self.log.applied_offset]
+        return tuple(key for entry in entries for key in entry.statements)
+
+    def _run(self, run: Callable[[], object]) -> Deferred:
+        """Run a statement after its service time."""
+        answer = Deferred()
+        self.node.schedule(self.service_time, lambda: answer.callback(None), None)
+        return answer.addCallback(lambda ignored: run())
+
+    def _commit(self, keys: tuple[str, ...]) -> LogPosition:
+        """Append a write and send it to the replicas."""
+        if not self.log.can_write():
+            raise WriteRefused(f"{self.name} takes no writes")
+        position = self.log.append(keys)
+        self.log.applied_offset = position.offset
+        self._replicate()
+        self._notify()
+        return position
+
+    def _resume_writes(self, term: int) -> None:
+        """Take writes again, unless the term has moved meanwhile."""
+        if self.log.term == term:
+            self.log.stopped_writes = False
+
+    def _tick(self) -> None:
+        """Send a heartbeat if this is the primary."""
+        self._replicate()
+        self.node.schedule(self._model.heartbeat, self._tick, None)
+
+    def _replicate(self) -> None:
+        """Send the log to each replica, without waiting for it."""
+        if self.log.can_write() or self.log.stopped_writes:
+            for peer in self.peers:
+                self._network.send(
+                    self.node,
+                    peer.node,
+                    "replicate",
+                    lambda p=peer: p.receive(self.log),
+                )
+
+    def receive(self, primary: ReplicaLog) -> None:
+        """Take new entries from a primary and apply them a little later."""
+        if self.log.receive(primary, self.node.seconds()):
+            self._notify()
+            self._apply_later()
+
+    def _apply_later(self) -> None:
+        """Apply what was received after the replica's lag."""
+        if self._applying or self.log.applied_offset >= len(self.log.entries):
+            return
+        self._applying = True
+        lag = self._rng.lognormvariate(0.0, self._model.apply_sigma)
+        due = max(self.lag_until - self.node.seconds(), lag * self._model.apply_median)
+        target = len(self.log.entries)
+        self.node.schedule(due, lambda: self._apply(target), None)
+
+    def _apply(self, offset: int) -> None:
+        """Apply up to an offset."""
+        self._applying = False
+        reached = min(offset, len(self.log.entries))
+        self.log.applied_offset = max(self.log.applied_offset, reached)
+        self._notify()
+        self._apply_later()
+
+    def _is_ready(self, waiter: _Waiter) -> bool:
+        """Return whether a long poll can be answered."""
+        log = self.log
+        return (
+            log.term != waiter.term
+            or log.leaving != waiter.leaving
+            or 0 <= waiter.received <= len(log.entries)
+            or 0 <= waiter.applied <= log.applied_offset
+        )
+
+    def _notify(self) -> None:
+        """Answer the long polls that are ready."""
+        ready = [waiter for waiter in self._waiters if self._is_ready(waiter)]
+        if ready:
+            self._answer(ready)
+
+    def _answer(self, waiters: list[_Waiter]) -> None:
+        """Answer some long polls, each once."""
+        for waiter in waiters:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+                waiter.answer.callback(self.get_status())
--- /dev/null
+++ b/beryltrack_bench/fakes/group.py
@@ -0,0 +1,201 @@
+"""A fake database group and the control adapter through which a proxy sees it."""
+
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import TimeoutError
+
+from beryltrack.groups.messages import DatabaseStatus, GrantReply
+from beryltrack_bench.deployment import Deployment, get_delay, get_zone
+from beryltrack_bench.fakes.database import FakeDatabase, PromoteReply
+from beryltrack_bench.fakes.network import Network
+from beryltrack_bench.fakes.nodes import Node, Site
+
+CONTROL_TIMEOUT = 1.0
+"""Seconds after which a control call that got no answer fails."""
+
+FIRST_TERM = 1
+
+
+class FakeGroup:
+    """The databases of one group, the first of them the primary of term 1.
+
+    Parameters
+    ----------
+    site : Site
+        Where the nodes belong.
+    network : Network
+        The site's links.
+    deployment : Deployment
+        Number of databases, zones and the pace of replication.
+    rng : Random
+        Source of the apply lag.
+    name : str
+        The group's name.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        network: Network,
+        deployment: Deployment,
+        rng: Random,
+        name: str = "group",
+    ):
+        self.name = name
+        self.network = network
+        self.databases = {
+            node.name: FakeDatabase(node, network, deployment.replication, rng)
+            for node in (
+                site.add_node(f"{name}-{index + 1}", get_zone(deployment, index))
+                for index in range(deployment.databases_per_group)
+            )
+        }
+        for database in self.databases.values():
+            others = [other for other in self.databases.values() if other != database]
+            database.peers = tuple(others)
+
+    @property
+    def primary(self) -> FakeDatabase:
+        """The primary of the highest term, among all databases, also dead ones."""
+        leading = [
+            each for each in self.databases.values() if each.log.role == "primary"
+        ]
+        return max(leading, key=lambda each: each.log.term)
+
+    def start(self) -> None:
+        """Promote the first database and begin replication."""
+        first, *_ = self.databases.values()
+        for database in self.databases.values():
+            database.grant(FIRST_TERM, "start", 0.0)
+        first.promote(FIRST_TERM, "start")
+        for database in self.databases.values():
+            database.start()
+
+    def crash(self, name: str, silent: bool = False) -> None:
+        """End a database's process, or its whole instance if silent."""
+        self.databases[name].node.crash(silent)
+
+    def restart(self, name: str) -> None:
+        """Bring a database back with the log that it had."""
+        database = self.databases[name]
+        if not database.node.alive:
+            database.node.restart()
+            database.start()
+
+    def isolate(self, name: str) -> None:
+        """Cut a database from its group; proxies still reach it."""
+        for peer in self.databases[name].peers:
+            self.network.cut_both(name, peer.name)
+
+    def heal(self, name: str) -> None:
+        """Undo `isolate`."""
+        for peer in self.databases[name].peers:
+            self.network.heal(name, peer.name)
+
+
+class FakeAdapter:
+    """One proxy's control connections to a fake group: a `DatabaseGroup`.
+
+    Parameters
+    ----------
+    group : FakeGroup
+        The group.
+    node : Node
+        The proxy.
+    """
+
+    def __init__(self, group: FakeGroup, node: Node):
+        self._group = group
+        self._node = node
+
+    async def get_status(self, database: str) -> DatabaseStatus:
+        """Return the status of a database."""
+        return await self._call(database, "status", FakeDatabase.get_status)
+
+    async def wait_status(
+        self, database: str, term: int, received: int, applied: int, timeout: float
+    ) -> DatabaseStatus:
+        """Return the status when it changes, or after a timeout in seconds."""
+        return await self._call(
+            database,
+            "status_after",
+            lambda each: each.wait_status(term, received, applied, timeout),
+            timeout,
+        )
+
+    async def grant(
+        self, database: str, term: int, candidate: str, lost_after: float
+    ) -> GrantReply:
+        """Ask a database for a term."""
+        return await self._call(
+            database, "grant", lambda each: each.grant(term, candidate, lost_after)
+        )
+
+    async def promote(self, database: str, term: int, candidate: str) -> PromoteReply:
+        """Have a database lead a term."""
+        return await self._call(
+            database, "promote", lambda each: each.promote(term, candidate)
+        )
+
+    async def stop_writes(self, database: str, term: int) -> DatabaseStatus:
+        """Have a primary take no more writes for a while."""
+        return await self._call(
+            database, "stop_writes", lambda each: each.stop_writes(term)
+        )
+
+    async def write(self, database: str, *keys: str):
+        """Commit one write; data path, without a timeout of its own."""
+        return await self._send(database, "write", lambda each: each.write(*keys))
+
+    async def read(self, database: str):
+        """Read; data path, without a timeout of its own."""
+        return await self._send(database, "read", FakeDatabase.read)
+
+    def _call(
+        self,
+        database: str,
+        label: str,
+        serve: Callable[[FakeDatabase], object],
+        wait: float = 0.0,
+    ) -> Deferred:
+        """Make a control call that fails after its timeout.
+
+        Raises
+        ------
+        ConnectionLost
+            If the database's process is down.
+        TimeoutError
+            If nothing was heard.
+        """
+        answer = self._send(database, label, serve)
+        answer.addTimeout(
+            CONTROL_TIMEOUT + wait,
+            self._node,
+            lambda result, seconds: _raise_timeout(result),
+        )
+        return answer
+
+    def _send(
+        self, database: str, label: str, serve: Callable[[FakeDatabase], object]
+    ) -> Deferred:
+        """Ask a database something over the proxy's link to it."""
+        target = self._group.databases[database]
+        return self._group.network.call(
+            self._node, target.node, label, lambda: serve(target)
+        )
+
+
+def _raise_timeout(result: object) -> object:
+    """Turn the cancelled call into a timeout."""
+    raise TimeoutError(string="no answer from the database")
+
+
+def make_network(site: Site, deployment: Deployment, rng: Random) -> Network:
+    """Return the links of a deployment."""
+    return Network(
+        lambda source, target: get_delay(deployment, source, target),
+        rng,
+        deployment.replication.receive_jitter,
+    )
--- /dev/null
+++ b/beryltrack_bench/fakes/network.py
@@ -0,0 +1,151 @@
+"""Links between nodes: delays, cuts in one direction, and calls with an answer.
+
+Messages between two nodes arrive in order, as over TCP. A cut link swallows
+what is sent on it without a word; only the caller's own timeout tells. A crash
+of the process breaks its connections, which the other end hears at once; a
+crash of the whole instance is silent.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from beryltrack_bench.fakes.nodes import Node, Step
+
+
+class Network:
+    """The links of one site.
+
+    Parameters
+    ----------
+    get_delay : callable
+        Gives the one-way delay in seconds between two availability zones.
+    rng : Random
+        Source of the jitter.
+    jitter : float
+        Most seconds that a message takes beyond the link's delay.
+    """
+
+    def __init__(
+        self, get_delay: Callable[[str, str], float], rng: Random, jitter: float = 0.0
+    ):
+        self._get_delay = get_delay
+        self._rng = rng
+        self._jitter = jitter
+        self._cuts: set[tuple[str, str]] = set()
+        self._last_arrival: dict[tuple[str, str], float] = {}
+
+    def cut(self, source: str, target: str) -> None:
+        """Lose all that is sent from one node to another from now on."""
+        self._cuts.add((source, target))
+
+    def cut_both(self, one: str, other: str) -> None:
+        """Cut the link between two nodes in both directions."""
+        self._cuts |= {(one, other), (other, one)}
+
+    def heal(self, one: str, other: str) -> None:
+        """Mend the link between two nodes in both directions."""
+        self._cuts -= {(one, other), (other, one)}
+
+    def is_cut(self, source: Node, target: Node) -> bool:
+        """Return whether the link in this direction is cut."""
+        return (source.name, target.name) in self._cuts
+
+    def send(
+        self, source: Node, target: Node, label: str, run: Callable[[], object]
+    ) -> None:
+        """Run a function at another node when a message has arrived there."""
+        source.observe("send", label)
+        if not source.alive or not target.alive or self.is_cut(source, target):
+            return
+        delay = self._compute_delay(source, target)
+        step = Step(target.name, "receive", label)
+        target.schedule(delay, lambda: self._arrive(source, target, run), step)
+
+    def call(
+        self, source: Node, target: Node, label: str, serve: Callable[[], object]
+    ) -> Deferred:
+        """Ask another node for an answer.
+
+        Parameters
+        ----------
+        source, target : Node
+            Who asks, and who is asked.
+        label : str
+            Name of the request.
+        serve : callable
+            Run at the target; gives a value or a Deferred.
+
+        Returns
+        -------
+        Deferred
+            The value, or the failure that `serve` raised, or `ConnectionLost`
+            if the target refused the connection or its process ended. Nothing
+            at all if the link is cut or the target's instance is gone.
+        """
+        call = _Call(self, source, target, label)
+        if not target.alive:
+            if not target.silent:
+                call.break_off()
+            return call.answer
+        target.crash_listeners[call.break_off] = None
+        self.send(source, target, label, lambda: call.serve(serve))
+        return call.answer
+
+    def _arrive(self, source: Node, target: Node, run: Callable[[], object]) -> None:
+        """Deliver a message, unless the link was cut while it was under way."""
+        if not self.is_cut(source, target):
+            run()
+
+    def _compute_delay(self, source: Node, target: Node) -> float:
+        """Return how long a message takes now, in the order of the link."""
+        link = (source.name, target.name)
+        delay = self._get_delay(source.zone, target.zone)
+        delay += source.extra_delay + target.extra_delay
+        arrival = source.seconds() + delay + self._rng.random() * self._jitter
+        arrival = max(arrival, self._last_arrival.get(link, 0.0))
+        self._last_arrival[link] = arrival
+        return arrival - source.seconds()
+
+
+class _Call:
+    """One request and its answer."""
+
+    def __init__(self, network: Network, source: Node, target: Node, label: str):
+        self.answer: Deferred = Deferred()
+        self._network = network
+        self._source = source
+        self._target = target
+        self._label = label
+        self._incarnation = source.incarnation
+
+    def serve(self, serve: Callable[[], object]) -> None:
+        """Run the request at the target and send the result back."""
+        maybeDeferred(serve).addBoth(self._reply)
+
+    def break_off(self) -> None:
+        """Tell the caller that the connection is lost."""
+        if self._network.is_cut(self._target, self._source):
+            return
+        delay = self._network._compute_delay(self._target, self._source)
+        step = Step(self._source.name, "receive", f"{self._label} lost")
+        failure = Failure(ConnectionLost(f"{self._target.name} is down"))
+        self._source.schedule(delay, lambda: self._finish(failure), step)
+
+    def _reply(self, result: object) -> None:
+        """Send the result back."""
+        self._network.send(
+            self._target,
+            self._source,
+            f"{self._label} answer",
+            lambda: self._finish(result),
+        )
+
+    def _finish(self, result: object) -> None:
+        """Give the result to the caller, once, if it is still the same process."""
+        self._target.crash_listeners.pop(self.break_off, None)
+        if self._source.incarnation == self._incarnation and not self.answer.called:
+            self.answer.callback(result)
--- /dev/null
+++ b/beryltrack_bench/main.py
@@ -0,0 +1,117 @@
+"""The command `beryltrack-bench`: one experiment a run, one JSON object out.
+
+An experiment is a module `beryltrack_bench/experiments/NAME.py` with a function
+``run(deployment, seed, options) -> dict``. The dict is printed as one JSON
+object in the last line of standard output. Exit codes: 0 the invariants held, 1 wrong
+usage (an unknown experiment too), 2 an invariant was violated.
+"""
+
+import importlib
+import json
+import pkgutil
+import time
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from beryltrack_bench import experiments
+from beryltrack_bench.deployment import DEPLOYMENTS, load_deployment
+from beryltrack_bench.options import Options
+
+EXIT_HELD = 0
+EXIT_USAGE = 1
+EXIT_VIOLATIONS = 2
+
+
+def list_experiments() -> tuple[str, ...]:
+    """Return the names of all experiments, in order."""
+    return tuple(
+        sorted(found.name for found in pkgutil.iter_modules(experiments.__path__))
+    )
+
+
+def run_experiment(name: str, deployment: str, seed: int, options: Options) -> dict:
+    """Run one experiment and return the object that it prints.
+
+    Raises
+    ------
+    ValueError
+        If the experiment or the deployment does not exist.
+    """
+    if name not in list_experiments():
+        known = ", ".join(list_experiments()) or "none"
+        raise ValueError(f"no experiment {name!r}; known: {known}")
+    module = importlib.import_module(f"beryltrack_bench.experiments.{name}")
+    figures = module.run(load_deployment(deployment), seed, options)
+    return {"experiment": name, "deployment": deployment, "seed": seed, **figures}
+
+
+class ExperimentCommand(Command):
+    """Runs one experiment and prints its figures.
+
+    Parameters
+    ----------
+    experiment : str
+        Name of the experiment, which is the command's name too.
+    """
+
+    options = [
+        option("deployment", None, " or ".join(DEPLOYMENTS), False, default="lectora"),
+        option("seed", None, "Seed of all random numbers.", False, default="1"),
+        option("json", None, "Print nothing but the JSON object."),
+        option("nodes", None, "Number of nodes (fleet, cost).", False),
+        option("cell", None, "Repeat one cell (faults).", False),
+        option("runs", None, "Number of runs, where it can be chosen.", False),
+        option("seconds", None, "Length of a run, where it can be chosen.", False),
+    ]
+
+    def __init__(self, experiment: str):
+        self.name = experiment
+        self.description = f"Run the experiment {experiment} and print its figures."
+        super().__init__()
+
+    def handle(self) -> int:
+        """Run the experiment and return the exit code."""
+        try:
+            figures = self._run()
+        except ValueError as error:
+            self.line_error(f"beryltrack-bench: {error}")
+            return EXIT_USAGE
+        self.line(json.dumps(figures))
+        return EXIT_VIOLATIONS if figures.get("violations") else EXIT_HELD
+
+    def _run(self) -> dict:
+        """Run the experiment with the options given."""
+        started = time.monotonic()
+        figures = run_experiment(
+            self.name,
+            self.option("deployment"),
+            int(self.option("seed")),
+            self._parse_options(),
+        )
+        if not self.option("json"):
+            self.line_error(f"ran {time.monotonic() - started:.1f} s")
+        return figures
+
+    def _parse_options(self) -> Options:
+        """Return the typed form of the options of single experiments."""
+        numbers = {
+            key: kind(self.option(key))
+            for key, kind in (("nodes", int), ("runs", int), ("seconds", float))
+            if self.option(key)
+        }
+        return Options(cell=self.option("cell") or "", **numbers)
+
+
+def make_application() -> Application:
+    """Return the command line with one command for each experiment."""
+    application = Application("beryltrack-bench")
+    for name in list_experiments():
+        application.add(ExperimentCommand(name))
+    return application
+
+
+def main() -> None:
+    """Run the command line."""
+    make_application().run()
