Pool connections to a target per transaction

Cause: callers share a database's few connections, and a request that cannot be done before its deadline must hear so at once and truthfully. Change: PoolDecider (queue in order of deadlines, early refusals from the smoothed hold time, back-off after refused opens, idle reaping, draining, limits that fall while connections are in use) and PoolTask around it.

--- /dev/null
+++ b/beryltrack/connections/messages.py
@@ -0,0 +1,143 @@
+"""What a pool is asked, what it decides, and what it needs of a connection.
+
+Waiters and connections are named by numbers that the pool's task gives out, so
+that the decider never touches a socket.
+"""
+
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+from twisted.internet.defer import Deferred
+
+TOO_MANY_CONNECTIONS = "53300"
+CANNOT_CONNECT_NOW = "57P03"
+
+
+class PooledConnection(Protocol):
+    """What a pool needs of a connection to a target."""
+
+    @property
+    def broken(self) -> bool:
+        """True if the connection is in doubt and must not be used again."""
+
+    @property
+    def closed(self) -> Deferred[None]:
+        """Fires once when the connection is gone; callbacks pass the value on."""
+
+    def close(self) -> None:
+        """Close the connection; `closed` fires when it is gone."""
+
+
+class RefusalReason(Enum):
+    """Why a pool gave no connection; in each case the request was not run."""
+
+    QUEUE_FULL = "too many requests wait for a connection"
+    TOO_LATE = "no connection in time for the request's deadline"
+    UNREACHABLE = "the target cannot be reached"
+    NO_SHARE = "no share of the target's connections is free"
+    LEAVING = "the target takes no new work"
+
+
+class PoolRefusal(NamedTuple):
+    """A refusal, true as "not run" and final.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        Why.
+    retry_after : float
+        Seconds after which a new attempt has a fair chance.
+    """
+
+    reason: RefusalReason
+    retry_after: float
+
+    @property
+    def sqlstate(self) -> str:
+        """The SQLSTATE that says the same to a caller."""
+        full = (RefusalReason.QUEUE_FULL, RefusalReason.TOO_LATE)
+        return TOO_MANY_CONNECTIONS if self.reason in full else CANNOT_CONNECT_NOW
+
+
+class PoolRefused(Exception):
+    """Raised to who asked for a connection; the request was not run.
+
+    Parameters
+    ----------
+    refusal : PoolRefusal
+        Why, and when to try again.
+    """
+
+    def __init__(self, refusal: PoolRefusal):
+        super().__init__(refusal.reason.value)
+        self.refusal = refusal
+
+
+class ConnectRefused(Exception):
+    """Raised by a `connect` when the target answered and refused the session.
+
+    Parameters
+    ----------
+    sqlstate : str
+        The target's SQLSTATE; 53300 means that its connections are used up.
+    """
+
+    def __init__(self, sqlstate: str):
+        super().__init__(f"the target refused the connection: {sqlstate}")
+        self.sqlstate = sqlstate
+
+
+class GiveConnection(NamedTuple):
+    """Hand a connection to a waiter."""
+
+    waiter: int
+    connection: int
+
+
+class RefuseWaiter(NamedTuple):
+    """Tell a waiter that it gets no connection."""
+
+    waiter: int
+    refusal: PoolRefusal
+
+
+class OpenConnection(NamedTuple):
+    """Open a connection under a new number."""
+
+    connection: int
+
+
+class CloseConnection(NamedTuple):
+    """Close a connection; report `observe_closed` when it is gone."""
+
+    connection: int
+
+
+PoolAction = GiveConnection | RefuseWaiter | OpenConnection | CloseConnection
+
+
+class PoolLoad(NamedTuple):
+    """The load of one pool, for routing, budgets and metrics.
+
+    Parameters
+    ----------
+    limit : int
+        Most connections that the pool may open now.
+    open : int
+        Connections that the target may still count, closing ones included.
+    in_use : int
+        Connections that a request holds.
+    waiting : int
+        Requests in the queue.
+    expected_wait : float
+        Seconds that a request arriving now would wait.
+    hold_time : float
+        Seconds that a request is expected to hold a connection.
+    """
+
+    limit: int
+    open: int
+    in_use: int
+    waiting: int
+    expected_wait: float
+    hold_time: float
--- /dev/null
+++ b/beryltrack/connections/pool.py
@@ -0,0 +1,441 @@
+"""The decisions of one database's pool of connections, without any socket.
+
+A connection is lent per transaction. Requests wait in the order of their
+deadlines. Who cannot be done in time, by what holds took of late, is told so
+at once: a refusal is final and true, for nothing was sent.
+"""
+
+import random
+from enum import Enum
+from itertools import count, takewhile
+from typing import NamedTuple
+
+from sortedcontainers import SortedDict
+
+from beryltrack.connections.messages import (
+    CloseConnection,
+    GiveConnection,
+    OpenConnection,
+    PoolAction,
+    PoolLoad,
+    PoolRefusal,
+    RefusalReason,
+    RefuseWaiter,
+)
+from beryltrack.connections.service_estimate import ServiceEstimate
+
+FIRST_HOLD_TIME = 0.005
+FIRST_OPEN_TIME = 0.03
+LEAST_RETRY_AFTER = 0.05
+SCAN_PERIOD = 0.05
+# A hold this many times as long as expected is not counted on to end soon.
+STUCK_FACTOR = 8.0
+
+
+class PoolPolicy(NamedTuple):
+    """The figures that steer a pool.
+
+    Parameters
+    ----------
+    queue_limit : int
+        Most requests that wait.
+    warm : int
+        Connections to keep open while nothing asks for them.
+    idle_timeout : float
+        Seconds after which a surplus idle connection is closed.
+    most_opening : int
+        Most connections to open at the same time.
+    first_backoff, most_backoff : float
+        Bounds of the wait after a failed open, seconds.
+    deviations : float
+        Mean deviations added to the hold time when a deadline is judged.
+    share_wait : float
+        Seconds that requests wait for a share of the connections to come free
+        when the pool has none.
+    """
+
+    queue_limit: int = 256
+    warm: int = 1
+    idle_timeout: float = 30.0
+    most_opening: int = 4
+    first_backoff: float = 0.05
+    most_backoff: float = 2.0
+    deviations: float = 2.0
+    share_wait: float = 0.25
+
+
+class _State(Enum):
+    """Whether the pool takes work."""
+
+    ACTIVE = 1
+    DRAINING = 2
+
+
+class _WaiterKey(NamedTuple):
+    """The order of the queue: earliest deadline, then first come."""
+
+    deadline: float
+    waiter: int
+
+
+class PoolDecider:
+    """Decides who gets a connection, and when to open and close connections.
+
+    Each method takes the current time in seconds and returns the actions to
+    carry out, in order.
+
+    Parameters
+    ----------
+    policy : PoolPolicy
+        The figures that steer it.
+    limit : int
+        Most connections that it may have open.
+    rng : random.Random
+        For the jitter of back-offs.
+    """
+
+    def __init__(self, policy: PoolPolicy, limit: int, rng: random.Random):
+        self._policy = policy
+        self._limit = limit
+        self._rng = rng
+        self._state = _State.ACTIVE
+        self._numbers = count(1)
+        self._opening: dict[int, float] = {}
+        self._idle: dict[int, float] = {}
+        self._in_use: dict[int, float] = {}
+        self._closing: set[int] = set()
+        self._waiters: SortedDict = SortedDict()
+        self._deadlines: dict[int, float] = {}
+        self._hold = ServiceEstimate(FIRST_HOLD_TIME)
+        self._open_time = ServiceEstimate(FIRST_OPEN_TIME)
+        self._failures = 0
+        self._open_after = float("-inf")
+        self._dry_since: float | None = None
+
+    @property
+    def limit(self) -> int:
+        """Most connections that the pool may have open."""
+        return self._limit
+
+    @property
+    def open_count(self) -> int:
+        """Connections that the target may count, closing ones included."""
+        return self._live_count + len(self._closing)
+
+    @property
+    def has_waiters(self) -> bool:
+        """True if requests wait for a connection."""
+        return bool(self._waiters)
+
+    @property
+    def is_drained(self) -> bool:
+        """True if the pool takes no work and all its connections are gone."""
+        return self._state is _State.DRAINING and self.open_count == 0
+
+    @property
+    def _live_count(self) -> int:
+        return len(self._opening) + len(self._idle) + len(self._in_use)
+
+    def get_load(self, now: float) -> PoolLoad:
+        """Return the pool's load at the time `now`."""
+        return PoolLoad(
+            self._limit,
+            self.open_count,
+            len(self._in_use),
+            len(self._waiters),
+            self._compute_wait(len(self._waiters), now),
+            self._hold.mean,
+        )
+
+    def acquire(self, waiter: int, deadline: float, now: float) -> list[PoolAction]:
+        """Ask for a connection.
+
+        Parameters
+        ----------
+        waiter : int
+            Number of the request, unique in this pool.
+        deadline : float
+            Time by which the request must be done.
+        now : float
+            The current time.
+
+        Returns
+        -------
+        list of PoolAction
+            A connection, a refusal, or what has to be opened while it waits.
+        """
+        if self._state is not _State.ACTIVE:
+            return [self._refuse(waiter, RefusalReason.LEAVING, now)]
+        if self._idle and now + self._compute_service() <= deadline:
+            return [self._give(waiter, self._idle.popitem()[0], now)]
+        if len(self._waiters) >= self._policy.queue_limit:
+            return [self._refuse(waiter, RefusalReason.QUEUE_FULL, now)]
+        if self._is_cut_off(now):
+            return [self._refuse(waiter, RefusalReason.UNREACHABLE, now)]
+        key = _WaiterKey(deadline, waiter)
+        place = self._waiters.bisect_left(key)
+        if self._compute_finish(place, now) > deadline:
+            return [self._refuse(waiter, RefusalReason.TOO_LATE, now)]
+        self._waiters[key] = now
+        self._deadlines[waiter] = deadline
+        # Whoever now waits behind may have lost its last chance.
+        is_last = place == len(self._waiters) - 1
+        late = [] if is_last and self._limit else self._refuse_late(now)
+        return late + self._fill(now)
+
+    def cancel(self, waiter: int) -> list[PoolAction]:
+        """Forget a waiter that does not want its connection any more."""
+        self._remove_waiter(waiter)
+        return []
+
+    def release(
+        self, connection: int, is_reusable: bool, now: float
+    ) -> list[PoolAction]:
+        """Take a connection back.
+
+        Parameters
+        ----------
+        connection : int
+            Its number.
+        is_reusable : bool
+            False if anything about it is in doubt; it is thrown away.
+        now : float
+            The current time.
+
+        Returns
+        -------
+        list of PoolAction
+            What follows from it.
+        """
+        if connection not in self._in_use:
+            return []
+        self._hold.observe(self._end_use(connection, now))
+        surplus = self._live_count >= self._limit
+        if not is_reusable or surplus or self._state is not _State.ACTIVE:
+            return self._close(connection) + self._fill(now)
+        return self._serve(connection, now)
+
+    def observe_opened(self, connection: int, now: float) -> list[PoolAction]:
+        """Take in that a connection is open."""
+        started = self._opening.pop(connection)
+        self._open_time.observe(now - started)
+        self._failures = 0
+        self._open_after = now
+        if self._state is not _State.ACTIVE or self._live_count >= self._limit:
+            return self._close(connection)
+        return self._serve(connection, now) + self._fill(now)
+
+    def observe_open_failed(self, connection: int, now: float) -> list[PoolAction]:
+        """Take in that a connection could not be opened: back off."""
+        del self._opening[connection]
+        self._failures += 1
+        self._open_after = now + self._compute_backoff()
+        if self._is_cut_off(now):
+            return self._refuse_all(RefusalReason.UNREACHABLE, now)
+        return self._refuse_late(now)
+
+    def observe_closed(self, connection: int, now: float) -> list[PoolAction]:
+        """Take in that a connection is gone, by whatever cause."""
+        self._closing.discard(connection)
+        self._idle.pop(connection, None)
+        if connection in self._in_use:
+            self._end_use(connection, now)
+        return self._fill(now)
+
+    def set_limit(self, limit: int, now: float) -> list[PoolAction]:
+        """Change how many connections may be open.
+
+        A surplus is closed at once if idle, else when it comes back.
+        """
+        self._limit = limit
+        surplus = min(max(0, self._live_count - limit), len(self._idle))
+        closed = [self._idle.popitem()[0] for _ in range(surplus)]
+        actions = [action for number in closed for action in self._close(number)]
+        return actions + self._refuse_late(now) + self._fill(now)
+
+    def enforce_limit(self, limit: int) -> list[PoolAction]:
+        """Close connections beyond `limit`, also those in use.
+
+        Only for a share that has lapsed: it may be in other hands already.
+        Those in use for the shortest time go first, for they lose the least.
+        """
+        surplus = max(0, self._live_count - limit)
+        idle = list(self._idle)
+        in_use = sorted(self._in_use, key=self._in_use.__getitem__, reverse=True)
+        chosen = (idle + in_use)[:surplus]
+        return [action for number in chosen for action in self._throw_away(number)]
+
+    def drain(self, now: float) -> list[PoolAction]:
+        """Take no new work; connections in use close when they come back."""
+        self._state = _State.DRAINING
+        idle = list(self._idle)
+        self._idle.clear()
+        closed = [action for number in idle for action in self._close(number)]
+        return closed + self._refuse_all(RefusalReason.LEAVING, now)
+
+    def resume(self, now: float) -> list[PoolAction]:
+        """Take work again after a drain."""
+        self._state = _State.ACTIVE
+        return self._fill(now)
+
+    def tick(self, now: float) -> list[PoolAction]:
+        """Do what is due by time alone: refusals, reaping, opening."""
+        return self._refuse_late(now) + self._reap(now) + self._fill(now)
+
+    def get_wakeup(self, now: float) -> float | None:
+        """Return when `tick` is next due, or None if nothing waits for time."""
+        if self._waiters:
+            return now + SCAN_PERIOD
+        if self._state is not _State.ACTIVE:
+            return None
+        times = []
+        if now < self._open_after and self._wanted_count > 0:
+            times.append(self._open_after)
+        if self._idle and self._live_count > self._policy.warm:
+            times.append(next(iter(self._idle.values())) + self._policy.idle_timeout)
+        return min(times, default=None)
+
+    @property
+    def _wanted_count(self) -> int:
+        """Connections that should be opened besides those on the way."""
+        for_waiters = len(self._waiters) - len(self._opening)
+        for_warmth = self._policy.warm - self._live_count
+        return max(for_waiters, for_warmth)
+
+    def _is_cut_off(self, now: float) -> bool:
+        """Return whether nothing is open and opening has just failed."""
+        return self._live_count == 0 and now < self._open_after and self._failures > 0
+
+    def _count_stuck(self, now: float) -> int:
+        """Return how many holds last too long to be counted on to end soon.
+
+        One long transaction must not make all others look hopeless, and a
+        target that answers nobody must be seen before the first hold ends.
+        """
+        since = now - STUCK_FACTOR * self._compute_service()
+        started = self._in_use.values()
+        return sum(1 for _ in takewhile(lambda time: time < since, started))
+
+    def _compute_service(self) -> float:
+        """Return a time in which a request that holds a connection is done."""
+        return self._hold.mean + self._policy.deviations * self._hold.deviation
+
+    def _compute_wait(self, place: int, now: float) -> float:
+        """Return the expected wait of the request at a place in the queue."""
+        is_backing_off = now < self._open_after
+        total = max(1, self._live_count if is_backing_off else self._limit)
+        ahead = place - (total - len(self._in_use))
+        if ahead < 0:
+            return 0.0 if self._idle else self._open_time.mean
+        moving = total - self._count_stuck(now)
+        if moving > 0:
+            return self._hold.mean * (ahead + 1) / moving
+        # All are stuck: what lasts long is expected to last as long again.
+        newest = next(reversed(self._in_use.values()))
+        return (now - newest) * (ahead + 1) / total
+
+    def _compute_finish(self, place: int, now: float) -> float:
+        """Return by when the request at a place in the queue should be done."""
+        return now + self._compute_wait(place, now) + self._compute_service()
+
+    def _compute_backoff(self) -> float:
+        """Return a jittered wait that doubles with each failure."""
+        doubled = self._policy.first_backoff * 2 ** min(self._failures - 1, 16)
+        return min(doubled, self._policy.most_backoff) * self._rng.uniform(0.5, 1.0)
+
+    def _refuse(self, waiter: int, reason: RefusalReason, now: float) -> RefuseWaiter:
+        """Return a refusal with the time after which a retry is worth while."""
+        until_open = self._open_after - now
+        wait = max(self._compute_wait(len(self._waiters), now), until_open)
+        return RefuseWaiter(waiter, PoolRefusal(reason, max(LEAST_RETRY_AFTER, wait)))
+
+    def _refuse_waiter(
+        self, waiter: int, reason: RefusalReason, now: float
+    ) -> RefuseWaiter:
+        self._remove_waiter(waiter)
+        return self._refuse(waiter, reason, now)
+
+    def _refuse_all(self, reason: RefusalReason, now: float) -> list[PoolAction]:
+        waiters = [key.waiter for key in self._waiters]
+        return [self._refuse_waiter(waiter, reason, now) for waiter in waiters]
+
+    def _refuse_late(self, now: float) -> list[PoolAction]:
+        """Refuse whoever cannot be done in time any more."""
+        if self._is_dry_for_long(now):
+            return self._refuse_all(RefusalReason.NO_SHARE, now)
+        late, place = [], 0
+        for key in self._waiters:
+            if self._compute_finish(place, now) > key.deadline:
+                late.append(key.waiter)
+            else:
+                place += 1
+        return [
+            self._refuse_waiter(waiter, RefusalReason.TOO_LATE, now) for waiter in late
+        ]
+
+    def _is_dry_for_long(self, now: float) -> bool:
+        """Return whether requests waited long enough for a share to come."""
+        if self._limit > 0 or not self._waiters:
+            self._dry_since = None
+            return False
+        if self._dry_since is None:
+            self._dry_since = now
+        return now - self._dry_since > self._policy.share_wait
+
+    def _remove_waiter(self, waiter: int) -> None:
+        deadline = self._deadlines.pop(waiter, None)
+        if deadline is not None:
+            del self._waiters[_WaiterKey(deadline, waiter)]
+
+    def _give(self, waiter: int, connection: int, now: float) -> GiveConnection:
+        self._in_use[connection] = now
+        return GiveConnection(waiter, connection)
+
+    def _end_use(self, connection: int, now: float) -> float:
+        """Take a connection out of use and return how long it was held."""
+        return now - self._in_use.pop(connection)
+
+    def _serve(self, connection: int, now: float) -> list[PoolAction]:
+        """Give a free connection to the first waiter that can still be done."""
+        actions: list[PoolAction] = []
+        while self._waiters:
+            key = self._waiters.keys()[0]
+            self._remove_waiter(key.waiter)
+            if now + self._compute_service() <= key.deadline:
+                return actions + [self._give(key.waiter, connection, now)]
+            actions.append(self._refuse(key.waiter, RefusalReason.TOO_LATE, now))
+        self._idle[connection] = now
+        return actions
+
+    def _close(self, connection: int) -> list[PoolAction]:
+        self._closing.add(connection)
+        return [CloseConnection(connection)]
+
+    def _throw_away(self, connection: int) -> list[PoolAction]:
+        self._idle.pop(connection, None)
+        if connection in self._in_use:
+            self._end_use(connection, self._in_use[connection])
+        return self._close(connection)
+
+    def _reap(self, now: float) -> list[PoolAction]:
+        """Close idle connections beyond the warm ones after the timeout."""
+        surplus = max(0, self._live_count - self._policy.warm)
+        expired = [
+            number
+            for number, since in self._idle.items()
+            if now - since >= self._policy.idle_timeout
+        ][:surplus]
+        return [action for number in expired for action in self._throw_away(number)]
+
+    def _fill(self, now: float) -> list[PoolAction]:
+        """Open what waiters and warmth ask for, within the limits."""
+        if self._state is not _State.ACTIVE or now < self._open_after:
+            return []
+        room = self._limit - self.open_count
+        at_once = self._policy.most_opening - len(self._opening)
+        numbers = [
+            next(self._numbers)
+            for _ in range(max(0, min(self._wanted_count, room, at_once)))
+        ]
+        self._opening.update((number, now) for number in numbers)
+        return [OpenConnection(number) for number in numbers]
--- /dev/null
+++ b/beryltrack/connections/task.py
@@ -0,0 +1,269 @@
+"""The pool of connections to one database, as the other tasks use it.
+
+It owns the connections and the timer; what to do is decided by `PoolDecider`.
+"""
+
+import logging
+import random
+from collections import deque
+from collections.abc import Callable
+from itertools import count
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from twisted.python.failure import Failure
+
+from beryltrack.connections.messages import (
+    CloseConnection,
+    GiveConnection,
+    OpenConnection,
+    PoolAction,
+    PooledConnection,
+    PoolLoad,
+    PoolRefusal,
+    PoolRefused,
+    RefusalReason,
+    RefuseWaiter,
+)
+from beryltrack.connections.pool import LEAST_RETRY_AFTER, PoolDecider, PoolPolicy
+from beryltrack.settings.messages import DatabaseSettings
+
+log = logging.getLogger(__name__)
+
+
+class PoolTask:
+    """Pools the connections to one database.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        The clock; a `task.Clock` in tests.
+    database : DatabaseSettings
+        The database.
+    connect : callable
+        Opens a connection: returns a Deferred of a `PooledConnection` that is
+        ready for a request. It must fail or fire within a bounded time.
+    policy : PoolPolicy
+        The figures that steer the pool.
+    limit : int or None
+        Most connections; by default the database's `max_connections`. A
+        budget lowers and raises it by `set_limit`.
+    rng : random.Random or None
+        For the jitter of back-offs.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        database: DatabaseSettings,
+        connect: Callable[[], Deferred[PooledConnection]],
+        policy: PoolPolicy | None = None,
+        limit: int | None = None,
+        rng: random.Random | None = None,
+    ):
+        self._reactor = reactor
+        self._name = database.name
+        self._connect = connect
+        first_limit = database.max_connections if limit is None else limit
+        self._decider = PoolDecider(
+            policy or PoolPolicy(), first_limit, rng or random.Random()
+        )
+        self._waiter_numbers = count(1)
+        self._waiters: dict[int, Deferred[PooledConnection]] = {}
+        self._connections: dict[int, PooledConnection] = {}
+        self._numbers: dict[PooledConnection, int] = {}
+        self._timer: IDelayedCall | None = None
+        self._timer_at = 0.0
+        self._listeners: list[Callable[[], None]] = []
+        self._drained: list[Deferred[None]] = []
+        self._actions: deque[PoolAction] = deque()
+        self._is_performing = False
+        self._told = (0, False)
+
+    @property
+    def load(self) -> PoolLoad:
+        """The pool's load now."""
+        return self._decider.get_load(self._reactor.seconds())
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change that may concern a budget."""
+        self._listeners.append(callback)
+
+    def start(self) -> None:
+        """Open the warm connections."""
+        self._tick()
+
+    def acquire(self, deadline: float) -> Deferred[PooledConnection]:
+        """Get a connection for one request or transaction.
+
+        Parameters
+        ----------
+        deadline : float
+            Time of the reactor's clock, in seconds, by which the request must
+            be done.
+
+        Returns
+        -------
+        Deferred of PooledConnection
+            Fails with `PoolRefused` as soon as that is decided; the request
+            was not run then. Cancelling it leaves the queue.
+        """
+        waiter = next(self._waiter_numbers)
+        result: Deferred[PooledConnection] = Deferred(lambda _: self._cancel(waiter))
+        self._waiters[waiter] = result
+        self._perform(self._decider.acquire(waiter, deadline, self._now))
+        return result
+
+    def release(self, connection: PooledConnection, reusable: bool) -> None:
+        """Give a connection back.
+
+        Parameters
+        ----------
+        connection : PooledConnection
+            What `acquire` gave.
+        reusable : bool
+            False if its state is in doubt; it is then thrown away.
+        """
+        number = self._numbers.get(connection)
+        if number is None:
+            return
+        is_reusable = reusable and not connection.broken
+        self._perform(self._decider.release(number, is_reusable, self._now))
+
+    def set_limit(self, limit: int) -> None:
+        """Change how many connections may be open; a surplus closes when free."""
+        if limit != self._decider.limit:
+            self._perform(self._decider.set_limit(limit, self._now))
+
+    def enforce_limit(self, limit: int) -> None:
+        """Close connections beyond `limit` at once, also those in use."""
+        self._perform(self._decider.enforce_limit(limit))
+
+    def drain(self) -> Deferred[None]:
+        """Take no new work; fires when all connections are closed."""
+        done: Deferred[None] = Deferred()
+        self._drained.append(done)
+        self._perform(self._decider.drain(self._now))
+        return done
+
+    def resume(self) -> None:
+        """Take work again after a drain."""
+        self._perform(self._decider.resume(self._now))
+
+    @property
+    def _now(self) -> float:
+        return self._reactor.seconds()
+
+    def _cancel(self, waiter: int) -> None:
+        self._waiters.pop(waiter, None)
+        self._perform(self._decider.cancel(waiter))
+
+    def _perform(self, actions: list[PoolAction]) -> None:
+        """Carry out actions, then set the timer for what is due by time.
+
+        A callback may call the pool again; its actions queue behind these.
+        """
+        self._actions.extend(actions)
+        if self._is_performing:
+            return
+        self._is_performing = True
+        try:
+            while self._actions:
+                self._perform_one(self._actions.popleft())
+        finally:
+            self._is_performing = False
+        self._set_timer()
+        self._tell_listeners()
+        if self._decider.is_drained:
+            self._finish_drain()
+
+    def _perform_one(self, action: PoolAction) -> None:
+        match action:
+            case GiveConnection():
+                self._give(action)
+            case RefuseWaiter():
+                self._refuse(action)
+            case OpenConnection():
+                self._open(action.connection)
+            case CloseConnection():
+                connection = self._connections.get(action.connection)
+                if connection is not None:
+                    connection.close()
+
+    def _tell_listeners(self) -> None:
+        """Call the listeners if the use of the limit has changed."""
+        use = (self._decider.open_count, self._decider.has_waiters)
+        if use != self._told:
+            self._told = use
+            for callback in self._listeners:
+                callback()
+
+    def _give(self, action: GiveConnection) -> None:
+        connection = self._connections.get(action.connection)
+        waiter = self._waiters.pop(action.waiter, None)
+        if waiter is None:
+            self._perform(self._decider.release(action.connection, True, self._now))
+        elif connection is None:
+            refusal = PoolRefusal(RefusalReason.UNREACHABLE, LEAST_RETRY_AFTER)
+            waiter.errback(PoolRefused(refusal))
+        else:
+            waiter.callback(connection)
+
+    def _refuse(self, action: RefuseWaiter) -> None:
+        waiter = self._waiters.pop(action.waiter, None)
+        if waiter is not None:
+            waiter.errback(PoolRefused(action.refusal))
+
+    def _open(self, number: int) -> None:
+        self._connect().addCallbacks(
+            self._observe_opened,
+            self._observe_open_failed,
+            callbackArgs=(number,),
+            errbackArgs=(number,),
+        )
+
+    def _observe_opened(self, connection: PooledConnection, number: int) -> None:
+        self._connections[number] = connection
+        self._numbers[connection] = number
+        actions = self._decider.observe_opened(number, self._now)
+        connection.closed.addBoth(self._observe_closed, connection, number)
+        self._perform(actions)
+
+    def _observe_open_failed(self, failure: Failure, number: int) -> None:
+        log.warning(
+            "connections: cannot open a connection to %s: %s",
+            self._name,
+            failure.getErrorMessage(),
+        )
+        self._perform(self._decider.observe_open_failed(number, self._now))
+
+    def _observe_closed(
+        self, result: object, connection: PooledConnection, number: int
+    ) -> object:
+        del self._connections[number]
+        del self._numbers[connection]
+        self._perform(self._decider.observe_closed(number, self._now))
+        return result
+
+    def _finish_drain(self) -> None:
+        drained, self._drained = self._drained, []
+        for done in drained:
+            done.callback(None)
+
+    def _set_timer(self) -> None:
+        """Keep one timer, at the earliest time at which something is due."""
+        wakeup = self._decider.get_wakeup(self._now)
+        if self._timer is not None and self._timer.active():
+            if wakeup is not None and self._timer_at <= wakeup:
+                return
+            self._timer.cancel()
+        self._timer = None
+        if wakeup is not None:
+            self._timer_at = wakeup
+            self._timer = self._reactor.callLater(
+                max(0.0, wakeup - self._now), self._tick
+            )
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._perform(self._decider.tick(self._now))
--- /dev/null
+++ b/tests/connections/test_task.py
@@ -0,0 +1,96 @@
+"""The pool's task: Deferreds, timers and connections that break."""
+
+import random
+
+import pytest
+from twisted.internet.defer import CancelledError
+from twisted.internet.task import Clock
+
+from beryltrack.connections.messages import ConnectRefused, PoolRefused
+from beryltrack.connections.task import PoolTask
+from beryltrack.settings.messages import DatabaseSettings, Endpoint
+from tests.connections.fake_target import FakeTarget
+
+DATABASE = DatabaseSettings("a", Endpoint("127.0.0.1", 5432), "z1", 1, 3, False)
+
+
+@pytest.fixture
+def site():
+    clock, target = Clock(), FakeTarget()
+    pool = PoolTask(clock, DATABASE, target.connect, rng=random.Random(1))
+    return clock, target, pool
+
+
+def get_result(deferred):
+    """Return what a Deferred fired with; a failure is raised."""
+    results, failures = [], []
+    deferred.addCallbacks(results.append, failures.append)
+    for failure in failures:
+        failure.raiseException()
+    return results[0] if results else None
+
+
+def test_a_connection_goes_from_one_request_to_the_next(site):
+    _, target, pool = site
+    first = get_result(pool.acquire(10.0))
+    second = pool.acquire(10.0)
+    assert get_result(second) is None
+    pool.release(first, True)
+    assert second.called and len(target.connections) == 1
+
+
+def test_a_broken_connection_is_not_given_again(site):
+    _, target, pool = site
+    first = get_result(pool.acquire(10.0))
+    first.broken = True
+    pool.release(first, True)
+    assert get_result(pool.acquire(10.0)) is target.connections[1]
+
+
+def test_a_connection_that_the_target_closes_is_replaced(site):
+    _, target, pool = site
+    first = get_result(pool.acquire(10.0))
+    pool.release(first, True)
+    first.close()
+    assert get_result(pool.acquire(10.0)) is not first
+
+
+def test_a_cancelled_request_leaves_the_queue(site):
+    _, _, pool = site
+    first = get_result(pool.acquire(10.0))
+    second, third = pool.acquire(10.0), pool.acquire(10.0)
+    second.addErrback(lambda failure: failure.trap(CancelledError))
+    second.cancel()
+    pool.release(first, True)
+    assert third.called and pool.load.waiting == 0
+
+
+def test_a_release_inside_a_callback_is_safe(site):
+    _, _, pool = site
+    first = get_result(pool.acquire(10.0))
+    served = []
+    for number in range(3):
+        waiting = pool.acquire(10.0)
+        waiting.addCallback(lambda c, n=number: (served.append(n), pool.release(c, 1)))
+    pool.release(first, True)
+    assert served == [0, 1, 2]
+
+
+def test_a_refused_open_is_retried_after_the_back_off(site):
+    clock, target, pool = site
+    target.failure = ConnectRefused("53300")
+    with pytest.raises(PoolRefused):
+        get_result(pool.acquire(10.0))
+    target.failure = None
+    clock.advance(0.1)
+    assert get_result(pool.acquire(10.0)) is target.connections[0]
+
+
+def test_a_drained_pool_says_when_it_is_empty(site):
+    clock, target, pool = site
+    first = get_result(pool.acquire(10.0))
+    done = pool.drain()
+    assert not done.called
+    pool.release(first, True)
+    assert done.called and target.open_count == 0
+    assert clock.getDelayedCalls() == []
