--- /dev/null
+++ b/beryltrack/platform/backoff.py
@@ -0,0 +1,40 @@
+"""Delays between attempts, grown exponentially and spread by full jitter.
+
+Many proxies lose the platform at the same moment. Without jitter they would
+all come back at the same moment too.
+"""
+
+import random
+
+FIRST_DELAY = 0.1
+MAX_DELAY = 10.0
+MAX_DOUBLINGS = 16
+
+
+def compute_delay(
+    attempt: int,
+    rng: random.Random,
+    first: float = FIRST_DELAY,
+    most: float = MAX_DELAY,
+) -> float:
+    """Return how long to wait before the next attempt.
+
+    Parameters
+    ----------
+    attempt : int
+        How many attempts have failed so far, at least one.
+    rng : random.Random
+        Source of the jitter.
+    first : float
+        Upper bound of the first delay, seconds.
+    most : float
+        Upper bound of all delays, seconds.
+
+    Returns
+    -------
+    float
+        A delay between half of the bound and the bound, seconds.
+    """
+    doublings = min(max(attempt - 1, 0), MAX_DOUBLINGS)
+    bound = min(most, first * 2**doublings)
+    return rng.uniform(bound / 2, bound)
--- /dev/null
+++ b/beryltrack/platform/parsing.py
@@ -0,0 +1,79 @@
+"""Reads the platform's JSON answers into typed messages.
+
+The platform is trusted but its answers cross a network: a field that is
+missing or of another type raises `ValueError`, which the client reports.
+"""
+
+from beryltrack.platform.messages import InstanceEntry, ObjectList, PlatformObject
+
+
+def _get_field(answer: object, name: str, kind: type) -> object:
+    """Return one field of a JSON object, or raise `ValueError`."""
+    if not isinstance(answer, dict):
+        raise ValueError("the answer is no JSON object")
+    value = answer.get(name)
+    if not isinstance(value, kind) or isinstance(value, bool) is not (kind is bool):
+        raise ValueError(f"the answer's field {name} is no {kind.__name__}")
+    return value
+
+
+def parse_version(answer: object) -> int:
+    """Return the version in the answer to a change.
+
+    Raises
+    ------
+    ValueError
+        If there is none.
+    """
+    return _get_field(answer, "version", int)
+
+
+def parse_object(answer: object) -> PlatformObject:
+    """Return one object from its JSON form.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing or of another type.
+    """
+    path = _get_field(answer, "path", str)
+    version = parse_version(answer)
+    deleted = answer.get("deleted") is True
+    value = None if deleted else answer.get("value")
+    return PlatformObject(path, version, value, deleted)
+
+
+def parse_list(answer: object) -> ObjectList:
+    """Return the objects of a list or a watch.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing or of another type.
+    """
+    revision = _get_field(answer, "revision", int)
+    objects = _get_field(answer, "objects", list)
+    return ObjectList(revision, tuple(parse_object(item) for item in objects))
+
+
+def _parse_instance(answer: object) -> InstanceEntry:
+    """Return one line of the instance list."""
+    return InstanceEntry(
+        _get_field(answer, "name", str),
+        _get_field(answer, "host", str),
+        _get_field(answer, "port", int),
+        _get_field(answer, "zone", str),
+        _get_field(answer, "state", str),
+    )
+
+
+def parse_instances(answer: object) -> tuple[InstanceEntry, ...]:
+    """Return the instance list.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing or of another type.
+    """
+    instances = _get_field(answer, "instances", list)
+    return tuple(_parse_instance(item) for item in instances)
--- /dev/null
+++ b/beryltrack/settings/decider.py
@@ -0,0 +1,179 @@
+"""Decides which settings are in force, from objects that come in any order.
+
+Objects come from lists and watches of the platform's store and from peers,
+late, repeated and out of order. Of each object the highest version counts and
+nothing goes back. An object that fails its checks leaves the last good
+settings in force: those of its own history first, so that a proxy which never
+saw them decides like the others.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from beryltrack.findings import Finding
+from beryltrack.platform.messages import ObjectList, PlatformObject
+from beryltrack.settings.messages import SiteSettings
+from beryltrack.settings.parsing import SettingsObject, parse_settings
+from beryltrack.settings.paths import PREFIX
+from beryltrack.settings.site import EMPTY_SITE, AcceptedObject, build_site
+from beryltrack.settings.stored import get_records, is_deletion, is_stored_value
+
+MAX_TOMBSTONES = 4096
+
+
+class SettingsUpdate(NamedTuple):
+    """What some new knowledge changed.
+
+    Parameters
+    ----------
+    objects : tuple of PlatformObject
+        Objects that were news, to be told to peers.
+    changed : bool
+        True if the settings in force are not what they were.
+    findings : tuple of Finding
+        All findings now, if there was any news, else empty.
+    """
+
+    objects: tuple[PlatformObject, ...]
+    changed: bool
+    findings: tuple[Finding, ...]
+
+
+NO_UPDATE = SettingsUpdate((), False, ())
+
+
+class SettingsDecider:
+    """Keeps the highest version of each object and what follows from it."""
+
+    def __init__(self):
+        self._objects: dict[str, PlatformObject] = {}
+        self._accepted: dict[str, AcceptedObject] = {}
+        self._findings: dict[str, tuple[Finding, ...]] = {}
+        self._site_findings: tuple[Finding, ...] = ()
+        self._current = EMPTY_SITE
+        self._revision = 0
+        self._listed_revision = 0
+
+    @property
+    def current(self) -> SiteSettings:
+        """The settings in force."""
+        return self._current
+
+    @property
+    def revision(self) -> int:
+        """Revision of the store up to which all changes were seen."""
+        return self._revision
+
+    @property
+    def objects(self) -> tuple[PlatformObject, ...]:
+        """Highest version of each object, deletions included, by path."""
+        return tuple(self._objects[path] for path in sorted(self._objects))
+
+    @property
+    def findings(self) -> tuple[Finding, ...]:
+        """All that is wrong with the objects known."""
+        own = (self._findings[path] for path in sorted(self._findings))
+        return tuple(item for group in own for item in group) + self._site_findings
+
+    def observe_list(self, answer: ObjectList) -> SettingsUpdate:
+        """Take in a full list of the store; what it lacks was deleted.
+
+        An older list than one seen before says nothing of deletions.
+        """
+        deletions = ()
+        if answer.revision >= self._listed_revision:
+            listed = {item.path for item in answer.objects}
+            deletions = tuple(
+                PlatformObject(item.path, answer.revision, None, True)
+                for item in self._objects.values()
+                if item.path not in listed
+                and not item.deleted
+                and item.version <= answer.revision
+            )
+        update = self.learn(answer.objects + deletions)
+        self._revision = max(self._revision, answer.revision)
+        self._listed_revision = max(self._listed_revision, answer.revision)
+        return update
+
+    def observe_changes(self, answer: ObjectList) -> SettingsUpdate:
+        """Take in the answer to a watch after `revision`."""
+        update = self.learn(answer.objects)
+        self._revision = max(self._revision, answer.revision)
+        return update
+
+    def learn(self, objects: Iterable[PlatformObject]) -> SettingsUpdate:
+        """Take in objects from anywhere; older versions change nothing."""
+        news = tuple(item for item in objects if self._take(item))
+        if not news:
+            return NO_UPDATE
+        self._forget_old_tombstones()
+        before = self._current
+        revision = max(item.version for item in self._objects.values())
+        self._current, self._site_findings = build_site(
+            self._accepted.values(), max(revision, before.revision)
+        )
+        changed = self._current[1:] != before[1:]
+        return SettingsUpdate(news, changed, self.findings)
+
+    def _take(self, item: PlatformObject) -> bool:
+        """Keep one object if it is news; return whether it was."""
+        known = self._objects.get(item.path)
+        if not item.path.startswith(PREFIX):
+            return False
+        if known is not None and item.version <= known.version:
+            return False
+        # A full list of a later revision lacked it, so it was deleted before.
+        if known is None and item.version <= self._listed_revision:
+            return False
+        self._objects[item.path] = item
+        self._judge(item)
+        return True
+
+    def _judge(self, item: PlatformObject) -> None:
+        """Decide what of one object is in force."""
+        self._findings.pop(item.path, None)
+        if item.deleted or is_deletion(item.value):
+            self._accepted.pop(item.path, None)
+            return
+        settings, findings = parse_stored(item)
+        if findings:
+            self._findings[item.path] = findings
+            settings = _find_last_good(item)
+        if settings is not None:
+            created = str(item.value.get("created", ""))
+            self._accepted[item.path] = AcceptedObject(item.path, created, settings)
+
+    def _forget_old_tombstones(self) -> None:
+        """Keep the newest deletions only, so that they do not pile up."""
+        deleted = [item for item in self._objects.values() if item.deleted]
+        deleted.sort(key=lambda item: item.version, reverse=True)
+        for item in deleted[MAX_TOMBSTONES:]:
+            del self._objects[item.path]
+
+
+def parse_stored(
+    item: PlatformObject,
+) -> tuple[SettingsObject | None, tuple[Finding, ...]]:
+    """Check one stored object and return its typed settings.
+
+    Parameters
+    ----------
+    item : PlatformObject
+        The object as the platform keeps it.
+
+    Returns
+    -------
+    tuple
+        The settings, or None, and all findings.
+    """
+    if not is_stored_value(item.value):
+        text = "a settings object has the keys settings and audit"
+        return None, (Finding(item.path, "", text),)
+    return parse_settings(item.path, item.value["settings"])
+
+
+def _find_last_good(item: PlatformObject) -> SettingsObject | None:
+    """Return the newest settings in an object's history that pass the checks."""
+    earlier = (record.get("before") for record in get_records(item.value))
+    checked = (parse_settings(item.path, value)[0] for value in earlier if value)
+    return next((settings for settings in checked if settings is not None), None)
--- /dev/null
+++ b/beryltrack/settings/schema.py
@@ -0,0 +1,146 @@
+"""Checks JSON values against the options table and reports all findings.
+
+The `jsonschema` library does the checking; this module builds its schemas from
+the table and turns its errors into findings with a JSON pointer as place.
+"""
+
+import functools
+import ipaddress
+
+from jsonschema import Draft202012Validator, FormatChecker
+from jsonschema.exceptions import ValidationError
+
+from beryltrack.findings import Finding
+from beryltrack.settings.options import REQUIRED, Option, OptionKind, OptionTable
+
+MAX_PORT = 65535
+TEXT_TYPES = {
+    OptionKind.TEXT: "string",
+    OptionKind.INTEGER: "integer",
+    OptionKind.NUMBER: "number",
+    OptionKind.FLAG: "boolean",
+}
+FORMATS = FormatChecker(formats=())
+
+
+@FORMATS.checks("ip", raises=ValueError)
+def _check_ip(value: object) -> bool:
+    """Return True for an IP number, raise `ValueError` for any other text."""
+    if isinstance(value, str):
+        ipaddress.ip_address(value)
+    return True
+
+
+def build_schema(options: tuple[Option, ...]) -> dict[str, object]:
+    """Return the JSON schema of an object with these options."""
+    return {
+        "type": "object",
+        "properties": {option.name: _build_option_schema(option) for option in options},
+        "required": [option.name for option in options if option.default is REQUIRED],
+        "additionalProperties": False,
+    }
+
+
+def _build_option_schema(option: Option) -> dict[str, object]:
+    """Return the JSON schema of one option's value."""
+    match option.kind:
+        case OptionKind.ENDPOINT:
+            return _build_endpoint_schema(option)
+        case OptionKind.TABLE:
+            schema = {"type": "array", "items": build_schema(option.columns)}
+            names = ("minItems", "maxItems")
+        case OptionKind.TEXT:
+            schema = {"type": "string"}
+            names = ("minLength", "maxLength")
+        case kind:
+            schema = {"type": TEXT_TYPES[kind]}
+            names = ("minimum", "maximum")
+    if option.default is None:
+        schema["type"] = [schema["type"], "null"]
+    if option.pattern:
+        schema["pattern"] = option.pattern
+    if option.choices:
+        schema["enum"] = list(option.choices)
+    bounds = zip(names, (option.minimum, option.maximum), strict=True)
+    return schema | {name: bound for name, bound in bounds if bound is not None}
+
+
+def _build_endpoint_schema(option: Option) -> dict[str, object]:
+    """Return the JSON schema of a TCP address by number."""
+    port = {"type": "integer", "minimum": option.minimum, "maximum": MAX_PORT}
+    return {
+        "type": "object",
+        "properties": {"host": {"type": "string", "format": "ip"}, "port": port},
+        "required": ["host", "port"],
+        "additionalProperties": False,
+    }
+
+
+@functools.cache
+def _get_validator(table: OptionTable) -> Draft202012Validator:
+    """Return the validator of a table, built once."""
+    return Draft202012Validator(build_schema(table.options), format_checker=FORMATS)
+
+
+def format_pointer(parts: tuple[object, ...]) -> str:
+    """Return the JSON pointer (RFC 6901) of a place in a JSON value."""
+    escaped = (str(part).replace("~", "~0").replace("/", "~1") for part in parts)
+    return "".join(f"/{part}" for part in escaped)
+
+
+def _is_secret(table: OptionTable, error: ValidationError) -> bool:
+    """Return whether an error's message could show a secret value."""
+    names = {option.name for option in table.options if option.secret}
+    return bool(error.absolute_path) and error.absolute_path[0] in names
+
+
+def validate_value(
+    table: OptionTable, value: object, source: str
+) -> tuple[Finding, ...]:
+    """Return all that is wrong with one JSON value.
+
+    Parameters
+    ----------
+    table : OptionTable
+        The options that the value may have.
+    value : object
+        The JSON value.
+    source : str
+        Where it came from, for the findings.
+
+    Returns
+    -------
+    tuple of Finding
+        Empty if the value can be used.
+    """
+    errors = sorted(
+        _get_validator(table).iter_errors(value),
+        key=lambda error: [str(part) for part in error.absolute_path],
+    )
+    return tuple(
+        Finding(
+            source,
+            format_pointer(tuple(error.absolute_path)),
+            "the value does not have the required form"
+            if _is_secret(table, error)
+            else error.message,
+        )
+        for error in errors
+    )
+
+
+def fill_defaults(
+    options: tuple[Option, ...], value: dict[str, object]
+) -> dict[str, object]:
+    """Return a checked JSON object with the defaults of what was left out."""
+    return {
+        option.name: _fill_option(option, value.get(option.name, option.default))
+        for option in options
+    }
+
+
+def _fill_option(option: Option, value: object) -> object:
+    """Return an option's value with the defaults of its columns."""
+    if option.kind is not OptionKind.TABLE:
+        return value
+    return [fill_defaults(option.columns, row) for row in value]
--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,171 @@
+"""What each failure of a call to the platform is taken to mean."""
+
+import json
+import random
+
+from returns.result import Success
+from treq.testing import RequestTraversalAgent
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.task import Clock
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from beryltrack.platform.client import MAX_ATTEMPTS, PlatformClient
+from beryltrack.platform.messages import (
+    ErrorKind,
+    InstanceEntry,
+    ObjectList,
+    PlatformObject,
+)
+
+NO_ANSWER = (None, None)
+
+
+class ScriptedSite(Resource):
+    """Answers each request by the next (code, body) of its script."""
+
+    isLeaf = True
+
+    def __init__(self, *script):
+        super().__init__()
+        self.script = list(script)
+        self.requests = []
+
+    def render(self, request):
+        body = request.content.read()
+        self.requests.append(
+            (request.method.decode(), request.uri.decode(), json.loads(body or "null"))
+        )
+        code, answer = self.script.pop(0)
+        if code is None:
+            return NOT_DONE_YET
+        request.setResponseCode(code)
+        return answer if isinstance(answer, bytes) else json.dumps(answer).encode()
+
+
+class RefusingAgent:
+    """Finds nobody who listens."""
+
+    def request(self, method, uri, headers=None, bodyProducer=None):
+        raise ConnectionRefusedError
+
+
+def run_call(call, *script):
+    """Run one call against a scripted platform; return result and requests."""
+    clock = Clock()
+    site = ScriptedSite(*script)
+    agent = RequestTraversalAgent(site)
+    client = PlatformClient(clock, "http://127.0.0.1", random.Random(1), agent=agent)
+    return run_client(call, client, clock, agent.flush), site.requests
+
+
+def run_client(call, client, clock, flush=lambda: None):
+    outcome = []
+    Deferred.fromCoroutine(call(client)).addCallback(outcome.append)
+    for _ in range(400):
+        flush()
+        clock.advance(0.1)
+    return outcome[0]
+
+
+def put(client):
+    return client.put("settings/a/rules/b", {"x": 1}, 4)
+
+
+def get(client):
+    return client.get("settings/a/rules/b")
+
+
+def get_kind(result):
+    return result.failure().kind
+
+
+def test_put_sends_the_condition_and_gives_the_version():
+    result, requests = run_call(put, (200, {"version": 5}))
+    assert result == Success(5)
+    body = {"value": {"x": 1}, "if_version": 4}
+    assert requests == [("PUT", "/objects/settings/a/rules/b", body)]
+
+
+def test_conflict_tells_the_present_version():
+    result, _ = run_call(put, (409, {"version": 9}))
+    assert get_kind(result) is ErrorKind.CONFLICT
+    assert result.failure().version == 9
+
+
+def test_refused_change_is_sent_again():
+    result, requests = run_call(put, (503, {}), (429, {}), (200, {"version": 5}))
+    assert result == Success(5)
+    assert len(requests) == 3
+
+
+def test_change_that_stays_refused_had_no_effect():
+    result, _ = run_call(put, *[(503, {})] * MAX_ATTEMPTS)
+    assert get_kind(result) is ErrorKind.REFUSED
+
+
+def test_change_without_an_answer_is_unknown_and_not_sent_again():
+    for script in (NO_ANSWER, (500, {}), (200, b"no json"), (200, {"version": "x"})):
+        result, requests = run_call(put, script)
+        assert get_kind(result) is ErrorKind.UNKNOWN
+        assert len(requests) == 1
+
+
+def test_read_without_an_answer_is_repeated():
+    answer = {"path": "settings/a/rules/b", "version": 3, "value": {"x": 1}}
+    result, requests = run_call(get, NO_ANSWER, (500, {}), (200, answer))
+    assert result == Success(PlatformObject("settings/a/rules/b", 3, {"x": 1}, False))
+    assert len(requests) == 3
+
+
+def test_object_that_is_not_there_is_none():
+    assert run_call(get, (404, {}))[0] == Success(None)
+
+
+def test_faulty_answer_to_a_read_is_invalid():
+    for answer in (b"{", [], {"path": 3, "version": 1}, {"path": "a", "version": True}):
+        assert get_kind(run_call(get, (200, answer))[0]) is ErrorKind.INVALID
+
+
+def test_nobody_listening_is_a_refusal():
+    clock = Clock()
+    client = PlatformClient(clock, "http://127.0.0.1", agent=RefusingAgent())
+    assert get_kind(run_client(put, client, clock)) is ErrorKind.REFUSED
+
+
+def test_watch_and_delete_and_instances():
+    gone = {"path": "p", "version": 8, "deleted": True}
+    result, requests = run_call(
+        lambda client: client.watch("settings/", 7, 30.0),
+        (200, {"revision": 8, "objects": [gone]}),
+    )
+    assert result == Success(ObjectList(8, (PlatformObject("p", 8, None, True),)))
+    assert requests[0][1] == "/watch?prefix=settings%2F&after=7&timeout=30.0"
+    result, requests = run_call(
+        lambda client: client.delete("p", 8), (200, {"version": 9})
+    )
+    assert result == Success(9)
+    assert requests[0][:2] == ("DELETE", "/objects/p?if_version=8")
+    line = {"name": "n", "host": "127.0.0.1", "port": 1, "zone": "a", "state": "live"}
+    result, _ = run_call(
+        lambda client: client.list_instances(), (200, {"instances": [line]})
+    )
+    assert result == Success((InstanceEntry("n", "127.0.0.1", 1, "a", "live"),))
+
+
+def test_calls_that_would_wait_without_bound_are_refused(monkeypatch):
+    monkeypatch.setattr("beryltrack.platform.client.MAX_WAITING", 0)
+    monkeypatch.setattr("beryltrack.platform.client.MAX_CALLS", 1)
+    clock = Clock()
+    agent = RequestTraversalAgent(ScriptedSite(NO_ANSWER))
+    client = PlatformClient(clock, "http://127.0.0.1", agent=agent)
+    outcomes = []
+    for _ in range(2):
+        Deferred.fromCoroutine(put(client)).addCallback(outcomes.append)
+    clock.pump([0.1] * 40)
+    assert [outcome.failure().text for outcome in outcomes] == [
+        "too many calls wait in this process"
+    ]
+    clock.pump([0.1] * 20)
+    assert get_kind(outcomes[1]) is ErrorKind.UNKNOWN
--- /dev/null
+++ b/tests/settings/test_decider.py
@@ -0,0 +1,112 @@
+"""Versions in force: nothing goes back, whatever order objects come in."""
+
+from itertools import permutations
+
+from beryltrack.platform.messages import ObjectList
+from beryltrack.settings.decider import SettingsDecider
+from tests.settings.examples import (
+    GROUP_PATH,
+    RULE_PATH,
+    make_deletion,
+    make_group,
+    make_object,
+)
+
+BAD = {"databases": 3}
+
+
+def test_every_order_of_arrival_ends_alike():
+    objects = (
+        make_object(GROUP_PATH, 3, make_group(max_age=1)),
+        make_object(GROUP_PATH, 7, make_group(max_age=2)),
+        make_object(RULE_PATH, 4, {"max_age": 5}),
+        make_deletion(RULE_PATH, 6),
+    )
+    for order in permutations(objects):
+        decider = SettingsDecider()
+        for item in order:
+            decider.learn((item,))
+        assert decider.current.revision == 7
+        assert decider.current.groups[0].max_age == 2
+        assert decider.current.rules == ()
+
+
+def test_older_version_changes_nothing():
+    decider = SettingsDecider()
+    decider.learn((make_object(GROUP_PATH, 3, make_group()),))
+    update = decider.learn((make_object(GROUP_PATH, 2, make_group(max_age=9)),))
+    assert update.objects == ()
+    assert not update.changed
+    assert decider.current.groups[0].max_age == 0
+
+
+def test_object_that_a_list_lacks_is_deleted_and_stays_so():
+    decider = SettingsDecider()
+    decider.learn((make_object(GROUP_PATH, 3, make_group()),))
+    update = decider.observe_list(ObjectList(5, ()))
+    assert update.objects == (make_deletion(GROUP_PATH, 5),)
+    assert decider.current.groups == ()
+    decider.learn((make_object(GROUP_PATH, 4, make_group()),))
+    assert decider.current.groups == ()
+
+
+def test_list_older_than_an_object_does_not_delete_it():
+    decider = SettingsDecider()
+    decider.learn((make_object(GROUP_PATH, 9, make_group()),))
+    decider.observe_list(ObjectList(5, ()))
+    assert len(decider.current.groups) == 1
+
+
+def test_object_deleted_before_the_list_is_not_learned_from_a_peer():
+    decider = SettingsDecider()
+    decider.observe_list(ObjectList(5, ()))
+    assert decider.learn((make_object(GROUP_PATH, 4, make_group()),)).objects == ()
+    assert decider.learn((make_object(GROUP_PATH, 6, make_group()),)).changed
+
+
+def test_faulty_object_leaves_the_last_good_one_in_force_and_is_reported():
+    decider = SettingsDecider()
+    decider.learn((make_object(GROUP_PATH, 3, make_group(max_age=4)),))
+    update = decider.learn((make_object(GROUP_PATH, 5, BAD),))
+    assert not update.changed
+    assert update.findings[0].source == GROUP_PATH
+    assert decider.current.groups[0].max_age == 4
+    assert decider.objects[0].version == 5
+
+
+def test_proxy_that_never_saw_the_good_one_takes_it_from_the_history():
+    records = [{"before": BAD}, {"before": make_group(max_age=4)}, {"before": None}]
+    item = make_object(GROUP_PATH, 5, BAD, audit=records[0], history=records[1:])
+    decider = SettingsDecider()
+    decider.learn((item,))
+    assert decider.current.groups[0].max_age == 4
+    assert decider.findings
+
+
+def test_finding_goes_when_the_object_is_mended():
+    decider = SettingsDecider()
+    decider.learn((make_object(GROUP_PATH, 3, BAD),))
+    decider.learn((make_object(GROUP_PATH, 4, make_group()),))
+    assert decider.findings == ()
+
+
+def test_value_without_the_stored_form_is_a_finding():
+    for value in (None, 3, {}, {"settings": {}, "history": 3}, {"audit": {}}):
+        decider = SettingsDecider()
+        item = make_object(GROUP_PATH, 3, None)._replace(value=value)
+        assert decider.learn((item,)).findings
+
+
+def test_recorded_deletion_takes_the_object_out_of_force():
+    decider = SettingsDecider()
+    decider.learn((make_object(GROUP_PATH, 3, make_group()),))
+    decider.learn((make_object(GROUP_PATH, 4, None, audit={"before": make_group()}),))
+    assert decider.current.groups == ()
+
+
+def test_old_deletions_do_not_pile_up(monkeypatch):
+    monkeypatch.setattr("beryltrack.settings.decider.MAX_TOMBSTONES", 2)
+    decider = SettingsDecider()
+    paths = [f"settings/shop/rules/r{number}" for number in range(5)]
+    decider.learn(make_deletion(path, 1 + row) for row, path in enumerate(paths))
+    assert [item.version for item in decider.objects] == [4, 5]
