Check the nine invariants over recorded histories

Cause: the experiments need one judge that shares no code with what it judges. Conclusion: experiments record a history and call check_history.

--- /dev/null
+++ b/beryltrack_bench/checker.py
@@ -0,0 +1,239 @@
+"""The invariants, checked over a recorded history: one check for each.
+
+The checks read only `beryltrack_bench.history` and share no code with the
+package that they judge. Each gives every violation that it finds.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from itertools import pairwise
+from typing import NamedTuple, TypeVar
+
+from beryltrack_bench.history import (
+    ChangeAccepted,
+    Event,
+    Executed,
+    FinalLog,
+    History,
+    Promoted,
+    ProxyCrashed,
+    ReadAnswered,
+    Refusal,
+    RequestAnswered,
+    RequestStarted,
+    ShutdownBegun,
+    TargetLeft,
+    VersionInForce,
+    WorkStarted,
+    WriteAcknowledged,
+    WriteRefused,
+    WriteRequested,
+)
+
+LEAVING_LIMIT = 3.0
+"""Seconds after which a leaving target may get no new work."""
+
+IN_FORCE_LIMIT = 5.0
+"""Seconds after which an accepted change must be in force on every proxy."""
+
+E = TypeVar("E", bound=Event)
+
+
+class Violation(NamedTuple):
+    """One breach of an invariant.
+
+    Parameters
+    ----------
+    invariant : str
+        Name of the invariant.
+    text : str
+        What was seen.
+    """
+
+    invariant: str
+    text: str
+
+
+def check_history(history: History) -> tuple[Violation, ...]:
+    """Return every violation of every invariant in a history."""
+    return tuple(
+        Violation(name, text)
+        for name, check in CHECKS.items()
+        for text in check(history)
+    )
+
+
+def count_violations(violations: tuple[Violation, ...]) -> dict[str, int]:
+    """Return the number of violations of each invariant, zeros included."""
+    found = Counter(violation.invariant for violation in violations)
+    return {name: found[name] for name in CHECKS}
+
+
+def check_read_your_writes(history: History) -> Iterator[str]:
+    """A read sees each write acknowledged to its session before it was sent."""
+    written = list(_select(history, WriteAcknowledged))
+    for read in _select(history, ReadAnswered):
+        missing = [
+            key
+            for write in written
+            if (write.session, write.group) == (read.session, read.group)
+            and write.at <= read.started_at
+            for key in write.keys
+            if key not in read.keys
+        ]
+        if missing:
+            yield f"session {read.session} did not see {missing}"
+
+
+def check_no_acknowledged_write_lost(history: History) -> Iterator[str]:
+    """An acknowledged write is in the log of every later primary and the last."""
+    logs = _get_final_keys(history)
+    promotions = list(_select(history, Promoted))
+    for write in _select(history, WriteAcknowledged):
+        kept = logs.get(write.group)
+        if kept is not None and not kept.issuperset(write.keys):
+            yield f"{write.keys} was acknowledged and is not in the last log"
+        for promoted in promotions:
+            if promoted.group == write.group and _misses(promoted, write):
+                yield f"{write.keys} is not in the log of term {promoted.term}"
+
+
+def check_transactions_apart(history: History) -> Iterator[str]:
+    """A commit holds the statements of one transaction: all of them, in order."""
+    requested = {request.keys for request in _select(history, WriteRequested)}
+    for entry in _get_commits(history):
+        if entry not in requested:
+            yield f"the commit {entry} is not one transaction"
+
+
+def check_own_answer(history: History) -> Iterator[str]:
+    """A caller gets the whole answer to its own request and no other, once."""
+    answered = Counter()
+    for answer in _select(history, RequestAnswered):
+        answered[answer.request] += 1
+        if answer.rows != answer.expected:
+            yield f"{answer.request} got {answer.rows}, not {answer.expected}"
+    for request, times in answered.items():
+        if times > 1:
+            yield f"{request} got {times} answers"
+
+
+def check_refusals_true(history: History) -> Iterator[str]:
+    """What was refused as not run never ran; what was rolled back is not kept."""
+    executed = {
+        (commit.group, key)
+        for commit in _select(history, Executed)
+        for key in commit.keys
+    }
+    kept = {
+        (group, key) for group, keys in _get_final_keys(history).items() for key in keys
+    }
+    truths = {Refusal.NOT_RUN: executed | kept, Refusal.ROLLED_BACK: kept}
+    for refused in _select(history, WriteRefused):
+        untrue = truths.get(refused.refusal, set())
+        if any((refused.group, key) in untrue for key in refused.keys):
+            yield f"{refused.keys} was said to be {refused.refusal.value}"
+
+
+def check_at_most_once(history: History) -> Iterator[str]:
+    """A marked request is in the last log once at most, another once a sending."""
+    allowed = Counter()
+    for request in _select(history, WriteRequested):
+        for key in request.keys:
+            sent = allowed[request.group, key] + 1
+            allowed[request.group, key] = 1 if request.marked else sent
+    for log in _select(history, FinalLog):
+        found = Counter(key for entry in log.entries for key in entry)
+        for key, times in found.items():
+            if times > max(1, allowed[log.group, key]):
+                yield f"{key} is {times} times in the last log"
+
+
+def check_leaving_targets(history: History) -> Iterator[str]:
+    """A target that is leaving gets no new work after `LEAVING_LIMIT` seconds."""
+    left_at = {left.target: left.at for left in _select(history, TargetLeft)}
+    for work in _select(history, WorkStarted):
+        since = work.at - left_at.get(work.target, work.at)
+        if since > LEAVING_LIMIT:
+            yield f"{work.target} got work {since:.1f} s after it was leaving"
+
+
+def check_shutdowns(history: History) -> Iterator[str]:
+    """Each request in flight when a graceful shutdown begins gets its answer."""
+    answered = {answer.request for answer in _select(history, RequestAnswered)}
+    crashed = {crash.proxy for crash in _select(history, ProxyCrashed)}
+    begun_at = {begun.proxy: begun.at for begun in _select(history, ShutdownBegun)}
+    for request in _select(history, RequestStarted):
+        leaving = request.proxy in begun_at and request.proxy not in crashed
+        if leaving and request.request not in answered:
+            yield f"{request.request} was cut off by the shutdown of {request.proxy}"
+
+
+def check_settings(history: History) -> Iterator[str]:
+    """Accepted settings are in force everywhere in time and never revert."""
+    accepted = list(_select(history, ChangeAccepted))
+    for (proxy, path), seen in _group_versions(history).items():
+        for before, after in pairwise(seen):
+            if after.version < before.version:
+                yield f"{proxy} went back to version {after.version} of {path}"
+        for change in accepted:
+            if change.path == path and _is_late(change, seen):
+                yield f"{proxy} has not version {change.version} of {path} in time"
+
+
+CHECKS: dict[str, Callable[[History], Iterator[str]]] = {
+    "read_your_writes": check_read_your_writes,
+    "no_acknowledged_write_lost": check_no_acknowledged_write_lost,
+    "transactions_apart": check_transactions_apart,
+    "own_answer": check_own_answer,
+    "refusals_true": check_refusals_true,
+    "at_most_once": check_at_most_once,
+    "leaving_targets": check_leaving_targets,
+    "shutdowns": check_shutdowns,
+    "settings": check_settings,
+}
+
+
+def _select(history: History, kind: type[E]) -> Iterator[E]:
+    """Return the records of one kind, in their order."""
+    return (event for event in history if isinstance(event, kind))
+
+
+def _get_final_keys(history: History) -> dict[str, frozenset[str]]:
+    """Return the keys in the last log of each group."""
+    return {
+        log.group: frozenset(key for entry in log.entries for key in entry)
+        for log in _select(history, FinalLog)
+    }
+
+
+def _get_commits(history: History) -> Iterator[tuple[str, ...]]:
+    """Return what each commit held, at any database."""
+    yield from (commit.keys for commit in _select(history, Executed))
+    for log in _select(history, FinalLog):
+        yield from log.entries
+
+
+def _misses(promoted: Promoted, write: WriteAcknowledged) -> bool:
+    """Return whether a primary lacks a write that was acknowledged before it.
+
+    A write acknowledged later may have been committed in the new term, so only
+    those before the promotion tell anything here; the last log judges the rest.
+    """
+    return write.at <= promoted.at and not promoted.keys.issuperset(write.keys)
+
+
+def _group_versions(
+    history: History,
+) -> dict[tuple[str, str], list[VersionInForce]]:
+    """Return what was seen in force at each proxy of each path, in order."""
+    found: dict[tuple[str, str], list[VersionInForce]] = {}
+    for seen in _select(history, VersionInForce):
+        found.setdefault((seen.proxy, seen.path), []).append(seen)
+    return found
+
+
+def _is_late(change: ChangeAccepted, seen: list[VersionInForce]) -> bool:
+    """Return whether a proxy was seen without a change when it was due."""
+    due = max(change.at, seen[0].at) + IN_FORCE_LIMIT
+    return any(each.at > due and each.version < change.version for each in seen)
