--- /dev/null
+++ b/beryltrack/requests/retry.py
@@ -0,0 +1,113 @@
+"""When a proxy repeats a request by itself.
+
+Only what provably did not run is repeated. Retries draw on a budget that is a
+fraction of the requests, so that they cannot multiply an overload; each waits
+a jittered time that doubles, and none is tried that would miss the deadline.
+"""
+
+import random
+from typing import NamedTuple
+
+from returns.maybe import Maybe, Nothing, Some
+
+
+class RetryPolicy(NamedTuple):
+    """The figures that steer retries.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries that each request adds to the budget.
+    most_saved : float
+        Most retries that the budget holds.
+    most_attempts : int
+        Most attempts of one request, the first one included.
+    first_delay, most_delay : float
+        Bounds of the back-off, seconds.
+    """
+
+    ratio: float = 0.1
+    most_saved: float = 20.0
+    most_attempts: int = 4
+    first_delay: float = 0.02
+    most_delay: float = 1.0
+
+
+class FailedAttempt(NamedTuple):
+    """An attempt that failed.
+
+    Parameters
+    ----------
+    number : int
+        1 for the first attempt.
+    is_not_run : bool
+        True if it provably did not run.
+    retry_after : float
+        Seconds that the refusal asks to wait; 0.0 if it says nothing.
+    """
+
+    number: int
+    is_not_run: bool
+    retry_after: float = 0.0
+
+
+class RetryBudget:
+    """A token bucket of retries, filled by requests.
+
+    Parameters
+    ----------
+    policy : RetryPolicy
+        The figures that steer it.
+    rng : random.Random
+        For the jitter.
+    """
+
+    def __init__(self, policy: RetryPolicy, rng: random.Random):
+        self._policy = policy
+        self._rng = rng
+        self._tokens = 0.0
+
+    @property
+    def tokens(self) -> float:
+        """Retries that may be made now."""
+        return self._tokens
+
+    def observe_request(self) -> None:
+        """Take in a new request of a caller."""
+        saved = self._tokens + self._policy.ratio
+        self._tokens = min(self._policy.most_saved, saved)
+
+    def choose_retry(
+        self, attempt: FailedAttempt, deadline: float, needed: float, now: float
+    ) -> Maybe[float]:
+        """Decide whether a failed attempt is repeated.
+
+        Parameters
+        ----------
+        attempt : FailedAttempt
+            What failed.
+        deadline : float
+            Time by which the request must be done, seconds.
+        needed : float
+            Seconds that a new attempt is expected to take.
+        now : float
+            The current time, seconds.
+
+        Returns
+        -------
+        Maybe of float
+            Seconds to wait before the next attempt; Nothing if the failure is
+            the answer. A retry that is chosen has drawn on the budget.
+        """
+        if not attempt.is_not_run or attempt.number >= self._policy.most_attempts:
+            return Nothing
+        delay = max(attempt.retry_after, self._compute_delay(attempt.number))
+        if now + delay + needed > deadline or self._tokens < 1.0:
+            return Nothing
+        self._tokens -= 1.0
+        return Some(delay)
+
+    def _compute_delay(self, attempt: int) -> float:
+        """Return a delay between half and all of a time that doubles."""
+        doubled = self._policy.first_delay * 2 ** (attempt - 1)
+        return min(doubled, self._policy.most_delay) * self._rng.uniform(0.5, 1.0)
