--- a/beryltrack_standins/database/replica_log.py
+++ b/beryltrack_standins/database/replica_log.py
@@ -4,6 +4,7 @@
 model, so that the rules of a database group stand in one place.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from beryltrack.groups.messages import (
@@ -16,6 +17,9 @@
     TermStart,
 )
 
+# A status names this many of the last terms, as docs/DESIGN.md says.
+HISTORY_LIMIT = 32
+
 
 class Entry(NamedTuple):
     """One entry of the log.
@@ -47,6 +51,7 @@
         self.term = 0
         self.granted_to = ""
         self.entries: list[Entry] = []
+        self._history: list[TermStart] = []
         self.applied_offset = 0
         self.heard_at = 0.0
         self.leaving = False
@@ -64,13 +69,8 @@
 
     @property
     def history(self) -> tuple[TermStart, ...]:
-        """Where each term begins, oldest first."""
-        terms = [entry.term for entry in self.entries]
-        return tuple(
-            TermStart(term, offset)
-            for offset, term in enumerate(terms)
-            if offset == 0 or terms[offset - 1] != term
-        )
+        """Where each of the last terms begins, oldest first."""
+        return tuple(self._history[-HISTORY_LIMIT:])
 
     def get_position(self, offset: int) -> LogPosition:
         """Return the position of the entry at `offset`."""
@@ -135,7 +135,7 @@
 
     def append(self, statements: tuple[object, ...]) -> LogPosition:
         """Append one entry of the own term, as the primary does at each commit."""
-        self.entries.append(Entry(self.term, statements))
+        self._extend((Entry(self.term, statements),))
         return self.received
 
     def can_write(self) -> bool:
@@ -165,11 +165,25 @@
             self._see_term(primary.term)
         self.heard_at = now
         common = self._get_common_length(primary)
-        del self.entries[common:]
-        self.applied_offset = min(self.applied_offset, common)
-        self.entries.extend(primary.entries[common : common + limit])
+        self._truncate(common)
+        self._extend(primary.entries[common : common + limit])
         return True
 
+    def _extend(self, entries: Sequence[Entry]) -> None:
+        """Add entries at the end, and note where terms begin among them."""
+        for entry in entries:
+            if not self._history or self._history[-1].term != entry.term:
+                self._history.append(TermStart(entry.term, len(self.entries)))
+            self.entries.append(entry)
+
+    def _truncate(self, length: int) -> None:
+        """Discard all entries after the first `length`."""
+        if length == len(self.entries):
+            return
+        del self.entries[length:]
+        self._history = [start for start in self._history if start.offset < length]
+        self.applied_offset = min(self.applied_offset, length)
+
     def _see_term(self, term: int) -> None:
         """Adopt a higher term: whoever led a lower one stops leading."""
         self.term = term
--- /dev/null
+++ b/beryltrack_standins/database/server.py
@@ -0,0 +1,201 @@
+"""The listener of one stand-in database: its connections, limits and faults."""
+
+import random
+from typing import NamedTuple
+
+import scramp
+from twisted.internet.defer import Deferred, DeferredSemaphore, maybeDeferred
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.protocol import Factory
+
+from beryltrack.settings.messages import Endpoint
+from beryltrack_standins.database.connection import DatabaseConnection
+from beryltrack_standins.database.database import Database
+from beryltrack_standins.database.session import Session, SessionLimits
+
+HOST = "127.0.0.1"
+# Few rounds keep start-up fast; nothing that is secret stands behind this.
+_SCRAM_ROUNDS = 4096
+_SECRET_BYTES = 4
+
+
+class DatabaseOptions(NamedTuple):
+    """How a stand-in database serves its clients.
+
+    Parameters
+    ----------
+    max_connections : int
+        Most connections, without those of the application `beryltrack-control`.
+    slots : int
+        Statements that run at once.
+    connect_delay : float
+        Seconds that a new connection takes.
+    service_time : float
+        Seconds for which each statement holds a slot.
+    lock_timeout : float
+        Longest wait for the open write transaction, seconds.
+    users : dict of str to str, or None
+        Passwords by user; None trusts everybody.
+    """
+
+    max_connections: int = 20
+    slots: int = 3
+    connect_delay: float = 0.0
+    service_time: float = 0.0
+    lock_timeout: float = 5.0
+    users: dict[str, str] | None = None
+
+
+class CancelKey(NamedTuple):
+    """What a cancel request names.
+
+    Parameters
+    ----------
+    process_id : int
+        Number of the connection.
+    secret : bytes
+        Its secret.
+    """
+
+    process_id: int
+    secret: bytes
+
+
+class ConnectionCounts(NamedTuple):
+    """The connections of a database.
+
+    Parameters
+    ----------
+    open : int
+        Those that count against the limit now.
+    peak : int
+        The most that were open at once.
+    refused : int
+        How many were refused at the limit.
+    control : int
+        Control connections now.
+    """
+
+    open: int
+    peak: int
+    refused: int
+    control: int
+
+
+class DatabaseServer(Factory):
+    """Serves one database on a port of the loopback interface.
+
+    Parameters
+    ----------
+    reactor : reactor
+        The reactor.
+    database : Database
+        The database.
+    options : DatabaseOptions
+        Limits and delays.
+    rng : random.Random
+        Source of the secrets of cancel keys.
+    """
+
+    CONTROL_APPLICATION = "beryltrack-control"
+
+    noisy = False
+
+    def __init__(
+        self, reactor, database: Database, options: DatabaseOptions, rng: random.Random
+    ):
+        self.clock = reactor
+        self.database = database
+        self.options = options
+        self.endpoint = Endpoint(HOST, 0)
+        self._rng = rng
+        self._port: IListeningPort | None = None
+        self._connections: dict[int, DatabaseConnection] = {}
+        self._next_process_id = 1
+        self._peak = 0
+        self._refused = 0
+        self._mechanism = scramp.ScramMechanism()
+        self._secrets = {
+            user: self._mechanism.make_auth_info(password, _SCRAM_ROUNDS)
+            for user, password in (options.users or {}).items()
+        }
+        self._limits = SessionLimits(
+            DeferredSemaphore(options.slots), options.service_time, options.lock_timeout
+        )
+
+    @property
+    def counts(self) -> ConnectionCounts:
+        """The connections now and before."""
+        counted = sum(item.is_counted for item in self._connections.values())
+        control = sum(item.is_control for item in self._connections.values())
+        return ConnectionCounts(counted, self._peak, self._refused, control)
+
+    def start(self) -> None:
+        """Listen, on the same port as before if there was one."""
+        if self._port is None:
+            port = self.endpoint.port
+            self._port = self.clock.listenTCP(port, self, interface=HOST)
+            self.endpoint = Endpoint(HOST, self._port.getHost().port)
+            self.database.running = True
+
+    def stop(self) -> Deferred[None]:
+        """Close the listener and cut all connections, as a crash does."""
+        port, self._port = self._port, None
+        self.database.running = False
+        for connection in [*self._connections.values()]:
+            connection.abort()
+        return maybeDeferred(port.stopListening if port else lambda: None)
+
+    def set_frozen(self, frozen: bool) -> None:
+        """Answer nothing, or go on with all that waited."""
+        self.database.frozen = frozen
+        if not frozen:
+            for connection in [*self._connections.values()]:
+                connection.flush()
+                connection.pump()
+
+    def buildProtocol(self, addr) -> DatabaseConnection:
+        """Return the protocol for a new connection."""
+        secret = self._rng.randbytes(_SECRET_BYTES)
+        key = CancelKey(self._next_process_id, secret)
+        self._next_process_id += 1
+        return DatabaseConnection(self, key)
+
+    def add(self, connection: DatabaseConnection) -> None:
+        """Note an open connection."""
+        self._connections[connection.key.process_id] = connection
+
+    def remove(self, connection: DatabaseConnection) -> None:
+        """Forget a closed connection."""
+        self._connections.pop(connection.key.process_id, None)
+
+    def count(self, connection: DatabaseConnection) -> bool:
+        """Count a connection against the limit; return False if it is reached."""
+        if connection.is_control:
+            return True
+        if self.counts.open >= self.options.max_connections:
+            self._refused += 1
+            return False
+        connection.is_counted = True
+        self._peak = max(self._peak, self.counts.open)
+        return True
+
+    def cancel(self, process_id: int, secret: bytes) -> None:
+        """Cancel the statement of a connection if the secret is right."""
+        connection = self._connections.get(process_id)
+        if connection is not None and connection.key.secret == secret:
+            connection.cancel()
+
+    def make_session(self) -> Session:
+        """Return the session of a new connection."""
+        return Session(self.clock, self.database, self._limits)
+
+    def make_scram_server(self) -> scramp.core.ScramServer:
+        """Return the server's side of a password check."""
+        return self._mechanism.make_server(self._get_secret)
+
+    def _get_secret(self, user: str):
+        """Return what is known of a user's password."""
+        if user not in self._secrets:
+            raise scramp.ScramException(f"user {user} is not known")
+        return self._secrets[user]
--- /dev/null
+++ b/beryltrack_standins/platform/server.py
@@ -0,0 +1,300 @@
+"""The platform's HTTP interface, as docs/DESIGN.md describes it."""
+
+import json
+import logging
+from collections import Counter
+from typing import TypedDict
+from urllib.parse import unquote
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from beryltrack.settings.messages import Endpoint
+from beryltrack_standins.platform.limits import (
+    PlatformFaults,
+    PlatformOptions,
+    TokenBucket,
+)
+from beryltrack_standins.platform.store import (
+    ChangeResult,
+    ObjectStore,
+    StoredObject,
+)
+
+HOST = "127.0.0.1"
+_MAX_WATCH = 300.0
+_DEFAULT_WATCH = 30.0
+
+log = logging.getLogger(__name__)
+
+
+class HttpError(Exception):
+    """An answer that is not 200.
+
+    Parameters
+    ----------
+    code : int
+        The HTTP status.
+    body : dict
+        The JSON object of the answer.
+    """
+
+    def __init__(self, code: int, body: dict[str, object]):
+        super().__init__(body)
+        self.code = code
+        self.body = body
+
+
+class InstanceObject(TypedDict):
+    """One instance of the list."""
+
+    name: str
+    host: str
+    port: int
+    zone: str
+    state: str
+
+
+class PlatformServer(Resource):
+    """The stand-in platform.
+
+    Parameters
+    ----------
+    reactor : reactor
+        The reactor.
+    options : PlatformOptions
+        Rates and delays.
+    """
+
+    isLeaf = True
+
+    def __init__(self, reactor, options: PlatformOptions):
+        super().__init__()
+        self.store = ObjectStore()
+        self.faults = PlatformFaults()
+        self.calls: Counter[str] = Counter()
+        self._reactor = reactor
+        self._options = options
+        self._instances: dict[str, InstanceObject] = {}
+        self._watches: list[Deferred[None]] = []
+        self._port: IListeningPort | None = None
+        now = reactor.seconds()
+        self._write_bucket = TokenBucket(options.writes_per_second, now)
+        self._read_bucket = TokenBucket(options.reads_per_second, now)
+
+    @property
+    def url(self) -> str:
+        """The base address."""
+        return f"http://{HOST}:{self._port.getHost().port}"
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """The address it listens at."""
+        return Endpoint(HOST, self._port.getHost().port)
+
+    def start(self) -> None:
+        """Listen on a port that the kernel chooses."""
+        self._port = self._reactor.listenTCP(0, _QuietSite(self), interface=HOST)
+
+    def stop(self) -> Deferred[None]:
+        """Stop listening, and end the waiting watches."""
+        self._wake_watches()
+        return self._port.stopListening()
+
+    def set_fault(self, fault: str, value: object) -> None:
+        """Put a fault in force; see `PlatformFaults.set`."""
+        self.faults.set(fault, value)
+        if self.faults.down:
+            self._wake_watches()
+
+    def render(self, request: Request) -> int:
+        """Answer one call."""
+        lost = request.notifyFinish()
+        call = Deferred.fromCoroutine(self._answer(request))
+        lost.addErrback(lambda _: call.cancel())
+        call.addErrback(_report_fault)
+        return NOT_DONE_YET
+
+    async def _answer(self, request: Request) -> None:
+        """Carry out one call and send its answer."""
+        try:
+            code, body = 200, await self._call(request)
+        except HttpError as error:
+            code, body = error.code, error.body
+        except (ValueError, KeyError, TypeError) as error:
+            code, body = 400, {"error": f"malformed request: {error}"}
+        if body is None:
+            request.transport.abortConnection()
+            return
+        request.setResponseCode(code)
+        request.setHeader(b"content-type", b"application/json")
+        request.write(json.dumps(body).encode())
+        request.finish()
+
+    async def _call(self, request: Request) -> dict[str, object] | None:
+        """Return the JSON object of the answer, None if it gets lost."""
+        path = unquote(request.path.decode()).strip("/")
+        if path == "calls":
+            return dict(self.calls)
+        method = request.method.decode()
+        is_write = method in ("PUT", "DELETE")
+        self._admit(is_write, path)
+        if self.faults.delay:
+            await deferLater(self._reactor, self.faults.delay)
+            self._check_outage()
+        head, _, rest = path.partition("/")
+        match method, head:
+            case "GET", "objects" if not rest:
+                return self._list(_get_text(request, "prefix"))
+            case "GET", "objects":
+                return self._get(rest)
+            case "PUT", "objects" if rest:
+                return self._put(rest, request)
+            case "DELETE", "objects" if rest:
+                version = _get_text(request, "if_version")
+                return self._finish(
+                    self.store.delete(rest, int(version) if version else None)
+                )
+            case "GET", "watch":
+                return await self._watch(request)
+            case "GET", "instances":
+                return {"instances": list(self._instances.values())}
+            case "PUT" | "DELETE", "instances" if rest:
+                return self._change_instance(rest, request)
+        raise HttpError(404, {"error": f"no such resource: {method} /{path}"})
+
+    def _admit(self, is_write: bool, path: str) -> None:
+        """Count a call, and refuse it over its rate or in an outage."""
+        self.calls["total"] += 1
+        self.calls["writes" if is_write else "reads"] += 1
+        self.calls["watches"] += path == "watch"
+        self._check_outage()
+        bucket = self._write_bucket if is_write else self._read_bucket
+        if not bucket.take(self._reactor.seconds()):
+            self.calls["over_rate"] += 1
+            raise HttpError(429, {"error": "too many calls"})
+
+    def _check_outage(self) -> None:
+        """Refuse a call in an outage."""
+        if self.faults.down:
+            self.calls["refused"] += 1
+            raise HttpError(503, {"error": "out of service"})
+
+    def _get(self, path: str) -> dict[str, object]:
+        """Return one object."""
+        found = self.store.get(path)
+        if found is None:
+            raise HttpError(404, {"error": f"no object at {path}"})
+        return _format_object(found)
+
+    def _list(self, prefix: str) -> dict[str, object]:
+        """Return the objects under a prefix."""
+        objects = [_format_object(item) for item in self.store.list(prefix)]
+        return {"revision": self.store.revision, "objects": objects}
+
+    def _put(self, path: str, request: Request) -> dict[str, object] | None:
+        """Set one object."""
+        data = request.content.read()
+        if len(data) > self._options.max_value_bytes:
+            raise HttpError(413, {"error": "value is too large"})
+        body = json.loads(data)
+        return self._finish(self.store.put(path, body["value"], body.get("if_version")))
+
+    def _finish(self, result: ChangeResult) -> dict[str, object] | None:
+        """Tell the outcome of a change, unless its answer gets lost."""
+        if result.done:
+            self._wake_watches()
+        if result.done and self.faults.take_lost_answer():
+            return None
+        if not result.done:
+            raise HttpError(409, {"version": result.version})
+        return {"version": result.version}
+
+    async def _watch(self, request: Request) -> dict[str, object]:
+        """Wait for a change under a prefix."""
+        prefix = _get_text(request, "prefix")
+        after = int(_get_text(request, "after") or 0)
+        timeout = float(_get_text(request, "timeout") or _DEFAULT_WATCH)
+        deadline = self._reactor.seconds() + min(timeout, _MAX_WATCH)
+        while not (changes := self.store.list_changes(prefix, after)):
+            remaining = deadline - self._reactor.seconds()
+            if remaining <= 0:
+                break
+            await self._wait_for_change(remaining)
+            self._check_outage()
+        objects = [_format_object(item) for item in changes]
+        return {"revision": self.store.revision, "objects": objects}
+
+    async def _wait_for_change(self, timeout: float) -> None:
+        """Wait until any object changes or an outage begins, or for `timeout`."""
+        woken: Deferred[None] = Deferred()
+        self._watches.append(woken)
+        timer = self._reactor.callLater(timeout, woken.callback, None)
+        try:
+            await woken
+        finally:
+            if woken in self._watches:
+                self._watches.remove(woken)
+            if timer.active():
+                timer.cancel()
+
+    def _wake_watches(self) -> None:
+        """Let each waiting watch look again."""
+        watches, self._watches = self._watches, []
+        for woken in watches:
+            woken.callback(None)
+
+    def _change_instance(self, name: str, request: Request) -> dict[str, object]:
+        """Note a change of the instance list, which shows after its lag."""
+        entry: InstanceObject | None = None
+        if request.method == b"PUT":
+            body = json.loads(request.content.read())
+            entry = {
+                "name": name,
+                "host": str(body["host"]),
+                "port": int(body["port"]),
+                "zone": str(body["zone"]),
+                "state": str(body["state"]),
+            }
+        self._reactor.callLater(
+            self._options.list_lag, self._show_instance, name, entry
+        )
+        return {}
+
+    def _show_instance(self, name: str, entry: InstanceObject | None) -> None:
+        """Show a change in the instance list."""
+        if entry is None:
+            self._instances.pop(name, None)
+        else:
+            self._instances[name] = entry
+
+
+class _QuietSite(Site):
+    """A site that logs no line for each call."""
+
+    noisy = False
+
+    def log(self, request: Request) -> None:
+        """Log nothing."""
+
+
+def _get_text(request: Request, name: str) -> str:
+    """Return an argument of the query, empty if it is missing."""
+    return request.args.get(name.encode(), [b""])[0].decode()
+
+
+def _format_object(item: StoredObject) -> dict[str, object]:
+    """Return an object as the API shows it."""
+    if item.deleted:
+        return {"path": item.path, "version": item.version, "deleted": True}
+    return {"path": item.path, "version": item.version, "value": item.value}
+
+
+def _report_fault(failure: Failure) -> None:
+    """Log a call that failed for a fault of ours; a lost client is none."""
+    if not failure.check(CancelledError):
+        log.error("platform: call failed: %s", failure.getTraceback())
--- /dev/null
+++ b/beryltrack_standins/platform/store.py
@@ -0,0 +1,94 @@
+"""The platform's objects and their versions, without any I/O."""
+
+import bisect
+from typing import NamedTuple
+
+JsonValue = object
+
+
+class StoredObject(NamedTuple):
+    """One version of an object.
+
+    Parameters
+    ----------
+    path : str
+        Its path.
+    version : int
+        A number of one growing sequence over all objects.
+    value : JsonValue
+        Its value; None once deleted.
+    deleted : bool
+        True if this version deleted the object.
+    """
+
+    path: str
+    version: int
+    value: JsonValue
+    deleted: bool
+
+
+class ChangeResult(NamedTuple):
+    """What came of a conditional change.
+
+    Parameters
+    ----------
+    done : bool
+        True if the change took effect.
+    version : int
+        The version after it; the present one, zero for none, if it did not.
+    """
+
+    done: bool
+    version: int
+
+
+class ObjectStore:
+    """Objects with versions and conditional changes."""
+
+    def __init__(self):
+        self.revision = 0
+        self._objects: dict[str, StoredObject] = {}
+        self._versions: list[int] = []
+        self._paths: list[str] = []
+
+    def get(self, path: str) -> StoredObject | None:
+        """Return an object, or None if there is none at the path."""
+        found = self._objects.get(path)
+        return None if found is None or found.deleted else found
+
+    def list(self, prefix: str) -> tuple[StoredObject, ...]:
+        """Return the objects whose path begins with `prefix`, in order of path."""
+        return tuple(
+            item
+            for path, item in sorted(self._objects.items())
+            if path.startswith(prefix) and not item.deleted
+        )
+
+    def list_changes(self, prefix: str, after: int) -> tuple[StoredObject, ...]:
+        """Return what changed under a prefix after a revision, oldest first."""
+        start = bisect.bisect_right(self._versions, after)
+        paths = {path for path in self._paths[start:] if path.startswith(prefix)}
+        changed = (self._objects[path] for path in paths)
+        return tuple(sorted(changed, key=lambda item: item.version))
+
+    def put(self, path: str, value: JsonValue, if_version: int | None) -> ChangeResult:
+        """Set an object if its version is `if_version`, or in any case for None."""
+        return self._change(path, if_version, value, False)
+
+    def delete(self, path: str, if_version: int | None) -> ChangeResult:
+        """Delete an object if its version is `if_version`."""
+        return self._change(path, if_version, None, True)
+
+    def _change(
+        self, path: str, if_version: int | None, value: JsonValue, deleted: bool
+    ) -> ChangeResult:
+        """Write a new version of an object if the condition holds."""
+        present = self.get(path)
+        version = 0 if present is None else present.version
+        if if_version not in (None, version) or (deleted and present is None):
+            return ChangeResult(False, version)
+        self.revision += 1
+        self._objects[path] = StoredObject(path, self.revision, value, deleted)
+        self._versions.append(self.revision)
+        self._paths.append(path)
+        return ChangeResult(True, self.revision)
