Add logs, metrics, status and the health pages

Figures: 6 tests pass; no cost was measured yet.

Conclusion: the lead can wire them. Counts on the path of each statement are plain numbers that the scrape reads.

--- /dev/null
+++ b/beryltrack/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy process: start, logs, metrics, health, status and shutdown."""
--- /dev/null
+++ b/beryltrack/daemon/metrics.py
@@ -0,0 +1,247 @@
+"""Metrics of one instance by OpenTelemetry, scraped in the form of Prometheus.
+
+Counts on the path of each statement are plain numbers that the scrape reads, so
+that counting costs a statement next to nothing. Durations go to histograms.
+"""
+
+import enum
+from collections import Counter
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+# Seconds; from a tenth of a millisecond up to a minute.
+DURATION_BOUNDS = (0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 60)
+
+
+class RequestKind(enum.Enum):
+    """What a request did."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+class RequestOutcome(enum.Enum):
+    """How a request ended.
+
+    DONE was answered by a target, errors of its own included. NOT_RUN,
+    ROLLED_BACK and UNKNOWN are the three kinds of refusal.
+    """
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    ROLLED_BACK = "rolled_back"
+    UNKNOWN = "unknown"
+
+
+class TargetKind(enum.Enum):
+    """Which kind of target served a request; NONE if it was not run."""
+
+    REPLICA = "replica"
+    PRIMARY = "primary"
+    NONE = "none"
+
+
+class PoolUse(NamedTuple):
+    """How far a database's connections are used by this instance.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    database : str
+        Name of the database.
+    busy : int
+        Connections that run a statement or a transaction.
+    idle : int
+        Connections that wait for work.
+    waiting : int
+        Requests that wait for a connection.
+    allowed : int
+        Connections that this instance may have now.
+    """
+
+    group: str
+    database: str
+    busy: int
+    idle: int
+    waiting: int
+    allowed: int
+
+
+class Counters(NamedTuple):
+    """Counts since the start of the instance.
+
+    Parameters
+    ----------
+    replica_reads : int
+        Reads that a replica served.
+    primary_reads : int
+        Reads that a primary served.
+    writes : int
+        Writes that were acknowledged.
+    not_run : int
+        Requests refused as not run.
+    rolled_back : int
+        Requests that ended as rolled back.
+    unknown : int
+        Requests whose outcome is unknown.
+    failovers : int
+        Changes of primary that this instance carried out.
+    """
+
+    replica_reads: int
+    primary_reads: int
+    writes: int
+    not_run: int
+    rolled_back: int
+    unknown: int
+    failovers: int
+
+
+def compute_replica_share(counters: Counters) -> float | None:
+    """Return the share of reads that replicas served; None without reads."""
+    reads = counters.replica_reads + counters.primary_reads
+    return counters.replica_reads / reads if reads else None
+
+
+class InstanceMetrics:
+    """All instruments of one instance.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    """
+
+    def __init__(self, instance: str):
+        self._requests: Counter = Counter()
+        self._failovers: Counter = Counter()
+        self._settings_revision = 0
+        self._get_pool_use: Callable[[], tuple[PoolUse, ...]] = tuple
+        # A registry of its own lets two instances share a process.
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(registry=self._registry)
+        self._provider = MeterProvider(
+            [reader],
+            resource=Resource({"service.instance.id": instance}),
+            shutdown_on_exit=False,
+            views=[
+                View(
+                    instrument_unit="s",
+                    aggregation=ExplicitBucketHistogramAggregation(DURATION_BOUNDS),
+                )
+            ],
+        )
+        self._create_instruments()
+
+    @property
+    def counters(self) -> Counters:
+        """The counts so far, for the status."""
+        by_outcome = Counter()
+        by_use = Counter()
+        for (kind, outcome, target), count in self._requests.items():
+            by_outcome[outcome] += count
+            if outcome is RequestOutcome.DONE:
+                by_use[kind, target] += count
+        return Counters(
+            by_use[RequestKind.READ, TargetKind.REPLICA],
+            by_use[RequestKind.READ, TargetKind.PRIMARY],
+            by_use[RequestKind.WRITE, TargetKind.PRIMARY],
+            by_outcome[RequestOutcome.NOT_RUN],
+            by_outcome[RequestOutcome.ROLLED_BACK],
+            by_outcome[RequestOutcome.UNKNOWN],
+            sum(self._failovers.values()),
+        )
+
+    def count_request(
+        self, kind: RequestKind, outcome: RequestOutcome, target: TargetKind
+    ) -> None:
+        """Count one request that ended."""
+        self._requests[kind, outcome, target] += 1
+
+    def count_failover(self, group: str) -> None:
+        """Count a change of primary that this instance carried out."""
+        self._failovers[group] += 1
+
+    def record_failover_gap(self, group: str, seconds: float) -> None:
+        """Record the time from a primary's loss until writes succeeded again."""
+        self._failover_gap.record(seconds, {"group": group})
+
+    def record_queue_time(self, seconds: float) -> None:
+        """Record how long a request waited for a connection."""
+        self._queue_time.record(seconds)
+
+    def record_confirm_wait(self, seconds: float) -> None:
+        """Record how long a commit waited for a majority to receive it."""
+        self._confirm_wait.record(seconds)
+
+    def set_settings_revision(self, revision: int) -> None:
+        """Note the revision of the settings in force."""
+        self._settings_revision = revision
+
+    def set_pool_source(self, get_pool_use: Callable[[], tuple[PoolUse, ...]]) -> None:
+        """Tell where a scrape finds the use of the pools."""
+        self._get_pool_use = get_pool_use
+
+    def render(self) -> bytes:
+        """Return all metrics in the text form of Prometheus."""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Stop the provider; nothing is recorded any more."""
+        self._provider.shutdown()
+
+    def _create_instruments(self) -> None:
+        """Create the instruments of this instance's meter."""
+        meter = self._provider.get_meter("beryltrack")
+        create_counter = meter.create_observable_counter
+        create_gauge = meter.create_observable_gauge
+        self._queue_time = meter.create_histogram("beryltrack_queue_time", "s")
+        self._confirm_wait = meter.create_histogram("beryltrack_confirm_wait", "s")
+        self._failover_gap = meter.create_histogram("beryltrack_failover_gap", "s")
+        create_counter("beryltrack_requests", [self._observe_requests])
+        create_counter("beryltrack_failovers", [self._observe_failovers])
+        create_gauge("beryltrack_replica_share", [self._observe_share])
+        create_gauge("beryltrack_settings_revision", [self._observe_revision])
+        create_gauge("beryltrack_pool_connections", [self._observe_pools])
+        create_gauge("beryltrack_pool_waiting", [self._observe_waiting])
+
+    def _observe_requests(self, options: CallbackOptions) -> Iterator[Observation]:
+        for (kind, outcome, target), count in self._requests.items():
+            labels = {
+                "kind": kind.value,
+                "outcome": outcome.value,
+                "target": target.value,
+            }
+            yield Observation(count, labels)
+
+    def _observe_failovers(self, options: CallbackOptions) -> Iterator[Observation]:
+        for group, count in self._failovers.items():
+            yield Observation(count, {"group": group})
+
+    def _observe_share(self, options: CallbackOptions) -> Iterator[Observation]:
+        share = compute_replica_share(self.counters)
+        if share is not None:
+            yield Observation(share)
+
+    def _observe_revision(self, options: CallbackOptions) -> Iterator[Observation]:
+        yield Observation(self._settings_revision)
+
+    def _observe_pools(self, options: CallbackOptions) -> Iterator[Observation]:
+        for use in self._get_pool_use():
+            labels = {"group": use.group, "database": use.database}
+            yield Observation(use.busy, labels | {"state": "busy"})
+            yield Observation(use.idle, labels | {"state": "idle"})
+            yield Observation(use.allowed, labels | {"state": "allowed"})
+
+    def _observe_waiting(self, options: CallbackOptions) -> Iterator[Observation]:
+        for use in self._get_pool_use():
+            labels = {"group": use.group, "database": use.database}
+            yield Observation(use.waiting, labels)
--- /dev/null
+++ b/beryltrack/daemon/status.py
@@ -0,0 +1,148 @@
+"""The status that an instance reports of itself, and its JSON form.
+
+The daemon fills these tuples, the operators' tool reads them. `cattrs` converts
+them to JSON and back.
+"""
+
+from typing import NamedTuple
+
+import cattrs
+from cattrs.cols import (
+    is_namedtuple,
+    namedtuple_dict_structure_factory,
+    namedtuple_dict_unstructure_factory,
+)
+
+from beryltrack.daemon.metrics import Counters
+from beryltrack.findings import Finding
+
+
+class ObjectVersion(NamedTuple):
+    """A settings object that is known to an instance.
+
+    Parameters
+    ----------
+    path : str
+        Path of the object.
+    version : int
+        Its version.
+    """
+
+    path: str
+    version: int
+
+
+class DatabaseReport(NamedTuple):
+    """One database as an instance sees it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the database.
+    role : str
+        ``primary``, ``replica``, or empty if it is not known.
+    received, applied : str
+        Log positions, ``TERM/OFFSET``; empty if they are not known.
+    age : float or None
+        Upper bound of the staleness of its data, seconds; None if unknown.
+    reachable : bool
+        True if it answered lately.
+    draining : bool
+        True if it gets no new work.
+    """
+
+    name: str
+    role: str
+    received: str
+    applied: str
+    age: float | None
+    reachable: bool
+    draining: bool
+
+
+class GroupReport(NamedTuple):
+    """One group as an instance sees it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    term : int
+        Highest term known.
+    primary : str
+        Name of its primary; empty if none is known.
+    databases : tuple of DatabaseReport
+        Its members.
+    """
+
+    name: str
+    term: int
+    primary: str
+    databases: tuple[DatabaseReport, ...]
+
+
+class InstanceStatus(NamedTuple):
+    """All that an instance reports of itself.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance.
+    zone : str
+        Its availability zone.
+    state : str
+        ``starting``, ``live`` or ``leaving``.
+    settings_revision : int
+        Highest version among the settings objects that it knows.
+    settings : tuple of ObjectVersion
+        The settings objects that it knows.
+    findings : tuple of Finding
+        What is wrong with them.
+    groups : tuple of GroupReport
+        The groups that it serves.
+    counters : Counters
+        Its counts since it started.
+    """
+
+    name: str
+    zone: str
+    state: str
+    settings_revision: int
+    settings: tuple[ObjectVersion, ...]
+    findings: tuple[Finding, ...]
+    groups: tuple[GroupReport, ...]
+    counters: Counters
+
+
+def _build_converter() -> cattrs.Converter:
+    """Return a converter that turns named tuples into JSON objects."""
+    converter = cattrs.Converter()
+    converter.register_unstructure_hook_factory(
+        is_namedtuple, lambda kind: namedtuple_dict_unstructure_factory(kind, converter)
+    )
+    converter.register_structure_hook_factory(
+        is_namedtuple, lambda kind: namedtuple_dict_structure_factory(kind, converter)
+    )
+    return converter
+
+
+_CONVERTER = _build_converter()
+
+
+def encode_status(status: InstanceStatus) -> dict[str, object]:
+    """Return a status as a JSON object."""
+    return _CONVERTER.unstructure(status)
+
+
+def parse_status(value: object) -> InstanceStatus:
+    """Return a status from its JSON form.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing or of another type.
+    """
+    try:
+        return _CONVERTER.structure(value, InstanceStatus)
+    except (cattrs.BaseValidationError, AttributeError, TypeError) as error:
+        raise ValueError(f"no status of an instance: {error}") from error
--- /dev/null
+++ b/tests/daemon/test_pages.py
@@ -0,0 +1,103 @@
+"""Logs, metrics, status and the pages that show them."""
+
+import io
+import json
+import logging
+
+import pytest
+from twisted.web.test.requesthelper import DummyRequest
+
+from beryltrack.daemon.health import build_health_site
+from beryltrack.daemon.logs import PartFormatter
+from beryltrack.daemon.metrics import (
+    Counters,
+    InstanceMetrics,
+    PoolUse,
+    RequestKind,
+    RequestOutcome,
+    TargetKind,
+    compute_replica_share,
+)
+from beryltrack.daemon.status import encode_status, parse_status
+from tests.daemon.examples import STATUS
+
+
+def get_page(name, live=True):
+    site = build_health_site(lambda: live, lambda: b"m 1\n", lambda: STATUS)
+    request = DummyRequest([name])
+    body = site.resource.children[name].render(request)
+    return request.responseCode, body
+
+
+def test_line_of_log_is_json_with_the_part_that_wrote_it():
+    stream = io.StringIO()
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(PartFormatter("p1"))
+    record = logging.LogRecord(
+        "beryltrack.x", logging.INFO, "", 1, "routing: no replica of %s", ("a",), None
+    )
+    handler.handle(record)
+    line = json.loads(stream.getvalue())
+    assert line["part"] == "routing"
+    assert line["message"] == "routing: no replica of a"
+    assert (line["level"], line["instance"]) == ("INFO", "p1")
+    assert "timestamp" in line
+
+
+def test_health_tells_the_balancer_when_the_instance_leaves():
+    assert get_page(b"health") == (200, b"live\n")
+    assert get_page(b"health", live=False)[0] == 503
+
+
+def test_status_comes_back_from_its_json_as_it_was():
+    code, body = get_page(b"status")
+    assert code == 200
+    assert parse_status(json.loads(body)) == STATUS
+
+
+def test_faulty_status_is_an_error():
+    whole = encode_status(STATUS)
+    for value in (None, [], {}, whole | {"groups": 3}, whole | {"counters": {}}):
+        with pytest.raises(ValueError):
+            parse_status(value)
+
+
+def test_counts_of_requests_give_the_replica_share():
+    metrics = InstanceMetrics("p1")
+    read, done = RequestKind.READ, RequestOutcome.DONE
+    for target in (TargetKind.REPLICA, TargetKind.REPLICA, TargetKind.PRIMARY):
+        metrics.count_request(read, done, target)
+    metrics.count_request(RequestKind.WRITE, done, TargetKind.PRIMARY)
+    metrics.count_request(read, RequestOutcome.NOT_RUN, TargetKind.NONE)
+    metrics.count_failover("orders")
+    assert metrics.counters == Counters(2, 1, 1, 1, 0, 0, 1)
+    assert compute_replica_share(metrics.counters) == pytest.approx(2 / 3)
+    assert compute_replica_share(Counters(0, 0, 0, 0, 0, 0, 0)) is None
+
+
+def test_scrape_shows_each_instrument_of_this_instance_only():
+    other = InstanceMetrics("p2")
+    other.set_settings_revision(4)
+    metrics = InstanceMetrics("p1")
+    metrics.count_request(RequestKind.READ, RequestOutcome.DONE, TargetKind.REPLICA)
+    metrics.count_failover("orders")
+    metrics.record_failover_gap("orders", 0.5)
+    metrics.record_queue_time(0.002)
+    metrics.record_confirm_wait(0.004)
+    metrics.set_settings_revision(12)
+    metrics.set_pool_source(lambda: (PoolUse("orders", "db0", 3, 1, 2, 5),))
+    text = metrics.render().decode()
+    wanted = (
+        'beryltrack_requests_total{kind="read",otel_scope_name="beryltrack"',
+        'beryltrack_failovers_total{group="orders"',
+        "beryltrack_failover_gap_seconds_bucket",
+        "beryltrack_queue_time_seconds_count",
+        "beryltrack_confirm_wait_seconds_sum",
+        "beryltrack_replica_share",
+        'state="allowed"',
+        "beryltrack_pool_waiting",
+    )
+    assert [name for name in wanted if name not in text] == []
+    lines = text.splitlines()
+    revisions = [line for line in lines if line.startswith("beryltrack_settings_rev")]
+    assert [line.split()[-1] for line in revisions] == ["12.0"]
