--- /dev/null
+++ b/beryltrack/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The caller's side of the PostgreSQL protocol."""
--- /dev/null
+++ b/beryltrack/callers/messages.py
@@ -0,0 +1,132 @@
+"""What a caller asks for: frames of the extended protocol, and units of work.
+
+A unit is what PostgreSQL answers with one ReadyForQuery. The frames keep the
+bytes they came in, so that what needs no change is sent on as it is.
+"""
+
+from typing import NamedTuple
+
+
+class ParseFrame(NamedTuple):
+    """Prepares a statement.
+
+    Parameters
+    ----------
+    name : str
+        The caller's name for it; empty for the unnamed statement.
+    text : str
+        The statement.
+    types : tuple of int
+        Type numbers of its parameters, as far as they are given.
+    wire : bytes
+        The frame as it came.
+    """
+
+    name: str
+    text: str
+    types: tuple[int, ...]
+    wire: bytes
+
+
+class BindFrame(NamedTuple):
+    """Makes a portal of a statement and parameters.
+
+    Parameters
+    ----------
+    portal : str
+        Name of the portal; empty for the unnamed one.
+    statement : str
+        Name of the statement; empty for the unnamed one.
+    values_at : int
+        Where in `wire` the parameters begin.
+    wire : bytes
+        The frame as it came.
+    """
+
+    portal: str
+    statement: str
+    values_at: int
+    wire: bytes
+
+
+class DescribeFrame(NamedTuple):
+    """Asks for the columns of a statement (kind ``S``) or portal (kind ``P``)."""
+
+    kind: str
+    name: str
+    wire: bytes
+
+
+class ExecuteFrame(NamedTuple):
+    """Runs a portal."""
+
+    portal: str
+    wire: bytes
+
+
+class CloseFrame(NamedTuple):
+    """Closes a statement (kind ``S``) or portal (kind ``P``)."""
+
+    kind: str
+    name: str
+    wire: bytes
+
+
+class SyncFrame(NamedTuple):
+    """Ends a unit of the extended protocol."""
+
+    wire: bytes
+
+
+Frame = ParseFrame | BindFrame | DescribeFrame | ExecuteFrame | CloseFrame | SyncFrame
+
+
+class SimpleRequest(NamedTuple):
+    """A simple query.
+
+    Parameters
+    ----------
+    text : str
+        One or more statements.
+    wire : bytes
+        The frame as it came.
+    """
+
+    text: str
+    wire: bytes
+
+
+class ExtendedRequest(NamedTuple):
+    """A batch of the extended protocol.
+
+    Parameters
+    ----------
+    messages : tuple of Frame
+        All frames up to and with Sync.
+    """
+
+    messages: tuple[Frame, ...]
+
+
+class RefusedRequest(NamedTuple):
+    """Input that the proxy does not run, though the connection can go on.
+
+    Parameters
+    ----------
+    message : str
+        Why it is refused.
+    skips_to_sync : bool
+        True if all input up to the next Sync is dropped, as PostgreSQL does
+        after an error in a batch. The ReadyForQuery is sent after the Sync.
+    """
+
+    message: str
+    skips_to_sync: bool
+
+
+class TerminateRequest(NamedTuple):
+    """The caller says good-bye."""
+
+
+Request = SimpleRequest | ExtendedRequest
+Unit = Request | RefusedRequest | TerminateRequest
--- /dev/null
+++ b/beryltrack/callers/reader.py
@@ -0,0 +1,235 @@
+"""Cutting the input of a logged-on caller into units of work; sans-I/O.
+
+Frames are cut out by length. Only names and statement texts are decoded; what
+a Bind carries stays bytes.
+"""
+
+import struct
+
+from pygwire.exceptions import DecodingError, FramingError
+from pygwire.messages import Close, Describe, Parse, Query
+
+from beryltrack.callers.messages import (
+    BindFrame,
+    CloseFrame,
+    DescribeFrame,
+    ExecuteFrame,
+    ExtendedRequest,
+    Frame,
+    ParseFrame,
+    RefusedRequest,
+    SimpleRequest,
+    SyncFrame,
+    TerminateRequest,
+    Unit,
+)
+from beryltrack.wire.framing import HEADER_SIZE, LENGTH_SIZE
+
+# Most bytes of one unit; a larger one is refused by closing the connection.
+UNIT_LIMIT = 16 << 20
+
+# Most frames in one batch.
+BATCH_LIMIT = 10_000
+
+_HEADER = struct.Struct("!BI")
+
+_QUERY = ord("Q")
+_SYNC = ord("S")
+_FLUSH = ord("H")
+_TERMINATE = ord("X")
+_FUNCTION_CALL = ord("F")
+_COPY = frozenset(b"dcf")
+
+FLUSH_TEXT = "Flush in the middle of a batch is not supported; send Sync"
+FUNCTION_CALL_TEXT = "the function call protocol is not supported; use SELECT"
+
+
+class RequestReader:
+    """Cuts a caller's input into units.
+
+    Parameters
+    ----------
+    unit_limit : int
+        Most bytes of one unit.
+    """
+
+    __slots__ = ("_buffer", "_frames", "_batch_size", "_skipping", "_unit_limit")
+
+    def __init__(self, unit_limit: int = UNIT_LIMIT):
+        self._buffer = bytearray()
+        self._frames: list[Frame] = []
+        self._batch_size = 0
+        self._skipping = False
+        self._unit_limit = unit_limit
+
+    @property
+    def buffered(self) -> int:
+        """Bytes that are not yet part of a unit."""
+        return len(self._buffer) + self._batch_size
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes of the caller."""
+        self._buffer += data
+
+    def read_unit(self) -> Unit | None:
+        """Return the next unit, or None until it is complete.
+
+        Raises
+        ------
+        ProtocolError
+            If the input is malformed or too large. The connection is of no
+            use then.
+        """
+        buffer = self._buffer
+        while len(buffer) >= HEADER_SIZE:
+            kind, length = _HEADER.unpack_from(buffer)
+            if not LENGTH_SIZE <= length <= self._unit_limit - self._batch_size:
+                raise FramingError(f"length {length} of a message is out of bounds")
+            stop = 1 + length
+            if len(buffer) < stop:
+                return None
+            wire = bytes(buffer[:stop])
+            del buffer[:stop]
+            unit = self._take(kind, wire)
+            if unit is not None:
+                return unit
+        return None
+
+    def _take(self, kind: int, wire: bytes) -> Unit | None:
+        """Handle one frame; return the unit that it completes."""
+        if kind == _TERMINATE:
+            return TerminateRequest()
+        if self._skipping:
+            return self._skip(kind, wire)
+        if kind == _QUERY:
+            self._check_no_batch()
+            return SimpleRequest(Query.decode(_get_payload(wire)).query_string, wire)
+        if kind == _SYNC:
+            return self._end_batch(SyncFrame(wire))
+        decode = _DECODERS.get(kind)
+        if decode is not None:
+            self._add_to_batch(decode(wire))
+            return None
+        return self._take_other(kind)
+
+    def _take_other(self, kind: int) -> Unit | None:
+        """Handle a frame that is neither a query nor part of a batch."""
+        if kind == _FLUSH:
+            return self._flush()
+        if kind == _FUNCTION_CALL:
+            self._check_no_batch()
+            return RefusedRequest(FUNCTION_CALL_TEXT, False)
+        if kind in _COPY:
+            # PostgreSQL, too, ignores what is left of a copy that failed.
+            return None
+        raise FramingError(f"unknown message {chr(kind)!r}")
+
+    def _add_to_batch(self, frame: Frame) -> None:
+        """Collect one frame of a batch."""
+        if len(self._frames) >= BATCH_LIMIT:
+            raise FramingError(f"more than {BATCH_LIMIT} messages in a batch")
+        self._frames.append(frame)
+        self._batch_size += len(frame.wire)
+
+    def _end_batch(self, sync: SyncFrame) -> ExtendedRequest:
+        """Return the collected batch."""
+        request = ExtendedRequest((*self._frames, sync))
+        self._frames = []
+        self._batch_size = 0
+        return request
+
+    def _flush(self) -> Unit | None:
+        """Refuse a Flush unless there is nothing that it would make run."""
+        if not self._frames:
+            return None
+        self._frames = []
+        self._batch_size = 0
+        self._skipping = True
+        return RefusedRequest(FLUSH_TEXT, True)
+
+    def _skip(self, kind: int, wire: bytes) -> Unit | None:
+        """Drop input up to a Sync, which is a unit that does nothing."""
+        if kind != _SYNC:
+            return None
+        self._skipping = False
+        return ExtendedRequest((SyncFrame(wire),))
+
+    def _check_no_batch(self) -> None:
+        """Refuse a simple query in the middle of a batch."""
+        if self._frames:
+            raise FramingError("a batch must end with Sync before a simple query")
+
+
+def _get_payload(wire: bytes) -> memoryview:
+    """Return the payload of a frame."""
+    return memoryview(wire)[HEADER_SIZE:]
+
+
+def _decode_parse(wire: bytes) -> ParseFrame:
+    """Decode a Parse."""
+    try:
+        message = Parse.decode(_get_payload(wire))
+    except struct.error as error:
+        raise DecodingError("Parse is truncated") from error
+    types = tuple(message.param_types)
+    return ParseFrame(message.statement, message.query, types, wire)
+
+
+def _decode_bind(wire: bytes) -> BindFrame:
+    """Decode the names of a Bind."""
+    portal_end = _find_end(wire, HEADER_SIZE)
+    statement_end = _find_end(wire, portal_end + 1)
+    portal = _decode_name(wire[HEADER_SIZE:portal_end])
+    statement = _decode_name(wire[portal_end + 1 : statement_end])
+    return BindFrame(portal, statement, statement_end + 1, wire)
+
+
+def _decode_describe(wire: bytes) -> DescribeFrame:
+    """Decode a Describe."""
+    _check_kind(wire)
+    message = Describe.decode(_get_payload(wire))
+    return DescribeFrame(message.kind, message.name, wire)
+
+
+def _decode_execute(wire: bytes) -> ExecuteFrame:
+    """Decode the name in an Execute."""
+    end = _find_end(wire, HEADER_SIZE)
+    return ExecuteFrame(_decode_name(wire[HEADER_SIZE:end]), wire)
+
+
+def _decode_close(wire: bytes) -> CloseFrame:
+    """Decode a Close."""
+    _check_kind(wire)
+    message = Close.decode(_get_payload(wire))
+    return CloseFrame(message.kind, message.name, wire)
+
+
+def _check_kind(wire: bytes) -> None:
+    """Raise if a Describe or Close names neither a statement nor a portal."""
+    if wire[HEADER_SIZE : HEADER_SIZE + 1] not in (b"S", b"P"):
+        raise DecodingError("neither a statement nor a portal")
+
+
+def _find_end(wire: bytes, start: int) -> int:
+    """Return where the string that begins at `start` ends."""
+    end = wire.find(b"\x00", start)
+    if end < 0:
+        raise DecodingError("unterminated name")
+    return end
+
+
+def _decode_name(name: bytes) -> str:
+    """Return a name as text."""
+    try:
+        return name.decode()
+    except UnicodeDecodeError as error:
+        raise DecodingError("name is not UTF-8") from error
+
+
+_DECODERS = {
+    ord("P"): _decode_parse,
+    ord("B"): _decode_bind,
+    ord("D"): _decode_describe,
+    ord("E"): _decode_execute,
+    ord("C"): _decode_close,
+}
--- /dev/null
+++ b/beryltrack/callers/startup.py
@@ -0,0 +1,133 @@
+"""The start-up packet of a caller: options, settings and reported parameters."""
+
+import re
+import shlex
+from typing import NamedTuple
+
+from pygwire.messages import StartupMessage
+
+from beryltrack.errors import (
+    INVALID_PARAMETER_VALUE,
+    PROTOCOL_VIOLATION,
+    SqlError,
+    make_fatal,
+)
+
+# What drivers read at start-up. The targets' values may differ in the version
+# only; the others are what the proxy asks its targets for.
+REPORTED_PARAMETERS = {
+    "server_version": "16.0",
+    "server_encoding": "UTF8",
+    "client_encoding": "UTF8",
+    "DateStyle": "ISO, MDY",
+    "IntervalStyle": "postgres",
+    "TimeZone": "UTC",
+    "integer_datetimes": "on",
+    "standard_conforming_strings": "on",
+    "is_superuser": "off",
+    "in_hot_standby": "off",
+}
+
+_ENCODINGS = frozenset({"utf8", "unicode"})
+_OWN_KEYS = frozenset({"user", "database", "options", "replication"})
+# Protocol extensions; callers offer them and go on without them.
+_EXTENSION_PREFIX = "_pq_."
+_SETTING = re.compile(r"(?P<name>[\w.\-]+)=(?P<value>.*)", re.DOTALL)
+
+
+class StartupRequest(NamedTuple):
+    """What a start-up packet asks for.
+
+    Parameters
+    ----------
+    user : str
+        Name of the user.
+    database : str
+        Name of the database; the user's name if none is given.
+    settings : dict of str to str
+        Session settings by their names in lower case.
+    extensions : tuple of str
+        Protocol extensions that the proxy does not know.
+    """
+
+    user: str
+    database: str
+    settings: dict[str, str]
+    extensions: tuple[str, ...]
+
+
+def parse_startup(message: StartupMessage) -> tuple[StartupRequest, SqlError | None]:
+    """Return what a start-up packet asks for, and what is wrong with it."""
+    params = message.params
+    user = params.get("user", "")
+    options, error = parse_options(params.get("options", ""))
+    plain = {
+        name.lower(): value
+        for name, value in params.items()
+        if name not in _OWN_KEYS and not name.startswith(_EXTENSION_PREFIX)
+    }
+    extensions = tuple(name for name in params if name.startswith(_EXTENSION_PREFIX))
+    settings = plain | options
+    database = params.get("database") or user
+    request = StartupRequest(user, database, settings, extensions)
+    return request, error or _check(request, params)
+
+
+def _check(request: StartupRequest, params: dict[str, str]) -> SqlError | None:
+    """Return what is wrong with the values of a start-up packet."""
+    if not request.user:
+        return make_fatal("28000", "no user name in the start-up packet")
+    if params.get("replication", "false") not in ("false", "off", "no", "0"):
+        return make_fatal("0A000", "replication connections are not supported")
+    encoding = request.settings.get("client_encoding", "UTF8")
+    if encoding.strip("'\"").replace("-", "").lower() not in _ENCODINGS:
+        text = f"client_encoding {encoding!r} is not supported; use UTF8"
+        return make_fatal(INVALID_PARAMETER_VALUE, text)
+    return None
+
+
+def parse_options(text: str) -> tuple[dict[str, str], SqlError | None]:
+    """Return the settings in the start-up parameter ``options``.
+
+    Parameters
+    ----------
+    text : str
+        Words ``-c name=value``, ``-cname=value`` or ``--name=value``; a
+        backslash takes the next character as it is.
+
+    Returns
+    -------
+    settings : dict of str to str
+        The settings by their names in lower case.
+    error : SqlError or None
+        The first fault.
+    """
+    lexer = shlex.shlex(text, posix=True)
+    lexer.whitespace_split = True
+    lexer.quotes = lexer.commenters = ""
+    try:
+        words = list(lexer)
+    except ValueError as fault:
+        return {}, make_fatal(PROTOCOL_VIOLATION, f"malformed options: {fault}")
+    settings: dict[str, str] = {}
+    while words:
+        word = words.pop(0)
+        if word == "-c" and words:
+            word = words.pop(0)
+        elif word.startswith("--"):
+            word = word[2:]
+        elif word.startswith("-c"):
+            word = word[2:]
+        else:
+            return settings, _make_option_error(word)
+        match = _SETTING.fullmatch(word)
+        if match is None:
+            return settings, _make_option_error(word)
+        settings[match["name"].replace("-", "_").lower()] = match["value"]
+    return settings, None
+
+
+def _make_option_error(word: str) -> SqlError:
+    """Return the error of a word that sets nothing."""
+    text = f"invalid command-line argument for server process: {word[:80]}"
+    return make_fatal(PROTOCOL_VIOLATION, text)
--- /dev/null
+++ b/beryltrack/callers/statements.py
@@ -0,0 +1,172 @@
+"""The prepared statements and portals of one caller.
+
+A caller's statements live at the proxy: target connections are pooled per
+transaction, so the next unit may meet a connection that has never seen them.
+On targets they have names made from text and parameter types, which callers
+with the same statement share.
+"""
+
+import re
+import struct
+from functools import lru_cache
+from typing import NamedTuple
+
+from pygwire.messages import Parse
+from xxhash import xxh3_128_hexdigest
+
+from beryltrack.callers.local import LocalResult
+from beryltrack.errors import (
+    INVALID_SQL_STATEMENT_NAME,
+    PROGRAM_LIMIT_EXCEEDED,
+    SqlError,
+)
+
+# Statements that one caller may keep prepared.
+MAX_STATEMENTS = 1000
+
+TARGET_NAME_PREFIX = "beryltrack_"
+
+_CACHE_SIZE = 4096
+
+_DEALLOCATE = re.compile(
+    r"""\s*(?:DEALLOCATE\s+(?:PREPARE\s+)?(?P<name>"(?:[^"]|"")+"|\w+)
+    |(?P<discard>DISCARD\s+(?:ALL|PLANS)))\s*;?\s*""",
+    re.IGNORECASE | re.VERBOSE,
+)
+
+
+class PreparedStatement(NamedTuple):
+    """One statement that a caller has prepared.
+
+    Parameters
+    ----------
+    text : str
+        The statement.
+    types : tuple of int
+        Type numbers of its parameters, as far as they are given.
+    target_name : str
+        Its name on target connections.
+    """
+
+    text: str
+    types: tuple[int, ...]
+    target_name: str
+
+
+@lru_cache(_CACHE_SIZE)
+def make_statement(text: str, types: tuple[int, ...]) -> PreparedStatement:
+    """Return the statement of a text and parameter types."""
+    seed = struct.pack(f"!{len(types)}I", *types) + text.encode()
+    return PreparedStatement(text, types, TARGET_NAME_PREFIX + xxh3_128_hexdigest(seed))
+
+
+@lru_cache(_CACHE_SIZE)
+def encode_parse(name: str, statement: PreparedStatement) -> bytes:
+    """Return the Parse frame that prepares a statement under `name`."""
+    return Parse(name, statement.text, list(statement.types)).to_wire()
+
+
+class StatementTable:
+    """The statements and portals of one caller, by the caller's names.
+
+    Parameters
+    ----------
+    limit : int
+        Most statements to keep.
+    """
+
+    def __init__(self, limit: int = MAX_STATEMENTS):
+        self._statements: dict[str, PreparedStatement] = {}
+        self._portals: dict[str, PreparedStatement] = {}
+        self._limit = limit
+
+    @property
+    def is_full(self) -> bool:
+        """True if no further statement can be kept."""
+        return len(self._statements) >= self._limit
+
+    def get(self, name: str) -> PreparedStatement | None:
+        """Return the statement of a name."""
+        return self._statements.get(name)
+
+    def set(self, name: str, statement: PreparedStatement) -> None:
+        """Keep a statement that a target has accepted."""
+        self._statements[name] = statement
+
+    def drop(self, name: str) -> None:
+        """Forget a statement."""
+        self._statements.pop(name, None)
+
+    def clear(self) -> None:
+        """Forget all statements."""
+        self._statements.clear()
+
+    def get_portal(self, name: str) -> PreparedStatement | None:
+        """Return the statement that a portal was made of."""
+        return self._portals.get(name)
+
+    def set_portal(self, name: str, statement: PreparedStatement) -> None:
+        """Remember what a portal was made of."""
+        self._portals[name] = statement
+
+    def drop_portal(self, name: str) -> None:
+        """Forget a portal."""
+        self._portals.pop(name, None)
+
+    def end_transaction(self) -> None:
+        """Forget the portals: none outlives its transaction."""
+        if self._portals:
+            self._portals.clear()
+
+
+def make_full_error(limit: int = MAX_STATEMENTS) -> SqlError:
+    """Return the error of a caller that prepares too many statements."""
+    return SqlError(
+        PROGRAM_LIMIT_EXCEEDED, f"more than {limit} prepared statements on a connection"
+    )
+
+
+def run_deallocate(text: str, table: StatementTable) -> LocalResult | SqlError | None:
+    """Carry out DEALLOCATE, DISCARD ALL or DISCARD PLANS at the proxy.
+
+    Parameters
+    ----------
+    text : str
+        A statement.
+    table : StatementTable
+        The caller's statements.
+
+    Returns
+    -------
+    LocalResult or SqlError or None
+        The answer; None if the text is another statement.
+    """
+    match = _DEALLOCATE.fullmatch(text)
+    if match is None:
+        return None
+    if match["discard"]:
+        return _discard(match["discard"], table)
+    name = _unquote(match["name"])
+    if match["name"].upper() == "ALL":
+        table.clear()
+        return LocalResult("DEALLOCATE ALL")
+    if table.get(name) is None:
+        message = f'prepared statement "{name}" does not exist'
+        return SqlError(INVALID_SQL_STATEMENT_NAME, message)
+    table.drop(name)
+    return LocalResult("DEALLOCATE")
+
+
+def _discard(command: str, table: StatementTable) -> LocalResult:
+    """Carry out DISCARD."""
+    tag = " ".join(command.upper().split())
+    if tag == "DISCARD ALL":
+        table.clear()
+    return LocalResult(tag)
+
+
+def _unquote(name: str) -> str:
+    """Return the name that an SQL identifier stands for."""
+    if name.startswith('"'):
+        return name[1:-1].replace('""', '"')
+    return name.lower()
--- /dev/null
+++ b/beryltrack/connections/target.py
@@ -0,0 +1,471 @@
+"""One connection to a target: start-up, one request at a time, and its end.
+
+Whatever is not exactly one whole answer to the one request in flight breaks
+the connection: it is closed and never used again, so that an answer that is
+late or partial cannot reach another caller.
+"""
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from pygwire import ConnectionPhase, FrontendConnection
+from pygwire.exceptions import ProtocolError
+from pygwire.messages import (
+    AuthenticationBase,
+    AuthenticationCleartextPassword,
+    AuthenticationOk,
+    AuthenticationSASL,
+    AuthenticationSASLContinue,
+    AuthenticationSASLFinal,
+    BackendKeyData,
+    CancelRequest,
+    ErrorResponse,
+    ParameterStatus,
+    PasswordMessage,
+    PGMessage,
+    Query,
+    ReadyForQuery,
+    SASLInitialResponse,
+    SASLResponse,
+    StartupMessage,
+    Terminate,
+)
+from scramp import ScramClient, ScramException
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import (
+    TCP4ClientEndpoint,
+    TCP6ClientEndpoint,
+    connectProtocol,
+)
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from beryltrack.errors import SqlError, SqlException
+from beryltrack.groups.messages import LogPosition
+from beryltrack.settings.messages import Endpoint
+from beryltrack.wire.answers import (
+    POSITION_PARAMETER,
+    AnswerReader,
+    decode_error,
+    parse_position,
+)
+from beryltrack.wire.framing import BoundedBackendDecoder
+from beryltrack.wire.messages import Edit, ResponseEnd, ResponseSink
+
+log = logging.getLogger(__name__)
+
+APPLICATION_NAME = "beryltrack"
+SCRAM_MECHANISM = "SCRAM-SHA-256"
+
+# Statements kept prepared on one connection; the oldest are closed beyond it.
+MAX_PREPARED = 256
+
+# Seconds to wait for the connection that carries a cancel request.
+CANCEL_TIMEOUT = 5.0
+
+_RESET_WIRE = Query("DISCARD ALL").to_wire()
+_TERMINATE_WIRE = Terminate().to_wire()
+
+
+class TargetLost(Exception):
+    """Raised when a connection ended before the answer did.
+
+    Parameters
+    ----------
+    sent : bool
+        False if no byte of the request was sent: it was not run, truly. True
+        if it may have been run.
+    reason : str
+        Why the connection ended.
+    """
+
+    def __init__(self, sent: bool, reason: str):
+        super().__init__(reason)
+        self.sent = sent
+        self.reason = reason
+
+
+class Credentials(NamedTuple):
+    """Whom a connection logs on as.
+
+    Parameters
+    ----------
+    database : str
+        Name of the database.
+    user : str
+        Name of the user.
+    password : str
+        Password; empty where the target trusts the user.
+    application_name : str
+        Name that the target shows for the connection.
+    """
+
+    database: str
+    user: str
+    password: str
+    application_name: str = APPLICATION_NAME
+
+
+class _NullSink:
+    """A sink for answers that nobody reads."""
+
+    def write(self, data):
+        pass
+
+    def attach(self, producer):
+        pass
+
+    def detach(self):
+        pass
+
+
+class PreparedNames:
+    """Names of the statements that exist on one connection, oldest use first."""
+
+    def __init__(self, limit: int = MAX_PREPARED):
+        self._names: OrderedDict[str, None] = OrderedDict()
+        self._limit = limit
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._names
+
+    def __len__(self) -> int:
+        return len(self._names)
+
+    def touch(self, name: str) -> None:
+        """Note that the statement exists and was used just now."""
+        self._names[name] = None
+        self._names.move_to_end(name)
+
+    def forget(self, name: str) -> None:
+        """Note that the statement does not exist any more."""
+        self._names.pop(name, None)
+
+    def clear(self) -> None:
+        """Note that no statement exists any more."""
+        self._names.clear()
+
+    def get_excess(self, coming: int) -> tuple[str, ...]:
+        """Return the oldest names to close before `coming` more are prepared."""
+        excess = max(0, len(self._names) + coming - self._limit)
+        return tuple(name for name, _ in zip(self._names, range(excess), strict=False))
+
+
+class TargetConnection(Protocol):
+    """A logged-on connection to a target.
+
+    Made by `connect_target`. At most one request runs on it at a time.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+        Used to open cancel requests.
+    endpoint : Endpoint
+        Address of the target.
+    credentials : Credentials
+        Whom to log on as.
+    """
+
+    def __init__(self, reactor, endpoint: Endpoint, credentials: Credentials):
+        self.endpoint = endpoint
+        self.prepared = PreparedNames()
+        self.parameters: dict[str, str] = {}
+        self.position: LogPosition | None = None
+        self.broken = False
+        self.ready: Deferred[TargetConnection] = Deferred()
+        self._reactor = reactor
+        self._credentials = credentials
+        self._startup: FrontendConnection | None = FrontendConnection()
+        self._startup._decoder = BoundedBackendDecoder()
+        self._scram: ScramClient | None = None
+        self._key = BackendKeyData()
+        self._reader = AnswerReader()
+        self._sink: ResponseSink | None = None
+        self._answer: Deferred[ResponseEnd] | None = None
+        self._listeners: list[Callable[[TargetConnection], None]] = []
+
+    @property
+    def busy(self) -> bool:
+        """True while a request runs on the connection."""
+        return self._answer is not None
+
+    def notify_closed(self, callback: Callable[["TargetConnection"], None]) -> None:
+        """Call `callback` once with this connection when it has ended."""
+        if self.broken:
+            callback(self)
+        else:
+            self._listeners.append(callback)
+
+    def run(
+        self, wire: bytes, sink: ResponseSink, edits: tuple[Edit, ...] = ()
+    ) -> "Deferred[ResponseEnd]":
+        """Send one request and stream its answer.
+
+        Parameters
+        ----------
+        wire : bytes
+            Frames that the target answers with exactly one ReadyForQuery.
+        sink : ResponseSink
+            Takes the frames of the answer as they come.
+        edits : tuple of Edit
+            See `AnswerReader.start`.
+
+        Returns
+        -------
+        Deferred of ResponseEnd
+            The end of the answer. Fails with `TargetLost`.
+        """
+        if self.broken or self._startup is not None or self._answer is not None:
+            reason = "another request runs" if self._answer else "connection is closed"
+            return _fail(TargetLost(False, reason))
+        self._sink = sink
+        self._answer = answer = Deferred()
+        self._reader.start(edits)
+        sink.attach(self.transport)
+        self.transport.write(wire)
+        return answer
+
+    async def reset(self) -> bool:
+        """Discard the state that a session left; return whether that worked."""
+        end = await self.run(_RESET_WIRE, _NullSink())
+        self.prepared.clear()
+        return end.error is None
+
+    def cancel(self) -> "Deferred[None]":
+        """Ask the target to cancel the request that runs now.
+
+        The request goes over a connection of its own and may come too late;
+        the answer tells. A failure to send it is logged and otherwise ignored.
+        """
+        request = CancelRequest(self._key.process_id, self._key.secret_key)
+        target = _make_endpoint(self._reactor, self.endpoint, CANCEL_TIMEOUT)
+        sending = connectProtocol(target, _CancelProtocol(request.to_wire()))
+        sending.addErrback(
+            lambda failure: log.info(
+                "target: cancel request failed: %s", failure.getErrorMessage()
+            )
+        )
+        return sending.addCallback(lambda _: None)
+
+    def close(self) -> None:
+        """End the connection. A request that runs fails with `TargetLost`."""
+        if self.broken:
+            return
+        if self._startup is None and not self.busy:
+            self.transport.write(_TERMINATE_WIRE)
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+        self._break("closed by the proxy")
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send the start-up packet."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        names = {
+            "user": self._credentials.user,
+            "database": self._credentials.database,
+            "application_name": self._credentials.application_name,
+            "client_encoding": "UTF8",
+        }
+        self._send_startup(StartupMessage(names))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes of the target."""
+        if self.broken:
+            return
+        try:
+            if self._startup is not None:
+                self._receive_startup(data)
+            else:
+                self._receive_answer(data)
+        except (ProtocolError, ScramException, ValueError) as error:
+            log.warning("target: %s:%d: %s", *self.endpoint, error)
+            self.transport.abortConnection()
+            self._break(str(error))
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Tell who waits that the connection has ended."""
+        lost = "closed by the target"
+        self._break(lost if reason.check(ConnectionDone) else reason.getErrorMessage())
+
+    def _send_startup(self, message: PGMessage) -> None:
+        """Send one message of the start-up."""
+        self.transport.write(self._startup.send(message))
+
+    def _receive_startup(self, data: bytes) -> None:
+        """Log on; what follows ReadyForQuery is read as answers."""
+        startup = self._startup
+        for message in startup.receive(data):
+            self._take_startup(message)
+            if startup.phase is ConnectionPhase.READY:
+                self._startup = None
+                self._receive_answer(startup._decoder.take_rest())
+                self.ready.callback(self)
+                return
+
+    def _take_startup(self, message: PGMessage) -> None:
+        """Handle one message of the start-up."""
+        match message:
+            case AuthenticationBase():
+                self._authenticate(message)
+            case ParameterStatus(name=name, value=value):
+                self.parameters[name] = value
+                if name == POSITION_PARAMETER:
+                    self.position = parse_position(value)
+            case BackendKeyData():
+                self._key = message
+            case ErrorResponse():
+                error = decode_error(memoryview(message.encode()))
+                self._break(error.message, SqlException(error))
+                self.transport.loseConnection()
+            case ReadyForQuery() | _:
+                pass
+
+    def _authenticate(self, message: AuthenticationBase) -> None:
+        """Answer one step of the target's authentication."""
+        password = self._credentials.password
+        match message:
+            case AuthenticationOk():
+                pass
+            case AuthenticationCleartextPassword():
+                self._send_startup(PasswordMessage(password))
+            case AuthenticationSASL(mechanisms=mechanisms):
+                if SCRAM_MECHANISM not in mechanisms:
+                    raise ProtocolError(f"target offers only {mechanisms}")
+                user = self._credentials.user
+                self._scram = ScramClient([SCRAM_MECHANISM], user, password)
+                first = self._scram.get_client_first().encode()
+                self._send_startup(SASLInitialResponse(SCRAM_MECHANISM, first))
+            case AuthenticationSASLContinue(data=data):
+                self._scram.set_server_first(data.decode())
+                final = self._scram.get_client_final().encode()
+                self._send_startup(SASLResponse(final))
+            case AuthenticationSASLFinal(data=data):
+                self._scram.set_server_final(data.decode())
+            case _:
+                raise ProtocolError(f"{type(message).__name__} is not supported")
+
+    def _receive_answer(self, data: bytes) -> None:
+        """Read the answer to the request in flight."""
+        sink = self._sink
+        end = self._reader.feed(data, sink.write if sink is not None else _discard)
+        if end is None:
+            return
+        # What follows the answer must not be left for the next request.
+        self._reader.feed(b"", _discard)
+        if end.position is not None:
+            self.position = end.position
+        answer = self._answer
+        self._answer = self._sink = None
+        sink.detach()
+        # A sink that was full may have paused the transport.
+        self.transport.resumeProducing()
+        answer.callback(end)
+
+    def _break(self, reason: str, failure: Exception | None = None) -> None:
+        """Mark the connection as ended and tell all who wait."""
+        if self.broken:
+            return
+        self.broken = True
+        answer, sink, ready = self._answer, self._sink, self.ready
+        self._answer = self._sink = None
+        listeners, self._listeners = self._listeners, []
+        if sink is not None:
+            sink.detach()
+        if not ready.called:
+            ready.errback(failure or TargetLost(False, reason))
+        if answer is not None:
+            answer.errback(TargetLost(True, reason))
+        for callback in listeners:
+            callback(self)
+
+
+class _CancelProtocol(Protocol):
+    """Sends a cancel request; the target closes the connection."""
+
+    def __init__(self, wire: bytes):
+        self._wire = wire
+
+    def connectionMade(self):
+        self.transport.write(self._wire)
+        self.transport.loseConnection()
+
+
+def _discard(data: bytes) -> None:
+    """Take bytes that nobody reads."""
+
+
+def _fail(error: Exception) -> Deferred:
+    """Return a Deferred that has failed."""
+    failed = Deferred()
+    failed.errback(error)
+    return failed
+
+
+def _make_endpoint(reactor, endpoint: Endpoint, timeout: float):
+    """Return Twisted's endpoint for an address by IP number."""
+    kind = TCP6ClientEndpoint if ":" in endpoint.host else TCP4ClientEndpoint
+    return kind(reactor, endpoint.host, endpoint.port, timeout)
+
+
+def connect_target(
+    reactor,
+    endpoint: Endpoint,
+    database: str,
+    user: str,
+    password: str,
+    timeout: float,
+    application_name: str = APPLICATION_NAME,
+) -> "Deferred[TargetConnection]":
+    """Open a connection to a target and log on.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP, IReactorTime
+        Opens the connection and measures the timeout.
+    endpoint : Endpoint
+        Address of the target.
+    database, user, password : str
+        Whom to log on as.
+    timeout : float
+        Most seconds until the connection is ready.
+    application_name : str
+        Name that the target shows for the connection.
+
+    Returns
+    -------
+    Deferred of TargetConnection
+        The connection. Fails with `SqlException` if the target refuses, for
+        example at its connection limit (53300), with `TargetLost` or the
+        reactor's error if it cannot be reached, and with
+        `twisted.internet.defer.TimeoutError` after the timeout.
+    """
+    credentials = Credentials(database, user, password, application_name)
+    connection = TargetConnection(reactor, endpoint, credentials)
+    target = _make_endpoint(reactor, endpoint, timeout)
+    connecting = connectProtocol(target, connection)
+    connecting.addCallback(lambda _: connection.ready)
+
+    def abandon(failure: Failure) -> Failure:
+        if connection.transport is not None:
+            connection.close()
+        return failure
+
+    connecting.addTimeout(timeout, reactor)
+    return connecting.addErrback(abandon)
+
+
+__all__ = [
+    "Credentials",
+    "PreparedNames",
+    "ResponseEnd",
+    "ResponseSink",
+    "SqlError",
+    "TargetConnection",
+    "TargetLost",
+    "connect_target",
+]
--- /dev/null
+++ b/beryltrack/errors.py
@@ -0,0 +1,114 @@
+"""Errors as callers see them: SQLSTATEs that say truthfully what happened.
+
+A caller decides by the SQLSTATE whether to send its request again, so each
+error says one of three things: the request was not run, it was rolled back, or
+its outcome is unknown. The functions below are the only places that choose
+these SQLSTATEs.
+"""
+
+from typing import NamedTuple
+
+ERROR = "ERROR"
+FATAL = "FATAL"
+
+# SQLSTATEs by the names that PostgreSQL's documentation gives them.
+CONNECTION_EXCEPTION = "08000"
+TRANSACTION_RESOLUTION_UNKNOWN = "08007"
+PROTOCOL_VIOLATION = "08P01"
+FEATURE_NOT_SUPPORTED = "0A000"
+INVALID_PARAMETER_VALUE = "22023"
+READ_ONLY_SQL_TRANSACTION = "25006"
+INVALID_SQL_STATEMENT_NAME = "26000"
+INVALID_AUTHORIZATION = "28000"
+INVALID_PASSWORD = "28P01"
+INVALID_CATALOG_NAME = "3D000"
+SERIALIZATION_FAILURE = "40001"
+INSUFFICIENT_PRIVILEGE = "42501"
+TOO_MANY_CONNECTIONS = "53300"
+CONFIGURATION_LIMIT_EXCEEDED = "53400"
+PROGRAM_LIMIT_EXCEEDED = "54000"
+QUERY_CANCELED = "57014"
+ADMIN_SHUTDOWN = "57P01"
+CANNOT_CONNECT_NOW = "57P03"
+INTERNAL_ERROR = "XX000"
+
+NOT_RUN_STATES = frozenset(
+    {CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS, CONFIGURATION_LIMIT_EXCEEDED}
+)
+
+
+class SqlError(NamedTuple):
+    """One error in the form that the PostgreSQL protocol carries.
+
+    Parameters
+    ----------
+    sqlstate : str
+        Five characters that say what kind of error it is.
+    message : str
+        One sentence for people.
+    detail : str
+        More about the cause; empty for none.
+    hint : str
+        What to do about it; empty for none.
+    severity : str
+        `ERROR` if the connection stays, `FATAL` if it ends.
+    """
+
+    sqlstate: str
+    message: str
+    detail: str = ""
+    hint: str = ""
+    severity: str = ERROR
+
+
+class SqlException(Exception):
+    """An exception that carries the error to tell the caller.
+
+    Parameters
+    ----------
+    error : SqlError
+        The error.
+    """
+
+    def __init__(self, error: SqlError):
+        super().__init__(f"{error.sqlstate}: {error.message}")
+        self.error = error
+
+
+def make_not_run(message: str, sqlstate: str = CANNOT_CONNECT_NOW) -> SqlError:
+    """Return the error of a request that was not run and never will be."""
+    return SqlError(sqlstate, message, detail="The request was not run.")
+
+
+def make_rolled_back(message: str) -> SqlError:
+    """Return the error of a transaction that was rolled back as a whole."""
+    return SqlError(
+        SERIALIZATION_FAILURE, message, detail="The transaction was rolled back."
+    )
+
+
+def make_outcome_unknown(message: str) -> SqlError:
+    """Return the error of a request that may or may not have taken effect."""
+    return SqlError(
+        TRANSACTION_RESOLUTION_UNKNOWN,
+        message,
+        detail="The request may have been run.",
+        hint="Mark the request with beryltrack.request_id to repeat it safely.",
+    )
+
+
+def make_unsupported(message: str, hint: str = "") -> SqlError:
+    """Return the error of a feature that the proxy does not offer."""
+    return SqlError(FEATURE_NOT_SUPPORTED, message, hint=hint)
+
+
+def make_malformed_setting(name: str, text: str) -> SqlError:
+    """Return the error of a session setting whose value cannot be used."""
+    return SqlError(
+        INVALID_PARAMETER_VALUE, f'invalid value for parameter "{name}"', detail=text
+    )
+
+
+def make_fatal(sqlstate: str, message: str, detail: str = "") -> SqlError:
+    """Return an error after which the connection is closed."""
+    return SqlError(sqlstate, message, detail, severity=FATAL)
