--- a/beryltrack/connections/target.py
+++ b/beryltrack/connections/target.py
@@ -7,13 +7,11 @@
 
 import logging
 from collections import OrderedDict
-from collections.abc import Callable
 from typing import NamedTuple
 
 from pygwire import ConnectionPhase, FrontendConnection
 from pygwire.exceptions import ProtocolError
 from pygwire.messages import (
-    AuthenticationBase,
     AuthenticationCleartextPassword,
     AuthenticationOk,
     AuthenticationSASL,
@@ -22,6 +20,8 @@
     BackendKeyData,
     CancelRequest,
     ErrorResponse,
+    NegotiateProtocolVersion,
+    NoticeResponse,
     ParameterStatus,
     PasswordMessage,
     PGMessage,
@@ -185,19 +185,17 @@
         self._reader = AnswerReader()
         self._sink: ResponseSink | None = None
         self._answer: Deferred[ResponseEnd] | None = None
-        self._listeners: list[Callable[[TargetConnection], None]] = []
+        self._closed: Deferred[None] = Deferred()
 
     @property
     def busy(self) -> bool:
         """True while a request runs on the connection."""
         return self._answer is not None
 
-    def notify_closed(self, callback: Callable[["TargetConnection"], None]) -> None:
-        """Call `callback` once with this connection when it has ended."""
-        if self.broken:
-            callback(self)
-        else:
-            self._listeners.append(callback)
+    @property
+    def closed(self) -> "Deferred[None]":
+        """Fires once when the connection is gone; callbacks pass the value on."""
+        return self._closed
 
     def run(
         self, wire: bytes, sink: ResponseSink, edits: tuple[Edit, ...] = ()
@@ -310,8 +308,6 @@
     def _take_startup(self, message: PGMessage) -> None:
         """Handle one message of the start-up."""
         match message:
-            case AuthenticationBase():
-                self._authenticate(message)
             case ParameterStatus(name=name, value=value):
                 self.parameters[name] = value
                 if name == POSITION_PARAMETER:
@@ -322,10 +318,12 @@
                 error = decode_error(memoryview(message.encode()))
                 self._break(error.message, SqlException(error))
                 self.transport.loseConnection()
-            case ReadyForQuery() | _:
+            case ReadyForQuery() | NoticeResponse() | NegotiateProtocolVersion():
                 pass
+            case _:
+                self._authenticate(message)
 
-    def _authenticate(self, message: AuthenticationBase) -> None:
+    def _authenticate(self, message: PGMessage) -> None:
         """Answer one step of the target's authentication."""
         password = self._credentials.password
         match message:
@@ -373,15 +371,13 @@
         self.broken = True
         answer, sink, ready = self._answer, self._sink, self.ready
         self._answer = self._sink = None
-        listeners, self._listeners = self._listeners, []
         if sink is not None:
             sink.detach()
         if not ready.called:
             ready.errback(failure or TargetLost(False, reason))
         if answer is not None:
             answer.errback(TargetLost(True, reason))
-        for callback in listeners:
-            callback(self)
+        self._closed.callback(None)
 
 
 class _CancelProtocol(Protocol):
--- /dev/null
+++ b/tests/callers/echo_target.py
@@ -0,0 +1,153 @@
+"""A tiny target for the protocol's tests: it answers with what it was asked.
+
+A row names the connection it came over, the statement and its parameters, so
+that a mixed-up answer shows. Statements: ``rows COUNT SIZE`` gives that many
+rows, ``write`` reports a position, ``fail`` is an error, ``hang`` is answered
+never or by a cancel, ``lost`` cuts the connection, ``BEGIN`` and ``COMMIT``
+change the status. All else is echoed.
+"""
+
+from itertools import count
+
+from pygwire import BackendConnection, TransactionStatus
+from pygwire import messages as m
+from twisted.internet.protocol import Factory, Protocol
+
+TEXT = 25
+
+
+def make_row(*values):
+    return m.DataRow([value.encode() for value in values])
+
+
+def make_description(number):
+    names = [f"c{index}" for index in range(number)]
+    return m.RowDescription(
+        [m.FieldDescription(n, 0, 0, TEXT, -1, -1, 0) for n in names]
+    )
+
+
+class EchoTarget(Protocol):
+    """One connection to the target."""
+
+    def __init__(self, factory):
+        self.factory = factory
+        self.number = next(factory.numbers)
+        self.wire = BackendConnection()
+        self.status = TransactionStatus.IDLE
+        self.statements = {}
+        self.portals = {}
+        self.failed = False
+
+    def connectionMade(self):
+        self.factory.connections[self.number] = self
+
+    def connectionLost(self, reason=None):
+        self.factory.connections.pop(self.number, None)
+
+    def dataReceived(self, data):
+        for message in self.wire.receive(data):
+            self.factory.seen.append(message)
+            self.take(message)
+
+    def send(self, *messages):
+        self.transport.write(b"".join(self.wire.send(x) for x in messages))
+
+    def take(self, message):
+        if self.failed and not isinstance(message, m.Sync):
+            return
+        match message:
+            case m.StartupMessage():
+                self.send(m.AuthenticationOk(), m.BackendKeyData(self.number, b"mock"))
+                self.send(m.ReadyForQuery())
+            case m.CancelRequest(process_id=number):
+                self.factory.connections[number].fail("57014")
+                self.factory.connections[number].ready()
+            case m.Query(query_string=text):
+                if self.run(text, (), True):
+                    self.ready()
+            case m.Parse(statement=name, query=text):
+                if name and name in self.statements:
+                    self.fail("42P05")
+                elif text == "fail":
+                    self.fail("42601")
+                else:
+                    self.statements[name] = message
+                    self.send(m.ParseComplete())
+            case m.Bind(portal=portal, statement=name, param_values=values):
+                if name not in self.statements:
+                    self.fail("26000")
+                else:
+                    self.portals[portal] = self.statements[name].query, values
+                    self.send(m.BindComplete())
+            case m.Describe(kind="P", name=name):
+                self.send(make_description(2 + len(self.portals[name][1])))
+            case m.Describe(name=name) if name in self.statements:
+                number = self.statements[name].query.count("$")
+                self.send(m.ParameterDescription([TEXT] * number))
+                self.send(make_description(2 + number))
+            case m.Describe():
+                self.fail("26000")
+            case m.Execute(portal=portal):
+                self.run(*self.portals[portal], False)
+            case m.Close(kind=kind, name=name):
+                (self.statements if kind == "S" else self.portals).pop(name, None)
+                self.send(m.CloseComplete())
+            case m.Sync():
+                self.ready()
+
+    def ready(self):
+        self.failed = False
+        if self.status is TransactionStatus.IDLE:
+            self.portals.clear()
+        self.send(m.ReadyForQuery(self.status))
+
+    def fail(self, code, text="failed"):
+        self.failed = not isinstance(self.factory.seen[-1], m.Query)
+        self.send(m.ErrorResponse({"S": "ERROR", "C": code, "M": text}))
+
+    def run(self, text, values, describe):
+        """Run one statement; return whether it is answered."""
+        match text.split():
+            case ["hang"]:
+                return False
+            case ["lost"]:
+                self.transport.abortConnection()
+                return False
+            case ["fail", *_]:
+                self.fail("22012")
+            case ["BEGIN"]:
+                self.status = TransactionStatus.IN_TRANSACTION
+                self.send(m.CommandComplete("BEGIN"))
+            case ["COMMIT" | "ROLLBACK" as tag]:
+                self.status = TransactionStatus.IDLE
+                self.send(m.CommandComplete(tag))
+            case ["DISCARD", "ALL"]:
+                self.statements.clear()
+                self.send(m.CommandComplete("DISCARD ALL"))
+            case ["write"]:
+                self.send(m.CommandComplete("INSERT 0 1"))
+                self.send(m.ParameterStatus("beryltrack.position", "1/7"))
+            case ["rows", number, size]:
+                rows = [make_row("x" * int(size))] * int(number)
+                self.send(*([make_description(1)] if describe else []), *rows)
+                self.send(m.CommandComplete(f"SELECT {number}"))
+            case _:
+                row = make_row(str(self.number), text, *map(bytes.decode, values))
+                description = [make_description(2)] if describe else []
+                self.send(*description, row, m.CommandComplete("SELECT 1"))
+        return True
+
+
+class EchoFactory(Factory):
+    """Makes connections and remembers what they were sent."""
+
+    noisy = False
+
+    def __init__(self):
+        self.numbers = count(1)
+        self.connections = {}
+        self.seen = []
+
+    def buildProtocol(self, addr):
+        return EchoTarget(self)
