Add a fake platform, and record what happens at the fake databases

Cause: the fault matrix needs outages of the store, answers lost after their effect, and a history that the checker can read. Change: FakePlatform with the client's calls and typed failures; databases record commits, promotions, work and leaving; a refusal is judged only until the caller sends the request again.

--- a/beryltrack_bench/fakes/database.py
+++ b/beryltrack_bench/fakes/database.py
@@ -12,10 +12,16 @@
 from twisted.internet.defer import Deferred
 
 from beryltrack.groups.adapter import PromoteReply, StatusWait
-from beryltrack.groups.messages import DatabaseStatus, GrantReply, LogPosition
+from beryltrack.groups.messages import (
+    PRIMARY,
+    DatabaseStatus,
+    GrantReply,
+    LogPosition,
+)
 from beryltrack_bench.deployment import ReplicationModel
 from beryltrack_bench.fakes.network import Network
 from beryltrack_bench.fakes.nodes import Node
+from beryltrack_bench.history import Event, Executed, Promoted, TargetLeft, WorkStarted
 from beryltrack_standins.database.replica_log import ReplicaLog
 
 STOPPED_WRITES_LIMIT = 2.0
@@ -61,10 +67,20 @@
         The pace of replication.
     rng : Random
         Source of the apply lag.
+    group : str
+        Name of its group, for the history.
+    record : callable
+        Takes what happens here, for the history.
     """
 
     def __init__(
-        self, node: Node, network: Network, model: ReplicationModel, rng: Random
+        self,
+        node: Node,
+        network: Network,
+        model: ReplicationModel,
+        rng: Random,
+        group: str = "",
+        record: Callable[[Event], None] = lambda event: None,
     ):
         self.node = node
         self.name = node.name
@@ -75,6 +91,8 @@
         self._network = network
         self._model = model
         self._rng = rng
+        self._group = group
+        self._record = record
         self._waiters: list[_Waiter] = []
         self._applying = False
 
@@ -114,9 +132,13 @@
 
     def promote(self, term: int, candidate: str) -> PromoteReply:
         """Lead a granted term; see `ReplicaLog.promote`."""
+        was_primary = self.log.role == PRIMARY
         promoted = self.log.promote(term, candidate)
         if promoted:
             self._replicate()
+        if promoted and not was_primary:
+            now = self.node.seconds()
+            self._record(Promoted(self._group, term, frozenset(self.get_keys()), now))
         self._notify()
         return PromoteReply(promoted, self.get_status())
 
@@ -132,17 +154,26 @@
     def set_leaving(self, leaving: bool) -> None:
         """Say that the database wants no new work."""
         self.log.leaving = leaving
+        if leaving:
+            self._record(TargetLeft(self.name, self.node.seconds()))
         self._notify()
 
-    def write(self, *keys: str) -> Deferred:
+    def write(self, *keys: str, marked: bool = False) -> Deferred:
         """Commit one write transaction that carries some keys.
 
+        Parameters
+        ----------
+        *keys : str
+            The statements, each by its key.
+        marked : bool
+            True if a repeat shall have no effect, as with the ledger's row.
+
         Returns
         -------
         Deferred
             The `LogPosition` of the commit; fails with `WriteRefused`.
         """
-        return self._run(lambda: self._commit(keys))
+        return self._run(lambda: self._commit(keys, marked))
 
     def read(self) -> Deferred:
         """Give a `ReadResult`."""
@@ -155,20 +186,30 @@
 
     def _run(self, run: Callable[[], object]) -> Deferred:
         """Run a statement after its service time."""
+        self._record(WorkStarted(self.name, self.node.seconds()))
         answer = Deferred()
         self.node.schedule(self.service_time, lambda: answer.callback(None), None)
         return answer.addCallback(lambda ignored: run())
 
-    def _commit(self, keys: tuple[str, ...]) -> LogPosition:
+    def _commit(self, keys: tuple[str, ...], marked: bool) -> LogPosition:
         """Append a write and send it to the replicas."""
         if not self.log.can_write():
             raise WriteRefused(f"{self.name} takes no writes")
+        if marked and (known := self._find_marked(keys)):
+            return known
         position = self.log.append(keys)
+        self._record(Executed(self._group, keys, self.node.seconds()))
         self.log.applied_offset = position.offset
         self._replicate()
         self._notify()
         return position
 
+    def _find_marked(self, keys: tuple[str, ...]) -> LogPosition | None:
+        """Return where a marked write is in the log already."""
+        offsets = enumerate(self.log.entries, start=1)
+        found = (offset for offset, entry in offsets if entry.statements == keys)
+        return next(map(self.log.get_position, found), None)
+
     def _resume_writes(self, term: int) -> None:
         """Take writes again, unless the term has moved meanwhile."""
         if self.log.term == term:
--- a/beryltrack_bench/fakes/group.py
+++ b/beryltrack_bench/fakes/group.py
@@ -13,6 +13,7 @@
 from beryltrack_bench.fakes.database import FakeDatabase
 from beryltrack_bench.fakes.network import Network
 from beryltrack_bench.fakes.nodes import Node, Site
+from beryltrack_bench.history import Event
 
 CONTROL_TIMEOUT = 1.0
 """Seconds after which a control call that got no answer fails."""
@@ -35,6 +36,8 @@
         Source of the apply lag.
     name : str
         The group's name.
+    record : callable
+        Takes what happens at its databases, for the history.
     """
 
     def __init__(
@@ -44,11 +47,14 @@
         deployment: Deployment,
         rng: Random,
         name: str = "group",
+        record: Callable[[Event], None] = lambda event: None,
     ):
         self.name = name
         self.network = network
         self.databases = {
-            node.name: FakeDatabase(node, network, deployment.replication, rng)
+            node.name: FakeDatabase(
+                node, network, deployment.replication, rng, name, record
+            )
             for node in (
                 site.add_node(f"{name}-{index + 1}", get_zone(deployment, index))
                 for index in range(deployment.databases_per_group)
@@ -86,9 +92,13 @@
         target = self.databases[database]
         return self.network.call(source, target.node, label, lambda: serve(target))
 
-    def write(self, source: Node, database: str, *keys: str) -> Deferred:
+    def write(
+        self, source: Node, database: str, *keys: str, marked: bool = False
+    ) -> Deferred:
         """Commit one write from a node; no timeout of its own."""
-        return self.call(source, database, "write", lambda each: each.write(*keys))
+        return self.call(
+            source, database, "write", lambda each: each.write(*keys, marked=marked)
+        )
 
     def read(self, source: Node, database: str) -> Deferred:
         """Read from a node; no timeout of its own."""
--- a/beryltrack_bench/fakes/nodes.py
+++ b/beryltrack_bench/fakes/nodes.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.internet.task import Clock
 from zope.interface import implementer
@@ -65,6 +66,22 @@
             self.clock.advance(max(0.0, calls[0].getTime() - self.clock.seconds()))
         self.clock.advance(max(0.0, end - self.clock.seconds()))
 
+    def run_until_fired(self, answer: Deferred, limit: float) -> bool:
+        """Let the time pass until a Deferred has fired; return whether it has.
+
+        Parameters
+        ----------
+        answer : Deferred
+            What is waited for.
+        limit : float
+            The time at which the wait ends in any case, seconds.
+        """
+        calls = self.clock.calls
+        while not answer.called and calls and calls[0].getTime() <= limit:
+            self.clock.advance(max(0.0, calls[0].getTime() - self.clock.seconds()))
+            calls = self.clock.calls
+        return answer.called
+
 
 @implementer(IReactorTime)
 class Node:
--- a/tests/bench/test_fakes.py
+++ b/tests/bench/test_fakes.py
@@ -3,16 +3,18 @@
 from random import Random
 
 import pytest
-from returns.result import Failure
+from returns.result import Failure, Success
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.error import ConnectionLost
 
 from beryltrack.groups.adapter import StatusWait
 from beryltrack.groups.messages import LogPosition
+from beryltrack.platform.messages import ErrorKind
 from beryltrack_bench.deployment import load_deployment, parse_deployment
 from beryltrack_bench.fakes.database import WriteRefused
 from beryltrack_bench.fakes.group import FakeAdapter, FakeGroup, make_network
 from beryltrack_bench.fakes.nodes import Site
+from beryltrack_bench.fakes.platform import FakePlatform, FakePlatformClient
 
 
 @pytest.fixture
@@ -112,3 +114,41 @@
     deployment, findings = parse_deployment('{"name": "", "zones": []}', "x.json")
     assert deployment is None
     assert {finding.place for finding in findings} == {"/", "/name", "/zones"}
+
+
+@pytest.fixture
+def platform(site):
+    return FakePlatform(site.add_node("platform", "scl-a"))
+
+
+@pytest.fixture
+def client(site, platform, proxy):
+    network = make_network(site, load_deployment("lectora"), Random(1))
+    return FakePlatformClient(platform, network, proxy)
+
+
+def test_the_platform_changes_an_object_only_under_its_condition(site, client):
+    assert run(site, client.put("x", 1, 0)) == Success(1)
+    assert run(site, client.put("x", 2, 0)).failure().kind == ErrorKind.CONFLICT
+    assert run(site, client.put("x", 2, 1)) == Success(2)
+    assert run(site, client.get("x")).unwrap().value == 2
+
+
+def test_an_answer_of_the_platform_is_lost_after_its_effect(site, platform, client):
+    platform.loses_answers = True
+    assert run(site, client.put("x", 1, 0)).failure().kind == ErrorKind.UNKNOWN
+    platform.loses_answers = False
+    assert run(site, client.get("x")).unwrap().version == 1
+
+
+def test_a_watch_ends_with_the_change(site, client):
+    watch = ensureDeferred(client.watch("x", 0, 20.0))
+    run(site, client.put("x", 1, 0))
+    assert [item.path for item in watch.result.unwrap().objects] == ["x"]
+
+
+def test_a_platform_that_is_down_refuses_and_changes_nothing(site, platform, client):
+    platform.is_down = True
+    assert run(site, client.put("x", 1, 0)).failure().kind == ErrorKind.REFUSED
+    platform.is_down = False
+    assert run(site, client.get("x")) == Success(None)
