Decide commits by majority receipt, and prove ages from samples

Cause: acknowledged writes must outlive every change of primary, and the age of a replica must be a proven bound. Change: ConfirmDecider, samples and GroupDecider. Conclusion: the two traps of old entries are closed by counting receipts in the entry's own term only.

--- /dev/null
+++ b/beryltrack/groups/decider.py
@@ -0,0 +1,240 @@
+"""What a node concludes about a group from the answers of its databases.
+
+The decider holds the last status of each database, the samples of the
+primary's position, and the times until which a majority has confirmed a term.
+It reads no clock: the node's time comes in as an argument.
+"""
+
+from beryltrack.groups.messages import PRIMARY, DatabaseStatus, LogPosition
+from beryltrack.groups.samples import (
+    Sample,
+    add_sample,
+    confirm_samples,
+    get_fresh_at,
+)
+from beryltrack.groups.view import (
+    NEVER,
+    DatabaseView,
+    GroupView,
+    compute_age,
+    compute_majority,
+    get_database,
+)
+
+# Weight of the newest measurement in the smoothed apply delay.
+DELAY_WEIGHT = 0.3
+
+
+class GroupDecider:
+    """The state of one group as far as one node knows it.
+
+    Parameters
+    ----------
+    group : str
+        The group's name.
+    databases : tuple of str
+        Names of all members, in the order of the settings.
+    draining : frozenset of str
+        Names of the members that an operator drains.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        databases: tuple[str, ...],
+        draining: frozenset[str] = frozenset(),
+    ):
+        self._group = group
+        self._draining = draining
+        self._samples: tuple[Sample, ...] = ()
+        self._databases = {
+            name: DatabaseView(name, leaving=name in draining) for name in databases
+        }
+        self._confirmed_at = NEVER
+        self._hint = GroupView(group)
+        self._view: GroupView | None = None
+
+    @property
+    def view(self) -> GroupView:
+        """The group as it is known now."""
+        if self._view is None:
+            self._view = self._make_view()
+        return self._view
+
+    @property
+    def majority(self) -> int:
+        """How many databases are a majority."""
+        return compute_majority(len(self._databases))
+
+    def observe_status(
+        self, status: DatabaseStatus, sent_at: float, now: float
+    ) -> None:
+        """Take in what a database said of itself.
+
+        Parameters
+        ----------
+        status : DatabaseStatus
+            The answer.
+        sent_at : float
+            When the request was sent, by the node's clock.
+        now : float
+            When the answer came.
+        """
+        before = self._databases.get(status.name)
+        if before is None or sent_at < before.seen_at or status.term < before.term:
+            return
+        self._databases[status.name] = before._replace(
+            role=status.role,
+            term=status.term,
+            received=status.received,
+            applied=status.applied,
+            history=status.history,
+            reachable=True,
+            leaving=status.leaving or status.name in self._draining,
+            seen_at=sent_at,
+            heard_age=status.heard_age,
+        )
+        if status.role == PRIMARY:
+            self.observe_sample(status.name, status.received, sent_at, now)
+        self._confirm_term(status.term)
+        self._update_fresh(status.name, measure=True)
+        self._view = None
+
+    def observe_sample(
+        self, database: str, position: LogPosition, sent_at: float, now: float
+    ) -> None:
+        """Take in a position that the primary gave in answer to a request.
+
+        Parameters
+        ----------
+        database : str
+            The database that answered. Others than the primary of the
+            position's term are left out.
+        position : LogPosition
+            A position of its log at some time after `sent_at`.
+        sent_at : float
+            When the request was sent, by the node's clock.
+        now : float
+            The current time.
+        """
+        item = self._databases.get(database)
+        if item is None or item.role != PRIMARY or item.term != position.term:
+            return
+        self._samples = add_sample(self._samples, Sample(position, sent_at), now)
+
+    def observe_position(
+        self, database: str, position: LogPosition, now: float
+    ) -> None:
+        """Take in an applied position that came with an answer to a statement.
+
+        Parameters
+        ----------
+        database : str
+            The database that answered.
+        position : LogPosition
+            What its readers saw at least.
+        now : float
+            The current time.
+        """
+        item = self._databases.get(database)
+        if item is None or position.term != item.applied.term:
+            # A term that is new here comes with the next status, which has the
+            # history that the comparison needs.
+            return
+        if position.offset <= item.applied.offset:
+            return
+        received = max(item.received, position)
+        self._databases[database] = item._replace(applied=position, received=received)
+        self._update_fresh(database)
+        self._view = None
+
+    def observe_failure(self, database: str, now: float) -> None:
+        """Take in that a database did not answer."""
+        item = self._databases.get(database)
+        if item is not None and item.reachable:
+            self._databases[database] = item._replace(reachable=False)
+            self._view = None
+
+    def learn_view(self, view: GroupView) -> None:
+        """Take in another node's view: a hint where the primary is, not a proof.
+
+        Parameters
+        ----------
+        view : GroupView
+            A view of the same group. Positions and times in it are not used:
+            times are of the other node's clock.
+        """
+        if view.term > self._hint.term and view.primary in self._databases:
+            self._hint = view
+            self._view = None
+
+    def get_age(self, database: str, now: float) -> float:
+        """Return a proven bound of the age of what a database's readers see.
+
+        Parameters
+        ----------
+        database : str
+            The database's name.
+        now : float
+            The current time of the node's clock.
+
+        Returns
+        -------
+        float
+            Seconds; infinite if nothing is proven.
+        """
+        return compute_age(self._databases[database], now)
+
+    def get_confirmed_sample(self, since: float) -> LogPosition | None:
+        """Return a position sampled at or after `since` in a confirmed term."""
+        newest = next(
+            (sample for sample in reversed(self._samples) if sample.confirmed), None
+        )
+        if newest is None or newest.sent_at < since:
+            return None
+        return newest.position
+
+    def _confirm_term(self, term: int) -> None:
+        """Mark the samples that a majority has now confirmed."""
+        times = sorted(
+            (item.seen_at for item in self._databases.values() if item.term == term),
+            reverse=True,
+        )
+        if len(times) < self.majority:
+            return
+        self._confirmed_at = max(self._confirmed_at, times[self.majority - 1])
+        self._samples = confirm_samples(self._samples, term, times[self.majority - 1])
+        for name in self._databases:
+            self._update_fresh(name)
+
+    def _update_fresh(self, name: str, measure: bool = False) -> None:
+        """Set again until when a database is proven to be fresh."""
+        item = self._databases[name]
+        found = get_fresh_at(self._samples, item.history, item.applied)
+        item = item._replace(fresh_at=max(item.fresh_at, found))
+        if measure and item.fresh_at > NEVER:
+            lag = max(0.0, item.seen_at - item.fresh_at)
+            item = item._replace(apply_delay=_smooth(item.apply_delay, lag))
+        self._databases[name] = item
+
+    def _make_view(self) -> GroupView:
+        databases = tuple(self._databases.values())
+        leaders = [item for item in databases if item.role == PRIMARY]
+        term = max((item.term for item in leaders), default=0)
+        later = sum(item.term > term for item in databases)
+        primary = next((item.name for item in leaders if item.term == term), "")
+        if later >= self.majority:
+            primary = ""
+        if self._hint.term > max(item.term for item in databases):
+            term, primary = self._hint.term, self._hint.primary
+        view = GroupView(self._group, term, primary, databases=databases)
+        leader = get_database(view, primary) if primary else None
+        head = leader.received if leader else view.head
+        return view._replace(head=head, confirmed_at=self._confirmed_at)
+
+
+def _smooth(before: float, newest: float) -> float:
+    """Return the smoothed value after one more measurement."""
+    if before == float("inf"):
+        return newest
+    return before + DELAY_WEIGHT * (newest - before)
--- /dev/null
+++ b/beryltrack/transactions/decider.py
@@ -0,0 +1,206 @@
+"""When a commit may be acknowledged: the decision, without any I/O.
+
+A commit `(term, offset)` is confirmed when a majority of the group's databases
+has received it **while in that term**. Any later primary has grants from a
+majority, so at least one database that granted it holds the entry, and the
+highest log among them is chosen.
+
+Two traps shape the code. An entry that a majority holds, but that some of
+them got from a primary of a later term, may still be overwritten; so only
+receipts in the entry's own term count. And a primary of a later term may
+itself be replaced by a database that still has the entry that it lacks; so
+what a later primary's log says of the entry counts only once a majority has
+received the first entry of that later term in that term. From then on the log
+up to there is final.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+from beryltrack.groups.messages import (
+    PRIMARY,
+    DatabaseStatus,
+    LogPosition,
+    TermStart,
+)
+from beryltrack.groups.positions import has_entry
+from beryltrack.groups.view import compute_majority
+
+# A database's history has at most so many terms; older ones are not told.
+HISTORY_LIMIT = 32
+# Terms for which receipts are kept for each database.
+TERMS_KEPT = 4
+
+
+class CommitOutcome(Enum):
+    """What is known of a commit."""
+
+    CONFIRMED = "confirmed"
+    ROLLED_BACK = "rolled back"
+    UNKNOWN = "unknown"
+
+
+class Decision(NamedTuple):
+    """The outcome of one pending commit.
+
+    Parameters
+    ----------
+    key : int
+        The key under which the commit was added.
+    outcome : CommitOutcome
+        `CONFIRMED` or `ROLLED_BACK`.
+    """
+
+    key: int
+    outcome: CommitOutcome
+
+
+class FinalLog(NamedTuple):
+    """A part of the log that every later primary has.
+
+    Parameters
+    ----------
+    history : tuple of TermStart
+        Where each term in it begins, oldest first.
+    end : LogPosition
+        Its last entry, the first one of its last term.
+    """
+
+    history: tuple[TermStart, ...]
+    end: LogPosition
+
+
+class ConfirmDecider:
+    """The commits of one group that wait for a majority.
+
+    Parameters
+    ----------
+    size : int
+        Number of databases in the group.
+    """
+
+    def __init__(self, size: int):
+        self._majority = compute_majority(size)
+        self._pending: dict[int, LogPosition] = {}
+        self._receipts: dict[str, dict[int, int]] = {}
+        self._primaries: dict[int, str] = {}
+        self._final: FinalLog | None = None
+
+    @property
+    def pending(self) -> int:
+        """Number of commits that wait."""
+        return len(self._pending)
+
+    def add(self, key: int, position: LogPosition) -> CommitOutcome | None:
+        """Add a commit and return its outcome if it is known already.
+
+        Parameters
+        ----------
+        key : int
+            A key of the caller's choice.
+        position : LogPosition
+            The position that the primary gave for the commit.
+
+        Returns
+        -------
+        CommitOutcome or None
+            None if the commit has to wait.
+        """
+        outcome = self._decide(position)
+        if outcome is None:
+            self._pending[key] = position
+        return outcome
+
+    def remove(self, key: int) -> None:
+        """Forget a commit that is waited for no longer."""
+        self._pending.pop(key, None)
+
+    def get_primary(self, term: int) -> str:
+        """Return which database was seen to lead a term; empty if none was."""
+        return self._primaries.get(term, "")
+
+    def get_wait_offset(self, database: str) -> int | None:
+        """Return the offset whose receipt by a database would tell most.
+
+        One wait for it serves all pending commits: its answer shows how far
+        the database has received meanwhile.
+        """
+        receipts = self._receipts.get(database, {})
+        return min(
+            (
+                position.offset
+                for position in self._pending.values()
+                if receipts.get(position.term, -1) < position.offset
+            ),
+            default=None,
+        )
+
+    def observe_status(self, status: DatabaseStatus) -> tuple[Decision, ...]:
+        """Take in a database's status and return the commits that it decides.
+
+        Parameters
+        ----------
+        status : DatabaseStatus
+            The status. It may be late: a receipt in a term stays a fact.
+
+        Returns
+        -------
+        tuple of Decision
+            The commits that need not wait any longer.
+        """
+        self._note_receipt(status)
+        self._note_final_log(status)
+        decided = tuple(
+            Decision(key, outcome)
+            for key, position in self._pending.items()
+            if (outcome := self._decide(position)) is not None
+        )
+        for decision in decided:
+            del self._pending[decision.key]
+        return decided
+
+    def _note_receipt(self, status: DatabaseStatus) -> None:
+        """Keep how far a database received entries of the term that it is in."""
+        if status.role == PRIMARY:
+            self._primaries[status.term] = status.name
+        if status.received.term != status.term:
+            return
+        receipts = self._receipts.setdefault(status.name, {})
+        before = receipts.get(status.term, 0)
+        receipts[status.term] = max(before, status.received.offset)
+        for term in sorted(receipts)[:-TERMS_KEPT]:
+            del receipts[term]
+
+    def _note_final_log(self, status: DatabaseStatus) -> None:
+        """Keep the log up to a term's first entry once a majority has it."""
+        known = self._final.end.term if self._final else 0
+        if status.received.term != status.term or status.term <= known:
+            return
+        start = status.history[-1]
+        first = LogPosition(start.term, start.offset + 1)
+        if self._count_receipts(first) >= self._majority:
+            self._final = FinalLog(status.history, first)
+
+    def _count_receipts(self, position: LogPosition) -> int:
+        """Return how many databases received an entry while in its term."""
+        holders = {
+            name
+            for name, receipts in self._receipts.items()
+            if receipts.get(position.term, -1) >= position.offset
+        }
+        # The primary of the term wrote the entry, so it has received it.
+        writer = self._primaries.get(position.term)
+        return len(holders | {writer} if writer else holders)
+
+    def _decide(self, position: LogPosition) -> CommitOutcome | None:
+        if self._count_receipts(position) >= self._majority:
+            return CommitOutcome.CONFIRMED
+        final = self._final
+        if final is None or final.end.term <= position.term:
+            return None
+        oldest = final.history[0].term
+        if len(final.history) >= HISTORY_LIMIT and position.term < oldest:
+            return None
+        if has_entry(final.history, final.end, position):
+            return CommitOutcome.CONFIRMED
+        return CommitOutcome.ROLLED_BACK
