--- /dev/null
+++ b/beryltrack/failover/decider.py
@@ -0,0 +1,282 @@
+"""When a node starts to change a group's primary, and to whom.
+
+Terms that the databases grant make races harmless, so all of this is only
+about time: to act soon after a loss, never without one, and seldom two at once.
+"""
+
+from collections.abc import Iterable
+from random import Random
+from typing import NamedTuple
+
+from beryltrack.failover.detector import LossDetector, get_losers, is_lost
+from beryltrack.failover.messages import Election, ElectionKind
+from beryltrack.failover.ranking import compute_rank
+from beryltrack.groups.messages import REPLICA, GrantReply
+from beryltrack.groups.view import (
+    DatabaseView,
+    GroupView,
+    compute_majority,
+    get_primary,
+)
+
+
+class FailoverPolicy(NamedTuple):
+    """Times of the failover, all in seconds.
+
+    Parameters
+    ----------
+    stagger : float
+        Between the attempts of two nodes that are next in rank: two round
+        trips of a grant and a promotion.
+    settle : float
+        How long somebody else's attempt, seen by its term, is left alone.
+    fresh : float
+        Answers to requests sent longer ago do not count as a loss.
+    first_backoff : float
+        Mean pause after the first attempt that failed; it doubles each time.
+    last_backoff : float
+        The longest mean pause.
+    reclaim_after : float
+        How long a database must have refused its primary before the primary
+        takes a higher term.
+    hand_over_stagger : float
+        Between two nodes that order a hand-over; longer than one takes.
+    hand_over_limit : float
+        How long the replica may take to catch up before the hand-over is
+        given up; less than a primary that stopped writes waits by itself.
+    hand_over_backoff : float
+        Mean pause after a hand-over that was given up.
+    """
+
+    stagger: float = 0.06
+    settle: float = 0.15
+    fresh: float = 0.5
+    first_backoff: float = 0.05
+    last_backoff: float = 1.0
+    reclaim_after: float = 0.5
+    hand_over_stagger: float = 3.0
+    hand_over_limit: float = 1.0
+    hand_over_backoff: float = 5.0
+
+
+DEFAULT_POLICY = FailoverPolicy()
+
+
+class FailoverDecider:
+    """Decides for one group on one node.
+
+    Parameters
+    ----------
+    group : str
+        The group's name.
+    node : str
+        This instance's name.
+    detector : LossDetector
+        Says when a primary is lost.
+    lost_after : float
+        What a database is told with the request for a term: how long it must
+        not have heard its primary, seconds.
+    rng : Random
+        Source of jitter and of names of attempts.
+    policy : FailoverPolicy
+        Times.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        node: str,
+        detector: LossDetector,
+        lost_after: float,
+        rng: Random,
+        policy: FailoverPolicy = DEFAULT_POLICY,
+    ):
+        self._group = group
+        self._node = node
+        self._nodes: tuple[str, ...] = (node,)
+        self._detector = detector
+        self._lost_after = lost_after
+        self._rng = rng
+        self._policy = policy
+        self._kind: ElectionKind | None = None
+        self._since = 0.0
+        self._highest_term = -1
+        self._moved_at = 0.0
+        self._not_before = 0.0
+        self._failures = 0
+
+    def set_nodes(self, nodes: tuple[str, ...]) -> None:
+        """Take the names of all instances that may act for the group."""
+        self._nodes = nodes
+
+    def is_suspect(self, view: GroupView) -> bool:
+        """Return whether the group may soon need a new primary."""
+        return bool(get_losers(view, self._detector, 0.0)) or not view.primary
+
+    def decide(self, view: GroupView, now: float) -> Election | None:
+        """Return the election that this node shall hold now, if any.
+
+        Parameters
+        ----------
+        view : GroupView
+            The group's view.
+        now : float
+            The node's time, seconds.
+
+        Returns
+        -------
+        Election or None
+            None while there is nothing to do or others are to act first.
+        """
+        for item in view.databases:
+            self._detector.observe(item)
+        self._note_term(view, now)
+        kind = self._get_kind(view, now)
+        if kind != self._kind:
+            self._kind, self._since = kind, now
+        if kind is None:
+            self._failures = 0
+            return None
+        if now < max(self._not_before, self._compute_due(view, kind)):
+            return None
+        return self._make_election(view, kind)
+
+    def observe_outcome(self, election: Election, won: bool, now: float) -> None:
+        """Take in how this node's own election ended."""
+        if won:
+            self._failures = 0
+            self._not_before = now + self._policy.settle
+            return
+        self._failures += 1
+        self._not_before = now + self._compute_backoff(election.kind)
+
+    def _note_term(self, view: GroupView, now: float) -> None:
+        """Notice that the term moved: somebody is at work or has finished."""
+        highest = max(item.term for item in view.databases)
+        if highest > self._highest_term:
+            first_look = self._highest_term < 0
+            self._highest_term = highest
+            self._moved_at = -self._policy.settle if first_look else now
+
+    def _get_kind(self, view: GroupView, now: float) -> ElectionKind | None:
+        """Return why the group needs another term, or None."""
+        if is_lost(view, self._detector, now - self._policy.fresh):
+            return ElectionKind.LOST
+        leader = get_primary(view)
+        if leader is None or not leader.reachable or not self._can_elect(view):
+            return None
+        if any(item.reachable and item.term > leader.term for item in view.databases):
+            return ElectionKind.RECLAIM
+        if leader.leaving and get_successor(view) is not None:
+            return ElectionKind.HAND_OVER
+        return None
+
+    def _can_elect(self, view: GroupView) -> bool:
+        """Return whether enough databases answer for a majority to grant."""
+        reachable = sum(item.reachable for item in view.databases)
+        return reachable >= compute_majority(len(view.databases))
+
+    def _compute_due(self, view: GroupView, kind: ElectionKind) -> float:
+        """Return when this node is to act, after those before it in rank."""
+        policy = self._policy
+        rank = compute_rank(self._node, self._nodes, self._group, self._highest_term)
+        if kind is ElectionKind.HAND_OVER:
+            return self._since + rank * policy.hand_over_stagger
+        delay = rank * policy.stagger
+        if kind is ElectionKind.RECLAIM:
+            return self._since + policy.reclaim_after + delay
+        if self._highest_term > view.term:
+            return max(self._since, self._moved_at + policy.settle) + delay
+        return self._since + delay
+
+    def _compute_backoff(self, kind: ElectionKind) -> float:
+        """Return a jittered pause that grows with the failures in a row."""
+        policy = self._policy
+        mean = min(
+            policy.first_backoff * 2 ** (self._failures - 1), policy.last_backoff
+        )
+        if kind is ElectionKind.HAND_OVER:
+            mean = policy.hand_over_backoff
+        return mean * self._rng.uniform(0.5, 1.5)
+
+    def _make_election(self, view: GroupView, kind: ElectionKind) -> Election:
+        leader = get_primary(view)
+        successor = get_successor(view)
+        preferred = {
+            ElectionKind.LOST: "",
+            ElectionKind.HAND_OVER: successor.name if successor else "",
+            ElectionKind.RECLAIM: view.primary,
+        }[kind]
+        return Election(
+            kind,
+            self._highest_term + 1,
+            f"{self._node}/{self._rng.getrandbits(64):016x}",
+            self._lost_after if kind is ElectionKind.LOST else 0.0,
+            view.primary,
+            leader.term if leader else 0,
+            preferred,
+        )
+
+
+def get_successor(view: GroupView) -> DatabaseView | None:
+    """Return the replica that should take over from a leaving primary.
+
+    Parameters
+    ----------
+    view : GroupView
+        The group's view.
+
+    Returns
+    -------
+    DatabaseView or None
+        The replica that has received most; None if all are leaving or silent.
+    """
+    fit = [
+        item
+        for item in view.databases
+        if item.reachable and not item.leaving and item.role == REPLICA
+    ]
+    return max(fit, key=lambda item: (item.received, item.applied), default=None)
+
+
+def choose_primary(
+    replies: Iterable[GrantReply], size: int, preferred: str, unwanted: frozenset[str]
+) -> str | None:
+    """Return who shall lead the term that the replies granted.
+
+    Parameters
+    ----------
+    replies : iterable of GrantReply
+        Answers of different databases to the same candidate.
+    size : int
+        Number of databases in the group.
+    preferred : str
+        Who should lead if the logs allow it; empty for no preference.
+    unwanted : frozenset of str
+        Who should not lead if the logs allow another.
+
+    Returns
+    -------
+    str or None
+        A database whose last entry, by term and offset, is at or after that
+        of each of some majority that granted the term; that majority holds
+        every acknowledged entry. None if no majority granted.
+    """
+    granted = [reply.status for reply in replies if reply.granted]
+    majority = compute_majority(size)
+    fit = [
+        status
+        for status in granted
+        if sum(other.received <= status.received for other in granted) >= majority
+    ]
+    best = max(
+        fit,
+        key=lambda status: (
+            status.name == preferred,
+            status.name not in unwanted and not status.leaving,
+            status.received,
+            status.applied,
+        ),
+        default=None,
+    )
+    return best.name if best else None
--- /dev/null
+++ b/beryltrack/failover/detector.py
@@ -0,0 +1,76 @@
+"""When a primary counts as lost.
+
+The databases say how long ago they heard their primary. Only their word
+counts, not whether this node reaches the primary: one node's bad link must not
+cost a failover, and a primary that only this node still reaches is of no use.
+"""
+
+from typing import Protocol
+
+from beryltrack.groups.messages import REPLICA
+from beryltrack.groups.view import DatabaseView, GroupView, compute_majority
+
+
+class LossDetector(Protocol):
+    """Says whether a database has lost its primary."""
+
+    def observe(self, database: DatabaseView) -> None:
+        """Take in a new status of a database."""
+
+    def get_limit(self, database: str) -> float:
+        """Return the seconds without a word after which the primary is lost."""
+
+
+class FixedDetector:
+    """A detector with one limit for all.
+
+    Parameters
+    ----------
+    lost_after : float
+        Seconds without a word after which the primary is lost.
+    """
+
+    def __init__(self, lost_after: float):
+        self._lost_after = lost_after
+
+    def observe(self, database: DatabaseView) -> None:
+        """Learn nothing."""
+
+    def get_limit(self, database: str) -> float:
+        """Return the limit."""
+        return self._lost_after
+
+
+def get_losers(
+    view: GroupView, detector: LossDetector, oldest: float
+) -> tuple[DatabaseView, ...]:
+    """Return the databases that have lost their primary.
+
+    Parameters
+    ----------
+    view : GroupView
+        The group's view.
+    detector : LossDetector
+        Says how long a silence is a loss.
+    oldest : float
+        Answers to requests that were sent before this time do not count.
+
+    Returns
+    -------
+    tuple of DatabaseView
+        Replicas that answered lately and have not heard their primary.
+    """
+    return tuple(
+        item
+        for item in view.databases
+        if item.reachable
+        and item.role == REPLICA
+        and item.seen_at >= oldest
+        and item.heard_age >= detector.get_limit(item.name)
+    )
+
+
+def is_lost(view: GroupView, detector: LossDetector, oldest: float) -> bool:
+    """Return whether a majority of the group's databases lost their primary."""
+    losers = get_losers(view, detector, oldest)
+    return len(losers) >= compute_majority(len(view.databases))
--- /dev/null
+++ b/beryltrack/failover/grants.py
@@ -0,0 +1,71 @@
+"""Asks all databases of a group for a term at once."""
+
+from returns.result import Success
+from twisted.internet.defer import Deferred
+
+from beryltrack.failover.messages import Election
+from beryltrack.groups.adapter import DatabaseGroup
+from beryltrack.groups.messages import GrantReply
+from beryltrack.groups.view import compute_majority
+
+
+class _Collection:
+    """The replies so far, and the Deferred that fires when they suffice."""
+
+    def __init__(self, size: int, preferred: str):
+        self.done: Deferred = Deferred()
+        self._size = size
+        self._preferred = preferred
+        self._replies: list[GrantReply] = []
+        self._failed: set[str] = set()
+
+    def add(self, database: str, result) -> None:
+        """Take in the result for one database."""
+        if isinstance(result, Success):
+            self._replies.append(result.unwrap())
+        else:
+            self._failed.add(database)
+        if not self.done.called and self._suffices():
+            self.done.callback(tuple(self._replies))
+
+    def _suffices(self) -> bool:
+        """Return whether waiting for more can change nothing that matters."""
+        answered = {reply.status.name for reply in self._replies} | self._failed
+        if len(answered) == self._size:
+            return True
+        granted = sum(reply.granted for reply in self._replies)
+        waits_for_preferred = self._preferred and self._preferred not in answered
+        return granted >= compute_majority(self._size) and not waits_for_preferred
+
+
+async def collect_grants(
+    adapter: DatabaseGroup, databases: tuple[str, ...], election: Election
+) -> tuple[GrantReply, ...]:
+    """Ask each database for the election's term.
+
+    Parameters
+    ----------
+    adapter : DatabaseGroup
+        Carries the requests.
+    databases : tuple of str
+        All members of the group.
+    election : Election
+        What to ask for.
+
+    Returns
+    -------
+    tuple of GrantReply
+        The answers that came until a majority had granted, the preferred
+        database had answered if there is one, or all had answered or failed.
+    """
+    collection = _Collection(len(databases), election.preferred)
+
+    async def ask(database: str) -> None:
+        result = await adapter.grant(
+            database, election.term, election.candidate, election.lost_after
+        )
+        collection.add(database, result)
+
+    for database in databases:
+        Deferred.fromCoroutine(ask(database))
+    return await collection.done
--- /dev/null
+++ b/beryltrack/failover/messages.py
@@ -0,0 +1,71 @@
+"""What the failover slice decides and reports."""
+
+from enum import Enum
+from typing import NamedTuple
+
+
+class ElectionKind(Enum):
+    """Why a new term is asked for."""
+
+    LOST = "lost"
+    """A majority of the group's databases has lost the primary."""
+    HAND_OVER = "hand-over"
+    """The primary is leaving and another database takes over."""
+    RECLAIM = "reclaim"
+    """A database granted a term that came to nothing and now refuses the
+    primary; the primary takes a higher term and goes on."""
+
+
+class Election(NamedTuple):
+    """An attempt to give a group a primary in a new term.
+
+    Parameters
+    ----------
+    kind : ElectionKind
+        Why.
+    term : int
+        The term to ask for, higher than any that was seen.
+    candidate : str
+        A name that no other attempt has, of any node.
+    lost_after : float
+        Seconds without a word from its primary after which a database may
+        grant the term; zero if the primary itself takes part.
+    primary : str
+        The primary so far; empty if none is known.
+    primary_term : int
+        The term in which it leads.
+    preferred : str
+        The database that should lead; empty if any may.
+    """
+
+    kind: ElectionKind
+    term: int
+    candidate: str
+    lost_after: float
+    primary: str
+    primary_term: int
+    preferred: str
+
+
+class FailoverReport(NamedTuple):
+    """A change of primary that this node has carried out.
+
+    Parameters
+    ----------
+    group : str
+        The group.
+    kind : ElectionKind
+        Why the primary was changed.
+    term : int
+        The new term.
+    primary : str
+        Who leads it.
+    seconds : float
+        How long the change took since the node decided on it.
+    """
+
+    group: str
+    kind: ElectionKind
+    term: int
+    primary: str
+    seconds: float
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -61,6 +61,11 @@
             self._view = self._make_view()
         return self._view
 
+    @property
+    def draining(self) -> frozenset[str]:
+        """Names of the members that an operator drains."""
+        return self._draining
+
     @property
     def majority(self) -> int:
         """How many databases are a majority."""
@@ -91,6 +96,7 @@
             history=status.history,
             reachable=True,
             leaving=status.leaving or status.name in self._draining,
+            said_leaving=status.leaving,
             seen_at=sent_at,
             heard_age=status.heard_age,
         )
@@ -155,6 +161,15 @@
             self._databases[database] = item._replace(reachable=False)
             self._view = None
 
+    def set_draining(self, draining: frozenset[str]) -> None:
+        """Take the members that an operator drains from new settings."""
+        self._draining = draining
+        self._databases = {
+            name: item._replace(leaving=item.said_leaving or name in draining)
+            for name, item in self._databases.items()
+        }
+        self._view = None
+
     def learn_view(self, view: GroupView) -> None:
         """Take in another node's view: a hint where the primary is, not a proof.
 
--- a/beryltrack/groups/messages.py
+++ b/beryltrack/groups/messages.py
@@ -90,3 +90,18 @@
 
     granted: bool
     status: DatabaseStatus
+
+
+class ControlFailure(NamedTuple):
+    """Why a control request has no answer. It may have been carried out.
+
+    Parameters
+    ----------
+    database : str
+        The database that was asked.
+    text : str
+        What happened, in a short sentence.
+    """
+
+    database: str
+    text: str
--- /dev/null
+++ b/beryltrack/groups/task.py
@@ -0,0 +1,397 @@
+"""One group's task: it watches the databases and answers those who wait.
+
+Every request path of a node goes through this task: it keeps the view, proves
+samples and ages, confirms commits by one outstanding wait per database, and
+runs failovers. The decisions are those of the deciders; here are only the
+sockets' results, the timers and the lists of who waits.
+"""
+
+import itertools
+import logging
+from collections.abc import Callable
+from random import Random
+
+from returns.result import Success
+from twisted.internet.defer import Deferred
+
+from beryltrack.clock import get_seconds
+from beryltrack.failover.messages import FailoverReport
+from beryltrack.failover.task import FailoverTask
+from beryltrack.groups.adapter import NO_WAIT, DatabaseGroup, StatusWait
+from beryltrack.groups.decider import GroupDecider
+from beryltrack.groups.messages import PRIMARY, DatabaseStatus, LogPosition
+from beryltrack.groups.policy import ProbePolicy, make_probe_policy
+from beryltrack.groups.view import DatabaseView, GroupView, get_database, has_applied
+from beryltrack.groups.waiters import (
+    AppliedWaiter,
+    CommitWaiter,
+    SampleWaiter,
+    make_answer,
+)
+from beryltrack.groups.watch import DatabaseWatch, StatusResult, WatchWait
+from beryltrack.settings.messages import GroupSettings
+from beryltrack.transactions.decider import CommitOutcome, ConfirmDecider
+
+log = logging.getLogger(__name__)
+
+# Least difference between the send times of two requests, seconds. A sample is
+# proven by requests sent "at or after" a time, so no two times may be equal.
+TIME_STEP = 1e-7
+
+
+class GroupTask:
+    """Watches one group and answers for it.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Source of timers, and of the time if it is a `task.Clock`.
+    group_settings : GroupSettings
+        The group.
+    adapter : DatabaseGroup
+        Control requests to its databases.
+    node_name : str
+        Name of this instance.
+    rng : Random
+        Source of jitter and of names of attempts.
+    policy : ProbePolicy or None
+        The pace of probes; None takes it from the group's `lost_after`.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        group_settings: GroupSettings,
+        adapter: DatabaseGroup,
+        node_name: str,
+        rng: Random,
+        policy: ProbePolicy | None = None,
+    ):
+        databases = group_settings.databases
+        names = tuple(item.name for item in databases)
+        draining = frozenset(item.name for item in databases if item.draining)
+        self._reactor = reactor
+        self._adapter = adapter
+        self._seconds = get_seconds(reactor)
+        self._policy = policy or make_probe_policy(group_settings.lost_after)
+        self._lost_after = group_settings.lost_after
+        self._decider = GroupDecider(group_settings.name, names, draining)
+        self._commits = ConfirmDecider(len(names))
+        self._watches = {
+            name: DatabaseWatch(reactor, name, adapter, self) for name in names
+        }
+        self._failover = FailoverTask(
+            reactor, group_settings, adapter, node_name, rng, self
+        )
+        self._sent_at = dict.fromkeys(names, 0.0)
+        self._last_time = 0.0
+        self._keys = itertools.count()
+        self._samples: list[SampleWaiter] = []
+        self._applied: list[AppliedWaiter] = []
+        self._commit_waiters: dict[int, CommitWaiter] = {}
+        self._subscribers: list[Callable[[GroupView], None]] = []
+        self._failover_subscribers: list[Callable[[FailoverReport], None]] = []
+        self._running = False
+        self._reported = self._decider.view
+
+    @property
+    def view(self) -> GroupView:
+        """The group as this node knows it now."""
+        return self._decider.view
+
+    @property
+    def draining(self) -> frozenset[str]:
+        """Names of the databases that an operator drains."""
+        return self._decider.draining
+
+    def start(self) -> None:
+        """Begin to watch the group."""
+        self._running = True
+        for watch in self._watches.values():
+            watch.start()
+
+    def stop(self) -> None:
+        """Watch no more; who still waits is told what is known."""
+        self._running = False
+        for watch in self._watches.values():
+            watch.stop()
+        self._failover.stop()
+        self._adapter.close()
+        for waiter in tuple(self._commit_waiters.values()):
+            waiter.answer.callback(CommitOutcome.UNKNOWN)
+        for waiter in tuple(self._applied):
+            waiter.answer.callback(False)
+        for waiter in tuple(self._samples):
+            waiter.answer.cancel()
+
+    def set_draining(self, draining: frozenset[str]) -> None:
+        """Take the databases that an operator drains from new settings."""
+        self._decider.set_draining(draining)
+        self._report_view()
+
+    def set_nodes(self, nodes: tuple[str, ...]) -> None:
+        """Take the names of all instances that watch this group.
+
+        Parameters
+        ----------
+        nodes : tuple of str
+            The live members, this instance among them. They are ranked, so
+            that after a loss one of them acts first.
+        """
+        self._failover.set_nodes(nodes)
+
+    def subscribe(self, callback: Callable[[GroupView], None]) -> None:
+        """Call back with the view when the primary, or who is reachable, changes."""
+        self._subscribers.append(callback)
+
+    def subscribe_failover(self, callback: Callable[[FailoverReport], None]) -> None:
+        """Call back after each change of primary that this node carried out."""
+        self._failover_subscribers.append(callback)
+
+    def learn_view(self, view: GroupView) -> None:
+        """Take another node's view as a hint where the primary is."""
+        before = self.view.term
+        self._decider.learn_view(view)
+        if self.view.term > before:
+            self._wake_all()
+        self._report_view()
+
+    def get_age(self, database: str) -> float:
+        """Return a proven bound, in seconds, of a database's age now."""
+        return self._decider.get_age(database, self._seconds())
+
+    def observe_position(self, database: str, position: LogPosition) -> None:
+        """Take in an applied position that came with an answer to a statement."""
+        self._decider.observe_position(database, position, self._seconds())
+        self._answer_applied()
+
+    def observe_sample(
+        self, database: str, position: LogPosition, sent_at: float
+    ) -> None:
+        """Take in a primary's position from an answer to a request of `sent_at`."""
+        self._decider.observe_sample(database, position, sent_at, self._seconds())
+
+    def sample_primary(self) -> Deferred:
+        """Return a position sampled, and its term confirmed, after this call.
+
+        All who wait share the requests that are made.
+
+        Returns
+        -------
+        Deferred
+            Fires with a `LogPosition`. It has no timeout of its own; cancel it.
+        """
+        waiter = SampleWaiter(self.get_time(), Deferred())
+        self._samples.append(waiter)
+        waiter.answer.addBoth(self._drop, self._samples, waiter)
+        self._wake_all()
+        return waiter.answer
+
+    def confirm(
+        self, position: LogPosition, timeout: float, database: str = ""
+    ) -> Deferred:
+        """Wait until a commit is received by a majority in its own term.
+
+        Parameters
+        ----------
+        position : LogPosition
+            The position that came with the answer to the commit.
+        timeout : float
+            Seconds after which the outcome is `UNKNOWN`.
+        database : str
+            Where it ran, if known. A position of a term that another database
+            leads says nothing of this commit, so its outcome is `UNKNOWN`.
+
+        Returns
+        -------
+        Deferred
+            Fires with a `CommitOutcome`.
+        """
+        key = next(self._keys)
+        primary = self._commits.get_primary(position.term)
+        answer = make_answer(self._reactor, timeout, CommitOutcome.UNKNOWN)
+        waiter = CommitWaiter(key, answer)
+        self._commit_waiters[key] = waiter
+        answer.addBoth(self._drop_commit, key)
+        if database and primary and primary != database:
+            answer.callback(CommitOutcome.UNKNOWN)
+            return answer
+        outcome = self._commits.add(key, position)
+        if outcome is not None:
+            answer.callback(outcome)
+            return answer
+        self._wake_replicas()
+        return answer
+
+    def wait_applied(
+        self, database: str, token: LogPosition, timeout: float
+    ) -> Deferred:
+        """Wait until a database's readers see all that a token stands for.
+
+        Parameters
+        ----------
+        database : str
+            The database's name.
+        token : LogPosition
+            The session's token.
+        timeout : float
+            Seconds.
+
+        Returns
+        -------
+        Deferred
+            Fires with True, or with False at the timeout.
+        """
+        answer = make_answer(self._reactor, timeout, False)
+        waiter = AppliedWaiter(database, token, answer)
+        self._applied.append(waiter)
+        answer.addBoth(self._drop, self._applied, waiter)
+        self._answer_applied()
+        if not answer.called:
+            self._watches[database].wake()
+        return answer
+
+    def get_time(self) -> float:
+        """Return the time, later than any time that was returned before."""
+        self._last_time = max(self._seconds(), self._last_time + TIME_STEP)
+        return self._last_time
+
+    def begin_request(self, database: str) -> float:
+        """Return the send time of the next request to a database."""
+        self._sent_at[database] = self.get_time()
+        return self._sent_at[database]
+
+    def get_wait(self, database: str) -> WatchWait | None:
+        """Return the long poll that those who wait want of a database."""
+        item = get_database(self.view, database)
+        if self._failover.busy or item.role == PRIMARY or not item.reachable:
+            return None
+        received = self._commits.get_wait_offset(database)
+        tokens = [each.token for each in self._applied if each.database == database]
+        if received is None and not tokens:
+            return None
+        # The poll must end on progress only: an offset that is there already,
+        # in another term, would end it at once, again and again.
+        next_received = item.received.offset + 1
+        next_applied = item.applied.offset + 1
+        wait = StatusWait(
+            item.term,
+            max(received or 0, next_received),
+            max(min(tokens).offset, next_applied) if tokens else NO_WAIT,
+        )
+        return WatchWait(wait, self._compute_slice(item.heard_age))
+
+    def get_delay(self, database: str) -> float:
+        """Return the seconds until a database is asked again."""
+        item = get_database(self.view, database)
+        if not item.reachable:
+            return self._policy.suspect_interval
+        sent_at = self._sent_at[database]
+        if any(waiter.called_at > sent_at for waiter in self._samples):
+            return 0.0
+        if self._failover.busy:
+            return self._policy.suspect_interval
+        if self._is_waited_for(item):
+            return 0.0
+        if self._failover.is_suspect(self.view):
+            return self._policy.suspect_interval
+        until_lost = self._lost_after - item.heard_age
+        if item.role == PRIMARY or until_lost <= 0:
+            return self._policy.interval
+        return min(self._policy.interval, until_lost + TIME_STEP)
+
+    def take_result(self, database: str, result: StatusResult, sent_at: float) -> None:
+        """Take in the result of a request to a database."""
+        if isinstance(result, Success):
+            self.take_status(result.unwrap(), sent_at)
+            return
+        self._decider.observe_failure(database, self._seconds())
+        self._report_view()
+
+    def take_status(self, status: DatabaseStatus, sent_at: float) -> None:
+        """Take in a status, and answer all who waited for what it shows."""
+        self._decider.observe_status(status, sent_at, self._seconds())
+        for decision in self._commits.observe_status(status):
+            self._commit_waiters[decision.key].answer.callback(decision.outcome)
+        self._answer_applied()
+        self._answer_samples()
+        self._report_view()
+
+    def take_report(self, report: FailoverReport) -> None:
+        """Tell the subscribers of a change of primary that this node made."""
+        self._wake_all()
+        for callback in tuple(self._failover_subscribers):
+            callback(report)
+
+    def _is_waited_for(self, item: DatabaseView) -> bool:
+        """Return whether somebody waits for a replica."""
+        return item.role != PRIMARY and (
+            self._commits.get_wait_offset(item.name) is not None
+            or any(waiter.database == item.name for waiter in self._applied)
+        )
+
+    def _compute_slice(self, heard_age: float) -> float:
+        """Return how long a poll may hold the connection of a replica.
+
+        It ends when the primary would count as lost, so that the answer to it
+        tells of the loss and the connection is free for a grant.
+        """
+        until_lost = self._lost_after - heard_age
+        if until_lost <= 0:
+            return self._policy.suspect_interval
+        return min(self._policy.wait_slice, until_lost + TIME_STEP)
+
+    def _answer_applied(self) -> None:
+        view = self.view
+        for waiter in tuple(self._applied):
+            if has_applied(get_database(view, waiter.database), waiter.token):
+                waiter.answer.callback(True)
+
+    def _answer_samples(self) -> None:
+        for waiter in tuple(self._samples):
+            position = self._decider.get_confirmed_sample(waiter.called_at)
+            if position is not None:
+                waiter.answer.callback(position)
+
+    def _report_view(self) -> None:
+        """Let failover look at the view, and tell the subscribers of changes."""
+        if not self._running:
+            return
+        self._failover.observe_view(self.view)
+        before, self._reported = self._reported, self.view
+        if _get_outline(before) == _get_outline(self.view):
+            return
+        if before.term != self.view.term or before.primary != self.view.primary:
+            log.info(
+                "groups: %s is led by %s in term %d.",
+                self.view.group,
+                self.view.primary or "nobody",
+                self.view.term,
+            )
+        for callback in tuple(self._subscribers):
+            callback(self.view)
+
+    def _wake_all(self) -> None:
+        for watch in self._watches.values():
+            watch.wake()
+
+    def _wake_replicas(self) -> None:
+        for item in self.view.databases:
+            if item.role != PRIMARY:
+                self._watches[item.name].wake()
+
+    def _drop(self, result: object, waiters: list, waiter: object) -> object:
+        """Take a waiter that was answered or cancelled off its list."""
+        waiters.remove(waiter)
+        return result
+
+    def _drop_commit(self, result: object, key: int) -> object:
+        self._commits.remove(key)
+        del self._commit_waiters[key]
+        return result
+
+
+def _get_outline(view: GroupView) -> tuple:
+    """Return the parts of a view whose change is told to subscribers."""
+    members = tuple((item.reachable, item.leaving) for item in view.databases)
+    return (view.term, view.primary, members)
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -42,6 +42,8 @@
         True if its last request was answered.
     leaving : bool
         True if it wants no new work, or an operator drains it.
+    said_leaving : bool
+        True if it said by itself that it wants no new work.
     seen_at : float
         Send time, by the node's clock, of the last status that was answered.
     fresh_at : float
@@ -62,6 +64,7 @@
     history: tuple[TermStart, ...] = ()
     reachable: bool = False
     leaving: bool = False
+    said_leaving: bool = False
     seen_at: float = NEVER
     fresh_at: float = NEVER
     heard_age: float = math.inf
