--- /dev/null
+++ b/beryltrack/routing/decider.py
@@ -0,0 +1,292 @@
+"""The choice of the database that runs a request.
+
+The choice is a pure function of the group's view, the request and the work
+outstanding at each database. A database serves a read if it provably shows all
+that the session has written, and all that was acknowledged before the *needed
+time*: the arrival of the request less the staleness that it accepts. For a
+session of which nothing is known the needed time is the arrival, whatever it
+accepts, since any earlier write may be its own. docs/notes/routing.md weighs
+these rules.
+"""
+
+from typing import NamedTuple
+
+from beryltrack.groups.messages import REPLICA, LogPosition
+from beryltrack.groups.view import DatabaseView, GroupView, get_primary, has_applied
+from beryltrack.routing.messages import (
+    Choice,
+    NeedSample,
+    ReadRequest,
+    Refuse,
+    TargetLoad,
+    UseTarget,
+    WaitForTarget,
+    WriteRequest,
+)
+from beryltrack.sessions.marks import READS_PRIMARY
+
+NOT_AVAILABLE = "57P03"
+"""SQLSTATE of a request that was not run as no database could take it."""
+
+
+class RoutingPolicy(NamedTuple):
+    """The limits by which targets are chosen.
+
+    Parameters
+    ----------
+    max_wait : float
+        Longest wait for a replica to catch up, seconds. Zero: never wait.
+    sample_timeout : float
+        Longest wait for a sample of the primary, seconds.
+    confirmed_within : float
+        A write is sent without a new confirmation of the primary's term if the
+        last one is not older than this, seconds. It only spares requests that
+        cannot succeed: what a replaced primary runs is never acknowledged.
+    retry_after : float
+        Seconds after which a caller is told to try again.
+    """
+
+    max_wait: float = 0.02
+    sample_timeout: float = 1.0
+    confirmed_within: float = 0.5
+    retry_after: float = 0.2
+
+
+DEFAULT_POLICY = RoutingPolicy()
+
+
+class _Catchup(NamedTuple):
+    """The predicted wait until one replica can serve a read, seconds."""
+
+    wait: float
+    rank: tuple[int, bool, float]
+    database: str
+    position: LogPosition
+
+
+def choose_target(
+    view: GroupView,
+    request: ReadRequest | WriteRequest,
+    loads: tuple[TargetLoad, ...],
+    now: float,
+    policy: RoutingPolicy = DEFAULT_POLICY,
+) -> Choice:
+    """Return where a request is to run, or what has to happen first.
+
+    Parameters
+    ----------
+    view : GroupView
+        The view of the group.
+    request : ReadRequest or WriteRequest
+        The request.
+    loads : tuple of TargetLoad
+        This node's work at each database; one that is missing has none.
+    now : float
+        The current time of the node's clock, seconds.
+    policy : RoutingPolicy, default=DEFAULT_POLICY
+        The limits to keep to.
+
+    Returns
+    -------
+    UseTarget, WaitForTarget, NeedSample or Refuse
+        The choice.
+    """
+    if isinstance(request, WriteRequest):
+        return _choose_for_write(view, request, now, policy)
+    replicas = [] if request.reads == READS_PRIMARY else _get_replicas(view, request)
+    ready = [item for item in replicas if serves(item, request)]
+    if ready:
+        return UseTarget(_pick_replica(ready, request, loads), True)
+    waiting = _choose_wait(view, request, replicas, loads, now, policy)
+    return waiting or _choose_primary(view, request, now, policy)
+
+
+def compute_needed_time(request: ReadRequest) -> float:
+    """Return the time before which acknowledged writes must be seen.
+
+    Parameters
+    ----------
+    request : ReadRequest
+        The read.
+
+    Returns
+    -------
+    float
+        A time of the node's clock, seconds.
+    """
+    if request.token is None:
+        return request.arrived_at
+    return request.arrived_at - request.max_age
+
+
+def serves(database: DatabaseView, request: ReadRequest) -> bool:
+    """Return whether a replica provably shows all that a read must show.
+
+    Parameters
+    ----------
+    database : DatabaseView
+        The replica.
+    request : ReadRequest
+        The read.
+
+    Returns
+    -------
+    bool
+        True if it has applied the session's token, and either is fresh enough
+        by its age or has applied the position sampled for this read.
+    """
+    if request.token is not None and not has_applied(database, request.token):
+        return False
+    if database.fresh_at >= compute_needed_time(request):
+        return True
+    return request.sample is not None and has_applied(database, request.sample)
+
+
+def _get_replicas(view: GroupView, request: ReadRequest) -> list[DatabaseView]:
+    """Return the replicas that may get new reads.
+
+    A database that still believes that it leads a lower term is none of them,
+    as it may show writes that are about to be discarded.
+    """
+    return [
+        item
+        for item in view.databases
+        if item.name != view.primary
+        and item.role == REPLICA
+        and item.reachable
+        and not item.leaving
+        and item.name not in request.excluded
+    ]
+
+
+def _get_load(loads: tuple[TargetLoad, ...], database: str) -> TargetLoad:
+    """Return this node's work at a database."""
+    nothing = TargetLoad(database, "", 0, 1)
+    return next((load for load in loads if load.database == database), nothing)
+
+
+def _pick_replica(
+    ready: list[DatabaseView], request: ReadRequest, loads: tuple[TargetLoad, ...]
+) -> str:
+    """Return the replica with the least work, a near one before a far one."""
+    turn = request.sequence % len(ready)
+    in_turn = ready[turn:] + ready[:turn]
+    return min(
+        (item.name for item in in_turn),
+        key=lambda name: _rank_load(_get_load(loads, name), request.zone),
+    )
+
+
+def _rank_load(load: TargetLoad, zone: str) -> tuple[int, bool, float]:
+    """Return the rank of a database by its queue, its zone and its work."""
+    rounds_waiting = load.outstanding // max(load.limit, 1)
+    return rounds_waiting, load.zone != zone, load.outstanding / max(load.limit, 1)
+
+
+def _choose_wait(
+    view: GroupView,
+    request: ReadRequest,
+    replicas: list[DatabaseView],
+    loads: tuple[TargetLoad, ...],
+    now: float,
+    policy: RoutingPolicy,
+) -> WaitForTarget | None:
+    """Return the wait for the replica that catches up soonest, if it pays."""
+    timeout = min(policy.max_wait, request.deadline - now)
+    if not request.may_wait or timeout <= 0:
+        return None
+    positions = ((item, _get_awaited(view, request, item)) for item in replicas)
+    catchups = (
+        _Catchup(
+            _predict_wait(view, request, item, position, now),
+            _rank_load(_get_load(loads, item.name), request.zone),
+            item.name,
+            position,
+        )
+        for item, position in positions
+        if position is not None
+    )
+    best = min(catchups, default=None)
+    if best is None or best.wait > timeout:
+        return None
+    return WaitForTarget(best.database, best.position, timeout)
+
+
+def _get_awaited(
+    view: GroupView, request: ReadRequest, database: DatabaseView
+) -> LogPosition | None:
+    """Return the position that makes a replica good enough, if one is known."""
+    needed_time = compute_needed_time(request)
+    if database.fresh_at >= needed_time:
+        # Only the token can be missing, or the replica would serve the read.
+        return request.token
+    if request.sample is not None:
+        return max(request.sample, request.token or request.sample)
+    primary = get_primary(view)
+    if primary is None or request.token is None:
+        return None
+    is_head_recent = min(primary.seen_at, view.confirmed_at) >= needed_time
+    return max(request.token, view.head) if is_head_recent else None
+
+
+def _predict_wait(
+    view: GroupView,
+    request: ReadRequest,
+    database: DatabaseView,
+    position: LogPosition,
+    now: float,
+) -> float:
+    """Return the predicted time until a replica has applied a position, seconds."""
+    primary = get_primary(view)
+    is_seen = primary is not None and position <= view.head
+    written_before = primary.seen_at if is_seen else request.arrived_at
+    return max(0.0, written_before + database.apply_delay - now)
+
+
+def _choose_primary(
+    view: GroupView, request: ReadRequest, now: float, policy: RoutingPolicy
+) -> Choice:
+    """Return the choice for a read that no replica can serve in time."""
+    primary = get_primary(view)
+    is_usable = (
+        primary is not None
+        and primary.reachable
+        and primary.name not in request.excluded
+    )
+    if is_usable and _is_current(view, request):
+        return UseTarget(primary.name, False)
+    if request.sample is None and view.primary:
+        return NeedSample(min(policy.sample_timeout, request.deadline - now))
+    return Refuse(
+        NOT_AVAILABLE, "no database can show what is asked", policy.retry_after
+    )
+
+
+def _is_current(view: GroupView, request: ReadRequest) -> bool:
+    """Return whether the primary provably shows all that a read must show.
+
+    A primary holds each write that was acknowledged in its own or an earlier
+    term, so its term is compared with the token's, not its position.
+    """
+    if request.sample is not None:
+        return True
+    holds_token = request.token is not None and request.token.term <= view.term
+    return holds_token and view.confirmed_at >= compute_needed_time(request)
+
+
+def _choose_for_write(
+    view: GroupView, request: WriteRequest, now: float, policy: RoutingPolicy
+) -> Choice:
+    """Return the choice for a request that may write."""
+    primary = get_primary(view)
+    is_usable = (
+        primary is not None
+        and primary.reachable
+        and primary.name not in request.excluded
+    )
+    confirmed_after = now - policy.confirmed_within
+    if is_usable and (request.sampled or view.confirmed_at >= confirmed_after):
+        return UseTarget(primary.name, False)
+    if view.primary and not request.sampled:
+        return NeedSample(policy.sample_timeout)
+    return Refuse(NOT_AVAILABLE, "no primary can be confirmed", policy.retry_after)
--- /dev/null
+++ b/beryltrack/routing/messages.py
@@ -0,0 +1,189 @@
+"""What routing is asked and what it answers."""
+
+import math
+from enum import Enum
+from typing import NamedTuple
+
+from beryltrack.groups.messages import LogPosition
+from beryltrack.sessions.marks import READS_ANY
+
+
+class StatementKind(Enum):
+    """What a statement does, as far as its text shows."""
+
+    EMPTY = "empty"
+    """Nothing to run."""
+    READ = "read"
+    """It provably changes nothing."""
+    WRITE = "write"
+    """It may change data."""
+    BEGIN = "begin"
+    """It opens a transaction."""
+    BEGIN_READ_ONLY = "begin read only"
+    """It opens a transaction that the target holds to reading."""
+    COMMIT = "commit"
+    """It ends a transaction and keeps its changes."""
+    ROLLBACK = "rollback"
+    """It ends a transaction and drops its changes."""
+    SAVEPOINT = "savepoint"
+    """It sets, releases or goes back to a savepoint."""
+    TRANSACTION_SET = "transaction set"
+    """It changes a setting for the current transaction only."""
+    SESSION_SET = "session set"
+    """It changes a setting of the session."""
+    SHOW = "show"
+    """It shows a setting."""
+    DEALLOCATE = "deallocate"
+    """It drops prepared statements."""
+    DISCARD = "discard"
+    """It drops state of the session."""
+    UNSUPPORTED = "unsupported"
+    """It needs a connection of its own, which pooled connections cannot give."""
+
+
+class ReadRequest(NamedTuple):
+    """A read, or a read-only transaction, that needs a database.
+
+    Parameters
+    ----------
+    arrived_at : float
+        When it arrived, by the node's clock, seconds.
+    token : LogPosition or None
+        What its session has written in the group; None if that is not known.
+    max_age : float
+        Staleness that it accepts, seconds, counted back from `arrived_at`.
+    reads : str
+        `READS_ANY` or `READS_PRIMARY`.
+    zone : str
+        Availability zone of this node; empty if it does not matter.
+    sample : LogPosition or None
+        A position of the primary that was sampled, and its term confirmed by
+        a majority, after `arrived_at`; None if there is none.
+    may_wait : bool
+        False if it has waited for a replica before.
+    excluded : tuple of str
+        Databases that refused it.
+    deadline : float
+        When it must have been answered, by the node's clock, seconds.
+    sequence : int
+        Number of the request on this node, by which equal targets take turns.
+    """
+
+    arrived_at: float
+    token: LogPosition | None
+    max_age: float = 0.0
+    reads: str = READS_ANY
+    zone: str = ""
+    sample: LogPosition | None = None
+    may_wait: bool = True
+    excluded: tuple[str, ...] = ()
+    deadline: float = math.inf
+    sequence: int = 0
+
+
+class WriteRequest(NamedTuple):
+    """A write, or a transaction that may write, that needs the primary.
+
+    Parameters
+    ----------
+    arrived_at : float
+        When it arrived, by the node's clock, seconds.
+    sampled : bool
+        True if the primary's term was confirmed by a majority since then.
+    excluded : tuple of str
+        Databases that refused it.
+    """
+
+    arrived_at: float
+    sampled: bool = False
+    excluded: tuple[str, ...] = ()
+
+
+class TargetLoad(NamedTuple):
+    """The work of this node at one database.
+
+    Parameters
+    ----------
+    database : str
+        Name of the database.
+    zone : str
+        Its availability zone.
+    outstanding : int
+        Requests of this node that it runs or that queue for it.
+    limit : int
+        Requests that this node can have running there at once.
+    """
+
+    database: str
+    zone: str
+    outstanding: int
+    limit: int
+
+
+class UseTarget(NamedTuple):
+    """Run the request on this database now.
+
+    Parameters
+    ----------
+    database : str
+        Name of the database.
+    is_replica : bool
+        True if it counts as a replica in the share of reads.
+    """
+
+    database: str
+    is_replica: bool
+
+
+class WaitForTarget(NamedTuple):
+    """Wait until this database has applied a position, then run the request there.
+
+    If the wait ends without that, choose again with `may_wait` false.
+
+    Parameters
+    ----------
+    database : str
+        Name of the database.
+    position : LogPosition
+        What it must have applied.
+    timeout : float
+        Longest wait, seconds.
+    """
+
+    database: str
+    position: LogPosition
+    timeout: float
+
+
+class NeedSample(NamedTuple):
+    """Sample the primary and have its term confirmed, then choose again.
+
+    Parameters
+    ----------
+    timeout : float
+        Longest wait, seconds. If there is no sample by then, the request is
+        refused as not run.
+    """
+
+    timeout: float
+
+
+class Refuse(NamedTuple):
+    """No database can run the request now; it has not been sent to any.
+
+    Parameters
+    ----------
+    sqlstate : str
+        A code of the class that means that the request did not run.
+    text : str
+        Why.
+    retry_after : float
+        Seconds after which another attempt can succeed.
+    """
+
+    sqlstate: str
+    text: str
+    retry_after: float
+
+
+Choice = UseTarget | WaitForTarget | NeedSample | Refuse
--- /dev/null
+++ b/beryltrack/routing/words.py
@@ -0,0 +1,99 @@
+"""The words of a statement: its tokens in the form that the rules compare.
+
+Keywords and plain names are in lower case. Literals and quoted identifiers
+begin with a character that no word begins with, so that no text that a caller
+puts into a literal can be mistaken for a keyword.
+"""
+
+from itertools import chain, groupby
+
+from sqlglot.dialects.postgres import Postgres
+from sqlglot.tokens import Token, TokenType
+
+QUOTED = '"'
+"""Begins the word of a quoted identifier."""
+
+LITERAL = "'"
+"""The word of a string or a number."""
+
+_LITERAL_TYPES = frozenset(
+    (
+        TokenType.STRING,
+        TokenType.NUMBER,
+        TokenType.BYTE_STRING,
+        TokenType.HEX_STRING,
+        TokenType.BIT_STRING,
+        TokenType.NATIONAL_STRING,
+        TokenType.UNICODE_STRING,
+        TokenType.HEREDOC_STRING,
+        TokenType.RAW_STRING,
+    )
+)
+
+Words = tuple[str, ...]
+
+
+class StatementDialect(Postgres):
+    """PostgreSQL, with the tokens of each statement.
+
+    The library's own dialect takes what follows words such as ``EXPLAIN`` as
+    one string up to the next semicolon, even one inside of a literal.
+    """
+
+    class Tokenizer(Postgres.Tokenizer):
+        """PostgreSQL's tokens, without the library's shortcut for commands."""
+
+        COMMANDS = frozenset()
+
+
+DIALECT = StatementDialect()
+
+
+def split_tokens(text: str) -> list[list[Token]]:
+    """Return the tokens of each statement of a text.
+
+    Parameters
+    ----------
+    text : str
+        One or more statements, separated by semicolons.
+
+    Returns
+    -------
+    list of list of sqlglot.tokens.Token
+        One list for each statement that is not empty.
+
+    Raises
+    ------
+    sqlglot.errors.SqlglotError
+        If the text cannot be split into tokens.
+    """
+    groups = groupby(
+        DIALECT.tokenize(text),
+        key=lambda token: token.token_type == TokenType.SEMICOLON,
+    )
+    return [list(tokens) for is_separator, tokens in groups if not is_separator]
+
+
+def get_words(tokens: list[Token]) -> Words:
+    """Return the words of one statement.
+
+    Parameters
+    ----------
+    tokens : list of sqlglot.tokens.Token
+        Its tokens.
+
+    Returns
+    -------
+    tuple of str
+        Its words; a token of several words gives several.
+    """
+    return tuple(chain.from_iterable(map(_split_token, tokens)))
+
+
+def _split_token(token: Token) -> list[str]:
+    """Return the words of one token."""
+    if token.token_type in _LITERAL_TYPES:
+        return [LITERAL]
+    if token.token_type == TokenType.IDENTIFIER:
+        return [QUOTED + token.text]
+    return token.text.lower().split()
--- /dev/null
+++ b/beryltrack/sessions/tags.py
@@ -0,0 +1,75 @@
+"""Tags in the comments of a statement, in the sqlcommenter form.
+
+Libraries append ``/*key='value',key='value'*/`` to each statement. Keys and
+values are percent-encoded, and a quote inside of a value is escaped by a
+backslash. Only tags whose keys begin with ``beryltrack_`` matter here; what
+other tools write is left alone.
+"""
+
+import re
+from typing import NamedTuple
+from urllib.parse import unquote
+
+TAG_PREFIX = "beryltrack_"
+"""Every key of a tag for beryltrack begins with this."""
+
+_QUOTED_OR_COMMENT = re.compile(
+    r"""
+    \b[eE]'(?:[^'\\]|\\.)*'      # a string with escapes
+    | '[^']*'                      # a string; two in a row if a quote is doubled
+    | "[^"]*"                      # a quoted identifier
+    | \$(?P<mark>\w*)\$.*?\$(?P=mark)\$
+    | --[^\n]*
+    | /\*(?P<body>.*?)\*/
+    """,
+    re.DOTALL | re.VERBOSE,
+)
+_TAG = re.compile(
+    rf"""\b(?P<key>{TAG_PREFIX}[\w%.-]*)\s*=\s*'(?P<value>(?:[^'\\]|\\.)*)'"""
+)
+_ESCAPED = re.compile(r"\\(.)", re.DOTALL)
+
+
+class Tag(NamedTuple):
+    """One tag of a statement.
+
+    Parameters
+    ----------
+    key : str
+        The key without `TAG_PREFIX`.
+    value : str
+        The value, decoded.
+    """
+
+    key: str
+    value: str
+
+
+def get_tags(statement: str) -> tuple[Tag, ...]:
+    """Return the tags for beryltrack in the comments of a statement.
+
+    Parameters
+    ----------
+    statement : str
+        Text as the caller sent it.
+
+    Returns
+    -------
+    tuple of Tag
+        In the order of the text. Text inside of literals is not looked at.
+    """
+    # Most statements carry no tag, and this test costs next to nothing.
+    if TAG_PREFIX not in statement or "/*" not in statement:
+        return ()
+    bodies = (match["body"] for match in _QUOTED_OR_COMMENT.finditer(statement))
+    return tuple(
+        Tag(_decode(match["key"]).removeprefix(TAG_PREFIX), _decode(match["value"]))
+        for body in bodies
+        if body
+        for match in _TAG.finditer(body)
+    )
+
+
+def _decode(text: str) -> str:
+    """Return a key or value without its escapes."""
+    return unquote(_ESCAPED.sub(r"\1", text))
--- /dev/null
+++ b/tests/routing/test_decider.py
@@ -0,0 +1,168 @@
+"""The choice of a database."""
+
+import math
+
+import pytest
+
+from beryltrack.groups.messages import PRIMARY, LogPosition, TermStart
+from beryltrack.groups.view import NEVER, DatabaseView, GroupView
+from beryltrack.routing.decider import RoutingPolicy, choose_target
+from beryltrack.routing.messages import (
+    NeedSample,
+    ReadRequest,
+    Refuse,
+    TargetLoad,
+    UseTarget,
+    WaitForTarget,
+    WriteRequest,
+)
+from beryltrack.sessions.marks import READS_PRIMARY
+
+NOW = 100.0
+HISTORY = (TermStart(1, 0), TermStart(2, 50))
+POLICY = RoutingPolicy(max_wait=0.05)
+
+
+def _database(name, offset, fresh_at=99.5, **changes):
+    position = LogPosition(2, offset)
+    database = DatabaseView(name, "replica", 2, position, position, HISTORY)
+    seen = {"reachable": True, "seen_at": 99.9, "apply_delay": 0.12}
+    return database._replace(fresh_at=fresh_at, **(seen | changes))
+
+
+def _view(*replicas, **changes):
+    primary = _database("p", 90, role=PRIMARY)
+    view = GroupView("g", 2, "p", LogPosition(2, 90), 99.9, (primary, *replicas))
+    return view._replace(**changes)
+
+
+def _read(offset=80, max_age=1.0, term=2, **changes):
+    token = None if offset is None else LogPosition(term, offset)
+    return ReadRequest(NOW, token, max_age)._replace(**changes)
+
+
+def _choose(view, request, *loads, now=NOW):
+    return choose_target(view, request, loads, now, POLICY)
+
+
+def test_replica_that_shows_the_token_and_is_fresh_serves():
+    view = _view(_database("a", 79), _database("b", 80))
+    assert _choose(view, _read()) == UseTarget("b", True)
+
+
+def test_token_goes_before_any_allowance():
+    view = _view(_database("a", 79, apply_delay=math.inf))
+    assert _choose(view, _read(max_age=3600.0)) == UseTarget("p", False)
+
+
+def test_replica_that_is_too_old_does_not_serve():
+    view = _view(_database("a", 90, fresh_at=98.9, apply_delay=math.inf))
+    assert _choose(view, _read()) == UseTarget("p", False)
+
+
+@pytest.mark.parametrize(
+    "request_", [_read(offset=None, max_age=3600.0), _read(max_age=0.0)]
+)
+def test_read_that_must_be_current_needs_a_sample(request_):
+    view = _view(_database("a", 90))
+    assert isinstance(_choose(view, request_), NeedSample)
+    sampled = request_._replace(sample=LogPosition(2, 90))
+    assert _choose(view, sampled) == UseTarget("a", True)
+    behind = request_._replace(sample=LogPosition(2, 91), may_wait=False)
+    assert _choose(view, behind) == UseTarget("p", False)
+
+
+def test_waits_for_the_replica_that_catches_up_soonest():
+    late = _database("a", 79, apply_delay=0.14)
+    soon = _database("b", 79, apply_delay=0.13)
+    choice = _choose(_view(late, soon), _read())
+    assert choice == WaitForTarget("b", LogPosition(2, 80), 0.05)
+
+
+def test_wait_for_a_stale_replica_is_for_the_head():
+    view = _view(_database("a", 85, fresh_at=98.0))
+    assert _choose(view, _read()).position == LogPosition(2, 90)
+
+
+def test_wait_for_a_sample_is_for_the_later_of_sample_and_token():
+    view = _view(_database("a", 85))
+    request = _read(offset=95, max_age=0.0, sample=LogPosition(2, 91))
+    view = view._replace(head=LogPosition(2, 95))
+    assert _choose(view, request).position == LogPosition(2, 95)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"may_wait": False}, {"deadline": NOW + 0.01}, {"deadline": NOW - 1.0}],
+)
+def test_does_not_wait_longer_than_it_pays(changes):
+    view = _view(_database("a", 79))
+    assert _choose(view, _read(**changes)) == UseTarget("p", False)
+
+
+def test_token_beyond_the_end_of_its_term_is_shown_by_a_later_term():
+    view = _view(_database("a", 55))
+    assert _choose(view, _read(term=1, offset=70)) == UseTarget("a", True)
+
+
+def test_token_of_an_unknown_term_needs_a_sample():
+    request = _read(term=3, may_wait=False)
+    assert isinstance(_choose(_view(_database("a", 90)), request), NeedSample)
+    sampled = request._replace(sample=LogPosition(2, 90))
+    assert _choose(_view(_database("a", 90)), sampled) == UseTarget("p", False)
+
+
+@pytest.mark.parametrize(
+    "changes", [{"leaving": True}, {"reachable": False}, {"role": PRIMARY}]
+)
+def test_replica_that_takes_no_new_work_is_passed_over(changes):
+    view = _view(_database("a", 90)._replace(**changes))
+    assert _choose(view, _read()) == UseTarget("p", False)
+
+
+def test_excluded_replica_is_passed_over():
+    view = _view(_database("a", 90), _database("b", 90))
+    assert _choose(view, _read(excluded=("a",))) == UseTarget("b", True)
+
+
+def test_reads_of_the_primary_stay_there():
+    view = _view(_database("a", 90))
+    assert _choose(view, _read(reads=READS_PRIMARY)) == UseTarget("p", False)
+
+
+def test_primary_that_is_not_confirmed_is_sampled_first():
+    view = _view(confirmed_at=98.0)
+    assert isinstance(_choose(view, _read()), NeedSample)
+
+
+def test_replica_serves_without_a_primary():
+    view = _view(_database("a", 85), primary="")
+    assert _choose(view, _read()) == UseTarget("a", True)
+    assert isinstance(_choose(view, _read(max_age=0.0)), Refuse)
+
+
+def test_near_replica_goes_first_until_it_has_a_queue():
+    view = _view(_database("a", 90), _database("b", 90))
+    far = TargetLoad("a", "z1", 0, 4)
+    near = TargetLoad("b", "z2", 3, 4)
+    request = _read(zone="z2")
+    assert _choose(view, request, far, near) == UseTarget("b", True)
+    queued = near._replace(outstanding=4)
+    assert _choose(view, request, far, queued) == UseTarget("a", True)
+
+
+def test_equal_replicas_take_turns():
+    view = _view(_database("a", 90), _database("b", 90))
+    chosen = {_choose(view, _read(sequence=n)).database for n in range(2)}
+    assert chosen == {"a", "b"}
+
+
+def test_write_goes_to_a_confirmed_primary_only():
+    view = _view()
+    assert _choose(view, WriteRequest(NOW)) == UseTarget("p", False)
+    doubtful = view._replace(confirmed_at=NEVER)
+    assert isinstance(_choose(doubtful, WriteRequest(NOW)), NeedSample)
+    assert _choose(doubtful, WriteRequest(NOW, True)) == UseTarget("p", False)
+    assert isinstance(_choose(_view(primary=""), WriteRequest(NOW)), Refuse)
+    refused = WriteRequest(NOW, True, ("p",))
+    assert isinstance(_choose(view, refused), Refuse)
