--- a/beryltrack/settings/instance_file.py
+++ b/beryltrack/settings/instance_file.py
@@ -1,8 +1,7 @@
 """Reads the settings file of one proxy process."""
 
-import json
-
 from beryltrack.findings import Finding
+from beryltrack.settings.json_text import load_json
 from beryltrack.settings.messages import InstanceSettings
 from beryltrack.settings.options import INSTANCE, OptionKind
 from beryltrack.settings.parsing import build_endpoint
@@ -38,24 +37,3 @@
         if option.kind is OptionKind.ENDPOINT
     }
     return InstanceSettings(**filled | endpoints), ()
-
-
-def load_json(text: str, source: str) -> tuple[object, tuple[Finding, ...]]:
-    """Read JSON that an operator wrote.
-
-    Parameters
-    ----------
-    text : str
-        The text.
-    source : str
-        Where it came from, for the findings.
-
-    Returns
-    -------
-    tuple
-        The JSON value, None if it cannot be read, and the findings.
-    """
-    try:
-        return json.loads(text), ()
-    except json.JSONDecodeError as error:
-        return None, (Finding(source, f"line {error.lineno}", f"no JSON: {error.msg}"),)
--- /dev/null
+++ b/beryltrack/settings/plan.py
@@ -0,0 +1,106 @@
+"""Works out what a set of wanted objects would change, before any is written.
+
+The check runs against the tree in force, so that an operator sees clashes with
+other objects at once. A finding that was there before is not the operator's
+doing and does not stop the change.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from beryltrack.findings import Finding
+from beryltrack.platform.messages import ObjectList, PlatformObject
+from beryltrack.settings.decider import SettingsDecider
+from beryltrack.settings.parsing import parse_settings
+from beryltrack.settings.paths import parse_path
+from beryltrack.settings.stored import get_settings
+
+Settings = dict[str, object] | None
+
+# An object that is not there yet would be the last one created.
+NOT_CREATED = "9999"
+
+
+class PlannedChange(NamedTuple):
+    """One object that would change.
+
+    Parameters
+    ----------
+    path : str
+        Path of the object.
+    version : int
+        Its version in the tree that was checked, 0 if it is not there.
+    before, after : dict or None
+        Its settings in that tree, and the wanted ones; None for no settings.
+    """
+
+    path: str
+    version: int
+    before: Settings
+    after: Settings
+
+
+def plan_changes(
+    tree: ObjectList, wanted: Mapping[str, Settings]
+) -> tuple[tuple[PlannedChange, ...], tuple[Finding, ...]]:
+    """Return the changes that make the tree hold the wanted objects.
+
+    Parameters
+    ----------
+    tree : ObjectList
+        All settings objects in the store.
+    wanted : mapping of str to dict or None
+        Settings by path; None deletes an object.
+
+    Returns
+    -------
+    tuple
+        The changes, in the order of `wanted`, and what they would make wrong.
+    """
+    present = {item.path: item for item in tree.objects}
+    changes = tuple(
+        _plan_change(path, present.get(path), after) for path, after in wanted.items()
+    )
+    changes = tuple(change for change in changes if change.before != change.after)
+    findings = tuple(
+        finding for path, after in wanted.items() for finding in _check(path, after)
+    )
+    return changes, findings or _find_clashes(tree, changes)
+
+
+def _plan_change(
+    path: str, present: PlatformObject | None, after: Settings
+) -> PlannedChange:
+    """Return the change of one object."""
+    if present is None:
+        return PlannedChange(path, 0, None, after)
+    return PlannedChange(path, present.version, get_settings(present.value), after)
+
+
+def _check(path: str, after: Settings) -> tuple[Finding, ...]:
+    """Check one object by itself."""
+    if after is None:
+        return parse_path(path)[1]
+    return parse_settings(path, after)[1]
+
+
+def _find_clashes(
+    tree: ObjectList, changes: tuple[PlannedChange, ...]
+) -> tuple[Finding, ...]:
+    """Return the findings that the whole tree has only with the changes."""
+    decider = SettingsDecider()
+    decider.observe_list(tree)
+    before = set(decider.findings)
+    decider.learn(_overlay(change, tree) for change in changes)
+    return tuple(item for item in decider.findings if item not in before)
+
+
+def _overlay(change: PlannedChange, tree: ObjectList) -> PlatformObject:
+    """Return the object that a change would leave in the store."""
+    values = {item.path: item.value for item in tree.objects}
+    present = values.get(change.path)
+    created = NOT_CREATED
+    if isinstance(present, dict):
+        created = present.get("created", "")
+    value = {"settings": change.after, "created": created}
+    return PlatformObject(change.path, tree.revision + 1, value, False)
