Add the operators' tool

Change: cleo commands settings get, set, apply, check, diff, history and delete, and status. Several objects are written one after the other; the first conflict ends the run, the report says what was done, and the same run again does the rest. Status asks the platform twice whatever the size of the fleet, and each instance for the rest, 16 at a time; an instance registers the address of its HTTP endpoint when it starts. Exit codes tell findings, usage, conflict, an unavailable platform and an unknown outcome apart.

Conclusion: the daemon has to start a RegistrationTask for the status to find it.

--- /dev/null
+++ b/beryltrack/command/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool: changes settings, shows them and the fleet's status."""
--- /dev/null
+++ b/beryltrack/command/edits.py
@@ -0,0 +1,230 @@
+"""Commands that change settings objects: plan, check, then one at a time.
+
+Several objects are not changed in one step, since the platform has no update of
+more than one. They are changed in the order given, and the first that fails
+ends the run; the report says what was done. The same run again does the rest,
+because an object that has the wanted settings already is left alone.
+"""
+
+import difflib
+import json
+import random
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from beryltrack.command.report import (
+    EXIT_BY_FAILURE,
+    ExitCode,
+    Report,
+    format_findings,
+    report_findings,
+    report_platform,
+)
+from beryltrack.findings import Finding
+from beryltrack.platform.client import PlatformClient
+from beryltrack.settings.change import ChangeDone, ChangeFailure, SettingsChange
+from beryltrack.settings.paths import PREFIX
+from beryltrack.settings.plan import PlannedChange, Settings, plan_changes
+from beryltrack.settings.stored import ChangeRequest
+
+DONE = "done"
+REPLACED = "done, then replaced by another change"
+UNCHANGED = "unchanged"
+NOT_TRIED = "not tried"
+
+
+class Author(NamedTuple):
+    """Who makes a change, for the audit record.
+
+    Parameters
+    ----------
+    who, why : str
+        Name and reason.
+    when : str
+        Time, UTC in ISO 8601.
+    change_id : str
+        Identifier that no other run of the tool has.
+    """
+
+    who: str
+    why: str
+    when: str
+    change_id: str
+
+
+class ChangeLine(NamedTuple):
+    """What became of one object.
+
+    Parameters
+    ----------
+    path : str
+        Its path.
+    outcome : str
+        What became of the change.
+    version : int
+        Version of the object now, 0 if it is not known.
+    text : str
+        The reason, if the change was not made.
+    """
+
+    path: str
+    outcome: str
+    version: int
+    text: str
+
+
+class ChangesReport(NamedTuple):
+    """What became of all objects of a run."""
+
+    changes: tuple[ChangeLine, ...]
+
+
+class DiffReport(NamedTuple):
+    """What a run would change, and what that would make wrong."""
+
+    changes: tuple[PlannedChange, ...]
+    findings: tuple[Finding, ...]
+
+
+class Editor:
+    """Changes settings in the platform's store.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Clock of the delays between attempts.
+    client : PlatformClient
+        Client of the store.
+    author : Author
+        Who makes the changes.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self, reactor, client: PlatformClient, author: Author, rng: random.Random
+    ):
+        self._reactor = reactor
+        self._client = client
+        self._author = author
+        self._rng = rng
+
+    async def apply(
+        self, wanted: Mapping[str, Settings], if_version: int | None = None
+    ) -> Report:
+        """Check and write the wanted objects.
+
+        Parameters
+        ----------
+        wanted : mapping of str to dict or None
+            Settings by path; None deletes an object.
+        if_version : int or None
+            Version that each object must have; None takes the present one.
+
+        Returns
+        -------
+        Report
+            What became of each object.
+        """
+        match await self._client.list(PREFIX):
+            case Failure(error):
+                return report_platform(error)
+            case Success(tree):
+                changes, findings = plan_changes(tree, wanted)
+        if findings:
+            return report_findings(findings)
+        done = await self._write_all(changes, if_version)
+        return _report_changes(wanted, changes, done)
+
+    async def _write_all(
+        self, changes: tuple[PlannedChange, ...], if_version: int | None
+    ) -> list[Result[ChangeDone, ChangeFailure]]:
+        """Write one object after the other up to the first failure."""
+        results = []
+        for number, change in enumerate(changes):
+            version = change.version if if_version is None else if_version
+            request = ChangeRequest(
+                change.path,
+                change.after,
+                self._author.who,
+                self._author.why,
+                self._author.when,
+                f"{self._author.change_id}-{number}",
+                version,
+            )
+            task = SettingsChange(self._reactor, self._client, request, self._rng)
+            results.append(await task.run())
+            if isinstance(results[-1], Failure):
+                break
+        return results
+
+
+def _report_changes(
+    wanted: Mapping[str, Settings],
+    changes: tuple[PlannedChange, ...],
+    results: list[Result[ChangeDone, ChangeFailure]],
+) -> Report:
+    """Return the report of a run."""
+    outcomes = {
+        change.path: _build_line(change.path, result)
+        for change, result in zip(changes, results, strict=False)
+    }
+    untried = {change.path for change in changes[len(results) :]}
+    lines = tuple(
+        outcomes.get(path)
+        or ChangeLine(path, NOT_TRIED if path in untried else UNCHANGED, 0, "")
+        for path in wanted
+    )
+    failures = [item.failure() for item in results if isinstance(item, Failure)]
+    codes = [EXIT_BY_FAILURE[failure.kind] for failure in failures]
+    return Report(
+        codes[0] if codes else ExitCode.OK,
+        ChangesReport(lines),
+        tuple(_format_line(line) for line in lines),
+    )
+
+
+def _build_line(path: str, result: Result[ChangeDone, ChangeFailure]) -> ChangeLine:
+    """Return what became of one object that was tried."""
+    match result:
+        case Success(done):
+            outcome = DONE if done.changed else UNCHANGED
+            outcome = REPLACED if done.replaced else outcome
+            return ChangeLine(path, outcome, done.version, "")
+        case Failure(failure):
+            kind = failure.kind.value
+            return ChangeLine(path, kind, failure.version, failure.text)
+
+
+def _format_line(line: ChangeLine) -> str:
+    """Return one line of text for one object."""
+    version = f" (version {line.version})" if line.version else ""
+    text = f": {line.text}" if line.text else ""
+    return f"{line.path}: {line.outcome}{version}{text}"
+
+
+async def compute_diff(
+    client: PlatformClient, wanted: Mapping[str, Settings]
+) -> Report:
+    """Return what applying the wanted objects would change, writing nothing."""
+    match await client.list(PREFIX):
+        case Failure(error):
+            return report_platform(error)
+        case Success(tree):
+            changes, findings = plan_changes(tree, wanted)
+    lines = tuple(line for change in changes for line in format_change(change))
+    code = ExitCode.FINDINGS if findings else ExitCode.OK
+    report = DiffReport(changes, findings)
+    return Report(code, report, lines + format_findings(findings))
+
+
+def format_change(change: PlannedChange) -> tuple[str, ...]:
+    """Return the lines of a unified diff of one object."""
+    before, after = (
+        [] if value is None else json.dumps(value, indent=2, sort_keys=True).split("\n")
+        for value in (change.before, change.after)
+    )
+    label = f"{change.path} (version {change.version})"
+    return tuple(difflib.unified_diff(before, after, label, change.path, lineterm=""))
--- /dev/null
+++ b/beryltrack/command/fleet.py
@@ -0,0 +1,348 @@
+"""Joins the status of all instances into one picture of the fleet.
+
+The platform is asked for the instance list and the addresses only, two calls
+whatever the size of the fleet. The rest is asked of the instances themselves, a
+few at a time; one that does not answer is shown so.
+"""
+
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Iterable
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from twisted.internet.defer import Deferred, DeferredSemaphore, gatherResults
+
+from beryltrack.daemon.metrics import Counters, compute_replica_share
+from beryltrack.daemon.status import (
+    DatabaseReport,
+    GroupReport,
+    InstanceStatus,
+    ObjectVersion,
+)
+from beryltrack.findings import Finding
+from beryltrack.platform.client import PlatformClient
+from beryltrack.platform.messages import PlatformError
+from beryltrack.platform.registration import PREFIX, parse_address
+from beryltrack.settings.messages import Endpoint
+
+MAX_AT_ONCE = 16
+NO_ANSWER = "no answer"
+NO_ADDRESS = "no address in the store"
+
+FetchStatus = Callable[[Endpoint], Awaitable[InstanceStatus | None]]
+
+
+class InstanceAnswer(NamedTuple):
+    """One instance and its status, if it gave one.
+
+    Parameters
+    ----------
+    name : str
+        Its name; the address if it is not known by name.
+    zone : str
+        Its availability zone by the platform's list, or empty.
+    listed : str
+        Its state by the platform's list, or empty.
+    problem : str
+        Why there is no status; empty if there is one.
+    status : InstanceStatus or None
+        What it reported.
+    """
+
+    name: str
+    zone: str
+    listed: str
+    problem: str
+    status: InstanceStatus | None
+
+
+class InstanceLine(NamedTuple):
+    """One instance in the picture.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    zone : str
+        Its availability zone.
+    listed : str
+        Its state by the platform's list, which lags; empty if it is not listed.
+    state : str
+        Its state by its own word, or why there is none.
+    settings_revision : int
+        Highest version of a settings object that it knows.
+    settings : tuple of ObjectVersion
+        The settings objects that it knows.
+    behind : tuple of ObjectVersion
+        Those of which another instance knows a higher version: that version.
+    """
+
+    name: str
+    zone: str
+    listed: str
+    state: str
+    settings_revision: int
+    settings: tuple[ObjectVersion, ...]
+    behind: tuple[ObjectVersion, ...]
+
+
+class GroupLine(NamedTuple):
+    """One group in the picture, as the instances of the highest term see it.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    term : int
+        The highest term that an instance knows.
+    primary : str
+        The primary of that term.
+    seen_by, instances : int
+        How many instances agree on term and primary, of how many that serve it.
+    databases : tuple of DatabaseReport
+        Its members; of each the report with the smallest age.
+    """
+
+    name: str
+    term: int
+    primary: str
+    seen_by: int
+    instances: int
+    databases: tuple[DatabaseReport, ...]
+
+
+class FleetStatus(NamedTuple):
+    """The whole picture.
+
+    Parameters
+    ----------
+    instances : tuple of InstanceLine
+        All instances, by name.
+    groups : tuple of GroupLine
+        All groups, by name.
+    counters : Counters
+        Sums over the instances that answered, since each one's start.
+    replica_share : float or None
+        Share of reads that replicas served; None without reads.
+    findings : tuple of Finding
+        What the instances find wrong with the settings.
+    """
+
+    instances: tuple[InstanceLine, ...]
+    groups: tuple[GroupLine, ...]
+    counters: Counters
+    replica_share: float | None
+    findings: tuple[Finding, ...]
+
+
+async def collect_answers(
+    client: PlatformClient, fetch: FetchStatus
+) -> Result[tuple[InstanceAnswer, ...], PlatformError]:
+    """Ask each instance of the platform's list for its status.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Client of the platform.
+    fetch : callable
+        Returns the status at an endpoint, None if there is no answer.
+
+    Returns
+    -------
+    Result
+        One answer for each instance in the list.
+    """
+    instances = await client.list_instances()
+    addresses = await client.list(PREFIX)
+    for result in (instances, addresses):
+        if isinstance(result, Failure):
+            return result
+    endpoints = {
+        item.path.removeprefix(PREFIX): parse_address(item.value)
+        for item in addresses.unwrap().objects
+    }
+    bare = [
+        InstanceAnswer(entry.name, entry.zone, entry.state, NO_ADDRESS, None)
+        for entry in instances.unwrap()
+    ]
+    return Success(
+        await _ask_all([(item, endpoints.get(item.name)) for item in bare], fetch)
+    )
+
+
+async def collect_from(
+    endpoints: Iterable[Endpoint], fetch: FetchStatus
+) -> tuple[InstanceAnswer, ...]:
+    """Ask instances at known addresses, without the platform."""
+    bare = [
+        (InstanceAnswer(f"{item.host}:{item.port}", "", "", NO_ANSWER, None), item)
+        for item in endpoints
+    ]
+    return await _ask_all(bare, fetch)
+
+
+async def _ask_all(
+    instances: list[tuple[InstanceAnswer, Endpoint | None]], fetch: FetchStatus
+) -> tuple[InstanceAnswer, ...]:
+    """Ask instances for their status, `MAX_AT_ONCE` at a time."""
+    semaphore = DeferredSemaphore(MAX_AT_ONCE)
+
+    async def ask(answer: InstanceAnswer, endpoint: Endpoint | None) -> InstanceAnswer:
+        if endpoint is None:
+            return answer
+        status = await fetch(endpoint)
+        if status is None:
+            return answer._replace(problem=NO_ANSWER)
+        return answer._replace(name=status.name, problem="", status=status)
+
+    calls = [
+        semaphore.run(lambda item=item: Deferred.fromCoroutine(ask(*item)))
+        for item in instances
+    ]
+    return tuple(await gatherResults(calls))
+
+
+def build_fleet_status(answers: Iterable[InstanceAnswer]) -> FleetStatus:
+    """Join the answers of all instances into one picture."""
+    answers = sorted(answers, key=lambda item: item.name)
+    reports = [item.status for item in answers if item.status is not None]
+    newest = _get_newest_versions(reports)
+    counters = _sum_counters(reports)
+    findings = {item for report in reports for item in report.findings}
+    return FleetStatus(
+        tuple(_build_instance(item, newest) for item in answers),
+        _build_groups(reports),
+        counters,
+        compute_replica_share(counters),
+        tuple(sorted(findings)),
+    )
+
+
+def _sum_counters(reports: list[InstanceStatus]) -> Counters:
+    """Return the sums of all counters."""
+    columns = zip(*(report.counters for report in reports), strict=True)
+    sums = [sum(column) for column in columns]
+    return Counters(*(sums or [0] * len(Counters._fields)))
+
+
+def _get_newest_versions(reports: list[InstanceStatus]) -> dict[str, int]:
+    """Return the highest version of each settings object that anyone knows."""
+    newest = defaultdict(int)
+    for item in (item for report in reports for item in report.settings):
+        newest[item.path] = max(newest[item.path], item.version)
+    return newest
+
+
+def _build_instance(answer: InstanceAnswer, newest: dict[str, int]) -> InstanceLine:
+    """Return the line of one instance."""
+    head = (answer.name, answer.zone, answer.listed)
+    status = answer.status
+    if status is None:
+        return InstanceLine(*head, answer.problem, 0, (), ())
+    known = {item.path: item.version for item in status.settings}
+    behind = tuple(
+        ObjectVersion(path, version)
+        for path, version in sorted(newest.items())
+        if known.get(path, 0) < version
+    )
+    return InstanceLine(
+        answer.name,
+        status.zone,
+        answer.listed,
+        status.state,
+        status.settings_revision,
+        status.settings,
+        behind,
+    )
+
+
+def _build_groups(reports: list[InstanceStatus]) -> tuple[GroupLine, ...]:
+    """Return the line of each group that any instance serves."""
+    views = defaultdict(list)
+    for group in (group for report in reports for group in report.groups):
+        views[group.name].append(group)
+    return tuple(_build_group(views[name]) for name in sorted(views))
+
+
+def _build_group(views: list[GroupReport]) -> GroupLine:
+    """Return the line of one group."""
+    # An instance that knows the term but not yet its primary says less.
+    newest = max(views, key=lambda view: (view.term, view.primary != ""))
+    agreeing = [view for view in views if view[:3] == newest[:3]]
+    return GroupLine(
+        newest.name,
+        newest.term,
+        newest.primary,
+        len(agreeing),
+        len(views),
+        _merge_databases(agreeing),
+    )
+
+
+def _merge_databases(views: list[GroupReport]) -> tuple[DatabaseReport, ...]:
+    """Return of each database the report that knows most."""
+    reports = defaultdict(list)
+    for item in (item for view in views for item in view.databases):
+        reports[item.name].append(item)
+    return tuple(min(reports[name], key=_rank_report) for name in sorted(reports))
+
+
+def _rank_report(report: DatabaseReport) -> tuple[bool, float]:
+    """Order reports of one database: those that reach it first, then by age."""
+    age = float("inf") if report.age is None else report.age
+    return not report.reachable, age
+
+
+def format_fleet(fleet: FleetStatus) -> tuple[str, ...]:
+    """Return the picture as lines of text."""
+    share = "no reads yet"
+    if fleet.replica_share is not None:
+        share = f"{fleet.replica_share:.1%} of reads by replicas"
+    counts = ", ".join(
+        f"{name.replace('_', ' ')} {value}"
+        for name, value in fleet.counters._asdict().items()
+    )
+    return (
+        "instances:",
+        *(_format_instance(item) for item in fleet.instances),
+        "groups:",
+        *(line for item in fleet.groups for line in _format_group(item)),
+        f"requests: {share}; {counts}",
+        *(f"finding: {': '.join(filter(None, item))}" for item in fleet.findings),
+    )
+
+
+def _format_instance(item: InstanceLine) -> str:
+    """Return the line of one instance."""
+    listed = f", listed as {item.listed}" if item.listed not in ("", item.state) else ""
+    behind = f", behind on {len(item.behind)} objects" if item.behind else ""
+    return (
+        f"  {item.name} ({item.zone or 'zone not known'}): {item.state}{listed}, "
+        f"settings revision {item.settings_revision}{behind}"
+    )
+
+
+def _format_group(item: GroupLine) -> list[str]:
+    """Return the lines of one group."""
+    head = (
+        f"  {item.name}: term {item.term}, primary {item.primary or 'not known'}, "
+        f"seen so by {item.seen_by} of {item.instances} instances"
+    )
+    return [head, *(_format_database(database) for database in item.databases)]
+
+
+def _format_database(item: DatabaseReport) -> str:
+    """Return the line of one database."""
+    age = "age not known" if item.age is None else f"age {item.age:.3f} s"
+    marks = "".join(
+        text
+        for text, holds in (
+            (", draining", item.draining),
+            (", lost", not item.reachable),
+        )
+        if holds
+    )
+    return (
+        f"    {item.name}: {item.role or 'role not known'}, "
+        f"received {item.received or '-'}, applied {item.applied or '-'}, {age}{marks}"
+    )
--- /dev/null
+++ b/beryltrack/command/main.py
@@ -0,0 +1,65 @@
+"""The command line of the operators' tool."""
+
+import sys
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.input import Input
+from cleo.io.outputs.output import Output
+
+from beryltrack.command.commands import COMMANDS
+from beryltrack.command.report import ExitCode
+from beryltrack.command.runner import Runner, run_in_reactor
+
+VERSION = "0.1.0"
+
+
+class OperatorsTool(Application):
+    """The tool, whose usage errors have an exit code of their own."""
+
+    def run(
+        self,
+        input: Input | None = None,
+        output: Output | None = None,
+        error_output: Output | None = None,
+    ) -> int:
+        """Run the command line and return its exit code."""
+        io = self.create_io(input, output, error_output)
+        try:
+            return super().run(io.input, io.output, io.error_output)
+        except CleoError as error:
+            self.render_error(error, io)
+            return ExitCode.USAGE
+        except Exception as error:
+            self.render_error(error, io)
+            return ExitCode.INTERNAL
+
+
+def build_application(runner: Runner = run_in_reactor) -> Application:
+    """Return the application with all its commands.
+
+    Parameters
+    ----------
+    runner : Runner
+        Runs the coroutine of a command.
+
+    Returns
+    -------
+    Application
+        The application; it returns exit codes instead of exiting.
+    """
+    application = OperatorsTool("beryltrack", VERSION)
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    for command in COMMANDS:
+        application.add(command(runner))
+    return application
+
+
+def main() -> None:
+    """Run the tool on the arguments of this process."""
+    sys.exit(build_application().run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/beryltrack/command/runner.py
@@ -0,0 +1,73 @@
+"""Runs one command's coroutine in the reactor until it has its report."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+from twisted.internet.defer import Deferred
+
+from beryltrack.command.fetch import build_fetch
+from beryltrack.command.fleet import FetchStatus
+from beryltrack.command.report import Report
+from beryltrack.platform.client import PlatformClient
+
+
+class Tools(NamedTuple):
+    """What a command works with.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Clock of delays.
+    client : PlatformClient
+        Client of the platform.
+    fetch : callable
+        Returns the status of the instance at an endpoint.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    reactor: object
+    client: PlatformClient
+    fetch: FetchStatus
+    rng: random.Random
+
+
+Action = Callable[[Tools], Awaitable[Report]]
+
+
+class Runner(Protocol):
+    """Runs an action to its end."""
+
+    def __call__(self, platform_url: str, action: Action) -> Report:
+        """Return the report of an action on the platform at an address."""
+        ...
+
+
+def run_in_reactor(platform_url: str, action: Action) -> Report:
+    """Run an action in the reactor of this process.
+
+    Raises
+    ------
+    RuntimeError
+        If the action was interrupted or failed by a fault of the tool.
+    """
+    from twisted.internet import reactor
+
+    outcomes = []
+    client = PlatformClient(reactor, platform_url)
+    tools = Tools(reactor, client, build_fetch(reactor), random.Random())
+
+    def begin() -> None:
+        call = Deferred.fromCoroutine(action(tools))
+        call.addBoth(outcomes.append)
+        call.addBoth(lambda _: client.close())
+        call.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    if not outcomes:
+        raise RuntimeError("interrupted before the outcome was known")
+    if not isinstance(outcomes[0], Report):
+        outcomes[0].raiseException()
+    return outcomes[0]
--- a/beryltrack/daemon/status.py
+++ b/beryltrack/daemon/status.py
@@ -1,20 +1,13 @@
 """The status that an instance reports of itself, and its JSON form.
 
-The daemon fills these tuples, the operators' tool reads them. `cattrs` converts
-them to JSON and back.
+The daemon fills these tuples, the operators' tool reads them.
 """
 
 from typing import NamedTuple
 
-import cattrs
-from cattrs.cols import (
-    is_namedtuple,
-    namedtuple_dict_structure_factory,
-    namedtuple_dict_unstructure_factory,
-)
-
 from beryltrack.daemon.metrics import Counters
 from beryltrack.findings import Finding
+from beryltrack.json_form import from_json, to_json
 
 
 class ObjectVersion(NamedTuple):
@@ -114,24 +107,9 @@
     counters: Counters
 
 
-def _build_converter() -> cattrs.Converter:
-    """Return a converter that turns named tuples into JSON objects."""
-    converter = cattrs.Converter()
-    converter.register_unstructure_hook_factory(
-        is_namedtuple, lambda kind: namedtuple_dict_unstructure_factory(kind, converter)
-    )
-    converter.register_structure_hook_factory(
-        is_namedtuple, lambda kind: namedtuple_dict_structure_factory(kind, converter)
-    )
-    return converter
-
-
-_CONVERTER = _build_converter()
-
-
 def encode_status(status: InstanceStatus) -> dict[str, object]:
     """Return a status as a JSON object."""
-    return _CONVERTER.unstructure(status)
+    return to_json(status)
 
 
 def parse_status(value: object) -> InstanceStatus:
@@ -142,7 +120,4 @@
     ValueError
         If a field is missing or of another type.
     """
-    try:
-        return _CONVERTER.structure(value, InstanceStatus)
-    except (cattrs.BaseValidationError, AttributeError, TypeError) as error:
-        raise ValueError(f"no status of an instance: {error}") from error
+    return from_json(value, InstanceStatus)
