Test the stand-ins, and split their connection by duty

Change: connection.py keeps start-up and passwords, requests.py the requests, writer.py what is sent. Passwords work with libpq, which leaves the user's name out of SCRAM. Nested casts are translated. A frozen database does not go on with what its statements waited for. Tests under a clock for transactions, slots, lag, isolation, discarded tails, freezing and the control functions; tests with psycopg and over HTTP.

--- a/beryltrack_standins/database/dialect.py
+++ b/beryltrack_standins/database/dialect.py
@@ -85,8 +85,10 @@
 _TWO_WORD_TAGS = ("CREATE", "DROP", "ALTER", "DISCARD")
 _TAGS = {"START": "BEGIN", "END": "COMMIT", "ABORT": "ROLLBACK"}
 _STRING = r"'(?:[^']|'')*'"
+# One pair of brackets inside another is as deep as the fix-ups look.
+_BRACKETS = r"\((?:[^()]|\([^()]*\))*\)"
 _CAST = re.compile(
-    rf"(?P<operand>{_STRING}|\$\d+|\w+(?:\.\w+)?(?:\([^()]*\))?|\([^()]*\))"
+    rf"(?P<operand>{_STRING}|\$\d+|\w+(?:\.\w+)?(?:{_BRACKETS})?|{_BRACKETS})"
     rf"::(?P<type>\w+(?:\(\d+\))?(?:\[\])?)|{_STRING}"
 )
 _SERIES = re.compile(
--- a/beryltrack_standins/database/server.py
+++ b/beryltrack_standins/database/server.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import Factory
 
 from beryltrack.settings.messages import Endpoint
-from beryltrack_standins.database.connection import DatabaseConnection
+from beryltrack_standins.database.connection import CancelKey, DatabaseConnection
 from beryltrack_standins.database.database import Database
 from beryltrack_standins.database.session import Session, SessionLimits
 
@@ -46,21 +46,6 @@
     users: dict[str, str] | None = None
 
 
-class CancelKey(NamedTuple):
-    """What a cancel request names.
-
-    Parameters
-    ----------
-    process_id : int
-        Number of the connection.
-    secret : bytes
-        Its secret.
-    """
-
-    process_id: int
-    secret: bytes
-
-
 class ConnectionCounts(NamedTuple):
     """The connections of a database.
 
@@ -97,8 +82,6 @@
         Source of the secrets of cancel keys.
     """
 
-    CONTROL_APPLICATION = "beryltrack-control"
-
     noisy = False
 
     def __init__(
@@ -151,7 +134,6 @@
         self.database.frozen = frozen
         if not frozen:
             for connection in [*self._connections.values()]:
-                connection.flush()
                 connection.pump()
 
     def buildProtocol(self, addr) -> DatabaseConnection:
@@ -180,19 +162,22 @@
         self._peak = max(self._peak, self.counts.open)
         return True
 
-    def cancel(self, process_id: int, secret: bytes) -> None:
+    def cancel(self, key: CancelKey) -> None:
         """Cancel the statement of a connection if the secret is right."""
-        connection = self._connections.get(process_id)
-        if connection is not None and connection.key.secret == secret:
+        connection = self._connections.get(key.process_id)
+        if connection is not None and connection.key == key:
             connection.cancel()
 
     def make_session(self) -> Session:
         """Return the session of a new connection."""
         return Session(self.clock, self.database, self._limits)
 
-    def make_scram_server(self) -> scramp.core.ScramServer:
-        """Return the server's side of a password check."""
-        return self._mechanism.make_server(self._get_secret)
+    def make_scram_server(self, user: str) -> scramp.core.ScramServer:
+        """Return the server's side of a password check.
+
+        PostgreSQL takes the user from the start-up message, not from SCRAM.
+        """
+        return self._mechanism.make_server(lambda _: self._get_secret(user))
 
     def _get_secret(self, user: str):
         """Return what is known of a user's password."""
--- a/beryltrack_standins/database/session.py
+++ b/beryltrack_standins/database/session.py
@@ -35,6 +35,8 @@
 
 # Column types are seen from this many first rows.
 FIRST_ROWS = 256
+# A frozen database looks this often whether it may go on, seconds.
+FROZEN_INTERVAL = 0.005
 
 _RETURNING_KINDS = (StatementKind.READ, StatementKind.LOCK)
 
@@ -264,9 +266,13 @@
         """Wait for something in a way that `cancel` ends."""
         self._waiting = deferred
         try:
-            return await deferred
+            result = await deferred
         finally:
             self._waiting = None
+        # A frozen database goes on only after it thaws, whatever became ready.
+        while self._database.frozen:
+            await deferLater(self._clock, FROZEN_INTERVAL)
+        return result
 
     def _run_set(self, statement: Statement) -> Answer:
         """Accept SET, RESET, DISCARD and the like."""
--- a/beryltrack_standins/database/values.py
+++ b/beryltrack_standins/database/values.py
@@ -47,6 +47,16 @@
         raise SqlError(PROTOCOL_VIOLATION, text) from error
 
 
+def spread_formats(formats: Sequence[int], count: int) -> Sequence[int]:
+    """Return one format for each of `count` values, as the protocol reads a list.
+
+    None stands for all in text, one for all alike.
+    """
+    if len(formats) == count:
+        return formats
+    return [formats[0] if formats else 0] * count
+
+
 def get_column_oids(rows: Sequence[Sequence[Value]], width: int) -> tuple[int, ...]:
     """Return the type of each column, seen from the first rows."""
     columns = zip(*rows, strict=True) if rows else [()] * width
@@ -59,10 +69,11 @@
     """Return the columns of a row in the formats that the client asked for."""
     if not any(formats):
         return [_encode_text(value) for value in row]
-    formats = formats if len(formats) == len(row) else [formats[0]] * len(row)
     return [
         _encode_binary(value, oid) if is_binary else _encode_text(value)
-        for value, oid, is_binary in zip(row, oids, formats, strict=True)
+        for value, oid, is_binary in zip(
+            row, oids, spread_formats(formats, len(row)), strict=True
+        )
     ]
 
 
--- /dev/null
+++ b/beryltrack_standins/database/writer.py
@@ -0,0 +1,96 @@
+"""What a connection sends: messages in order, as fast as the client reads them."""
+
+from collections.abc import Callable
+
+from pygwire import BackendConnection, messages
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IPushProducer, ITCPTransport
+from zope.interface import implementer
+
+from beryltrack_standins.database.errors import SqlError
+
+
+@implementer(IPushProducer)
+class MessageWriter:
+    """Collects messages and hands them to the transport.
+
+    Parameters
+    ----------
+    transport : ITCPTransport
+        The connection.
+    wire : BackendConnection
+        The state of the protocol.
+    is_frozen : callable
+        Returns whether the database answers nothing at present.
+    """
+
+    def __init__(
+        self,
+        transport: ITCPTransport,
+        wire: BackendConnection,
+        is_frozen: Callable[[], bool],
+    ):
+        self.closed = False
+        self._transport = transport
+        self._wire = wire
+        self._is_frozen = is_frozen
+        self._pending: list[bytes] = []
+        self._resumed: Deferred[None] | None = None
+        transport.registerProducer(self, True)
+
+    def pauseProducing(self) -> None:
+        """Hold back rows until the client has read more."""
+        if self._resumed is None:
+            self._resumed = Deferred()
+
+    def resumeProducing(self) -> None:
+        """Go on sending rows."""
+        resumed, self._resumed = self._resumed, None
+        if resumed is not None:
+            resumed.callback(None)
+
+    def stopProducing(self) -> None:
+        """Send no more rows; the connection is lost."""
+
+    def send(self, message: messages.PGMessage) -> None:
+        """Write a message that changes the phase of the protocol."""
+        self._pending.append(self._wire.send(message))
+
+    def write(self, message: messages.PGMessage) -> None:
+        """Write a message within a phase, without asking the state machine."""
+        self._pending.append(message.to_wire())
+
+    def write_error(self, error: SqlError, severity: str = "ERROR") -> None:
+        """Write an error."""
+        fields = {"S": severity, "V": severity, "C": error.sqlstate, "M": error.message}
+        self.write(messages.ErrorResponse(fields))
+
+    def flush(self) -> None:
+        """Send what was written, unless the database is frozen."""
+        if self._pending and not self.closed and not self._is_frozen():
+            self._transport.writeSequence(self._pending)
+            self._pending.clear()
+
+    async def wait_for_reader(self) -> None:
+        """Wait until the client has read most of what was sent."""
+        self.flush()
+        while self._resumed is not None and not self.closed:
+            await self._resumed
+
+    def note_lost(self) -> None:
+        """Note that the connection is gone, and end a wait for the client."""
+        self.closed = True
+        self.resumeProducing()
+
+    def close(self) -> None:
+        """Send what was written and close the connection."""
+        self.flush()
+        self.closed = True
+        self._transport.unregisterProducer()
+        self._transport.loseConnection()
+
+    def abort(self) -> None:
+        """Cut the connection at once."""
+        self.closed = True
+        self._transport.unregisterProducer()
+        self._transport.abortConnection()
--- /dev/null
+++ b/tests/standins/test_session.py
@@ -0,0 +1,99 @@
+"""Transactions, locks and slots of the stand-in databases under a clock."""
+
+from tests.standins.clock import ClockGroup, execute, get_state
+
+
+def make_group(**options):
+    group = ClockGroup(**options)
+    execute(group.make_session(), "CREATE TABLE t (id INTEGER PRIMARY KEY)")
+    return group
+
+
+def test_a_second_writer_waits_for_the_first_and_gives_up():
+    group = make_group()
+    first, second = group.make_session(), group.make_session()
+    execute(first, "BEGIN")
+    execute(first, "INSERT INTO t VALUES (1)")
+    waiting = execute(second, "INSERT INTO t VALUES (2)")
+    group.advance(4.9)
+    assert not waiting.called
+    group.advance(0.2)
+    assert get_state(waiting) == "55P03"
+
+
+def test_a_transaction_that_only_reads_blocks_no_writer():
+    group = make_group()
+    reader = group.make_session()
+    execute(reader, "BEGIN")
+    execute(reader, "SELECT * FROM t")
+    assert execute(group.make_session(), "INSERT INTO t VALUES (1)").called
+
+
+def test_a_statement_waits_for_a_slot():
+    group = make_group(slots=1)
+    first = execute(group.make_session(), "SELECT pg_sleep(1)")
+    second = execute(group.make_session(), "SELECT pg_sleep($1)", (1.0,))
+    group.advance(1.05)
+    assert first.called and not second.called
+    group.advance(1.0)
+    assert second.called
+
+
+def test_a_closed_session_releases_the_write_lock():
+    group = make_group()
+    lost = group.make_session()
+    execute(lost, "BEGIN")
+    execute(lost, "INSERT INTO t VALUES (1)")
+    lost.close()
+    assert execute(group.make_session(), "INSERT INTO t VALUES (1)").called
+    assert group.count_rows(0) == 1
+
+
+def test_a_savepoint_undoes_its_part_on_replicas_too():
+    group = make_group()
+    session = group.make_session()
+    for text in (
+        "BEGIN",
+        "INSERT INTO t VALUES (1)",
+        "SAVEPOINT s",
+        "INSERT INTO t VALUES (2)",
+        "ROLLBACK TO SAVEPOINT s",
+        "INSERT INTO t VALUES (3)",
+        "COMMIT",
+    ):
+        execute(session, text)
+    group.advance()
+    assert [group.count_rows(number) for number in range(3)] == [2, 2, 2]
+
+
+def test_the_commit_of_a_primary_that_was_replaced_is_refused_and_undone():
+    group = make_group()
+    session = group.make_session()
+    execute(session, "BEGIN")
+    execute(session, "INSERT INTO t VALUES (1)")
+    group.advance()
+    group.fail_over()
+    group.advance()
+    assert get_state(execute(session, "COMMIT")) == "25006"
+    assert [group.count_rows(number) for number in range(3)] == [0, 0, 0]
+
+
+def test_stopped_writes_resume_if_nobody_takes_over():
+    group = make_group()
+    execute(group.make_session(), "SELECT * FROM beryltrack_stop_writes(1)")
+    refused = execute(group.make_session(), "INSERT INTO t VALUES (1)")
+    assert get_state(refused) == "25006"
+    group.advance(2.1)
+    assert execute(group.make_session(), "INSERT INTO t VALUES (1)").called
+
+
+def test_the_time_and_random_numbers_are_the_same_on_replicas():
+    group = make_group()
+    execute(group.make_session(), "CREATE TABLE r (x, at DEFAULT now())")
+    execute(group.make_session(), "INSERT INTO r (x) VALUES (random())")
+    group.advance()
+    rows = [
+        list(execute(group.make_session(number), "SELECT * FROM r").result.rows)
+        for number in range(3)
+    ]
+    assert rows[0] == rows[1] == rows[2]
