--- a/beryltrack/command/commands.py
+++ b/beryltrack/command/commands.py
@@ -116,7 +116,7 @@
         return Author(
             self.option("who") or getpass.getuser(),
             self.option("why"),
-            datetime.now(UTC).isoformat(timespec="milliseconds"),
+            get_time(),
             uuid.uuid4().hex,
         )
 
@@ -131,6 +131,11 @@
         return self._run(apply)
 
 
+def get_time() -> str:
+    """Return the time now, UTC in ISO 8601."""
+    return datetime.now(UTC).isoformat(timespec="milliseconds")
+
+
 class SettingsGet(ToolCommand):
     """``settings get``."""
 
@@ -226,7 +231,7 @@
         wanted, findings = self._load_tree()
         if findings:
             return report_findings(findings)
-        return self._run(lambda tools: compute_diff(tools.client, wanted))
+        return self._run(lambda tools: compute_diff(tools.client, wanted, get_time()))
 
 
 class SettingsCheck(ToolCommand):
@@ -244,7 +249,7 @@
         wanted, findings = self._load_tree()
         if findings:
             return report_findings(findings)
-        report = self._run(lambda tools: compute_diff(tools.client, wanted))
+        report = self._run(lambda tools: compute_diff(tools.client, wanted, get_time()))
         if report.exit_code is ExitCode.OK:
             return report._replace(lines=("no findings",))
         return report
--- a/beryltrack/command/edits.py
+++ b/beryltrack/command/edits.py
@@ -132,7 +132,7 @@
             case Failure(error):
                 return report_platform(error)
             case Success(tree):
-                changes, findings = plan_changes(tree, wanted)
+                changes, findings = plan_changes(tree, wanted, self._author.when)
         if findings:
             return report_findings(findings)
         done = await self._write_all(changes, if_version)
@@ -206,14 +206,14 @@
 
 
 async def compute_diff(
-    client: PlatformClient, wanted: Mapping[str, Settings]
+    client: PlatformClient, wanted: Mapping[str, Settings], when: str
 ) -> Report:
     """Return what applying the wanted objects would change, writing nothing."""
     match await client.list(PREFIX):
         case Failure(error):
             return report_platform(error)
         case Success(tree):
-            changes, findings = plan_changes(tree, wanted)
+            changes, findings = plan_changes(tree, wanted, when)
     lines = tuple(line for change in changes for line in format_change(change))
     code = ExitCode.FINDINGS if findings else ExitCode.OK
     report = DiffReport(changes, findings)
--- a/beryltrack/settings/plan.py
+++ b/beryltrack/settings/plan.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping
+from itertools import chain
 from typing import NamedTuple
 
 from beryltrack.findings import Finding
@@ -14,6 +15,7 @@
 from beryltrack.settings.parsing import parse_settings
 from beryltrack.settings.paths import parse_path
 from beryltrack.settings.stored import get_settings
+from beryltrack.settings.transitions import validate_transition
 
 Settings = dict[str, object] | None
 
@@ -41,7 +43,7 @@
 
 
 def plan_changes(
-    tree: ObjectList, wanted: Mapping[str, Settings]
+    tree: ObjectList, wanted: Mapping[str, Settings], when: str
 ) -> tuple[tuple[PlannedChange, ...], tuple[Finding, ...]]:
     """Return the changes that make the tree hold the wanted objects.
 
@@ -51,6 +53,8 @@
         All settings objects in the store.
     wanted : mapping of str to dict or None
         Settings by path; None deletes an object.
+    when : str
+        Time of the change, UTC in ISO 8601.
 
     Returns
     -------
@@ -65,7 +69,14 @@
     findings = tuple(
         finding for path, after in wanted.items() for finding in _check(path, after)
     )
-    return changes, findings or _find_clashes(tree, changes)
+    if findings:
+        return changes, findings
+    transitions = (
+        validate_transition(present[change.path], change.after, when)
+        for change in changes
+        if change.path in present
+    )
+    return changes, tuple(chain(*transitions)) + _find_clashes(tree, changes)
 
 
 def _plan_change(
--- /dev/null
+++ b/beryltrack/settings/reference.py
@@ -0,0 +1,133 @@
+"""Writes docs/SETTINGS.md from the options table.
+
+``python -m beryltrack.settings.reference docs/SETTINGS.md`` writes the page; a
+test compares it with the table.
+"""
+
+import json
+import sys
+from pathlib import Path
+
+from beryltrack.settings.options import (
+    INSTANCE,
+    REQUIRED,
+    SITE_TABLES,
+    Option,
+    OptionKind,
+    OptionTable,
+)
+
+HEAD = """# Settings
+
+Made from `beryltrack/settings/options.py` by
+`python -m beryltrack.settings.reference docs/SETTINGS.md`; change it there.
+
+Settings are JSON objects in the platform's store, under paths
+`settings/TEAM/KIND/NAME`. A team's subtree is `settings/TEAM/`; the kinds are
+`groups`, `rules` and `users`. Names have letters, digits, `_`, `.` and `-`, at
+most 63 of them. [OPERATORS.md](OPERATORS.md) tells how they are changed.
+
+What the table cannot say is checked too. In a group: no two databases of one name
+or endpoint, no more slots than connections, at least one database that is not
+draining. In a rule: reads of the primary have no staleness. A user needs a secret
+or trust, not both. Between objects: names of groups and of users are unique over
+all teams (the object created first has the name, the other is not in force); a
+rule that names a group or user that its team has not is not in force; two groups
+should not share an endpoint.
+"""
+EXAMPLES = {
+    "groups": {
+        "user": "proxy",
+        "password": "",
+        "max_age": 0,
+        "databases": [
+            {
+                "name": f"orders-{number}",
+                "endpoint": {"host": f"10.0.{number}.5", "port": 5432},
+                "zone": f"zone-{zone}",
+                "max_connections": 20,
+            }
+            for number, zone in ((1, "a"), (2, "b"), (3, "c"))
+        ],
+    },
+    "rules": {"group": "orders", "statement": "FROM versions", "max_age": 5},
+    "users": {"trust": True},
+    "instance": {
+        "name": "proxy-1",
+        "zone": "zone-a",
+        "listen": {"host": "10.0.1.9", "port": 5432},
+        "peer_listen": {"host": "10.0.1.9", "port": 5433},
+        "health_listen": {"host": "10.0.1.9", "port": 8080},
+        "platform_url": "http://10.0.0.2:8000",
+        "peer_key": "at least sixteen characters",
+    },
+}
+
+
+def format_page() -> str:
+    """Return the text of docs/SETTINGS.md."""
+    sections = [format_table(table) for table in (*SITE_TABLES, INSTANCE)]
+    return "\n".join([HEAD, *sections])
+
+
+def format_table(table: OptionTable) -> str:
+    """Return the section of one kind of object."""
+    nested = [option for option in table.options if option.columns]
+    title = "The instance's file" if table is INSTANCE else f"Kind `{table.kind}`"
+    example = json.dumps(EXAMPLES[table.kind], indent=2)
+    parts = [
+        f"## {title}\n",
+        f"{table.doc}\n",
+        _format_options(table.options),
+        *(
+            f"Each object in `{option.name}`:\n\n{_format_options(option.columns)}"
+            for option in nested
+        ),
+        f"```json\n{example}\n```\n",
+    ]
+    return "\n".join(parts)
+
+
+def _format_options(options: tuple[Option, ...]) -> str:
+    """Return the rows of a table of options."""
+    head = "| option | value | default | bounds | meaning |\n|---|---|---|---|---|\n"
+    return head + "".join(_format_option(option) for option in options)
+
+
+def _format_option(option: Option) -> str:
+    """Return the row of one option."""
+    cells = (
+        f"`{option.name}`",
+        " or ".join(f"`{choice}`" for choice in option.choices) or option.kind.value,
+        "required" if option.default is REQUIRED else f"`{json.dumps(option.default)}`",
+        _format_bounds(option),
+        option.doc,
+    )
+    return f"| {' | '.join(cells)} |\n"
+
+
+def _format_bounds(option: Option) -> str:
+    """Return what bounds an option's value, with its unit."""
+    unit = {
+        OptionKind.TEXT: "characters",
+        OptionKind.TABLE: "objects",
+        OptionKind.ENDPOINT: "(port)",
+    }.get(option.kind, option.unit)
+    low, high = (
+        "" if bound is None else f"{bound:g}"
+        for bound in (option.minimum, option.maximum)
+    )
+    if low and high:
+        return f"{low} to {high} {unit}"
+    if low:
+        return f"from {low} {unit}"
+    return f"up to {high} {unit}" if high else ""
+
+
+def main() -> None:
+    """Write the page to the file that the first argument names."""
+    Path(sys.argv[1]).write_text(format_page())
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/settings/test_plan.py
+++ b/tests/settings/test_plan.py
@@ -1,9 +1,10 @@
 """What an operator sees before a change is written."""
 
 from beryltrack.platform.messages import ObjectList
-from beryltrack.settings.plan import plan_changes
+from beryltrack.settings.plan import plan_changes as plan_changes_at
 from tests.settings.examples import GROUP_PATH, RULE_PATH, make_group, make_object
 
+WHEN = "2026-02-01T12:00:00+00:00"
 TREE = ObjectList(
     9,
     (
@@ -14,6 +15,10 @@
 )
 
 
+def plan_changes(tree, wanted):
+    return plan_changes_at(tree, wanted, WHEN)
+
+
 def test_only_what_differs_is_changed():
     wanted = {GROUP_PATH: make_group(), RULE_PATH: {"max_age": 2}}
     changes, findings = plan_changes(TREE, wanted)
--- /dev/null
+++ b/tests/settings/test_reference.py
@@ -0,0 +1,40 @@
+"""The reference page is what the options table says, and its examples hold."""
+
+import json
+from pathlib import Path
+
+from beryltrack.settings.instance_file import load_instance_settings
+from beryltrack.settings.messages import (
+    DatabaseSettings,
+    GroupSettings,
+    InstanceSettings,
+    RuleSettings,
+)
+from beryltrack.settings.options import DATABASE_OPTIONS, GROUPS, INSTANCE, RULES
+from beryltrack.settings.parsing import parse_settings
+from beryltrack.settings.reference import EXAMPLES, format_page
+
+PAGE = Path(__file__).parents[2] / "docs" / "SETTINGS.md"
+
+
+def test_page_is_up_to_date():
+    assert PAGE.read_text() == format_page()
+
+
+def test_examples_of_the_page_can_be_used():
+    for kind in ("groups", "rules", "users"):
+        assert parse_settings(f"settings/shop/{kind}/x", EXAMPLES[kind])[1] == ()
+    assert load_instance_settings(json.dumps(EXAMPLES["instance"]), "f")[1] == ()
+
+
+def test_each_option_has_its_field_and_each_field_its_option():
+    by_path = {"name", "team"}
+    for options, kind in (
+        (GROUPS.options, GroupSettings),
+        (RULES.options, RuleSettings),
+        (DATABASE_OPTIONS, DatabaseSettings),
+        (INSTANCE.options, InstanceSettings),
+    ):
+        names = {option.name for option in options}
+        assert names - set(kind._fields) == set()
+        assert set(kind._fields) - names <= by_path
