Share each database's connections between proxies

Cause: the total of a database is a hard limit over all proxies, fixed shares leave connections idle while callers wait elsewhere, and proxies see different members at the same time.

--- /dev/null
+++ b/beryltrack/connections/deadline_queue.py
@@ -0,0 +1,55 @@
+"""Requests that wait for a connection, in the order of their deadlines."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from sortedcontainers import SortedSet
+
+
+class QueuedWaiter(NamedTuple):
+    """A waiter in its order: earliest deadline first, then first come.
+
+    Parameters
+    ----------
+    deadline : float
+        Time by which the request must be done, seconds.
+    waiter : int
+        Number of the request.
+    """
+
+    deadline: float
+    waiter: int
+
+
+class DeadlineQueue:
+    """A queue from which waiters may leave at any place."""
+
+    def __init__(self):
+        self._queue: SortedSet = SortedSet()
+        self._deadlines: dict[int, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._deadlines)
+
+    def __iter__(self) -> Iterator[QueuedWaiter]:
+        return iter(self._queue)
+
+    @property
+    def first(self) -> QueuedWaiter:
+        """The waiter with the earliest deadline; the queue must not be empty."""
+        return self._queue[0]
+
+    def find_place(self, waiter: QueuedWaiter) -> int:
+        """Return how many waiters are before this one, or would be."""
+        return self._queue.bisect_left(waiter)
+
+    def add(self, waiter: QueuedWaiter) -> None:
+        """Add a waiter."""
+        self._queue.add(waiter)
+        self._deadlines[waiter.waiter] = waiter.deadline
+
+    def remove(self, number: int) -> None:
+        """Remove a waiter by its number; an unknown one changes nothing."""
+        deadline = self._deadlines.pop(number, None)
+        if deadline is not None:
+            self._queue.remove(QueuedWaiter(deadline, number))
--- /dev/null
+++ b/beryltrack/connections/loan_policy.py
@@ -0,0 +1,40 @@
+"""The figures that steer the loans of connections."""
+
+from typing import NamedTuple
+
+
+class LoanPolicy(NamedTuple):
+    """All times are in seconds.
+
+    Parameters
+    ----------
+    duration : float
+        How long a loan lasts without renewal.
+    margin : float
+        What the lender adds, against clocks of different rates.
+    renew_after : float
+        Age of the last renewal at which the borrower asks for the next.
+    soft_end : float
+        Time before the end in which a loan is not used for new work.
+    demand_window : float
+        How long a peak of demand keeps connections from being lent.
+    recall_limit : float
+        Time after a recall from which a loan is not renewed.
+    repeat_period : float
+        Time after which an unanswered request or recall is sent again.
+    first_pause, most_pause : float
+        Bounds of the doubling pause after a lender's refusal.
+    most_asked : int
+        Most lenders to ask at the same time.
+    """
+
+    duration: float = 2.0
+    margin: float = 0.25
+    renew_after: float = 0.7
+    soft_end: float = 0.3
+    demand_window: float = 1.0
+    recall_limit: float = 10.0
+    repeat_period: float = 0.3
+    first_pause: float = 0.25
+    most_pause: float = 4.0
+    most_asked: int = 2
--- /dev/null
+++ b/beryltrack/connections/loans.py
@@ -0,0 +1,190 @@
+"""One database's connections at one proxy: what is own, lent and borrowed.
+
+A loan lasts a bounded time. The borrower counts it from when it *sent* its
+request, the lender from when it granted it and with a margin on top, each on
+its own clock. So the borrower's right lapses before the lender uses the
+connections again, whatever is lost, late or repeated, as long as the clocks
+run at the same rate within the margin. What is returned or recalled early only
+makes the exchange faster; the proof does not rest on it.
+"""
+
+from beryltrack.connections.borrower import Borrower
+from beryltrack.connections.budget_messages import (
+    BudgetMessage,
+    DatabaseUse,
+    LoanGrant,
+    LoanRecall,
+    LoanRefusal,
+    LoanRenewal,
+    LoanRequest,
+    LoanReturn,
+    SendToHolder,
+)
+from beryltrack.connections.lender import Lender
+from beryltrack.connections.loan_policy import LoanPolicy
+
+
+class LoanBook:
+    """What a proxy may open at one database.
+
+    Each call that decides takes the pool's use at that very moment: what the
+    pool still has open is never given away.
+
+    Parameters
+    ----------
+    key : str
+        The database's key.
+    policy : LoanPolicy
+        The figures that steer loans.
+    """
+
+    def __init__(self, key: str, policy: LoanPolicy):
+        self._policy = policy
+        self._lender = Lender(key, policy)
+        self._borrower = Borrower(key, policy)
+        self._own = 0
+        self._usable = 0
+        self._use = DatabaseUse(0, 0, 0)
+        self._peak = 0
+        self._peak_at = float("-inf")
+
+    @property
+    def lent_count(self) -> int:
+        """Connections that are lent to others."""
+        return self._lender.lent_count
+
+    @property
+    def is_quiet(self) -> bool:
+        """True if nothing is lent, borrowed, asked for or short."""
+        return (
+            self._borrower.is_quiet
+            and not self._lender.lent_count
+            and not self._lender.promised_count
+            and self._use.demand <= self._usable
+        )
+
+    def set_own(self, own: int, usable: int) -> None:
+        """Set the connections of the held seats.
+
+        Parameters
+        ----------
+        own : int
+            Connections of all seats that are held.
+        usable : int
+            The same without seats that are being given up.
+        """
+        self._own = own
+        self._usable = usable
+
+    def can_shrink(self, use: DatabaseUse, now: float) -> bool:
+        """Return whether what is own but not usable can be given up now."""
+        rest = self._usable - self.lent_count
+        return rest >= 0 and rest + self._borrower.compute_held(now) >= use.open
+
+    def get_limit(self, now: float) -> int:
+        """Return the most connections for new work."""
+        kept = self._usable - self.lent_count - self._lender.promised_count
+        return max(0, kept + self._borrower.compute_usable(now))
+
+    def get_right(self, now: float) -> int:
+        """Return the most connections that may exist; it lapses by time alone."""
+        return max(0, self._own - self.lent_count + self._borrower.compute_held(now))
+
+    def get_wakeup(self, now: float) -> float | None:
+        """Return when `tick` is next due, or None if nothing waits for time."""
+        if self.is_quiet:
+            return None
+        ends = [end for end in self._borrower.get_ends() if end > now]
+        return min([now + self._policy.repeat_period, *ends])
+
+    def receive(
+        self, sender: str, message: BudgetMessage, use: DatabaseUse, now: float
+    ) -> list[SendToHolder]:
+        """Take in a message of another proxy and return the answers."""
+        self._observe_use(use, now)
+        match message:
+            case LoanRequest():
+                answers = self._lender.promise(sender, message, self._spare, now)
+                return answers + self._grant_promises(now)
+            case LoanRenewal():
+                is_short = self.lent_count > self._usable
+                return self._lender.receive_renewal(sender, message, is_short, now)
+            case LoanReturn():
+                self._lender.receive_return(sender, message)
+            case LoanGrant():
+                return self._borrower.receive_grant(sender, message, now)
+            case LoanRefusal():
+                self._borrower.receive_refusal(sender, message, now)
+            case LoanRecall():
+                self._borrower.receive_recall(sender, message, now)
+                return self._return_unwanted(now)
+        return []
+
+    def tick(
+        self, lenders: tuple[str, ...], use: DatabaseUse, now: float
+    ) -> list[SendToHolder]:
+        """Do what is due.
+
+        Parameters
+        ----------
+        lenders : tuple of str
+            Other holders of seats that own this database.
+        use : DatabaseUse
+            The pool's use now.
+        now : float
+            The current time, seconds.
+
+        Returns
+        -------
+        list of SendToHolder
+            Messages to send.
+        """
+        self._observe_use(use, now)
+        self._lender.drop_ended(now)
+        self._borrower.drop_ended(now)
+        return [
+            *self._grant_promises(now),
+            *self._return_unwanted(now),
+            *self._borrower.renew(now),
+            *self._borrow(lenders, now),
+            *self._recall(now),
+        ]
+
+    @property
+    def _spare(self) -> int:
+        """Connections that are not needed here.
+
+        A borrower lends nothing: what it lent could outlast its own loan.
+        """
+        if self._borrower.has_loans:
+            return 0
+        kept = self._usable - self.lent_count - self._lender.promised_count
+        return kept - self._peak
+
+    def _observe_use(self, use: DatabaseUse, now: float) -> None:
+        self._use = use
+        is_over = now - self._peak_at > self._policy.demand_window
+        if use.demand >= self._peak or is_over:
+            self._peak = use.demand
+            self._peak_at = now
+
+    def _grant_promises(self, now: float) -> list[SendToHolder]:
+        has_loans = self._borrower.has_loans
+        room = 0 if has_loans else self._usable - self.lent_count - self._use.open
+        return self._lender.grant_promises(room, now)
+
+    def _return_unwanted(self, now: float) -> list[SendToHolder]:
+        self._borrower.drop_surplus(self.get_limit(now) - self._peak)
+        return self._borrower.return_unwanted(self.get_right(now) - self._use.open)
+
+    def _borrow(self, lenders: tuple[str, ...], now: float) -> list[SendToHolder]:
+        missing = self._use.demand - self.get_limit(now)
+        if not self._use.waiting or missing <= 0 or self.lent_count:
+            return []
+        return self._borrower.borrow(missing, lenders, now)
+
+    def _recall(self, now: float) -> list[SendToHolder]:
+        """Ask back what is needed here, or what is lent of a seat given up."""
+        wanted = min(self._use.demand, self._usable) - self.get_limit(now)
+        over = self.lent_count - self._usable
+        return self._lender.recall(max(wanted, over), now)
--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -8,10 +8,8 @@
 import random
 from enum import Enum
 from itertools import count, takewhile
-from typing import NamedTuple
-
-from sortedcontainers import SortedDict
 
+from beryltrack.connections.deadline_queue import DeadlineQueue, QueuedWaiter
 from beryltrack.connections.messages import (
     CloseConnection,
     GiveConnection,
@@ -22,6 +20,7 @@
     RefusalReason,
     RefuseWaiter,
 )
+from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.connections.service_estimate import ServiceEstimate
 
 FIRST_HOLD_TIME = 0.005
@@ -32,38 +31,6 @@
 STUCK_FACTOR = 8.0
 
 
-class PoolPolicy(NamedTuple):
-    """The figures that steer a pool.
-
-    Parameters
-    ----------
-    queue_limit : int
-        Most requests that wait.
-    warm : int
-        Connections to keep open while nothing asks for them.
-    idle_timeout : float
-        Seconds after which a surplus idle connection is closed.
-    most_opening : int
-        Most connections to open at the same time.
-    first_backoff, most_backoff : float
-        Bounds of the wait after a failed open, seconds.
-    deviations : float
-        Mean deviations added to the hold time when a deadline is judged.
-    share_wait : float
-        Seconds that requests wait for a share of the connections to come free
-        when the pool has none.
-    """
-
-    queue_limit: int = 256
-    warm: int = 1
-    idle_timeout: float = 30.0
-    most_opening: int = 4
-    first_backoff: float = 0.05
-    most_backoff: float = 2.0
-    deviations: float = 2.0
-    share_wait: float = 0.25
-
-
 class _State(Enum):
     """Whether the pool takes work."""
 
@@ -71,13 +38,6 @@
     DRAINING = 2
 
 
-class _WaiterKey(NamedTuple):
-    """The order of the queue: earliest deadline, then first come."""
-
-    deadline: float
-    waiter: int
-
-
 class PoolDecider:
     """Decides who gets a connection, and when to open and close connections.
 
@@ -104,8 +64,7 @@
         self._idle: dict[int, float] = {}
         self._in_use: dict[int, float] = {}
         self._closing: set[int] = set()
-        self._waiters: SortedDict = SortedDict()
-        self._deadlines: dict[int, float] = {}
+        self._waiters = DeadlineQueue()
         self._hold = ServiceEstimate(FIRST_HOLD_TIME)
         self._open_time = ServiceEstimate(FIRST_OPEN_TIME)
         self._failures = 0
@@ -125,7 +84,7 @@
     @property
     def has_waiters(self) -> bool:
         """True if requests wait for a connection."""
-        return bool(self._waiters)
+        return len(self._waiters) > 0
 
     @property
     def is_drained(self) -> bool:
@@ -172,12 +131,11 @@
             return [self._refuse(waiter, RefusalReason.QUEUE_FULL, now)]
         if self._is_cut_off(now):
             return [self._refuse(waiter, RefusalReason.UNREACHABLE, now)]
-        key = _WaiterKey(deadline, waiter)
-        place = self._waiters.bisect_left(key)
+        queued = QueuedWaiter(deadline, waiter)
+        place = self._waiters.find_place(queued)
         if self._compute_finish(place, now) > deadline:
             return [self._refuse(waiter, RefusalReason.TOO_LATE, now)]
-        self._waiters[key] = now
-        self._deadlines[waiter] = deadline
+        self._waiters.add(queued)
         # Whoever now waits behind may have lost its last chance.
         is_last = place == len(self._waiters) - 1
         late = [] if is_last and self._limit else self._refuse_late(now)
@@ -185,7 +143,7 @@
 
     def cancel(self, waiter: int) -> list[PoolAction]:
         """Forget a waiter that does not want its connection any more."""
-        self._remove_waiter(waiter)
+        self._waiters.remove(waiter)
         return []
 
     def release(
@@ -352,11 +310,11 @@
     def _refuse_waiter(
         self, waiter: int, reason: RefusalReason, now: float
     ) -> RefuseWaiter:
-        self._remove_waiter(waiter)
+        self._waiters.remove(waiter)
         return self._refuse(waiter, reason, now)
 
     def _refuse_all(self, reason: RefusalReason, now: float) -> list[PoolAction]:
-        waiters = [key.waiter for key in self._waiters]
+        waiters = [queued.waiter for queued in self._waiters]
         return [self._refuse_waiter(waiter, reason, now) for waiter in waiters]
 
     def _refuse_late(self, now: float) -> list[PoolAction]:
@@ -364,9 +322,9 @@
         if self._is_dry_for_long(now):
             return self._refuse_all(RefusalReason.NO_SHARE, now)
         late, place = [], 0
-        for key in self._waiters:
-            if self._compute_finish(place, now) > key.deadline:
-                late.append(key.waiter)
+        for queued in self._waiters:
+            if self._compute_finish(place, now) > queued.deadline:
+                late.append(queued.waiter)
             else:
                 place += 1
         return [
@@ -382,11 +340,6 @@
             self._dry_since = now
         return now - self._dry_since > self._policy.share_wait
 
-    def _remove_waiter(self, waiter: int) -> None:
-        deadline = self._deadlines.pop(waiter, None)
-        if deadline is not None:
-            del self._waiters[_WaiterKey(deadline, waiter)]
-
     def _give(self, waiter: int, connection: int, now: float) -> GiveConnection:
         self._in_use[connection] = now
         return GiveConnection(waiter, connection)
@@ -399,11 +352,11 @@
         """Give a free connection to the first waiter that can still be done."""
         actions: list[PoolAction] = []
         while self._waiters:
-            key = self._waiters.keys()[0]
-            self._remove_waiter(key.waiter)
-            if now + self._compute_service() <= key.deadline:
-                return actions + [self._give(key.waiter, connection, now)]
-            actions.append(self._refuse(key.waiter, RefusalReason.TOO_LATE, now))
+            first = self._waiters.first
+            self._waiters.remove(first.waiter)
+            if now + self._compute_service() <= first.deadline:
+                return actions + [self._give(first.waiter, connection, now)]
+            actions.append(self._refuse(first.waiter, RefusalReason.TOO_LATE, now))
         self._idle[connection] = now
         return actions
 
--- /dev/null
+++ b/beryltrack/connections/pool_policy.py
@@ -0,0 +1,35 @@
+"""The figures that steer a pool of connections."""
+
+from typing import NamedTuple
+
+
+class PoolPolicy(NamedTuple):
+    """The figures that steer a pool.
+
+    Parameters
+    ----------
+    queue_limit : int
+        Most requests that wait.
+    warm : int
+        Connections to keep open while nothing asks for them.
+    idle_timeout : float
+        Seconds after which a surplus idle connection is closed.
+    most_opening : int
+        Most connections to open at the same time.
+    first_backoff, most_backoff : float
+        Bounds of the wait after a failed open, seconds.
+    deviations : float
+        Mean deviations added to the hold time when a deadline is judged.
+    share_wait : float
+        Seconds that requests wait for a share of the connections to come free
+        when the pool has none.
+    """
+
+    queue_limit: int = 256
+    warm: int = 1
+    idle_timeout: float = 30.0
+    most_opening: int = 4
+    first_backoff: float = 0.05
+    most_backoff: float = 2.0
+    deviations: float = 2.0
+    share_wait: float = 0.25
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -25,7 +25,8 @@
     RefusalReason,
     RefuseWaiter,
 )
-from beryltrack.connections.pool import LEAST_RETRY_AFTER, PoolDecider, PoolPolicy
+from beryltrack.connections.pool import LEAST_RETRY_AFTER, PoolDecider
+from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.settings.messages import DatabaseSettings
 
 log = logging.getLogger(__name__)
@@ -85,6 +86,10 @@
         """The pool's load now."""
         return self._decider.get_load(self._reactor.seconds())
 
+    @property
+    def _now(self) -> float:
+        return self._reactor.seconds()
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call `callback` after each change that may concern a budget."""
         self._listeners.append(callback)
@@ -150,10 +155,6 @@
         """Take work again after a drain."""
         self._perform(self._decider.resume(self._now))
 
-    @property
-    def _now(self) -> float:
-        return self._reactor.seconds()
-
     def _cancel(self, waiter: int) -> None:
         self._waiters.pop(waiter, None)
         self._perform(self._decider.cancel(waiter))
--- a/tests/connections/test_pool.py
+++ b/tests/connections/test_pool.py
@@ -13,7 +13,8 @@
     RefusalReason,
     RefuseWaiter,
 )
-from beryltrack.connections.pool import PoolDecider, PoolPolicy
+from beryltrack.connections.pool import PoolDecider
+from beryltrack.connections.pool_policy import PoolPolicy
 
 
 def make_pool(limit=1, **policy):
