Measure the steady share of replica reads against an oracle

Cause: the users weigh the share of reads that replicas serve, and nothing measured it. Change: beryltrack-bench steady runs GroupTask and choose_target under a workload for each deployment, beside an oracle and two baselines; the bench's clock keeps its calls in order instead of sorting them at each step; confirm_samples takes no samples at all (a status before the first sample made it raise, which the run showed).

--- a/beryltrack/groups/samples.py
+++ b/beryltrack/groups/samples.py
@@ -102,7 +102,7 @@
     ]
     return tuple(
         sample
-        for sample, following in zip(marked, [*marked[1:], None], strict=True)
+        for sample, following in zip(marked, [*marked[1:], None], strict=False)
         if following is None
         or not following.confirmed
         or following.position != sample.position
--- a/beryltrack_bench/fakes/nodes.py
+++ b/beryltrack_bench/fakes/nodes.py
@@ -12,9 +12,10 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
-from twisted.internet.task import Clock
 from zope.interface import implementer
 
+from beryltrack_bench.fakes.clock import OrderedClock
+
 
 class Step(NamedTuple):
     """One thing that happened at a seam, where a fault can strike.
@@ -50,7 +51,7 @@
     """The clock, the observer and the nodes of one run."""
 
     def __init__(self, observer: Observer = ignore_step):
-        self.clock = Clock()
+        self.clock = OrderedClock()
         self.observer = observer
         self.nodes: dict[str, Node] = {}
 
--- /dev/null
+++ b/beryltrack_bench/steady/__init__.py
@@ -0,0 +1,1 @@
+"""The steady workload: sessions that roam, replicas that lag, and an oracle."""
--- /dev/null
+++ b/beryltrack_bench/steady/workload.py
@@ -0,0 +1,206 @@
+"""The workload of a deployment, typed, and the visits that callers make by it.
+
+A visit is what a session does in a short while: some writes, then some reads,
+each request through a proxy of its own, as the balancer spreads them.
+"""
+
+from itertools import accumulate, chain, repeat, takewhile
+from random import Random
+from typing import NamedTuple
+
+
+class VisitModel(NamedTuple):
+    """One kind of visit.
+
+    Parameters
+    ----------
+    name : str
+        What the visit is for.
+    rate : float
+        Visits a second at one group.
+    writes : int
+        Writes at the beginning of a visit.
+    reads : int
+        Reads after them.
+    think_median : float
+        Median of the seconds between two requests of a visit.
+    max_age : float
+        Staleness that the reads accept, seconds.
+    known : float
+        Share of the visits that carry a token.
+    """
+
+    name: str
+    rate: float
+    writes: int
+    reads: int
+    think_median: float
+    max_age: float
+    known: float
+
+
+class ServiceModel(NamedTuple):
+    """How long statements run.
+
+    Parameters
+    ----------
+    read_median, write_median : float
+        Medians, seconds.
+    sigma : float
+        Standard deviation of the logarithm of a time.
+    """
+
+    read_median: float
+    write_median: float
+    sigma: float
+
+
+class StallModel(NamedTuple):
+    """How replicas fall far behind: they apply nothing for a while.
+
+    Parameters
+    ----------
+    interval : float
+        Mean seconds between two stalls of one replica.
+    median : float
+        Median length of a stall, seconds.
+    sigma : float
+        Standard deviation of the logarithm of a length.
+    """
+
+    interval: float
+    median: float
+    sigma: float
+
+
+class Workload(NamedTuple):
+    """What callers do at one group, and how its databases run it.
+
+    Parameters
+    ----------
+    visits : tuple of VisitModel
+        The kinds of visits.
+    think_sigma : float
+        Standard deviation of the logarithm of the times between requests.
+    service : ServiceModel
+        How long statements run.
+    stalls : StallModel
+        How replicas fall far behind.
+    """
+
+    visits: tuple[VisitModel, ...]
+    think_sigma: float
+    service: ServiceModel
+    stalls: StallModel
+
+
+class Visit(NamedTuple):
+    """One visit of one session.
+
+    Parameters
+    ----------
+    session : str
+        Name of the session, unique.
+    at : float
+        When it begins, seconds.
+    model : VisitModel
+        Its kind.
+    is_known : bool
+        True if it carries a token.
+    """
+
+    session: str
+    at: float
+    model: VisitModel
+    is_known: bool
+
+
+class Stall(NamedTuple):
+    """One stall of one replica.
+
+    Parameters
+    ----------
+    database : str
+        Name of the replica.
+    at : float
+        When it begins, seconds.
+    length : float
+        How long nothing is applied, seconds.
+    """
+
+    database: str
+    at: float
+    length: float
+
+
+def load_workload(value: dict) -> Workload:
+    """Return the typed form of a deployment's checked ``workload`` object."""
+    return Workload(
+        tuple(VisitModel(**visit) for visit in value["visits"]),
+        value["think_sigma"],
+        ServiceModel(**value["service"]),
+        StallModel(**value["stalls"]),
+    )
+
+
+def make_visits(workload: Workload, seconds: float, rng: Random) -> tuple[Visit, ...]:
+    """Return the visits of a run, in the order in which they begin.
+
+    Parameters
+    ----------
+    workload : Workload
+        The workload.
+    seconds : float
+        Length of the run.
+    rng : Random
+        Source of the arrivals, which are a Poisson process.
+
+    Returns
+    -------
+    tuple of Visit
+        All visits.
+    """
+    begun = sorted(
+        chain.from_iterable(
+            ((at, model) for at in _make_arrivals(model.rate, seconds, rng))
+            for model in workload.visits
+        )
+    )
+    return tuple(
+        Visit(f"{model.name}-{number}", at, model, rng.random() < model.known)
+        for number, (at, model) in enumerate(begun)
+    )
+
+
+def make_stalls(
+    model: StallModel, databases: tuple[str, ...], seconds: float, rng: Random
+) -> tuple[Stall, ...]:
+    """Return the stalls of a run.
+
+    Parameters
+    ----------
+    model : StallModel
+        How replicas stall.
+    databases : tuple of str
+        The replicas.
+    seconds : float
+        Length of the run.
+    rng : Random
+        Source of their times.
+
+    Returns
+    -------
+    tuple of Stall
+        All stalls.
+    """
+    return tuple(
+        Stall(database, at, model.median * rng.lognormvariate(0.0, model.sigma))
+        for database in databases
+        for at in _make_arrivals(1.0 / model.interval, seconds, rng)
+    )
+
+
+def _make_arrivals(rate: float, seconds: float, rng: Random) -> list[float]:
+    """Return the times of a Poisson process."""
+    gaps = (rng.expovariate(each) for each in repeat(rate))
+    return list(takewhile(lambda at: at < seconds, accumulate(gaps)))
--- /dev/null
+++ b/tests/bench/test_clock.py
@@ -0,0 +1,41 @@
+"""The clock of the experiments, against the library's."""
+
+from random import Random
+
+import pytest
+from twisted.internet.task import Clock
+
+from beryltrack_bench.fakes.clock import OrderedClock
+
+
+def _run(clock: Clock, seed: int) -> list[tuple[float, int]]:
+    """Plan, put off and cancel calls at random times; return what ran when."""
+    rng = Random(seed)
+    ran = []
+
+    def note(number: int, again: bool) -> None:
+        ran.append((clock.seconds(), number))
+        if again:
+            clock.callLater(0.5, note, number + 1000, False)
+
+    for number in range(60):
+        call = clock.callLater(10 * rng.random(), note, number, rng.random() < 0.3)
+        later, change = 5 * rng.random(), rng.choice(["", "cancel", "reset", "delay"])
+        if change:
+            getattr(call, change)(*([] if change == "cancel" else [later]))
+        clock.advance(0.2)
+    clock.advance(100)
+    return ran
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_calls_run_as_by_the_library(seed):
+    assert _run(OrderedClock(), seed) == _run(Clock(), seed)
+
+
+def test_calls_of_one_time_run_in_the_order_in_which_they_were_planned():
+    clock, ran = OrderedClock(), []
+    for number in range(5):
+        clock.callLater(1.0, ran.append, number)
+    clock.advance(1.0)
+    assert ran == [0, 1, 2, 3, 4]
