--- /dev/null
+++ b/beryltrack/daemon/local.py
@@ -0,0 +1,117 @@
+"""The process of the local site: it tells where all listens, and makes the tour."""
+
+import json
+import logging
+import sys
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from beryltrack.daemon.local_site import GROUP, USER, LocalProxies
+from beryltrack.daemon.tour import run_tour
+from beryltrack.settings.messages import Endpoint
+from beryltrack_standins.site import LocalSite
+
+log = logging.getLogger(__name__)
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+
+
+def run_local_site(once: bool, proxies: int) -> int:
+    """Run a local site.
+
+    Parameters
+    ----------
+    once : bool
+        True to exit after the tour.
+    proxies : int
+        Number of proxies.
+
+    Returns
+    -------
+    int
+        0 if all of the tour held.
+    """
+    local = LocalProcess(once, proxies)
+    reactor.callWhenRunning(local.start)
+    reactor.addSystemEventTrigger("before", "shutdown", local.stop)
+    reactor.run()
+    return EXIT_DONE if local.held else EXIT_FAILED
+
+
+class LocalProcess:
+    """The local site and its tour.
+
+    Parameters
+    ----------
+    once : bool
+        True to exit after the tour.
+    proxies : int
+        Number of proxies.
+    """
+
+    def __init__(self, once: bool, proxies: int):
+        self.held = False
+        self._once = once
+        self._site = LocalSite(reactor)
+        self._local = LocalProxies(reactor, self._site, proxies)
+
+    def start(self) -> None:
+        """Start everything, then make the tour."""
+        running = Deferred.fromCoroutine(self._run())
+        running.addErrback(self._report)
+
+    def stop(self) -> Deferred:
+        """Stop everything."""
+        return Deferred.fromCoroutine(self._local.stop())
+
+    async def _run(self) -> None:
+        await self._local.start()
+        self._print_ready()
+        endpoints = [proxy.endpoint for proxy in self._local.proxies]
+        control = self._site.control_url
+        self.held = await run_tour(reactor, endpoints, GROUP, USER, control)
+        if self._once:
+            reactor.stop()
+        else:
+            self._print_help()
+
+    def _print_ready(self) -> None:
+        """Print the line that tells where everything listens."""
+        ready = {
+            "event": "ready",
+            "proxies": [
+                _format_endpoint(proxy.endpoint) for proxy in self._local.proxies
+            ],
+            "databases": {
+                item.name: _format_endpoint(item.endpoint)
+                for item in self._site.databases
+            },
+            "platform": self._site.platform_url,
+            "control": self._site.control_url,
+            "health": [
+                f"http://{_format_endpoint(proxy.health_endpoint)}"
+                for proxy in self._local.proxies
+            ],
+        }
+        print(json.dumps(ready), flush=True)
+
+    def _print_help(self) -> None:
+        """Say how to go on."""
+        endpoint = self._local.proxies[0].endpoint
+        print(
+            f"Connect with: psql 'host={endpoint.host} port={endpoint.port}"
+            f" user={USER} dbname={GROUP} sslmode=disable'\nStop with Ctrl-C.",
+            file=sys.stderr,
+        )
+
+    def _report(self, failure) -> None:
+        """Log why the local site ended."""
+        log.error("local: %s", failure.getTraceback())
+        reactor.stop()
+
+
+def _format_endpoint(endpoint: Endpoint) -> str:
+    """Return an endpoint as text."""
+    return f"{endpoint.host}:{endpoint.port}"
--- /dev/null
+++ b/beryltrack/daemon/local_site.py
@@ -0,0 +1,134 @@
+"""Stand-ins and proxies in one process, for the local site and for tests.
+
+Only this module of the package imports the stand-ins, and it is imported only
+when a local site is asked for.
+"""
+
+import random
+import uuid
+from datetime import UTC, datetime
+
+from returns.result import Failure
+from twisted.internet.defer import TimeoutError
+from twisted.internet.task import deferLater
+
+from beryltrack.daemon.proxy import Proxy
+from beryltrack.settings.change import SettingsChange
+from beryltrack.settings.messages import Endpoint, InstanceSettings
+from beryltrack.settings.stored import ChangeRequest
+from beryltrack_standins.site import LocalSite
+
+HOST = "127.0.0.1"
+ANY_PORT = Endpoint(HOST, 0)
+TEAM = "demo"
+GROUP = "main"
+USER = "app"
+DRAIN_LIMIT = 5.0
+PEER_KEY = "local-site-only"
+READY_TIMEOUT = 20.0
+LOOK_PERIOD = 0.02
+
+
+class LocalProxies:
+    """A local site and the proxies before it.
+
+    Parameters
+    ----------
+    reactor : reactor
+        Source of sockets and timers.
+    site : LocalSite
+        The stand-ins.
+    count : int
+        Number of proxies.
+    """
+
+    def __init__(self, reactor, site: LocalSite, count: int):
+        self.site = site
+        self.proxies: list[Proxy] = []
+        self._reactor = reactor
+        self._count = count
+
+    async def start(self) -> None:
+        """Start everything and wait until every proxy knows a primary."""
+        await self.site.start()
+        for number in range(self._count):
+            self.start_proxy(number)
+        await self._write_settings()
+        await self.wait_ready()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for proxy in self.proxies:
+            await proxy.stop()
+        await self.site.stop()
+
+    def start_proxy(self, number: int) -> Proxy:
+        """Start one more proxy and return it."""
+        settings = self._make_settings(number)
+        proxy = Proxy(self._reactor, settings, random.Random(number), seats=self._count)
+        self.proxies.append(proxy)
+        proxy.start()
+        return proxy
+
+    async def wait_ready(self) -> None:
+        """Wait until every proxy serves writes."""
+        give_up_at = self._reactor.seconds() + READY_TIMEOUT
+        while not all(map(_is_ready, self.proxies)):
+            if self._reactor.seconds() > give_up_at:
+                raise TimeoutError("the local site did not get ready")
+            await deferLater(self._reactor, LOOK_PERIOD, lambda: None)
+
+    async def write(self, path: str, settings: dict[str, object]) -> None:
+        """Write one settings object, as an operator does."""
+        request = ChangeRequest(
+            path,
+            settings,
+            who="local site",
+            why="first settings",
+            when=datetime.now(UTC).isoformat(timespec="seconds"),
+            change_id=str(uuid.uuid4()),
+        )
+        store = self.proxies[0].platform
+        change = SettingsChange(self._reactor, store, request, random.Random(0))
+        result = await change.run()
+        if isinstance(result, Failure):
+            raise RuntimeError(f"cannot write {path}: {result.failure()}")
+
+    def _make_settings(self, number: int) -> InstanceSettings:
+        """Return the settings of one proxy."""
+        zones = self.site.options.zones
+        return InstanceSettings(
+            name=f"proxy-{number + 1}",
+            zone=zones[number % len(zones)],
+            listen=ANY_PORT,
+            peer_listen=ANY_PORT,
+            health_listen=ANY_PORT,
+            platform_url=self.site.platform_url,
+            peer_key=PEER_KEY,
+            certificate="",
+            drain_limit=DRAIN_LIMIT,
+        )
+
+    async def _write_settings(self) -> None:
+        """Describe the stand-in databases in the platform, as an operator does."""
+        databases = [
+            {
+                "name": item.name,
+                "endpoint": {"host": item.endpoint.host, "port": item.endpoint.port},
+                "zone": item.zone,
+                "max_connections": item.max_connections,
+                "slots": item.slots,
+            }
+            for item in self.site.databases
+        ]
+        await self.write(
+            f"settings/{TEAM}/groups/{GROUP}", {"databases": databases, "user": USER}
+        )
+        await self.write(f"settings/{TEAM}/users/{USER}", {"trust": True})
+
+
+def _is_ready(proxy: Proxy) -> bool:
+    """Return whether a proxy serves writes."""
+    runtime = proxy.groups.get(GROUP)
+    users = proxy.settings_task.current.users
+    return runtime is not None and bool(runtime.view.primary) and bool(users)
--- /dev/null
+++ b/beryltrack/daemon/proxy.py
@@ -0,0 +1,180 @@
+"""One proxy: all tasks of an instance, its start and its graceful shutdown."""
+
+import logging
+import random
+from enum import Enum
+
+from twisted.internet.defer import TimeoutError
+from twisted.internet.ssl import PrivateCertificate
+
+from beryltrack.callers.factory import CallerFactory
+from beryltrack.daemon.groups import GroupTable
+from beryltrack.daemon.health import build_health_site
+from beryltrack.daemon.metrics import InstanceMetrics, PoolUse
+from beryltrack.daemon.reports import build_status
+from beryltrack.daemon.status import InstanceStatus
+from beryltrack.platform.client import PlatformClient
+from beryltrack.requests.services import make_services
+from beryltrack.requests.task import RequestTask
+from beryltrack.settings.messages import (
+    DatabaseSettings,
+    Endpoint,
+    InstanceSettings,
+    SiteSettings,
+)
+from beryltrack.settings.task import SettingsTask
+
+log = logging.getLogger(__name__)
+
+
+class ProxyState(Enum):
+    """Where a proxy stands between its start and its end."""
+
+    STARTING = "starting"
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Proxy:
+    """One instance of beryltrack.
+
+    Parameters
+    ----------
+    reactor : reactor
+        Source of sockets and timers.
+    settings : InstanceSettings
+        What its settings file says.
+    rng : random.Random
+        Source of jitter.
+    seats : int
+        Number of instances that share the connections to each database.
+    """
+
+    def __init__(
+        self, reactor, settings: InstanceSettings, rng: random.Random, seats: int
+    ):
+        self.settings = settings
+        self.state = ProxyState.STARTING
+        self.metrics = InstanceMetrics(settings.name)
+        self.platform = PlatformClient(reactor, settings.platform_url)
+        self.settings_task = SettingsTask(reactor, self.platform, rng)
+        self.groups = GroupTable(reactor, settings.name, rng, self._get_share)
+        services = make_services(reactor, settings.zone, self.metrics, rng)
+        handler = RequestTask(services, self._get_site, self.groups.get)
+        self.callers = CallerFactory(
+            reactor, handler, self._get_site, _load_certificate(settings.certificate)
+        )
+        self._reactor = reactor
+        self._seats = seats
+        self._ports = []
+        self.metrics.set_pool_source(self._get_pool_use)
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Where callers connect."""
+        address = self._ports[0].getHost()
+        return Endpoint(address.host, address.port)
+
+    @property
+    def health_endpoint(self) -> Endpoint:
+        """Where health, metrics and status are asked for."""
+        address = self._ports[1].getHost()
+        return Endpoint(address.host, address.port)
+
+    def start(self) -> None:
+        """Listen, and learn the settings."""
+        self.settings_task.subscribe(self._apply)
+        self.settings_task.start()
+        site = build_health_site(
+            lambda: self.state is ProxyState.LIVE, self.metrics.render, self.get_status
+        )
+        self._listen(self.settings.listen, self.callers)
+        self._listen(self.settings.health_listen, site)
+        log.info("daemon: Instance %s listens.", self.settings.name)
+
+    async def leave(self) -> None:
+        """Shut down without cutting off a request in flight.
+
+        New callers are refused, callers are told to go between two
+        transactions, and what is still open at the drain limit is cut off.
+        """
+        self.state = ProxyState.LEAVING
+        log.info("daemon: Instance %s leaves.", self.settings.name)
+        await self._ports[0].stopListening()
+        leaving = self.callers.leave()
+        leaving.addTimeout(self.settings.drain_limit, self._reactor)
+        try:
+            await leaving
+        except TimeoutError:
+            log.warning("daemon: Drain limit reached, callers are cut off.")
+            self.callers.abort()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        self.callers.abort()
+        self.settings_task.stop()
+        await self.groups.stop()
+        await self.platform.close()
+        for port in self._ports:
+            await port.stopListening()
+        self.metrics.close()
+        log.info("daemon: Instance %s has left.", self.settings.name)
+
+    def get_status(self) -> InstanceStatus:
+        """Return the instance's status."""
+        return build_status(
+            self.settings,
+            self.state.value,
+            self.settings_task,
+            self.groups.runtimes,
+            self.metrics.counters,
+        )
+
+    def _listen(self, endpoint: Endpoint, factory) -> None:
+        """Open one listening socket."""
+        port = self._reactor.listenTCP(endpoint.port, factory, interface=endpoint.host)
+        self._ports.append(port)
+
+    def _get_site(self) -> SiteSettings:
+        """Return the settings in force."""
+        return self.settings_task.current
+
+    def _get_share(self, database: DatabaseSettings) -> int:
+        """Return this instance's share of a database's connections."""
+        return max(1, database.max_connections // self._seats)
+
+    def _apply(self, site: SiteSettings) -> None:
+        """Put new settings in force."""
+        self.groups.apply(site)
+        self.metrics.set_settings_revision(site.revision)
+        if self.state is ProxyState.STARTING:
+            self.state = ProxyState.LIVE
+        log.info("daemon: Settings of revision %d are in force.", site.revision)
+
+    def _get_pool_use(self) -> tuple[PoolUse, ...]:
+        """Return the use of all pools."""
+        loads = (
+            (runtime.settings.name, name, pool.load)
+            for runtime in self.groups.runtimes
+            for name, pool in runtime.pools.items()
+        )
+        return tuple(
+            PoolUse(
+                group,
+                name,
+                load.in_use,
+                load.open - load.in_use,
+                load.waiting,
+                load.limit,
+            )
+            for group, name, load in loads
+        )
+
+
+def _load_certificate(path: str):
+    """Return the TLS options for callers, None without a certificate."""
+    if not path:
+        return None
+    with open(path, "rb") as file:
+        return PrivateCertificate.loadPEM(file.read()).options()
--- /dev/null
+++ b/beryltrack/requests/answers.py
@@ -0,0 +1,140 @@
+"""Ends a request: waits for its commit if it made one, and answers the caller."""
+
+from typing import NamedTuple
+
+from pygwire import TransactionStatus
+from pygwire.messages import ParameterStatus
+
+from beryltrack.callers.caller import Caller, encode_error
+from beryltrack.daemon.metrics import RequestKind, RequestOutcome, TargetKind
+from beryltrack.errors import (
+    NOT_RUN_STATES,
+    SERIALIZATION_FAILURE,
+    TRANSACTION_RESOLUTION_UNKNOWN,
+    SqlError,
+    make_outcome_unknown,
+    make_rolled_back,
+)
+from beryltrack.groups.messages import LogPosition
+from beryltrack.requests.outcomes import NextStep
+from beryltrack.requests.plan import RequestPlan
+from beryltrack.requests.runtime import GroupRuntime
+from beryltrack.requests.services import RequestServices
+from beryltrack.requests.session_state import SESSION_SETTING
+from beryltrack.requests.sink import AnswerSink
+from beryltrack.sessions.tokens import format_token, merge_position
+from beryltrack.transactions.decider import CommitOutcome
+
+_OUTCOMES = {
+    SERIALIZATION_FAILURE: RequestOutcome.ROLLED_BACK,
+    TRANSACTION_RESOLUTION_UNKNOWN: RequestOutcome.UNKNOWN,
+} | dict.fromkeys(NOT_RUN_STATES, RequestOutcome.NOT_RUN)
+
+
+class RequestContext(NamedTuple):
+    """One request on its way.
+
+    Parameters
+    ----------
+    services : RequestServices
+        What requests share.
+    runtime : GroupRuntime
+        The group that it is for.
+    caller : Caller
+        Who sent it.
+    plan : RequestPlan
+        What it asks for.
+    arrived_at : float
+        When it arrived, by the node's clock, seconds.
+    """
+
+    services: RequestServices
+    runtime: GroupRuntime
+    caller: Caller
+    plan: RequestPlan
+    arrived_at: float
+
+    @property
+    def deadline(self) -> float:
+        """When its commit must be confirmed, by the node's clock."""
+        return self.arrived_at + self.services.policy.request_timeout
+
+    @property
+    def give_up_at(self) -> float:
+        """When it is refused if no database has taken it, by the node's clock."""
+        return self.arrived_at + self.services.policy.target_timeout
+
+
+async def confirm_commit(
+    context: RequestContext, position: LogPosition, database: str
+) -> CommitOutcome:
+    """Wait until the fate of a commit is known; note it in the session's token.
+
+    Parameters
+    ----------
+    context : RequestContext
+        The request.
+    position : LogPosition
+        The position that its target reported after the commit.
+    database : str
+        The target.
+
+    Returns
+    -------
+    CommitOutcome
+        `UNKNOWN` at the request's deadline.
+    """
+    services, runtime = context.services, context.runtime
+    started_at = services.seconds()
+    timeout = max(0.0, context.deadline - started_at)
+    outcome = await runtime.task.confirm(position, timeout, database)
+    services.metrics.record_confirm_wait(services.seconds() - started_at)
+    if outcome is CommitOutcome.CONFIRMED:
+        session = context.caller.session
+        session.token = merge_position(session.token, runtime.settings.name, position)
+    return outcome
+
+
+def send_answer(
+    context: RequestContext,
+    sink: AnswerSink,
+    tail: bytes,
+    status: TransactionStatus,
+    has_new_token: bool = False,
+) -> None:
+    """Send the rest of an answer and say that the caller may go on."""
+    caller = context.caller
+    parts = [sink.take_held()]
+    if has_new_token:
+        token = format_token(caller.session.token)
+        parts.append(ParameterStatus(SESSION_SETTING, token).to_wire())
+    parts.append(tail)
+    caller.write(b"".join(parts))
+    caller.send_ready(status)
+
+
+def send_failure(
+    context: RequestContext, error: SqlError, status: TransactionStatus
+) -> None:
+    """Answer with an error."""
+    caller = context.caller
+    caller.write(encode_error(error))
+    caller.send_ready(status)
+    count_request(context, TargetKind.NONE, _OUTCOMES.get(error.sqlstate))
+
+
+def count_request(
+    context: RequestContext,
+    target: TargetKind,
+    outcome: RequestOutcome | None = RequestOutcome.DONE,
+) -> None:
+    """Count a request that has ended."""
+    kind = RequestKind.READ if context.plan.is_read else RequestKind.WRITE
+    context.services.metrics.count_request(kind, outcome or RequestOutcome.DONE, target)
+
+
+def make_step_error(step: NextStep, reason: str) -> SqlError:
+    """Return the error that tells a caller what became of its request."""
+    if step is NextStep.ROLLED_BACK:
+        return make_rolled_back(reason)
+    return make_outcome_unknown(reason)
--- /dev/null
+++ b/beryltrack/requests/course.py
@@ -0,0 +1,211 @@
+"""The course of a request outside of a transaction, from arrival to answer."""
+
+from pygwire import TransactionStatus
+from returns.maybe import Some
+from returns.result import Failure
+from twisted.internet.task import deferLater
+
+from beryltrack.daemon.metrics import TargetKind
+from beryltrack.errors import SqlError
+from beryltrack.requests.answers import (
+    RequestContext,
+    confirm_commit,
+    count_request,
+    make_step_error,
+    send_answer,
+    send_failure,
+)
+from beryltrack.requests.execution import RunLost, RunResult, apply_settings, run_plan
+from beryltrack.requests.outcomes import (
+    READ_ONLY_REFUSAL,
+    NextStep,
+    RequestState,
+    RunFailure,
+    decide_after_commit,
+    decide_after_failure,
+)
+from beryltrack.requests.retry import FailedAttempt
+from beryltrack.requests.session_state import PinnedTransaction, apply_change
+from beryltrack.requests.sink import AnswerSink
+from beryltrack.requests.targets import FoundTarget, find_target, make_refusal
+from beryltrack.routing.messages import ReadRequest, StatementKind, WriteRequest
+from beryltrack.sessions.variables import parse_change
+from beryltrack.wire.messages import ResponseEnd
+
+LOST_TEXT = "the connection to the target was lost"
+REPLACED_TEXT = "the primary was replaced"
+
+
+class RequestCourse:
+    """Carries one unit outside of a transaction through to its answer.
+
+    Parameters
+    ----------
+    context : RequestContext
+        The request.
+    """
+
+    def __init__(self, context: RequestContext):
+        self._context = context
+        self._must_write = not context.plan.is_read
+        self._sink = AnswerSink(context.caller)
+        self._attempts = 0
+
+    async def run(self) -> None:
+        """Run the unit until it has an answer."""
+        while True:
+            self._attempts += 1
+            found = await self._find_target()
+            if isinstance(found, Failure):
+                self._fail(found.failure())
+                return
+            step, reason = await self._attempt(found.unwrap())
+            if step is NextStep.ANSWER:
+                return
+            if step is not NextStep.RETRY:
+                self._fail(make_step_error(step, reason))
+                return
+            if not await self._wait_to_retry():
+                self._fail(make_refusal(reason, 1.0))
+                return
+
+    async def _find_target(self):
+        """Wait for a database that can take the unit."""
+        context = self._context
+        return await find_target(
+            context.services, context.runtime, self._make_request(), context.give_up_at
+        )
+
+    def _make_request(self) -> ReadRequest | WriteRequest:
+        """Return what routing needs to know of the unit."""
+        context = self._context
+        if self._must_write:
+            return WriteRequest(context.arrived_at)
+        token = context.caller.session.get_known_position(context.runtime.settings.name)
+        return ReadRequest(
+            context.arrived_at,
+            token,
+            context.plan.marks.max_age,
+            context.plan.marks.reads,
+            context.services.zone,
+            deadline=context.give_up_at,
+            sequence=next(context.services.sequence),
+        )
+
+    async def _attempt(self, target: FoundTarget) -> tuple[NextStep, str]:
+        """Run the unit once; return the next step and why it is needed."""
+        result = await self._run_on(target)
+        if isinstance(result, RunLost):
+            target.pool.release(target.connection, False)
+            return self._decide_failure(RunFailure(result.is_sent, "")), LOST_TEXT
+        if result.error is not None:
+            step = self._decide_failure(RunFailure(True, result.error.sqlstate))
+            if step is not NextStep.ANSWER:
+                is_idle = result.status is TransactionStatus.IDLE
+                target.pool.release(target.connection, is_idle)
+                return step, result.error.message
+        return await self._finish(target, result)
+
+    async def _run_on(self, target: FoundTarget) -> RunResult:
+        """Run the unit on a connection."""
+        context = self._context
+        connection, caller = target.connection, context.caller
+        refused = await apply_settings(connection, caller, context.services.settings)
+        if refused is not None:
+            return refused
+        return await run_plan(connection, context.plan, self._sink, caller)
+
+    def _decide_failure(self, failure: RunFailure) -> NextStep:
+        """Return the step after a failed run; drop what it has answered."""
+        step = decide_after_failure(self._get_state(), failure)
+        if step is not NextStep.ANSWER:
+            self._sink.take_held()
+        if failure.sqlstate == READ_ONLY_REFUSAL:
+            # What the text showed as a read may write after all.
+            self._must_write = True
+        return step
+
+    def _get_state(self) -> RequestState:
+        """Return what is known of the unit."""
+        return RequestState(
+            is_read=not self._must_write,
+            in_transaction=False,
+            is_commit=True,
+            is_marked=False,
+            is_answered=self._sink.is_answered,
+        )
+
+    async def _finish(
+        self, target: FoundTarget, end: ResponseEnd
+    ) -> tuple[NextStep, str]:
+        """Give the connection back, wait for the commit, and answer."""
+        context = self._context
+        self._observe(target, end)
+        if end.status is TransactionStatus.IDLE:
+            self._release(target)
+        else:
+            self._pin(target)
+        is_commit = end.error is None and end.status is TransactionStatus.IDLE
+        if self._must_write and is_commit and end.position is not None:
+            outcome = await confirm_commit(context, end.position, target.database)
+            step = decide_after_commit(self._get_state(), outcome)
+            if step is not NextStep.ANSWER:
+                self._sink.take_held()
+                return step, REPLACED_TEXT
+        self._answer(target, end)
+        return NextStep.ANSWER, ""
+
+    def _observe(self, target: FoundTarget, end: ResponseEnd) -> None:
+        """Take in what the answer tells of the target and the session."""
+        context = self._context
+        if end.position is not None:
+            context.runtime.task.observe_position(target.database, end.position)
+        if context.plan.kind is StatementKind.SESSION_SET and end.error is None:
+            change, _ = parse_change(context.plan.text)
+            if change is not None:
+                apply_change(change, context.caller)
+                context.services.settings.note_applied(
+                    target.connection, context.caller
+                )
+
+    def _release(self, target: FoundTarget) -> None:
+        """Give the connection back."""
+        target.pool.release(target.connection, True)
+
+    def _pin(self, target: FoundTarget) -> None:
+        """Keep the connection for the transaction that the unit opened."""
+        context = self._context
+        is_read_only = context.plan.kind is StatementKind.BEGIN_READ_ONLY
+        context.caller.session.pinned = PinnedTransaction(
+            context.runtime,
+            target.database,
+            target.pool,
+            target.connection,
+            is_read_only,
+        )
+
+    def _answer(self, target: FoundTarget, end: ResponseEnd) -> None:
+        """Answer the caller with what the target said."""
+        has_new_token = self._must_write and end.position is not None
+        tail = end.tail + end.error_frame
+        send_answer(self._context, self._sink, tail, end.status, has_new_token)
+        kind = TargetKind.REPLICA if target.is_replica else TargetKind.PRIMARY
+        count_request(self._context, kind)
+
+    async def _wait_to_retry(self) -> bool:
+        """Wait as the retry budget says; return False if it forbids a retry."""
+        services = self._context.services
+        delay = services.retries.choose_retry(
+            FailedAttempt(self._attempts, True),
+            self._context.deadline,
+            0.0,
+            services.seconds(),
+        )
+        if not isinstance(delay, Some):
+            return False
+        await deferLater(services.reactor, delay.unwrap(), lambda: None)
+        return True
+
+    def _fail(self, error: SqlError) -> None:
+        """Answer with an error; no transaction is open."""
+        send_failure(self._context, error, TransactionStatus.IDLE)
--- /dev/null
+++ b/beryltrack/requests/execution.py
@@ -0,0 +1,144 @@
+"""Runs a planned unit, or a command of the proxy's own, on a connection."""
+
+from typing import NamedTuple
+
+from pygwire import BackendMessageDecoder, ConnectionPhase
+from pygwire.messages import DataRow, Query
+
+from beryltrack.callers.caller import Caller
+from beryltrack.callers.extended import apply_effects, build_extended
+from beryltrack.connections.target import TargetConnection, TargetLost
+from beryltrack.requests.plan import RequestPlan
+from beryltrack.requests.sink import AnswerSink
+from beryltrack.requests.target_settings import TargetSettings
+from beryltrack.wire.messages import Producer, ResponseEnd, ResponseSink
+
+
+class RunLost(NamedTuple):
+    """A run whose answer was lost.
+
+    Parameters
+    ----------
+    is_sent : bool
+        True if the target may have run the unit.
+    reason : str
+        Why the connection ended.
+    """
+
+    is_sent: bool
+    reason: str
+
+
+RunResult = ResponseEnd | RunLost
+
+
+class CollectingSink:
+    """Keeps the frames of an answer to a command of the proxy's own."""
+
+    def __init__(self):
+        self._parts: list[bytes] = []
+
+    @property
+    def frames(self) -> bytes:
+        """All frames so far."""
+        return b"".join(self._parts)
+
+    def write(self, data: bytes) -> None:
+        """Keep frames."""
+        self._parts.append(bytes(data))
+
+    def attach(self, producer: Producer) -> None:
+        """Take a producer; it is never paused, as the answers are short."""
+
+    def detach(self) -> None:
+        """Forget the producer."""
+
+
+async def run_plan(
+    connection: TargetConnection, plan: RequestPlan, sink: AnswerSink, caller: Caller
+) -> RunResult:
+    """Run a planned unit on a connection.
+
+    Parameters
+    ----------
+    connection : TargetConnection
+        A connection that runs nothing else.
+    plan : RequestPlan
+        The unit.
+    sink : AnswerSink
+        Takes the answer's frames.
+    caller : Caller
+        Who sent the unit; may cancel it.
+
+    Returns
+    -------
+    ResponseEnd or RunLost
+        How the run ended.
+    """
+    caller.set_cancel(connection.cancel)
+    try:
+        if plan.extended is None:
+            return await connection.run(plan.request.wire, sink)
+        built = build_extended(plan.extended, connection.prepared)
+        end = await connection.run(built.wire, sink, built.edits)
+    except TargetLost as lost:
+        return RunLost(lost.sent, lost.reason)
+    finally:
+        caller.set_cancel(None)
+    apply_effects(built.effects, end.completed, connection.prepared, caller.statements)
+    return end
+
+
+async def run_command(
+    connection: TargetConnection, text: str, sink: ResponseSink | None = None
+) -> RunResult:
+    """Run statements of the proxy's own on a connection.
+
+    Parameters
+    ----------
+    connection : TargetConnection
+        A connection that runs nothing else.
+    text : str
+        The statements.
+    sink : ResponseSink, optional
+        Takes the answer's frames.
+
+    Returns
+    -------
+    ResponseEnd or RunLost
+        How the run ended.
+    """
+    try:
+        return await connection.run(Query(text).to_wire(), sink or CollectingSink())
+    except TargetLost as lost:
+        return RunLost(lost.sent, lost.reason)
+
+
+async def apply_settings(
+    connection: TargetConnection, caller: Caller, settings: TargetSettings
+) -> RunResult | None:
+    """Give a connection a caller's settings; return how that failed, else None."""
+    change = settings.get_change(connection, caller)
+    if not change:
+        return None
+    result = await run_command(connection, change)
+    if isinstance(result, RunLost):
+        # The caller's own unit was not sent.
+        return RunLost(False, result.reason)
+    if result.error is not None:
+        connection.close()
+        return result
+    settings.note_applied(connection, caller)
+    return None
+
+
+def read_rows(frames: bytes) -> list[list[str]]:
+    """Return the rows in the frames of an answer, as text."""
+    decoder = BackendMessageDecoder()
+    decoder.phase = ConnectionPhase.SIMPLE_QUERY
+    decoder.feed(frames)
+    return [
+        [(value or b"").decode("utf-8") for value in message.columns]
+        for message in decoder
+        if isinstance(message, DataRow)
+    ]
--- /dev/null
+++ b/beryltrack/requests/marked.py
@@ -0,0 +1,340 @@
+"""The course of a marked request, which runs at most once.
+
+The ledger's row arbitrates. It is inserted in the request's own transaction, so
+whoever inserts it second, through any proxy and after any failover, waits for
+the first and then meets its row. An insertion that succeeds and is rolled back
+proves that no earlier run of the request has committed or ever will.
+"""
+
+from datetime import UTC, datetime
+
+from pygwire import TransactionStatus
+from pygwire.messages import CommandComplete
+from returns.result import Failure
+from twisted.internet.task import deferLater
+
+from beryltrack.connections.target import TargetConnection
+from beryltrack.daemon.metrics import TargetKind
+from beryltrack.errors import (
+    INVALID_PARAMETER_VALUE,
+    SqlError,
+    make_outcome_unknown,
+    make_rolled_back,
+)
+from beryltrack.requests import ledger
+from beryltrack.requests.answers import (
+    RequestContext,
+    confirm_commit,
+    count_request,
+    send_answer,
+    send_failure,
+)
+from beryltrack.requests.execution import (
+    CollectingSink,
+    RunLost,
+    apply_settings,
+    read_rows,
+    run_command,
+    run_plan,
+)
+from beryltrack.requests.outcomes import READ_ONLY_REFUSAL
+from beryltrack.requests.session_state import PinnedTransaction
+from beryltrack.requests.sink import AnswerSink
+from beryltrack.requests.targets import (
+    FoundTarget,
+    find_target,
+    make_refusal,
+    sample_primary,
+)
+from beryltrack.routing.messages import WriteRequest
+from beryltrack.transactions.decider import CommitOutcome
+from beryltrack.wire.messages import ResponseEnd
+
+PAUSE = 0.02
+"""Seconds between two attempts to find out what became of a request."""
+
+ROLLBACK = "ROLLBACK"
+UNKNOWN_TEXT = "the outcome could not be found out in time"
+REPEAT_TEXT = "the request identifier was used for another request"
+
+
+class MarkedCourse:
+    """Carries one marked unit outside of a transaction through to its answer.
+
+    Parameters
+    ----------
+    context : RequestContext
+        The request.
+    """
+
+    def __init__(self, context: RequestContext):
+        self._context = context
+        self._request_id = context.plan.marks.request_id
+        self._fingerprint = context.plan.fingerprint
+        self._may_have_run = False
+
+    async def run(self) -> None:
+        """Run the unit, or find its earlier run, until it has an answer."""
+        context = self._context
+        while True:
+            found = await find_primary(context)
+            if isinstance(found, Failure):
+                self._give_up(found.failure())
+                return
+            if await self._attempt(found.unwrap()):
+                return
+            if context.services.seconds() >= context.deadline:
+                self._give_up(make_refusal(UNKNOWN_TEXT, 1.0))
+                return
+            await deferLater(context.services.reactor, PAUSE, lambda: None)
+
+    def _give_up(self, refusal: SqlError) -> None:
+        """Answer with what is true: not run only if it never reached a target."""
+        error = make_outcome_unknown(UNKNOWN_TEXT) if self._may_have_run else refusal
+        send_failure(self._context, error, TransactionStatus.IDLE)
+
+    async def _attempt(self, target: FoundTarget) -> bool:
+        """Run the unit once; return True if the caller has its answer."""
+        connection = target.connection
+        opened = await self._open(connection)
+        if isinstance(opened, RunLost):
+            target.pool.release(connection, False)
+            return False
+        if opened.error is None:
+            return await self._run_opened(target)
+        await run_command(connection, ROLLBACK)
+        return await self._handle_refused(target, opened.error)
+
+    async def _open(self, connection: TargetConnection) -> ResponseEnd | RunLost:
+        """Open the transaction and insert the ledger's row."""
+        services, caller = self._context.services, self._context.caller
+        refused = await apply_settings(connection, caller, services.settings)
+        if refused is not None:
+            return refused
+        created_at = datetime.now(UTC).isoformat(timespec="seconds")
+        text = ledger.format_open(self._request_id, self._fingerprint, created_at)
+        return await run_command(connection, text)
+
+    async def _handle_refused(self, target: FoundTarget, error: SqlError) -> bool:
+        """Go on after the row could not be inserted."""
+        connection = target.connection
+        if error.sqlstate == ledger.UNDEFINED_TABLE:
+            created = await run_command(connection, ledger.CREATE_TABLE)
+            is_done = not isinstance(created, RunLost) and created.error is None
+            target.pool.release(connection, is_done)
+            if is_done or isinstance(created, RunLost):
+                return False
+            error = created.error
+        elif error.sqlstate == ledger.UNIQUE_VIOLATION:
+            return await self._answer_repeat(target)
+        else:
+            target.pool.release(connection, True)
+        if error.sqlstate == READ_ONLY_REFUSAL:
+            return False
+        send_failure(self._context, error, TransactionStatus.IDLE)
+        return True
+
+    async def _run_opened(self, target: FoundTarget) -> bool:
+        """Run the unit inside the transaction that holds its row, and commit."""
+        context, connection = self._context, target.connection
+        sink = AnswerSink(context.caller, max_held=ledger.MAX_RECORDED_ANSWER)
+        end = await run_plan(connection, context.plan, sink, context.caller)
+        if isinstance(end, RunLost):
+            return self._drop(target, sink)
+        if end.error is not None:
+            rolled_back = await run_command(connection, ROLLBACK)
+            target.pool.release(connection, not isinstance(rolled_back, RunLost))
+            send_answer(context, sink, end.error_frame, TransactionStatus.IDLE)
+            count_request(context, TargetKind.PRIMARY)
+            return True
+        frames = b"" if sink.is_answered else sink.get_held()
+        is_extended = context.plan.extended is not None
+        answer = ledger.make_recorded_answer(is_extended, frames, end.tail)
+        # From here on the commit may take effect although its answer is lost.
+        self._may_have_run = True
+        text = ledger.format_close(self._request_id, answer)
+        closed = await run_command(connection, text)
+        if isinstance(closed, RunLost) or closed.error is not None:
+            return self._drop(target, sink)
+        target.pool.release(connection, True)
+        return await self._confirm(target, sink, end.tail, closed)
+
+    def _drop(self, target: FoundTarget, sink: AnswerSink) -> bool:
+        """Throw the connection away; the target rolls its transaction back.
+
+        A caller that has seen a part of the answer cannot be given another run,
+        so it is told that the outcome is unknown; it may repeat the request.
+        """
+        target.pool.release(target.connection, False)
+        if not sink.is_answered:
+            return False
+        self._may_have_run = True
+        self._give_up(make_refusal(UNKNOWN_TEXT, 1.0))
+        return True
+
+    async def _confirm(
+        self, target: FoundTarget, sink: AnswerSink, tail: bytes, closed: ResponseEnd
+    ) -> bool:
+        """Wait for the commit and answer."""
+        context = self._context
+        outcome = await confirm_commit(context, closed.position, target.database)
+        if outcome is CommitOutcome.CONFIRMED:
+            send_answer(context, sink, tail, TransactionStatus.IDLE, True)
+            count_request(context, TargetKind.PRIMARY)
+            return True
+        if outcome is CommitOutcome.ROLLED_BACK:
+            self._may_have_run = False
+        return self._drop_answer(sink)
+
+    def _drop_answer(self, sink: AnswerSink) -> bool:
+        """Forget an answer that did not last; return True if that is final."""
+        if sink.is_answered:
+            self._give_up(make_rolled_back("the primary was replaced"))
+            return True
+        sink.take_held()
+        return False
+
+    async def _answer_repeat(self, target: FoundTarget) -> bool:
+        """Answer with the outcome that an earlier run recorded."""
+        context = self._context
+        row = await read_row(target.connection, self._request_id)
+        is_read = isinstance(row, ledger.LedgerRow)
+        target.pool.release(target.connection, is_read)
+        if not is_read or not await confirm_seen(context, target.database):
+            self._may_have_run = True
+            return False
+        if row.fingerprint != self._fingerprint:
+            error = SqlError(INVALID_PARAMETER_VALUE, REPEAT_TEXT)
+            send_failure(context, error, TransactionStatus.IDLE)
+            return True
+        frames = row.answer.frames or CommandComplete("COMMIT").to_wire()
+        sink = AnswerSink(context.caller)
+        send_answer(context, sink, frames, TransactionStatus.IDLE, True)
+        count_request(context, TargetKind.PRIMARY)
+        return True
+
+
+async def find_primary(context: RequestContext):
+    """Wait for a primary whose term was confirmed, and get a connection to it."""
+    services = context.services
+    request = WriteRequest(services.seconds())
+    return await find_target(services, context.runtime, request, context.give_up_at)
+
+
+async def read_row(
+    connection: TargetConnection, request_id: str
+) -> ledger.LedgerRow | None:
+    """Return a request's row of the ledger; None if it cannot be read."""
+    sink = CollectingSink()
+    end = await run_command(connection, ledger.format_lookup(request_id), sink)
+    if isinstance(end, RunLost) or end.error is not None:
+        return None
+    rows = read_rows(sink.frames)
+    if not rows:
+        return None
+    fingerprint, answer = rows[0]
+    return ledger.LedgerRow(fingerprint, ledger.decode_answer(answer))
+
+
+async def confirm_seen(context: RequestContext, database: str) -> bool:
+    """Return whether what was just read at a primary will last.
+
+    A position sampled now lies after all that was read before. If the sample
+    is of the same primary and a majority receives it, so is what was read.
+    """
+    services, runtime = context.services, context.runtime
+    timeout = max(0.0, context.deadline - services.seconds())
+    sample = await sample_primary(services, runtime, timeout)
+    if sample is None or runtime.view.primary != database:
+        return False
+    outcome = await confirm_commit(context, sample, database)
+    return outcome is CommitOutcome.CONFIRMED
+
+
+async def insert_for_commit(context: RequestContext, pinned: PinnedTransaction) -> bool:
+    """Insert the row of a marked transaction just before its commit.
+
+    Parameters
+    ----------
+    context : RequestContext
+        The ``COMMIT``.
+    pinned : PinnedTransaction
+        The transaction.
+
+    Returns
+    -------
+    bool
+        True if the transaction was rolled back instead, since an earlier run
+        of it has committed, or since its connection was lost.
+    """
+    created_at = datetime.now(UTC).isoformat(timespec="seconds")
+    request_id = context.plan.marks.request_id
+    insert = ledger.format_insert(request_id, COMMIT_FINGERPRINT, created_at)
+    text = f"{ledger.CREATE_TABLE}; {insert}"
+    end = await run_command(pinned.connection, text)
+    if isinstance(end, RunLost):
+        return True
+    if end.error is None:
+        return False
+    await run_command(pinned.connection, ROLLBACK)
+    return True
+
+
+COMMIT_FINGERPRINT = "commit"
+"""Fingerprint of a marked transaction: only its ``COMMIT`` is known."""
+
+
+async def resolve_commit(context: RequestContext) -> None:
+    """Find out whether a marked transaction has committed, and answer.
+
+    Parameters
+    ----------
+    context : RequestContext
+        The ``COMMIT``, whose transaction is over.
+    """
+    while True:
+        found = await find_primary(context)
+        if isinstance(found, Failure):
+            break
+        has_committed = await _probe_ledger(context, found.unwrap())
+        if has_committed is not None:
+            _answer_resolved(context, has_committed)
+            return
+        if context.services.seconds() >= context.deadline:
+            break
+        await deferLater(context.services.reactor, PAUSE, lambda: None)
+    send_failure(context, make_outcome_unknown(UNKNOWN_TEXT), TransactionStatus.IDLE)
+
+
+def _answer_resolved(context: RequestContext, has_committed: bool) -> None:
+    """Answer a ``COMMIT`` whose outcome was found out."""
+    if has_committed:
+        tail = CommandComplete("COMMIT").to_wire()
+        sink = AnswerSink(context.caller)
+        send_answer(context, sink, tail, TransactionStatus.IDLE, True)
+        count_request(context, TargetKind.PRIMARY)
+        return
+    error = make_rolled_back("the transaction did not commit")
+    send_failure(context, error, TransactionStatus.IDLE)
+
+
+async def _probe_ledger(context: RequestContext, target: FoundTarget) -> bool | None:
+    """Return whether a request has committed; None if that is still open."""
+    connection, request_id = target.connection, context.plan.marks.request_id
+    opened = await run_command(
+        connection, ledger.format_open(request_id, COMMIT_FINGERPRINT, "")
+    )
+    if isinstance(opened, RunLost):
+        target.pool.release(connection, False)
+        return None
+    rolled_back = await run_command(connection, ROLLBACK)
+    target.pool.release(connection, not isinstance(rolled_back, RunLost))
+    sqlstate = opened.error.sqlstate if opened.error is not None else ""
+    has_committed = {
+        "": False,
+        ledger.UNDEFINED_TABLE: False,
+        ledger.UNIQUE_VIOLATION: True,
+    }.get(sqlstate)
+    if has_committed is None or not await confirm_seen(context, target.database):
+        return None
+    return has_committed
--- a/beryltrack/requests/outcomes.py
+++ b/beryltrack/requests/outcomes.py
@@ -9,6 +9,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from beryltrack.transactions.decider import CommitOutcome
+
 READ_ONLY_REFUSAL = "25006"
 """SQLSTATE with which a database refuses a write that it may not take."""
 
@@ -110,14 +112,6 @@
     return NextStep.RETRY if is_repeatable else NextStep.ROLLED_BACK
 
 
-class CommitOutcome(Enum):
-    """Whether a commit will last."""
-
-    CONFIRMED = "confirmed"
-    ROLLED_BACK = "rolled back"
-    UNKNOWN = "unknown"
-
-
 def decide_after_commit(state: RequestState, outcome: CommitOutcome) -> NextStep:
     """Return the step that follows once the fate of a commit is known.
 
--- /dev/null
+++ b/beryltrack/requests/pinned.py
@@ -0,0 +1,185 @@
+"""The course of a request inside of a transaction.
+
+All units of a transaction run on the one connection that it was opened on, so
+statements of two transactions never mix. If the connection is lost, the target
+rolls the transaction back, unless its ``COMMIT`` was on the way.
+"""
+
+from pygwire import TransactionStatus
+
+from beryltrack.daemon.metrics import TargetKind
+from beryltrack.requests.answers import (
+    RequestContext,
+    confirm_commit,
+    count_request,
+    make_step_error,
+    send_answer,
+    send_failure,
+)
+from beryltrack.requests.course import LOST_TEXT, REPLACED_TEXT
+from beryltrack.requests.execution import RunLost, run_plan
+from beryltrack.requests.marked import insert_for_commit, resolve_commit
+from beryltrack.requests.outcomes import (
+    NextStep,
+    RequestState,
+    RunFailure,
+    decide_after_commit,
+    decide_after_failure,
+)
+from beryltrack.requests.session_state import PinnedTransaction, apply_change
+from beryltrack.requests.sink import AnswerSink
+from beryltrack.routing.messages import StatementKind
+from beryltrack.sessions.variables import parse_change
+from beryltrack.wire.messages import ResponseEnd
+
+
+async def run_pinned(context: RequestContext) -> None:
+    """Run a unit on the connection of the caller's open transaction.
+
+    Parameters
+    ----------
+    context : RequestContext
+        The request; its caller has a transaction open.
+    """
+    pinned = context.caller.session.pinned
+    if _needs_ledger(context, pinned):
+        is_repeat = await insert_for_commit(context, pinned)
+        if is_repeat:
+            _unpin(context, pinned, pinned.connection.broken is False)
+            await resolve_commit(context)
+            return
+    sink = AnswerSink(context.caller)
+    result = await run_plan(pinned.connection, context.plan, sink, context.caller)
+    if isinstance(result, RunLost):
+        await _finish_lost(context, pinned, sink, result)
+        return
+    if result.position is not None:
+        pinned.runtime.task.observe_position(pinned.database, result.position)
+    if result.status is TransactionStatus.IDLE:
+        await _finish_ended(context, pinned, sink, result)
+    else:
+        _finish_open(context, pinned, sink, result)
+
+
+def drop_transaction(pinned: PinnedTransaction) -> None:
+    """Roll back the transaction of a caller that is gone.
+
+    Closing its connection does that, whatever state it is in.
+    """
+    pinned.pool.release(pinned.connection, False)
+
+
+def _needs_ledger(context: RequestContext, pinned: PinnedTransaction) -> bool:
+    """Return whether the unit commits a transaction that is marked."""
+    is_open = context.caller.status is TransactionStatus.IN_TRANSACTION
+    is_commit = context.plan.kind is StatementKind.COMMIT
+    return is_open and is_commit and context.plan.is_marked and not pinned.is_read_only
+
+
+def _get_state(
+    context: RequestContext, pinned: PinnedTransaction, sink: AnswerSink
+) -> RequestState:
+    """Return what is known of the unit."""
+    return RequestState(
+        is_read=pinned.is_read_only,
+        in_transaction=True,
+        is_commit=context.plan.kind is StatementKind.COMMIT,
+        is_marked=context.plan.is_marked,
+        is_answered=sink.is_answered,
+    )
+
+
+def _unpin(
+    context: RequestContext, pinned: PinnedTransaction, is_reusable: bool
+) -> None:
+    """Give the transaction's connection back."""
+    context.caller.session.pinned = None
+    pinned.pool.release(pinned.connection, is_reusable)
+
+
+async def _finish_lost(
+    context: RequestContext,
+    pinned: PinnedTransaction,
+    sink: AnswerSink,
+    lost: RunLost,
+) -> None:
+    """Say what became of a transaction whose connection was lost."""
+    _unpin(context, pinned, False)
+    state = _get_state(context, pinned, sink)
+    step = decide_after_failure(state, RunFailure(lost.is_sent, ""))
+    if step is NextStep.RESOLVE:
+        await resolve_commit(context)
+        return
+    send_failure(context, make_step_error(step, LOST_TEXT), TransactionStatus.IDLE)
+
+
+async def _finish_ended(
+    context: RequestContext,
+    pinned: PinnedTransaction,
+    sink: AnswerSink,
+    end: ResponseEnd,
+) -> None:
+    """Wait for the commit of a transaction that has ended, and answer."""
+    _unpin(context, pinned, _keeps_settings(context))
+    has_written = not pinned.is_read_only and end.error is None
+    if has_written and end.position is not None:
+        outcome = await confirm_commit(context, end.position, pinned.database)
+        step = decide_after_commit(_get_state(context, pinned, sink), outcome)
+        if step is NextStep.RESOLVE:
+            await resolve_commit(context)
+            return
+        if step is not NextStep.ANSWER:
+            error = make_step_error(step, REPLACED_TEXT)
+            send_failure(context, error, TransactionStatus.IDLE)
+            return
+    _answer(context, pinned, sink, end, has_written and end.position is not None)
+
+
+def _finish_open(
+    context: RequestContext,
+    pinned: PinnedTransaction,
+    sink: AnswerSink,
+    end: ResponseEnd,
+) -> None:
+    """Answer a unit after which the transaction is still open."""
+    if end.error is not None:
+        state = _get_state(context, pinned, sink)
+        step = decide_after_failure(state, RunFailure(True, end.error.sqlstate))
+        if step is not NextStep.ANSWER:
+            send_failure(context, make_step_error(step, REPLACED_TEXT), end.status)
+            return
+    elif context.plan.kind is StatementKind.SESSION_SET:
+        _note_setting(context)
+    _answer(context, pinned, sink, end, False)
+
+
+def _note_setting(context: RequestContext) -> None:
+    """Keep a setting that was changed on the transaction's connection."""
+    change, _ = parse_change(context.plan.text)
+    if change is not None:
+        apply_change(change, context.caller)
+        context.caller.session.has_changed_settings = True
+
+
+def _keeps_settings(context: RequestContext) -> bool:
+    """Return whether the connection's settings are still the known ones.
+
+    A rollback also takes back settings, so that a connection on which one was
+    changed inside of a transaction is thrown away.
+    """
+    has_changed = context.caller.session.has_changed_settings
+    context.caller.session.has_changed_settings = False
+    return not has_changed
+
+
+def _answer(
+    context: RequestContext,
+    pinned: PinnedTransaction,
+    sink: AnswerSink,
+    end: ResponseEnd,
+    has_new_token: bool,
+) -> None:
+    """Answer the caller with what the target said."""
+    send_answer(context, sink, end.tail + end.error_frame, end.status, has_new_token)
+    is_replica = pinned.database != pinned.runtime.view.primary
+    count_request(context, TargetKind.REPLICA if is_replica else TargetKind.PRIMARY)
--- a/beryltrack/requests/retry.py
+++ b/beryltrack/requests/retry.py
@@ -20,6 +20,9 @@
         Retries that each request adds to the budget.
     most_saved : float
         Most retries that the budget holds.
+    first_saved : float
+        Retries that the budget starts with, so that a primary that is lost
+        soon after the start does not refuse the few requests of a quiet site.
     most_attempts : int
         Most attempts of one request, the first one included.
     first_delay, most_delay : float
@@ -28,6 +31,7 @@
 
     ratio: float = 0.1
     most_saved: float = 20.0
+    first_saved: float = 0.0
     most_attempts: int = 4
     first_delay: float = 0.02
     most_delay: float = 1.0
@@ -65,7 +69,7 @@
     def __init__(self, policy: RetryPolicy, rng: random.Random):
         self._policy = policy
         self._rng = rng
-        self._tokens = 0.0
+        self._tokens = policy.first_saved
 
     @property
     def tokens(self) -> float:
--- /dev/null
+++ b/beryltrack/requests/runtime.py
@@ -0,0 +1,73 @@
+"""One group as the requests see it: its view, its pools and its next change."""
+
+from collections.abc import Mapping
+
+from twisted.internet.defer import Deferred
+
+from beryltrack.connections.task import PoolTask
+from beryltrack.groups.task import GroupTask
+from beryltrack.groups.view import GroupView
+from beryltrack.routing.messages import TargetLoad
+from beryltrack.settings.messages import GroupSettings
+
+LOOK_PERIOD = 0.02
+"""Seconds after which a waiting request looks at the view again, even if no
+change was told: the proofs that a view carries move without being told."""
+
+
+class GroupRuntime:
+    """The tasks of one group.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Source of timers.
+    settings : GroupSettings
+        The group.
+    task : GroupTask
+        Watches its databases.
+    pools : mapping of str to PoolTask
+        The pool of each database, by name.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        settings: GroupSettings,
+        task: GroupTask,
+        pools: Mapping[str, PoolTask],
+    ):
+        self.settings = settings
+        self.task = task
+        self.pools = pools
+        self.is_ledger_ready = False
+        self._reactor = reactor
+        self._waiting: list[Deferred[None]] = []
+        task.subscribe(self._tell_change)
+
+    @property
+    def view(self) -> GroupView:
+        """The group as this instance knows it now."""
+        return self.task.view
+
+    def get_loads(self) -> tuple[TargetLoad, ...]:
+        """Return this instance's work at each database."""
+        pairs = ((item, self.pools[item.name].load) for item in self.settings.databases)
+        return tuple(
+            TargetLoad(item.name, item.zone, load.in_use + load.waiting, load.limit)
+            for item, load in pairs
+        )
+
+    def wait_change(self) -> "Deferred[None]":
+        """Return a Deferred that fires at the next change, or soon without one."""
+        waiting: Deferred[None] = Deferred()
+        self._waiting.append(waiting)
+        if len(self._waiting) == 1:
+            self._reactor.callLater(LOOK_PERIOD, self._tell_change, self.view)
+        return waiting
+
+    def _tell_change(self, view: GroupView) -> None:
+        """Wake the requests that wait for a change."""
+        waiting, self._waiting = self._waiting, []
+        for deferred in waiting:
+            deferred.callback(None)
--- /dev/null
+++ b/beryltrack/requests/session_state.py
@@ -0,0 +1,200 @@
+"""What the proxy keeps of a caller's session while it is connected here.
+
+Nothing of it outlives the connection: the token travels with the caller, and
+settings that concern targets are given to each target connection before use.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from beryltrack.callers.caller import Caller
+from beryltrack.callers.local import LocalResult
+from beryltrack.callers.statements import run_deallocate
+from beryltrack.connections.target import TargetConnection
+from beryltrack.connections.task import PoolTask
+from beryltrack.errors import SqlError, make_malformed_setting
+from beryltrack.findings import Finding, format_finding
+from beryltrack.groups.messages import LogPosition
+from beryltrack.requests.plan import RequestPlan
+from beryltrack.requests.runtime import GroupRuntime
+from beryltrack.routing.messages import StatementKind
+from beryltrack.sessions.marks import (
+    IDEMPOTENT,
+    MAX_AGE,
+    REQUEST_ID,
+    SETTING_PREFIX,
+    parse_duration,
+    parse_request_id,
+    parse_switch,
+)
+from beryltrack.sessions.tokens import (
+    UNKNOWN_TOKEN,
+    SessionToken,
+    format_token,
+    get_position,
+    parse_token,
+)
+from beryltrack.sessions.variables import SettingChange, parse_change, parse_show
+
+SESSION_SETTING = SETTING_PREFIX + "session"
+
+_CHECKS = {
+    SETTING_PREFIX + MAX_AGE: parse_duration,
+    SETTING_PREFIX + REQUEST_ID: parse_request_id,
+    SETTING_PREFIX + IDEMPOTENT: parse_switch,
+    SESSION_SETTING: parse_token,
+}
+
+
+class PinnedTransaction(NamedTuple):
+    """The target connection that a caller's open transaction runs on.
+
+    Parameters
+    ----------
+    runtime : GroupRuntime
+        The group.
+    database : str
+        The database's name.
+    pool : PoolTask
+        Where the connection came from.
+    connection : TargetConnection
+        The connection.
+    is_read_only : bool
+        True if the target holds the transaction to reading.
+    """
+
+    runtime: GroupRuntime
+    database: str
+    pool: PoolTask
+    connection: TargetConnection
+    is_read_only: bool
+
+
+@dataclass
+class CallerSession:
+    """The changing state of one caller's session.
+
+    Parameters
+    ----------
+    token : SessionToken
+        What the session is known to have written.
+    is_tracked : bool
+        True if the caller handed in a token or declared a new session. Without
+        that its requests may belong to many sessions, so that nothing can be
+        concluded from what was written here before.
+    pinned : PinnedTransaction or None
+        The open transaction.
+    has_changed_settings : bool
+        True if a setting was changed inside of the open transaction.
+    """
+
+    token: SessionToken = UNKNOWN_TOKEN
+    is_tracked: bool = False
+    pinned: PinnedTransaction | None = None
+    has_changed_settings: bool = False
+
+    def get_known_position(self, group: str) -> LogPosition | None:
+        """Return what the session has written in a group, None if unknown."""
+        return get_position(self.token, group) if self.is_tracked else None
+
+    def set_token(self, token: SessionToken) -> None:
+        """Take a token that the caller handed in."""
+        self.token = token
+        self.is_tracked = token != UNKNOWN_TOKEN
+
+
+def open_session(caller: Caller) -> SqlError | None:
+    """Give a new caller its session; return an error if its settings are wrong."""
+    caller.session = CallerSession()
+    findings = [
+        Finding(name, "", finding.text)
+        for name, check in _CHECKS.items()
+        if name in caller.settings
+        for finding in check(caller.settings[name])[1]
+    ]
+    if findings:
+        text = "; ".join(format_finding(finding) for finding in findings)
+        return make_malformed_setting(findings[0].source, text)
+    if SESSION_SETTING in caller.settings:
+        token, _ = parse_token(caller.settings[SESSION_SETTING])
+        caller.session.set_token(token)
+    return None
+
+
+def is_local(plan: RequestPlan) -> bool:
+    """Return whether the proxy itself answers a request."""
+    if plan.kind in (StatementKind.DEALLOCATE, StatementKind.DISCARD):
+        return True
+    if plan.kind is StatementKind.SHOW:
+        name, _ = parse_show(plan.text)
+        return name is not None and name.startswith(SETTING_PREFIX)
+    if plan.kind is StatementKind.SESSION_SET:
+        change, _ = parse_change(plan.text)
+        return change is not None and change.name.startswith(SETTING_PREFIX)
+    return False
+
+
+def run_local(plan: RequestPlan, caller: Caller) -> Result[LocalResult, SqlError]:
+    """Carry out a statement that concerns the proxy alone.
+
+    Parameters
+    ----------
+    plan : RequestPlan
+        A request for which `is_local` holds.
+    caller : Caller
+        Whose session it concerns.
+
+    Returns
+    -------
+    Result of LocalResult or SqlError
+        The answer.
+    """
+    if plan.kind is StatementKind.SHOW:
+        return _run_show(plan, caller)
+    if plan.kind is StatementKind.SESSION_SET:
+        change, _ = parse_change(plan.text)
+        return apply_change(change, caller)
+    result = run_deallocate(plan.text, caller.statements)
+    if result is None:
+        return Success(LocalResult("DISCARD"))
+    if isinstance(result, SqlError):
+        return Failure(result)
+    if result.tag == "DISCARD ALL":
+        reset_settings(caller)
+    return Success(result)
+
+
+def apply_change(
+    change: SettingChange, caller: Caller
+) -> Result[LocalResult, SqlError]:
+    """Change one setting of a session, if its value is well-formed."""
+    if change.value is None:
+        caller.settings.pop(change.name, None)
+        return Success(LocalResult("RESET"))
+    check = _CHECKS.get(change.name)
+    if check is not None:
+        value, findings = check(change.value)
+        if findings:
+            text = "; ".join(format_finding(finding) for finding in findings)
+            return Failure(make_malformed_setting(change.name, text))
+        if change.name == SESSION_SETTING:
+            caller.session.set_token(value)
+    caller.settings[change.name] = change.value
+    return Success(LocalResult("SET"))
+
+
+def reset_settings(caller: Caller) -> None:
+    """Go back to the settings with which the caller connected."""
+    caller.settings.clear()
+    caller.settings.update(caller.start_settings)
+
+
+def _run_show(plan: RequestPlan, caller: Caller) -> Result[LocalResult, SqlError]:
+    """Answer a SHOW of one of beryltrack's own settings."""
+    name, _ = parse_show(plan.text)
+    value = caller.settings.get(name, "")
+    if name == SESSION_SETTING:
+        value = format_token(caller.session.token)
+    return Success(LocalResult("SHOW", (name,), ((value,),)))
--- /dev/null
+++ b/beryltrack/requests/targets.py
@@ -0,0 +1,189 @@
+"""Finds the database for a request and a connection to it.
+
+While no database can take a request, for example while a new primary takes
+over, the request waits here: nothing of it has been sent, so giving up is
+always a true "not run".
+"""
+
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from twisted.internet.defer import CancelledError, TimeoutError
+
+from beryltrack.connections.messages import PoolRefused, RefusalReason
+from beryltrack.connections.target import TargetConnection
+from beryltrack.connections.task import PoolTask
+from beryltrack.errors import SqlError, make_not_run
+from beryltrack.groups.messages import LogPosition
+from beryltrack.requests.runtime import GroupRuntime
+from beryltrack.requests.services import RequestServices
+from beryltrack.routing.decider import choose_target
+from beryltrack.routing.messages import (
+    NeedSample,
+    ReadRequest,
+    Refuse,
+    UseTarget,
+    WaitForTarget,
+    WriteRequest,
+)
+
+# Reasons that pass when the group's view changes, so that waiting helps.
+_PASSING = frozenset(
+    (RefusalReason.UNREACHABLE, RefusalReason.LEAVING, RefusalReason.NO_SHARE)
+)
+
+TargetRequest = ReadRequest | WriteRequest
+
+
+class FoundTarget(NamedTuple):
+    """A database that can take a request, and a connection to it.
+
+    Parameters
+    ----------
+    database : str
+        The database's name.
+    is_replica : bool
+        True if it counts as a replica in the share of reads.
+    pool : PoolTask
+        Where the connection came from.
+    connection : TargetConnection
+        The connection.
+    """
+
+    database: str
+    is_replica: bool
+    pool: PoolTask
+    connection: TargetConnection
+
+
+async def find_target(
+    services: RequestServices,
+    runtime: GroupRuntime,
+    request: TargetRequest,
+    give_up_at: float,
+) -> Result[FoundTarget, SqlError]:
+    """Wait for a database that can take a request and get a connection to it.
+
+    Parameters
+    ----------
+    services : RequestServices
+        What requests share.
+    runtime : GroupRuntime
+        The group.
+    request : ReadRequest or WriteRequest
+        What is asked.
+    give_up_at : float
+        Time, by the node's clock, at which the request is refused.
+
+    Returns
+    -------
+    Result of FoundTarget or SqlError
+        A refusal is a true "not run".
+    """
+    while True:
+        chosen = await choose_database(services, runtime, request, give_up_at)
+        if isinstance(chosen, Failure):
+            return chosen
+        use = chosen.unwrap()
+        try:
+            return Success(await _acquire(services, runtime, use, give_up_at))
+        except PoolRefused as refused:
+            refusal = refused.refusal
+        if refusal.reason not in _PASSING or services.seconds() >= give_up_at:
+            return Failure(
+                make_refusal(
+                    refusal.reason.value, refusal.retry_after, refusal.sqlstate
+                )
+            )
+        if use.is_replica:
+            request = request._replace(excluded=(*request.excluded, use.database))
+        else:
+            await runtime.wait_change()
+
+
+async def choose_database(
+    services: RequestServices,
+    runtime: GroupRuntime,
+    request: TargetRequest,
+    give_up_at: float,
+) -> Result[UseTarget, SqlError]:
+    """Wait until a database can take a request.
+
+    Parameters
+    ----------
+    services, runtime, request, give_up_at
+        As for `find_target`.
+
+    Returns
+    -------
+    Result of UseTarget or SqlError
+        A refusal is a true "not run".
+    """
+    while True:
+        now = services.seconds()
+        choice = choose_target(runtime.view, request, runtime.get_loads(), now)
+        match choice:
+            case UseTarget():
+                return Success(choice)
+            case WaitForTarget():
+                await runtime.task.wait_applied(
+                    choice.database, choice.position, choice.timeout
+                )
+                request = request._replace(may_wait=False)
+            case NeedSample() if now < give_up_at:
+                sample = await sample_primary(services, runtime, choice.timeout)
+                if sample is not None:
+                    request = _add_sample(request, sample)
+            case Refuse() if now < give_up_at:
+                await runtime.wait_change()
+                request = _forget_refusals(request)
+            case Refuse():
+                return Failure(
+                    make_refusal(choice.text, choice.retry_after, choice.sqlstate)
+                )
+            case _:
+                return Failure(make_refusal("the primary cannot be confirmed", 1.0))
+
+
+async def sample_primary(
+    services: RequestServices, runtime: GroupRuntime, timeout: float
+) -> LogPosition | None:
+    """Return a position sampled and confirmed from now on, None at the timeout."""
+    sampling = runtime.task.sample_primary()
+    sampling.addTimeout(timeout, services.reactor)
+    try:
+        return await sampling
+    except (TimeoutError, CancelledError):
+        return None
+
+
+def make_refusal(text: str, retry_after: float, sqlstate: str = "57P03") -> SqlError:
+    """Return the error of a request that was not run, with when to come back."""
+    hint = f"Try again in {retry_after:.2f} seconds."
+    return make_not_run(text, sqlstate)._replace(hint=hint)
+
+
+async def _acquire(
+    services: RequestServices, runtime: GroupRuntime, use: UseTarget, give_up_at: float
+) -> FoundTarget:
+    """Get a connection to the database that was chosen."""
+    pool = runtime.pools[use.database]
+    started_at = services.seconds()
+    remaining = max(0.0, give_up_at - started_at)
+    connection = await pool.acquire(services.reactor.seconds() + remaining)
+    services.metrics.record_queue_time(services.seconds() - started_at)
+    return FoundTarget(use.database, use.is_replica, pool, connection)
+
+
+def _add_sample(request: TargetRequest, sample: LogPosition) -> TargetRequest:
+    """Return the request with the knowledge that a sample brought."""
+    if isinstance(request, WriteRequest):
+        return request._replace(sampled=True)
+    return request._replace(sample=sample)
+
+
+def _forget_refusals(request: TargetRequest) -> TargetRequest:
+    """Return the request as it may be judged by a view that has changed."""
+    if isinstance(request, WriteRequest):
+        return request._replace(sampled=False, excluded=())
+    return request._replace(excluded=())
--- /dev/null
+++ b/beryltrack/requests/task.py
@@ -0,0 +1,119 @@
+"""Runs the requests of all callers of one instance."""
+
+from collections.abc import Callable
+
+from returns.result import Failure, Success
+from twisted.internet.defer import Deferred
+
+from beryltrack.callers.caller import Caller
+from beryltrack.callers.local import encode_extended_answer, encode_simple_answer
+from beryltrack.callers.messages import Request, SimpleRequest
+from beryltrack.errors import SqlError
+from beryltrack.requests.answers import RequestContext
+from beryltrack.requests.course import RequestCourse
+from beryltrack.requests.marked import MarkedCourse
+from beryltrack.requests.pinned import drop_transaction, run_pinned
+from beryltrack.requests.plan import RequestPlan, plan_request
+from beryltrack.requests.runtime import GroupRuntime
+from beryltrack.requests.services import RequestServices
+from beryltrack.requests.session_state import is_local, open_session, run_local
+from beryltrack.requests.targets import make_refusal
+from beryltrack.settings.messages import SiteSettings
+
+
+class RequestTask:
+    """Takes units of callers and sees to their answers.
+
+    Parameters
+    ----------
+    services : RequestServices
+        What requests share.
+    get_settings : callable
+        Returns the settings in force.
+    get_runtime : callable
+        Returns the group of a name, or None.
+    """
+
+    def __init__(
+        self,
+        services: RequestServices,
+        get_settings: Callable[[], SiteSettings],
+        get_runtime: Callable[[str], GroupRuntime | None],
+    ):
+        self._services = services
+        self._get_settings = get_settings
+        self._get_runtime = get_runtime
+
+    def check_session(self, caller: Caller) -> SqlError | None:
+        """Open a caller's session; return an error if its settings are wrong."""
+        return open_session(caller)
+
+    def handle(self, unit: Request, caller: Caller) -> "Deferred[None]":
+        """Run one unit; see `RequestHandler`."""
+        return Deferred.fromCoroutine(self._handle(unit, caller))
+
+    def forget(self, caller: Caller) -> None:
+        """Roll back what a caller that is gone has left open."""
+        session = caller.session
+        if session is not None and session.pinned is not None:
+            pinned, session.pinned = session.pinned, None
+            drop_transaction(pinned)
+
+    async def _handle(self, unit: Request, caller: Caller) -> None:
+        """Plan a unit and run it."""
+        runtime = self._find_runtime(caller)
+        if runtime is None:
+            error = make_refusal("the database group is not in the settings", 5.0)
+            _refuse(caller, error)
+            return
+        rules = self._get_settings().rules
+        planned = plan_request(unit, caller, runtime.settings, rules)
+        if isinstance(planned, Failure):
+            _refuse(caller, planned.failure())
+            return
+        plan = planned.unwrap()
+        if is_local(plan):
+            _answer_locally(plan, caller)
+            return
+        await self._run(plan, caller, runtime)
+
+    def _find_runtime(self, caller: Caller) -> GroupRuntime | None:
+        """Return the group of a caller; that of its transaction if one is open."""
+        pinned = caller.session.pinned
+        if pinned is not None:
+            return pinned.runtime
+        return self._get_runtime(caller.database)
+
+    async def _run(
+        self, plan: RequestPlan, caller: Caller, runtime: GroupRuntime
+    ) -> None:
+        """Run a planned unit on targets."""
+        services = self._services
+        services.retries.observe_request()
+        context = RequestContext(services, runtime, caller, plan, services.seconds())
+        if caller.session.pinned is not None:
+            await run_pinned(context)
+        elif plan.is_marked and not plan.is_read:
+            await MarkedCourse(context).run()
+        else:
+            await RequestCourse(context).run()
+
+
+def _refuse(caller: Caller, error: SqlError) -> None:
+    """Answer a unit that was not run."""
+    caller.send_error(error)
+    caller.send_ready(caller.status)
+
+
+def _answer_locally(plan: RequestPlan, caller: Caller) -> None:
+    """Answer a unit that concerns the proxy alone."""
+    result = run_local(plan, caller)
+    if not isinstance(result, Success):
+        _refuse(caller, result.failure())
+        return
+    answer = result.unwrap()
+    if isinstance(plan.request, SimpleRequest):
+        caller.write(encode_simple_answer(answer))
+    else:
+        caller.write(encode_extended_answer(plan.request, answer))
+    caller.send_ready(caller.status)
--- /dev/null
+++ b/tests/local_proxies.py
@@ -0,0 +1,53 @@
+"""A local site with its proxies in the reactor's thread, for tests with psycopg."""
+
+import contextlib
+
+import psycopg
+from twisted.internet import reactor
+
+from beryltrack.daemon.local_site import GROUP, USER, LocalProxies
+from beryltrack_standins.site import LocalSite, SiteOptions
+from tests.reactor_thread import run
+
+
+@contextlib.contextmanager
+def run_proxies(count=2, options=None):
+    """Run stand-ins and proxies; yield the `LocalProxies`."""
+    local = LocalProxies(reactor, LocalSite(reactor, options or SiteOptions()), count)
+    run(local.start)
+    try:
+        yield local
+    finally:
+        run(local.stop)
+
+
+def connect(proxy, token=None, **options):
+    """Return a psycopg connection to a proxy, with a session's token if given."""
+    if token is not None:
+        options["options"] = f"-c beryltrack.session={token}"
+    return psycopg.connect(
+        host=proxy.endpoint.host,
+        port=proxy.endpoint.port,
+        dbname=GROUP,
+        user=USER,
+        autocommit=options.pop("autocommit", True),
+        **options,
+    )
+
+
+def get_token(connection):
+    """Return the token of a connection's session."""
+    return connection.info.parameter_status("beryltrack.session")
+
+
+def get_primary(local):
+    """Return the server of the database that leads."""
+    servers = local.site.servers
+    leading = [s for s in servers.values() if s.database.status.role == "primary"]
+    return max(leading, key=lambda server: server.database.status.term)
+
+
+def mark_request(connection, request_id):
+    """Mark the next request of a connection as one that runs at most once."""
+    connection.execute(f"SET beryltrack.request_id = '{request_id}'")
+    connection.execute("SET beryltrack.idempotent = off")
--- /dev/null
+++ b/tests/requests/test_path.py
@@ -0,0 +1,138 @@
+"""The whole path: psycopg, proxies and stand-in databases over real sockets."""
+
+import psycopg
+import pytest
+
+from tests.local_proxies import (
+    connect,
+    get_primary,
+    get_token,
+    mark_request,
+    run_proxies,
+)
+from tests.reactor_thread import run
+
+
+@pytest.fixture(scope="module")
+def local():
+    with run_proxies() as running, connect(running.proxies[0], "new") as connection:
+        connection.execute("CREATE TABLE item (id integer PRIMARY KEY, name text)")
+        yield running
+
+
+def test_a_session_reads_its_write_through_another_proxy(local):
+    first, second = local.proxies
+    with connect(first, "new") as writer:
+        writer.execute("INSERT INTO item VALUES (%s, %s)", (1, "one"))
+        token = get_token(writer)
+    with connect(second, token) as reader:
+        row = reader.execute("SELECT name FROM item WHERE id = %s", (1,)).fetchone()
+    assert row == ("one",)
+
+
+def test_a_caller_without_a_token_sees_all_that_was_acknowledged(local):
+    with connect(local.proxies[0]) as writer, connect(local.proxies[1]) as reader:
+        writer.execute("INSERT INTO item VALUES (2, 'two')")
+        assert reader.execute("SELECT name FROM item WHERE id = 2").fetchone()
+
+
+def test_a_transaction_keeps_its_connection_and_commits_whole(local):
+    with connect(local.proxies[0], autocommit=False) as connection:
+        connection.execute("INSERT INTO item VALUES (3, 'three')")
+        connection.execute("INSERT INTO item VALUES (4, 'four')")
+        connection.commit()
+        connection.execute("INSERT INTO item VALUES (5, 'five')")
+        connection.rollback()
+        rows = connection.execute("SELECT id FROM item WHERE id IN (3, 4, 5)")
+        assert rows.fetchall() == [(3,), (4,)]
+
+
+def test_prepared_statements_work_on_pooled_connections(local):
+    with connect(local.proxies[0], "new") as first, connect(local.proxies[0]) as other:
+        for number in range(12):
+            value = first.execute("SELECT %s + 1", (number,), prepare=True)
+            assert value.fetchone() == (number + 1,)
+            assert other.execute("SELECT 7").fetchone() == (7,)
+
+
+def test_an_error_of_the_target_reaches_the_caller(local):
+    with connect(local.proxies[0]) as connection:
+        with pytest.raises(psycopg.errors.UndefinedTable):
+            connection.execute("SELECT * FROM missing")
+        assert connection.execute("SELECT 1").fetchone() == (1,)
+
+
+def test_settings_of_the_session_are_the_proxys_own(local):
+    with connect(local.proxies[0]) as connection:
+        connection.execute("SET beryltrack.max_age = '2s'")
+        assert connection.execute("SHOW beryltrack.max_age").fetchone() == ("2s",)
+        with pytest.raises(psycopg.errors.InvalidParameterValue):
+            connection.execute("SET beryltrack.session = 'nonsense'")
+
+
+def test_copy_is_refused_as_not_supported(local):
+    with (
+        connect(local.proxies[0]) as connection,
+        pytest.raises(psycopg.errors.FeatureNotSupported),
+    ):
+        connection.execute("COPY item TO STDOUT")
+
+
+def test_a_marked_request_runs_once_through_any_proxy(local):
+    for proxy in (*local.proxies, local.proxies[0]):
+        with connect(proxy) as connection:
+            mark_request(connection, "order-1")
+            answer = connection.execute(
+                "INSERT INTO item (id, name) VALUES (100 + (SELECT count(*) FROM item"
+                " WHERE id >= 100), 'once') RETURNING id"
+            )
+            assert answer.fetchone() == (100,)
+
+
+def test_an_identifier_cannot_stand_for_two_requests(local):
+    with connect(local.proxies[0]) as connection:
+        mark_request(connection, "order-2")
+        connection.execute("INSERT INTO item VALUES (200, 'first')")
+        with pytest.raises(psycopg.errors.InvalidParameterValue):
+            connection.execute("INSERT INTO item VALUES (201, 'second')")
+
+
+def test_a_marked_transaction_commits_once(local):
+    for expected in (1, 1):
+        with connect(local.proxies[1], autocommit=False) as connection:
+            connection.execute("INSERT INTO item (name) VALUES ('transfer')")
+            mark_request(connection, "transfer-1")
+            connection.commit()
+        with connect(local.proxies[0]) as connection:
+            rows = connection.execute("SELECT id FROM item WHERE name = 'transfer'")
+            assert len(rows.fetchall()) == expected
+
+
+def test_writes_go_on_after_the_primary_is_lost():
+    with run_proxies() as local, connect(local.proxies[0], "new") as connection:
+        connection.execute("CREATE TABLE item (id integer PRIMARY KEY)")
+        connection.execute("INSERT INTO item VALUES (1)")
+        lost = get_primary(local)
+        run(lost.stop)
+        # Without a mark the answer may be "outcome unknown", truly, if the write
+        # was sent before the proxy saw that the connection had ended.
+        mark_request(connection, "insert-2")
+        connection.execute("INSERT INTO item VALUES (2)")
+        token = get_token(connection)
+        with connect(local.proxies[1], token) as reader:
+            rows = reader.execute("SELECT id FROM item ORDER BY id").fetchall()
+        assert rows == [(1,), (2,)]
+        assert get_primary(local) is not lost
+
+
+def test_a_write_of_a_cut_off_primary_is_never_acknowledged():
+    with run_proxies() as local, connect(local.proxies[0], "new") as connection:
+        connection.execute("CREATE TABLE item (id integer PRIMARY KEY)")
+        old = get_primary(local)
+        run(lambda: setattr(old.database, "isolated", True))
+        # The write runs on the old primary, or waits; either way its answer may
+        # only come once the other databases have it.
+        connection.execute("INSERT INTO item VALUES (1)")
+        assert get_primary(local) is not old
+        rows = connection.execute("SELECT id FROM item").fetchall()
+        assert rows == [(1,)]
