Keep and tell only what proxies need of a settings object

Cause: proxies kept, and would have told peers, the audit history of each object, which only operators read.

Change: an object is cut down when it is taken in: settings, time of creation, and the last good settings if its own are faulty. Every proxy cuts alike. A watch that the store cannot answer is followed by a full list. Metrics carry no scope labels.

--- a/beryltrack/daemon/metrics.py
+++ b/beryltrack/daemon/metrics.py
@@ -127,7 +127,9 @@
         self._get_pool_use: Callable[[], tuple[PoolUse, ...]] = tuple
         # A registry of its own lets two instances share a process.
         self._registry = CollectorRegistry()
-        reader = PrometheusMetricReader(registry=self._registry)
+        reader = PrometheusMetricReader(
+            scope_info_enabled=False, registry=self._registry
+        )
         self._provider = MeterProvider(
             [reader],
             resource=Resource({"service.instance.id": instance}),
--- /dev/null
+++ b/beryltrack/settings/compact.py
@@ -0,0 +1,107 @@
+"""The part of a stored object that proxies keep and tell each other.
+
+Audit records are for operators, who read them in the store. A proxy needs the
+settings, the time that decides clashes, and, for settings that fail the checks,
+the newest good ones in the object's history. What is kept depends on the stored
+object alone, so that all proxies keep the same and a repeated cut changes nothing.
+"""
+
+from typing import NamedTuple
+
+from beryltrack.findings import Finding
+from beryltrack.platform.messages import PlatformObject
+from beryltrack.settings.parsing import SettingsObject, parse_settings
+from beryltrack.settings.stored import (
+    StoredValue,
+    get_records,
+    is_deletion,
+    is_stored_value,
+)
+
+
+class JudgedObject(NamedTuple):
+    """One object with what it means for a proxy.
+
+    Parameters
+    ----------
+    item : PlatformObject
+        The same version with a smaller value; None as value if it has not the
+        stored form, which is a finding for all who see it.
+    settings : SettingsObject or None
+        Its settings, or the last good ones in its history; None if it is deleted
+        or there are none.
+    findings : tuple of Finding
+        What is wrong with its own settings.
+    """
+
+    item: PlatformObject
+    settings: SettingsObject | None
+    findings: tuple[Finding, ...]
+
+    @property
+    def created(self) -> str:
+        """Time of the object's first change; empty if it is not recorded."""
+        value = self.item.value
+        return value["created"] if is_stored_value(value) else ""
+
+
+def judge_object(item: PlatformObject) -> JudgedObject:
+    """Check an object and cut it down to what proxies need.
+
+    Parameters
+    ----------
+    item : PlatformObject
+        The object as the platform keeps it, or cut down already.
+
+    Returns
+    -------
+    JudgedObject
+        The object cut down, and what it means.
+    """
+    settings, findings = parse_stored(item)
+    if not is_stored_value(item.value):
+        return JudgedObject(item._replace(value=None), settings, findings)
+    value = item.value
+    compact = StoredValue(settings=value["settings"])
+    compact["created"] = str(value.get("created", ""))
+    good = find_last_good(item) if findings else None
+    if good is not None:
+        compact["audit"] = {"before": good}
+        settings = parse_settings(item.path, good)[0]
+    return JudgedObject(item._replace(value=compact), settings, findings)
+
+
+def parse_stored(
+    item: PlatformObject,
+) -> tuple[SettingsObject | None, tuple[Finding, ...]]:
+    """Check one stored object and return its typed settings.
+
+    Parameters
+    ----------
+    item : PlatformObject
+        The object, compact or as the platform keeps it.
+
+    Returns
+    -------
+    tuple
+        The settings, or None, and all findings. A deletion has neither.
+    """
+    if item.deleted or is_deletion(item.value):
+        return None, ()
+    if not is_stored_value(item.value):
+        text = "a settings object has the keys settings and audit"
+        return None, (Finding(item.path, "", text),)
+    return parse_settings(item.path, item.value["settings"])
+
+
+def find_last_good(item: PlatformObject) -> dict[str, object] | None:
+    """Return the newest settings in an object's history that pass the checks."""
+    earlier = (record.get("before") for record in get_records(item.value))
+    return next(
+        (
+            value
+            for value in earlier
+            if value and not parse_settings(item.path, value)[1]
+        ),
+        None,
+    )
--- a/beryltrack/settings/decider.py
+++ b/beryltrack/settings/decider.py
@@ -12,11 +12,10 @@
 
 from beryltrack.findings import Finding
 from beryltrack.platform.messages import ObjectList, PlatformObject
+from beryltrack.settings.compact import JudgedObject, judge_object
 from beryltrack.settings.messages import SiteSettings
-from beryltrack.settings.parsing import SettingsObject, parse_settings
 from beryltrack.settings.paths import PREFIX
 from beryltrack.settings.site import EMPTY_SITE, AcceptedObject, build_site
-from beryltrack.settings.stored import get_records, is_deletion, is_stored_value
 
 MAX_TOMBSTONES = 4096
 
@@ -27,7 +26,7 @@
     Parameters
     ----------
     objects : tuple of PlatformObject
-        Objects that were news, to be told to peers.
+        Objects that were news, in their compact form, to be told to peers.
     changed : bool
         True if the settings in force are not what they were.
     findings : tuple of Finding
@@ -103,7 +102,8 @@
 
     def learn(self, objects: Iterable[PlatformObject]) -> SettingsUpdate:
         """Take in objects from anywhere; older versions change nothing."""
-        news = tuple(item for item in objects if self._take(item))
+        taken = [item.path for item in objects if self._take(item)]
+        news = tuple(self._objects[path] for path in dict.fromkeys(taken))
         if not news:
             return NO_UPDATE
         self._forget_old_tombstones()
@@ -125,23 +125,22 @@
         # A full list of a later revision lacked it, so it was deleted before.
         if known is None and item.version <= self._listed_revision:
             return False
-        self._objects[item.path] = item
-        self._judge(item)
+        judged = judge_object(item)
+        self._objects[item.path] = judged.item
+        self._put_in_force(judged)
         return True
 
-    def _judge(self, item: PlatformObject) -> None:
-        """Decide what of one object is in force."""
-        self._findings.pop(item.path, None)
-        if item.deleted or is_deletion(item.value):
-            self._accepted.pop(item.path, None)
-            return
-        settings, findings = parse_stored(item)
-        if findings:
-            self._findings[item.path] = findings
-            settings = _find_last_good(item)
-        if settings is not None:
-            created = str(item.value.get("created", ""))
-            self._accepted[item.path] = AcceptedObject(item.path, created, settings)
+    def _put_in_force(self, judged: JudgedObject) -> None:
+        """Replace what is in force of one object, unless it is faulty."""
+        path = judged.item.path
+        self._findings.pop(path, None)
+        if judged.findings:
+            self._findings[path] = judged.findings
+        if judged.settings is not None:
+            accepted = AcceptedObject(path, judged.created, judged.settings)
+            self._accepted[path] = accepted
+        elif not judged.findings:
+            self._accepted.pop(path, None)
 
     def _forget_old_tombstones(self) -> None:
         """Keep the newest deletions only, so that they do not pile up."""
@@ -149,31 +148,3 @@
         deleted.sort(key=lambda item: item.version, reverse=True)
         for item in deleted[MAX_TOMBSTONES:]:
             del self._objects[item.path]
-
-
-def parse_stored(
-    item: PlatformObject,
-) -> tuple[SettingsObject | None, tuple[Finding, ...]]:
-    """Check one stored object and return its typed settings.
-
-    Parameters
-    ----------
-    item : PlatformObject
-        The object as the platform keeps it.
-
-    Returns
-    -------
-    tuple
-        The settings, or None, and all findings.
-    """
-    if not is_stored_value(item.value):
-        text = "a settings object has the keys settings and audit"
-        return None, (Finding(item.path, "", text),)
-    return parse_settings(item.path, item.value["settings"])
-
-
-def _find_last_good(item: PlatformObject) -> SettingsObject | None:
-    """Return the newest settings in an object's history that pass the checks."""
-    earlier = (record.get("before") for record in get_records(item.value))
-    checked = (parse_settings(item.path, value)[0] for value in earlier if value)
-    return next((settings for settings in checked if settings is not None), None)
--- a/beryltrack/settings/task.py
+++ b/beryltrack/settings/task.py
@@ -15,7 +15,12 @@
 from beryltrack.findings import Finding, format_finding
 from beryltrack.platform.backoff import MAX_DELAY, compute_delay
 from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.messages import ObjectList, PlatformError, PlatformObject
+from beryltrack.platform.messages import (
+    ErrorKind,
+    ObjectList,
+    PlatformError,
+    PlatformObject,
+)
 from beryltrack.settings.decider import SettingsDecider, SettingsUpdate
 from beryltrack.settings.messages import SiteSettings
 from beryltrack.settings.paths import PREFIX
@@ -105,7 +110,7 @@
         return self._ready
 
     def get_objects(self) -> tuple[PlatformObject, ...]:
-        """Return all objects known with their versions, to tell peers."""
+        """Return all objects known with their versions, compact, to tell peers."""
         return self._decider.objects
 
     def subscribe(self, callback: SiteCallback) -> None:
@@ -184,6 +189,9 @@
                 return WATCH_GAP if self._watcher else period
             case Failure(error):
                 self._failures += 1
+                if error.kind is ErrorKind.INVALID:
+                    # The revision may be too old to watch from; a list mends that.
+                    self._next_list = 0.0
                 if self._failures == 1:
                     log.warning("settings: the store gives no answer: %s", error.text)
         most = MAX_DELAY if self._watcher else max(MAX_DELAY, period)
--- a/tests/daemon/test_pages.py
+++ b/tests/daemon/test_pages.py
@@ -88,12 +88,12 @@
     metrics.set_pool_source(lambda: (PoolUse("orders", "db0", 3, 1, 2, 5),))
     text = metrics.render().decode()
     wanted = (
-        'beryltrack_requests_total{kind="read",otel_scope_name="beryltrack"',
-        'beryltrack_failovers_total{group="orders"',
+        'beryltrack_requests_total{kind="read",outcome="done",target="replica"} 1.0',
+        'beryltrack_failovers_total{group="orders"} 1.0',
         "beryltrack_failover_gap_seconds_bucket",
         "beryltrack_queue_time_seconds_count",
         "beryltrack_confirm_wait_seconds_sum",
-        "beryltrack_replica_share",
+        "beryltrack_replica_share 1.0",
         'state="allowed"',
         "beryltrack_pool_waiting",
     )
--- a/tests/settings/examples.py
+++ b/tests/settings/examples.py
@@ -24,7 +24,8 @@
     path: str, version: int, settings: object, **extra: object
 ) -> PlatformObject:
     """Return a stored settings object without an audit record."""
-    return PlatformObject(path, version, {"settings": settings} | extra, False)
+    value = {"settings": settings, "created": ""} | extra
+    return PlatformObject(path, version, value, False)
 
 
 def make_deletion(path: str, version: int) -> PlatformObject:
--- a/tests/settings/test_decider.py
+++ b/tests/settings/test_decider.py
@@ -83,6 +83,19 @@
     assert decider.findings
 
 
+def test_what_peers_are_told_is_small_and_judged_alike():
+    records = [{"before": BAD}, {"before": make_group(max_age=4)}] * 5
+    bad = make_object(GROUP_PATH, 5, BAD, audit=records[0], history=records[1:])
+    good = make_object(RULE_PATH, 6, {"max_age": 5}, audit=records[0], history=records)
+    first, second = SettingsDecider(), SettingsDecider()
+    told = first.learn((bad, good)).objects
+    assert second.learn(told).objects == told
+    assert second.current == first.current
+    assert second.findings == first.findings
+    assert told[0].value["audit"] == {"before": make_group(max_age=4)}
+    assert told[1].value == {"settings": {"max_age": 5}, "created": ""}
+
+
 def test_finding_goes_when_the_object_is_mended():
     decider = SettingsDecider()
     decider.learn((make_object(GROUP_PATH, 3, BAD),))
--- a/tests/settings/test_task.py
+++ b/tests/settings/test_task.py
@@ -113,6 +113,15 @@
     assert store.calls == [("list",), ("list",)]
 
 
+def test_watch_that_the_store_cannot_answer_is_mended_by_a_list():
+    clock, store, _ = start_task()
+    store.answer(make_list(3))
+    clock.advance(WATCH_GAP)
+    store.answer(Failure(PlatformError(ErrorKind.INVALID, "too old")))
+    clock.advance(1.0)
+    assert store.calls[-1] == ("list",)
+
+
 def test_subscriber_that_fails_keeps_nothing_from_the_others():
     _, store, task = start_task()
     seen = []
