Bound callers in time, size and unread answers, and let them leave

Cause: a caller that is slow, half-open, malformed or gone must harm nobody else, and a leaving proxy must cut off nothing in flight. Tests: TLS with a certificate made in the test, SCRAM, cancel, lost target, 8 callers on 3 target connections, back-pressure on a 30 MB answer (less than 1 MiB held), ten forms of malformed input, leaving, limits under task.Clock. Conclusion: the limits hold in these tests.

--- a/beryltrack/callers/caller.py
+++ b/beryltrack/callers/caller.py
@@ -78,6 +78,7 @@
         self._stall_call = None
         self._on_cancel: Callable[[], object] | None = None
         self._on_gone: Callable[[], object] | None = None
+        self._on_drained: Callable[[], object] | None = None
 
     @property
     def user(self) -> str:
@@ -89,6 +90,11 @@
         """The group that the caller asked for."""
         return self.identity.database
 
+    @property
+    def is_full(self) -> bool:
+        """True while the caller has not read what was sent to it."""
+        return self._full
+
     @property
     def in_transaction(self) -> bool:
         """True while the caller has a transaction open."""
@@ -124,6 +130,10 @@
         if self.gone and callback is not None:
             callback()
 
+    def set_drained(self, callback: Callable[[], object] | None) -> None:
+        """Call `callback` each time that the caller has read what was sent."""
+        self._on_drained = callback
+
     def cancel(self) -> None:
         """Cancel what runs now, if the handler can."""
         if self._on_cancel is not None:
@@ -153,6 +163,8 @@
         self._end_stall()
         if self._producer is not None:
             self._producer.resumeProducing()
+        elif self._on_drained is not None:
+            self._on_drained()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Told by the caller's transport that it is closed."""
@@ -162,6 +174,7 @@
         if self.gone:
             return
         self.gone = True
+        self._on_drained = None
         self.resumeProducing()
         callback, self._on_gone = self._on_gone, None
         if callback is not None:
--- a/beryltrack/callers/extended.py
+++ b/beryltrack/callers/extended.py
@@ -8,7 +8,7 @@
 """
 
 import struct
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from itertools import chain, islice
 from typing import NamedTuple, Protocol
 
@@ -57,6 +57,9 @@
     def forget(self, name: str) -> None:
         """Note that the statement does not exist."""
 
+    def is_stale(self, name: str) -> bool:
+        """Return whether the statement exists but must be prepared anew."""
+
     def get_excess(self, coming: int) -> tuple[str, ...]:
         """Return the names to close before `coming` more are prepared."""
 
@@ -259,8 +262,10 @@
     coming = len(missing) + len(plan.parsed)
     present = {entry.target_name for entry in plan.needed}
     excess = [name for name in names.get_excess(coming) if name not in present]
+    stale = chain(missing, (entry.statement for entry in plan.frames))
+    closed = dict.fromkeys(chain(excess, _get_stale(stale, names)))
     parts = chain(
-        (_close_excess(name) for name in excess),
+        (_close(name) for name in closed),
         (_prepare_missing(statement) for statement in missing),
         _prepare_unnamed(plan.unnamed),
         (_build_frame(entry, names, present, excess) for entry in plan.frames),
@@ -313,8 +318,16 @@
     return True
 
 
-def _close_excess(name: str) -> tuple[bytes, Effect]:
-    """Close a statement that the connection need not keep."""
+def _get_stale(
+    statements: Iterable[PreparedStatement | None], names: TargetNames
+) -> Iterator[str]:
+    """Return the names among statements that must be closed before use."""
+    targets = (entry.target_name for entry in statements if entry is not None)
+    return filter(names.is_stale, targets)
+
+
+def _close(name: str) -> tuple[bytes, Effect]:
+    """Close a statement on the connection."""
     return Close(STATEMENT, name).to_wire(), Effect(Edit.DROP, closed=name)
 
 
--- a/beryltrack/callers/factory.py
+++ b/beryltrack/callers/factory.py
@@ -11,9 +11,17 @@
 
 from beryltrack.callers.authentication import MockSecrets
 from beryltrack.callers.caller import Caller, RequestHandler
+from beryltrack.callers.logon import CallerLogon
 from beryltrack.callers.protocol import STARTUP_TIMEOUT, CallerProtocol
 from beryltrack.callers.reader import UNIT_LIMIT
 from beryltrack.callers.startup import REPORTED_PARAMETERS, StartupRequest
+from beryltrack.errors import (
+    CANNOT_CONNECT_NOW,
+    INVALID_CATALOG_NAME,
+    TOO_MANY_CONNECTIONS,
+    SqlError,
+    make_fatal,
+)
 from beryltrack.settings.messages import SiteSettings, UserSettings
 
 log = logging.getLogger(__name__)
@@ -21,6 +29,9 @@
 # Callers that one proxy accepts.
 MAX_CALLERS = 10_000
 
+# Connections beyond the limit are told so; beyond this multiple they are closed.
+_HARD_LIMIT_FACTOR = 2
+
 _KEY_RANGE = 1 << 31
 _SECRET_SIZE = 4
 
@@ -35,7 +46,7 @@
     unit_limit : int
         Most bytes of one unit.
     max_callers : int
-        Most connections at a time.
+        Most callers at a time.
     """
 
     startup_timeout: float = STARTUP_TIMEOUT
@@ -95,11 +106,19 @@
 
     def buildProtocol(self, addr) -> CallerProtocol | None:  # noqa: N802
         """Return the protocol of a new connection; None closes it."""
-        if len(self._connections) >= self.options.max_callers:
-            log.warning("callers: refused a connection: too many")
+        if len(self._connections) >= _HARD_LIMIT_FACTOR * self.options.max_callers:
+            log.warning("callers: closed a connection unanswered: too many")
             return None
         return CallerProtocol(self)
 
+    def get_refusal(self) -> SqlError | None:
+        """Return why no further caller is let in."""
+        if self.leaving:
+            return make_fatal(CANNOT_CONNECT_NOW, "the proxy is shutting down")
+        if len(self._connections) > self.options.max_callers:
+            return make_fatal(TOO_MANY_CONNECTIONS, "too many callers on this proxy")
+        return None
+
     def add(self, connection: CallerProtocol) -> None:
         """Count a new connection."""
         self._connections.add(connection)
@@ -114,12 +133,16 @@
         users = self._get_settings().users
         return next((user for user in users if user.name == name), None)
 
-    def find_database(self, name: str, user: UserSettings | None) -> bool:
-        """Return whether a user may use a database."""
+    def check_database(self, name: str, user: UserSettings) -> SqlError | None:
+        """Return why a user may not use a database."""
         groups = self._get_settings().groups
-        return user is not None and any(
-            group.name == name and group.team == user.team for group in groups
-        )
+        if any(group.name == name and group.team == user.team for group in groups):
+            return None
+        return make_fatal(INVALID_CATALOG_NAME, f'database "{name}" does not exist')
+
+    def make_logon(self) -> CallerLogon:
+        """Return the log-on of a new connection."""
+        return CallerLogon(self.find_user, self.mocks, self.tls_context is not None)
 
     def get_parameters(self, request: StartupRequest) -> dict[str, str]:
         """Return the parameters to report to a new caller."""
--- a/beryltrack/callers/protocol.py
+++ b/beryltrack/callers/protocol.py
@@ -7,33 +7,27 @@
 import logging
 from enum import Enum, auto
 
-from pygwire import BackendConnection, TransactionStatus
 from pygwire.exceptions import ProtocolError
-from pygwire.messages import (
-    AuthenticationOk,
-    AuthenticationSASL,
-    AuthenticationSASLContinue,
-    AuthenticationSASLFinal,
-    BackendKeyData,
-    CancelRequest,
-    GSSEncRequest,
-    GSSResponse,
-    NegotiateProtocolVersion,
-    ParameterStatus,
-    PGMessage,
-    ReadyForQuery,
-    SASLInitialResponse,
-    SASLResponse,
-    SSLRequest,
-    SSLResponse,
-    StartupMessage,
-    Terminate,
-)
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from beryltrack.callers.authentication import SCRAM_MECHANISM, ScramExchange
-from beryltrack.callers.caller import Caller, CallerIdentity, encode_error
+from beryltrack.callers.caller import (
+    STALL_LIMIT,
+    Caller,
+    CallerIdentity,
+    encode_error,
+)
+from beryltrack.callers.logon import (
+    AcceptLogon,
+    CallerLogon,
+    CancelOther,
+    LogonStep,
+    QuitLogon,
+    RefuseLogon,
+    SendBytes,
+    StartTls,
+)
 from beryltrack.callers.messages import (
     ExtendedRequest,
     RefusedRequest,
@@ -41,19 +35,18 @@
     Unit,
 )
 from beryltrack.callers.reader import RequestReader
-from beryltrack.callers.startup import StartupRequest, parse_startup
+from beryltrack.callers.startup import StartupRequest
 from beryltrack.errors import (
     ADMIN_SHUTDOWN,
     CANNOT_CONNECT_NOW,
+    FATAL,
     INTERNAL_ERROR,
-    INVALID_CATALOG_NAME,
     PROTOCOL_VIOLATION,
     SqlError,
     make_fatal,
     make_unsupported,
 )
 from beryltrack.settings.messages import UserSettings
-from beryltrack.wire.framing import BoundedFrontendDecoder
 
 log = logging.getLogger(__name__)
 
@@ -67,13 +60,11 @@
 # can read it: closing with unread input would reset the connection.
 LINGER = 1.0
 
-_PROTOCOL_3_0 = 0x00030000
-
 
 class Phase(Enum):
     """Where a connection stands."""
 
-    STARTUP = auto()
+    LOGON = auto()
     READY = auto()
     RUNNING = auto()
     CLOSING = auto()
@@ -91,13 +82,9 @@
     def __init__(self, factory):
         self.factory = factory
         self.caller: Caller | None = None
-        self.phase = Phase.STARTUP
-        self._startup = BackendConnection()
-        self._startup._decoder = BoundedFrontendDecoder()
+        self.phase = Phase.LOGON
+        self._logon: CallerLogon | None = factory.make_logon()
         self._reader = RequestReader(factory.options.unit_limit)
-        self._request: StartupRequest | None = None
-        self._scram: ScramExchange | None = None
-        self._user: UserSettings | None = None
         self._key: int | None = None
         self._paused = False
         self._timer = None
@@ -118,8 +105,8 @@
         if self.phase is Phase.CLOSING:
             return
         try:
-            if self.phase is Phase.STARTUP:
-                self._receive_startup(data)
+            if self.phase is Phase.LOGON:
+                self._receive_logon(data)
             else:
                 self._receive_requests(data)
         except ProtocolError as error:
@@ -138,113 +125,67 @@
 
     def leave(self) -> None:
         """End the connection as soon as no transaction is open on it."""
-        if self.phase is Phase.STARTUP:
+        if self.phase is Phase.LOGON:
             text = "the proxy is shutting down"
             self._refuse(make_fatal(CANNOT_CONNECT_NOW, text))
-        elif self.phase is Phase.READY and not self.caller.in_transaction:
+        else:
+            self._continue()
+
+    def _end_idle(self) -> None:
+        """End the connection of an idle caller, unless a transaction is open."""
+        if not self.caller.in_transaction:
             text = "terminating connection due to administrator command"
             self._refuse(make_fatal(ADMIN_SHUTDOWN, text))
 
-    def _receive_startup(self, data: bytes) -> None:
-        """Take bytes of the start-up and log-on."""
-        for message in self._startup.receive(data):
-            self._take_startup(message)
+    def _receive_logon(self, data: bytes) -> None:
+        """Take bytes of the log-on."""
+        for step in self._logon.feed(data):
+            self._take_step(step)
             if self.phase is Phase.CLOSING:
                 return
             if self.phase is Phase.READY:
-                rest = self._startup._decoder.take_rest()
-                self._startup = None
+                rest = self._logon.take_rest()
+                self._logon = None
                 self._receive_requests(rest)
                 return
 
-    def _take_startup(self, message: PGMessage) -> None:
-        """Handle one message of the start-up and log-on."""
-        match message:
-            case SSLRequest():
-                self._answer_ssl()
-            case GSSEncRequest():
-                self._send(GSSResponse(False))
-            case CancelRequest(process_id=key, secret_key=secret):
+    def _take_step(self, step: LogonStep) -> None:
+        """Carry out one step of the log-on."""
+        match step:
+            case SendBytes(wire=wire):
+                self.transport.write(wire)
+            case StartTls(wire=wire):
+                self.transport.write(wire)
+                self._tls = True
+                self.transport.startTLS(self.factory.tls_context)
+            case CancelOther(key=key, secret=secret):
                 self.factory.cancel(key, secret)
                 self._close()
-            case StartupMessage():
-                self._begin(message)
-            case SASLInitialResponse(mechanism=mechanism, data=data):
-                self._begin_scram(mechanism, data)
-            case SASLResponse(data=data):
-                self._end_scram(data)
-            case Terminate():
+            case RefuseLogon(error=error):
+                self._refuse(error)
+            case AcceptLogon(request=request, user=user):
+                self._accept(request, user)
+            case QuitLogon():
                 self._close()
-            case _:
-                raise ProtocolError(f"unexpected {type(message).__name__}")
-
-    def _answer_ssl(self) -> None:
-        """Begin TLS if there is a certificate."""
-        context = self.factory.tls_context
-        accepted = context is not None and not self._tls
-        self._send(SSLResponse(accepted))
-        if not accepted:
-            return
-        if self._startup._decoder.buffered:
-            raise ProtocolError("unencrypted data after the request for TLS")
-        self._tls = True
-        self.transport.startTLS(context)
-
-    def _begin(self, message: StartupMessage) -> None:
-        """Begin the log-on."""
-        self._request, error = parse_startup(message)
-        if error is None and self.factory.leaving:
-            error = make_fatal(CANNOT_CONNECT_NOW, "the proxy is shutting down")
-        if error is not None:
-            self._refuse(error)
-            return
-        extensions = self._request.extensions
-        if extensions or message.protocol_version != _PROTOCOL_3_0:
-            self._send(NegotiateProtocolVersion(0, list(extensions)))
-        self._user = self.factory.find_user(self._request.user)
-        if self._user is not None and not self._user.secret:
-            self._finish()
-        else:
-            self._send(AuthenticationSASL([SCRAM_MECHANISM]))
-
-    def _begin_scram(self, mechanism: str, data: bytes) -> None:
-        """Take the first message of the password exchange."""
-        if mechanism != SCRAM_MECHANISM:
-            raise ProtocolError("unknown authentication mechanism")
-        self._scram = ScramExchange(self._request.user, self._user, self.factory.mocks)
-        answer = self._scram.get_first_answer(data)
-        if isinstance(answer, SqlError):
-            self._refuse(answer)
-        else:
-            self._send(AuthenticationSASLContinue(answer))
 
-    def _end_scram(self, data: bytes) -> None:
-        """Take the last message of the password exchange."""
-        answer = self._scram.get_final_answer(data)
-        if isinstance(answer, SqlError):
-            self._refuse(answer)
-            return
-        self._send(AuthenticationSASLFinal(answer))
-        self._finish()
-
-    def _finish(self) -> None:
-        """Let the caller in."""
-        request = self._request
-        error = self._check_database(request)
+    def _accept(self, request: StartupRequest, user: UserSettings) -> None:
+        """Let the caller in, if the proxy and the handler agree."""
+        error = self.factory.get_refusal() or self.factory.check_database(
+            request.database, user
+        )
         if error is None:
             self._make_caller(request)
             error = self.factory.handler.check_session(self.caller)
         if error is not None:
-            self._refuse(error._replace(severity="FATAL"))
+            self._refuse(error._replace(severity=FATAL))
             return
         self._stop_timer()
         self._key, secret = self.factory.register(self.caller)
-        self._send(AuthenticationOk())
-        for name, value in self.factory.get_parameters(request).items():
-            self._send(ParameterStatus(name, value))
-        self._send(BackendKeyData(self._key, secret))
-        self._send(ReadyForQuery(TransactionStatus.IDLE))
+        parameters = self.factory.get_parameters(request)
+        welcome = self._logon.encode_welcome(parameters, self._key, secret)
+        self.transport.write(welcome)
         self.transport.registerProducer(self.caller, True)
+        self.caller.set_drained(self._continue)
         self.phase = Phase.READY
 
     def _make_caller(self, request: StartupRequest) -> None:
@@ -257,33 +198,36 @@
             self.factory.reactor, self.transport, identity, request.settings
         )
 
-    def _check_database(self, request: StartupRequest) -> SqlError | None:
-        """Return why the user may not use the database that it asked for."""
-        if self.factory.find_database(request.database, self._user):
-            return None
-        text = f'database "{request.database}" does not exist'
-        return make_fatal(INVALID_CATALOG_NAME, text)
-
     def _receive_requests(self, data: bytes) -> None:
         """Take bytes of a logged-on caller."""
         self._reader.feed(data)
         if self.phase is Phase.READY:
             self._run_units()
-        elif self._reader.buffered > INPUT_LIMIT and not self._paused:
+        if self._reader.buffered > INPUT_LIMIT and self._is_waiting():
             self._paused = True
             self.transport.pauseProducing()
 
+    def _is_waiting(self) -> bool:
+        """Return whether input is kept for later though it could still be read."""
+        if self._paused or self.phase is Phase.CLOSING:
+            return False
+        return self.phase is Phase.RUNNING or self.caller.is_full
+
     def _run_units(self) -> None:
         """Give out units until one has to be waited for."""
-        while self.phase is Phase.READY:
+        # A caller that does not read its answers gets no further ones.
+        while self.phase is Phase.READY and not self.caller.is_full:
             unit = self._reader.read_unit()
             if unit is None:
+                self._wait_for_input()
                 break
             self._run_unit(unit)
-        if self.phase is Phase.READY:
-            self._resume()
-            if self.factory.leaving:
-                self.leave()
+
+    def _wait_for_input(self) -> None:
+        """Read on, or end the connection if the proxy leaves."""
+        self._resume()
+        if self.factory.leaving:
+            self._end_idle()
 
     def _run_unit(self, unit: Unit) -> None:
         """Give out one unit."""
@@ -301,8 +245,9 @@
             case _:
                 self.phase = Phase.RUNNING
                 caller.arrived_at = self.factory.reactor.seconds()
-                running = self.factory.handler.handle(unit, caller)
+                running = maybeDeferred(self.factory.handler.handle, unit, caller)
                 running.addCallbacks(self._end_unit, self._fail_unit)
+                running.addErrback(self._report_fault)
 
     def _end_unit(self, _: object) -> None:
         """Go on after a unit."""
@@ -318,11 +263,11 @@
         if self._reader.buffered:
             self.factory.reactor.callLater(0, self._continue)
         else:
-            self._run_units()
+            self._wait_for_input()
 
     def _continue(self) -> None:
         """Give out buffered units, unless that has been done meanwhile."""
-        if self.phase is not Phase.READY:
+        if self.phase is not Phase.READY or self._lost:
             return
         try:
             self._run_units()
@@ -345,16 +290,17 @@
                 )
             )
 
+    def _report_fault(self, failure: Failure) -> None:
+        """Log a fault of this class and end the connection."""
+        log.error("callers: connection failed: %s", failure.getTraceback())
+        self.transport.abortConnection()
+
     def _resume(self) -> None:
         """Read from the caller again."""
         if self._paused:
             self._paused = False
             self.transport.resumeProducing()
 
-    def _send(self, message: PGMessage) -> None:
-        """Send one message of the start-up."""
-        self.transport.write(self._startup.send(message))
-
     def _refuse(self, error: SqlError) -> None:
         """End the connection with an error."""
         peer = self.transport.getPeer()
@@ -375,6 +321,7 @@
         self.phase = Phase.CLOSING
         self._stop_timer()
         if self.caller is not None:
+            self.caller.set_drained(None)
             self.caller.detach()
             self.transport.unregisterProducer()
         self._resume()
@@ -382,8 +329,14 @@
             self.transport.loseWriteConnection()
         else:
             self.transport.loseConnection()
+        self._timer = self.factory.reactor.callLater(LINGER, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Close a connection that the caller has left open."""
+        self.transport.loseConnection()
+        # What is still to be sent may take as long as any answer may.
         self._timer = self.factory.reactor.callLater(
-            LINGER, self.transport.abortConnection
+            STALL_LIMIT, self.transport.abortConnection
         )
 
     def _time_out(self) -> None:
--- a/beryltrack/connections/target.py
+++ b/beryltrack/connections/target.py
@@ -6,33 +6,10 @@
 """
 
 import logging
-from collections import OrderedDict
-from typing import NamedTuple
 
-from pygwire import ConnectionPhase, FrontendConnection
 from pygwire.exceptions import ProtocolError
-from pygwire.messages import (
-    AuthenticationCleartextPassword,
-    AuthenticationOk,
-    AuthenticationSASL,
-    AuthenticationSASLContinue,
-    AuthenticationSASLFinal,
-    BackendKeyData,
-    CancelRequest,
-    ErrorResponse,
-    NegotiateProtocolVersion,
-    NoticeResponse,
-    ParameterStatus,
-    PasswordMessage,
-    PGMessage,
-    Query,
-    ReadyForQuery,
-    SASLInitialResponse,
-    SASLResponse,
-    StartupMessage,
-    Terminate,
-)
-from scramp import ScramClient, ScramException
+from pygwire.messages import BackendKeyData, CancelRequest, Query, Terminate
+from scramp import ScramException
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import (
     TCP4ClientEndpoint,
@@ -43,25 +20,27 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from beryltrack.errors import SqlError, SqlException
+from beryltrack.connections.logon import (
+    APPLICATION_NAME,
+    Credentials,
+    TargetLogon,
+)
+from beryltrack.connections.prepared import PreparedNames
+from beryltrack.errors import (
+    FEATURE_NOT_SUPPORTED,
+    INVALID_SQL_STATEMENT_NAME,
+    SqlException,
+)
 from beryltrack.groups.messages import LogPosition
 from beryltrack.settings.messages import Endpoint
-from beryltrack.wire.answers import (
-    POSITION_PARAMETER,
-    AnswerReader,
-    decode_error,
-    parse_position,
-)
-from beryltrack.wire.framing import BoundedBackendDecoder
+from beryltrack.wire.answers import AnswerReader
 from beryltrack.wire.messages import Edit, ResponseEnd, ResponseSink
 
 log = logging.getLogger(__name__)
 
-APPLICATION_NAME = "beryltrack"
-SCRAM_MECHANISM = "SCRAM-SHA-256"
-
-# Statements kept prepared on one connection; the oldest are closed beyond it.
-MAX_PREPARED = 256
+# Errors after which the statements on a connection may not be what they were:
+# a plan that no longer fits its table, or a name that does not exist.
+_STALE_STATES = frozenset({FEATURE_NOT_SUPPORTED, INVALID_SQL_STATEMENT_NAME})
 
 # Seconds to wait for the connection that carries a cancel request.
 CANCEL_TIMEOUT = 5.0
@@ -88,27 +67,6 @@
         self.reason = reason
 
 
-class Credentials(NamedTuple):
-    """Whom a connection logs on as.
-
-    Parameters
-    ----------
-    database : str
-        Name of the database.
-    user : str
-        Name of the user.
-    password : str
-        Password; empty where the target trusts the user.
-    application_name : str
-        Name that the target shows for the connection.
-    """
-
-    database: str
-    user: str
-    password: str
-    application_name: str = APPLICATION_NAME
-
-
 class _NullSink:
     """A sink for answers that nobody reads."""
 
@@ -122,38 +80,6 @@
         pass
 
 
-class PreparedNames:
-    """Names of the statements that exist on one connection, oldest use first."""
-
-    def __init__(self, limit: int = MAX_PREPARED):
-        self._names: OrderedDict[str, None] = OrderedDict()
-        self._limit = limit
-
-    def __contains__(self, name: str) -> bool:
-        return name in self._names
-
-    def __len__(self) -> int:
-        return len(self._names)
-
-    def touch(self, name: str) -> None:
-        """Note that the statement exists and was used just now."""
-        self._names[name] = None
-        self._names.move_to_end(name)
-
-    def forget(self, name: str) -> None:
-        """Note that the statement does not exist any more."""
-        self._names.pop(name, None)
-
-    def clear(self) -> None:
-        """Note that no statement exists any more."""
-        self._names.clear()
-
-    def get_excess(self, coming: int) -> tuple[str, ...]:
-        """Return the oldest names to close before `coming` more are prepared."""
-        excess = max(0, len(self._names) + coming - self._limit)
-        return tuple(name for name, _ in zip(self._names, range(excess), strict=False))
-
-
 class TargetConnection(Protocol):
     """A logged-on connection to a target.
 
@@ -172,15 +98,11 @@
     def __init__(self, reactor, endpoint: Endpoint, credentials: Credentials):
         self.endpoint = endpoint
         self.prepared = PreparedNames()
-        self.parameters: dict[str, str] = {}
         self.position: LogPosition | None = None
         self.broken = False
         self.ready: Deferred[TargetConnection] = Deferred()
         self._reactor = reactor
-        self._credentials = credentials
-        self._startup: FrontendConnection | None = FrontendConnection()
-        self._startup._decoder = BoundedBackendDecoder()
-        self._scram: ScramClient | None = None
+        self._logon: TargetLogon | None = TargetLogon(credentials)
         self._key = BackendKeyData()
         self._reader = AnswerReader()
         self._sink: ResponseSink | None = None
@@ -214,13 +136,15 @@
         Returns
         -------
         Deferred of ResponseEnd
-            The end of the answer. Fails with `TargetLost`.
+            The end of the answer. Fails with `TargetLost`. Cancelling it
+            breaks the connection, which makes it fail so at once.
         """
-        if self.broken or self._startup is not None or self._answer is not None:
+        if self.broken or self._logon is not None or self._answer is not None:
             reason = "another request runs" if self._answer else "connection is closed"
             return _fail(TargetLost(False, reason))
         self._sink = sink
-        self._answer = answer = Deferred()
+        # An answer that nobody waits for any more must reach nobody.
+        self._answer = answer = Deferred(lambda _: self.close())
         self._reader.start(edits)
         sink.attach(self.transport)
         self.transport.write(wire)
@@ -252,7 +176,7 @@
         """End the connection. A request that runs fails with `TargetLost`."""
         if self.broken:
             return
-        if self._startup is None and not self.busy:
+        if self._logon is None and not self.busy:
             self.transport.write(_TERMINATE_WIRE)
             self.transport.loseConnection()
         else:
@@ -263,21 +187,15 @@
         """Send the start-up packet."""
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
-        names = {
-            "user": self._credentials.user,
-            "database": self._credentials.database,
-            "application_name": self._credentials.application_name,
-            "client_encoding": "UTF8",
-        }
-        self._send_startup(StartupMessage(names))
+        self.transport.write(self._logon.start())
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take bytes of the target."""
         if self.broken:
             return
         try:
-            if self._startup is not None:
-                self._receive_startup(data)
+            if self._logon is not None:
+                self._receive_logon(data)
             else:
                 self._receive_answer(data)
         except (ProtocolError, ScramException, ValueError) as error:
@@ -290,62 +208,21 @@
         lost = "closed by the target"
         self._break(lost if reason.check(ConnectionDone) else reason.getErrorMessage())
 
-    def _send_startup(self, message: PGMessage) -> None:
-        """Send one message of the start-up."""
-        self.transport.write(self._startup.send(message))
-
-    def _receive_startup(self, data: bytes) -> None:
+    def _receive_logon(self, data: bytes) -> None:
         """Log on; what follows ReadyForQuery is read as answers."""
-        startup = self._startup
-        for message in startup.receive(data):
-            self._take_startup(message)
-            if startup.phase is ConnectionPhase.READY:
-                self._startup = None
-                self._receive_answer(startup._decoder.take_rest())
-                self.ready.callback(self)
-                return
-
-    def _take_startup(self, message: PGMessage) -> None:
-        """Handle one message of the start-up."""
-        match message:
-            case ParameterStatus(name=name, value=value):
-                self.parameters[name] = value
-                if name == POSITION_PARAMETER:
-                    self.position = parse_position(value)
-            case BackendKeyData():
-                self._key = message
-            case ErrorResponse():
-                error = decode_error(memoryview(message.encode()))
-                self._break(error.message, SqlException(error))
-                self.transport.loseConnection()
-            case ReadyForQuery() | NoticeResponse() | NegotiateProtocolVersion():
-                pass
-            case _:
-                self._authenticate(message)
-
-    def _authenticate(self, message: PGMessage) -> None:
-        """Answer one step of the target's authentication."""
-        password = self._credentials.password
-        match message:
-            case AuthenticationOk():
-                pass
-            case AuthenticationCleartextPassword():
-                self._send_startup(PasswordMessage(password))
-            case AuthenticationSASL(mechanisms=mechanisms):
-                if SCRAM_MECHANISM not in mechanisms:
-                    raise ProtocolError(f"target offers only {mechanisms}")
-                user = self._credentials.user
-                self._scram = ScramClient([SCRAM_MECHANISM], user, password)
-                first = self._scram.get_client_first().encode()
-                self._send_startup(SASLInitialResponse(SCRAM_MECHANISM, first))
-            case AuthenticationSASLContinue(data=data):
-                self._scram.set_server_first(data.decode())
-                final = self._scram.get_client_final().encode()
-                self._send_startup(SASLResponse(final))
-            case AuthenticationSASLFinal(data=data):
-                self._scram.set_server_final(data.decode())
-            case _:
-                raise ProtocolError(f"{type(message).__name__} is not supported")
+        logon = self._logon
+        wire = logon.feed(data)
+        if wire:
+            self.transport.write(wire)
+        if logon.error is not None:
+            self._break(logon.error.message, SqlException(logon.error))
+            self.transport.loseConnection()
+        elif logon.is_done:
+            self._logon = None
+            self.position = logon.position
+            self._key = logon.key
+            self._receive_answer(logon.take_rest())
+            self.ready.callback(self)
 
     def _receive_answer(self, data: bytes) -> None:
         """Read the answer to the request in flight."""
@@ -357,6 +234,8 @@
         self._reader.feed(b"", _discard)
         if end.position is not None:
             self.position = end.position
+        if end.error is not None and end.error.sqlstate in _STALE_STATES:
+            self.prepared.expire()
         answer = self._answer
         self._answer = self._sink = None
         sink.detach()
@@ -460,7 +339,6 @@
     "PreparedNames",
     "ResponseEnd",
     "ResponseSink",
-    "SqlError",
     "TargetConnection",
     "TargetLost",
     "connect_target",
--- a/tests/callers/echo_target.py
+++ b/tests/callers/echo_target.py
@@ -27,6 +27,11 @@
     )
 
 
+def describe(text, values):
+    """Describe the row that a statement gives."""
+    return make_description(1 if text.startswith("rows") else 2 + len(values))
+
+
 class EchoTarget(Protocol):
     """One connection to the target."""
 
@@ -81,11 +86,11 @@
                     self.portals[portal] = self.statements[name].query, values
                     self.send(m.BindComplete())
             case m.Describe(kind="P", name=name):
-                self.send(make_description(2 + len(self.portals[name][1])))
+                self.send(describe(*self.portals[name]))
             case m.Describe(name=name) if name in self.statements:
-                number = self.statements[name].query.count("$")
-                self.send(m.ParameterDescription([TEXT] * number))
-                self.send(make_description(2 + number))
+                text = self.statements[name].query
+                types = [TEXT] * text.count("$")
+                self.send(m.ParameterDescription(types), describe(text, types))
             case m.Describe():
                 self.fail("26000")
             case m.Execute(portal=portal):
@@ -106,7 +111,7 @@
         self.failed = not isinstance(self.factory.seen[-1], m.Query)
         self.send(m.ErrorResponse({"S": "ERROR", "C": code, "M": text}))
 
-    def run(self, text, values, describe):
+    def run(self, text, values, described):
         """Run one statement; return whether it is answered."""
         match text.split():
             case ["hang"]:
@@ -130,11 +135,11 @@
                 self.send(m.ParameterStatus("beryltrack.position", "1/7"))
             case ["rows", number, size]:
                 rows = [make_row("x" * int(size))] * int(number)
-                self.send(*([make_description(1)] if describe else []), *rows)
+                self.send(*([make_description(1)] if described else []), *rows)
                 self.send(m.CommandComplete(f"SELECT {number}"))
             case _:
                 row = make_row(str(self.number), text, *map(bytes.decode, values))
-                description = [make_description(2)] if describe else []
+                description = [make_description(2)] if described else []
                 self.send(*description, row, m.CommandComplete("SELECT 1"))
         return True
 
