Add a program that roams between proxies under faults

Cause: nothing checked the whole path as callers see it: sessions that change the proxy at each request, primaries lost under load, marked writes repeated.

--- /dev/null
+++ b/beryltrack_bench/roaming/faults.py
@@ -0,0 +1,109 @@
+"""Faults put in force one after the other while the sessions work."""
+
+import random
+import time
+from typing import NamedTuple
+
+from beryltrack_bench.roaming.local_site import (
+    PLATFORM,
+    ReadyLine,
+    get_primary,
+    set_fault,
+    wait_for_term,
+)
+from beryltrack_bench.roaming.records import Records
+
+# Each way to lose the primary, with the fault that brings it back.
+PRIMARY_FAULTS = (("stop", "start"), ("isolate", "heal"), ("freeze", "thaw"))
+HAND_OVER = "leave"
+_PLATFORM_FAULTS = (None, ("down", None), ("slow", 0.3), ("lose_answers", 5))
+_LAG = 0.5
+_TIMEOUT = 20.0
+_QUIET = 0.4
+
+
+class FaultRecord(NamedTuple):
+    """One fault and how the site got over it.
+
+    Parameters
+    ----------
+    fault : str
+        The fault of the primary.
+    platform : str
+        The platform's fault at the time; empty for none.
+    gap : float or None
+        Seconds from the fault until a write that began after it was
+        acknowledged; None if none was in time.
+    replaced : bool
+        True if another primary took over in time.
+    """
+
+    fault: str
+    platform: str
+    gap: float | None
+    replaced: bool
+
+
+def clear_faults(site: ReadyLine) -> None:
+    """End all faults of all stand-ins."""
+    set_fault(site, PLATFORM, "up")
+    for database in site.databases:
+        for _, end in PRIMARY_FAULTS:
+            set_fault(site, database, end)
+        set_fault(site, database, HAND_OVER, False)
+        set_fault(site, database, "lag", 0.0)
+
+
+def run_faults(
+    site: ReadyLine, records: Records, rounds: int, rng: random.Random
+) -> list[FaultRecord]:
+    """Lose the primary again and again, each time in the next of all ways.
+
+    Parameters
+    ----------
+    site : ReadyLine
+        The local site.
+    records : Records
+        Tells when writes succeed again.
+    rounds : int
+        How often to lose the primary.
+    rng : random.Random
+        Source of pauses and of the platform's faults.
+
+    Returns
+    -------
+    list of FaultRecord
+        One for each round.
+    """
+    faults = (*PRIMARY_FAULTS, (HAND_OVER, HAND_OVER))
+    result = []
+    for number in range(rounds):
+        time.sleep(_QUIET + rng.random() * _QUIET)
+        fault, end = faults[number % len(faults)]
+        result.append(_run_round(site, records, fault, end, rng))
+    return result
+
+
+def _run_round(
+    site: ReadyLine, records: Records, fault: str, end: str, rng: random.Random
+) -> FaultRecord:
+    """Lose the primary once, wait until writes succeed, and bring it back."""
+    platform_fault = rng.choice(_PLATFORM_FAULTS)
+    if platform_fault is not None:
+        set_fault(site, PLATFORM, *platform_fault)
+    lagging = rng.choice(sorted(site.databases))
+    set_fault(site, lagging, "lag", _LAG)
+    primary = get_primary(site)
+    lost_at = time.monotonic()
+    set_fault(site, primary.name, fault)
+    written_at = records.wait_for_write(lost_at, _TIMEOUT)
+    replaced = wait_for_term(site, primary.term, _TIMEOUT)
+    # A planned hand-over lets writes go on at the old primary first, so the
+    # gap of a hand-over is the wait of the first write only.
+    time.sleep(_QUIET)
+    set_fault(site, primary.name, end, False if end == HAND_OVER else None)
+    set_fault(site, lagging, "lag", 0.0)
+    set_fault(site, PLATFORM, "up")
+    gap = None if written_at is None else written_at - lost_at
+    name = platform_fault[0] if platform_fault else ""
+    return FaultRecord(fault, name, gap, replaced)
--- /dev/null
+++ b/beryltrack_bench/roaming/local_site.py
@@ -0,0 +1,150 @@
+"""The running local site as a client sees it: its ready line and its controls."""
+
+import json
+import time
+import urllib.request
+from typing import NamedTuple
+
+from beryltrack.findings import Finding
+
+PLATFORM = "platform"
+_HTTP_TIMEOUT = 10.0
+_POLL_INTERVAL = 0.01
+
+
+class ReadyLine(NamedTuple):
+    """What a local site prints when it is ready.
+
+    Parameters
+    ----------
+    proxies : tuple of str
+        Addresses of the proxies, ``HOST:PORT``.
+    databases : dict of str to str
+        Addresses of the databases by name.
+    control : str
+        Base address of the control endpoint.
+    """
+
+    proxies: tuple[str, ...]
+    databases: dict[str, str]
+    control: str
+
+
+class DatabaseState(NamedTuple):
+    """What the control endpoint tells of one database.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    role : str
+        ``primary`` or ``replica``.
+    term : int
+        Its term.
+    received, applied : str
+        Its positions, ``TERM/OFFSET``.
+    peak_connections : int
+        The most connections that were open at once.
+    """
+
+    name: str
+    role: str
+    term: int
+    received: str
+    applied: str
+    peak_connections: int
+
+
+def parse_ready_line(text: str, source: str) -> tuple[ReadyLine | None, list[Finding]]:
+    """Read the ready line of a local site.
+
+    Parameters
+    ----------
+    text : str
+        The line.
+    source : str
+        Where it came from, for findings.
+
+    Returns
+    -------
+    ready : ReadyLine or None
+        The addresses; None if there are findings.
+    findings : list of Finding
+        What is missing or malformed.
+    """
+    try:
+        body = json.loads(text)
+    except ValueError as error:
+        return None, [Finding(source, "", f"not JSON: {error}")]
+    if not isinstance(body, dict):
+        return None, [Finding(source, "", "not a JSON object")]
+    kinds = {"proxies": list, "databases": dict, "control": str}
+    findings = [
+        Finding(source, f"/{name}", "missing, empty or of the wrong type")
+        for name, kind in kinds.items()
+        if not isinstance(body.get(name), kind) or not body[name]
+    ]
+    if findings:
+        return None, findings
+    return ReadyLine(tuple(body["proxies"]), body["databases"], body["control"]), []
+
+
+def set_fault(site: ReadyLine, target: str, fault: str, value: object = None) -> None:
+    """Put a fault in force; raises OSError if the control endpoint refuses it."""
+    body = json.dumps({"target": target, "fault": fault, "value": value}).encode()
+    request = urllib.request.Request(f"{site.control}/faults", body, method="POST")
+    with urllib.request.urlopen(request, timeout=_HTTP_TIMEOUT):
+        pass
+
+
+def get_states(site: ReadyLine) -> tuple[DatabaseState, ...]:
+    """Return the state of each database."""
+    url = f"{site.control}/state"
+    with urllib.request.urlopen(url, timeout=_HTTP_TIMEOUT) as answer:
+        body = json.load(answer)
+    return tuple(
+        DatabaseState(
+            name,
+            item["role"],
+            item["term"],
+            item["received"],
+            item["applied"],
+            item["connections"]["peak"],
+        )
+        for name, item in body["databases"].items()
+    )
+
+
+def get_primary(site: ReadyLine) -> DatabaseState:
+    """Return the primary of the highest term."""
+    states = get_states(site)
+    return max(
+        (state for state in states if state.role == "primary"),
+        key=lambda state: state.term,
+    )
+
+
+def wait_for_term(site: ReadyLine, term: int, timeout: float) -> bool:
+    """Wait for a primary of a term after `term`; return False if none came."""
+    return _wait(lambda: get_primary(site).term > term, timeout)
+
+
+def wait_for_agreement(site: ReadyLine, timeout: float) -> bool:
+    """Wait until all databases have applied the same position."""
+    return _wait(lambda: _agree(get_states(site)), timeout)
+
+
+def _agree(states: tuple[DatabaseState, ...]) -> bool:
+    """Return whether all databases stand at one position."""
+    positions = {state.received for state in states}
+    return len(positions | {state.applied for state in states}) == 1
+
+
+def _wait(condition, timeout: float) -> bool:
+    """Poll a condition until it holds; return False if it does not in time."""
+    deadline = time.monotonic() + timeout
+    while not condition():
+        if time.monotonic() > deadline:
+            return False
+        time.sleep(_POLL_INTERVAL)
+    return True
--- /dev/null
+++ b/beryltrack_bench/roaming/records.py
@@ -0,0 +1,136 @@
+"""What each session did and was told, and what was found wrong on the way."""
+
+import enum
+import itertools
+import threading
+from collections import Counter
+from typing import NamedTuple
+
+import psycopg
+
+_NOT_RUN_STATES = ("57P03", "53300", "53400")
+_ROLLED_BACK_STATES = ("40001",)
+_UNKNOWN_STATES = ("08007", "57P01", "57P02", "08006", "08003", "08000")
+
+
+class Outcome(enum.Enum):
+    """What a caller knows of a request after its answer, or without one."""
+
+    ACKNOWLEDGED = "acknowledged"
+    NOT_RUN = "not run"
+    ROLLED_BACK = "rolled back"
+    UNKNOWN = "unknown"
+    UNEXPECTED = "unexpected"
+
+
+class Effect(NamedTuple):
+    """One write, and what the caller knows of it in the end.
+
+    Parameters
+    ----------
+    key : str
+        The key of the row that it writes.
+    outcome : Outcome
+        What the caller knows.
+    started_at : float
+        When the last try began, seconds of the monotonic clock.
+    ended_at : float
+        When its answer came.
+    """
+
+    key: str
+    outcome: Outcome
+    started_at: float
+    ended_at: float
+
+
+class Violation(NamedTuple):
+    """A promise that did not hold.
+
+    Parameters
+    ----------
+    promise : str
+        ``stale``, ``lost``, ``doubled``, ``untrue refusal``, ``mixed``,
+        ``torn transaction`` or ``unexpected error``.
+    text : str
+        What was seen.
+    """
+
+    promise: str
+    text: str
+
+
+class Records:
+    """Everything that the sessions note; safe to use from all their threads."""
+
+    def __init__(self):
+        self.counts: Counter[str] = Counter()
+        self.marked: list[Effect] = []
+        self.pairs: list[Effect] = []
+        self.violations: list[Violation] = []
+        self._acknowledged: list[Effect] = []
+        self._changed = threading.Condition()
+
+    def count(self, name: str) -> None:
+        """Count one event."""
+        with self._changed:
+            self.counts[name] += 1
+
+    def report(self, promise: str, text: str) -> None:
+        """Note a promise that did not hold."""
+        with self._changed:
+            self.violations.append(Violation(promise, text))
+
+    def note_acknowledged(self, effect: Effect) -> None:
+        """Note the time of an acknowledged write, for the failover gap."""
+        with self._changed:
+            self._acknowledged.append(effect)
+            self._changed.notify_all()
+
+    def wait_for_write(self, after: float, timeout: float) -> float | None:
+        """Wait for a write that began after a time and was acknowledged.
+
+        Parameters
+        ----------
+        after : float
+            A time of the monotonic clock, seconds.
+        timeout : float
+            The longest wait, seconds.
+
+        Returns
+        -------
+        float or None
+            When the first such write was acknowledged; None if none was.
+        """
+        with self._changed:
+            found = self._changed.wait_for(
+                lambda: self._find_acknowledged(after), timeout
+            )
+            return found.ended_at if found else None
+
+    def _find_acknowledged(self, after: float) -> Effect | None:
+        """Return the first acknowledged write that began after a time."""
+        recent = itertools.takewhile(
+            lambda effect: effect.ended_at > after, reversed(self._acknowledged)
+        )
+        found = [effect for effect in recent if effect.started_at > after]
+        return found[-1] if found else None
+
+
+def classify_error(error: psycopg.Error, is_sent: bool) -> Outcome:
+    """Return what an error tells of the request.
+
+    Parameters
+    ----------
+    error : psycopg.Error
+        The error; without a SQLSTATE the connection was lost.
+    is_sent : bool
+        False if the connection failed before the request was sent.
+    """
+    if not is_sent or error.sqlstate in _NOT_RUN_STATES:
+        return Outcome.NOT_RUN
+    if error.sqlstate in _ROLLED_BACK_STATES:
+        return Outcome.ROLLED_BACK
+    if error.sqlstate is None or error.sqlstate in _UNKNOWN_STATES:
+        return Outcome.UNKNOWN
+    return Outcome.UNEXPECTED
--- /dev/null
+++ b/beryltrack_bench/roaming/session.py
@@ -0,0 +1,357 @@
+"""One session that roams: each request goes through a proxy drawn at random.
+
+The session carries its token from answer to request, as an application behind a
+balancer does, and checks each answer against what it knows to be acknowledged.
+"""
+
+import random
+import time
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from typing import NamedTuple
+
+import psycopg
+
+from beryltrack_bench.roaming.records import (
+    Effect,
+    Outcome,
+    Records,
+    classify_error,
+)
+
+TOKEN = "beryltrack.session"
+LARGE_ROWS = 600
+_CONNECT_TIMEOUT = 10
+_NEW_CONNECTION_SHARE = 0.3
+_GIVE_UP_SHARE = 0.5
+_MAX_TRIES = 200
+_RETRY_PAUSE = 0.02
+
+Work = Callable[[psycopg.Connection], object]
+
+
+class Login(NamedTuple):
+    """Whom the sessions log on as.
+
+    Parameters
+    ----------
+    user : str
+        The user.
+    database : str
+        The database group.
+    """
+
+    user: str
+    database: str
+
+
+class MarkSetting(NamedTuple):
+    """A setting of the session that marks a request.
+
+    Parameters
+    ----------
+    name, value : str
+        The setting.
+    """
+
+    name: str
+    value: str
+
+
+class Result(NamedTuple):
+    """What came of one try of a request.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        What the caller knows.
+    answer : object
+        What the work returned; None if it failed.
+    """
+
+    outcome: Outcome
+    answer: object
+
+
+class RoamingSession:
+    """One session.
+
+    Parameters
+    ----------
+    name : str
+        The session's name, the key of its row.
+    proxies : tuple of str
+        Addresses of the proxies.
+    login : Login
+        Whom to log on as.
+    records : Records
+        Takes what is done and found.
+    rng : random.Random
+        Source of choices.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        proxies: tuple[str, ...],
+        login: Login,
+        records: Records,
+        rng: random.Random,
+    ):
+        self.name = name
+        self._proxies = proxies
+        self._login = login
+        self._records = records
+        self._rng = rng
+        self._token = ""
+        self._connections: dict[str, psycopg.Connection] = {}
+        self._requests = 0
+        self._value = 0
+        self._acknowledged = 0
+        self._unknown: set[int] = set()
+
+    def begin(self) -> bool:
+        """Write the session's row; return False if that never succeeded."""
+        query = "INSERT INTO roam_register (session, value) VALUES (%s, 0)"
+        effect = self._write_marked(query, (self.name,), f"{self.name}-begin", False)
+        return effect.outcome is Outcome.ACKNOWLEDGED
+
+    def step(self) -> None:
+        """Make one request, drawn at random."""
+        actions = {
+            self._write_register: 4,
+            self._read_register: 8,
+            self._read_register_without_token: 1,
+            self._write_effect: 4,
+            self._write_pair: 2,
+            self._read_own_question: 2,
+            self._read_large_result: 1,
+        }
+        (action,) = self._rng.choices(list(actions), list(actions.values()))
+        action()
+
+    def end(self) -> None:
+        """Close all connections."""
+        for proxy in [*self._connections]:
+            self._drop(proxy)
+
+    def _write_register(self) -> None:
+        """Raise the number in the session's row; a lower one never replaces it."""
+        self._value += 1
+        value = self._value
+        query = "UPDATE roam_register SET value = %s WHERE session = %s AND value < %s"
+        parameters = (value, self.name, value)
+        started_at = time.monotonic()
+        result = self._ask(lambda connection: connection.execute(query, parameters))
+        if result.outcome is Outcome.ACKNOWLEDGED:
+            self._acknowledged = value
+            self._note_write(str(value), started_at)
+        elif result.outcome in (Outcome.UNKNOWN, Outcome.UNEXPECTED):
+            self._unknown.add(value)
+
+    def _read_register(self) -> None:
+        """Read the session's row, and check that it shows the last write."""
+        query = "SELECT session, value FROM roam_register WHERE session = %s"
+        result = self._ask(
+            lambda connection: connection.execute(query, (self.name,)).fetchall()
+        )
+        if result.outcome is Outcome.ACKNOWLEDGED:
+            self._check_register(result.answer)
+
+    def _read_register_without_token(self) -> None:
+        """Read as a session that lost its token: that must not read less."""
+        token, self._token = self._token, ""
+        for proxy in [*self._connections]:
+            self._drop(proxy)
+        self._read_register()
+        self._token = token
+
+    def _check_register(self, rows: list[tuple[str, int]]) -> None:
+        """Check what was read of the session's row."""
+        if [row[0] for row in rows] != [self.name]:
+            return self._records.report("mixed", f"{self.name} read {rows}")
+        value = rows[0][1]
+        if value < self._acknowledged:
+            text = f"{self.name} read {value} after {self._acknowledged}"
+            self._records.report("stale", text)
+        elif value > self._acknowledged and value not in self._unknown:
+            text = f"{self.name} read {value}, which was refused"
+            self._records.report("untrue refusal", text)
+
+    def _write_effect(self) -> None:
+        """Write one row at most once, repeated while its outcome is unknown."""
+        self._requests += 1
+        key = f"{self.name}-{self._requests}"
+        query = "INSERT INTO roam_effects (request_id, session) VALUES (%s, %s)"
+        gives_up = self._rng.random() < _GIVE_UP_SHARE
+        effect = self._write_marked(query, (key, self.name), key, gives_up)
+        self._records.marked.append(effect)
+
+    def _write_marked(
+        self, query: str, parameters: tuple[str, ...], key: str, gives_up: bool
+    ) -> Effect:
+        """Send a marked write until its outcome is known."""
+        # Half of the requests carry their marks in settings, half in a tag.
+        settings = _make_mark_settings(key) if self._rng.random() < 0.5 else ()
+        text = query if settings else f"{query} {_make_mark_tag(key)}"
+        outcome = Outcome.NOT_RUN
+        for _ in range(_MAX_TRIES):
+            started_at = time.monotonic()
+            result = self._ask(
+                lambda connection: connection.execute(text, parameters), settings
+            )
+            outcome = _combine(outcome, result.outcome)
+            if outcome is Outcome.ACKNOWLEDGED:
+                self._note_write(key, started_at)
+                break
+            if gives_up and outcome in (Outcome.NOT_RUN, Outcome.ROLLED_BACK):
+                break
+            time.sleep(_RETRY_PAUSE)
+        return Effect(key, outcome, started_at, time.monotonic())
+
+    def _write_pair(self) -> None:
+        """Write two rows in one transaction, which must last or vanish together."""
+        self._requests += 1
+        key = f"{self.name}-{self._requests}"
+
+        def work(connection: psycopg.Connection) -> int:
+            with connection.transaction():
+                for table in ("roam_left", "roam_right"):
+                    connection.execute(f"INSERT INTO {table} VALUES (%s)", (key,))
+                query = "SELECT count(*) FROM roam_left WHERE key = %s"
+                return connection.execute(query, (key,)).fetchone()[0]
+
+        started_at = time.monotonic()
+        result = self._ask(work)
+        if result.outcome is Outcome.ACKNOWLEDGED:
+            self._note_write(key, started_at)
+            if result.answer != 1:
+                text = f"{key} saw {result.answer} of its own rows"
+                self._records.report("stale", text)
+        effect = Effect(key, result.outcome, started_at, time.monotonic())
+        self._records.pairs.append(effect)
+
+    def _read_own_question(self) -> None:
+        """Read back something that only this request asks."""
+        question = f"{self.name}-{self._rng.getrandbits(64)}"
+        result = self._ask(
+            lambda connection: connection.execute(
+                "SELECT %s::text", (question,)
+            ).fetchall()
+        )
+        is_answered = result.outcome is Outcome.ACKNOWLEDGED
+        if is_answered and result.answer != [(question,)]:
+            self._records.report("mixed", f"{question} was answered {result.answer}")
+
+    def _read_large_result(self) -> None:
+        """Read many rows, and check that none is missing."""
+        query = "SELECT g, repeat('x', 500) FROM generate_series(1, %s) AS g"
+        result = self._ask(
+            lambda connection: connection.execute(query, (LARGE_ROWS,)).fetchall()
+        )
+        if result.outcome is not Outcome.ACKNOWLEDGED:
+            return
+        if [row[0] for row in result.answer] != list(range(1, LARGE_ROWS + 1)):
+            text = f"a large result came with {len(result.answer)} rows"
+            self._records.report("mixed", text)
+
+    def _note_write(self, key: str, started_at: float) -> None:
+        """Note an acknowledged write."""
+        effect = Effect(key, Outcome.ACKNOWLEDGED, started_at, time.monotonic())
+        self._records.note_acknowledged(effect)
+
+    def _ask(self, work: Work, settings: Sequence[MarkSetting] = ()) -> Result:
+        """Do some work through a proxy drawn at random; keep the token it gives."""
+        proxy = self._rng.choice(self._proxies)
+        is_sent = False
+        try:
+            connection = self._connect(proxy)
+            for setting in settings:
+                connection.execute(f"SET {setting.name} = '{setting.value}'")
+            is_sent = True
+            answer = work(connection)
+        except psycopg.Error as error:
+            return self._fail(proxy, error, is_sent)
+        self._token = connection.info.parameter_status(TOKEN) or self._token
+        self._records.count("acknowledged")
+        self._reset(proxy, connection, settings)
+        return Result(Outcome.ACKNOWLEDGED, answer)
+
+    def _reset(
+        self,
+        proxy: str,
+        connection: psycopg.Connection,
+        settings: Sequence[MarkSetting],
+    ) -> None:
+        """Take back marks, and now and then go on with a new connection."""
+        try:
+            for setting in settings:
+                connection.execute(f"RESET {setting.name}")
+        except psycopg.Error:
+            self._drop(proxy)
+        if self._rng.random() < _NEW_CONNECTION_SHARE:
+            self._drop(proxy)
+
+    def _fail(self, proxy: str, error: psycopg.Error, is_sent: bool) -> Result:
+        """Note a failed request."""
+        self._drop(proxy)
+        outcome = classify_error(error, is_sent)
+        self._records.count(f"{outcome.value} {error.sqlstate}")
+        if outcome is Outcome.UNEXPECTED:
+            self._records.report("unexpected error", f"{error.sqlstate}: {error}")
+        return Result(outcome, None)
+
+    def _connect(self, proxy: str) -> psycopg.Connection:
+        """Return a connection to a proxy that knows the session's token."""
+        connection = self._connections.get(proxy)
+        if connection is not None:
+            if self._token:
+                connection.execute(f"SET {TOKEN} = '{self._token}'")
+            return connection
+        host, _, port = proxy.rpartition(":")
+        connection = psycopg.connect(
+            host=host,
+            port=int(port),
+            user=self._login.user,
+            dbname=self._login.database,
+            options=f"-c {TOKEN}={self._token}" if self._token else "",
+            connect_timeout=_CONNECT_TIMEOUT,
+            sslmode="disable",
+            autocommit=True,
+        )
+        self._connections[proxy] = connection
+        return connection
+
+    def _drop(self, proxy: str) -> None:
+        """Close the connection to a proxy."""
+        connection = self._connections.pop(proxy, None)
+        if connection is not None:
+            with suppress(psycopg.Error):
+                connection.close()
+
+
+def _make_mark_settings(key: str) -> tuple[MarkSetting, ...]:
+    """Return the settings that mark a request to run at most once."""
+    return (
+        MarkSetting("beryltrack.request_id", key),
+        MarkSetting("beryltrack.idempotent", "off"),
+    )
+
+
+def _make_mark_tag(key: str) -> str:
+    """Return the comment that marks a request to run at most once."""
+    return f"/*beryltrack_request_id='{key}',beryltrack_idempotent='off'*/"
+
+
+def _combine(before: Outcome, latest: Outcome) -> Outcome:
+    """Return what is known after one more try of the same request.
+
+    An answer speaks of its own try only: once a try may have run, only an
+    acknowledgement settles the request.
+    """
+    if latest is Outcome.ACKNOWLEDGED or before in (
+        Outcome.NOT_RUN,
+        Outcome.ROLLED_BACK,
+    ):
+        return latest
+    return before
