--- /dev/null
+++ b/beryltrack_bench/experiments/faults.py
@@ -0,0 +1,172 @@
+"""The fault matrix: every fault at every step of each procedure, and pairs.
+
+The steps of a procedure are those of a run without faults: each message that
+is sent or received and each timer that fires. A full matrix has some
+ten thousand cells, so a run takes a seeded sample of the steps for each
+procedure and fault; ``--runs N`` says how many, and a number beyond the steps
+takes all. A pair strikes a second time at a later step of a cell's own run, so
+that what happens only after a fault is struck too.
+"""
+
+import gc
+from collections import Counter
+from collections.abc import Iterator
+from random import Random
+from typing import NamedTuple
+
+from beryltrack_bench.deployment import Deployment
+from beryltrack_bench.matrix.faults import FAULTS
+from beryltrack_bench.matrix.procedures import PROCEDURES
+from beryltrack_bench.matrix.run import (
+    Cell,
+    CellResult,
+    Strike,
+    format_cell,
+    parse_cell,
+    run_cell,
+)
+from beryltrack_bench.options import Options
+
+STEPS_EACH = 4
+"""Steps that are struck for each procedure and fault, unless told otherwise."""
+
+LONG_STEPS_EACH = 2
+"""The same for the procedures whose runs are long."""
+
+LONG_PROCEDURES = frozenset({"draining"})
+
+PAIR_SHARE = 0.2
+"""Pairs that are run, as a share of the cells."""
+
+
+class Outcome(NamedTuple):
+    """A cell that was run."""
+
+    cell: Cell
+    result: CellResult
+
+
+def run(deployment: Deployment, seed: int, options: Options) -> dict:
+    """Run a sample of the matrix, or the one cell of the options.
+
+    Returns
+    -------
+    dict
+        ``cells``, ``pairs``, ``violations`` (a count), ``by_invariant``,
+        ``steps`` of each procedure, and ``first_failure`` with the command
+        that repeats it.
+    """
+    if options.cell:
+        cell = parse_cell(options.cell)
+        return _report(
+            deployment, seed, [Outcome(cell, run_cell(deployment, seed, cell))]
+        )
+    return run_matrix(deployment, seed, options.runs)
+
+
+def run_matrix(
+    deployment: Deployment,
+    seed: int,
+    steps_each: int = 0,
+    procedures: tuple[str, ...] = tuple(PROCEDURES),
+    faults: tuple[str, ...] = tuple(FAULTS),
+) -> dict:
+    """Run cells and pairs of some procedures.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Where they run.
+    seed : int
+        Seed of the sample and of each run.
+    steps_each : int
+        Steps that are struck for each procedure and fault; zero for a few.
+    procedures : tuple of str
+        Names of the procedures.
+    faults : tuple of str
+        Names of the faults.
+
+    Returns
+    -------
+    dict
+        As `run`.
+    """
+    rng = Random(seed)
+    clean = [_run(deployment, seed, Cell(procedure)) for procedure in procedures]
+    struck = [
+        _run(deployment, seed, cell)
+        for outcome in clean
+        for cell in _choose_cells(outcome, faults, steps_each, rng)
+    ]
+    pairs = [
+        _run(deployment, seed, cell)
+        for cell in _choose_pairs(struck, round(PAIR_SHARE * len(struck)), rng)
+    ]
+    return _report(deployment, seed, [*clean, *struck, *pairs])
+
+
+def _run(deployment: Deployment, seed: int, cell: Cell) -> Outcome:
+    """Run one cell, and clear away what it leaves."""
+    outcome = Outcome(cell, run_cell(deployment, seed, cell))
+    gc.collect(0)
+    return outcome
+
+
+def _choose_cells(
+    clean: Outcome, faults: tuple[str, ...], steps_each: int, rng: Random
+) -> Iterator[Cell]:
+    """Return cells with one fault at steps of a run without faults."""
+    procedure = clean.cell.procedure
+    steps = range(len(clean.result.steps))
+    default = LONG_STEPS_EACH if procedure in LONG_PROCEDURES else STEPS_EACH
+    number = min(steps_each or default, len(steps))
+    for fault in faults:
+        for step in sorted(rng.sample(steps, number)):
+            yield Cell(procedure, (Strike(fault, step),))
+
+
+def _choose_pairs(struck: list[Outcome], number: int, rng: Random) -> Iterator[Cell]:
+    """Return cells with a second fault at a later step of a struck run."""
+    for _ in range(number):
+        cell, result = rng.choice(struck)
+        (first,) = cell.strikes
+        later = rng.randrange(first.step, max(first.step + 1, len(result.steps)))
+        second = Strike(rng.choice(tuple(FAULTS)), later)
+        yield Cell(cell.procedure, (first, second))
+
+
+def _report(deployment: Deployment, seed: int, outcomes: list[Outcome]) -> dict:
+    """Return what is printed of the cells that were run."""
+    failed = [outcome for outcome in outcomes if outcome.result.violations]
+    strikes = Counter(len(outcome.cell.strikes) for outcome in outcomes)
+    found = Counter(
+        violation.invariant
+        for outcome in failed
+        for violation in outcome.result.violations
+    )
+    return {
+        "cells": strikes[1],
+        "pairs": strikes[2],
+        "violations": found.total(),
+        "by_invariant": dict(sorted(found.items())),
+        "failed": [format_cell(outcome.cell) for outcome in failed],
+        "steps": {
+            outcome.cell.procedure: len(outcome.result.steps)
+            for outcome in outcomes
+            if not outcome.cell.strikes
+        },
+        "first_failure": _describe(deployment, seed, failed[0]) if failed else None,
+    }
+
+
+def _describe(deployment: Deployment, seed: int, failed: Outcome) -> dict:
+    """Return what is printed of a failed cell."""
+    cell = format_cell(failed.cell)
+    first = failed.result.violations[0]
+    return {
+        "cell": cell,
+        "invariant": first.invariant,
+        "text": first.text,
+        "command": f"beryltrack-bench faults --deployment {deployment.name}"
+        f" --seed {seed} --cell {cell}",
+    }
--- a/beryltrack_bench/fakes/database.py
+++ b/beryltrack_bench/fakes/database.py
@@ -21,7 +21,14 @@
 from beryltrack_bench.deployment import ReplicationModel
 from beryltrack_bench.fakes.network import Network
 from beryltrack_bench.fakes.nodes import Node
-from beryltrack_bench.history import Event, Executed, Promoted, TargetLeft, WorkStarted
+from beryltrack_bench.history import (
+    Event,
+    Executed,
+    Promoted,
+    TargetLeft,
+    TargetReturned,
+    WorkStarted,
+)
 from beryltrack_standins.database.replica_log import ReplicaLog
 
 STOPPED_WRITES_LIMIT = 2.0
@@ -154,8 +161,8 @@
     def set_leaving(self, leaving: bool) -> None:
         """Say that the database wants no new work."""
         self.log.leaving = leaving
-        if leaving:
-            self._record(TargetLeft(self.name, self.node.seconds()))
+        event = TargetLeft if leaving else TargetReturned
+        self._record(event(self.name, self.node.seconds()))
         self._notify()
 
     def write(self, *keys: str, marked: bool = False) -> Deferred:
--- a/beryltrack_bench/fakes/network.py
+++ b/beryltrack_bench/fakes/network.py
@@ -54,6 +54,11 @@
         """Return whether the link in this direction is cut."""
         return (source.name, target.name) in self._cuts
 
+    def compute_delay(self, source: Node, target: Node) -> float:
+        """Return how long a message takes at least, seconds."""
+        delay = self._get_delay(source.zone, target.zone)
+        return delay + source.extra_delay + target.extra_delay
+
     def send(
         self, source: Node, target: Node, label: str, run: Callable[[], object]
     ) -> None:
@@ -61,7 +66,7 @@
         source.observe("send", label)
         if not source.alive or not target.alive or self.is_cut(source, target):
             return
-        delay = self._compute_delay(source, target)
+        delay = self._plan(source, target)
         step = Step(target.name, "receive", label)
         target.schedule(delay, lambda: self._arrive(source, target, run), step)
 
@@ -100,11 +105,10 @@
         if not self.is_cut(source, target):
             run()
 
-    def _compute_delay(self, source: Node, target: Node) -> float:
+    def _plan(self, source: Node, target: Node) -> float:
         """Return how long a message takes now, in the order of the link."""
         link = (source.name, target.name)
-        delay = self._get_delay(source.zone, target.zone)
-        delay += source.extra_delay + target.extra_delay
+        delay = self.compute_delay(source, target)
         arrival = source.seconds() + delay + self._rng.random() * self._jitter
         arrival = max(arrival, self._last_arrival.get(link, 0.0))
         self._last_arrival[link] = arrival
@@ -130,7 +134,7 @@
         """Tell the caller that the connection is lost."""
         if self._network.is_cut(self._target, self._source):
             return
-        delay = self._network._compute_delay(self._target, self._source)
+        delay = self._network._plan(self._target, self._source)
         step = Step(self._source.name, "receive", f"{self._label} lost")
         failure = Failure(ConnectionLost(f"{self._target.name} is down"))
         self._source.schedule(delay, lambda: self._finish(failure), step)
--- a/beryltrack_bench/fakes/platform.py
+++ b/beryltrack_bench/fakes/platform.py
@@ -115,7 +115,9 @@
             return Failure(error)
         self._revision += 1
         self._objects[path] = _StoredObject(self._revision, text)
-        self._record(ChangeAccepted(path, self._revision, self.node.seconds()))
+        change_id = _get_change_id(text)
+        now = self.node.seconds()
+        self._record(ChangeAccepted(path, self._revision, now, change_id))
         self._notify()
         return Success(self._revision)
 
@@ -232,3 +234,10 @@
     """Return a kept object as the platform answers it."""
     value = None if kept.text is None else json.loads(kept.text)
     return PlatformObject(path, kept.version, value, kept.text is None)
+
+
+def _get_change_id(text: str | None) -> str:
+    """Return the identifier of the change that a kept value carries, if any."""
+    value = json.loads(text) if text else None
+    audit = value.get("audit") if isinstance(value, dict) else None
+    return audit.get("change_id", "") if isinstance(audit, dict) else ""
--- a/beryltrack_bench/history.py
+++ b/beryltrack_bench/history.py
@@ -242,6 +242,21 @@
     at: float
 
 
+class TargetReturned(NamedTuple):
+    """A target took back that it is leaving.
+
+    Parameters
+    ----------
+    target : str
+        The target.
+    at : float
+        When, seconds.
+    """
+
+    target: str
+    at: float
+
+
 class WorkStarted(NamedTuple):
     """A target was given a request.
 
@@ -268,11 +283,29 @@
         The version that it got.
     at : float
         When, seconds.
+    change_id : str
+        The identifier that the change carries; empty if it has none.
     """
 
     path: str
     version: int
     at: float
+    change_id: str = ""
+
+
+class ChangeAnswered(NamedTuple):
+    """An operator was told what became of a change.
+
+    Parameters
+    ----------
+    change_id : str
+        The change's identifier.
+    refusal : Refusal or None
+        None if it was said to be made.
+    """
+
+    change_id: str
+    refusal: Refusal | None
 
 
 class VersionInForce(NamedTuple):
@@ -309,8 +342,10 @@
     | ShutdownBegun
     | ProxyCrashed
     | TargetLeft
+    | TargetReturned
     | WorkStarted
     | ChangeAccepted
+    | ChangeAnswered
     | VersionInForce
 )
 
--- a/beryltrack_bench/main.py
+++ b/beryltrack_bench/main.py
@@ -8,12 +8,14 @@
 
 import importlib
 import json
+import logging
 import pkgutil
 import time
 
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
+from twisted.logger import globalLogBeginner
 
 from beryltrack_bench import experiments
 from beryltrack_bench.deployment import DEPLOYMENTS, load_deployment
@@ -104,6 +106,16 @@
         return Options(cell=self.option("cell") or "", **numbers)
 
 
+def silence_logs() -> None:
+    """Keep the logs of the code under test off standard error.
+
+    The experiments judge by what they record; a proxy that was made to crash
+    also logs what ends with it.
+    """
+    logging.getLogger("beryltrack").addHandler(logging.NullHandler())
+    globalLogBeginner.beginLoggingTo([], discardBuffer=True, redirectStandardIO=False)
+
+
 def make_application() -> Application:
     """Return the command line with one command for each experiment."""
     application = Application("beryltrack-bench")
@@ -114,4 +126,5 @@
 
 def main() -> None:
     """Run the command line."""
+    silence_logs()
     make_application().run()
--- /dev/null
+++ b/beryltrack_bench/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: every fault at every step of each procedure."""
--- /dev/null
+++ b/beryltrack_bench/matrix/faults.py
@@ -0,0 +1,265 @@
+"""The faults that the users name, each with how it strikes and how it ends.
+
+A fault picks its victim when it strikes: the primary of that moment, a replica,
+or the proxy that acts. It is over after `FAULT_SECONDS`, except for those that
+are moments only.
+"""
+
+import functools
+from collections.abc import Callable
+from typing import NamedTuple
+
+from beryltrack.settings.stored import ChangeRequest, build_value
+from beryltrack_bench.fakes.platform import PLATFORM_NAME
+from beryltrack_bench.matrix.world import (
+    PROXIES,
+    SETTINGS_PATH,
+    World,
+    make_settings,
+)
+
+FAULT_SECONDS = 0.75
+"""How long a fault lasts: over twice the detection of a lost primary."""
+
+LAG_SECONDS = 0.7
+"""How far the replicas fall behind."""
+
+SLOW_SECONDS = 0.3
+"""What a slow node or platform adds to each answer."""
+
+OTHER_AGE = 9.0
+"""The `max_age` that the other operator sets, seconds."""
+
+Undo = Callable[[], object]
+
+
+class Fault(NamedTuple):
+    """One kind of fault.
+
+    Parameters
+    ----------
+    name : str
+        Its name in the identifier of a cell.
+    strike : callable
+        Begins the fault on a `World` and returns what ends it.
+    """
+
+    name: str
+    strike: Callable[[World], Undo]
+
+
+def crash_primary(world: World) -> Undo:
+    """End the primary's process; its connections break."""
+    name = world.group.primary.name
+    world.group.crash(name)
+    return lambda: world.group.restart(name)
+
+
+def lose_primary(world: World) -> Undo:
+    """Lose the primary's instance: nobody hears anything from it."""
+    name = world.group.primary.name
+    world.group.crash(name, silent=True)
+    return lambda: world.group.restart(name)
+
+
+def isolate_primary(world: World) -> Undo:
+    """Cut the primary from its group; it believes that it leads."""
+    name = world.group.primary.name
+    world.group.isolate(name)
+    return lambda: world.group.heal(name)
+
+
+def freeze_primary(world: World) -> Undo:
+    """Pause the primary; it wakes and acts as if nothing had been."""
+    world.group.primary.node.freeze(FAULT_SECONDS)
+    return do_nothing
+
+
+def slow_primary(world: World) -> Undo:
+    """Let the primary answer slowly, as one that is about to die."""
+    return _slow(world, world.group.primary.name)
+
+
+def crash_replica(world: World) -> Undo:
+    """End a replica's process."""
+    name = _get_replica(world)
+    world.group.crash(name)
+    return lambda: world.group.restart(name)
+
+
+def isolate_replica(world: World) -> Undo:
+    """Cut a replica from its group; proxies still reach it."""
+    name = _get_replica(world)
+    world.group.isolate(name)
+    return lambda: world.group.heal(name)
+
+
+def freeze_replica(world: World) -> Undo:
+    """Pause a replica."""
+    world.group.databases[_get_replica(world)].node.freeze(FAULT_SECONDS)
+    return do_nothing
+
+
+def lag_replicas(world: World) -> Undo:
+    """Let all databases apply what they receive much later."""
+    for database in world.group.databases.values():
+        database.lag_until = world.now + LAG_SECONDS
+    return do_nothing
+
+
+def leave_primary(world: World) -> Undo:
+    """Let the primary say that it is leaving."""
+    return _leave(world, world.group.primary.name)
+
+
+def leave_replica(world: World) -> Undo:
+    """Let a replica say that it is leaving."""
+    return _leave(world, _get_replica(world))
+
+
+def crash_proxy(world: World) -> Undo:
+    """End the acting proxy's process in the middle of what it does."""
+    return _crash_proxy(world, PROXIES[0])
+
+
+def crash_other_proxy(world: World) -> Undo:
+    """End another proxy's process."""
+    return _crash_proxy(world, PROXIES[1])
+
+
+def freeze_proxy(world: World) -> Undo:
+    """Pause the acting proxy; it wakes and acts on what it knew."""
+    world.site.nodes[PROXIES[0]].freeze(FAULT_SECONDS)
+    return do_nothing
+
+
+def freeze_other_proxy(world: World) -> Undo:
+    """Pause another proxy."""
+    world.site.nodes[PROXIES[1]].freeze(FAULT_SECONDS)
+    return do_nothing
+
+
+def cut_proxy_from_primary(world: World) -> Undo:
+    """Cut the acting proxy's own link to the primary."""
+    return _cut(world, PROXIES[0], (world.group.primary.name,))
+
+
+def cut_proxy(world: World) -> Undo:
+    """Cut the acting proxy from all databases and from the platform."""
+    return _cut(world, PROXIES[0], (*world.group.databases, PLATFORM_NAME))
+
+
+def cut_answers(world: World) -> Undo:
+    """Lose what the primary sends to the acting proxy, in that direction only."""
+    source, target = world.group.primary.name, PROXIES[0]
+    world.network.cut(source, target)
+    return lambda: world.network.heal(source, target)
+
+
+def stop_platform(world: World) -> Undo:
+    """Let the platform refuse all calls."""
+    world.platform.is_down = True
+    return lambda: setattr(world.platform, "is_down", False)
+
+
+def crash_platform(world: World) -> Undo:
+    """Let the platform vanish without a word."""
+    world.platform.node.freeze(FAULT_SECONDS)
+    return do_nothing
+
+
+def slow_platform(world: World) -> Undo:
+    """Let the platform answer slowly."""
+    world.platform.delay = SLOW_SECONDS
+    return lambda: setattr(world.platform, "delay", 0.0)
+
+
+def lose_platform_answers(world: World) -> Undo:
+    """Let the platform's changes take effect and their answers get lost."""
+    world.platform.loses_answers = True
+    return lambda: setattr(world.platform, "loses_answers", False)
+
+
+def race_operators(world: World) -> Undo:
+    """Let another operator change the same settings at this moment."""
+    kept = world.platform.get(SETTINGS_PATH).unwrap()
+    settings = make_settings(world.group, max_age=OTHER_AGE)["settings"]
+    request = ChangeRequest(SETTINGS_PATH, settings, "other", "race", "", "race")
+    value = build_value(request, kept.version, kept.value)
+    put = functools.partial(world.platform.put, SETTINGS_PATH, value, kept.version)
+    world.platform.node.schedule(0.0, put, None)
+    return do_nothing
+
+
+def do_nothing() -> None:
+    """End a fault that ends by itself."""
+
+
+FAULTS = {
+    function.__name__: Fault(function.__name__, function)
+    for function in (
+        crash_primary,
+        lose_primary,
+        isolate_primary,
+        freeze_primary,
+        slow_primary,
+        crash_replica,
+        isolate_replica,
+        freeze_replica,
+        lag_replicas,
+        leave_primary,
+        leave_replica,
+        crash_proxy,
+        crash_other_proxy,
+        freeze_proxy,
+        freeze_other_proxy,
+        cut_proxy_from_primary,
+        cut_proxy,
+        cut_answers,
+        stop_platform,
+        crash_platform,
+        slow_platform,
+        lose_platform_answers,
+        race_operators,
+    )
+}
+
+
+def _get_replica(world: World) -> str:
+    """Return a database that does not lead."""
+    leading = world.group.primary.name
+    return next(name for name in world.group.databases if name != leading)
+
+
+def _slow(world: World, name: str) -> Undo:
+    """Let a node's messages take longer for a while."""
+    node = world.site.nodes[name]
+    node.extra_delay = SLOW_SECONDS
+    return lambda: setattr(node, "extra_delay", 0.0)
+
+
+def _leave(world: World, name: str) -> Undo:
+    """Let a database leave; it stays until the end of the fault."""
+    database = world.group.databases[name]
+    # Not within the step that is observed: the answers that this causes are
+    # steps of their own.
+    database.node.schedule(0.0, lambda: database.set_leaving(True), None)
+    return lambda: database.set_leaving(False)
+
+
+def _crash_proxy(world: World, name: str) -> Undo:
+    """End a proxy's process and start it anew after the fault."""
+    world.crash_proxy(name)
+    return lambda: world.start_proxy(name)
+
+
+def _cut(world: World, source: str, targets: tuple[str, ...]) -> Undo:
+    """Cut a node from others in both directions."""
+    for target in targets:
+        world.network.cut_both(source, target)
+
+    def heal() -> None:
+        for target in targets:
+            world.network.heal(source, target)
+
+    return heal
--- /dev/null
+++ b/beryltrack_bench/matrix/procedures.py
@@ -0,0 +1,190 @@
+"""The procedures whose steps the matrix strikes.
+
+Each is a coroutine on a `World`. Its steps are whatever the nodes send,
+receive and do by timers until it ends; none of them is listed here.
+"""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from returns.result import Failure, Success
+from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.task import deferLater
+
+from beryltrack.settings.change import ChangeFailure, FailureKind, SettingsChange
+from beryltrack.settings.stored import ChangeRequest
+from beryltrack_bench.history import ChangeAnswered, Refusal
+from beryltrack_bench.matrix.caller import PAUSE, Session
+from beryltrack_bench.matrix.world import (
+    PROXIES,
+    SETTINGS_PATH,
+    World,
+    get_version,
+    make_settings,
+)
+
+PATIENCE = 6.0
+"""Seconds after which a procedure that makes no headway is given up."""
+
+LEAVING_WATCH = 4.0
+"""Seconds of work after a target has said that it is leaving."""
+
+LATER = 0.001
+"""Seconds after which a message that was sent has arrived."""
+
+NEW_PROXY = "proxy-3"
+
+Procedure = Callable[[World], Awaitable[object]]
+
+
+async def write(world: World) -> None:
+    """Write once and read it through another proxy."""
+    session = Session(world, "writer")
+    await session.write("w")
+    await session.read()
+
+
+async def marked_write(world: World) -> None:
+    """Write a marked request, again through other proxies until it is acknowledged."""
+    session = Session(world, "marker")
+    await session.write_marked("m", limit=world.now + PATIENCE)
+
+
+async def read(world: World) -> None:
+    """Read what the session wrote, through another proxy, until answered."""
+    session = Session(world, "reader")
+    await session.write_marked("r", limit=world.now + PATIENCE)
+    await session.read_until(world.now + PATIENCE)
+
+
+async def transaction(world: World) -> None:
+    """Run two transactions of several statements at the same time."""
+    one, other = Session(world, "one"), Session(world, "other", first_proxy=1)
+    await _gather(
+        one.write("one/1", "one/2", "one/3"),
+        other.write("other/1", "other/2", "other/3"),
+    )
+
+
+async def failover(world: World) -> None:
+    """Lose the primary and write until a new one takes it."""
+    name = world.group.primary.name
+    world.group.crash(name, silent=True)
+    session = Session(world, "survivor")
+    await session.write_marked("f", limit=world.now + PATIENCE)
+    world.group.restart(name)
+
+
+async def hand_over(world: World) -> None:
+    """Let the primary leave and write until another one leads."""
+    before = world.group.primary
+    before.set_leaving(True)
+    limit = world.now + PATIENCE
+    session = Session(world, "mover")
+    number = 0
+    while world.group.primary is before and world.now < limit:
+        number += 1
+        await session.write(f"h/{number}")
+        await deferLater(world.caller, PAUSE)
+    before.set_leaving(False)
+
+
+async def settings_change(world: World) -> None:
+    """Change the group's settings and wait until they are in force everywhere."""
+    await change_settings(world, "change", max_age=3.0)
+    limit = world.now + PATIENCE
+    kept = world.platform.get(SETTINGS_PATH).unwrap()
+    while world.now < limit and _is_anywhere_older(world, kept.version):
+        await deferLater(world.operator, PAUSE)
+
+
+async def draining(world: World) -> None:
+    """Let a replica leave while sessions go on; it gets no work after a while."""
+    primary = world.group.primary
+    databases = world.group.databases.values()
+    replica = next(each for each in databases if each is not primary)
+    replica.set_leaving(True)
+    limit = world.now + LEAVING_WATCH
+    session = Session(world, "drainer")
+    await session.write_marked("d", limit=limit)
+    while world.now < limit:
+        await session.read()
+        await deferLater(world.caller, PAUSE * 4)
+    replica.set_leaving(False)
+
+
+async def start_up(world: World) -> None:
+    """Start another proxy and use it as soon as it answers."""
+    world.start_proxy(NEW_PROXY, len(PROXIES))
+    session = Session(world, "newcomer", first_proxy=len(PROXIES))
+    await session.write_marked("s", limit=world.now + PATIENCE)
+    await session.read_until(world.now + PATIENCE)
+
+
+async def shutdown(world: World) -> None:
+    """Shut a proxy down gracefully with requests in flight."""
+    writer, reader = Session(world, "writer"), Session(world, "reader")
+    work = _gather(writer.write("x"), reader.read())
+    # The requests are on their way when the shutdown begins.
+    delay = world.network.compute_delay(world.caller, world.site.nodes[PROXIES[0]])
+    await deferLater(world.operator, delay + LATER)
+    node = world.site.nodes[PROXIES[0]]
+    left, incarnation = world.leave_proxy(PROXIES[0]), node.incarnation
+    limit = world.now + PATIENCE
+    while node.alive and not left.called and node.incarnation == incarnation:
+        if world.now > limit:
+            raise RuntimeError("the shutdown does not end")
+        await deferLater(world.operator, PAUSE)
+    await work
+    world.start_proxy(PROXIES[0])
+
+
+PROCEDURES: dict[str, Procedure] = {
+    function.__name__: function
+    for function in (
+        write,
+        marked_write,
+        read,
+        transaction,
+        failover,
+        hand_over,
+        settings_change,
+        draining,
+        start_up,
+        shutdown,
+    )
+}
+
+
+async def change_settings(world: World, change_id: str, max_age: float) -> None:
+    """Change the group's settings as the operators' tool does, and record the word."""
+    settings = make_settings(world.group, max_age=max_age)["settings"]
+    request = ChangeRequest(
+        SETTINGS_PATH, settings, "operator", "test", "2026-01-01T00:00:00Z", change_id
+    )
+    client = world.make_client(world.operator)
+    rng = Random(change_id)
+    result = await SettingsChange(world.operator, client, request, rng).run()
+    match result:
+        case Success():
+            refusal = None
+        case Failure(ChangeFailure(kind)):
+            unknown = kind is FailureKind.UNKNOWN
+            refusal = Refusal.UNKNOWN if unknown else Refusal.NOT_RUN
+    world.history.append(ChangeAnswered(change_id, refusal))
+
+
+def _is_anywhere_older(world: World, version: int) -> bool:
+    """Return whether a live proxy has not a version yet."""
+    return any(
+        get_version(proxy) < version
+        for proxy in world.proxies.values()
+        if proxy.node.alive
+    )
+
+
+def _gather(*coroutines) -> Deferred:
+    """Return a Deferred that fires when all coroutines have ended."""
+    return DeferredList(
+        [Deferred.fromCoroutine(each) for each in coroutines], fireOnOneErrback=True
+    )
--- /dev/null
+++ b/beryltrack_bench/matrix/run.py
@@ -0,0 +1,219 @@
+"""Runs one cell of the matrix: a procedure with faults at some of its steps."""
+
+import gc
+import logging
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+from twisted.logger import globalLogPublisher
+
+from beryltrack_bench.checker import Violation, check_history
+from beryltrack_bench.deployment import Deployment
+from beryltrack_bench.fakes.nodes import Step
+from beryltrack_bench.matrix.caller import Session
+from beryltrack_bench.matrix.faults import FAULT_SECONDS, FAULTS, Undo
+from beryltrack_bench.matrix.procedures import PATIENCE, PROCEDURES
+from beryltrack_bench.matrix.world import World
+
+RECOVERY_LIMIT = 6.0
+"""Seconds after the last fault within which a write must succeed again."""
+
+RUN_LIMIT = 4 * PATIENCE
+"""Seconds after which a procedure counts as stuck."""
+
+SETTLE = 0.25
+"""Seconds for replicas to catch up before the last log is read."""
+
+
+class Strike(NamedTuple):
+    """A fault at a step.
+
+    Parameters
+    ----------
+    fault : str
+        Name of the fault.
+    step : int
+        Number of the step, from zero, just before which it strikes.
+    """
+
+    fault: str
+    step: int
+
+
+class Cell(NamedTuple):
+    """One cell of the matrix, or a pair of faults.
+
+    Parameters
+    ----------
+    procedure : str
+        Name of the procedure.
+    strikes : tuple of Strike
+        The faults, by step.
+    """
+
+    procedure: str
+    strikes: tuple[Strike, ...] = ()
+
+
+class CellResult(NamedTuple):
+    """What a run of a cell gave.
+
+    Parameters
+    ----------
+    steps : tuple of Step
+        The procedure's steps, in order.
+    violations : tuple of Violation
+        What did not hold.
+    """
+
+    steps: tuple[Step, ...]
+    violations: tuple[Violation, ...]
+
+
+def format_cell(cell: Cell) -> str:
+    """Return the text that names a cell, for example ``write:crash_primary@7``."""
+    strikes = "+".join(f"{strike.fault}@{strike.step}" for strike in cell.strikes)
+    return f"{cell.procedure}:{strikes}"
+
+
+def parse_cell(text: str) -> Cell:
+    """Return the cell that a text names.
+
+    Raises
+    ------
+    ValueError
+        If there is no such procedure or fault, or the form is another.
+    """
+    procedure, _, strikes = text.partition(":")
+    parts = [part.partition("@") for part in strikes.split("+") if part]
+    cell = Cell(procedure, tuple(Strike(name, int(step)) for name, _, step in parts))
+    unknown = {strike.fault for strike in cell.strikes} - FAULTS.keys()
+    if procedure not in PROCEDURES or unknown:
+        raise ValueError(f"no such cell: {text!r}")
+    return cell
+
+
+def run_cell(deployment: Deployment, seed: int, cell: Cell) -> CellResult:
+    """Run one cell and check its history.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Where it runs.
+    seed : int
+        Seed of all random numbers.
+    cell : Cell
+        The procedure and its faults.
+    """
+    injector = _Injector(cell.strikes)
+    world = World(deployment, seed, injector.observe)
+    errors: list[str] = []
+    # Coroutines of a crashed proxy end when they are collected. Outside of the
+    # capture that is no error of the code under test.
+    gc.disable()
+    with _ErrorCapture(errors):
+        stuck = _run(world, injector, PROCEDURES[cell.procedure])
+    gc.enable()
+    violations = (
+        *check_history(world.history),
+        *(Violation("progress", text) for text in stuck),
+        *(Violation("internal_error", text) for text in errors),
+    )
+    return CellResult(tuple(injector.steps), violations)
+
+
+def _run(world: World, injector: "_Injector", procedure) -> list[str]:
+    """Run the procedure with its faults, then let everything recover."""
+    stuck = []
+    world.start()
+    injector.begin(world)
+    done = Deferred.fromCoroutine(procedure(world))
+    if not world.site.run_until_fired(done, world.now + RUN_LIMIT):
+        stuck.append("the procedure did not end")
+    done.addErrback(lambda failure: stuck.append(failure.getErrorMessage()))
+    injector.end()
+    world.site.run_until(max(world.now, injector.over_at))
+    world.record_settings()
+    if not _recover(world):
+        stuck.append("no write succeeded after the faults")
+    world.site.run_until(world.now + SETTLE)
+    world.record_settings()
+    world.record_final_log()
+    for proxy in world.proxies.values():
+        proxy.stop()
+    return stuck
+
+
+def _recover(world: World) -> bool:
+    """Write and read once more through each proxy; return whether that worked."""
+    limit = world.now + RECOVERY_LIMIT
+    session = Session(world, "last")
+    answered = Deferred.fromCoroutine(_use_all(world, session, limit))
+    return world.site.run_until_fired(answered, limit + PATIENCE) and answered.result
+
+
+async def _use_all(world: World, session: Session, limit: float) -> bool:
+    """Write and read through all proxies in turn."""
+    written = await session.write_marked("last", limit=limit)
+    return written and all([await session.read_until(limit) for _ in world.proxies])
+
+
+class _Injector:
+    """Counts the steps of a procedure and strikes at the chosen ones."""
+
+    def __init__(self, strikes: tuple[Strike, ...]):
+        self.steps: list[Step] = []
+        self.over_at = 0.0
+        self._strikes = strikes
+        self._world: World | None = None
+
+    def observe(self, step: Step) -> None:
+        """Count a step, and strike before it if a fault is due."""
+        world = self._world
+        if world is None:
+            return
+        number = len(self.steps)
+        self.steps.append(step)
+        for strike in self._strikes:
+            if strike.step == number:
+                self._strike(world, strike)
+
+    def begin(self, world: World) -> None:
+        """Count from now on."""
+        self._world = world
+
+    def end(self) -> None:
+        """Count no more."""
+        self._world = None
+
+    def _strike(self, world: World, strike: Strike) -> None:
+        """Begin a fault and plan its end."""
+        undo: Undo = FAULTS[strike.fault].strike(world)
+        self.over_at = max(self.over_at, world.now + FAULT_SECONDS)
+        world.site.clock.callLater(FAULT_SECONDS, undo)
+
+
+class _ErrorCapture(logging.Handler):
+    """Collects the errors that the code under test logs or leaves unhandled."""
+
+    def __init__(self, errors: list[str]):
+        super().__init__(logging.ERROR)
+        self._errors = errors
+
+    def __enter__(self) -> "_ErrorCapture":
+        globalLogPublisher.addObserver(self._observe)
+        logging.getLogger("beryltrack").addHandler(self)
+        return self
+
+    def __exit__(self, *exception) -> None:
+        globalLogPublisher.removeObserver(self._observe)
+        logging.getLogger("beryltrack").removeHandler(self)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Take an error that was logged."""
+        self._errors.append(record.getMessage())
+
+    def _observe(self, event: dict) -> None:
+        """Take a failure that nobody handled."""
+        if "log_failure" in event:
+            self._errors.append(repr(event["log_failure"].value))
--- /dev/null
+++ b/tests/bench/test_faults.py
@@ -0,0 +1,86 @@
+"""The fault matrix: it holds, its cells repeat, and it reports planted defects."""
+
+import pytest
+
+from beryltrack.settings.decider import NO_UPDATE, SettingsDecider
+from beryltrack_bench.deployment import load_deployment
+from beryltrack_bench.experiments.faults import run, run_matrix
+from beryltrack_bench.fakes.database import FakeDatabase
+from beryltrack_bench.matrix.run import format_cell, parse_cell, run_cell
+from beryltrack_bench.options import Options
+
+LECTORA = load_deployment("lectora")
+JINHUA = load_deployment("jinhua")
+
+
+def test_no_fault_of_a_sample_violates_an_invariant():
+    figures = run_matrix(JINHUA, 1, 1, ("write", "marked_write", "settings_change"))
+    assert figures["cells"] >= 60
+    assert figures["pairs"] >= 12
+    assert figures["failed"] == []
+
+
+def test_a_cell_is_named_by_its_faults_and_steps():
+    text = "write:crash_primary@7+stop_platform@9"
+    assert format_cell(parse_cell(text)) == text
+    with pytest.raises(ValueError):
+        parse_cell("write:no_such_fault@1")
+
+
+def test_a_cell_repeats_step_by_step():
+    cell = parse_cell("marked_write:lose_primary@3")
+    first, second = (run_cell(LECTORA, 2, cell) for _ in range(2))
+    assert first.steps == second.steps
+
+
+def find_violations(text):
+    result = run_cell(LECTORA, 1, parse_cell(text))
+    return {violation.invariant for violation in result.violations}
+
+
+LOSS = "write:isolate_replica@0+lose_primary@30"
+LATE_ANSWER = "marked_write:cut_answers@6"
+CHANGE = "settings_change:"
+
+
+@pytest.mark.parametrize("text", [LOSS, LATE_ANSWER, CHANGE])
+def test_the_cells_of_the_planted_defects_hold_without_them(text):
+    assert find_violations(text) == set()
+
+
+def test_a_confirmation_by_one_receipt_is_found(monkeypatch):
+    confirming = "beryltrack.transactions.decider.compute_majority"
+    monkeypatch.setattr(confirming, lambda size: 1)
+    figures = run_matrix(LECTORA, 1, 4, ("write",), ("isolate_primary",))
+    assert figures["by_invariant"]["no_acknowledged_write_lost"]
+    assert figures["first_failure"]["cell"].startswith("write:isolate_primary@")
+
+
+def test_a_promotion_of_the_shortest_log_is_found(monkeypatch):
+    def choose(replies, size, preferred, unwanted):
+        granted = [reply.status for reply in replies if reply.granted]
+        if len(granted) < size // 2 + 1:
+            return None
+        return min(granted, key=lambda status: status.received).name
+
+    monkeypatch.setattr("beryltrack.failover.task.choose_primary", choose)
+    assert find_violations(LOSS) == {"no_acknowledged_write_lost"}
+
+
+def test_a_marked_write_that_runs_twice_is_found(monkeypatch):
+    monkeypatch.setattr(FakeDatabase, "_find_marked", lambda self, keys: None)
+    assert find_violations(LATE_ANSWER) == {"at_most_once"}
+
+
+def test_settings_that_are_not_taken_in_are_found(monkeypatch):
+    monkeypatch.setattr(
+        SettingsDecider, "observe_changes", lambda self, answer: NO_UPDATE
+    )
+    assert find_violations(CHANGE) == {"settings"}
+
+
+def test_one_cell_gives_its_command():
+    options = Options(cell="write:crash_primary@7")
+    figures = run(LECTORA, 1, options)
+    assert figures["cells"] == 1
+    assert figures["first_failure"] is None
