--- a/beryltrack_bench/matrix/faults.py
+++ b/beryltrack_bench/matrix/faults.py
@@ -149,10 +149,10 @@
     return _cut(world, PROXIES[0], (*world.group.databases, PLATFORM_NAME))
 
 
-def cut_answers(world: World) -> Undo:
-    """Lose what the primary sends to the acting proxy, in that direction only."""
+def lose_answers(world: World) -> Undo:
+    """Lose what the primary answers to the acting proxy."""
     source, target = world.group.primary.name, PROXIES[0]
-    world.network.cut(source, target)
+    world.network.lose(source, target)
     return lambda: world.network.heal(source, target)
 
 
@@ -215,7 +215,7 @@
         freeze_other_proxy,
         cut_proxy_from_primary,
         cut_proxy,
-        cut_answers,
+        lose_answers,
         stop_platform,
         crash_platform,
         slow_platform,
