--- a/beryltrack/command/commands.py
+++ b/beryltrack/command/commands.py
@@ -32,6 +32,7 @@
 from beryltrack.json_form import to_json
 from beryltrack.settings.json_text import load_json
 from beryltrack.settings.messages import Endpoint
+from beryltrack.settings.paths import validate_team
 
 PLATFORM_VARIABLE = "BERYLTRACK_PLATFORM"
 COMMON_OPTIONS = (
@@ -44,6 +45,7 @@
 )
 AUTHOR_OPTIONS = (
     option("who", description="Who makes the change.", flag=False),
+    option("team", description="Refuse paths of any other team.", flag=False),
     option("why", description="Why, for the audit record.", flag=False, default=""),
 )
 PATH = argument("path", "Path of the object: settings/TEAM/KIND/NAME.")
@@ -123,6 +125,9 @@
     def _edit(self, wanted: dict[str, object], if_version: int | None = None) -> Report:
         """Apply the wanted objects."""
         author = self._build_author()
+        findings = validate_team(wanted, self.option("team"))
+        if findings:
+            return report_findings(findings)
 
         async def apply(tools: Tools) -> Report:
             editor = Editor(tools.reactor, tools.client, author, tools.rng)
--- a/beryltrack/platform/registration.py
+++ b/beryltrack/platform/registration.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure as Failed
 
 from beryltrack.json_form import from_json, to_json
 from beryltrack.platform.backoff import compute_delay
@@ -71,7 +72,7 @@
     def start(self) -> Deferred:
         """Write the address, again until it is there; fires when it is."""
         self._call = Deferred.fromCoroutine(self._register())
-        self._call.addErrback(lambda failure: failure.trap(CancelledError) and None)
+        self._call.addErrback(_ignore_cancellation)
         return self._call
 
     async def stop(self) -> None:
@@ -105,6 +106,11 @@
                 return failure
 
 
+def _ignore_cancellation(failure: Failed) -> None:
+    """End a call that was cancelled because the instance is leaving."""
+    failure.trap(CancelledError)
+
+
 def parse_address(value: object) -> Endpoint | None:
     """Return the endpoint in a stored address, None if it has none."""
     try:
--- a/beryltrack/settings/options.py
+++ b/beryltrack/settings/options.py
@@ -89,7 +89,8 @@
     options: tuple[Option, ...]
 
 
-NAME_PATTERN = "^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$"
+# A text may not end in a newline either, which "$" would let through.
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\Z"
 MAX_TEXT = 1000
 MAX_AGE_LIMIT = 86400.0
 MAX_DATABASES = 9
@@ -249,8 +250,8 @@
             "SCRAM-SHA-256 secret in the form that PostgreSQL stores.",
             default="",
             maximum=MAX_TEXT,
-            pattern=r"^$|^SCRAM-SHA-256\$\d+:[A-Za-z0-9+/=]+\$"
-            r"[A-Za-z0-9+/=]+:[A-Za-z0-9+/=]+$",
+            pattern=r"^\Z|^SCRAM-SHA-256\$\d+:[A-Za-z0-9+/=]+\$"
+            r"[A-Za-z0-9+/=]+:[A-Za-z0-9+/=]+\Z",
             secret=True,
         ),
         Option(
--- a/beryltrack/settings/paths.py
+++ b/beryltrack/settings/paths.py
@@ -1,6 +1,7 @@
 """Paths of settings objects: ``settings/TEAM/KIND/NAME``."""
 
 import re
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from beryltrack.findings import Finding
@@ -56,3 +57,27 @@
         kinds = ", ".join(TABLES_BY_KIND)
         findings += (Finding(text, "", f"{kind!r} is none of the kinds {kinds}"),)
     return (None if findings else SettingsPath(team, kind, name)), findings
+
+
+def validate_team(paths: Iterable[str], team: str | None) -> tuple[Finding, ...]:
+    """Return a finding for each path outside one team's subtree.
+
+    Parameters
+    ----------
+    paths : iterable of str
+        Paths of settings objects.
+    team : str or None
+        The team; None lets all paths pass.
+
+    Returns
+    -------
+    tuple of Finding
+        Empty if all paths are the team's.
+    """
+    if team is None:
+        return ()
+    return tuple(
+        Finding(path, "", f"the path is not in the subtree of the team {team}")
+        for path in paths
+        if not path.startswith(f"{PREFIX}{team}/")
+    )
--- a/beryltrack/settings/schema.py
+++ b/beryltrack/settings/schema.py
@@ -6,14 +6,18 @@
 
 import functools
 import ipaddress
+import math
 
-from jsonschema import Draft202012Validator, FormatChecker
+from jsonschema import Draft202012Validator, FormatChecker, TypeChecker
 from jsonschema.exceptions import ValidationError
+from jsonschema.protocols import Validator
+from jsonschema.validators import extend
 
 from beryltrack.findings import Finding
 from beryltrack.settings.options import REQUIRED, Option, OptionKind, OptionTable
 
 MAX_PORT = 65535
+MAX_MESSAGE = 300
 TEXT_TYPES = {
     OptionKind.TEXT: "string",
     OptionKind.INTEGER: "integer",
@@ -31,6 +35,24 @@
     return True
 
 
+def _is_integer(checker: TypeChecker, value: object) -> bool:
+    """Return whether a value is a whole number; 20.0 would become a float."""
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _is_number(checker: TypeChecker, value: object) -> bool:
+    """Return whether a value is a number; NaN passes all bounds and is none."""
+    return _is_integer(checker, value) or (
+        isinstance(value, float) and math.isfinite(value)
+    )
+
+
+STRICT_TYPES = Draft202012Validator.TYPE_CHECKER.redefine_many(
+    {"integer": _is_integer, "number": _is_number}
+)
+StrictValidator = extend(Draft202012Validator, type_checker=STRICT_TYPES)
+
+
 def build_schema(options: tuple[Option, ...]) -> dict[str, object]:
     """Return the JSON schema of an object with these options."""
     return {
@@ -77,9 +99,9 @@
 
 
 @functools.cache
-def _get_validator(table: OptionTable) -> Draft202012Validator:
+def _get_validator(table: OptionTable) -> Validator:
     """Return the validator of a table, built once."""
-    return Draft202012Validator(build_schema(table.options), format_checker=FORMATS)
+    return StrictValidator(build_schema(table.options), format_checker=FORMATS)
 
 
 def format_pointer(parts: tuple[object, ...]) -> str:
@@ -123,7 +145,7 @@
             format_pointer(tuple(error.absolute_path)),
             "the value does not have the required form"
             if _is_secret(table, error)
-            else error.message,
+            else error.message[:MAX_MESSAGE],
         )
         for error in errors
     )
--- a/beryltrack/settings/task.py
+++ b/beryltrack/settings/task.py
@@ -149,7 +149,6 @@
         """Begin to learn from the store."""
         self._loop = Deferred.fromCoroutine(self._run())
         self._loop.addErrback(lambda failure: failure.trap(CancelledError))
-        self._loop.addErrback(self._report_crash)
 
     def stop(self) -> None:
         """Stop learning; the settings known stay readable."""
@@ -160,7 +159,15 @@
     async def _run(self) -> None:
         """Refresh forever; the delay between turns depends on the outcome."""
         while True:
-            await self._wait(self._handle_result(await self._refresh()))
+            try:
+                delay = self._handle_result(await self._refresh())
+            except CancelledError:
+                raise
+            except Exception:
+                # A fault of ours must not end the learning for good.
+                log.exception("settings: learning from the store failed")
+                delay = compute_poll_period(self._fleet_size, self._rng)
+            await self._wait(delay)
 
     async def _refresh(self) -> Result[SettingsUpdate, PlatformError]:
         """Ask the store once, by the cheapest call that will do."""
@@ -241,7 +248,3 @@
         """End the present sleep."""
         if self._sleep is not None and not self._sleep.called:
             self._sleep.callback(None)
-
-    def _report_crash(self, failure) -> None:
-        """Log an error of this module itself."""
-        log.error("settings: learning stopped: %s", failure.getTraceback())
--- a/tests/command/test_tool.py
+++ b/tests/command/test_tool.py
@@ -93,6 +93,11 @@
     assert tool.platform.store.revision == 2
 
 
+def test_team_that_is_named_guards_the_subtrees_of_others(tool):
+    assert tool.call(f"{SET} --team depot", FIVE).code == ExitCode.FINDINGS
+    assert tool.call(f"{SET} --team shop", FIVE).code == ExitCode.OK
+
+
 def test_draining_a_database_is_a_change_of_its_group(tool):
     tool.call(f"settings set {GROUP_PATH} -", json.dumps(make_group()))
     group = make_group()
--- a/tests/settings/test_parsing.py
+++ b/tests/settings/test_parsing.py
@@ -81,8 +81,22 @@
     assert "hunter2" not in finding.text
 
 
+def test_numbers_are_whole_and_finite_where_they_must_be():
+    databases = [make_database("db0", 1, max_connections=20.0)]
+    value = make_group(databases=databases, max_age=float("nan"))
+    assert get_places(GROUP_PATH, value) == [
+        "/databases/0/max_connections",
+        "/max_age",
+    ]
+
+
 def test_path_is_checked():
-    for path in ("settings/shop/orders", "settings/shop/colours/x", "settings/../a/b"):
+    for path in (
+        "settings/shop/rules/x\n",
+        "settings/shop/orders",
+        "settings/shop/colours/x",
+        "settings/../a/b",
+    ):
         assert parse_settings(path, {})[1]
 
 
--- a/tests/settings/test_task.py
+++ b/tests/settings/test_task.py
@@ -131,6 +131,14 @@
     assert len(seen) == 1
 
 
+def test_fault_while_learning_does_not_end_it():
+    clock, store, task = start_task()
+    store.answer(Success(None))
+    clock.advance(POLL_PERIOD * 1.25)
+    store.answer(make_list(3, make_object(GROUP_PATH, 2, make_group())))
+    assert len(task.current.groups) == 1
+
+
 def test_stopped_task_makes_no_more_calls():
     clock, store, task = start_task()
     store.answer(make_list(3))
