Admit requests by team, and stop waiting for callers that are gone

Cause: the admission decider was not wired in; a request waited on after its caller had gone, and pools kept connections to databases that leave. Change: each request holds a ticket that knows what it waits for; putting it out ends the wait at once with a true 'not run'. Pools of leaving databases drain. Conclusion: overload is refused early in the running product too.

--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -59,8 +59,8 @@
         self.platform = PlatformClient(reactor, settings.platform_url)
         self.settings_task = SettingsTask(reactor, self.platform, rng)
         self.groups = GroupTable(reactor, settings.name, rng, self._get_share)
-        services = make_services(reactor, settings.zone, self.metrics, rng)
-        handler = RequestTask(services, self._get_site, self.groups.get)
+        self.services = make_services(reactor, settings.zone, self.metrics, rng)
+        handler = RequestTask(self.services, self._get_site, self.groups.get)
         self.callers = CallerFactory(
             reactor, handler, self._get_site, _load_certificate(settings.certificate)
         )
@@ -85,6 +85,7 @@
         """Listen, and learn the settings."""
         self.settings_task.subscribe(self._apply)
         self.settings_task.start()
+        self.services.admission.start()
         site = build_health_site(
             lambda: self.state is ProxyState.LIVE, self.metrics.render, self.get_status
         )
@@ -114,6 +115,7 @@
         """Close everything."""
         self.callers.abort()
         self.settings_task.stop()
+        self.services.admission.stop()
         await self.groups.stop()
         await self.platform.close()
         for port in self._ports:
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -16,12 +16,14 @@
     make_rolled_back,
 )
 from beryltrack.groups.messages import LogPosition
+from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.outcomes import NextStep
 from beryltrack.requests.plan import RequestPlan
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
 from beryltrack.requests.session_state import SESSION_SETTING
 from beryltrack.requests.sink import AnswerSink
+from beryltrack.requests.targets import TargetSearch
 from beryltrack.sessions.tokens import format_token, merge_position
 from beryltrack.transactions.decider import CommitOutcome
 
@@ -46,6 +48,8 @@
         What it asks for.
     arrived_at : float
         When it arrived, by the node's clock, seconds.
+    ticket : Ticket
+        By which it was taken on.
     """
 
     services: RequestServices
@@ -53,6 +57,12 @@
     caller: Caller
     plan: RequestPlan
     arrived_at: float
+    ticket: Ticket
+
+    @property
+    def search(self) -> TargetSearch:
+        """Where and how long to look for a target."""
+        return TargetSearch(self.services, self.runtime, self.ticket, self.give_up_at)
 
     @property
     def deadline(self) -> float:
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -71,10 +71,7 @@
 
     async def _find_target(self):
         """Wait for a database that can take the unit."""
-        context = self._context
-        return await find_target(
-            context.services, context.runtime, self._make_request(), context.give_up_at
-        )
+        return await find_target(self._context.search, self._make_request())
 
     def _make_request(self) -> ReadRequest | WriteRequest:
         """Return what routing needs to know of the unit."""
--- a/beryltrack/requests/marked.py
+++ b/beryltrack/requests/marked.py
@@ -216,9 +216,8 @@
 
 async def find_primary(context: RequestContext):
     """Wait for a primary whose term was confirmed, and get a connection to it."""
-    services = context.services
-    request = WriteRequest(services.seconds())
-    return await find_target(services, context.runtime, request, context.give_up_at)
+    request = WriteRequest(context.services.seconds())
+    return await find_target(context.search, request)
 
 
 async def read_row(
--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -43,6 +43,7 @@
         self.is_ledger_ready = False
         self._reactor = reactor
         self._waiting: list[Deferred[None]] = []
+        self._drained: set[str] = set()
         task.subscribe(self._tell_change)
 
     @property
@@ -67,7 +68,19 @@
         return waiting
 
     def _tell_change(self, view: GroupView) -> None:
-        """Wake the requests that wait for a change."""
+        """Follow what databases want, and wake the requests that wait."""
+        for database in view.databases:
+            wants_work = not database.leaving or database.name == view.primary
+            self._set_draining(database.name, not wants_work)
         waiting, self._waiting = self._waiting, []
         for deferred in waiting:
             deferred.callback(None)
+
+    def _set_draining(self, name: str, is_draining: bool) -> None:
+        """Give a database no new work, or give it work again."""
+        if is_draining and name not in self._drained:
+            self._drained.add(name)
+            self.pools[name].drain()
+        elif not is_draining and name in self._drained:
+            self._drained.discard(name)
+            self.pools[name].resume()
--- a/beryltrack/requests/services.py
+++ b/beryltrack/requests/services.py
@@ -7,6 +7,7 @@
 
 from beryltrack.clock import get_seconds
 from beryltrack.daemon.metrics import InstanceMetrics
+from beryltrack.requests.admission_task import AdmissionTask
 from beryltrack.requests.retry import RetryBudget, RetryPolicy
 from beryltrack.requests.target_settings import TargetSettings
 
@@ -44,6 +45,8 @@
         Availability zone of this instance.
     metrics : InstanceMetrics
         Counts and durations.
+    admission : AdmissionTask
+        Decides which requests are taken on.
     retries : RetryBudget
         Bounds repeated runs.
     settings : TargetSettings
@@ -58,6 +61,7 @@
     seconds: Callable[[], float]
     zone: str
     metrics: InstanceMetrics
+    admission: AdmissionTask
     retries: RetryBudget
     settings: TargetSettings
     policy: RequestPolicy
@@ -96,6 +100,7 @@
         get_seconds(reactor),
         zone,
         metrics,
+        AdmissionTask(reactor),
         RetryBudget(RetryPolicy(first_saved=FIRST_RETRIES), rng),
         TargetSettings(),
         policy or RequestPolicy(),
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -8,13 +8,14 @@
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
-from twisted.internet.defer import CancelledError, TimeoutError
+from twisted.internet.defer import Deferred, TimeoutError
 
 from beryltrack.connections.messages import PoolRefused, RefusalReason
 from beryltrack.connections.target import TargetConnection
 from beryltrack.connections.task import PoolTask
 from beryltrack.errors import SqlError, make_not_run
 from beryltrack.groups.messages import LogPosition
+from beryltrack.requests.admission_task import PutOut, Ticket
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
 from beryltrack.routing.decider import choose_target
@@ -56,13 +57,8 @@
     connection: TargetConnection
 
 
-async def find_target(
-    services: RequestServices,
-    runtime: GroupRuntime,
-    request: TargetRequest,
-    give_up_at: float,
-) -> Result[FoundTarget, SqlError]:
-    """Wait for a database that can take a request and get a connection to it.
+class TargetSearch(NamedTuple):
+    """Where and how long to look for a target.
 
     Parameters
     ----------
@@ -70,26 +66,59 @@
         What requests share.
     runtime : GroupRuntime
         The group.
-    request : ReadRequest or WriteRequest
-        What is asked.
+    ticket : Ticket
+        The request, which may be put out while it waits.
     give_up_at : float
         Time, by the node's clock, at which the request is refused.
+    """
+
+    services: RequestServices
+    runtime: GroupRuntime
+    ticket: Ticket
+    give_up_at: float
+
+
+async def find_target(
+    search: TargetSearch, request: TargetRequest
+) -> Result[FoundTarget, SqlError]:
+    """Wait for a database that can take a request and get a connection to it.
+
+    Parameters
+    ----------
+    search : TargetSearch
+        Where and how long to look.
+    request : ReadRequest or WriteRequest
+        What is asked.
 
     Returns
     -------
     Result of FoundTarget or SqlError
         A refusal is a true "not run".
     """
+    try:
+        found = await _search(search, request)
+    except PutOut as put_out:
+        return Failure(put_out.error)
+    if isinstance(found, Success):
+        search.ticket.start()
+    return found
+
+
+async def _search(
+    search: TargetSearch, request: TargetRequest
+) -> Result[FoundTarget, SqlError]:
+    """Choose databases until one gives a connection."""
+    services, runtime = search.services, search.runtime
     while True:
-        chosen = await choose_database(services, runtime, request, give_up_at)
+        chosen = await _choose_database(search, request)
         if isinstance(chosen, Failure):
             return chosen
         use = chosen.unwrap()
         try:
-            return Success(await _acquire(services, runtime, use, give_up_at))
+            return Success(await _acquire(search, use))
         except PoolRefused as refused:
             refusal = refused.refusal
-        if refusal.reason not in _PASSING or services.seconds() >= give_up_at:
+        if refusal.reason not in _PASSING or services.seconds() >= search.give_up_at:
             return Failure(
                 make_refusal(
                     refusal.reason.value, refusal.retry_after, refusal.sqlstate
@@ -98,27 +127,15 @@
         if use.is_replica:
             request = request._replace(excluded=(*request.excluded, use.database))
         else:
-            await runtime.wait_change()
+            await search.ticket.wait(runtime.wait_change())
 
 
-async def choose_database(
-    services: RequestServices,
-    runtime: GroupRuntime,
-    request: TargetRequest,
-    give_up_at: float,
+async def _choose_database(
+    search: TargetSearch, request: TargetRequest
 ) -> Result[UseTarget, SqlError]:
-    """Wait until a database can take a request.
-
-    Parameters
-    ----------
-    services, runtime, request, give_up_at
-        As for `find_target`.
-
-    Returns
-    -------
-    Result of UseTarget or SqlError
-        A refusal is a true "not run".
-    """
+    """Wait until a database can take a request."""
+    services, runtime, ticket = search.services, search.runtime, search.ticket
+    give_up_at = search.give_up_at
     while True:
         now = services.seconds()
         choice = choose_target(runtime.view, request, runtime.get_loads(), now)
@@ -126,16 +143,18 @@
             case UseTarget():
                 return Success(choice)
             case WaitForTarget():
-                await runtime.task.wait_applied(
+                applied = runtime.task.wait_applied(
                     choice.database, choice.position, choice.timeout
                 )
+                await ticket.wait(applied)
                 request = request._replace(may_wait=False)
             case NeedSample() if now < give_up_at:
-                sample = await sample_primary(services, runtime, choice.timeout)
+                sampling = sample_primary(services, runtime, choice.timeout)
+                sample = await ticket.wait(Deferred.fromCoroutine(sampling))
                 if sample is not None:
                     request = _add_sample(request, sample)
             case Refuse() if now < give_up_at:
-                await runtime.wait_change()
+                await ticket.wait(runtime.wait_change())
                 request = _forget_refusals(request)
             case Refuse():
                 return Failure(
@@ -153,7 +172,7 @@
     sampling.addTimeout(timeout, services.reactor)
     try:
         return await sampling
-    except (TimeoutError, CancelledError):
+    except TimeoutError:
         return None
 
 
@@ -163,14 +182,14 @@
     return make_not_run(text, sqlstate)._replace(hint=hint)
 
 
-async def _acquire(
-    services: RequestServices, runtime: GroupRuntime, use: UseTarget, give_up_at: float
-) -> FoundTarget:
+async def _acquire(search: TargetSearch, use: UseTarget) -> FoundTarget:
     """Get a connection to the database that was chosen."""
-    pool = runtime.pools[use.database]
+    services = search.services
+    pool = search.runtime.pools[use.database]
     started_at = services.seconds()
-    remaining = max(0.0, give_up_at - started_at)
-    connection = await pool.acquire(services.reactor.seconds() + remaining)
+    remaining = max(0.0, search.give_up_at - started_at)
+    acquiring = pool.acquire(services.reactor.seconds() + remaining)
+    connection = await search.ticket.wait(acquiring)
     services.metrics.record_queue_time(services.seconds() - started_at)
     return FoundTarget(use.database, use.is_replica, pool, connection)
 
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -8,7 +8,8 @@
 from beryltrack.callers.caller import Caller
 from beryltrack.callers.local import encode_extended_answer, encode_simple_answer
 from beryltrack.callers.messages import Request, SimpleRequest
-from beryltrack.errors import SqlError
+from beryltrack.errors import SqlError, make_not_run
+from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.answers import RequestContext
 from beryltrack.requests.course import RequestCourse
 from beryltrack.requests.marked import MarkedCourse
@@ -20,6 +21,11 @@
 from beryltrack.requests.targets import make_refusal
 from beryltrack.settings.messages import SiteSettings
 
+UNCOUNTED = 0
+"""Number of a request that goes on although the instance is full."""
+
+GONE = make_not_run("the caller is gone")
+
 
 class RequestTask:
     """Takes units of callers and sees to their answers.
@@ -88,15 +94,35 @@
         self, plan: RequestPlan, caller: Caller, runtime: GroupRuntime
     ) -> None:
         """Run a planned unit on targets."""
-        services = self._services
+        services, session = self._services, caller.session
         services.retries.observe_request()
-        context = RequestContext(services, runtime, caller, plan, services.seconds())
-        if caller.session.pinned is not None:
-            await run_pinned(context)
-        elif plan.is_marked and not plan.is_read:
-            await MarkedCourse(context).run()
-        else:
-            await RequestCourse(context).run()
+        arrived_at = services.seconds()
+        deadline = arrived_at + services.policy.request_timeout
+        admitted = services.admission.admit(runtime.settings.team, deadline)
+        if isinstance(admitted, Failure) and session.pinned is None:
+            _refuse(caller, admitted.failure())
+            return
+        # A transaction that is open is finished: refusing its next statement
+        # would keep its connection for longer.
+        ticket = admitted.value_or(Ticket(UNCOUNTED, services.admission))
+        caller.set_gone(lambda: ticket.put_out(GONE))
+        context = RequestContext(services, runtime, caller, plan, arrived_at, ticket)
+        try:
+            await _run_course(context)
+        finally:
+            caller.set_gone(None)
+            ticket.finish()
+
+
+async def _run_course(context: RequestContext) -> None:
+    """Run a unit that was taken on."""
+    plan = context.plan
+    if context.caller.session.pinned is not None:
+        await run_pinned(context)
+    elif plan.is_marked and not plan.is_read:
+        await MarkedCourse(context).run()
+    else:
+        await RequestCourse(context).run()
 
 
 def _refuse(caller: Caller, error: SqlError) -> None:
--- /dev/null
+++ b/tests/requests/test_admission_task.py
@@ -0,0 +1,52 @@
+"""Tickets of requests that wait."""
+
+import pytest
+from returns.result import Failure, Success
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from beryltrack.requests.admission import AdmissionPolicy
+from beryltrack.requests.admission_task import AdmissionTask, PutOut
+
+
+def make_admission(most=2):
+    policy = AdmissionPolicy(most_requests=most, least_requests=1)
+    return AdmissionTask(Clock(), policy)
+
+
+def wait(ticket):
+    return Deferred.fromCoroutine(ticket.wait(Deferred()))
+
+
+def test_a_request_that_makes_room_stops_waiting_at_once():
+    admission = make_admission()
+    first, second = (admission.admit("flood", 9.0).unwrap() for _ in range(2))
+    first.start()
+    waiting = wait(second)
+    assert isinstance(admission.admit("quiet", 9.0), Success)
+    error = waiting.result.value.error
+    waiting.addErrback(lambda _: None)
+    assert error.sqlstate == "53300" and "not run" in error.detail
+
+
+def test_a_request_that_runs_is_not_put_out():
+    admission = make_admission(most=1)
+    admission.admit("flood", 9.0).unwrap().start()
+    assert isinstance(admission.admit("quiet", 9.0), Failure)
+
+
+def test_a_request_that_is_over_makes_room():
+    admission = make_admission(most=1)
+    admission.admit("a", 9.0).unwrap().finish()
+    assert isinstance(admission.admit("a", 9.0), Success)
+    assert admission.held_count == 1
+
+
+def test_a_request_put_out_before_it_waits_does_not_wait():
+    admission = make_admission()
+    ticket = admission.admit("a", 9.0).unwrap()
+    ticket.put_out(admission.admit("a", -1.0).failure())
+    waiting = wait(ticket)
+    with pytest.raises(PutOut):
+        raise waiting.result.value
+    waiting.addErrback(lambda _: None)
