--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -216,9 +216,9 @@
         if database and primary and primary != database:
             answer.callback(CommitOutcome.UNKNOWN)
             return answer
-        outcome = self._commits.add(key, position)
-        if outcome is not None:
-            answer.callback(outcome)
+        decision = self._commits.add(key, position)
+        if decision is not None:
+            answer.callback(decision.outcome)
             return answer
         self._wake_replicas()
         return answer
--- a/beryltrack/transactions/decider.py
+++ b/beryltrack/transactions/decider.py
@@ -49,10 +49,14 @@
         The key under which the commit was added.
     outcome : CommitOutcome
         `CONFIRMED` or `ROLLED_BACK`.
+    term : int
+        The term whose majority made it final: each primary of a later term
+        has the commit, or does not have it.
     """
 
     key: int
     outcome: CommitOutcome
+    term: int
 
 
 class FinalLog(NamedTuple):
@@ -91,7 +95,7 @@
         """Number of commits that wait."""
         return len(self._pending)
 
-    def add(self, key: int, position: LogPosition) -> CommitOutcome | None:
+    def add(self, key: int, position: LogPosition) -> Decision | None:
         """Add a commit and return its outcome if it is known already.
 
         Parameters
@@ -103,13 +107,13 @@
 
         Returns
         -------
-        CommitOutcome or None
+        Decision or None
             None if the commit has to wait.
         """
-        outcome = self._decide(position)
-        if outcome is None:
+        decision = self._decide(key, position)
+        if decision is None:
             self._pending[key] = position
-        return outcome
+        return decision
 
     def remove(self, key: int) -> None:
         """Forget a commit that is waited for no longer."""
@@ -151,9 +155,9 @@
         self._note_receipt(status)
         self._note_final_log(status)
         decided = tuple(
-            Decision(key, outcome)
+            decision
             for key, position in self._pending.items()
-            if (outcome := self._decide(position)) is not None
+            if (decision := self._decide(key, position)) is not None
         )
         for decision in decided:
             del self._pending[decision.key]
@@ -176,6 +180,8 @@
         known = self._final.end.term if self._final else 0
         if status.received.term != status.term or status.term <= known:
             return
+        if not status.history or status.history[-1].term != status.term:
+            return
         start = status.history[-1]
         first = LogPosition(start.term, start.offset + 1)
         if self._count_receipts(first) >= self._majority:
@@ -192,15 +198,15 @@
         writer = self._primaries.get(position.term)
         return len(holders | {writer} if writer else holders)
 
-    def _decide(self, position: LogPosition) -> CommitOutcome | None:
+    def _decide(self, key: int, position: LogPosition) -> Decision | None:
         if self._count_receipts(position) >= self._majority:
-            return CommitOutcome.CONFIRMED
+            return Decision(key, CommitOutcome.CONFIRMED, position.term)
         final = self._final
         if final is None or final.end.term <= position.term:
             return None
         oldest = final.history[0].term
         if len(final.history) >= HISTORY_LIMIT and position.term < oldest:
             return None
-        if has_entry(final.history, final.end, position):
-            return CommitOutcome.CONFIRMED
-        return CommitOutcome.ROLLED_BACK
+        kept = has_entry(final.history, final.end, position)
+        outcome = CommitOutcome.CONFIRMED if kept else CommitOutcome.ROLLED_BACK
+        return Decision(key, outcome, final.end.term)
