Register where each instance's status can be read

Cause: the platform's instance list gives the address of the peer link only, so the tool found no status; and it lags, so new instances were not shown.

The tool also shows instances that answer but are not listed yet.

The count of failovers is not wired yet.

--- a/beryltrack/command/fleet.py
+++ b/beryltrack/command/fleet.py
@@ -21,7 +21,7 @@
 )
 from beryltrack.findings import Finding
 from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.messages import PlatformError
+from beryltrack.platform.messages import InstanceEntry, PlatformError
 from beryltrack.platform.registration import PREFIX, parse_address
 from beryltrack.settings.messages import Endpoint
 
@@ -150,24 +150,31 @@
     Returns
     -------
     Result
-        One answer for each instance in the list.
+        One answer for each instance in the list, and for each that is not in the
+        list yet but answers.
     """
     instances = await client.list_instances()
     addresses = await client.list(PREFIX)
     for result in (instances, addresses):
         if isinstance(result, Failure):
             return result
-    endpoints = {
+    stored = {
         item.path.removeprefix(PREFIX): parse_address(item.value)
         for item in addresses.unwrap().objects
     }
-    bare = [
-        InstanceAnswer(entry.name, entry.zone, entry.state, NO_ADDRESS, None)
-        for entry in instances.unwrap()
+    listed = {entry.name: entry for entry in instances.unwrap()}
+    wanted = [
+        (_build_bare(name, listed.get(name)), address and address.status_endpoint)
+        for name, address in (dict.fromkeys(listed) | stored).items()
     ]
-    return Success(
-        await _ask_all([(item, endpoints.get(item.name)) for item in bare], fetch)
-    )
+    answers = await _ask_all(wanted, fetch)
+    return Success(tuple(item for item in answers if item.listed or item.status))
+
+
+def _build_bare(name: str, entry: InstanceEntry | None) -> InstanceAnswer:
+    """Return an instance before it is asked."""
+    zone, listed = (entry.zone, entry.state) if entry else ("", "")
+    return InstanceAnswer(name, zone, listed, NO_ADDRESS, None)
 
 
 async def collect_from(
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -14,6 +14,7 @@
 from beryltrack.daemon.reports import build_status
 from beryltrack.daemon.status import InstanceStatus
 from beryltrack.platform.client import PlatformClient
+from beryltrack.platform.registration import RegistrationTask
 from beryltrack.requests.services import make_services
 from beryltrack.requests.task import RequestTask
 from beryltrack.settings.messages import (
@@ -67,6 +68,7 @@
         self._reactor = reactor
         self._seats = seats
         self._ports = []
+        self._registration: RegistrationTask | None = None
         self.metrics.set_pool_source(self._get_pool_use)
 
     @property
@@ -91,6 +93,10 @@
         )
         self._listen(self.settings.listen, self.callers)
         self._listen(self.settings.health_listen, site)
+        self._registration = RegistrationTask(
+            self._reactor, self.platform, self.settings.name, self.health_endpoint
+        )
+        self._registration.start()
         log.info("daemon: Instance %s listens.", self.settings.name)
 
     async def leave(self) -> None:
@@ -117,6 +123,7 @@
         self.settings_task.stop()
         self.services.admission.stop()
         await self.groups.stop()
+        await self._registration.stop()
         await self.platform.close()
         for port in self._ports:
             await port.stopListening()
--- a/beryltrack/platform/registration.py
+++ b/beryltrack/platform/registration.py
@@ -2,27 +2,35 @@
 
 The platform's instance list gives the address of the peer link only. So each
 instance writes the address of its HTTP endpoint once, when it starts, and takes
-it away when it leaves: two calls in the life of an instance, none in between.
+it away when it leaves. One that crashes leaves its address behind; whoever starts
+later takes away what is old and no longer in the list. So the platform sees a few
+calls at the start of an instance, two at its end, and none in between.
 """
 
 import logging
 import random
+import time
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure as Failed
 
 from beryltrack.json_form import from_json, to_json
 from beryltrack.platform.backoff import compute_delay
 from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.messages import PlatformError
+from beryltrack.platform.messages import PlatformError, PlatformObject
 from beryltrack.settings.messages import Endpoint
 
 log = logging.getLogger(__name__)
 
 PREFIX = "status/instances/"
+# Seconds. The list lags, so an address must be much older than any lag.
+STALE_AFTER = 86400.0
+# Seconds that a leaving instance spends on taking its address away.
+REMOVAL_LIMIT = 2.0
 
 
 class InstanceAddress(NamedTuple):
@@ -32,9 +40,12 @@
     ----------
     status_endpoint : Endpoint
         Where ``GET /status`` is answered.
+    since : float
+        When it was written, seconds since 1970.
     """
 
     status_endpoint: Endpoint
+    since: float
 
 
 class RegistrationTask:
@@ -52,6 +63,8 @@
         Its HTTP endpoint.
     rng : random.Random, optional
         Source of jitter.
+    get_time : callable, optional
+        Returns the time, seconds since 1970.
     """
 
     def __init__(
@@ -61,11 +74,13 @@
         name: str,
         endpoint: Endpoint,
         rng: random.Random | None = None,
+        get_time: Callable[[], float] = time.time,
     ):
         self._reactor = reactor
         self._client = client
         self._path = PREFIX + name
-        self._value = to_json(InstanceAddress(endpoint))
+        self._value = to_json(InstanceAddress(endpoint, get_time()))
+        self._get_time = get_time
         self._rng = rng or random.Random()
         self._call: Deferred | None = None
 
@@ -76,9 +91,17 @@
         return self._call
 
     async def stop(self) -> None:
-        """Take the address away; one attempt, since the instance is leaving."""
+        """Take the address away if the store answers soon."""
         if self._call is not None:
             self._call.cancel()
+        removal = Deferred.fromCoroutine(self._remove())
+        try:
+            await removal.addTimeout(REMOVAL_LIMIT, self._reactor)
+        except TimeoutError:
+            log.warning("platform: the status address could not be taken away")
+
+    async def _remove(self) -> None:
+        """Take the address away if it is still the one that was written."""
         match await self._client.get(self._path):
             case Success(None):
                 return
@@ -93,6 +116,17 @@
             if attempt == 1:
                 log.warning("platform: the status address could not be written yet")
             await deferLater(self._reactor, compute_delay(attempt, self._rng))
+        await self._remove_stale()
+
+    async def _remove_stale(self) -> None:
+        """Take away what crashed instances left; one attempt, others will come."""
+        listed = await self._client.list_instances()
+        stored = await self._client.list(PREFIX)
+        if isinstance(listed, Failure) or isinstance(stored, Failure):
+            return
+        names = {entry.name for entry in listed.unwrap()}
+        for item in get_stale(stored.unwrap().objects, names, self._get_time()):
+            await self._client.delete(item.path, item.version)
 
     async def _write(self) -> Result[int, PlatformError]:
         """Write the address once, unless it is there already."""
@@ -111,9 +145,37 @@
     failure.trap(CancelledError)
 
 
-def parse_address(value: object) -> Endpoint | None:
-    """Return the endpoint in a stored address, None if it has none."""
+def parse_address(value: object) -> InstanceAddress | None:
+    """Return a stored address, None if the value is none."""
     try:
-        return from_json(value, InstanceAddress).status_endpoint
+        return from_json(value, InstanceAddress)
     except ValueError:
         return None
+
+
+def get_stale(
+    objects: Iterable[PlatformObject], listed: set[str], now: float
+) -> tuple[PlatformObject, ...]:
+    """Return the addresses of instances that are gone.
+
+    Parameters
+    ----------
+    objects : iterable of PlatformObject
+        The stored addresses.
+    listed : set of str
+        Names in the platform's instance list.
+    now : float
+        The time, seconds since 1970.
+
+    Returns
+    -------
+    tuple of PlatformObject
+        What is neither listed nor new.
+    """
+    addresses = ((item, parse_address(item.value)) for item in objects)
+    return tuple(
+        item
+        for item, address in addresses
+        if item.path.removeprefix(PREFIX) not in listed
+        and (address is None or now - address.since > STALE_AFTER)
+    )
--- /dev/null
+++ b/tests/platform/test_registration.py
@@ -0,0 +1,24 @@
+"""Addresses that crashed instances leave behind."""
+
+from beryltrack.platform.messages import PlatformObject
+from beryltrack.platform.registration import STALE_AFTER, get_stale
+
+NOW = 1e9
+
+
+def make_address(name, since):
+    endpoint = {"host": "127.0.0.1", "port": 1}
+    value = {"status_endpoint": endpoint, "since": since}
+    return PlatformObject(f"status/instances/{name}", 1, value, False)
+
+
+def test_only_what_is_old_and_not_listed_is_stale():
+    old, new = NOW - STALE_AFTER - 1, NOW - STALE_AFTER + 1
+    objects = (
+        make_address("listed", old),
+        make_address("starting", new),
+        make_address("crashed", old),
+        make_address("strange", 0)._replace(value="x"),
+    )
+    stale = get_stale(objects, {"listed"}, NOW)
+    assert [item.path.rpartition("/")[2] for item in stale] == ["crashed", "strange"]
