Measure overload, and mend what the measurement showed

Cause: limits, refusals and loans were decided but not measured under load. Change: experiment overload (real pools, budgets, admission and retries over small fakes under one clock); BudgetTask keeps the pools' limits; overload refusals are final at once instead of being retried; opens that fail together count once, back-off ends at 0.5 s or when the target answers elsewhere; the hold time is smoothed over 32 samples; an expected wait over 0.25 s is refused; a growing shortage reaches the budget; leaving holders want no seat.

--- a/beryltrack/connections/budget.py
+++ b/beryltrack/connections/budget.py
@@ -17,6 +17,7 @@
     BudgetMessage,
     BudgetPlan,
     DatabaseUse,
+    LiveHolders,
     SeatRecord,
     SendToHolder,
     SetLimit,
@@ -86,6 +87,11 @@
         """Seats that this process holds."""
         return self._seats.held
 
+    @property
+    def is_settled(self) -> bool:
+        """True if no seat waits to be claimed, freed or given up."""
+        return self._seats.is_settled
+
     def get_limit(self, key: str, now: float) -> int:
         """Return the most connections to a database for new work."""
         return self._books[key].get_limit(now)
@@ -119,8 +125,8 @@
         self._seats.observe_seats(records, is_complete)
         return self._apply_seats(now)
 
-    def observe_live(self, holders: frozenset[str], now: float) -> None:
-        """Take in which processes are live, by list or by the peers' word."""
+    def observe_live(self, holders: LiveHolders, now: float) -> None:
+        """Take in which processes are live."""
         self._seats.observe_live(holders, now)
 
     def leave(self, now: float) -> list[BudgetAction]:
--- a/beryltrack/connections/budget_messages.py
+++ b/beryltrack/connections/budget_messages.py
@@ -59,6 +59,21 @@
     holder: str
 
 
+class LiveHolders(NamedTuple):
+    """The processes of the fleet, by the instance list or by the peers' word.
+
+    Parameters
+    ----------
+    live : frozenset of str
+        Identifiers of all that may still run.
+    leaving : frozenset of str
+        Those among them that are leaving and want no seat.
+    """
+
+    live: frozenset[str]
+    leaving: frozenset[str] = frozenset()
+
+
 class DatabaseUse(NamedTuple):
     """How a proxy uses a database, control connections included.
 
--- /dev/null
+++ b/beryltrack/connections/budget_task.py
@@ -0,0 +1,268 @@
+"""Keeps the limits of a proxy's pools in step with its budget.
+
+It owns the timer, reads the pools and carries out what `BudgetDecider` says.
+Where messages go and where seats are kept is behind two Protocols, so that the
+peer link and the platform stay out of this slice.
+"""
+
+import logging
+import random
+from collections import deque
+from typing import NamedTuple, Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+
+from beryltrack.connections.budget import BudgetDecider, BudgetPolicy
+from beryltrack.connections.budget_messages import (
+    BudgetAction,
+    BudgetedDatabase,
+    BudgetMessage,
+    BudgetPlan,
+    DatabaseUse,
+    LiveHolders,
+    SeatRecord,
+    SendToHolder,
+    SetLimit,
+    WriteSeat,
+)
+from beryltrack.connections.task import PoolTask
+
+log = logging.getLogger(__name__)
+
+FIRST_READ_PERIOD = 1.0
+READ_PERIOD = 15.0
+LIVE_PERIOD = 1.0
+
+
+class BudgetPeers(Protocol):
+    """What a budget needs of the link to the other proxies."""
+
+    def get_live_holders(self) -> LiveHolders:
+        """Return who is live, by the instance list or by the peers' word."""
+
+    def send(self, holder: str, message: BudgetMessage) -> None:
+        """Send a message to a proxy; it may be lost."""
+
+    def publish_seat(self, record: SeatRecord) -> None:
+        """Tell all proxies of a seat's object."""
+
+
+class SeatStore(Protocol):
+    """Where the objects of the seats are kept."""
+
+    async def read_seats(self) -> tuple[SeatRecord, ...] | None:
+        """Return all seats that were ever written; None if the store is away."""
+
+    async def write_seat(self, write: WriteSeat) -> SeatRecord | None:
+        """Write a seat conditionally and return what it is then, if known."""
+
+
+class _Pooled(NamedTuple):
+    """A database with its pool and the control connections beside it."""
+
+    database: BudgetedDatabase
+    pool: PoolTask
+    control: int
+
+
+class BudgetTask:
+    """Sets the limits of all pools of a proxy.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        The clock.
+    holder : str
+        This process's identifier; never used by another process.
+    plan : BudgetPlan
+        The layout of the shares, the same on every proxy.
+    peers : BudgetPeers
+        The other proxies.
+    store : SeatStore
+        Where seats are kept.
+    rng : random.Random
+        For choices and jitter.
+    policy : BudgetPolicy
+        The figures that steer the budget.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        holder: str,
+        plan: BudgetPlan,
+        peers: BudgetPeers,
+        store: SeatStore,
+        rng: random.Random,
+        policy: BudgetPolicy = BudgetPolicy(),  # noqa: B008 (immutable)
+    ):
+        self._reactor = reactor
+        self._peers = peers
+        self._store = store
+        self._rng = rng
+        self._pools: dict[str, _Pooled] = {}
+        self._decider = BudgetDecider(holder, plan, self._read_use, rng, policy)
+        self._timer: IDelayedCall | None = None
+        self._timer_at = 0.0
+        self._read_at = float("-inf")
+        self._live_at = float("-inf")
+        self._is_reading = False
+        self._is_running = False
+        self._actions: deque[BudgetAction] = deque()
+        self._is_performing = False
+
+    @property
+    def held_seats(self) -> frozenset[int]:
+        """Seats that this process holds."""
+        return self._decider.held_seats
+
+    @property
+    def _now(self) -> float:
+        return self._reactor.seconds()
+
+    def get_owners(self, group: str) -> tuple[str, ...]:
+        """Return the holders of the seats that own a group, best rank first."""
+        return self._decider.get_owners(group)
+
+    def add_pool(
+        self, database: BudgetedDatabase, pool: PoolTask, control: int
+    ) -> None:
+        """Take charge of a pool's limit.
+
+        Parameters
+        ----------
+        database : BudgetedDatabase
+            The database and its total.
+        pool : PoolTask
+            Its pool; the limit is set at once.
+        control : int
+            Control connections that this proxy has at the database besides;
+            they are part of its share.
+        """
+        self._pools[database.key] = _Pooled(database, pool, control)
+        pool.subscribe(lambda: self._observe_use(database.key, pool))
+        self._update_databases()
+
+    def remove_pool(self, key: str) -> None:
+        """Forget a pool whose connections are all closed."""
+        self._pools.pop(key, None)
+        self._update_databases()
+
+    def start(self) -> None:
+        """Read the seats and begin to keep the limits."""
+        self._is_running = True
+        self._tick()
+
+    def stop(self) -> None:
+        """Stop the timer; the pools keep their last limits."""
+        self._is_running = False
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def leave(self) -> None:
+        """Give up all seats as the pools close their connections."""
+        self._perform(self._decider.leave(self._now))
+
+    def receive(self, sender: str, message: BudgetMessage) -> None:
+        """Take in a message of another proxy."""
+        self._perform(self._decider.receive(sender, message, self._now))
+
+    def observe_seats(self, records: tuple[SeatRecord, ...]) -> None:
+        """Take in seats' objects that peers told of."""
+        self._perform(self._decider.observe_seats(records, False, self._now))
+
+    def _read_use(self, key: str) -> DatabaseUse:
+        """Return the use of a database at this moment."""
+        pooled = self._pools[key]
+        load = pooled.pool.load
+        return DatabaseUse(
+            load.open + pooled.control, load.in_use + pooled.control, load.waiting
+        )
+
+    def _observe_use(self, key: str, pool: PoolTask) -> None:
+        pooled = self._pools.get(key)
+        if self._is_running and pooled is not None and pooled.pool is pool:
+            self._perform(self._decider.observe_use(key, self._now))
+
+    def _update_databases(self) -> None:
+        databases = [pooled.database for pooled in self._pools.values()]
+        self._perform(self._decider.set_databases(databases, self._now))
+
+    def _perform(self, actions: list[BudgetAction]) -> None:
+        """Carry out actions in the order in which they were decided.
+
+        A pool whose limit changes reports its use at once; what is decided
+        then queues behind the actions that are under way.
+        """
+        self._actions.extend(actions)
+        if self._is_performing:
+            return
+        self._is_performing = True
+        try:
+            while self._actions:
+                self._perform_one(self._actions.popleft())
+        finally:
+            self._is_performing = False
+        self._set_timer()
+
+    def _perform_one(self, action: BudgetAction) -> None:
+        match action:
+            case SetLimit():
+                self._set_limit(action)
+            case SendToHolder(holder, message):
+                self._peers.send(holder, message)
+            case WriteSeat():
+                Deferred.fromCoroutine(self._write_seat(action))
+
+    def _set_limit(self, action: SetLimit) -> None:
+        pooled = self._pools.get(action.database)
+        if pooled is None:
+            return
+        right = max(0, action.right - pooled.control)
+        if pooled.pool.load.open > right:
+            log.warning("connections: the share of %s has lapsed", action.database)
+            pooled.pool.enforce_limit(right)
+        pooled.pool.set_limit(max(0, action.limit - pooled.control))
+
+    async def _write_seat(self, write: WriteSeat) -> None:
+        record = await self._store.write_seat(write)
+        if record is not None:
+            self._peers.publish_seat(record)
+            self._learn((record,), False)
+
+    async def _read_seats(self) -> None:
+        self._is_reading = True
+        records = await self._store.read_seats()
+        self._is_reading = False
+        if records is not None:
+            self._learn(records, True)
+
+    def _learn(self, records: tuple[SeatRecord, ...], is_complete: bool) -> None:
+        if self._is_running:
+            self._perform(self._decider.observe_seats(records, is_complete, self._now))
+
+    def _tick(self) -> None:
+        self._timer = None
+        now = self._now
+        if now - self._live_at >= LIVE_PERIOD:
+            self._live_at = now
+            self._decider.observe_live(self._peers.get_live_holders(), now)
+        if now >= self._read_at and not self._is_reading:
+            period = READ_PERIOD if self._decider.is_settled else FIRST_READ_PERIOD
+            self._read_at = now + period * self._rng.uniform(0.5, 1.0)
+            Deferred.fromCoroutine(self._read_seats())
+        self._perform(self._decider.tick(now))
+
+    def _set_timer(self) -> None:
+        """Keep one timer, at the earliest time at which something is due."""
+        if not self._is_running:
+            return
+        due = self._decider.get_wakeup(self._now)
+        wakeup = min(self._live_at + LIVE_PERIOD, due or float("inf"))
+        if self._timer is not None and self._timer.active():
+            if self._timer_at <= wakeup:
+                return
+            self._timer.cancel()
+        self._timer_at = wakeup
+        self._timer = self._reactor.callLater(max(0.0, wakeup - self._now), self._tick)
--- a/beryltrack/connections/loans.py
+++ b/beryltrack/connections/loans.py
@@ -55,11 +55,12 @@
 
     @property
     def is_quiet(self) -> bool:
-        """True if nothing is lent, borrowed, asked for or short."""
+        """True if nothing is lent, borrowed or asked for, and no request waits."""
         return (
             self._borrower.is_quiet
             and not self._lender.lent_count
             and not self._lender.promised_count
+            and not self._use.waiting
             and self._use.demand <= self._usable
         )
 
--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -9,8 +9,7 @@
 
 from twisted.internet.defer import Deferred
 
-TOO_MANY_CONNECTIONS = "53300"
-CANNOT_CONNECT_NOW = "57P03"
+from beryltrack.errors import CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS
 
 
 class PooledConnection(Protocol):
@@ -37,6 +36,11 @@
     NO_SHARE = "no share of the target's connections is free"
     LEAVING = "the target takes no new work"
 
+    @property
+    def is_overload(self) -> bool:
+        """True if another attempt would only add to the load."""
+        return self in (RefusalReason.QUEUE_FULL, RefusalReason.TOO_LATE)
+
 
 class PoolRefusal(NamedTuple):
     """A refusal, true as "not run" and final.
@@ -55,8 +59,8 @@
     @property
     def sqlstate(self) -> str:
         """The SQLSTATE that says the same to a caller."""
-        full = (RefusalReason.QUEUE_FULL, RefusalReason.TOO_LATE)
-        return TOO_MANY_CONNECTIONS if self.reason in full else CANNOT_CONNECT_NOW
+        is_overload = self.reason.is_overload
+        return TOO_MANY_CONNECTIONS if is_overload else CANNOT_CONNECT_NOW
 
 
 class PoolRefused(Exception):
--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -7,7 +7,7 @@
 
 import random
 from enum import Enum
-from itertools import count, takewhile
+from itertools import count
 
 from beryltrack.connections.deadline_queue import DeadlineQueue, QueuedWaiter
 from beryltrack.connections.messages import (
@@ -22,6 +22,7 @@
 )
 from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.connections.service_estimate import ServiceEstimate
+from beryltrack.connections.wait_model import WaitModel, model_waits
 
 FIRST_HOLD_TIME = 0.005
 FIRST_OPEN_TIME = 0.03
@@ -68,6 +69,7 @@
         self._hold = ServiceEstimate(FIRST_HOLD_TIME)
         self._open_time = ServiceEstimate(FIRST_OPEN_TIME)
         self._failures = 0
+        self._failed_at = float("-inf")
         self._open_after = float("-inf")
         self._dry_since: float | None = None
 
@@ -82,9 +84,9 @@
         return self._live_count + len(self._closing)
 
     @property
-    def has_waiters(self) -> bool:
-        """True if requests wait for a connection."""
-        return len(self._waiters) > 0
+    def is_short(self) -> bool:
+        """True if more requests want a connection than may be open."""
+        return len(self._waiters) + len(self._in_use) > self._limit
 
     @property
     def is_drained(self) -> bool:
@@ -133,18 +135,20 @@
             return [self._refuse(waiter, RefusalReason.UNREACHABLE, now)]
         queued = QueuedWaiter(deadline, waiter)
         place = self._waiters.find_place(queued)
-        if self._compute_finish(place, now) > deadline:
+        wait = self._compute_wait(place, now)
+        if now + wait + self._compute_service() > deadline:
             return [self._refuse(waiter, RefusalReason.TOO_LATE, now)]
+        if wait > self._policy.most_wait:
+            return [self._refuse(waiter, RefusalReason.QUEUE_FULL, now)]
         self._waiters.add(queued)
         # Whoever now waits behind may have lost its last chance.
         is_last = place == len(self._waiters) - 1
         late = [] if is_last and self._limit else self._refuse_late(now)
         return late + self._fill(now)
 
-    def cancel(self, waiter: int) -> list[PoolAction]:
+    def cancel(self, waiter: int) -> None:
         """Forget a waiter that does not want its connection any more."""
         self._waiters.remove(waiter)
-        return []
 
     def release(
         self, connection: int, is_reusable: bool, now: float
@@ -185,9 +189,12 @@
 
     def observe_open_failed(self, connection: int, now: float) -> list[PoolAction]:
         """Take in that a connection could not be opened: back off."""
-        del self._opening[connection]
-        self._failures += 1
-        self._open_after = now + self._compute_backoff()
+        started = self._opening.pop(connection)
+        # Of several opens that fail together, only the first counts.
+        if started >= self._failed_at:
+            self._failures += 1
+            self._failed_at = now
+            self._open_after = now + self._compute_backoff()
         if self._is_cut_off(now):
             return self._refuse_all(RefusalReason.UNREACHABLE, now)
         return self._refuse_late(now)
@@ -236,6 +243,12 @@
         self._state = _State.ACTIVE
         return self._fill(now)
 
+    def observe_reachable(self, now: float) -> list[PoolAction]:
+        """Take in that the target answers elsewhere: do not back off any longer."""
+        self._failures = 0
+        self._open_after = float("-inf")
+        return self._fill(now)
+
     def tick(self, now: float) -> list[PoolAction]:
         """Do what is due by time alone: refusals, reaping, opening."""
         return self._refuse_late(now) + self._reap(now) + self._fill(now)
@@ -264,37 +277,25 @@
         """Return whether nothing is open and opening has just failed."""
         return self._live_count == 0 and now < self._open_after and self._failures > 0
 
-    def _count_stuck(self, now: float) -> int:
-        """Return how many holds last too long to be counted on to end soon.
-
-        One long transaction must not make all others look hopeless, and a
-        target that answers nobody must be seen before the first hold ends.
-        """
-        since = now - STUCK_FACTOR * self._compute_service()
-        started = self._in_use.values()
-        return sum(1 for _ in takewhile(lambda time: time < since, started))
-
     def _compute_service(self) -> float:
         """Return a time in which a request that holds a connection is done."""
         return self._hold.mean + self._policy.deviations * self._hold.deviation
 
+    def _model_waits(self, now: float) -> WaitModel:
+        """Return how the expected wait depends on the place in the queue."""
+        is_backing_off = now < self._open_after
+        return model_waits(
+            self._live_count if is_backing_off else self._limit,
+            self._in_use.values(),
+            0.0 if self._idle else self._open_time.mean,
+            self._hold.mean,
+            now - STUCK_FACTOR * self._compute_service(),
+            now,
+        )
+
     def _compute_wait(self, place: int, now: float) -> float:
         """Return the expected wait of the request at a place in the queue."""
-        is_backing_off = now < self._open_after
-        total = max(1, self._live_count if is_backing_off else self._limit)
-        ahead = place - (total - len(self._in_use))
-        if ahead < 0:
-            return 0.0 if self._idle else self._open_time.mean
-        moving = total - self._count_stuck(now)
-        if moving > 0:
-            return self._hold.mean * (ahead + 1) / moving
-        # All are stuck: what lasts long is expected to last as long again.
-        newest = next(reversed(self._in_use.values()))
-        return (now - newest) * (ahead + 1) / total
-
-    def _compute_finish(self, place: int, now: float) -> float:
-        """Return by when the request at a place in the queue should be done."""
-        return now + self._compute_wait(place, now) + self._compute_service()
+        return self._model_waits(now).get_wait(place)
 
     def _compute_backoff(self) -> float:
         """Return a jittered wait that doubles with each failure."""
@@ -321,9 +322,12 @@
         """Refuse whoever cannot be done in time any more."""
         if self._is_dry_for_long(now):
             return self._refuse_all(RefusalReason.NO_SHARE, now)
+        if not self._waiters:
+            return []
         late, place = [], 0
+        model, done_at = self._model_waits(now), now + self._compute_service()
         for queued in self._waiters:
-            if self._compute_finish(place, now) > queued.deadline:
+            if done_at + model.get_wait(place) > queued.deadline:
                 late.append(queued.waiter)
             else:
                 place += 1
@@ -385,7 +389,9 @@
         if self._state is not _State.ACTIVE or now < self._open_after:
             return []
         room = self._limit - self.open_count
-        at_once = self._policy.most_opening - len(self._opening)
+        # After a failure one attempt is enough to learn that the target is back.
+        most = 1 if self._failures else self._policy.most_opening
+        at_once = most - len(self._opening)
         numbers = [
             next(self._numbers)
             for _ in range(max(0, min(self._wanted_count, room, at_once)))
--- a/beryltrack/connections/pool_policy.py
+++ b/beryltrack/connections/pool_policy.py
@@ -10,6 +10,9 @@
     ----------
     queue_limit : int
         Most requests that wait.
+    most_wait : float
+        Longest expected wait, seconds; a longer queue would serve no more
+        requests and only make all of them late.
     warm : int
         Connections to keep open while nothing asks for them.
     idle_timeout : float
@@ -26,10 +29,11 @@
     """
 
     queue_limit: int = 256
+    most_wait: float = 0.25
     warm: int = 1
     idle_timeout: float = 30.0
     most_opening: int = 4
     first_backoff: float = 0.05
-    most_backoff: float = 2.0
+    most_backoff: float = 0.5
     deviations: float = 2.0
     share_wait: float = 0.25
--- a/beryltrack/connections/seats.py
+++ b/beryltrack/connections/seats.py
@@ -14,7 +14,12 @@
 from math import ceil
 from typing import NamedTuple
 
-from beryltrack.connections.budget_messages import BudgetPlan, SeatRecord, WriteSeat
+from beryltrack.connections.budget_messages import (
+    BudgetPlan,
+    LiveHolders,
+    SeatRecord,
+    WriteSeat,
+)
 
 FREE = ""
 
@@ -63,7 +68,7 @@
         self._records = {n: SeatRecord(n, 0, FREE) for n in range(plan.seats)}
         self._released: dict[int, int] = {}
         self._giving_up: set[int] = set()
-        self._live: frozenset[str] = frozenset()
+        self._wanting: frozenset[str] = frozenset()
         self._missing_since: dict[str, float] = {}
         self._free_since: float | None = None
         self._written_at: dict[int, float] = {}
@@ -116,11 +121,12 @@
         self._is_read = self._is_read or is_complete
         self._giving_up &= self.held
 
-    def observe_live(self, holders: frozenset[str], now: float) -> None:
-        """Take in who is live, by the instance list or by the peers' word."""
-        self._live = holders | {self._holder}
+    def observe_live(self, holders: LiveHolders, now: float) -> None:
+        """Take in who is live; who is leaving keeps its seats but wants none."""
+        live = holders.live | {self._holder}
+        self._wanting = live - holders.leaving
         since = self._missing_since
-        missing = self._holders - self._live
+        missing = self._holders - live
         self._missing_since = {name: since.get(name, now) for name in missing}
 
     def leave(self) -> None:
@@ -136,7 +142,7 @@
             self._giving_up |= self.held
             return
         counts = Counter(record.holder for record in self._records.values())
-        without = self._live - counts.keys()
+        without = self._wanting - counts.keys()
         if (
             not without
             or self._get_free()
@@ -144,7 +150,7 @@
             or self._get_unconfirmed()
         ):
             return
-        live_counts = [(counts[name], name) for name in self._live if name in counts]
+        live_counts = [(counts[name], name) for name in self._wanting if name in counts]
         most, giver = max(live_counts, default=(0, ""))
         if most >= 2 and giver == self._holder:
             self._giving_up.add(max(self.held))
@@ -232,6 +238,6 @@
         return [self._write(self._rng.choice(free), self._holder)]
 
     def _may_take_spare(self, now: float) -> bool:
-        fair = ceil(self._plan.seats / max(1, len(self._live)))
+        fair = ceil(self._plan.seats / max(1, len(self._wanting)))
         is_old = now - self._free_since >= self._policy.spare_after
         return is_old and len(self.held) < fair and not self._giving_up
--- a/beryltrack/connections/service_estimate.py
+++ b/beryltrack/connections/service_estimate.py
@@ -1,12 +1,13 @@
 """Estimates of how long a request holds a connection, and of opening times.
 
-The smoothed mean and mean deviation of RFC 6298 serve here as they do for
-retransmission timers: they cost a few operations per sample and follow a
-change within some ten samples.
+Smoothed mean and mean deviation as in RFC 6298, with smaller weights: holds of
+single statements and of transactions differ tenfold, and a mean that follows
+each of them makes the length of the queue swing. The first samples weigh more,
+so that a new pool learns within some ten requests.
 """
 
-MEAN_WEIGHT = 1 / 8
-DEVIATION_WEIGHT = 1 / 4
+MEAN_WEIGHT = 1 / 32
+DEVIATION_WEIGHT = 1 / 16
 
 
 class ServiceEstimate:
@@ -21,7 +22,7 @@
     def __init__(self, initial: float):
         self._mean = initial
         self._deviation = 0.0
-        self._is_sampled = False
+        self._count = 0
 
     @property
     def mean(self) -> float:
@@ -35,11 +36,9 @@
 
     def observe(self, duration: float) -> None:
         """Take in one duration, seconds."""
-        if not self._is_sampled:
-            self._is_sampled = True
-            self._mean = duration
-            self._deviation = duration / 2
-            return
+        self._count += 1
+        weight = max(MEAN_WEIGHT, 1 / self._count)
         error = duration - self._mean
-        self._mean += MEAN_WEIGHT * error
-        self._deviation += DEVIATION_WEIGHT * (abs(error) - self._deviation)
+        self._mean += weight * error
+        spread = max(DEVIATION_WEIGHT, 1 / (self._count + 1))
+        self._deviation += spread * (abs(error) - self._deviation)
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -144,6 +144,14 @@
         """Close connections beyond `limit` at once, also those in use."""
         self._perform(self._decider.enforce_limit(limit))
 
+    def observe_reachable(self) -> None:
+        """Take in that the target answers, for example on a control connection.
+
+        Ends a back-off, so that the return of a target is not missed for the
+        rest of it.
+        """
+        self._perform(self._decider.observe_reachable(self._now))
+
     def drain(self) -> Deferred[None]:
         """Take no new work; fires when all connections are closed."""
         done: Deferred[None] = Deferred()
@@ -157,7 +165,8 @@
 
     def _cancel(self, waiter: int) -> None:
         self._waiters.pop(waiter, None)
-        self._perform(self._decider.cancel(waiter))
+        self._decider.cancel(waiter)
+        self._perform([])
 
     def _perform(self, actions: list[PoolAction]) -> None:
         """Carry out actions, then set the timer for what is due by time.
@@ -193,7 +202,7 @@
 
     def _tell_listeners(self) -> None:
         """Call the listeners if the use of the limit has changed."""
-        use = (self._decider.open_count, self._decider.has_waiters)
+        use = (self._decider.open_count, self._decider.is_short)
         if use != self._told:
             self._told = use
             for callback in self._listeners:
--- a/beryltrack/requests/admission.py
+++ b/beryltrack/requests/admission.py
@@ -12,7 +12,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from beryltrack.connections.messages import TOO_MANY_CONNECTIONS
+from beryltrack.errors import TOO_MANY_CONNECTIONS
 
 DEFAULT_WEIGHT = 1.0
 LEAST_RETRY_AFTER = 0.05
--- /dev/null
+++ b/beryltrack_bench/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Overload: real pools, budgets, admission and retries over small fakes."""
--- /dev/null
+++ b/beryltrack_bench/overload/load.py
@@ -0,0 +1,183 @@
+"""Callers that offer requests at a rate, and what came of them."""
+
+import random
+from collections.abc import Sequence
+from itertools import accumulate
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from beryltrack_bench.overload.proxy import Ended, Outcome
+from beryltrack_bench.overload.site import CONTROL_CONNECTIONS, OverloadSite
+from beryltrack_bench.overload.workload import PATIENCE, Request, draw_statements
+
+SAMPLE_PERIOD = 0.01
+STORM_ATTEMPTS = 4
+STORM_DELAY = 0.01
+MICROSECONDS = 1_000_000
+
+
+class Offer(NamedTuple):
+    """A stream of requests.
+
+    Parameters
+    ----------
+    team : str
+        Whose requests.
+    rate : float
+        Requests a second, over all proxies.
+    storming : bool
+        True if callers try again at once after each refusal.
+    weights : tuple of float
+        Relative share of each proxy; empty for equal shares.
+    """
+
+    team: str
+    rate: float
+    storming: bool = False
+    weights: tuple[float, ...] = ()
+
+
+def make_histogram() -> HdrHistogram:
+    """Return a histogram of microseconds, up to one minute."""
+    return HdrHistogram(1, 60 * MICROSECONDS, 3)
+
+
+def get_seconds(histogram: HdrHistogram, percentile: float) -> float:
+    """Return a percentile of a histogram of microseconds, in seconds."""
+    return histogram.get_value_at_percentile(percentile) / MICROSECONDS
+
+
+class Tally:
+    """Counts what became of the requests that arrived in a window of time.
+
+    Parameters
+    ----------
+    start, end : float
+        The window, seconds.
+    """
+
+    def __init__(self, start: float, end: float):
+        self.start = start
+        self.end = end
+        self.offered = 0
+        self.done: dict[str, int] = {}
+        self.ended = dict.fromkeys(Outcome, 0)
+        self.late = 0
+        self.refused_numbers: list[int] = []
+        self.latency = make_histogram()
+        self.refusal_delay = make_histogram()
+        self.done_at: list[float] = []
+
+    def observe(self, ended: Ended) -> None:
+        """Take in the end of a request."""
+        request = ended.request
+        took = max(1, round((ended.ended_at - request.arrived_at) * MICROSECONDS))
+        if ended.outcome is Outcome.REFUSED:
+            self.refused_numbers.append(request.number)
+            self.refusal_delay.record_value(took)
+        if not self.start <= request.arrived_at < self.end:
+            return
+        self.ended[ended.outcome] += 1
+        if ended.outcome is Outcome.DONE:
+            self.latency.record_value(took)
+            is_late = ended.ended_at > request.deadline
+            self.late += is_late
+            self.done[request.team] = self.done.get(request.team, 0) + (not is_late)
+            self.done_at.append(ended.ended_at)
+
+    def get_goodput(self, team: str | None = None) -> float:
+        """Return the requests a second that were done in time."""
+        done = sum(self.done.values()) if team is None else self.done.get(team, 0)
+        return done / (self.end - self.start)
+
+
+class Callers:
+    """Offers requests to a site until a time.
+
+    Parameters
+    ----------
+    site : OverloadSite
+        Where to.
+    offers : sequence of Offer
+        The streams.
+    tally : Tally
+        Where the ends are counted.
+    rng : random.Random
+        For arrivals.
+    """
+
+    def __init__(
+        self,
+        site: OverloadSite,
+        offers: Sequence[Offer],
+        tally: Tally,
+        rng: random.Random,
+    ):
+        self.use_samples: list[float] = []
+        self._site = site
+        self._offers = {offer.team: offer for offer in offers}
+        self._tally = tally
+        self._rng = rng
+        self._numbers = 0
+        self._stop_at = tally.end
+
+    def start(self) -> None:
+        """Begin to offer."""
+        for offer in self._offers.values():
+            self._schedule(offer)
+        self._sample_use()
+
+    def observe(self, ended: Ended) -> None:
+        """Take in an end; a storming caller tries again at once."""
+        self._tally.observe(ended)
+        request = ended.request
+        again = self._offers[request.team].storming
+        if (
+            again
+            and ended.outcome is Outcome.REFUSED
+            and request.attempt < STORM_ATTEMPTS
+        ):
+            delay = STORM_DELAY * self._rng.random()
+            self._site.clock.callLater(
+                delay, self._send, request.team, request.attempt + 1
+            )
+
+    def _schedule(self, offer: Offer) -> None:
+        wait = self._rng.expovariate(offer.rate)
+        self._site.clock.callLater(wait, self._arrive, offer)
+
+    def _arrive(self, offer: Offer) -> None:
+        if self._site.clock.seconds() >= self._stop_at:
+            return
+        self._schedule(offer)
+        self._send(offer.team, 1)
+
+    def _send(self, team: str, attempt: int) -> None:
+        now = self._site.clock.seconds()
+        self._numbers += 1
+        statements = draw_statements(self._rng)
+        request = Request(self._numbers, team, statements, now, now + PATIENCE, attempt)
+        if self._tally.start <= now < self._tally.end:
+            self._tally.offered += 1
+        self._choose_proxy(self._offers[team]).handle(request)
+
+    def _choose_proxy(self, offer: Offer):
+        proxies = self._site.proxies
+        if not offer.weights:
+            return self._rng.choice(proxies)
+        ends = list(accumulate(offer.weights))
+        return self._rng.choices(proxies, cum_weights=ends)[0]
+
+    def _sample_use(self) -> None:
+        """Note the share of connections in use, if callers wait."""
+        now = self._site.clock.seconds()
+        loads = [pool.load for pool in self._site.pools]
+        if now >= self._tally.start and any(load.waiting for load in loads):
+            databases = self._site.all_databases
+            control = CONTROL_CONNECTIONS * len(self._site.proxies) * len(databases)
+            total = sum(database.max_connections for database in databases)
+            in_use = sum(load.in_use for load in loads)
+            self.use_samples.append(in_use / (total - control))
+        if now < self._stop_at:
+            self._site.clock.callLater(SAMPLE_PERIOD, self._sample_use)
