Never pass a replaced primary's refusal on to a caller

Cause: the roaming program saw two answers 25006 in 1,120 requests: a marked write, or a COMMIT, met a primary that had stopped to write after its transaction had begun. Ruled out: plain writes, whose refusal is repeated. Change: a refused marked unit is rolled back and run again, a refused COMMIT is reported as rolled back (40001). Conclusion: SQLSTATE 25006 ends inside the proxy except where the caller itself asked for a read-only transaction.

--- a/beryltrack/requests/marked.py
+++ b/beryltrack/requests/marked.py
@@ -142,11 +142,7 @@
         if isinstance(end, RunLost):
             return self._drop(target, sink)
         if end.error is not None:
-            rolled_back = await run_command(connection, ROLLBACK)
-            target.pool.release(connection, not isinstance(rolled_back, RunLost))
-            send_answer(context, sink, end.error_frame, TransactionStatus.IDLE)
-            count_request(context, TargetKind.PRIMARY)
-            return True
+            return await self._end_refused(target, sink, end)
         frames = b"" if sink.is_answered else sink.get_held()
         is_extended = context.plan.extended is not None
         answer = ledger.make_recorded_answer(is_extended, frames, end.tail)
@@ -159,6 +155,19 @@
         target.pool.release(connection, True)
         return await self._confirm(target, sink, end.tail, closed)
 
+    async def _end_refused(
+        self, target: FoundTarget, sink: AnswerSink, end: ResponseEnd
+    ) -> bool:
+        """Roll back after an error; pass it on unless the primary was replaced."""
+        rolled_back = await run_command(target.connection, ROLLBACK)
+        target.pool.release(target.connection, not isinstance(rolled_back, RunLost))
+        if end.error.sqlstate == READ_ONLY_REFUSAL:
+            return self._drop_answer(sink)
+        context = self._context
+        send_answer(context, sink, end.error_frame, TransactionStatus.IDLE)
+        count_request(context, TargetKind.PRIMARY)
+        return True
+
     def _drop(self, target: FoundTarget, sink: AnswerSink) -> bool:
         """Throw the connection away; the target rolls its transaction back.
 
--- a/beryltrack/requests/pinned.py
+++ b/beryltrack/requests/pinned.py
@@ -121,6 +121,8 @@
 ) -> None:
     """Wait for the commit of a transaction that has ended, and answer."""
     _unpin(context, pinned, _keeps_settings(context))
+    if end.error is not None and _fail_replaced(context, pinned, sink, end):
+        return
     has_written = not pinned.is_read_only and end.error is None
     if has_written and end.position is not None:
         outcome = await confirm_commit(context, end.position, pinned.database)
@@ -142,17 +144,28 @@
     end: ResponseEnd,
 ) -> None:
     """Answer a unit after which the transaction is still open."""
-    if end.error is not None:
-        state = _get_state(context, pinned, sink)
-        step = decide_after_failure(state, RunFailure(True, end.error.sqlstate))
-        if step is not NextStep.ANSWER:
-            send_failure(context, make_step_error(step, REPLACED_TEXT), end.status)
-            return
-    elif context.plan.kind is StatementKind.SESSION_SET:
+    if end.error is not None and _fail_replaced(context, pinned, sink, end):
+        return
+    if end.error is None and context.plan.kind is StatementKind.SESSION_SET:
         _note_setting(context)
     _answer(context, pinned, sink, end, False)
 
 
+def _fail_replaced(
+    context: RequestContext,
+    pinned: PinnedTransaction,
+    sink: AnswerSink,
+    end: ResponseEnd,
+) -> bool:
+    """Answer a unit that a replaced primary refused; return False for others."""
+    state = _get_state(context, pinned, sink)
+    step = decide_after_failure(state, RunFailure(True, end.error.sqlstate))
+    if step is NextStep.ANSWER:
+        return False
+    send_failure(context, make_step_error(step, REPLACED_TEXT), end.status)
+    return True
+
+
 def _note_setting(context: RequestContext) -> None:
     """Keep a setting that was changed on the transaction's connection."""
     change, _ = parse_change(context.plan.text)
--- a/tests/requests/test_path.py
+++ b/tests/requests/test_path.py
@@ -136,3 +136,23 @@
         assert get_primary(local) is not old
         rows = connection.execute("SELECT id FROM item").fetchall()
         assert rows == [(1,)]
+
+
+def test_a_refusal_of_a_replaced_primary_never_reaches_the_caller():
+    with run_proxies() as local, connect(local.proxies[0], "new") as connection:
+        connection.execute("CREATE TABLE item (id integer PRIMARY KEY)")
+        primary = get_primary(local).database
+        log = primary.log
+
+        def refuse_next(change):
+            # The primary stops to write between two statements, as at a hand-over.
+            run(lambda: setattr(log, "stopped_writes", change))
+
+        connection.execute("BEGIN")
+        connection.execute("SELECT * FROM item")
+        refuse_next(True)
+        with pytest.raises(psycopg.errors.SerializationFailure):
+            connection.execute("INSERT INTO item VALUES (1)")
+        connection.execute("ROLLBACK")
+        refuse_next(False)
+        connection.execute("INSERT INTO item VALUES (1)")
