Count failovers and record their gaps; end calls that are given up

Cause: the count of failovers and the failover gap were not wired. A call to the platform that was cancelled came back as a lost answer, so a stopped settings task went on by itself.

Change: the report of a failover carries how long no replica had heard the lost primary; the proxy counts it and records silence and duration as the gap. A cancelled call ends as cancelled. Operators' work is tested on running proxies: draining a primary by the tool, and a killed one.

--- a/beryltrack/daemon/metrics.py
+++ b/beryltrack/daemon/metrics.py
@@ -173,7 +173,7 @@
         self._failovers[group] += 1
 
     def record_failover_gap(self, group: str, seconds: float) -> None:
-        """Record the time from a primary's loss until writes succeeded again."""
+        """Record the time from the last sign of a lost primary until the next leads."""
         self._failover_gap.record(seconds, {"group": group})
 
     def record_queue_time(self, seconds: float) -> None:
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -13,8 +13,10 @@
 from beryltrack.daemon.metrics import InstanceMetrics, PoolUse
 from beryltrack.daemon.reports import build_status
 from beryltrack.daemon.status import InstanceStatus
+from beryltrack.failover.messages import FailoverReport
 from beryltrack.platform.client import PlatformClient
 from beryltrack.platform.registration import RegistrationTask
+from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import make_services
 from beryltrack.requests.task import RequestTask
 from beryltrack.settings.messages import (
@@ -70,6 +72,7 @@
         self._ports = []
         self._registration: RegistrationTask | None = None
         self.metrics.set_pool_source(self._get_pool_use)
+        self.groups.subscribe_started(self._count_failovers)
 
     @property
     def endpoint(self) -> Endpoint:
@@ -145,6 +148,16 @@
         port = self._reactor.listenTCP(endpoint.port, factory, interface=endpoint.host)
         self._ports.append(port)
 
+    def _count_failovers(self, runtime: GroupRuntime) -> None:
+        """Count the changes of primary that this instance makes in a group."""
+
+        def count(report: FailoverReport) -> None:
+            self.metrics.count_failover(report.group)
+            gap = report.silence + report.seconds
+            self.metrics.record_failover_gap(report.group, gap)
+
+        runtime.task.subscribe_failover(count)
+
     def _get_site(self) -> SiteSettings:
         """Return the settings in force."""
         return self.settings_task.current
--- a/beryltrack/failover/detector.py
+++ b/beryltrack/failover/detector.py
@@ -74,3 +74,27 @@
     """Return whether a majority of the group's databases lost their primary."""
     losers = get_losers(view, detector, oldest)
     return len(losers) >= compute_majority(len(view.databases))
+
+
+def compute_silence(view: GroupView, now: float) -> float:
+    """Return how long no replica has heard its primary.
+
+    Parameters
+    ----------
+    view : GroupView
+        The group's view.
+    now : float
+        The current time of the node's clock, seconds.
+
+    Returns
+    -------
+    float
+        Seconds since the latest word that a reachable replica had; zero if
+        there is no such replica.
+    """
+    ages = (
+        now - item.seen_at + item.heard_age
+        for item in view.databases
+        if item.reachable and item.role == REPLICA
+    )
+    return max(0.0, min(ages, default=0.0))
--- a/beryltrack/failover/messages.py
+++ b/beryltrack/failover/messages.py
@@ -62,6 +62,9 @@
         Who leads it.
     seconds : float
         How long the change took since the node decided on it.
+    silence : float
+        How long no replica had heard the lost primary by then, seconds; zero in
+        a hand-over, whose primary works until the change begins.
     """
 
     group: str
@@ -69,3 +72,4 @@
     term: int
     primary: str
     seconds: float
+    silence: float
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -18,7 +18,7 @@
     FailoverPolicy,
     choose_primary,
 )
-from beryltrack.failover.detector import FixedDetector
+from beryltrack.failover.detector import FixedDetector, compute_silence
 from beryltrack.failover.grants import collect_grants
 from beryltrack.failover.messages import Election, ElectionKind, FailoverReport
 from beryltrack.groups.adapter import DatabaseGroup, StatusWait
@@ -115,7 +115,8 @@
         """Look at a new view and begin an election if one is due."""
         if self.busy:
             return
-        election = self._decider.decide(view, self._seconds())
+        now = self._seconds()
+        election = self._decider.decide(view, now)
         if election is None:
             return
         log.info(
@@ -126,7 +127,9 @@
             election.kind.value,
         )
         self._busy = True
-        self._running = Deferred.fromCoroutine(self._hold(election))
+        is_loss = election.kind is not ElectionKind.HAND_OVER
+        silence = compute_silence(view, now) if is_loss else 0.0
+        self._running = Deferred.fromCoroutine(self._hold(election, silence))
         self._running.addErrback(_log_defect)
 
     def stop(self) -> None:
@@ -134,7 +137,7 @@
         if self._running is not None:
             self._running.cancel()
 
-    async def _hold(self, election: Election) -> None:
+    async def _hold(self, election: Election, silence: float) -> None:
         """Hold one election from the first request to the report."""
         started = self._seconds()
         try:
@@ -151,7 +154,12 @@
         )
         self._owner.take_report(
             FailoverReport(
-                self._group, election.kind, election.term, primary, now - started
+                self._group,
+                election.kind,
+                election.term,
+                primary,
+                now - started,
+                silence,
             )
         )
 
--- a/beryltrack/platform/client.py
+++ b/beryltrack/platform/client.py
@@ -21,7 +21,6 @@
     CancelledError,
     Deferred,
     DeferredSemaphore,
-    TimeoutError,
 )
 from twisted.internet.error import ConnectError
 from twisted.internet.task import Cooperator, deferLater
@@ -230,18 +229,22 @@
         """Send one request and say what its failure means."""
         self._call_count += 1
         call = Deferred.fromCoroutine(self._send(method, url, body))
+        timer = self._reactor.callLater(timeout, call.cancel)
         try:
-            answer = await call.addTimeout(timeout, self._reactor)
+            answer = await call
         except ConnectError as error:
             return _fail(ErrorKind.REFUSED, f"no connection to the platform: {error}")
-        except CancelledError:
-            raise
-        except TimeoutError:
-            return _fail(ErrorKind.UNKNOWN, f"no answer within {timeout:g} s")
         except Exception as error:
+            if not timer.active():
+                return _fail(ErrorKind.UNKNOWN, f"no answer within {timeout:g} s")
+            if _is_cancelled(error):
+                raise CancelledError from error
             # Twisted wraps what broke a request in many types of its own. The
             # request may have been received, so none of them says more.
             return _fail(ErrorKind.UNKNOWN, f"the answer was lost: {error!r}")
+        finally:
+            if timer.active():
+                timer.cancel()
         if answer.code in REFUSALS:
             return _fail(ErrorKind.REFUSED, f"the platform answered {answer.code}")
         if answer.code >= 500:
@@ -273,6 +276,14 @@
         return FileBodyProducer(BytesIO(json.dumps(body).encode()), cooperator)
 
 
+def _is_cancelled(error: Exception) -> bool:
+    """Return whether a request ended because its caller gave it up."""
+    reasons = getattr(error, "reasons", ())
+    return isinstance(error, CancelledError) or any(
+        reason.check(CancelledError) for reason in reasons
+    )
+
+
 def _get_object_url(path: str) -> str:
     """Return the address of an object, relative to the service."""
     return f"/objects/{quote(path)}"
--- /dev/null
+++ b/tests/command/test_operations.py
@@ -0,0 +1,74 @@
+"""Operators' work on running proxies: draining a primary, reading the status."""
+
+import json
+import time
+
+import pytest
+
+from beryltrack.command.report import ExitCode
+from beryltrack.daemon.local_site import GROUP, TEAM
+from tests.command.tool import ToolSite
+from tests.local_proxies import connect, get_primary, run_proxies
+from tests.reactor_thread import run
+
+PATH = f"settings/{TEAM}/groups/{GROUP}"
+PERIOD = 0.02
+TRIES = 500
+
+
+@pytest.fixture
+def local():
+    with run_proxies() as site:
+        yield site
+
+
+def wait_until(holds):
+    """Look again until something holds; a test that waits in vain fails."""
+    for _ in range(TRIES):
+        if holds():
+            return
+        time.sleep(PERIOD)
+    raise AssertionError("waited in vain")
+
+
+def get_fleet(tool):
+    code, fleet = tool.call_json("status")
+    assert code == ExitCode.OK
+    return fleet
+
+
+def get_draining(tool):
+    databases = get_fleet(tool)["groups"][0]["databases"]
+    return [item["name"] for item in databases if item["draining"]]
+
+
+def test_draining_the_primary_moves_it_and_loses_no_write(local):
+    tool = ToolSite(local.site.platform)
+    old = get_primary(local).database.name
+    with connect(local.proxies[0]) as caller:
+        caller.execute("CREATE TABLE t (n int)")
+        caller.execute("INSERT INTO t VALUES (1)")
+        group = tool.call_json(f"settings get {PATH}")[1]["settings"]
+        for database in group["databases"]:
+            database["draining"] = database["name"] == old
+        assert tool.call(f"settings set {PATH} -", json.dumps(group)).code == 0
+        wait_until(lambda: get_primary(local).database.name != old)
+        caller.execute("INSERT INTO t VALUES (2)")
+        rows = caller.execute("SELECT n FROM t ORDER BY n").fetchall()
+    assert rows == [(1,), (2,)]
+    assert get_fleet(tool)["groups"][0]["primary"] != old
+    wait_until(lambda: get_draining(tool) == [old])
+
+
+def test_failovers_are_counted_and_each_gap_is_recorded(local):
+    tool = ToolSite(local.site.platform)
+    run(get_primary(local).stop)
+    with connect(local.proxies[1]) as caller:
+        caller.execute("CREATE TABLE t (n int)")
+    wait_until(lambda: get_fleet(tool)["counters"]["failovers"])
+    assert [item["state"] for item in get_fleet(tool)["instances"]] == ["live"] * 2
+    name = f'beryltrack_failover_gap_seconds_count{{group="{GROUP}"}}'
+    for proxy in local.proxies:
+        lines = proxy.metrics.render().decode().splitlines()
+        gaps = [float(line.split()[-1]) for line in lines if line.startswith(name)]
+        assert sum(gaps) == proxy.metrics.counters.failovers
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -5,7 +5,7 @@
 
 from returns.result import Success
 from treq.testing import RequestTraversalAgent
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.task import Clock
 from twisted.web.resource import Resource
@@ -154,6 +154,22 @@
     assert result == Success((InstanceEntry("n", "127.0.0.1", 1, "a", "live"),))
 
 
+def test_call_that_is_given_up_ends_there_and_then():
+    clock = Clock()
+    site = ScriptedSite(NO_ANSWER, (200, {}))
+    agent = RequestTraversalAgent(site)
+    client = PlatformClient(clock, "http://127.0.0.1", agent=agent)
+    call = Deferred.fromCoroutine(get(client))
+    clock.pump([0.1] * 3)
+    agent.flush()
+    call.cancel()
+    outcomes = []
+    call.addErrback(lambda failure: outcomes.append(failure.type))
+    clock.pump([0.1] * 100)
+    assert outcomes == [CancelledError]
+    assert len(site.requests) == 1
+
+
 def test_calls_that_would_wait_without_bound_are_refused(monkeypatch):
     monkeypatch.setattr("beryltrack.platform.client.MAX_WAITING", 0)
     monkeypatch.setattr("beryltrack.platform.client.MAX_CALLS", 1)
