--- /dev/null
+++ b/tests/daemon/test_process.py
@@ -0,0 +1,113 @@
+"""The daemon as a process: its settings file, SIGTERM and its exit code."""
+
+import contextlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import urllib.request
+
+import psycopg
+import pytest
+
+from tests.local_proxies import connect, run_proxies
+
+HOST = "127.0.0.1"
+PATIENCE = 20.0
+
+
+def get_free_port():
+    with socket.create_server((HOST, 0)) as server:
+        return server.getsockname()[1]
+
+
+def make_settings(platform_url, **changes):
+    endpoints = ("listen", "peer_listen", "health_listen")
+    return (
+        {
+            "name": "proxy-9",
+            "zone": "zone-a",
+            "platform_url": platform_url,
+            "peer_key": "test-only-peer-key",
+            "drain_limit": 10,
+        }
+        | {name: {"host": HOST, "port": get_free_port()} for name in endpoints}
+        | changes
+    )
+
+
+def start(path):
+    command = [sys.executable, "-m", "beryltrack.daemon", "run", "--settings", path]
+    return subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+
+
+def is_live(port):
+    try:
+        with urllib.request.urlopen(f"http://{HOST}:{port}/health") as answer:
+            return answer.status == 200
+    except OSError:
+        return False
+
+
+@contextlib.contextmanager
+def run_daemon(tmp_path, platform_url):
+    """Run one daemon; yield its process and its ports by name."""
+    settings = make_settings(platform_url)
+    path = tmp_path / "proxy.json"
+    path.write_text(json.dumps(settings))
+    process = start(str(path))
+    # What it logs is read on, or it would block when the pipe is full.
+    threading.Thread(target=process.stderr.read, daemon=True).start()
+    give_up_at = time.monotonic() + PATIENCE
+    while not is_live(settings["health_listen"]["port"]):
+        assert process.poll() is None and time.monotonic() < give_up_at
+        time.sleep(0.02)
+    try:
+        yield process, settings
+    finally:
+        process.kill()
+        process.wait()
+
+
+def open_caller(settings):
+    return psycopg.connect(
+        host=HOST,
+        port=settings["listen"]["port"],
+        dbname="main",
+        user="app",
+        autocommit=True,
+    )
+
+
+def test_sigterm_cuts_off_no_transaction(tmp_path):
+    with (
+        run_proxies(count=1) as local,
+        connect(local.proxies[0]) as setup,
+        run_daemon(tmp_path, local.site.platform_url) as (process, settings),
+    ):
+        setup.execute("CREATE TABLE item (id integer PRIMARY KEY)")
+        with open_caller(settings) as caller, open_caller(settings) as idle:
+            caller.execute("BEGIN")
+            caller.execute("INSERT INTO item VALUES (1)")
+            process.send_signal(signal.SIGTERM)
+            # The idle caller is told to go, the open transaction is waited for.
+            with pytest.raises(psycopg.OperationalError):
+                while True:
+                    idle.execute("SELECT 1")
+            caller.execute("INSERT INTO item VALUES (2)")
+            caller.execute("COMMIT")
+        assert process.wait(timeout=PATIENCE) == 0
+        assert setup.execute("SELECT count(*) FROM item").fetchone() == (2,)
+
+
+def test_a_wrong_settings_file_is_told_whole(tmp_path):
+    path = tmp_path / "proxy.json"
+    wrong = make_settings("http://127.0.0.1:1", zone=7, drain_limit=-1)
+    path.write_text(json.dumps(wrong))
+    process = start(str(path))
+    _, errors = process.communicate(timeout=PATIENCE)
+    assert process.returncode == 1
+    assert "/zone" in errors and "/drain_limit" in errors
