Let a request through while no connection is held

One long hold, such as a transaction through a partition, raised the estimate of the service time above each request's deadline. Every request was refused at once from then on, so the estimate never learned better: the pool refused for ever. Change: while nothing is held the estimate does not refuse. Conclusion: early refusal needs something in flight to judge by.

--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -278,7 +278,13 @@
         return self._live_count == 0 and now < self._open_after and self._failures > 0
 
     def _compute_service(self) -> float:
-        """Return a time in which a request that holds a connection is done."""
+        """Return a time in which a request that holds a connection is done.
+
+        While none is held the estimate has nothing to learn from. A request
+        must be let through then, or one long hold would refuse all for ever.
+        """
+        if not self._in_use:
+            return 0.0
         return self._hold.mean + self._policy.deviations * self._hold.deviation
 
     def _model_waits(self, now: float) -> WaitModel:
--- a/tests/connections/test_pool.py
+++ b/tests/connections/test_pool.py
@@ -258,3 +258,12 @@
     derandomize=True, max_examples=30, stateful_step_count=30, deadline=None
 )
 TestPoolMachine = PoolMachine.TestCase
+
+
+def test_one_hold_beyond_all_deadlines_does_not_refuse_for_ever():
+    pool = make_pool()
+    pool.acquire(1, 100.0, 0.0)
+    pool.observe_opened(1, 0.0)
+    pool.release(1, True, 60.0)
+    assert pool.acquire(2, 62.0, 60.0) == [GiveConnection(2, 1)]
+    assert get_refused(pool.acquire(3, 62.0, 60.0)) == [(3, RefusalReason.TOO_LATE)]
