End the requests that run on a lost database

A request that was sent to an instance which then vanished waited for ever, since no byte comes that would break the connection and a statement's time is not bounded. It held its caller, its connection and a graceful shutdown. Conclusion: control requests, which have a time limit, tell a slow statement from a lost instance.

--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -152,6 +152,11 @@
         """
         self._perform(self._decider.observe_reachable(self._now))
 
+    def break_connections(self) -> None:
+        """Close all connections at once, also those in use: the target is lost."""
+        for connection in tuple(self._connections.values()):
+            connection.close()
+
     def drain(self) -> Deferred[None]:
         """Take no new work; fires when all connections are closed."""
         done: Deferred[None] = Deferred()
--- /dev/null
+++ b/beryltrack/requests/losses.py
@@ -0,0 +1,88 @@
+"""Ends the requests that run on a database that has fallen silent.
+
+A lost instance breaks no connection: what was sent to it is never answered, and
+no byte comes that would say so. How long a statement may take is not bounded,
+so a request would wait for ever. The control requests of the group's task do
+have a time limit, and they tell the two cases apart: a database that answers
+them is at work, one that does not is lost. Its connections are then closed, so
+that each request on them goes on by the rules for a lost answer.
+"""
+
+import logging
+from collections.abc import Mapping
+
+from twisted.internet.interfaces import IDelayedCall
+
+from beryltrack.clock import get_seconds
+from beryltrack.connections.task import PoolTask
+from beryltrack.groups.messages import PRIMARY
+from beryltrack.groups.task import GroupTask
+from beryltrack.groups.view import DatabaseView, GroupView
+
+log = logging.getLogger(__name__)
+
+LOSS_GRACE = 1.0
+"""Seconds without an answer after which requests to a database are given up. A
+primary that is replaced is given up as soon as its successor is known."""
+
+
+def get_lost(view: GroupView, now: float) -> tuple[str, ...]:
+    """Return the names of the databases whose connections are beyond hope.
+
+    Parameters
+    ----------
+    view : GroupView
+        The group's view.
+    now : float
+        The node's time, seconds.
+
+    Returns
+    -------
+    tuple of str
+        In the order of the settings.
+    """
+    return tuple(item.name for item in view.databases if _is_lost(item, view, now))
+
+
+def _is_lost(item: DatabaseView, view: GroupView, now: float) -> bool:
+    if item.reachable:
+        return False
+    is_replaced = item.role == PRIMARY and view.primary not in ("", item.name)
+    return is_replaced or now - item.seen_at >= LOSS_GRACE
+
+
+class LossWatch:
+    """Closes the connections to the lost databases of one group.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Source of timers, and of the time if it is a `task.Clock`.
+    task : GroupTask
+        Watches the group.
+    pools : mapping of str to PoolTask
+        The pool of each database, by name.
+    """
+
+    def __init__(self, reactor, task: GroupTask, pools: Mapping[str, PoolTask]):
+        self._reactor = reactor
+        self._seconds = get_seconds(reactor)
+        self._task = task
+        self._pools = pools
+        self._timer: IDelayedCall | None = None
+        task.subscribe(self.observe_view)
+
+    def observe_view(self, view: GroupView) -> None:
+        """Close what is beyond hope, and look again while a database is silent."""
+        for name in get_lost(view, self._seconds()):
+            if self._pools[name].load.open:
+                log.info("requests: Database %s is lost, its requests end.", name)
+                self._pools[name].break_connections()
+        silent = [item.name for item in view.databases if not item.reachable]
+        has_work = any(self._pools[name].load.open for name in silent)
+        if has_work and self._timer is None:
+            self._timer = self._reactor.callLater(LOSS_GRACE, self._look_again)
+
+    def _look_again(self) -> None:
+        self._timer = None
+        self.observe_view(self._task.view)
--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -7,6 +7,7 @@
 from beryltrack.connections.task import PoolTask
 from beryltrack.groups.task import GroupTask
 from beryltrack.groups.view import GroupView
+from beryltrack.requests.losses import LossWatch
 from beryltrack.routing.messages import TargetLoad
 from beryltrack.settings.messages import GroupSettings
 
@@ -44,6 +45,7 @@
         self._reactor = reactor
         self._waiting: list[Deferred[None]] = []
         self._drained: set[str] = set()
+        self._losses = LossWatch(reactor, task, pools)
         task.subscribe(self._tell_change)
 
     @property
--- /dev/null
+++ b/tests/requests/test_losses.py
@@ -0,0 +1,78 @@
+"""Requests on a database that has fallen silent are given up, others are not."""
+
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.task import Clock
+
+from beryltrack.groups.messages import PRIMARY, REPLICA
+from beryltrack.groups.view import DatabaseView, GroupView
+from beryltrack.requests.losses import LOSS_GRACE, LossWatch, get_lost
+
+A = DatabaseView("a", role=PRIMARY, reachable=True, seen_at=9.0)
+B = DatabaseView("b", role=REPLICA, reachable=True, seen_at=9.0)
+
+
+def make_view(*databases, primary="a"):
+    return GroupView("group", 1, primary, databases=databases)
+
+
+def silence(item):
+    return item._replace(reachable=False)
+
+
+def test_a_database_that_answers_is_never_lost():
+    assert get_lost(make_view(A, B), 1000.0) == ()
+
+
+def test_a_silent_database_is_lost_after_the_grace():
+    view = make_view(A, silence(B))
+    assert get_lost(view, 9.0 + LOSS_GRACE - 0.1) == ()
+    assert get_lost(view, 9.0 + LOSS_GRACE) == ("b",)
+
+
+def test_a_silent_primary_is_lost_as_soon_as_it_is_replaced():
+    assert get_lost(make_view(silence(A), B), 9.1) == ()
+    assert get_lost(make_view(silence(A), B, primary="b"), 9.1) == ("a",)
+    assert get_lost(make_view(A, B, primary="b"), 9.1) == ()
+
+
+class FakePool:
+    """Counts how often its connections are broken."""
+
+    def __init__(self):
+        self.load = SimpleNamespace(open=2)
+        self.broken = 0
+
+    def break_connections(self):
+        self.broken += 1
+        self.load = SimpleNamespace(open=0)
+
+
+@pytest.fixture
+def clock():
+    clock = Clock()
+    clock.advance(9.0)
+    return clock
+
+
+def test_connections_are_closed_when_the_grace_is_over(clock):
+    pools = {"a": FakePool(), "b": FakePool()}
+    task = SimpleNamespace(view=make_view(A, silence(B)), subscribe=lambda call: None)
+    watch = LossWatch(clock, task, pools)
+    watch.observe_view(task.view)
+    clock.advance(LOSS_GRACE - 0.1)
+    assert pools["b"].broken == 0
+    clock.advance(0.1)
+    assert (pools["a"].broken, pools["b"].broken) == (0, 1)
+    assert clock.getDelayedCalls() == []
+
+
+def test_a_database_that_answers_again_keeps_its_connections(clock):
+    pools = {"a": FakePool(), "b": FakePool()}
+    task = SimpleNamespace(view=make_view(A, silence(B)), subscribe=lambda call: None)
+    LossWatch(clock, task, pools).observe_view(task.view)
+    task.view = make_view(A, B)
+    clock.advance(LOSS_GRACE)
+    assert pools["b"].broken == 0
+    assert clock.getDelayedCalls() == []
