Run the fault matrix over the whole stack

Cause: the matrix drove a request path of its own; the product's was not struck. A cut link holds what is sent and a reset breaks connections, as TCP does; a lost instance stays away for 3 s. A request that is kept longer than its limit counts as a violation.

--- a/beryltrack/peers/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Peers: the link between proxies, membership, shared knowledge and forwarding."""
--- a/beryltrack_bench/fakes/group.py
+++ b/beryltrack_bench/fakes/group.py
@@ -38,6 +38,8 @@
         The group's name.
     record : callable
         Takes what happens at its databases, for the history.
+    make_database : callable
+        `FakeDatabase` or a kind of it.
     """
 
     def __init__(
@@ -48,11 +50,12 @@
         rng: Random,
         name: str = "group",
         record: Callable[[Event], None] = lambda event: None,
+        make_database: Callable[..., FakeDatabase] = FakeDatabase,
     ):
         self.name = name
         self.network = network
         self.databases = {
-            node.name: FakeDatabase(
+            node.name: make_database(
                 node, network, deployment.replication, rng, name, record
             )
             for node in (
--- a/beryltrack_bench/fakes/nodes.py
+++ b/beryltrack_bench/fakes/nodes.py
@@ -148,20 +148,30 @@
         self.alive = False
         self.silent = silent
         self.incarnation += 1
-        listeners = list(self.crash_listeners) if not silent else []
-        self.crash_listeners = {}
-        for listener in listeners:
-            listener()
+        if not silent:
+            self._tell_crash()
 
     def restart(self) -> None:
-        """Live again, as a new incarnation without timers."""
+        """Live again, as a new incarnation without timers.
+
+        Whoever still believes in a connection to the old one is told now.
+        """
+        if self.alive:
+            return
         self.alive = True
         self.frozen_until = 0.0
+        self._tell_crash()
 
     def freeze(self, duration: float) -> None:
         """Pause for a time (seconds), then run on as if nothing had been."""
         self.frozen_until = self.seconds() + duration
 
+    def _tell_crash(self) -> None:
+        """Break the connections of the incarnation that has ended."""
+        listeners, self.crash_listeners = list(self.crash_listeners), {}
+        for listener in listeners:
+            listener()
+
 
 @implementer(IDelayedCall)
 class NodeCall:
--- a/beryltrack_bench/matrix/faults.py
+++ b/beryltrack_bench/matrix/faults.py
@@ -21,6 +21,10 @@
 FAULT_SECONDS = 0.75
 """How long a fault lasts: over twice the detection of a lost primary."""
 
+LOSS_SECONDS = 3.0
+"""How long a lost instance is away: longer than a proxy works on a request, so
+that no request can be waiting for its return."""
+
 LAG_SECONDS = 0.7
 """How far the replicas fall behind."""
 
@@ -42,10 +46,13 @@
         Its name in the identifier of a cell.
     strike : callable
         Begins the fault on a `World` and returns what ends it.
+    seconds : float
+        How long it lasts.
     """
 
     name: str
     strike: Callable[[World], Undo]
+    seconds: float = FAULT_SECONDS
 
 
 def crash_primary(world: World) -> Undo:
@@ -149,13 +156,22 @@
     return _cut(world, PROXIES[0], (*world.group.databases, PLATFORM_NAME))
 
 
-def lose_answers(world: World) -> Undo:
-    """Lose what the primary answers to the acting proxy."""
+def cut_answers(world: World) -> Undo:
+    """Hold up what the primary sends to the acting proxy, in that direction only."""
     source, target = world.group.primary.name, PROXIES[0]
-    world.network.lose(source, target)
+    world.network.cut(source, target)
     return lambda: world.network.heal(source, target)
 
 
+def reset_connections(world: World) -> Undo:
+    """Break the acting proxy's connections to the primary; answers get lost."""
+    # Not within the step that is observed: what this causes are steps too.
+    proxy, primary = PROXIES[0], world.group.primary.name
+    reset = functools.partial(world.network.reset, proxy, primary)
+    world.site.clock.callLater(0.0, reset)
+    return do_nothing
+
+
 def stop_platform(world: World) -> Undo:
     """Let the platform refuse all calls."""
     world.platform.is_down = True
@@ -196,7 +212,11 @@
 
 
 FAULTS = {
-    function.__name__: Fault(function.__name__, function)
+    function.__name__: Fault(
+        function.__name__,
+        function,
+        LOSS_SECONDS if function is lose_primary else FAULT_SECONDS,
+    )
     for function in (
         crash_primary,
         lose_primary,
@@ -215,7 +235,8 @@
         freeze_other_proxy,
         cut_proxy_from_primary,
         cut_proxy,
-        lose_answers,
+        cut_answers,
+        reset_connections,
         stop_platform,
         crash_platform,
         slow_platform,
--- a/beryltrack_bench/matrix/run.py
+++ b/beryltrack_bench/matrix/run.py
@@ -2,6 +2,7 @@
 
 import gc
 import logging
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from twisted.internet.defer import Deferred
@@ -10,14 +11,19 @@
 from beryltrack_bench.checker import Violation, check_history
 from beryltrack_bench.deployment import Deployment
 from beryltrack_bench.fakes.nodes import Step
+from beryltrack_bench.history import RequestAnswered, RequestStarted
 from beryltrack_bench.matrix.caller import Session
-from beryltrack_bench.matrix.faults import FAULT_SECONDS, FAULTS, Undo
+from beryltrack_bench.matrix.faults import FAULT_SECONDS, FAULTS
 from beryltrack_bench.matrix.procedures import PATIENCE, PROCEDURES
+from beryltrack_bench.matrix.proxy import POLICY
 from beryltrack_bench.matrix.world import World
 
 RECOVERY_LIMIT = 6.0
 """Seconds after the last fault within which a write must succeed again."""
 
+REQUEST_LIMIT = POLICY.request_timeout + FAULT_SECONDS
+"""Seconds within which a proxy must answer a request, also if it is paused."""
+
 RUN_LIMIT = 4 * PATIENCE
 """Seconds after which a procedure counts as stuck."""
 
@@ -116,7 +122,7 @@
     gc.enable()
     violations = (
         *check_history(world.history),
-        *(Violation("progress", text) for text in stuck),
+        *(Violation("progress", text) for text in (*stuck, *find_late(world))),
         *(Violation("internal_error", text) for text in errors),
     )
     return CellResult(tuple(injector.steps), violations)
@@ -140,10 +146,32 @@
     world.record_settings()
     world.record_final_log()
     for proxy in world.proxies.values():
-        proxy.stop()
+        Deferred.fromCoroutine(proxy.stop())
     return stuck
 
 
+def find_late(world: World) -> Iterator[str]:
+    """Return the requests that a proxy kept for longer than it may.
+
+    Nothing that the procedures ask for takes long, so a request that is kept
+    waits for something that may never come. The time in which the proxy was
+    paused does not count, nor do requests that ended with its process.
+    """
+    started = {}
+    for event in world.history:
+        match event:
+            case RequestStarted(request, proxy, at):
+                started[request] = (proxy, at)
+            case RequestAnswered(request, _, _, at) if request in started:
+                proxy, began = started.pop(request)
+                if at - began > REQUEST_LIMIT:
+                    yield f"{proxy} kept {request} for {at - began:.1f} s"
+    running = {proxy.name for proxy in world.proxies.values() if proxy.node.alive}
+    for request, (proxy, began) in started.items():
+        if proxy in running and world.now - began > REQUEST_LIMIT:
+            yield f"{proxy} kept {request} until the end"
+
+
 def _recover(world: World) -> bool:
     """Write and read once more through each proxy; return whether that worked."""
     limit = world.now + RECOVERY_LIMIT
@@ -188,9 +216,10 @@
 
     def _strike(self, world: World, strike: Strike) -> None:
         """Begin a fault and plan its end."""
-        undo: Undo = FAULTS[strike.fault].strike(world)
-        self.over_at = max(self.over_at, world.now + FAULT_SECONDS)
-        world.site.clock.callLater(FAULT_SECONDS, undo)
+        fault = FAULTS[strike.fault]
+        undo = fault.strike(world)
+        self.over_at = max(self.over_at, world.now + fault.seconds)
+        world.site.clock.callLater(fault.seconds, undo)
 
 
 class _ErrorCapture(logging.Handler):
