Plan a batch once, and take fewer steps per statement

Change: names are exchanged while planning, so that a batch that fits a connection is sent as planned; decoded short frames are cached; completions that need no edit stay in the run of bytes; the transport is resumed only if it was paused. What follows an answer in the same bytes breaks the connection, now with a test, as do a cancelled answer and SCRAM without sockets.

--- a/beryltrack/callers/extended.py
+++ b/beryltrack/callers/extended.py
@@ -8,7 +8,6 @@
 """
 
 import struct
-from collections.abc import Iterable, Iterator
 from itertools import chain, islice
 from typing import NamedTuple, Protocol
 
@@ -22,6 +21,7 @@
     ExtendedRequest,
     Frame,
     ParseFrame,
+    SyncFrame,
 )
 from beryltrack.callers.statements import (
     PreparedStatement,
@@ -87,19 +87,42 @@
     statement: PreparedStatement | None = None
 
 
-class PlannedFrame(NamedTuple):
-    """One frame of a batch and the statement that it is about.
+class PlannedStep(NamedTuple):
+    """One frame of a batch, with the names that targets know.
 
     Parameters
     ----------
-    frame : Frame
-        The frame as the caller sent it.
-    statement : PreparedStatement or None
-        The statement that it parses or uses; None if none is known.
+    wire : bytes
+        The frame.
+    effect : Effect or None
+        What its completion means; None if the target does not answer it with
+        ParseComplete or CloseComplete.
+    prepared : PreparedStatement or None
+        The statement that it prepares under its shared name; such a frame is
+        sent only to connections that lack the statement.
     """
 
-    frame: Frame
-    statement: PreparedStatement | None
+    wire: bytes
+    effect: Effect | None = None
+    prepared: PreparedStatement | None = None
+
+
+class BuiltRequest(NamedTuple):
+    """A batch as it goes to one target connection.
+
+    Parameters
+    ----------
+    wire : bytes
+        The frames to send.
+    effects : tuple of Effect
+        One for each ParseComplete or CloseComplete to come, in order.
+    edits : tuple of Edit
+        The edits of the effects, for the reader of the answer.
+    """
+
+    wire: bytes
+    effects: tuple[Effect, ...]
+    edits: tuple[Edit, ...]
 
 
 class ExtendedPlan(NamedTuple):
@@ -107,12 +130,13 @@
 
     Parameters
     ----------
-    frames : tuple of PlannedFrame
-        All frames with their statements.
+    steps : tuple of PlannedStep
+        All frames.
+    common : BuiltRequest or None
+        The batch as each connection takes it that has all `needed`; None if
+        that depends on the connection.
     needed : tuple of PreparedStatement
         Statements from earlier units that a connection must know by name.
-    unnamed : PreparedStatement or None
-        The unnamed statement, if the batch uses it from an earlier unit.
     executed : tuple of str
         Texts of the statements that it runs, in order. A portal from an
         earlier unit counts as well.
@@ -122,34 +146,14 @@
         Why the batch cannot be run at all.
     """
 
-    frames: tuple[PlannedFrame, ...]
+    steps: tuple[PlannedStep, ...]
+    common: BuiltRequest | None
     needed: tuple[PreparedStatement, ...]
-    unnamed: PreparedStatement | None
     executed: tuple[str, ...]
     parsed: tuple[str, ...]
     error: SqlError | None
 
 
-class BuiltRequest(NamedTuple):
-    """A batch as it goes to one target connection.
-
-    Parameters
-    ----------
-    wire : bytes
-        The frames to send.
-    effects : tuple of Effect
-        One for each ParseComplete or CloseComplete to come, in order.
-    """
-
-    wire: bytes
-    effects: tuple[Effect, ...]
-
-    @property
-    def edits(self) -> tuple[Edit, ...]:
-        """The edits for the reader of the answer."""
-        return tuple(effect.edit for effect in self.effects)
-
-
 def plan_extended(request: ExtendedRequest, table: StatementTable) -> ExtendedPlan:
     """Return what a batch does.
 
@@ -167,15 +171,15 @@
         The plan. It holds for this caller only.
     """
     planner = _Planner(table)
-    frames = tuple(planner.plan(frame) for frame in request.messages)
-    parses = any(isinstance(frame, ParseFrame) for frame in request.messages)
+    steps = planner.plan(request.messages)
+    depends = any(step.prepared is not None for step in steps)
     return ExtendedPlan(
-        frames,
+        steps,
+        None if depends else _join_steps(steps),
         tuple(planner.needed.values()),
-        planner.unnamed,
         tuple(planner.executed),
         tuple(planner.parsed),
-        make_full_error() if parses and table.is_full else None,
+        make_full_error() if planner.parsed and table.is_full else None,
     )
 
 
@@ -184,36 +188,67 @@
 
     def __init__(self, table: StatementTable):
         self.needed: dict[str, PreparedStatement] = {}
-        self.unnamed: PreparedStatement | None = None
         self.executed: list[str] = []
         self.parsed: list[str] = []
+        self._unnamed: PreparedStatement | None = None
         self._table = table
         self._parsed_names: dict[str, PreparedStatement | None] = {}
 
-    def plan(self, frame: Frame) -> PlannedFrame:
-        """Return the frame with the statement that it is about."""
-        match frame:
-            case ParseFrame():
-                return PlannedFrame(frame, self._parse(frame))
-            case BindFrame():
-                statement = self._use(frame.statement)
-                if statement is not None:
-                    self._table.set_portal(frame.portal, statement)
-                return PlannedFrame(frame, statement)
-            case DescribeFrame(kind="S"):
-                return PlannedFrame(frame, self._use(frame.name))
-            case ExecuteFrame():
-                return PlannedFrame(frame, self._execute(frame))
-            case CloseFrame():
-                self._close(frame)
-        return PlannedFrame(frame, None)
-
-    def _parse(self, frame: ParseFrame) -> PreparedStatement:
-        """Return the statement that a Parse makes."""
+    def plan(self, frames: tuple[Frame, ...]) -> tuple[PlannedStep, ...]:
+        """Return the steps of a batch."""
+        steps = [_PLANNERS[type(frame)](self, frame) for frame in frames]
+        if self._unnamed is not None:
+            wire = encode_parse("", self._unnamed)
+            steps.insert(0, PlannedStep(wire, Effect(Edit.DROP)))
+        return tuple(steps)
+
+    def _plan_parse(self, frame: ParseFrame) -> PlannedStep:
+        """Plan a Parse; a named statement gets its shared name."""
         statement = make_statement(frame.text, frame.types)
         self._parsed_names[frame.name] = statement
         self.parsed.append(frame.text)
-        return statement
+        effect = Effect(Edit.PASS, name=frame.name, statement=statement)
+        if not frame.name:
+            return PlannedStep(frame.wire, effect)
+        wire = encode_parse(statement.target_name, statement)
+        added = effect._replace(added=statement.target_name)
+        return PlannedStep(wire, added, statement)
+
+    def _plan_bind(self, frame: BindFrame) -> PlannedStep:
+        """Plan a Bind; a named statement is called by its shared name."""
+        statement = self._use(frame.statement)
+        if statement is None:
+            return PlannedStep(frame.wire)
+        self._table.set_portal(frame.portal, statement)
+        if not frame.statement:
+            return PlannedStep(frame.wire)
+        return PlannedStep(_rename_bind(frame, statement.target_name))
+
+    def _plan_describe(self, frame: DescribeFrame) -> PlannedStep:
+        """Plan a Describe; a named statement is called by its shared name."""
+        statement = self._use(frame.name) if frame.kind == STATEMENT else None
+        if statement is None or not frame.name:
+            return PlannedStep(frame.wire)
+        return PlannedStep(Describe(STATEMENT, statement.target_name).to_wire())
+
+    def _plan_execute(self, frame: ExecuteFrame) -> PlannedStep:
+        """Plan an Execute and note what it runs."""
+        statement = self._table.get_portal(frame.portal)
+        if statement is not None:
+            self.executed.append(statement.text)
+        return PlannedStep(frame.wire)
+
+    def _plan_close(self, frame: CloseFrame) -> PlannedStep:
+        """Plan a Close; a shared statement stays on the connection."""
+        if frame.kind == STATEMENT:
+            self._parsed_names[frame.name] = None
+            return PlannedStep(_CLOSE_NOTHING, Effect(Edit.PASS, name=frame.name))
+        self._table.drop_portal(frame.name)
+        return PlannedStep(frame.wire, Effect(Edit.PASS))
+
+    def _plan_sync(self, frame: SyncFrame) -> PlannedStep:
+        """Plan a Sync."""
+        return PlannedStep(frame.wire)
 
     def _use(self, name: str) -> PreparedStatement | None:
         """Return the statement of a name and note that it has to be there."""
@@ -225,22 +260,18 @@
         if name:
             self.needed[statement.target_name] = statement
         else:
-            self.unnamed = statement
+            self._unnamed = statement
         return statement
 
-    def _execute(self, frame: ExecuteFrame) -> PreparedStatement | None:
-        """Note what an Execute runs."""
-        statement = self._table.get_portal(frame.portal)
-        if statement is not None:
-            self.executed.append(statement.text)
-        return statement
 
-    def _close(self, frame: CloseFrame) -> None:
-        """Note what a Close takes away."""
-        if frame.kind == STATEMENT:
-            self._parsed_names[frame.name] = None
-        else:
-            self._table.drop_portal(frame.name)
+_PLANNERS = {
+    ParseFrame: _Planner._plan_parse,
+    BindFrame: _Planner._plan_bind,
+    DescribeFrame: _Planner._plan_describe,
+    ExecuteFrame: _Planner._plan_execute,
+    CloseFrame: _Planner._plan_close,
+    SyncFrame: _Planner._plan_sync,
+}
 
 
 def build_extended(plan: ExtendedPlan, names: TargetNames) -> BuiltRequest:
@@ -259,19 +290,19 @@
         What to send and what its completion means.
     """
     missing = [entry for entry in plan.needed if not _touch(entry, names)]
-    coming = len(missing) + len(plan.parsed)
+    if plan.common is not None and not missing:
+        return plan.common
+    prepared = [*missing, *(step.prepared for step in plan.steps if step.prepared)]
     present = {entry.target_name for entry in plan.needed}
-    excess = [name for name in names.get_excess(coming) if name not in present]
-    stale = chain(missing, (entry.statement for entry in plan.frames))
-    closed = dict.fromkeys(chain(excess, _get_stale(stale, names)))
-    parts = chain(
-        (_close(name) for name in closed),
-        (_prepare_missing(statement) for statement in missing),
-        _prepare_unnamed(plan.unnamed),
-        (_build_frame(entry, names, present, excess) for entry in plan.frames),
+    excess = [name for name in names.get_excess(len(prepared)) if name not in present]
+    stale = (entry.target_name for entry in prepared if _is_stale(entry, names))
+    closed = dict.fromkeys(chain(excess, stale))
+    steps = chain(
+        map(_close, closed),
+        map(_prepare_missing, missing),
+        (_choose_step(step, names, present, closed) for step in plan.steps),
     )
-    wires, effects = zip(*parts, strict=True)
-    return BuiltRequest(b"".join(wires), tuple(filter(None, effects)))
+    return _join_steps(tuple(steps))
 
 
 def apply_effects(
@@ -318,76 +349,47 @@
     return True
 
 
-def _get_stale(
-    statements: Iterable[PreparedStatement | None], names: TargetNames
-) -> Iterator[str]:
-    """Return the names among statements that must be closed before use."""
-    targets = (entry.target_name for entry in statements if entry is not None)
-    return filter(names.is_stale, targets)
+def _is_stale(statement: PreparedStatement, names: TargetNames) -> bool:
+    """Return whether a statement must be closed before it is prepared."""
+    return names.is_stale(statement.target_name)
 
 
-def _close(name: str) -> tuple[bytes, Effect]:
+def _close(name: str) -> PlannedStep:
     """Close a statement on the connection."""
-    return Close(STATEMENT, name).to_wire(), Effect(Edit.DROP, closed=name)
+    return PlannedStep(Close(STATEMENT, name).to_wire(), Effect(Edit.DROP, closed=name))
 
 
-def _prepare_missing(statement: PreparedStatement) -> tuple[bytes, Effect]:
+def _prepare_missing(statement: PreparedStatement) -> PlannedStep:
     """Prepare a statement of an earlier unit on the connection."""
     name = statement.target_name
-    return encode_parse(name, statement), Effect(Edit.DROP, added=name)
-
-
-def _prepare_unnamed(
-    statement: PreparedStatement | None,
-) -> Iterator[tuple[bytes, Effect]]:
-    """Prepare the unnamed statement of an earlier unit again."""
-    if statement is not None:
-        yield encode_parse("", statement), Effect(Edit.DROP)
-
-
-def _build_frame(
-    planned: PlannedFrame, names: TargetNames, present: set[str], excess: list[str]
-) -> tuple[bytes, Effect | None]:
-    """Return one frame as the target needs it, and what its completion means."""
-    frame, statement = planned
-    match frame:
-        case ParseFrame(name=""):
-            return frame.wire, Effect(Edit.PASS, name="", statement=statement)
-        case ParseFrame():
-            return _build_parse(frame, statement, names, present, excess)
-        case CloseFrame(kind="S"):
-            return _CLOSE_NOTHING, Effect(Edit.PASS, name=frame.name)
-        case CloseFrame():
-            return frame.wire, Effect(Edit.PASS)
-        case BindFrame() if frame.statement and statement is not None:
-            return _rename_bind(frame, statement.target_name), None
-        case DescribeFrame(kind="S") if frame.name and statement is not None:
-            return Describe(STATEMENT, statement.target_name).to_wire(), None
-    return frame.wire, None
-
-
-def _build_parse(
-    frame: ParseFrame,
-    statement: PreparedStatement,
-    names: TargetNames,
-    present: set[str],
-    excess: list[str],
-) -> tuple[bytes, Effect]:
-    """Prepare a named statement, unless the connection has it already."""
-    name = statement.target_name
-    exists = name in present or (name in names and name not in excess)
+    return PlannedStep(encode_parse(name, statement), Effect(Edit.DROP, added=name))
+
+
+def _choose_step(
+    step: PlannedStep, names: TargetNames, present: set[str], closed: dict[str, None]
+) -> PlannedStep:
+    """Return a step, or what stands in for a Parse that is not needed."""
+    if step.prepared is None:
+        return step
+    name = step.prepared.target_name
+    exists = name in present or (name in names and name not in closed)
     present.add(name)
-    if exists:
-        edit = Edit.AS_PARSE_COMPLETE
-        return _CLOSE_NOTHING, Effect(edit, name=frame.name, statement=statement)
-    effect = Effect(Edit.PASS, added=name, name=frame.name, statement=statement)
-    return encode_parse(name, statement), effect
+    if not exists:
+        return step
+    effect = step.effect._replace(edit=Edit.AS_PARSE_COMPLETE)
+    return PlannedStep(_CLOSE_NOTHING, effect)
+
+
+def _join_steps(steps: tuple[PlannedStep, ...]) -> BuiltRequest:
+    """Return the request that steps make up."""
+    effects = tuple(step.effect for step in steps if step.effect is not None)
+    wire = b"".join([step.wire for step in steps])
+    return BuiltRequest(wire, effects, tuple([effect.edit for effect in effects]))
 
 
 def _rename_bind(frame: BindFrame, name: str) -> bytes:
     """Return a Bind with another statement name and the same bytes else."""
     names = b"%b\x00%b\x00" % (frame.portal.encode(), name.encode())
-    length = LENGTH_SIZE + len(names) + len(frame.wire) - frame.values_at
-    return b"".join(
-        (b"B", _LENGTH.pack(length), names, memoryview(frame.wire)[frame.values_at :])
-    )
+    values = frame.wire[frame.values_at :]
+    length = LENGTH_SIZE + len(names) + len(values)
+    return b"B" + _LENGTH.pack(length) + names + values
--- a/beryltrack/callers/protocol.py
+++ b/beryltrack/callers/protocol.py
@@ -8,7 +8,7 @@
 from enum import Enum, auto
 
 from pygwire.exceptions import ProtocolError
-from twisted.internet.defer import maybeDeferred
+from twisted.internet.defer import Deferred, fail
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -31,6 +31,7 @@
 from beryltrack.callers.messages import (
     ExtendedRequest,
     RefusedRequest,
+    Request,
     TerminateRequest,
     Unit,
 )
@@ -245,12 +246,26 @@
             case _:
                 self.phase = Phase.RUNNING
                 caller.arrived_at = self.factory.reactor.seconds()
-                running = maybeDeferred(self.factory.handler.handle, unit, caller)
+                running = self._handle(unit)
                 running.addCallbacks(self._end_unit, self._fail_unit)
-                running.addErrback(self._report_fault)
+
+    def _handle(self, unit: Request) -> "Deferred[None]":
+        """Let the handler run a unit."""
+        try:
+            return self.factory.handler.handle(unit, self.caller)
+        except Exception:
+            return fail()
 
     def _end_unit(self, _: object) -> None:
         """Go on after a unit."""
+        try:
+            self._go_on()
+        except Exception:
+            log.exception("callers: connection failed")
+            self.transport.abortConnection()
+
+    def _go_on(self) -> None:
+        """Take the next unit, if there is one."""
         self.caller.set_cancel(None)
         if self._lost:
             self._forget()
@@ -290,11 +305,6 @@
                 )
             )
 
-    def _report_fault(self, failure: Failure) -> None:
-        """Log a fault of this class and end the connection."""
-        log.error("callers: connection failed: %s", failure.getTraceback())
-        self.transport.abortConnection()
-
     def _resume(self) -> None:
         """Read from the caller again."""
         if self._paused:
--- a/beryltrack/callers/reader.py
+++ b/beryltrack/callers/reader.py
@@ -5,9 +5,11 @@
 """
 
 import struct
+from collections.abc import Callable
+from functools import lru_cache
 
 from pygwire.exceptions import DecodingError, FramingError
-from pygwire.messages import Close, Describe, Parse, Query
+from pygwire.messages import Close, Describe, Parse, Sync
 
 from beryltrack.callers.messages import (
     BindFrame,
@@ -31,7 +33,12 @@
 # Most frames in one batch.
 BATCH_LIMIT = 10_000
 
+# Decoded frames that are kept of each kind, and the longest of them, bytes.
+_CACHED_FRAMES = 1024
+_CACHED_LENGTH = 1024
+
 _HEADER = struct.Struct("!BI")
+_SYNC_FRAME = SyncFrame(Sync().to_wire())
 
 _QUERY = ord("Q")
 _SYNC = ord("S")
@@ -44,6 +51,16 @@
 FUNCTION_CALL_TEXT = "the function call protocol is not supported; use SELECT"
 
 
+def _cache_short(decode: Callable[[bytes], Frame]) -> Callable[[bytes], Frame]:
+    """Keep what was decoded of short frames: drivers send the same ones often."""
+    decode_cached = lru_cache(_CACHED_FRAMES)(decode)
+
+    def decode_frame(wire: bytes) -> Frame:
+        return decode_cached(wire) if len(wire) <= _CACHED_LENGTH else decode(wire)
+
+    return decode_frame
+
+
 class RequestReader:
     """Cuts a caller's input into units.
 
@@ -81,39 +98,42 @@
             use then.
         """
         buffer = self._buffer
-        while len(buffer) >= HEADER_SIZE:
-            kind, length = _HEADER.unpack_from(buffer)
+        size = len(buffer)
+        pos = 0
+        unit = None
+        while unit is None and size - pos >= HEADER_SIZE:
+            kind, length = _HEADER.unpack_from(buffer, pos)
             if not LENGTH_SIZE <= length <= self._unit_limit - self._batch_size:
                 raise FramingError(f"length {length} of a message is out of bounds")
-            stop = 1 + length
-            if len(buffer) < stop:
-                return None
-            wire = bytes(buffer[:stop])
-            del buffer[:stop]
+            stop = pos + 1 + length
+            if size < stop:
+                break
+            wire = bytes(buffer[pos:stop])
+            pos = stop
             unit = self._take(kind, wire)
-            if unit is not None:
-                return unit
-        return None
+        if pos:
+            del buffer[:pos]
+        return unit
 
     def _take(self, kind: int, wire: bytes) -> Unit | None:
         """Handle one frame; return the unit that it completes."""
-        if kind == _TERMINATE:
-            return TerminateRequest()
         if self._skipping:
             return self._skip(kind, wire)
-        if kind == _QUERY:
-            self._check_no_batch()
-            return SimpleRequest(Query.decode(_get_payload(wire)).query_string, wire)
-        if kind == _SYNC:
-            return self._end_batch(SyncFrame(wire))
         decode = _DECODERS.get(kind)
         if decode is not None:
             self._add_to_batch(decode(wire))
             return None
+        if kind == _QUERY:
+            self._check_no_batch()
+            return SimpleRequest(_decode_text(wire, HEADER_SIZE), wire)
+        if kind == _SYNC:
+            return self._end_batch()
         return self._take_other(kind)
 
     def _take_other(self, kind: int) -> Unit | None:
         """Handle a frame that is neither a query nor part of a batch."""
+        if kind == _TERMINATE:
+            return TerminateRequest()
         if kind == _FLUSH:
             return self._flush()
         if kind == _FUNCTION_CALL:
@@ -131,9 +151,9 @@
         self._frames.append(frame)
         self._batch_size += len(frame.wire)
 
-    def _end_batch(self, sync: SyncFrame) -> ExtendedRequest:
+    def _end_batch(self) -> ExtendedRequest:
         """Return the collected batch."""
-        request = ExtendedRequest((*self._frames, sync))
+        request = ExtendedRequest((*self._frames, _SYNC_FRAME))
         self._frames = []
         self._batch_size = 0
         return request
@@ -149,10 +169,12 @@
 
     def _skip(self, kind: int, wire: bytes) -> Unit | None:
         """Drop input up to a Sync, which is a unit that does nothing."""
+        if kind == _TERMINATE:
+            return TerminateRequest()
         if kind != _SYNC:
             return None
         self._skipping = False
-        return ExtendedRequest((SyncFrame(wire),))
+        return ExtendedRequest((_SYNC_FRAME,))
 
     def _check_no_batch(self) -> None:
         """Refuse a simple query in the middle of a batch."""
@@ -165,6 +187,7 @@
     return memoryview(wire)[HEADER_SIZE:]
 
 
+@_cache_short
 def _decode_parse(wire: bytes) -> ParseFrame:
     """Decode a Parse."""
     try:
@@ -177,13 +200,14 @@
 
 def _decode_bind(wire: bytes) -> BindFrame:
     """Decode the names of a Bind."""
-    portal_end = _find_end(wire, HEADER_SIZE)
-    statement_end = _find_end(wire, portal_end + 1)
-    portal = _decode_name(wire[HEADER_SIZE:portal_end])
-    statement = _decode_name(wire[portal_end + 1 : statement_end])
-    return BindFrame(portal, statement, statement_end + 1, wire)
+    portal_end = wire.find(b"\x00", HEADER_SIZE)
+    portal = _decode_text(wire, HEADER_SIZE)
+    statement = _decode_text(wire, portal_end + 1)
+    values_at = wire.find(b"\x00", portal_end + 1) + 1
+    return BindFrame(portal, statement, values_at, wire)
 
 
+@_cache_short
 def _decode_describe(wire: bytes) -> DescribeFrame:
     """Decode a Describe."""
     _check_kind(wire)
@@ -191,12 +215,13 @@
     return DescribeFrame(message.kind, message.name, wire)
 
 
+@_cache_short
 def _decode_execute(wire: bytes) -> ExecuteFrame:
     """Decode the name in an Execute."""
-    end = _find_end(wire, HEADER_SIZE)
-    return ExecuteFrame(_decode_name(wire[HEADER_SIZE:end]), wire)
+    return ExecuteFrame(_decode_text(wire, HEADER_SIZE), wire)
 
 
+@_cache_short
 def _decode_close(wire: bytes) -> CloseFrame:
     """Decode a Close."""
     _check_kind(wire)
@@ -210,20 +235,15 @@
         raise DecodingError("neither a statement nor a portal")
 
 
-def _find_end(wire: bytes, start: int) -> int:
-    """Return where the string that begins at `start` ends."""
+def _decode_text(wire: bytes, start: int) -> str:
+    """Return the string that begins at `start`."""
     end = wire.find(b"\x00", start)
     if end < 0:
-        raise DecodingError("unterminated name")
-    return end
-
-
-def _decode_name(name: bytes) -> str:
-    """Return a name as text."""
+        raise DecodingError("unterminated string")
     try:
-        return name.decode()
+        return wire[start:end].decode()
     except UnicodeDecodeError as error:
-        raise DecodingError("name is not UTF-8") from error
+        raise DecodingError("string is not UTF-8") from error
 
 
 _DECODERS = {
--- a/beryltrack/connections/target.py
+++ b/beryltrack/connections/target.py
@@ -108,6 +108,7 @@
         self._sink: ResponseSink | None = None
         self._answer: Deferred[ResponseEnd] | None = None
         self._closed: Deferred[None] = Deferred()
+        self._paused = False
 
     @property
     def busy(self) -> bool:
@@ -146,7 +147,7 @@
         # An answer that nobody waits for any more must reach nobody.
         self._answer = answer = Deferred(lambda _: self.close())
         self._reader.start(edits)
-        sink.attach(self.transport)
+        sink.attach(self)
         self.transport.write(wire)
         return answer
 
@@ -183,6 +184,16 @@
             self.transport.abortConnection()
         self._break("closed by the proxy")
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Read no more of the answer until the sink has room; see `Producer`."""
+        self._paused = True
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read on."""
+        self._paused = False
+        self.transport.resumeProducing()
+
     def connectionMade(self) -> None:  # noqa: N802
         """Send the start-up packet."""
         self.transport.setTcpNoDelay(True)
@@ -231,7 +242,8 @@
         if end is None:
             return
         # What follows the answer must not be left for the next request.
-        self._reader.feed(b"", _discard)
+        if self._reader.has_rest:
+            self._reader.feed(b"", _discard)
         if end.position is not None:
             self.position = end.position
         if end.error is not None and end.error.sqlstate in _STALE_STATES:
@@ -240,7 +252,8 @@
         self._answer = self._sink = None
         sink.detach()
         # A sink that was full may have paused the transport.
-        self.transport.resumeProducing()
+        if self._paused:
+            self.resumeProducing()
         answer.callback(end)
 
     def _break(self, reason: str, failure: Exception | None = None) -> None:
--- a/beryltrack/requests/plan.py
+++ b/beryltrack/requests/plan.py
@@ -72,10 +72,9 @@
         if isinstance(self.request, SimpleRequest):
             return compute_fingerprint(self.request.text.encode())
         # Names of statements and portals differ between connections.
-        frames = (planned.frame for planned in self.extended.frames)
         values = (
             frame.wire[frame.values_at :]
-            for frame in frames
+            for frame in self.request.messages
             if isinstance(frame, BindFrame)
         )
         return compute_fingerprint(self.text.encode(), *values)
--- a/beryltrack/wire/answers.py
+++ b/beryltrack/wire/answers.py
@@ -8,11 +8,10 @@
 
 import struct
 from collections.abc import Callable
-from itertools import islice
 
 from pygwire import TransactionStatus
 from pygwire.exceptions import FramingError, ProtocolError
-from pygwire.messages import ErrorResponse, ParameterStatus, ReadyForQuery
+from pygwire.messages import ErrorResponse, ParameterStatus
 
 from beryltrack.errors import ERROR, SqlError
 from beryltrack.groups.messages import LogPosition
@@ -23,6 +22,7 @@
 PASSED_LIMIT = 1 << 30
 
 POSITION_PARAMETER = "beryltrack.position"
+_POSITION_NAME = POSITION_PARAMETER.encode() + b"\x00"
 _OWN_PREFIX = "beryltrack."
 
 _HEADER = struct.Struct("!BI")
@@ -33,13 +33,14 @@
 _PARAMETER_STATUS = ord("S")
 _NOTICE_RESPONSE = ord("N")
 _NOTIFICATION_RESPONSE = ord("A")
-_PARSE_COMPLETE = ord("1")
-_CLOSE_COMPLETE = ord("3")
+_COMPLETIONS = frozenset(b"13")
 # Row description, row, bind complete, no data, parameter description, empty
 # query and portal suspended: no decision hangs on what is in them.
 _PASSED = frozenset(b"TD2ntIs")
 _COPY = frozenset(b"GHWdc")
 
+_STATUSES = {ord(status): status for status in TransactionStatus}
+
 _PARSE_COMPLETE_FRAME = b"1\x00\x00\x00\x04"
 
 
@@ -100,6 +101,11 @@
         self.start(())
         self.running = False
 
+    @property
+    def has_rest(self) -> bool:
+        """True if bytes wait for what completes them."""
+        return bool(self._rest)
+
     def start(self, edits: tuple[Edit, ...]) -> None:
         """Expect the answer to a new request.
 
@@ -139,19 +145,22 @@
             If the bytes are no answer to the request. The connection is of no
             use then.
         """
-        size = len(data)
-        pos = run_start = 0
-        if self._passing:
-            if self._passing >= size:
-                self._passing -= size
-                self._pass_on(data, write)
-                return None
-            pos = self._passing
-            self._passing = 0
-        elif self._rest:
+        if self._passing and self._passing >= len(data):
+            self._passing -= len(data)
+            self._pass_on(data, write)
+            return None
+        if self._rest:
             data = self._rest + data
-            size = len(data)
             self._rest = b""
+        return self._feed_frames(data, write)
+
+    def _feed_frames(
+        self, data: bytes, write: Callable[[bytes], None]
+    ) -> ResponseEnd | None:
+        """Go through frames; the rest of a passed frame may come first."""
+        size = len(data)
+        pos = self._passing
+        self._passing = run_start = 0
         running = self.running
         while pos + HEADER_SIZE <= size:
             kind, length = _HEADER.unpack_from(data, pos)
@@ -167,19 +176,22 @@
             stop = pos + 1 + length
             if stop > size:
                 break
+            if kind in _COMPLETIONS and self._count_completion():
+                if self._held:
+                    self._release_held(write)
+                pos = stop
+                continue
             if run_start < pos:
                 self._pass_on(data[run_start:pos], write)
-            run_start = pos = stop
             if kind == _READY_FOR_QUERY:
                 return self._end(data, stop)
-            self._take(kind, data[stop - length - 1 : stop], write)
+            self._take(kind, data[pos:stop], write)
+            run_start = pos = stop
         if pos > size:
             self._passing = pos - size
             pos = size
         if run_start < pos:
-            self._pass_on(
-                data[run_start:pos] if run_start or pos < size else data, write
-            )
+            self._pass_on(data[run_start:pos], write)
         if pos < size:
             self._rest = data[pos:]
         return None
@@ -208,12 +220,13 @@
         elif not self.running:
             raise ProtocolError(f"frame {chr(kind)!r} outside of an answer")
         elif kind == _COMMAND_COMPLETE:
-            self._release_held(write) if self._held else None
+            if self._held:
+                self._release_held(write)
             self._held = frame
         elif kind == _ERROR_RESPONSE:
             self._take_error(frame, write)
-        elif kind == _PARSE_COMPLETE or kind == _CLOSE_COMPLETE:
-            self._take_completion(frame, write)
+        elif kind in _COMPLETIONS:
+            self._edit_completion(write)
         elif kind in _COPY:
             raise CopyStarted("the target began a copy")
         else:
@@ -221,10 +234,12 @@
 
     def _take_parameter(self, frame: bytes, write: Callable[[bytes], None]) -> None:
         """Remember the target's position; pass on the usual parameters."""
+        if frame.startswith(_POSITION_NAME, HEADER_SIZE):
+            value = frame[HEADER_SIZE + len(_POSITION_NAME) : -1]
+            self._position = parse_position(value.decode("ascii", "replace"))
+            return
         status = ParameterStatus.decode(memoryview(frame)[HEADER_SIZE:])
-        if status.name == POSITION_PARAMETER:
-            self._position = parse_position(status.value)
-        elif self.running and not status.name.startswith(_OWN_PREFIX):
+        if self.running and not status.name.startswith(_OWN_PREFIX):
             self._pass_on(frame, write)
 
     def _take_error(self, frame: bytes, write: Callable[[bytes], None]) -> None:
@@ -235,25 +250,36 @@
             self._error = decode_error(memoryview(frame)[HEADER_SIZE:])
             self._error_frame = frame
 
-    def _take_completion(self, frame: bytes, write: Callable[[bytes], None]) -> None:
+    def _count_completion(self) -> bool:
+        """Count the answer to a Parse or Close; return whether it passes unseen."""
+        index = self._completed
+        if not self.running:
+            return False
+        if index < len(self._edits) and self._edits[index] is not Edit.PASS:
+            return False
+        self._completed = index + 1
+        return True
+
+    def _edit_completion(self, write: Callable[[bytes], None]) -> None:
         """Edit the answer to one Parse or Close as `start` was told."""
         if self._held:
             self._release_held(write)
-        edit = next(islice(self._edits, self._completed, None), Edit.PASS)
+        edit = self._edits[self._completed]
         self._completed += 1
-        if edit is Edit.PASS:
-            self._pass_on(frame, write)
-        elif edit is Edit.AS_PARSE_COMPLETE:
+        if edit is Edit.AS_PARSE_COMPLETE:
             self._pass_on(_PARSE_COMPLETE_FRAME, write)
 
     def _end(self, data: bytes, stop: int) -> ResponseEnd:
         """Return the end of the answer at a ReadyForQuery that ends at `stop`."""
         if not self.running:
             raise ProtocolError("ready for query outside of an answer")
+        status = _STATUSES.get(data[stop - 1])
+        if status is None:
+            raise ProtocolError("unknown transaction status")
         self.running = False
         self._rest = data[stop:]
         return ResponseEnd(
-            _decode_status(data, stop),
+            status,
             self._held,
             self._error,
             self._error_frame,
@@ -261,11 +287,3 @@
             self._row_bytes,
             self._completed,
         )
-
-
-def _decode_status(data: bytes, stop: int) -> TransactionStatus:
-    """Return the status in the ReadyForQuery that ends at `stop`."""
-    try:
-        return ReadyForQuery.decode(memoryview(data)[stop - 1 : stop]).status
-    except ValueError as error:
-        raise ProtocolError("unknown transaction status") from error
--- a/tests/callers/test_protocol_faults.py
+++ b/tests/callers/test_protocol_faults.py
@@ -166,6 +166,15 @@
     assert bench.get_error() == "XX000"
 
 
+def test_a_handler_that_raises_closes_the_connection(bench):
+    bench.log_on()
+    bench.handler.handle = None
+    bench.protocol.dataReceived(SELECT)
+    assert bench.get_error() == "XX000"
+    bench.lose()
+    assert bench.factory.count == 0
+
+
 def test_leaving_ends_an_idle_caller_at_once(bench):
     bench.log_on()
     left = bench.factory.leave()
--- /dev/null
+++ b/tests/connections/test_target.py
@@ -0,0 +1,169 @@
+"""A connection to a target, without sockets."""
+
+import pytest
+from pygwire import messages as m
+from scramp import ScramMechanism
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from beryltrack.callers.authentication import format_secret, parse_secret
+from beryltrack.connections.logon import Credentials
+from beryltrack.connections.target import TargetConnection, TargetLost
+from beryltrack.errors import SqlException
+from beryltrack.groups.messages import LogPosition
+from beryltrack.settings.messages import Endpoint
+
+WELCOME = [
+    m.ParameterStatus("beryltrack.position", "1/2"),
+    m.BackendKeyData(1, b"mock"),
+    m.ReadyForQuery(),
+]
+QUERY = m.Query("SELECT 1").to_wire()
+ANSWER = [m.DataRow([b"1"]), m.CommandComplete("SELECT 1"), m.ReadyForQuery()]
+
+
+class FakeTransport(StringTransport):
+    """A transport in memory."""
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+    setTcpKeepAlive = setTcpNoDelay
+
+
+class Sink:
+    """Keeps what is written; full if the test says so."""
+
+    def __init__(self, is_full=False):
+        self.data = b""
+        self.is_full = is_full
+        self.producer = None
+
+    def write(self, data):
+        self.data += data
+
+    def attach(self, producer):
+        self.producer = producer
+        if self.is_full:
+            producer.pauseProducing()
+
+    def detach(self):
+        self.producer = None
+
+
+def connect(*messages, password=""):
+    credentials = Credentials("main", "proxy", password)
+    connection = TargetConnection(Clock(), Endpoint("127.0.0.1", 1), credentials)
+    connection.makeConnection(FakeTransport())
+    send(connection, *messages)
+    return connection
+
+
+def log_on():
+    connection = connect(m.AuthenticationOk(), *WELCOME)
+    connection.transport.clear()
+    return connection
+
+
+def send(connection, *messages):
+    connection.dataReceived(b"".join(x.to_wire() for x in messages))
+
+
+def get_failure(deferred):
+    failures = []
+    deferred.addErrback(failures.append)
+    return failures[0].value
+
+
+def test_the_position_at_the_log_on_is_kept():
+    assert log_on().position == LogPosition(1, 2)
+
+
+def test_a_refusal_is_an_sql_error():
+    error = m.ErrorResponse({"S": "FATAL", "C": "53300", "M": "too many"})
+    connection = connect(error)
+    failure = get_failure(connection.ready)
+    assert isinstance(failure, SqlException)
+    assert failure.error.sqlstate == "53300"
+    assert connection.broken
+
+
+def test_scram():
+    secret = parse_secret(format_secret("secret"))
+    server = ScramMechanism().make_server(lambda user: secret)
+    connection = connect(m.AuthenticationSASL(["SCRAM-SHA-256"]), password="secret")
+    sent = connection.transport.value()
+    server.set_client_first(sent[sent.index(b"n,,") :].decode())
+    first = m.AuthenticationSASLContinue(server.get_server_first().encode())
+    connection.transport.clear()
+    send(connection, first)
+    server.set_client_final(connection.transport.value()[5:].decode())
+    final = m.AuthenticationSASLFinal(server.get_server_final().encode())
+    send(connection, final, m.AuthenticationOk(), *WELCOME)
+    assert connection.ready.called
+    assert not connection.broken
+
+
+@pytest.mark.parametrize(
+    "message",
+    [m.AuthenticationCleartextPassword(), m.AuthenticationMD5Password(b"salt")],
+)
+def test_no_password_is_given_away(message):
+    connection = connect(message, password="secret")
+    assert connection.broken
+    assert b"secret" not in connection.transport.value()
+    assert isinstance(get_failure(connection.ready), TargetLost)
+
+
+def test_one_request_at_a_time():
+    connection = log_on()
+    first = connection.run(QUERY, Sink())
+    assert not get_failure(connection.run(QUERY, Sink())).sent
+    send(connection, *ANSWER)
+    assert first.result.tail == ANSWER[1].to_wire()
+
+
+@pytest.mark.parametrize("extra", [m.DataRow([b"2"]), m.ReadyForQuery(), ANSWER[1]])
+def test_more_than_one_answer_breaks_the_connection(extra):
+    connection = log_on()
+    sink = Sink()
+    answer = connection.run(QUERY, sink)
+    send(connection, *ANSWER, extra)
+    assert connection.broken
+    assert get_failure(answer).sent
+    assert sink.data == ANSWER[0].to_wire()
+
+
+def test_an_answer_that_nobody_waits_for_breaks_the_connection():
+    connection = log_on()
+    sink = Sink()
+    answer = connection.run(QUERY, sink)
+    answer.cancel()
+    assert get_failure(answer).sent
+    send(connection, *ANSWER)
+    assert sink.data == b""
+    assert connection.transport.disconnected
+
+
+def test_a_request_on_a_closed_connection_is_not_sent():
+    connection = log_on()
+    connection.close()
+    assert connection.closed.called
+    assert not get_failure(connection.run(QUERY, Sink())).sent
+
+
+def test_a_full_sink_pauses_the_target_until_the_answer_ends():
+    connection = log_on()
+    connection.run(QUERY, Sink(is_full=True))
+    assert connection.transport.producerState == "paused"
+    send(connection, *ANSWER)
+    assert connection.transport.producerState == "producing"
+
+
+def test_a_plan_that_does_not_fit_is_prepared_anew():
+    connection = log_on()
+    connection.prepared.touch("name")
+    connection.run(QUERY, Sink())
+    error = m.ErrorResponse({"S": "ERROR", "C": "0A000", "M": "cached plan"})
+    send(connection, error, m.ReadyForQuery())
+    assert connection.prepared.is_stale("name")
