--- a/beryltrack/requests/ledger.py
+++ b/beryltrack/requests/ledger.py
@@ -159,9 +159,25 @@
     )
 
 
-def format_removal(before: str) -> str:
-    """Return the statement that removes rows created before an ISO 8601 time."""
-    return f"DELETE FROM {TABLE} WHERE created_at < {quote_literal(before)}"
+def format_removal(before: str, limit: int) -> str:
+    """Return the statement that removes old rows.
+
+    Parameters
+    ----------
+    before : str
+        Rows created before this ISO 8601 time are removed.
+    limit : int
+        Most rows to remove, so that no transaction grows long.
+
+    Returns
+    -------
+    str
+        The statement. Its command tag tells how many rows it removed.
+    """
+    return (
+        f"DELETE FROM {TABLE} WHERE request_id IN (SELECT request_id FROM {TABLE}"
+        f" WHERE created_at < {quote_literal(before)} LIMIT {limit})"
+    )
 
 
 def encode_answer(answer: RecordedAnswer) -> str:
--- a/beryltrack/requests/marked.py
+++ b/beryltrack/requests/marked.py
@@ -137,6 +137,7 @@
     async def _run_opened(self, target: FoundTarget) -> bool:
         """Run the unit inside the transaction that holds its row, and commit."""
         context, connection = self._context, target.connection
+        context.runtime.is_ledger_ready = True
         sink = AnswerSink(context.caller, max_held=ledger.MAX_RECORDED_ANSWER)
         end = await run_plan(connection, context.plan, sink, context.caller)
         if isinstance(end, RunLost):
--- a/beryltrack/settings/messages.py
+++ b/beryltrack/settings/messages.py
@@ -68,6 +68,8 @@
         Staleness that reads accept by default, seconds. Zero: none.
     lost_after : float
         Seconds without a word after which a primary counts as lost.
+    ledger_retention : float
+        Seconds for which the row of a marked request is kept.
     """
 
     name: str
@@ -77,6 +79,7 @@
     password: str
     max_age: float
     lost_after: float
+    ledger_retention: float = 604800.0
 
 
 class RuleSettings(NamedTuple):
--- a/beryltrack/settings/options.py
+++ b/beryltrack/settings/options.py
@@ -184,6 +184,16 @@
             minimum=0.05,
             maximum=60,
         ),
+        Option(
+            "ledger_retention",
+            OptionKind.NUMBER,
+            "Time for which a marked request is remembered. A repeat that comes "
+            "later runs again.",
+            default=604800,
+            unit="seconds",
+            minimum=3600,
+            maximum=31536000,
+        ),
     ),
 )
 
--- a/tests/requests/test_path.py
+++ b/tests/requests/test_path.py
@@ -1,8 +1,11 @@
 """The whole path: psycopg, proxies and stand-in databases over real sockets."""
 
+from datetime import UTC, datetime, timedelta
+
 import psycopg
 import pytest
 
+from beryltrack.requests.ledger_cleaner import clean_ledger
 from tests.local_proxies import (
     connect,
     get_primary,
@@ -156,3 +159,17 @@
         connection.execute("ROLLBACK")
         refuse_next(False)
         connection.execute("INSERT INTO item VALUES (1)")
+
+
+def test_old_rows_of_the_ledger_are_removed(local):
+    with connect(local.proxies[0]) as connection:
+        mark_request(connection, "old-1")
+        connection.execute("INSERT INTO item VALUES (300, 'old')")
+        lookup = "SELECT count(*) FROM beryltrack_ledger WHERE request_id = 'old-1'"
+        assert connection.execute(lookup).fetchone() == (1,)
+        proxy = local.proxies[0]
+        runtime = proxy.groups.get("main")
+        for days, left in ((6, 1), (8, 0)):
+            now = datetime.now(UTC) + timedelta(days=days)
+            assert run(clean_ledger, proxy.services, runtime, now)
+            assert connection.execute(lookup).fetchone() == (left,)
