--- /dev/null
+++ b/beryltrack_bench/cost/memory.py
@@ -0,0 +1,78 @@
+"""The memory that idle callers cost a proxy."""
+
+import gc
+import os
+import socket
+from itertools import chain
+
+from pygwire.messages import StartupMessage
+from twisted.internet.task import deferLater
+
+from beryltrack.settings.messages import Endpoint
+
+SETTLING_TIME = 0.5
+BATCH = 25
+BATCH_TIME = 0.05
+_PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+def read_resident_bytes() -> int:
+    """Return the resident memory of this process, bytes."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * _PAGE
+
+
+async def measure_idle_memory(
+    reactor, endpoint: Endpoint, parameters: dict[str, str], count: int
+) -> float:
+    """Return the memory of an idle caller's connection at a proxy, bytes.
+
+    The clients are bare sockets that log on and then keep still, so that
+    nearly all of the memory is the proxy's.
+
+    Parameters
+    ----------
+    reactor : reactor
+        The reactor in which the proxy runs.
+    endpoint : Endpoint
+        Where the proxy listens; it must trust the user.
+    parameters : dict of str to str
+        Start-up parameters.
+    count : int
+        Connections to open.
+
+    Returns
+    -------
+    float
+        Bytes a connection, without what the kernel holds.
+    """
+    gc.collect()
+    before = read_resident_bytes()
+    wire = StartupMessage(params=parameters).to_wire()
+    batches = [
+        await _open_batch(reactor, endpoint, wire) for _ in range(count // BATCH)
+    ]
+    sockets = list(chain.from_iterable(batches))
+    await deferLater(reactor, SETTLING_TIME, int)
+    gc.collect()
+    after = read_resident_bytes()
+    for each in sockets:
+        each.close()
+    return (after - before) / len(sockets)
+
+
+async def _open_batch(reactor, endpoint: Endpoint, wire: bytes) -> list[socket.socket]:
+    """Open some connections, no more than a listening socket's queue takes."""
+    sockets = [_connect(endpoint) for _ in range(BATCH)]
+    await deferLater(reactor, BATCH_TIME, int)
+    for each in sockets:
+        each.send(wire)
+    return sockets
+
+
+def _connect(endpoint: Endpoint) -> socket.socket:
+    """Return a socket that connects without waiting."""
+    opened = socket.socket()
+    opened.setblocking(False)
+    opened.connect_ex(endpoint)
+    return opened
