Measure idle callers before the loops

Cause: memory that the loops had freed hid what callers take. Change: idle callers are measured first. Conclusion: the figure stands for the callers alone.

--- a/beryltrack_bench/experiments/cost.py
+++ b/beryltrack_bench/experiments/cost.py
@@ -90,18 +90,22 @@
     site = LocalSite(reactor, SiteOptions(database=database))
     local = LocalProxies(reactor, site, 1)
     await local.start()
+    # Before all else: memory that loops have freed would hide the callers'.
+    parameters = {"user": USER, "database": GROUP}
+    endpoint = local.proxies[0].endpoint
+    idle = await measure_idle_memory(reactor, endpoint, parameters, IDLE_CALLERS)
     await prepare_table(reactor, local)
     figures = await measure_data_path(
         reactor, local, options.seconds or LOOP_SECONDS, LOOP_TURNS
     )
     await local.stop()
-    return figures
+    return {"idle_caller_bytes": round(idle), **figures}
 
 
 async def measure_data_path(
     reactor, local: LocalProxies, seconds: float, turns: int
 ) -> dict:
-    """Measure statements, latency and idle callers at one proxy."""
+    """Measure statements and latency at one proxy."""
     direct, ways = make_paths(local)
     straight = {
         name: await measure_turns(reactor, direct, text, seconds, turns)
@@ -114,10 +118,6 @@
     proxied["write"] = await measure_turns(reactor, ways[0], WRITE, seconds, turns)
     latency = await measure_latency(reactor, (direct, *ways), READ, LATENCY_ROUNDS)
     added = {way.name: latency[way.name] - latency[direct.name] for way in ways}
-    parameters = {"user": USER, "database": GROUP}
-    idle = await measure_idle_memory(
-        reactor, ways[0].endpoint, parameters, IDLE_CALLERS
-    )
     return {
         "direct": {name: describe_loop(cost) for name, cost in straight.items()},
         "through_proxy": {
@@ -128,7 +128,6 @@
             name: round(value * MICROSECONDS) for name, value in added.items()
         },
         "direct_latency_p50_us": round(latency[direct.name] * MICROSECONDS),
-        "idle_caller_bytes": round(idle),
     }
 
 
