Follow a change until it is in force, and show a team's audit trail

Cause: an operator could not see from one command whether a change is in force on each instance, nor what changed in a whole subtree. A test looked for the primary in the moment of a hand-over in which nobody leads.

Asking instances has a module of its own. The test asks for another leader.

Conclusion: "in force on every proxy" can be read back.

--- a/beryltrack/command/commands.py
+++ b/beryltrack/command/commands.py
@@ -2,6 +2,7 @@
 
 import getpass
 import json
+import math
 import os
 import uuid
 from collections.abc import Iterable
@@ -12,13 +13,9 @@
 from cleo.helpers import argument, option
 from returns.result import Failure, Success
 
-from beryltrack.command.edits import Author, Editor, compute_diff
-from beryltrack.command.fleet import (
-    build_fleet_status,
-    collect_answers,
-    collect_from,
-    format_fleet,
-)
+from beryltrack.command.edits import Author, Editor, add_pending, compute_diff
+from beryltrack.command.fleet import build_fleet_status, format_fleet
+from beryltrack.command.instances import collect_answers, collect_from
 from beryltrack.command.report import (
     ExitCode,
     Report,
@@ -28,6 +25,8 @@
 )
 from beryltrack.command.runner import Action, Runner, Tools
 from beryltrack.command.views import check_tree, show_history, show_settings
+from beryltrack.command.waiting import wait_in_force
+from beryltrack.daemon.status import ObjectVersion
 from beryltrack.findings import Finding
 from beryltrack.json_form import to_json
 from beryltrack.settings.json_text import load_json
@@ -46,6 +45,7 @@
 AUTHOR_OPTIONS = (
     option("who", description="Who makes the change.", flag=False),
     option("team", description="Refuse paths of any other team.", flag=False),
+    option("wait", description="Seconds to wait until it is in force.", flag=False),
     option("why", description="Why, for the audit record.", flag=False, default=""),
 )
 PATH = argument("path", "Path of the object: settings/TEAM/KIND/NAME.")
@@ -129,13 +129,40 @@
         if findings:
             return report_findings(findings)
 
+        limit = parse_seconds(self.option("wait"))
+        if limit is None:
+            return report_usage("--wait needs a number of seconds")
+
         async def apply(tools: Tools) -> Report:
             editor = Editor(tools.reactor, tools.client, author, tools.rng)
-            return await editor.apply(wanted, if_version)
+            report = await editor.apply(wanted, if_version)
+            if limit and report.exit_code is ExitCode.OK:
+                return await wait_for_changes(tools, report, limit)
+            return report
 
         return self._run(apply)
 
 
+def parse_seconds(text: str | None) -> float | None:
+    """Return a number of seconds, zero for no text, None for a faulty one."""
+    try:
+        seconds = float(text or 0.0)
+    except ValueError:
+        return None
+    return seconds if 0.0 <= seconds < math.inf else None
+
+
+async def wait_for_changes(tools: Tools, report: Report, limit: float) -> Report:
+    """Wait until the changes of a report are in force on each instance."""
+    wanted = tuple(
+        ObjectVersion(line.path, line.version) for line in report.value.changes
+    )
+    pending = await wait_in_force(
+        tools.reactor, tools.client, tools.fetch, wanted, limit
+    )
+    return add_pending(report, pending)
+
+
 def get_time() -> str:
     """Return the time now, UTC in ISO 8601."""
     return datetime.now(UTC).isoformat(timespec="milliseconds")
@@ -159,7 +186,7 @@
     """``settings history``."""
 
     name = "settings history"
-    description = "Show who changed an object, when and why, newest first."
+    description = "Show who changed an object, or those under a prefix, newest first."
     arguments = [PATH]
     options = [*COMMON_OPTIONS]
 
--- a/beryltrack/command/edits.py
+++ b/beryltrack/command/edits.py
@@ -22,6 +22,7 @@
     report_findings,
     report_platform,
 )
+from beryltrack.command.waiting import PendingInstance, format_pending
 from beryltrack.findings import Finding
 from beryltrack.platform.client import PlatformClient
 from beryltrack.settings.change import ChangeDone, ChangeFailure, SettingsChange
@@ -76,9 +77,18 @@
 
 
 class ChangesReport(NamedTuple):
-    """What became of all objects of a run."""
+    """What became of all objects of a run.
+
+    Parameters
+    ----------
+    changes : tuple of ChangeLine
+        The objects, in the order of the run.
+    pending : tuple of PendingInstance
+        Instances on which they were not in force in time; empty without a wait.
+    """
 
     changes: tuple[ChangeLine, ...]
+    pending: tuple[PendingInstance, ...] = ()
 
 
 class DiffReport(NamedTuple):
@@ -136,7 +146,8 @@
         if findings:
             return report_findings(findings)
         done = await self._write_all(changes, if_version)
-        return _report_changes(wanted, changes, done)
+        present = {item.path: item.version for item in tree.objects}
+        return _report_changes(_build_lines(wanted, present, changes, done), done)
 
     async def _write_all(
         self, changes: tuple[PlannedChange, ...], if_version: int | None
@@ -161,22 +172,34 @@
         return results
 
 
-def _report_changes(
+def _build_lines(
     wanted: Mapping[str, Settings],
+    present: Mapping[str, int],
     changes: tuple[PlannedChange, ...],
     results: list[Result[ChangeDone, ChangeFailure]],
-) -> Report:
-    """Return the report of a run."""
+) -> tuple[ChangeLine, ...]:
+    """Return what became of each wanted object."""
     outcomes = {
         change.path: _build_line(change.path, result)
         for change, result in zip(changes, results, strict=False)
     }
     untried = {change.path for change in changes[len(results) :]}
-    lines = tuple(
+    return tuple(
         outcomes.get(path)
-        or ChangeLine(path, NOT_TRIED if path in untried else UNCHANGED, 0, "")
+        or ChangeLine(
+            path,
+            NOT_TRIED if path in untried else UNCHANGED,
+            present.get(path, 0),
+            "",
+        )
         for path in wanted
     )
+
+
+def _report_changes(
+    lines: tuple[ChangeLine, ...], results: list[Result[ChangeDone, ChangeFailure]]
+) -> Report:
+    """Return the report of a run."""
     failures = [item.failure() for item in results if isinstance(item, Failure)]
     codes = [EXIT_BY_FAILURE[failure.kind] for failure in failures]
     return Report(
@@ -186,6 +209,14 @@
     )
 
 
+def add_pending(report: Report, pending: tuple[PendingInstance, ...]) -> Report:
+    """Return the report of changes that were made, with who lacks them."""
+    code = ExitCode.PENDING if pending else report.exit_code
+    value = report.value._replace(pending=pending)
+    lines = format_pending(pending) or ("in force on all instances",)
+    return Report(code, value, report.lines + lines)
+
+
 def _build_line(path: str, result: Result[ChangeDone, ChangeFailure]) -> ChangeLine:
     """Return what became of one object that was tried."""
     match result:
--- a/beryltrack/command/fetch.py
+++ b/beryltrack/command/fetch.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.client import Agent
 
-from beryltrack.command.fleet import FetchStatus
+from beryltrack.command.instances import FetchStatus
 from beryltrack.daemon.status import InstanceStatus, parse_status
 from beryltrack.settings.messages import Endpoint
 
--- a/beryltrack/command/fleet.py
+++ b/beryltrack/command/fleet.py
@@ -1,17 +1,10 @@
-"""Joins the status of all instances into one picture of the fleet.
-
-The platform is asked for the instance list and the addresses only, two calls
-whatever the size of the fleet. The rest is asked of the instances themselves, a
-few at a time; one that does not answer is shown so.
-"""
+"""Joins the status of all instances into one picture of the fleet."""
 
 from collections import defaultdict
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from returns.result import Failure, Result, Success
-from twisted.internet.defer import Deferred, DeferredSemaphore, gatherResults
-
+from beryltrack.command.instances import InstanceAnswer
 from beryltrack.daemon.metrics import Counters, compute_replica_share
 from beryltrack.daemon.status import (
     DatabaseReport,
@@ -20,40 +13,6 @@
     ObjectVersion,
 )
 from beryltrack.findings import Finding
-from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.messages import InstanceEntry, PlatformError
-from beryltrack.platform.registration import PREFIX, parse_address
-from beryltrack.settings.messages import Endpoint
-
-MAX_AT_ONCE = 16
-NO_ANSWER = "no answer"
-NO_ADDRESS = "no address in the store"
-
-FetchStatus = Callable[[Endpoint], Awaitable[InstanceStatus | None]]
-
-
-class InstanceAnswer(NamedTuple):
-    """One instance and its status, if it gave one.
-
-    Parameters
-    ----------
-    name : str
-        Its name; the address if it is not known by name.
-    zone : str
-        Its availability zone by the platform's list, or empty.
-    listed : str
-        Its state by the platform's list, or empty.
-    problem : str
-        Why there is no status; empty if there is one.
-    status : InstanceStatus or None
-        What it reported.
-    """
-
-    name: str
-    zone: str
-    listed: str
-    problem: str
-    status: InstanceStatus | None
 
 
 class InstanceLine(NamedTuple):
@@ -135,80 +94,6 @@
     findings: tuple[Finding, ...]
 
 
-async def collect_answers(
-    client: PlatformClient, fetch: FetchStatus
-) -> Result[tuple[InstanceAnswer, ...], PlatformError]:
-    """Ask each instance of the platform's list for its status.
-
-    Parameters
-    ----------
-    client : PlatformClient
-        Client of the platform.
-    fetch : callable
-        Returns the status at an endpoint, None if there is no answer.
-
-    Returns
-    -------
-    Result
-        One answer for each instance in the list, and for each that is not in the
-        list yet but answers.
-    """
-    instances = await client.list_instances()
-    addresses = await client.list(PREFIX)
-    for result in (instances, addresses):
-        if isinstance(result, Failure):
-            return result
-    stored = {
-        item.path.removeprefix(PREFIX): parse_address(item.value)
-        for item in addresses.unwrap().objects
-    }
-    listed = {entry.name: entry for entry in instances.unwrap()}
-    wanted = [
-        (_build_bare(name, listed.get(name)), address and address.status_endpoint)
-        for name, address in (dict.fromkeys(listed) | stored).items()
-    ]
-    answers = await _ask_all(wanted, fetch)
-    return Success(tuple(item for item in answers if item.listed or item.status))
-
-
-def _build_bare(name: str, entry: InstanceEntry | None) -> InstanceAnswer:
-    """Return an instance before it is asked."""
-    zone, listed = (entry.zone, entry.state) if entry else ("", "")
-    return InstanceAnswer(name, zone, listed, NO_ADDRESS, None)
-
-
-async def collect_from(
-    endpoints: Iterable[Endpoint], fetch: FetchStatus
-) -> tuple[InstanceAnswer, ...]:
-    """Ask instances at known addresses, without the platform."""
-    bare = [
-        (InstanceAnswer(f"{item.host}:{item.port}", "", "", NO_ANSWER, None), item)
-        for item in endpoints
-    ]
-    return await _ask_all(bare, fetch)
-
-
-async def _ask_all(
-    instances: list[tuple[InstanceAnswer, Endpoint | None]], fetch: FetchStatus
-) -> tuple[InstanceAnswer, ...]:
-    """Ask instances for their status, `MAX_AT_ONCE` at a time."""
-    semaphore = DeferredSemaphore(MAX_AT_ONCE)
-
-    async def ask(answer: InstanceAnswer, endpoint: Endpoint | None) -> InstanceAnswer:
-        if endpoint is None:
-            return answer
-        status = await fetch(endpoint)
-        if status is None:
-            return answer._replace(problem=NO_ANSWER)
-        return answer._replace(name=status.name, problem="", status=status)
-
-    calls = [
-        semaphore.run(lambda item=item: Deferred.fromCoroutine(ask(*item)))
-        for item in instances
-    ]
-    return tuple(await gatherResults(calls))
-
-
 def build_fleet_status(answers: Iterable[InstanceAnswer]) -> FleetStatus:
     """Join the answers of all instances into one picture."""
     answers = sorted(answers, key=lambda item: item.name)
--- a/beryltrack/command/report.py
+++ b/beryltrack/command/report.py
@@ -15,7 +15,8 @@
     findings, and nothing was written. USAGE: the command line is wrong.
     CONFLICT: another change came first. UNAVAILABLE: the platform refused or
     did not answer, and nothing more was written. UNKNOWN: it could not be
-    learned whether the change was made. INTERNAL: a fault of the tool.
+    learned whether the change was made. PENDING: it was made, but is not in force
+    on each instance yet. INTERNAL: a fault of the tool.
     """
 
     OK = 0
@@ -24,6 +25,7 @@
     CONFLICT = 3
     UNAVAILABLE = 4
     UNKNOWN = 5
+    PENDING = 6
     INTERNAL = 70
 
 
--- a/beryltrack/command/runner.py
+++ b/beryltrack/command/runner.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from beryltrack.command.fetch import build_fetch
-from beryltrack.command.fleet import FetchStatus
+from beryltrack.command.instances import FetchStatus
 from beryltrack.command.report import Report
 from beryltrack.platform.client import PlatformClient
 
--- a/beryltrack/command/views.py
+++ b/beryltrack/command/views.py
@@ -51,6 +51,19 @@
     records: tuple[AuditRecord, ...]
 
 
+class TrailRecord(NamedTuple):
+    """One audit record with the object that it tells of."""
+
+    path: str
+    record: AuditRecord
+
+
+class ShownTrail(NamedTuple):
+    """The audit records of all objects under a prefix, newest first."""
+
+    records: tuple[TrailRecord, ...]
+
+
 async def show_settings(client: PlatformClient, path: str) -> Report:
     """Show the object at a path, or all objects under a prefix that ends in /."""
     if path.endswith("/"):
@@ -94,7 +107,12 @@
 
 
 async def show_history(client: PlatformClient, path: str) -> Report:
-    """Show who changed an object, newest first, deletions included."""
+    """Show who changed an object, newest first, deletions included.
+
+    A path that ends in / shows the changes of all objects under it.
+    """
+    if path.endswith("/"):
+        return await _show_trail(client, path)
     match await client.get(path):
         case Failure(error):
             return report_platform(error)
@@ -107,6 +125,28 @@
     return Report(ExitCode.OK, shown, lines)
 
 
+async def _show_trail(client: PlatformClient, prefix: str) -> Report:
+    """Show who changed objects under a prefix, newest first."""
+    if not prefix.startswith(PREFIX):
+        return _report_missing(prefix)
+    match await client.list(prefix):
+        case Failure(error):
+            return report_platform(error)
+        case Success(tree):
+            records = (
+                TrailRecord(item.path, record)
+                for item in tree.objects
+                for record in get_records(item.value)
+            )
+    trail = sorted(
+        records, key=lambda item: str(item.record.get("when", "")), reverse=True
+    )
+    lines = tuple(
+        line for item in trail for line in (item.path, *_format_record(item.record))
+    )
+    return Report(ExitCode.OK, ShownTrail(tuple(trail)), lines)
+
+
 def _format_record(record: AuditRecord) -> tuple[str, ...]:
     """Return the lines of one audit record; whatever wrote it, it can be shown."""
     when, who, why, change_id, version = (
--- a/tests/command/test_fleet.py
+++ b/tests/command/test_fleet.py
@@ -1,6 +1,7 @@
 """The picture of the fleet, joined from what instances report."""
 
-from beryltrack.command.fleet import InstanceAnswer, build_fleet_status, format_fleet
+from beryltrack.command.fleet import build_fleet_status, format_fleet
+from beryltrack.command.instances import InstanceAnswer
 from beryltrack.daemon.metrics import Counters
 from beryltrack.daemon.status import ObjectVersion
 from tests.daemon.examples import DATABASES, STATUS
--- a/tests/command/test_operations.py
+++ b/tests/command/test_operations.py
@@ -37,6 +37,12 @@
     return fleet
 
 
+def get_leaders(local):
+    """Return who leads; for a moment of a hand-over nobody does."""
+    databases = [server.database for server in local.site.servers.values()]
+    return {item.name for item in databases if item.status.role == "primary"}
+
+
 def get_draining(tool):
     databases = get_fleet(tool)["groups"][0]["databases"]
     return [item["name"] for item in databases if item["draining"]]
@@ -51,13 +57,15 @@
         group = tool.call_json(f"settings get {PATH}")[1]["settings"]
         for database in group["databases"]:
             database["draining"] = database["name"] == old
-        assert tool.call(f"settings set {PATH} -", json.dumps(group)).code == 0
-        wait_until(lambda: get_primary(local).database.name != old)
+        change = tool.call(f"settings set {PATH} - --wait 15", json.dumps(group))
+        assert change.code == ExitCode.OK
+        assert "in force on all instances" in change.text
+        wait_until(lambda: get_leaders(local) - {old})
         caller.execute("INSERT INTO t VALUES (2)")
         rows = caller.execute("SELECT n FROM t ORDER BY n").fetchall()
     assert rows == [(1,), (2,)]
     assert get_fleet(tool)["groups"][0]["primary"] != old
-    wait_until(lambda: get_draining(tool) == [old])
+    assert get_draining(tool) == [old]
 
 
 def test_failovers_are_counted_and_each_gap_is_recorded(local):
--- a/tests/command/test_tool.py
+++ b/tests/command/test_tool.py
@@ -53,6 +53,15 @@
     assert 'replaced: {"max_age": 5}' in history
 
 
+def test_trail_of_a_team_shows_the_newest_change_first(tool):
+    apply(tool, {RULE_PATH: {"max_age": 1}, GROUP_PATH: make_group()})
+    tool.call(SET, FIVE)
+    records = tool.call_json("settings history settings/shop/")[1]["records"]
+    assert [item["path"] for item in records][0] == RULE_PATH
+    assert len(records) == 3
+    assert tool.call("settings history settings/depot/").text == ""
+
+
 def test_all_findings_are_shown_and_nothing_is_written(tool):
     wanted = {RULE_PATH: {"max_age": -1, "reads": "x"}, GROUP_PATH: make_group()}
     code, report = apply(tool, wanted)
