--- a/beryltrack/failover/hints.py
+++ b/beryltrack/failover/hints.py
@@ -99,6 +99,7 @@
         "primary": report.primary,
         "reason": report.kind.value,
         "seconds": round(report.seconds, 3),
+        "silence": round(report.silence, 3),
     }
 
 
