Let drivers prepare the statements that the proxy answers itself

Cause: SHOW and SET of beryltrack's own settings, prepared by name (drivers do that after some runs), were unknown in the next batch, and Describe of them went to a target. Change: a batch that only prepares or describes such a statement is answered by the proxy and runs nothing; what it prepared is kept for the caller. Tests: prepare, describe and run by libpq's functions through the whole path. Conclusion: SET takes effect when it is run, not when it is prepared.

--- a/beryltrack/callers/extended.py
+++ b/beryltrack/callers/extended.py
@@ -137,6 +137,8 @@
         that depends on the connection.
     needed : tuple of PreparedStatement
         Statements from earlier units that a connection must know by name.
+    used : tuple of str
+        Texts of the statements that it parses, binds or describes.
     executed : tuple of str
         Texts of the statements that it runs, in order. A portal from an
         earlier unit counts as well.
@@ -149,6 +151,7 @@
     steps: tuple[PlannedStep, ...]
     common: BuiltRequest | None
     needed: tuple[PreparedStatement, ...]
+    used: tuple[str, ...]
     executed: tuple[str, ...]
     parsed: tuple[str, ...]
     error: SqlError | None
@@ -177,6 +180,7 @@
         steps,
         None if depends else _join_steps(steps),
         tuple(planner.needed.values()),
+        planner.used,
         tuple(planner.executed),
         tuple(planner.parsed),
         make_full_error() if planner.parsed and table.is_full else None,
@@ -194,6 +198,13 @@
         self._table = table
         self._parsed_names: dict[str, PreparedStatement | None] = {}
 
+    @property
+    def used(self) -> tuple[str, ...]:
+        """Texts of the statements that the batch parses, binds or describes."""
+        earlier = [*self.needed.values(), self._unnamed]
+        texts = [entry.text for entry in earlier if entry is not None]
+        return (*self.parsed, *texts)
+
     def plan(self, frames: tuple[Frame, ...]) -> tuple[PlannedStep, ...]:
         """Return the steps of a batch."""
         steps = [_PLANNERS[type(frame)](self, frame) for frame in frames]
@@ -333,6 +344,13 @@
             _apply_to_table(effect, table)
 
 
+def apply_plan(plan: ExtendedPlan, table: StatementTable) -> None:
+    """Apply a batch that the proxy answered itself to the caller's table."""
+    for step in plan.steps:
+        if step.effect is not None and step.effect.name is not None:
+            _apply_to_table(step.effect, table)
+
+
 def _apply_to_table(effect: Effect, table: StatementTable) -> None:
     """Apply one effect to the caller's table."""
     if effect.statement is None:
--- a/beryltrack/requests/session_state.py
+++ b/beryltrack/requests/session_state.py
@@ -20,6 +20,7 @@
 from beryltrack.requests.plan import RequestPlan
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.routing.messages import StatementKind
+from beryltrack.routing.statements import classify
 from beryltrack.sessions.marks import (
     IDEMPOTENT,
     MAX_AGE,
@@ -125,13 +126,42 @@
 
 def is_local(plan: RequestPlan) -> bool:
     """Return whether the proxy itself answers a request."""
-    if plan.kind in (StatementKind.DEALLOCATE, StatementKind.DISCARD):
+    return _is_local_statement(plan.kind, plan.text)
+
+
+def describe_local(plan: RequestPlan) -> LocalResult | None:
+    """Return what a batch prepares, if that concerns the proxy alone.
+
+    Parameters
+    ----------
+    plan : RequestPlan
+        A request.
+
+    Returns
+    -------
+    LocalResult or None
+        A result without rows that describes the statement; None if the batch
+        runs something or is about a statement for targets.
+    """
+    batch = plan.extended
+    if batch is None or batch.executed or len(batch.used) != 1:
+        return None
+    text = batch.used[0]
+    if not _is_local_statement(classify(text), text):
+        return None
+    name, _ = parse_show(text)
+    return LocalResult("", (name,) if name is not None else ())
+
+
+def _is_local_statement(kind: StatementKind, text: str) -> bool:
+    """Return whether a statement concerns the proxy alone."""
+    if kind in (StatementKind.DEALLOCATE, StatementKind.DISCARD):
         return True
-    if plan.kind is StatementKind.SHOW:
-        name, _ = parse_show(plan.text)
+    if kind is StatementKind.SHOW:
+        name, _ = parse_show(text)
         return name is not None and name.startswith(SETTING_PREFIX)
-    if plan.kind is StatementKind.SESSION_SET:
-        change, _ = parse_change(plan.text)
+    if kind is StatementKind.SESSION_SET:
+        change, _ = parse_change(text)
         return change is not None and change.name.startswith(SETTING_PREFIX)
     return False
 
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -6,8 +6,13 @@
 from twisted.internet.defer import Deferred
 
 from beryltrack.callers.caller import Caller
-from beryltrack.callers.local import encode_extended_answer, encode_simple_answer
-from beryltrack.callers.messages import Request, SimpleRequest
+from beryltrack.callers.extended import apply_plan
+from beryltrack.callers.local import (
+    LocalResult,
+    encode_extended_answer,
+    encode_simple_answer,
+)
+from beryltrack.callers.messages import Request
 from beryltrack.errors import SqlError, make_not_run
 from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.answers import RequestContext
@@ -17,7 +22,12 @@
 from beryltrack.requests.plan import RequestPlan, plan_request
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
-from beryltrack.requests.session_state import is_local, open_session, run_local
+from beryltrack.requests.session_state import (
+    describe_local,
+    is_local,
+    open_session,
+    run_local,
+)
 from beryltrack.requests.targets import make_refusal
 from beryltrack.settings.messages import SiteSettings
 
@@ -78,6 +88,10 @@
             _refuse(caller, planned.failure())
             return
         plan = planned.unwrap()
+        described = describe_local(plan)
+        if described is not None:
+            _send_result(plan, caller, described)
+            return
         if is_local(plan):
             _answer_locally(plan, caller)
             return
@@ -137,9 +151,14 @@
     if not isinstance(result, Success):
         _refuse(caller, result.failure())
         return
-    answer = result.unwrap()
-    if isinstance(plan.request, SimpleRequest):
-        caller.write(encode_simple_answer(answer))
+    _send_result(plan, caller, result.unwrap())
+
+
+def _send_result(plan: RequestPlan, caller: Caller, result: LocalResult) -> None:
+    """Send a result of the proxy's own, and keep what the batch prepared."""
+    if plan.extended is None:
+        caller.write(encode_simple_answer(result))
     else:
-        caller.write(encode_extended_answer(plan.request, answer))
+        caller.write(encode_extended_answer(plan.request, result))
+        apply_plan(plan.extended, caller.statements)
     caller.send_ready(caller.status)
--- /dev/null
+++ b/tests/requests/test_local.py
@@ -0,0 +1,51 @@
+"""Statements that concern the proxy alone, prepared as drivers do."""
+
+import pytest
+from psycopg import generators
+from psycopg.pq import DiagnosticField
+
+from tests.local_proxies import connect, run_proxies
+
+
+@pytest.fixture(scope="module")
+def connection():
+    with run_proxies() as running, connect(running.proxies[0], "new") as opened:
+        yield opened
+
+
+def run(connection, name, *arguments):
+    """Send a request by the driver's own interface and return its result.
+
+    The interface that waits would hold the interpreter, and so the proxy.
+    """
+    getattr(connection.pgconn, f"send_{name}")(*arguments)
+    (result,) = connection.wait(generators.execute(connection.pgconn))
+    return result
+
+
+def test_a_show_can_be_prepared_described_and_run(connection):
+    run(connection, "prepare", b"show", b"SHOW beryltrack.max_age")
+    assert (
+        run(connection, "describe_prepared", b"show").fname(0) == b"beryltrack.max_age"
+    )
+    connection.execute("SET beryltrack.max_age = '3s'")
+    assert run(connection, "query_prepared", b"show", []).get_value(0, 0) == b"3s"
+
+
+def test_a_set_takes_effect_when_it_is_run_and_not_before(connection):
+    connection.execute("SET beryltrack.max_age = '4s'")
+    run(connection, "prepare", b"set", b"SET beryltrack.max_age = '5s'")
+    assert run(connection, "describe_prepared", b"set").nfields == 0
+    assert connection.execute("SHOW beryltrack.max_age").fetchone() == ("4s",)
+    for _ in range(2):
+        run(connection, "query_prepared", b"set", [])
+    assert connection.execute("SHOW beryltrack.max_age").fetchone() == ("5s",)
+
+
+def test_a_statement_that_was_deallocated_is_gone(connection):
+    run(connection, "prepare", b"gone", b"SELECT 1")
+    run(connection, "prepare", b"all", b"DEALLOCATE ALL")
+    run(connection, "query_prepared", b"gone", [])
+    run(connection, "query_prepared", b"all", [])
+    result = run(connection, "query_prepared", b"gone", [])
+    assert result.error_field(DiagnosticField.SQLSTATE) == b"26000"
