--- a/beryltrack/connections/budget_task.py
+++ b/beryltrack/connections/budget_task.py
@@ -240,7 +240,9 @@
 
     def _learn(self, records: tuple[SeatRecord, ...], is_complete: bool) -> None:
         if self._is_running:
-            self._perform(self._decider.observe_seats(records, is_complete, self._now))
+            now = self._now
+            self._perform(self._decider.observe_seats(records, is_complete, now))
+            self._perform(self._decider.tick(now))
 
     def _tick(self) -> None:
         self._timer = None
--- a/beryltrack/peers/codec.py
+++ b/beryltrack/peers/codec.py
@@ -10,6 +10,14 @@
 
 import cbor2
 
+from beryltrack.connections.budget_messages import (
+    LoanGrant,
+    LoanRecall,
+    LoanRefusal,
+    LoanRenewal,
+    LoanRequest,
+    LoanReturn,
+)
 from beryltrack.findings import Finding
 from beryltrack.peers.messages import (
     Challenge,
@@ -68,6 +76,13 @@
     return value
 
 
+def read_seconds(value: object) -> float:
+    """Return a duration in seconds; ValueError if it is none."""
+    if type(value) not in (int, float) or not 0 <= value < float("inf"):
+        raise ValueError("is not a duration")
+    return float(value)
+
+
 def read_bytes(value: object) -> bytes:
     """Return a bytes field; ValueError if it is none."""
     if not isinstance(value, bytes):
@@ -136,6 +151,14 @@
     MessageSpec(8, SyncRequest, (read_keys,)),
     MessageSpec(9, SyncItems, (read_items,)),
     MessageSpec(10, Welcome, (read_number,)),
+    MessageSpec(20, LoanRequest, (read_text, read_number, read_number)),
+    MessageSpec(
+        21, LoanGrant, (read_text, read_number, read_number, read_number, read_seconds)
+    ),
+    MessageSpec(22, LoanRefusal, (read_text, read_number)),
+    MessageSpec(23, LoanRenewal, (read_text, read_number, read_number, read_number)),
+    MessageSpec(24, LoanReturn, (read_text, read_number, read_number)),
+    MessageSpec(25, LoanRecall, (read_text, read_number, read_number)),
 )
 SPECS_BY_CODE = {spec.code: spec for spec in SPECS}
 CODES_BY_TYPE = {spec.type: spec.code for spec in SPECS}
--- a/beryltrack/peers/handshake.py
+++ b/beryltrack/peers/handshake.py
@@ -13,6 +13,7 @@
 from beryltrack.peers.messages import (
     CONTROL,
     FORWARDING,
+    LOANS,
     Challenge,
     Hello,
     Message,
@@ -22,7 +23,7 @@
 
 LOWEST_VERSION = 1
 HIGHEST_VERSION = 1
-PURPOSES = frozenset({CONTROL, FORWARDING})
+PURPOSES = frozenset({CONTROL, FORWARDING, LOANS})
 
 
 class PeerIdentity(NamedTuple):
@@ -35,7 +36,7 @@
     incarnation : int
         Its incarnation when the link was opened.
     purpose : str
-        What the link is for, `CONTROL` or `FORWARDING`.
+        What the link is for, `CONTROL`, `FORWARDING` or `LOANS`.
     version : int
         Version of the protocol that both speak.
     """
--- a/beryltrack/peers/messages.py
+++ b/beryltrack/peers/messages.py
@@ -22,6 +22,7 @@
 
 CONTROL = "control"
 FORWARDING = "forwarding"
+LOANS = "loans"
 
 Version = tuple[int, ...]
 
@@ -106,7 +107,7 @@
     incarnation : int
         Its incarnation.
     purpose : str
-        `CONTROL` or `FORWARDING`.
+        `CONTROL`, `FORWARDING` or `LOANS`.
     nonce : bytes
         Random bytes that the other side's proof has to cover.
     """
--- a/beryltrack/peers/task.py
+++ b/beryltrack/peers/task.py
@@ -25,7 +25,7 @@
 from beryltrack.peers.decider import HEARTBEAT_PERIOD, PeerDecider
 from beryltrack.peers.knowledge import KnowledgeStore
 from beryltrack.peers.link import PeerLink
-from beryltrack.peers.linktable import LinkTable
+from beryltrack.peers.linktable import LinkTable, LinkTableOwner
 from beryltrack.peers.membership import ListedInstance
 from beryltrack.peers.messages import (
     CONTROL,
@@ -87,6 +87,9 @@
         self._decider = PeerDecider(own, seeds, rng, reactor.seconds())
         self._table = LinkTable(reactor, self, self.counters, own, instance_settings)
         self._subscribers: dict[str, list[ItemCallback]] = defaultdict(list)
+        # Who takes the links of purposes other than control.
+        self._owners: dict[str, LinkTableOwner] = {}
+        self._listed: frozenset[str] | None = None
         self._ticking = LoopingCall(self._tick)
         self._ticking.clock = reactor
         self._running = False
@@ -128,6 +131,11 @@
         """Seconds between calls by which a proxy that does not watch repairs."""
         return compute_poll_period(len(self.members))
 
+    @property
+    def listed(self) -> frozenset[str] | None:
+        """Names in the platform's instance list; None if it was never read."""
+        return self._listed
+
     def start(self) -> None:
         """Listen for peers and begin to look for them."""
         self._running = True
@@ -158,10 +166,24 @@
         for item in self._decider.store.get_items(kind):
             callback(item)
 
+    def set_owner(self, purpose: str, owner: LinkTableOwner) -> None:
+        """Have the links of a purpose other than control reported to `owner`."""
+        self._owners[purpose] = owner
+
+    def get_link(self, peer: str, purpose: str) -> PeerLink | None:
+        """Return the link to a peer, or None."""
+        return self._table.get(peer, purpose)
+
+    def open_link(self, peer: Member, purpose: str) -> None:
+        """Open a link to a member; the purpose's owner hears how it went."""
+        self._table.open(peer.name, peer.host, peer.port, purpose)
+
     def observe_instances(self, instances: Iterable[ListedInstance]) -> None:
         """Take the platform's instance list."""
         now = self._reactor.seconds()
-        self._carry_out(self._decider.observe_instances(instances, now))
+        listed = tuple(instances)
+        self._listed = frozenset(entry.name for entry in listed)
+        self._carry_out(self._decider.observe_instances(listed, now))
 
     def leave(self) -> None:
         """Tell all proxies that this one is leaving and wants no new work."""
@@ -187,7 +209,10 @@
         return self._table.abort()
 
     def accept_link(self, link: PeerLink) -> None:
-        """Take a control link whose peer is proved."""
+        """Take a link whose peer is proved."""
+        if link.peer.purpose != CONTROL:
+            self._accept_other(link)
+            return
         now = self._reactor.seconds()
         actions = self._decider.open_link(link.peer.name, link.opened_here, now)
         log.info("peers: linked with %s", link.peer.name)
@@ -195,24 +220,44 @@
 
     def accept_message(self, link: PeerLink, message: Message) -> None:
         """Take a message of a peer."""
+        if link.peer.purpose != CONTROL:
+            self._owners[link.peer.purpose].accept_message(link, message)
+            return
         now = self._reactor.seconds()
         self._carry_out(self._decider.receive(link.peer.name, message, now))
         self._report_findings()
 
     def resume_link(self, link: PeerLink) -> None:
         """Send what waited while the link was stuck."""
+        if link.peer.purpose != CONTROL:
+            self._owners[link.peer.purpose].resume_link(link)
+            return
         self._schedule_flush()
 
     def lose_link(self, link: PeerLink, orderly: bool) -> None:
-        """Take that the control link to a peer has closed."""
+        """Take that the link to a peer has closed."""
+        if link.peer.purpose != CONTROL:
+            self._owners[link.peer.purpose].lose_link(link, orderly)
+            return
         log.info("peers: link to %s closed", link.peer.name)
         now = self._reactor.seconds()
         self._carry_out(self._decider.close_link(link.peer.name, orderly, now))
 
     def fail_link(self, peer: str, purpose: str) -> None:
-        """Take that a control link could not be opened."""
+        """Take that a link could not be opened."""
+        if purpose != CONTROL:
+            self._owners[purpose].fail_link(peer, purpose)
+            return
         self._carry_out(self._decider.fail_link(peer, self._reactor.seconds()))
 
+    def _accept_other(self, link: PeerLink) -> None:
+        """Hand on a link that is not for control, if somebody takes its purpose."""
+        owner = self._owners.get(link.peer.purpose)
+        if owner is None:
+            self._table.close(link.peer.name, link.peer.purpose, "nobody takes it")
+        else:
+            owner.accept_link(link)
+
     def _tick(self) -> None:
         """Let the decider do what time asks for; a fault must not end the ticks."""
         try:
