Release the write lock of a client lost while its database is frozen

A stand-in whose client went away while it was frozen went on after the thaw, took the write lock for the closed session and kept it for good. Change: a session waits for the thaw after all other waits and ends there if its client is gone. The roaming program also rolls back a quarter of its transactions, checks that nothing of them is there, and outlives a moment without a primary. Measured: the new test fails without the change and passes with it. Conclusion: a fault of the stand-in, not of the proxies.

--- a/beryltrack_bench/roaming/faults.py
+++ b/beryltrack_bench/roaming/faults.py
@@ -7,9 +7,8 @@
 from beryltrack_bench.roaming.local_site import (
     PLATFORM,
     ReadyLine,
-    get_primary,
     set_fault,
-    wait_for_term,
+    wait_for_primary,
 )
 from beryltrack_bench.roaming.records import Records
 
@@ -93,11 +92,13 @@
         set_fault(site, PLATFORM, *platform_fault)
     lagging = rng.choice(sorted(site.databases))
     set_fault(site, lagging, "lag", _LAG)
-    primary = get_primary(site)
+    primary = wait_for_primary(site, 0, _TIMEOUT)
+    if primary is None:
+        return FaultRecord(fault, "", None, False)
     lost_at = time.monotonic()
     set_fault(site, primary.name, fault)
     written_at = records.wait_for_write(lost_at, _TIMEOUT)
-    replaced = wait_for_term(site, primary.term, _TIMEOUT)
+    replaced = wait_for_primary(site, primary.term, _TIMEOUT) is not None
     # A planned hand-over lets writes go on at the old primary first, so the
     # gap of a hand-over is the wait of the first write only.
     time.sleep(_QUIET)
--- a/beryltrack_bench/roaming/local_site.py
+++ b/beryltrack_bench/roaming/local_site.py
@@ -115,18 +115,25 @@
     )
 
 
-def get_primary(site: ReadyLine) -> DatabaseState:
-    """Return the primary of the highest term."""
+def find_primary(site: ReadyLine) -> DatabaseState | None:
+    """Return the primary of the highest term; None while there is none."""
     states = get_states(site)
-    return max(
-        (state for state in states if state.role == "primary"),
-        key=lambda state: state.term,
-    )
+    primaries = (state for state in states if state.role == "primary")
+    return max(primaries, key=lambda state: state.term, default=None)
+
+
+def wait_for_primary(
+    site: ReadyLine, after_term: int, timeout: float
+) -> DatabaseState | None:
+    """Wait for a primary of a later term; return None if none came in time."""
+    found = None
 
+    def is_found() -> bool:
+        nonlocal found
+        found = find_primary(site)
+        return found is not None and found.term > after_term
 
-def wait_for_term(site: ReadyLine, term: int, timeout: float) -> bool:
-    """Wait for a primary of a term after `term`; return False if none came."""
-    return _wait(lambda: get_primary(site).term > term, timeout)
+    return found if _wait(is_found, timeout) else None
 
 
 def wait_for_agreement(site: ReadyLine, timeout: float) -> bool:
--- a/beryltrack_bench/roaming/session.py
+++ b/beryltrack_bench/roaming/session.py
@@ -21,7 +21,10 @@
 
 TOKEN = "beryltrack.session"
 LARGE_ROWS = 600
+COMMIT = "COMMIT"
+ROLLBACK = "ROLLBACK"
 _CONNECT_TIMEOUT = 10
+_COMMIT_SHARE = 0.75
 _NEW_CONNECTION_SHARE = 0.3
 _GIVE_UP_SHARE = 0.5
 _MAX_TRIES = 200
@@ -73,6 +76,34 @@
     answer: object
 
 
+class PairTransaction:
+    """A transaction that writes one key into two tables.
+
+    Parameters
+    ----------
+    key : str
+        The key.
+    end : str
+        `COMMIT` or `ROLLBACK`.
+    """
+
+    def __init__(self, key: str, end: str):
+        self.key = key
+        self.is_commit_sent = False
+        self._end = end
+
+    def run(self, connection: psycopg.Connection) -> int:
+        """Run it and return how many of its own rows it saw."""
+        connection.execute("BEGIN")
+        for table in ("roam_left", "roam_right"):
+            connection.execute(f"INSERT INTO {table} VALUES (%s)", (self.key,))
+        query = "SELECT count(*) FROM roam_left WHERE key = %s"
+        count = connection.execute(query, (self.key,)).fetchone()[0]
+        self.is_commit_sent = self._end == COMMIT
+        connection.execute(self._end)
+        return count
+
+
 class RoamingSession:
     """One session.
 
@@ -212,23 +243,22 @@
     def _write_pair(self) -> None:
         """Write two rows in one transaction, which must last or vanish together."""
         self._requests += 1
-        key = f"{self.name}-{self._requests}"
-
-        def work(connection: psycopg.Connection) -> int:
-            with connection.transaction():
-                for table in ("roam_left", "roam_right"):
-                    connection.execute(f"INSERT INTO {table} VALUES (%s)", (key,))
-                query = "SELECT count(*) FROM roam_left WHERE key = %s"
-                return connection.execute(query, (key,)).fetchone()[0]
-
+        pair = PairTransaction(
+            f"{self.name}-{self._requests}",
+            COMMIT if self._rng.random() < _COMMIT_SHARE else ROLLBACK,
+        )
         started_at = time.monotonic()
-        result = self._ask(work)
-        if result.outcome is Outcome.ACKNOWLEDGED:
-            self._note_write(key, started_at)
-            if result.answer != 1:
-                text = f"{key} saw {result.answer} of its own rows"
-                self._records.report("stale", text)
-        effect = Effect(key, result.outcome, started_at, time.monotonic())
+        result = self._ask(pair.run)
+        if result.answer not in (None, 1):
+            text = f"{pair.key} saw {result.answer} of its own rows"
+            self._records.report("stale", text)
+        if not pair.is_commit_sent:
+            outcome = Outcome.ROLLED_BACK
+        else:
+            outcome = result.outcome
+        if outcome is Outcome.ACKNOWLEDGED:
+            self._note_write(pair.key, started_at)
+        effect = Effect(pair.key, outcome, started_at, time.monotonic())
         self._records.pairs.append(effect)
 
     def _read_own_question(self) -> None:
--- a/beryltrack_standins/database/session.py
+++ b/beryltrack_standins/database/session.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from pygwire import TransactionStatus
-from twisted.internet.defer import Deferred, DeferredSemaphore
+from twisted.internet.defer import CancelledError, Deferred, DeferredSemaphore
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
@@ -83,6 +83,7 @@
         self._in_block = False
         self._read_only = False
         self._failed = False
+        self._closed = False
         self._has_savepoint = False
         self._transaction: WriteTransaction | None = None
         self._waiting: Deferred | None = None
@@ -103,6 +104,7 @@
 
     def close(self) -> None:
         """Undo the open transaction; the client is gone."""
+        self._closed = True
         self.cancel()
         self._end()
 
@@ -152,7 +154,9 @@
                 return self._run_show(statement)
             case StatementKind.CONTROL:
                 call = call_control(self._database, statement.text)
-                return _answer_table(await self._wait(Deferred.fromCoroutine(call)))
+                table = await self._wait(Deferred.fromCoroutine(call))
+                await self._wait_thawed()
+                return _answer_table(table)
         return await self._run_sql(statement, parameters)
 
     def get_columns(self, statement: Statement | None) -> tuple[str, ...] | None:
@@ -209,6 +213,7 @@
         await self._wait(self._limits.slots.acquire())
         try:
             await self._sleep(statement, parameters)
+            await self._wait_thawed()
             return self._execute(statement, logged)
         finally:
             self._limits.slots.release()
@@ -266,13 +271,22 @@
         """Wait for something in a way that `cancel` ends."""
         self._waiting = deferred
         try:
-            result = await deferred
+            return await deferred
         finally:
             self._waiting = None
-        # A frozen database goes on only after it thaws, whatever became ready.
-        while self._database.frozen:
+
+    async def _wait_thawed(self) -> None:
+        """Wait while the database is frozen, whatever became ready meanwhile.
+
+        Raises
+        ------
+        CancelledError
+            If the client went away meanwhile.
+        """
+        while self._database.frozen and not self._closed:
             await deferLater(self._clock, FROZEN_INTERVAL)
-        return result
+        if self._closed:
+            raise CancelledError
 
     def _run_set(self, statement: Statement) -> Answer:
         """Accept SET, RESET, DISCARD and the like."""
--- a/tests/standins/clock.py
+++ b/tests/standins/clock.py
@@ -53,8 +53,13 @@
     return deferred.addCallback(finish)
 
 
-def get_state(deferred):
-    """Return the SQLSTATE that a statement failed with."""
+def get_error(deferred):
+    """Return the error that a statement failed with."""
     failures = []
     deferred.addErrback(failures.append)
-    return failures[0].value.sqlstate
+    return failures[0].value
+
+
+def get_state(deferred):
+    """Return the SQLSTATE that a statement failed with."""
+    return get_error(deferred).sqlstate
--- a/tests/standins/test_session.py
+++ b/tests/standins/test_session.py
@@ -1,6 +1,8 @@
 """Transactions, locks and slots of the stand-in databases under a clock."""
 
-from tests.standins.clock import ClockGroup, execute, get_state
+from twisted.internet.defer import CancelledError
+
+from tests.standins.clock import ClockGroup, execute, get_error, get_state
 
 
 def make_group(**options):
@@ -97,3 +99,20 @@
         for number in range(3)
     ]
     assert rows[0] == rows[1] == rows[2]
+
+
+def test_a_client_lost_while_its_database_is_frozen_leaves_no_lock():
+    group = make_group()
+    first, second = group.make_session(), group.make_session()
+    execute(first, "BEGIN")
+    execute(first, "INSERT INTO t VALUES (1)")
+    waiting = execute(second, "INSERT INTO t VALUES (2)")
+    group.databases[0].frozen = True
+    first.close()
+    second.close()
+    group.advance()
+    group.databases[0].frozen = False
+    group.advance()
+    assert isinstance(get_error(waiting), CancelledError)
+    assert execute(group.make_session(), "INSERT INTO t VALUES (3)").called
+    assert group.count_rows(0) == 1
