Let no cancel request reach the next request of a connection

Cause: a cancel request names a connection and travels on its own; while it was on the way, the connection could already run another caller's statement. Change: the answer that was to be cancelled ends only after the target has closed the cancel request's connection; without that in 5 s the connection is closed. Conclusion: a cancel can hit its own request only.

--- a/beryltrack/connections/target.py
+++ b/beryltrack/connections/target.py
@@ -8,18 +8,15 @@
 import logging
 
 from pygwire.exceptions import ProtocolError
-from pygwire.messages import BackendKeyData, CancelRequest, Query, Terminate
+from pygwire.messages import BackendKeyData, Query, Terminate
 from scramp import ScramException
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import (
-    TCP4ClientEndpoint,
-    TCP6ClientEndpoint,
-    connectProtocol,
-)
+from twisted.internet.endpoints import connectProtocol
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from beryltrack.connections.cancel import make_endpoint, send_cancel
 from beryltrack.connections.logon import (
     APPLICATION_NAME,
     Credentials,
@@ -42,9 +39,6 @@
 # a plan that no longer fits its table, or a name that does not exist.
 _STALE_STATES = frozenset({FEATURE_NOT_SUPPORTED, INVALID_SQL_STATEMENT_NAME})
 
-# Seconds to wait for the connection that carries a cancel request.
-CANCEL_TIMEOUT = 5.0
-
 _RESET_WIRE = Query("DISCARD ALL").to_wire()
 _TERMINATE_WIRE = Terminate().to_wire()
 
@@ -108,6 +102,8 @@
         self._sink: ResponseSink | None = None
         self._answer: Deferred[ResponseEnd] | None = None
         self._closed: Deferred[None] = Deferred()
+        self._held_end: ResponseEnd | None = None
+        self._cancels = 0
         self._paused = False
 
     @property
@@ -157,21 +153,25 @@
         self.prepared.clear()
         return end.error is None
 
-    def cancel(self) -> "Deferred[None]":
+    def cancel(self) -> None:
         """Ask the target to cancel the request that runs now.
 
-        The request goes over a connection of its own and may come too late;
-        the answer tells. A failure to send it is logged and otherwise ignored.
+        It may come too late; the answer tells. The answer does not end before
+        the cancel request has, so that it cannot hit a later request.
         """
-        request = CancelRequest(self._key.process_id, self._key.secret_key)
-        target = _make_endpoint(self._reactor, self.endpoint, CANCEL_TIMEOUT)
-        sending = connectProtocol(target, _CancelProtocol(request.to_wire()))
-        sending.addErrback(
-            lambda failure: log.info(
-                "target: cancel request failed: %s", failure.getErrorMessage()
-            )
-        )
-        return sending.addCallback(lambda _: None)
+        if not self.busy:
+            return
+        self._cancels += 1
+        sending = send_cancel(self._reactor, self.endpoint, self._key)
+        sending.addCallback(self._end_cancel)
+
+    def _end_cancel(self, is_over: bool) -> None:
+        """Go on after a cancel request."""
+        self._cancels -= 1
+        if not is_over:
+            self.close()
+        elif self._held_end is not None and not self._cancels:
+            self._end_answer(self._held_end)
 
     def close(self) -> None:
         """End the connection. A request that runs fails with `TargetLost`."""
@@ -248,8 +248,15 @@
             self.position = end.position
         if end.error is not None and end.error.sqlstate in _STALE_STATES:
             self.prepared.expire()
-        answer = self._answer
-        self._answer = self._sink = None
+        if self._cancels:
+            self._held_end = end
+        else:
+            self._end_answer(end)
+
+    def _end_answer(self, end: ResponseEnd) -> None:
+        """Hand out the end of an answer; the connection is free from then on."""
+        answer, sink = self._answer, self._sink
+        self._answer = self._sink = self._held_end = None
         sink.detach()
         # A sink that was full may have paused the transport.
         if self._paused:
@@ -262,27 +269,19 @@
             return
         self.broken = True
         answer, sink, ready = self._answer, self._sink, self.ready
+        end, self._held_end = self._held_end, None
         self._answer = self._sink = None
         if sink is not None:
             sink.detach()
         if not ready.called:
             ready.errback(failure or TargetLost(False, reason))
-        if answer is not None:
+        if end is not None:
+            answer.callback(end)
+        elif answer is not None:
             answer.errback(TargetLost(True, reason))
         self._closed.callback(None)
 
 
-class _CancelProtocol(Protocol):
-    """Sends a cancel request; the target closes the connection."""
-
-    def __init__(self, wire: bytes):
-        self._wire = wire
-
-    def connectionMade(self):
-        self.transport.write(self._wire)
-        self.transport.loseConnection()
-
-
 def _discard(data: bytes) -> None:
     """Take bytes that nobody reads."""
 
@@ -294,12 +293,6 @@
     return failed
 
 
-def _make_endpoint(reactor, endpoint: Endpoint, timeout: float):
-    """Return Twisted's endpoint for an address by IP number."""
-    kind = TCP6ClientEndpoint if ":" in endpoint.host else TCP4ClientEndpoint
-    return kind(reactor, endpoint.host, endpoint.port, timeout)
-
-
 def connect_target(
     reactor,
     endpoint: Endpoint,
@@ -334,7 +327,7 @@
     """
     credentials = Credentials(database, user, password, application_name)
     connection = TargetConnection(reactor, endpoint, credentials)
-    target = _make_endpoint(reactor, endpoint, timeout)
+    target = make_endpoint(reactor, endpoint, timeout)
     connecting = connectProtocol(target, connection)
     connecting.addCallback(lambda _: connection.ready)
 
--- a/beryltrack/requests/plan.py
+++ b/beryltrack/requests/plan.py
@@ -8,8 +8,9 @@
 
 from returns.result import Failure, Result, Success
 
+from beryltrack.callers.batches import ExtendedPlan
 from beryltrack.callers.caller import Caller
-from beryltrack.callers.extended import ExtendedPlan, plan_extended
+from beryltrack.callers.extended import plan_extended
 from beryltrack.callers.messages import (
     BindFrame,
     ExtendedRequest,
--- a/tests/callers/echo_target.py
+++ b/tests/callers/echo_target.py
@@ -68,6 +68,7 @@
             case m.CancelRequest(process_id=number):
                 self.factory.connections[number].fail("57014")
                 self.factory.connections[number].ready()
+                self.transport.loseConnection()
             case m.Query(query_string=text):
                 if self.run(text, (), True):
                     self.ready()
--- a/tests/connections/test_target.py
+++ b/tests/connections/test_target.py
@@ -3,10 +3,11 @@
 import pytest
 from pygwire import messages as m
 from scramp import ScramMechanism
-from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
+from twisted.internet.protocol import connectionDone
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from beryltrack.callers.authentication import format_secret, parse_secret
+from beryltrack.connections.cancel import CANCEL_TIMEOUT
 from beryltrack.connections.logon import Credentials
 from beryltrack.connections.target import TargetConnection, TargetLost
 from beryltrack.errors import SqlException
@@ -53,7 +54,9 @@
 
 def connect(*messages, password=""):
     credentials = Credentials("main", "proxy", password)
-    connection = TargetConnection(Clock(), Endpoint("127.0.0.1", 1), credentials)
+    connection = TargetConnection(
+        MemoryReactorClock(), Endpoint("127.0.0.1", 1), credentials
+    )
     connection.makeConnection(FakeTransport())
     send(connection, *messages)
     return connection
@@ -65,6 +68,15 @@
     return connection
 
 
+def open_cancel(connection):
+    """Cancel what runs; return the protocol that carries the request."""
+    connection.cancel()
+    (attempt,) = connection._reactor.tcpClients
+    protocol = attempt[2].buildProtocol(None)
+    protocol.makeConnection(FakeTransport())
+    return protocol
+
+
 def send(connection, *messages):
     connection.dataReceived(b"".join(x.to_wire() for x in messages))
 
@@ -167,3 +179,31 @@
     error = m.ErrorResponse({"S": "ERROR", "C": "0A000", "M": "cached plan"})
     send(connection, error, m.ReadyForQuery())
     assert connection.prepared.is_stale("name")
+
+
+def test_a_cancelled_answer_ends_after_the_cancel_request_has():
+    connection = log_on()
+    answer = connection.run(QUERY, Sink())
+    cancelling = open_cancel(connection)
+    assert cancelling.transport.value() == m.CancelRequest(1, b"mock").to_wire()
+    send(connection, *ANSWER)
+    assert not answer.called
+    assert not get_failure(connection.run(QUERY, Sink())).sent
+    cancelling.connectionLost(connectionDone)
+    assert answer.result.tail == ANSWER[1].to_wire()
+
+
+def test_a_cancel_request_without_end_breaks_the_connection():
+    connection = log_on()
+    answer = connection.run(QUERY, Sink())
+    open_cancel(connection)
+    send(connection, *ANSWER)
+    connection._reactor.advance(CANCEL_TIMEOUT)
+    assert connection.broken
+    assert answer.result.tail == ANSWER[1].to_wire()
+
+
+def test_nothing_is_cancelled_on_an_idle_connection():
+    connection = log_on()
+    connection.cancel()
+    assert not connection._reactor.tcpClients
