--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -73,9 +73,6 @@
         This instance's name.
     detector : LossDetector
         Says when a primary is lost.
-    lost_after : float
-        What a database is told with the request for a term: how long it must
-        not have heard its primary, seconds.
     rng : Random
         Source of jitter and of names of attempts.
     policy : FailoverPolicy
@@ -87,7 +84,6 @@
         group: str,
         node: str,
         detector: LossDetector,
-        lost_after: float,
         rng: Random,
         policy: FailoverPolicy = DEFAULT_POLICY,
     ):
@@ -95,7 +91,6 @@
         self._node = node
         self._nodes: tuple[str, ...] = (node,)
         self._detector = detector
-        self._lost_after = lost_after
         self._rng = rng
         self._policy = policy
         self._kind: ElectionKind | None = None
@@ -216,6 +211,14 @@
             mean = policy.hand_over_backoff
         return mean * self._rng.uniform(0.5, 1.5)
 
+    def _get_lost_after(self, view: GroupView) -> float:
+        """Return how long a database that grants must not have heard its primary.
+
+        Each database judges again by this when it is asked, so a primary that
+        was heard in the meantime is not replaced.
+        """
+        return min(self._detector.get_limit(item.name) for item in view.databases)
+
     def _make_election(self, view: GroupView, kind: ElectionKind) -> Election:
         leader = get_primary(view)
         successor = get_successor(view)
@@ -228,7 +231,7 @@
             kind,
             self._highest_term + 1,
             f"{self._node}/{self._rng.getrandbits(64):016x}",
-            self._lost_after if kind is ElectionKind.LOST else 0.0,
+            self._get_lost_after(view) if kind is ElectionKind.LOST else 0.0,
             view.primary,
             leader.term if leader else 0,
             preferred,
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -18,7 +18,7 @@
     FailoverPolicy,
     choose_primary,
 )
-from beryltrack.failover.detector import FixedDetector, compute_silence
+from beryltrack.failover.detector import LossDetector, compute_silence
 from beryltrack.failover.grants import collect_grants
 from beryltrack.failover.messages import Election, ElectionKind, FailoverReport
 from beryltrack.groups.adapter import DatabaseGroup, StatusWait
@@ -67,6 +67,8 @@
         Source of jitter and of names of attempts.
     owner : FailoverOwner
         The group's task.
+    detector : LossDetector
+        Says when a primary is lost.
     policy : FailoverPolicy
         Times.
     """
@@ -79,6 +81,7 @@
         node_name: str,
         rng: Random,
         owner: FailoverOwner,
+        detector: LossDetector,
         policy: FailoverPolicy = DEFAULT_POLICY,
     ):
         self._seconds = get_seconds(reactor)
@@ -90,8 +93,7 @@
         self._decider = FailoverDecider(
             group_settings.name,
             node_name,
-            FixedDetector(group_settings.lost_after),
-            group_settings.lost_after,
+            detector,
             rng,
             policy,
         )
--- a/beryltrack/groups/policy.py
+++ b/beryltrack/groups/policy.py
@@ -1,7 +1,15 @@
 """How often the databases of a group are asked for their status."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
+from beryltrack.groups.adapter import NO_WAIT, StatusWait
+from beryltrack.groups.messages import PRIMARY, LogPosition
+from beryltrack.groups.view import DatabaseView
+
+# How long after a replica's limit it is asked, so that its answer shows a loss.
+LIMIT_MARGIN = 1e-6
+
 
 class ProbePolicy(NamedTuple):
     """How often databases are asked.
@@ -25,3 +33,74 @@
 def make_probe_policy(lost_after: float) -> ProbePolicy:
     """Return the pace that notices a loss soon after `lost_after` seconds."""
     return ProbePolicy(interval=lost_after / 5)
+
+
+def make_wait(
+    item: DatabaseView, received: int | None, tokens: Sequence[LogPosition]
+) -> StatusWait:
+    """Return the long poll that tells those who wait of a replica's progress.
+
+    Parameters
+    ----------
+    item : DatabaseView
+        The replica.
+    received : int or None
+        Offset whose receipt is waited for, if any.
+    tokens : sequence of LogPosition
+        Positions whose application is waited for.
+
+    Returns
+    -------
+    StatusWait
+        A wait that ends on progress only: an offset that is there already, in
+        another term, would end it at once, again and again.
+    """
+    next_applied = item.applied.offset + 1
+    return StatusWait(
+        item.term,
+        max(received or 0, item.received.offset + 1),
+        max(min(tokens).offset, next_applied) if tokens else NO_WAIT,
+    )
+
+
+def compute_slice(policy: ProbePolicy, until_lost: float) -> float:
+    """Return how long a long poll may hold a replica's control connection.
+
+    Parameters
+    ----------
+    policy : ProbePolicy
+        The pace.
+    until_lost : float
+        Seconds of silence after which the replica has lost its primary.
+
+    Returns
+    -------
+    float
+        Seconds. The poll ends when the primary would count as lost, so that
+        its answer tells of the loss and the connection is free for a grant.
+    """
+    if until_lost <= 0:
+        return policy.suspect_interval
+    return min(policy.wait_slice, until_lost + LIMIT_MARGIN)
+
+
+def compute_delay(policy: ProbePolicy, item: DatabaseView, until_lost: float) -> float:
+    """Return the seconds between an answer of a database and the next probe.
+
+    Parameters
+    ----------
+    policy : ProbePolicy
+        The pace.
+    item : DatabaseView
+        The database.
+    until_lost : float
+        Seconds of silence after which it has lost its primary.
+
+    Returns
+    -------
+    float
+        The usual interval, or less if it would have lost its primary by then.
+    """
+    if item.role == PRIMARY or until_lost <= 0:
+        return policy.interval
+    return min(policy.interval, until_lost + LIMIT_MARGIN)
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -15,12 +15,19 @@
 from twisted.internet.defer import Deferred
 
 from beryltrack.clock import get_seconds
+from beryltrack.failover.detector import FixedDetector, LossDetector
 from beryltrack.failover.messages import FailoverReport
 from beryltrack.failover.task import FailoverTask
-from beryltrack.groups.adapter import NO_WAIT, DatabaseGroup, StatusWait
+from beryltrack.groups.adapter import DatabaseGroup
 from beryltrack.groups.decider import GroupDecider
 from beryltrack.groups.messages import PRIMARY, DatabaseStatus, LogPosition
-from beryltrack.groups.policy import ProbePolicy, make_probe_policy
+from beryltrack.groups.policy import (
+    ProbePolicy,
+    compute_delay,
+    compute_slice,
+    make_probe_policy,
+    make_wait,
+)
 from beryltrack.groups.view import DatabaseView, GroupView, get_database, has_applied
 from beryltrack.groups.waiters import (
     AppliedWaiter,
@@ -56,6 +63,8 @@
         Source of jitter and of names of attempts.
     policy : ProbePolicy or None
         The pace of probes; None takes it from the group's `lost_after`.
+    detector : LossDetector or None
+        Says when a primary is lost; None takes the group's `lost_after`.
     """
 
     def __init__(
@@ -66,6 +75,7 @@
         node_name: str,
         rng: Random,
         policy: ProbePolicy | None = None,
+        detector: LossDetector | None = None,
     ):
         databases = group_settings.databases
         names = tuple(item.name for item in databases)
@@ -74,14 +84,14 @@
         self._adapter = adapter
         self._seconds = get_seconds(reactor)
         self._policy = policy or make_probe_policy(group_settings.lost_after)
-        self._lost_after = group_settings.lost_after
+        self._detector = detector or FixedDetector(group_settings.lost_after)
         self._decider = GroupDecider(group_settings.name, names, draining)
         self._commits = ConfirmDecider(len(names))
         self._watches = {
             name: DatabaseWatch(reactor, name, adapter, self) for name in names
         }
         self._failover = FailoverTask(
-            reactor, group_settings, adapter, node_name, rng, self
+            reactor, group_settings, adapter, node_name, rng, self, self._detector
         )
         self._sent_at = dict.fromkeys(names, 0.0)
         self._last_time = 0.0
@@ -279,16 +289,8 @@
         tokens = [each.token for each in self._applied if each.database == database]
         if received is None and not tokens:
             return None
-        # The poll must end on progress only: an offset that is there already,
-        # in another term, would end it at once, again and again.
-        next_received = item.received.offset + 1
-        next_applied = item.applied.offset + 1
-        wait = StatusWait(
-            item.term,
-            max(received or 0, next_received),
-            max(min(tokens).offset, next_applied) if tokens else NO_WAIT,
-        )
-        return WatchWait(wait, self._compute_slice(item.heard_age))
+        wait = make_wait(item, received, tokens)
+        return WatchWait(wait, compute_slice(self._policy, self._get_until_lost(item)))
 
     def get_delay(self, database: str) -> float:
         """Return the seconds until a database is asked again."""
@@ -304,10 +306,7 @@
             return 0.0
         if self._failover.is_suspect(self.view):
             return self._policy.suspect_interval
-        until_lost = self._lost_after - item.heard_age
-        if item.role == PRIMARY or until_lost <= 0:
-            return self._policy.interval
-        return min(self._policy.interval, until_lost + TIME_STEP)
+        return compute_delay(self._policy, item, self._get_until_lost(item))
 
     def take_result(self, database: str, result: StatusResult, sent_at: float) -> None:
         """Take in the result of a request to a database."""
@@ -339,16 +338,9 @@
             or any(waiter.database == item.name for waiter in self._applied)
         )
 
-    def _compute_slice(self, heard_age: float) -> float:
-        """Return how long a poll may hold the connection of a replica.
-
-        It ends when the primary would count as lost, so that the answer to it
-        tells of the loss and the connection is free for a grant.
-        """
-        until_lost = self._lost_after - heard_age
-        if until_lost <= 0:
-            return self._policy.suspect_interval
-        return min(self._policy.wait_slice, until_lost + TIME_STEP)
+    def _get_until_lost(self, item: DatabaseView) -> float:
+        """Return after how much more silence a replica will have lost its primary."""
+        return self._detector.get_limit(item.name) - item.heard_age
 
     def _answer_applied(self) -> None:
         view = self.view
--- /dev/null
+++ b/beryltrack_bench/losses/accrual.py
@@ -0,0 +1,55 @@
+"""An accrual detector, weighed against the fixed limit; see `detection`.
+
+It learns for each database how long its silences usually are, and counts the
+primary as lost after a silence that is so many standard deviations longer
+than the mean. The product uses the fixed limit; docs/notes/failover.md says
+why.
+"""
+
+from collections import deque
+from statistics import fmean, pstdev
+
+from beryltrack.groups.view import DatabaseView
+
+WINDOW = 100
+FEWEST = 20
+# Limits outside these bounds, in seconds, are not believed.
+SHORTEST_LIMIT = 0.06
+LONGEST_LIMIT = 1.0
+
+
+class AccrualDetector:
+    """Learns the limit from the silences that were seen.
+
+    Parameters
+    ----------
+    deviations : float
+        Standard deviations over the mean at which the primary counts as lost.
+    first_limit : float
+        Limit until enough was seen, seconds.
+    """
+
+    def __init__(self, deviations: float, first_limit: float):
+        self._deviations = deviations
+        self._first_limit = first_limit
+        self._silences: dict[str, deque[float]] = {}
+        self._seen_at: dict[str, float] = {}
+        self._limits: dict[str, float] = {}
+
+    def observe(self, database: DatabaseView) -> None:
+        """Take in the silence that a new status tells."""
+        name = database.name
+        if database.seen_at <= self._seen_at.get(name, 0.0):
+            return
+        self._seen_at[name] = database.seen_at
+        if database.heard_age >= self.get_limit(name):
+            return
+        silences = self._silences.setdefault(name, deque(maxlen=WINDOW))
+        silences.append(database.heard_age)
+        if len(silences) >= FEWEST:
+            limit = fmean(silences) + self._deviations * pstdev(silences)
+            self._limits[name] = min(max(limit, SHORTEST_LIMIT), LONGEST_LIMIT)
+
+    def get_limit(self, database: str) -> float:
+        """Return the seconds without a word after which the primary is lost."""
+        return self._limits.get(database, self._first_limit)
--- a/beryltrack_bench/losses/site.py
+++ b/beryltrack_bench/losses/site.py
@@ -1,10 +1,12 @@
 """A site with one group, its proxies and a writing caller at each of them."""
 
+from collections.abc import Callable
 from enum import Enum
 from itertools import chain
 from random import Random
 from typing import NamedTuple
 
+from beryltrack.failover.detector import LossDetector
 from beryltrack.failover.hints import HintWriter
 from beryltrack.groups.task import GroupTask
 from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
@@ -45,12 +47,15 @@
         The state of the store.
     bad_link : bool
         True if one proxy does not reach one of the databases.
+    make_detector : callable or None
+        Gives each proxy a detector; None takes the fixed limit `lost_after`.
     """
 
     deployment: Deployment
     lost_after: float
     store: Store = Store.UP
     bad_link: bool = False
+    make_detector: Callable[[], LossDetector] | None = None
 
 
 class LossSite:
@@ -150,7 +155,9 @@
         )
         rng = Random(self._rng.getrandbits(32))
         adapter = FakeAdapter(self.group, proxy)
-        task = GroupTask(proxy, settings, adapter, proxy.name, rng)
+        make_detector = self.options.make_detector
+        detector = make_detector() if make_detector else None
+        task = GroupTask(proxy, settings, adapter, proxy.name, rng, detector=detector)
         client = FakePlatformClient(self.platform, self.network, proxy)
         task.subscribe_failover(HintWriter(proxy, client, rng).write)
         return task
--- a/tests/failover/test_decider.py
+++ b/tests/failover/test_decider.py
@@ -42,7 +42,7 @@
 
 
 def make_decider(node="n1", nodes=NODES):
-    decider = FailoverDecider("g", node, LOST, 0.5, Random(1))
+    decider = FailoverDecider("g", node, LOST, Random(1))
     decider.set_nodes(nodes)
     return decider
 
