Poll the replicas of a suspect group, so that a promotion is heard at once

Cause: the other proxies heard of the new primary by probes 20 ms apart. Change: while a group may get a new primary, its replicas are asked by long polls, which end when one is promoted or hears a primary.

--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -28,7 +28,13 @@
     make_probe_policy,
     make_wait,
 )
-from beryltrack.groups.view import DatabaseView, GroupView, get_database, has_applied
+from beryltrack.groups.view import (
+    DatabaseView,
+    GroupView,
+    get_database,
+    get_outline,
+    has_applied,
+)
 from beryltrack.groups.waiters import (
     AppliedWaiter,
     CommitWaiter,
@@ -281,13 +287,18 @@
         return sent_at
 
     def get_wait(self, database: str) -> WatchWait | None:
-        """Return the long poll that those who wait want of a database."""
+        """Return the long poll that is wanted of a database, if any.
+
+        While the group may get a new primary its replicas are polled too: the
+        answer comes at once when one of them is promoted or hears a primary.
+        """
         item = get_database(self.view, database)
         if self._failover.busy or item.role == PRIMARY or not item.reachable:
             return None
         received = self._commits.get_wait_offset(database)
         tokens = [each.token for each in self._applied if each.database == database]
-        if received is None and not tokens:
+        suspect = self._failover.is_suspect(self.view)
+        if received is None and not tokens and not suspect:
             return None
         wait = make_wait(item, received, tokens)
         return WatchWait(wait, compute_slice(self._policy, self._get_until_lost(item)))
@@ -302,7 +313,7 @@
             return 0.0
         if self._failover.busy:
             return self._policy.suspect_interval
-        if self._is_waited_for(item):
+        if self.get_wait(database) is not None:
             return 0.0
         if self._failover.is_suspect(self.view):
             return self._policy.suspect_interval
@@ -331,13 +342,6 @@
         for callback in tuple(self._failover_subscribers):
             callback(report)
 
-    def _is_waited_for(self, item: DatabaseView) -> bool:
-        """Return whether somebody waits for a replica."""
-        return item.role != PRIMARY and (
-            self._commits.get_wait_offset(item.name) is not None
-            or any(waiter.database == item.name for waiter in self._applied)
-        )
-
     def _get_until_lost(self, item: DatabaseView) -> float:
         """Return after how much more silence a replica will have lost its primary."""
         return self._detector.get_limit(item.name) - item.heard_age
@@ -360,7 +364,7 @@
             return
         self._failover.observe_view(self.view)
         before, self._reported = self._reported, self.view
-        if _get_outline(before) == _get_outline(self.view):
+        if get_outline(before) == get_outline(self.view):
             return
         if before.term != self.view.term or before.primary != self.view.primary:
             log.info(
@@ -390,9 +394,3 @@
         self._commits.remove(key)
         del self._commit_waiters[key]
         return result
-
-
-def _get_outline(view: GroupView) -> tuple:
-    """Return the parts of a view whose change is told to subscribers."""
-    members = tuple((item.reachable, item.leaving) for item in view.databases)
-    return (view.term, view.primary, members)
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -153,3 +153,34 @@
 def is_primary(database: DatabaseView) -> bool:
     """Return whether the database believes that it leads."""
     return database.role == PRIMARY
+
+
+class GroupOutline(NamedTuple):
+    """The parts of a view whose change others are told of at once.
+
+    Parameters
+    ----------
+    term : int
+        The term of the primary.
+    primary : str
+        The primary.
+    reachable : tuple of str
+        Databases that answer.
+    leaving : tuple of str
+        Databases that want no new work.
+    """
+
+    term: int
+    primary: str
+    reachable: tuple[str, ...]
+    leaving: tuple[str, ...]
+
+
+def get_outline(view: GroupView) -> GroupOutline:
+    """Return the outline of a view."""
+    return GroupOutline(
+        view.term,
+        view.primary,
+        tuple(item.name for item in view.databases if item.reachable),
+        tuple(item.name for item in view.databases if item.leaving),
+    )
