--- a/beryltrack_bench/experiments/failover.py
+++ b/beryltrack_bench/experiments/failover.py
@@ -114,10 +114,12 @@
     return make_figures(deployment, lost_after, results, calm)
 
 
-def run_loss(options: LossOptions, loss: Loss, rng: Random) -> LossResult:
-    """Lose one primary and return what it led to."""
+def run_loss(
+    options: LossOptions, loss: Loss, rng: Random, warm_up: float = WARM_UP
+) -> LossResult:
+    """Lose one primary after `warm_up` seconds and return what it led to."""
     site = LossSite(options, rng)
-    site.run(WARM_UP + rng.uniform(0.0, 0.1))
+    site.run(warm_up + rng.uniform(0.0, 0.1))
     old, before = site.group.primary, site.promotions
     loss.begin(site.around)
     site.run(loss.warning_time)
