Append to the stand-in's log before the next transaction begins

Cause: a commit released the write lock first. The next waiting transaction runs within the release, so it could reach the log before the one it had waited for, and replicas ran them in the wrong order. Change: append, then release. The lock is also released if a transaction cannot begin or its commit fails. Measured: the new test fails without the change and passes with it.

--- a/beryltrack_standins/database/database.py
+++ b/beryltrack_standins/database/database.py
@@ -51,13 +51,19 @@
     Parameters
     ----------
     database : Database
-        The database.
+        The database, whose write lock is held.
+
+    Raises
+    ------
+    SqlError
+        25006 if the database does not lead.
     """
 
     def __init__(self, database: "Database"):
         self._database = database
         self._term = database.log.term
         self._statements: list[LoggedStatement] = []
+        self.check()
         self.copy = database.get_writer()
         self.copy.begin()
 
@@ -84,15 +90,20 @@
         except SqlError:
             self.roll_back()
             raise
-        self.copy.commit()
-        self._database.write_lock.release()
-        if self._statements:
-            self._database.append(tuple(self._statements))
+        # The next transaction begins within the release, so the log comes first.
+        try:
+            self.copy.commit()
+            if self._statements:
+                self._database.append(tuple(self._statements))
+        finally:
+            self._database.write_lock.release()
 
     def roll_back(self) -> None:
         """Undo all of it."""
-        self.copy.roll_back()
-        self._database.write_lock.release()
+        try:
+            self.copy.roll_back()
+        finally:
+            self._database.write_lock.release()
 
 
 class Database:
--- a/beryltrack_standins/database/session.py
+++ b/beryltrack_standins/database/session.py
@@ -252,10 +252,11 @@
         acquired = self._database.write_lock.acquire()
         acquired.addTimeout(timeout, self._clock, _raise_lock_timeout)
         await self._wait(acquired)
-        if not self._database.log.can_write():
-            self._database.write_lock.release()
-            raise SqlError(READ_ONLY, f"{self._database.name} takes no writes now")
-        self._transaction = WriteTransaction(self._database)
+        try:
+            self._transaction = WriteTransaction(self._database)
+        finally:
+            if self._transaction is None:
+                self._database.write_lock.release()
 
     async def _sleep(self, statement: Statement, parameters: Sequence[Value]) -> None:
         """Wait for as long as the statement takes."""
--- a/tests/standins/test_session.py
+++ b/tests/standins/test_session.py
@@ -116,3 +116,18 @@
     assert isinstance(get_error(waiting), CancelledError)
     assert execute(group.make_session(), "INSERT INTO t VALUES (3)").called
     assert group.count_rows(0) == 1
+
+
+def test_the_log_holds_transactions_in_the_order_of_their_commits():
+    group = make_group()
+    execute(group.make_session(), "INSERT INTO t VALUES (1)")
+    first, second = group.make_session(), group.make_session()
+    execute(first, "BEGIN")
+    execute(first, "UPDATE t SET id = id + 1")
+    waiting = execute(second, "UPDATE t SET id = id * 10")
+    execute(first, "COMMIT")
+    assert waiting.called
+    group.advance()
+    for number in range(3):
+        rows = execute(group.make_session(number), "SELECT id FROM t").result.rows
+        assert list(rows) == [(20,)]
