--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -5,9 +5,9 @@
 from enum import Enum
 
 from twisted.internet.defer import TimeoutError
-from twisted.internet.ssl import PrivateCertificate
 
 from beryltrack.callers.factory import CallerFactory
+from beryltrack.callers.tls import make_tls_context
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.health import build_health_site
 from beryltrack.daemon.metrics import InstanceMetrics, PoolUse
@@ -199,4 +199,4 @@
     if not path:
         return None
     with open(path, "rb") as file:
-        return PrivateCertificate.loadPEM(file.read()).options()
+        return make_tls_context(file.read())
