Let the proxies of the product act with their peers

Cause: the daemon ran without its peers, so each proxy knew only the store. Change: the daemon starts the peer service, shares who leads each group, ranks candidates over live members, records changes of primary and cleans ledgers through one chosen instance. The local site enters its proxies in the instance list. Ruled out on the way: a cancel test hung because libpq's old cancel call keeps the interpreter's lock, not because of the proxy. Conclusion: views and settings outlive the store in the running product.

--- /dev/null
+++ b/beryltrack/daemon/fleet.py
@@ -0,0 +1,153 @@
+"""The place of an instance among the others: views, ranks and chosen duties.
+
+What one instance learns of a group's primary the others take as a hint, and
+all of them rank candidates over the same live members.
+"""
+
+import logging
+import random
+import time
+
+from twisted.internet.defer import CancelledError, Deferred
+
+from beryltrack.daemon.groups import GroupTable
+from beryltrack.failover.hints import HintWriter
+from beryltrack.failover.messages import FailoverReport
+from beryltrack.groups.view import GroupView
+from beryltrack.peers.messages import (
+    JOINED,
+    MEMBER_KIND,
+    SUSPECTED,
+    KnowledgeItem,
+)
+from beryltrack.peers.placement import get_owners
+from beryltrack.peers.service import PeerService
+from beryltrack.platform.client import PlatformClient
+from beryltrack.requests.runtime import GroupRuntime
+from beryltrack.settings.messages import InstanceSettings
+from beryltrack.settings.task import SettingsTask
+
+log = logging.getLogger(__name__)
+
+VIEW_KIND = "group"
+"""Kind of the items that tell who leads a group."""
+
+NODES_DELAY = 0.2
+"""Seconds by which changes of the members are gathered."""
+
+_ACTIVE_STATES = frozenset((JOINED, SUSPECTED))
+
+
+class FleetTask:
+    """Ties the groups of an instance to its peers.
+
+    Parameters
+    ----------
+    reactor : reactor
+        Source of sockets and timers.
+    settings : InstanceSettings
+        What the instance's settings file says.
+    settings_task : SettingsTask
+        The settings in force, to be shared.
+    platform : PlatformClient
+        The platform.
+    groups : GroupTable
+        The groups of this instance.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        settings: InstanceSettings,
+        settings_task: SettingsTask,
+        platform: PlatformClient,
+        groups: GroupTable,
+        rng: random.Random,
+    ):
+        # Seconds since 1970 rise with each start of the process.
+        incarnation = int(time.time())
+        self.service = PeerService(
+            reactor, settings, settings_task, platform, rng, incarnation
+        )
+        self.peers = self.service.peers
+        self._reactor = reactor
+        self._name = settings.name
+        self._groups = groups
+        self._hints = HintWriter(reactor, platform, rng)
+        self._writing: set[Deferred] = set()
+        self._updating = None
+
+    @property
+    def nodes(self) -> tuple[str, ...]:
+        """Names of the live instances, this one among them."""
+        return tuple(
+            member.name
+            for member in self.peers.members
+            if member.state in _ACTIVE_STATES
+        )
+
+    def start(self) -> None:
+        """Look for peers, and share what is known of groups."""
+        self.service.start()
+        self._groups.subscribe_started(self._watch_group)
+        self.peers.subscribe(VIEW_KIND, self._learn_view)
+        self.peers.subscribe(MEMBER_KIND, self._schedule_update)
+
+    def leave(self) -> None:
+        """Tell the peers that this instance is leaving."""
+        self.service.leave()
+
+    def stop(self) -> Deferred:
+        """Tell the peers that this instance has left, and close everything."""
+        if self._updating is not None and self._updating.active():
+            self._updating.cancel()
+        for writing in tuple(self._writing):
+            writing.cancel()
+        return self.service.stop()
+
+    def is_chosen(self, group: str) -> bool:
+        """Return whether this instance does the duties of a group that one does."""
+        return self._name in get_owners(group, self.peers.members, 1)
+
+    def _watch_group(self, runtime: GroupRuntime) -> None:
+        """Share the view of a group that starts, and take what is known of it."""
+        runtime.task.set_nodes(self.nodes)
+        runtime.task.subscribe(self._publish_view)
+        runtime.task.subscribe_failover(self._record_failover)
+        items = self.peers.knowledge.get_items(VIEW_KIND)
+        for item in items:
+            if item.key == runtime.settings.name:
+                self._learn_view(item)
+
+    def _publish_view(self, view: GroupView) -> None:
+        """Tell the peers who leads a group; one term has one primary."""
+        if view.primary:
+            item = KnowledgeItem(VIEW_KIND, view.group, (view.term,), view.primary)
+            self.peers.publish(item)
+
+    def _learn_view(self, item: KnowledgeItem) -> None:
+        """Take a peer's word who leads a group."""
+        runtime = self._groups.get(item.key)
+        is_well_formed = len(item.version) == 1 and isinstance(item.value, str)
+        if runtime is not None and is_well_formed:
+            runtime.task.learn_view(GroupView(item.key, item.version[0], item.value))
+
+    def _record_failover(self, report: FailoverReport) -> None:
+        """Keep a change of primary that this instance made in the platform."""
+        writing = self._hints.write(report)
+        self._writing.add(writing)
+        writing.addErrback(lambda failure: failure.trap(CancelledError))
+        writing.addBoth(lambda _: self._writing.discard(writing))
+
+    def _schedule_update(self, item: KnowledgeItem) -> None:
+        """Rank anew shortly, once for many changes of the members."""
+        if self._updating is None:
+            self._updating = self._reactor.callLater(NODES_DELAY, self._update_nodes)
+
+    def _update_nodes(self) -> None:
+        """Tell all groups which instances watch them."""
+        self._updating = None
+        for runtime in self._groups.runtimes:
+            runtime.task.set_nodes(self.nodes)
--- a/beryltrack/daemon/local_site.py
+++ b/beryltrack/daemon/local_site.py
@@ -8,11 +8,13 @@
 import uuid
 from datetime import UTC, datetime
 
+import treq
 from returns.result import Failure
 from twisted.internet.defer import TimeoutError
 from twisted.internet.task import deferLater
 
 from beryltrack.daemon.proxy import Proxy
+from beryltrack.platform.messages import LIVE
 from beryltrack.settings.change import SettingsChange
 from beryltrack.settings.messages import Endpoint, InstanceSettings
 from beryltrack.settings.stored import ChangeRequest
@@ -52,8 +54,9 @@
         """Start everything and wait until every proxy knows a primary."""
         await self.site.start()
         for number in range(self._count):
-            self.start_proxy(number)
-        await self._write_settings()
+            await self.start_proxy(number)
+        await self.write_group()
+        await self.write(f"settings/{TEAM}/users/{USER}", {"trust": True})
         await self.wait_ready()
 
     async def stop(self) -> None:
@@ -62,12 +65,14 @@
             await proxy.stop()
         await self.site.stop()
 
-    def start_proxy(self, number: int) -> Proxy:
-        """Start one more proxy and return it."""
+    async def start_proxy(self, number: int) -> Proxy:
+        """Start one more proxy, enter it in the instance list and return it."""
         settings = self._make_settings(number)
         proxy = Proxy(self._reactor, settings, random.Random(number), seats=self._count)
         self.proxies.append(proxy)
         proxy.start()
+        if not self.site.platform.faults.down:
+            await self._list_instance(proxy)
         return proxy
 
     async def wait_ready(self) -> None:
@@ -94,6 +99,21 @@
         if isinstance(result, Failure):
             raise RuntimeError(f"cannot write {path}: {result.failure()}")
 
+    async def _list_instance(self, proxy: Proxy) -> None:
+        """Enter a proxy in the instance list, as the platform does by itself."""
+        own = proxy.fleet.peers.own
+        entry = {
+            "host": own.host,
+            "port": own.port,
+            "zone": own.zone,
+            "state": LIVE,
+        }
+        answer = await treq.put(
+            f"{self.site.platform_url}/instances/{own.name}",
+            json=entry,
+        )
+        await answer.content()
+
     def _make_settings(self, number: int) -> InstanceSettings:
         """Return the settings of one proxy."""
         zones = self.site.options.zones
@@ -107,10 +127,20 @@
             peer_key=PEER_KEY,
             certificate="",
             drain_limit=DRAIN_LIMIT,
+            peer_seeds=tuple(
+                Endpoint(own.host, own.port)
+                for own in (proxy.fleet.peers.own for proxy in self.proxies)
+            ),
         )
 
-    async def _write_settings(self) -> None:
-        """Describe the stand-in databases in the platform, as an operator does."""
+    async def write_group(self, draining: frozenset[str] = frozenset()) -> None:
+        """Describe the stand-in databases in the platform, as an operator does.
+
+        Parameters
+        ----------
+        draining : frozenset of str
+            Names of the databases that are to get no new work.
+        """
         databases = [
             {
                 "name": item.name,
@@ -118,13 +148,13 @@
                 "zone": item.zone,
                 "max_connections": item.max_connections,
                 "slots": item.slots,
+                "draining": item.name in draining,
             }
             for item in self.site.databases
         ]
         await self.write(
             f"settings/{TEAM}/groups/{GROUP}", {"databases": databases, "user": USER}
         )
-        await self.write(f"settings/{TEAM}/users/{USER}", {"trust": True})
 
 
 def _is_ready(proxy: Proxy) -> bool:
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -8,6 +8,7 @@
 
 from beryltrack.callers.factory import CallerFactory
 from beryltrack.callers.tls import make_tls_context
+from beryltrack.daemon.fleet import FleetTask
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.health import build_health_site
 from beryltrack.daemon.metrics import InstanceMetrics, PoolUse
@@ -16,6 +17,7 @@
 from beryltrack.failover.messages import FailoverReport
 from beryltrack.platform.client import PlatformClient
 from beryltrack.platform.registration import RegistrationTask
+from beryltrack.requests.ledger_cleaner import LedgerCleaner
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import make_services
 from beryltrack.requests.task import RequestTask
@@ -63,6 +65,12 @@
         self.settings_task = SettingsTask(reactor, self.platform, rng)
         self.groups = GroupTable(reactor, settings.name, rng, self._get_share)
         self.services = make_services(reactor, settings.zone, self.metrics, rng)
+        self.fleet = FleetTask(
+            reactor, settings, self.settings_task, self.platform, self.groups, rng
+        )
+        self._cleaner = LedgerCleaner(
+            self.services, lambda: self.groups.runtimes, self.fleet.is_chosen, rng
+        )
         handler = RequestTask(self.services, self._get_site, self.groups.get)
         self.callers = CallerFactory(
             reactor, handler, self._get_site, _load_certificate(settings.certificate)
@@ -91,6 +99,8 @@
         self.settings_task.subscribe(self._apply)
         self.settings_task.start()
         self.services.admission.start()
+        self.fleet.start()
+        self._cleaner.start()
         site = build_health_site(
             lambda: self.state is ProxyState.LIVE, self.metrics.render, self.get_status
         )
@@ -110,6 +120,7 @@
         """
         self.state = ProxyState.LEAVING
         log.info("daemon: Instance %s leaves.", self.settings.name)
+        self.fleet.leave()
         await self._ports[0].stopListening()
         leaving = self.callers.leave()
         leaving.addTimeout(self.settings.drain_limit, self._reactor)
@@ -125,7 +136,9 @@
         self.callers.abort()
         self.settings_task.stop()
         self.services.admission.stop()
+        self._cleaner.stop()
         await self.groups.stop()
+        await self.fleet.stop()
         await self._registration.stop()
         await self.platform.close()
         for port in self._ports:
--- /dev/null
+++ b/tests/daemon/test_fleet.py
@@ -0,0 +1,33 @@
+"""Proxies act as one: they tell each other settings and who leads a group."""
+
+import time
+
+from tests.local_proxies import connect, run_proxies
+from tests.reactor_thread import run
+
+PATIENCE = 10.0
+
+
+def wait_until(condition):
+    give_up_at = time.monotonic() + PATIENCE
+    while not run(condition):
+        assert time.monotonic() < give_up_at
+        time.sleep(0.02)
+
+
+def test_a_new_instance_starts_from_its_peers_while_the_store_is_down():
+    with run_proxies(count=2) as local:
+        run(local.site.control.set_fault, "platform", "down")
+        proxy = run(local.start_proxy, 2)
+        run(local.wait_ready)
+        with connect(proxy) as caller:
+            caller.execute("CREATE TABLE item (id integer)")
+        nodes = ("proxy-1", "proxy-2", "proxy-3")
+        wait_until(lambda: all(p.fleet.nodes == nodes for p in local.proxies))
+
+
+def test_an_instance_that_leaves_is_told_at_once():
+    with run_proxies(count=2) as local:
+        wait_until(lambda: len(local.proxies[0].fleet.nodes) == 2)
+        run(local.proxies[1].fleet.leave)
+        wait_until(lambda: local.proxies[0].fleet.nodes == ("proxy-1",))
--- a/tests/local_proxies.py
+++ b/tests/local_proxies.py
@@ -41,10 +41,10 @@
 
 
 def get_primary(local):
-    """Return the server of the database that leads."""
+    """Return the server of the database that leads, None between two terms."""
     servers = local.site.servers
     leading = [s for s in servers.values() if s.database.status.role == "primary"]
-    return max(leading, key=lambda server: server.database.status.term)
+    return max(leading, key=lambda s: s.database.status.term, default=None)
 
 
 def mark_request(connection, request_id):
