--- a/beryltrack_bench/fleet/fleet.py
+++ b/beryltrack_bench/fleet/fleet.py
@@ -29,6 +29,21 @@
 SEED_COUNT = 3
 
 
+def make_group(max_age: float, number: int = 0) -> dict[str, object]:
+    """Return the JSON of a group of three databases, at addresses of its own."""
+    host = f"10.0.{number // 256}.{number % 256}"
+    databases = [
+        {
+            "name": f"db-{replica}",
+            "zone": ZONES[replica],
+            "max_connections": 20,
+            "endpoint": {"host": host, "port": 5432 + replica},
+        }
+        for replica in range(3)
+    ]
+    return {"databases": databases, "user": "proxy", "max_age": max_age}
+
+
 class Node:
     """The control part of one proxy.
 
@@ -68,8 +83,7 @@
     @property
     def value(self) -> float:
         """The setting that the bench changes, as in force here."""
-        groups = self.settings.current.groups
-        return groups[0].max_age if groups else 0.0
+        return max((group.max_age for group in self.settings.current.groups), default=0)
 
     def start(self) -> None:
         """Start all tasks."""
@@ -113,13 +127,26 @@
         """How often an older setting came into force again on any node."""
         return self._ended_reverts + sum(node.reverted for node in self.nodes)
 
-    async def start(self, count: int) -> None:
-        """Start the platform, a setting and some nodes."""
+    async def start(self, count: int, groups: int = 0) -> None:
+        """Start the platform with settings, and some nodes.
+
+        Parameters
+        ----------
+        count : int
+            Number of nodes.
+        groups : int
+            Number of database groups in the settings beside the one that
+            `change_settings` changes.
+        """
         self.platform.start()
+        for number in range(groups):
+            path = f"settings/bench/groups/group-{number}"
+            value = {"settings": make_group(0.0, number + 1)}
+            self.platform.store.put(path, value, None)
         self._change_client = PlatformClient(self._reactor, self.platform.url, self.rng)
         await self.change_settings(1.0)
-        for _ in range(count):
-            await self.add_node()
+        adding = [Deferred.fromCoroutine(self.add_node()) for _ in range(count)]
+        await gatherResults(adding)
 
     async def add_node(self) -> Node:
         """Start one more node and enter it in the instance list."""
@@ -161,16 +188,9 @@
         RuntimeError
             If the change was not accepted.
         """
-        database = {"name": "db", "zone": "zone-a", "max_connections": 20}
-        endpoint = {"host": "127.0.0.1", "port": 5432}
-        settings = {
-            "databases": [database | {"endpoint": endpoint}],
-            "user": "proxy",
-            "max_age": value,
-        }
         when = datetime.now(UTC).isoformat(timespec="seconds")
         request = ChangeRequest(
-            GROUP_PATH, settings, "bench", "measure", when, f"change {value}"
+            GROUP_PATH, make_group(value), "bench", "measure", when, f"change {value}"
         )
         change = SettingsChange(self._reactor, self._change_client, request, self.rng)
         (await change.run()).alt(_raise_failure)
