Count a far replica as one request more

Cause: reads stayed at the near replica until all connections of the node were in use, which at twice the load made a queue there. Change: replicas are ranked by outstanding work, a far one with one request more.

--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -67,7 +67,7 @@
     """A replica that can serve a read once it has applied a position."""
 
     lag: float
-    rank: tuple[int, bool, float]
+    rank: tuple[int, int, bool]
     target: AwaitedTarget
 
 
@@ -208,10 +208,15 @@
     )
 
 
-def _rank_load(load: TargetLoad, zone: str) -> tuple[int, bool, float]:
-    """Return the rank of a database by its queue, its zone and its work."""
+def _rank_load(load: TargetLoad, zone: str) -> tuple[int, int, bool]:
+    """Return the rank of a database by its queue, its work and its zone.
+
+    A far database counts as if it had one request more, since a request there
+    costs about as much more as one that waits for a slot.
+    """
     rounds_waiting = load.outstanding // max(load.limit, 1)
-    return rounds_waiting, load.zone != zone, load.outstanding / max(load.limit, 1)
+    is_far = load.zone != zone
+    return rounds_waiting, load.outstanding + is_far, is_far
 
 
 def _choose_wait(
--- a/tests/routing/test_decider.py
+++ b/tests/routing/test_decider.py
@@ -163,14 +163,14 @@
     assert isinstance(_choose(view, _read(max_age=0.0)), Refuse)
 
 
-def test_near_replica_goes_first_until_it_has_a_queue():
+@pytest.mark.parametrize(
+    ("far", "near", "chosen"),
+    [(0, 0, "b"), (1, 1, "b"), (0, 1, "b"), (0, 2, "a"), (3, 4, "a")],
+)
+def test_near_replica_goes_first_unless_it_has_more_work(far, near, chosen):
     view = _view(_database("a", 90), _database("b", 90))
-    far = TargetLoad("a", "z1", 0, 4)
-    near = TargetLoad("b", "z2", 3, 4)
-    request = _read(zone="z2")
-    assert _choose(view, request, far, near) == UseTarget("b", True)
-    queued = near._replace(outstanding=4)
-    assert _choose(view, request, far, queued) == UseTarget("a", True)
+    loads = TargetLoad("a", "z1", far, 4), TargetLoad("b", "z2", near, 4)
+    assert _choose(view, _read(zone="z2"), *loads) == UseTarget(chosen, True)
 
 
 def test_equal_replicas_take_turns():
