Answer wrong command lines in JSON too

Change: both are printed as objects with the outcome; a change without a reason says so in the history.

Conclusion: scripts can rely on the output.

--- a/beryltrack/command/main.py
+++ b/beryltrack/command/main.py
@@ -1,15 +1,18 @@
 """The command line of the operators' tool."""
 
+import json
 import sys
 
 from cleo.application import Application
 from cleo.exceptions import CleoError
 from cleo.io.inputs.input import Input
+from cleo.io.io import IO
 from cleo.io.outputs.output import Output
 
 from beryltrack.command.commands import COMMANDS
-from beryltrack.command.report import ExitCode
+from beryltrack.command.report import ErrorReport, ExitCode
 from beryltrack.command.runner import Runner, run_in_reactor
+from beryltrack.json_form import to_json
 
 VERSION = "0.1.0"
 
@@ -28,11 +31,19 @@
         try:
             return super().run(io.input, io.output, io.error_output)
         except CleoError as error:
-            self.render_error(error, io)
-            return ExitCode.USAGE
+            return self._report(error, io, ExitCode.USAGE)
         except Exception as error:
+            return self._report(error, io, ExitCode.INTERNAL)
+
+    def _report(self, error: Exception, io: IO, code: ExitCode) -> ExitCode:
+        """Print an error that no command could report itself."""
+        if io.input.has_parameter_option(["--json"]):
+            outcome = {"outcome": code.name.lower()}
+            value = ErrorReport(str(error) or type(error).__name__)
+            io.write_line(json.dumps(outcome | to_json(value)))
+        else:
             self.render_error(error, io)
-            return ExitCode.INTERNAL
+        return code
 
 
 def build_application(runner: Runner = run_in_reactor) -> Application:
--- a/beryltrack/command/views.py
+++ b/beryltrack/command/views.py
@@ -155,7 +155,7 @@
     )
     before = json.dumps(record.get("before"), sort_keys=True)
     return (
-        f"{when} {who}: {why}",
+        f"{when} {who}: {why or 'no reason given'}",
         f"  change {change_id}, after version {version}",
         f"  replaced: {before}",
     )
--- a/tests/command/test_tool.py
+++ b/tests/command/test_tool.py
@@ -162,6 +162,8 @@
 def test_wrong_command_line_has_its_own_exit_code(tool, monkeypatch):
     for arguments in ("settings get", "nonsense", "settings get a --colour"):
         assert tool.call(arguments).code == ExitCode.USAGE
+        code, report = tool.call_json(arguments)
+        assert (code, report["outcome"]) == (ExitCode.USAGE, "usage")
     assert tool.call(f"{SET} --if-version x", FIVE).code == ExitCode.USAGE
     assert tool.call("status --at nowhere").code == ExitCode.USAGE
     monkeypatch.delenv("BERYLTRACK_PLATFORM", raising=False)
