--- a/beryltrack/callers/extended.py
+++ b/beryltrack/callers/extended.py
@@ -68,10 +68,9 @@
     """
     planner = _Planner(table)
     steps = planner.plan(request.messages)
-    depends = any(step.prepared is not None for step in steps)
     return ExtendedPlan(
         steps,
-        None if depends else _join_steps(steps),
+        None if planner.has_named_parse else _join_steps(steps),
         tuple(planner.needed.values()),
         planner.used,
         tuple(planner.executed),
@@ -87,6 +86,7 @@
         self.needed: dict[str, PreparedStatement] = {}
         self.executed: list[str] = []
         self.parsed: list[str] = []
+        self.has_named_parse = False
         self._unnamed: PreparedStatement | None = None
         self._table = table
         self._parsed_names: dict[str, PreparedStatement | None] = {}
@@ -94,9 +94,10 @@
     @property
     def used(self) -> tuple[str, ...]:
         """Texts of the statements that the batch parses, binds or describes."""
-        earlier = [*self.needed.values(), self._unnamed]
-        texts = [entry.text for entry in earlier if entry is not None]
-        return (*self.parsed, *texts)
+        texts = [*self.parsed, *(entry.text for entry in self.needed.values())]
+        if self._unnamed is not None:
+            texts.append(self._unnamed.text)
+        return tuple(texts)
 
     def plan(self, frames: tuple[Frame, ...]) -> tuple[PlannedStep, ...]:
         """Return the steps of a batch."""
@@ -114,6 +115,7 @@
         effect = Effect(Edit.PASS, name=frame.name, statement=statement)
         if not frame.name:
             return PlannedStep(frame.wire, effect)
+        self.has_named_parse = True
         wire = encode_parse(statement.target_name, statement)
         added = effect._replace(added=statement.target_name)
         return PlannedStep(wire, added, statement)
@@ -293,9 +295,9 @@
 
 def _join_steps(steps: tuple[PlannedStep, ...]) -> BuiltRequest:
     """Return the request that steps make up."""
-    effects = tuple(step.effect for step in steps if step.effect is not None)
-    wire = b"".join([step.wire for step in steps])
-    return BuiltRequest(wire, effects, tuple([effect.edit for effect in effects]))
+    effects = tuple([step.effect for step in steps if step.effect is not None])
+    edits = tuple([effect.edit for effect in effects])
+    return BuiltRequest(b"".join([step.wire for step in steps]), effects, edits)
 
 
 def _rename_bind(frame: BindFrame, name: str) -> bytes:
--- a/beryltrack/callers/reader.py
+++ b/beryltrack/callers/reader.py
@@ -51,16 +51,6 @@
 FUNCTION_CALL_TEXT = "the function call protocol is not supported; use SELECT"
 
 
-def _cache_short(decode: Callable[[bytes], Frame]) -> Callable[[bytes], Frame]:
-    """Keep what was decoded of short frames: drivers send the same ones often."""
-    decode_cached = lru_cache(_CACHED_FRAMES)(decode)
-
-    def decode_frame(wire: bytes) -> Frame:
-        return decode_cached(wire) if len(wire) <= _CACHED_LENGTH else decode(wire)
-
-    return decode_frame
-
-
 class RequestReader:
     """Cuts a caller's input into units.
 
@@ -110,19 +100,22 @@
                 break
             wire = bytes(buffer[pos:stop])
             pos = stop
-            unit = self._take(kind, wire)
+            decoders = _CACHED_DECODERS if length <= _CACHED_LENGTH else _DECODERS
+            if kind in decoders and not self._skipping:
+                if len(self._frames) >= BATCH_LIMIT:
+                    raise FramingError(f"more than {BATCH_LIMIT} messages in a batch")
+                self._frames.append(decoders[kind](wire))
+                self._batch_size += 1 + length
+            else:
+                unit = self._take(kind, wire)
         if pos:
             del buffer[:pos]
         return unit
 
     def _take(self, kind: int, wire: bytes) -> Unit | None:
-        """Handle one frame; return the unit that it completes."""
+        """Handle a frame that is not part of a batch; return a unit that ends."""
         if self._skipping:
-            return self._skip(kind, wire)
-        decode = _DECODERS.get(kind)
-        if decode is not None:
-            self._add_to_batch(decode(wire))
-            return None
+            return self._skip(kind)
         if kind == _QUERY:
             self._check_no_batch()
             return SimpleRequest(_decode_text(wire, HEADER_SIZE), wire)
@@ -144,13 +137,6 @@
             return None
         raise FramingError(f"unknown message {chr(kind)!r}")
 
-    def _add_to_batch(self, frame: Frame) -> None:
-        """Collect one frame of a batch."""
-        if len(self._frames) >= BATCH_LIMIT:
-            raise FramingError(f"more than {BATCH_LIMIT} messages in a batch")
-        self._frames.append(frame)
-        self._batch_size += len(frame.wire)
-
     def _end_batch(self) -> ExtendedRequest:
         """Return the collected batch."""
         request = ExtendedRequest((*self._frames, _SYNC_FRAME))
@@ -167,7 +153,7 @@
         self._skipping = True
         return RefusedRequest(FLUSH_TEXT, True)
 
-    def _skip(self, kind: int, wire: bytes) -> Unit | None:
+    def _skip(self, kind: int) -> Unit | None:
         """Drop input up to a Sync, which is a unit that does nothing."""
         if kind == _TERMINATE:
             return TerminateRequest()
@@ -187,7 +173,6 @@
     return memoryview(wire)[HEADER_SIZE:]
 
 
-@_cache_short
 def _decode_parse(wire: bytes) -> ParseFrame:
     """Decode a Parse."""
     try:
@@ -201,13 +186,12 @@
 def _decode_bind(wire: bytes) -> BindFrame:
     """Decode the names of a Bind."""
     portal_end = wire.find(b"\x00", HEADER_SIZE)
-    portal = _decode_text(wire, HEADER_SIZE)
+    portal = _decode_text(wire, HEADER_SIZE) if portal_end != HEADER_SIZE else ""
     statement = _decode_text(wire, portal_end + 1)
     values_at = wire.find(b"\x00", portal_end + 1) + 1
     return BindFrame(portal, statement, values_at, wire)
 
 
-@_cache_short
 def _decode_describe(wire: bytes) -> DescribeFrame:
     """Decode a Describe."""
     _check_kind(wire)
@@ -215,13 +199,11 @@
     return DescribeFrame(message.kind, message.name, wire)
 
 
-@_cache_short
 def _decode_execute(wire: bytes) -> ExecuteFrame:
     """Decode the name in an Execute."""
     return ExecuteFrame(_decode_text(wire, HEADER_SIZE), wire)
 
 
-@_cache_short
 def _decode_close(wire: bytes) -> CloseFrame:
     """Decode a Close."""
     _check_kind(wire)
@@ -246,10 +228,15 @@
         raise DecodingError("string is not UTF-8") from error
 
 
-_DECODERS = {
+_DECODERS: dict[int, Callable[[bytes], Frame]] = {
     ord("P"): _decode_parse,
     ord("B"): _decode_bind,
     ord("D"): _decode_describe,
     ord("E"): _decode_execute,
     ord("C"): _decode_close,
 }
+# Drivers send the same short frames often, but seldom the same parameters.
+_CACHED_DECODERS = {
+    kind: decode if decode is _decode_bind else lru_cache(_CACHED_FRAMES)(decode)
+    for kind, decode in _DECODERS.items()
+}
