Keep each database's connections within its total over all proxies

Cause: a proxy opened an equal part of the connections by a number fixed at its start, right only while exactly that many ran. Change: the pools' limits come from the budget: seats kept at the platform, loans between peers; the number of seats is an instance setting. A group whose members change starts anew only once no connection of its former runtime is left, at most 5 s later.

--- a/beryltrack/daemon/fleet.py
+++ b/beryltrack/daemon/fleet.py
@@ -10,6 +10,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
+from beryltrack.connections.budget_service import BudgetService, make_plan
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.failover.hints import HintWriter
 from beryltrack.failover.messages import FailoverReport
@@ -75,6 +76,14 @@
         self._reactor = reactor
         self._name = settings.name
         self._groups = groups
+        self.budget = BudgetService(
+            reactor,
+            self.peers,
+            platform,
+            make_plan(settings.seats),
+            rng,
+            incarnation,
+        )
         self._hints = HintWriter(reactor, platform, rng)
         self._writing: set[Deferred] = set()
         self._updating = None
@@ -91,18 +100,22 @@
     def start(self) -> None:
         """Look for peers, and share what is known of groups."""
         self.service.start()
+        self.budget.start()
         self._groups.subscribe_started(self._watch_group)
+        self._groups.subscribe_stopped(self._forget_group)
         self.peers.subscribe(VIEW_KIND, self._learn_view)
         self.peers.subscribe(MEMBER_KIND, self._schedule_update)
 
     def leave(self) -> None:
-        """Tell the peers that this instance is leaving."""
+        """Tell the peers that this instance is leaving, and give up its shares."""
         self.service.leave()
+        self.budget.leave()
 
     def stop(self) -> Deferred:
         """Tell the peers that this instance has left, and close everything."""
         if self._updating is not None and self._updating.active():
             self._updating.cancel()
+        self.budget.stop()
         for writing in tuple(self._writing):
             writing.cancel()
         return self.service.stop()
@@ -113,6 +126,7 @@
 
     def _watch_group(self, runtime: GroupRuntime) -> None:
         """Share the view of a group that starts, and take what is known of it."""
+        self.budget.add_pools(runtime.settings, runtime.pools)
         runtime.task.set_nodes(self.nodes)
         runtime.task.subscribe(self._publish_view)
         runtime.task.subscribe_failover(self._record_failover)
@@ -121,6 +135,10 @@
             if item.key == runtime.settings.name:
                 self._learn_view(item)
 
+    def _forget_group(self, runtime: GroupRuntime) -> None:
+        """Forget the shares of a group that has stopped."""
+        self.budget.remove_pools(runtime.settings)
+
     def _publish_view(self, view: GroupView) -> None:
         """Tell the peers who leads a group; one term has one primary."""
         if view.primary:
--- a/beryltrack/daemon/groups.py
+++ b/beryltrack/daemon/groups.py
@@ -25,7 +25,13 @@
 CONNECT_TIMEOUT = 5.0
 """Seconds until a new connection to a target counts as failed."""
 
-ShareCallback = Callable[[DatabaseSettings], int]
+STOP_LIMIT = 5.0
+"""Seconds that the transactions of a group that changes have to end."""
+
+NO_SHARE = 0
+"""Connections that a pool may open before the budget has set its limit."""
+
+RuntimeCallback = Callable[[GroupRuntime], None]
 
 
 class GroupTable:
@@ -39,19 +45,17 @@
         Name of this instance.
     rng : random.Random
         Source of jitter.
-    get_share : callable
-        Returns how many connections to a database this instance may open.
     """
 
-    def __init__(
-        self, reactor, node_name: str, rng: random.Random, get_share: ShareCallback
-    ):
+    def __init__(self, reactor, node_name: str, rng: random.Random):
         self._reactor = reactor
         self._node_name = node_name
         self._rng = rng
-        self._get_share = get_share
         self._runtimes: dict[str, GroupRuntime] = {}
-        self._started_callbacks: list[Callable[[GroupRuntime], None]] = []
+        self._wanted: dict[str, GroupSettings] = {}
+        self._stopping: dict[str, Deferred] = {}
+        self._started_callbacks: list[RuntimeCallback] = []
+        self._stopped_callbacks: list[RuntimeCallback] = []
 
     @property
     def runtimes(self) -> tuple[GroupRuntime, ...]:
@@ -62,10 +66,14 @@
         """Return the runtime of a group, or None."""
         return self._runtimes.get(name)
 
-    def subscribe_started(self, callback: Callable[[GroupRuntime], None]) -> None:
+    def subscribe_started(self, callback: RuntimeCallback) -> None:
         """Call back with each runtime that starts."""
         self._started_callbacks.append(callback)
 
+    def subscribe_stopped(self, callback: RuntimeCallback) -> None:
+        """Call back with each runtime whose connections are all closed."""
+        self._stopped_callbacks.append(callback)
+
     def apply(self, site: SiteSettings) -> None:
         """Start, change and stop runtimes as the settings ask.
 
@@ -74,22 +82,24 @@
         site : SiteSettings
             The settings in force.
         """
-        wanted = {group.name: group for group in site.groups}
-        for name in self._runtimes.keys() - wanted.keys():
+        self._wanted = {group.name: group for group in site.groups}
+        for name in self._runtimes.keys() - self._wanted.keys():
             self._stop(name)
-        for name, group in wanted.items():
+        for name, group in self._wanted.items():
             self._apply_group(name, group)
 
     async def stop(self) -> None:
         """Stop all runtimes and wait until their connections are closed."""
-        runtimes, self._runtimes = self.runtimes, {}
-        await gatherResults([_drain(runtime) for runtime in runtimes])
+        self._wanted = {}
+        for name in tuple(self._runtimes):
+            self._stop(name)
+        await gatherResults(list(self._stopping.values()))
 
     def _apply_group(self, name: str, group: GroupSettings) -> None:
         """Bring one group's runtime in line with its settings."""
         runtime = self._runtimes.get(name)
         if runtime is None:
-            self._start(group)
+            self._start_once_free(group)
         elif runtime.settings == group:
             return
         elif _get_identity(runtime.settings) == _get_identity(group):
@@ -97,7 +107,7 @@
             runtime.task.set_draining(_get_draining(group))
         else:
             self._stop(name)
-            self._start(group)
+            self._start_once_free(group)
 
     def _start(self, group: GroupSettings) -> None:
         """Start the runtime of a group."""
@@ -116,9 +126,37 @@
             pool.start()
         log.info("daemon: Group %s started.", group.name)
 
+    def _start_once_free(self, group: GroupSettings) -> None:
+        """Start a group when no connection of its former runtime is left."""
+        stopping = self._stopping.get(group.name)
+        if stopping is None:
+            self._start(group)
+            return
+        # The settings may have changed again by then.
+        stopping.addCallback(lambda _: self._start_wanted(group.name))
+
+    def _start_wanted(self, name: str) -> None:
+        """Start a group as the newest settings want it, if they still do."""
+        group = self._wanted.get(name)
+        if group is not None and name not in self._runtimes:
+            self._start(group)
+
     def _stop(self, name: str) -> None:
         """Stop the runtime of a group once its transactions have ended."""
-        _drain(self._runtimes.pop(name))
+        runtime = self._runtimes.pop(name)
+        log.info("daemon: Group %s stops.", name)
+        cut_off = self._reactor.callLater(STOP_LIMIT, _cut_off, runtime)
+        stopping = _drain(runtime)
+        self._stopping[name] = stopping
+        stopping.addCallback(lambda _: self._finish_stop(name, runtime, cut_off))
+
+    def _finish_stop(self, name: str, runtime: GroupRuntime, cut_off) -> None:
+        """Note that a runtime has no connection any more."""
+        if cut_off.active():
+            cut_off.cancel()
+        del self._stopping[name]
+        for callback in self._stopped_callbacks:
+            callback(runtime)
         log.info("daemon: Group %s stopped.", name)
 
     def _make_pool(self, group: GroupSettings, database: DatabaseSettings) -> PoolTask:
@@ -135,8 +173,7 @@
             )
             return connecting.addErrback(_translate_refusal)
 
-        limit = self._get_share(database)
-        return PoolTask(self._reactor, database, connect, limit=limit, rng=self._rng)
+        return PoolTask(self._reactor, database, connect, limit=NO_SHARE, rng=self._rng)
 
 
 def _drain(runtime: GroupRuntime) -> Deferred:
@@ -145,6 +182,12 @@
     return draining.addCallback(lambda _: runtime.task.stop())
 
 
+def _cut_off(runtime: GroupRuntime) -> None:
+    """Close the connections of transactions that do not end."""
+    for pool in runtime.pools.values():
+        pool.enforce_limit(NO_SHARE)
+
+
 def _get_identity(group: GroupSettings) -> GroupSettings:
     """Return a group without what can change while its runtime runs."""
     databases = tuple(item._replace(draining=False) for item in group.databases)
--- a/beryltrack/daemon/local_site.py
+++ b/beryltrack/daemon/local_site.py
@@ -68,7 +68,7 @@
     async def start_proxy(self, number: int) -> Proxy:
         """Start one more proxy, enter it in the instance list and return it."""
         settings = self._make_settings(number)
-        proxy = Proxy(self._reactor, settings, random.Random(number), seats=self._count)
+        proxy = Proxy(self._reactor, settings, random.Random(number))
         self.proxies.append(proxy)
         proxy.start()
         if not self.site.platform.faults.down:
@@ -127,6 +127,7 @@
             peer_key=PEER_KEY,
             certificate="",
             drain_limit=DRAIN_LIMIT,
+            seats=self._count,
             peer_seeds=tuple(
                 Endpoint(own.host, own.port)
                 for own in (proxy.fleet.peers.own for proxy in self.proxies)
@@ -161,4 +162,6 @@
     """Return whether a proxy serves writes."""
     runtime = proxy.groups.get(GROUP)
     users = proxy.settings_task.current.users
-    return runtime is not None and bool(runtime.view.primary) and bool(users)
+    if runtime is None or not users or not runtime.view.primary:
+        return False
+    return all(pool.load.limit for pool in runtime.pools.values())
--- a/beryltrack/daemon/process.py
+++ b/beryltrack/daemon/process.py
@@ -12,9 +12,6 @@
 
 log = logging.getLogger(__name__)
 
-DEFAULT_SEATS = 8
-"""Instances among which connections are divided while the fleet is unknown."""
-
 EXIT_DONE = 0
 EXIT_FAILED = 1
 
@@ -32,7 +29,7 @@
     int
         The exit code.
     """
-    proxy = Proxy(reactor, settings, random.Random(), DEFAULT_SEATS)
+    proxy = Proxy(reactor, settings, random.Random())
     failures = []
 
     def start() -> None:
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -22,7 +22,6 @@
 from beryltrack.requests.services import make_services
 from beryltrack.requests.task import RequestTask
 from beryltrack.settings.messages import (
-    DatabaseSettings,
     Endpoint,
     InstanceSettings,
     SiteSettings,
@@ -51,19 +50,15 @@
         What its settings file says.
     rng : random.Random
         Source of jitter.
-    seats : int
-        Number of instances that share the connections to each database.
     """
 
-    def __init__(
-        self, reactor, settings: InstanceSettings, rng: random.Random, seats: int
-    ):
+    def __init__(self, reactor, settings: InstanceSettings, rng: random.Random):
         self.settings = settings
         self.state = ProxyState.STARTING
         self.metrics = InstanceMetrics(settings.name)
         self.platform = PlatformClient(reactor, settings.platform_url)
         self.settings_task = SettingsTask(reactor, self.platform, rng)
-        self.groups = GroupTable(reactor, settings.name, rng, self._get_share)
+        self.groups = GroupTable(reactor, settings.name, rng)
         self.services = make_services(reactor, settings.zone, self.metrics, rng)
         self.fleet = FleetTask(
             reactor, settings, self.settings_task, self.platform, self.groups, rng
@@ -76,7 +71,6 @@
             reactor, handler, self._get_site, _load_certificate(settings.certificate)
         )
         self._reactor = reactor
-        self._seats = seats
         self._ports = []
         self._registration: RegistrationTask | None = None
         self.metrics.set_pool_source(self._get_pool_use)
@@ -175,10 +169,6 @@
         """Return the settings in force."""
         return self.settings_task.current
 
-    def _get_share(self, database: DatabaseSettings) -> int:
-        """Return this instance's share of a database's connections."""
-        return max(1, database.max_connections // self._seats)
-
     def _apply(self, site: SiteSettings) -> None:
         """Put new settings in force."""
         self.groups.apply(site)
--- a/beryltrack/settings/messages.py
+++ b/beryltrack/settings/messages.py
@@ -180,6 +180,8 @@
         Seconds that a graceful shutdown waits for work in flight.
     peer_seeds : tuple of Endpoint
         Where other instances may be found while the platform cannot tell.
+    seats : int
+        Number of shares into which connections are divided.
     """
 
     name: str
@@ -192,3 +194,4 @@
     certificate: str
     drain_limit: float
     peer_seeds: tuple[Endpoint, ...] = ()
+    seats: int = 8
--- a/beryltrack/settings/options.py
+++ b/beryltrack/settings/options.py
@@ -330,6 +330,17 @@
                 ),
             ),
         ),
+        Option(
+            "seats",
+            OptionKind.INTEGER,
+            "Number of shares into which the connections of the databases are "
+            "divided; at least the number of instances, and the same on all of "
+            "them. Changing it means stopping all instances first.",
+            default=8,
+            unit="seats",
+            minimum=1,
+            maximum=1024,
+        ),
         Option(
             "certificate",
             OptionKind.TEXT,
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -15,11 +15,17 @@
         time.sleep(0.02)
 
 
+def knows_primary(proxy):
+    runtime = proxy.groups.get("main")
+    return runtime is not None and runtime.view.primary
+
+
 def test_a_new_instance_starts_from_its_peers_while_the_store_is_down():
     with run_proxies(count=2) as local:
         run(local.site.control.set_fault, "platform", "down")
         proxy = run(local.start_proxy, 2)
-        run(local.wait_ready)
+        wait_until(lambda: knows_primary(proxy))
+        # It holds no seat, so the connections for this are lent by its peers.
         with connect(proxy) as caller:
             caller.execute("CREATE TABLE item (id integer)")
         nodes = ("proxy-1", "proxy-2", "proxy-3")
