Tell the slowest requests of a roaming run

Cause: single freezes took 1.1 to 1.7 s until a write succeeded, and the report did not say what the sessions waited for. Change: the duration of each try is noted, the report shows the ten longest.

--- a/beryltrack_bench/roam.py
+++ b/beryltrack_bench/roam.py
@@ -9,6 +9,7 @@
 promise held, 2 if one did not, and 1 for wrong usage.
 """
 
+import heapq
 import json
 import random
 import sys
@@ -29,7 +30,7 @@
 from beryltrack_bench.roaming.audit import count_effects
 from beryltrack_bench.roaming.faults import FaultRecord, clear_faults, run_faults
 from beryltrack_bench.roaming.local_site import ReadyLine, parse_ready_line
-from beryltrack_bench.roaming.records import Records, Violation
+from beryltrack_bench.roaming.records import Duration, Records, Violation
 from beryltrack_bench.roaming.session import Login, RoamingSession
 
 EXIT_HELD = 0
@@ -42,6 +43,7 @@
     "roam_right (key TEXT)",
 )
 _SHOWN_VIOLATIONS = 20
+_SHOWN_DURATIONS = 10
 _END_TIMEOUT = 60.0
 _THINK_TIME = 0.01
 
@@ -78,6 +80,8 @@
         Each fault and its gap.
     violations : list of Violation
         All promises that did not hold.
+    slowest : list of Duration
+        The requests that took longest.
     seconds : float
         How long the sessions worked.
     """
@@ -85,6 +89,7 @@
     counts: dict[str, int]
     faults: list[FaultRecord]
     violations: list[Violation]
+    slowest: list[Duration]
     seconds: float
 
 
@@ -134,7 +139,8 @@
         if fault.gap is None or not fault.replaced
     )
     violations = records.violations + found
-    return RoamReport(dict(records.counts), faults, violations, seconds)
+    slowest = heapq.nlargest(_SHOWN_DURATIONS, records.durations)
+    return RoamReport(dict(records.counts), faults, violations, slowest, seconds)
 
 
 def _create_tables(site: ReadyLine, login: Login) -> None:
@@ -234,6 +240,10 @@
             "seconds": round(report.seconds, 2),
             "counts": dict(sorted(report.counts.items())),
             "faults": [fault._asdict() for fault in report.faults],
+            "slowest": [
+                (round(item.seconds, 3), item.action, item.outcome)
+                for item in report.slowest
+            ],
             "violations": dict(promises),
             "first_violations": shown,
         }
--- a/beryltrack_bench/roaming/records.py
+++ b/beryltrack_bench/roaming/records.py
@@ -44,6 +44,27 @@
     ended_at: float
 
 
+class Duration(NamedTuple):
+    """How long one try of a request took.
+
+    Parameters
+    ----------
+    seconds : float
+        The time from drawing a proxy to its answer.
+    action : str
+        What was asked.
+    outcome : str
+        What the caller knew then.
+    started_at : float
+        When it began, seconds of the monotonic clock.
+    """
+
+    seconds: float
+    action: str
+    outcome: str
+    started_at: float
+
+
 class Violation(NamedTuple):
     """A promise that did not hold.
 
@@ -68,6 +89,7 @@
         self.marked: list[Effect] = []
         self.pairs: list[Effect] = []
         self.violations: list[Violation] = []
+        self.durations: list[Duration] = []
         self._acknowledged: list[Effect] = []
         self._changed = threading.Condition()
 
--- a/beryltrack_bench/roaming/session.py
+++ b/beryltrack_bench/roaming/session.py
@@ -13,6 +13,7 @@
 import psycopg
 
 from beryltrack_bench.roaming.records import (
+    Duration,
     Effect,
     Outcome,
     Records,
@@ -136,6 +137,7 @@
         self._rng = rng
         self._token = ""
         self._connections: dict[str, psycopg.Connection] = {}
+        self._action = "begin"
         self._requests = 0
         self._value = 0
         self._acknowledged = 0
@@ -159,6 +161,7 @@
             self._read_large_result: 1,
         }
         (action,) = self._rng.choices(list(actions), list(actions.values()))
+        self._action = action.__name__.strip("_")
         action()
 
     def end(self) -> None:
@@ -291,6 +294,16 @@
         self._records.note_acknowledged(effect)
 
     def _ask(self, work: Work, settings: Sequence[MarkSetting] = ()) -> Result:
+        """Do some work through a proxy drawn at random, and note how long it took."""
+        started_at = time.monotonic()
+        result = self._try(work, settings)
+        seconds = time.monotonic() - started_at
+        self._records.durations.append(
+            Duration(seconds, self._action, result.outcome.value, started_at)
+        )
+        return result
+
+    def _try(self, work: Work, settings: Sequence[MarkSetting]) -> Result:
         """Do some work through a proxy drawn at random; keep the token it gives."""
         proxy = self._rng.choice(self._proxies)
         is_sent = False
