End transactions that are left alone, and notice peers that are gone

Cause: a caller that was cut off inside of a transaction kept its target connection for as long as the kernel kept the socket, by default two hours, and an idle one for ever; target connections are scarce. Change: 60 s without a unit in an open transaction end it (25P03); keepalive and user timeout on both sides' sockets end silent peers within 30 s. Fakes need no socket methods any more. Tests: the limit under task.Clock, with and without a transaction and with half a message; the options on real sockets. Conclusion: no transaction holds a connection for nothing.

--- a/beryltrack/callers/factory.py
+++ b/beryltrack/callers/factory.py
@@ -12,7 +12,11 @@
 from beryltrack.callers.authentication import MockSecrets
 from beryltrack.callers.caller import Caller, RequestHandler
 from beryltrack.callers.logon import CallerLogon
-from beryltrack.callers.protocol import STARTUP_TIMEOUT, CallerProtocol
+from beryltrack.callers.protocol import (
+    STARTUP_TIMEOUT,
+    TRANSACTION_IDLE_LIMIT,
+    CallerProtocol,
+)
 from beryltrack.callers.reader import UNIT_LIMIT
 from beryltrack.callers.startup import REPORTED_PARAMETERS, StartupRequest
 from beryltrack.errors import (
@@ -47,11 +51,14 @@
         Most bytes of one unit.
     max_callers : int
         Most callers at a time.
+    transaction_idle_limit : float
+        Seconds that a caller may leave an open transaction alone.
     """
 
     startup_timeout: float = STARTUP_TIMEOUT
     unit_limit: int = UNIT_LIMIT
     max_callers: int = MAX_CALLERS
+    transaction_idle_limit: float = TRANSACTION_IDLE_LIMIT
 
 
 class _Cancellable(NamedTuple):
--- a/beryltrack/callers/protocol.py
+++ b/beryltrack/callers/protocol.py
@@ -41,6 +41,7 @@
     ADMIN_SHUTDOWN,
     CANNOT_CONNECT_NOW,
     FATAL,
+    IDLE_IN_TRANSACTION,
     INTERNAL_ERROR,
     PROTOCOL_VIOLATION,
     SqlError,
@@ -48,12 +49,16 @@
     make_unsupported,
 )
 from beryltrack.settings.messages import UserSettings
+from beryltrack.wire.sockets import tune_socket
 
 log = logging.getLogger(__name__)
 
 # Seconds from the connection to the end of the log-on.
 STARTUP_TIMEOUT = 10.0
 
+# Seconds that a caller may leave an open transaction alone.
+TRANSACTION_IDLE_LIMIT = 60.0
+
 # Bytes kept of a caller that sends while a unit of its own runs.
 INPUT_LIMIT = 1 << 16
 
@@ -94,8 +99,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Count the time for the log-on."""
-        self.transport.setTcpNoDelay(True)
-        self.transport.setTcpKeepAlive(True)
+        tune_socket(self.transport)
         self._timer = self.factory.reactor.callLater(
             self.factory.options.startup_timeout, self._time_out
         )
@@ -133,10 +137,9 @@
             self._continue()
 
     def _end_idle(self) -> None:
-        """End the connection of an idle caller, unless a transaction is open."""
-        if not self.caller.in_transaction:
-            text = "terminating connection due to administrator command"
-            self._refuse(make_fatal(ADMIN_SHUTDOWN, text))
+        """End the connection of an idle caller."""
+        text = "terminating connection due to administrator command"
+        self._refuse(make_fatal(ADMIN_SHUTDOWN, text))
 
     def _receive_logon(self, data: bytes) -> None:
         """Take bytes of the log-on."""
@@ -227,9 +230,24 @@
     def _wait_for_input(self) -> None:
         """Read on, or end the connection if the proxy leaves."""
         self._resume()
-        if self.factory.leaving:
+        if self.caller.in_transaction:
+            self._limit_idle_time()
+        elif self.factory.leaving:
             self._end_idle()
 
+    def _limit_idle_time(self) -> None:
+        """Count the time that an open transaction holds a target for nothing."""
+        if self._timer is None:
+            limit = self.factory.options.transaction_idle_limit
+            self._timer = self.factory.reactor.callLater(limit, self._end_transaction)
+
+    def _end_transaction(self) -> None:
+        """End the connection of a caller that leaves its transaction alone."""
+        self._timer = None
+        text = "terminating connection due to idle-in-transaction timeout"
+        detail = "The transaction was rolled back."
+        self._refuse(make_fatal(IDLE_IN_TRANSACTION, text, detail))
+
     def _run_unit(self, unit: Unit) -> None:
         """Give out one unit."""
         caller = self.caller
@@ -244,6 +262,7 @@
                 # A Sync alone asks for nothing but the ReadyForQuery.
                 caller.send_ready(caller.status)
             case _:
+                self._stop_timer()
                 self.phase = Phase.RUNNING
                 caller.arrived_at = self.factory.reactor.seconds()
                 running = self._handle(unit)
--- a/beryltrack/connections/target.py
+++ b/beryltrack/connections/target.py
@@ -32,6 +32,7 @@
 from beryltrack.settings.messages import Endpoint
 from beryltrack.wire.answers import AnswerReader
 from beryltrack.wire.messages import Edit, ResponseEnd, ResponseSink
+from beryltrack.wire.sockets import tune_socket
 
 log = logging.getLogger(__name__)
 
@@ -196,8 +197,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the start-up packet."""
-        self.transport.setTcpNoDelay(True)
-        self.transport.setTcpKeepAlive(True)
+        tune_socket(self.transport)
         self.transport.write(self._logon.start())
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/beryltrack_bench/experiments/wire.py
+++ b/beryltrack_bench/experiments/wire.py
@@ -68,12 +68,6 @@
     def write(self, data: bytes) -> None:
         """Drop bytes."""
 
-    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
-        """Do nothing."""
-
-    def setTcpKeepAlive(self, enabled: bool) -> None:  # noqa: N802
-        """Do nothing."""
-
     def pauseProducing(self) -> None:  # noqa: N802
         """Do nothing."""
 
--- a/tests/callers/test_protocol_faults.py
+++ b/tests/callers/test_protocol_faults.py
@@ -10,7 +10,12 @@
 
 from beryltrack.callers.caller import STALL_LIMIT
 from beryltrack.callers.factory import CallerFactory, CallerOptions
-from beryltrack.callers.protocol import INPUT_LIMIT, LINGER, STARTUP_TIMEOUT
+from beryltrack.callers.protocol import (
+    INPUT_LIMIT,
+    LINGER,
+    STARTUP_TIMEOUT,
+    TRANSACTION_IDLE_LIMIT,
+)
 from tests.callers.glue import make_settings
 
 PEER = IPv4Address("TCP", "127.0.0.1", 1)
@@ -26,11 +31,6 @@
     def loseWriteConnection(self):
         self.half_closed = True
 
-    def setTcpNoDelay(self, enabled):
-        pass
-
-    setTcpKeepAlive = setTcpNoDelay
-
 
 class HeldHandler:
     """Ends units when the test says so."""
@@ -175,6 +175,30 @@
     assert bench.factory.count == 0
 
 
+def test_a_transaction_that_is_left_alone_is_ended(bench):
+    bench.log_on()
+    bench.protocol.dataReceived(SELECT)
+    bench.handler.end(TransactionStatus.IN_TRANSACTION)
+    bench.advance(TRANSACTION_IDLE_LIMIT - 1)
+    bench.protocol.dataReceived(SELECT)
+    bench.advance(TRANSACTION_IDLE_LIMIT)
+    bench.handler.end(TransactionStatus.IN_TRANSACTION)
+    bench.protocol.dataReceived(SELECT[:3])
+    assert not any(isinstance(x, m.ErrorResponse) for x in bench.read())
+    bench.advance(TRANSACTION_IDLE_LIMIT)
+    assert bench.get_error() == "25P03"
+    bench.lose()
+    assert bench.handler.forgotten
+
+
+def test_an_idle_caller_without_a_transaction_may_stay(bench):
+    bench.log_on()
+    bench.protocol.dataReceived(SELECT)
+    bench.handler.end()
+    bench.advance(10 * TRANSACTION_IDLE_LIMIT)
+    assert not bench.transport.half_closed
+
+
 def test_leaving_ends_an_idle_caller_at_once(bench):
     bench.log_on()
     left = bench.factory.leave()
--- a/tests/callers/test_protocol_sockets.py
+++ b/tests/callers/test_protocol_sockets.py
@@ -75,6 +75,15 @@
             assert b"08P01" in read_to_end(bare)
 
 
+def test_a_peer_that_is_gone_is_noticed_by_the_kernel():
+    with run_glue() as glue, glue.connect():
+        caller = next(iter(glue.factory._connections))
+        for connection in (caller, glue.targets[0]):
+            handle = connection.transport.getHandle()
+            for option in (socket.TCP_KEEPIDLE, socket.TCP_NODELAY):
+                assert 0 < handle.getsockopt(socket.IPPROTO_TCP, option) < 30
+
+
 def test_cancel_reaches_the_target():
     with run_glue() as glue, glue.connect() as connection:
         # The older cancel() would hold the interpreter and so the proxy itself.
--- a/tests/connections/test_target.py
+++ b/tests/connections/test_target.py
@@ -23,15 +23,6 @@
 ANSWER = [m.DataRow([b"1"]), m.CommandComplete("SELECT 1"), m.ReadyForQuery()]
 
 
-class FakeTransport(StringTransport):
-    """A transport in memory."""
-
-    def setTcpNoDelay(self, enabled):
-        pass
-
-    setTcpKeepAlive = setTcpNoDelay
-
-
 class Sink:
     """Keeps what is written; full if the test says so."""
 
@@ -57,7 +48,7 @@
     connection = TargetConnection(
         MemoryReactorClock(), Endpoint("127.0.0.1", 1), credentials
     )
-    connection.makeConnection(FakeTransport())
+    connection.makeConnection(StringTransport())
     send(connection, *messages)
     return connection
 
@@ -73,7 +64,7 @@
     connection.cancel()
     (attempt,) = connection._reactor.tcpClients
     protocol = attempt[2].buildProtocol(None)
-    protocol.makeConnection(FakeTransport())
+    protocol.makeConnection(StringTransport())
     return protocol
 
 
