Forward requests to a group's owners as streams with true outcomes

Cause: beyond the proxies that a database's connections can feed, the others have to pass requests on, without mixing answers or calling "not run" what may have run. Measured: the state machine's random steps find no stream that ends twice, no "not run" that had started and no mixed answer; four planted defects (unknown called not run, another peer's answer taken, credit not counted, end before the answer) each fail a test. Conclusion: ready to be called; the request task does not forward yet.

--- a/beryltrack/peers/codec.py
+++ b/beryltrack/peers/codec.py
@@ -19,6 +19,13 @@
     LoanReturn,
 )
 from beryltrack.findings import Finding
+from beryltrack.peers.forward_messages import (
+    ForwardCancel,
+    ForwardCredit,
+    ForwardData,
+    ForwardEnd,
+    ForwardOpen,
+)
 from beryltrack.peers.messages import (
     Challenge,
     Heartbeat,
@@ -39,6 +46,7 @@
 MAX_DEPTH = 32
 MAX_NUMBER = 2**64 - 1
 MAX_VERSION_LENGTH = 8
+PLAIN_TYPES = frozenset({bool, int, float, str, bytes})
 
 Reader = Callable[[object], object]
 
@@ -90,8 +98,17 @@
     return value
 
 
-def read_any(value: object) -> object:
-    """Return any value; its meaning is checked by whoever uses it."""
+def read_plain(value: object) -> object:
+    """Return any value that can be sent on; its user checks what it means.
+
+    Tagged values of CBOR become objects that not every encoder takes.
+    """
+    if isinstance(value, list):
+        return [read_plain(element) for element in value]
+    if isinstance(value, dict):
+        return {read_text(key): read_plain(entry) for key, entry in value.items()}
+    if value is not None and type(value) not in PLAIN_TYPES:
+        raise ValueError("is not made of numbers, texts, bytes, lists and maps")
     return value
 
 
@@ -125,7 +142,7 @@
 
 
 read_items = make_list_reader(
-    make_tuple_reader(KnowledgeItem, (read_text, read_text, read_version, read_any))
+    make_tuple_reader(KnowledgeItem, (read_text, read_text, read_version, read_plain))
 )
 read_versions = make_list_reader(
     make_tuple_reader(ItemVersion, (read_text, read_text, read_version))
@@ -159,6 +176,15 @@
     MessageSpec(23, LoanRenewal, (read_text, read_number, read_number, read_number)),
     MessageSpec(24, LoanReturn, (read_text, read_number, read_number)),
     MessageSpec(25, LoanRecall, (read_text, read_number, read_number)),
+    MessageSpec(
+        30,
+        ForwardOpen,
+        (read_number, read_text, read_seconds, read_number, read_bytes),
+    ),
+    MessageSpec(31, ForwardData, (read_number, read_bytes)),
+    MessageSpec(32, ForwardCredit, (read_number, read_number)),
+    MessageSpec(33, ForwardCancel, (read_number,)),
+    MessageSpec(34, ForwardEnd, (read_number, read_number, read_text, read_bytes)),
 )
 SPECS_BY_CODE = {spec.code: spec for spec in SPECS}
 CODES_BY_TYPE = {spec.type: spec.code for spec in SPECS}
--- /dev/null
+++ b/beryltrack/peers/forward_entry.py
@@ -0,0 +1,269 @@
+"""The side of forwarding that passes requests on, without any I/O.
+
+Until a request has been handed to a link it provably did not run, and may go
+to the next owner. From then on only the owner's word tells; if its link is lost
+before that, the outcome is unknown, and that is what is said.
+"""
+
+from itertools import count
+from typing import NamedTuple
+
+from beryltrack.peers.forward_messages import (
+    BreakForwardLink,
+    DeliverData,
+    FinishStream,
+    ForwardAction,
+    ForwardCancel,
+    ForwardCredit,
+    ForwardData,
+    ForwardEnd,
+    ForwardMessage,
+    ForwardOpen,
+    ForwardOutcome,
+    ForwardResult,
+    OpenForwardLink,
+    SendForward,
+)
+
+CREDIT_WINDOW = 256 * 1024
+MAX_STREAMS_PER_PEER = 1024
+MAX_WAITING = 1024
+
+OUTCOMES = frozenset(ForwardOutcome)
+
+
+class _Waiting(NamedTuple):
+    """A request that no link has taken yet.
+
+    Parameters
+    ----------
+    owners : tuple of str
+        Owners to try, the present one first.
+    group : str
+        The database group.
+    deadline : float
+        Time by which it has to reach a target, seconds.
+    request : bytes
+        The request.
+    """
+
+    owners: tuple[str, ...]
+    group: str
+    deadline: float
+    request: bytes
+
+
+class _Sent:
+    """A request that was handed to a link.
+
+    Parameters
+    ----------
+    peer : str
+        The owner.
+    """
+
+    def __init__(self, peer: str):
+        self.peer = peer
+        self.credit = CREDIT_WINDOW
+        self.taken = 0
+
+
+class ForwardDecider:
+    """The requests that this proxy has passed on."""
+
+    def __init__(self):
+        self._numbers = count(1)
+        self._waiting: dict[int, _Waiting] = {}
+        self._sent: dict[int, _Sent] = {}
+        self._open: set[str] = set()
+        self._opening: set[str] = set()
+        self._stuck: set[str] = set()
+
+    @property
+    def stream_count(self) -> int:
+        """The number of streams that have not ended."""
+        return len(self._waiting) + len(self._sent)
+
+    def forward(
+        self,
+        owners: tuple[str, ...],
+        group: str,
+        request: bytes,
+        deadline: float,
+        now: float,
+    ) -> tuple[int, list[ForwardAction]]:
+        """Pass a request on to the first owner that can be reached.
+
+        Parameters
+        ----------
+        owners : tuple of str
+            Owners of the group, in the order in which to try them.
+        group : str
+            The database group.
+        request : bytes
+            The request.
+        deadline : float
+            Time by which it has to reach a target, seconds.
+        now : float
+            The current time, seconds.
+
+        Returns
+        -------
+        int
+            Number of the stream.
+        list of ForwardAction
+            What to do; with a refusal among it if the request cannot be sent.
+        """
+        stream = next(self._numbers)
+        waiting = _Waiting(owners, group, deadline, request)
+        if len(self._waiting) >= MAX_WAITING:
+            return stream, [_refuse(stream, "too many requests wait for owners")]
+        return stream, self._place(stream, waiting, now)
+
+    def open_link(self, peer: str, now: float) -> list[ForwardAction]:
+        """Note that a link is open, and send what waits for it.
+
+        A link that replaces another one ends the streams of that one.
+        """
+        actions = self._end_sent(peer, "the link to the owner was replaced")
+        self._opening.discard(peer)
+        self._open.add(peer)
+        self._stuck.discard(peer)
+        return [*actions, *self._place_again(peer, now)]
+
+    def fail_link(self, peer: str, now: float) -> list[ForwardAction]:
+        """Note that a link could not be opened; others are tried."""
+        self._opening.discard(peer)
+        waiting = self._get_waiting(peer)
+        for stream, entry in waiting:
+            self._waiting[stream] = entry._replace(owners=entry.owners[1:])
+        return [
+            action
+            for stream, entry in waiting
+            for action in self._place(stream, self._waiting.pop(stream), now)
+        ]
+
+    def lose_link(self, peer: str) -> list[ForwardAction]:
+        """Note that a link has closed; what was sent over it may have run."""
+        self._open.discard(peer)
+        self._stuck.discard(peer)
+        return self._end_sent(peer, "the link to the owner was lost")
+
+    def set_stuck(self, peer: str, is_stuck: bool) -> None:
+        """Note whether a link takes messages; if not, it gets no request."""
+        if is_stuck:
+            self._stuck.add(peer)
+        else:
+            self._stuck.discard(peer)
+
+    def observe_gone(self, peer: str) -> list[ForwardAction]:
+        """Break the link to a peer that is dead by the word of others."""
+        if peer not in self._open:
+            return []
+        return [BreakForwardLink(peer, "the owner is dead")]
+
+    def receive(self, peer: str, message: ForwardMessage) -> list[ForwardAction]:
+        """Take an owner's message; one of a stream that has ended is dropped."""
+        sent = self._sent.get(message.stream)
+        if sent is None or sent.peer != peer:
+            return []
+        match message:
+            case ForwardData(stream, data):
+                sent.credit -= len(data)
+                if sent.credit < 0:
+                    return [BreakForwardLink(peer, "it sent more than was allowed")]
+                return [DeliverData(stream, data)]
+            case ForwardEnd(stream, outcome, reason, trailer):
+                del self._sent[stream]
+                # A newer owner's word that is not known here proves nothing.
+                known = outcome in OUTCOMES
+                meaning = ForwardOutcome(outcome if known else ForwardOutcome.UNKNOWN)
+                return [FinishStream(stream, ForwardResult(meaning, reason, trailer))]
+        return []
+
+    def take(self, stream: int, size: int) -> list[ForwardAction]:
+        """Note that so many bytes were passed on to the caller."""
+        sent = self._sent.get(stream)
+        if sent is None:
+            return []
+        sent.taken += size
+        if sent.taken < CREDIT_WINDOW // 2:
+            return []
+        credit, sent.taken = sent.taken, 0
+        sent.credit += credit
+        return [SendForward(sent.peer, ForwardCredit(stream, credit))]
+
+    def cancel(self, stream: int) -> list[ForwardAction]:
+        """Cancel a request; if it was sent, the owner still tells what came of it."""
+        if self._waiting.pop(stream, None) is not None:
+            return [_refuse(stream, "it was cancelled")]
+        sent = self._sent.get(stream)
+        return [SendForward(sent.peer, ForwardCancel(stream))] if sent else []
+
+    def tick(self, now: float) -> list[ForwardAction]:
+        """Refuse the requests that no owner took in time."""
+        late = [s for s, entry in self._waiting.items() if now >= entry.deadline]
+        for stream in late:
+            del self._waiting[stream]
+        return [_refuse(stream, "no owner took it in time") for stream in late]
+
+    def _place(self, stream: int, entry: _Waiting, now: float) -> list[ForwardAction]:
+        """Send a request, or have a link opened for it, or refuse it."""
+        if now >= entry.deadline:
+            return [_refuse(stream, "no owner took it in time")]
+        usable = [owner for owner in entry.owners if self._can_take(owner)]
+        linked = [owner for owner in usable if owner in self._open]
+        if linked:
+            return [self._send(stream, linked[0], entry, now)]
+        if not usable:
+            return [_refuse(stream, "no owner of the group can be reached")]
+        self._waiting[stream] = entry._replace(owners=tuple(usable))
+        if usable[0] in self._opening:
+            return []
+        self._opening.add(usable[0])
+        return [OpenForwardLink(usable[0])]
+
+    def _can_take(self, peer: str) -> bool:
+        """Return whether a peer may get one more stream."""
+        streams = sum(sent.peer == peer for sent in self._sent.values())
+        return peer not in self._stuck and streams < MAX_STREAMS_PER_PEER
+
+    def _send(
+        self, stream: int, peer: str, entry: _Waiting, now: float
+    ) -> ForwardAction:
+        """Return the action that hands a request to a link."""
+        self._sent[stream] = _Sent(peer)
+        timeout = entry.deadline - now
+        message = ForwardOpen(
+            stream, entry.group, timeout, CREDIT_WINDOW, entry.request
+        )
+        return SendForward(peer, message)
+
+    def _place_again(self, peer: str, now: float) -> list[ForwardAction]:
+        """Place the requests that wait for a peer."""
+        return [
+            action
+            for stream, entry in self._get_waiting(peer)
+            for action in self._place(stream, self._waiting.pop(stream), now)
+        ]
+
+    def _get_waiting(self, peer: str) -> list[tuple[int, _Waiting]]:
+        """Return the requests that wait for a link to a peer."""
+        return [
+            (stream, entry)
+            for stream, entry in self._waiting.items()
+            if entry.owners[0] == peer
+        ]
+
+    def _end_sent(self, peer: str, reason: str) -> list[ForwardAction]:
+        """End the streams of a link that is gone; nobody can tell what ran."""
+        lost = [stream for stream, sent in self._sent.items() if sent.peer == peer]
+        for stream in lost:
+            del self._sent[stream]
+        result = ForwardResult(ForwardOutcome.UNKNOWN, reason)
+        return [FinishStream(stream, result) for stream in lost]
+
+
+def _refuse(stream: int, reason: str) -> FinishStream:
+    """Return the end of a request that was not sent."""
+    return FinishStream(stream, ForwardResult(ForwardOutcome.NOT_RUN, reason))
