Share views through one module, and run the tests on four workers

Cause: the daemon repeated the sharing of views that the groups' slice offers, and make test ran on one core. Conclusion: one place ranks and shares.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,9 @@
 	$(PYTHON) -m ruff format --check $(SOURCES)
 	$(PYTHON) -m ruff check $(SOURCES)
 
+# Tests of one file share a worker; each worker has ports of its own.
 test: lint
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n 4 --dist loadfile
 
 format: .venv/ready
 	$(PYTHON) -m ruff format $(SOURCES)
--- a/beryltrack/daemon/fleet.py
+++ b/beryltrack/daemon/fleet.py
@@ -14,13 +14,8 @@
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.failover.hints import HintWriter
 from beryltrack.failover.messages import FailoverReport
-from beryltrack.groups.view import GroupView
-from beryltrack.peers.messages import (
-    JOINED,
-    MEMBER_KIND,
-    SUSPECTED,
-    KnowledgeItem,
-)
+from beryltrack.groups.sharing import GroupSharing
+from beryltrack.peers.messages import JOINED, SUSPECTED, Member
 from beryltrack.peers.placement import get_owners
 from beryltrack.peers.service import PeerService
 from beryltrack.platform.client import PlatformClient
@@ -30,12 +25,6 @@
 
 log = logging.getLogger(__name__)
 
-VIEW_KIND = "group"
-"""Kind of the items that tell who leads a group."""
-
-NODES_DELAY = 0.2
-"""Seconds by which changes of the members are gathered."""
-
 _ACTIVE_STATES = frozenset((JOINED, SUSPECTED))
 
 
@@ -73,8 +62,9 @@
             reactor, settings, settings_task, platform, rng, incarnation
         )
         self.peers = self.service.peers
-        self._reactor = reactor
         self._name = settings.name
+        self._known_members: tuple[Member, ...] = ()
+        self._nodes: tuple[str, ...] = ()
         self._groups = groups
         self.budget = BudgetService(
             reactor,
@@ -86,16 +76,19 @@
         )
         self._hints = HintWriter(reactor, platform, rng)
         self._writing: set[Deferred] = set()
-        self._updating = None
+        self._sharing = GroupSharing(self.peers, lambda group: self.nodes)
 
     @property
     def nodes(self) -> tuple[str, ...]:
         """Names of the live instances, this one among them."""
-        return tuple(
-            member.name
-            for member in self.peers.members
-            if member.state in _ACTIVE_STATES
-        )
+        members = self.peers.members
+        # All groups ask at each change; the peers keep one tuple between changes.
+        if members is not self._known_members:
+            self._known_members = members
+            self._nodes = tuple(
+                member.name for member in members if member.state in _ACTIVE_STATES
+            )
+        return self._nodes
 
     def start(self) -> None:
         """Look for peers, and share what is known of groups."""
@@ -103,8 +96,6 @@
         self.budget.start()
         self._groups.subscribe_started(self._watch_group)
         self._groups.subscribe_stopped(self._forget_group)
-        self.peers.subscribe(VIEW_KIND, self._learn_view)
-        self.peers.subscribe(MEMBER_KIND, self._schedule_update)
 
     def leave(self) -> None:
         """Tell the peers that this instance is leaving, and give up its shares."""
@@ -113,8 +104,6 @@
 
     def stop(self) -> Deferred:
         """Tell the peers that this instance has left, and close everything."""
-        if self._updating is not None and self._updating.active():
-            self._updating.cancel()
         self.budget.stop()
         for writing in tuple(self._writing):
             writing.cancel()
@@ -127,45 +116,17 @@
     def _watch_group(self, runtime: GroupRuntime) -> None:
         """Share the view of a group that starts, and take what is known of it."""
         self.budget.add_pools(runtime.settings, runtime.pools)
-        runtime.task.set_nodes(self.nodes)
-        runtime.task.subscribe(self._publish_view)
+        self._sharing.add(runtime.task)
         runtime.task.subscribe_failover(self._record_failover)
-        items = self.peers.knowledge.get_items(VIEW_KIND)
-        for item in items:
-            if item.key == runtime.settings.name:
-                self._learn_view(item)
 
     def _forget_group(self, runtime: GroupRuntime) -> None:
         """Forget the shares of a group that has stopped."""
+        self._sharing.remove(runtime.task)
         self.budget.remove_pools(runtime.settings)
 
-    def _publish_view(self, view: GroupView) -> None:
-        """Tell the peers who leads a group; one term has one primary."""
-        if view.primary:
-            item = KnowledgeItem(VIEW_KIND, view.group, (view.term,), view.primary)
-            self.peers.publish(item)
-
-    def _learn_view(self, item: KnowledgeItem) -> None:
-        """Take a peer's word who leads a group."""
-        runtime = self._groups.get(item.key)
-        is_well_formed = len(item.version) == 1 and isinstance(item.value, str)
-        if runtime is not None and is_well_formed:
-            runtime.task.learn_view(GroupView(item.key, item.version[0], item.value))
-
     def _record_failover(self, report: FailoverReport) -> None:
         """Keep a change of primary that this instance made in the platform."""
         writing = self._hints.write(report)
         self._writing.add(writing)
         writing.addErrback(lambda failure: failure.trap(CancelledError))
         writing.addBoth(lambda _: self._writing.discard(writing))
-
-    def _schedule_update(self, item: KnowledgeItem) -> None:
-        """Rank anew shortly, once for many changes of the members."""
-        if self._updating is None:
-            self._updating = self._reactor.callLater(NODES_DELAY, self._update_nodes)
-
-    def _update_nodes(self) -> None:
-        """Tell all groups which instances watch them."""
-        self._updating = None
-        for runtime in self._groups.runtimes:
-            runtime.task.set_nodes(self.nodes)
