Give up requests to a replaced primary that is silent

Cause: a frozen primary keeps its connections. Requests on it were given up only when its control request timed out after 1 s, or when it woke up, although its successor led since 0.35 s. All databases also counted as lost at the start, before they were asked for the first time. Change: once a successor is known, 0.2 s of silence are enough. A database that was never asked is not lost.

--- a/beryltrack/requests/losses.py
+++ b/beryltrack/requests/losses.py
@@ -17,13 +17,18 @@
 from beryltrack.connections.task import PoolTask
 from beryltrack.groups.messages import PRIMARY
 from beryltrack.groups.task import GroupTask
-from beryltrack.groups.view import DatabaseView, GroupView
+from beryltrack.groups.view import NEVER, DatabaseView, GroupView
 
 log = logging.getLogger(__name__)
 
 LOSS_GRACE = 1.0
 """Seconds without an answer after which requests to a database are given up. A
-primary that is replaced is given up as soon as its successor is known."""
+primary that is replaced is given up sooner; see `REPLACED_GRACE`."""
+
+REPLACED_GRACE = 0.2
+"""Seconds without an answer after which requests to a replaced primary are given
+up, once its successor is known. It is shorter than the time limit of the control
+requests, as writes on a replaced primary cannot be confirmed any more."""
 
 
 def get_lost(view: GroupView, now: float) -> tuple[str, ...]:
@@ -45,10 +50,13 @@
 
 
 def _is_lost(item: DatabaseView, view: GroupView, now: float) -> bool:
-    if item.reachable:
+    if item.seen_at == NEVER:
+        # It was not asked yet, so that its silence says nothing.
         return False
-    is_replaced = item.role == PRIMARY and view.primary not in ("", item.name)
-    return is_replaced or now - item.seen_at >= LOSS_GRACE
+    silence = now - item.seen_at
+    if item.role == PRIMARY and view.primary not in ("", item.name):
+        return not item.reachable or silence >= REPLACED_GRACE
+    return not item.reachable and silence >= LOSS_GRACE
 
 
 class LossWatch:
--- a/tests/requests/test_losses.py
+++ b/tests/requests/test_losses.py
@@ -7,7 +7,12 @@
 
 from beryltrack.groups.messages import PRIMARY, REPLICA
 from beryltrack.groups.view import DatabaseView, GroupView
-from beryltrack.requests.losses import LOSS_GRACE, LossWatch, get_lost
+from beryltrack.requests.losses import (
+    LOSS_GRACE,
+    REPLACED_GRACE,
+    LossWatch,
+    get_lost,
+)
 
 A = DatabaseView("a", role=PRIMARY, reachable=True, seen_at=9.0)
 B = DatabaseView("b", role=REPLICA, reachable=True, seen_at=9.0)
@@ -37,6 +42,16 @@
     assert get_lost(make_view(A, B, primary="b"), 9.1) == ()
 
 
+def test_a_replaced_primary_is_lost_before_its_control_request_times_out():
+    view = make_view(A, B, primary="b")
+    assert get_lost(view, 9.0 + 2 * REPLACED_GRACE) == ("a",)
+    assert get_lost(make_view(A, B), 9.0 + 2 * REPLACED_GRACE) == ()
+
+
+def test_a_database_that_was_never_asked_is_not_lost():
+    assert get_lost(make_view(A, DatabaseView("c")), 1000.0) == ()
+
+
 class FakePool:
     """Counts how often its connections are broken."""
 
