Prove ages on behalf of reads to come, at half of their staleness

Cause: ages are proven by probes, which are paced by the detection of a loss; a read that accepts less than the pace proves went to the primary. Change: a read that finds the last proof older than half of what it accepts has the primary sampled in the background, one sample at a time.

--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -9,12 +9,16 @@
 from beryltrack.groups.view import GroupView
 from beryltrack.requests.losses import LossWatch
 from beryltrack.routing.messages import TargetLoad
+from beryltrack.routing.refresh import AgeRefresher
 from beryltrack.settings.messages import GroupSettings
 
 LOOK_PERIOD = 0.02
 """Seconds after which a waiting request looks at the view again, even if no
 change was told: the proofs that a view carries move without being told."""
 
+SAMPLE_TIMEOUT = 1.0
+"""Seconds after which a sample for reads to come is given up."""
+
 
 class GroupRuntime:
     """The tasks of one group.
@@ -46,6 +50,7 @@
         self._waiting: list[Deferred[None]] = []
         self._drained: set[str] = set()
         self._losses = LossWatch(reactor, task, pools)
+        self._refresher = AgeRefresher(reactor, task, SAMPLE_TIMEOUT)
         task.subscribe(self._tell_change)
 
     @property
@@ -61,6 +66,10 @@
             for item, load in pairs
         )
 
+    def refresh_ages(self) -> None:
+        """Have the ages of replicas proven anew, for the reads to come."""
+        self._refresher.refresh()
+
     def wait_change(self) -> "Deferred[None]":
         """Return a Deferred that fires at the next change, or soon without one."""
         waiting: Deferred[None] = Deferred()
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -142,6 +142,8 @@
         choice = choose_target(runtime.view, request, runtime.get_loads(), now)
         match choice:
             case UseTarget():
+                if choice.refreshes:
+                    runtime.refresh_ages()
                 return Success(choice)
             case WaitForTarget():
                 waiting = wait_for_target(runtime.task, choice)
--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -12,7 +12,13 @@
 from typing import NamedTuple
 
 from beryltrack.groups.messages import REPLICA, LogPosition
-from beryltrack.groups.view import DatabaseView, GroupView, get_primary, has_applied
+from beryltrack.groups.view import (
+    NEVER,
+    DatabaseView,
+    GroupView,
+    get_primary,
+    has_applied,
+)
 from beryltrack.routing.messages import (
     AwaitedTarget,
     Choice,
@@ -42,6 +48,8 @@
         A replica that has been behind for longer is not waited for, seconds.
     most_awaited : int
         Replicas that are waited for at once; the first that is ready serves.
+    refresh_share : float
+        Part of the accepted staleness after which ages are proven anew.
     sample_timeout : float
         Longest wait for a sample of the primary, seconds.
     confirmed_within : float
@@ -55,6 +63,7 @@
     max_wait: float = 0.007
     stalled_after: float = 0.3
     most_awaited: int = 2
+    refresh_share: float = 0.5
     sample_timeout: float = 1.0
     confirmed_within: float = 0.5
     retry_after: float = 0.2
@@ -103,7 +112,8 @@
     replicas = [] if request.reads == READS_PRIMARY else _get_replicas(view, request)
     ready = [item for item in replicas if serves(item, request)]
     if ready:
-        return UseTarget(_pick_replica(ready, request, loads), True)
+        refreshes = needs_refresh(view, request, policy)
+        return UseTarget(_pick_replica(ready, request, loads), True, refreshes)
     waiting = _choose_wait(view, request, replicas, loads, now, policy)
     return waiting or _choose_primary(view, request, now, policy)
 
@@ -173,6 +183,40 @@
     return max(0.0, database.seen_at - database.fresh_at)
 
 
+def needs_refresh(view: GroupView, request: ReadRequest, policy: RoutingPolicy) -> bool:
+    """Return whether ages are to be proven anew for reads like this one.
+
+    The probes of a group are paced by how soon a loss must be noticed. Where
+    reads accept less staleness than that pace proves, they ask for samples
+    themselves, before the last proof is too old for them.
+
+    Parameters
+    ----------
+    view : GroupView
+        The view of the group.
+    request : ReadRequest
+        The read.
+    policy : RoutingPolicy
+        The limits to keep to.
+
+    Returns
+    -------
+    bool
+        True if the last proven sample is older than a part of the staleness
+        that the read accepts.
+    """
+    if not view.primary or request.token is None or request.max_age == 0.0:
+        return False
+    proven_at = _get_proven_time(view)
+    return request.arrived_at - proven_at > policy.refresh_share * request.max_age
+
+
+def _get_proven_time(view: GroupView) -> float:
+    """Return the time up to which the head is proven to hold all writes."""
+    primary = get_primary(view)
+    return min(primary.seen_at, view.confirmed_at) if primary else NEVER
+
+
 def _get_replicas(view: GroupView, request: ReadRequest) -> list[DatabaseView]:
     """Return the replicas that may get new reads.
 
@@ -259,10 +303,9 @@
         return request.token
     if request.sample is not None:
         return max(request.sample, request.token or request.sample)
-    primary = get_primary(view)
-    if primary is None or request.token is None:
+    if request.token is None:
         return None
-    is_head_recent = min(primary.seen_at, view.confirmed_at) >= needed_time
+    is_head_recent = _get_proven_time(view) >= needed_time
     return max(request.token, view.head) if is_head_recent else None
 
 
@@ -277,7 +320,8 @@
         and primary.name not in request.excluded
     )
     if is_usable and _is_current(view, request):
-        return UseTarget(primary.name, False)
+        refreshes = needs_refresh(view, request, policy)
+        return UseTarget(primary.name, False, refreshes)
     if request.sample is None and view.primary:
         return NeedSample(min(policy.sample_timeout, request.deadline - now))
     return Refuse(
--- a/beryltrack/routing/messages.py
+++ b/beryltrack/routing/messages.py
@@ -129,10 +129,14 @@
         Name of the database.
     is_replica : bool
         True if it counts as a replica in the share of reads.
+    refreshes : bool
+        True if the primary is to be sampled meanwhile, without a wait, so that
+        later reads find the ages of replicas proven.
     """
 
     database: str
     is_replica: bool
+    refreshes: bool = False
 
 
 class AwaitedTarget(NamedTuple):
--- a/beryltrack_bench/steady/site.py
+++ b/beryltrack_bench/steady/site.py
@@ -24,6 +24,7 @@
     UseTarget,
     WaitForTarget,
 )
+from beryltrack.routing.refresh import AgeRefresher
 from beryltrack.routing.waits import wait_for_target
 from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
 from beryltrack.transactions.decider import CommitOutcome
@@ -54,6 +55,7 @@
 """Seconds after the last visit began, in which the last answers come."""
 
 CONFIRM_TIMEOUT = 5.0
+SAMPLE_TIMEOUT = 1.0
 
 
 class RunSettings(NamedTuple):
@@ -109,6 +111,7 @@
     def __init__(self, site: "SteadySite", node: Node, router: Router):
         self.node = node
         self.task = site.make_task(node)
+        self._refresher = AgeRefresher(node, self.task, SAMPLE_TIMEOUT)
         self._site = site
         self._router = router
         self._sequence = 0
@@ -158,9 +161,15 @@
                     return ready
                 request = request._replace(may_wait=False)
             else:
+                self._refresh(choice)
                 return choice
             arrival = arrival._replace(request=request)
 
+    def _refresh(self, choice: UseTarget | Refuse) -> None:
+        """Have ages proven anew if the choice says so."""
+        if isinstance(choice, UseTarget) and choice.refreshes:
+            self._refresher.refresh()
+
     def _get_loads(self) -> tuple[TargetLoad, ...]:
         """Return this proxy's work at each database."""
         return tuple(
--- a/tests/routing/test_decider.py
+++ b/tests/routing/test_decider.py
@@ -179,6 +179,23 @@
     assert chosen == {"a", "b"}
 
 
+@pytest.mark.parametrize(
+    ("max_age", "proven_at", "refreshes"),
+    [(1.0, 99.6, False), (1.0, 99.4, True), (0.1, 99.94, True), (5.0, 99.4, False)],
+)
+def test_ages_are_proven_anew_at_half_of_what_the_read_accepts(
+    max_age, proven_at, refreshes
+):
+    view = _view(_database("a", 90, fresh_at=99.95), confirmed_at=proven_at)
+    choice = _choose(view, _read(max_age=max_age))
+    assert choice == UseTarget("a", True, refreshes)
+
+
+def test_primary_serves_while_the_ages_of_replicas_are_proven_anew():
+    view = _view(_database("a", 85, fresh_at=98.0), confirmed_at=99.3)
+    assert _choose(view, _read(may_wait=False)) == UseTarget("p", False, True)
+
+
 def test_write_goes_to_a_confirmed_primary_only():
     view = _view()
     assert _choose(view, WriteRequest(NOW)) == UseTarget("p", False)
