--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -60,7 +60,7 @@
         Seconds after which a caller is told to try again.
     """
 
-    max_wait: float = 0.007
+    max_wait: float = 0.0055
     stalled_after: float = 0.3
     most_awaited: int = 2
     refresh_share: float = 0.5
