Try a failed hand-over again soon

When the successor crashed in the middle of a hand-over, the next try came after 5 s on average, and the leaving primary still got work over 3 s after it had said so. Change: the pause after a failed hand-over begins at 0.2 s and doubles up to 5 s. Conclusion: a first failure mostly means that another successor is to be taken.

--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -46,8 +46,13 @@
     hand_over_limit : float
         How long the replica may take to catch up before the hand-over is
         given up; less than a primary that stopped writes waits by itself.
+    hand_over_first_backoff : float
+        Mean pause after the first hand-over that was given up; it doubles each
+        time. The next one may choose another successor, and a leaving primary
+        has to be relieved within a few seconds.
     hand_over_backoff : float
-        Mean pause after a hand-over that was given up.
+        The longest mean pause after a hand-over that was given up: each one
+        stops the writes for a while.
     """
 
     stagger: float = 0.06
@@ -59,6 +64,7 @@
     suspect_for: float = 1.0
     hand_over_stagger: float = 3.0
     hand_over_limit: float = 1.0
+    hand_over_first_backoff: float = 0.2
     hand_over_backoff: float = 5.0
 
 
@@ -217,11 +223,10 @@
     def _compute_backoff(self, kind: ElectionKind) -> float:
         """Return a jittered pause that grows with the failures in a row."""
         policy = self._policy
-        mean = min(
-            policy.first_backoff * 2 ** (self._failures - 1), policy.last_backoff
-        )
+        first, last = policy.first_backoff, policy.last_backoff
         if kind is ElectionKind.HAND_OVER:
-            mean = policy.hand_over_backoff
+            first, last = policy.hand_over_first_backoff, policy.hand_over_backoff
+        mean = min(first * 2 ** (self._failures - 1), last)
         return mean * self._rng.uniform(0.5, 1.5)
 
     def _get_lost_after(self, view: GroupView) -> float:
--- /dev/null
+++ b/tests/failover/test_hand_over_backoff.py
@@ -0,0 +1,42 @@
+"""A hand-over that was given up is tried again soon, then ever more seldom."""
+
+from random import Random
+
+from beryltrack.failover.decider import FailoverDecider
+from beryltrack.failover.detector import FixedDetector
+from beryltrack.failover.messages import ElectionKind
+from beryltrack.groups.messages import PRIMARY, LogPosition
+from beryltrack.groups.view import DatabaseView, GroupView
+
+END = LogPosition(1, 5)
+LEADER = DatabaseView("a", PRIMARY, 1, END, END, reachable=True, leaving=True)
+REPLICAS = tuple(
+    DatabaseView(name, term=1, received=END, applied=END, reachable=True, heard_age=0.0)
+    for name in ("b", "c")
+)
+VIEW = GroupView("group", 1, "a", END, databases=(LEADER, *REPLICAS))
+
+
+def measure_pauses(count):
+    """Return the seconds between hand-overs that all fail at once."""
+    decider = FailoverDecider("group", "node", FixedDetector(0.5), 0.5, Random(1))
+    times = []
+    now = 0.0
+    while len(times) <= count:
+        election = decider.decide(VIEW, now)
+        if election is not None:
+            assert election.kind is ElectionKind.HAND_OVER
+            decider.observe_outcome(election, False, now)
+            times.append(now)
+        now += 0.01
+    return [after - before for before, after in zip(times, times[1:], strict=False)]
+
+
+def test_a_leaving_primary_is_relieved_soon_after_a_failed_hand_over():
+    first, second, *_ = measure_pauses(8)
+    assert first < 0.35
+    assert first + second < 1.0
+
+
+def test_hand_overs_that_fail_again_and_again_become_seldom():
+    assert 2.5 <= measure_pauses(8)[-1] <= 7.6
