Keep a replica isolated until the next primary is chosen

Cause: with 0.35 s the replica had caught up before the election, so a planted defect in the choice of the primary was no longer struck by its cell.

--- a/beryltrack_bench/matrix/faults.py
+++ b/beryltrack_bench/matrix/faults.py
@@ -221,7 +221,6 @@
     **dict.fromkeys(
         (
             crash_replica,
-            isolate_replica,
             freeze_replica,
             lag_replicas,
             leave_replica,
