Shrink the admission bound only after half a second of late timers

Cause: one burst of new callers made a timer late once, the bound fell to nine tenths of the few requests held, 16, and an idle proxy refused 32 clients. Conclusion: a pause of the process is not taken for load any more.

--- a/beryltrack/requests/admission.py
+++ b/beryltrack/requests/admission.py
@@ -30,13 +30,16 @@
         The bound never falls below this.
     most_delay : float
         Seconds of delay inside the process above which the bound shrinks.
+    late_time : float
+        Seconds for which all delays must have been too long before that.
     adjust_period : float
         Least seconds between two changes of the bound.
     """
 
     most_requests: int = 1024
-    least_requests: int = 16
+    least_requests: int = 64
     most_delay: float = 0.05
+    late_time: float = 0.5
     adjust_period: float = 0.1
 
 
@@ -107,6 +110,7 @@
         self._waiting: defaultdict[str, dict[int, None]] = defaultdict(dict)
         self._counts: defaultdict[str, int] = defaultdict(int)
         self._adjusted_at = float("-inf")
+        self._late_since: float | None = None
         self._hold_time = LEAST_RETRY_AFTER
 
     @property
@@ -175,18 +179,24 @@
     def observe_delay(self, delay: float, now: float) -> None:
         """Take in how late the process ran a timer, seconds.
 
-        The bound shrinks by a tenth while the delay is too long and grows by
-        one thirty-second of the most otherwise, as in congestion control.
+        One long pause, as a collection of garbage makes it, says nothing of
+        the load, so the bound shrinks only while every delay has been too long
+        for a while, by a tenth of what is held; as in congestion control it
+        grows again by steps.
         """
+        if delay <= self._policy.most_delay:
+            self._late_since = None
+        elif self._late_since is None:
+            self._late_since = now
         if now - self._adjusted_at < self._policy.adjust_period:
             return
         self._adjusted_at = now
         most, least = self._policy.most_requests, self._policy.least_requests
-        if delay > self._policy.most_delay:
+        if self._late_since is None:
+            self._bound = min(most, self._bound + most / 32)
+        elif now - self._late_since >= self._policy.late_time:
             base = min(self._bound, max(len(self._held), least))
             self._bound = max(least, base * SHRINK_FACTOR)
-        else:
-            self._bound = min(most, self._bound + most / 32)
 
     def _get_rival(self, team: str) -> str | None:
         """Return the team that has to make room for `team`, or None."""
--- a/tests/requests/test_admission.py
+++ b/tests/requests/test_admission.py
@@ -74,6 +74,13 @@
     assert decider.bound == 100
 
 
+def test_one_pause_of_the_process_does_not_shrink_the_bound():
+    decider = make_decider(most=100)
+    for step in range(50):
+        decider.observe_delay(2.0 if step % 5 == 0 else 0.0, step * 0.1)
+        assert decider.bound == 100
+
+
 def test_counts_stay_right_in_any_order_of_events():
     rng, decider, held = random.Random(3), make_decider(most=6, b=2.0), {}
     for number in range(2000):
