--- a/beryltrack_bench/cost/control.py
+++ b/beryltrack_bench/cost/control.py
@@ -56,45 +56,50 @@
     slope: float
 
 
-async def measure_fleet(
-    reactor, nodes: int, groups: int, seed: int, seconds: float
-) -> ControlCost:
-    """Measure a fleet of real nodes at rest.
+async def measure_fleets(
+    reactor, sizes: Sequence[int], groups: int, seed: int, seconds: float
+) -> list[ControlCost]:
+    """Measure a fleet of real nodes at rest, at each of its sizes as it grows.
 
     Parameters
     ----------
     reactor : reactor
         The reactor of all nodes.
-    nodes : int
-        Number of nodes.
+    sizes : sequence of int
+        Numbers of nodes, rising.
     groups : int
         Number of group views that are told to all.
     seed : int
         Of jitter.
     seconds : float
-        How long to count.
+        How long to count at each size.
 
     Returns
     -------
-    ControlCost
-        The cost of a node.
+    list of ControlCost
+        The cost of a node at each size.
     """
     gc.collect()
     before = read_resident_bytes()
     fleet = Fleet(reactor, seed)
-    await fleet.start(nodes)
-    await fleet.wait(fleet.is_joined, JOIN_TIMEOUT)
+    await fleet.start(sizes[0])
     for number in range(groups):
         view = KnowledgeItem(GROUP_KIND, f"group-{number}", (1,), f"database-{number}")
-        fleet.nodes[number % nodes].peers.publish(view)
-    await deferLater(reactor, SETTLING_TIME, int)
-    traffic = read_traffic(fleet)
-    await deferLater(reactor, seconds, int)
-    rates = compute_rates(traffic, read_traffic(fleet), nodes)
-    gc.collect()
-    grown = (read_resident_bytes() - before) / nodes
+        fleet.nodes[number % sizes[0]].peers.publish(view)
+    costs = []
+    for size in sizes:
+        while len(fleet.nodes) < size:
+            await fleet.add_node()
+        await fleet.wait(fleet.is_joined, JOIN_TIMEOUT)
+        await deferLater(reactor, SETTLING_TIME, int)
+        traffic = read_traffic(fleet)
+        await deferLater(reactor, seconds, int)
+        rates = compute_rates(traffic, read_traffic(fleet), size)
+        gc.collect()
+        grown = (read_resident_bytes() - before) / size
+        costs.append(ControlCost(size, groups, rates, grown))
     await fleet.stop()
-    return ControlCost(nodes, groups, rates, grown)
+    return costs
 
 
 async def measure_watch(reactor, proxies: int, seconds: float) -> float:
--- a/beryltrack_bench/experiments/cost.py
+++ b/beryltrack_bench/experiments/cost.py
@@ -13,7 +13,7 @@
 from beryltrack_bench.cost.control import (
     ControlCost,
     fit_line,
-    measure_fleet,
+    measure_fleets,
     measure_watch,
 )
 from beryltrack_bench.cost.data_path import (
@@ -43,10 +43,10 @@
 WATCHING_PROXIES = (1, 3)
 WATCH_SECONDS = 1.0
 FLEET_SIZES = (4, 8, 16, 32, 64)
-FLEET_GROUPS = 30
+FLEET_GROUPS = (30, 400)
+# With more groups the two smallest fleets are enough to tell the difference.
+FLEET_SIZES_BY_GROUPS = {30: 5, 400: 2}
 FLEET_SECONDS = 1.5
-MORE_GROUPS = (400,)
-GROUPS_SECONDS = 1.0
 MICROSECONDS = 1e6
 
 
@@ -90,14 +90,13 @@
     data_path = await measure_proxy(reactor, options.seconds or LOOP_SECONDS)
     watch = await measure_watching(reactor)
     most = options.nodes or FLEET_SIZES[-1]
+    sizes = [nodes for nodes in FLEET_SIZES if nodes <= most]
     costs = [
-        await measure_fleet(reactor, nodes, FLEET_GROUPS, seed, FLEET_SECONDS)
-        for nodes in FLEET_SIZES
-        if nodes <= most
-    ]
-    costs += [
-        await measure_fleet(reactor, FLEET_SIZES[0], groups, seed, GROUPS_SECONDS)
-        for groups in MORE_GROUPS
+        cost
+        for groups in FLEET_GROUPS
+        for cost in await measure_fleets(
+            reactor, sizes[: FLEET_SIZES_BY_GROUPS[groups]], groups, seed, FLEET_SECONDS
+        )
     ]
     return {**data_path, "watch": watch, "control": describe_control(costs)}
 
@@ -187,7 +186,7 @@
 
 def describe_control(costs: Sequence[ControlCost]) -> dict:
     """Return the printed figures of fleets, and the slopes over their sizes."""
-    sizes = [cost for cost in costs if cost.groups == FLEET_GROUPS]
+    sizes = [cost for cost in costs if cost.groups == FLEET_GROUPS[0]]
     lines = {
         name: fit_line([(cost.nodes, getattr(cost.rates, name)) for cost in sizes])
         for name in Rates._fields
