--- a/beryltrack_bench/cost/control.py
+++ b/beryltrack_bench/cost/control.py
@@ -17,6 +17,11 @@
 
 JOIN_TIMEOUT = 20.0
 SETTLING_TIME = 1.0
+FIRST_SETTLING_TIME = 2.2
+# Links that a grown fleet does not want are closed after three seconds.
+PRUNING_TIME = 3.2
+# In a fleet of this size all nodes want links to all others.
+FULLY_LINKED = 4
 GROUP_KIND = "group"
 
 
@@ -91,7 +96,9 @@
         while len(fleet.nodes) < size:
             await fleet.add_node()
         await fleet.wait(fleet.is_joined, JOIN_TIMEOUT)
-        await deferLater(reactor, SETTLING_TIME, int)
+        await deferLater(
+            reactor, PRUNING_TIME if size > FULLY_LINKED else FIRST_SETTLING_TIME, int
+        )
         traffic = read_traffic(fleet)
         await deferLater(reactor, seconds, int)
         rates = compute_rates(traffic, read_traffic(fleet), size)
