Let a graceful shutdown come to its end

Cause: the last step of leaving awaited the port of the callers a second time; a closed port gives no Deferred, so the shutdown ended in a TypeError with the health port and the metrics still open. No test took a whole instance down.

Change: the step takes both answers.

Conclusion: found by running beryltrackd with its platform down.

--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -4,7 +4,7 @@
 import random
 from enum import Enum
 
-from twisted.internet.defer import TimeoutError
+from twisted.internet.defer import TimeoutError, maybeDeferred
 
 from beryltrack.callers.factory import CallerFactory
 from beryltrack.callers.tls import make_tls_context
@@ -136,7 +136,8 @@
         await self._registration.stop()
         await self.platform.close()
         for port in self._ports:
-            await port.stopListening()
+            # A port that is closed already gives no Deferred.
+            await maybeDeferred(port.stopListening)
         self.metrics.close()
         log.info("daemon: Instance %s has left.", self.settings.name)
 
