Take the peers' time from a clock that never goes back; scrape the links' counts

Cause: the reactor's seconds follow corrections of the wall clock, so that a step back would have put off suspicions and comparisons by its length; the counts of the links were registered nowhere.

--- a/beryltrack/daemon/metrics.py
+++ b/beryltrack/daemon/metrics.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.metrics import CallbackOptions, Meter, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
@@ -174,6 +174,11 @@
             sum(self._failovers.values()),
         )
 
+    @property
+    def meter(self) -> Meter:
+        """The meter, for the instruments that other parts bring."""
+        return self._provider.get_meter("beryltrack")
+
     def count_request(
         self, kind: RequestKind, outcome: RequestOutcome, target: TargetKind
     ) -> None:
@@ -215,7 +220,7 @@
 
     def _create_instruments(self) -> None:
         """Create the instruments of this instance's meter."""
-        meter = self._provider.get_meter("beryltrack")
+        meter = self.meter
         create_counter = meter.create_observable_counter
         create_gauge = meter.create_observable_gauge
         self._queue_time = meter.create_histogram("beryltrack_queue_time", "s")
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -15,6 +15,7 @@
 from beryltrack.daemon.reports import build_status
 from beryltrack.daemon.status import InstanceStatus
 from beryltrack.failover.messages import FailoverReport
+from beryltrack.peers.counters import register_counters
 from beryltrack.platform.client import PlatformClient
 from beryltrack.platform.registration import RegistrationTask
 from beryltrack.requests.ledger_cleaner import LedgerCleaner
@@ -63,6 +64,7 @@
         self.fleet = FleetTask(
             reactor, settings, self.settings_task, self.platform, self.groups, rng
         )
+        register_counters(self.metrics.meter, self.fleet.peers.counters)
         self._cleaner = LedgerCleaner(
             self.services, lambda: self.groups.runtimes, self.fleet.is_chosen, rng
         )
--- a/beryltrack/peers/counters.py
+++ b/beryltrack/peers/counters.py
@@ -42,7 +42,7 @@
     """
     for name in vars(counters):
         meter.create_observable_counter(
-            f"beryltrack.peers.{name}", [_make_reader(counters, name)]
+            f"beryltrack_peers_{name}", [_make_reader(counters, name)]
         )
 
 
--- a/beryltrack/peers/forwarder.py
+++ b/beryltrack/peers/forwarder.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import CancelledError, Deferred, succeed
 from twisted.internet.task import LoopingCall
 
+from beryltrack.clock import get_seconds
 from beryltrack.peers.forward_entry import ForwardDecider
 from beryltrack.peers.forward_messages import (
     BreakForwardLink,
@@ -151,7 +152,7 @@
         handler: ForwardHandler,
         get_owners: Callable[[str], tuple[str, ...]],
     ):
-        self._reactor = reactor
+        self._seconds = get_seconds(reactor)
         self._peers = peers
         self._handler = handler
         self._get_owners = get_owners
@@ -200,7 +201,8 @@
         request : bytes
             The request.
         deadline : float
-            Time by which it has to reach a target, seconds of the reactor.
+            Time by which it has to reach a target, seconds of the
+            node's time.
         sink : ForwardSink
             Who takes the answer.
 
@@ -210,7 +212,7 @@
             To take the answer and to cancel.
         """
         owners = tuple(n for n in self._get_owners(group) if n != self._peers.name)
-        now = self._reactor.seconds()
+        now = self._seconds()
         self._note_stuck(owners)
         number, actions = self._entry.forward(owners, group, request, deadline, now)
         self._sinks[number] = sink
@@ -238,7 +240,7 @@
         """Take a forwarding link whose peer is proved."""
         peer = link.peer.name
         self._carry_out(self._serving.open_link(peer))
-        self._carry_out(self._entry.open_link(peer, self._reactor.seconds()))
+        self._carry_out(self._entry.open_link(peer, self._seconds()))
 
     def accept_message(self, link: PeerLink, message: Message) -> None:
         """Take a message of a peer."""
@@ -246,7 +248,7 @@
         if isinstance(message, ForwardData | ForwardEnd):
             self._carry_out(self._entry.receive(peer, message))
         elif isinstance(message, ForwardMessage):
-            now = self._reactor.seconds()
+            now = self._seconds()
             self._carry_out(self._serving.receive(peer, message, now))
         else:
             log.warning("peers: %s sent what is not for forwarding", peer)
@@ -263,7 +265,7 @@
 
     def fail_link(self, peer: str, purpose: str) -> None:
         """Take that a forwarding link could not be opened."""
-        self._carry_out(self._entry.fail_link(peer, self._reactor.seconds()))
+        self._carry_out(self._entry.fail_link(peer, self._seconds()))
 
     def _lose(self, peer: str) -> None:
         """End the streams of a link that is gone."""
@@ -272,7 +274,7 @@
 
     def _tick(self) -> None:
         """Refuse what waited too long."""
-        self._carry_out(self._entry.tick(self._reactor.seconds()))
+        self._carry_out(self._entry.tick(self._seconds()))
 
     def _observe_member(self, item: KnowledgeItem) -> None:
         """Break the link to a member that is gone."""
--- a/beryltrack/peers/task.py
+++ b/beryltrack/peers/task.py
@@ -13,6 +13,7 @@
 from twisted.internet.interfaces import IReactorTCP, IReactorTime
 from twisted.internet.task import LoopingCall
 
+from beryltrack.clock import get_seconds
 from beryltrack.findings import format_finding
 from beryltrack.peers.actions import (
     Action,
@@ -70,6 +71,7 @@
     ):
         self.counters = LinkCounters()
         self._reactor = reactor
+        self._seconds = get_seconds(reactor)
         self._settings = instance_settings
         self._rng = rng
         endpoint = instance_settings.peer_listen
@@ -82,7 +84,7 @@
             incarnation,
         )
         self._decider = PeerDecider(
-            own, instance_settings.peer_seeds, rng, reactor.seconds()
+            own, instance_settings.peer_seeds, rng, self._seconds()
         )
         self._table = LinkTable(reactor, self, self.counters, own, instance_settings)
         self._subscribers: dict[str, list[ItemCallback]] = defaultdict(list)
@@ -179,7 +181,7 @@
 
     def observe_instances(self, instances: Iterable[ListedInstance]) -> None:
         """Take the platform's instance list."""
-        now = self._reactor.seconds()
+        now = self._seconds()
         listed = tuple(instances)
         self._listed = frozenset(entry.name for entry in listed)
         self._carry_out(self._decider.observe_instances(listed, now))
@@ -212,7 +214,7 @@
         if link.peer.purpose != CONTROL:
             self._accept_other(link)
             return
-        now = self._reactor.seconds()
+        now = self._seconds()
         actions = self._decider.open_link(link.peer.name, link.opened_here, now)
         log.info("peers: linked with %s", link.peer.name)
         self._carry_out(actions)
@@ -222,7 +224,7 @@
         if link.peer.purpose != CONTROL:
             self._owners[link.peer.purpose].accept_message(link, message)
             return
-        now = self._reactor.seconds()
+        now = self._seconds()
         self._carry_out(self._decider.receive(link.peer.name, message, now))
         self._report_findings()
 
@@ -239,7 +241,7 @@
             self._owners[link.peer.purpose].lose_link(link, orderly)
             return
         log.info("peers: link to %s closed", link.peer.name)
-        now = self._reactor.seconds()
+        now = self._seconds()
         self._carry_out(self._decider.close_link(link.peer.name, orderly, now))
 
     def fail_link(self, peer: str, purpose: str) -> None:
@@ -247,7 +249,7 @@
         if purpose != CONTROL:
             self._owners[purpose].fail_link(peer, purpose)
             return
-        self._carry_out(self._decider.fail_link(peer, self._reactor.seconds()))
+        self._carry_out(self._decider.fail_link(peer, self._seconds()))
 
     def _accept_other(self, link: PeerLink) -> None:
         """Hand on a link that is not for control, if somebody takes its purpose."""
@@ -260,7 +262,7 @@
     def _tick(self) -> None:
         """Let the decider do what time asks for; a fault must not end the ticks."""
         try:
-            self._carry_out(self._decider.tick(self._reactor.seconds()))
+            self._carry_out(self._decider.tick(self._seconds()))
         except Exception:
             log.exception("peers: tick failed")
 
