Replace every proxy under load without losing anything

Ruled out: the callers' part, which had ended by then. The process test now reads the logs and allows no line of level ERROR or CRITICAL; a new test replaces both proxies while four callers write marked rows. Conclusion: rolling replacement holds at two proxies; larger fleets are not measured.

--- a/beryltrack/daemon/local_site.py
+++ b/beryltrack/daemon/local_site.py
@@ -42,13 +42,16 @@
         The stand-ins.
     count : int
         Number of proxies.
+    seats : int, optional
+        Shares into which connections are divided; by default one for each proxy.
     """
 
-    def __init__(self, reactor, site: LocalSite, count: int):
+    def __init__(self, reactor, site: LocalSite, count: int, seats: int = 0):
         self.site = site
         self.proxies: list[Proxy] = []
         self._reactor = reactor
         self._count = count
+        self._seats = seats or count
 
     async def start(self) -> None:
         """Start everything and wait until every proxy knows a primary."""
@@ -75,10 +78,10 @@
             await self._list_instance(proxy)
         return proxy
 
-    async def wait_ready(self) -> None:
-        """Wait until every proxy serves writes."""
+    async def wait_ready(self, proxies: list[Proxy] | None = None) -> None:
+        """Wait until proxies serve writes; all of them if none are named."""
         give_up_at = self._reactor.seconds() + READY_TIMEOUT
-        while not all(map(_is_ready, self.proxies)):
+        while not all(map(_is_ready, proxies or self.proxies)):
             if self._reactor.seconds() > give_up_at:
                 raise TimeoutError("the local site did not get ready")
             await deferLater(self._reactor, LOOK_PERIOD, lambda: None)
@@ -127,7 +130,7 @@
             peer_key=PEER_KEY,
             certificate="",
             drain_limit=DRAIN_LIMIT,
-            seats=self._count,
+            seats=self._seats,
             peer_seeds=tuple(
                 Endpoint(own.host, own.port)
                 for own in (proxy.fleet.peers.own for proxy in self.proxies)
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -74,6 +74,7 @@
         )
         self._reactor = reactor
         self._ports = []
+        self._endpoints: list[Endpoint] = []
         self._registration: RegistrationTask | None = None
         self.metrics.set_pool_source(self._get_pool_use)
         self.groups.subscribe_started(self._count_failovers)
@@ -81,14 +82,12 @@
     @property
     def endpoint(self) -> Endpoint:
         """Where callers connect."""
-        address = self._ports[0].getHost()
-        return Endpoint(address.host, address.port)
+        return self._endpoints[0]
 
     @property
     def health_endpoint(self) -> Endpoint:
         """Where health, metrics and status are asked for."""
-        address = self._ports[1].getHost()
-        return Endpoint(address.host, address.port)
+        return self._endpoints[1]
 
     def start(self) -> None:
         """Listen, and learn the settings."""
@@ -157,6 +156,9 @@
         """Open one listening socket."""
         port = self._reactor.listenTCP(endpoint.port, factory, interface=endpoint.host)
         self._ports.append(port)
+        # A port that was chosen by the system is known only while it is open.
+        address = port.getHost()
+        self._endpoints.append(Endpoint(address.host, address.port))
 
     def _count_failovers(self, runtime: GroupRuntime) -> None:
         """Count the changes of primary that this instance makes in a group."""
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -54,22 +54,25 @@
 
 @contextlib.contextmanager
 def run_daemon(tmp_path, platform_url):
-    """Run one daemon; yield its process and its ports by name."""
+    """Run one daemon; yield its process, its settings and what it has logged."""
     settings = make_settings(platform_url)
     path = tmp_path / "proxy.json"
     path.write_text(json.dumps(settings))
     process = start(str(path))
     # What it logs is read on, or it would block when the pipe is full.
-    threading.Thread(target=process.stderr.read, daemon=True).start()
+    logged = []
+    reader = threading.Thread(target=lambda: logged.extend(process.stderr))
+    reader.start()
     give_up_at = time.monotonic() + PATIENCE
     while not is_live(settings["health_listen"]["port"]):
         assert process.poll() is None and time.monotonic() < give_up_at
         time.sleep(0.02)
     try:
-        yield process, settings
+        yield process, settings, logged
     finally:
         process.kill()
         process.wait()
+        reader.join()
 
 
 def open_caller(settings):
@@ -86,7 +89,7 @@
     with (
         run_proxies(count=1) as local,
         connect(local.proxies[0]) as setup,
-        run_daemon(tmp_path, local.site.platform_url) as (process, settings),
+        run_daemon(tmp_path, local.site.platform_url) as (process, settings, logged),
     ):
         setup.execute("CREATE TABLE item (id integer PRIMARY KEY)")
         with open_caller(settings) as caller, open_caller(settings) as idle:
@@ -101,6 +104,8 @@
             caller.execute("COMMIT")
         assert process.wait(timeout=PATIENCE) == 0
         assert setup.execute("SELECT count(*) FROM item").fetchone() == (2,)
+    levels = [json.loads(line)["level"] for line in logged]
+    assert "INFO" in levels and not {"ERROR", "CRITICAL"} & set(levels)
 
 
 def test_a_wrong_settings_file_is_told_whole(tmp_path):
--- /dev/null
+++ b/tests/e2e/test_rolling.py
@@ -0,0 +1,72 @@
+"""Every proxy is replaced under load, and callers lose nothing."""
+
+import threading
+
+import psycopg
+
+from tests.local_proxies import connect, mark_request, run_proxies
+from tests.reactor_thread import run
+
+CALLERS = 4
+REPLACED = 2
+
+
+class Writer(threading.Thread):
+    """A caller that writes through whatever proxy is live and keeps a record."""
+
+    def __init__(self, number, live):
+        super().__init__(daemon=True)
+        self.number = number
+        self.live = live
+        self.ending = threading.Event()
+        self.acknowledged = []
+        self.errors = []
+
+    def run(self):
+        while not self.ending.is_set():
+            try:
+                with connect(self.live[self.number % len(self.live)]) as connection:
+                    self.write(connection)
+            except (psycopg.errors.AdminShutdown, psycopg.OperationalError) as error:
+                # A proxy that leaves ends connections, and refuses new ones.
+                self.note(error)
+
+    def note(self, error):
+        if error.sqlstate not in (None, "57P01", "57P03"):
+            self.errors.append(str(error))
+
+    def write(self, connection):
+        while not self.ending.is_set():
+            key = f"{self.number}-{len(self.acknowledged)}"
+            mark_request(connection, key)
+            connection.execute("INSERT INTO item VALUES (%s)", (key,))
+            self.acknowledged.append(key)
+
+
+def test_rolling_replacement_loses_and_doubles_nothing():
+    with run_proxies(count=2, seats=4) as local:
+        with connect(local.proxies[0]) as setup:
+            setup.execute("CREATE TABLE item (key text)")
+        live = list(local.proxies)
+        writers = [Writer(number, live) for number in range(CALLERS)]
+        for writer in writers:
+            writer.start()
+        for number in range(REPLACED):
+            added = run(local.start_proxy, 2 + number)
+            run(local.wait_ready, [added])
+            leaving = live[number]
+            live[number] = added
+            run(leaving.leave)
+            local.proxies.remove(leaving)
+        written = [len(writer.acknowledged) for writer in writers]
+        for writer in writers:
+            writer.ending.set()
+        for writer in writers:
+            writer.join()
+        with connect(live[0]) as reader:
+            rows = [key for (key,) in reader.execute("SELECT key FROM item")]
+    acknowledged = [key for writer in writers for key in writer.acknowledged]
+    assert [error for writer in writers for error in writer.errors] == []
+    assert all(written)
+    assert len(rows) == len(set(rows))
+    assert set(acknowledged) <= set(rows)
--- a/tests/local_proxies.py
+++ b/tests/local_proxies.py
@@ -11,9 +11,10 @@
 
 
 @contextlib.contextmanager
-def run_proxies(count=2, options=None):
+def run_proxies(count=2, options=None, seats=0):
     """Run stand-ins and proxies; yield the `LocalProxies`."""
-    local = LocalProxies(reactor, LocalSite(reactor, options or SiteOptions()), count)
+    site = LocalSite(reactor, options or SiteOptions())
+    local = LocalProxies(reactor, site, count, seats)
     run(local.start)
     try:
         yield local
