Serve drivers that send Flush

Change: a Flush counts as Sync where that is the same (only parsed or described, or inside of a transaction), without ReadyForQuery; elsewhere it counts for nothing if the Sync follows within 0.1 s, else it is refused as before.

--- a/beryltrack/callers/caller.py
+++ b/beryltrack/callers/caller.py
@@ -16,6 +16,7 @@
 from beryltrack.callers.messages import Request
 from beryltrack.callers.statements import StatementTable
 from beryltrack.errors import SqlError
+from beryltrack.wire.answers import AnswerReader
 from beryltrack.wire.messages import Producer
 
 # Seconds that a caller may leave an answer unread before it is cut off: it
@@ -79,6 +80,7 @@
         self._on_cancel: Callable[[], object] | None = None
         self._on_gone: Callable[[], object] | None = None
         self._on_drained: Callable[[], object] | None = None
+        self._flushed: AnswerReader | None = None
 
     @property
     def user(self) -> str:
@@ -102,6 +104,8 @@
 
     def write(self, data: bytes) -> None:
         """Send frames to the caller; dropped when it is gone."""
+        if self._flushed is not None:
+            self._flushed.feed(data, _discard)
         if not self.gone:
             self._transport.write(data)
 
@@ -114,7 +118,21 @@
         self.status = status
         if status is TransactionStatus.IDLE:
             self.statements.end_transaction()
-        self.write(_READY_WIRES[status])
+        if self._flushed is None:
+            self.write(_READY_WIRES[status])
+
+    def begin_flushed(self) -> None:
+        """Answer the next unit without ReadyForQuery, as after a Flush."""
+        self._flushed = AnswerReader()
+        self._flushed.start(())
+
+    def end_flushed(self) -> bool:
+        """Return whether the answer to a flushed unit has an error in it."""
+        reader, self._flushed = self._flushed, None
+        if reader is None:
+            return False
+        end = reader.feed(_READY_WIRES[TransactionStatus.IDLE], _discard)
+        return end is None or end.error is not None
 
     def send_parameter(self, name: str, value: str) -> None:
         """Report the value of a parameter."""
@@ -211,6 +229,10 @@
         """
 
 
+def _discard(data: bytes) -> None:
+    """Take bytes that have been sent already."""
+
+
 def encode_error(error: SqlError) -> bytes:
     """Return the frame of an error."""
     fields = {
--- a/beryltrack/callers/factory.py
+++ b/beryltrack/callers/factory.py
@@ -11,12 +11,9 @@
 
 from beryltrack.callers.authentication import MockSecrets
 from beryltrack.callers.caller import Caller, RequestHandler
+from beryltrack.callers.limits import STARTUP_TIMEOUT, TRANSACTION_IDLE_LIMIT
 from beryltrack.callers.logon import CallerLogon
-from beryltrack.callers.protocol import (
-    STARTUP_TIMEOUT,
-    TRANSACTION_IDLE_LIMIT,
-    CallerProtocol,
-)
+from beryltrack.callers.protocol import CallerProtocol
 from beryltrack.callers.reader import UNIT_LIMIT
 from beryltrack.callers.startup import REPORTED_PARAMETERS, StartupRequest
 from beryltrack.errors import (
--- a/beryltrack/callers/messages.py
+++ b/beryltrack/callers/messages.py
@@ -103,9 +103,13 @@
     ----------
     messages : tuple of Frame
         All frames up to and with Sync.
+    is_flushed : bool
+        True if the caller sent Flush where the Sync stands: it wants the
+        answers, but no ReadyForQuery.
     """
 
     messages: tuple[Frame, ...]
+    is_flushed: bool = False
 
 
 class RefusedRequest(NamedTuple):
@@ -115,17 +119,13 @@
     ----------
     message : str
         Why it is refused.
-    skips_to_sync : bool
-        True if all input up to the next Sync is dropped, as PostgreSQL does
-        after an error in a batch. The ReadyForQuery is sent after the Sync.
     """
 
     message: str
-    skips_to_sync: bool
 
 
 class TerminateRequest(NamedTuple):
-    """The caller says good-bye."""
+    """The caller says good-bye. Having no fields, it counts as false."""
 
 
 Request = SimpleRequest | ExtendedRequest
--- a/beryltrack/callers/protocol.py
+++ b/beryltrack/callers/protocol.py
@@ -18,6 +18,7 @@
     CallerIdentity,
     encode_error,
 )
+from beryltrack.callers.limits import FLUSH_WAIT, INPUT_LIMIT, LINGER
 from beryltrack.callers.logon import (
     AcceptLogon,
     CallerLogon,
@@ -53,18 +54,7 @@
 
 log = logging.getLogger(__name__)
 
-# Seconds from the connection to the end of the log-on.
-STARTUP_TIMEOUT = 10.0
-
-# Seconds that a caller may leave an open transaction alone.
-TRANSACTION_IDLE_LIMIT = 60.0
-
-# Bytes kept of a caller that sends while a unit of its own runs.
-INPUT_LIMIT = 1 << 16
-
-# Seconds that a connection stays open after its last error, so that the caller
-# can read it: closing with unread input would reset the connection.
-LINGER = 1.0
+FLUSH_TEXT = "Flush after Bind is not supported outside of a transaction; send Sync"
 
 
 class Phase(Enum):
@@ -212,7 +202,7 @@
             self.transport.pauseProducing()
 
     def _is_waiting(self) -> bool:
-        """Return whether input is kept for later though it could still be read."""
+        """Return whether input is kept though it could still be read."""
         if self._paused or self.phase is Phase.CLOSING:
             return False
         return self.phase is Phase.RUNNING or self.caller.is_full
@@ -222,6 +212,7 @@
         # A caller that does not read its answers gets no further ones.
         while self.phase is Phase.READY and not self.caller.is_full:
             unit = self._reader.read_unit()
+            unit = self._take_flushed() if unit is None else unit
             if unit is None:
                 self._wait_for_input()
                 break
@@ -245,8 +236,7 @@
         """End the connection of a caller that leaves its transaction alone."""
         self._timer = None
         text = "terminating connection due to idle-in-transaction timeout"
-        detail = "The transaction was rolled back."
-        self._refuse(make_fatal(IDLE_IN_TRANSACTION, text, detail))
+        self._refuse(make_fatal(IDLE_IN_TRANSACTION, text))
 
     def _run_unit(self, unit: Unit) -> None:
         """Give out one unit."""
@@ -254,20 +244,41 @@
         match unit:
             case TerminateRequest():
                 self._close()
-            case RefusedRequest(message=message, skips_to_sync=skips):
+            case RefusedRequest(message=message):
                 caller.send_error(make_unsupported(message))
-                if not skips:
-                    caller.send_ready(caller.status)
+                caller.send_ready(caller.status)
             case ExtendedRequest(messages=(_,)):
                 # A Sync alone asks for nothing but the ReadyForQuery.
                 caller.send_ready(caller.status)
             case _:
+                if isinstance(unit, ExtendedRequest) and unit.is_flushed:
+                    caller.begin_flushed()
                 self._stop_timer()
                 self.phase = Phase.RUNNING
                 caller.arrived_at = self.factory.reactor.seconds()
                 running = self._handle(unit)
                 running.addCallbacks(self._end_unit, self._fail_unit)
 
+    def _take_flushed(self) -> ExtendedRequest | None:
+        """Return an unfinished batch whose answers the caller waits for."""
+        if not self._reader.is_flush_pending:
+            return None
+        if self.caller.in_transaction or not self._reader.has_portals:
+            return self._reader.end_batch(True)
+        # Portals end with their batch outside of a transaction. Many drivers
+        # send the rest without waiting for answers to the Flush.
+        if self._timer is None:
+            call_later = self.factory.reactor.callLater
+            self._timer = call_later(FLUSH_WAIT, self._refuse_flush)
+        return None
+
+    def _refuse_flush(self) -> None:
+        """Refuse a batch whose caller waits for answers that need its portals."""
+        self._timer = None
+        if self.phase is Phase.READY and self._reader.is_flush_pending:
+            self.caller.send_error(make_unsupported(FLUSH_TEXT))
+            self._reader.drop_batch()
+
     def _handle(self, unit: Request) -> "Deferred[None]":
         """Let the handler run a unit."""
         try:
@@ -286,6 +297,8 @@
     def _go_on(self) -> None:
         """Take the next unit, if there is one."""
         self.caller.set_cancel(None)
+        if self.caller.end_flushed():
+            self._reader.skip_to_sync()
         if self._lost:
             self._forget()
             return
--- a/beryltrack/callers/reader.py
+++ b/beryltrack/callers/reader.py
@@ -47,7 +47,6 @@
 _FUNCTION_CALL = ord("F")
 _COPY = frozenset(b"dcf")
 
-FLUSH_TEXT = "Flush in the middle of a batch is not supported; send Sync"
 FUNCTION_CALL_TEXT = "the function call protocol is not supported; use SELECT"
 
 
@@ -60,13 +59,21 @@
         Most bytes of one unit.
     """
 
-    __slots__ = ("_buffer", "_frames", "_batch_size", "_skipping", "_unit_limit")
+    __slots__ = (
+        "_buffer",
+        "_frames",
+        "_batch_size",
+        "_skipping",
+        "_flush_pending",
+        "_unit_limit",
+    )
 
     def __init__(self, unit_limit: int = UNIT_LIMIT):
         self._buffer = bytearray()
         self._frames: list[Frame] = []
         self._batch_size = 0
         self._skipping = False
+        self._flush_pending = False
         self._unit_limit = unit_limit
 
     @property
@@ -74,6 +81,31 @@
         """Bytes that are not yet part of a unit."""
         return len(self._buffer) + self._batch_size
 
+    @property
+    def is_flush_pending(self) -> bool:
+        """True if the caller may wait for the answers to an unfinished batch."""
+        return self._flush_pending
+
+    @property
+    def has_portals(self) -> bool:
+        """True if the unfinished batch makes or runs portals."""
+        return any(isinstance(x, BindFrame | ExecuteFrame) for x in self._frames)
+
+    def end_batch(self, is_flushed: bool) -> ExtendedRequest:
+        """Return the collected batch as a unit, at a Sync or a Flush."""
+        request = ExtendedRequest((*self._frames, _SYNC_FRAME), is_flushed)
+        self._clear_batch()
+        return request
+
+    def drop_batch(self) -> None:
+        """Drop the unfinished batch and all up to its Sync."""
+        self._clear_batch()
+        self.skip_to_sync()
+
+    def skip_to_sync(self) -> None:
+        """Drop what comes before the next Sync, as PostgreSQL does after errors."""
+        self._skipping = True
+
     def feed(self, data: bytes) -> None:
         """Take bytes of the caller."""
         self._buffer += data
@@ -105,6 +137,7 @@
                 if len(self._frames) >= BATCH_LIMIT:
                     raise FramingError(f"more than {BATCH_LIMIT} messages in a batch")
                 self._frames.append(decoders[kind](wire))
+                self._flush_pending = False
                 self._batch_size += 1 + length
             else:
                 unit = self._take(kind, wire)
@@ -120,7 +153,7 @@
             self._check_no_batch()
             return SimpleRequest(_decode_text(wire, HEADER_SIZE), wire)
         if kind == _SYNC:
-            return self._end_batch()
+            return self.end_batch(False)
         return self._take_other(kind)
 
     def _take_other(self, kind: int) -> Unit | None:
@@ -128,31 +161,16 @@
         if kind == _TERMINATE:
             return TerminateRequest()
         if kind == _FLUSH:
-            return self._flush()
+            self._flush_pending = bool(self._frames)
+            return None
         if kind == _FUNCTION_CALL:
             self._check_no_batch()
-            return RefusedRequest(FUNCTION_CALL_TEXT, False)
+            return RefusedRequest(FUNCTION_CALL_TEXT)
         if kind in _COPY:
             # PostgreSQL, too, ignores what is left of a copy that failed.
             return None
         raise FramingError(f"unknown message {chr(kind)!r}")
 
-    def _end_batch(self) -> ExtendedRequest:
-        """Return the collected batch."""
-        request = ExtendedRequest((*self._frames, _SYNC_FRAME))
-        self._frames = []
-        self._batch_size = 0
-        return request
-
-    def _flush(self) -> Unit | None:
-        """Refuse a Flush unless there is nothing that it would make run."""
-        if not self._frames:
-            return None
-        self._frames = []
-        self._batch_size = 0
-        self._skipping = True
-        return RefusedRequest(FLUSH_TEXT, True)
-
     def _skip(self, kind: int) -> Unit | None:
         """Drop input up to a Sync, which is a unit that does nothing."""
         if kind == _TERMINATE:
@@ -162,6 +180,12 @@
         self._skipping = False
         return ExtendedRequest((_SYNC_FRAME,))
 
+    def _clear_batch(self) -> None:
+        """Begin a new batch."""
+        self._frames = []
+        self._batch_size = 0
+        self._flush_pending = False
+
     def _check_no_batch(self) -> None:
         """Refuse a simple query in the middle of a batch."""
         if self._frames:
