Answer a rollback without waiting for a majority

Cause: a ROLLBACK whose answer carried a new position, of the commits of others, waited for that position; if the primary was replaced meanwhile, the caller was told 08007 "the request may have been run" for a rollback. Change: an answer that ends with the tag ROLLBACK is passed on as it is; that is also how COMMIT of a failed transaction ends. Measured: the new test fails without the change and passes with it. Conclusion: a rollback has no outcome that could be unknown.

--- a/beryltrack/requests/pinned.py
+++ b/beryltrack/requests/pinned.py
@@ -6,6 +6,7 @@
 """
 
 from pygwire import TransactionStatus
+from pygwire.messages import CommandComplete
 
 from beryltrack.daemon.metrics import TargetKind
 from beryltrack.requests.answers import (
@@ -32,6 +33,9 @@
 from beryltrack.sessions.variables import parse_change
 from beryltrack.wire.messages import ResponseEnd
 
+ROLLBACK_TAIL = CommandComplete("ROLLBACK").to_wire()
+"""What ends the answer to ``ROLLBACK``, and to ``COMMIT`` after a failure."""
+
 
 async def run_pinned(context: RequestContext) -> None:
     """Run a unit on the connection of the caller's open transaction.
@@ -123,7 +127,9 @@
     _unpin(context, pinned, _keeps_settings(context))
     if end.error is not None and _fail_replaced(context, pinned, sink, end):
         return
+    # A position that comes with a rollback is of the commits of others.
     has_written = not pinned.is_read_only and end.error is None
+    has_written = has_written and end.tail != ROLLBACK_TAIL
     if has_written and end.position is not None:
         outcome = await confirm_commit(context, end.position, pinned.database)
         step = decide_after_commit(_get_state(context, pinned, sink), outcome)
--- a/tests/requests/test_pinned.py
+++ b/tests/requests/test_pinned.py
@@ -1,6 +1,6 @@
 """Units of a transaction run on its connection, and their end is told truly."""
 
-from beryltrack.requests.pinned import run_pinned
+from beryltrack.requests.pinned import ROLLBACK_TAIL, run_pinned
 from beryltrack.requests.session_state import PinnedTransaction
 from beryltrack.routing.messages import StatementKind
 from beryltrack.transactions.decider import CommitOutcome
@@ -44,6 +44,16 @@
     assert b"<commit>" not in sent and b"08007" in sent
 
 
+def test_a_rollback_waits_for_no_majority():
+    sent, released, pinned = run_unit(
+        StatementKind.ROLLBACK,
+        make_end(position=5, tail=ROLLBACK_TAIL),
+        outcomes=[CommitOutcome.UNKNOWN],
+    )
+    assert ROLLBACK_TAIL in sent and b"08007" not in sent
+    assert released == [True] and pinned is None
+
+
 def test_a_commit_that_a_replaced_primary_refuses_is_rolled_back():
     sent, _, _ = run_unit(StatementKind.COMMIT, make_end(sqlstate="25006"))
     assert b"40001" in sent and b"25006" not in sent
