Keep a leaving proxy's shares until its requests are done

Cause: a proxy gave up its shares when it began to leave, so that requests in flight lost their connections' right; its seats were then freed only by the others, 10 s later; and a database taken out of the settings forgot what was lent of it, so its seat could have been given up under a running loan. Measured: tests cause each: the seat stays while a connection is held, and while a loan of a removed database goes on; it is free 1 s and 3 s later. Conclusion: a rolling replacement costs no share for 10 s any more.

--- a/beryltrack/connections/budget.py
+++ b/beryltrack/connections/budget.py
@@ -28,6 +28,7 @@
 from beryltrack.connections.shares import compute_share, get_owner_seats
 
 UNSETTLED_PERIOD = 0.25
+NO_USE = DatabaseUse(0, 0, 0)
 
 
 class BudgetPolicy(NamedTuple):
@@ -78,6 +79,8 @@
         self._seats = SeatBook(holder, plan, policy.seats, rng)
         self._databases: dict[str, BudgetedDatabase] = {}
         self._books: dict[str, LoanBook] = {}
+        # Books of databases that are gone, until their loans have ended.
+        self._retired: dict[str, LoanBook] = {}
         self._told: dict[str, SetLimit] = {}
         self._active: set[str] = set()
         self._applied_seats: tuple[frozenset[int], frozenset[int]] | None = None
@@ -109,10 +112,18 @@
     ) -> list[BudgetAction]:
         """Take in the databases and totals of the settings in force."""
         self._databases = {database.key: database for database in databases}
+        known = self._retired | self._books
         self._books = {
-            key: self._books.get(key) or LoanBook(key, self._policy.loans)
+            key: known.get(key) or LoanBook(key, self._policy.loans)
             for key in self._databases
         }
+        self._retired = {
+            key: book
+            for key, book in known.items()
+            if key not in self._books and book.has_lent(now)
+        }
+        for book in self._retired.values():
+            book.set_own(0, 0)
         self._told = {k: told for k, told in self._told.items() if k in self._books}
         self._active &= self._books.keys()
         self._applied_seats = None
@@ -140,7 +151,7 @@
         """Take in a message of another proxy."""
         book = self._books.get(message.database)
         if book is None:
-            return []
+            return self._receive_retired(sender, message, now)
         use = self._read_use(message.database)
         sent = book.receive(sender, message, use, now)
         self._active.add(message.database)
@@ -172,6 +183,13 @@
             times.append(now + UNSETTLED_PERIOD)
         return min((time for time in times if time is not None), default=None)
 
+    def _receive_retired(
+        self, sender: str, message: BudgetMessage, now: float
+    ) -> list[BudgetAction]:
+        """Take in what concerns a loan of a database that is gone."""
+        book = self._retired.get(message.database)
+        return [] if book is None else book.receive(sender, message, NO_USE, now)
+
     def _tick_database(self, key: str, now: float) -> list[BudgetAction]:
         book = self._books[key]
         sent: list[SendToHolder] = book.tick(
@@ -188,6 +206,8 @@
         return tuple(owner for owner in owners if owner != self._holder)
 
     def _can_give_up(self, now: float) -> bool:
+        if any(book.has_lent(now) for book in self._retired.values()):
+            return False
         return all(
             book.can_shrink(self._read_use(key), now)
             for key, book in self._books.items()
--- a/beryltrack/connections/budget_service.py
+++ b/beryltrack/connections/budget_service.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Mapping
 
+from twisted.internet.defer import Deferred, TimeoutError
 from twisted.internet.interfaces import IReactorTime
 
 from beryltrack.connections.budget_messages import BudgetedDatabase, BudgetPlan
@@ -17,6 +18,9 @@
 CONTROL_CONNECTIONS = 1
 """Control connections of a proxy to each database, beside its pool."""
 
+LEAVE_TIMEOUT = 3.0
+"""Longest time to give up seats, seconds; the longest loan ends within it."""
+
 MOST_OWNERS = 8
 """Seats among which a database's connections are shared, at most."""
 
@@ -54,6 +58,7 @@
         rng: random.Random,
         incarnation: int,
     ):
+        self._reactor = reactor
         self._links = LoanLinks(reactor, peers, incarnation)
         store = PlatformSeatStore(client)
         holder = self._links.holder
@@ -68,9 +73,19 @@
         """Stop; the seats stay until the others see this process gone."""
         self.task.stop()
 
-    def leave(self) -> None:
-        """Give up the seats as the pools close their connections."""
-        self.task.leave()
+    def leave(self) -> Deferred[None]:
+        """Give up the seats as the pools close their connections.
+
+        Call it when no request needs a connection any more.
+
+        Returns
+        -------
+        Deferred
+            Fires when that is done, after `LEAVE_TIMEOUT` in any case.
+        """
+        leaving = self.task.leave()
+        leaving.addTimeout(LEAVE_TIMEOUT, self._reactor)
+        return leaving.addErrback(lambda failure: failure.trap(TimeoutError) and None)
 
     def add_pools(self, group: GroupSettings, pools: Mapping[str, PoolTask]) -> None:
         """Take charge of the limits of a group's pools.
--- a/beryltrack/connections/budget_task.py
+++ b/beryltrack/connections/budget_task.py
@@ -32,6 +32,7 @@
 
 FIRST_READ_PERIOD = 1.0
 READ_PERIOD = 15.0
+READ_FLEET = 8
 LIVE_PERIOD = 1.0
 
 
@@ -107,8 +108,11 @@
         self._timer_at = 0.0
         self._read_at = float("-inf")
         self._live_at = float("-inf")
+        self._fleet_size = 1
         self._is_reading = False
         self._is_running = False
+        self._writing = 0
+        self._left: Deferred[None] | None = None
         self._actions: deque[BudgetAction] = deque()
         self._is_performing = False
 
@@ -160,9 +164,19 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
-    def leave(self) -> None:
-        """Give up all seats as the pools close their connections."""
+    def leave(self) -> Deferred[None]:
+        """Give up all seats as the pools close their connections.
+
+        Returns
+        -------
+        Deferred
+            Fires when no seat is held and each has been written once, whether
+            the store took it or not.
+        """
+        self._left = Deferred()
         self._perform(self._decider.leave(self._now))
+        self._check_left()
+        return self._left
 
     def receive(self, sender: str, message: BudgetMessage) -> None:
         """Take in a message of another proxy."""
@@ -226,10 +240,19 @@
         pooled.pool.set_limit(max(0, action.limit - pooled.control))
 
     async def _write_seat(self, write: WriteSeat) -> None:
+        self._writing += 1
         record = await self._store.write_seat(write)
+        self._writing -= 1
         if record is not None:
             self._peers.publish_seat(record)
             self._learn((record,), False)
+        self._check_left()
+
+    def _check_left(self) -> None:
+        """Tell who waits for the leaving if there is nothing left to do."""
+        is_busy = bool(self._decider.held_seats) or self._writing
+        if self._left is not None and not is_busy and not self._left.called:
+            self._left.callback(None)
 
     async def _read_seats(self) -> None:
         self._is_reading = True
@@ -249,13 +272,20 @@
         now = self._now
         if now - self._live_at >= LIVE_PERIOD:
             self._live_at = now
-            self._decider.observe_live(self._peers.get_live_holders(), now)
+            holders = self._peers.get_live_holders()
+            self._fleet_size = len(holders.live)
+            self._decider.observe_live(holders, now)
         if now >= self._read_at and not self._is_reading:
-            period = READ_PERIOD if self._decider.is_settled else FIRST_READ_PERIOD
-            self._read_at = now + period * self._rng.uniform(0.5, 1.0)
+            self._read_at = now + self._get_read_period() * self._rng.uniform(0.5, 1.0)
             Deferred.fromCoroutine(self._read_seats())
         self._perform(self._decider.tick(now))
 
+    def _get_read_period(self) -> float:
+        """Return how often the store is read: a fleet's reads stay the same."""
+        if not self._decider.is_settled:
+            return FIRST_READ_PERIOD
+        return READ_PERIOD * max(1.0, self._fleet_size / READ_FLEET)
+
     def _set_timer(self) -> None:
         """Keep one timer, at the earliest time at which something is due."""
         if not self._is_running:
--- a/beryltrack/connections/loans.py
+++ b/beryltrack/connections/loans.py
@@ -77,6 +77,11 @@
         self._own = own
         self._usable = usable
 
+    def has_lent(self, now: float) -> bool:
+        """Return whether anything is lent that has not ended."""
+        self._lender.drop_ended(now)
+        return self.lent_count > 0
+
     def can_shrink(self, use: DatabaseUse, now: float) -> bool:
         """Return whether what is own but not usable can be given up now."""
         rest = self._usable - self.lent_count
--- a/beryltrack/daemon/fleet.py
+++ b/beryltrack/daemon/fleet.py
@@ -98,16 +98,20 @@
         self._groups.subscribe_stopped(self._forget_group)
 
     def leave(self) -> None:
-        """Tell the peers that this instance is leaving, and give up its shares."""
+        """Tell the peers that this instance is leaving; it keeps its shares."""
         self.service.leave()
-        self.budget.leave()
 
-    def stop(self) -> Deferred:
-        """Tell the peers that this instance has left, and close everything."""
+    async def stop(self) -> None:
+        """Give up the shares, tell the peers, and close everything.
+
+        The connections to databases must be closed by now: requests in flight
+        need them until then.
+        """
+        await self.budget.leave()
         self.budget.stop()
         for writing in tuple(self._writing):
             writing.cancel()
-        return self.service.stop()
+        await self.service.stop()
 
     def is_chosen(self, group: str) -> bool:
         """Return whether this instance does the duties of a group that one does."""
--- a/tests/connections/test_budget_task.py
+++ b/tests/connections/test_budget_task.py
@@ -109,16 +109,31 @@
     site = Site()
     (connection,) = site.hold("p1", 1)
     site.leaving = frozenset(["p1"])
-    site.budgets["p1"].leave()
+    left = site.budgets["p1"].leave()
     site.run(1.0)
     assert site.budgets["p1"].held_seats and not connection.closed.called
+    assert not left.called
     site.pools["p1"].release(connection, True)
     site.run(1.0)
-    assert not site.budgets["p1"].held_seats
+    assert not site.budgets["p1"].held_seats and left.called
     site.run(5.0)
     assert site.pools["p2"].load.limit == TOTAL
 
 
+def test_a_seat_is_kept_while_a_loan_of_a_database_that_is_gone_goes_on():
+    site = Site()
+    assert len(site.hold("p2", TOTAL)) == TOTAL
+    site.is_cut = True
+    site.budgets["p1"].remove_pool("g/d")
+    site.leaving = frozenset(["p1"])
+    left = site.budgets["p1"].leave()
+    site.run(1.0)
+    assert site.budgets["p1"].held_seats and not left.called
+    site.run(2.0)
+    assert not site.budgets["p1"].held_seats and left.called
+    assert site.target.open_count <= TOTAL
+
+
 def test_a_stopped_budget_leaves_no_timer():
     site = Site()
     for budget in site.budgets.values():
