--- /dev/null
+++ b/beryltrack_bench/experiments/explore.py
@@ -0,0 +1,99 @@
+"""Random schedules of several faults over the whole stack.
+
+Where the matrix strikes once or twice, this strikes up to `MOST_STRIKES` times
+at random steps. A schedule that violates an invariant is made as short as it
+can be while it still does, and is printed as a cell of the matrix, so that it
+can be repeated and turned into a test.
+"""
+
+from collections.abc import Callable, Iterator
+from random import Random
+
+from beryltrack_bench.deployment import Deployment
+from beryltrack_bench.experiments.faults import FAULTS, PROCEDURES
+from beryltrack_bench.matrix.run import (
+    Cell,
+    CellResult,
+    Strike,
+    format_cell,
+    run_cell,
+)
+from beryltrack_bench.options import Options
+
+SCHEDULES = 300
+"""Schedules in a run, unless told otherwise."""
+
+MOST_STRIKES = 5
+"""Most faults in one schedule."""
+
+STEPS_BEYOND = 2.0
+"""How far beyond a procedure's own steps a fault may strike, as a factor: a run
+with faults has more steps than one without."""
+
+
+def run(deployment: Deployment, seed: int, options: Options) -> dict:
+    """Run random schedules.
+
+    Returns
+    -------
+    dict
+        ``schedules``, ``strikes`` (faults in all of them), ``violations`` (the
+        schedules that violate an invariant), and for each of these the
+        shortest form found with its first violation.
+    """
+    clean = {name: run_cell(deployment, seed, Cell(name)) for name in PROCEDURES}
+    cells = list(_draw_cells(seed, options.runs or SCHEDULES, clean))
+    failed = [cell for cell in cells if run_cell(deployment, seed, cell).violations]
+    shortest = [
+        shrink(cell, lambda each: bool(run_cell(deployment, seed, each).violations))
+        for cell in failed
+    ]
+    return {
+        "schedules": len(cells),
+        "strikes": sum(len(cell.strikes) for cell in cells),
+        "violations": len(failed),
+        "failed": [_describe(deployment, seed, cell) for cell in shortest],
+    }
+
+
+def shrink(cell: Cell, fails: Callable[[Cell], bool]) -> Cell:
+    """Return a cell with as few faults as possible that still fails.
+
+    Parameters
+    ----------
+    cell : Cell
+        A cell that fails.
+    fails : callable
+        Returns whether a cell fails.
+    """
+    for strike in cell.strikes:
+        left = tuple(each for each in cell.strikes if each != strike)
+        shorter = cell._replace(strikes=left)
+        if fails(shorter):
+            return shrink(shorter, fails)
+    return cell
+
+
+def _draw_cells(seed: int, number: int, clean: dict[str, CellResult]) -> Iterator[Cell]:
+    """Return random schedules."""
+    rng = Random(seed)
+    for _ in range(number):
+        procedure = rng.choice(tuple(PROCEDURES))
+        steps = round(STEPS_BEYOND * len(clean[procedure].steps))
+        strikes = sorted(
+            (rng.randrange(steps), rng.choice(tuple(FAULTS)))
+            for _ in range(rng.randint(2, MOST_STRIKES))
+        )
+        yield Cell(procedure, tuple(Strike(fault, step) for step, fault in strikes))
+
+
+def _describe(deployment: Deployment, seed: int, cell: Cell) -> dict:
+    """Return what is printed of a schedule that fails."""
+    violations = run_cell(deployment, seed, cell).violations
+    return {
+        "cell": format_cell(cell),
+        "invariant": violations[0].invariant,
+        "text": violations[0].text,
+        "command": f"beryltrack-bench faults --deployment {deployment.name}"
+        f" --seed {seed} --cell {format_cell(cell)}",
+    }
--- a/beryltrack_bench/experiments/faults.py
+++ b/beryltrack_bench/experiments/faults.py
@@ -147,6 +147,7 @@
     return {
         "cells": strikes[1],
         "pairs": strikes[2],
+        "cells_and_pairs": strikes[1] + strikes[2],
         "violations": found.total(),
         "by_invariant": dict(sorted(found.items())),
         "failed": [format_cell(outcome.cell) for outcome in failed],
--- a/beryltrack_bench/main.py
+++ b/beryltrack_bench/main.py
@@ -11,15 +11,19 @@
 import logging
 import pkgutil
 import time
+from itertools import product
+from pathlib import Path
 
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
 from twisted.logger import globalLogBeginner
 
+from beryltrack.findings import format_finding
 from beryltrack_bench import experiments
 from beryltrack_bench.deployment import DEPLOYMENTS, load_deployment
 from beryltrack_bench.options import Options
+from beryltrack_bench.report import write_report
 
 EXIT_HELD = 0
 EXIT_USAGE = 1
@@ -106,6 +110,41 @@
         return Options(cell=self.option("cell") or "", **numbers)
 
 
+class AllCommand(Command):
+    """Runs all experiments, each as its own process would, and writes the report."""
+
+    name = "all"
+    description = "Run all experiments; write the table of figures and the plot."
+    options = [
+        option("seed", None, "Seed of all random numbers.", False, default="1"),
+        option("folder", None, "Folder of the report.", False, default="docs"),
+        option("results", None, "File to which each printed object goes.", False),
+        option("from", None, "File of objects to report instead of running.", False),
+    ]
+
+    def handle(self) -> int:
+        """Run or load the experiments and return the exit code."""
+        source = self.option("from")
+        lines = Path(source).read_text().splitlines() if source else self._run_all()
+        runs = [json.loads(line) for line in lines]
+        findings = write_report(runs, Path(self.option("folder")))
+        for finding in findings:
+            self.line_error(format_finding(finding))
+        return EXIT_VIOLATIONS if findings else EXIT_HELD
+
+    def _run_all(self) -> list[str]:
+        """Run each experiment for each deployment; return the printed objects."""
+        seed, kept = int(self.option("seed")), self.option("results")
+        lines = []
+        for name, deployment in product(list_experiments(), DEPLOYMENTS):
+            figures = run_experiment(name, deployment, seed, Options())
+            lines.append(json.dumps(figures))
+            self.line(lines[-1])
+            if kept:
+                Path(kept).write_text("\n".join(lines) + "\n")
+        return lines
+
+
 def silence_logs() -> None:
     """Keep the logs of the code under test off standard error.
 
@@ -121,6 +160,7 @@
     application = Application("beryltrack-bench")
     for name in list_experiments():
         application.add(ExperimentCommand(name))
+    application.add(AllCommand())
     return application
 
 
--- a/beryltrack_bench/matrix/faults.py
+++ b/beryltrack_bench/matrix/faults.py
@@ -203,7 +203,8 @@
     """Let another operator change the same settings at this moment."""
     kept = world.platform.get(SETTINGS_PATH).unwrap()
     settings = make_settings(world.group, max_age=OTHER_AGE)["settings"]
-    request = ChangeRequest(SETTINGS_PATH, settings, "other", "race", "", "race")
+    change_id = f"race-{kept.version}"
+    request = ChangeRequest(SETTINGS_PATH, settings, "other", "race", "", change_id)
     value = build_value(request, kept.version, kept.value)
     put = functools.partial(world.platform.put, SETTINGS_PATH, value, kept.version)
     world.platform.node.schedule(0.0, put, None)
