Cut the work per statement of routing, and pick out a group's rules once

Change: positions of the present term are compared by offset alone, a single ready replica is not ranked, a group's rules are picked out once for each state of the settings.

--- a/beryltrack/groups/positions.py
+++ b/beryltrack/groups/positions.py
@@ -77,6 +77,9 @@
     """
     if token.offset == 0:
         return True
+    # Nearly all questions are about the present term, where offsets suffice.
+    if end.term == token.term and end.offset >= token.offset:
+        return True
     if end.term < token.term:
         return False
     term_end = get_term_end(history, token.term)
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -29,6 +29,7 @@
     run_local,
 )
 from beryltrack.requests.targets import make_refusal
+from beryltrack.sessions.rules import RuleSelector
 from beryltrack.settings.messages import SiteSettings
 
 UNCOUNTED = 0
@@ -59,6 +60,7 @@
         self._services = services
         self._get_settings = get_settings
         self._get_runtime = get_runtime
+        self._rules = RuleSelector()
 
     def check_session(self, caller: Caller) -> SqlError | None:
         """Open a caller's session; return an error if its settings are wrong."""
@@ -82,7 +84,7 @@
             error = make_refusal("the database group is not in the settings", 5.0)
             _refuse(caller, error)
             return
-        rules = self._get_settings().rules
+        rules = self._rules.select(self._get_settings().rules, runtime.settings)
         planned = plan_request(unit, caller, runtime.settings, rules)
         if isinstance(planned, Failure):
             _refuse(caller, planned.failure())
--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -236,20 +236,24 @@
 
 def _get_load(loads: tuple[TargetLoad, ...], database: str) -> TargetLoad:
     """Return this node's work at a database."""
-    nothing = TargetLoad(database, "", 0, 1)
-    return next((load for load in loads if load.database == database), nothing)
+    for load in loads:
+        if load.database == database:
+            return load
+    return TargetLoad(database, "", 0, 1)
 
 
 def _pick_replica(
     ready: list[DatabaseView], request: ReadRequest, loads: tuple[TargetLoad, ...]
 ) -> str:
     """Return the replica with the least work, a near one before a far one."""
+    if len(ready) == 1:
+        return ready[0].name
     turn = request.sequence % len(ready)
-    in_turn = ready[turn:] + ready[:turn]
-    return min(
-        (item.name for item in in_turn),
-        key=lambda name: _rank_load(_get_load(loads, name), request.zone),
+    ranked = (
+        (_rank_load(_get_load(loads, item.name), request.zone), place, item.name)
+        for place, item in enumerate(ready[turn:] + ready[:turn])
     )
+    return min(ranked)[-1]
 
 
 def _rank_load(load: TargetLoad, zone: str) -> tuple[int, int, bool]:
--- a/beryltrack/sessions/marks.py
+++ b/beryltrack/sessions/marks.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple, TypeVar
 
 from beryltrack.findings import Finding
+from beryltrack.sessions.rules import get_rule
 from beryltrack.sessions.tags import get_tags
 from beryltrack.settings.messages import GroupSettings, RuleSettings
 
@@ -19,6 +20,7 @@
 REQUEST_ID = "request_id"
 IDEMPOTENT = "idempotent"
 MARK_NAMES = (MAX_AGE, REQUEST_ID, IDEMPOTENT)
+MARK_SETTINGS = frozenset(SETTING_PREFIX + name for name in MARK_NAMES)
 
 MAX_REQUEST_ID_LENGTH = 128
 LONGEST_MAX_AGE = 86400.0
@@ -93,9 +95,7 @@
     marks = _get_default_marks(group, rule)
     tags = get_tags(statement)
     # Most requests are marked nowhere, so nothing needs to be read for them.
-    if not tags and not any(
-        SETTING_PREFIX + name in session_settings for name in MARK_NAMES
-    ):
+    if not tags and MARK_SETTINGS.isdisjoint(session_settings):
         return marks, []
     texts = [
         *(
@@ -107,41 +107,6 @@
     return _apply_texts(marks, texts)
 
 
-def get_rule(
-    rules: tuple[RuleSettings, ...], group: GroupSettings, user: str, statement: str
-) -> RuleSettings | None:
-    """Return the first rule that matches a request.
-
-    Parameters
-    ----------
-    rules : tuple of RuleSettings
-        All rules, in order.
-    group : GroupSettings
-        The group that the caller is connected to.
-    user : str
-        User of the caller.
-    statement : str
-        Text of the statement.
-
-    Returns
-    -------
-    RuleSettings or None
-        The rule; None if none matches. A rule matches groups of its own team
-        only.
-    """
-    return next(
-        (
-            rule
-            for rule in rules
-            if rule.team == group.team
-            and rule.group in ("", group.name)
-            and rule.user in ("", user)
-            and rule.statement in statement
-        ),
-        None,
-    )
-
-
 def parse_duration(text: str) -> tuple[float | None, list[Finding]]:
     """Return a duration in seconds.
 
--- a/tests/sessions/test_marks.py
+++ b/tests/sessions/test_marks.py
@@ -11,6 +11,7 @@
     get_marks,
     parse_duration,
 )
+from beryltrack.sessions.rules import RuleSelector
 from beryltrack.sessions.tags import Tag, get_tags
 from beryltrack.settings.messages import GroupSettings, RuleSettings
 
@@ -49,6 +50,21 @@
     assert marks == RequestMarks(1.5, "", False, READS_PRIMARY)
 
 
+def test_rules_are_selected_anew_when_the_settings_change():
+    selector = RuleSelector()
+    rules = (
+        RULE._replace(name="a", group="other"),
+        RULE._replace(name="b", team="other"),
+        RULE._replace(name="c", group="firmware"),
+        RULE._replace(name="d"),
+    )
+    names = [rule.name for rule in selector.select(rules, GROUP)]
+    assert names == ["c", "d"]
+    assert selector.select(rules, GROUP) is selector.select(rules, GROUP)
+    assert selector.select(rules[3:], GROUP) == rules[3:]
+    assert selector.select(rules[:1], GROUP._replace(name="other")) == rules[:1]
+
+
 def test_request_is_marked_by_session_and_tag():
     session = {"beryltrack.idempotent": "off", "application_name": "x"}
     statement = "insert into t values (1) /* beryltrack_request_id='a%2F1' */"
