Let all nodes count a loss from one time, and give up a split vote soon

Cause: nodes counted their turns from when each was told of a loss and decided only when an answer came, so two of them asked for one term at once, and each waited 1 s for a paused primary's answer. A hand-over that was given up, or whose node died, was tried again after 5 and 3 s, over the limit for a leaving target.

--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -8,17 +8,26 @@
 from random import Random
 from typing import NamedTuple
 
-from beryltrack.failover.detector import LossDetector, get_losers, is_lost
+from beryltrack.failover.detector import (
+    LossDetector,
+    compute_lost_at,
+    get_losers,
+    is_lost,
+)
 from beryltrack.failover.messages import Election, ElectionKind
 from beryltrack.failover.ranking import compute_rank
 from beryltrack.groups.messages import REPLICA, GrantReply
 from beryltrack.groups.view import (
+    NEVER,
     DatabaseView,
     GroupView,
     compute_majority,
     get_primary,
 )
 
+# Longer than any control request takes.
+LONGEST_GRANT_WAIT = 2.0
+
 
 class FailoverPolicy(NamedTuple):
     """Times of the failover, all in seconds.
@@ -53,6 +62,9 @@
     hand_over_backoff : float
         The longest mean pause after a hand-over that was given up: each one
         stops the writes for a while.
+    grant_wait : float
+        How long a candidate waits for a majority; it doubles after each
+        failure, so that slow databases can be asked too.
     """
 
     stagger: float = 0.06
@@ -62,10 +74,11 @@
     last_backoff: float = 1.0
     reclaim_after: float = 0.5
     suspect_for: float = 1.0
-    hand_over_stagger: float = 3.0
-    hand_over_limit: float = 1.0
+    hand_over_stagger: float = 1.0
+    hand_over_limit: float = 0.8
     hand_over_first_backoff: float = 0.2
     hand_over_backoff: float = 5.0
+    grant_wait: float = 0.1
 
 
 DEFAULT_POLICY = FailoverPolicy()
@@ -104,11 +117,17 @@
         self._policy = policy
         self._kind: ElectionKind | None = None
         self._since = 0.0
+        self._due = NEVER
         self._highest_term = -1
         self._moved_at = 0.0
         self._not_before = 0.0
         self._failures = 0
 
+    @property
+    def due(self) -> float:
+        """When to decide again although the view is the same; else in the past."""
+        return self._due
+
     def set_nodes(self, nodes: tuple[str, ...]) -> None:
         """Take the names of all instances that may act for the group."""
         self._nodes = nodes
@@ -148,10 +167,14 @@
         kind = self._get_kind(view, now)
         if kind != self._kind:
             self._kind, self._since = kind, now
+        if kind is ElectionKind.LOST:
+            # By the databases' own word, so that all nodes count from one time.
+            self._since = compute_lost_at(view, self._detector, now)
         if kind is None:
-            self._failures = 0
+            self._failures, self._due = 0, NEVER
             return None
-        if now < max(self._not_before, self._compute_due(view, kind)):
+        self._due = max(self._not_before, self._compute_due(view, kind))
+        if now < self._due:
             return None
         return self._make_election(view, kind)
 
@@ -253,6 +276,7 @@
             view.primary,
             leader.term if leader else 0,
             preferred,
+            min(self._policy.grant_wait * 2**self._failures, LONGEST_GRANT_WAIT),
         )
 
 
--- a/beryltrack/failover/detector.py
+++ b/beryltrack/failover/detector.py
@@ -8,7 +8,12 @@
 from typing import Protocol
 
 from beryltrack.groups.messages import REPLICA
-from beryltrack.groups.view import DatabaseView, GroupView, compute_majority
+from beryltrack.groups.view import (
+    NEVER,
+    DatabaseView,
+    GroupView,
+    compute_majority,
+)
 
 
 class LossDetector(Protocol):
@@ -76,6 +81,32 @@
     return len(losers) >= compute_majority(len(view.databases))
 
 
+def compute_lost_at(view: GroupView, detector: LossDetector, now: float) -> float:
+    """Return since when a majority of the group's databases has lost the primary.
+
+    Parameters
+    ----------
+    view : GroupView
+        The view of a group whose primary is lost; see `is_lost`.
+    detector : LossDetector
+        Says how long a silence is a loss.
+    now : float
+        The current time of the node's clock, seconds.
+
+    Returns
+    -------
+    float
+        A time of the node's clock. Nodes whose clocks agree come to the same
+        time but for the delay of an answer, whenever they were told.
+    """
+    majority = compute_majority(len(view.databases))
+    lost_at = sorted(
+        item.seen_at - item.heard_age + detector.get_limit(item.name)
+        for item in get_losers(view, detector, NEVER)
+    )
+    return min(now, lost_at[majority - 1])
+
+
 def compute_silence(view: GroupView, now: float) -> float:
     """Return how long no replica has heard its primary.
 
--- a/beryltrack/failover/grants.py
+++ b/beryltrack/failover/grants.py
@@ -25,7 +25,12 @@
             self._replies.append(result.unwrap())
         else:
             self._failed.add(database)
-        if not self.done.called and self._suffices():
+        if self._suffices():
+            self.finish()
+
+    def finish(self) -> None:
+        """Wait for no more replies."""
+        if not self.done.called:
             self.done.callback(tuple(self._replies))
 
     def _suffices(self) -> bool:
@@ -39,12 +44,14 @@
 
 
 async def collect_grants(
-    adapter: DatabaseGroup, databases: tuple[str, ...], election: Election
+    reactor, adapter: DatabaseGroup, databases: tuple[str, ...], election: Election
 ) -> tuple[GrantReply, ...]:
     """Ask each database for the election's term.
 
     Parameters
     ----------
+    reactor : IReactorTime
+        Source of timers.
     adapter : DatabaseGroup
         Carries the requests.
     databases : tuple of str
@@ -56,7 +63,8 @@
     -------
     tuple of GrantReply
         The answers that came until a majority had granted, the preferred
-        database had answered if there is one, or all had answered or failed.
+        database had answered if there is one, all had answered or failed, or
+        the election's time for it was over.
     """
     collection = _Collection(len(databases), election.preferred)
 
@@ -68,4 +76,9 @@
 
     for database in databases:
         Deferred.fromCoroutine(ask(database))
-    return await collection.done
+    timer = reactor.callLater(election.grant_wait, collection.finish)
+    try:
+        return await collection.done
+    finally:
+        if timer.active():
+            timer.cancel()
--- a/beryltrack/failover/messages.py
+++ b/beryltrack/failover/messages.py
@@ -36,6 +36,8 @@
         The term in which it leads.
     preferred : str
         The database that should lead; empty if any may.
+    grant_wait : float
+        How long to wait for grants of a majority, seconds.
     """
 
     kind: ElectionKind
@@ -45,6 +47,7 @@
     primary: str
     primary_term: int
     preferred: str
+    grant_wait: float
 
 
 class FailoverReport(NamedTuple):
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -9,6 +9,7 @@
 
 from returns.result import Result, Success
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.interfaces import IDelayedCall
 from twisted.python.failure import Failure as DefectFailure
 
 from beryltrack.clock import get_seconds
@@ -84,6 +85,7 @@
         detector: LossDetector,
         policy: FailoverPolicy = DEFAULT_POLICY,
     ):
+        self._reactor = reactor
         self._seconds = get_seconds(reactor)
         self._group = group_settings.name
         self._databases = tuple(item.name for item in group_settings.databases)
@@ -99,6 +101,8 @@
         )
         self._busy = False
         self._running: Deferred | None = None
+        self._view: GroupView | None = None
+        self._timer: IDelayedCall | None = None
 
     @property
     def busy(self) -> bool:
@@ -117,9 +121,11 @@
         """Look at a new view and begin an election if one is due."""
         if self.busy:
             return
+        self._view = view
         now = self._seconds()
         election = self._decider.decide(view, now)
         if election is None:
+            self._look_again(self._decider.due - now)
             return
         log.info(
             "failover: %s asks for term %d of %s (%s).",
@@ -134,8 +140,18 @@
         self._running = Deferred.fromCoroutine(self._hold(election, silence))
         self._running.addErrback(_log_defect)
 
+    def _look_again(self, delay: float) -> None:
+        """Decide again after a time, also if no new view comes."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if delay > 0:
+            self._timer = self._reactor.callLater(
+                delay, lambda: self.observe_view(self._view)
+            )
+
     def stop(self) -> None:
         """Give up an election that is under way."""
+        self._look_again(0.0)
         if self._running is not None:
             self._running.cancel()
 
@@ -171,7 +187,9 @@
             if not await self._prepare_hand_over(election):
                 return None
         sent_at = self._owner.get_time()
-        replies = await collect_grants(self._adapter, self._databases, election)
+        replies = await collect_grants(
+            self._reactor, self._adapter, self._databases, election
+        )
         for reply in replies:
             self._owner.take_status(reply.status, sent_at)
         chosen = choose_primary(
