--- a/beryltrack/peers/decider.py
+++ b/beryltrack/peers/decider.py
@@ -18,7 +18,6 @@
     ItemChanged,
     SendMessage,
 )
-from beryltrack.peers.batches import MAX_PENDING_ITEMS, split_items
 from beryltrack.peers.knowledge import KnowledgeStore, is_about_member
 from beryltrack.peers.links import LinkPlanner
 from beryltrack.peers.membership import (
@@ -34,7 +33,6 @@
     PRESENT_STATES,
     SUSPECTED,
     Heartbeat,
-    ItemKey,
     Items,
     KnowledgeItem,
     Member,
@@ -44,6 +42,8 @@
     SyncRequest,
     SyncVersions,
 )
+from beryltrack.peers.placement import RING_COUNT
+from beryltrack.peers.pushes import PushQueues
 from beryltrack.peers.sync import SyncDecider
 from beryltrack.settings.messages import Endpoint
 
@@ -70,7 +70,6 @@
     def __init__(self, opened_here: bool, now: float):
         self.opened_here = opened_here
         self.heard_at = now
-        self.pending: dict[ItemKey, KnowledgeItem] = {}
 
 
 class PeerDecider:
@@ -92,11 +91,11 @@
         self, own: Member, seeds: tuple[Endpoint, ...], rng: random.Random, now: float
     ):
         self.findings: list[Finding] = []
-        self.dropped_pushes = 0
         self._membership = MembershipDecider(own)
         self._store = KnowledgeStore()
         self._planner = LinkPlanner(own.name, seeds, rng)
         self._sync = SyncDecider(self._store, rng, now)
+        self._pushes = PushQueues()
         self._links: dict[str, _Link] = {}
         self._opening: set[str] = set()
         self._ticked_at = now
@@ -124,7 +123,12 @@
     @property
     def has_pending(self) -> bool:
         """True if `flush` would send something."""
-        return any(link.pending for link in self._links.values())
+        return self._pushes.has_pending
+
+    @property
+    def dropped_pushes(self) -> int:
+        """Items that were not pushed because a link was stuck."""
+        return self._pushes.dropped
 
     def join(self, port: int) -> list[Action]:
         """Tell of this proxy, now that it listens on a port."""
@@ -147,26 +151,19 @@
         list of Action
             Messages to send.
         """
-        ready = {peer: link for peer, link in self._links.items() if peer not in stuck}
-        actions = [
-            SendMessage(peer, Items(batch))
-            for peer, link in ready.items()
-            for batch in split_items(link.pending.values())
-        ]
-        for link in ready.values():
-            link.pending.clear()
-        return actions
+        return list(self._pushes.flush(stuck))
 
     def open_link(self, peer: str, opened_here: bool, now: float) -> list[Action]:
         """Take a control link that is open; it replaces an earlier one."""
         self._opening.discard(peer)
         self._planner.record_success(peer)
         self._links[peer] = _Link(opened_here, now)
-        self._push_to(self._links[peer], [make_member_item(self.own)])
+        self._pushes.add_link(peer)
+        self._pushes.push_to(peer, [make_member_item(self.own)])
         member = self._membership.get_member(peer)
         if member is not None and member.state in (SUSPECTED, DEAD):
             # The peer refutes at once what is wrongly thought of it.
-            self._push_to(self._links[peer], [make_member_item(member)])
+            self._pushes.push_to(peer, [make_member_item(member)])
         return [SendMessage(peer, Heartbeat(self._store.digest))]
 
     def fail_link(self, peer: str, now: float) -> list[Action]:
@@ -184,6 +181,7 @@
     def close_link(self, peer: str, orderly: bool, now: float) -> list[Action]:
         """Note that a control link has closed; suspect the peer if it broke."""
         self._sync.forget_peer(peer)
+        self._pushes.drop_link(peer)
         if self._links.pop(peer, None) is None or orderly:
             return []
         return self._suspect(peer, "broke its link", now)
@@ -257,13 +255,13 @@
         ]
         taken = [item for item, answers in news if not answers]
         if forward:
-            self._push(taken, source)
+            self._pushes.push(taken, source)
         replies = chain.from_iterable(answers for _, answers in news)
         changed = any(item.kind == MEMBER_KIND for item in taken)
         return [
             *map(ItemChanged, taken),
             *self._announce_all(tuple(replies)),
-            *(self._open_wanted(now) if changed else ()),
+            *(self._open_wanted(now) if changed and self._lacks_links() else ()),
         ]
 
     def _take(
@@ -318,7 +316,7 @@
         item = make_member_item(member)
         if not self._keep_member(item, member):
             return []
-        self._push([item], source)
+        self._pushes.push([item], source)
         return [ItemChanged(item)]
 
     def _announce_all(self, members: Iterable[Member]) -> list[Action]:
@@ -327,25 +325,6 @@
             chain.from_iterable(self._announce(member, "") for member in members)
         )
 
-    def _push(self, items: list[KnowledgeItem], source: str) -> None:
-        """Make items pending on all links but the one they came from.
-
-        A newer item replaces an older one under its key. On a link that is
-        stuck, what exceeds the bound is dropped: digests will show it.
-        """
-        for peer, link in self._links.items():
-            if peer != source:
-                self._push_to(link, items)
-
-    def _push_to(self, link: _Link, items: list[KnowledgeItem]) -> None:
-        """Make items pending on one link."""
-        for item in items:
-            key = ItemKey(item.kind, item.key)
-            if key in link.pending or len(link.pending) < MAX_PENDING_ITEMS:
-                link.pending[key] = item
-            else:
-                self.dropped_pushes += 1
-
     def _recover_from_pause(self, now: float) -> None:
         """Forgive all silence: it was this process that slept."""
         log.warning("peers: paused for %.1f s", now - self._ticked_at)
@@ -389,6 +368,16 @@
         for peer in peers:
             del self._links[peer]
             self._sync.forget_peer(peer)
+            self._pushes.drop_link(peer)
+
+    def _lacks_links(self) -> bool:
+        """Return whether this proxy is short of links and cannot await the tick.
+
+        To look for neighbours at each change would cost a large fleet dear when
+        many come and go at once.
+        """
+        opened_here = sum(link.opened_here for link in self._links.values())
+        return opened_here < RING_COUNT
 
     def _open_wanted(self, now: float) -> list[Action]:
         """Return the opening of links that are missing."""
--- a/tests/peers/test_decider.py
+++ b/tests/peers/test_decider.py
@@ -153,7 +153,7 @@
 def test_knowledge_lost_with_a_link_is_repaired_by_digests(network):
     lost = network.deciders["n0"]
     lost.publish(make_item(1))
-    lost._links.clear()
+    lost._pushes.flush()
     network.run(12.0)
     assert all(get_item(decider) for decider in network.deciders.values())
 
