Measure the fleet's steady calls once its polls have slowed down

Cause: the first poll of a node's settings comes before it knows the fleet's size, so that the steady window at 64 nodes held polls of the start.

--- a/beryltrack_bench/fleet/course.py
+++ b/beryltrack_bench/fleet/course.py
@@ -20,6 +20,9 @@
 SETTLE_TIMEOUT = 30.0
 EVENT_TIMEOUT = 10.0
 STEADY_SECONDS = 6.0
+# The first poll of a node's settings comes up to 19 s after its start, before it
+# knows how many share the store; only then do its calls show the fleet's rate.
+STEADY_AFTER = 20.0
 OUTAGE_SECONDS = 1.0
 REST_SECONDS = 0.3
 CHANGES = 20
@@ -81,10 +84,12 @@
         self._fleet = Fleet(reactor, seed)
         self._value = 1.0
         self._missed = 0
+        self._began = 0.0
 
     async def run(self, nodes: int) -> CourseResult:
         """Run the course with a number of nodes and stop everything."""
         began = self._reactor.seconds()
+        self._began = began
         await self._fleet.start(nodes)
         await self._fleet.wait(self._fleet.is_joined, SETTLE_TIMEOUT)
         start = self._reactor.seconds() - began
@@ -97,7 +102,8 @@
     async def _measure(self, start: float) -> CourseResult:
         """Measure everything, one after the other."""
         up = [await self._change(outage=False) for _ in range(CHANGES)]
-        # By now all have asked the platform again and know how seldom to ask.
+        elapsed = self._reactor.seconds() - self._began
+        await self._sleep(max(0.0, STEADY_AFTER - elapsed))
         steady = await self._measure_steady()
         down = [await self._change(outage=True) for _ in range(OUTAGES)]
         replacing = [await self._replace() for _ in range(REPLACEMENTS)]
