Reset a caller's session at the proxy as drivers' pools ask

Cause: asyncpg's pool resets each connection that comes back by a text with UNLISTEN, which was refused with 0A000, so that its pools could not be used; and RESET ALL went to one target only, while the settings kept at the proxy were given to the next. Change: outside of a transaction, a text that only resets is carried out at the proxy: the session's settings go back to its start. Tests: both texts through the whole path; a text that does more is refused.

--- a/beryltrack/callers/statements.py
+++ b/beryltrack/callers/statements.py
@@ -34,6 +34,13 @@
     re.IGNORECASE | re.VERBOSE,
 )
 
+# What drivers' pools send before they give a connection to somebody else.
+_RESET = re.compile(
+    r"""(?:\s*(?:SELECT\s+pg_advisory_unlock_all\(\)|CLOSE\s+ALL|UNLISTEN\s+\*
+    |RESET\s+ALL)\s*(?:;|\Z))+\s*""",
+    re.IGNORECASE | re.VERBOSE,
+)
+
 
 class PreparedStatement(NamedTuple):
     """One statement that a caller has prepared.
@@ -126,6 +133,16 @@
     )
 
 
+def is_session_reset(text: str) -> bool:
+    """Return whether a text does nothing but put a session back to its start.
+
+    asyncpg's pool, for one, sends such a text each time that a connection comes
+    back. Outside of a transaction a caller has no cursors and no advisory locks,
+    and LISTEN is refused, so that its settings are all there is to reset.
+    """
+    return _RESET.fullmatch(text) is not None
+
+
 def run_deallocate(text: str, table: StatementTable) -> LocalResult | SqlError | None:
     """Carry out DEALLOCATE, DISCARD ALL or DISCARD PLANS at the proxy.
 
--- a/beryltrack/requests/plan.py
+++ b/beryltrack/requests/plan.py
@@ -17,6 +17,7 @@
     Request,
     SimpleRequest,
 )
+from beryltrack.callers.statements import is_session_reset
 from beryltrack.errors import (
     INVALID_PARAMETER_VALUE,
     SqlError,
@@ -113,6 +114,9 @@
     texts = _get_texts(request, extended)
     text = ";\n".join(texts)
     kind = _get_kind(texts, extended)
+    runs = extended is None or extended.executed
+    if runs and not caller.in_transaction and is_session_reset(text):
+        kind = StatementKind.DISCARD
     if kind is StatementKind.UNSUPPORTED:
         hint = "Connections to targets are shared between callers."
         return Failure(make_unsupported("this statement is not supported", hint))
--- a/beryltrack/requests/session_state.py
+++ b/beryltrack/requests/session_state.py
@@ -11,7 +11,7 @@
 
 from beryltrack.callers.caller import Caller
 from beryltrack.callers.local import LocalResult
-from beryltrack.callers.statements import run_deallocate
+from beryltrack.callers.statements import is_session_reset, run_deallocate
 from beryltrack.connections.target import TargetConnection
 from beryltrack.connections.task import PoolTask
 from beryltrack.errors import SqlError, make_malformed_setting
@@ -186,6 +186,9 @@
     if plan.kind is StatementKind.SESSION_SET:
         change, _ = parse_change(plan.text)
         return apply_change(change, caller)
+    if is_session_reset(plan.text):
+        reset_settings(caller)
+        return Success(LocalResult("RESET"))
     result = run_deallocate(plan.text, caller.statements)
     if result is None:
         return Success(LocalResult("DISCARD"))
--- a/tests/requests/test_local.py
+++ b/tests/requests/test_local.py
@@ -1,5 +1,6 @@
 """Statements that concern the proxy alone, prepared as drivers do."""
 
+import psycopg
 import pytest
 from psycopg import generators
 from psycopg.pq import DiagnosticField
@@ -49,3 +50,22 @@
     run(connection, "query_prepared", b"all", [])
     result = run(connection, "query_prepared", b"gone", [])
     assert result.error_field(DiagnosticField.SQLSTATE) == b"26000"
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "RESET ALL",
+        "SELECT pg_advisory_unlock_all();\nCLOSE ALL;\nUNLISTEN *;\nRESET ALL;",
+    ],
+)
+def test_a_reset_puts_the_session_back_to_its_start(connection, text):
+    connection.execute("SET beryltrack.max_age = '6s'")
+    connection.execute("SET TimeZone TO 'Asia/Taipei'")
+    connection.execute(text)
+    assert connection.execute("SHOW beryltrack.max_age").fetchone() == ("",)
+
+
+def test_a_text_that_does_more_than_reset_is_refused(connection):
+    with pytest.raises(psycopg.errors.FeatureNotSupported):
+        connection.execute("UNLISTEN *; SELECT 1")
