Try a database that came back at once

Cause: a pool that backs off misses up to half a second of a target's return. Change: when the view sees a database reachable again, its pool's back-off ends, once for each return.

--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -49,6 +49,7 @@
         self._reactor = reactor
         self._waiting: list[Deferred[None]] = []
         self._drained: set[str] = set()
+        self._reachable: frozenset[str] = frozenset()
         self._losses = LossWatch(reactor, task, pools)
         self._refresher = AgeRefresher(reactor, task, SAMPLE_TIMEOUT)
         task.subscribe(self._tell_change)
@@ -80,6 +81,7 @@
 
     def _tell_change(self, view: GroupView) -> None:
         """Follow what databases want, and wake the requests that wait."""
+        self._end_backoffs(view)
         for database in view.databases:
             wants_work = not database.leaving or database.name == view.primary
             self._set_draining(database.name, not wants_work)
@@ -87,6 +89,15 @@
         for deferred in waiting:
             deferred.callback(None)
 
+    def _end_backoffs(self, view: GroupView) -> None:
+        """Have the pools of databases that came back open connections at once."""
+        before = self._reachable
+        self._reachable = frozenset(
+            database.name for database in view.databases if database.reachable
+        )
+        for name in self._reachable - before:
+            self.pools[name].observe_reachable()
+
     def _set_draining(self, name: str, is_draining: bool) -> None:
         """Give a database no new work, or give it work again."""
         if is_draining and name not in self._drained:
--- /dev/null
+++ b/tests/requests/test_runtime.py
@@ -0,0 +1,61 @@
+"""A group's runtime: what it tells the pools of its databases."""
+
+import random
+
+import pytest
+from twisted.internet.task import Clock
+
+from beryltrack.connections.messages import PoolRefused
+from beryltrack.connections.pool_policy import PoolPolicy
+from beryltrack.connections.task import PoolTask
+from beryltrack.groups.view import DatabaseView, GroupView
+from beryltrack.requests.runtime import GroupRuntime
+from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
+from tests.connections.fake_target import FakeTarget
+
+DATABASE = DatabaseSettings("d", Endpoint("127.0.0.1", 1), "z", 2, 3, False)
+GROUP = GroupSettings("g", "team", (DATABASE,), "u", "", 0.0, 1.0)
+
+
+class StubTask:
+    """Stands for a GroupTask whose view the test sets."""
+
+    def __init__(self):
+        self.view = GroupView("g")
+        self.callbacks = []
+
+    def subscribe(self, callback):
+        self.callbacks.append(callback)
+
+    def show(self, reachable):
+        self.view = GroupView("g", databases=(DatabaseView("d", reachable=reachable),))
+        for callback in self.callbacks:
+            callback(self.view)
+
+
+def acquire(clock, pool):
+    """Return what `acquire` gives at once; a refusal is raised."""
+    results = []
+    pool.acquire(clock.seconds() + 9.0).addBoth(results.append)
+    if isinstance(getattr(results[0], "value", None), PoolRefused):
+        raise results[0].value
+    return results[0]
+
+
+def test_a_database_that_came_back_is_tried_at_once_but_not_again_and_again():
+    clock, target, task = Clock(), FakeTarget(), StubTask()
+    policy = PoolPolicy(first_backoff=60.0, most_backoff=60.0)
+    rng = random.Random(1)
+    pool = PoolTask(clock, DATABASE, target.connect, policy, rng=rng)
+    GroupRuntime(clock, GROUP, task, {"d": pool})
+    target.failure = OSError("down")
+    task.show(True)
+    with pytest.raises(PoolRefused):
+        acquire(clock, pool)
+    target.failure = None
+    task.show(True)
+    with pytest.raises(PoolRefused):
+        acquire(clock, pool)
+    task.show(False)
+    task.show(True)
+    assert acquire(clock, pool) is target.connections[0]
