Reclaim a primary's term also while another database is lost

A replica had promised term 3 to a candidate that came to nothing while the other became primary in term 2, and the third database was lost. The term was only reclaimed if a majority stood in the leader's term, so no write could be confirmed until the lost database came back. Change: a database in a later term that hears nobody counts too: a later primary that can confirm anything is heard by a majority, so by one of those counted. Conclusion: terms arbitrate in any case; this decides only who may try.

--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -213,13 +213,18 @@
         return item.reachable and item.seen_at >= now - self._policy.fresh
 
     def _leads_now(self, view: GroupView, leader: DatabaseView, now: float) -> bool:
-        """Return whether a majority, the leader among them, is in its term.
+        """Return whether a majority, the leader among them, hears no later primary.
 
         Without that a primary of a later term may be at work that this node
-        does not see.
+        does not see. One that can confirm anything is heard by a majority, so
+        by one of these. A database counts that is in the leader's term, and
+        also one that is in a later term and hears nobody: it was promised to a
+        candidate that came to nothing, and with another database lost it would
+        hold up the group for ever.
         """
         followers = sum(
-            item.term == leader.term and self._is_fresh(item, now)
+            (item.term == leader.term and self._is_fresh(item, now))
+            or self._refuses(item, leader, now)
             for item in view.databases
         )
         majority = compute_majority(len(view.databases))
--- a/tests/bench/test_faults.py
+++ b/tests/bench/test_faults.py
@@ -81,6 +81,11 @@
     assert find_violations(CHANGE) == {"settings"}
 
 
+def test_a_promise_that_came_to_nothing_does_not_hold_up_a_group_for_ever():
+    cell = parse_cell("failover:freeze_replica@102")
+    assert run_cell(JINHUA, 1, cell).violations == ()
+
+
 def test_one_cell_gives_its_command():
     options = Options(cell="write:crash_primary@7")
     figures = run(LECTORA, 1, options)
--- a/tests/failover/test_decider.py
+++ b/tests/failover/test_decider.py
@@ -195,6 +195,17 @@
         assert election is None or election.kind is not ElectionKind.RECLAIM
 
 
+def test_a_primary_is_reclaimed_also_while_another_database_is_lost():
+    refusing = make_replica("b", heard_age=3.0, term=2)
+    lost = make_replica("c", heard_age=0.0, reachable=False, seen_at=1.0)
+    decider = make_decider(get_first())
+    view = make_view(refusing, lost)
+    assert decider.decide(view, 10.0) is None
+    later = make_view(refusing._replace(seen_at=11.0), lost, seen_at=11.0)
+    election = decider.decide(later, 11.0)
+    assert (election.kind, election.term) == (ElectionKind.RECLAIM, 3)
+
+
 def make_reply(name, term, offset, granted=True, leaving=False):
     end = LogPosition(term, offset)
     status = DatabaseStatus(name, REPLICA, 9, end, end, (), 0.0, leaving)
