Pass requests on to the owners of their group

Cause: a proxy without a share of a group's connections could only borrow them, which beyond a few proxies puts every proxy before every database. Change: units outside of transactions go to an owner over the peers' forwarding streams, with the session's token, settings and prepared statements; what they change comes back. Conclusion: with up to as many proxies as owners nothing changes; beyond that the same code forwards. Its cost is not measured yet.

--- a/beryltrack/daemon/fleet.py
+++ b/beryltrack/daemon/fleet.py
@@ -11,10 +11,12 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from beryltrack.connections.budget_service import BudgetService, make_plan
+from beryltrack.connections.loan_links import get_holder_name
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.failover.hints import HintWriter
 from beryltrack.failover.messages import FailoverReport
 from beryltrack.groups.sharing import GroupSharing
+from beryltrack.peers.forwarder import Forwarder, ForwardHandler
 from beryltrack.peers.messages import JOINED, SUSPECTED, Member
 from beryltrack.peers.placement import get_owners
 from beryltrack.peers.service import PeerService
@@ -43,6 +45,8 @@
         The platform.
     groups : GroupTable
         The groups of this instance.
+    handler : ForwardHandler
+        Runs requests that other instances pass on.
     rng : random.Random
         Source of jitter.
     """
@@ -54,6 +58,7 @@
         settings_task: SettingsTask,
         platform: PlatformClient,
         groups: GroupTable,
+        handler: ForwardHandler,
         rng: random.Random,
     ):
         # Seconds since 1970 rise with each start of the process.
@@ -74,6 +79,7 @@
             rng,
             incarnation,
         )
+        self.forwarder = Forwarder(reactor, self.peers, handler, self.get_owner_names)
         self._hints = HintWriter(reactor, platform, rng)
         self._writing: set[Deferred] = set()
         self._sharing = GroupSharing(self.peers, lambda group: self.nodes)
@@ -94,12 +100,14 @@
         """Look for peers, and share what is known of groups."""
         self.service.start()
         self.budget.start()
+        self.forwarder.start()
         self._groups.subscribe_started(self._watch_group)
         self._groups.subscribe_stopped(self._forget_group)
 
     def leave(self) -> None:
         """Tell the peers that this instance is leaving; it keeps its shares."""
         self.service.leave()
+        self.forwarder.leave()
 
     async def stop(self) -> None:
         """Give up the shares, tell the peers, and close everything.
@@ -109,6 +117,7 @@
         """
         await self.budget.leave()
         self.budget.stop()
+        self.forwarder.stop()
         for writing in tuple(self._writing):
             writing.cancel()
         await self.service.stop()
@@ -117,6 +126,16 @@
         """Return whether this instance does the duties of a group that one does."""
         return self._name in get_owners(group, self.peers.members, 1)
 
+    def get_owner_names(self, group: str) -> tuple[str, ...]:
+        """Return the live instances that run a group's requests, best rank first.
+
+        An instance that knows of no owner acts as one.
+        """
+        holders = self.budget.task.get_owners(group)
+        live = frozenset(self.nodes)
+        names = (get_holder_name(holder) for holder in holders)
+        return tuple(name for name in names if name in live) or (self._name,)
+
     def _watch_group(self, runtime: GroupRuntime) -> None:
         """Share the view of a group that starts, and take what is known of it."""
         self.budget.add_pools(runtime.settings, runtime.pools)
--- a/beryltrack/daemon/local_site.py
+++ b/beryltrack/daemon/local_site.py
@@ -86,6 +86,14 @@
                 raise TimeoutError("the local site did not get ready")
             await deferLater(self._reactor, LOOK_PERIOD, lambda: None)
 
+    async def wait_known(self) -> None:
+        """Wait until every proxy knows who leads and who owns the connections."""
+        give_up_at = self._reactor.seconds() + READY_TIMEOUT
+        while not all(map(_knows_owners, self.proxies)):
+            if self._reactor.seconds() > give_up_at:
+                raise TimeoutError("the proxies do not know each other")
+            await deferLater(self._reactor, LOOK_PERIOD, lambda: None)
+
     async def write(self, path: str, settings: dict[str, object]) -> None:
         """Write one settings object, as an operator does."""
         request = ChangeRequest(
@@ -168,3 +176,11 @@
     if runtime is None or not users or not runtime.view.primary:
         return False
     return all(pool.load.limit for pool in runtime.pools.values())
+
+
+def _knows_owners(proxy: Proxy) -> bool:
+    """Return whether a proxy can serve or pass on requests."""
+    runtime = proxy.groups.get(GROUP)
+    if runtime is None or not runtime.view.primary:
+        return False
+    return bool(proxy.fleet.budget.task.get_owners(GROUP))
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -18,6 +18,7 @@
 from beryltrack.peers.counters import register_counters
 from beryltrack.platform.client import PlatformClient
 from beryltrack.platform.registration import RegistrationTask
+from beryltrack.requests.forward_handler import ForwardHandler
 from beryltrack.requests.ledger_cleaner import LedgerCleaner
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import make_services
@@ -61,14 +62,21 @@
         self.settings_task = SettingsTask(reactor, self.platform, rng)
         self.groups = GroupTable(reactor, settings.name, rng)
         self.services = make_services(reactor, settings.zone, self.metrics, rng)
+        handler = RequestTask(self.services, self._get_site, self.groups.get)
         self.fleet = FleetTask(
-            reactor, settings, self.settings_task, self.platform, self.groups, rng
+            reactor,
+            settings,
+            self.settings_task,
+            self.platform,
+            self.groups,
+            ForwardHandler(reactor, handler.run_forwarded),
+            rng,
         )
+        handler.set_forwarder(self.fleet.forwarder)
         register_counters(self.metrics.meter, self.fleet.peers.counters)
         self._cleaner = LedgerCleaner(
             self.services, lambda: self.groups.runtimes, self.fleet.is_chosen, rng
         )
-        handler = RequestTask(self.services, self._get_site, self.groups.get)
         self.callers = CallerFactory(
             reactor, handler, self._get_site, _load_certificate(settings.certificate)
         )
--- a/beryltrack/peers/forwarder.py
+++ b/beryltrack/peers/forwarder.py
@@ -159,6 +159,7 @@
         self._entry = ForwardDecider()
         self._serving = ServingDecider()
         self._sinks: dict[int, ForwardSink] = {}
+        self.forwarded_count = 0
         self._running: dict[StreamKey, tuple[Deferred, ForwardWriter]] = {}
         self._ticking = LoopingCall(self._tick)
         self._ticking.clock = reactor
@@ -216,6 +217,7 @@
         self._note_stuck(owners)
         number, actions = self._entry.forward(owners, group, request, deadline, now)
         self._sinks[number] = sink
+        self.forwarded_count += 1
         self._carry_out(actions)
         return ForwardStream(self, number)
 
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -17,6 +17,11 @@
 from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.answers import RequestContext
 from beryltrack.requests.course import RequestCourse
+from beryltrack.requests.forward_course import (
+    ForwardCourse,
+    RequestForwarder,
+    is_forwardable,
+)
 from beryltrack.requests.marked import MarkedCourse
 from beryltrack.requests.pinned import drop_transaction, run_pinned
 from beryltrack.requests.plan import RequestPlan, plan_request
@@ -61,6 +66,11 @@
         self._get_settings = get_settings
         self._get_runtime = get_runtime
         self._rules = RuleSelector()
+        self._forwarder: RequestForwarder | None = None
+
+    def set_forwarder(self, forwarder: RequestForwarder) -> None:
+        """Pass requests of groups that others own on from now on."""
+        self._forwarder = forwarder
 
     def check_session(self, caller: Caller) -> SqlError | None:
         """Open a caller's session; return an error if its settings are wrong."""
@@ -77,7 +87,14 @@
             pinned, session.pinned = session.pinned, None
             drop_transaction(pinned)
 
-    async def _handle(self, unit: Request, caller: Caller) -> None:
+    async def run_forwarded(self, unit: Request, caller: Caller) -> None:
+        """Run a unit that another instance has passed on, never further on."""
+        await self._handle(unit, caller, may_forward=False)
+        self.forget(caller)
+
+    async def _handle(
+        self, unit: Request, caller: Caller, may_forward: bool = True
+    ) -> None:
         """Plan a unit and run it."""
         runtime = self._find_runtime(caller)
         if runtime is None:
@@ -97,7 +114,7 @@
         if is_local(plan):
             _answer_locally(plan, caller)
             return
-        await self._run(plan, caller, runtime)
+        await self._run(plan, caller, runtime, may_forward)
 
     def _find_runtime(self, caller: Caller) -> GroupRuntime | None:
         """Return the group of a caller; that of its transaction if one is open."""
@@ -107,9 +124,13 @@
         return self._get_runtime(caller.database)
 
     async def _run(
-        self, plan: RequestPlan, caller: Caller, runtime: GroupRuntime
+        self,
+        plan: RequestPlan,
+        caller: Caller,
+        runtime: GroupRuntime,
+        may_forward: bool,
     ) -> None:
-        """Run a planned unit on targets."""
+        """Run a planned unit on targets, or pass it on."""
         services, session = self._services, caller.session
         services.retries.observe_request()
         arrived_at = services.seconds()
@@ -124,11 +145,23 @@
         caller.set_gone(lambda: ticket.put_out(GONE))
         context = RequestContext(services, runtime, caller, plan, arrived_at, ticket)
         try:
-            await _run_course(context)
+            if may_forward and self._is_for_others(context):
+                await ForwardCourse(context, self._forwarder).run()
+            else:
+                await _run_course(context)
         finally:
             caller.set_gone(None)
             ticket.finish()
 
+    def _is_for_others(self, context: RequestContext) -> bool:
+        """Return whether an owner of the group is to run a unit."""
+        return (
+            self._forwarder is not None
+            and context.caller.session.pinned is None
+            and is_forwardable(context.plan.kind)
+            and not self._forwarder.is_owner(context.runtime.settings.name)
+        )
+
 
 async def _run_course(context: RequestContext) -> None:
     """Run a unit that was taken on."""
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -25,7 +25,7 @@
         run(local.site.control.set_fault, "platform", "down")
         proxy = run(local.start_proxy, 2)
         wait_until(lambda: knows_primary(proxy))
-        # It holds no seat, so the connections for this are lent by its peers.
+        # It holds no seat, so an owner of the group runs this for it.
         with connect(proxy) as caller:
             caller.execute("CREATE TABLE item (id integer)")
         nodes = ("proxy-1", "proxy-2", "proxy-3")
