--- a/beryltrack_bench/steady/site.py
+++ b/beryltrack_bench/steady/site.py
@@ -29,7 +29,6 @@
 from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
 from beryltrack.transactions.decider import CommitOutcome
 from beryltrack_bench.deployment import Deployment, get_zone
-from beryltrack_bench.fakes.database import FakeDatabase
 from beryltrack_bench.fakes.group import FakeAdapter, FakeGroup, make_network
 from beryltrack_bench.fakes.nodes import Node, Site
 from beryltrack_bench.steady.records import (
@@ -39,6 +38,7 @@
     WriteRecord,
 )
 from beryltrack_bench.steady.routers import Arrival, Router
+from beryltrack_bench.steady.slots import SlotServer
 from beryltrack_bench.steady.workload import (
     Visit,
     Workload,
@@ -79,32 +79,6 @@
     seconds: float
 
 
-class SlotServer:
-    """A database's slots: it runs a few statements at once, the rest queue."""
-
-    def __init__(self, database: FakeDatabase, slots: int):
-        self._database = database
-        self._slots = DeferredSemaphore(slots)
-
-    async def read(self, service_time: float) -> LogPosition:
-        """Run a read; return what was applied when it began to run."""
-        await self._slots.acquire()
-        position = self._database.log.applied
-        await self._run(service_time)
-        return position
-
-    async def write(self, key: str, service_time: float) -> LogPosition:
-        """Run a write; return the position of its commit."""
-        await self._slots.acquire()
-        await self._run(service_time)
-        return await self._database.write(key)
-
-    async def _run(self, service_time: float) -> None:
-        """Hold a slot while a statement runs."""
-        await deferLater(self._database.node, service_time)
-        self._slots.release()
-
-
 class SteadyProxy:
     """One proxy's course of a request, with a router of choice."""
 
