Remove what nobody calls on the callers' side

Conclusion: settings are kept in line by TargetSettings alone, and a connection in doubt is thrown away.

--- a/beryltrack/callers/caller.py
+++ b/beryltrack/callers/caller.py
@@ -6,7 +6,6 @@
 from pygwire import TransactionStatus
 from pygwire.messages import (
     ErrorResponse,
-    ParameterStatus,
     ReadyForQuery,
 )
 from twisted.internet.defer import Deferred
@@ -134,10 +133,6 @@
         end = reader.feed(_READY_WIRES[TransactionStatus.IDLE], _discard)
         return end is None or end.error is not None
 
-    def send_parameter(self, name: str, value: str) -> None:
-        """Report the value of a parameter."""
-        self.write(ParameterStatus(name, value).to_wire())
-
     def set_cancel(self, callback: Callable[[], object] | None) -> None:
         """Call `callback` when the caller asks to cancel what runs now."""
         self._on_cancel = callback
--- a/beryltrack/callers/startup.py
+++ b/beryltrack/callers/startup.py
@@ -7,6 +7,8 @@
 from pygwire.messages import StartupMessage
 
 from beryltrack.errors import (
+    FEATURE_NOT_SUPPORTED,
+    INVALID_AUTHORIZATION,
     INVALID_PARAMETER_VALUE,
     PROTOCOL_VIOLATION,
     SqlError,
@@ -76,9 +78,11 @@
 def _check(request: StartupRequest, params: dict[str, str]) -> SqlError | None:
     """Return what is wrong with the values of a start-up packet."""
     if not request.user:
-        return make_fatal("28000", "no user name in the start-up packet")
+        return make_fatal(INVALID_AUTHORIZATION, "no user name in the start-up packet")
     if params.get("replication", "false") not in ("false", "off", "no", "0"):
-        return make_fatal("0A000", "replication connections are not supported")
+        return make_fatal(
+            FEATURE_NOT_SUPPORTED, "replication connections are not supported"
+        )
     encoding = request.settings.get("client_encoding", "UTF8")
     if encoding.strip("'\"").replace("-", "").lower() not in _ENCODINGS:
         text = f"client_encoding {encoding!r} is not supported; use UTF8"
--- a/beryltrack/connections/target.py
+++ b/beryltrack/connections/target.py
@@ -8,7 +8,7 @@
 import logging
 
 from pygwire.exceptions import ProtocolError
-from pygwire.messages import BackendKeyData, Query, Terminate
+from pygwire.messages import BackendKeyData, Terminate
 from scramp import ScramException
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import connectProtocol
@@ -40,7 +40,6 @@
 # a plan that no longer fits its table, or a name that does not exist.
 _STALE_STATES = frozenset({FEATURE_NOT_SUPPORTED, INVALID_SQL_STATEMENT_NAME})
 
-_RESET_WIRE = Query("DISCARD ALL").to_wire()
 _TERMINATE_WIRE = Terminate().to_wire()
 
 
@@ -62,19 +61,6 @@
         self.reason = reason
 
 
-class _NullSink:
-    """A sink for answers that nobody reads."""
-
-    def write(self, data):
-        pass
-
-    def attach(self, producer):
-        pass
-
-    def detach(self):
-        pass
-
-
 class TargetConnection(Protocol):
     """A logged-on connection to a target.
 
@@ -148,12 +134,6 @@
         self.transport.write(wire)
         return answer
 
-    async def reset(self) -> bool:
-        """Discard the state that a session left; return whether that worked."""
-        end = await self.run(_RESET_WIRE, _NullSink())
-        self.prepared.clear()
-        return end.error is None
-
     def cancel(self) -> None:
         """Ask the target to cancel the request that runs now.
 
