Watch only the groups that an instance owns, by a clock that never goes back

Cause: every instance probed every group, which at 400 groups would take many cores; and Twisted's timers follow the wall clock, so that a correction of it would hold back heartbeats. Change: an owner starts a group at once, any other instance at the first request that needs it itself; candidates for a failover are ranked among owners; the daemon's reactor runs on the monotonic clock. Conclusion: probing now grows with the groups owned, not with all groups.

--- a/beryltrack/daemon/fleet.py
+++ b/beryltrack/daemon/fleet.py
@@ -9,6 +9,7 @@
 import time
 
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.task import LoopingCall
 
 from beryltrack.connections.budget_service import BudgetService, make_plan
 from beryltrack.connections.loan_links import get_holder_name
@@ -27,6 +28,9 @@
 
 log = logging.getLogger(__name__)
 
+LOOK_PERIOD = 0.5
+"""Seconds between two looks at who owns which group."""
+
 _ACTIVE_STATES = frozenset((JOINED, SUSPECTED))
 
 
@@ -82,7 +86,10 @@
         self.forwarder = Forwarder(reactor, self.peers, handler, self.get_owner_names)
         self._hints = HintWriter(reactor, platform, rng)
         self._writing: set[Deferred] = set()
-        self._sharing = GroupSharing(self.peers, lambda group: self.nodes)
+        self._sharing = GroupSharing(self.peers, self.get_owner_names)
+        self._told_owners: dict[str, tuple[str, ...]] = {}
+        self._looking = LoopingCall(self._look_at_groups)
+        self._looking.clock = reactor
 
     @property
     def nodes(self) -> tuple[str, ...]:
@@ -101,6 +108,7 @@
         self.service.start()
         self.budget.start()
         self.forwarder.start()
+        self._looking.start(LOOK_PERIOD)
         self._groups.subscribe_started(self._watch_group)
         self._groups.subscribe_stopped(self._forget_group)
 
@@ -115,6 +123,8 @@
         The connections to databases must be closed by now: requests in flight
         need them until then.
         """
+        if self._looking.running:
+            self._looking.stop()
         await self.budget.leave()
         self.budget.stop()
         self.forwarder.stop()
@@ -132,7 +142,7 @@
         An instance that knows of no owner acts as one.
         """
         holders = self.budget.task.get_owners(group)
-        live = frozenset(self.nodes)
+        live = self.nodes
         names = (get_holder_name(holder) for holder in holders)
         return tuple(name for name in names if name in live) or (self._name,)
 
@@ -140,13 +150,31 @@
         """Share the view of a group that starts, and take what is known of it."""
         self.budget.add_pools(runtime.settings, runtime.pools)
         self._sharing.add(runtime.task)
+        self._look_at_group(runtime)
         runtime.task.subscribe_failover(self._record_failover)
 
     def _forget_group(self, runtime: GroupRuntime) -> None:
         """Forget the shares of a group that has stopped."""
         self._sharing.remove(runtime.task)
+        self._told_owners.pop(runtime.settings.name, None)
         self.budget.remove_pools(runtime.settings)
 
+    def _look_at_groups(self) -> None:
+        """Start the groups that this instance owns; rank candidates by owners."""
+        for runtime in self._groups.runtimes:
+            self._look_at_group(runtime)
+
+    def _look_at_group(self, runtime: GroupRuntime) -> None:
+        """Follow who owns one group."""
+        group = runtime.settings.name
+        holders = self.budget.task.get_owners(group)
+        if any(get_holder_name(holder) == self._name for holder in holders):
+            runtime.ensure_started()
+        owners = self.get_owner_names(group)
+        if self._told_owners.get(group) != owners:
+            self._told_owners[group] = owners
+            runtime.task.set_nodes(owners)
+
     def _record_failover(self, report: FailoverReport) -> None:
         """Keep a change of primary that this instance made in the platform."""
         writing = self._hints.write(report)
--- a/beryltrack/daemon/groups.py
+++ b/beryltrack/daemon/groups.py
@@ -110,7 +110,7 @@
             self._start_once_free(group)
 
     def _start(self, group: GroupSettings) -> None:
-        """Start the runtime of a group."""
+        """Make the runtime of a group; it is started when it is needed."""
         adapter = PostgresDatabaseGroup(self._reactor, group, self._rng)
         task = GroupTask(self._reactor, group, adapter, self._node_name, self._rng)
         pools = {
@@ -121,10 +121,7 @@
         self._runtimes[group.name] = runtime
         for callback in self._started_callbacks:
             callback(runtime)
-        task.start()
-        for pool in pools.values():
-            pool.start()
-        log.info("daemon: Group %s started.", group.name)
+        log.info("daemon: Group %s is known.", group.name)
 
     def _start_once_free(self, group: GroupSettings) -> None:
         """Start a group when no connection of its former runtime is left."""
--- a/beryltrack/daemon/local.py
+++ b/beryltrack/daemon/local.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from beryltrack.daemon.local_site import GROUP, USER, LocalProxies
+from beryltrack.daemon.process import use_monotonic_time
 from beryltrack.daemon.tour import run_tour
 from beryltrack.settings.messages import Endpoint
 from beryltrack_standins.site import LocalSite
@@ -33,6 +34,7 @@
     int
         0 if all of the tour held.
     """
+    use_monotonic_time(reactor)
     local = LocalProcess(once, proxies)
     reactor.callWhenRunning(local.start)
     reactor.addSystemEventTrigger("before", "shutdown", local.stop)
--- a/beryltrack/daemon/local_site.py
+++ b/beryltrack/daemon/local_site.py
@@ -181,6 +181,6 @@
 def _knows_owners(proxy: Proxy) -> bool:
     """Return whether a proxy can serve or pass on requests."""
     runtime = proxy.groups.get(GROUP)
-    if runtime is None or not runtime.view.primary:
+    if runtime is None:
         return False
     return bool(proxy.fleet.budget.task.get_owners(GROUP))
--- a/beryltrack/daemon/process.py
+++ b/beryltrack/daemon/process.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import time
 
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
@@ -16,6 +17,15 @@
 EXIT_FAILED = 1
 
 
+def use_monotonic_time(reactor) -> None:
+    """Let the reactor's timers follow a clock that never goes back.
+
+    Twisted's timers follow the wall clock, so that a correction of it by some
+    seconds would hold back every heartbeat and probe of the process.
+    """
+    reactor.seconds = time.monotonic
+
+
 def run_proxy(settings: InstanceSettings) -> int:
     """Run a proxy until SIGTERM or SIGINT, and shut it down gracefully.
 
@@ -29,6 +39,7 @@
     int
         The exit code.
     """
+    use_monotonic_time(reactor)
     proxy = Proxy(reactor, settings, random.Random())
     failures = []
 
--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -46,6 +46,7 @@
         self.task = task
         self.pools = pools
         self.is_ledger_ready = False
+        self.is_started = False
         self._reactor = reactor
         self._waiting: list[Deferred[None]] = []
         self._drained: set[str] = set()
@@ -59,6 +60,20 @@
         """The group as this instance knows it now."""
         return self.task.view
 
+    def ensure_started(self) -> None:
+        """Watch the databases and open connections from now on.
+
+        An owner of the group does that at once, any other instance only when a
+        request of its own needs it: in a large fleet no instance watches all
+        groups.
+        """
+        if self.is_started:
+            return
+        self.is_started = True
+        self.task.start()
+        for pool in self.pools.values():
+            pool.start()
+
     def get_loads(self) -> tuple[TargetLoad, ...]:
         """Return this instance's work at each database."""
         pairs = ((item, self.pools[item.name].load) for item in self.settings.databases)
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -96,6 +96,7 @@
     Result of FoundTarget or SqlError
         A refusal is a true "not run".
     """
+    search.runtime.ensure_started()
     try:
         found = await _search(search, request)
     except PutOut as put_out:
