Give the back-off of opens a module of its own

Change: OpenBackoff; no change of behaviour. Measured: the tests of pools and of overload pass as before.

--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -20,6 +20,7 @@
     RefusalReason,
     RefuseWaiter,
 )
+from beryltrack.connections.open_backoff import OpenBackoff
 from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.connections.service_estimate import ServiceEstimate
 from beryltrack.connections.wait_model import WaitModel, model_waits
@@ -58,7 +59,6 @@
     def __init__(self, policy: PoolPolicy, limit: int, rng: random.Random):
         self._policy = policy
         self._limit = limit
-        self._rng = rng
         self._state = _State.ACTIVE
         self._numbers = count(1)
         self._opening: dict[int, float] = {}
@@ -68,9 +68,7 @@
         self._waiters = DeadlineQueue()
         self._hold = ServiceEstimate(FIRST_HOLD_TIME)
         self._open_time = ServiceEstimate(FIRST_OPEN_TIME)
-        self._failures = 0
-        self._failed_at = float("-inf")
-        self._open_after = float("-inf")
+        self._backoff = OpenBackoff(policy, rng)
         self._dry_since: float | None = None
 
     @property
@@ -181,8 +179,7 @@
         """Take in that a connection is open."""
         started = self._opening.pop(connection)
         self._open_time.observe(now - started)
-        self._failures = 0
-        self._open_after = now
+        self._backoff.reset()
         if self._state is not _State.ACTIVE or self._live_count >= self._limit:
             return self._close(connection)
         return self._serve(connection, now) + self._fill(now)
@@ -190,11 +187,7 @@
     def observe_open_failed(self, connection: int, now: float) -> list[PoolAction]:
         """Take in that a connection could not be opened: back off."""
         started = self._opening.pop(connection)
-        # Of several opens that fail together, only the first counts.
-        if started >= self._failed_at:
-            self._failures += 1
-            self._failed_at = now
-            self._open_after = now + self._compute_backoff()
+        self._backoff.observe_failure(started, now)
         if self._is_cut_off(now):
             return self._refuse_all(RefusalReason.UNREACHABLE, now)
         return self._refuse_late(now)
@@ -245,8 +238,7 @@
 
     def observe_reachable(self, now: float) -> list[PoolAction]:
         """Take in that the target answers elsewhere: do not back off any longer."""
-        self._failures = 0
-        self._open_after = float("-inf")
+        self._backoff.reset()
         return self._fill(now)
 
     def tick(self, now: float) -> list[PoolAction]:
@@ -260,8 +252,8 @@
         if self._state is not _State.ACTIVE:
             return None
         times = []
-        if now < self._open_after and self._wanted_count > 0:
-            times.append(self._open_after)
+        if now < self._backoff.open_after and self._wanted_count > 0:
+            times.append(self._backoff.open_after)
         if self._idle and self._live_count > self._policy.warm:
             times.append(next(iter(self._idle.values())) + self._policy.idle_timeout)
         return min(times, default=None)
@@ -275,7 +267,11 @@
 
     def _is_cut_off(self, now: float) -> bool:
         """Return whether nothing is open and opening has just failed."""
-        return self._live_count == 0 and now < self._open_after and self._failures > 0
+        return (
+            self._live_count == 0
+            and now < self._backoff.open_after
+            and self._backoff.has_failed
+        )
 
     def _compute_service(self) -> float:
         """Return a time in which a request that holds a connection is done.
@@ -289,7 +285,7 @@
 
     def _model_waits(self, now: float) -> WaitModel:
         """Return how the expected wait depends on the place in the queue."""
-        is_backing_off = now < self._open_after
+        is_backing_off = now < self._backoff.open_after
         return model_waits(
             self._live_count if is_backing_off else self._limit,
             self._in_use.values(),
@@ -303,14 +299,9 @@
         """Return the expected wait of the request at a place in the queue."""
         return self._model_waits(now).get_wait(place)
 
-    def _compute_backoff(self) -> float:
-        """Return a jittered wait that doubles with each failure."""
-        doubled = self._policy.first_backoff * 2 ** min(self._failures - 1, 16)
-        return min(doubled, self._policy.most_backoff) * self._rng.uniform(0.5, 1.0)
-
     def _refuse(self, waiter: int, reason: RefusalReason, now: float) -> RefuseWaiter:
         """Return a refusal with the time after which a retry is worth while."""
-        until_open = self._open_after - now
+        until_open = self._backoff.open_after - now
         wait = max(self._compute_wait(len(self._waiters), now), until_open)
         return RefuseWaiter(waiter, PoolRefusal(reason, max(LEAST_RETRY_AFTER, wait)))
 
@@ -392,11 +383,11 @@
 
     def _fill(self, now: float) -> list[PoolAction]:
         """Open what waiters and warmth ask for, within the limits."""
-        if self._state is not _State.ACTIVE or now < self._open_after:
+        if self._state is not _State.ACTIVE or now < self._backoff.open_after:
             return []
         room = self._limit - self.open_count
         # After a failure one attempt is enough to learn that the target is back.
-        most = 1 if self._failures else self._policy.most_opening
+        most = 1 if self._backoff.has_failed else self._policy.most_opening
         at_once = most - len(self._opening)
         numbers = [
             next(self._numbers)
