Remove the smoothed apply delay, which nothing reads

Cause: routing dropped the prediction by a smoothed delay; its upkeep stayed on the path of each status. Change: the field and its measurement are gone. Conclusion: one step less for each status.

--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -16,9 +16,6 @@
     get_database,
 )
 
-# Weight of the newest measurement in the smoothed apply delay.
-DELAY_WEIGHT = 0.3
-
 
 class GroupDecider:
     """The state of one group as far as one node knows it.
@@ -99,7 +96,6 @@
             self.observe_sample(status.name, status.received, sent_at, now)
         self._confirm_term(status.term)
         self._update_fresh(status.name)
-        self._measure_delay(status.name)
         self._view = None
 
     def observe_sample(
@@ -224,15 +220,6 @@
         if found > item.fresh_at:
             self._databases[name] = item._replace(fresh_at=found)
 
-    def _measure_delay(self, name: str) -> None:
-        """Smooth how far a database lags behind the samples."""
-        item = self._databases[name]
-        if item.fresh_at > NEVER:
-            lag = max(0.0, item.seen_at - item.fresh_at)
-            delay = _smooth(item.apply_delay, lag)
-            if delay != item.apply_delay:
-                self._databases[name] = item._replace(apply_delay=delay)
-
     def _make_view(self) -> GroupView:
         databases = tuple(self._databases.values())
         leaders = [item for item in databases if item.role == PRIMARY]
@@ -247,10 +234,3 @@
         leader = get_database(view, primary) if primary else None
         head = leader.received if leader else view.head
         return view._replace(head=head, confirmed_at=self._confirmed_at)
-
-
-def _smooth(before: float, newest: float) -> float:
-    """Return the smoothed value after one more measurement."""
-    if before == float("inf"):
-        return newest
-    return before + DELAY_WEIGHT * (newest - before)
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -51,9 +51,6 @@
         the node's clock. `NEVER` if nothing is proven.
     heard_age : float
         Seconds since it heard from its primary, as of `seen_at`.
-    apply_delay : float
-        Predicted seconds from an entry at the primary until it is applied
-        here; `math.inf` while the database is not known to catch up.
     """
 
     name: str
@@ -68,7 +65,6 @@
     seen_at: float = NEVER
     fresh_at: float = NEVER
     heard_age: float = math.inf
-    apply_delay: float = math.inf
 
 
 class GroupView(NamedTuple):
