--- a/beryltrack_bench/report.py
+++ b/beryltrack_bench/report.py
@@ -26,7 +26,8 @@
 Made by `make bench` (`beryltrack_bench/report.py`) from the objects that the
 experiments printed; do not edit. Times are in seconds unless the name says
 otherwise. A bound is a target of the users; `beryltrack_bench/bounds.json` has
-them all.
+them all, and only those of the runs below were checked. An experiment or a
+deployment that has no table or column was not run.
 """
 
 
