Go on when two primaries were lost and the first has come back

Ruled out: RECLAIM, which needs the highest known primary. Change: a deposed primary counts as having lost its primary if the present one does not answer, or a replica that has received entries of its term is silent; it is asked for a term without a silence of its own. Conclusion: any two of three databases make the group go on.

--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -23,6 +23,7 @@
     GroupView,
     compute_majority,
     get_primary,
+    is_deposed,
 )
 
 # Longer than any control request takes.
@@ -282,6 +283,7 @@
             leader.term if leader else 0,
             preferred,
             min(self._policy.grant_wait * 2**self._failures, LONGEST_GRANT_WAIT),
+            tuple(item.name for item in view.databases if is_deposed(view, item)),
         )
 
 
--- a/beryltrack/failover/detector.py
+++ b/beryltrack/failover/detector.py
@@ -13,6 +13,8 @@
     DatabaseView,
     GroupView,
     compute_majority,
+    get_primary,
+    is_deposed,
 )
 
 
@@ -63,18 +65,43 @@
     Returns
     -------
     tuple of DatabaseView
-        Replicas that answered lately and have not heard their primary.
+        Replicas that answered lately and have not heard their primary, and
+        deposed primaries, which have never heard the one that leads now.
     """
+    counts_deposed = _has_led(view, detector)
     return tuple(
         item
         for item in view.databases
         if item.reachable
-        and item.role == REPLICA
         and item.seen_at >= oldest
-        and item.heard_age >= detector.get_limit(item.name)
+        and ((counts_deposed and is_deposed(view, item)) or _is_silent(item, detector))
     )
 
 
+def _has_led(view: GroupView, detector: LossDetector) -> bool:
+    """Return whether the present primary has been at work and may be lost now.
+
+    Just after a promotion the replicas are still silent from the loss before.
+    A deposed primary beside one of them must not cost the next failover, so it
+    counts only if the primary does not answer either, or if a replica that has
+    received entries of its term has fallen silent again.
+    """
+    leader = get_primary(view)
+    return (
+        leader is None
+        or not leader.reachable
+        or any(
+            item.received.term == view.term and _is_silent(item, detector)
+            for item in view.databases
+        )
+    )
+
+
+def _is_silent(item: DatabaseView, detector: LossDetector) -> bool:
+    """Return whether a replica has not heard its primary for too long."""
+    return item.role == REPLICA and item.heard_age >= detector.get_limit(item.name)
+
+
 def is_lost(view: GroupView, detector: LossDetector, oldest: float) -> bool:
     """Return whether a majority of the group's databases lost their primary."""
     losers = get_losers(view, detector, oldest)
@@ -101,7 +128,9 @@
     """
     majority = compute_majority(len(view.databases))
     lost_at = sorted(
-        item.seen_at - item.heard_age + detector.get_limit(item.name)
+        NEVER
+        if is_deposed(view, item)
+        else item.seen_at - item.heard_age + detector.get_limit(item.name)
         for item in get_losers(view, detector, NEVER)
     )
     return min(now, lost_at[majority - 1])
--- a/beryltrack/failover/grants.py
+++ b/beryltrack/failover/grants.py
@@ -69,8 +69,9 @@
     collection = _Collection(len(databases), election.preferred)
 
     async def ask(database: str) -> None:
+        lost_after = 0.0 if database in election.deposed else election.lost_after
         result = await adapter.grant(
-            database, election.term, election.candidate, election.lost_after
+            database, election.term, election.candidate, lost_after
         )
         collection.add(database, result)
 
--- a/beryltrack/failover/messages.py
+++ b/beryltrack/failover/messages.py
@@ -38,6 +38,9 @@
         The database that should lead; empty if any may.
     grant_wait : float
         How long to wait for grants of a majority, seconds.
+    deposed : tuple of str
+        Databases that still believe to lead a term that is over. They hear
+        themselves, so they are asked for the term without `lost_after`.
     """
 
     kind: ElectionKind
@@ -48,6 +51,7 @@
     primary_term: int
     preferred: str
     grant_wait: float
+    deposed: tuple[str, ...] = ()
 
 
 class FailoverReport(NamedTuple):
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -136,6 +136,24 @@
     return now - database.fresh_at
 
 
+def is_deposed(view: GroupView, database: DatabaseView) -> bool:
+    """Return whether a database still believes to lead a term that is over.
+
+    Parameters
+    ----------
+    view : GroupView
+        The group's view.
+    database : DatabaseView
+        One of its members.
+
+    Returns
+    -------
+    bool
+        True if a later term has a primary that this database has not heard of.
+    """
+    return database.role == PRIMARY and database.term < view.term
+
+
 def has_applied(database: DatabaseView, token: LogPosition) -> bool:
     """Return whether a database's readers see all that a token stands for."""
     return covers(database.history, database.applied, token)
--- /dev/null
+++ b/tests/e2e/test_two_losses.py
@@ -0,0 +1,29 @@
+"""A group goes on when two primaries were lost and the first has come back."""
+
+from tests.local_proxies import (
+    connect,
+    get_primary,
+    mark_request,
+    run_proxies,
+)
+from tests.reactor_thread import run
+
+
+def write(connection, number):
+    mark_request(connection, f"insert-{number}")
+    connection.execute("INSERT INTO item VALUES (%s)", (number,))
+
+
+def test_the_first_lost_primary_makes_a_majority_again():
+    with run_proxies(count=2) as local, connect(local.proxies[0], "new") as caller:
+        caller.execute("CREATE TABLE item (id integer)")
+        first = get_primary(local)
+        run(first.stop)
+        write(caller, 1)
+        second = get_primary(local)
+        run(second.stop)
+        # It comes back as the primary of a term that is over.
+        run(first.start)
+        write(caller, 2)
+        rows = caller.execute("SELECT id FROM item ORDER BY id").fetchall()
+        assert rows == [(1,), (2,)]
--- a/tests/failover/test_decider.py
+++ b/tests/failover/test_decider.py
@@ -229,3 +229,35 @@
     assert choose_primary(replies[:2], 3, "", frozenset("a")) == "a"
     leaving = [replies[0], make_reply("b", 1, 9, leaving=True)]
     assert choose_primary(leaving, 3, "", frozenset()) == "a"
+
+
+def make_twice_lost_view(heard_age):
+    """The primary of term 2 is gone, that of term 1 has come back."""
+    deposed = DatabaseView("a", PRIMARY, 1, reachable=True, seen_at=10.0, heard_age=0.0)
+    gone = DatabaseView("b", PRIMARY, 2, reachable=False, seen_at=5.0)
+    replica = make_replica("c", heard_age, term=2)
+    return GroupView("g", 2, "b", databases=(deposed, gone, replica))
+
+
+def test_a_deposed_primary_counts_as_one_that_lost_its_primary():
+    assert is_lost(make_twice_lost_view(0.5), LOST, 9.0)
+    assert not is_lost(make_twice_lost_view(0.1), LOST, 9.0)
+
+
+def test_a_promotion_that_the_replicas_have_not_heard_of_is_no_loss():
+    view = make_twice_lost_view(0.6)
+    databases = tuple(item._replace(reachable=True) for item in view.databases)
+    assert not is_lost(view._replace(databases=databases), LOST, 9.0)
+    heard = databases[2]._replace(received=LogPosition(2, 5))
+    databases = (*databases[:2], heard)
+    assert is_lost(view._replace(databases=databases), LOST, 9.0)
+
+
+def test_a_deposed_primary_is_asked_although_it_hears_itself():
+    decider = make_decider(nodes=("n1",))
+    view = make_twice_lost_view(0.6)
+    times = [10.0 + step / 100 for step in range(50)]
+    election = next(filter(None, (decider.decide(view, now) for now in times)))
+    assert election.kind is ElectionKind.LOST
+    assert (election.term, election.deposed) == (3, ("a",))
+    assert election.lost_after > 0.0
