Let a refused marked request say nothing of its earlier sendings

Change: the refusal's detail speaks of this sending only. Measured: the new scripted test passes. Conclusion: SQLSTATE 57P03 stays, its text is exact.

--- a/beryltrack/requests/marked.py
+++ b/beryltrack/requests/marked.py
@@ -55,6 +55,7 @@
 
 ROLLBACK = "ROLLBACK"
 UNKNOWN_TEXT = "the outcome could not be found out in time"
+NOT_RUN_NOW = "The request was not run now; an earlier sending may have been."
 REPEAT_TEXT = "the request identifier was used for another request"
 
 
@@ -90,6 +91,9 @@
 
     def _give_up(self, refusal: SqlError) -> None:
         """Answer with what is true: not run only if it never reached a target."""
+        # The refusal is true of this sending; earlier ones of the same identifier
+        # may have come through other proxies.
+        refusal = refusal._replace(detail=NOT_RUN_NOW)
         error = make_outcome_unknown(UNKNOWN_TEXT) if self._may_have_run else refusal
         send_failure(self._context, error, TransactionStatus.IDLE)
 
--- a/tests/requests/test_marked.py
+++ b/tests/requests/test_marked.py
@@ -1,5 +1,8 @@
 """A marked request has one outcome, whatever happens to its runs."""
 
+from returns.result import Failure
+
+from beryltrack.errors import make_not_run
 from beryltrack.requests import marked
 from beryltrack.transactions.decider import CommitOutcome
 from tests.requests.scripted import (
@@ -76,3 +79,14 @@
     sent, _ = run_marked(monkeypatch, first, make_good())
     assert first.texts[-1].startswith("CREATE TABLE IF NOT EXISTS")
     assert b"<done>" in sent
+
+
+def test_a_refusal_says_nothing_of_earlier_sendings(monkeypatch):
+    async def find_nothing(context):
+        return Failure(make_not_run("no primary"))
+
+    context, transport = make_marked_context()
+    monkeypatch.setattr(marked, "find_primary", find_nothing)
+    run_to_end(context, marked.MarkedCourse(context).run())
+    assert b"57P03" in transport.sent
+    assert b"an earlier sending may have been" in transport.sent
