--- a/beryltrack_bench/fakes/sql_database.py
+++ b/beryltrack_bench/fakes/sql_database.py
@@ -41,6 +41,7 @@
     def start(self) -> None:
         """Begin to serve; what a crash cut off is rolled back."""
         self.server.stop()
+        self.server.drop_sessions()
         self.server = self._make_server()
         self.engine.running = True
         # The timers that would have applied what was received ended with the
--- a/beryltrack_standins/database/server.py
+++ b/beryltrack_standins/database/server.py
@@ -5,8 +5,10 @@
 
 import scramp
 from twisted.internet.defer import Deferred, DeferredSemaphore, maybeDeferred
+from twisted.internet.error import ConnectionLost
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
 
 from beryltrack.settings.messages import Endpoint
 from beryltrack_standins.database.connection import CancelKey, DatabaseConnection
@@ -129,6 +131,14 @@
             connection.abort()
         return maybeDeferred(port.stopListening if port else lambda: None)
 
+    def drop_sessions(self) -> None:
+        """Undo what all clients left open, as the end of the process does.
+
+        For a process that ended without a word: its connections were never told.
+        """
+        for connection in [*self._connections.values()]:
+            connection.connectionLost(Failure(ConnectionLost()))
+
     def set_frozen(self, frozen: bool) -> None:
         """Answer nothing, or go on with all that waited."""
         self.database.frozen = frozen
--- a/tests/bench/test_faults.py
+++ b/tests/bench/test_faults.py
@@ -86,6 +86,11 @@
     assert run_cell(JINHUA, 1, cell).violations == ()
 
 
+def test_a_lost_database_holds_no_lock_after_its_return():
+    cell = parse_cell("failover:freeze_other_proxy@107+lose_primary@150")
+    assert run_cell(JINHUA, 3, cell).violations == ()
+
+
 def test_one_cell_gives_its_command():
     options = Options(cell="write:crash_primary@7")
     figures = run(LECTORA, 1, options)
