Say in one place when a refused caller may come back

Cause: the hint of a refusal and the number of an uncounted request stood twice, and the platform's client counted calls for nobody. Change: make_refusal lives beside the other errors and serves targets and admission; UNCOUNTED lives with the tickets; the count is gone. Behaviour stays. Conclusion: one wording for one thing.

--- a/beryltrack/errors.py
+++ b/beryltrack/errors.py
@@ -78,6 +78,29 @@
     return SqlError(sqlstate, message, detail="The request was not run.")
 
 
+def make_refusal(
+    message: str, retry_after: float, sqlstate: str = CANNOT_CONNECT_NOW
+) -> SqlError:
+    """Return the error of a request that was not run, with when to come back.
+
+    Parameters
+    ----------
+    message : str
+        Why it was not run.
+    retry_after : float
+        Seconds after which a new attempt has a fair chance.
+    sqlstate : str
+        A SQLSTATE that means that the request was not run.
+
+    Returns
+    -------
+    SqlError
+        The error.
+    """
+    hint = f"Try again in {retry_after:.2f} seconds."
+    return make_not_run(message, sqlstate)._replace(hint=hint)
+
+
 def make_rolled_back(message: str) -> SqlError:
     """Return the error of a transaction that was rolled back as a whole."""
     return SqlError(
--- a/beryltrack/platform/client.py
+++ b/beryltrack/platform/client.py
@@ -109,12 +109,6 @@
             agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT, pool=self._pool)
         self._http = HTTPClient(agent)
         self._semaphore = DeferredSemaphore(MAX_CALLS)
-        self._call_count = 0
-
-    @property
-    def call_count(self) -> int:
-        """Number of HTTP requests sent so far, as the platform counts them."""
-        return self._call_count
 
     async def get(self, path: str) -> Result[PlatformObject | None, PlatformError]:
         """Return one object, or None if there is none at this path."""
@@ -227,7 +221,6 @@
         self, method: str, url: str, body: object, timeout: float
     ) -> Result[HttpAnswer, PlatformError]:
         """Send one request and say what its failure means."""
-        self._call_count += 1
         call = Deferred.fromCoroutine(self._send(method, url, body))
         timer = self._reactor.callLater(timeout, call.cancel)
         try:
--- a/beryltrack/requests/admission_task.py
+++ b/beryltrack/requests/admission_task.py
@@ -14,7 +14,7 @@
 from twisted.internet.task import LoopingCall
 
 from beryltrack.clock import get_seconds
-from beryltrack.errors import SqlError, make_not_run
+from beryltrack.errors import SqlError, make_refusal
 from beryltrack.requests.admission import (
     AdmissionDecider,
     AdmissionPolicy,
@@ -24,6 +24,9 @@
 
 log = logging.getLogger(__name__)
 
+UNCOUNTED = 0
+"""Number of a request that goes on although it was not taken on."""
+
 DELAY_PERIOD = 0.1
 """Seconds between two measurements of the delay inside the process."""
 
@@ -178,5 +181,4 @@
 
 def _make_error(refusal: RefuseRequest) -> SqlError:
     """Return the error of a request that was not taken on."""
-    error = make_not_run(refusal.reason.value, refusal.sqlstate)
-    return error._replace(hint=f"Try again in {refusal.retry_after:.2f} seconds.")
+    return make_refusal(refusal.reason.value, refusal.retry_after, refusal.sqlstate)
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import deferLater
 
 from beryltrack.daemon.metrics import TargetKind
-from beryltrack.errors import SqlError
+from beryltrack.errors import SqlError, make_refusal
 from beryltrack.requests.answers import (
     RequestContext,
     confirm_commit,
@@ -27,7 +27,7 @@
 from beryltrack.requests.retry import FailedAttempt
 from beryltrack.requests.session_state import PinnedTransaction, apply_change
 from beryltrack.requests.sink import AnswerSink
-from beryltrack.requests.targets import FoundTarget, find_target, make_refusal
+from beryltrack.requests.targets import FoundTarget, find_target
 from beryltrack.routing.messages import ReadRequest, StatementKind, WriteRequest
 from beryltrack.sessions.variables import parse_change
 from beryltrack.wire.messages import ResponseEnd
--- a/beryltrack/requests/forward_course.py
+++ b/beryltrack/requests/forward_course.py
@@ -7,14 +7,13 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from beryltrack.errors import QUERY_CANCELED, SqlError, make_rolled_back
+from beryltrack.errors import QUERY_CANCELED, SqlError, make_refusal, make_rolled_back
 from beryltrack.findings import format_finding
 from beryltrack.peers.forward_messages import ForwardOutcome, ForwardResult
 from beryltrack.requests.answers import RequestContext, make_step_error, send_failure
 from beryltrack.requests.forward_form import apply_effects_form, encode_request
 from beryltrack.requests.outcomes import NextStep
 from beryltrack.requests.sink import AnswerSink
-from beryltrack.requests.targets import make_refusal
 from beryltrack.routing.messages import StatementKind
 
 PAUSE = 0.05
--- a/beryltrack/requests/ledger_cleaner.py
+++ b/beryltrack/requests/ledger_cleaner.py
@@ -13,7 +13,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from beryltrack.requests.admission_task import Ticket
+from beryltrack.requests.admission_task import UNCOUNTED, Ticket
 from beryltrack.requests.execution import RunLost, run_command
 from beryltrack.requests.ledger import UNDEFINED_TABLE, format_removal
 from beryltrack.requests.runtime import GroupRuntime
@@ -29,8 +29,6 @@
 BATCH = 1000
 """Most rows of one removal."""
 
-UNCOUNTED = 0
-
 
 class LedgerCleaner:
     """Cleans the ledgers of the groups that this instance is chosen for.
--- a/beryltrack/requests/marked.py
+++ b/beryltrack/requests/marked.py
@@ -19,6 +19,7 @@
     INVALID_PARAMETER_VALUE,
     SqlError,
     make_outcome_unknown,
+    make_refusal,
     make_rolled_back,
 )
 from beryltrack.requests import ledger
@@ -43,7 +44,6 @@
 from beryltrack.requests.targets import (
     FoundTarget,
     find_target,
-    make_refusal,
     sample_primary,
 )
 from beryltrack.routing.messages import WriteRequest
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -13,7 +13,7 @@
 from beryltrack.connections.messages import PoolRefused, RefusalReason
 from beryltrack.connections.target import TargetConnection
 from beryltrack.connections.task import PoolTask
-from beryltrack.errors import SqlError, make_not_run
+from beryltrack.errors import SqlError, make_refusal
 from beryltrack.groups.messages import LogPosition
 from beryltrack.requests.admission_task import PutOut, Ticket
 from beryltrack.requests.runtime import GroupRuntime
@@ -180,12 +180,6 @@
         return None
 
 
-def make_refusal(text: str, retry_after: float, sqlstate: str = "57P03") -> SqlError:
-    """Return the error of a request that was not run, with when to come back."""
-    hint = f"Try again in {retry_after:.2f} seconds."
-    return make_not_run(text, sqlstate)._replace(hint=hint)
-
-
 async def _acquire(search: TargetSearch, use: UseTarget) -> FoundTarget:
     """Get a connection to the database that was chosen."""
     services = search.services
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -13,8 +13,8 @@
     encode_simple_answer,
 )
 from beryltrack.callers.messages import Request
-from beryltrack.errors import SqlError, make_not_run
-from beryltrack.requests.admission_task import Ticket
+from beryltrack.errors import SqlError, make_not_run, make_refusal
+from beryltrack.requests.admission_task import UNCOUNTED, Ticket
 from beryltrack.requests.answers import RequestContext
 from beryltrack.requests.course import RequestCourse
 from beryltrack.requests.forward_course import (
@@ -33,13 +33,9 @@
     open_session,
     run_local,
 )
-from beryltrack.requests.targets import make_refusal
 from beryltrack.sessions.rules import RuleSelector
 from beryltrack.settings.messages import SiteSettings
 
-UNCOUNTED = 0
-"""Number of a request that goes on although the instance is full."""
-
 GONE = make_not_run("the caller is gone")
 
 
