Never call a request not run that ran before it was given up

Cause: reading the change once more. A unit whose commit was rolled back, or a read whose answer was lost, is run again; if no database was left, or the retry budget was empty, its caller was told 'not run' (57P03), which is untrue though the unit had no effect. Ruled out: marked and forwarded units, which keep track of that already. Change: such a unit ends as rolled back (40001). Conclusion: 57P03 is said only of what never reached a target.

--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import deferLater
 
 from beryltrack.daemon.metrics import TargetKind
-from beryltrack.errors import SqlError, make_refusal
+from beryltrack.errors import SqlError, make_refusal, make_rolled_back
 from beryltrack.requests.answers import (
     RequestContext,
     confirm_commit,
@@ -50,6 +50,7 @@
         self._must_write = not context.plan.is_read
         self._sink = AnswerSink(context.caller)
         self._attempts = 0
+        self._may_have_run = False
 
     async def run(self) -> None:
         """Run the unit until it has an answer."""
@@ -57,7 +58,7 @@
             self._attempts += 1
             found = await self._find_target()
             if isinstance(found, Failure):
-                self._fail(found.failure())
+                self._fail(self._make_refusal(found.failure()))
                 return
             step, reason = await self._attempt(found.unwrap())
             if step is NextStep.ANSWER:
@@ -66,7 +67,7 @@
                 self._fail(make_step_error(step, reason))
                 return
             if not await self._wait_to_retry():
-                self._fail(make_refusal(reason, 1.0))
+                self._fail(self._make_refusal(make_refusal(reason, 1.0)))
                 return
 
     async def _find_target(self):
@@ -94,6 +95,7 @@
         result = await self._run_on(target)
         if isinstance(result, RunLost):
             target.pool.release(target.connection, False)
+            self._may_have_run |= result.is_sent
             return self._decide_failure(RunFailure(result.is_sent, "")), LOST_TEXT
         if result.error is not None:
             step = self._decide_failure(RunFailure(True, result.error.sqlstate))
@@ -148,6 +150,7 @@
             step = decide_after_commit(self._get_state(), outcome)
             if step is not NextStep.ANSWER:
                 self._sink.take_held()
+                self._may_have_run = True
                 return step, REPLACED_TEXT
         self._answer(target, end)
         return NextStep.ANSWER, ""
@@ -203,6 +206,14 @@
         await deferLater(services.reactor, delay.unwrap(), lambda: None)
         return True
 
+    def _make_refusal(self, refusal: SqlError) -> SqlError:
+        """Return what is true of a unit that is given up between two runs.
+
+        Only a run without effect is followed by another, so a unit that has run
+        before was rolled back, and "not run" would be untrue.
+        """
+        return make_rolled_back(refusal.message) if self._may_have_run else refusal
+
     def _fail(self, error: SqlError) -> None:
         """Answer with an error; no transaction is open."""
         send_failure(self._context, error, TransactionStatus.IDLE)
