--- a/beryltrack/callers/caller.py
+++ b/beryltrack/callers/caller.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from pygwire import TransactionStatus
+from pygwire import TransactionStatus as WireStatus
 from pygwire.messages import (
     ErrorResponse,
     ReadyForQuery,
@@ -16,13 +16,16 @@
 from beryltrack.callers.statements import StatementTable
 from beryltrack.errors import SqlError
 from beryltrack.wire.answers import AnswerReader
-from beryltrack.wire.messages import Producer
+from beryltrack.wire.messages import Producer, TransactionStatus
 
 # Seconds that a caller may leave an answer unread before it is cut off: it
 # holds a target connection all that time.
 STALL_LIMIT = 30.0
 
-_READY_WIRES = {status: ReadyForQuery(status).to_wire() for status in TransactionStatus}
+_READY_WIRES = {
+    status: ReadyForQuery(WireStatus(status.value)).to_wire()
+    for status in TransactionStatus
+}
 
 
 class CallerIdentity(NamedTuple):
--- a/beryltrack/command/edits.py
+++ b/beryltrack/command/edits.py
@@ -24,7 +24,7 @@
 )
 from beryltrack.command.waiting import PendingInstance, format_pending
 from beryltrack.findings import Finding
-from beryltrack.platform.client import PlatformClient
+from beryltrack.objects.client import PlatformClient
 from beryltrack.settings.change import ChangeDone, ChangeFailure, SettingsChange
 from beryltrack.settings.paths import PREFIX
 from beryltrack.settings.plan import PlannedChange, Settings, plan_changes
--- a/beryltrack/command/fleet.py
+++ b/beryltrack/command/fleet.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 from beryltrack.command.instances import InstanceAnswer
-from beryltrack.daemon.metrics import Counters, compute_replica_share
 from beryltrack.daemon.status import (
     DatabaseReport,
     GroupReport,
@@ -13,6 +12,7 @@
     ObjectVersion,
 )
 from beryltrack.findings import Finding
+from beryltrack.metrics.messages import Counters, compute_replica_share
 
 
 class InstanceLine(NamedTuple):
--- a/beryltrack/command/instances.py
+++ b/beryltrack/command/instances.py
@@ -12,9 +12,9 @@
 from twisted.internet.defer import Deferred, DeferredSemaphore, gatherResults
 
 from beryltrack.daemon.status import InstanceStatus
-from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.messages import InstanceEntry, PlatformError
-from beryltrack.platform.registration import PREFIX, InstanceAddress, parse_address
+from beryltrack.objects.client import PlatformClient
+from beryltrack.objects.messages import InstanceEntry, PlatformError
+from beryltrack.objects.registration import PREFIX, InstanceAddress, parse_address
 from beryltrack.settings.messages import Endpoint
 
 MAX_AT_ONCE = 16
--- a/beryltrack/command/report.py
+++ b/beryltrack/command/report.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from beryltrack.findings import Finding, format_finding
-from beryltrack.platform.messages import ErrorKind, PlatformError
+from beryltrack.objects.messages import ErrorKind, PlatformError
 from beryltrack.settings.change import FailureKind
 
 
--- a/beryltrack/command/runner.py
+++ b/beryltrack/command/runner.py
@@ -9,7 +9,7 @@
 from beryltrack.command.fetch import build_fetch
 from beryltrack.command.instances import FetchStatus
 from beryltrack.command.report import ErrorReport, ExitCode, Report
-from beryltrack.platform.client import PlatformClient
+from beryltrack.objects.client import PlatformClient
 
 
 class Tools(NamedTuple):
--- a/beryltrack/command/views.py
+++ b/beryltrack/command/views.py
@@ -12,8 +12,8 @@
     report_findings,
     report_platform,
 )
-from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.messages import PlatformObject
+from beryltrack.objects.client import PlatformClient
+from beryltrack.objects.messages import PlatformObject
 from beryltrack.settings.decider import SettingsDecider
 from beryltrack.settings.paths import PREFIX, parse_path
 from beryltrack.settings.stored import AuditRecord, get_records, get_settings
--- a/beryltrack/command/waiting.py
+++ b/beryltrack/command/waiting.py
@@ -18,7 +18,7 @@
     collect_answers,
 )
 from beryltrack.daemon.status import ObjectVersion
-from beryltrack.platform.client import PlatformClient
+from beryltrack.objects.client import PlatformClient
 
 LEAVING = "leaving"
 FIRST_DELAY = 0.2
--- a/beryltrack/connections/budget_service.py
+++ b/beryltrack/connections/budget_service.py
@@ -11,8 +11,8 @@
 from beryltrack.connections.loan_links import LoanLinks
 from beryltrack.connections.seat_store import PlatformSeatStore
 from beryltrack.connections.task import PoolTask
+from beryltrack.objects.client import PlatformClient
 from beryltrack.peers.task import PeerTask
-from beryltrack.platform.client import PlatformClient
 from beryltrack.settings.messages import GroupSettings
 
 CONTROL_CONNECTIONS = 1
--- a/beryltrack/connections/seat_store.py
+++ b/beryltrack/connections/seat_store.py
@@ -3,8 +3,8 @@
 from returns.result import Success
 
 from beryltrack.connections.budget_messages import SeatRecord, WriteSeat
-from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.messages import PlatformObject
+from beryltrack.objects.client import PlatformClient
+from beryltrack.objects.messages import PlatformObject
 
 PREFIX = "budget/seats/"
 
--- a/beryltrack/daemon/fleet.py
+++ b/beryltrack/daemon/fleet.py
@@ -17,11 +17,11 @@
 from beryltrack.failover.hints import HintWriter
 from beryltrack.failover.messages import FailoverReport
 from beryltrack.groups.sharing import GroupSharing
+from beryltrack.objects.client import PlatformClient
 from beryltrack.peers.forwarder import Forwarder, ForwardHandler
 from beryltrack.peers.messages import JOINED, SUSPECTED, Member
 from beryltrack.peers.placement import get_owners
 from beryltrack.peers.service import PeerService
-from beryltrack.platform.client import PlatformClient
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.settings.messages import InstanceSettings
 from beryltrack.settings.task import SettingsTask
--- a/beryltrack/daemon/local_site.py
+++ b/beryltrack/daemon/local_site.py
@@ -14,7 +14,7 @@
 from twisted.internet.task import deferLater
 
 from beryltrack.daemon.proxy import Proxy
-from beryltrack.platform.messages import LIVE
+from beryltrack.objects.messages import LIVE
 from beryltrack.settings.change import SettingsChange
 from beryltrack.settings.messages import Endpoint, InstanceSettings
 from beryltrack.settings.stored import ChangeRequest
--- a/beryltrack/daemon/metrics.py
+++ b/beryltrack/daemon/metrics.py
@@ -4,10 +4,8 @@
 that counting costs a statement next to nothing. Durations go to histograms.
 """
 
-import enum
 from collections import Counter
 from collections.abc import Callable, Iterator
-from typing import NamedTuple
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Meter, Observation
@@ -16,6 +14,15 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
+from beryltrack.metrics.messages import (
+    Counters,
+    PoolUse,
+    RequestKind,
+    RequestOutcome,
+    TargetKind,
+    compute_replica_share,
+)
+
 # Seconds; from a tenth of a millisecond up to a minute.
 DURATION_BOUNDS = (0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 60)
 # Seconds. A request that got its connection at once did not wait, and to record
@@ -23,106 +30,6 @@
 SHORTEST_WAIT = 0.0001
 
 
-class RequestKind(enum.Enum):
-    """What a request did."""
-
-    READ = "read"
-    WRITE = "write"
-
-    # Members are singletons; the hash by name is slow on the path of a statement.
-    __hash__ = object.__hash__
-
-
-class RequestOutcome(enum.Enum):
-    """How a request ended.
-
-    DONE was answered by a target, errors of its own included. NOT_RUN,
-    ROLLED_BACK and UNKNOWN are the three kinds of refusal.
-    """
-
-    DONE = "done"
-    NOT_RUN = "not_run"
-    ROLLED_BACK = "rolled_back"
-    UNKNOWN = "unknown"
-
-    # Members are singletons; the hash by name is slow on the path of a statement.
-    __hash__ = object.__hash__
-
-
-class TargetKind(enum.Enum):
-    """Which kind of target served a request; NONE if it was not run."""
-
-    REPLICA = "replica"
-    PRIMARY = "primary"
-    NONE = "none"
-
-    # Members are singletons; the hash by name is slow on the path of a statement.
-    __hash__ = object.__hash__
-
-
-class PoolUse(NamedTuple):
-    """How far a database's connections are used by this instance.
-
-    Parameters
-    ----------
-    group : str
-        Name of the group.
-    database : str
-        Name of the database.
-    busy : int
-        Connections that run a statement or a transaction.
-    idle : int
-        Connections that wait for work.
-    waiting : int
-        Requests that wait for a connection.
-    allowed : int
-        Connections that this instance may have now.
-    """
-
-    group: str
-    database: str
-    busy: int
-    idle: int
-    waiting: int
-    allowed: int
-
-
-class Counters(NamedTuple):
-    """Counts since the start of the instance.
-
-    Parameters
-    ----------
-    replica_reads : int
-        Reads that a replica served.
-    primary_reads : int
-        Reads that a primary served.
-    writes : int
-        Writes that were acknowledged.
-    not_run : int
-        Requests refused as not run.
-    rolled_back : int
-        Requests that ended as rolled back.
-    unknown : int
-        Requests whose outcome is unknown.
-    failovers : int
-        Changes of primary that this instance carried out.
-    """
-
-    replica_reads: int
-    primary_reads: int
-    writes: int
-    not_run: int
-    rolled_back: int
-    unknown: int
-    failovers: int
-
-
-def compute_replica_share(counters: Counters) -> float | None:
-    """Return the share of reads that replicas served; None without reads."""
-    reads = counters.replica_reads + counters.primary_reads
-    return counters.replica_reads / reads if reads else None
-
-
 class InstanceMetrics:
     """All instruments of one instance.
 
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -11,15 +11,17 @@
 from beryltrack.daemon.fleet import FleetTask
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.health import build_health_site
-from beryltrack.daemon.metrics import InstanceMetrics, PoolUse
+from beryltrack.daemon.metrics import InstanceMetrics
 from beryltrack.daemon.reports import build_status
 from beryltrack.daemon.status import InstanceStatus
 from beryltrack.failover.messages import FailoverReport
+from beryltrack.metrics.messages import PoolUse
+from beryltrack.objects.client import PlatformClient
+from beryltrack.objects.registration import RegistrationTask
 from beryltrack.peers.counters import register_counters
-from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.registration import RegistrationTask
 from beryltrack.requests.forward_handler import ForwardHandler
 from beryltrack.requests.ledger_cleaner import LedgerCleaner
+from beryltrack.requests.postgres import PostgresProtocol
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import make_services
 from beryltrack.requests.task import RequestTask
@@ -61,7 +63,9 @@
         self.platform = PlatformClient(reactor, settings.platform_url)
         self.settings_task = SettingsTask(reactor, self.platform, rng)
         self.groups = GroupTable(reactor, settings.name, rng)
-        self.services = make_services(reactor, settings.zone, self.metrics, rng)
+        self.services = make_services(
+            reactor, settings.zone, self.metrics, rng, PostgresProtocol()
+        )
         handler = RequestTask(self.services, self._get_site, self.groups.get)
         self.fleet = FleetTask(
             reactor,
--- a/beryltrack/daemon/reports.py
+++ b/beryltrack/daemon/reports.py
@@ -3,7 +3,6 @@
 import math
 from collections.abc import Iterable
 
-from beryltrack.daemon.metrics import Counters
 from beryltrack.daemon.status import (
     DatabaseReport,
     GroupReport,
@@ -12,6 +11,7 @@
 )
 from beryltrack.groups.messages import LogPosition
 from beryltrack.groups.view import DatabaseView
+from beryltrack.metrics.messages import Counters
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.settings.messages import InstanceSettings
 from beryltrack.settings.task import SettingsTask
--- a/beryltrack/daemon/status.py
+++ b/beryltrack/daemon/status.py
@@ -5,9 +5,9 @@
 
 from typing import NamedTuple
 
-from beryltrack.daemon.metrics import Counters
 from beryltrack.findings import Finding
 from beryltrack.json_form import from_json, to_json
+from beryltrack.metrics.messages import Counters
 
 
 class ObjectVersion(NamedTuple):
--- a/beryltrack/failover/hints.py
+++ b/beryltrack/failover/hints.py
@@ -13,7 +13,7 @@
 from twisted.internet.task import deferLater
 
 from beryltrack.failover.messages import FailoverReport
-from beryltrack.platform.messages import PlatformError, PlatformObject
+from beryltrack.objects.messages import PlatformError, PlatformObject
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/beryltrack/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""What is counted and measured, whoever shows it."""
--- a/beryltrack/platform/client.py
+++ b/beryltrack/objects/client.py
@@ -27,15 +27,15 @@
 from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool
 from twisted.web.iweb import IAgent
 
-from beryltrack.platform.backoff import compute_delay
-from beryltrack.platform.messages import (
+from beryltrack.objects.backoff import compute_delay
+from beryltrack.objects.messages import (
     ErrorKind,
     InstanceEntry,
     ObjectList,
     PlatformError,
     PlatformObject,
 )
-from beryltrack.platform.parsing import (
+from beryltrack.objects.parsing import (
     parse_instances,
     parse_list,
     parse_object,
--- a/beryltrack/platform/parsing.py
+++ b/beryltrack/objects/parsing.py
@@ -4,7 +4,7 @@
 missing or of another type raises `ValueError`, which the client reports.
 """
 
-from beryltrack.platform.messages import InstanceEntry, ObjectList, PlatformObject
+from beryltrack.objects.messages import InstanceEntry, ObjectList, PlatformObject
 
 
 def _get_field(answer: object, name: str, kind: type) -> object:
--- a/beryltrack/platform/registration.py
+++ b/beryltrack/objects/registration.py
@@ -19,9 +19,9 @@
 from twisted.python.failure import Failure as Failed
 
 from beryltrack.json_form import from_json, to_json
-from beryltrack.platform.backoff import compute_delay
-from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.messages import PlatformError, PlatformObject
+from beryltrack.objects.backoff import compute_delay
+from beryltrack.objects.client import PlatformClient
+from beryltrack.objects.messages import PlatformError, PlatformObject
 from beryltrack.settings.messages import Endpoint
 
 log = logging.getLogger(__name__)
--- a/beryltrack/peers/sharing.py
+++ b/beryltrack/peers/sharing.py
@@ -15,10 +15,10 @@
 from twisted.internet.interfaces import IReactorTime
 
 from beryltrack.findings import Finding, format_finding
+from beryltrack.objects.messages import InstanceEntry, PlatformError, PlatformObject
 from beryltrack.peers.messages import MEMBER_KIND, KnowledgeItem
 from beryltrack.peers.repeater import Repeater
 from beryltrack.peers.task import PeerTask
-from beryltrack.platform.messages import InstanceEntry, PlatformError, PlatformObject
 from beryltrack.settings.paths import PREFIX
 from beryltrack.settings.task import SettingsTask
 
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -2,11 +2,6 @@
 
 from typing import NamedTuple
 
-from pygwire import TransactionStatus
-from pygwire.messages import ParameterStatus
-
-from beryltrack.callers.caller import Caller, encode_error
-from beryltrack.daemon.metrics import RequestKind, RequestOutcome, TargetKind
 from beryltrack.errors import (
     NOT_RUN_STATES,
     SERIALIZATION_FAILURE,
@@ -16,16 +11,17 @@
     make_rolled_back,
 )
 from beryltrack.groups.messages import LogPosition
+from beryltrack.metrics.messages import RequestKind, RequestOutcome, TargetKind
 from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.outcomes import NextStep
-from beryltrack.requests.plan import RequestPlan
+from beryltrack.requests.protocol import RequestPolicy, UnitCaller, UnitPlan
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
-from beryltrack.requests.session_state import SESSION_SETTING
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.requests.targets import TargetSearch
-from beryltrack.sessions.tokens import format_token, merge_position
+from beryltrack.sessions.tokens import merge_position
 from beryltrack.transactions.decider import CommitOutcome
+from beryltrack.wire.messages import TransactionStatus
 
 _OUTCOMES = {
     SERIALIZATION_FAILURE: RequestOutcome.ROLLED_BACK,
@@ -42,9 +38,9 @@
         What requests share.
     runtime : GroupRuntime
         The group that it is for.
-    caller : Caller
+    caller : UnitCaller
         Who sent it.
-    plan : RequestPlan
+    plan : UnitPlan
         What it asks for.
     arrived_at : float
         When it arrived, by the node's clock, seconds.
@@ -54,11 +50,16 @@
 
     services: RequestServices
     runtime: GroupRuntime
-    caller: Caller
-    plan: RequestPlan
+    caller: UnitCaller
+    plan: UnitPlan
     arrived_at: float
     ticket: Ticket
 
+    @property
+    def policy(self) -> RequestPolicy:
+        """The times that bound it."""
+        return self.plan.policy or self.services.policy
+
     @property
     def search(self) -> TargetSearch:
         """Where and how long to look for a target."""
@@ -67,12 +68,12 @@
     @property
     def deadline(self) -> float:
         """When its commit must be confirmed, by the node's clock."""
-        return self.arrived_at + self.services.policy.request_timeout
+        return self.arrived_at + self.policy.request_timeout
 
     @property
     def give_up_at(self) -> float:
         """When it is refused if no database has taken it, by the node's clock."""
-        return self.arrived_at + self.services.policy.target_timeout
+        return self.arrived_at + self.policy.target_timeout
 
 
 async def confirm_commit(
@@ -116,8 +117,7 @@
     caller = context.caller
     parts = [sink.take_held()]
     if has_new_token:
-        token = format_token(caller.session.token)
-        parts.append(ParameterStatus(SESSION_SETTING, token).to_wire())
+        parts.append(context.services.protocol.encode_token(caller))
     parts.append(tail)
     caller.write(b"".join(parts))
     caller.send_ready(status)
@@ -128,7 +128,7 @@
 ) -> None:
     """Answer with an error."""
     caller = context.caller
-    caller.write(encode_error(error))
+    caller.send_error(error)
     caller.send_ready(status)
     count_request(context, TargetKind.NONE, _OUTCOMES.get(error.sqlstate))
 
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -1,12 +1,11 @@
 """The course of a request outside of a transaction, from arrival to answer."""
 
-from pygwire import TransactionStatus
 from returns.maybe import Some
 from returns.result import Failure
 from twisted.internet.task import deferLater
 
-from beryltrack.daemon.metrics import TargetKind
 from beryltrack.errors import SqlError, make_refusal, make_rolled_back
+from beryltrack.metrics.messages import TargetKind
 from beryltrack.requests.answers import (
     RequestContext,
     confirm_commit,
@@ -15,7 +14,6 @@
     send_answer,
     send_failure,
 )
-from beryltrack.requests.execution import RunLost, RunResult, apply_settings, run_plan
 from beryltrack.requests.outcomes import (
     READ_ONLY_REFUSAL,
     NextStep,
@@ -24,13 +22,13 @@
     decide_after_commit,
     decide_after_failure,
 )
+from beryltrack.requests.protocol import RunLost, RunResult
 from beryltrack.requests.retry import FailedAttempt
-from beryltrack.requests.session_state import PinnedTransaction, apply_change
+from beryltrack.requests.session import PinnedTransaction
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.requests.targets import FoundTarget, find_target
 from beryltrack.routing.messages import ReadRequest, StatementKind, WriteRequest
-from beryltrack.sessions.variables import parse_change
-from beryltrack.wire.messages import ResponseEnd
+from beryltrack.wire.messages import ResponseEnd, TransactionStatus
 
 LOST_TEXT = "the connection to the target was lost"
 REPLACED_TEXT = "the primary was replaced"
@@ -108,11 +106,10 @@
     async def _run_on(self, target: FoundTarget) -> RunResult:
         """Run the unit on a connection."""
         context = self._context
-        connection, caller = target.connection, context.caller
-        refused = await apply_settings(connection, caller, context.services.settings)
-        if refused is not None:
-            return refused
-        return await run_plan(connection, context.plan, self._sink, caller)
+        protocol = context.services.protocol
+        return await protocol.run(
+            target.connection, context.plan, self._sink, context.caller
+        )
 
     def _decide_failure(self, failure: RunFailure) -> NextStep:
         """Return the step after a failed run; drop what it has answered."""
@@ -160,13 +157,9 @@
         context = self._context
         if end.position is not None:
             context.runtime.task.observe_position(target.database, end.position)
-        if context.plan.kind is StatementKind.SESSION_SET and end.error is None:
-            change, _ = parse_change(context.plan.text)
-            if change is not None:
-                apply_change(change, context.caller)
-                context.services.settings.note_applied(
-                    target.connection, context.caller
-                )
+        if end.error is None:
+            protocol = context.services.protocol
+            protocol.observe_answer(context.plan, context.caller, target.connection)
 
     def _release(self, target: FoundTarget) -> None:
         """Give the connection back."""
--- a/beryltrack/requests/execution.py
+++ b/beryltrack/requests/execution.py
@@ -1,7 +1,5 @@
 """Runs a planned unit, or a command of the proxy's own, on a connection."""
 
-from typing import NamedTuple
-
 from pygwire import BackendMessageDecoder, ConnectionPhase
 from pygwire.messages import DataRow, Query
 
@@ -9,27 +7,10 @@
 from beryltrack.callers.extended import apply_effects, build_extended
 from beryltrack.connections.target import TargetConnection, TargetLost
 from beryltrack.requests.plan import RequestPlan
+from beryltrack.requests.protocol import RunLost, RunResult
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.requests.target_settings import TargetSettings
-from beryltrack.wire.messages import Producer, ResponseEnd, ResponseSink
-
-
-class RunLost(NamedTuple):
-    """A run whose answer was lost.
-
-    Parameters
-    ----------
-    is_sent : bool
-        True if the target may have run the unit.
-    reason : str
-        Why the connection ended.
-    """
-
-    is_sent: bool
-    reason: str
-
-
-RunResult = ResponseEnd | RunLost
+from beryltrack.wire.messages import Producer, ResponseSink
 
 
 class CollectingSink:
--- a/beryltrack/requests/forward_course.py
+++ b/beryltrack/requests/forward_course.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from pygwire import TransactionStatus
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
@@ -15,6 +14,7 @@
 from beryltrack.requests.outcomes import NextStep
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.routing.messages import StatementKind
+from beryltrack.wire.messages import TransactionStatus
 
 PAUSE = 0.05
 """Seconds between two attempts to forward a request."""
--- a/beryltrack/requests/forward_handler.py
+++ b/beryltrack/requests/forward_handler.py
@@ -7,7 +7,6 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from pygwire import TransactionStatus
 from pygwire.exceptions import ProtocolError
 from twisted.internet.defer import Deferred
 
@@ -27,8 +26,9 @@
     encode_effects,
     set_statements,
 )
-from beryltrack.requests.session_state import CallerSession
+from beryltrack.requests.session import CallerSession
 from beryltrack.sessions.tokens import parse_token
+from beryltrack.wire.messages import TransactionStatus
 
 log = logging.getLogger(__name__)
 
--- a/beryltrack/requests/ledger_cleaner.py
+++ b/beryltrack/requests/ledger_cleaner.py
@@ -14,8 +14,9 @@
 from twisted.internet.task import LoopingCall
 
 from beryltrack.requests.admission_task import UNCOUNTED, Ticket
-from beryltrack.requests.execution import RunLost, run_command
+from beryltrack.requests.execution import run_command
 from beryltrack.requests.ledger import UNDEFINED_TABLE, format_removal
+from beryltrack.requests.protocol import RunLost
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
 from beryltrack.requests.targets import TargetSearch, find_target
--- a/beryltrack/requests/marked.py
+++ b/beryltrack/requests/marked.py
@@ -8,13 +8,11 @@
 
 from datetime import UTC, datetime
 
-from pygwire import TransactionStatus
 from pygwire.messages import CommandComplete
 from returns.result import Failure
 from twisted.internet.task import deferLater
 
 from beryltrack.connections.target import TargetConnection
-from beryltrack.daemon.metrics import TargetKind
 from beryltrack.errors import (
     INVALID_PARAMETER_VALUE,
     SqlError,
@@ -22,6 +20,7 @@
     make_refusal,
     make_rolled_back,
 )
+from beryltrack.metrics.messages import TargetKind
 from beryltrack.requests import ledger
 from beryltrack.requests.answers import (
     RequestContext,
@@ -32,14 +31,14 @@
 )
 from beryltrack.requests.execution import (
     CollectingSink,
-    RunLost,
     apply_settings,
     read_rows,
     run_command,
     run_plan,
 )
 from beryltrack.requests.outcomes import READ_ONLY_REFUSAL
-from beryltrack.requests.session_state import PinnedTransaction
+from beryltrack.requests.protocol import RunLost
+from beryltrack.requests.session import PinnedTransaction
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.requests.targets import (
     FoundTarget,
@@ -48,7 +47,7 @@
 )
 from beryltrack.routing.messages import WriteRequest
 from beryltrack.transactions.decider import CommitOutcome
-from beryltrack.wire.messages import ResponseEnd
+from beryltrack.wire.messages import ResponseEnd, TransactionStatus
 
 PAUSE = 0.02
 """Seconds between two attempts to find out what became of a request."""
@@ -112,7 +111,7 @@
     async def _open(self, connection: TargetConnection) -> ResponseEnd | RunLost:
         """Open the transaction and insert the ledger's row."""
         services, caller = self._context.services, self._context.caller
-        refused = await apply_settings(connection, caller, services.settings)
+        refused = await apply_settings(connection, caller, services.protocol.settings)
         if refused is not None:
             return refused
         created_at = datetime.now(UTC).isoformat(timespec="seconds")
--- a/beryltrack/requests/pinned.py
+++ b/beryltrack/requests/pinned.py
@@ -5,10 +5,7 @@
 rolls the transaction back, unless its ``COMMIT`` was on the way.
 """
 
-from pygwire import TransactionStatus
-from pygwire.messages import CommandComplete
-
-from beryltrack.daemon.metrics import TargetKind
+from beryltrack.metrics.messages import TargetKind
 from beryltrack.requests.answers import (
     RequestContext,
     confirm_commit,
@@ -18,8 +15,6 @@
     send_failure,
 )
 from beryltrack.requests.course import LOST_TEXT, REPLACED_TEXT
-from beryltrack.requests.execution import RunLost, run_plan
-from beryltrack.requests.marked import insert_for_commit, resolve_commit
 from beryltrack.requests.outcomes import (
     NextStep,
     RequestState,
@@ -27,14 +22,11 @@
     decide_after_commit,
     decide_after_failure,
 )
-from beryltrack.requests.session_state import PinnedTransaction, apply_change
+from beryltrack.requests.protocol import RunLost
+from beryltrack.requests.session import PinnedTransaction
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.routing.messages import StatementKind
-from beryltrack.sessions.variables import parse_change
-from beryltrack.wire.messages import ResponseEnd
-
-ROLLBACK_TAIL = CommandComplete("ROLLBACK").to_wire()
-"""What ends the answer to ``ROLLBACK``, and to ``COMMIT`` after a failure."""
+from beryltrack.wire.messages import ResponseEnd, TransactionStatus
 
 
 async def run_pinned(context: RequestContext) -> None:
@@ -46,14 +38,17 @@
         The request; its caller has a transaction open.
     """
     pinned = context.caller.session.pinned
+    protocol = context.services.protocol
     if _needs_ledger(context, pinned):
-        is_repeat = await insert_for_commit(context, pinned)
+        is_repeat = await protocol.insert_for_commit(context, pinned)
         if is_repeat:
             _unpin(context, pinned, pinned.connection.broken is False)
-            await resolve_commit(context)
+            await context.services.protocol.resolve_commit(context)
             return
     sink = AnswerSink(context.caller)
-    result = await run_plan(pinned.connection, context.plan, sink, context.caller)
+    result = await protocol.run_pinned(
+        pinned.connection, context.plan, sink, context.caller
+    )
     if isinstance(result, RunLost):
         await _finish_lost(context, pinned, sink, result)
         return
@@ -112,7 +107,7 @@
     state = _get_state(context, pinned, sink)
     step = decide_after_failure(state, RunFailure(lost.is_sent, ""))
     if step is NextStep.RESOLVE:
-        await resolve_commit(context)
+        await context.services.protocol.resolve_commit(context)
         return
     send_failure(context, make_step_error(step, LOST_TEXT), TransactionStatus.IDLE)
 
@@ -127,14 +122,13 @@
     _unpin(context, pinned, _keeps_settings(context))
     if end.error is not None and _fail_replaced(context, pinned, sink, end):
         return
-    # A position that comes with a rollback is of the commits of others.
-    has_written = not pinned.is_read_only and end.error is None
-    has_written = has_written and end.tail != ROLLBACK_TAIL
+    protocol = context.services.protocol
+    has_written = protocol.has_committed(context.plan, pinned, end)
     if has_written and end.position is not None:
         outcome = await confirm_commit(context, end.position, pinned.database)
         step = decide_after_commit(_get_state(context, pinned, sink), outcome)
         if step is NextStep.RESOLVE:
-            await resolve_commit(context)
+            await context.services.protocol.resolve_commit(context)
             return
         if step is not NextStep.ANSWER:
             error = make_step_error(step, REPLACED_TEXT)
@@ -152,8 +146,8 @@
     """Answer a unit after which the transaction is still open."""
     if end.error is not None and _fail_replaced(context, pinned, sink, end):
         return
-    if end.error is None and context.plan.kind is StatementKind.SESSION_SET:
-        _note_setting(context)
+    if end.error is None:
+        context.services.protocol.observe_pinned(context.plan, context.caller)
     _answer(context, pinned, sink, end, False)
 
 
@@ -172,14 +166,6 @@
     return True
 
 
-def _note_setting(context: RequestContext) -> None:
-    """Keep a setting that was changed on the transaction's connection."""
-    change, _ = parse_change(context.plan.text)
-    if change is not None:
-        apply_change(change, context.caller)
-        context.caller.session.has_changed_settings = True
-
-
 def _keeps_settings(context: RequestContext) -> bool:
     """Return whether the connection's settings are still the known ones.
 
--- a/beryltrack/requests/plan.py
+++ b/beryltrack/requests/plan.py
@@ -25,6 +25,7 @@
 )
 from beryltrack.findings import Finding, format_finding
 from beryltrack.requests.ledger import compute_fingerprint
+from beryltrack.requests.protocol import RequestPolicy
 from beryltrack.routing.messages import StatementKind
 from beryltrack.routing.statements import classify, combine_kinds
 from beryltrack.sessions.marks import RequestMarks, get_marks
@@ -57,6 +58,11 @@
     extended: ExtendedPlan | None
     marks: RequestMarks
 
+    @property
+    def policy(self) -> RequestPolicy | None:
+        """The times that bound it: those of the instance."""
+        return None
+
     @property
     def is_read(self) -> bool:
         """True if a replica may run it, outside of a transaction."""
--- /dev/null
+++ b/beryltrack/requests/postgres.py
@@ -0,0 +1,165 @@
+"""Units of the PostgreSQL protocol, as the course of a request runs them."""
+
+from pygwire.messages import CommandComplete, ParameterStatus
+from returns.result import Result, Success
+
+from beryltrack.callers.caller import Caller
+from beryltrack.callers.extended import apply_plan
+from beryltrack.callers.local import (
+    LocalResult,
+    encode_extended_answer,
+    encode_simple_answer,
+)
+from beryltrack.callers.messages import Request
+from beryltrack.connections.target import TargetConnection
+from beryltrack.errors import SqlError
+from beryltrack.requests.answers import RequestContext
+from beryltrack.requests.execution import apply_settings, run_plan
+from beryltrack.requests.marked import (
+    MarkedCourse,
+    insert_for_commit,
+    resolve_commit,
+)
+from beryltrack.requests.plan import RequestPlan, plan_request
+from beryltrack.requests.protocol import RunResult
+from beryltrack.requests.session import PinnedTransaction
+from beryltrack.requests.session_state import (
+    SESSION_SETTING,
+    apply_change,
+    describe_local,
+    is_local,
+    open_session,
+    run_local,
+)
+from beryltrack.requests.sink import AnswerSink
+from beryltrack.requests.target_settings import TargetSettings
+from beryltrack.routing.messages import StatementKind
+from beryltrack.sessions.tokens import format_token
+from beryltrack.sessions.variables import parse_change
+from beryltrack.settings.messages import GroupSettings, RuleSettings
+from beryltrack.wire.messages import ResponseEnd
+
+ROLLBACK_TAIL = CommandComplete("ROLLBACK").to_wire()
+"""What ends the answer to ``ROLLBACK``, and to ``COMMIT`` after a failure."""
+
+
+class PostgresProtocol:
+    """The PostgreSQL protocol at both ends; see `WireProtocol`."""
+
+    def __init__(self):
+        self.settings = TargetSettings()
+
+    def check_session(self, caller: Caller) -> SqlError | None:
+        """Open a caller's session; return an error if its settings are wrong."""
+        return open_session(caller)
+
+    def plan(
+        self,
+        unit: Request,
+        caller: Caller,
+        group: GroupSettings,
+        rules: tuple[RuleSettings, ...],
+    ) -> Result[RequestPlan, SqlError]:
+        """Return the plan of a unit, or why it cannot be run."""
+        return plan_request(unit, caller, group, rules)
+
+    def answer_locally(self, plan: RequestPlan, caller: Caller) -> bool:
+        """Answer a unit that concerns the proxy alone; False for all others."""
+        described = describe_local(plan)
+        if described is not None:
+            _send_result(plan, caller, described)
+            return True
+        if not is_local(plan):
+            return False
+        result = run_local(plan, caller)
+        if isinstance(result, Success):
+            _send_result(plan, caller, result.unwrap())
+        else:
+            caller.send_error(result.failure())
+            caller.send_ready(caller.status)
+        return True
+
+    async def run(
+        self,
+        connection: TargetConnection,
+        plan: RequestPlan,
+        sink: AnswerSink,
+        caller: Caller,
+    ) -> RunResult:
+        """Give a connection the caller's settings, and run a unit on it."""
+        refused = await apply_settings(connection, caller, self.settings)
+        if refused is not None:
+            return refused
+        return await run_plan(connection, plan, sink, caller)
+
+    async def run_pinned(
+        self,
+        connection: TargetConnection,
+        plan: RequestPlan,
+        sink: AnswerSink,
+        caller: Caller,
+    ) -> RunResult:
+        """Run a unit on the connection of the caller's open transaction."""
+        return await run_plan(connection, plan, sink, caller)
+
+    def observe_answer(
+        self, plan: RequestPlan, caller: Caller, connection: TargetConnection
+    ) -> None:
+        """Keep a setting that was changed outside of a transaction."""
+        if _note_setting(plan, caller):
+            self.settings.note_applied(connection, caller)
+
+    def observe_pinned(self, plan: RequestPlan, caller: Caller) -> None:
+        """Keep a setting that was changed on the transaction's connection."""
+        if _note_setting(plan, caller):
+            caller.session.has_changed_settings = True
+
+    def has_committed(
+        self, plan: RequestPlan, pinned: PinnedTransaction, end: ResponseEnd
+    ) -> bool:
+        """Return whether the end of a transaction has made changes last.
+
+        A position that comes with a rollback is of the commits of others.
+        """
+        is_ended_well = end.error is None and end.tail != ROLLBACK_TAIL
+        return is_ended_well and not pinned.is_read_only
+
+    def encode_token(self, caller: Caller) -> bytes:
+        """Return the report of a session's new token."""
+        token = format_token(caller.session.token)
+        return ParameterStatus(SESSION_SETTING, token).to_wire()
+
+    async def run_marked(self, context: RequestContext) -> None:
+        """Run a marked unit outside of a transaction, at most once."""
+        await MarkedCourse(context).run()
+
+    async def insert_for_commit(
+        self, context: RequestContext, pinned: PinnedTransaction
+    ) -> bool:
+        """Record a marked transaction before its commit; True for a repeat."""
+        return await insert_for_commit(context, pinned)
+
+    async def resolve_commit(self, context: RequestContext) -> None:
+        """Find out whether a marked transaction has committed, and answer."""
+        await resolve_commit(context)
+
+
+def _note_setting(plan: RequestPlan, caller: Caller) -> bool:
+    """Keep what a unit that was run has set; False if it sets nothing."""
+    if plan.kind is not StatementKind.SESSION_SET:
+        return False
+    change, _ = parse_change(plan.text)
+    if change is None:
+        return False
+    apply_change(change, caller)
+    return True
+
+
+def _send_result(plan: RequestPlan, caller: Caller, result: LocalResult) -> None:
+    """Send a result of the proxy's own, and keep what the batch prepared."""
+    if plan.extended is None:
+        caller.write(encode_simple_answer(result))
+    else:
+        caller.write(encode_extended_answer(plan.request, result))
+        apply_plan(plan.extended, caller.statements)
+    caller.send_ready(caller.status)
--- /dev/null
+++ b/beryltrack/requests/protocol.py
@@ -0,0 +1,173 @@
+"""What the course of a request asks of the wire protocol at its two ends.
+
+Routing, retries, confirmation and transactions are the same whichever protocol
+callers and targets speak. Each protocol implements `WireProtocol` once; nothing
+else in this slice knows a message of it.
+"""
+
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from returns.result import Result
+
+from beryltrack.connections.messages import PooledConnection
+from beryltrack.errors import SqlError
+from beryltrack.requests.sink import AnswerSink
+from beryltrack.routing.messages import StatementKind
+from beryltrack.sessions.marks import RequestMarks
+from beryltrack.settings.messages import GroupSettings, RuleSettings
+from beryltrack.wire.messages import ResponseEnd, ResponseSink, TransactionStatus
+
+if TYPE_CHECKING:
+    from beryltrack.requests.answers import RequestContext
+    from beryltrack.requests.session import CallerSession, PinnedTransaction
+
+
+class RequestPolicy(NamedTuple):
+    """The times that bound a request.
+
+    Parameters
+    ----------
+    request_timeout : float
+        Seconds from a request's arrival within which it must reach a target and
+        its commit must be confirmed.
+    target_timeout : float
+        Seconds that a request waits for a database that can take it, for
+        example while a new primary takes over, before it is refused.
+    run_timeout : float or None
+        Seconds that a target may take to answer; None if that is not bounded.
+    """
+
+    request_timeout: float = 10.0
+    target_timeout: float = 5.0
+    run_timeout: float | None = None
+
+
+class RunLost(NamedTuple):
+    """A run whose answer was lost.
+
+    Parameters
+    ----------
+    is_sent : bool
+        True if the target may have run the unit.
+    reason : str
+        Why the connection ended.
+    """
+
+    is_sent: bool
+    reason: str
+
+
+RunResult = ResponseEnd | RunLost
+
+
+class UnitPlan(Protocol):
+    """One unit of a caller, understood."""
+
+    @property
+    def kind(self) -> StatementKind:
+        """The kind of its statements together."""
+
+    @property
+    def marks(self) -> RequestMarks:
+        """What is asked for it beside its statements."""
+
+    @property
+    def is_read(self) -> bool:
+        """True if a replica may run it, outside of a transaction."""
+
+    @property
+    def is_marked(self) -> bool:
+        """True if it must run at most once and carries an identifier."""
+
+    @property
+    def policy(self) -> RequestPolicy | None:
+        """The times that bound it; None for those of the instance."""
+
+
+class UnitCaller(ResponseSink, Protocol):
+    """A caller, as the course of its requests sees it."""
+
+    session: "CallerSession"
+    status: TransactionStatus
+    gone: bool
+
+    @property
+    def database(self) -> str:
+        """The database that it asked for."""
+
+    @property
+    def in_transaction(self) -> bool:
+        """True while it has a transaction open."""
+
+    def send_error(self, error: SqlError) -> None:
+        """Send an error."""
+
+    def send_ready(self, status: TransactionStatus) -> None:
+        """Say that the unit is answered, and how its transaction stands."""
+
+    def set_gone(self, callback) -> None:
+        """Call `callback` when the caller disconnects; at once if it has."""
+
+
+class WireProtocol(Protocol):
+    """How one wire protocol understands and runs units."""
+
+    def check_session(self, caller: UnitCaller) -> SqlError | None:
+        """Open a caller's session; return an error if its settings are wrong."""
+
+    def plan(
+        self,
+        unit: object,
+        caller: UnitCaller,
+        group: GroupSettings,
+        rules: tuple[RuleSettings, ...],
+    ) -> Result[UnitPlan, SqlError]:
+        """Return the plan of a unit, or why it cannot be run."""
+
+    def answer_locally(self, plan: UnitPlan, caller: UnitCaller) -> bool:
+        """Answer a unit that concerns the proxy alone; False for all others."""
+
+    async def run(
+        self,
+        connection: PooledConnection,
+        plan: UnitPlan,
+        sink: AnswerSink,
+        caller: UnitCaller,
+    ) -> RunResult:
+        """Bring a connection to the caller's session, and run a unit on it."""
+
+    async def run_pinned(
+        self,
+        connection: PooledConnection,
+        plan: UnitPlan,
+        sink: AnswerSink,
+        caller: UnitCaller,
+    ) -> RunResult:
+        """Run a unit on the connection of the caller's open transaction."""
+
+    def observe_answer(
+        self, plan: UnitPlan, caller: UnitCaller, connection: PooledConnection
+    ) -> None:
+        """Keep what a unit that was run outside of a transaction has changed."""
+
+    def observe_pinned(self, plan: UnitPlan, caller: UnitCaller) -> None:
+        """Keep what a unit has changed inside of a transaction."""
+
+    def has_committed(
+        self, plan: UnitPlan, pinned: "PinnedTransaction", end: ResponseEnd
+    ) -> bool:
+        """Return whether the end of a transaction has made changes last."""
+
+    def encode_token(self, caller: UnitCaller) -> bytes:
+        """Return what tells a caller its session's new token; may be empty."""
+
+    async def run_marked(self, context: "RequestContext") -> None:
+        """Run a marked unit outside of a transaction, at most once."""
+
+    async def insert_for_commit(
+        self, context: "RequestContext", pinned: "PinnedTransaction"
+    ) -> bool:
+        """Record a marked transaction before its commit; True for a repeat."""
+
+    async def resolve_commit(self, context: "RequestContext") -> None:
+        """Find out whether a marked transaction has committed, and answer."""
--- a/beryltrack/requests/services.py
+++ b/beryltrack/requests/services.py
@@ -6,32 +6,15 @@
 from typing import NamedTuple
 
 from beryltrack.clock import get_seconds
-from beryltrack.daemon.metrics import InstanceMetrics
+from beryltrack.metrics.messages import RequestMetrics
 from beryltrack.requests.admission_task import AdmissionTask
+from beryltrack.requests.protocol import RequestPolicy, WireProtocol
 from beryltrack.requests.retry import RetryBudget, RetryPolicy
-from beryltrack.requests.target_settings import TargetSettings
 
 FIRST_RETRIES = 10.0
 """Retries that an instance may make before requests have filled its budget."""
 
 
-class RequestPolicy(NamedTuple):
-    """The times that bound a request.
-
-    Parameters
-    ----------
-    request_timeout : float
-        Seconds from a request's arrival within which it must reach a target and
-        its commit must be confirmed. How long a statement runs is not bounded.
-    target_timeout : float
-        Seconds that a request waits for a database that can take it, for
-        example while a new primary takes over, before it is refused.
-    """
-
-    request_timeout: float = 10.0
-    target_timeout: float = 5.0
-
-
 class RequestServices(NamedTuple):
     """What the courses of requests use.
 
@@ -43,14 +26,14 @@
         The node's time.
     zone : str
         Availability zone of this instance.
-    metrics : InstanceMetrics
+    metrics : RequestMetrics
         Counts and durations.
     admission : AdmissionTask
         Decides which requests are taken on.
     retries : RetryBudget
         Bounds repeated runs.
-    settings : TargetSettings
-        Which session settings each target connection has.
+    protocol : WireProtocol
+        What callers and targets speak.
     policy : RequestPolicy
         The times that bound a request.
     sequence : iterator of int
@@ -60,10 +43,10 @@
     reactor: object
     seconds: Callable[[], float]
     zone: str
-    metrics: InstanceMetrics
+    metrics: RequestMetrics
     admission: AdmissionTask
     retries: RetryBudget
-    settings: TargetSettings
+    protocol: WireProtocol
     policy: RequestPolicy
     sequence: Iterator[int]
 
@@ -71,8 +54,9 @@
 def make_services(
     reactor,
     zone: str,
-    metrics: InstanceMetrics,
+    metrics: RequestMetrics,
     rng: random.Random,
+    protocol: WireProtocol,
     policy: RequestPolicy | None = None,
 ) -> RequestServices:
     """Return the services of one instance.
@@ -83,10 +67,12 @@
         Source of timers.
     zone : str
         Availability zone of the instance.
-    metrics : InstanceMetrics
+    metrics : RequestMetrics
         Counts and durations.
     rng : random.Random
         Source of jitter.
+    protocol : WireProtocol
+        What callers and targets speak.
     policy : RequestPolicy, optional
         The times that bound a request.
 
@@ -102,7 +88,7 @@
         metrics,
         AdmissionTask(reactor),
         RetryBudget(RetryPolicy(first_saved=FIRST_RETRIES), rng),
-        TargetSettings(),
+        protocol,
         policy or RequestPolicy(),
         count(),
     )
--- a/beryltrack/requests/session_state.py
+++ b/beryltrack/requests/session_state.py
@@ -4,21 +4,15 @@
 settings that concern targets are given to each target connection before use.
 """
 
-from dataclasses import dataclass
-from typing import NamedTuple
-
 from returns.result import Failure, Result, Success
 
 from beryltrack.callers.caller import Caller
 from beryltrack.callers.local import LocalResult
 from beryltrack.callers.statements import is_session_reset, run_deallocate
-from beryltrack.connections.target import TargetConnection
-from beryltrack.connections.task import PoolTask
 from beryltrack.errors import SqlError, make_malformed_setting
 from beryltrack.findings import Finding, format_finding
-from beryltrack.groups.messages import LogPosition
 from beryltrack.requests.plan import RequestPlan
-from beryltrack.requests.runtime import GroupRuntime
+from beryltrack.requests.session import CallerSession
 from beryltrack.routing.messages import StatementKind
 from beryltrack.routing.statements import classify
 from beryltrack.sessions.marks import (
@@ -31,10 +25,7 @@
     parse_switch,
 )
 from beryltrack.sessions.tokens import (
-    UNKNOWN_TOKEN,
-    SessionToken,
     format_token,
-    get_position,
     parse_token,
 )
 from beryltrack.sessions.variables import SettingChange, parse_change, parse_show
@@ -49,63 +40,6 @@
 }
 
 
-class PinnedTransaction(NamedTuple):
-    """The target connection that a caller's open transaction runs on.
-
-    Parameters
-    ----------
-    runtime : GroupRuntime
-        The group.
-    database : str
-        The database's name.
-    pool : PoolTask
-        Where the connection came from.
-    connection : TargetConnection
-        The connection.
-    is_read_only : bool
-        True if the target holds the transaction to reading.
-    """
-
-    runtime: GroupRuntime
-    database: str
-    pool: PoolTask
-    connection: TargetConnection
-    is_read_only: bool
-
-
-@dataclass
-class CallerSession:
-    """The changing state of one caller's session.
-
-    Parameters
-    ----------
-    token : SessionToken
-        What the session is known to have written.
-    is_tracked : bool
-        True if the caller handed in a token or declared a new session. Without
-        that its requests may belong to many sessions, so that nothing can be
-        concluded from what was written here before.
-    pinned : PinnedTransaction or None
-        The open transaction.
-    has_changed_settings : bool
-        True if a setting was changed inside of the open transaction.
-    """
-
-    token: SessionToken = UNKNOWN_TOKEN
-    is_tracked: bool = False
-    pinned: PinnedTransaction | None = None
-    has_changed_settings: bool = False
-
-    def get_known_position(self, group: str) -> LogPosition | None:
-        """Return what the session has written in a group, None if unknown."""
-        return get_position(self.token, group) if self.is_tracked else None
-
-    def set_token(self, token: SessionToken) -> None:
-        """Take a token that the caller handed in."""
-        self.token = token
-        self.is_tracked = token != UNKNOWN_TOKEN
-
-
 def open_session(caller: Caller) -> SqlError | None:
     """Give a new caller its session; return an error if its settings are wrong."""
     caller.session = CallerSession()
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -10,8 +10,11 @@
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred, TimeoutError
 
-from beryltrack.connections.messages import PoolRefused, RefusalReason
-from beryltrack.connections.target import TargetConnection
+from beryltrack.connections.messages import (
+    PooledConnection,
+    PoolRefused,
+    RefusalReason,
+)
 from beryltrack.connections.task import PoolTask
 from beryltrack.errors import SqlError, make_refusal
 from beryltrack.groups.messages import LogPosition
@@ -48,14 +51,14 @@
         True if it counts as a replica in the share of reads.
     pool : PoolTask
         Where the connection came from.
-    connection : TargetConnection
+    connection : PooledConnection
         The connection.
     """
 
     database: str
     is_replica: bool
     pool: PoolTask
-    connection: TargetConnection
+    connection: PooledConnection
 
 
 class TargetSearch(NamedTuple):
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -2,17 +2,9 @@
 
 from collections.abc import Callable
 
-from returns.result import Failure, Success
+from returns.result import Failure
 from twisted.internet.defer import Deferred
 
-from beryltrack.callers.caller import Caller
-from beryltrack.callers.extended import apply_plan
-from beryltrack.callers.local import (
-    LocalResult,
-    encode_extended_answer,
-    encode_simple_answer,
-)
-from beryltrack.callers.messages import Request
 from beryltrack.errors import SqlError, make_not_run, make_refusal
 from beryltrack.requests.admission_task import UNCOUNTED, Ticket
 from beryltrack.requests.answers import RequestContext
@@ -22,17 +14,10 @@
     RequestForwarder,
     is_forwardable,
 )
-from beryltrack.requests.marked import MarkedCourse
 from beryltrack.requests.pinned import drop_transaction, run_pinned
-from beryltrack.requests.plan import RequestPlan, plan_request
+from beryltrack.requests.protocol import UnitCaller, UnitPlan
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
-from beryltrack.requests.session_state import (
-    describe_local,
-    is_local,
-    open_session,
-    run_local,
-)
 from beryltrack.sessions.rules import RuleSelector
 from beryltrack.settings.messages import SiteSettings
 
@@ -68,28 +53,28 @@
         """Pass requests of groups that others own on from now on."""
         self._forwarder = forwarder
 
-    def check_session(self, caller: Caller) -> SqlError | None:
+    def check_session(self, caller: UnitCaller) -> SqlError | None:
         """Open a caller's session; return an error if its settings are wrong."""
-        return open_session(caller)
+        return self._services.protocol.check_session(caller)
 
-    def handle(self, unit: Request, caller: Caller) -> "Deferred[None]":
+    def handle(self, unit: object, caller: UnitCaller) -> "Deferred[None]":
         """Run one unit; see `RequestHandler`."""
         return Deferred.fromCoroutine(self._handle(unit, caller))
 
-    def forget(self, caller: Caller) -> None:
+    def forget(self, caller: UnitCaller) -> None:
         """Roll back what a caller that is gone has left open."""
         session = caller.session
         if session is not None and session.pinned is not None:
             pinned, session.pinned = session.pinned, None
             drop_transaction(pinned)
 
-    async def run_forwarded(self, unit: Request, caller: Caller) -> None:
+    async def run_forwarded(self, unit: object, caller: UnitCaller) -> None:
         """Run a unit that another instance has passed on, never further on."""
         await self._handle(unit, caller, may_forward=False)
         self.forget(caller)
 
     async def _handle(
-        self, unit: Request, caller: Caller, may_forward: bool = True
+        self, unit: object, caller: UnitCaller, may_forward: bool = True
     ) -> None:
         """Plan a unit and run it."""
         runtime = self._find_runtime(caller)
@@ -98,21 +83,17 @@
             _refuse(caller, error)
             return
         rules = self._rules.select(self._get_settings().rules, runtime.settings)
-        planned = plan_request(unit, caller, runtime.settings, rules)
+        protocol = self._services.protocol
+        planned = protocol.plan(unit, caller, runtime.settings, rules)
         if isinstance(planned, Failure):
             _refuse(caller, planned.failure())
             return
         plan = planned.unwrap()
-        described = describe_local(plan)
-        if described is not None:
-            _send_result(plan, caller, described)
-            return
-        if is_local(plan):
-            _answer_locally(plan, caller)
+        if protocol.answer_locally(plan, caller):
             return
         await self._run(plan, caller, runtime, may_forward)
 
-    def _find_runtime(self, caller: Caller) -> GroupRuntime | None:
+    def _find_runtime(self, caller: UnitCaller) -> GroupRuntime | None:
         """Return the group of a caller; that of its transaction if one is open."""
         pinned = caller.session.pinned
         if pinned is not None:
@@ -121,8 +102,8 @@
 
     async def _run(
         self,
-        plan: RequestPlan,
-        caller: Caller,
+        plan: UnitPlan,
+        caller: UnitCaller,
         runtime: GroupRuntime,
         may_forward: bool,
     ) -> None:
@@ -130,7 +111,7 @@
         services, session = self._services, caller.session
         services.retries.observe_request()
         arrived_at = services.seconds()
-        deadline = arrived_at + services.policy.request_timeout
+        deadline = arrived_at + (plan.policy or services.policy).request_timeout
         admitted = services.admission.admit(runtime.settings.team, deadline)
         if isinstance(admitted, Failure) and session.pinned is None:
             _refuse(caller, admitted.failure())
@@ -165,31 +146,12 @@
     if context.caller.session.pinned is not None:
         await run_pinned(context)
     elif plan.is_marked and not plan.is_read:
-        await MarkedCourse(context).run()
+        await context.services.protocol.run_marked(context)
     else:
         await RequestCourse(context).run()
 
 
-def _refuse(caller: Caller, error: SqlError) -> None:
+def _refuse(caller: UnitCaller, error: SqlError) -> None:
     """Answer a unit that was not run."""
     caller.send_error(error)
     caller.send_ready(caller.status)
-
-
-def _answer_locally(plan: RequestPlan, caller: Caller) -> None:
-    """Answer a unit that concerns the proxy alone."""
-    result = run_local(plan, caller)
-    if not isinstance(result, Success):
-        _refuse(caller, result.failure())
-        return
-    _send_result(plan, caller, result.unwrap())
-
-
-def _send_result(plan: RequestPlan, caller: Caller, result: LocalResult) -> None:
-    """Send a result of the proxy's own, and keep what the batch prepared."""
-    if plan.extended is None:
-        caller.write(encode_simple_answer(result))
-    else:
-        caller.write(encode_extended_answer(plan.request, result))
-        apply_plan(plan.extended, caller.statements)
-    caller.send_ready(caller.status)
--- a/beryltrack/settings/change.py
+++ b/beryltrack/settings/change.py
@@ -14,8 +14,8 @@
 from returns.result import Failure, Result, Success
 from twisted.internet.task import deferLater
 
-from beryltrack.platform.backoff import compute_delay
-from beryltrack.platform.messages import ErrorKind, PlatformError, PlatformObject
+from beryltrack.objects.backoff import compute_delay
+from beryltrack.objects.messages import ErrorKind, PlatformError, PlatformObject
 from beryltrack.settings.stored import (
     ChangeRequest,
     build_value,
--- a/beryltrack/settings/compact.py
+++ b/beryltrack/settings/compact.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from beryltrack.findings import Finding
-from beryltrack.platform.messages import PlatformObject
+from beryltrack.objects.messages import PlatformObject
 from beryltrack.settings.parsing import SettingsObject, parse_settings
 from beryltrack.settings.stored import (
     StoredValue,
--- a/beryltrack/settings/decider.py
+++ b/beryltrack/settings/decider.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from beryltrack.findings import Finding
-from beryltrack.platform.messages import ObjectList, PlatformObject
+from beryltrack.objects.messages import ObjectList, PlatformObject
 from beryltrack.settings.compact import JudgedObject, judge_object
 from beryltrack.settings.messages import SiteSettings
 from beryltrack.settings.paths import PREFIX
--- a/beryltrack/settings/plan.py
+++ b/beryltrack/settings/plan.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from beryltrack.findings import Finding
-from beryltrack.platform.messages import ObjectList, PlatformObject
+from beryltrack.objects.messages import ObjectList, PlatformObject
 from beryltrack.settings.decider import SettingsDecider
 from beryltrack.settings.parsing import parse_settings
 from beryltrack.settings.paths import parse_path
--- a/beryltrack/settings/task.py
+++ b/beryltrack/settings/task.py
@@ -13,9 +13,9 @@
 from twisted.internet.defer import CancelledError, Deferred, succeed
 
 from beryltrack.findings import Finding, format_finding
-from beryltrack.platform.backoff import MAX_DELAY, compute_delay
-from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.messages import (
+from beryltrack.objects.backoff import MAX_DELAY, compute_delay
+from beryltrack.objects.client import PlatformClient
+from beryltrack.objects.messages import (
     ErrorKind,
     ObjectList,
     PlatformError,
--- a/beryltrack/settings/transitions.py
+++ b/beryltrack/settings/transitions.py
@@ -12,7 +12,7 @@
 from itertools import pairwise
 
 from beryltrack.findings import Finding
-from beryltrack.platform.messages import PlatformObject
+from beryltrack.objects.messages import PlatformObject
 from beryltrack.settings.stored import get_records, get_settings
 
 # Seconds; settings are in force everywhere well within this time.
--- a/beryltrack/wire/answers.py
+++ b/beryltrack/wire/answers.py
@@ -9,14 +9,13 @@
 import struct
 from collections.abc import Callable
 
-from pygwire import TransactionStatus
 from pygwire.exceptions import FramingError, ProtocolError
 from pygwire.messages import ErrorResponse, ParameterStatus
 
 from beryltrack.errors import ERROR, SqlError
 from beryltrack.groups.messages import LogPosition
 from beryltrack.wire.framing import DECODED_ANSWER_LIMIT, HEADER_SIZE, LENGTH_SIZE
-from beryltrack.wire.messages import Edit, ResponseEnd
+from beryltrack.wire.messages import Edit, ResponseEnd, TransactionStatus
 
 # The largest frame that is passed on; PostgreSQL makes none above 1 GiB.
 PASSED_LIMIT = 1 << 30
@@ -39,7 +38,7 @@
 _PASSED = frozenset(b"TD2ntIs")
 _COPY = frozenset(b"GHWdc")
 
-_STATUSES = {ord(status): status for status in TransactionStatus}
+_STATUSES = {ord(status.value): status for status in TransactionStatus}
 
 _PARSE_COMPLETE_FRAME = b"1\x00\x00\x00\x04"
 
--- a/beryltrack/wire/messages.py
+++ b/beryltrack/wire/messages.py
@@ -3,12 +3,24 @@
 from enum import Enum, auto
 from typing import NamedTuple, Protocol
 
-from pygwire import TransactionStatus
-
 from beryltrack.errors import SqlError
 from beryltrack.groups.messages import LogPosition
 
 
+class TransactionStatus(Enum):
+    """How a session's transaction stands after a unit."""
+
+    IDLE = "I"
+    """No transaction is open."""
+    IN_TRANSACTION = "T"
+    """A transaction is open."""
+    ERROR_TRANSACTION = "E"
+    """A transaction is open that failed and can only be rolled back."""
+
+    # Members are singletons; the hash by name is slow on the path of a statement.
+    __hash__ = object.__hash__
+
+
 class Edit(Enum):
     """What to do with one ParseComplete or CloseComplete of a target.
 
--- a/beryltrack_bench/fakes/platform.py
+++ b/beryltrack_bench/fakes/platform.py
@@ -12,7 +12,7 @@
 from twisted.internet.defer import Deferred, TimeoutError
 from twisted.internet.error import ConnectionLost
 
-from beryltrack.platform.messages import (
+from beryltrack.objects.messages import (
     ErrorKind,
     InstanceEntry,
     ObjectList,
--- a/beryltrack_bench/fleet/fleet.py
+++ b/beryltrack_bench/fleet/fleet.py
@@ -11,9 +11,9 @@
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import deferLater
 
+from beryltrack.objects.client import PlatformClient
 from beryltrack.peers.messages import JOINED
 from beryltrack.peers.service import PeerService
-from beryltrack.platform.client import PlatformClient
 from beryltrack.settings.change import SettingsChange
 from beryltrack.settings.messages import Endpoint, InstanceSettings, SiteSettings
 from beryltrack.settings.stored import ChangeRequest
--- a/beryltrack_bench/matrix/proxy.py
+++ b/beryltrack_bench/matrix/proxy.py
@@ -19,8 +19,10 @@
 from beryltrack.connections.task import PoolTask
 from beryltrack.daemon.metrics import InstanceMetrics
 from beryltrack.groups.task import GroupTask, ProbePolicy
+from beryltrack.requests.postgres import PostgresProtocol
+from beryltrack.requests.protocol import RequestPolicy
 from beryltrack.requests.runtime import GroupRuntime
-from beryltrack.requests.services import RequestPolicy, make_services
+from beryltrack.requests.services import make_services
 from beryltrack.requests.task import RequestTask
 from beryltrack.settings.messages import DatabaseSettings, GroupSettings, SiteSettings
 from beryltrack.settings.task import SettingsTask
@@ -102,7 +104,9 @@
         self._fleet = fleet
         self._rng = rng
         self._idle: Deferred | None = None
-        services = make_services(node, node.zone, _get_metrics(), rng, POLICY)
+        services = make_services(
+            node, node.zone, _get_metrics(), rng, PostgresProtocol(), POLICY
+        )
         self.requests = RequestTask(
             services, lambda: self.settings.current, lambda name: self.runtime
         )
--- a/tests/bench/test_fakes.py
+++ b/tests/bench/test_fakes.py
@@ -9,7 +9,7 @@
 
 from beryltrack.groups.adapter import StatusWait
 from beryltrack.groups.messages import LogPosition
-from beryltrack.platform.messages import ErrorKind
+from beryltrack.objects.messages import ErrorKind
 from beryltrack_bench.deployment import load_deployment, parse_deployment
 from beryltrack_bench.fakes.database import WriteRefused
 from beryltrack_bench.fakes.group import FakeAdapter, FakeGroup, make_network
--- a/tests/callers/glue.py
+++ b/tests/callers/glue.py
@@ -3,7 +3,6 @@
 import contextlib
 
 import psycopg
-from pygwire import TransactionStatus
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, DeferredQueue
 
@@ -20,6 +19,7 @@
     SiteSettings,
     UserSettings,
 )
+from beryltrack.wire.messages import TransactionStatus
 from tests.callers.echo_target import EchoFactory
 from tests.reactor_thread import run
 
--- a/tests/callers/test_protocol_faults.py
+++ b/tests/callers/test_protocol_faults.py
@@ -1,7 +1,7 @@
 """Connections that go wrong, without sockets: time, limits and leaving."""
 
 import pytest
-from pygwire import FrontendConnection, TransactionStatus
+from pygwire import FrontendConnection
 from pygwire import messages as m
 from twisted.internet.address import IPv4Address
 from twisted.internet.defer import Deferred, succeed
@@ -18,6 +18,7 @@
     TRANSACTION_IDLE_LIMIT,
 )
 from beryltrack.errors import SqlError
+from beryltrack.wire.messages import TransactionStatus
 from tests.callers.glue import make_settings
 
 PEER = IPv4Address("TCP", "127.0.0.1", 1)
--- a/tests/command/test_fleet.py
+++ b/tests/command/test_fleet.py
@@ -2,8 +2,8 @@
 
 from beryltrack.command.fleet import build_fleet_status, format_fleet
 from beryltrack.command.instances import InstanceAnswer
-from beryltrack.daemon.metrics import Counters
 from beryltrack.daemon.status import ObjectVersion
+from beryltrack.metrics.messages import Counters
 from tests.daemon.examples import DATABASES, STATUS
 
 
--- a/tests/command/test_tool.py
+++ b/tests/command/test_tool.py
@@ -9,8 +9,8 @@
 from beryltrack.command.main import build_application
 from beryltrack.command.report import ExitCode
 from beryltrack.daemon.health import build_health_site
-from beryltrack.platform.client import PlatformClient
-from beryltrack.platform.registration import RegistrationTask
+from beryltrack.objects.client import PlatformClient
+from beryltrack.objects.registration import RegistrationTask
 from beryltrack.settings.messages import Endpoint
 from tests.command.tool import running_tool
 from tests.daemon.examples import STATUS
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def tool(monkeypatch):
-    for module in ("platform.client", "settings.change"):
+    for module in ("objects.client", "settings.change"):
         monkeypatch.setattr(f"beryltrack.{module}.compute_delay", lambda *_: 0.01)
     with running_tool() as site:
         yield site
--- a/tests/command/test_waiting.py
+++ b/tests/command/test_waiting.py
@@ -9,8 +9,8 @@
 from beryltrack.command.waiting import get_pending, wait_in_force
 from beryltrack.daemon.status import ObjectVersion
 from beryltrack.json_form import to_json
-from beryltrack.platform.messages import InstanceEntry, ObjectList, PlatformObject
-from beryltrack.platform.registration import InstanceAddress
+from beryltrack.objects.messages import InstanceEntry, ObjectList, PlatformObject
+from beryltrack.objects.registration import InstanceAddress
 from beryltrack.settings.messages import Endpoint
 from tests.daemon.examples import STATUS
 
--- a/tests/command/tool.py
+++ b/tests/command/tool.py
@@ -11,7 +11,7 @@
 from beryltrack.command.fetch import build_fetch
 from beryltrack.command.main import build_application
 from beryltrack.command.runner import Tools
-from beryltrack.platform.client import PlatformClient
+from beryltrack.objects.client import PlatformClient
 from beryltrack_standins.platform.limits import PlatformOptions
 from beryltrack_standins.platform.server import PlatformServer
 from tests.reactor_thread import run
--- a/tests/connections/test_budget_service.py
+++ b/tests/connections/test_budget_service.py
@@ -8,7 +8,7 @@
 
 from beryltrack.connections.budget_service import BudgetService, make_plan
 from beryltrack.connections.task import PoolTask
-from beryltrack.platform.client import PlatformClient
+from beryltrack.objects.client import PlatformClient
 from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
 from beryltrack_standins.platform.limits import PlatformOptions
 from beryltrack_standins.platform.server import PlatformServer
--- a/tests/daemon/examples.py
+++ b/tests/daemon/examples.py
@@ -1,6 +1,5 @@
 """A status for the tests of the daemon's pages and of the tool."""
 
-from beryltrack.daemon.metrics import Counters
 from beryltrack.daemon.status import (
     DatabaseReport,
     GroupReport,
@@ -8,6 +7,7 @@
     ObjectVersion,
 )
 from beryltrack.findings import Finding
+from beryltrack.metrics.messages import Counters
 
 DATABASES = (
     DatabaseReport("db0", "primary", "2/7", "2/7", 0.0, True, False),
--- a/tests/daemon/test_pages.py
+++ b/tests/daemon/test_pages.py
@@ -9,16 +9,16 @@
 
 from beryltrack.daemon.health import build_health_site
 from beryltrack.daemon.logs import PartFormatter
-from beryltrack.daemon.metrics import (
+from beryltrack.daemon.metrics import InstanceMetrics
+from beryltrack.daemon.status import encode_status, parse_status
+from beryltrack.metrics.messages import (
     Counters,
-    InstanceMetrics,
     PoolUse,
     RequestKind,
     RequestOutcome,
     TargetKind,
     compute_replica_share,
 )
-from beryltrack.daemon.status import encode_status, parse_status
 from tests.daemon.examples import STATUS
 
 
--- a/tests/failover/test_hints.py
+++ b/tests/failover/test_hints.py
@@ -7,7 +7,7 @@
 
 from beryltrack.failover.hints import MAX_TRIES, HintWriter
 from beryltrack.failover.messages import ElectionKind, FailoverReport
-from beryltrack.platform.messages import ErrorKind, PlatformError, PlatformObject
+from beryltrack.objects.messages import ErrorKind, PlatformError, PlatformObject
 
 REPORT = FailoverReport("g", ElectionKind.LOST, 4, "b", 0.25, 0.3)
 DOWN = Failure(PlatformError(ErrorKind.REFUSED, "503"))
--- a/tests/platform/test_registration.py
+++ b/tests/objects/test_registration.py
@@ -1,7 +1,7 @@
 """Addresses that crashed instances leave behind."""
 
-from beryltrack.platform.messages import PlatformObject
-from beryltrack.platform.registration import STALE_AFTER, get_stale
+from beryltrack.objects.messages import PlatformObject
+from beryltrack.objects.registration import STALE_AFTER, get_stale
 
 NOW = 1e9
 
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -5,8 +5,8 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
+from beryltrack.objects.messages import InstanceEntry
 from beryltrack.peers.task import PeerTask
-from beryltrack.platform.messages import InstanceEntry
 from beryltrack.settings.messages import Endpoint, InstanceSettings
 
 ANYWHERE = Endpoint("127.0.0.1", 0)
--- a/tests/requests/scripted.py
+++ b/tests/requests/scripted.py
@@ -1,6 +1,5 @@
 """Scripted targets: connections whose answers a test writes down beforehand."""
 
-from pygwire import TransactionStatus
 from returns.result import Success
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
@@ -15,14 +14,15 @@
 from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.answers import RequestContext
 from beryltrack.requests.plan import RequestPlan
+from beryltrack.requests.postgres import PostgresProtocol
 from beryltrack.requests.services import make_services
-from beryltrack.requests.session_state import CallerSession
+from beryltrack.requests.session import CallerSession
 from beryltrack.requests.targets import FoundTarget
 from beryltrack.routing.messages import StatementKind
 from beryltrack.sessions.marks import RequestMarks
 from beryltrack.settings.messages import GroupSettings
 from beryltrack.transactions.decider import CommitOutcome
-from beryltrack.wire.messages import ResponseEnd
+from beryltrack.wire.messages import ResponseEnd, TransactionStatus
 
 IDLE = TransactionStatus.IDLE
 OPEN = TransactionStatus.IN_TRANSACTION
@@ -102,7 +102,9 @@
     clock, transport = Clock(), Transport()
     caller = Caller(clock, transport, CallerIdentity("app", "main", "here"), {})
     caller.session = CallerSession()
-    services = make_services(clock, "zone-a", InstanceMetrics("test"), None)
+    services = make_services(
+        clock, "zone-a", InstanceMetrics("test"), None, PostgresProtocol()
+    )
     marks = RequestMarks(0.0, request_id, not request_id, "any")
     plan = RequestPlan(SimpleRequest(text, b""), kind, text, None, marks)
     ticket = Ticket(0, services.admission)
--- a/tests/requests/test_pinned.py
+++ b/tests/requests/test_pinned.py
@@ -1,7 +1,8 @@
 """Units of a transaction run on its connection, and their end is told truly."""
 
-from beryltrack.requests.pinned import ROLLBACK_TAIL, run_pinned
-from beryltrack.requests.session_state import PinnedTransaction
+from beryltrack.requests.pinned import run_pinned
+from beryltrack.requests.postgres import ROLLBACK_TAIL
+from beryltrack.requests.session import PinnedTransaction
 from beryltrack.routing.messages import StatementKind
 from beryltrack.transactions.decider import CommitOutcome
 from tests.requests.scripted import (
--- a/tests/settings/examples.py
+++ b/tests/settings/examples.py
@@ -1,6 +1,6 @@
 """Small settings objects shared by the tests of this slice."""
 
-from beryltrack.platform.messages import PlatformObject
+from beryltrack.objects.messages import PlatformObject
 
 GROUP_PATH = "settings/shop/groups/orders"
 RULE_PATH = "settings/shop/rules/stale"
--- a/tests/settings/test_change.py
+++ b/tests/settings/test_change.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from beryltrack.platform.messages import ErrorKind, PlatformError, PlatformObject
+from beryltrack.objects.messages import ErrorKind, PlatformError, PlatformObject
 from beryltrack.settings.change import (
     ChangeDone,
     FailureKind,
--- a/tests/settings/test_decider.py
+++ b/tests/settings/test_decider.py
@@ -2,7 +2,7 @@
 
 from itertools import permutations
 
-from beryltrack.platform.messages import ObjectList
+from beryltrack.objects.messages import ObjectList
 from beryltrack.settings.decider import SettingsDecider
 from tests.settings.examples import (
     GROUP_PATH,
--- a/tests/settings/test_plan.py
+++ b/tests/settings/test_plan.py
@@ -1,6 +1,6 @@
 """What an operator sees before a change is written."""
 
-from beryltrack.platform.messages import ObjectList
+from beryltrack.objects.messages import ObjectList
 from beryltrack.settings.plan import plan_changes as plan_changes_at
 from tests.settings.examples import GROUP_PATH, RULE_PATH, make_group, make_object
 
--- a/tests/settings/test_sockets.py
+++ b/tests/settings/test_sockets.py
@@ -7,7 +7,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, gatherResults
 
-from beryltrack.platform.client import PlatformClient
+from beryltrack.objects.client import PlatformClient
 from beryltrack.settings.change import ChangeDone, FailureKind, SettingsChange
 from beryltrack.settings.stored import ChangeRequest, get_records
 from beryltrack.settings.task import SettingsTask
--- a/tests/settings/test_spread.py
+++ b/tests/settings/test_spread.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from beryltrack.platform.messages import ObjectList, PlatformObject
+from beryltrack.objects.messages import ObjectList, PlatformObject
 from beryltrack.settings.decider import SettingsDecider
 from beryltrack.settings.stored import ChangeRequest, build_value
 from tests.settings.examples import (
--- a/tests/settings/test_task.py
+++ b/tests/settings/test_task.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from beryltrack.platform.messages import ErrorKind, ObjectList, PlatformError
+from beryltrack.objects.messages import ErrorKind, ObjectList, PlatformError
 from beryltrack.settings.task import (
     LIST_PERIODS,
     POLL_PERIOD,
--- a/tests/wire/test_answers.py
+++ b/tests/wire/test_answers.py
@@ -1,13 +1,12 @@
 """The reader of a target's answers."""
 
 import pytest
-from pygwire import TransactionStatus
 from pygwire import messages as m
 from pygwire.exceptions import ProtocolError
 
 from beryltrack.groups.messages import LogPosition
 from beryltrack.wire.answers import AnswerReader, CopyStarted
-from beryltrack.wire.messages import Edit
+from beryltrack.wire.messages import Edit, TransactionStatus
 
 ROW = m.DataRow([b"a" * 9]).to_wire()
 COMPLETE = m.CommandComplete("SELECT 1").to_wire()
