Let a group's members change, and a promised term be taken back

Cause: databases of the users' platform come and go by themselves, hold a term only until they are released, answer no long polls and do not tell whether they hear their primary. Change: GroupTask.set_databases; DatabaseStatus.is_held and a heard_age that may be missing, for which this node's own word then stands, with a pause of the process not counted; the PostgreSQL adapter moves to a module of its own. Conclusion: the group's task is ready for another adapter.

--- a/beryltrack/daemon/groups.py
+++ b/beryltrack/daemon/groups.py
@@ -11,8 +11,8 @@
 from beryltrack.connections.target import TargetConnection, connect_target
 from beryltrack.connections.task import PoolTask
 from beryltrack.errors import SqlException
-from beryltrack.groups.adapter import PostgresDatabaseGroup
-from beryltrack.groups.task import GroupTask
+from beryltrack.groups.postgres_adapter import PostgresDatabaseGroup
+from beryltrack.groups.task import GroupTask, get_draining
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.settings.messages import (
     DatabaseSettings,
@@ -104,7 +104,7 @@
             return
         elif _get_identity(runtime.settings) == _get_identity(group):
             runtime.settings = group
-            runtime.task.set_draining(_get_draining(group))
+            runtime.task.set_draining(get_draining(group))
         else:
             self._stop(name)
             self._start_once_free(group)
@@ -191,11 +191,6 @@
     return group._replace(databases=databases, max_age=0.0)
 
 
-def _get_draining(group: GroupSettings) -> frozenset[str]:
-    """Return the names of the databases that an operator drains."""
-    return frozenset(item.name for item in group.databases if item.draining)
-
-
 def _translate_refusal(failure: Failure) -> Failure:
     """Return a target's refusal of a connection in the form that pools know."""
     if failure.check(SqlException):
--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -22,6 +22,7 @@
     DatabaseView,
     GroupView,
     compute_majority,
+    get_led_term,
     get_primary,
     is_deposed,
 )
@@ -266,6 +267,16 @@
         """
         return min(self._detector.get_limit(item.name) for item in view.databases)
 
+    def _get_next_term(self, view: GroupView) -> int:
+        """Return the term to ask for.
+
+        A promise that was taken back, or can be, uses up no term: there the
+        term that a promotion makes is the one after the last that had a primary.
+        """
+        if any(item.is_held for item in view.databases):
+            return max(get_led_term(item) for item in view.databases) + 1
+        return max(item.term for item in view.databases) + 1
+
     def _make_election(self, view: GroupView, kind: ElectionKind) -> Election:
         leader = get_primary(view)
         successor = get_successor(view)
@@ -276,7 +287,7 @@
         }[kind]
         return Election(
             kind,
-            self._highest_term + 1,
+            self._get_next_term(view),
             f"{self._node}/{self._rng.getrandbits(64):016x}",
             self._get_lost_after(view) if kind is ElectionKind.LOST else 0.0,
             view.primary,
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -109,6 +109,10 @@
         """True while an election is held."""
         return self._busy
 
+    def set_databases(self, databases: tuple[str, ...]) -> None:
+        """Take the names of the group's members from new settings."""
+        self._databases = databases
+
     def set_nodes(self, nodes: tuple[str, ...]) -> None:
         """Take the names of all instances that may act for the group."""
         self._decider.set_nodes(nodes)
--- a/beryltrack/groups/adapter.py
+++ b/beryltrack/groups/adapter.py
@@ -5,25 +5,14 @@
 another adapter and another proof, and no change elsewhere.
 """
 
-import math
-from random import Random
 from typing import NamedTuple, Protocol
 
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
-from beryltrack.findings import format_finding
-from beryltrack.groups.control_connection import (
-    ControlConnection,
-    Credentials,
-    Row,
-)
 from beryltrack.groups.messages import ControlFailure, DatabaseStatus, GrantReply
-from beryltrack.groups.status_rows import parse_flag, parse_status
-from beryltrack.settings.messages import GroupSettings
+from beryltrack.settings.messages import DatabaseSettings
 
 NO_WAIT = -1
-# Seconds after which a request that does not wait for anything fails.
-REQUEST_TIMEOUT = 1.0
 
 
 class StatusWait(NamedTuple):
@@ -90,124 +79,11 @@
     ) -> Result[DatabaseStatus, ControlFailure]:
         """Let the primary of `term` take no more writes for a while."""
 
-    def close(self) -> None:
-        """Close all control connections."""
-
-
-class PostgresDatabaseGroup:
-    """Control requests as functions that databases offer over PostgreSQL.
-
-    Parameters
-    ----------
-    reactor : IReactorTCP and IReactorTime
-        Source of connections and timers.
-    group_settings : GroupSettings
-        The group.
-    rng : Random
-        Source of jitter.
-    request_timeout : float
-        Seconds after which a request that does not wait for anything fails.
-    """
+    async def release(self, database: str) -> Result[DatabaseStatus, ControlFailure]:
+        """Let a database that granted a term follow its primary again."""
 
-    def __init__(
-        self,
-        reactor,
-        group_settings: GroupSettings,
-        rng: Random,
-        request_timeout: float = REQUEST_TIMEOUT,
-    ):
-        credentials = Credentials(
-            group_settings.user, group_settings.password, group_settings.name
-        )
-        self._timeout = request_timeout
-        self._connections = {
-            item.name: ControlConnection(
-                reactor, item.name, item.endpoint, credentials, rng
-            )
-            for item in group_settings.databases
-        }
-
-    async def get_status(self, database: str) -> Result[DatabaseStatus, ControlFailure]:
-        """Return what a database says of itself now."""
-        row = await self._call(database, "beryltrack_status()")
-        return row.bind(lambda columns: _make_status(database, columns))
-
-    async def wait_status(
-        self, database: str, wait: StatusWait, timeout: float
-    ) -> Result[DatabaseStatus, ControlFailure]:
-        """Return the status when `wait` is over, or after `timeout` seconds."""
-        milliseconds = math.ceil(timeout * 1000)
-        row = await self._call(
-            database,
-            f"beryltrack_status_after({wait.term}, {wait.received}, {wait.applied},"
-            f" {milliseconds})",
-            timeout,
-        )
-        return row.bind(lambda columns: _make_status(database, columns))
-
-    async def grant(
-        self, database: str, term: int, candidate: str, lost_after: float
-    ) -> Result[GrantReply, ControlFailure]:
-        """Ask a database to promise `term` to one candidate alone."""
-        milliseconds = math.ceil(lost_after * 1000)
-        row = await self._call(
-            database,
-            f"beryltrack_grant({term}, {_quote(candidate)}, {milliseconds})",
-        )
-        return row.bind(
-            lambda columns: _make_status(database, columns).map(
-                lambda status: GrantReply(parse_flag(columns.get("granted")), status)
-            )
-        )
-
-    async def promote(
-        self, database: str, term: int, candidate: str
-    ) -> Result[PromoteReply, ControlFailure]:
-        """Make a database the primary of a term that it granted to `candidate`."""
-        row = await self._call(
-            database, f"beryltrack_promote({term}, {_quote(candidate)})"
-        )
-        return row.bind(
-            lambda columns: _make_status(database, columns).map(
-                lambda status: PromoteReply(parse_flag(columns.get("promoted")), status)
-            )
-        )
-
-    async def stop_writes(
-        self, database: str, term: int
-    ) -> Result[DatabaseStatus, ControlFailure]:
-        """Let the primary of `term` take no more writes for a while."""
-        row = await self._call(database, f"beryltrack_stop_writes({term})")
-        return row.bind(lambda columns: _make_status(database, columns))
+    def set_databases(self, databases: tuple[DatabaseSettings, ...]) -> None:
+        """Take the group's members from new settings."""
 
     def close(self) -> None:
         """Close all control connections."""
-        for connection in self._connections.values():
-            connection.close()
-
-    async def _call(
-        self, database: str, call: str, wait: float = 0.0
-    ) -> Result[Row, ControlFailure]:
-        """Return the one row that a function gives."""
-        connection = self._connections[database]
-        rows = await connection.query(f"SELECT * FROM {call}", self._timeout + wait)
-        return rows.bind(
-            lambda found: (
-                Success(found[0])
-                if found
-                else Failure(ControlFailure(database, "no row"))
-            )
-        )
-
-
-def _make_status(database: str, row: Row) -> Result[DatabaseStatus, ControlFailure]:
-    status, findings = parse_status(row, database)
-    if status is None:
-        text = "; ".join(map(format_finding, findings))
-        return Failure(ControlFailure(database, text))
-    return Success(status)
-
-
-def _quote(text: str) -> str:
-    """Return a text as an SQL literal."""
-    return "'" + text.replace("'", "''") + "'"
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -43,6 +43,7 @@
             name: DatabaseView(name, leaving=name in draining) for name in databases
         }
         self._confirmed_at = NEVER
+        self._primary_heard_at: float | None = None
         self._hint = GroupView(group)
         self._view: GroupView | None = None
 
@@ -78,8 +79,12 @@
             When the answer came.
         """
         before = self._databases.get(status.name)
-        if before is None or sent_at < before.seen_at or status.term < before.term:
+        if before is None or sent_at < before.seen_at:
             return
+        if status.term < before.term and not before.is_held:
+            return
+        if status.role == PRIMARY and status.term >= self.view.term:
+            self.observe_primary_heard(now)
         self._databases[status.name] = before._replace(
             role=status.role,
             term=status.term,
@@ -90,7 +95,8 @@
             leaving=status.leaving or status.name in self._draining,
             said_leaving=status.leaving,
             seen_at=sent_at,
-            heard_age=status.heard_age,
+            heard_age=self._get_heard_age(status, sent_at, now),
+            is_held=status.is_held,
         )
         if status.role == PRIMARY:
             self.observe_sample(status.name, status.received, sent_at, now)
@@ -134,6 +140,8 @@
         now : float
             The current time.
         """
+        if database == self.view.primary:
+            self.observe_primary_heard(now)
         item = self._databases.get(database)
         if item is None or position.term != item.applied.term:
             # A term that is new here comes with the next status, which has the
@@ -153,6 +161,28 @@
             self._databases[database] = item._replace(reachable=False)
             self._view = None
 
+    def observe_answer(self, database: str, now: float) -> None:
+        """Take in that a database is at work, although it gave no status."""
+        if database == self.view.primary:
+            self.observe_primary_heard(now)
+
+    def observe_primary_heard(self, now: float) -> None:
+        """Take in that this node has heard from the primary, or may have missed it.
+
+        Called also after a pause of the whole process, whose silence says
+        nothing of the primary.
+        """
+        self._primary_heard_at = now
+
+    def set_databases(self, databases: tuple[str, ...]) -> None:
+        """Take the members from new settings; those that stay keep their state."""
+        self._databases = {
+            name: self._databases.get(name)
+            or DatabaseView(name, leaving=name in self._draining)
+            for name in databases
+        }
+        self._view = None
+
     def set_draining(self, draining: frozenset[str]) -> None:
         """Take the members that an operator drains from new settings."""
         self._draining = draining
@@ -199,6 +229,16 @@
             return None
         return newest.position
 
+    def _get_heard_age(
+        self, status: DatabaseStatus, sent_at: float, now: float
+    ) -> float:
+        """Return for how long a database, or else this node, has not heard."""
+        if status.heard_age is not None:
+            return status.heard_age
+        if self._primary_heard_at is None:
+            self._primary_heard_at = now
+        return max(0.0, sent_at - self._primary_heard_at)
+
     def _confirm_term(self, term: int) -> None:
         """Mark the samples that a majority has now confirmed."""
         times = sorted(
--- a/beryltrack/groups/messages.py
+++ b/beryltrack/groups/messages.py
@@ -61,10 +61,14 @@
         The last entry that its readers can see.
     history : tuple of TermStart
         Where each term in its log begins, oldest first.
-    heard_age : float
-        Seconds since it last heard from its primary; 0.0 on a primary.
+    heard_age : float or None
+        Seconds since it last heard from its primary; 0.0 on a primary. None if
+        databases of this kind do not tell; then the node's own word counts.
     leaving : bool
         True if the database is about to leave and wants no new work.
+    is_held : bool
+        True if `term` was only promised to a candidate that can take it back.
+        Until then the database receives nothing.
     """
 
     name: str
@@ -73,8 +77,9 @@
     received: LogPosition
     applied: LogPosition
     history: tuple[TermStart, ...]
-    heard_age: float
+    heard_age: float | None
     leaving: bool
+    is_held: bool = False
 
 
 class GrantReply(NamedTuple):
@@ -101,7 +106,10 @@
         The database that was asked.
     text : str
         What happened, in a short sentence.
+    is_answered : bool
+        True if the database itself refused, so that it is at work.
     """
 
     database: str
     text: str
+    is_answered: bool = False
--- a/beryltrack/groups/policy.py
+++ b/beryltrack/groups/policy.py
@@ -28,6 +28,12 @@
         delays a grant that is asked for over it.
     use_time : float
         Seconds after a request for which the group counts as in use.
+    is_plain : bool
+        True if databases of this kind answer at once, whatever is waited for, and
+        do not tell whether they hear their primary.
+    poll_interval : float
+        Seconds between two probes of a replica whose progress somebody waits
+        for, where there are no long polls: about a round trip.
     """
 
     interval: float
@@ -35,6 +41,8 @@
     suspect_interval: float = 0.02
     wait_slice: float = 0.05
     use_time: float = 1.0
+    is_plain: bool = False
+    poll_interval: float = 0.005
 
 
 def make_probe_policy(lost_after: float) -> ProbePolicy:
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -12,6 +12,7 @@
 
 from returns.result import Success
 from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
 
 from beryltrack.clock import get_seconds
 from beryltrack.failover.detector import FixedDetector, LossDetector
@@ -50,6 +51,13 @@
 # proven by requests sent "at or after" a time, so no two times may be equal.
 TIME_STEP = 1e-7
 
+# Seconds without any event of this task after which its process was paused: a
+# fraction of the shortest silence that counts as a loss, and more than the
+# longest delay between two probes of a group in use.
+PAUSE_LIMIT = 0.4
+# Seconds between two looks at the clock, by which a pause is noticed.
+TURN_PERIOD = 0.1
+
 
 class GroupTask:
     """Watches one group and answers for it.
@@ -84,7 +92,7 @@
     ):
         databases = group_settings.databases
         names = tuple(item.name for item in databases)
-        draining = frozenset(item.name for item in databases if item.draining)
+        draining = get_draining(group_settings)
         self._reactor = reactor
         self._adapter = adapter
         self._seconds = get_seconds(reactor)
@@ -107,6 +115,9 @@
         self._failover_subscribers: list[Callable[[FailoverReport], None]] = []
         self._running = False
         self._reported = self._decider.view
+        self._turn_at = self._seconds()
+        self._turns = LoopingCall(self._notice_pause)
+        self._turns.clock = reactor
 
     @property
     def view(self) -> GroupView:
@@ -121,12 +132,17 @@
     def start(self) -> None:
         """Begin to watch the group."""
         self._running = True
+        self._turn_at = self._seconds()
+        if self._policy.is_plain and not self._turns.running:
+            self._turns.start(TURN_PERIOD, now=False)
         for watch in self._watches.values():
             watch.start()
 
     def stop(self) -> None:
         """Watch no more; who still waits is told what is known."""
         self._running = False
+        if self._turns.running:
+            self._turns.stop()
         for watch in self._watches.values():
             watch.stop()
         self._failover.stop()
@@ -142,6 +158,34 @@
         self._decider.set_draining(draining)
         self._report_view()
 
+    def set_databases(self, group_settings: GroupSettings) -> None:
+        """Take the group's members from new settings, while it runs.
+
+        Parameters
+        ----------
+        group_settings : GroupSettings
+            The same group. Members that stay keep all that is known of them.
+        """
+        names = tuple(item.name for item in group_settings.databases)
+        self._adapter.set_databases(group_settings.databases)
+        self._decider.set_databases(names)
+        self._decider.set_draining(get_draining(group_settings))
+        self._commits.set_size(len(names))
+        self._failover.set_databases(names)
+        self._sent_at = {name: self._sent_at.get(name, 0.0) for name in names}
+        for name in self._watches.keys() - set(names):
+            self._watches.pop(name).stop()
+        for waiter in tuple(self._applied):
+            if waiter.database not in self._watches:
+                waiter.answer.callback(False)
+        for name in names:
+            if name not in self._watches:
+                watch = DatabaseWatch(self._reactor, name, self._adapter, self)
+                self._watches[name] = watch
+                if self._running:
+                    watch.start()
+        self._report_view()
+
     def set_nodes(self, nodes: tuple[str, ...]) -> None:
         """Take the names of all instances that watch this group.
 
@@ -283,6 +327,8 @@
         answer comes at once when one of them is promoted or hears a primary.
         """
         item = get_database(self.view, database)
+        if item is None or self._policy.is_plain:
+            return None
         if self._failover.busy or item.role == PRIMARY or not item.reachable:
             return None
         received = self._commits.get_wait_offset(database)
@@ -296,6 +342,8 @@
     def get_delay(self, database: str) -> float:
         """Return the seconds until a database is asked again."""
         item = get_database(self.view, database)
+        if item is None:
+            return self._policy.idle_interval
         sent_at = self._sent_at[database]
         is_asked = any(waiter.called_at > sent_at for waiter in self._samples)
         if is_asked and item.reachable:
@@ -304,6 +352,8 @@
             return self._policy.suspect_interval
         if self.get_wait(database) is not None:
             return 0.0
+        if self._policy.is_plain and self._is_awaited(item):
+            return self._policy.poll_interval
         if self._failover.is_suspect(self.view):
             return self._policy.suspect_interval
         in_use = self._seconds() < self._used_at + self._policy.use_time
@@ -311,9 +361,13 @@
 
     def take_result(self, database: str, result: StatusResult, sent_at: float) -> None:
         """Take in the result of a request to a database."""
+        self._notice_pause()
         if isinstance(result, Success):
             self.take_status(result.unwrap(), sent_at)
             return
+        if result.failure().is_answered:
+            self._decider.observe_answer(database, self._seconds())
+            return
         self._decider.observe_failure(database, self._seconds())
         self._report_view()
 
@@ -331,6 +385,24 @@
         for callback in tuple(self._failover_subscribers):
             callback(report)
 
+    def _is_awaited(self, item: DatabaseView) -> bool:
+        """Return whether somebody waits for the progress of a replica."""
+        if item.role == PRIMARY or not item.reachable:
+            return False
+        is_read_awaited = any(each.database == item.name for each in self._applied)
+        return is_read_awaited or self._commits.get_wait_offset(item.name) is not None
+
+    def _notice_pause(self) -> None:
+        """Count no pause of the whole process as a silence of the primary.
+
+        After such a pause the answers of replicas may be read before that of the
+        primary, which would then be replaced without need.
+        """
+        now = self._seconds()
+        if now - self._turn_at > PAUSE_LIMIT:
+            self._decider.observe_primary_heard(now)
+        self._turn_at = now
+
     def _get_until_lost(self, item: DatabaseView) -> float:
         """Return after how much more silence a replica will have lost its primary."""
         return self._detector.get_limit(item.name) - item.heard_age
@@ -338,7 +410,8 @@
     def _answer_applied(self) -> None:
         view = self.view
         for waiter in tuple(self._applied):
-            if has_applied(get_database(view, waiter.database), waiter.token):
+            item = get_database(view, waiter.database)
+            if item is not None and has_applied(item, waiter.token):
                 waiter.answer.callback(True)
 
     def _answer_samples(self) -> None:
@@ -386,3 +459,8 @@
         """Take a waiter that was answered or cancelled off its list."""
         waiters.remove(waiter)
         return result
+
+
+def get_draining(group_settings: GroupSettings) -> frozenset[str]:
+    """Return the names of the databases that are to get no new work."""
+    return frozenset(item.name for item in group_settings.databases if item.draining)
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -50,7 +50,10 @@
         Its readers see every write that was acknowledged before this time of
         the node's clock. `NEVER` if nothing is proven.
     heard_age : float
-        Seconds since it heard from its primary, as of `seen_at`.
+        Seconds since it heard from its primary, as of `seen_at`. Where databases
+        do not tell, seconds since this node heard from that primary.
+    is_held : bool
+        True if `term` is a promise that the candidate can take back.
     """
 
     name: str
@@ -65,6 +68,7 @@
     seen_at: float = NEVER
     fresh_at: float = NEVER
     heard_age: float = math.inf
+    is_held: bool = False
 
 
 class GroupView(NamedTuple):
@@ -136,6 +140,14 @@
     return now - database.fresh_at
 
 
+def get_led_term(database: DatabaseView) -> int:
+    """Return the highest term that a database knows a primary of.
+
+    A promise that a candidate can take back is no such term.
+    """
+    return database.received.term if database.is_held else database.term
+
+
 def is_deposed(view: GroupView, database: DatabaseView) -> bool:
     """Return whether a database still believes to lead a term that is over.
 
--- a/beryltrack/transactions/decider.py
+++ b/beryltrack/transactions/decider.py
@@ -95,6 +95,10 @@
         """Number of commits that wait."""
         return len(self._pending)
 
+    def set_size(self, size: int) -> None:
+        """Take how many databases the group has from new settings."""
+        self._majority = compute_majority(size)
+
     def add(self, key: int, position: LogPosition) -> Decision | None:
         """Add a commit and return its outcome if it is known already.
 
--- a/beryltrack/transactions/waits.py
+++ b/beryltrack/transactions/waits.py
@@ -57,6 +57,10 @@
             answer.callback(decision.outcome)
         return answer
 
+    def set_size(self, size: int) -> None:
+        """Take how many databases the group has from new settings."""
+        self._decider.set_size(size)
+
     def observe_status(self, status: DatabaseStatus) -> None:
         """Take in a status and answer those whose commits it decides."""
         for decision in self._decider.observe_status(status):
--- a/beryltrack_bench/fakes/group.py
+++ b/beryltrack_bench/fakes/group.py
@@ -180,6 +180,13 @@
             database, "stop_writes", lambda each: each.stop_writes(term)
         )
 
+    async def release(self, database: str):
+        """Return the status: the fakes follow the highest term by themselves."""
+        return await self.get_status(database)
+
+    def set_databases(self, databases) -> None:
+        """Keep the members: those of a fake group never change."""
+
     def close(self) -> None:
         """Do nothing: the fake connections hold no resources."""
 
--- a/tests/groups/test_adapter.py
+++ b/tests/groups/test_adapter.py
@@ -7,8 +7,9 @@
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
-from beryltrack.groups.adapter import PostgresDatabaseGroup, StatusWait
+from beryltrack.groups.adapter import StatusWait
 from beryltrack.groups.messages import PRIMARY, LogPosition
+from beryltrack.groups.postgres_adapter import PostgresDatabaseGroup
 from beryltrack.groups.status_rows import parse_status
 from beryltrack.groups.task import GroupTask
 from beryltrack.settings.messages import DatabaseSettings, GroupSettings
