Make groups from a kit, and promote under a permit where one is needed

Cause: on the users' platform an outside authority promotes under a fencing token, members of a group change while it runs, and its databases speak another protocol.

--- a/beryltrack/daemon/groups.py
+++ b/beryltrack/daemon/groups.py
@@ -1,18 +1,14 @@
 """Keeps one runtime for each database group of the settings in force."""
 
 import logging
-import random
 from collections.abc import Callable
+from typing import Protocol
 
 from twisted.internet.defer import Deferred, gatherResults
-from twisted.python.failure import Failure
 
-from beryltrack.connections.messages import ConnectRefused
-from beryltrack.connections.target import TargetConnection, connect_target
 from beryltrack.connections.task import PoolTask
-from beryltrack.errors import SqlException
-from beryltrack.groups.postgres_adapter import PostgresDatabaseGroup
 from beryltrack.groups.task import GroupTask, get_draining
+from beryltrack.requests.losses import LossPolicy
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.settings.messages import (
     DatabaseSettings,
@@ -22,9 +18,6 @@
 
 log = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT = 5.0
-"""Seconds until a new connection to a target counts as failed."""
-
 STOP_LIMIT = 5.0
 """Seconds that the transactions of a group that changes have to end."""
 
@@ -34,6 +27,23 @@
 RuntimeCallback = Callable[[GroupRuntime], None]
 
 
+class TargetKit(Protocol):
+    """Makes the parts of a group that know what its databases speak.
+
+    `keeps_members` is True if databases may come and go while a group runs;
+    `losses` says when requests to a silent database are given up.
+    """
+
+    keeps_members: bool
+    losses: LossPolicy
+
+    def make_task(self, group: GroupSettings) -> GroupTask:
+        """Return the task that watches a group."""
+
+    def make_pool(self, group: GroupSettings, database: DatabaseSettings) -> PoolTask:
+        """Return the pool of one database."""
+
+
 class GroupTable:
     """The runtimes of all groups.
 
@@ -41,16 +51,13 @@
     ----------
     reactor : reactor
         Source of sockets and timers.
-    node_name : str
-        Name of this instance.
-    rng : random.Random
-        Source of jitter.
+    kit : TargetKit
+        Makes the parts of a group that know what its databases speak.
     """
 
-    def __init__(self, reactor, node_name: str, rng: random.Random):
+    def __init__(self, reactor, kit: TargetKit):
         self._reactor = reactor
-        self._node_name = node_name
-        self._rng = rng
+        self._kit = kit
         self._runtimes: dict[str, GroupRuntime] = {}
         self._wanted: dict[str, GroupSettings] = {}
         self._stopping: dict[str, Deferred] = {}
@@ -105,19 +112,20 @@
         elif _get_identity(runtime.settings) == _get_identity(group):
             runtime.settings = group
             runtime.task.set_draining(get_draining(group))
+        elif self._kit.keeps_members and _has_only_moved(runtime.settings, group):
+            runtime.set_databases(group, self._kit.make_pool)
         else:
             self._stop(name)
             self._start_once_free(group)
 
     def _start(self, group: GroupSettings) -> None:
         """Make the runtime of a group; it is started when it is needed."""
-        adapter = PostgresDatabaseGroup(self._reactor, group, self._rng)
-        task = GroupTask(self._reactor, group, adapter, self._node_name, self._rng)
         pools = {
-            database.name: self._make_pool(group, database)
+            database.name: self._kit.make_pool(group, database)
             for database in group.databases
         }
-        runtime = GroupRuntime(self._reactor, group, task, pools)
+        task = self._kit.make_task(group)
+        runtime = GroupRuntime(self._reactor, group, task, pools, self._kit.losses)
         self._runtimes[group.name] = runtime
         for callback in self._started_callbacks:
             callback(runtime)
@@ -156,22 +164,6 @@
             callback(runtime)
         log.info("daemon: Group %s stopped.", name)
 
-    def _make_pool(self, group: GroupSettings, database: DatabaseSettings) -> PoolTask:
-        """Return the pool of one database."""
-
-        def connect() -> Deferred[TargetConnection]:
-            connecting = connect_target(
-                self._reactor,
-                database.endpoint,
-                group.name,
-                group.user,
-                group.password,
-                CONNECT_TIMEOUT,
-            )
-            return connecting.addErrback(_translate_refusal)
-
-        return PoolTask(self._reactor, database, connect, limit=NO_SHARE, rng=self._rng)
-
 
 def _drain(runtime: GroupRuntime) -> Deferred:
     """Stop a runtime; fires when its connections are closed."""
@@ -185,14 +177,19 @@
         pool.enforce_limit(NO_SHARE)
 
 
+def _has_only_moved(before: GroupSettings, after: GroupSettings) -> bool:
+    """Return whether two settings of a group differ in their members alone.
+
+    A member that has another address is another one under the same name.
+    """
+    endpoints = {item.name: item.endpoint for item in before.databases}
+    return before._replace(databases=()) == after._replace(databases=()) and all(
+        endpoints.get(item.name, item.endpoint) == item.endpoint
+        for item in after.databases
+    )
+
+
 def _get_identity(group: GroupSettings) -> GroupSettings:
     """Return a group without what can change while its runtime runs."""
     databases = tuple(item._replace(draining=False) for item in group.databases)
     return group._replace(databases=databases, max_age=0.0)
-
-
-def _translate_refusal(failure: Failure) -> Failure:
-    """Return a target's refusal of a connection in the form that pools know."""
-    if failure.check(SqlException):
-        return Failure(ConnectRefused(failure.value.error.sqlstate))
-    return failure
--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -67,6 +67,11 @@
     grant_wait : float
         How long a candidate waits for a majority; it doubles after each
         failure, so that slow databases can be asked too.
+    takeover : float
+        How long an instance without the permit leaves a loss to its holder.
+    rotates : bool
+        True if another instance is first in rank in each term. False where a
+        permit is held, which is to change hands seldom.
     """
 
     stagger: float = 0.06
@@ -81,6 +86,8 @@
     hand_over_first_backoff: float = 0.2
     hand_over_backoff: float = 5.0
     grant_wait: float = 0.1
+    takeover: float = 0.0
+    rotates: bool = True
 
 
 DEFAULT_POLICY = FailoverPolicy()
@@ -124,6 +131,12 @@
         self._moved_at = 0.0
         self._not_before = 0.0
         self._failures = 0
+        self._is_holder = False
+
+    @property
+    def is_first(self) -> bool:
+        """True if this instance is first in rank."""
+        return self._get_rank() == 0
 
     @property
     def due(self) -> float:
@@ -134,6 +147,10 @@
         """Take the names of all instances that may act for the group."""
         self._nodes = nodes
 
+    def set_holder(self, is_holder: bool) -> None:
+        """Take whether this instance holds the permit to promote."""
+        self._is_holder = is_holder
+
     def is_suspect(self, view: GroupView) -> bool:
         """Return whether the group may soon need a new primary.
 
@@ -240,16 +257,23 @@
     def _compute_due(self, view: GroupView, kind: ElectionKind) -> float:
         """Return when this node is to act, after those before it in rank."""
         policy = self._policy
-        rank = compute_rank(self._node, self._nodes, self._group, self._highest_term)
+        rank = self._get_rank()
         if kind is ElectionKind.HAND_OVER:
             return self._since + rank * policy.hand_over_stagger
         delay = rank * policy.stagger
+        if policy.takeover:
+            delay = 0.0 if self._is_holder else delay + policy.takeover
         if kind is ElectionKind.RECLAIM:
             return self._since + policy.reclaim_after + delay
         if self._highest_term > view.term:
             return max(self._since, self._moved_at + policy.settle) + delay
         return self._since + delay
 
+    def _get_rank(self) -> int:
+        """Return how many instances are to act before this one."""
+        turn = self._highest_term if self._policy.rotates else 0
+        return compute_rank(self._node, self._nodes, self._group, turn)
+
     def _compute_backoff(self, kind: ElectionKind) -> float:
         """Return a jittered pause that grows with the failures in a row."""
         policy = self._policy
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -4,15 +4,18 @@
 """
 
 import logging
+from collections.abc import Iterable
 from random import Random
 from typing import Protocol
 
 from returns.result import Result, Success
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.interfaces import IDelayedCall
+from twisted.internet.task import deferLater
 from twisted.python.failure import Failure as DefectFailure
 
 from beryltrack.clock import get_seconds
+from beryltrack.failover.authority import PromotionAuthority
 from beryltrack.failover.decider import (
     DEFAULT_POLICY,
     FailoverDecider,
@@ -33,6 +36,14 @@
 # is idempotent, and no other database may be promoted in the same term.
 PROMOTE_TRIES = 3
 
+# Seconds that a promoted database may take to lead, and between two looks at it.
+# Known databases take 0.3 to 1 s.
+LEAD_LIMIT = 3.0
+LEAD_PERIOD = 0.05
+
+# Seconds between two attempts of the first in rank to take a permit beforehand.
+PERMIT_PERIOD = 1.0
+
 
 class FailoverOwner(Protocol):
     """What a failover asks of the task that owns it."""
@@ -72,6 +83,8 @@
         Says when a primary is lost.
     policy : FailoverPolicy
         Times.
+    authority : PromotionAuthority, optional
+        Gives the permits; None where the databases need none.
     """
 
     def __init__(
@@ -84,8 +97,11 @@
         owner: FailoverOwner,
         detector: LossDetector,
         policy: FailoverPolicy = DEFAULT_POLICY,
+        authority: PromotionAuthority | None = None,
     ):
         self._reactor = reactor
+        self._authority = authority
+        self._unanswered = False
         self._seconds = get_seconds(reactor)
         self._group = group_settings.name
         self._databases = tuple(item.name for item in group_settings.databases)
@@ -100,6 +116,7 @@
             policy,
         )
         self._busy = False
+        self._stopped = False
         self._running: Deferred | None = None
         self._view: GroupView | None = None
         self._timer: IDelayedCall | None = None
@@ -116,6 +133,7 @@
     def set_nodes(self, nodes: tuple[str, ...]) -> None:
         """Take the names of all instances that may act for the group."""
         self._decider.set_nodes(nodes)
+        self._prepare_permit()
 
     def is_suspect(self, view: GroupView) -> bool:
         """Return whether the group may soon need a new primary."""
@@ -155,6 +173,7 @@
 
     def stop(self) -> None:
         """Give up an election that is under way."""
+        self._stopped = True
         self._look_again(0.0)
         if self._running is not None:
             self._running.cancel()
@@ -190,6 +209,9 @@
         if election.kind is ElectionKind.HAND_OVER:
             if not await self._prepare_hand_over(election):
                 return None
+        # A call of before that was not answered may still be carried out.
+        if await self._acquire_permit(self._unanswered) is None:
+            return None
         sent_at = self._owner.get_time()
         replies = await collect_grants(
             self._reactor, self._adapter, self._databases, election
@@ -199,19 +221,78 @@
         chosen = choose_primary(
             replies, len(self._databases), election.preferred, self._owner.draining
         )
-        if chosen is None:
+        if chosen is None or not await self._promote(election, chosen):
+            if not self._unanswered:
+                await self._release(reply.status.name for reply in replies)
             return None
+        await self._release(name for name in self._databases if name != chosen)
+        return chosen
+
+    async def _promote(self, election: Election, chosen: str) -> bool:
+        """Make a database the primary; True once it leads."""
         for _ in range(PROMOTE_TRIES):
+            token = await self._acquire_permit(self._unanswered)
+            if token is None:
+                return False
             sent_at = self._owner.get_time()
             result = await self._adapter.promote(
-                chosen, election.term, election.candidate
+                chosen, election.term, election.candidate, token
             )
-            if isinstance(result, Success):
+            self._unanswered = not isinstance(result, Success)
+            if not self._unanswered:
                 reply = result.unwrap()
                 self._owner.take_status(reply.status, sent_at)
-                return chosen if reply.promoted else None
+                if reply.promoted:
+                    return await self._wait_leading(chosen, reply.status)
+                if self._authority is not None:
+                    self._authority.drop(self._group)
+                return False
+        return False
+
+    async def _wait_leading(self, chosen: str, status: DatabaseStatus) -> bool:
+        """Wait until a database that was promoted says that it leads."""
+        deadline = self._seconds() + LEAD_LIMIT
+        while status is None or status.role != PRIMARY:
+            if self._seconds() >= deadline:
+                return False
+            await deferLater(self._reactor, LEAD_PERIOD)
+            sent_at = self._owner.get_time()
+            status = _get_status(await self._adapter.get_status(chosen))
+            if status is not None:
+                self._owner.take_status(status, sent_at)
+        return True
+
+    async def _release(self, databases: Iterable[str]) -> None:
+        """Let databases that granted a term follow their primary again."""
+        if self._authority is None:
+            return
+        for database in tuple(databases):
+            Deferred.fromCoroutine(self._adapter.release(database))
+
+    async def _acquire_permit(self, renew: bool) -> int | None:
+        """Return the fencing token to promote with, or None without a permit."""
+        if self._authority is None:
+            return 0
+        permit = await self._authority.acquire(self._group, renew)
+        self._decider.set_holder(self._authority.holds(self._group))
+        if isinstance(permit, Success):
+            return permit.unwrap().token
+        log.warning(
+            "failover: No permit for %s: %s.", self._group, permit.failure().text
+        )
         return None
 
+    def _prepare_permit(self) -> None:
+        """Take the permit beforehand if this instance is to act first."""
+        if self._authority is None or self._stopped:
+            return
+        if self._decider.is_first and not self._authority.holds(self._group):
+            taking = Deferred.fromCoroutine(self._acquire_permit(False))
+            taking.addErrback(_log_defect)
+            taking.addCallback(
+                lambda _: self._reactor.callLater(PERMIT_PERIOD, self._prepare_permit)
+            )
+
     async def _prepare_hand_over(self, election: Election) -> bool:
         """Stop the writes and let the successor catch up.
 
--- a/beryltrack/groups/adapter.py
+++ b/beryltrack/groups/adapter.py
@@ -70,9 +70,13 @@
         """Ask a database to promise `term` to one candidate alone."""
 
     async def promote(
-        self, database: str, term: int, candidate: str
+        self, database: str, term: int, candidate: str, token: int
     ) -> Result[PromoteReply, ControlFailure]:
-        """Make a database the primary of a term that it granted to `candidate`."""
+        """Make a database the primary of a term that it granted to `candidate`.
+
+        `token` is the fencing token of the permit, where one is needed. The
+        database may lead only some time after the answer.
+        """
 
     async def stop_writes(
         self, database: str, term: int
--- a/beryltrack/groups/postgres_adapter.py
+++ b/beryltrack/groups/postgres_adapter.py
@@ -95,7 +95,7 @@
         )
 
     async def promote(
-        self, database: str, term: int, candidate: str
+        self, database: str, term: int, candidate: str, token: int = 0
     ) -> Result[PromoteReply, ControlFailure]:
         """Make a database the primary of a term that it granted to `candidate`."""
         row = await self._call(
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -15,6 +15,8 @@
 from twisted.internet.task import LoopingCall
 
 from beryltrack.clock import get_seconds
+from beryltrack.failover.authority import PromotionAuthority
+from beryltrack.failover.decider import DEFAULT_POLICY, FailoverPolicy
 from beryltrack.failover.detector import FixedDetector, LossDetector
 from beryltrack.failover.messages import FailoverReport
 from beryltrack.failover.task import FailoverTask
@@ -78,6 +80,10 @@
         The pace of probes; None takes it from the group's `lost_after`.
     detector : LossDetector or None
         Says when a primary is lost; None takes the group's `lost_after`.
+    authority : PromotionAuthority or None
+        Gives the permits to promote; None where the databases need none.
+    failover_policy : FailoverPolicy
+        Times of the failover.
     """
 
     def __init__(
@@ -89,6 +95,8 @@
         rng: Random,
         policy: ProbePolicy | None = None,
         detector: LossDetector | None = None,
+        authority: PromotionAuthority | None = None,
+        failover_policy: FailoverPolicy = DEFAULT_POLICY,
     ):
         databases = group_settings.databases
         names = tuple(item.name for item in databases)
@@ -104,7 +112,15 @@
             name: DatabaseWatch(reactor, name, adapter, self) for name in names
         }
         self._failover = FailoverTask(
-            reactor, group_settings, adapter, node_name, rng, self, self._detector
+            reactor,
+            group_settings,
+            adapter,
+            node_name,
+            rng,
+            self,
+            self._detector,
+            failover_policy,
+            authority,
         )
         self._sent_at = dict.fromkeys(names, 0.0)
         self._last_time = 0.0
--- a/beryltrack/requests/losses.py
+++ b/beryltrack/requests/losses.py
@@ -10,6 +10,7 @@
 
 import logging
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from twisted.internet.interfaces import IDelayedCall
 
@@ -21,17 +22,30 @@
 
 log = logging.getLogger(__name__)
 
-LOSS_GRACE = 1.0
-"""Seconds without an answer after which requests to a database are given up. A
-primary that is replaced is given up sooner; see `REPLACED_GRACE`."""
 
-REPLACED_GRACE = 0.2
-"""Seconds without an answer after which requests to a replaced primary are given
-up, once its successor is known. It is shorter than the time limit of the control
-requests, as writes on a replaced primary cannot be confirmed any more."""
+class LossPolicy(NamedTuple):
+    """Silences after which requests to a database are given up, seconds.
+
+    Parameters
+    ----------
+    grace : float
+        Of any database.
+    replaced_grace : float
+        Of a primary whose successor is known. It is shorter than the time limit
+        of the control requests, as writes on a replaced primary cannot be
+        confirmed any more.
+    """
+
+    grace: float = 1.0
+    replaced_grace: float = 0.2
+
+
+DEFAULT_POLICY = LossPolicy()
 
 
-def get_lost(view: GroupView, now: float) -> tuple[str, ...]:
+def get_lost(
+    view: GroupView, now: float, policy: LossPolicy = DEFAULT_POLICY
+) -> tuple[str, ...]:
     """Return the names of the databases whose connections are beyond hope.
 
     Parameters
@@ -46,17 +60,21 @@
     tuple of str
         In the order of the settings.
     """
-    return tuple(item.name for item in view.databases if _is_lost(item, view, now))
+    return tuple(
+        item.name for item in view.databases if _is_lost(item, view, now, policy)
+    )
 
 
-def _is_lost(item: DatabaseView, view: GroupView, now: float) -> bool:
+def _is_lost(
+    item: DatabaseView, view: GroupView, now: float, policy: LossPolicy
+) -> bool:
     if item.seen_at == NEVER:
         # It was not asked yet, so that its silence says nothing.
         return False
     silence = now - item.seen_at
     if item.role == PRIMARY and view.primary not in ("", item.name):
-        return not item.reachable or silence >= REPLACED_GRACE
-    return not item.reachable and silence >= LOSS_GRACE
+        return not item.reachable or silence >= policy.replaced_grace
+    return not item.reachable and silence >= policy.grace
 
 
 class LossWatch:
@@ -70,10 +88,19 @@
         Watches the group.
     pools : mapping of str to PoolTask
         The pool of each database, by name.
+    policy : LossPolicy
+        Silences after which requests are given up.
     """
 
-    def __init__(self, reactor, task: GroupTask, pools: Mapping[str, PoolTask]):
+    def __init__(
+        self,
+        reactor,
+        task: GroupTask,
+        pools: Mapping[str, PoolTask],
+        policy: LossPolicy = DEFAULT_POLICY,
+    ):
         self._reactor = reactor
+        self._policy = policy
         self._seconds = get_seconds(reactor)
         self._task = task
         self._pools = pools
@@ -82,14 +109,17 @@
 
     def observe_view(self, view: GroupView) -> None:
         """Close what is beyond hope, and look again while a database is silent."""
-        for name in get_lost(view, self._seconds()):
+        lost = get_lost(view, self._seconds(), self._policy)
+        for name in self._pools.keys() & lost:
             if self._pools[name].load.open:
                 log.info("requests: Database %s is lost, its requests end.", name)
                 self._pools[name].break_connections()
         silent = [item.name for item in view.databases if not item.reachable]
-        has_work = any(self._pools[name].load.open for name in silent)
+        has_work = any(
+            self._pools[name].load.open for name in self._pools.keys() & silent
+        )
         if has_work and self._timer is None:
-            self._timer = self._reactor.callLater(LOSS_GRACE, self._look_again)
+            self._timer = self._reactor.callLater(self._policy.grace, self._look_again)
 
     def _look_again(self) -> None:
         self._timer = None
--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -1,16 +1,16 @@
 """One group as the requests see it: its view, its pools and its next change."""
 
-from collections.abc import Mapping
+from collections.abc import Callable
 
 from twisted.internet.defer import Deferred
 
 from beryltrack.connections.task import PoolTask
 from beryltrack.groups.task import GroupTask
 from beryltrack.groups.view import GroupView
-from beryltrack.requests.losses import LossWatch
+from beryltrack.requests.losses import DEFAULT_POLICY, LossPolicy, LossWatch
 from beryltrack.routing.messages import TargetLoad
 from beryltrack.routing.refresh import AgeRefresher
-from beryltrack.settings.messages import GroupSettings
+from beryltrack.settings.messages import DatabaseSettings, GroupSettings
 
 LOOK_PERIOD = 0.02
 """Seconds after which a waiting request looks at the view again, even if no
@@ -31,8 +31,10 @@
         The group.
     task : GroupTask
         Watches its databases.
-    pools : mapping of str to PoolTask
+    pools : dict of str to PoolTask
         The pool of each database, by name.
+    losses : LossPolicy
+        Silences after which requests to a database are given up.
     """
 
     def __init__(
@@ -40,7 +42,8 @@
         reactor,
         settings: GroupSettings,
         task: GroupTask,
-        pools: Mapping[str, PoolTask],
+        pools: dict[str, PoolTask],
+        losses: LossPolicy = DEFAULT_POLICY,
     ):
         self.settings = settings
         self.task = task
@@ -51,7 +54,7 @@
         self._waiting: list[Deferred[None]] = []
         self._drained: set[str] = set()
         self._reachable: frozenset[str] = frozenset()
-        self._losses = LossWatch(reactor, task, pools)
+        self._losses = LossWatch(reactor, task, pools, losses)
         self._refresher = AgeRefresher(reactor, task, SAMPLE_TIMEOUT)
         task.subscribe(self._tell_change)
 
@@ -74,6 +77,34 @@
         for pool in self.pools.values():
             pool.start()
 
+    def set_databases(
+        self,
+        settings: GroupSettings,
+        make_pool: Callable[[GroupSettings, DatabaseSettings], PoolTask],
+    ) -> None:
+        """Take the group's members from new settings, while it runs.
+
+        Parameters
+        ----------
+        settings : GroupSettings
+            The group. A member that stays keeps its pool; the pool of one that
+            goes gives out no more connections and closes those that come back.
+        make_pool : callable
+            Returns the pool of a new member.
+        """
+        names = {item.name for item in settings.databases}
+        gone = [name for name in self.pools if name not in names]
+        for name in gone:
+            self.pools.pop(name).drain()
+            self._drained.discard(name)
+        self.settings = settings
+        for item in settings.databases:
+            if item.name not in self.pools:
+                self.pools[item.name] = make_pool(settings, item)
+                if self.is_started:
+                    self.pools[item.name].start()
+        self.task.set_databases(settings)
+
     def get_loads(self) -> tuple[TargetLoad, ...]:
         """Return this instance's work at each database."""
         pairs = ((item, self.pools[item.name].load) for item in self.settings.databases)
@@ -97,7 +128,8 @@
     def _tell_change(self, view: GroupView) -> None:
         """Follow what databases want, and wake the requests that wait."""
         self._end_backoffs(view)
-        for database in view.databases:
+        members = (item for item in view.databases if item.name in self.pools)
+        for database in members:
             wants_work = not database.leaving or database.name == view.primary
             self._set_draining(database.name, not wants_work)
         waiting, self._waiting = self._waiting, []
@@ -111,7 +143,8 @@
             database.name for database in view.databases if database.reachable
         )
         for name in self._reachable - before:
-            self.pools[name].observe_reachable()
+            if name in self.pools:
+                self.pools[name].observe_reachable()
 
     def _set_draining(self, name: str, is_draining: bool) -> None:
         """Give a database no new work, or give it work again."""
--- a/beryltrack/settings/messages.py
+++ b/beryltrack/settings/messages.py
@@ -115,6 +115,39 @@
     idempotent: bool | None
 
 
+class RouteSettings(NamedTuple):
+    """A database name that callers ask for, and how its requests are run.
+
+    Parameters
+    ----------
+    name : str
+        The name that callers ask for.
+    group : str
+        The group that serves it.
+    reads : str
+        ``any`` or ``primary``: where the reads may go.
+    max_age : float
+        Staleness that its reads accept, seconds.
+    knows_session : bool
+        True if a read must also show all that its own session has written.
+    statement_timeout : float
+        Seconds that one statement may take.
+    target_latency : float
+        Seconds within which callers want a whole operation done.
+    priority : int
+        Zero is the highest.
+    """
+
+    name: str
+    group: str
+    reads: str
+    max_age: float
+    knows_session: bool
+    statement_timeout: float
+    target_latency: float
+    priority: int
+
+
 class UserSettings(NamedTuple):
     """One user that callers may log on as.
 
@@ -147,12 +180,19 @@
         All rules, in order.
     users : tuple of UserSettings
         All users.
+    routes : tuple of RouteSettings
+        All routes. Without any, callers ask for groups by their names.
+    transaction_idle : float
+        Seconds after which a transaction that rests may be ended; zero for
+        the daemon's own limit.
     """
 
     revision: int
     groups: tuple[GroupSettings, ...]
     rules: tuple[RuleSettings, ...]
     users: tuple[UserSettings, ...]
+    routes: tuple[RouteSettings, ...] = ()
+    transaction_idle: float = 0.0
 
 
 class InstanceSettings(NamedTuple):
--- a/beryltrack_bench/fakes/group.py
+++ b/beryltrack_bench/fakes/group.py
@@ -165,7 +165,7 @@
         )
 
     async def promote(
-        self, database: str, term: int, candidate: str
+        self, database: str, term: int, candidate: str, token: int = 0
     ) -> Result[PromoteReply, ControlFailure]:
         """Have a database lead a term."""
         return await self._call(
--- a/tests/requests/test_losses.py
+++ b/tests/requests/test_losses.py
@@ -8,8 +8,7 @@
 from beryltrack.groups.messages import PRIMARY, REPLICA
 from beryltrack.groups.view import DatabaseView, GroupView
 from beryltrack.requests.losses import (
-    LOSS_GRACE,
-    REPLACED_GRACE,
+    DEFAULT_POLICY,
     LossWatch,
     get_lost,
 )
@@ -32,8 +31,8 @@
 
 def test_a_silent_database_is_lost_after_the_grace():
     view = make_view(A, silence(B))
-    assert get_lost(view, 9.0 + LOSS_GRACE - 0.1) == ()
-    assert get_lost(view, 9.0 + LOSS_GRACE) == ("b",)
+    assert get_lost(view, 9.0 + DEFAULT_POLICY.grace - 0.1) == ()
+    assert get_lost(view, 9.0 + DEFAULT_POLICY.grace) == ("b",)
 
 
 def test_a_silent_primary_is_lost_as_soon_as_it_is_replaced():
@@ -44,8 +43,8 @@
 
 def test_a_replaced_primary_is_lost_before_its_control_request_times_out():
     view = make_view(A, B, primary="b")
-    assert get_lost(view, 9.0 + 2 * REPLACED_GRACE) == ("a",)
-    assert get_lost(make_view(A, B), 9.0 + 2 * REPLACED_GRACE) == ()
+    assert get_lost(view, 9.0 + 2 * DEFAULT_POLICY.replaced_grace) == ("a",)
+    assert get_lost(make_view(A, B), 9.0 + 2 * DEFAULT_POLICY.replaced_grace) == ()
 
 
 def test_a_database_that_was_never_asked_is_not_lost():
@@ -76,7 +75,7 @@
     task = SimpleNamespace(view=make_view(A, silence(B)), subscribe=lambda call: None)
     watch = LossWatch(clock, task, pools)
     watch.observe_view(task.view)
-    clock.advance(LOSS_GRACE - 0.1)
+    clock.advance(DEFAULT_POLICY.grace - 0.1)
     assert pools["b"].broken == 0
     clock.advance(0.1)
     assert (pools["a"].broken, pools["b"].broken) == (0, 1)
@@ -88,6 +87,6 @@
     task = SimpleNamespace(view=make_view(A, silence(B)), subscribe=lambda call: None)
     LossWatch(clock, task, pools).observe_view(task.view)
     task.view = make_view(A, B)
-    clock.advance(LOSS_GRACE)
+    clock.advance(DEFAULT_POLICY.grace)
     assert pools["b"].broken == 0
     assert clock.getDelayedCalls() == []
