Share one HTTP client, and check what a replica was seen to show

Cause: the users' store speaks another dialect over HTTP; its client needs the same time limits, bounds and repeats. A silent store held a watch for its whole wait. Change: objects.http carries calls of any dialect and lets the kernel notice a lost service within 3 s; a replica gets the position it was seen at; a database without room, or that shows too little, is left out of the next attempt.

--- a/beryltrack/daemon/fleet.py
+++ b/beryltrack/daemon/fleet.py
@@ -141,10 +141,17 @@
 
         An instance that knows of no owner acts as one.
         """
-        holders = self.budget.task.get_owners(group)
+        return self._get_live_owners(group) or (self._name,)
+
+    def knows_owners(self, group: str) -> bool:
+        """Return whether an owner of a group is known that is live."""
+        return bool(self._get_live_owners(group))
+
+    def _get_live_owners(self, group: str) -> tuple[str, ...]:
+        """Return the holders of a group's seats that are live, best rank first."""
         live = self.nodes
-        names = (get_holder_name(holder) for holder in holders)
-        return tuple(name for name in names if name in live) or (self._name,)
+        names = map(get_holder_name, self.budget.task.get_owners(group))
+        return tuple(name for name in names if name in live)
 
     def _watch_group(self, runtime: GroupRuntime) -> None:
         """Share the view of a group that starts, and take what is known of it."""
--- a/beryltrack/daemon/local_site.py
+++ b/beryltrack/daemon/local_site.py
@@ -183,4 +183,4 @@
     runtime = proxy.groups.get(GROUP)
     if runtime is None:
         return False
-    return bool(proxy.fleet.budget.task.get_owners(GROUP))
+    return proxy.fleet.knows_owners(GROUP)
--- /dev/null
+++ b/beryltrack/objects/http.py
@@ -0,0 +1,248 @@
+"""HTTP calls with a time limit, whose failures say whether they took effect.
+
+The service counts calls and has outages, so this client bounds the calls in
+flight and those that wait, gives each call a timeout, and repeats with jittered
+back-off only what its user says is safe to repeat.
+"""
+
+import json
+import random
+from collections.abc import Mapping
+from io import BytesIO
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from treq.client import HTTPClient
+from treq.content import collect
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    DeferredSemaphore,
+)
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectError
+from twisted.internet.task import Cooperator, deferLater
+from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool
+from twisted.web.iweb import IAgent, IAgentEndpointFactory
+from zope.interface import implementer
+
+from beryltrack.objects.backoff import compute_delay
+from beryltrack.objects.messages import ErrorKind, PlatformError
+from beryltrack.wire.sockets import SocketLimits, tune_socket
+
+CALL_TIMEOUT = 5.0
+CONNECT_TIMEOUT = 2.0
+MAX_ATTEMPTS = 3
+MAX_CALLS = 8
+MAX_WAITING = 64
+MAX_BODY = 64 * 1024 * 1024
+JSON_HEADERS = {"Content-Type": "application/json"}
+# A watch waits without a word for longer than an outage may stay unnoticed.
+SERVICE_LIMITS = SocketLimits(idle=1, interval=1, count=2, user_timeout=3_000)
+# Both are sent by the service instead of running the call.
+REFUSALS = frozenset({429, 503})
+
+
+class HttpAnswer(NamedTuple):
+    """One HTTP answer.
+
+    Parameters
+    ----------
+    code : int
+        HTTP status code.
+    body : bytes
+        The body as received.
+    """
+
+    code: int
+    body: bytes
+
+
+class TunedEndpoint(NamedTuple):
+    """Where a service listens, whose silent loss is noticed within seconds."""
+
+    endpoint: TCP4ClientEndpoint
+
+    def connect(self, factory) -> Deferred:
+        """Connect, and give the connection its socket options."""
+        return self.endpoint.connect(factory).addCallback(_tune)
+
+
+@implementer(IAgentEndpointFactory)
+class TunedEndpoints:
+    """Makes the endpoints of an agent; services are named by IP number.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+        Opens the connections.
+    """
+
+    def __init__(self, reactor):
+        self._reactor = reactor
+
+    def endpointForURI(self, uri) -> TunedEndpoint:  # noqa: N802
+        """Return the endpoint of an address."""
+        host = uri.host.decode("ascii")
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT
+        )
+        return TunedEndpoint(endpoint)
+
+
+def _tune(protocol):
+    """Let the kernel notice within seconds that the service is gone."""
+    tune_socket(protocol.transport, SERVICE_LIMITS)
+    return protocol
+
+
+class HttpClient:
+    """Calls one HTTP service.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        The reactor that carries connections and timeouts.
+    url : str
+        Base address of the service, for example ``http://127.0.0.1:8000``.
+    rng : random.Random, optional
+        Source of the jitter between attempts.
+    timeout : float, optional
+        Time limit of one attempt, seconds.
+    agent : IAgent, optional
+        Carries the requests in place of connections of this client's own.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        url: str,
+        rng: random.Random | None = None,
+        timeout: float = CALL_TIMEOUT,
+        agent: IAgent | None = None,
+    ):
+        self._reactor = reactor
+        self._url = url.rstrip("/")
+        self._rng = rng or random.Random()
+        self._timeout = timeout
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        # Twisted would repeat a DELETE whose answer was lost.
+        self._pool.retryAutomatically = False
+        self._pool.maxPersistentPerHost = MAX_CALLS
+        if agent is None:
+            agent = Agent.usingEndpointFactory(
+                reactor, TunedEndpoints(reactor), pool=self._pool
+            )
+        self._http = HTTPClient(agent)
+        self._semaphore = DeferredSemaphore(MAX_CALLS)
+
+    @property
+    def timeout(self) -> float:
+        """Time limit of one attempt, seconds."""
+        return self._timeout
+
+    def close(self) -> Deferred:
+        """Close the idle connections; fires when they are closed."""
+        return self._pool.closeCachedConnections()
+
+    async def repeat(
+        self, method: str, url: str, body: object, repeatable: frozenset[ErrorKind]
+    ) -> Result[HttpAnswer, PlatformError]:
+        """Make up to `MAX_ATTEMPTS` attempts with jittered delays between them."""
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            result = await self._limit(method, url, body)
+            match result:
+                case Failure(PlatformError(kind)) if kind in repeatable:
+                    pass
+                case _:
+                    return result
+            if attempt < MAX_ATTEMPTS:
+                delay = compute_delay(attempt, self._rng)
+                await deferLater(self._reactor, delay)
+        return result
+
+    async def _limit(self, method: str, url: str, body: object) -> Result:
+        """Make one attempt within the bounds on calls in flight and waiting."""
+        waiting = len(self._semaphore.waiting)
+        if not self._semaphore.tokens and waiting >= MAX_WAITING:
+            return fail_call(ErrorKind.REFUSED, "too many calls wait in this process")
+        await self._semaphore.acquire()
+        try:
+            return await self.attempt(method, url, body)
+        finally:
+            self._semaphore.release()
+
+    async def attempt(
+        self,
+        method: str,
+        url: str,
+        body: object,
+        timeout: float | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[HttpAnswer, PlatformError]:
+        """Send one request and say what its failure means."""
+        limit = self._timeout if timeout is None else timeout
+        sending = self._send(method, url, body, headers or {})
+        call = Deferred.fromCoroutine(sending)
+        timer = self._reactor.callLater(limit, call.cancel)
+        try:
+            answer = await call
+        except ConnectError as error:
+            return fail_call(
+                ErrorKind.REFUSED, f"no connection to the platform: {error}"
+            )
+        except Exception as error:
+            if not timer.active():
+                return fail_call(ErrorKind.UNKNOWN, f"no answer within {limit:g} s")
+            if _is_cancelled(error):
+                raise CancelledError from error
+            # Twisted wraps what broke a request in many types of its own. The
+            # request may have been received, so none of them says more.
+            return fail_call(ErrorKind.UNKNOWN, f"the answer was lost: {error!r}")
+        finally:
+            if timer.active():
+                timer.cancel()
+        if answer.code in REFUSALS:
+            return fail_call(ErrorKind.REFUSED, f"the platform answered {answer.code}")
+        if answer.code >= 500:
+            return fail_call(ErrorKind.UNKNOWN, f"the platform answered {answer.code}")
+        return Success(answer)
+
+    async def _send(
+        self, method: str, url: str, body: object, headers: Mapping[str, str]
+    ) -> HttpAnswer:
+        """Send one request and receive its whole answer."""
+        data = None if body is None else self._build_producer(body)
+        response = await self._http.request(
+            method, self._url + url, data=data, headers=JSON_HEADERS | headers
+        )
+        chunks = []
+        size = 0
+
+        def keep(chunk: bytes) -> None:
+            nonlocal size
+            size += len(chunk)
+            if size > MAX_BODY:
+                raise ValueError(f"the answer has more than {MAX_BODY} bytes")
+            chunks.append(chunk)
+
+        await collect(response, keep)
+        return HttpAnswer(response.code, b"".join(chunks))
+
+    def _build_producer(self, body: object) -> FileBodyProducer:
+        """Return a producer of JSON text that runs on this client's reactor."""
+        cooperator = Cooperator(scheduler=lambda step: self._reactor.callLater(0, step))
+        return FileBodyProducer(BytesIO(json.dumps(body).encode()), cooperator)
+
+
+def _is_cancelled(error: Exception) -> bool:
+    """Return whether a request ended because its caller gave it up."""
+    reasons = getattr(error, "reasons", ())
+    return isinstance(error, CancelledError) or any(
+        reason.check(CancelledError) for reason in reasons
+    )
+
+
+def fail_call(kind: ErrorKind, text: str, version: int = 0) -> Result:
+    """Return a failed result."""
+    return Failure(PlatformError(kind, text, version))
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -2,9 +2,11 @@
 
 from returns.maybe import Some
 from returns.result import Failure
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from beryltrack.errors import SqlError, make_refusal, make_rolled_back
+from beryltrack.groups.view import get_database
 from beryltrack.metrics.messages import TargetKind
 from beryltrack.requests.answers import (
     RequestContext,
@@ -48,6 +50,7 @@
         self._must_write = not context.plan.is_read
         self._sink = AnswerSink(context.caller)
         self._attempts = 0
+        self._excluded: tuple[str, ...] = ()
         self._may_have_run = False
 
     async def run(self) -> None:
@@ -84,6 +87,7 @@
             context.plan.marks.max_age,
             context.plan.marks.reads,
             context.services.zone,
+            excluded=self._excluded,
             deadline=context.give_up_at,
             sequence=next(context.services.sequence),
         )
@@ -94,10 +98,12 @@
         if isinstance(result, RunLost):
             target.pool.release(target.connection, False)
             self._may_have_run |= result.is_sent
+            self._exclude(target)
             return self._decide_failure(RunFailure(result.is_sent, "")), LOST_TEXT
         if result.error is not None:
             step = self._decide_failure(RunFailure(True, result.error.sqlstate))
             if step is not NextStep.ANSWER:
+                self._exclude(target)
                 is_idle = result.status is TransactionStatus.IDLE
                 target.pool.release(target.connection, is_idle)
                 return step, result.error.message
@@ -106,10 +112,33 @@
     async def _run_on(self, target: FoundTarget) -> RunResult:
         """Run the unit on a connection."""
         context = self._context
-        protocol = context.services.protocol
-        return await protocol.run(
-            target.connection, context.plan, self._sink, context.caller
+        protocol, plan = context.services.protocol, context.plan
+        after = None
+        if target.is_replica:
+            shown = get_database(context.runtime.view, target.database)
+            after = shown.applied if shown is not None else None
+        running = protocol.run(
+            target.connection, plan, self._sink, context.caller, after
         )
+        limit = context.policy.run_timeout
+        if limit is None:
+            return await running
+        # Cancelling breaks the connection, so that the run ends as lost.
+        timed = Deferred.fromCoroutine(running)
+        timer = context.services.reactor.callLater(
+            max(0.0, min(limit, context.deadline - context.services.seconds())),
+            target.connection.close,
+        )
+        try:
+            return await timed
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def _exclude(self, target: FoundTarget) -> None:
+        """Let another replica than the one that failed serve the next attempt."""
+        if target.is_replica:
+            self._excluded = (*self._excluded, target.database)
 
     def _decide_failure(self, failure: RunFailure) -> NextStep:
         """Return the step after a failed run; drop what it has answered."""
--- a/beryltrack/requests/outcomes.py
+++ b/beryltrack/requests/outcomes.py
@@ -9,12 +9,18 @@
 from enum import Enum
 from typing import NamedTuple
 
+from beryltrack.errors import CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS
 from beryltrack.transactions.decider import CommitOutcome
 
 READ_ONLY_REFUSAL = "25006"
 """SQLSTATE with which a database refuses a write that it may not take."""
 
 
+REPEATABLE_REFUSALS = frozenset((CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS))
+"""SQLSTATEs of a database that did not run the request: it shows too little, or
+has no room. Another database, or the same one later, may run it."""
+
+
 class NextStep(Enum):
     """What happens next to a request."""
 
@@ -87,6 +93,8 @@
     """
     if failure.sqlstate == READ_ONLY_REFUSAL:
         return _decide_after_refusal(state)
+    if failure.sqlstate in REPEATABLE_REFUSALS and not state.in_transaction:
+        return NextStep.ANSWER if state.is_answered else NextStep.RETRY
     if failure.sqlstate:
         return NextStep.ANSWER
     if state.is_read:
--- a/beryltrack/requests/postgres.py
+++ b/beryltrack/requests/postgres.py
@@ -13,6 +13,7 @@
 from beryltrack.callers.messages import Request
 from beryltrack.connections.target import TargetConnection
 from beryltrack.errors import SqlError
+from beryltrack.groups.messages import LogPosition
 from beryltrack.requests.answers import RequestContext
 from beryltrack.requests.execution import apply_settings, run_plan
 from beryltrack.requests.marked import (
@@ -85,6 +86,7 @@
         plan: RequestPlan,
         sink: AnswerSink,
         caller: Caller,
+        after: LogPosition | None = None,
     ) -> RunResult:
         """Give a connection the caller's settings, and run a unit on it."""
         refused = await apply_settings(connection, caller, self.settings)
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -11,6 +11,7 @@
 
 from beryltrack.connections.messages import PooledConnection
 from beryltrack.errors import SqlError
+from beryltrack.groups.messages import LogPosition
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.routing.messages import StatementKind
 from beryltrack.sessions.marks import RequestMarks
@@ -133,8 +134,13 @@
         plan: UnitPlan,
         sink: AnswerSink,
         caller: UnitCaller,
+        after: LogPosition | None,
     ) -> RunResult:
-        """Bring a connection to the caller's session, and run a unit on it."""
+        """Bring a connection to the caller's session, and run a unit on it.
+
+        `after` is a position that a replica was seen to show. Where targets can
+        check it, one that no longer shows it refuses the unit.
+        """
 
     async def run_pinned(
         self,
--- a/beryltrack/wire/sockets.py
+++ b/beryltrack/wire/sockets.py
@@ -6,34 +6,44 @@
 """
 
 import socket
+from typing import NamedTuple
 
 from twisted.internet.interfaces import ISystemHandle, ITCPTransport
 
-# Seconds of silence before the kernel asks whether the peer is still there, and
-# between its questions; how many questions may stay without an answer.
-KEEPALIVE_IDLE = 15
-KEEPALIVE_INTERVAL = 5
-KEEPALIVE_COUNT = 3
 
-# Milliseconds that sent data may stay without an acknowledgement.
-USER_TIMEOUT = 30_000
+class SocketLimits(NamedTuple):
+    """When the kernel gives up a connection whose peer is silent.
 
-# Not every system has all of them.
-_OPTIONS = {
-    "TCP_KEEPIDLE": KEEPALIVE_IDLE,
-    "TCP_KEEPINTVL": KEEPALIVE_INTERVAL,
-    "TCP_KEEPCNT": KEEPALIVE_COUNT,
-    "TCP_USER_TIMEOUT": USER_TIMEOUT,
-}
+    Parameters
+    ----------
+    idle : int
+        Seconds of silence before the kernel asks whether the peer is there.
+    interval : int
+        Seconds between its questions.
+    count : int
+        How many questions may stay without an answer.
+    user_timeout : int
+        Milliseconds that sent data may stay without an acknowledgement.
+    """
+
+    idle: int = 15
+    interval: int = 5
+    count: int = 3
+    user_timeout: int = 30_000
+
+
+DEFAULT_LIMITS = SocketLimits()
 
 
-def tune_socket(transport) -> None:
-    """Send small messages at once and notice a peer that is gone within 30 s.
+def tune_socket(transport, limits: SocketLimits = DEFAULT_LIMITS) -> None:
+    """Send small messages at once and notice a peer that is gone.
 
     Parameters
     ----------
     transport : ITransport
         The connection; one that is not TCP is left as it is.
+    limits : SocketLimits
+        When a silent peer is given up.
     """
     if not ITCPTransport.providedBy(transport):
         return
@@ -42,6 +52,13 @@
     if not ISystemHandle.providedBy(transport):
         return
     handle = transport.getHandle()
-    for name, value in _OPTIONS.items():
+    options = {
+        "TCP_KEEPIDLE": limits.idle,
+        "TCP_KEEPINTVL": limits.interval,
+        "TCP_KEEPCNT": limits.count,
+        "TCP_USER_TIMEOUT": limits.user_timeout,
+    }
+    for name, value in options.items():
+        # Not every system has all of them.
         if hasattr(socket, name):
             handle.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
--- a/tests/command/test_tool.py
+++ b/tests/command/test_tool.py
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def tool(monkeypatch):
-    for module in ("objects.client", "settings.change"):
+    for module in ("objects.http", "settings.change"):
         monkeypatch.setattr(f"beryltrack.{module}.compute_delay", lambda *_: 0.01)
     with running_tool() as site:
         yield site
--- a/tests/objects/test_client.py
+++ b/tests/objects/test_client.py
@@ -11,7 +11,8 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from beryltrack.objects.client import MAX_ATTEMPTS, PlatformClient
+from beryltrack.objects.client import PlatformClient
+from beryltrack.objects.http import MAX_ATTEMPTS
 from beryltrack.objects.messages import (
     ErrorKind,
     InstanceEntry,
@@ -171,8 +172,8 @@
 
 
 def test_calls_that_would_wait_without_bound_are_refused(monkeypatch):
-    monkeypatch.setattr("beryltrack.objects.client.MAX_WAITING", 0)
-    monkeypatch.setattr("beryltrack.objects.client.MAX_CALLS", 1)
+    monkeypatch.setattr("beryltrack.objects.http.MAX_WAITING", 0)
+    monkeypatch.setattr("beryltrack.objects.http.MAX_CALLS", 1)
     clock = Clock()
     agent = RequestTraversalAgent(ScriptedSite(NO_ANSWER))
     client = PlatformClient(clock, "http://127.0.0.1", agent=agent)
