--- a/beryltrack/clock.py
+++ b/beryltrack/clock.py
@@ -26,3 +26,12 @@
     if IReactorCore.providedBy(reactor):
         return time.monotonic
     return reactor.seconds
+
+
+def use_monotonic_time(reactor) -> None:
+    """Let the reactor's timers follow a clock that never goes back.
+
+    Twisted's timers follow the wall clock, so that a correction of it by some
+    seconds would hold back every heartbeat and probe of the process.
+    """
+    reactor.seconds = time.monotonic
--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -91,6 +91,24 @@
         self.sqlstate = sqlstate
 
 
+class TargetLost(Exception):
+    """Raised when a connection ended before the answer did.
+
+    Parameters
+    ----------
+    sent : bool
+        False if no byte of the request was sent: it was not run, truly. True
+        if it may have been run.
+    reason : str
+        Why the connection ended.
+    """
+
+    def __init__(self, sent: bool, reason: str):
+        super().__init__(reason)
+        self.sent = sent
+        self.reason = reason
+
+
 class GiveConnection(NamedTuple):
     """Hand a connection to a waiter."""
 
--- a/beryltrack/connections/target.py
+++ b/beryltrack/connections/target.py
@@ -22,6 +22,7 @@
     Credentials,
     TargetLogon,
 )
+from beryltrack.connections.messages import TargetLost
 from beryltrack.connections.prepared import PreparedNames
 from beryltrack.errors import (
     FEATURE_NOT_SUPPORTED,
@@ -43,24 +44,6 @@
 _TERMINATE_WIRE = Terminate().to_wire()
 
 
-class TargetLost(Exception):
-    """Raised when a connection ended before the answer did.
-
-    Parameters
-    ----------
-    sent : bool
-        False if no byte of the request was sent: it was not run, truly. True
-        if it may have been run.
-    reason : str
-        Why the connection ended.
-    """
-
-    def __init__(self, sent: bool, reason: str):
-        super().__init__(reason)
-        self.sent = sent
-        self.reason = reason
-
-
 class TargetConnection(Protocol):
     """A logged-on connection to a target.
 
--- a/beryltrack/daemon/local.py
+++ b/beryltrack/daemon/local.py
@@ -7,8 +7,8 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
+from beryltrack.clock import use_monotonic_time
 from beryltrack.daemon.local_site import GROUP, USER, LocalProxies
-from beryltrack.daemon.process import use_monotonic_time
 from beryltrack.daemon.tour import run_tour
 from beryltrack.settings.messages import Endpoint
 from beryltrack_standins.site import LocalSite
--- /dev/null
+++ b/beryltrack/daemon/node.py
@@ -0,0 +1,312 @@
+"""One instance on the users' platform: all its tasks, its start and its end."""
+
+import logging
+import random
+from collections.abc import Iterable
+from enum import Enum
+
+from returns.result import Success
+from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
+from twisted.internet.task import deferLater
+
+from beryltrack.clock import get_seconds
+from beryltrack.connections.even_share import compute_share
+from beryltrack.daemon import node_options as options
+from beryltrack.daemon.groups import GroupTable
+from beryltrack.daemon.line_kit import LineKit
+from beryltrack.failover.authority import StoreAuthority
+from beryltrack.findings import format_finding
+from beryltrack.metrics.plain import Gauge, PlainMetrics
+from beryltrack.objects.feed import FeedTask
+from beryltrack.objects.http import HttpClient
+from beryltrack.objects.messages import PlatformObject
+from beryltrack.platform.caller import LineCallerFactory
+from beryltrack.platform.promotion import PromotionCalls
+from beryltrack.platform.protocol import LineProtocol
+from beryltrack.platform.ready import build_ready_site
+from beryltrack.platform.settings import (
+    CONFIG_KIND,
+    CONFIG_PATH,
+    DATABASES_KIND,
+    read_configuration,
+    read_entry,
+)
+from beryltrack.platform.store import PlatformStore
+from beryltrack.requests.runtime import GroupRuntime
+from beryltrack.requests.services import make_services
+from beryltrack.requests.task import RequestTask
+from beryltrack.settings.messages import (
+    Endpoint,
+    RouteSettings,
+    SiteSettings,
+)
+from beryltrack.settings.node import NodeSettings
+from beryltrack.settings.roster import Roster, SiteConfiguration, make_site
+
+log = logging.getLogger(__name__)
+
+MEMBERS_KIND = "members"
+"""Kind of the objects by which instances know of each other."""
+
+BALANCER_TIME = 2.6
+"""Seconds that the balancer may take to notice that an instance leaves: two
+questions, one a second."""
+
+LAST_PART = 0.12
+"""Part of the grace that is left when the last callers are cut off."""
+
+
+class NodeState(Enum):
+    """Where an instance stands between its start and its end."""
+
+    STARTING = "starting"
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class CallerBounds:
+    """What bounds callers' connections; see `CallerLimits`."""
+
+    stall = options.STALL_LIMIT
+    waiting = options.MOST_WAITING
+    sockets = options.CALLER_SOCKETS
+
+    def __init__(self, get_site):
+        self._get_site = get_site
+
+    def transaction_idle(self) -> float:
+        """Return how long a transaction may rest, seconds; 0 for ever."""
+        return self._get_site().transaction_idle
+
+
+class Node:
+    """One instance.
+
+    Parameters
+    ----------
+    reactor : reactor
+        Source of sockets and timers.
+    settings : NodeSettings
+        What its settings file says.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(self, reactor, settings: NodeSettings, rng: random.Random):
+        self.settings = settings
+        self.state = NodeState.STARTING
+        self.metrics = PlainMetrics()
+        self._reactor = reactor
+        self._rng = rng
+        self._seconds = get_seconds(reactor)
+        self._store = PlatformStore(self._make_client(settings.store))
+        promotion = PromotionCalls(self._make_client(settings.promotion), settings.name)
+        authority = StoreAuthority(self._store, settings.name)
+        self._kit = LineKit(reactor, settings.name, promotion, authority, rng)
+        self._groups = GroupTable(reactor, self._kit)
+        self._groups.subscribe_started(self._start_group)
+        self._site = SiteSettings(0, (), (), ())
+        self._routes: dict[str, RouteSettings] = {}
+        self._configuration: SiteConfiguration | None = None
+        self._roster = Roster()
+        self._has_roster = False
+        self._nodes: tuple[str, ...] = (settings.name,)
+        self._look_call = None
+        self._services = make_services(
+            reactor,
+            settings.zone,
+            self.metrics,
+            rng,
+            LineProtocol(self._routes_get, options.make_request_policy),
+            routing=options.ROUTING,
+        )
+        handler = RequestTask(self._services, self._get_site, self._find_group)
+        bounds = CallerBounds(self._get_site)
+        self._callers = LineCallerFactory(reactor, handler, bounds)
+        self._feeds = [
+            FeedTask(reactor, self._store, kind, callback, rng)
+            for kind, callback in (
+                (CONFIG_KIND, self._take_configuration),
+                (DATABASES_KIND, self._take_databases),
+                (MEMBERS_KIND, self._take_members),
+            )
+        ]
+        self._ports = []
+        self.metrics.set_gauges(self._get_gauges)
+
+    @property
+    def is_ready(self) -> bool:
+        """True if the instance takes callers."""
+        return self.state is NodeState.LIVE
+
+    def start(self) -> None:
+        """Listen, and learn the settings."""
+        self._listen(self.settings.listen, self._callers)
+        ready_site = build_ready_site(lambda: self.is_ready)
+        self._listen(self.settings.ready_listen, ready_site)
+        self._services.admission.start()
+        for feed in self._feeds:
+            feed.start()
+        Deferred.fromCoroutine(self._register())
+        log.info("daemon: Instance %s listens.", self.settings.name)
+
+    async def leave(self) -> None:
+        """Shut down without cutting off a request in flight.
+
+        The balancer is told first, and callers are served until it has noticed.
+        Then each is told to go between two transactions.
+        """
+        self.state = NodeState.LEAVING
+        log.info("daemon: Instance %s leaves.", self.settings.name)
+        grace = self.settings.grace
+        Deferred.fromCoroutine(self._unregister())
+        await deferLater(self._reactor, min(BALANCER_TIME, grace / 2))
+        leaving = self._callers.leave()
+        limit = grace * (1 - LAST_PART) - min(BALANCER_TIME, grace / 2)
+        leaving.addTimeout(limit, self._reactor)
+        try:
+            await leaving
+        except TimeoutError:
+            log.warning("daemon: Callers are cut off at the end of the grace.")
+        self._callers.abort()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for feed in self._feeds:
+            feed.stop()
+        self._services.admission.stop()
+        for port in self._ports:
+            await maybeDeferred(port.stopListening)
+        log.info("daemon: Instance %s has left.", self.settings.name)
+
+    def _make_client(self, endpoint: Endpoint) -> HttpClient:
+        """Return a client of one of the platform's services."""
+        url = f"http://{endpoint.host}:{endpoint.port}"
+        return HttpClient(self._reactor, url, self._rng, options.STORE_TIMEOUT)
+
+    def _listen(self, endpoint: Endpoint, factory) -> None:
+        """Open one listening socket."""
+        port = self._reactor.listenTCP(
+            endpoint.port, factory, backlog=1024, interface=endpoint.host
+        )
+        self._ports.append(port)
+
+    def _get_site(self) -> SiteSettings:
+        """Return the settings in force."""
+        return self._site
+
+    def _routes_get(self, name: str) -> RouteSettings | None:
+        """Return the route of a database name."""
+        return self._routes.get(name)
+
+    def _find_group(self, database: str) -> GroupRuntime | None:
+        """Return the group that serves a database name, if it is known."""
+        route = self._routes.get(database)
+        return self._groups.get(route.group) if route is not None else None
+
+    def _take_configuration(self, objects: dict[str, PlatformObject]) -> None:
+        """Take in what operators have configured; never go back to older."""
+        item = objects.get(CONFIG_PATH)
+        if item is None:
+            return
+        configuration, findings = read_configuration(item)
+        for finding in findings:
+            log.error("settings: Finding: %s", format_finding(finding))
+        known = self._configuration
+        if configuration is None or (known and configuration.version <= known.version):
+            return
+        self._configuration = configuration
+        log.info("settings: Version %d is in force.", configuration.version)
+        self._apply()
+
+    def _take_databases(self, objects: dict[str, PlatformObject]) -> None:
+        """Take in which databases there are."""
+        pairs = [read_entry(item) for item in objects.values()]
+        for finding in (finding for _, findings in pairs for finding in findings):
+            log.error("settings: Finding: %s", format_finding(finding))
+        entries = tuple(entry for entry, _ in pairs if entry is not None)
+        self._roster.observe(entries, self._seconds())
+        self._has_roster = True
+        self._apply()
+
+    def _take_members(self, objects: dict[str, PlatformObject]) -> None:
+        """Take in which instances there are."""
+        names = {path.partition("/")[2] for path in objects}
+        self._nodes = tuple(sorted(names | {self.settings.name}))
+        for runtime in self._groups.runtimes:
+            runtime.task.set_nodes(self._nodes)
+        self._share_connections()
+
+    def _apply(self) -> None:
+        """Put the settings in force."""
+        if self._configuration is None or not self._has_roster:
+            return
+        now = self._seconds()
+        self._site = make_site(
+            self._configuration, self._roster, options.LOST_AFTER, now
+        )
+        self._routes = {route.name: route for route in self._site.routes}
+        self._groups.apply(self._site)
+        self._share_connections()
+        self._look_again(now)
+        if self.state is NodeState.STARTING:
+            self.state = NodeState.LIVE
+            log.info("daemon: Instance %s is ready.", self.settings.name)
+
+    def _look_again(self, now: float) -> None:
+        """Look at the databases again when one that is missing counts as gone."""
+        if self._look_call is not None and self._look_call.active():
+            self._look_call.cancel()
+        due = self._roster.get_due(now)
+        if due is not None:
+            self._look_call = self._reactor.callLater(due - now + 0.01, self._apply)
+
+    def _share_connections(self) -> None:
+        """Give each pool its part of the database's connections."""
+        known = len(self._nodes)
+        instances = known if known > 1 else options.FIRST_INSTANCES
+        for runtime in self._groups.runtimes:
+            for item in runtime.settings.databases:
+                share = compute_share(
+                    item.max_connections, instances, options.CONTROL_CONNECTIONS
+                )
+                runtime.pools[item.name].set_limit(share)
+
+    def _start_group(self, runtime: GroupRuntime) -> None:
+        """Watch a group from now on."""
+        runtime.task.set_nodes(self._nodes)
+        runtime.ensure_started()
+
+    async def _register(self) -> None:
+        """Tell the other instances of this one."""
+        path = f"{MEMBERS_KIND}/{self.settings.name}"
+        while self.state is not NodeState.LEAVING:
+            found = await self._store.get(path)
+            if isinstance(found, Success):
+                kept = found.unwrap()
+                if kept is not None:
+                    return
+                value = {"host": self.settings.host}
+                written = await self._store.put(path, value, 0)
+                if isinstance(written, Success):
+                    return
+            await deferLater(self._reactor, 1.0)
+
+    async def _unregister(self) -> None:
+        """Tell the other instances that this one leaves."""
+        path = f"{MEMBERS_KIND}/{self.settings.name}"
+        found = await self._store.get(path)
+        if isinstance(found, Success) and found.unwrap() is not None:
+            await self._store.delete(path, found.unwrap().version)
+
+    def _get_gauges(self) -> Iterable[Gauge]:
+        """Return the values of the moment."""
+        version = self._configuration.version if self._configuration else 0
+        yield "beryltrack_settings_version", "", version
+        yield "beryltrack_callers", "", len(self._callers.callers)
+        for runtime in self._groups.runtimes:
+            for name, pool in runtime.pools.items():
+                labels = f'group="{runtime.settings.name}",database="{name}"'
+                yield "beryltrack_pool_busy", labels, pool.load.in_use
+                yield "beryltrack_pool_waiting", labels, pool.load.waiting
--- /dev/null
+++ b/beryltrack/daemon/node_options.py
@@ -0,0 +1,74 @@
+"""The figures that steer a node on the users' platform, with where they come from."""
+
+from beryltrack.connections.pool_policy import PoolPolicy
+from beryltrack.failover.decider import FailoverPolicy
+from beryltrack.groups.policy import ProbePolicy
+from beryltrack.platform.group import ControlLimits
+from beryltrack.requests.losses import LossPolicy
+from beryltrack.requests.protocol import RequestPolicy
+from beryltrack.routing.decider import RoutingPolicy
+from beryltrack.settings.messages import RouteSettings
+from beryltrack.wire.sockets import SocketLimits
+
+LOST_AFTER = 0.5
+"""Seconds without a word of a primary after which it is replaced: twice the time
+between two probes, and more than a status waits in a full queue (0.2 s)."""
+
+CONTROL_CONNECTIONS = 1
+"""Connections to each database beside the pool, for status and promotion."""
+
+FIRST_INSTANCES = 8
+"""Instances that share the connections for as long as the members are not known:
+the most of today's sites."""
+
+PROBES = ProbePolicy(
+    interval=0.25,
+    idle_interval=0.25,
+    suspect_interval=0.1,
+    is_plain=True,
+)
+
+FAILOVER = FailoverPolicy(
+    stagger=0.3,
+    # Databases across availability zones answer in 4 ms.
+    grant_wait=0.15,
+    # A holder of the permit notices a loss within 0.25 s of the others.
+    takeover=0.7,
+    rotates=False,
+)
+
+LOSSES = LossPolicy(grace=0.4, replaced_grace=0.1)
+
+# A wait for a replica costs probes; the primary has room for what replicas miss.
+ROUTING = RoutingPolicy(max_wait=0.0)
+
+POOLS = PoolPolicy(idle_timeout=10.0, most_opening=2)
+
+TARGET_SOCKETS = SocketLimits(idle=2, interval=1, count=2, user_timeout=2_000)
+CALLER_SOCKETS = SocketLimits(idle=15, interval=5, count=3, user_timeout=10_000)
+
+CONTROL = ControlLimits(connect=0.4, request=0.4, sockets=TARGET_SOCKETS)
+
+CONNECT_TIMEOUT = 1.0
+"""Seconds until a new connection to a database counts as failed; it takes 12 to
+30 ms."""
+
+STORE_TIMEOUT = 2.0
+"""Seconds until a call to the store counts as failed; it takes 4 ms, and up to
+0.3 s when the store is slow."""
+
+MOST_HOLD = 0.35
+"""Seconds that a request waits for a database that can take it. Longer than most
+of a change of primary is not held: the caller is told when to come back."""
+
+STALL_LIMIT = 10.0
+"""Seconds that a caller may leave an answer unread."""
+
+MOST_WAITING = 64
+"""Statements that a caller may send ahead; callers of today send one at a time."""
+
+
+def make_request_policy(route: RouteSettings) -> RequestPolicy:
+    """Return the times that bound the requests of a route."""
+    timeout = route.statement_timeout
+    return RequestPolicy(timeout, min(MOST_HOLD, timeout / 2), timeout)
--- /dev/null
+++ b/beryltrack/daemon/node_process.py
@@ -0,0 +1,53 @@
+"""The process of one instance on the users' platform."""
+
+import logging
+import os
+import random
+import signal
+import sys
+
+from beryltrack.daemon.logs import configure_logs
+from beryltrack.findings import format_finding
+from beryltrack.platform.boot import read_node_settings
+
+EXIT_DONE = 0
+EXIT_FINDINGS = 1
+
+log = logging.getLogger(__name__)
+
+
+def main() -> int:
+    """Run an instance until SIGTERM and return its exit code."""
+    settings, findings = read_node_settings(os.environ)
+    if settings is None:
+        for finding in findings:
+            print(format_finding(finding), file=sys.stderr)
+        return EXIT_FINDINGS
+    configure_logs(settings.name, stream=sys.stdout)
+    from twisted.internet import reactor
+
+    from beryltrack.clock import use_monotonic_time
+    from beryltrack.daemon.node import Node, NodeState
+
+    use_monotonic_time(reactor)
+    node = Node(reactor, settings, random.Random())
+
+    def leave():
+        from twisted.internet.defer import Deferred
+
+        if node.state is not NodeState.LEAVING:
+            return Deferred.fromCoroutine(node.leave())
+        return None
+
+    def reload(*_: object) -> None:
+        log.info("daemon: SIGHUP, the settings file is read at the next start.")
+
+    reactor.callWhenRunning(node.start)
+    reactor.addSystemEventTrigger("before", "shutdown", leave)
+    signal.signal(signal.SIGHUP, reload)
+    reactor.run()
+    return EXIT_DONE
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/beryltrack/daemon/process.py
+++ b/beryltrack/daemon/process.py
@@ -2,12 +2,12 @@
 
 import logging
 import random
-import time
 
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
 
+from beryltrack.clock import use_monotonic_time
 from beryltrack.daemon.proxy import Proxy, ProxyState
 from beryltrack.settings.messages import InstanceSettings
 
@@ -17,15 +17,6 @@
 EXIT_FAILED = 1
 
 
-def use_monotonic_time(reactor) -> None:
-    """Let the reactor's timers follow a clock that never goes back.
-
-    Twisted's timers follow the wall clock, so that a correction of it by some
-    seconds would hold back every heartbeat and probe of the process.
-    """
-    reactor.seconds = time.monotonic
-
-
 def run_proxy(settings: InstanceSettings) -> int:
     """Run a proxy until SIGTERM or SIGINT, and shut it down gracefully.
 
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -20,6 +20,7 @@
 from beryltrack.objects.client import PlatformClient
 from beryltrack.objects.registration import RegistrationTask
 from beryltrack.peers.counters import register_counters
+from beryltrack.requests.forward_course import ForwardToOwners
 from beryltrack.requests.forward_handler import ForwardHandler
 from beryltrack.requests.ledger_cleaner import LedgerCleaner
 from beryltrack.requests.postgres import PostgresProtocol
@@ -77,7 +78,7 @@
             ForwardHandler(reactor, handler.run_forwarded),
             rng,
         )
-        handler.set_forwarder(self.fleet.forwarder)
+        handler.set_forwarder(ForwardToOwners(self.fleet.forwarder))
         register_counters(self.metrics.meter, self.fleet.peers.counters)
         self._cleaner = LedgerCleaner(
             self.services, lambda: self.groups.runtimes, self.fleet.is_chosen, rng
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -305,7 +305,7 @@
         stopped = _get_status(
             await self._adapter.stop_writes(election.primary, election.primary_term)
         )
-        if stopped is None or stopped.role != PRIMARY:
+        if stopped is None:
             return False
         if stopped.term != election.primary_term:
             return False
--- /dev/null
+++ b/beryltrack/objects/feed.py
@@ -0,0 +1,166 @@
+"""A live copy of all objects of one kind, by one list and then watches.
+
+The store counts each call, a waiting watch as one, so that a feed makes few: a
+list at the start and after the store forgot its changes, else one watch at a time.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from returns.result import Result, Success
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.task import deferLater
+
+from beryltrack.objects.backoff import compute_delay
+from beryltrack.objects.messages import (
+    ErrorKind,
+    ObjectList,
+    PlatformError,
+    PlatformObject,
+)
+
+log = logging.getLogger(__name__)
+
+WATCH_TIMEOUT = 25.0
+"""Seconds that a watch waits; the store allows 30."""
+
+FIRST_DELAY = 0.05
+MOST_DELAY = 0.5
+"""Seconds between two attempts while the store gives no answer. Settings are to be
+in force within seconds of its return, and a refused call costs as much as another."""
+
+
+class ObjectFeed(Protocol):
+    """Lists and watches the objects of a kind."""
+
+    async def list(self, kind: str) -> Result[ObjectList, PlatformError]:
+        """Return all objects of a kind."""
+
+    async def watch(
+        self, kind: str, after: int, timeout: float
+    ) -> Result[ObjectList, PlatformError]:
+        """Wait for changes after a revision."""
+
+
+FeedCallback = Callable[[dict[str, PlatformObject]], None]
+
+
+class FeedTask:
+    """Keeps the copy of one kind.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Source of timers.
+    source : ObjectFeed
+        The store.
+    kind : str
+        The kind.
+    callback : callable
+        Called with all objects by path after each change of them.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        source: ObjectFeed,
+        kind: str,
+        callback: FeedCallback,
+        rng: random.Random,
+    ):
+        self._reactor = reactor
+        self._source = source
+        self._kind = kind
+        self._callback = callback
+        self._rng = rng
+        self._objects: dict[str, PlatformObject] = {}
+        self._revision: int | None = None
+        self._failures = 0
+        self._loop: Deferred | None = None
+
+    @property
+    def is_connected(self) -> bool:
+        """True if the last call was answered."""
+        return self._revision is not None and not self._failures
+
+    def start(self) -> None:
+        """Begin to follow the objects."""
+        self._loop = Deferred.fromCoroutine(self._run())
+        self._loop.addErrback(lambda failure: failure.trap(CancelledError))
+
+    def stop(self) -> None:
+        """Follow them no more."""
+        loop, self._loop = self._loop, None
+        if loop is not None:
+            loop.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            result = await self._ask()
+            if isinstance(result, Success):
+                self._note_answer()
+                continue
+            self._note_failure(result.failure())
+            delay = compute_delay(
+                self._failures, self._rng, first=FIRST_DELAY, most=MOST_DELAY
+            )
+            await deferLater(self._reactor, delay)
+
+    async def _ask(self) -> Result[ObjectList, PlatformError]:
+        """Make one call and take in what it says."""
+        if self._revision is None:
+            result = await self._source.list(self._kind)
+            if isinstance(result, Success):
+                self._take_list(result.unwrap())
+            return result
+        result = await self._source.watch(self._kind, self._revision, WATCH_TIMEOUT)
+        if isinstance(result, Success):
+            self._take_changes(result.unwrap())
+        return result
+
+    def _take_list(self, found: ObjectList) -> None:
+        """Take in all objects; those that are not listed are gone."""
+        self._revision = found.revision
+        self._objects = {item.path: item for item in found.objects}
+        self._tell()
+
+    def _take_changes(self, found: ObjectList) -> None:
+        """Take in what has changed."""
+        self._revision = max(self._revision, found.revision)
+        for item in found.objects:
+            if item.deleted:
+                self._objects.pop(item.path, None)
+            else:
+                self._objects[item.path] = item
+        if found.objects:
+            self._tell()
+
+    def _tell(self) -> None:
+        """Tell of a change; a defect of the callback must not end the feed."""
+        try:
+            self._callback(self._objects)
+        except Exception:
+            log.exception("objects: A change of %s met a defect.", self._kind)
+
+    def _note_answer(self) -> None:
+        """Note that the store answers."""
+        if self._failures:
+            log.info("objects: The store answers again for %s.", self._kind)
+        self._failures = 0
+
+    def _note_failure(self, error: PlatformError) -> None:
+        """Note that the store gives no answer, or forgot its changes."""
+        if error.kind is ErrorKind.EXPIRED:
+            self._revision = None
+        self._failures += 1
+        if self._failures == 1:
+            log.warning(
+                "objects: No answer for %s (%s): %s.",
+                self._kind,
+                error.kind.value,
+                error.text,
+            )
--- a/beryltrack/objects/messages.py
+++ b/beryltrack/objects/messages.py
@@ -77,13 +77,15 @@
     REFUSED says that the call had no effect, CONFLICT that the object has
     another version than the condition asked for, UNKNOWN that the call may or
     may not have had its effect, INVALID that the platform did not understand
-    the call or its answer made no sense.
+    the call or its answer made no sense, EXPIRED that a watch asked for changes
+    which the platform has forgotten.
     """
 
     REFUSED = "refused"
     CONFLICT = "conflict"
     UNKNOWN = "unknown"
     INVALID = "invalid"
+    EXPIRED = "expired"
 
 
 class PlatformError(NamedTuple):
--- /dev/null
+++ b/beryltrack/platform/boot.py
@@ -0,0 +1,54 @@
+"""The settings file of a process, as the platform writes it."""
+
+import json
+from collections.abc import Mapping
+
+from beryltrack.findings import Finding
+from beryltrack.platform.settings import parse_endpoint
+from beryltrack.settings.node import NodeSettings
+
+PATH_VARIABLE = "BERYLTRACK_BOOT"
+"""Environment variable that holds the path of the file."""
+
+
+def read_node_settings(
+    environment: Mapping[str, str],
+) -> tuple[NodeSettings | None, list[Finding]]:
+    """Read the settings file that the environment names.
+
+    Returns
+    -------
+    tuple
+        The settings, None if they cannot be read, and what is wrong.
+    """
+    path = environment.get(PATH_VARIABLE, "")
+    try:
+        with open(path, encoding="utf-8") as file:
+            fields = json.load(file)
+        return parse_node_settings(fields), []
+    except (OSError, KeyError, TypeError, ValueError) as error:
+        return None, [Finding(path or PATH_VARIABLE, "", f"cannot be read: {error!r}")]
+
+
+def parse_node_settings(fields: dict) -> NodeSettings:
+    """Return the settings from their form in the file.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If a field is missing or malformed.
+    """
+    listen = fields["listen"]
+    bounds = fields["bounds"]
+    return NodeSettings(
+        fields["node_name"],
+        fields["zone"],
+        parse_endpoint(listen["front"]),
+        parse_endpoint(listen["ready"]),
+        fields["ip"],
+        int(fields["internal_ports"][0]),
+        parse_endpoint(fields["platform"]["address"]),
+        parse_endpoint(fields["cloud"]["address"]),  # Carries out promotions.
+        float(bounds["grace_s"]),
+        bool(fields.get("first_start")),
+    )
--- /dev/null
+++ b/beryltrack/platform/codes.py
@@ -0,0 +1,66 @@
+"""The error codes of the line protocol and what they mean for a request.
+
+This is the only place that pairs the codes with the product's errors. A code that
+promises that nothing was kept is given only for an error that says so.
+"""
+
+from beryltrack.errors import (
+    CANNOT_CONNECT_NOW,
+    CONFIGURATION_LIMIT_EXCEEDED,
+    INVALID_CATALOG_NAME,
+    INVALID_SQL_STATEMENT_NAME,
+    PROTOCOL_VIOLATION,
+    QUERY_CANCELED,
+    SERIALIZATION_FAILURE,
+    SYSTEM_ERROR,
+    TOO_MANY_CONNECTIONS,
+    TRANSACTION_RESOLUTION_UNKNOWN,
+    SqlError,
+)
+from beryltrack.requests.outcomes import READ_ONLY_REFUSAL
+
+# Codes that a database answers with. BUSY, LAGGING and READONLY: it did not run.
+_STATES_BY_CODE = {
+    b"BUSY": TOO_MANY_CONNECTIONS,
+    b"TOOMANY": TOO_MANY_CONNECTIONS,
+    b"LAGGING": CANNOT_CONNECT_NOW,
+    b"READONLY": READ_ONLY_REFUSAL,
+    b"UNPREPARED": INVALID_SQL_STATEMENT_NAME,
+    b"FAILED": SYSTEM_ERROR,
+    b"TIMEOUT": QUERY_CANCELED,
+    b"MALFORMED": PROTOCOL_VIOLATION,
+    b"ABORTED": SERIALIZATION_FAILURE,
+    b"INDOUBT": TRANSACTION_RESOLUTION_UNKNOWN,
+}
+
+# Codes that a caller is answered with.
+_CODES_BY_STATE = {
+    CANNOT_CONNECT_NOW: b"BUSY",
+    TOO_MANY_CONNECTIONS: b"BUSY",
+    CONFIGURATION_LIMIT_EXCEEDED: b"BUSY",
+    SERIALIZATION_FAILURE: b"ABORTED",
+    TRANSACTION_RESOLUTION_UNKNOWN: b"INDOUBT",
+    QUERY_CANCELED: b"TIMEOUT",
+    INVALID_CATALOG_NAME: b"NODATABASE",
+    INVALID_SQL_STATEMENT_NAME: b"UNPREPARED",
+    PROTOCOL_VIOLATION: b"MALFORMED",
+    READ_ONLY_REFUSAL: b"READONLY",
+    SYSTEM_ERROR: b"FAILED",
+}
+_OTHER_CODE = b"FAILED"
+
+
+def decode_error(line: bytes) -> SqlError:
+    """Return the error that an ERROR line carries."""
+    fields = line.split(b" ", 2)
+    code = fields[1] if len(fields) > 1 else b""
+    text = fields[2].decode("utf-8", "replace") if len(fields) > 2 else ""
+    return SqlError(_STATES_BY_CODE.get(code, SYSTEM_ERROR), text)
+
+
+def encode_error(error: SqlError) -> bytes:
+    """Return the ERROR line for an error of the proxy's own."""
+    code = _CODES_BY_STATE.get(error.sqlstate, _OTHER_CODE)
+    text = " ".join(part for part in (error.message, error.hint) if part)
+    clean = text.replace("\r", " ").replace("\n", " ")
+    return b"ERROR %s %s\r\n" % (code, clean.encode())
--- /dev/null
+++ b/beryltrack/platform/group.py
@@ -0,0 +1,249 @@
+"""Control requests to the databases of a group over the line protocol."""
+
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from twisted.internet.defer import TimeoutError
+
+from beryltrack.connections.messages import ConnectRefused, TargetLost
+from beryltrack.groups.adapter import PromoteReply, StatusWait
+from beryltrack.groups.messages import (
+    PRIMARY,
+    ControlFailure,
+    DatabaseStatus,
+    GrantReply,
+)
+from beryltrack.objects.messages import ErrorKind
+from beryltrack.platform import lines
+from beryltrack.platform.promotion import PromotionCalls
+from beryltrack.platform.target import LineTarget, connect_line_target
+from beryltrack.settings.messages import DatabaseSettings, GroupSettings
+from beryltrack.wire.messages import Producer, ResponseEnd
+from beryltrack.wire.sockets import SocketLimits
+
+StatusResult = Result[DatabaseStatus, ControlFailure]
+
+
+class ControlLimits(NamedTuple):
+    """Times of control connections.
+
+    Parameters
+    ----------
+    connect : float
+        Seconds until a new connection counts as failed.
+    request : float
+        Seconds until a request counts as failed.
+    sockets : SocketLimits
+        When the kernel gives up a silent database.
+    """
+
+    connect: float
+    request: float
+    sockets: SocketLimits
+
+
+class StatusRow(NamedTuple):
+    """The fields of the row with which a database answers control requests.
+
+    Parameters
+    ----------
+    role : str
+        What it believes that it is.
+    term : int
+        The term of the last primary that it followed.
+    received : LogPosition
+        The last entry in its log.
+    held : int
+        A term for whose sake it has stopped receiving; 0 for none.
+    """
+
+    role: str
+    term: int
+    received: lines.LogPosition
+    held: int
+
+
+class _RowSink:
+    """Keeps the rows of one answer."""
+
+    def __init__(self):
+        self.rows: list[bytes] = []
+
+    def write(self, data: bytes) -> None:
+        """Keep a row."""
+        self.rows.append(data)
+
+    def attach(self, producer: Producer) -> None:
+        """Take a producer; it is never paused, as the answers are short."""
+
+    def detach(self) -> None:
+        """Forget the producer."""
+
+
+def parse_row(line: bytes) -> StatusRow | None:
+    """Return what a database's row says, None if it is malformed."""
+    fields = line.split()
+    if len(fields) < 5 or not (fields[2].isdigit() and fields[4].isdigit()):
+        return None
+    try:
+        received = lines.parse_position(fields[3])
+    except lines.LineError:
+        return None
+    if received is None:
+        return None
+    return StatusRow(fields[1].decode(), int(fields[2]), received, int(fields[4]))
+
+
+class LineDatabaseGroup:
+    """The databases of one group; see `DatabaseGroup`.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        Source of connections and timers.
+    group : GroupSettings
+        The group.
+    promotion : PromotionCalls
+        The service that carries out promotions.
+    limits : ControlLimits
+        Times.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        group: GroupSettings,
+        promotion: PromotionCalls,
+        limits: ControlLimits,
+    ):
+        self._reactor = reactor
+        self._group = group.name
+        self._promotion = promotion
+        self._limits = limits
+        self._databases: dict[str, DatabaseSettings] = {}
+        self._connections: dict[str, LineTarget] = {}
+        self.set_databases(group.databases)
+
+    def set_databases(self, databases: tuple[DatabaseSettings, ...]) -> None:
+        """Take the group's members from new settings."""
+        self._databases = {item.name: item for item in databases}
+        for name in self._connections.keys() - self._databases.keys():
+            self._connections.pop(name).end_session()
+
+    async def get_status(self, database: str) -> StatusResult:
+        """Return what a database says of itself now."""
+        return await self._call(database, b"STATUS")
+
+    async def wait_status(
+        self, database: str, wait: StatusWait, timeout: float
+    ) -> StatusResult:
+        """Return the status now: these databases answer at once."""
+        return await self.get_status(database)
+
+    async def grant(
+        self, database: str, term: int, candidate: str, lost_after: float
+    ) -> Result[GrantReply, ControlFailure]:
+        """Let a replica receive no more, for the sake of a term.
+
+        A primary takes no such request. Where its loss is not the reason it
+        grants by leading, as it is to lead on or has just been stepped down.
+        """
+        result = await self._call(database, b"PAUSE %d" % term)
+        return result.map(
+            lambda status: GrantReply(_has_granted(status, term, lost_after), status)
+        )
+
+    async def promote(
+        self, database: str, term: int, candidate: str, token: int
+    ) -> Result[PromoteReply, ControlFailure]:
+        """Have the platform make a database the primary."""
+        called = await self._promotion.promote(self._group, database, token)
+        if not isinstance(called, Success):
+            error = called.failure()
+            if error.kind is not ErrorKind.CONFLICT:
+                return Failure(ControlFailure(database, error.text))
+        status = await self.get_status(database)
+        is_accepted = isinstance(called, Success)
+        return status.map(lambda item: PromoteReply(is_accepted, item))
+
+    async def stop_writes(self, database: str, term: int) -> StatusResult:
+        """Make the primary of a term a replica."""
+        return await self._call(database, b"STEPDOWN %d" % (term + 1))
+
+    async def release(self, database: str) -> StatusResult:
+        """Let a replica receive again."""
+        return await self._call(database, b"RESUME")
+
+    def close(self) -> None:
+        """Close all control connections."""
+        for connection in self._connections.values():
+            connection.end_session()
+        self._connections.clear()
+
+    async def _call(self, database: str, text: bytes) -> StatusResult:
+        """Send one control request and read its row."""
+        sink = _RowSink()
+        try:
+            connection = await self._connect(database)
+            running = connection.run(lines.format_query(lines.NO_ID, text), sink)
+            end = await running.addTimeout(self._limits.request, self._reactor)
+        except ConnectRefused as refused:
+            return Failure(ControlFailure(database, str(refused), True))
+        except (TargetLost, TimeoutError, OSError) as error:
+            self._drop(database)
+            return Failure(ControlFailure(database, f"no answer: {error}"))
+        return _make_status(database, sink.rows, end)
+
+    async def _connect(self, database: str) -> LineTarget:
+        """Return the control connection to a database."""
+        connection = self._connections.get(database)
+        if connection is not None and not connection.broken:
+            return connection
+        item = self._databases.get(database)
+        if item is None:
+            raise ConnectionError("the database is no member any more")
+        connection = await connect_line_target(
+            self._reactor,
+            item.endpoint,
+            self._group,
+            database,
+            self._limits.connect,
+            self._limits.sockets,
+        )
+        self._connections[database] = connection
+        return connection
+
+    def _drop(self, database: str) -> None:
+        """Use a connection no more."""
+        connection = self._connections.pop(database, None)
+        if connection is not None:
+            connection.close()
+
+
+def _has_granted(status: DatabaseStatus, term: int, lost_after: float) -> bool:
+    """Return whether a database has granted a term."""
+    if status.role == PRIMARY:
+        return not lost_after
+    return status.is_held and status.term >= term
+
+
+def _make_status(database: str, rows: list[bytes], end: ResponseEnd) -> StatusResult:
+    """Return the status that an answer holds."""
+    if end.error is not None:
+        # It answers, so that it is at work, only without a slot for this.
+        return Failure(ControlFailure(database, end.error.message, True))
+    row = parse_row(rows[0]) if rows else None
+    if row is None or end.position is None:
+        return Failure(ControlFailure(database, "malformed status"))
+    status = DatabaseStatus(
+        database,
+        row.role,
+        max(row.term, row.held),
+        row.received,
+        end.position,
+        (),
+        None,
+        False,
+        row.held > row.term,
+    )
+    return Success(status)
--- /dev/null
+++ b/beryltrack/platform/lines.py
@@ -0,0 +1,113 @@
+"""The line protocol that callers and databases speak; sans-I/O.
+
+A message is one line: a word, then fields, separated by blanks and ended by CR LF.
+Lines are framed and told apart here; their rows pass through as bytes.
+"""
+
+from typing import NamedTuple
+
+from beryltrack.groups.messages import LogPosition
+from beryltrack.wire.messages import TransactionStatus
+
+LINE_END = b"\r\n"
+MAX_MESSAGE = 1 << 20
+"""Most bytes of one message, by the protocol's definition."""
+
+START = b"START"
+QUERY = b"QUERY"
+TERMINATE = b"TERMINATE"
+READY = b"READY"
+ROW = b"DATAROW"
+COMPLETE = b"COMPLETE"
+ERROR = b"ERROR"
+NO_ID = b"-"
+"""Stands for the identifier of a statement of the proxy's own."""
+
+_STATUSES = {status.value.encode(): status for status in TransactionStatus}
+READY_LINES = {
+    status: b"READY %s -\r\n" % status.value.encode() for status in TransactionStatus
+}
+EMPTY_COMPLETE = b"COMPLETE -\r\n"
+
+
+class LineError(Exception):
+    """Raised when bytes of a peer are no message of the protocol."""
+
+
+class LineBuffer:
+    """Cuts a stream of bytes into lines."""
+
+    __slots__ = ("_rest",)
+
+    def __init__(self):
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the lines that are complete now, without their ends.
+
+        Raises
+        ------
+        LineError
+            If a line is longer than a message may be.
+        """
+        *lines, self._rest = (self._rest + data if self._rest else data).split(LINE_END)
+        longest = max(map(len, lines), default=0)
+        if max(longest, len(self._rest)) > MAX_MESSAGE:
+            raise LineError("the message is too long")
+        return lines
+
+
+class ReadyState(NamedTuple):
+    """What a READY message says.
+
+    Parameters
+    ----------
+    status : TransactionStatus
+        How the session's transaction stands.
+    position : LogPosition or None
+        How far the database's log is applied, if it said so.
+    """
+
+    status: TransactionStatus
+    position: LogPosition | None
+
+
+def parse_ready(line: bytes) -> ReadyState:
+    """Return what a READY line says.
+
+    Raises
+    ------
+    LineError
+        If it is malformed.
+    """
+    fields = line.split(b" ")
+    status = _STATUSES.get(fields[1]) if len(fields) == 3 else None
+    if status is None:
+        raise LineError("malformed READY")
+    return ReadyState(status, parse_position(fields[2]))
+
+
+def parse_position(field: bytes) -> LogPosition | None:
+    """Return the position in a field as ``TERM.NUMBER``, None for ``-``.
+
+    Raises
+    ------
+    LineError
+        If the field is neither.
+    """
+    if field == b"-":
+        return None
+    term, separator, number = field.partition(b".")
+    if not (separator and term.isdigit() and number.isdigit()):
+        raise LineError("malformed position")
+    return LogPosition(int(term), int(number))
+
+
+def format_after(position: LogPosition) -> bytes:
+    """Return the prefix that lets a database check that it shows a position."""
+    return b"AFTER %d.%d " % position
+
+
+def format_query(request_id: bytes, text: bytes) -> bytes:
+    """Return a QUERY message."""
+    return b"QUERY %s %s\r\n" % (request_id, text)
--- /dev/null
+++ b/beryltrack/platform/protocol.py
@@ -0,0 +1,217 @@
+"""Units of the line protocol, as the course of a request runs them."""
+
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from beryltrack.connections.messages import TargetLost
+from beryltrack.errors import (
+    INVALID_CATALOG_NAME,
+    INVALID_SQL_STATEMENT_NAME,
+    SqlError,
+    make_refusal,
+)
+from beryltrack.groups.messages import LogPosition
+from beryltrack.platform import lines
+from beryltrack.platform.caller import MALFORMED, LineCaller
+from beryltrack.platform.statements import (
+    LinePlan,
+    LineStatement,
+    apply_local,
+    get_kind,
+)
+from beryltrack.platform.target import LineTarget
+from beryltrack.requests.answers import RequestContext
+from beryltrack.requests.protocol import RequestPolicy, RunLost, RunResult
+from beryltrack.requests.session import CallerSession, PinnedTransaction
+from beryltrack.requests.sink import AnswerSink
+from beryltrack.routing.messages import StatementKind
+from beryltrack.sessions.marks import READS_PRIMARY, RequestMarks
+from beryltrack.sessions.tokens import NEW_TOKEN
+from beryltrack.settings.messages import GroupSettings, RouteSettings, RuleSettings
+from beryltrack.wire.messages import ResponseEnd, TransactionStatus
+
+_LOCAL = frozenset((StatementKind.SESSION_SET, StatementKind.DEALLOCATE))
+_ENDS = frozenset((StatementKind.COMMIT, StatementKind.ROLLBACK))
+_BEGINS = frozenset((StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY))
+
+GetRoute = Callable[[str], RouteSettings | None]
+GetPolicy = Callable[[RouteSettings], RequestPolicy]
+
+
+class LineProtocol:
+    """The line protocol at both ends; see `WireProtocol`.
+
+    Parameters
+    ----------
+    get_route : callable
+        Returns the route in force of a database name, or None.
+    get_policy : callable
+        Returns the times that bound the requests of a route.
+    """
+
+    def __init__(self, get_route: GetRoute, get_policy: GetPolicy):
+        self._get_route = get_route
+        self._get_policy = get_policy
+
+    def check_session(self, caller: LineCaller) -> SqlError | None:
+        """Open a caller's session; return an error if there is no such route."""
+        caller.session = CallerSession(NEW_TOKEN, True)
+        caller.route = self._get_route(caller.database)
+        return None if caller.route is not None else _make_unknown(caller)
+
+    def describe_missing(self, caller: LineCaller) -> SqlError:
+        """Return why a caller's database cannot be served."""
+        if self._get_route(caller.database) is None:
+            return _make_unknown(caller)
+        return make_refusal("no database of the group is known", 1.0)
+
+    def plan(
+        self,
+        unit: LineStatement,
+        caller: LineCaller,
+        group: GroupSettings,
+        rules: tuple[RuleSettings, ...],
+    ) -> Result[LinePlan, SqlError]:
+        """Return the plan of a statement, or why it cannot be run."""
+        shape = None
+        if unit.verb == b"EXECUTE":
+            shape = caller.lines.prepared.get(unit.fields[0])
+            if shape is None:
+                text = "the session has prepared no such statement"
+                return Failure(SqlError(INVALID_SQL_STATEMENT_NAME, text))
+        kind = get_kind(unit, shape)
+        if not _fits(kind, caller.status):
+            return Failure(MALFORMED)
+        route = caller.route
+        if not caller.in_transaction:
+            # A change of a route applies from the next transaction on.
+            route = caller.route = self._get_route(caller.database) or route
+            caller.session.is_tracked = route.reads != READS_PRIMARY
+            caller.session.has_written = False
+        marks = RequestMarks(route.max_age, "", True, route.reads)
+        return Success(LinePlan(unit, kind, marks, self._get_policy(route), shape))
+
+    def answer_locally(self, plan: LinePlan, caller: LineCaller) -> bool:
+        """Answer what concerns the session alone; False for all others."""
+        if plan.kind in _ENDS and not caller.in_transaction:
+            caller.write(lines.EMPTY_COMPLETE)
+        elif plan.kind not in _LOCAL:
+            return False
+        elif apply_local(plan.statement, caller.lines):
+            caller.write(lines.EMPTY_COMPLETE)
+        else:
+            caller.send_error(MALFORMED)
+        caller.send_ready(caller.status)
+        return True
+
+    async def run(
+        self,
+        connection: LineTarget,
+        plan: LinePlan,
+        sink: AnswerSink,
+        caller: LineCaller,
+        after: LogPosition | None = None,
+    ) -> RunResult:
+        """Bring a connection to the caller's session, and run a statement on it."""
+        setups = _format_setups(connection, caller, plan)
+        prefix = lines.format_after(after) if after is not None else b""
+        text = prefix + _get_text(connection, plan)
+        setups.append(lines.format_query(plan.statement.request_id, text))
+        try:
+            return await connection.run(b"".join(setups), sink, len(setups) - 1)
+        except TargetLost as lost:
+            return RunLost(lost.sent, lost.reason)
+
+    async def run_pinned(
+        self,
+        connection: LineTarget,
+        plan: LinePlan,
+        sink: AnswerSink,
+        caller: LineCaller,
+    ) -> RunResult:
+        """Run a statement on the connection of the caller's open transaction."""
+        if plan.kind is StatementKind.WRITE:
+            caller.session.has_written = True
+        return await self.run(connection, plan, sink, caller)
+
+    def observe_answer(
+        self, plan: LinePlan, caller: LineCaller, connection: LineTarget
+    ) -> None:
+        """Keep nothing: the session's state is kept when it is answered."""
+
+    def observe_pinned(self, plan: LinePlan, caller: LineCaller) -> None:
+        """Keep nothing: the session's state is kept when it is answered."""
+
+    def has_committed(
+        self,
+        plan: LinePlan,
+        pinned: PinnedTransaction,
+        caller: LineCaller,
+        end: ResponseEnd,
+    ) -> bool:
+        """Return whether the end of a transaction has made changes last."""
+        is_commit = plan.kind is StatementKind.COMMIT and end.error is None
+        return is_commit and caller.session.has_written
+
+    def encode_token(self, caller: LineCaller) -> bytes:
+        """Return nothing: a session is a connection here."""
+        return b""
+
+    async def run_marked(self, context: RequestContext) -> None:
+        """Never called: no statement of this protocol is marked."""
+        raise NotImplementedError
+
+    async def insert_for_commit(
+        self, context: RequestContext, pinned: PinnedTransaction
+    ) -> bool:
+        """Never called: no statement of this protocol is marked."""
+        raise NotImplementedError
+
+    async def resolve_commit(self, context: RequestContext) -> None:
+        """Never called: no statement of this protocol is marked."""
+        raise NotImplementedError
+
+
+def _make_unknown(caller: LineCaller) -> SqlError:
+    """Return the error of a database name that no route has."""
+    return SqlError(INVALID_CATALOG_NAME, f"no route serves {caller.database}")
+
+
+def _fits(kind: StatementKind, status: TransactionStatus) -> bool:
+    """Return whether a statement may come while a transaction stands so."""
+    if status is TransactionStatus.ERROR_TRANSACTION:
+        return kind in _ENDS
+    return kind not in _BEGINS or status is TransactionStatus.IDLE
+
+
+def _format_setups(
+    connection: LineTarget, caller: LineCaller, plan: LinePlan
+) -> list[bytes]:
+    """Return the statements that give a connection the caller's session.
+
+    What they will have set is noted at once: a connection on which one of them
+    fails is thrown away.
+    """
+    wanted, applied = caller.lines.values, connection.values
+    texts = []
+    if any(name not in wanted for name in applied):
+        texts.append(b"RESET")
+        applied.clear()
+        connection.prepared.clear()
+    for name, value in wanted.items():
+        if applied.get(name) != value:
+            texts.append(b"SET %s %s" % (name, value))
+            applied[name] = value
+    if plan.shape is not None and plan.shape not in connection.prepared:
+        name = connection.prepared[plan.shape] = b"p%d" % next(connection.numbers)
+        texts.append(b"PREPARE %s %s %s" % (name, *plan.shape))
+    return [lines.format_query(lines.NO_ID, text) for text in texts]
+
+
+def _get_text(connection: LineTarget, plan: LinePlan) -> bytes:
+    """Return a statement's text, with the name that the connection knows."""
+    if plan.shape is None:
+        return plan.statement.text
+    name = connection.prepared[plan.shape]
+    return b" ".join((b"EXECUTE", name, *plan.statement.fields[1:]))
--- /dev/null
+++ b/beryltrack/platform/statements.py
@@ -0,0 +1,169 @@
+"""Statements of the line protocol, and the session state that they change."""
+
+import re
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from beryltrack.requests.protocol import RequestPolicy
+from beryltrack.routing.messages import StatementKind
+from beryltrack.sessions.marks import RequestMarks
+
+_NEEDS_PRIMARY = frozenset((StatementKind.WRITE, StatementKind.BEGIN))
+_NAME = re.compile(rb"[^\x00-\x20]{1,256}")
+MAX_NAMES = 1000
+"""Most values, and most prepared statements, that one session keeps."""
+
+
+class Shape(NamedTuple):
+    """What a prepared statement does: its mode (READ or WRITE) and its shape."""
+
+    mode: bytes
+    text: bytes
+
+
+class LineStatement(NamedTuple):
+    """One QUERY of a caller.
+
+    Parameters
+    ----------
+    request_id : bytes
+        The caller's identifier of the statement.
+    verb : bytes
+        The first word of its text.
+    text : bytes
+        The whole text.
+    fields : tuple of bytes
+        What follows the verb; the last field extends to the end of the line.
+    """
+
+    request_id: bytes
+    verb: bytes
+    text: bytes
+    fields: tuple[bytes, ...]
+
+
+@dataclass
+class LineSession:
+    """What a caller has set and prepared.
+
+    Parameters
+    ----------
+    values : dict of bytes to bytes
+        Session values by name.
+    prepared : dict of bytes to Shape
+        Prepared statements by the caller's names.
+    """
+
+    values: dict[bytes, bytes] = field(default_factory=dict)
+    prepared: dict[bytes, Shape] = field(default_factory=dict)
+
+
+class LinePlan(NamedTuple):
+    """One statement, understood; see `UnitPlan`.
+
+    Parameters
+    ----------
+    statement : LineStatement
+        The statement as the caller sent it.
+    kind : StatementKind
+        What it does.
+    marks : RequestMarks
+        What its route asks for.
+    policy : RequestPolicy
+        The times that bound it.
+    shape : Shape or None
+        What an EXECUTE runs.
+    """
+
+    statement: LineStatement
+    kind: StatementKind
+    marks: RequestMarks
+    policy: RequestPolicy
+    shape: Shape | None = None
+
+    @property
+    def is_read(self) -> bool:
+        """True if a replica may run it, outside of a transaction."""
+        return self.kind not in _NEEDS_PRIMARY
+
+    @property
+    def is_marked(self) -> bool:
+        """False: this protocol carries no identifier that a repeat keeps."""
+        return False
+
+
+# For each verb how many fields follow it, at the least and at the most.
+_FIELD_COUNTS = {
+    b"BEGIN": (0, 1),
+    b"COMMIT": (0, 0),
+    b"ROLLBACK": (0, 0),
+    b"READ": (1, 1),
+    b"WRITE": (2, 2),
+    b"SET": (2, 2),
+    b"PREPARE": (3, 3),
+    b"EXECUTE": (2, 3),
+    b"DEALLOCATE": (1, 1),
+}
+
+
+def parse_query(line: bytes) -> LineStatement | None:
+    """Return the statement of a QUERY line, None if it is malformed."""
+    parts = line.split(b" ", 2)
+    if len(parts) < 3 or not _NAME.fullmatch(parts[1]):
+        return None
+    verb, _, rest = parts[2].partition(b" ")
+    counts = _FIELD_COUNTS.get(verb)
+    if counts is None:
+        return None
+    least, most = counts
+    fields = tuple(rest.split(b" ", most - 1)) if rest and most else ()
+    if len(fields) < least or (rest and not most) or b"" in fields:
+        return None
+    if verb == b"BEGIN" and fields not in ((), (b"READ",)):
+        return None
+    if verb == b"PREPARE" and fields[1] not in (b"READ", b"WRITE"):
+        return None
+    return LineStatement(parts[1], verb, parts[2], fields)
+
+
+_KINDS = {
+    b"COMMIT": StatementKind.COMMIT,
+    b"ROLLBACK": StatementKind.ROLLBACK,
+    b"READ": StatementKind.READ,
+    b"WRITE": StatementKind.WRITE,
+    b"SET": StatementKind.SESSION_SET,
+    b"PREPARE": StatementKind.SESSION_SET,
+    b"DEALLOCATE": StatementKind.DEALLOCATE,
+}
+
+
+def get_kind(statement: LineStatement, shape: Shape | None) -> StatementKind:
+    """Return what a statement does."""
+    if statement.verb == b"BEGIN":
+        is_read = bool(statement.fields)
+        return StatementKind.BEGIN_READ_ONLY if is_read else StatementKind.BEGIN
+    if statement.verb == b"EXECUTE":
+        is_write = shape is not None and shape.mode == b"WRITE"
+        return StatementKind.WRITE if is_write else StatementKind.READ
+    return _KINDS[statement.verb]
+
+
+def apply_local(statement: LineStatement, session: LineSession) -> bool:
+    """Change the session as SET, PREPARE or DEALLOCATE asks.
+
+    Returns
+    -------
+    bool
+        False if the session keeps too much, or has no such statement.
+    """
+    fields = statement.fields
+    if statement.verb == b"DEALLOCATE":
+        return session.prepared.pop(fields[0], None) is not None
+    if statement.verb == b"SET":
+        kept, name, value = session.values, fields[0], fields[1]
+    else:
+        kept, name, value = session.prepared, fields[0], Shape(fields[1], fields[2])
+    if name not in kept and len(kept) >= MAX_NAMES:
+        return False
+    kept[name] = value
+    return True
--- /dev/null
+++ b/beryltrack/platform/target.py
@@ -0,0 +1,252 @@
+"""A connection to one database over the line protocol.
+
+Whatever is not exactly one whole answer to the one statement in flight breaks the
+connection: it is closed and never used again, so that an answer that is late or
+partial cannot reach another caller.
+"""
+
+import itertools
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from beryltrack.connections.messages import ConnectRefused, TargetLost
+from beryltrack.errors import SqlError
+from beryltrack.platform import lines
+from beryltrack.platform.codes import decode_error
+from beryltrack.platform.statements import Shape
+from beryltrack.settings.messages import Endpoint
+from beryltrack.wire.messages import ResponseEnd, ResponseSink
+from beryltrack.wire.sockets import SocketLimits, tune_socket
+
+PROXY_NAME = b"beryltrack"
+"""Who connects, as databases are told; they accept any word."""
+
+
+class LineTarget(Protocol):
+    """A connection to a database; see `PooledConnection`.
+
+    Parameters
+    ----------
+    start : bytes
+        The START message.
+    limits : SocketLimits
+        When a silent database is given up.
+    """
+
+    def __init__(self, start: bytes, limits: SocketLimits):
+        self.broken = False
+        self.ready: Deferred[LineTarget] = Deferred()
+        self.closed: Deferred[None] = Deferred()
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: dict[Shape, bytes] = {}
+        self.numbers = itertools.count(1)
+        self._start = start
+        self._limits = limits
+        self._buffer = lines.LineBuffer()
+        self._sink: ResponseSink | None = None
+        self._answer: Deferred[ResponseEnd] | None = None
+        self._setups = 0
+        self._clear()
+
+    @property
+    def busy(self) -> bool:
+        """True while a statement runs on the connection."""
+        return self._answer is not None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Ask for the database."""
+        tune_socket(self.transport, self._limits)
+        self.transport.write(self._start)
+
+    def run(
+        self, wire: bytes, sink: ResponseSink, setups: int = 0
+    ) -> "Deferred[ResponseEnd]":
+        """Send one statement and stream its answer.
+
+        Parameters
+        ----------
+        wire : bytes
+            Statements of the proxy's own, if any, then the one to run.
+        sink : ResponseSink
+            Takes the rows as they come.
+        setups : int
+            How many statements come before the one to run.
+
+        Returns
+        -------
+        Deferred of ResponseEnd
+            The end of the answer. Fails with `TargetLost`.
+        """
+        answer: Deferred[ResponseEnd] = Deferred(lambda _: self.close())
+        if self.broken or self.busy:
+            answer.errback(TargetLost(False, "the connection is closed"))
+            return answer
+        self._sink = sink
+        self._setups = setups
+        self._answer = answer
+        sink.attach(self)
+        self.transport.write(wire)
+        return answer
+
+    def close(self) -> None:
+        """Close the connection; what it ran ends as lost."""
+        self.broken = True
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def end_session(self) -> None:
+        """Close the connection when all that was sent has gone out."""
+        self.broken = True
+        self.transport.write(b"TERMINATE\r\n")
+        self.transport.loseConnection()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Read no more until the sink has room."""
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read again."""
+        if not self.broken:
+            self.transport.resumeProducing()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes of the database."""
+        try:
+            for line in self._buffer.feed(data):
+                self._take(line)
+        except lines.LineError:
+            self.close()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Tell whoever waits that the connection is gone."""
+        self.broken = True
+        text = reason.getErrorMessage()
+        if not self.ready.called:
+            self.ready.errback(ConnectionError(text))
+        if self._answer is not None:
+            self._end_run().errback(TargetLost(True, text))
+        self.closed.callback(None)
+
+    def _take(self, line: bytes) -> None:
+        """Take one message."""
+        word = line[: line.find(b" ")] if b" " in line else line
+        if not self.ready.called:
+            self._take_start(word, line)
+        elif self._answer is None:
+            raise lines.LineError("a message outside of an answer")
+        elif word == lines.READY:
+            self._take_ready(line)
+        elif self._setups:
+            # A statement of the proxy's own that fails leaves the session's
+            # state in doubt.
+            if word == lines.ERROR:
+                raise lines.LineError("the session could not be set up")
+        elif word == lines.ROW:
+            self._row_bytes += len(line) + 2
+            self._sink.write(line + lines.LINE_END)
+        elif word == lines.COMPLETE:
+            self._tail = line + lines.LINE_END
+        elif word == lines.ERROR:
+            self._error = decode_error(line)
+            self._error_frame = line + lines.LINE_END
+        else:
+            raise lines.LineError("unknown message")
+
+    def _take_start(self, word: bytes, line: bytes) -> None:
+        """Take the answer to START."""
+        if word == lines.READY:
+            self.ready.callback(self)
+            return
+        self.broken = True
+        self.ready.errback(ConnectRefused(decode_error(line).sqlstate))
+        self.transport.abortConnection()
+
+    def _take_ready(self, line: bytes) -> None:
+        """Take the end of one answer."""
+        state = lines.parse_ready(line)
+        if self._setups:
+            self._setups -= 1
+            return
+        if not (self._tail or self._error_frame):
+            raise lines.LineError("an answer without an end")
+        end = ResponseEnd(
+            state.status,
+            self._tail,
+            self._error,
+            self._error_frame,
+            state.position,
+            self._row_bytes,
+            0,
+        )
+        self._end_run().callback(end)
+
+    def _end_run(self) -> "Deferred[ResponseEnd]":
+        """Be free for the next statement; return who waits for this one."""
+        answer, self._answer = self._answer, None
+        self._sink.detach()
+        self._sink = None
+        self._clear()
+        return answer
+
+    def _clear(self) -> None:
+        """Expect a new answer."""
+        self._tail = b""
+        self._error: SqlError | None = None
+        self._error_frame = b""
+        self._row_bytes = 0
+
+
+def connect_line_target(
+    reactor,
+    endpoint: Endpoint,
+    service: str,
+    database: str,
+    timeout: float,
+    limits: SocketLimits,
+) -> "Deferred[LineTarget]":
+    """Open a connection to a database.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+        Opens it.
+    endpoint : Endpoint
+        Where the database listens.
+    service : str
+        Name of its group.
+    database : str
+        Its identifier; another database at the same address refuses it.
+    timeout : float
+        Seconds within which the database must be ready.
+    limits : SocketLimits
+        When a silent database is given up.
+
+    Returns
+    -------
+    Deferred of LineTarget
+        Fails with `ConnectRefused` if the database answered and refused.
+    """
+    start = b"START %s %s %s\r\n" % (service.encode(), PROXY_NAME, database.encode())
+    target = LineTarget(start, limits)
+    opening = TCP4ClientEndpoint(reactor, endpoint.host, endpoint.port, timeout)
+    connecting = connectProtocol(opening, target)
+    connecting.addCallback(lambda _: target.ready)
+    timer = reactor.callLater(timeout, _give_up, target, connecting)
+
+    def stop_timer(result: object) -> object:
+        if timer.active():
+            timer.cancel()
+        return result
+
+    return connecting.addBoth(stop_timer)
+
+
+def _give_up(target: LineTarget, connecting: "Deferred[LineTarget]") -> None:
+    """End an attempt that takes too long."""
+    if target.transport is not None:
+        target.close()
+    else:
+        connecting.cancel()
--- a/beryltrack/requests/execution.py
+++ b/beryltrack/requests/execution.py
@@ -5,7 +5,8 @@
 
 from beryltrack.callers.caller import Caller
 from beryltrack.callers.extended import apply_effects, build_extended
-from beryltrack.connections.target import TargetConnection, TargetLost
+from beryltrack.connections.messages import TargetLost
+from beryltrack.connections.target import TargetConnection
 from beryltrack.requests.plan import RequestPlan
 from beryltrack.requests.protocol import RunLost, RunResult
 from beryltrack.requests.sink import AnswerSink
--- a/beryltrack/requests/forward_course.py
+++ b/beryltrack/requests/forward_course.py
@@ -50,6 +50,28 @@
     return kind in _FORWARDABLE
 
 
+class ForwardToOwners:
+    """Passes units on to the owners of their groups; see `UnitForwarder`.
+
+    Parameters
+    ----------
+    forwarder : RequestForwarder
+        Carries the requests.
+    """
+
+    def __init__(self, forwarder: RequestForwarder):
+        self._forwarder = forwarder
+
+    def takes(self, context: RequestContext) -> bool:
+        """Return whether an owner of the group is to run a unit."""
+        is_owner = self._forwarder.is_owner(context.runtime.settings.name)
+        return is_forwardable(context.plan.kind) and not is_owner
+
+    async def run(self, context: RequestContext) -> None:
+        """Have an owner run a unit, and answer the caller."""
+        await ForwardCourse(context, self._forwarder).run()
+
+
 class ForwardSink:
     """Takes the answer to one forwarded request.
 
--- a/beryltrack/requests/pinned.py
+++ b/beryltrack/requests/pinned.py
@@ -123,7 +123,7 @@
     if end.error is not None and _fail_replaced(context, pinned, sink, end):
         return
     protocol = context.services.protocol
-    has_written = protocol.has_committed(context.plan, pinned, end)
+    has_written = protocol.has_committed(context.plan, pinned, context.caller, end)
     if has_written and end.position is not None:
         outcome = await confirm_commit(context, end.position, pinned.database)
         step = decide_after_commit(_get_state(context, pinned, sink), outcome)
--- a/beryltrack/requests/postgres.py
+++ b/beryltrack/requests/postgres.py
@@ -12,7 +12,7 @@
 )
 from beryltrack.callers.messages import Request
 from beryltrack.connections.target import TargetConnection
-from beryltrack.errors import SqlError
+from beryltrack.errors import SqlError, make_refusal
 from beryltrack.groups.messages import LogPosition
 from beryltrack.requests.answers import RequestContext
 from beryltrack.requests.execution import apply_settings, run_plan
@@ -64,6 +64,10 @@
         """Return the plan of a unit, or why it cannot be run."""
         return plan_request(unit, caller, group, rules)
 
+    def describe_missing(self, caller: Caller) -> SqlError:
+        """Return the refusal of a caller whose group is not in the settings."""
+        return make_refusal("the database group is not in the settings", 5.0)
+
     def answer_locally(self, plan: RequestPlan, caller: Caller) -> bool:
         """Answer a unit that concerns the proxy alone; False for all others."""
         described = describe_local(plan)
@@ -117,7 +121,11 @@
             caller.session.has_changed_settings = True
 
     def has_committed(
-        self, plan: RequestPlan, pinned: PinnedTransaction, end: ResponseEnd
+        self,
+        plan: RequestPlan,
+        pinned: PinnedTransaction,
+        caller: Caller,
+        end: ResponseEnd,
     ) -> bool:
         """Return whether the end of a transaction has made changes last.
 
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -110,6 +110,16 @@
         """Call `callback` when the caller disconnects; at once if it has."""
 
 
+class UnitForwarder(Protocol):
+    """Passes units on to other instances."""
+
+    def takes(self, context: "RequestContext") -> bool:
+        """Return whether another instance is to run a unit."""
+
+    async def run(self, context: "RequestContext") -> None:
+        """Have another instance run a unit, and answer the caller."""
+
+
 class WireProtocol(Protocol):
     """How one wire protocol understands and runs units."""
 
@@ -125,6 +135,9 @@
     ) -> Result[UnitPlan, SqlError]:
         """Return the plan of a unit, or why it cannot be run."""
 
+    def describe_missing(self, caller: UnitCaller) -> SqlError:
+        """Return why a caller's database cannot be served."""
+
     def answer_locally(self, plan: UnitPlan, caller: UnitCaller) -> bool:
         """Answer a unit that concerns the proxy alone; False for all others."""
 
@@ -160,7 +173,11 @@
         """Keep what a unit has changed inside of a transaction."""
 
     def has_committed(
-        self, plan: UnitPlan, pinned: "PinnedTransaction", end: ResponseEnd
+        self,
+        plan: UnitPlan,
+        pinned: "PinnedTransaction",
+        caller: UnitCaller,
+        end: ResponseEnd,
     ) -> bool:
         """Return whether the end of a transaction has made changes last."""
 
--- a/beryltrack/requests/services.py
+++ b/beryltrack/requests/services.py
@@ -10,6 +10,7 @@
 from beryltrack.requests.admission_task import AdmissionTask
 from beryltrack.requests.protocol import RequestPolicy, WireProtocol
 from beryltrack.requests.retry import RetryBudget, RetryPolicy
+from beryltrack.routing.decider import DEFAULT_POLICY, RoutingPolicy
 
 FIRST_RETRIES = 10.0
 """Retries that an instance may make before requests have filled its budget."""
@@ -38,6 +39,8 @@
         The times that bound a request.
     sequence : iterator of int
         Numbers requests, so that equal targets take turns.
+    routing : RoutingPolicy
+        The limits by which targets are chosen.
     """
 
     reactor: object
@@ -49,6 +52,7 @@
     protocol: WireProtocol
     policy: RequestPolicy
     sequence: Iterator[int]
+    routing: RoutingPolicy = DEFAULT_POLICY
 
 
 def make_services(
@@ -58,6 +62,7 @@
     rng: random.Random,
     protocol: WireProtocol,
     policy: RequestPolicy | None = None,
+    routing: RoutingPolicy = DEFAULT_POLICY,
 ) -> RequestServices:
     """Return the services of one instance.
 
@@ -75,6 +80,8 @@
         What callers and targets speak.
     policy : RequestPolicy, optional
         The times that bound a request.
+    routing : RoutingPolicy, optional
+        The limits by which targets are chosen.
 
     Returns
     -------
@@ -91,4 +98,5 @@
         protocol,
         policy or RequestPolicy(),
         count(),
+        routing,
     )
--- a/beryltrack/requests/session.py
+++ b/beryltrack/requests/session.py
@@ -54,12 +54,15 @@
         The open transaction.
     has_changed_settings : bool
         True if a setting was changed inside of the open transaction.
+    has_written : bool
+        True if the open transaction may have changed data.
     """
 
     token: SessionToken = UNKNOWN_TOKEN
     is_tracked: bool = False
     pinned: PinnedTransaction | None = None
     has_changed_settings: bool = False
+    has_written: bool = False
 
     def get_known_position(self, group: str) -> LogPosition | None:
         """Return what the session has written in a group, None if unknown."""
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -143,7 +143,9 @@
     give_up_at = search.give_up_at
     while True:
         now = services.seconds()
-        choice = choose_target(runtime.view, request, runtime.get_loads(), now)
+        choice = choose_target(
+            runtime.view, request, runtime.get_loads(), now, services.routing
+        )
         match choice:
             case UseTarget():
                 if choice.refreshes:
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -5,17 +5,12 @@
 from returns.result import Failure
 from twisted.internet.defer import Deferred
 
-from beryltrack.errors import SqlError, make_not_run, make_refusal
+from beryltrack.errors import SqlError, make_not_run
 from beryltrack.requests.admission_task import UNCOUNTED, Ticket
 from beryltrack.requests.answers import RequestContext
 from beryltrack.requests.course import RequestCourse
-from beryltrack.requests.forward_course import (
-    ForwardCourse,
-    RequestForwarder,
-    is_forwardable,
-)
 from beryltrack.requests.pinned import drop_transaction, run_pinned
-from beryltrack.requests.protocol import UnitCaller, UnitPlan
+from beryltrack.requests.protocol import UnitCaller, UnitForwarder, UnitPlan
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
 from beryltrack.sessions.rules import RuleSelector
@@ -47,9 +42,9 @@
         self._get_settings = get_settings
         self._get_runtime = get_runtime
         self._rules = RuleSelector()
-        self._forwarder: RequestForwarder | None = None
+        self._forwarder: UnitForwarder | None = None
 
-    def set_forwarder(self, forwarder: RequestForwarder) -> None:
+    def set_forwarder(self, forwarder: UnitForwarder) -> None:
         """Pass requests of groups that others own on from now on."""
         self._forwarder = forwarder
 
@@ -79,8 +74,7 @@
         """Plan a unit and run it."""
         runtime = self._find_runtime(caller)
         if runtime is None:
-            error = make_refusal("the database group is not in the settings", 5.0)
-            _refuse(caller, error)
+            _refuse(caller, self._services.protocol.describe_missing(caller))
             return
         rules = self._rules.select(self._get_settings().rules, runtime.settings)
         protocol = self._services.protocol
@@ -123,7 +117,7 @@
         context = RequestContext(services, runtime, caller, plan, arrived_at, ticket)
         try:
             if may_forward and self._is_for_others(context):
-                await ForwardCourse(context, self._forwarder).run()
+                await self._forwarder.run(context)
             else:
                 await _run_course(context)
         finally:
@@ -135,8 +129,7 @@
         return (
             self._forwarder is not None
             and context.caller.session.pinned is None
-            and is_forwardable(context.plan.kind)
-            and not self._forwarder.is_owner(context.runtime.settings.name)
+            and self._forwarder.takes(context)
         )
 
 
--- /dev/null
+++ b/beryltrack/settings/node.py
@@ -0,0 +1,44 @@
+"""What one process learns of itself where the platform writes its settings."""
+
+from typing import NamedTuple
+
+from beryltrack.settings.messages import Endpoint
+
+
+class NodeSettings(NamedTuple):
+    """A process's own settings.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance, unique in the fleet.
+    zone : str
+        Its availability zone.
+    listen : Endpoint
+        Where callers connect.
+    ready_listen : Endpoint
+        Where the balancer asks whether the instance takes callers.
+    host : str
+        IP number of the instance.
+    internal_port : int
+        First of the TCP ports that are free for the instance's own use.
+    store : Endpoint
+        The object store.
+    promotion : Endpoint
+        The service that carries out promotions.
+    grace : float
+        Seconds between SIGTERM and SIGKILL.
+    is_first_start : bool
+        True if the whole fleet starts for the first time.
+    """
+
+    name: str
+    zone: str
+    listen: Endpoint
+    ready_listen: Endpoint
+    host: str
+    internal_port: int
+    store: Endpoint
+    promotion: Endpoint
+    grace: float
+    is_first_start: bool
--- /dev/null
+++ b/beryltrack/settings/roster.py
@@ -0,0 +1,195 @@
+"""The members of groups that register themselves in a store, and the site's settings.
+
+An entry can vanish while its database lives, for the store drops what it has not
+heard of for some seconds, also while the store itself was away. So an entry that is
+missing is believed for a short time still. After that its database gets no new
+work. It counts as a member for as long as its group would be too small without it:
+a majority of what is left must not be fewer databases than hold a commit.
+"""
+
+from typing import NamedTuple
+
+from beryltrack.settings.messages import (
+    DatabaseSettings,
+    Endpoint,
+    GroupSettings,
+    RouteSettings,
+    SiteSettings,
+)
+
+MISSING_GRACE = 2.5
+"""Seconds for which a missing entry is still believed: entries that lapsed during an
+outage of the store are back within two seconds of its return."""
+
+LEAST_MEMBERS = 3
+"""Members below which a group keeps one that is missing."""
+
+
+class RosterEntry(NamedTuple):
+    """What a database says of itself in the store.
+
+    Parameters
+    ----------
+    name : str
+        Its identifier, never used again for another.
+    group : str
+        The group that it belongs to.
+    endpoint : Endpoint
+        Where it listens.
+    zone : str
+        Its availability zone.
+    slots : int
+        Statements that it runs at once.
+    draining : bool
+        True if it is about to leave and wants no new work.
+    """
+
+    name: str
+    group: str
+    endpoint: Endpoint
+    zone: str
+    slots: int
+    draining: bool
+
+
+class GroupLimits(NamedTuple):
+    """What operators say of one group.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    max_connections : int
+        Most connections to each of its databases, of all instances together.
+    """
+
+    name: str
+    max_connections: int
+
+
+class SiteConfiguration(NamedTuple):
+    """One version of what operators have configured.
+
+    Parameters
+    ----------
+    version : int
+        Grows with each change.
+    routes : tuple of RouteSettings
+        All routes.
+    groups : tuple of GroupLimits
+        All groups.
+    transaction_idle : float
+        Seconds after which a transaction that rests may be ended.
+    """
+
+    version: int
+    routes: tuple[RouteSettings, ...]
+    groups: tuple[GroupLimits, ...]
+    transaction_idle: float
+
+
+class _Known(NamedTuple):
+    """An entry, and since when it is missing (None if it is not)."""
+
+    entry: RosterEntry
+    missing_since: float | None
+
+
+class Roster:
+    """The databases of all groups, as far as the store has told."""
+
+    def __init__(self):
+        self._known: dict[str, _Known] = {}
+
+    def observe(self, entries: tuple[RosterEntry, ...], now: float) -> None:
+        """Take in all entries that the store has at a time."""
+        present = {entry.name: _Known(entry, None) for entry in entries}
+        missing = {
+            name: known
+            if known.missing_since is not None
+            else known._replace(missing_since=now)
+            for name, known in self._known.items()
+            if name not in present
+        }
+        self._known = present | missing
+
+    def get_members(self, group: str, now: float) -> tuple[RosterEntry, ...]:
+        """Return the members of a group; forget those that are gone for good."""
+        all_known = [
+            known for known in self._known.values() if known.entry.group == group
+        ]
+        fresh = [known.entry for known in all_known if not _is_gone(known, now)]
+        gone = [known.entry for known in all_known if _is_gone(known, now)]
+        kept = gone[: max(0, LEAST_MEMBERS - len(fresh))]
+        for entry in gone[len(kept) :]:
+            del self._known[entry.name]
+        members = fresh + [entry._replace(draining=True) for entry in kept]
+        return tuple(sorted(members))
+
+    def get_due(self, now: float) -> float | None:
+        """Return when to look at the members again, None if nothing is missing."""
+        times = (
+            known.missing_since + MISSING_GRACE
+            for known in self._known.values()
+            if known.missing_since is not None
+        )
+        return min((time for time in times if time > now), default=None)
+
+
+def _is_gone(known: _Known, now: float) -> bool:
+    """Return whether an entry has been missing for too long."""
+    since = known.missing_since
+    return since is not None and now >= since + MISSING_GRACE
+
+
+def make_site(
+    configuration: SiteConfiguration, roster: Roster, lost_after: float, now: float
+) -> SiteSettings:
+    """Return the settings in force.
+
+    Parameters
+    ----------
+    configuration : SiteConfiguration
+        What operators have configured.
+    roster : Roster
+        The databases.
+    lost_after : float
+        Seconds without a word after which a primary counts as lost.
+    now : float
+        The current time, seconds.
+
+    Returns
+    -------
+    SiteSettings
+        Groups without any database are left out.
+    """
+    groups = (
+        _make_group(limits, roster.get_members(limits.name, now), lost_after)
+        for limits in configuration.groups
+    )
+    return SiteSettings(
+        configuration.version,
+        tuple(group for group in groups if group.databases),
+        (),
+        (),
+        configuration.routes,
+        configuration.transaction_idle,
+    )
+
+
+def _make_group(
+    limits: GroupLimits, members: tuple[RosterEntry, ...], lost_after: float
+) -> GroupSettings:
+    """Return the settings of one group."""
+    databases = tuple(
+        DatabaseSettings(
+            entry.name,
+            entry.endpoint,
+            entry.zone,
+            limits.max_connections,
+            entry.slots,
+            entry.draining,
+        )
+        for entry in members
+    )
+    return GroupSettings(limits.name, "", databases, "", "", 0.0, lost_after)
--- a/tests/connections/test_target.py
+++ b/tests/connections/test_target.py
@@ -9,7 +9,8 @@
 from beryltrack.callers.authentication import format_secret, parse_secret
 from beryltrack.connections.cancel import CANCEL_TIMEOUT
 from beryltrack.connections.logon import Credentials
-from beryltrack.connections.target import TargetConnection, TargetLost
+from beryltrack.connections.messages import TargetLost
+from beryltrack.connections.target import TargetConnection
 from beryltrack.errors import SqlException
 from beryltrack.groups.messages import LogPosition
 from beryltrack.settings.messages import Endpoint
--- a/tests/requests/scripted.py
+++ b/tests/requests/scripted.py
@@ -6,7 +6,7 @@
 
 from beryltrack.callers.caller import Caller, CallerIdentity
 from beryltrack.callers.messages import SimpleRequest
-from beryltrack.connections.target import TargetLost
+from beryltrack.connections.messages import TargetLost
 from beryltrack.daemon.metrics import InstanceMetrics
 from beryltrack.errors import SqlError
 from beryltrack.groups.messages import LogPosition
