--- a/tests/callers/glue.py
+++ b/tests/callers/glue.py
@@ -11,7 +11,8 @@
 from beryltrack.callers.local import encode_simple_answer
 from beryltrack.callers.messages import SimpleRequest
 from beryltrack.callers.statements import run_deallocate
-from beryltrack.connections.messages import TargetLost, connect_target
+from beryltrack.connections.messages import TargetLost
+from beryltrack.connections.target import connect_target
 from beryltrack.errors import SqlError, make_outcome_unknown
 from beryltrack.settings.messages import (
     Endpoint,
