Ask databases only for what traffic does not tell

Ruled out: a slower pace alone, which would notice losses later. Change: a commit, or a transaction that a primary opened, proves its lead, as databases here lose it at the moment of a promotion; a read goes to a replica with the position that it must show, which the replica checks; one replica is asked of a commit's receipt; a request that is late makes its database suspect.

--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -13,7 +13,13 @@
 
 
 class PooledConnection(Protocol):
-    """What a pool needs of a connection to a target."""
+    """What a pool needs of a connection to a target.
+
+    `run_since` is when the request that it runs was sent, by the node's clock;
+    None while it runs none.
+    """
+
+    run_since: float | None
 
     @property
     def broken(self) -> bool:
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -157,6 +157,14 @@
         for connection in tuple(self._connections.values()):
             connection.close()
 
+    def get_runs(self) -> list[tuple[PooledConnection, float]]:
+        """Return the connections that run something, and since when."""
+        return [
+            (connection, connection.run_since)
+            for connection in self._connections.values()
+            if connection.run_since is not None
+        ]
+
     def drain(self) -> Deferred[None]:
         """Take no new work; fires when all connections are closed."""
         done: Deferred[None] = Deferred()
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -32,6 +32,7 @@
     read_entry,
 )
 from beryltrack.platform.store import PlatformStore
+from beryltrack.requests.overdue import OverdueWatch
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import make_services
 from beryltrack.requests.task import RequestTask
@@ -131,6 +132,12 @@
                 (MEMBERS_KIND, self._take_members),
             )
         ]
+        self._overdue = OverdueWatch(
+            reactor,
+            self._seconds,
+            lambda: self._groups.runtimes,
+            options.LONGEST_RUN,
+        )
         self._ports = []
         self.metrics.set_gauges(self._get_gauges)
 
@@ -145,6 +152,7 @@
         ready_site = build_ready_site(lambda: self.is_ready)
         self._listen(self.settings.ready_listen, ready_site)
         self._services.admission.start()
+        self._overdue.start()
         for feed in self._feeds:
             feed.start()
         Deferred.fromCoroutine(self._register())
@@ -176,6 +184,7 @@
         for feed in self._feeds:
             feed.stop()
         self._services.admission.stop()
+        self._overdue.stop()
         for port in self._ports:
             await maybeDeferred(port.stopListening)
         log.info("daemon: Instance %s has left.", self.settings.name)
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -40,7 +40,7 @@
 LOSSES = LossPolicy(grace=0.4, replaced_grace=0.1)
 
 # A wait for a replica costs probes; the primary has room for what replicas miss.
-ROUTING = RoutingPolicy(max_wait=0.0)
+ROUTING = RoutingPolicy(max_wait=0.0, refresh_share=0.8, checks_positions=True)
 
 POOLS = PoolPolicy(idle_timeout=10.0, most_opening=2)
 
@@ -57,6 +57,10 @@
 """Seconds until a call to the store counts as failed; it takes 4 ms, and up to
 0.3 s when the store is slow."""
 
+LONGEST_RUN = 1.2
+"""Seconds after which a statement is given up: the longest run for 0.3 s, and may
+wait for a slot as long as a full queue lasts, 0.2 s, several times over."""
+
 MOST_HOLD = 0.35
 """Seconds that a request waits for a database that can take it. Longer than most
 of a change of primary is not held: the caller is told when to come back."""
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -135,6 +135,11 @@
         self._decider.set_nodes(nodes)
         self._prepare_permit()
 
+    @property
+    def is_first(self) -> bool:
+        """True if this instance is the first to act for the group."""
+        return self._decider.is_first
+
     def is_suspect(self, view: GroupView) -> bool:
         """Return whether the group may soon need a new primary."""
         return self._decider.is_suspect(view)
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -43,7 +43,7 @@
             name: DatabaseView(name, leaving=name in draining) for name in databases
         }
         self._confirmed_at = NEVER
-        self._primary_heard_at: float | None = None
+        self._asked_at: float | None = None
         self._hint = GroupView(group)
         self._view: GroupView | None = None
 
@@ -100,6 +100,8 @@
         )
         if status.role == PRIMARY:
             self.observe_sample(status.name, status.received, sent_at, now)
+        if status.role == PRIMARY and status.knows_lead:
+            self._confirm_until(status.term, sent_at)
         self._confirm_term(status.term)
         self._update_fresh(status.name)
         self._view = None
@@ -166,13 +168,59 @@
         if database == self.view.primary:
             self.observe_primary_heard(now)
 
+    def observe_lead(
+        self, database: str, position: LogPosition, sent_at: float, now: float
+    ) -> None:
+        """Take in a proof that a database led when it answered a statement.
+
+        Parameters
+        ----------
+        database : str
+            The database, of a kind that loses its lead at once.
+        position : LogPosition
+            What its readers saw then.
+        sent_at : float
+            When the statement was sent, by the node's clock.
+        now : float
+            The current time.
+        """
+        item = self._databases.get(database)
+        if item is None or item.role != PRIMARY or item.term != position.term:
+            return
+        self._databases[database] = item._replace(
+            received=max(item.received, position),
+            applied=max(item.applied, position),
+            seen_at=max(item.seen_at, sent_at),
+            reachable=True,
+        )
+        self.observe_primary_heard(now)
+        self._samples.add(Sample(position, sent_at))
+        self._confirm_until(position.term, sent_at)
+        self._view = None
+
+    def observe_lagging(self, database: str, now: float) -> None:
+        """Take in that a replica did not show a position that it was asked for."""
+        item = self._databases.get(database)
+        if item is not None:
+            self._databases[database] = item._replace(lagged_at=now)
+            self._view = None
+
+    def get_needed_position(self, since: float) -> LogPosition | None:
+        """Return what shows all that was acknowledged before a time, if proven."""
+        return self._samples.get_oldest(since)
+
+    def observe_primary_asked(self, since: float) -> None:
+        """Take in that the primary was asked something that it has not answered."""
+        if self._asked_at is None:
+            self._asked_at = since
+
     def observe_primary_heard(self, now: float) -> None:
         """Take in that this node has heard from the primary, or may have missed it.
 
         Called also after a pause of the whole process, whose silence says
         nothing of the primary.
         """
-        self._primary_heard_at = now
+        self._asked_at = None
 
     def set_databases(self, databases: tuple[str, ...]) -> None:
         """Take the members from new settings; those that stay keep their state."""
@@ -235,9 +283,9 @@
         """Return for how long a database, or else this node, has not heard."""
         if status.heard_age is not None:
             return status.heard_age
-        if self._primary_heard_at is None:
-            self._primary_heard_at = now
-        return max(0.0, sent_at - self._primary_heard_at)
+        if self._asked_at is None:
+            return 0.0
+        return max(0.0, sent_at - self._asked_at)
 
     def _confirm_term(self, term: int) -> None:
         """Mark the samples that a majority has now confirmed."""
@@ -247,7 +295,10 @@
         )
         if len(times) < self.majority:
             return
-        confirmed_until = times[self.majority - 1]
+        self._confirm_until(term, times[self.majority - 1])
+
+    def _confirm_until(self, term: int, confirmed_until: float) -> None:
+        """Mark the samples of a term that are proven up to a time."""
         self._confirmed_at = max(self._confirmed_at, confirmed_until)
         if self._samples.confirm(term, confirmed_until):
             for name in self._databases:
--- a/beryltrack/groups/messages.py
+++ b/beryltrack/groups/messages.py
@@ -69,6 +69,9 @@
     is_held : bool
         True if `term` was only promised to a candidate that can take it back.
         Until then the database receives nothing.
+    knows_lead : bool
+        True if a database of this kind loses its lead at the very moment at which
+        another one gains it. Its own word that it leads then proves its term.
     """
 
     name: str
@@ -80,6 +83,7 @@
     heard_age: float | None
     leaving: bool
     is_held: bool = False
+    knows_lead: bool = False
 
 
 class GrantReply(NamedTuple):
--- a/beryltrack/groups/policy.py
+++ b/beryltrack/groups/policy.py
@@ -34,6 +34,13 @@
     poll_interval : float
         Seconds between two probes of a replica whose progress somebody waits
         for, where there are no long polls: about a round trip.
+    guard_interval : float
+        Seconds between two questions of the instance that is first to act to a
+        primary that it has not heard from otherwise.
+    rest_interval : float
+        Seconds between two probes of plain databases that nothing calls for.
+    suspect_time : float
+        Seconds for which a group stays suspect after a sign of a loss.
     """
 
     interval: float
@@ -43,6 +50,9 @@
     use_time: float = 1.0
     is_plain: bool = False
     poll_interval: float = 0.005
+    guard_interval: float = 0.4
+    rest_interval: float = 5.0
+    suspect_time: float = 1.5
 
 
 def make_probe_policy(lost_after: float) -> ProbePolicy:
--- a/beryltrack/groups/samples.py
+++ b/beryltrack/groups/samples.py
@@ -86,6 +86,19 @@
             self._keep(sample)
         return True
 
+    def get_oldest(self, since: float) -> LogPosition | None:
+        """Return the position of the oldest confirmed sample sent at `since` or later.
+
+        A log that shows this position shows all that was acknowledged before
+        `since`, and no later sample asks for less.
+        """
+        found = None
+        for sample in reversed(self._confirmed):
+            if sample.sent_at < since:
+                break
+            found = sample.position
+        return found
+
     def get_fresh_at(self, history: tuple[TermStart, ...], end: LogPosition) -> float:
         """Return until when a log is proven to hold all acknowledged writes.
 
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 from random import Random
 
@@ -59,6 +60,9 @@
 PAUSE_LIMIT = 0.4
 # Seconds between two looks at the clock, by which a pause is noticed.
 TURN_PERIOD = 0.1
+# Seconds after which a commit's receipt is asked of all plain replicas. The first
+# one asked has nearly always received it, and each question is paid for.
+WITNESS_TIME = 0.012
 
 
 class GroupTask:
@@ -130,6 +134,8 @@
         self._subscribers: list[Callable[[GroupView], None]] = []
         self._failover_subscribers: list[Callable[[FailoverReport], None]] = []
         self._running = False
+        self._suspect_until = NEVER
+        self._confirming_since = math.inf
         self._reported = self._decider.view
         self._turn_at = self._seconds()
         self._turns = LoopingCall(self._notice_pause)
@@ -239,6 +245,42 @@
         self._decider.observe_position(database, position, self._seconds())
         self._answer_applied()
 
+    def observe_lead(
+        self, database: str, position: LogPosition, sent_at: float
+    ) -> None:
+        """Take in a proof that a database led when it answered a statement."""
+        self._decider.observe_lead(database, position, sent_at, self._seconds())
+        self._answer_samples()
+
+    def observe_lagging(self, database: str) -> None:
+        """Take in that a replica did not show a position that it was asked for."""
+        self._decider.observe_lagging(database, self._seconds())
+
+    def get_needed_position(self, since: float) -> LogPosition | None:
+        """Return what shows all that was acknowledged before a time, if proven."""
+        return self._decider.get_needed_position(since)
+
+    def suspect(self, database: str, since: float) -> None:
+        """Take in a sign that a database may be lost: look closely for a while.
+
+        Parameters
+        ----------
+        database : str
+            The database.
+        since : float
+            When it was asked what it has not answered, by the node's clock.
+        """
+        if database not in self._watches:
+            return
+        now = self._seconds()
+        if database == self.view.primary:
+            self._decider.observe_primary_asked(since)
+            if now >= self._suspect_until:
+                self._wake_all()
+            self._suspect_until = now + self._policy.suspect_time
+        elif now - self._sent_at[database] > self._policy.suspect_interval:
+            self._watches[database].wake()
+
     def observe_sample(
         self, database: str, position: LogPosition, sent_at: float
     ) -> None:
@@ -287,7 +329,15 @@
         """
         self._note_use()
         answer = self._commits.wait(position, timeout, database)
-        if not answer.called:
+        if answer.called:
+            return answer
+        if self._policy.is_plain:
+            self._confirming_since = min(self._confirming_since, self._seconds())
+            answer.addBoth(self._end_confirming)
+            witness = self._get_witness()
+            if witness:
+                self._watches[witness].wake()
+        else:
             self._wake_replicas()
         return answer
 
@@ -332,8 +382,10 @@
         the others are asked once more when the primary is asked for one.
         """
         sent_at = self._sent_at[database] = self.get_time()
-        if self._samples and database == self.view.primary:
-            self._wake_replicas()
+        if database == self.view.primary:
+            self._decider.observe_primary_asked(sent_at)
+            if self._samples and not self._policy.is_plain:
+                self._wake_replicas()
         return sent_at
 
     def get_wait(self, database: str) -> WatchWait | None:
@@ -368,8 +420,8 @@
             return self._policy.suspect_interval
         if self.get_wait(database) is not None:
             return 0.0
-        if self._policy.is_plain and self._is_awaited(item):
-            return self._policy.poll_interval
+        if self._policy.is_plain:
+            return self._get_plain_delay(item)
         if self._failover.is_suspect(self.view):
             return self._policy.suspect_interval
         in_use = self._seconds() < self._used_at + self._policy.use_time
@@ -401,12 +453,50 @@
         for callback in tuple(self._failover_subscribers):
             callback(report)
 
-    def _is_awaited(self, item: DatabaseView) -> bool:
+    def _get_plain_delay(self, item: DatabaseView) -> float:
+        """Return the seconds until a plain database is asked again.
+
+        A probe takes a slot of the database and is paid for, so that databases
+        are asked only for what traffic does not tell.
+        """
+        policy, view, now = self._policy, self.view, self._seconds()
+        if self._is_awaited(item, now):
+            return policy.poll_interval
+        is_suspect = now < self._suspect_until or not view.primary or item.is_held
+        if is_suspect or self._failover.is_suspect(view) or item.seen_at == NEVER:
+            return policy.suspect_interval
+        if not item.reachable:
+            return policy.interval
+        if item.name == view.primary and self._failover.is_first:
+            return policy.guard_interval
+        return policy.rest_interval
+
+    def _is_awaited(self, item: DatabaseView, now: float) -> bool:
         """Return whether somebody waits for the progress of a replica."""
         if item.role == PRIMARY or not item.reachable:
             return False
-        is_read_awaited = any(each.database == item.name for each in self._applied)
-        return is_read_awaited or self._commits.get_wait_offset(item.name) is not None
+        if any(each.database == item.name for each in self._applied):
+            return True
+        if self._commits.get_wait_offset(item.name) is None:
+            return False
+        is_late = now - self._confirming_since > WITNESS_TIME
+        return is_late or item.name == self._get_witness()
+
+    def _get_witness(self) -> str:
+        """Return the replica that is asked first whether it received a commit."""
+        fit = [
+            item
+            for item in self.view.databases
+            if item.role != PRIMARY and item.reachable and not item.is_held
+        ]
+        best = max(fit, key=lambda item: item.received, default=None)
+        return best.name if best else ""
+
+    def _end_confirming(self, result: object) -> object:
+        """Note that a commit is waited for no longer."""
+        if self._commits.pending <= 1:
+            self._confirming_since = math.inf
+        return result
 
     def _notice_pause(self) -> None:
         """Count no pause of the whole process as a silence of the primary.
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -54,6 +54,8 @@
         do not tell, seconds since this node heard from that primary.
     is_held : bool
         True if `term` is a promise that the candidate can take back.
+    lagged_at : float
+        When it last did not show a position that a read asked for.
     """
 
     name: str
@@ -69,6 +71,7 @@
     fresh_at: float = NEVER
     heard_age: float = math.inf
     is_held: bool = False
+    lagged_at: float = NEVER
 
 
 class GroupView(NamedTuple):
--- a/beryltrack/platform/group.py
+++ b/beryltrack/platform/group.py
@@ -245,5 +245,6 @@
         None,
         False,
         row.held > row.term,
+        True,
     )
     return Success(status)
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -143,6 +143,10 @@
     def observe_pinned(self, plan: LinePlan, caller: LineCaller) -> None:
         """Keep nothing: the session's state is kept when it is answered."""
 
+    def proves_lead(self, plan: LinePlan) -> bool:
+        """Return whether a database refuses a unit once it leads no more."""
+        return not plan.is_read
+
     def has_committed(
         self,
         plan: LinePlan,
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -6,12 +6,14 @@
 """
 
 import itertools
+from collections.abc import Callable
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from beryltrack.clock import get_seconds
 from beryltrack.connections.messages import ConnectRefused, TargetLost
 from beryltrack.errors import SqlError
 from beryltrack.platform import lines
@@ -34,9 +36,13 @@
         The START message.
     limits : SocketLimits
         When a silent database is given up.
+    seconds : callable
+        The node's time.
     """
 
-    def __init__(self, start: bytes, limits: SocketLimits):
+    def __init__(
+        self, start: bytes, limits: SocketLimits, seconds: Callable[[], float]
+    ):
         self.broken = False
         self.ready: Deferred[LineTarget] = Deferred()
         self.closed: Deferred[None] = Deferred()
@@ -49,6 +55,8 @@
         self._sink: ResponseSink | None = None
         self._answer: Deferred[ResponseEnd] | None = None
         self._setups = 0
+        self.run_since: float | None = None
+        self._seconds = seconds
         self._clear()
 
     @property
@@ -87,6 +95,7 @@
         self._sink = sink
         self._setups = setups
         self._answer = answer
+        self.run_since = self._seconds()
         sink.attach(self)
         self.transport.write(wire)
         return answer
@@ -188,6 +197,7 @@
         answer, self._answer = self._answer, None
         self._sink.detach()
         self._sink = None
+        self.run_since = None
         self._clear()
         return answer
 
@@ -230,7 +240,7 @@
         Fails with `ConnectRefused` if the database answered and refused.
     """
     start = b"START %s %s %s\r\n" % (service.encode(), PROXY_NAME, database.encode())
-    target = LineTarget(start, limits)
+    target = LineTarget(start, limits, get_seconds(reactor))
     opening = TCP4ClientEndpoint(reactor, endpoint.host, endpoint.port, timeout)
     connecting = connectProtocol(opening, target)
     connecting.addCallback(lambda _: target.ready)
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -102,6 +102,7 @@
     services.metrics.record_confirm_wait(services.seconds() - started_at)
     if outcome is CommitOutcome.CONFIRMED:
         session = context.caller.session
+        session.written_at = services.seconds()
         session.token = merge_position(session.token, runtime.settings.name, position)
     return outcome
 
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -2,11 +2,14 @@
 
 from returns.maybe import Some
 from returns.result import Failure
-from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from beryltrack.errors import SqlError, make_refusal, make_rolled_back
-from beryltrack.groups.view import get_database
+from beryltrack.errors import (
+    CANNOT_CONNECT_NOW,
+    SqlError,
+    make_refusal,
+    make_rolled_back,
+)
 from beryltrack.metrics.messages import TargetKind
 from beryltrack.requests.answers import (
     RequestContext,
@@ -50,6 +53,7 @@
         self._must_write = not context.plan.is_read
         self._sink = AnswerSink(context.caller)
         self._attempts = 0
+        self._sent_at = 0.0
         self._excluded: tuple[str, ...] = ()
         self._may_have_run = False
 
@@ -89,6 +93,7 @@
             context.services.zone,
             excluded=self._excluded,
             deadline=context.give_up_at,
+            written_at=context.caller.session.written_at,
             sequence=next(context.services.sequence),
         )
 
@@ -104,6 +109,9 @@
             step = self._decide_failure(RunFailure(True, result.error.sqlstate))
             if step is not NextStep.ANSWER:
                 self._exclude(target)
+                if result.error.sqlstate == CANNOT_CONNECT_NOW:
+                    context = self._context
+                    context.runtime.task.observe_lagging(target.database)
                 is_idle = result.status is TransactionStatus.IDLE
                 target.pool.release(target.connection, is_idle)
                 return step, result.error.message
@@ -113,27 +121,10 @@
         """Run the unit on a connection."""
         context = self._context
         protocol, plan = context.services.protocol, context.plan
-        after = None
-        if target.is_replica:
-            shown = get_database(context.runtime.view, target.database)
-            after = shown.applied if shown is not None else None
-        running = protocol.run(
-            target.connection, plan, self._sink, context.caller, after
-        )
-        limit = context.policy.run_timeout
-        if limit is None:
-            return await running
-        # Cancelling breaks the connection, so that the run ends as lost.
-        timed = Deferred.fromCoroutine(running)
-        timer = context.services.reactor.callLater(
-            max(0.0, min(limit, context.deadline - context.services.seconds())),
-            target.connection.close,
+        self._sent_at = context.services.seconds()
+        return await protocol.run(
+            target.connection, plan, self._sink, context.caller, target.after
         )
-        try:
-            return await timed
-        finally:
-            if timer.active():
-                timer.cancel()
 
     def _exclude(self, target: FoundTarget) -> None:
         """Let another replica than the one that failed serve the next attempt."""
@@ -184,10 +175,14 @@
     def _observe(self, target: FoundTarget, end: ResponseEnd) -> None:
         """Take in what the answer tells of the target and the session."""
         context = self._context
+        protocol = context.services.protocol
         if end.position is not None:
             context.runtime.task.observe_position(target.database, end.position)
+            if end.error is None and protocol.proves_lead(context.plan):
+                context.runtime.task.observe_lead(
+                    target.database, end.position, self._sent_at
+                )
         if end.error is None:
-            protocol = context.services.protocol
             protocol.observe_answer(context.plan, context.caller, target.connection)
 
     def _release(self, target: FoundTarget) -> None:
--- /dev/null
+++ b/beryltrack/requests/overdue.py
@@ -0,0 +1,68 @@
+"""Looks for requests that a database leaves unanswered for too long.
+
+One look at all connections now and then costs less than a timer for each request.
+A request that is late is a sign that its database may be lost, and one that is far
+too late is given up: its connection is closed, so that its course goes on by the
+rules for a lost answer.
+"""
+
+from collections.abc import Callable, Iterable
+
+from twisted.internet.task import LoopingCall
+
+from beryltrack.requests.runtime import GroupRuntime
+
+LOOK_PERIOD = 0.05
+"""Seconds between two looks."""
+
+LATE_AFTER = 0.12
+"""Seconds after which a request is late: longer than nearly all statements run."""
+
+
+class OverdueWatch:
+    """Watches the requests of all groups.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Source of timers.
+    seconds : callable
+        The node's time.
+    get_runtimes : callable
+        Returns the groups.
+    limit : float
+        Seconds after which a request is given up.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        seconds: Callable[[], float],
+        get_runtimes: Callable[[], Iterable[GroupRuntime]],
+        limit: float,
+    ):
+        self.limit = limit
+        self._seconds = seconds
+        self._get_runtimes = get_runtimes
+        self._looking = LoopingCall(self.look)
+        self._looking.clock = reactor
+
+    def start(self) -> None:
+        """Begin to look."""
+        self._looking.start(LOOK_PERIOD, now=False)
+
+    def stop(self) -> None:
+        """Look no more."""
+        if self._looking.running:
+            self._looking.stop()
+
+    def look(self) -> None:
+        """Look at all requests that run."""
+        now = self._seconds()
+        for runtime in self._get_runtimes():
+            for name, pool in runtime.pools.items():
+                for connection, since in pool.get_runs():
+                    if now - since > self.limit:
+                        connection.close()
+                    elif now - since > LATE_AFTER:
+                        runtime.task.suspect(name, since)
--- a/beryltrack/requests/postgres.py
+++ b/beryltrack/requests/postgres.py
@@ -120,6 +120,10 @@
         if _note_setting(plan, caller):
             caller.session.has_changed_settings = True
 
+    def proves_lead(self, plan: RequestPlan) -> bool:
+        """Return False: a replaced primary does not know of it at once."""
+        return False
+
     def has_committed(
         self,
         plan: RequestPlan,
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -35,7 +35,8 @@
         Seconds that a request waits for a database that can take it, for
         example while a new primary takes over, before it is refused.
     run_timeout : float or None
-        Seconds that a target may take to answer; None if that is not bounded.
+        Seconds that a target may take to answer; None if that is not bounded. The
+        connection is closed then, so that the run ends as lost.
     """
 
     request_timeout: float = 10.0
@@ -172,6 +173,12 @@
     def observe_pinned(self, plan: UnitPlan, caller: UnitCaller) -> None:
         """Keep what a unit has changed inside of a transaction."""
 
+    def proves_lead(self, plan: UnitPlan) -> bool:
+        """Return whether a database that ran a unit without an error was leading.
+
+        Only where databases lose their lead at the moment of a promotion.
+        """
+
     def has_committed(
         self,
         plan: UnitPlan,
--- a/beryltrack/requests/session.py
+++ b/beryltrack/requests/session.py
@@ -4,6 +4,7 @@
 and prepared statements, is the concern of the caller's side.
 """
 
+import math
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -56,6 +57,8 @@
         True if a setting was changed inside of the open transaction.
     has_written : bool
         True if the open transaction may have changed data.
+    written_at : float
+        When the session's last commit was confirmed, by the node's clock.
     """
 
     token: SessionToken = UNKNOWN_TOKEN
@@ -63,6 +66,7 @@
     pinned: PinnedTransaction | None = None
     has_changed_settings: bool = False
     has_written: bool = False
+    written_at: float = -math.inf
 
     def get_known_position(self, group: str) -> LogPosition | None:
         """Return what the session has written in a group, None if unknown."""
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -21,7 +21,7 @@
 from beryltrack.requests.admission_task import PutOut, Ticket
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
-from beryltrack.routing.decider import choose_target
+from beryltrack.routing.decider import choose_target, compute_needed_time
 from beryltrack.routing.messages import (
     NeedSample,
     ReadRequest,
@@ -53,12 +53,15 @@
         Where the connection came from.
     connection : PooledConnection
         The connection.
+    after : LogPosition or None
+        What the database must show, where it checks that itself.
     """
 
     database: str
     is_replica: bool
     pool: PoolTask
     connection: PooledConnection
+    after: LogPosition | None = None
 
 
 class TargetSearch(NamedTuple):
@@ -143,6 +146,10 @@
     give_up_at = search.give_up_at
     while True:
         now = services.seconds()
+        if isinstance(request, ReadRequest) and services.routing.checks_positions:
+            since = compute_needed_time(request)
+            needed = runtime.task.get_needed_position(since)
+            request = request._replace(needed=needed)
         choice = choose_target(
             runtime.view, request, runtime.get_loads(), now, services.routing
         )
@@ -194,7 +201,7 @@
     acquiring = pool.acquire(services.reactor.seconds() + remaining)
     connection = await search.ticket.wait(acquiring)
     services.metrics.record_queue_time(services.seconds() - started_at)
-    return FoundTarget(use.database, use.is_replica, pool, connection)
+    return FoundTarget(use.database, use.is_replica, pool, connection, use.after)
 
 
 def _add_sample(request: TargetRequest, sample: LogPosition) -> TargetRequest:
--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -58,6 +58,14 @@
         cannot succeed: what a replaced primary runs is never acknowledged.
     retry_after : float
         Seconds after which a caller is told to try again.
+    checks_positions : bool
+        True if databases check themselves whether they show a position, so that
+        a replica can be tried without a proof of what it shows.
+    usual_lag : float
+        Seconds after which replicas usually show a write. A replica is not tried
+        for a write that is younger.
+    lagging_pause : float
+        Seconds for which a replica that was behind is not tried.
     """
 
     max_wait: float = 0.0055
@@ -67,6 +75,9 @@
     sample_timeout: float = 1.0
     confirmed_within: float = 0.5
     retry_after: float = 0.2
+    checks_positions: bool = False
+    usual_lag: float = 0.2
+    lagging_pause: float = 0.3
 
 
 DEFAULT_POLICY = RoutingPolicy()
@@ -110,10 +121,14 @@
     if isinstance(request, WriteRequest):
         return _choose_for_write(view, request, now, policy)
     replicas = [] if request.reads == READS_PRIMARY else _get_replicas(view, request)
-    ready = [item for item in replicas if serves(item, request)]
+    if policy.checks_positions:
+        ready = [item for item in replicas if _may_serve(item, request, now, policy)]
+    else:
+        ready = [item for item in replicas if serves(item, request)]
     if ready:
         refreshes = needs_refresh(view, request, policy)
-        return UseTarget(_pick_replica(ready, request, loads), True, refreshes)
+        after = compute_after(request) if policy.checks_positions else None
+        return UseTarget(_pick_replica(ready, request, loads), True, refreshes, after)
     waiting = _choose_wait(view, request, replicas, loads, now, policy)
     return waiting or _choose_primary(view, request, now, policy)
 
@@ -159,6 +174,28 @@
     return request.sample is not None and has_applied(database, request.sample)
 
 
+def compute_after(request: ReadRequest) -> LogPosition | None:
+    """Return what a replica must show to serve a read; None if that is unknown."""
+    needed = request.sample or request.needed
+    if needed is None or request.token is None:
+        return needed
+    return max(needed, request.token)
+
+
+def _may_serve(
+    database: DatabaseView, request: ReadRequest, now: float, policy: RoutingPolicy
+) -> bool:
+    """Return whether a replica that checks positions is worth a try."""
+    after = compute_after(request)
+    if after is None:
+        return False
+    if has_applied(database, after):
+        return True
+    is_young = now - request.written_at < policy.usual_lag
+    is_behind = now - database.lagged_at < policy.lagging_pause
+    return request.sample is None and not (is_young or is_behind)
+
+
 def compute_lag(view: GroupView, database: DatabaseView) -> float:
     """Return for how long a replica is known to have been behind, seconds.
 
--- a/beryltrack/routing/messages.py
+++ b/beryltrack/routing/messages.py
@@ -67,6 +67,11 @@
         When it must have been answered, by the node's clock, seconds.
     sequence : int
         Number of the request on this node, by which equal targets take turns.
+    written_at : float
+        When its session last wrote, by the node's clock.
+    needed : LogPosition or None
+        A position that shows all that was acknowledged before the needed time,
+        for databases that check it; None if none is proven.
     """
 
     arrived_at: float
@@ -79,6 +84,8 @@
     excluded: tuple[str, ...] = ()
     deadline: float = math.inf
     sequence: int = 0
+    written_at: float = -math.inf
+    needed: LogPosition | None = None
 
 
 class WriteRequest(NamedTuple):
@@ -132,11 +139,14 @@
     refreshes : bool
         True if the primary is to be sampled meanwhile, without a wait, so that
         later reads find the ages of replicas proven.
+    after : LogPosition or None
+        What the database must show, where it can check that itself.
     """
 
     database: str
     is_replica: bool
     refreshes: bool = False
+    after: LogPosition | None = None
 
 
 class AwaitedTarget(NamedTuple):
--- a/beryltrack/transactions/waits.py
+++ b/beryltrack/transactions/waits.py
@@ -57,6 +57,11 @@
             answer.callback(decision.outcome)
         return answer
 
+    @property
+    def pending(self) -> int:
+        """Number of commits that wait."""
+        return self._decider.pending
+
     def set_size(self, size: int) -> None:
         """Take how many databases the group has from new settings."""
         self._decider.set_size(size)
