List all objects again after any failure of a watch

Ruled out by a trace of each call: a lost answer, a stale list. The new test fails before. Conclusion: hand-over itself still takes seconds; traced next.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -111,6 +111,7 @@
         self._configuration: SiteConfiguration | None = None
         self._roster = Roster()
         self._has_roster = False
+        self._has_members = False
         self._nodes: tuple[str, ...] = (settings.name,)
         self._look_call = None
         self._services = make_services(
@@ -243,6 +244,7 @@
         """Take in which instances there are."""
         names = {path.partition("/")[2] for path in objects}
         self._nodes = tuple(sorted(names | {self.settings.name}))
+        self._has_members = True
         for runtime in self._groups.runtimes:
             runtime.task.set_nodes(self._nodes)
         self._share_connections()
@@ -284,7 +286,8 @@
 
     def _start_group(self, runtime: GroupRuntime) -> None:
         """Watch a group from now on."""
-        runtime.task.set_nodes(self._nodes)
+        if self._has_members:
+            runtime.task.set_nodes(self._nodes)
         runtime.ensure_started()
 
     async def _register(self) -> None:
--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -259,7 +259,8 @@
         policy = self._policy
         rank = self._get_rank()
         if kind is ElectionKind.HAND_OVER:
-            return self._since + rank * policy.hand_over_stagger
+            delay = rank * policy.hand_over_stagger
+            return self._since + (0.0 if self._is_holder else delay)
         delay = rank * policy.stagger
         if policy.takeover:
             delay = 0.0 if self._is_holder else delay + policy.takeover
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -44,6 +44,10 @@
 # Seconds between two attempts of the first in rank to take a permit beforehand.
 PERMIT_PERIOD = 1.0
 
+# Seconds for which the members must have stayed the same before the first in rank
+# takes the permit: at a start they register one after the other.
+PERMIT_DELAY = 2.0
+
 
 class FailoverOwner(Protocol):
     """What a failover asks of the task that owns it."""
@@ -117,6 +121,7 @@
         )
         self._busy = False
         self._stopped = False
+        self._permit_call: IDelayedCall | None = None
         self._running: Deferred | None = None
         self._view: GroupView | None = None
         self._timer: IDelayedCall | None = None
@@ -133,7 +138,8 @@
     def set_nodes(self, nodes: tuple[str, ...]) -> None:
         """Take the names of all instances that may act for the group."""
         self._decider.set_nodes(nodes)
-        self._prepare_permit()
+        if self._authority is not None:
+            self._plan_permit(PERMIT_DELAY)
 
     @property
     def is_first(self) -> bool:
@@ -287,16 +293,20 @@
         )
         return None
 
+    def _plan_permit(self, delay: float) -> None:
+        """Look after a time whether this instance is to have the permit."""
+        if self._permit_call is not None and self._permit_call.active():
+            self._permit_call.cancel()
+        self._permit_call = self._reactor.callLater(delay, self._prepare_permit)
+
     def _prepare_permit(self) -> None:
         """Take the permit beforehand if this instance is to act first."""
-        if self._authority is None or self._stopped:
+        is_wanted = self._decider.is_first and not self._authority.holds(self._group)
+        if self._stopped or not is_wanted:
             return
-        if self._decider.is_first and not self._authority.holds(self._group):
-            taking = Deferred.fromCoroutine(self._acquire_permit(False))
-            taking.addErrback(_log_defect)
-            taking.addCallback(
-                lambda _: self._reactor.callLater(PERMIT_PERIOD, self._prepare_permit)
-            )
+        taking = Deferred.fromCoroutine(self._acquire_permit(False))
+        taking.addErrback(_log_defect)
+        taking.addCallback(lambda _: self._plan_permit(PERMIT_PERIOD))
 
     async def _prepare_hand_over(self, election: Election) -> bool:
         """Stop the writes and let the successor catch up.
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -37,6 +37,7 @@
     GroupView,
     get_database,
     get_outline,
+    get_primary,
     has_applied,
 )
 from beryltrack.groups.waiters import (
@@ -462,7 +463,10 @@
         policy, view, now = self._policy, self.view, self._seconds()
         if self._is_awaited(item, now):
             return policy.poll_interval
-        is_suspect = now < self._suspect_until or not view.primary or item.is_held
+        leader = get_primary(view)
+        is_suspect = now < self._suspect_until or item.is_held
+        # A primary that leaves is handed over on fresh answers of the others.
+        is_suspect = is_suspect or leader is None or leader.leaving
         if is_suspect or self._failover.is_suspect(view) or item.seen_at == NEVER:
             return policy.suspect_interval
         if not item.reachable:
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -26,6 +26,10 @@
 WATCH_TIMEOUT = 25.0
 """Seconds that a watch waits; the store allows 30."""
 
+SECOND_LOOK = 1.5
+"""Seconds after a failure was over until all objects are listed again. A store that
+compacts its changes may be silent for a second."""
+
 FIRST_DELAY = 0.05
 MOST_DELAY = 0.5
 """Seconds between two attempts while the store gives no answer. Settings are to be
@@ -80,6 +84,7 @@
         self._objects: dict[str, PlatformObject] = {}
         self._revision: int | None = None
         self._failures = 0
+        self._looks_twice = False
         self._loop: Deferred | None = None
 
     @property
@@ -117,9 +122,12 @@
             if isinstance(result, Success):
                 self._take_list(result.unwrap())
             return result
-        result = await self._source.watch(self._kind, self._revision, WATCH_TIMEOUT)
+        timeout = SECOND_LOOK if self._looks_twice else WATCH_TIMEOUT
+        result = await self._source.watch(self._kind, self._revision, timeout)
         if isinstance(result, Success):
             self._take_changes(result.unwrap())
+            if self._looks_twice:
+                self._looks_twice, self._revision = False, None
         return result
 
     def _take_list(self, found: ObjectList) -> None:
@@ -154,8 +162,11 @@
 
     def _note_failure(self, error: PlatformError) -> None:
         """Note that the store gives no answer, or forgot its changes."""
-        if error.kind is ErrorKind.EXPIRED:
-            self._revision = None
+        # A watch that begins just before the store drops its changes hears
+        # nothing of them, so that after any failure all objects are listed, and
+        # once more when that is over.
+        self._revision = None
+        self._looks_twice = True
         self._failures += 1
         if self._failures == 1:
             log.warning(
