Let instances look after each other, and end a silence with the next primary

Change: MemberTask removes an instance that takes no connections; an election goes on once a primary was stopped; hearing a primary ends what replicas were taken to have missed; others wait for a promotion under way.

--- /dev/null
+++ b/beryltrack/daemon/members.py
@@ -0,0 +1,179 @@
+"""Which instances there are: each registers itself in the store, and looks after one.
+
+Nothing in the store goes away by itself, and an instance that is lost for good says
+nothing. So each instance looks now and then whether the next one in the order of
+names still takes connections, and takes away the object of one that does not. That
+costs the store no call while nothing changes. An instance that finds its own object
+gone while it lives registers again.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+
+from returns.result import Success
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.task import LoopingCall, deferLater
+
+from beryltrack.objects.feed import FeedTask, ObjectFeed
+from beryltrack.objects.messages import PlatformObject
+from beryltrack.settings.messages import Endpoint
+
+log = logging.getLogger(__name__)
+
+KIND = "members"
+"""Kind of the objects by which instances know of each other."""
+
+CHECK_PERIOD = 2.0
+"""Seconds between two looks at the next instance."""
+
+CHECK_TIMEOUT = 1.0
+"""Seconds within which an instance takes a connection."""
+
+MOST_MISSES = 4
+"""Looks in a row without a connection after which an instance counts as gone: longer
+than a restart takes, 1 to 4 s."""
+
+RETRY_PERIOD = 0.5
+"""Seconds between two attempts to register."""
+
+
+class MemberPort(Factory):
+    """Takes the connections by which other instances look at this one."""
+
+    noisy = False
+    protocol = Protocol
+
+    def buildProtocol(self, addr) -> Protocol:  # noqa: N802
+        """Return a connection that the other side closes."""
+        return Protocol()
+
+
+class MemberTask:
+    """Registers an instance and knows the others.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        Source of connections and timers.
+    store : ObjectFeed and ObjectClient
+        The store.
+    name : str
+        Name of this instance.
+    endpoint : Endpoint
+        Where it takes the looks of others.
+    callback : callable
+        Called with the names of all instances after each change.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        store: ObjectFeed,
+        name: str,
+        endpoint: Endpoint,
+        callback: Callable[[tuple[str, ...]], None],
+        rng: random.Random,
+    ):
+        self._reactor = reactor
+        self._store = store
+        self._name = name
+        self._endpoint = endpoint
+        self._callback = callback
+        self._feed = FeedTask(reactor, store, KIND, self._take, rng)
+        self._objects: dict[str, PlatformObject] = {}
+        self._misses: dict[str, int] = {}
+        self._is_leaving = False
+        self._is_registering = False
+        self._checking = LoopingCall(self._check)
+        self._checking.clock = reactor
+
+    def start(self) -> None:
+        """Register and begin to look at others."""
+        self._feed.start()
+        self._register()
+        self._checking.start(CHECK_PERIOD, now=False)
+
+    def stop(self) -> None:
+        """Look no more."""
+        self._feed.stop()
+        if self._checking.running:
+            self._checking.stop()
+
+    async def leave(self) -> None:
+        """Take away this instance's object."""
+        self._is_leaving = True
+        await self._remove(self._name)
+
+    def _take(self, objects: dict[str, PlatformObject]) -> None:
+        """Take in which instances there are."""
+        self._objects = {path.partition("/")[2]: each for path, each in objects.items()}
+        if self._name not in self._objects:
+            self._register()
+        self._callback(tuple(sorted(self._objects.keys() | {self._name})))
+
+    def _register(self) -> None:
+        """Register unless that is under way."""
+        if not (self._is_registering or self._is_leaving):
+            self._is_registering = True
+            Deferred.fromCoroutine(self._run_registration())
+
+    async def _run_registration(self) -> None:
+        """Write this instance's object until the store has it."""
+        value = {"host": self._endpoint.host, "port": self._endpoint.port}
+        path = f"{KIND}/{self._name}"
+        while not self._is_leaving:
+            found = await self._store.get(path)
+            if isinstance(found, Success):
+                kept = found.unwrap()
+                if kept is not None and kept.value == value:
+                    break
+                version = 0 if kept is None else kept.version
+                written = await self._store.put(path, value, version)
+                if isinstance(written, Success):
+                    break
+            await deferLater(self._reactor, RETRY_PERIOD)
+        self._is_registering = False
+
+    def _check(self) -> None:
+        """Look at the next instance in the order of names."""
+        name = get_next(tuple(self._objects), self._name)
+        value = self._objects[name].value if name is not None else None
+        if not isinstance(value, dict) or not value.get("host"):
+            return
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, value["host"], int(value["port"]), timeout=CHECK_TIMEOUT
+        )
+        connecting = connectProtocol(endpoint, Protocol())
+        connecting.addCallbacks(
+            self._note_alive, self._note_miss, callbackArgs=(name,), errbackArgs=(name,)
+        )
+
+    def _note_alive(self, protocol: Protocol, name: str) -> None:
+        """Note that an instance is there."""
+        protocol.transport.loseConnection()
+        self._misses.pop(name, None)
+
+    def _note_miss(self, failure, name: str) -> None:
+        """Note that an instance took no connection; remove it after some."""
+        self._misses = {name: self._misses.get(name, 0) + 1}
+        if self._misses[name] >= MOST_MISSES:
+            self._misses.pop(name)
+            log.warning("members: %s is gone: %s", name, failure.getErrorMessage())
+            Deferred.fromCoroutine(self._remove(name))
+
+    async def _remove(self, name: str) -> None:
+        """Take away the object of an instance, if it is still the same."""
+        found = await self._store.get(f"{KIND}/{name}")
+        if isinstance(found, Success) and found.unwrap() is not None:
+            await self._store.delete(f"{KIND}/{name}", found.unwrap().version)
+
+
+def get_next(names: tuple[str, ...], own: str) -> str | None:
+    """Return who comes after a name in a ring of names, None if nobody does."""
+    others = sorted(name for name in names if name != own)
+    return next((name for name in others if name > own), others[0] if others else None)
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from enum import Enum
 
-from returns.result import Success
 from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.task import deferLater
 
@@ -14,6 +13,7 @@
 from beryltrack.daemon import node_options as options
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.line_kit import LineKit
+from beryltrack.daemon.members import MemberPort, MemberTask
 from beryltrack.failover.authority import StoreAuthority
 from beryltrack.findings import format_finding
 from beryltrack.metrics.plain import Gauge, PlainMetrics
@@ -46,9 +46,6 @@
 
 log = logging.getLogger(__name__)
 
-MEMBERS_KIND = "members"
-"""Kind of the objects by which instances know of each other."""
-
 BALANCER_TIME = 2.6
 """Seconds that the balancer may take to notice that an instance leaves: two
 questions, one a second."""
@@ -130,7 +127,6 @@
             for kind, callback in (
                 (CONFIG_KIND, self._take_configuration),
                 (DATABASES_KIND, self._take_databases),
-                (MEMBERS_KIND, self._take_members),
             )
         ]
         self._overdue = OverdueWatch(
@@ -139,6 +135,14 @@
             lambda: self._groups.runtimes,
             options.LONGEST_RUN,
         )
+        self._members = MemberTask(
+            reactor,
+            self._store,
+            settings.name,
+            settings.member_listen,
+            self._take_members,
+            rng,
+        )
         self._ports = []
         self.metrics.set_gauges(self._get_gauges)
 
@@ -152,11 +156,12 @@
         self._listen(self.settings.listen, self._callers)
         ready_site = build_ready_site(lambda: self.is_ready)
         self._listen(self.settings.ready_listen, ready_site)
+        self._listen(self.settings.member_listen, MemberPort())
         self._services.admission.start()
         self._overdue.start()
         for feed in self._feeds:
             feed.start()
-        Deferred.fromCoroutine(self._register())
+        self._members.start()
         log.info("daemon: Instance %s listens.", self.settings.name)
 
     async def leave(self) -> None:
@@ -168,7 +173,7 @@
         self.state = NodeState.LEAVING
         log.info("daemon: Instance %s leaves.", self.settings.name)
         grace = self.settings.grace
-        Deferred.fromCoroutine(self._unregister())
+        Deferred.fromCoroutine(self._members.leave())
         await deferLater(self._reactor, min(BALANCER_TIME, grace / 2))
         leaving = self._callers.leave()
         limit = grace * (1 - LAST_PART) - min(BALANCER_TIME, grace / 2)
@@ -184,6 +189,7 @@
         """Close everything."""
         for feed in self._feeds:
             feed.stop()
+        self._members.stop()
         self._services.admission.stop()
         self._overdue.stop()
         for port in self._ports:
@@ -240,10 +246,9 @@
         self._has_roster = True
         self._apply()
 
-    def _take_members(self, objects: dict[str, PlatformObject]) -> None:
+    def _take_members(self, names: tuple[str, ...]) -> None:
         """Take in which instances there are."""
-        names = {path.partition("/")[2] for path in objects}
-        self._nodes = tuple(sorted(names | {self.settings.name}))
+        self._nodes = names
         self._has_members = True
         for runtime in self._groups.runtimes:
             runtime.task.set_nodes(self._nodes)
@@ -290,28 +295,6 @@
             runtime.task.set_nodes(self._nodes)
         runtime.ensure_started()
 
-    async def _register(self) -> None:
-        """Tell the other instances of this one."""
-        path = f"{MEMBERS_KIND}/{self.settings.name}"
-        while self.state is not NodeState.LEAVING:
-            found = await self._store.get(path)
-            if isinstance(found, Success):
-                kept = found.unwrap()
-                if kept is not None:
-                    return
-                value = {"host": self.settings.host}
-                written = await self._store.put(path, value, 0)
-                if isinstance(written, Success):
-                    return
-            await deferLater(self._reactor, 1.0)
-
-    async def _unregister(self) -> None:
-        """Tell the other instances that this one leaves."""
-        path = f"{MEMBERS_KIND}/{self.settings.name}"
-        found = await self._store.get(path)
-        if isinstance(found, Success) and found.unwrap() is not None:
-            await self._store.delete(path, found.unwrap().version)
-
     def _get_gauges(self) -> Iterable[Gauge]:
         """Return the values of the moment."""
         version = self._configuration.version if self._configuration else 0
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -32,6 +32,8 @@
     stagger=0.3,
     # Databases across availability zones answer in 4 ms.
     grant_wait=0.15,
+    # Longer than a promotion takes until it is in force, 0.3 to 1 s.
+    settle=1.5,
     # A holder of the permit notices a loss within 0.25 s of the others.
     takeover=0.7,
     rotates=False,
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -106,6 +106,7 @@
         self._reactor = reactor
         self._authority = authority
         self._unanswered = False
+        self._has_stopped = False
         self._seconds = get_seconds(reactor)
         self._group = group_settings.name
         self._databases = tuple(item.name for item in group_settings.databases)
@@ -144,7 +145,8 @@
     @property
     def is_first(self) -> bool:
         """True if this instance is the first to act for the group."""
-        return self._decider.is_first
+        holds = self._authority is not None and self._authority.holds(self._group)
+        return holds or self._decider.is_first
 
     def is_suspect(self, view: GroupView) -> bool:
         """Return whether the group may soon need a new primary."""
@@ -218,7 +220,10 @@
     async def _elect(self, election: Election) -> str | None:
         """Return who leads the term, or None if nobody does for all we know."""
         if election.kind is ElectionKind.HAND_OVER:
-            if not await self._prepare_hand_over(election):
+            is_ready = await self._prepare_hand_over(election)
+            # Where a primary that was stopped takes no writes again by itself,
+            # the election goes on, whether the successor has caught up or not.
+            if not (is_ready or self._has_stopped):
                 return None
         # A call of before that was not answered may still be carried out.
         if await self._acquire_permit(self._unanswered) is None:
@@ -317,11 +322,15 @@
             False if it is given up. Nothing has to be undone: the primary
             takes writes again by itself.
         """
-        stopped = _get_status(
-            await self._adapter.stop_writes(election.primary, election.primary_term)
+        self._has_stopped = False
+        result = await self._adapter.stop_writes(
+            election.primary, election.primary_term
         )
+        stopped = _get_status(result)
         if stopped is None:
+            log.info("failover: No hand-over of %s: %s.", self._group, result)
             return False
+        self._has_stopped = stopped.role != PRIMARY
         if stopped.term != election.primary_term:
             return False
         return await self._wait_received(election, stopped)
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -44,6 +44,7 @@
         }
         self._confirmed_at = NEVER
         self._asked_at: float | None = None
+        self._tells_hearing = True
         self._hint = GroupView(group)
         self._view: GroupView | None = None
 
@@ -220,7 +221,15 @@
         Called also after a pause of the whole process, whose silence says
         nothing of the primary.
         """
+        if self._asked_at is None or self._tells_hearing:
+            self._asked_at = None
+            return
         self._asked_at = None
+        # The silence that replicas were taken to have heard is over.
+        self._databases = {
+            name: item._replace(heard_age=0.0) for name, item in self._databases.items()
+        }
+        self._view = None
 
     def set_databases(self, databases: tuple[str, ...]) -> None:
         """Take the members from new settings; those that stay keep their state."""
@@ -281,7 +290,8 @@
         self, status: DatabaseStatus, sent_at: float, now: float
     ) -> float:
         """Return for how long a database, or else this node, has not heard."""
-        if status.heard_age is not None:
+        self._tells_hearing = status.heard_age is not None
+        if self._tells_hearing:
             return status.heard_age
         if self._asked_at is None:
             return 0.0
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -15,7 +15,6 @@
 
 from beryltrack.objects.backoff import compute_delay
 from beryltrack.objects.messages import (
-    ErrorKind,
     ObjectList,
     PlatformError,
     PlatformObject,
--- a/beryltrack/platform/boot.py
+++ b/beryltrack/platform/boot.py
@@ -5,6 +5,7 @@
 
 from beryltrack.findings import Finding
 from beryltrack.platform.settings import parse_endpoint
+from beryltrack.settings.messages import Endpoint
 from beryltrack.settings.node import NodeSettings
 
 PATH_VARIABLE = "BERYLTRACK_BOOT"
@@ -45,8 +46,7 @@
         fields["zone"],
         parse_endpoint(listen["front"]),
         parse_endpoint(listen["ready"]),
-        fields["ip"],
-        int(fields["internal_ports"][0]),
+        Endpoint(fields["ip"], int(fields["internal_ports"][0])),
         parse_endpoint(fields["platform"]["address"]),
         parse_endpoint(fields["cloud"]["address"]),  # Carries out promotions.
         float(bounds["grace_s"]),
--- a/beryltrack/settings/node.py
+++ b/beryltrack/settings/node.py
@@ -18,10 +18,8 @@
         Where callers connect.
     ready_listen : Endpoint
         Where the balancer asks whether the instance takes callers.
-    host : str
-        IP number of the instance.
-    internal_port : int
-        First of the TCP ports that are free for the instance's own use.
+    member_listen : Endpoint
+        Where other instances look whether this one is there.
     store : Endpoint
         The object store.
     promotion : Endpoint
@@ -36,8 +34,7 @@
     zone: str
     listen: Endpoint
     ready_listen: Endpoint
-    host: str
-    internal_port: int
+    member_listen: Endpoint
     store: Endpoint
     promotion: Endpoint
     grace: float
--- a/tests/objects/test_feed.py
+++ b/tests/objects/test_feed.py
@@ -18,7 +18,9 @@
 
 
 def make_list(revision, *versions):
-    objects = [PlatformObject("kind/a", version, version, False) for version in versions]
+    objects = [
+        PlatformObject("kind/a", version, version, False) for version in versions
+    ]
     return Success(ObjectList(revision, tuple(objects)))
 
 
