Let a refused connection not end the watch of its database

Ruled out: the election, which was won in 1.0 s. Change: connections fail by ConnectionError. The new test of a port without a listener fails before.

--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -42,7 +42,7 @@
 LOSSES = LossPolicy(grace=0.4, replaced_grace=0.1)
 
 # A wait for a replica costs probes; the primary has room for what replicas miss.
-ROUTING = RoutingPolicy(max_wait=0.0, refresh_share=0.8, checks_positions=True)
+ROUTING = RoutingPolicy(max_wait=0.0, refresh_share=0.95, checks_positions=True)
 
 POOLS = PoolPolicy(idle_timeout=10.0, most_opening=2)
 
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -8,8 +8,9 @@
 import itertools
 from collections.abc import Callable
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectingCancelledError
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -237,7 +238,8 @@
     Returns
     -------
     Deferred of LineTarget
-        Fails with `ConnectRefused` if the database answered and refused.
+        Fails with `ConnectRefused` if the database answered and refused, with
+        `ConnectionError` if it cannot be reached.
     """
     start = b"START %s %s %s\r\n" % (service.encode(), PROXY_NAME, database.encode())
     target = LineTarget(start, limits, get_seconds(reactor))
@@ -247,13 +249,29 @@
     timer = reactor.callLater(timeout, _give_up, target, connecting)
 
     def stop_timer(result: object) -> object:
-        if timer.active():
+        is_late = not timer.active()
+        if not is_late:
             timer.cancel()
+        if isinstance(result, Failure):
+            return _translate(result, is_late)
         return result
 
     return connecting.addBoth(stop_timer)
 
 
+def _translate(failure: Failure, is_late: bool) -> Failure:
+    """Return why a connection could not be opened, in the usual types.
+
+    Twisted's own errors of connections are no `OSError`. A cancellation from
+    outside stays one, so that whoever stops is not taken to have failed.
+    """
+    if failure.check(ConnectRefused):
+        return failure
+    if failure.check(CancelledError, ConnectingCancelledError) and not is_late:
+        return Failure(CancelledError())
+    return Failure(ConnectionError(failure.getErrorMessage()))
+
+
 def _give_up(target: LineTarget, connecting: "Deferred[LineTarget]") -> None:
     """End an attempt that takes too long."""
     if target.transport is not None:
--- /dev/null
+++ b/tests/platform/test_group.py
@@ -0,0 +1,118 @@
+"""Control requests over the line protocol, over real sockets."""
+
+import pytest
+from returns.result import Success
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from beryltrack.groups.messages import PRIMARY, LogPosition
+from beryltrack.objects.http import fail_call
+from beryltrack.objects.messages import ErrorKind
+from beryltrack.platform.group import ControlLimits, LineDatabaseGroup, parse_row
+from beryltrack.settings.messages import GroupSettings
+from beryltrack.wire.sockets import SocketLimits
+from tests.platform.databases import HOST, DatabaseFactory
+from tests.reactor_thread import run
+
+LIMITS = ControlLimits(0.5, 0.2, SocketLimits())
+
+
+class Promotions:
+    """Answers promotions as a test says."""
+
+    def __init__(self):
+        self.calls = []
+        self.answer = Success(None)
+
+    async def promote(self, group, database, token):
+        self.calls.append((group, database, token))
+        return self.answer
+
+
+class Site:
+    """One database, its promotions and the adapter."""
+
+    def __init__(self):
+        self.database = DatabaseFactory()
+        self.promotions = Promotions()
+        settings = self.database.make_settings()
+        group = GroupSettings("main", "", (settings,), "", "", 0.0, 0.5)
+        self.adapter = LineDatabaseGroup(reactor, group, self.promotions, LIMITS)
+
+    def call(self, name, *arguments):
+        method = getattr(self.adapter, name)
+        return run(lambda: Deferred.fromCoroutine(method("db-1", *arguments)))
+
+    def stop(self):
+        self.adapter.close()
+        return self.database.stop()
+
+
+@pytest.fixture
+def site():
+    made = run(Site)
+    yield made
+    run(made.stop)
+
+
+def test_status_tells_received_and_applied_apart(site):
+    status = site.call("get_status").unwrap()
+    assert (status.role, status.term) == (PRIMARY, 3)
+    assert status.received == LogPosition(3, 9)
+    assert status.applied == LogPosition(3, 7)
+    assert status.heard_age is None and status.knows_lead and not status.is_held
+
+
+def test_a_paused_replica_has_granted(site):
+    site.database.answers[b"QUERY - PAUSE 4"] = (
+        b"DATAROW replica 3 3.9 4 0 0 1\r\nCOMPLETE -\r\nREADY I 3.7\r\n"
+    )
+    reply = site.call("grant", 4, "node/1", 0.5).unwrap()
+    assert reply.granted and reply.status.is_held and reply.status.term == 4
+
+
+def test_a_primary_grants_only_if_it_is_not_taken_for_lost(site):
+    site.database.answers[b"QUERY - PAUSE"] = site.database.answers[b"QUERY - STATUS"]
+    assert not site.call("grant", 4, "node/1", 0.5).unwrap().granted
+    assert site.call("grant", 4, "node/1", 0.0).unwrap().granted
+
+
+def test_a_promotion_carries_the_token(site):
+    reply = site.call("promote", 4, "node/1", 17).unwrap()
+    assert site.promotions.calls == [("main", "db-1", 17)]
+    assert reply.promoted
+
+
+def test_a_fenced_promotion_is_refused_and_a_lost_one_fails(site):
+    site.promotions.answer = fail_call(ErrorKind.CONFLICT, "fenced")
+    assert not site.call("promote", 4, "node/1", 1).unwrap().promoted
+    site.promotions.answer = fail_call(ErrorKind.UNKNOWN, "lost")
+    assert site.call("promote", 4, "node/1", 1).failure().text == "lost"
+
+
+def test_a_database_without_a_slot_is_at_work(site):
+    site.database.answers[b"QUERY - STATUS"] = b"ERROR BUSY db-1\r\nREADY I 3.7\r\n"
+    assert site.call("get_status").failure().is_answered
+
+
+def test_a_database_that_is_gone_fails_and_is_found_again(site):
+    site.call("get_status")
+    port = site.database.port.getHost().port
+    run(site.database.stop)
+    assert not site.call("get_status").failure().is_answered
+    assert not site.call("get_status").failure().is_answered
+
+    def listen_again():
+        site.database.port = reactor.listenTCP(
+            port, site.database, interface="127.0.0.1"
+        )
+
+    run(listen_again)
+    assert site.call("get_status").unwrap().role == PRIMARY
+
+
+@pytest.mark.parametrize(
+    "row", [b"", b"DATAROW", b"DATAROW primary x 3.9 0", b"DATAROW primary 3 - 0 0"]
+)
+def test_a_malformed_row_is_no_status(row):
+    assert parse_row(row) is None
