--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -217,9 +217,13 @@
         return self._samples.get_oldest(since)
 
     def observe_primary_asked(self, since: float) -> None:
-        """Take in that the primary was asked something that it has not answered."""
+        """Take in that the primary was asked something that it has not answered.
+
+        Its silence begins only after it was last heard: of several questions one
+        may stay without an answer while others are answered.
+        """
         if self._asked_at is None:
-            self._asked_at = since
+            self._asked_at = max(since, self._heard_at)
 
     def observe_primary_heard(self, now: float) -> None:
         """Take in that this node has heard from the primary, or may have missed it.
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -133,6 +133,7 @@
         self._running = False
         self._suspect_until = NEVER
         self._confirming_since = math.inf
+        self._asks_all = False
         self._reported = self._decider.view
         self._turn_at = self._seconds()
 
@@ -423,6 +424,7 @@
         self.notice_pause()
         if isinstance(result, Success):
             self.take_status(result.unwrap(), sent_at)
+            self._ask_all_if_late()
             return
         if result.failure().is_answered:
             self._decider.observe_answer(database, self._seconds())
@@ -452,7 +454,9 @@
         """
         policy, view, now = self._policy, self.view, self._seconds()
         if self._is_awaited(item, now):
-            return policy.poll_interval
+            # A commit that nobody receives is asked for ever more seldom.
+            waited = now - min(self._confirming_since, now)
+            return min(max(policy.poll_interval, waited / 4), policy.suspect_interval)
         leader = get_primary(view)
         is_suspect = now < self._suspect_until or item.is_held
         # A primary that leaves is handed over on fresh answers of the others.
@@ -474,8 +478,14 @@
             return True
         if self._commits.get_wait_offset(item.name) is None:
             return False
-        is_late = now - self._confirming_since > WITNESS_TIME
-        return is_late or item.name == self._get_witness()
+        return self._asks_all or item.name == self._get_witness()
+
+    def _ask_all_if_late(self) -> None:
+        """Ask all replicas of a commit that the first one asked lacks."""
+        waited = self._seconds() - self._confirming_since
+        if waited > WITNESS_TIME and not self._asks_all:
+            self._asks_all = True
+            self._wake_replicas()
 
     def _get_witness(self) -> str:
         """Return the replica that is asked first whether it received a commit."""
@@ -491,6 +501,7 @@
         """Note that a commit is waited for no longer."""
         if self._commits.pending <= 1:
             self._confirming_since = math.inf
+            self._asks_all = False
         return result
 
     def notice_pause(self) -> None:
@@ -530,6 +541,9 @@
         before, self._reported = self._reported, self.view
         if get_outline(before) == get_outline(self.view):
             return
+        if self._policy.is_plain:
+            # They may rest for long: what has changed may concern them too.
+            self._wake_all()
         if before.term != self.view.term or before.primary != self.view.primary:
             log.info(
                 "groups: %s is led by %s in term %d.",
@@ -554,7 +568,7 @@
         now = self._seconds()
         was_idle = now >= self._used_at + self._policy.use_time
         self._used_at = now
-        if was_idle:
+        if was_idle and not self._policy.is_plain:
             self._wake_all()
 
     def _drop(self, result: object, waiters: list, waiter: object) -> object:
--- a/tests/platform/test_group.py
+++ b/tests/platform/test_group.py
@@ -11,7 +11,7 @@
 from beryltrack.platform.group import ControlLimits, LineDatabaseGroup, parse_row
 from beryltrack.settings.messages import GroupSettings
 from beryltrack.wire.sockets import SocketLimits
-from tests.platform.databases import HOST, DatabaseFactory
+from tests.platform.databases import DatabaseFactory
 from tests.reactor_thread import run
 
 LIMITS = ControlLimits(0.5, 0.2, SocketLimits())
