--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -23,7 +23,7 @@
 from beryltrack.platform.caller import LineCallerFactory
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.protocol import LineProtocol
-from beryltrack.platform.ready import build_ready_site
+from beryltrack.platform.ready import ReadyFactory
 from beryltrack.platform.settings import (
     CONFIG_KIND,
     CONFIG_PATH,
@@ -154,8 +154,8 @@
     def start(self) -> None:
         """Listen, and learn the settings."""
         self._listen(self.settings.listen, self._callers)
-        ready_site = build_ready_site(lambda: self.is_ready)
-        self._listen(self.settings.ready_listen, ready_site)
+        ready = ReadyFactory(lambda: self.is_ready, self._reactor)
+        self._listen(self.settings.ready_listen, ready)
         self._listen(self.settings.member_listen, MemberPort())
         self._services.admission.start()
         self._overdue.start()
--- a/beryltrack/objects/http.py
+++ b/beryltrack/objects/http.py
@@ -12,8 +12,6 @@
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
-from treq.client import HTTPClient
-from treq.content import collect
 from twisted.internet.defer import (
     CancelledError,
     Deferred,
@@ -21,8 +19,17 @@
 )
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.internet.task import Cooperator, deferLater
-from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool
+from twisted.python.failure import Failure as DefectFailure
+from twisted.web.client import (
+    Agent,
+    FileBodyProducer,
+    HTTPConnectionPool,
+    ResponseDone,
+)
+from twisted.web.http import PotentialDataLoss
+from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgent, IAgentEndpointFactory
 from zope.interface import implementer
 
@@ -58,6 +65,40 @@
     body: bytes
 
 
+class BodyCollector(Protocol):
+    """Collects the body of an answer, up to `MAX_BODY` bytes."""
+
+    def __init__(self):
+        self.done: Deferred[bytes] = Deferred(
+            lambda _: self.transport.abortConnection()
+        )
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take a part of the body."""
+        self._size += len(data)
+        self._chunks.append(data)
+        if self._size > MAX_BODY and not self.done.called:
+            text = f"the answer has more than {MAX_BODY} bytes"
+            self.done.errback(ValueError(text))
+            self.transport.abortConnection()
+
+    def _give_up(self, done: Deferred) -> None:
+        """End an answer that nobody waits for any more."""
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: DefectFailure = connectionDone) -> None:  # noqa: N802
+        """Give the whole body, or say that it was cut off."""
+        if self.done.called:
+            return
+        # A body without a stated length ends with its connection.
+        if reason.check(ResponseDone, PotentialDataLoss):
+            self.done.callback(b"".join(self._chunks))
+        else:
+            self.done.errback(reason)
+
+
 class TunedEndpoint(NamedTuple):
     """Where a service listens, whose silent loss is noticed within seconds."""
 
@@ -133,7 +174,7 @@
             agent = Agent.usingEndpointFactory(
                 reactor, TunedEndpoints(reactor), pool=self._pool
             )
-        self._http = HTTPClient(agent)
+        self._agent = agent
         self._semaphore = DeferredSemaphore(MAX_CALLS)
 
     @property
@@ -213,21 +254,13 @@
     ) -> HttpAnswer:
         """Send one request and receive its whole answer."""
         data = None if body is None else self._build_producer(body)
-        response = await self._http.request(
-            method, self._url + url, data=data, headers=JSON_HEADERS | headers
+        fields = {name: [value] for name, value in (JSON_HEADERS | headers).items()}
+        response = await self._agent.request(
+            method.encode(), (self._url + url).encode(), Headers(fields), data
         )
-        chunks = []
-        size = 0
-
-        def keep(chunk: bytes) -> None:
-            nonlocal size
-            size += len(chunk)
-            if size > MAX_BODY:
-                raise ValueError(f"the answer has more than {MAX_BODY} bytes")
-            chunks.append(chunk)
-
-        await collect(response, keep)
-        return HttpAnswer(response.code, b"".join(chunks))
+        collector = BodyCollector()
+        response.deliverBody(collector)
+        return HttpAnswer(response.code, await collector.done)
 
     def _build_producer(self, body: object) -> FileBodyProducer:
         """Return a producer of JSON text that runs on this client's reactor."""
