Log each decision about a request with the inputs that made it

Cause: when a caller complains, engineers have only logs, and none named a request. Change: one line of JSON for each decision (served, retried, not run, rolled back, unknown, the target's own error) with the request's id, the term and how long ago it was proven, the version of the settings and the pool's state; a budget a kind, lines left out are counted; a reader that does not read holds nothing up; beryltrack explain puts the lines of all instances together.

--- a/beryltrack/command/commands.py
+++ b/beryltrack/command/commands.py
@@ -27,6 +27,7 @@
 from beryltrack.command.views import check_tree, show_history, show_settings
 from beryltrack.command.waiting import wait_in_force
 from beryltrack.daemon.status import ObjectVersion
+from beryltrack.events.explain import explain_request, format_line, read_lines
 from beryltrack.findings import Finding
 from beryltrack.json_form import to_json
 from beryltrack.settings.json_text import load_json
@@ -347,6 +348,38 @@
             return Report(ExitCode.OK, fleet, format_fleet(fleet))
 
 
+class Explain(Command):
+    """``explain``."""
+
+    name = "explain"
+    description = "Show what the logs of all instances say of one request."
+    arguments = [argument("request", "The request's identifier.")]
+    options = [
+        option("logs", description="A file of logs.", flag=False, multiple=True),
+    ]
+
+    def __init__(self, runner: Runner):
+        super().__init__()
+
+    def handle(self) -> int:
+        """Show the lines, oldest first, and the one that decided."""
+        texts = (
+            text
+            for name in self.option("logs")
+            for text in Path(name).read_text(errors="replace").splitlines()
+        )
+        found = explain_request(self.argument("request"), read_lines(texts))
+        if not found.lines:
+            self.line_error("Nothing was logged of this request.")
+            return ExitCode.FINDINGS
+        for line in found.lines:
+            self.line(format_line(line))
+        if found.deciding is not None:
+            reason = found.deciding.get("reason") or "no trouble"
+            self.line(f"decided: {found.deciding.get('step')} ({reason})")
+        return ExitCode.OK
+
+
 COMMANDS = (
     SettingsGet,
     SettingsSet,
@@ -356,4 +389,5 @@
     SettingsHistory,
     SettingsDelete,
     Status,
+    Explain,
 )
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
@@ -14,6 +14,7 @@
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.line_kit import LineKit
 from beryltrack.daemon.members import MemberPort, MemberTask
+from beryltrack.events.log import EventLog
 from beryltrack.failover.authority import StoreAuthority
 from beryltrack.findings import format_finding
 from beryltrack.metrics.plain import Gauge, PlainMetrics
@@ -88,9 +89,17 @@
         What its settings file says.
     rng : random.Random
         Source of jitter.
+    write_line : callable
+        Takes the lines of the log of requests.
     """
 
-    def __init__(self, reactor, settings: NodeSettings, rng: random.Random):
+    def __init__(
+        self,
+        reactor,
+        settings: NodeSettings,
+        rng: random.Random,
+        write_line: Callable[[str], object],
+    ):
         self.settings = settings
         self.state = NodeState.STARTING
         self.metrics = PlainMetrics()
@@ -118,6 +127,7 @@
             rng,
             LineProtocol(self._routes_get, options.make_request_policy),
             routing=options.ROUTING,
+            events=EventLog(settings.name, write_line, self._seconds),
         )
         handler = RequestTask(self._services, self._get_site, self._find_group)
         bounds = CallerBounds(self._get_site)
--- a/beryltrack/daemon/node_process.py
+++ b/beryltrack/daemon/node_process.py
@@ -8,6 +8,7 @@
 import sys
 
 from beryltrack.daemon.logs import configure_logs
+from beryltrack.events.log import NonBlockingStream
 from beryltrack.findings import format_finding
 from beryltrack.platform.boot import read_node_settings
 
@@ -24,7 +25,8 @@
         for finding in findings:
             print(format_finding(finding), file=sys.stderr)
         return EXIT_FINDINGS
-    configure_logs(settings.name, stream=sys.stdout)
+    stream = NonBlockingStream(sys.stdout.fileno())
+    configure_logs(settings.name, stream=stream)
     from twisted.internet import reactor
 
     from beryltrack.clock import use_monotonic_time
@@ -35,7 +37,7 @@
     # 30 ms of processor time at each full collection.
     gc.collect()
     gc.freeze()
-    node = Node(reactor, settings, random.Random())
+    node = Node(reactor, settings, random.Random(), stream.write)
 
     def leave():
         from twisted.internet.defer import Deferred
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -2,12 +2,14 @@
 
 import logging
 import random
+import sys
 from enum import Enum
 
 from twisted.internet.defer import TimeoutError, maybeDeferred
 
 from beryltrack.callers.factory import CallerFactory
 from beryltrack.callers.tls import make_tls_context
+from beryltrack.clock import get_seconds
 from beryltrack.daemon.fleet import FleetTask
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.health import build_health_site
@@ -15,6 +17,7 @@
 from beryltrack.daemon.postgres_kit import PostgresKit
 from beryltrack.daemon.reports import build_status
 from beryltrack.daemon.status import InstanceStatus
+from beryltrack.events.log import EventLog
 from beryltrack.failover.messages import FailoverReport
 from beryltrack.metrics.messages import PoolUse
 from beryltrack.objects.client import PlatformClient
@@ -66,7 +69,12 @@
         self.settings_task = SettingsTask(reactor, self.platform, rng)
         self.groups = GroupTable(reactor, PostgresKit(reactor, settings.name, rng))
         self.services = make_services(
-            reactor, settings.zone, self.metrics, rng, PostgresProtocol()
+            reactor,
+            settings.zone,
+            self.metrics,
+            rng,
+            PostgresProtocol(),
+            events=EventLog(settings.name, sys.stderr.write, get_seconds(reactor)),
         )
         handler = RequestTask(self.services, self._get_site, self.groups.get)
         self.fleet = FleetTask(
--- /dev/null
+++ b/beryltrack/events/log.py
@@ -0,0 +1,114 @@
+"""Writes decisions as lines of JSON, without ever waiting for who reads them."""
+
+import json
+import os
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime
+
+from beryltrack.events.budget import LineBudget
+from beryltrack.events.messages import RequestEvent
+
+MOST_HELD = 65536
+"""Bytes that are held for a reader that is slow: the size of a pipe's own buffer."""
+
+SUMMARY_PERIOD = 5.0
+"""Least seconds between two lines that say what was left out."""
+
+PART = "requests"
+
+
+class NonBlockingStream:
+    """A text stream that drops lines rather than wait for its reader.
+
+    Parameters
+    ----------
+    descriptor : int
+        A file descriptor, which is set to not block.
+    """
+
+    def __init__(self, descriptor: int):
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._held = b""
+        self.dropped = 0
+
+    def write(self, text: str) -> None:
+        """Write whole lines, or drop them if too much is held already."""
+        data = text.encode()
+        if len(self._held) + len(data) > MOST_HELD:
+            self.dropped += 1
+        else:
+            self._held += data
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader has room for."""
+        while self._held:
+            try:
+                written = os.write(self._descriptor, self._held)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone: nobody can be told of it.
+                self.dropped += 1
+                self._held = b""
+                return
+            self._held = self._held[written:]
+
+
+class EventLog:
+    """Logs decisions within a budget; see `RequestEvents`.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance, written into each line.
+    write : callable
+        Takes a whole line.
+    seconds : callable
+        The node's time, for the budget.
+    get_wall : callable
+        Seconds since the epoch, for the reader.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        write: Callable[[str], object],
+        seconds: Callable[[], float],
+        get_wall: Callable[[], float] = time.time,
+    ):
+        self._instance = instance
+        self._write = write
+        self._seconds = seconds
+        self._get_wall = get_wall
+        self._budget = LineBudget()
+        self._summary_at = seconds() + SUMMARY_PERIOD
+
+    def record(self, event: RequestEvent) -> None:
+        """Log one decision, if the budget allows it."""
+        now = self._seconds()
+        if now >= self._summary_at:
+            self._summary_at = now + SUMMARY_PERIOD
+            self._summarize()
+        if not self._budget.allows(event.step, now):
+            return
+        fields = event._asdict()
+        fields["step"] = event.step.value
+        fields["elapsed_ms"] = round(event.elapsed_ms, 1)
+        if event.confirmed_ms is not None:
+            fields["confirmed_ms"] = round(event.confirmed_ms, 1)
+        self._write_line("INFO", fields)
+
+    def _summarize(self) -> None:
+        """Say how many lines were left out, if any were."""
+        suppressed = self._budget.take_suppressed()
+        if suppressed:
+            self._write_line("WARNING", {"step": "suppressed", "lines": suppressed})
+
+    def _write_line(self, level: str, fields: dict[str, object]) -> None:
+        """Write one line."""
+        moment = datetime.fromtimestamp(self._get_wall(), UTC).isoformat()
+        head = {"timestamp": moment, "level": level, "instance": self._instance}
+        self._write(json.dumps(head | {"part": PART} | fields) + "\n")
--- a/beryltrack/platform/statements.py
+++ b/beryltrack/platform/statements.py
@@ -81,6 +81,11 @@
     policy: RequestPolicy
     shape: Shape | None = None
 
+    @property
+    def request_id(self) -> str:
+        """The caller's identifier of it."""
+        return self.statement.request_id.decode("ascii", "replace")
+
     @property
     def is_read(self) -> bool:
         """True if a replica may run it, outside of a transaction."""
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -10,7 +10,9 @@
     make_outcome_unknown,
     make_rolled_back,
 )
+from beryltrack.events.messages import RequestEvent, RequestStep
 from beryltrack.groups.messages import LogPosition
+from beryltrack.groups.view import NEVER
 from beryltrack.metrics.messages import RequestKind, RequestOutcome, TargetKind
 from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.outcomes import NextStep
@@ -23,6 +25,11 @@
 from beryltrack.transactions.decider import CommitOutcome
 from beryltrack.wire.messages import TransactionStatus
 
+_STEPS = {
+    SERIALIZATION_FAILURE: RequestStep.ROLLED_BACK,
+    TRANSACTION_RESOLUTION_UNKNOWN: RequestStep.UNKNOWN,
+}
+
 _OUTCOMES = {
     SERIALIZATION_FAILURE: RequestOutcome.ROLLED_BACK,
     TRANSACTION_RESOLUTION_UNKNOWN: RequestOutcome.UNKNOWN,
@@ -46,6 +53,8 @@
         When it arrived, by the node's clock, seconds.
     ticket : Ticket
         By which it was taken on.
+    settings_version : int
+        Version of the settings by which it was planned.
     """
 
     services: RequestServices
@@ -54,6 +63,7 @@
     plan: UnitPlan
     arrived_at: float
     ticket: Ticket
+    settings_version: int = 0
 
     @property
     def policy(self) -> RequestPolicy:
@@ -132,6 +142,40 @@
     caller.send_error(error)
     caller.send_ready(status)
     count_request(context, TargetKind.NONE, _OUTCOMES.get(error.sqlstate))
+    step = _STEPS.get(error.sqlstate, RequestStep.NOT_RUN)
+    record_step(context, step, error.message)
+
+
+def record_step(
+    context: RequestContext,
+    step: RequestStep,
+    reason: str = "",
+    target: str = "",
+    attempt: int = 0,
+) -> None:
+    """Log a decision about a request, with what it rested on."""
+    services, view = context.services, context.runtime.view
+    now = services.seconds()
+    confirmed_at = view.confirmed_at
+    pool = context.runtime.pools.get(view.primary)
+    load = pool.load if pool is not None else None
+    event = RequestEvent(
+        context.plan.request_id,
+        context.caller.database,
+        context.plan.kind.value,
+        step,
+        reason,
+        target,
+        attempt,
+        (now - context.arrived_at) * 1000,
+        context.settings_version,
+        view.term,
+        view.primary,
+        (now - confirmed_at) * 1000 if confirmed_at > NEVER else None,
+        load.in_use if load else 0,
+        load.limit if load else 0,
+    )
+    services.events.record(event)
 
 
 def count_request(
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -10,12 +10,14 @@
     make_refusal,
     make_rolled_back,
 )
+from beryltrack.events.messages import RequestStep
 from beryltrack.metrics.messages import TargetKind
 from beryltrack.requests.answers import (
     RequestContext,
     confirm_commit,
     count_request,
     make_step_error,
+    record_step,
     send_answer,
     send_failure,
 )
@@ -71,6 +73,13 @@
             if step is not NextStep.RETRY:
                 self._fail(make_step_error(step, reason))
                 return
+            record_step(
+                self._context,
+                RequestStep.RETRIED,
+                reason,
+                found.unwrap().database,
+                self._attempts,
+            )
             if not await self._wait_to_retry():
                 self._fail(self._make_refusal(make_refusal(reason, 1.0)))
                 return
@@ -215,6 +224,9 @@
         send_answer(self._context, self._sink, tail, end.status, has_new_token)
         kind = TargetKind.REPLICA if target.is_replica else TargetKind.PRIMARY
         count_request(self._context, kind)
+        step = RequestStep.SERVED if end.error is None else RequestStep.TARGET_ERROR
+        reason = end.error.message if end.error is not None else ""
+        record_step(self._context, step, reason, target.database, self._attempts)
 
     async def _wait_to_retry(self) -> bool:
         """Wait as the retry budget says; return False if it forbids a retry."""
--- a/beryltrack/requests/pinned.py
+++ b/beryltrack/requests/pinned.py
@@ -5,12 +5,14 @@
 rolls the transaction back, unless its ``COMMIT`` was on the way.
 """
 
+from beryltrack.events.messages import RequestStep
 from beryltrack.metrics.messages import TargetKind
 from beryltrack.requests.answers import (
     RequestContext,
     confirm_commit,
     count_request,
     make_step_error,
+    record_step,
     send_answer,
     send_failure,
 )
@@ -188,3 +190,6 @@
     send_answer(context, sink, end.tail + end.error_frame, end.status, has_new_token)
     is_replica = pinned.database != pinned.runtime.view.primary
     count_request(context, TargetKind.REPLICA if is_replica else TargetKind.PRIMARY)
+    step = RequestStep.SERVED if end.error is None else RequestStep.TARGET_ERROR
+    reason = end.error.message if end.error is not None else ""
+    record_step(context, step, reason, pinned.database)
--- a/beryltrack/requests/plan.py
+++ b/beryltrack/requests/plan.py
@@ -58,6 +58,11 @@
     extended: ExtendedPlan | None
     marks: RequestMarks
 
+    @property
+    def request_id(self) -> str:
+        """The caller's identifier of it; empty if it has none."""
+        return self.marks.request_id
+
     @property
     def policy(self) -> RequestPolicy | None:
         """The times that bound it: those of the instance."""
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -73,6 +73,10 @@
     def marks(self) -> RequestMarks:
         """What is asked for it beside its statements."""
 
+    @property
+    def request_id(self) -> str:
+        """The caller's identifier of it; empty if it has none."""
+
     @property
     def is_read(self) -> bool:
         """True if a replica may run it, outside of a transaction."""
--- a/beryltrack/requests/services.py
+++ b/beryltrack/requests/services.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from beryltrack.clock import get_seconds
+from beryltrack.events.messages import RequestEvents, SilentEvents
 from beryltrack.metrics.messages import RequestMetrics
 from beryltrack.requests.admission_task import AdmissionTask
 from beryltrack.requests.protocol import RequestPolicy, WireProtocol
@@ -41,6 +42,8 @@
         Numbers requests, so that equal targets take turns.
     routing : RoutingPolicy
         The limits by which targets are chosen.
+    events : RequestEvents
+        Logs the decisions about requests.
     """
 
     reactor: object
@@ -53,6 +56,7 @@
     policy: RequestPolicy
     sequence: Iterator[int]
     routing: RoutingPolicy = DEFAULT_POLICY
+    events: RequestEvents = SilentEvents()
 
 
 def make_services(
@@ -63,6 +67,7 @@
     protocol: WireProtocol,
     policy: RequestPolicy | None = None,
     routing: RoutingPolicy = DEFAULT_POLICY,
+    events: RequestEvents | None = None,
 ) -> RequestServices:
     """Return the services of one instance.
 
@@ -82,6 +87,8 @@
         The times that bound a request.
     routing : RoutingPolicy, optional
         The limits by which targets are chosen.
+    events : RequestEvents, optional
+        Logs the decisions about requests.
 
     Returns
     -------
@@ -99,4 +106,5 @@
         policy or RequestPolicy(),
         count(),
         routing,
+        events or SilentEvents(),
     )
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -114,7 +114,10 @@
         # would keep its connection for longer.
         ticket = admitted.value_or(Ticket(UNCOUNTED, services.admission))
         caller.set_gone(lambda: ticket.put_out(GONE))
-        context = RequestContext(services, runtime, caller, plan, arrived_at, ticket)
+        version = self._get_settings().revision
+        context = RequestContext(
+            services, runtime, caller, plan, arrived_at, ticket, version
+        )
         try:
             if may_forward and self._is_for_others(context):
                 await self._forwarder.run(context)
--- /dev/null
+++ b/tests/events/test_log.py
@@ -0,0 +1,113 @@
+"""Lines of decisions: bounded, never blocking, and put together again."""
+
+import json
+import os
+
+from cleo.testers.command_tester import CommandTester
+
+from beryltrack.command.main import build_application
+from beryltrack.events.budget import BURST, OTHER_LINES, LineBudget
+from beryltrack.events.explain import explain_request, read_lines
+from beryltrack.events.log import MOST_HELD, EventLog, NonBlockingStream
+from beryltrack.events.messages import RequestEvent, RequestStep
+
+
+def make_event(request="r-1", step=RequestStep.NOT_RUN, reason="no primary"):
+    return RequestEvent(request, "lepu", "write", step, reason, confirmed_ms=812.34)
+
+
+class Clock:
+    """A time that a test sets."""
+
+    now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_log():
+    lines, clock = [], Clock()
+    return EventLog("node-1", lines.append, clock, lambda: 0.0), lines, clock
+
+
+def test_a_line_carries_the_inputs_of_the_decision():
+    log, lines, _ = make_log()
+    log.record(make_event())
+    line = json.loads(lines[0])
+    assert (line["request"], line["step"], line["reason"]) == (
+        "r-1",
+        "not_run",
+        "no primary",
+    )
+    assert line["confirmed_ms"] == 812.3 and line["instance"] == "node-1"
+
+
+def test_a_flood_of_one_kind_leaves_room_for_the_others():
+    budget = LineBudget()
+    allowed = sum(budget.allows(RequestStep.NOT_RUN, 0.0) for _ in range(1000))
+    assert allowed == OTHER_LINES * BURST
+    assert budget.allows(RequestStep.UNKNOWN, 0.0)
+    assert budget.take_suppressed() == {"not_run": 1000 - allowed}
+
+
+def test_lines_that_were_left_out_are_counted_in_one():
+    log, lines, clock = make_log()
+    for _ in range(500):
+        log.record(make_event())
+    clock.now = 6.0
+    log.record(make_event())
+    summary = next(json.loads(line) for line in lines if "suppressed" in line)
+    assert summary["lines"] == {"not_run": 500 - OTHER_LINES * BURST}
+
+
+def test_a_reader_that_never_reads_holds_nothing_up():
+    reading, writing = os.pipe()
+    try:
+        stream = NonBlockingStream(writing)
+        for _ in range(3000):
+            stream.write("x" * 99 + "\n")
+        assert stream.dropped > 0 and len(stream._held) <= MOST_HELD
+        assert os.read(reading, 100) == b"x" * 99 + b"\n"
+        stream.flush()
+        assert len(stream._held) < MOST_HELD
+    finally:
+        os.close(reading)
+        os.close(writing)
+
+
+def test_a_reader_that_is_gone_costs_nothing():
+    reading, writing = os.pipe()
+    os.close(reading)
+    try:
+        stream = NonBlockingStream(writing)
+        stream.write("line\n")
+        assert stream.dropped == 1
+    finally:
+        os.close(writing)
+
+
+def make_logs():
+    log, lines, clock = make_log()
+    log.record(make_event(step=RequestStep.RETRIED, reason="the target was lost"))
+    log.record(make_event("r-2"))
+    log.record(make_event(step=RequestStep.UNKNOWN, reason="not confirmed in time"))
+    return lines
+
+
+def test_the_lines_of_one_request_are_put_together():
+    texts = ["no JSON", *("12.5 node-1 " + line for line in make_logs()), "{broken"]
+    found = explain_request("r-1", read_lines(texts))
+    assert [line["step"] for line in found.lines] == ["retried", "unknown"]
+    assert found.deciding["reason"] == "not confirmed in time"
+    assert explain_request("r-3", read_lines(texts)).deciding is None
+
+
+def test_the_tool_explains_a_request(tmp_path):
+    file = tmp_path / "node-1.log"
+    file.write_text("".join(make_logs()))
+    tester = CommandTester(build_application().find("explain"))
+    assert tester.execute(f"r-1 --logs {file}") == 0
+    output = tester.io.fetch_output()
+    assert "retried (the target was lost)" in output
+    assert "decided: unknown (not confirmed in time)" in output
+    assert tester.execute(f"r-9 --logs {file}") != 0
--- a/tests/requests/scripted.py
+++ b/tests/requests/scripted.py
@@ -85,6 +85,7 @@
         self.settings = GroupSettings("main", "team", (), "app", "", 0.0, 0.3)
         self.task = FakeGroupTask(outcomes)
         self.view = GroupView("main", 1, "main-1")
+        self.pools = {}
 
 
 class Transport:
