Take callers once the settings are known, and name a refusal's code in the log

Change: an instance listens to callers once its settings are known; the budget is asked before a line is made; a database's code is named in the reason.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -162,8 +162,10 @@
         return self.state is NodeState.LIVE
 
     def start(self) -> None:
-        """Listen, and learn the settings."""
-        self._listen(self.settings.listen, self._callers)
+        """Learn the settings, and listen to callers once they are known.
+
+        A caller that came before would be told that its database does not exist.
+        """
         ready = ReadyFactory(lambda: self.is_ready, self._reactor)
         self._listen(self.settings.ready_listen, ready)
         self._listen(self.settings.member_listen, MemberPort())
@@ -172,7 +174,7 @@
         for feed in self._feeds:
             feed.start()
         self._members.start()
-        log.info("daemon: Instance %s listens.", self.settings.name)
+        log.info("daemon: Instance %s starts.", self.settings.name)
 
     async def leave(self) -> None:
         """Shut down without cutting off a request in flight.
@@ -277,6 +279,7 @@
         self._share_connections()
         self._look_again(now)
         if self.state is NodeState.STARTING:
+            self._listen(self.settings.listen, self._callers)
             self.state = NodeState.LIVE
             log.info("daemon: Instance %s is ready.", self.settings.name)
 
--- a/beryltrack/events/log.py
+++ b/beryltrack/events/log.py
@@ -7,7 +7,7 @@
 from datetime import UTC, datetime
 
 from beryltrack.events.budget import LineBudget
-from beryltrack.events.messages import RequestEvent
+from beryltrack.events.messages import RequestEvent, RequestStep
 
 MOST_HELD = 65536
 """Bytes that are held for a reader that is slow: the size of a pipe's own buffer."""
@@ -86,14 +86,20 @@
         self._budget = LineBudget()
         self._summary_at = seconds() + SUMMARY_PERIOD
 
-    def record(self, event: RequestEvent) -> None:
-        """Log one decision, if the budget allows it."""
+    def wants(self, step: RequestStep) -> bool:
+        """Return whether the budget has room for a line; it is used up by that.
+
+        Asked before an event is made: that costs most of a served request's line,
+        of which one a second is written.
+        """
         now = self._seconds()
         if now >= self._summary_at:
             self._summary_at = now + SUMMARY_PERIOD
             self._summarize()
-        if not self._budget.allows(event.step, now):
-            return
+        return self._budget.allows(step, now)
+
+    def record(self, event: RequestEvent) -> None:
+        """Log one decision, for which `wants` has said so."""
         fields = event._asdict()
         fields["step"] = event.step.value
         fields["elapsed_ms"] = round(event.elapsed_ms, 1)
--- a/beryltrack/events/messages.py
+++ b/beryltrack/events/messages.py
@@ -79,12 +79,19 @@
 class RequestEvents(Protocol):
     """Takes the decisions about requests."""
 
+    def wants(self, step: RequestStep) -> bool:
+        """Return whether the budget has room for a line; it is used up by that."""
+
     def record(self, event: RequestEvent) -> None:
-        """Log one decision, if the budget allows it."""
+        """Log one decision, for which `wants` has said so."""
 
 
 class SilentEvents:
     """Logs nothing, for instances that nobody reads the logs of."""
 
+    def wants(self, step: RequestStep) -> bool:
+        """Return False."""
+        return False
+
     def record(self, event: RequestEvent) -> None:
         """Drop a decision."""
--- a/beryltrack/platform/codes.py
+++ b/beryltrack/platform/codes.py
@@ -55,7 +55,8 @@
     fields = line.split(b" ", 2)
     code = fields[1] if len(fields) > 1 else b""
     text = fields[2].decode("utf-8", "replace") if len(fields) > 2 else ""
-    return SqlError(_STATES_BY_CODE.get(code, SYSTEM_ERROR), text)
+    name = code.decode("ascii", "replace").lower()
+    return SqlError(_STATES_BY_CODE.get(code, SYSTEM_ERROR), f"{name}: {text}")
 
 
 def encode_error(error: SqlError) -> bytes:
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -155,6 +155,8 @@
 ) -> None:
     """Log a decision about a request, with what it rested on."""
     services, view = context.services, context.runtime.view
+    if not services.events.wants(step):
+        return
     now = services.seconds()
     confirmed_at = view.confirmed_at
     pool = context.runtime.pools.get(view.primary)
--- a/tests/events/test_log.py
+++ b/tests/events/test_log.py
@@ -30,9 +30,14 @@
     return EventLog("node-1", lines.append, clock, lambda: 0.0), lines, clock
 
 
+def record(log, event):
+    if log.wants(event.step):
+        log.record(event)
+
+
 def test_a_line_carries_the_inputs_of_the_decision():
     log, lines, _ = make_log()
-    log.record(make_event())
+    record(log, make_event())
     line = json.loads(lines[0])
     assert (line["request"], line["step"], line["reason"]) == (
         "r-1",
@@ -53,9 +58,9 @@
 def test_lines_that_were_left_out_are_counted_in_one():
     log, lines, clock = make_log()
     for _ in range(500):
-        log.record(make_event())
+        record(log, make_event())
     clock.now = 6.0
-    log.record(make_event())
+    record(log, make_event())
     summary = next(json.loads(line) for line in lines if "suppressed" in line)
     assert summary["lines"] == {"not_run": 500 - OTHER_LINES * BURST}
 
@@ -88,9 +93,9 @@
 
 def make_logs():
     log, lines, clock = make_log()
-    log.record(make_event(step=RequestStep.RETRIED, reason="the target was lost"))
-    log.record(make_event("r-2"))
-    log.record(make_event(step=RequestStep.UNKNOWN, reason="not confirmed in time"))
+    record(log, make_event(step=RequestStep.RETRIED, reason="the target was lost"))
+    record(log, make_event("r-2"))
+    record(log, make_event(step=RequestStep.UNKNOWN, reason="not confirmed in time"))
     return lines
 
 
