Judge a refusal by its own sending

Its history: a marked write ran, its caller was told truly that the outcome is unknown, and a repeat was refused as not run, truly of this sending. The check counted the first sending's run against the repeat's refusal. Ruled out: a run after the second sending, of which there is none.

--- a/tests/bench/test_checker.py
+++ b/tests/bench/test_checker.py
@@ -114,3 +114,24 @@
     twice = [FinalLog("g", (("a",), ("e",), ("e",)))]
     assert find_invariants(CLEAN + [sent, sent] + twice) == set()
     assert find_invariants(CLEAN + [sent] + twice) == {"at_most_once"}
+
+
+REPEATED = [
+    WriteRequested("s", "g", ("f",), True, 3.0),
+    Executed("g", ("f",), 3.1),
+    WriteRefused("g", ("f",), Refusal.UNKNOWN, 3.2),
+    WriteRequested("s", "g", ("f",), True, 3.3),
+    WriteRefused("g", ("f",), Refusal.NOT_RUN, 3.4),
+    FinalLog("g", (("a",), ("f",))),
+]
+
+
+def test_an_earlier_sending_that_ran_makes_no_refusal_untrue():
+    assert check_history(CLEAN[:-1] + REPEATED) == ()
+
+
+def test_a_run_of_the_refused_sending_itself_is_reported():
+    again = Executed("g", ("f",), 3.35)
+    assert find_invariants(CLEAN[:-1] + [again] + REPEATED) >= {"refusals_true"}
+    only = [event for event in REPEATED if event is not REPEATED[1]]
+    assert find_invariants(CLEAN[:-1] + only) >= {"refusals_true"}
