--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -73,7 +73,10 @@
     @property
     def search(self) -> TargetSearch:
         """Where and how long to look for a target."""
-        return TargetSearch(self.services, self.runtime, self.ticket, self.give_up_at)
+        done_by = self.deadline if self.plan.policy else None
+        return TargetSearch(
+            self.services, self.runtime, self.ticket, self.give_up_at, done_by
+        )
 
     @property
     def deadline(self) -> float:
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -77,12 +77,16 @@
         The request, which may be put out while it waits.
     give_up_at : float
         Time, by the node's clock, at which the request is refused.
+    done_by : float or None
+        Time, by the node's clock, by which it must be done, where that is bounded
+        by its own policy; None for `give_up_at`.
     """
 
     services: RequestServices
     runtime: GroupRuntime
     ticket: Ticket
     give_up_at: float
+    done_by: float | None = None
 
 
 async def find_target(
@@ -197,7 +201,8 @@
     services = search.services
     pool = search.runtime.pools[use.database]
     started_at = services.seconds()
-    remaining = max(0.0, search.give_up_at - started_at)
+    done_by = search.give_up_at if search.done_by is None else search.done_by
+    remaining = max(0.0, done_by - started_at)
     acquiring = pool.acquire(services.reactor.seconds() + remaining)
     connection = await search.ticket.wait(acquiring)
     services.metrics.record_queue_time(services.seconds() - started_at)
