Serve metrics on an address of their own

Change: the plain metrics are served at port 9464 by the same small pages that answer readiness, which moved out of the adapter.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.task import deferLater
+from twisted.web.http import OK
 
 from beryltrack.clock import get_seconds
 from beryltrack.connections.even_share import compute_share
@@ -14,6 +15,7 @@
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.line_kit import LineKit
 from beryltrack.daemon.members import MemberPort, MemberTask
+from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
 from beryltrack.events.log import EventLog
 from beryltrack.failover.authority import StoreAuthority
 from beryltrack.findings import format_finding
@@ -21,10 +23,10 @@
 from beryltrack.objects.feed import FeedTask
 from beryltrack.objects.http import HttpClient
 from beryltrack.objects.messages import PlatformObject
+from beryltrack.platform.boot import READY_PATH
 from beryltrack.platform.caller import LineCallerFactory
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.protocol import LineProtocol
-from beryltrack.platform.ready import ReadyFactory
 from beryltrack.platform.settings import (
     CONFIG_KIND,
     CONFIG_PATH,
@@ -47,6 +49,12 @@
 
 log = logging.getLogger(__name__)
 
+METRICS_PORT = 9464
+"""Port of the metrics page, the usual one of OpenTelemetry's exporter; the deploy
+file names it too."""
+
+METRICS_PATH = b"/metrics"
+
 BALANCER_TIME = 2.6
 """Seconds that the balancer may take to notice that an instance leaves: two
 questions, one a second."""
@@ -166,8 +174,11 @@
 
         A caller that came before would be told that its database does not exist.
         """
-        ready = ReadyFactory(lambda: self.is_ready, self._reactor)
-        self._listen(self.settings.ready_listen, ready)
+        ready = {READY_PATH: make_ready_page(lambda: self.is_ready)}
+        self._listen(self.settings.ready_listen, PlainPages(self._reactor, ready))
+        metrics = {METRICS_PATH: lambda: (OK, self.metrics.render())}
+        endpoint = Endpoint(self.settings.listen.host, METRICS_PORT)
+        self._listen(endpoint, PlainPages(self._reactor, metrics))
         self._listen(self.settings.member_listen, MemberPort())
         self._services.admission.start()
         self._overdue.start()
--- a/beryltrack/platform/boot.py
+++ b/beryltrack/platform/boot.py
@@ -8,6 +8,9 @@
 from beryltrack.settings.messages import Endpoint
 from beryltrack.settings.node import NodeSettings
 
+READY_PATH = b"/api/readiness"
+"""Where the platform asks whether an instance takes callers, once a second."""
+
 PATH_VARIABLE = "BERYLTRACK_BOOT"
 """Environment variable that holds the path of the file."""
 
