Elect from a set that meets each confirming one, and look closely at a silent primary

A control request that was given up raised an error when its connection closed. An instance whose watches rested kept a dead primary for 5 s after others had elected another, and then disturbed that one. A group of two could not replace its primary, and a database that was gone kept counting as a member. Ruled out: the takeover times. Change: a given-up run ends its connection quietly; watches do not rest while the primary does not answer; where an authority is fenced, an election needs a set that meets each majority (one of two, two of three, two of four); a missing database counts for 6 s. New tests fail before, but for the quorums.

--- a/beryltrack/daemon/groups.py
+++ b/beryltrack/daemon/groups.py
@@ -114,6 +114,7 @@
             runtime.task.set_draining(get_draining(group))
         elif self._kit.keeps_members and _has_only_moved(runtime.settings, group):
             runtime.set_databases(group, self._kit.make_pool)
+            log.info("daemon: Group %s has %s.", name, _describe_members(group))
         else:
             self._stop(name)
             self._start_once_free(group)
@@ -177,6 +178,14 @@
         pool.enforce_limit(NO_SHARE)
 
 
+def _describe_members(group: GroupSettings) -> str:
+    """Return the names of a group's members, and which of them leave."""
+    return ", ".join(
+        f"{item.name} (leaving)" if item.draining else item.name
+        for item in group.databases
+    )
+
+
 def _has_only_moved(before: GroupSettings, after: GroupSettings) -> bool:
     """Return whether two settings of a group differ in their members alone.
 
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -37,6 +37,7 @@
     # A holder of the permit notices a loss within 0.25 s of the others.
     takeover=0.7,
     rotates=False,
+    is_fenced=True,
 )
 
 LOSSES = LossPolicy(grace=0.4, replaced_grace=0.1)
--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -21,6 +21,7 @@
     NEVER,
     DatabaseView,
     GroupView,
+    compute_electors,
     compute_majority,
     get_led_term,
     get_primary,
@@ -72,6 +73,9 @@
     rotates : bool
         True if another instance is first in rank in each term. False where a
         permit is held, which is to change hands seldom.
+    is_fenced : bool
+        True if an authority with fencing tokens promotes, so that databases need
+        not see to it that only one is elected.
     """
 
     stagger: float = 0.06
@@ -88,6 +92,11 @@
     grant_wait: float = 0.1
     takeover: float = 0.0
     rotates: bool = True
+    is_fenced: bool = False
+
+    def get_quorum(self, size: int) -> int:
+        """Return how many of a group's databases an election needs."""
+        return compute_electors(size) if self.is_fenced else compute_majority(size)
 
 
 DEFAULT_POLICY = FailoverPolicy()
@@ -188,7 +197,8 @@
             self._kind, self._since = kind, now
         if kind is ElectionKind.LOST:
             # By the databases' own word, so that all nodes count from one time.
-            self._since = compute_lost_at(view, self._detector, now)
+            quorum = self._policy.get_quorum(len(view.databases))
+            self._since = compute_lost_at(view, self._detector, now, quorum)
         if kind is None:
             self._failures, self._due = 0, NEVER
             return None
@@ -216,7 +226,8 @@
 
     def _get_kind(self, view: GroupView, now: float) -> ElectionKind | None:
         """Return why the group needs another term, or None."""
-        if is_lost(view, self._detector, now - self._policy.fresh):
+        quorum = self._policy.get_quorum(len(view.databases))
+        if is_lost(view, self._detector, now - self._policy.fresh, quorum):
             return ElectionKind.LOST
         leader = get_primary(view)
         if leader is None or not self._leads_now(view, leader, now):
@@ -241,6 +252,8 @@
         candidate that came to nothing, and with another database lost it would
         hold up the group for ever.
         """
+        if leader.knows_lead:
+            return self._is_fresh(leader, now)
         followers = sum(
             (item.term == leader.term and self._is_fresh(item, now))
             or self._refuses(item, leader, now)
@@ -345,7 +358,11 @@
 
 
 def choose_primary(
-    replies: Iterable[GrantReply], size: int, preferred: str, unwanted: frozenset[str]
+    replies: Iterable[GrantReply],
+    size: int,
+    preferred: str,
+    unwanted: frozenset[str],
+    quorum: int | None = None,
 ) -> str | None:
     """Return who shall lead the term that the replies granted.
 
@@ -359,6 +376,8 @@
         Who should lead if the logs allow it; empty for no preference.
     unwanted : frozenset of str
         Who should not lead if the logs allow another.
+    quorum : int or None
+        How many databases an election needs; None for a majority.
 
     Returns
     -------
@@ -368,11 +387,11 @@
         every acknowledged entry. None if no majority granted.
     """
     granted = [reply.status for reply in replies if reply.granted]
-    majority = compute_majority(size)
+    needed = compute_majority(size) if quorum is None else quorum
     fit = [
         status
         for status in granted
-        if sum(other.received <= status.received for other in granted) >= majority
+        if sum(other.received <= status.received for other in granted) >= needed
     ]
     best = max(
         fit,
--- a/beryltrack/failover/detector.py
+++ b/beryltrack/failover/detector.py
@@ -102,13 +102,23 @@
     return item.role == REPLICA and item.heard_age >= detector.get_limit(item.name)
 
 
-def is_lost(view: GroupView, detector: LossDetector, oldest: float) -> bool:
-    """Return whether a majority of the group's databases lost their primary."""
+def is_lost(
+    view: GroupView,
+    detector: LossDetector,
+    oldest: float,
+    quorum: int | None = None,
+) -> bool:
+    """Return whether enough of the group's databases lost their primary.
+
+    `quorum` is how many an election needs; None for a majority.
+    """
     losers = get_losers(view, detector, oldest)
-    return len(losers) >= compute_majority(len(view.databases))
+    return len(losers) >= (quorum or compute_majority(len(view.databases)))
 
 
-def compute_lost_at(view: GroupView, detector: LossDetector, now: float) -> float:
+def compute_lost_at(
+    view: GroupView, detector: LossDetector, now: float, quorum: int | None = None
+) -> float:
     """Return since when a majority of the group's databases has lost the primary.
 
     Parameters
@@ -119,6 +129,8 @@
         Says how long a silence is a loss.
     now : float
         The current time of the node's clock, seconds.
+    quorum : int or None
+        How many databases an election needs; None for a majority.
 
     Returns
     -------
@@ -126,14 +138,14 @@
         A time of the node's clock. Nodes whose clocks agree come to the same
         time but for the delay of an answer, whenever they were told.
     """
-    majority = compute_majority(len(view.databases))
+    needed = quorum or compute_majority(len(view.databases))
     lost_at = sorted(
         NEVER
         if is_deposed(view, item)
         else item.seen_at - item.heard_age + detector.get_limit(item.name)
         for item in get_losers(view, detector, NEVER)
     )
-    return min(now, lost_at[majority - 1])
+    return min(now, lost_at[needed - 1])
 
 
 def compute_silence(view: GroupView, now: float) -> float:
--- a/beryltrack/failover/grants.py
+++ b/beryltrack/failover/grants.py
@@ -12,9 +12,10 @@
 class _Collection:
     """The replies so far, and the Deferred that fires when they suffice."""
 
-    def __init__(self, size: int, preferred: str):
+    def __init__(self, size: int, preferred: str, quorum: int):
         self.done: Deferred = Deferred()
         self._size = size
+        self._quorum = quorum
         self._preferred = preferred
         self._replies: list[GrantReply] = []
         self._failed: set[str] = set()
@@ -40,11 +41,15 @@
             return True
         granted = sum(reply.granted for reply in self._replies)
         waits_for_preferred = self._preferred and self._preferred not in answered
-        return granted >= compute_majority(self._size) and not waits_for_preferred
+        return granted >= self._quorum and not waits_for_preferred
 
 
 async def collect_grants(
-    reactor, adapter: DatabaseGroup, databases: tuple[str, ...], election: Election
+    reactor,
+    adapter: DatabaseGroup,
+    databases: tuple[str, ...],
+    election: Election,
+    quorum: int | None = None,
 ) -> tuple[GrantReply, ...]:
     """Ask each database for the election's term.
 
@@ -58,6 +63,8 @@
         All members of the group.
     election : Election
         What to ask for.
+    quorum : int or None
+        How many databases the election needs; None for a majority.
 
     Returns
     -------
@@ -66,7 +73,9 @@
         database had answered if there is one, all had answered or failed, or
         the election's time for it was over.
     """
-    collection = _Collection(len(databases), election.preferred)
+    collection = _Collection(
+        len(databases), election.preferred, quorum or compute_majority(len(databases))
+    )
 
     async def ask(database: str) -> None:
         lost_after = 0.0 if database in election.deposed else election.lost_after
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -229,13 +229,18 @@
         if await self._acquire_permit(self._unanswered) is None:
             return None
         sent_at = self._owner.get_time()
+        quorum = self._policy.get_quorum(len(self._databases))
         replies = await collect_grants(
-            self._reactor, self._adapter, self._databases, election
+            self._reactor, self._adapter, self._databases, election, quorum
         )
         for reply in replies:
             self._owner.take_status(reply.status, sent_at)
         chosen = choose_primary(
-            replies, len(self._databases), election.preferred, self._owner.draining
+            replies,
+            len(self._databases),
+            election.preferred,
+            self._owner.draining,
+            quorum,
         )
         if chosen is None or not await self._promote(election, chosen):
             if not self._unanswered:
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -104,6 +104,7 @@
             seen_at=sent_at,
             heard_age=self._get_heard_age(status, sent_at, now),
             is_held=status.is_held,
+            knows_lead=status.knows_lead,
         )
         if status.role == PRIMARY:
             self.observe_sample(status.name, status.received, sent_at, now)
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -461,6 +461,8 @@
         is_suspect = now < self._suspect_until or item.is_held
         # A primary that leaves is handed over on fresh answers of the others.
         is_suspect = is_suspect or leader is None or leader.leaving
+        # Others may have elected another one since this node heard nothing.
+        is_suspect = is_suspect or not leader.reachable
         if is_suspect or self._failover.is_suspect(view) or item.seen_at == NEVER:
             return policy.suspect_interval
         if not item.reachable:
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -54,6 +54,8 @@
         do not tell, seconds since this node heard from that primary.
     is_held : bool
         True if `term` is a promise that the candidate can take back.
+    knows_lead : bool
+        True if its own word that it leads proves its term.
     lagged_at : float
         When it last did not show a position that a read asked for.
     """
@@ -71,6 +73,7 @@
     fresh_at: float = NEVER
     heard_age: float = math.inf
     is_held: bool = False
+    knows_lead: bool = False
     lagged_at: float = NEVER
 
 
@@ -179,6 +182,17 @@
     return size // 2 + 1
 
 
+def compute_electors(size: int) -> int:
+    """Return how many databases an election needs where an authority is fenced.
+
+    An elected database must be chosen from a set that meets each set of databases
+    which can have confirmed a commit, and those are majorities. That no two are
+    elected at once is the authority's concern, so that the set need be no majority
+    itself: of two databases one suffices, since a commit needed both.
+    """
+    return size - compute_majority(size) + 1
+
+
 def is_primary(database: DatabaseView) -> bool:
     """Return whether the database believes that it leads."""
     return database.role == PRIMARY
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -137,7 +137,10 @@
         if not self.ready.called:
             self.ready.errback(ConnectionError(text))
         if self._answer is not None:
-            self._end_run().errback(TargetLost(True, text))
+            answer = self._end_run()
+            # Whoever gave it up was told so already.
+            if not answer.called:
+                answer.errback(TargetLost(True, text))
         self.closed.callback(None)
 
     def _take(self, line: bytes) -> None:
--- a/beryltrack/settings/roster.py
+++ b/beryltrack/settings/roster.py
@@ -3,8 +3,9 @@
 An entry can vanish while its database lives, for the store drops what it has not
 heard of for some seconds, also while the store itself was away. So an entry that is
 missing is believed for a short time still. After that its database gets no new
-work. It counts as a member for as long as its group would be too small without it:
-a majority of what is left must not be fewer databases than hold a commit.
+work. It counts as a member for some seconds more, in which the others receive what
+only it may have confirmed, and for good if its group would be left with one database,
+which could confirm a commit to itself alone.
 """
 
 from typing import NamedTuple
@@ -21,8 +22,15 @@
 """Seconds for which a missing entry is still believed: entries that lapsed during an
 outage of the store are back within two seconds of its return."""
 
-LEAST_MEMBERS = 3
-"""Members below which a group keeps one that is missing."""
+GONE_AFTER = 6.0
+"""Seconds after which a missing entry is no member any more. Replicas receive a
+commit within one network delay and, when they lag, within seconds."""
+
+LEAST_MEMBERS = 2
+"""Members below which a group keeps one that is missing for good."""
+
+USUAL_MEMBERS = 3
+"""Members from which on a missing one is dropped without that wait."""
 
 
 class RosterEntry(NamedTuple):
@@ -120,18 +128,30 @@
         ]
         fresh = [known.entry for known in all_known if not _is_gone(known, now)]
         gone = [known.entry for known in all_known if _is_gone(known, now)]
-        kept = gone[: max(0, LEAST_MEMBERS - len(fresh))]
-        for entry in gone[len(kept) :]:
+        waiting = [
+            entry
+            for entry in gone
+            if len(fresh) < USUAL_MEMBERS and not self._is_over(entry, now)
+        ]
+        over = [entry for entry in gone if entry not in waiting]
+        missing = max(0, LEAST_MEMBERS - len(fresh) - len(waiting))
+        for entry in over[missing:]:
             del self._known[entry.name]
+        kept = waiting + over[:missing]
         members = fresh + [entry._replace(draining=True) for entry in kept]
         return tuple(sorted(members))
 
+    def _is_over(self, entry: RosterEntry, now: float) -> bool:
+        """Return whether a missing entry counts as a member no more."""
+        return now >= self._known[entry.name].missing_since + GONE_AFTER
+
     def get_due(self, now: float) -> float | None:
         """Return when to look at the members again, None if nothing is missing."""
         times = (
-            known.missing_since + MISSING_GRACE
+            known.missing_since + delay
             for known in self._known.values()
             if known.missing_since is not None
+            for delay in (MISSING_GRACE, GONE_AFTER)
         )
         return min((time for time in times if time > now), default=None)
 
--- a/tests/failover/test_decider.py
+++ b/tests/failover/test_decider.py
@@ -7,6 +7,7 @@
 from beryltrack.failover.decider import (
     DEFAULT_POLICY,
     FailoverDecider,
+    FailoverPolicy,
     choose_primary,
     get_successor,
 )
@@ -261,3 +262,11 @@
     assert election.kind is ElectionKind.LOST
     assert (election.term, election.deposed) == (3, ("a",))
     assert election.lost_after > 0.0
+
+
+def test_a_fenced_election_meets_each_set_that_can_confirm_a_commit():
+    fenced, plain = FailoverPolicy(is_fenced=True), FailoverPolicy()
+    sizes = range(1, 8)
+    assert [plain.get_quorum(size) for size in sizes] == [1, 2, 2, 3, 3, 4, 4]
+    assert [fenced.get_quorum(size) for size in sizes] == [1, 1, 2, 2, 3, 3, 4]
+    assert all(fenced.get_quorum(n) + plain.get_quorum(n) > n for n in sizes)
--- a/tests/groups/test_plain.py
+++ b/tests/groups/test_plain.py
@@ -178,6 +178,17 @@
     assert task.view.primary == "b" and task.view.term == 2
 
 
+def test_a_primary_that_others_elected_is_seen_though_nothing_is_asked():
+    clock, databases, task = start_group()
+    databases.silent.add("a")
+    run(clock, task, 3.0)
+    databases.held.clear()
+    databases.roles["b"] = PRIMARY
+    databases.terms |= {"b": 2, "c": 2}
+    run(clock, task, 2.0)
+    assert task.view.primary == "b"
+
+
 def test_a_hold_that_was_taken_back_does_not_hide_the_database():
     clock, databases, task = start_group()
     databases.held = {"b", "c"}
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -2,7 +2,7 @@
 
 import pytest
 from twisted.internet import reactor
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, TimeoutError
 
 from beryltrack.connections.messages import ConnectRefused, TargetLost
 from beryltrack.errors import CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS
@@ -123,3 +123,21 @@
     database.answers.clear()
     with pytest.raises(ConnectionError):
         connect(database.endpoint, timeout=0.05)
+
+
+def test_a_run_that_is_given_up_ends_its_connection(database):
+    closed = []
+
+    async def go():
+        target = await connect_line_target(
+            reactor, database.endpoint, "group", "db-1", 2.0, LIMITS
+        )
+        target.closed.addCallback(closed.append)
+        running = target.run(b"QUERY 1 READ x\r\n", Sink())
+        try:
+            await running.addTimeout(0.05, reactor)
+        except TimeoutError:
+            await target.closed
+
+    run(lambda: Deferred.fromCoroutine(go()))
+    assert closed == [None]
--- a/tests/settings/test_roster.py
+++ b/tests/settings/test_roster.py
@@ -2,6 +2,7 @@
 
 from beryltrack.settings.messages import Endpoint
 from beryltrack.settings.roster import (
+    GONE_AFTER,
     MISSING_GRACE,
     GroupLimits,
     Roster,
@@ -57,3 +58,18 @@
     assert [group.name for group in site.groups] == ["main"]
     assert site.groups[0].databases[0].max_connections == 20
     assert (site.revision, site.transaction_idle) == (4, 3.0)
+
+
+def test_a_missing_database_is_a_member_until_the_others_have_caught_up():
+    roster = Roster()
+    roster.observe((A, B, C), 0.0)
+    roster.observe((A, B), 1.0)
+    assert get_names(roster, 1.0 + GONE_AFTER - 0.1) == ["a", "b", "c"]
+    assert get_names(roster, 1.0 + GONE_AFTER) == ["a", "b"]
+
+
+def test_a_group_is_never_left_with_one_database():
+    roster = Roster()
+    roster.observe((A, B), 0.0)
+    roster.observe((A,), 1.0)
+    assert get_names(roster, 99.0) == ["a", "b"]
