--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -16,10 +16,11 @@
     """What a pool needs of a connection to a target.
 
     `run_since` is when the request that it runs was sent, by the node's clock;
-    None while it runs none.
+    None while it runs none. `run_until` is when that run is to be given up.
     """
 
     run_since: float | None
+    run_until: float
 
     @property
     def broken(self) -> bool:
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -157,10 +157,10 @@
         for connection in tuple(self._connections.values()):
             connection.close()
 
-    def get_runs(self) -> list[tuple[PooledConnection, float]]:
-        """Return the connections that run something, and since when."""
+    def get_running(self) -> list[PooledConnection]:
+        """Return the connections that run something."""
         return [
-            (connection, connection.run_since)
+            connection
             for connection in self._connections.values()
             if connection.run_since is not None
         ]
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -151,7 +151,6 @@
             reactor,
             self._seconds,
             lambda: self._groups.runtimes,
-            options.LONGEST_RUN,
         )
         self._members = MemberTask(
             reactor,
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -60,9 +60,9 @@
 """Seconds until a call to the store counts as failed; it takes 4 ms, and up to
 0.3 s when the store is slow."""
 
-LONGEST_RUN = 1.2
-"""Seconds after which a statement is given up: the longest run for 0.3 s, and may
-wait for a slot as long as a full queue lasts, 0.2 s, several times over."""
+READ_LIMIT = 0.4
+"""Seconds after which the answer to a read counts as lost and another database is
+asked: reads run for 0.22 s at most, and a full queue of a database lasts 0.2 s."""
 
 MOST_HOLD = 0.35
 """Seconds that a request waits for a database that can take it. Longer than most
@@ -85,4 +85,4 @@
 def make_request_policy(route: RouteSettings) -> RequestPolicy:
     """Return the times that bound the requests of a route."""
     timeout = route.statement_timeout
-    return RequestPolicy(timeout, min(MOST_HOLD, timeout / 2), timeout)
+    return RequestPolicy(timeout, min(MOST_HOLD, timeout / 2), timeout, READ_LIMIT)
--- a/beryltrack/objects/http.py
+++ b/beryltrack/objects/http.py
@@ -239,7 +239,8 @@
                 raise CancelledError from error
             # Twisted wraps what broke a request in many types of its own. The
             # request may have been received, so none of them says more.
-            return fail_call(ErrorKind.UNKNOWN, f"the answer was lost: {error!r}")
+            text = f"the answer was lost: {describe_loss(error)}"
+            return fail_call(ErrorKind.UNKNOWN, text)
         finally:
             if timer.active():
                 timer.cancel()
@@ -276,6 +277,12 @@
     )
 
 
+def describe_loss(error: Exception) -> str:
+    """Return why a request has no answer, without Twisted's wrapping."""
+    reasons = getattr(error, "reasons", ())
+    return reasons[0].getErrorMessage() if reasons else str(error) or repr(error)
+
+
 def fail_call(kind: ErrorKind, text: str, version: int = 0) -> Result:
     """Return a failed result."""
     return Failure(PlatformError(kind, text, version))
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -1,5 +1,6 @@
 """Units of the line protocol, as the course of a request runs them."""
 
+import math
 from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
@@ -114,12 +115,20 @@
         after: LogPosition | None = None,
     ) -> RunResult:
         """Bring a connection to the caller's session, and run a statement on it."""
+        policy = plan.policy
+        is_repeatable = plan.is_read and not caller.in_transaction
+        limit = policy.read_timeout if is_repeatable else policy.run_timeout
         setups = _format_setups(connection, caller, plan)
         prefix = lines.format_after(after) if after is not None else b""
         text = prefix + _get_text(connection, plan)
         setups.append(lines.format_query(plan.statement.request_id, text))
         try:
-            return await connection.run(b"".join(setups), sink, len(setups) - 1)
+            return await connection.run(
+                b"".join(setups),
+                sink,
+                len(setups) - 1,
+                math.inf if limit is None else limit,
+            )
         except TargetLost as lost:
             return RunLost(lost.sent, lost.reason)
 
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Callable
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -57,6 +58,7 @@
         self._answer: Deferred[ResponseEnd] | None = None
         self._setups = 0
         self.run_since: float | None = None
+        self.run_until = math.inf
         self._seconds = seconds
         self._clear()
 
@@ -71,7 +73,11 @@
         self.transport.write(self._start)
 
     def run(
-        self, wire: bytes, sink: ResponseSink, setups: int = 0
+        self,
+        wire: bytes,
+        sink: ResponseSink,
+        setups: int = 0,
+        limit: float = math.inf,
     ) -> "Deferred[ResponseEnd]":
         """Send one statement and stream its answer.
 
@@ -83,6 +89,8 @@
             Takes the rows as they come.
         setups : int
             How many statements come before the one to run.
+        limit : float
+            Seconds after which whoever watches the runs may close the connection.
 
         Returns
         -------
@@ -97,6 +105,7 @@
         self._setups = setups
         self._answer = answer
         self.run_since = self._seconds()
+        self.run_until = self.run_since + limit
         sink.attach(self)
         self.transport.write(wire)
         return answer
--- a/beryltrack/requests/overdue.py
+++ b/beryltrack/requests/overdue.py
@@ -30,8 +30,6 @@
         The node's time.
     get_runtimes : callable
         Returns the groups.
-    limit : float
-        Seconds after which a request is given up.
     """
 
     def __init__(
@@ -39,9 +37,7 @@
         reactor,
         seconds: Callable[[], float],
         get_runtimes: Callable[[], Iterable[GroupRuntime]],
-        limit: float,
     ):
-        self.limit = limit
         self._seconds = seconds
         self._get_runtimes = get_runtimes
         self._looking = LoopingCall(self.look)
@@ -62,8 +58,9 @@
         for runtime in self._get_runtimes():
             runtime.task.notice_pause()
             for name, pool in runtime.pools.items():
-                for connection, since in pool.get_runs():
-                    if now - since > self.limit:
+                for connection in pool.get_running():
+                    since = connection.run_since
+                    if now > connection.run_until:
                         connection.close()
                     elif now - since > LATE_AFTER:
                         runtime.task.suspect(name, since)
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -37,11 +37,14 @@
     run_timeout : float or None
         Seconds that a target may take to answer; None if that is not bounded. The
         connection is closed then, so that the run ends as lost.
+    read_timeout : float or None
+        The same for a read that can be run again on another target.
     """
 
     request_timeout: float = 10.0
     target_timeout: float = 5.0
     run_timeout: float | None = None
+    read_timeout: float | None = None
 
 
 class RunLost(NamedTuple):
--- a/tests/platform/test_caller.py
+++ b/tests/platform/test_caller.py
@@ -233,3 +233,36 @@
     other = Session()
     assert make_setups(connection, other, b"QUERY 5 READ x") == [b"QUERY - RESET\r\n"]
     assert connection.values == {} and connection.prepared == {}
+
+
+class Target:
+    """Notes how long its runs may last."""
+
+    values: dict = {}
+    prepared: dict = {}
+
+    def __init__(self):
+        self.limits = []
+
+    def run(self, wire, sink, setups, limit):
+        self.limits.append(limit)
+        done = Deferred()
+        done.callback(None)
+        return done
+
+
+def run_on(target, session, query):
+    protocol = session.handler.protocol
+    plan = protocol.plan(parse_query(query), session.caller, GROUP, ()).unwrap()
+    Deferred.fromCoroutine(protocol.run(target, plan, None, session.caller))
+
+
+def test_only_a_read_outside_of_a_transaction_is_soon_taken_for_lost(session):
+    policy = RequestPolicy(0.8, 0.4, run_timeout=0.8, read_timeout=0.3)
+    session.handler.protocol = LineProtocol(ROUTES.get, lambda route: policy)
+    target = Target()
+    run_on(target, session, b"QUERY 1 READ a")
+    run_on(target, session, b"QUERY 2 WRITE a b")
+    session.caller.status = TransactionStatus.IN_TRANSACTION
+    run_on(target, session, b"QUERY 3 READ a")
+    assert target.limits == [0.3, 0.8, 0.8]
--- a/tests/requests/test_overdue.py
+++ b/tests/requests/test_overdue.py
@@ -13,19 +13,23 @@
     """Notes that it was closed."""
 
     closed = False
+    run_until = LIMIT
+
+    def __init__(self, since):
+        self.run_since = since
 
     def close(self):
         self.closed = True
 
 
 def start_watch(since):
-    clock, connection, signs = Clock(), Connection(), []
-    pool = SimpleNamespace(get_runs=lambda: [(connection, since)])
+    clock, connection, signs = Clock(), Connection(since), []
+    pool = SimpleNamespace(get_running=lambda: [connection])
     task = SimpleNamespace(
         notice_pause=lambda: None, suspect=lambda name, since: signs.append(name)
     )
     runtime = SimpleNamespace(pools={"db-1": pool}, task=task)
-    OverdueWatch(clock, clock.seconds, lambda: [runtime], LIMIT).start()
+    OverdueWatch(clock, clock.seconds, lambda: [runtime]).start()
     return clock, connection, signs
 
 
