Send control requests to one database one after the other

Change: a lock for each database. The new test fails before. Conclusion: the protocol between adapter and group says that requests are answered in order.

--- a/beryltrack/platform/group.py
+++ b/beryltrack/platform/group.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
-from twisted.internet.defer import TimeoutError
+from twisted.internet.defer import DeferredLock, TimeoutError
 
 from beryltrack.connections.messages import ConnectRefused, TargetLost
 from beryltrack.groups.adapter import PromoteReply, StatusWait
@@ -122,6 +122,7 @@
         self._limits = limits
         self._databases: dict[str, DatabaseSettings] = {}
         self._connections: dict[str, LineTarget] = {}
+        self._locks: dict[str, DeferredLock] = {}
         self.set_databases(group.databases)
 
     def set_databases(self, databases: tuple[DatabaseSettings, ...]) -> None:
@@ -129,6 +130,8 @@
         self._databases = {item.name: item for item in databases}
         for name in self._connections.keys() - self._databases.keys():
             self._connections.pop(name).end_session()
+        for name in self._locks.keys() - self._databases.keys():
+            del self._locks[name]
 
     async def get_status(self, database: str) -> StatusResult:
         """Return what a database says of itself now."""
@@ -181,6 +184,15 @@
         self._connections.clear()
 
     async def _call(self, database: str, text: bytes) -> StatusResult:
+        """Send one control request once those before it are answered."""
+        lock = self._locks.setdefault(database, DeferredLock())
+        await lock.acquire()
+        try:
+            return await self._call_alone(database, text)
+        finally:
+            lock.release()
+
+    async def _call_alone(self, database: str, text: bytes) -> StatusResult:
         """Send one control request and read its row."""
         sink = _RowSink()
         try:
--- a/tests/platform/test_group.py
+++ b/tests/platform/test_group.py
@@ -3,7 +3,7 @@
 import pytest
 from returns.result import Success
 from twisted.internet import reactor
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, gatherResults
 
 from beryltrack.groups.messages import PRIMARY, LogPosition
 from beryltrack.objects.http import fail_call
@@ -95,6 +95,20 @@
     assert site.call("get_status").failure().is_answered
 
 
+def test_requests_that_come_together_are_answered_one_after_the_other(site):
+    names = ("get_status", "release", "get_status")
+    site.database.answers[b"QUERY - RESUME"] = site.database.answers[b"QUERY - STATUS"]
+
+    def call_all():
+        calls = [
+            Deferred.fromCoroutine(getattr(site.adapter, name)("db-1"))
+            for name in names
+        ]
+        return gatherResults(calls)
+
+    assert all(isinstance(result, Success) for result in run(call_all))
+
+
 def test_a_database_that_is_gone_fails_and_is_found_again(site):
     site.call("get_status")
     port = site.database.port.getHost().port
