Free replicas that a lost promoter has held

Cause: reading the failover once more. An instance that dies between pausing the replicas and promoting one leaves a majority held; every other one then sees no primary, asks nobody for one and counts no silence, so that the group would have none for ever; a single held replica would stay held. Ruled out: a release by whoever sees a hold, which would break a promotion under way. Change: without a primary the silence counts from the first question on, and a primary that leads while most are held does not end it, so that an election follows once a promotion under way would be over; a single held replica is reclaimed after 2.5 s. Two new tests fail before.

--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -34,6 +34,8 @@
     grant_wait=0.15,
     # Longer than a promotion takes until it is in force, 0.3 to 1 s.
     settle=1.5,
+    # A promotion under way holds replicas while the former primary still leads.
+    reclaim_after=2.5,
     # A holder of the permit notices a loss within 0.25 s of the others.
     takeover=0.7,
     rotates=False,
--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -263,8 +263,11 @@
         return followers >= majority and self._is_fresh(leader, now)
 
     def _refuses(self, item: DatabaseView, leader: DatabaseView, now: float) -> bool:
-        """Return whether a database is in a later term that has no primary."""
-        silent = item.heard_age >= self._detector.get_limit(item.name)
+        """Return whether a database is in a later term that has no primary.
+
+        One that is held for such a term hears nothing, whoever leads.
+        """
+        silent = item.heard_age >= self._detector.get_limit(item.name) or item.is_held
         return item.term > leader.term and silent and self._is_fresh(item, now)
 
     def _compute_due(self, view: GroupView, kind: ElectionKind) -> float:
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -90,8 +90,6 @@
             return
         if status.term < before.term and not before.is_held:
             return
-        if status.role == PRIMARY and status.term >= self.view.term:
-            self.observe_primary_heard(now)
         self._databases[status.name] = before._replace(
             role=status.role,
             term=status.term,
@@ -113,6 +111,10 @@
         self._confirm_term(status.term)
         self._update_fresh(status.name)
         self._view = None
+        # One that leads while most others are held for a later term is no primary:
+        # whoever holds them may be gone, and then the group needs another one.
+        if status.role == PRIMARY and status.name == self.view.primary:
+            self.observe_primary_heard(now)
 
     def observe_sample(
         self, database: str, position: LogPosition, sent_at: float, now: float
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -374,6 +374,9 @@
         the others are asked once more when the primary is asked for one.
         """
         sent_at = self._sent_at[database] = self.get_time()
+        if not self.view.primary:
+            # Whoever was to give the group another one may be gone itself.
+            self._decider.observe_primary_asked(sent_at)
         if database == self.view.primary:
             self._decider.observe_primary_asked(sent_at)
             if self._samples and not self._policy.is_plain:
--- a/tests/failover/test_decider.py
+++ b/tests/failover/test_decider.py
@@ -270,3 +270,15 @@
     assert [plain.get_quorum(size) for size in sizes] == [1, 2, 2, 3, 3, 4, 4]
     assert [fenced.get_quorum(size) for size in sizes] == [1, 1, 2, 2, 3, 3, 4]
     assert all(fenced.get_quorum(n) + plain.get_quorum(n) > n for n in sizes)
+
+
+def test_a_replica_that_is_held_for_nobody_is_reclaimed():
+    held = make_replica("b", term=2, is_held=True)
+    view = make_view(held, make_replica("c"), knows_lead=True)
+    decider = make_decider(get_first())
+    assert decider.decide(view, 10.0) is None
+    again = view._replace(
+        databases=tuple(item._replace(seen_at=20.0) for item in view.databases)
+    )
+    election = decider.decide(again, 20.0)
+    assert election.kind is ElectionKind.RECLAIM and election.preferred == "a"
--- a/tests/groups/test_plain.py
+++ b/tests/groups/test_plain.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from beryltrack.groups.adapter import PromoteReply
 from beryltrack.groups.messages import (
     PRIMARY,
     REPLICA,
@@ -89,6 +90,14 @@
             name, lambda: Success(GrantReply(granted, self.make_status(name)))
         )
 
+    async def promote(self, name, term, candidate, token):
+        self.roles = dict.fromkeys(NAMES, REPLICA) | {name: PRIMARY}
+        self.terms[name] = term
+        self.held.discard(name)
+        return await self.answer(
+            name, lambda: Success(PromoteReply(True, self.make_status(name)))
+        )
+
     def set_databases(self, databases):
         pass
 
@@ -200,6 +209,16 @@
     assert [item.term for item in task.view.databases] == [1, 1, 1]
 
 
+def test_replicas_that_a_lost_promoter_has_held_are_freed_by_an_election():
+    clock, databases, task = start_group()
+    databases.held = {"b", "c"}
+    task.suspect("a", task.get_time())
+    run(clock, task, 0.3)
+    assert task.view.primary == ""
+    run(clock, task, 2.0)
+    assert task.view.primary in ("b", "c")
+
+
 def test_members_come_and_go():
     clock, databases, task = start_group()
     for table, value in (
