Release nobody while a promotion may still be carried out

Cause: reading the change. A promotion that was accepted but not in force within 3 s counted as over: its replicas were released and could confirm commits that it then would not have. Ruled out: calls without an answer, which kept them. Change: until the database leads the call counts as open; a new token comes before the next.

--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -105,6 +105,8 @@
     ):
         self._reactor = reactor
         self._authority = authority
+        # True while a promotion that was asked for may still be carried out: until
+        # that is known nobody is released, and the next one needs a new token.
         self._unanswered = False
         self._has_stopped = False
         self._seconds = get_seconds(reactor)
@@ -264,7 +266,10 @@
                 reply = result.unwrap()
                 self._owner.take_status(reply.status, sent_at)
                 if reply.promoted:
-                    return await self._wait_leading(chosen, reply.status)
+                    leads = await self._wait_leading(chosen, reply.status)
+                    # One that does not lead yet may do so later on.
+                    self._unanswered = not leads
+                    return leads
                 if self._authority is not None:
                     self._authority.drop(self._group)
                 return False
