Say at SIGHUP whether the settings file has changed

Cause: the log only said that the signal came. Change: the file is read again; findings and a change are logged, and what has changed holds at the next start. A method's name is the usual one. Conclusion: an instance's own addresses last as long as its process.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -133,7 +133,7 @@
             settings.zone,
             self.metrics,
             rng,
-            LineProtocol(self._routes_get, options.make_request_policy),
+            LineProtocol(self._get_route, options.make_request_policy),
             routing=options.ROUTING,
             events=EventLog(settings.name, write_line, self._seconds),
         )
@@ -234,7 +234,7 @@
         """Return the settings in force."""
         return self._site
 
-    def _routes_get(self, name: str) -> RouteSettings | None:
+    def _get_route(self, name: str) -> RouteSettings | None:
         """Return the route of a database name."""
         return self._routes.get(name)
 
--- a/beryltrack/daemon/node_process.py
+++ b/beryltrack/daemon/node_process.py
@@ -47,7 +47,14 @@
         return None
 
     def reload(*_: object) -> None:
-        log.info("daemon: SIGHUP, the settings file is read at the next start.")
+        found, wrong = read_node_settings(os.environ)
+        for finding in wrong:
+            log.error("daemon: Finding: %s", format_finding(finding))
+        if found is None or found == settings:
+            log.info("daemon: SIGHUP, the settings in force stay.")
+        else:
+            # Addresses and names of an instance are those of its whole life.
+            log.warning("daemon: SIGHUP, what has changed holds at the next start.")
 
     reactor.callWhenRunning(node.start)
     reactor.addSystemEventTrigger("before", "shutdown", leave)
