Take out state and arguments that nothing uses

Cause: reading the whole change once more: a setting that says whether the fleet starts for the first time, a feed's own view of its connection, an argument, a factory's protocol beside its own buildProtocol, and a type named by way of another module. Ruled out as not the same, or not worth the risk now: the page of readiness beside that of health (their texts differ), the loop of SettingsTask beside the feed's, the holder kept by the decider beside the authority's. Behaviour stays.

--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -47,7 +47,6 @@
     """Takes the connections by which other instances look at this one."""
 
     noisy = False
-    protocol = Protocol
 
     def buildProtocol(self, addr) -> Protocol:  # noqa: N802
         """Return a connection that the other side closes."""
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -100,7 +100,7 @@
             leaving=status.leaving or status.name in self._draining,
             said_leaving=status.leaving,
             seen_at=sent_at,
-            heard_age=self._get_heard_age(status, sent_at, now),
+            heard_age=self._get_heard_age(status, sent_at),
             is_held=status.is_held,
             knows_lead=status.knows_lead,
         )
@@ -300,9 +300,7 @@
             return None
         return newest.position
 
-    def _get_heard_age(
-        self, status: DatabaseStatus, sent_at: float, now: float
-    ) -> float:
+    def _get_heard_age(self, status: DatabaseStatus, sent_at: float) -> float:
         """Return for how long a database, or else this node, has not heard."""
         self._tells_hearing = status.heard_age is not None
         if self._tells_hearing:
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -91,11 +91,6 @@
         self._looks_twice = False
         self._loop: Deferred | None = None
 
-    @property
-    def is_connected(self) -> bool:
-        """True if the last call was answered."""
-        return self._revision is not None and not self._failures
-
     def start(self) -> None:
         """Begin to follow the objects."""
         self._loop = Deferred.fromCoroutine(self._run())
--- a/beryltrack/platform/boot.py
+++ b/beryltrack/platform/boot.py
@@ -53,5 +53,4 @@
         parse_endpoint(fields["platform"]["address"]),
         parse_endpoint(fields["cloud"]["address"]),  # Carries out promotions.
         float(bounds["grace_s"]),
-        bool(fields.get("first_start")),
     )
--- a/beryltrack/platform/group.py
+++ b/beryltrack/platform/group.py
@@ -12,6 +12,7 @@
     ControlFailure,
     DatabaseStatus,
     GrantReply,
+    LogPosition,
 )
 from beryltrack.objects.messages import ErrorKind
 from beryltrack.platform import lines
@@ -59,7 +60,7 @@
 
     role: str
     term: int
-    received: lines.LogPosition
+    received: LogPosition
     held: int
 
 
--- a/beryltrack/settings/node.py
+++ b/beryltrack/settings/node.py
@@ -26,8 +26,6 @@
         The service that carries out promotions.
     grace : float
         Seconds between SIGTERM and SIGKILL.
-    is_first_start : bool
-        True if the whole fleet starts for the first time.
     """
 
     name: str
@@ -38,4 +36,3 @@
     store: Endpoint
     promotion: Endpoint
     grace: float
-    is_first_start: bool
