Measure the cost test's differences from given readings

Cause: the listed test asserted that the difference of two measured processor times, and of two readings of resident memory, is not negative.

Change: the memory reading is an argument, so that the figure is checked to be exactly the growth by connection; the proxy's part is checked on given costs; the real loop still has to give statements and processor time on both ways.

--- a/beryltrack_bench/cost/memory.py
+++ b/beryltrack_bench/cost/memory.py
@@ -3,6 +3,7 @@
 import gc
 import os
 import socket
+from collections.abc import Callable
 from itertools import chain
 
 from pygwire.messages import StartupMessage
@@ -23,7 +24,11 @@
 
 
 async def measure_idle_memory(
-    reactor, endpoint: Endpoint, parameters: dict[str, str], count: int
+    reactor,
+    endpoint: Endpoint,
+    parameters: dict[str, str],
+    count: int,
+    read_memory: Callable[[], int] = read_resident_bytes,
 ) -> float:
     """Return the memory of an idle caller's connection at a proxy, bytes.
 
@@ -40,6 +45,8 @@
         Start-up parameters.
     count : int
         Connections to open.
+    read_memory : callable, optional
+        Returns the memory in use, bytes.
 
     Returns
     -------
@@ -47,7 +54,7 @@
         Bytes a connection, without what the kernel holds.
     """
     gc.collect()
-    before = read_resident_bytes()
+    before = read_memory()
     wire = StartupMessage(params=parameters).to_wire()
     batches = [
         await _open_batch(reactor, endpoint, wire) for _ in range(count // BATCH)
@@ -55,7 +62,7 @@
     sockets = list(chain.from_iterable(batches))
     await deferLater(reactor, SETTLING_TIME, int)
     gc.collect()
-    after = read_resident_bytes()
+    after = read_memory()
     for each in sockets:
         each.close()
     return (after - before) / len(sockets)
--- a/tests/bench/test_cost.py
+++ b/tests/bench/test_cost.py
@@ -1,8 +1,14 @@
 """The experiment `cost` on its smallest size: it must give every figure."""
 
+import pytest
 from twisted.internet import reactor
 
-from beryltrack_bench.cost.data_path import Path, make_paths, prepare_table
+from beryltrack_bench.cost.data_path import (
+    LoopCost,
+    Path,
+    make_paths,
+    prepare_table,
+)
 from beryltrack_bench.cost.memory import measure_idle_memory
 from beryltrack_bench.experiments.cost import describe_loop, measure_turns
 from beryltrack_standins.database.server import DatabaseOptions
@@ -11,18 +17,42 @@
 from tests.reactor_thread import run
 
 
-def test_a_loop_through_a_proxy_is_told_beside_one_straight_to_the_target():
+@pytest.fixture(scope="module")
+def ways():
     # The clients that go straight to the target are connections of its own.
     options = SiteOptions(database=DatabaseOptions(max_connections=100))
     with run_proxies(1, options) as local:
         run(prepare_table, reactor, local)
-        direct, ways = run(make_paths, local)
-        text = "SELECT note FROM cost"
-        straight = run(measure_turns, reactor, direct, text, 0.1, 1)
-        proxied = run(measure_turns, reactor, ways[0], text, 0.1, 1)
-        figures = describe_loop(proxied, straight)
-        assert figures["statements_per_s"] > 0 and figures["proxy_cpu_us"] > 0
-        parameters = {"user": "app", "database": "main"}
-        idle = run(measure_idle_memory, reactor, ways[0].endpoint, parameters, 50)
-        assert idle >= 0
-        assert isinstance(direct, Path)
+        yield run(make_paths, local)
+
+
+def test_a_loop_is_measured_through_a_proxy_and_straight_to_the_target(ways):
+    direct, proxied = ways
+    assert isinstance(direct, Path)
+    text = "SELECT note FROM cost"
+    costs = [
+        run(measure_turns, reactor, path, text, 0.1, 1) for path in (direct, proxied[0])
+    ]
+    assert all(cost.statements_per_s > 0 for cost in costs)
+    assert all(cost.cpu_per_statement > 0 for cost in costs)
+
+
+def test_the_proxy_s_part_is_what_the_way_through_it_takes_more():
+    figures = describe_loop(LoopCost(500.0, 0.0012), LoopCost(2000.0, 0.0005))
+    assert figures == {
+        "statements_per_s": 500.0,
+        "cpu_us": 1200.0,
+        "proxy_cpu_us": 700.0,
+        "rate_of_direct": 0.25,
+    }
+
+
+def test_idle_memory_is_what_has_come_on_for_each_connection(ways):
+    _, proxied = ways
+    readings = iter((1_000_000, 1_400_000))
+    parameters = {"user": "app", "database": "main"}
+    endpoint = proxied[0].endpoint
+    idle = run(
+        measure_idle_memory, reactor, endpoint, parameters, 50, readings.__next__
+    )
+    assert idle == 8_000
