Let a caller's connection stand apart from the line protocol

Cause: order of messages, bounds, back-pressure, time limits and leaving stood in the adapter's connection of callers, so that a second kind of session could not share them and the adapter grew beyond what it translates.

Change: callers.sequence has the connection that runs one message after the other; the adapter's callers say how bytes are cut and what a message asks for. Behaviour is the same.

Conclusion: relayed sessions between instances can be built on it.

--- a/beryltrack/platform/caller.py
+++ b/beryltrack/platform/caller.py
@@ -1,43 +1,21 @@
 """The caller's side of the line protocol."""
 
-import logging
-from collections import deque
-from collections.abc import Callable
 from typing import Protocol as Interface
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Factory, Protocol, connectionDone
-from twisted.python.failure import Failure
-from zope.interface import implementer
 
+from beryltrack.callers.sequence import SequentialCaller, SequentialFactory
 from beryltrack.errors import PROTOCOL_VIOLATION, SqlError
 from beryltrack.platform import lines
 from beryltrack.platform.codes import encode_error
 from beryltrack.platform.statements import LineSession, LineStatement, parse_query
 from beryltrack.requests.session import CallerSession
 from beryltrack.settings.messages import RouteSettings
-from beryltrack.wire.messages import Producer, TransactionStatus
-from beryltrack.wire.sockets import SocketLimits, tune_socket
-
-log = logging.getLogger(__name__)
+from beryltrack.wire.messages import TransactionStatus
 
 MALFORMED = SqlError(PROTOCOL_VIOLATION, "the statement is malformed")
 
 
-class CallerLimits(Interface):
-    """What bounds a caller's connection; all in seconds or messages.
-
-    `stall` is how long an answer may stay unread, `waiting` how many statements
-    may wait, `transaction_idle` how long a transaction may rest, 0 for ever.
-    """
-
-    stall: float
-    waiting: int
-    transaction_idle: Callable[[], float]
-    sockets: SocketLimits
-
-
 class UnitHandler(Interface):
     """What runs the statements of callers, as `RequestTask` does."""
 
@@ -51,89 +29,23 @@
         """Give up all that is kept for a caller that is gone."""
 
 
-@implementer(IPushProducer)
-class LineCaller(Protocol):
-    """One caller's connection; see `UnitCaller`.
+class LineSpeaker(SequentialCaller):
+    """A peer that sends lines and is answered in lines.
 
     Parameters
     ----------
-    factory : LineCallerFactory
+    factory : SequentialFactory
         What all callers share.
     """
 
-    def __init__(self, factory: "LineCallerFactory"):
-        self.database = ""
-        self.route: RouteSettings | None = None
-        self.session: CallerSession | None = None
+    def __init__(self, factory: SequentialFactory):
+        super().__init__(factory)
         self.lines = LineSession()
-        self.status = TransactionStatus.IDLE
-        self.gone = False
-        self._factory = factory
         self._buffer = lines.LineBuffer()
-        self._waiting: deque[bytes] = deque()
-        self._is_running = False
-        self._is_leaving = False
-        self._is_full = False
-        self._producer: Producer | None = None
-        self._on_gone: Callable[[], object] | None = None
-        self._timer = None
 
-    @property
-    def user(self) -> str:
-        """Name of the user: this protocol carries none."""
-        return ""
-
-    @property
-    def in_transaction(self) -> bool:
-        """True while the caller has a transaction open."""
-        return self.status is not TransactionStatus.IDLE
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Take a new caller."""
-        tune_socket(self.transport, self._factory.limits.sockets)
-        self.transport.registerProducer(self, True)
-        self._factory.callers.add(self)
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Take messages; the next one is run when the one before is answered."""
-        try:
-            self._waiting.extend(self._buffer.feed(data))
-        except lines.LineError:
-            self.transport.abortConnection()
-            return
-        if len(self._waiting) > self._factory.limits.waiting:
-            self.transport.abortConnection()
-            return
-        self._go_on()
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Note that the caller is gone."""
-        self.gone = True
-        self._stop_timer()
-        self._waiting.clear()
-        self._factory.callers.discard(self)
-        if self._producer is not None:
-            self._producer.resumeProducing()
-        callback, self._on_gone = self._on_gone, None
-        if callback is not None:
-            callback()
-        if not self._is_running:
-            self._factory.handler.forget(self)
-        self._factory.note_gone()
-
-    def leave(self) -> None:
-        """End the connection as soon as no transaction is open."""
-        self._is_leaving = True
-        self._end_if_idle()
-
-    def abort(self) -> None:
-        """End the connection at once."""
-        self.transport.abortConnection()
-
-    def write(self, data: bytes) -> None:
-        """Send messages; dropped when the caller is gone."""
-        if not self.gone:
-            self.transport.write(data)
+    def split(self, data: bytes) -> list[bytes]:
+        """Return the lines that are complete now."""
+        return self._buffer.feed(data)
 
     def send_error(self, error: SqlError) -> None:
         """Send an error."""
@@ -144,57 +56,39 @@
         self.status = status
         self.write(lines.READY_LINES[status])
 
-    def set_gone(self, callback: Callable[[], object] | None) -> None:
-        """Call `callback` when the caller disconnects; at once if it has."""
-        self._on_gone = callback
-        if self.gone and callback is not None:
-            callback()
 
-    def attach(self, producer: Producer) -> None:
-        """Pause `producer` while the caller is slow."""
-        self._producer = producer
-        if self._is_full:
-            producer.pauseProducing()
-
-    def detach(self) -> None:
-        """Forget the producer."""
-        self._producer = None
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Told by the transport that its buffer is full."""
-        self._is_full = True
-        if self._producer is not None:
-            self._producer.pauseProducing()
-        self._start_timer(self._factory.limits.stall)
+class LineCaller(LineSpeaker):
+    """One caller's connection; see `UnitCaller`.
 
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Told by the transport that its buffer has drained."""
-        self._is_full = False
-        self._stop_timer()
-        if self._producer is not None:
-            self._producer.resumeProducing()
-        self._go_on()
+    Parameters
+    ----------
+    factory : LineCallerFactory
+        What all callers share.
+    """
 
-    def stopProducing(self) -> None:  # noqa: N802
-        """Told by the transport that it is closed."""
+    def __init__(self, factory: "LineCallerFactory"):
+        super().__init__(factory)
+        self.database = ""
+        self.route: RouteSettings | None = None
+        self.session: CallerSession | None = None
 
-    def _go_on(self) -> None:
-        """Take the next message if none is being answered."""
-        while self._waiting and not (self._is_running or self._is_full or self.gone):
-            self._take(self._waiting.popleft())
+    @property
+    def user(self) -> str:
+        """Name of the user: this protocol carries none."""
+        return ""
 
-    def _take(self, line: bytes) -> None:
+    def take(self, message: bytes) -> "Deferred[None] | None":
         """Take one message."""
-        self._stop_timer()
-        word = line.split(b" ", 1)[0]
+        word = message.split(b" ", 1)[0]
         if self.session is None:
-            self._take_start(line)
+            self._take_start(message)
         elif word == lines.QUERY:
-            self._take_query(line)
+            return self._take_query(message)
         elif word == lines.TERMINATE:
             self.transport.loseConnection()
         else:
             self.transport.abortConnection()
+        return None
 
     def _take_start(self, line: bytes) -> None:
         """Open the session if the database is known."""
@@ -211,94 +105,17 @@
             return
         self.send_ready(TransactionStatus.IDLE)
 
-    def _take_query(self, line: bytes) -> None:
+    def _take_query(self, line: bytes) -> "Deferred[None] | None":
         """Run a statement."""
         statement = parse_query(line)
         if statement is None:
             self.send_error(MALFORMED)
             self.send_ready(self.status)
-            return
-        self._is_running = True
-        running = self._factory.handler.handle(statement, self)
-        running.addErrback(self._fail)
-        running.addCallback(lambda _: self._finish())
-
-    def _fail(self, failure: Failure) -> None:
-        """End the connection after a defect: what its statement did is not known."""
-        log.error("callers: A statement met a defect: %s", failure.getTraceback())
-        self.transport.abortConnection()
-
-    def _finish(self) -> None:
-        """Go on after a statement."""
-        self._is_running = False
-        if self.gone:
-            self._factory.handler.forget(self)
-            return
-        if self.in_transaction:
-            self._start_timer(self._factory.limits.transaction_idle())
-        self._end_if_idle()
-        self._go_on()
-
-    def _end_if_idle(self) -> None:
-        """End a caller that is to leave, between two transactions."""
-        is_idle = not (self._is_running or self.in_transaction or self._waiting)
-        if self._is_leaving and is_idle and not self.gone:
-            self.transport.loseConnection()
-
-    def _start_timer(self, delay: float) -> None:
-        """End the connection after a time, unless it goes on before."""
-        self._stop_timer()
-        if delay:
-            reactor = self._factory.reactor
-            self._timer = reactor.callLater(delay, self.transport.abortConnection)
-
-    def _stop_timer(self) -> None:
-        """Do not end the connection."""
-        timer, self._timer = self._timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
-
-
-class LineCallerFactory(Factory):
-    """Takes callers' connections.
-
-    Parameters
-    ----------
-    reactor : IReactorTime
-        Source of timers.
-    handler : UnitHandler
-        Runs the statements.
-    limits : CallerLimits
-        What bounds each connection.
-    """
-
-    noisy = False
-
-    def __init__(self, reactor, handler: UnitHandler, limits: CallerLimits):
-        self.reactor = reactor
-        self.handler = handler
-        self.limits = limits
-        self.callers: set[LineCaller] = set()
-        self._left: Deferred[None] | None = None
-
-    def buildProtocol(self, addr) -> LineCaller:  # noqa: N802
-        """Return the connection of one more caller."""
-        return LineCaller(self)
+            return None
+        return self._factory.handler.handle(statement, self)
 
-    def leave(self) -> "Deferred[None]":
-        """End all callers between two transactions; fires when all are gone."""
-        self._left = Deferred()
-        for caller in tuple(self.callers):
-            caller.leave()
-        self.note_gone()
-        return self._left
 
-    def abort(self) -> None:
-        """End all callers at once."""
-        for caller in tuple(self.callers):
-            caller.abort()
+class LineCallerFactory(SequentialFactory):
+    """Takes callers' connections; its handler is a `UnitHandler`."""
 
-    def note_gone(self) -> None:
-        """Tell who waits once the last caller is gone."""
-        if self._left is not None and not (self.callers or self._left.called):
-            self._left.callback(None)
+    protocol = LineCaller
--- a/beryltrack/platform/lines.py
+++ b/beryltrack/platform/lines.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from beryltrack.callers.sequence import MalformedMessage
 from beryltrack.groups.messages import LogPosition
 from beryltrack.wire.messages import TransactionStatus
 
@@ -30,7 +31,7 @@
 EMPTY_COMPLETE = b"COMPLETE -\r\n"
 
 
-class LineError(Exception):
+class LineError(MalformedMessage):
     """Raised when bytes of a peer are no message of the protocol."""
 
 
