--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -223,6 +223,11 @@
         chosen = (idle + in_use)[:surplus]
         return [action for number in chosen for action in self._throw_away(number)]
 
+    @property
+    def idle_numbers(self) -> tuple[int, ...]:
+        """Numbers of the connections that are open and lent to nobody."""
+        return tuple(self._idle)
+
     def drain(self, now: float) -> list[PoolAction]:
         """Take no new work; connections in use close when they come back."""
         self._state = _State.DRAINING
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -73,6 +73,7 @@
         self._waiters: dict[int, Deferred[PooledConnection]] = {}
         self._connections: dict[int, PooledConnection] = {}
         self._numbers: dict[PooledConnection, int] = {}
+        self._retired: set[int] = set()
         self._timer: IDelayedCall | None = None
         self._timer_at = 0.0
         self._listeners: list[Callable[[], None]] = []
@@ -132,7 +133,8 @@
         number = self._numbers.get(connection)
         if number is None:
             return
-        is_reusable = reusable and not connection.broken
+        is_retired = number in self._retired
+        is_reusable = reusable and not (connection.broken or is_retired)
         self._perform(self._decider.release(number, is_reusable, self._now))
 
     def set_limit(self, limit: int) -> None:
@@ -157,6 +159,16 @@
         for connection in tuple(self._connections.values()):
             connection.close()
 
+    def retire(self, is_stale: Callable[[PooledConnection], bool]) -> None:
+        """Use some connections no more; those that are lent close when given back."""
+        idle = self._decider.idle_numbers
+        for connection, number in tuple(self._numbers.items()):
+            if not is_stale(connection):
+                continue
+            self._retired.add(number)
+            if number in idle:
+                connection.close()
+
     def get_running(self) -> list[PooledConnection]:
         """Return the connections that run something."""
         return [
@@ -265,6 +277,7 @@
     ) -> object:
         del self._connections[number]
         del self._numbers[connection]
+        self._retired.discard(number)
         self._perform(self._decider.observe_closed(number, self._now))
         return result
 
--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -2,7 +2,8 @@
 
 import random
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
 
 from beryltrack.connections.task import PoolTask
 from beryltrack.daemon import node_options as options
@@ -11,6 +12,7 @@
 from beryltrack.platform.group import LineDatabaseGroup
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.target import LineTarget, connect_line_target
+from beryltrack.relay.directory import RelayDirectory
 from beryltrack.settings.messages import DatabaseSettings, GroupSettings
 
 
@@ -27,6 +29,8 @@
         The service that carries out promotions.
     authority : PromotionAuthority
         Gives the permits to promote.
+    directory : RelayDirectory
+        Says through which instance a connection goes.
     rng : random.Random
         Source of jitter.
     """
@@ -40,6 +44,7 @@
         node_name: str,
         promotion: PromotionCalls,
         authority: PromotionAuthority,
+        directory: RelayDirectory,
         rng: random.Random,
     ):
         self.share_limit = 1
@@ -47,12 +52,17 @@
         self._node_name = node_name
         self._promotion = promotion
         self._authority = authority
+        self._directory = directory
         self._rng = rng
 
     def make_task(self, group: GroupSettings) -> GroupTask:
         """Return the task that watches a group."""
         adapter = LineDatabaseGroup(
-            self._reactor, group, self._promotion, options.CONTROL
+            self._reactor,
+            group,
+            self._promotion,
+            lambda item: self._connect(group.name, item, options.CONTROL_CONNECT),
+            options.CONTROL,
         )
         return GroupTask(
             self._reactor,
@@ -67,22 +77,42 @@
 
     def make_pool(self, group: GroupSettings, database: DatabaseSettings) -> PoolTask:
         """Return the pool of one database."""
-
-        def connect() -> Deferred[LineTarget]:
-            return connect_line_target(
-                self._reactor,
-                database.endpoint,
-                group.name,
-                database.name,
-                options.CONNECT_TIMEOUT,
-                options.TARGET_SOCKETS,
-            )
-
         return PoolTask(
             self._reactor,
             database,
-            connect,
+            lambda: self._connect(group.name, database, options.CONNECT_TIMEOUT),
             options.POOLS,
             limit=self.share_limit,
             rng=self._rng,
         )
+
+    def _connect(
+        self, group: str, database: DatabaseSettings, timeout: float
+    ) -> Deferred[LineTarget]:
+        """Open a connection to a database, or to an owner of its group."""
+        owner = self._directory.choose_owner(group, database.max_connections)
+        endpoint = database.endpoint if owner is None else owner.relay
+        connecting = connect_line_target(
+            self._reactor,
+            endpoint,
+            group,
+            database.name,
+            timeout if owner is None else options.RELAY_CONNECT,
+            options.TARGET_SOCKETS,
+        )
+        name = "" if owner is None else owner.name
+        return connecting.addCallbacks(
+            _note_way, self._avoid, callbackArgs=(name,), errbackArgs=(name,)
+        )
+
+    def _avoid(self, failure: Failure, owner: str) -> Failure:
+        """Pass over an owner that gave no connection."""
+        if owner and not failure.check(CancelledError):
+            self._directory.avoid(owner)
+        return failure
+
+
+def _note_way(connection: LineTarget, owner: str) -> LineTarget:
+    """Note through which owner a connection goes; empty for none."""
+    connection.way = owner
+    return connection
--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -19,6 +19,7 @@
 
 from beryltrack.objects.feed import FeedTask, ObjectFeed
 from beryltrack.objects.messages import PlatformObject
+from beryltrack.relay.owners import Peer
 from beryltrack.settings.messages import Endpoint
 
 log = logging.getLogger(__name__)
@@ -64,26 +65,33 @@
         The store.
     name : str
         Name of this instance.
+    own : Peer
+        This instance, as others are to see it.
     endpoint : Endpoint
         Where it takes the looks of others.
     callback : callable
-        Called with the names of all instances after each change.
+        Called with all instances after each change.
     rng : random.Random
         Source of jitter.
+    first_look : float
+        Seconds after which the others are looked for.
     """
 
     def __init__(
         self,
         reactor,
         store: ObjectFeed,
-        name: str,
+        own: Peer,
         endpoint: Endpoint,
-        callback: Callable[[tuple[str, ...]], None],
+        callback: Callable[[tuple[Peer, ...]], None],
         rng: random.Random,
+        first_look: float = WATCH_GAP,
     ):
         self._reactor = reactor
         self._store = store
-        self._name = name
+        self._own = own
+        self._name = own.name
+        self._first_look = first_look
         self._endpoint = endpoint
         self._callback = callback
         self._feed = FeedTask(reactor, store, KIND, self._take, rng, WATCH_GAP)
@@ -97,8 +105,7 @@
     def start(self) -> None:
         """Register and begin to look at others."""
         self._register()
-        # All instances of a fleet that starts have registered by then.
-        self._reactor.callLater(WATCH_GAP, self._feed.start)
+        self._reactor.callLater(self._first_look, self._feed.start)
         self._checking.start(CHECK_PERIOD, now=False)
 
     def stop(self) -> None:
@@ -117,7 +124,9 @@
         self._objects = {path.partition("/")[2]: each for path, each in objects.items()}
         if self._name not in self._objects:
             self._register()
-        self._callback(tuple(sorted(self._objects.keys() | {self._name})))
+        peers = map(read_peer, self._objects.values())
+        others = (peer for peer in peers if peer and peer.name != self._name)
+        self._callback(tuple(sorted((self._own, *others))))
 
     def _register(self) -> None:
         """Register unless that is under way."""
@@ -127,7 +136,12 @@
 
     async def _run_registration(self) -> None:
         """Write this instance's object until the store has it."""
-        value = {"host": self._endpoint.host, "port": self._endpoint.port}
+        value = {
+            "host": self._endpoint.host,
+            "port": self._endpoint.port,
+            "relay": self._own.relay.port,
+            "zone": self._own.zone,
+        }
         path = f"{KIND}/{self._name}"
         while not self._is_leaving:
             found = await self._store.get(path)
@@ -176,6 +190,17 @@
             await self._store.delete(f"{KIND}/{name}", found.unwrap().version)
 
 
+def read_peer(item: PlatformObject) -> Peer | None:
+    """Return the instance that an object stands for, None if it is malformed."""
+    name = item.path.partition("/")[2]
+    try:
+        relay = Endpoint(str(item.value["host"]), int(item.value["relay"]))
+        return Peer(name, str(item.value["zone"]), relay)
+    except (KeyError, TypeError, ValueError) as error:
+        log.warning("members: The object of %s is malformed: %r.", name, error)
+        return None
+
+
 def get_next(names: tuple[str, ...], own: str) -> str | None:
     """Return who comes after a name in a ring of names, None if nobody does."""
     others = sorted(name for name in names if name != own)
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -5,16 +5,21 @@
 from collections.abc import Callable, Iterable
 from enum import Enum
 
-from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
+from twisted.internet.defer import (
+    Deferred,
+    TimeoutError,
+    gatherResults,
+    maybeDeferred,
+)
 from twisted.internet.task import deferLater
 from twisted.web.http import OK
 
 from beryltrack.clock import get_seconds
-from beryltrack.connections.even_share import compute_share
+from beryltrack.connections.task import PoolTask
 from beryltrack.daemon import node_options as options
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.line_kit import LineKit
-from beryltrack.daemon.members import MemberPort, MemberTask
+from beryltrack.daemon.members import WATCH_GAP, MemberPort, MemberTask
 from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
 from beryltrack.events.log import EventLog
 from beryltrack.failover.authority import StoreAuthority
@@ -27,6 +32,7 @@
 from beryltrack.platform.caller import LineCallerFactory
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.protocol import LineProtocol
+from beryltrack.platform.relay import LineRelayFactory, run_status
 from beryltrack.platform.settings import (
     CONFIG_KIND,
     CONFIG_PATH,
@@ -35,12 +41,16 @@
     read_entry,
 )
 from beryltrack.platform.store import PlatformStore
+from beryltrack.relay.directory import RelayDirectory
+from beryltrack.relay.handler import RelayHandler
+from beryltrack.relay.owners import Peer
 from beryltrack.requests.overdue import OverdueWatch
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import make_services
 from beryltrack.requests.task import RequestTask
 from beryltrack.settings.messages import (
     Endpoint,
+    GroupSettings,
     RouteSettings,
     SiteSettings,
 )
@@ -86,6 +96,13 @@
         return self._get_site().transaction_idle
 
 
+class RelayBounds(CallerBounds):
+    """What bounds the sessions of other instances; see `CallerLimits`."""
+
+    stall = options.RELAY_STALL
+    sockets = options.TARGET_SOCKETS
+
+
 class Node:
     """One instance.
 
@@ -117,7 +134,11 @@
         self._store = PlatformStore(self._make_client(settings.store))
         promotion = PromotionCalls(self._make_client(settings.promotion), settings.name)
         authority = StoreAuthority(self._store, settings.name)
-        self._kit = LineKit(reactor, settings.name, promotion, authority, rng)
+        own = Peer(settings.name, settings.zone, settings.relay_listen)
+        self._directory = RelayDirectory(own, self._seconds, options.FIRST_INSTANCES)
+        self._kit = LineKit(
+            reactor, settings.name, promotion, authority, self._directory, rng
+        )
         self._groups = GroupTable(reactor, self._kit)
         self._groups.subscribe_started(self._start_group)
         self._site = SiteSettings(0, (), (), ())
@@ -126,7 +147,6 @@
         self._roster = Roster()
         self._has_roster = False
         self._has_members = False
-        self._nodes: tuple[str, ...] = (settings.name,)
         self._look_call = None
         self._services = make_services(
             reactor,
@@ -140,6 +160,13 @@
         handler = RequestTask(self._services, self._get_site, self._find_group)
         bounds = CallerBounds(self._get_site)
         self._callers = LineCallerFactory(reactor, handler, bounds)
+        relay = RelayHandler(
+            reactor.seconds,
+            self._get_lent_pool,
+            lambda connection: run_status(connection, reactor, options.CONTROL.request),
+            options.RELAY_WAIT,
+        )
+        self._relays = LineRelayFactory(reactor, relay, RelayBounds(self._get_site))
         self._feeds = [
             FeedTask(reactor, self._store, kind, callback, rng, gap)
             for kind, callback, gap in (
@@ -155,10 +182,12 @@
         self._members = MemberTask(
             reactor,
             self._store,
-            settings.name,
+            own,
             settings.member_listen,
             self._take_members,
             rng,
+            # All instances of a fleet that starts have registered by then.
+            WATCH_GAP if settings.is_first_start else 0.0,
         )
         self._ports = []
         self.metrics.set_gauges(self._get_gauges)
@@ -179,6 +208,7 @@
         endpoint = Endpoint(self.settings.listen.host, METRICS_PORT)
         self._listen(endpoint, PlainPages(self._reactor, metrics))
         self._listen(self.settings.member_listen, MemberPort())
+        self._listen(self.settings.relay_listen, self._relays)
         self._services.admission.start()
         self._overdue.start()
         for feed in self._feeds:
@@ -197,7 +227,7 @@
         grace = self.settings.grace
         Deferred.fromCoroutine(self._members.leave())
         await deferLater(self._reactor, min(BALANCER_TIME, grace / 2))
-        leaving = self._callers.leave()
+        leaving = gatherResults([self._callers.leave(), self._relays.leave()])
         limit = grace * (1 - LAST_PART) - min(BALANCER_TIME, grace / 2)
         leaving.addTimeout(limit, self._reactor)
         try:
@@ -205,6 +235,7 @@
         except TimeoutError:
             log.warning("daemon: Callers are cut off at the end of the grace.")
         self._callers.abort()
+        self._relays.abort()
         await self.stop()
 
     async def stop(self) -> None:
@@ -268,17 +299,45 @@
         self._has_roster = True
         self._apply()
 
-    def _take_members(self, names: tuple[str, ...]) -> None:
+    def _get_lent_pool(self, group: str, database: str) -> PoolTask | None:
+        """Return the pool of a database whose connections this instance lends."""
+        runtime = self._groups.get(group)
+        pool = runtime.pools.get(database) if runtime is not None else None
+        if pool is None or not self._is_owner(runtime):
+            return None
+        runtime.ensure_started()
+        return pool
+
+    def _is_owner(self, runtime: GroupRuntime) -> bool:
+        """Return whether this instance opens connections to a group's databases."""
+        limit = get_most_connections(runtime.settings)
+        return self._directory.is_owner(runtime.settings.name, limit)
+
+    def _take_members(self, peers: tuple[Peer, ...]) -> None:
         """Take in which instances there are."""
-        self._nodes = names
+        self._directory.set_peers(peers)
         self._has_members = True
         for runtime in self._groups.runtimes:
-            runtime.task.set_nodes(self._nodes)
+            self._set_candidates(runtime)
         self._share_connections()
+        self._apply()
+
+    def _set_candidates(self, runtime: GroupRuntime) -> None:
+        """Tell a group who may change its primary, and use no way that is over."""
+        limit = get_most_connections(runtime.settings)
+        name = runtime.settings.name
+        names = self._directory.get_candidates(name, limit)
+        is_owner = self._directory.is_owner(name, limit)
+        runtime.task.set_nodes(names, is_owner)
+        ways = ("",) if is_owner else names
+        for pool in runtime.pools.values():
+            pool.retire(lambda connection: connection.way not in ways)
+        runtime.task.renew_ways(ways)
 
     def _apply(self) -> None:
         """Put the settings in force."""
-        if self._configuration is None or not self._has_roster:
+        is_known = self._has_members or self.settings.is_first_start
+        if self._configuration is None or not (self._has_roster and is_known):
             return
         now = self._seconds()
         self._site = make_site(
@@ -303,19 +362,18 @@
 
     def _share_connections(self) -> None:
         """Give each pool its part of the database's connections."""
-        known = len(self._nodes)
-        instances = known if known > 1 else options.FIRST_INSTANCES
         for runtime in self._groups.runtimes:
-            for item in runtime.settings.databases:
-                share = compute_share(
-                    item.max_connections, instances, options.CONTROL_CONNECTIONS
-                )
-                runtime.pools[item.name].set_limit(share)
+            limit = get_most_connections(runtime.settings)
+            placement = self._directory.get_placement(runtime.settings.name, limit)
+            share = max(1, placement.share - options.CONTROL_CONNECTIONS)
+            most = share if self._is_owner(runtime) else options.RELAY_STREAMS
+            for pool in runtime.pools.values():
+                pool.set_limit(most)
 
     def _start_group(self, runtime: GroupRuntime) -> None:
         """Watch a group from now on."""
         if self._has_members:
-            runtime.task.set_nodes(self._nodes)
+            self._set_candidates(runtime)
         runtime.ensure_started()
 
     def _get_gauges(self) -> Iterable[Gauge]:
@@ -328,3 +386,8 @@
                 labels = f'group="{runtime.settings.name}",database="{name}"'
                 yield "beryltrack_pool_busy", labels, pool.load.in_use
                 yield "beryltrack_pool_waiting", labels, pool.load.waiting
+
+
+def get_most_connections(group: GroupSettings) -> int:
+    """Return the most connections to a database of a group, of all instances."""
+    return min(item.max_connections for item in group.databases)
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -2,8 +2,8 @@
 
 from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.failover.decider import FailoverPolicy
+from beryltrack.groups.adapter import ControlLimits
 from beryltrack.groups.policy import ProbePolicy
-from beryltrack.platform.group import ControlLimits
 from beryltrack.requests.losses import LossPolicy
 from beryltrack.requests.protocol import RequestPolicy
 from beryltrack.routing.decider import RoutingPolicy
@@ -61,7 +61,26 @@
 # Callers rest for long. One that is gone holds a descriptor and no more.
 CALLER_SOCKETS = SocketLimits(idle=15, interval=5, count=3, user_timeout=10_000)
 
-CONTROL = ControlLimits(connect=0.4, request=0.4, sockets=TARGET_SOCKETS)
+# A status takes 1 to 4 ms, and 0.2 s behind a full queue of its database. What is
+# left for a new connection after that is enough for its 12 to 30 ms.
+CONTROL = ControlLimits(request=0.4, doubt=0.2)
+
+CONTROL_CONNECT = 0.4
+"""Seconds until a new control connection counts as failed; it takes 12 to 30 ms."""
+
+RELAY_CONNECT = 0.3
+"""Seconds until an owner counts as out of reach; it answers in 1 to 4 ms."""
+
+RELAY_WAIT = 0.5
+"""Seconds that a statement of another instance may wait for a connection: longer than
+any queue of a pool lasts that is not refused at once (0.25 s)."""
+
+RELAY_STREAMS = 16
+"""Connections of an instance to the owners for each database. They cost no slot of the
+database; more than an instance of today's sites ever uses at once (about 10)."""
+
+RELAY_STALL = 10.0
+"""Seconds that another instance may leave an answer unread."""
 
 CONNECT_TIMEOUT = 1.0
 """Seconds until a new connection to a database counts as failed; it takes 12 to
--- a/beryltrack/daemon/tour.py
+++ b/beryltrack/daemon/tour.py
@@ -10,10 +10,11 @@
 
 from beryltrack.connections.target import TargetConnection, connect_target
 from beryltrack.errors import SqlException
-from beryltrack.requests.execution import CollectingSink, read_rows
+from beryltrack.requests.execution import read_rows
 from beryltrack.requests.ledger import quote_literal
 from beryltrack.requests.session_state import SESSION_SETTING
 from beryltrack.settings.messages import Endpoint
+from beryltrack.wire.sinks import CollectingSink
 
 log = logging.getLogger(__name__)
 
--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -130,6 +130,7 @@
         self._group = group
         self._node = node
         self._nodes: tuple[str, ...] = (node,)
+        self._is_candidate = True
         self._detector = detector
         self._rng = rng
         self._policy = policy
@@ -145,16 +146,26 @@
     @property
     def is_first(self) -> bool:
         """True if this instance is first in rank."""
-        return self._get_rank() == 0
+        return self._is_candidate and self._get_rank() == 0
 
     @property
     def due(self) -> float:
         """When to decide again although the view is the same; else in the past."""
         return self._due
 
-    def set_nodes(self, nodes: tuple[str, ...]) -> None:
-        """Take the names of all instances that may act for the group."""
+    def set_nodes(self, nodes: tuple[str, ...], is_candidate: bool = True) -> None:
+        """Take the names of all instances that may act for the group.
+
+        Parameters
+        ----------
+        nodes : tuple of str
+            Their names.
+        is_candidate : bool
+            False if this instance is to leave changes of primary to them: what it
+            takes for the silence of a primary may be that of its way there.
+        """
         self._nodes = nodes
+        self._is_candidate = is_candidate
 
     def set_holder(self, is_holder: bool) -> None:
         """Take whether this instance holds the permit to promote."""
@@ -199,7 +210,7 @@
             # By the databases' own word, so that all nodes count from one time.
             quorum = self._policy.get_quorum(len(view.databases))
             self._since = compute_lost_at(view, self._detector, now, quorum)
-        if kind is None:
+        if kind is None or not self._is_candidate:
             self._failures, self._due = 0, NEVER
             return None
         self._due = max(self._not_before, self._compute_due(view, kind))
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -138,9 +138,9 @@
         """Take the names of the group's members from new settings."""
         self._databases = databases
 
-    def set_nodes(self, nodes: tuple[str, ...]) -> None:
+    def set_nodes(self, nodes: tuple[str, ...], is_candidate: bool = True) -> None:
         """Take the names of all instances that may act for the group."""
-        self._decider.set_nodes(nodes)
+        self._decider.set_nodes(nodes, is_candidate)
         if self._authority is not None:
             self._plan_permit(PERMIT_DELAY)
 
--- a/beryltrack/groups/adapter.py
+++ b/beryltrack/groups/adapter.py
@@ -48,6 +48,22 @@
     status: DatabaseStatus
 
 
+class ControlLimits(NamedTuple):
+    """Times of control requests.
+
+    Parameters
+    ----------
+    request : float
+        Seconds until a request counts as failed.
+    doubt : float
+        Seconds without an answer after which a connection that was open before is
+        given up and the request is sent over a new one, within the same limit.
+    """
+
+    request: float
+    doubt: float
+
+
 class DatabaseGroup(Protocol):
     """Control requests to the databases of one group.
 
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -200,16 +200,22 @@
                     watch.start()
         self._report_view()
 
-    def set_nodes(self, nodes: tuple[str, ...]) -> None:
-        """Take the names of all instances that watch this group.
+    def set_nodes(self, nodes: tuple[str, ...], is_candidate: bool = True) -> None:
+        """Take the names of all instances that may act for this group.
 
         Parameters
         ----------
         nodes : tuple of str
-            The live members, this instance among them. They are ranked, so
-            that after a loss one of them acts first.
+            The live members. They are ranked, so that after a loss one of them
+            acts first.
+        is_candidate : bool
+            False if this instance is to leave changes of primary to them.
         """
-        self._failover.set_nodes(nodes)
+        self._failover.set_nodes(nodes, is_candidate)
+
+    def renew_ways(self, ways: tuple[str, ...]) -> None:
+        """Ask over new connections where the open ones go another way than these."""
+        self._adapter.renew(ways)
 
     def subscribe(self, callback: Callable[[GroupView], None]) -> None:
         """Call back with the view when the primary, or who is reachable, changes."""
--- a/beryltrack/platform/boot.py
+++ b/beryltrack/platform/boot.py
@@ -44,13 +44,16 @@
     """
     listen = fields["listen"]
     bounds = fields["bounds"]
+    first_port = int(fields["internal_ports"][0])
     return NodeSettings(
         fields["node_name"],
         fields["zone"],
         parse_endpoint(listen["front"]),
         parse_endpoint(listen["ready"]),
-        Endpoint(fields["ip"], int(fields["internal_ports"][0])),
+        Endpoint(fields["ip"], first_port),
+        Endpoint(fields["ip"], first_port + 1),
         parse_endpoint(fields["platform"]["address"]),
         parse_endpoint(fields["cloud"]["address"]),  # Carries out promotions.
         float(bounds["grace_s"]),
+        bool(fields.get("first_start", True)),
     )
--- a/beryltrack/platform/codes.py
+++ b/beryltrack/platform/codes.py
@@ -19,11 +19,16 @@
 )
 from beryltrack.requests.outcomes import READ_ONLY_REFUSAL
 
+UNREACHABLE = b"UNREACHABLE"
+"""What an instance answers another with when it gives no connection to a database:
+the statement did not run. Neither callers nor databases know it."""
+
 # Codes that a database answers with. BUSY, LAGGING and READONLY: it did not run.
 _STATES_BY_CODE = {
     b"BUSY": TOO_MANY_CONNECTIONS,
     b"TOOMANY": TOO_MANY_CONNECTIONS,
     b"LAGGING": CANNOT_CONNECT_NOW,
+    UNREACHABLE: CANNOT_CONNECT_NOW,
     b"READONLY": READ_ONLY_REFUSAL,
     b"UNPREPARED": INVALID_SQL_STATEMENT_NAME,
     b"FAILED": SYSTEM_ERROR,
--- a/beryltrack/platform/group.py
+++ b/beryltrack/platform/group.py
@@ -1,12 +1,15 @@
 """Control requests to the databases of a group over the line protocol."""
 
+import logging
+from collections.abc import Callable
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
-from twisted.internet.defer import DeferredLock, TimeoutError
+from twisted.internet.defer import Deferred, DeferredLock, TimeoutError
 
 from beryltrack.connections.messages import ConnectRefused, TargetLost
-from beryltrack.groups.adapter import PromoteReply, StatusWait
+from beryltrack.errors import CANNOT_CONNECT_NOW
+from beryltrack.groups.adapter import ControlLimits, PromoteReply, StatusWait
 from beryltrack.groups.messages import (
     PRIMARY,
     ControlFailure,
@@ -17,30 +20,18 @@
 from beryltrack.objects.messages import ErrorKind
 from beryltrack.platform import lines
 from beryltrack.platform.promotion import PromotionCalls
-from beryltrack.platform.target import LineTarget, connect_line_target
+from beryltrack.platform.target import LineTarget
 from beryltrack.settings.messages import DatabaseSettings, GroupSettings
-from beryltrack.wire.messages import Producer, ResponseEnd
-from beryltrack.wire.sockets import SocketLimits
+from beryltrack.wire.messages import ResponseEnd
+from beryltrack.wire.sinks import CollectingSink
 
-StatusResult = Result[DatabaseStatus, ControlFailure]
+log = logging.getLogger(__name__)
 
+StatusResult = Result[DatabaseStatus, ControlFailure]
+Answer = tuple[bytes, ResponseEnd]
 
-class ControlLimits(NamedTuple):
-    """Times of control connections.
 
-    Parameters
-    ----------
-    connect : float
-        Seconds until a new connection counts as failed.
-    request : float
-        Seconds until a request counts as failed.
-    sockets : SocketLimits
-        When the kernel gives up a silent database.
-    """
-
-    connect: float
-    request: float
-    sockets: SocketLimits
+Connect = Callable[[DatabaseSettings], Deferred[LineTarget]]
 
 
 class StatusRow(NamedTuple):
@@ -64,23 +55,6 @@
     held: int
 
 
-class _RowSink:
-    """Keeps the rows of one answer."""
-
-    def __init__(self):
-        self.rows: list[bytes] = []
-
-    def write(self, data: bytes) -> None:
-        """Keep a row."""
-        self.rows.append(data)
-
-    def attach(self, producer: Producer) -> None:
-        """Take a producer; it is never paused, as the answers are short."""
-
-    def detach(self) -> None:
-        """Forget the producer."""
-
-
 def parse_row(line: bytes) -> StatusRow | None:
     """Return what a database's row says, None if it is malformed."""
     fields = line.split()
@@ -106,6 +80,8 @@
         The group.
     promotion : PromotionCalls
         The service that carries out promotions.
+    connect : callable
+        Opens a connection to a database.
     limits : ControlLimits
         Times.
     """
@@ -115,11 +91,13 @@
         reactor,
         group: GroupSettings,
         promotion: PromotionCalls,
+        connect: Connect,
         limits: ControlLimits,
     ):
         self._reactor = reactor
         self._group = group.name
         self._promotion = promotion
+        self._open = connect
         self._limits = limits
         self._databases: dict[str, DatabaseSettings] = {}
         self._connections: dict[str, LineTarget] = {}
@@ -195,37 +173,57 @@
 
     async def _call_alone(self, database: str, text: bytes) -> StatusResult:
         """Send one control request and read its row."""
-        sink = _RowSink()
         try:
-            connection = await self._connect(database)
-            running = connection.run(lines.format_query(lines.NO_ID, text), sink)
-            end = await running.addTimeout(self._limits.request, self._reactor)
+            rows, end = await self._run(database, text)
         except ConnectRefused as refused:
-            return Failure(ControlFailure(database, str(refused), True))
+            is_at_work = refused.sqlstate != CANNOT_CONNECT_NOW
+            return Failure(ControlFailure(database, str(refused), is_at_work))
         except (TargetLost, TimeoutError, OSError) as error:
             self._drop(database)
             return Failure(ControlFailure(database, f"no answer: {error}"))
-        return _make_status(database, sink.rows, end)
+        return _make_status(database, rows, end)
+
+    async def _run(self, database: str, text: bytes) -> Answer:
+        """Send one control request over the connection that is open, or a new one.
+
+        An open connection can have fallen silent while its database is at work.
+        Without a second attempt over a new one all instances would take a primary
+        for lost whose open connections have been cut without a word.
+        """
+        limit = self._limits.request
+        kept = self._connections.get(database)
+        if kept is not None and not kept.broken:
+            try:
+                return await self._ask(kept, text, min(self._limits.doubt, limit))
+            except (TargetLost, TimeoutError) as error:
+                log.info("groups: A connection to %s fails: %s", database, error)
+                limit -= self._limits.doubt
+        connection = await self._connect(database)
+        return await self._ask(connection, text, limit)
+
+    async def _ask(self, connection: LineTarget, text: bytes, limit: float) -> Answer:
+        """Send one control request over a connection."""
+        sink = CollectingSink()
+        running = connection.run(lines.format_query(lines.NO_ID, text), sink)
+        end = await running.addTimeout(limit, self._reactor)
+        return sink.frames, end
 
     async def _connect(self, database: str) -> LineTarget:
-        """Return the control connection to a database."""
-        connection = self._connections.get(database)
-        if connection is not None and not connection.broken:
-            return connection
+        """Return a new control connection to a database."""
+        self._drop(database)
         item = self._databases.get(database)
         if item is None:
             raise ConnectionError("the database is no member any more")
-        connection = await connect_line_target(
-            self._reactor,
-            item.endpoint,
-            self._group,
-            database,
-            self._limits.connect,
-            self._limits.sockets,
-        )
+        connection = await self._open(item)
         self._connections[database] = connection
         return connection
 
+    def renew(self, ways: tuple[str, ...]) -> None:
+        """Open new connections in place of those that go another way than these."""
+        for name, connection in tuple(self._connections.items()):
+            if connection.way not in ways:
+                self._connections.pop(name).end_session()
+
     def _drop(self, database: str) -> None:
         """Use a connection no more."""
         connection = self._connections.pop(database, None)
@@ -240,12 +238,14 @@
     return status.is_held and status.term >= term
 
 
-def _make_status(database: str, rows: list[bytes], end: ResponseEnd) -> StatusResult:
+def _make_status(database: str, rows: bytes, end: ResponseEnd) -> StatusResult:
     """Return the status that an answer holds."""
     if end.error is not None:
-        # It answers, so that it is at work, only without a slot for this.
-        return Failure(ControlFailure(database, end.error.message, True))
-    row = parse_row(rows[0]) if rows else None
+        # A database that refuses is at work, only without a slot for this. An owner
+        # that refuses as it does not reach the database says nothing of the kind.
+        is_at_work = end.error.sqlstate != CANNOT_CONNECT_NOW
+        return Failure(ControlFailure(database, end.error.message, is_at_work))
+    row = parse_row(rows)
     if row is None or end.position is None:
         return Failure(ControlFailure(database, "malformed status"))
     status = DatabaseStatus(
--- a/beryltrack/platform/lines.py
+++ b/beryltrack/platform/lines.py
@@ -109,6 +109,13 @@
     return b"AFTER %d.%d " % position
 
 
+def format_ready(status: TransactionStatus, position: LogPosition | None) -> bytes:
+    """Return a READY message."""
+    if position is None:
+        return READY_LINES[status]
+    return b"READY %s %d.%d\r\n" % (status.value.encode(), *position)
+
+
 def format_query(request_id: bytes, text: bytes) -> bytes:
     """Return a QUERY message."""
     return b"QUERY %s %s\r\n" % (request_id, text)
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -5,7 +5,6 @@
 
 from returns.result import Failure, Result, Success
 
-from beryltrack.connections.messages import TargetLost
 from beryltrack.errors import (
     INVALID_CATALOG_NAME,
     INVALID_SQL_STATEMENT_NAME,
@@ -17,13 +16,15 @@
 from beryltrack.platform.caller import MALFORMED, LineCaller
 from beryltrack.platform.statements import (
     LinePlan,
+    LineSession,
     LineStatement,
+    Shape,
     apply_local,
     get_kind,
 )
 from beryltrack.platform.target import LineTarget
 from beryltrack.requests.answers import RequestContext
-from beryltrack.requests.protocol import RequestPolicy, RunLost, RunResult
+from beryltrack.requests.protocol import RequestPolicy, RunResult, describe_loss
 from beryltrack.requests.session import CallerSession, PinnedTransaction
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.routing.messages import StatementKind
@@ -118,19 +119,13 @@
         policy = plan.policy
         is_repeatable = plan.is_read and not caller.in_transaction
         limit = policy.read_timeout if is_repeatable else policy.run_timeout
-        setups = _format_setups(connection, caller, plan)
+        setups = format_setups(connection, caller.lines, plan.shape)
         prefix = lines.format_after(after) if after is not None else b""
-        text = prefix + _get_text(connection, plan)
+        text = prefix + format_text(connection, plan.statement, plan.shape)
         setups.append(lines.format_query(plan.statement.request_id, text))
-        try:
-            return await connection.run(
-                b"".join(setups),
-                sink,
-                len(setups) - 1,
-                math.inf if limit is None else limit,
-            )
-        except TargetLost as lost:
-            return RunLost(lost.sent, lost.reason)
+        limit = math.inf if limit is None else limit
+        running = connection.run(b"".join(setups), sink, len(setups) - 1, limit)
+        return await running.addErrback(describe_loss)
 
     async def run_pinned(
         self,
@@ -198,15 +193,24 @@
     return kind not in _BEGINS or status is TransactionStatus.IDLE
 
 
-def _format_setups(
-    connection: LineTarget, caller: LineCaller, plan: LinePlan
+def format_setups(
+    connection: LineTarget, session: LineSession, shape: Shape | None
 ) -> list[bytes]:
-    """Return the statements that give a connection the caller's session.
+    """Return the statements that give a connection a session's state.
 
     What they will have set is noted at once: a connection on which one of them
     fails is thrown away.
+
+    Parameters
+    ----------
+    connection : LineTarget
+        The connection.
+    session : LineSession
+        What the session has set and prepared.
+    shape : Shape or None
+        What the statement to run executes, if it is a prepared one.
     """
-    wanted, applied = caller.lines.values, connection.values
+    wanted, applied = session.values, connection.values
     texts = []
     if any(name not in wanted for name in applied):
         texts.append(b"RESET")
@@ -216,15 +220,17 @@
         if applied.get(name) != value:
             texts.append(b"SET %s %s" % (name, value))
             applied[name] = value
-    if plan.shape is not None and plan.shape not in connection.prepared:
-        name = connection.prepared[plan.shape] = b"p%d" % next(connection.numbers)
-        texts.append(b"PREPARE %s %s %s" % (name, *plan.shape))
+    if shape is not None and shape not in connection.prepared:
+        name = connection.prepared[shape] = b"p%d" % next(connection.numbers)
+        texts.append(b"PREPARE %s %s %s" % (name, *shape))
     return [lines.format_query(lines.NO_ID, text) for text in texts]
 
 
-def _get_text(connection: LineTarget, plan: LinePlan) -> bytes:
+def format_text(
+    connection: LineTarget, statement: LineStatement, shape: Shape | None
+) -> bytes:
     """Return a statement's text, with the name that the connection knows."""
-    if plan.shape is None:
-        return plan.statement.text
-    name = connection.prepared[plan.shape]
-    return b" ".join((b"EXECUTE", name, *plan.statement.fields[1:]))
+    if shape is None:
+        return statement.text
+    name = connection.prepared[shape]
+    return b" ".join((b"EXECUTE", name, *statement.fields[1:]))
--- /dev/null
+++ b/beryltrack/platform/relay.py
@@ -0,0 +1,177 @@
+"""Sessions of other instances, which use this one's connections to databases.
+
+Between instances the line protocol of the databases is spoken, so that an instance
+talks to an owner of a group as it would to the database itself.
+"""
+
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from beryltrack.callers.sequence import SequentialFactory
+from beryltrack.errors import CANNOT_CONNECT_NOW, SqlError
+from beryltrack.platform import lines
+from beryltrack.platform.caller import MALFORMED, LineSpeaker
+from beryltrack.platform.codes import UNREACHABLE, encode_error
+from beryltrack.platform.protocol import format_setups, format_text
+from beryltrack.platform.statements import (
+    LineStatement,
+    Shape,
+    apply_local,
+    parse_query,
+)
+from beryltrack.platform.target import LineTarget
+from beryltrack.relay.handler import RelayHandler
+from beryltrack.requests.protocol import RunResult, describe_loss
+from beryltrack.wire.messages import ResponseEnd
+from beryltrack.wire.sinks import CollectingSink
+
+_LOCAL = frozenset((b"SET", b"PREPARE", b"DEALLOCATE"))
+AFTER = b"AFTER "
+
+
+class RelayedStatement(NamedTuple):
+    """A statement of another instance.
+
+    Parameters
+    ----------
+    prefix : bytes
+        What the database must show, with the blank that follows; may be empty.
+    statement : LineStatement
+        The statement.
+    shape : Shape or None
+        What an EXECUTE runs.
+    """
+
+    prefix: bytes
+    statement: LineStatement
+    shape: Shape | None
+
+
+class LineRelay(LineSpeaker):
+    """One session of another instance; see `RelayedSession`.
+
+    Parameters
+    ----------
+    factory : LineRelayFactory
+        What all sessions share.
+    """
+
+    def __init__(self, factory: "LineRelayFactory"):
+        super().__init__(factory)
+        self.group = ""
+        self.database = ""
+        self.pinned: LineTarget | None = None
+
+    def take(self, message: bytes) -> "Deferred[None] | None":
+        """Take one message."""
+        fields = message.split(b" ", 2)
+        if not self.database:
+            self._take_start(message.split(b" "))
+        elif fields[0] == lines.QUERY and len(fields) == 3:
+            return self._take_query(fields[1], fields[2])
+        elif fields[0] == lines.TERMINATE:
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+        return None
+
+    def run_on(
+        self, connection: LineTarget, unit: RelayedStatement
+    ) -> "Deferred[RunResult]":
+        """Run a statement; its rows go out as they come."""
+        setups = format_setups(connection, self.lines, unit.shape)
+        text = unit.prefix + format_text(connection, unit.statement, unit.shape)
+        setups.append(lines.format_query(unit.statement.request_id, text))
+        running = connection.run(b"".join(setups), self, len(setups) - 1)
+        return running.addErrback(describe_loss)
+
+    def send_refusal(self, error: SqlError) -> None:
+        """Say that a statement was not run."""
+        if error.sqlstate == CANNOT_CONNECT_NOW:
+            text = f"{error.message} {error.hint}"
+            self.write(b"ERROR %s %s\r\n" % (UNREACHABLE, text.encode()))
+        else:
+            self.write(encode_error(error))
+        self.send_ready(self.status)
+
+    def send_rows(self, rows: bytes) -> None:
+        """Send rows that were kept."""
+        self.write(rows)
+
+    def send_end(self, end: ResponseEnd) -> None:
+        """Send the end of an answer."""
+        self.status = end.status
+        ready = lines.format_ready(end.status, end.position)
+        self.write(end.tail + end.error_frame + ready)
+
+    def _take_start(self, fields: list[bytes]) -> None:
+        """Open the session if this instance lends connections to the database."""
+        if len(fields) != 4 or fields[0] != lines.START:
+            self.transport.abortConnection()
+            return
+        self.group, self.database = fields[1].decode(), fields[3].decode()
+        if not self._factory.handler.takes(self):
+            self.write(b"ERROR %s the group has other owners\r\n" % UNREACHABLE)
+            self.transport.loseConnection()
+            return
+        self.send_ready(self.status)
+
+    def _take_query(self, request_id: bytes, text: bytes) -> "Deferred[None] | None":
+        """Run a statement, or keep what it sets."""
+        handler = self._factory.handler
+        if request_id == lines.NO_ID and text == b"STATUS":
+            return handler.handle_status(self)
+        if request_id == lines.NO_ID and text == b"RESET":
+            self.lines.values.clear()
+            self.lines.prepared.clear()
+            self.write(lines.EMPTY_COMPLETE)
+            self.send_ready(self.status)
+            return None
+        unit = self._read_unit(request_id, text)
+        if unit is None:
+            self.send_error(MALFORMED)
+            self.send_ready(self.status)
+        elif unit.statement.verb not in _LOCAL:
+            return handler.handle(unit, self)
+        elif apply_local(unit.statement, self.lines):
+            self.write(lines.EMPTY_COMPLETE)
+            self.send_ready(self.status)
+        else:
+            self.send_error(MALFORMED)
+            self.send_ready(self.status)
+        return None
+
+    def _read_unit(self, request_id: bytes, text: bytes) -> RelayedStatement | None:
+        """Return a statement, None if it is malformed."""
+        prefix = b""
+        if text.startswith(AFTER):
+            word, position, text = (text.split(b" ", 2) + [b""])[:3]
+            prefix = b"%s %s " % (word, position)
+        statement = parse_query(lines.QUERY + b" %s %s" % (request_id, text))
+        if statement is None:
+            return None
+        shape = None
+        if statement.verb == b"EXECUTE":
+            shape = self.lines.prepared.get(statement.fields[0])
+            if shape is None:
+                return None
+        return RelayedStatement(prefix, statement, shape)
+
+
+class LineRelayFactory(SequentialFactory):
+    """Takes the sessions of other instances; its handler is a `RelayHandler`."""
+
+    protocol = LineRelay
+    handler: RelayHandler
+
+
+def run_status(
+    connection: LineTarget, reactor, limit: float
+) -> "Deferred[tuple[bytes, RunResult]]":
+    """Ask a database for its status; return the rows and the end of its answer."""
+    sink = CollectingSink()
+    running = connection.run(lines.format_query(lines.NO_ID, b"STATUS"), sink)
+    running.addTimeout(limit, reactor)
+    running.addErrback(describe_loss)
+    return running.addCallback(lambda end: (sink.frames, end))
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -59,6 +59,7 @@
         self._setups = 0
         self.run_since: float | None = None
         self.run_until = math.inf
+        self.way = ""  # The instance that it goes through, if any.
         self._seconds = seconds
         self._clear()
 
--- /dev/null
+++ b/beryltrack/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Shared connections to databases: owners open them, other instances use them."""
--- /dev/null
+++ b/beryltrack/relay/owners.py
@@ -0,0 +1,122 @@
+"""Which instances open connections to the databases of a group.
+
+A database counts its connections over all instances. While the fleet is small
+beside that limit each instance opens its own, an even share of them. In a larger
+fleet a few instances, the owners of a group, open connections, and the others send
+their statements through an owner. Owners are worked out by each instance from the
+members that it knows: nothing is agreed on. Views that differ for a while cost a
+refused connection, never a promise.
+"""
+
+from collections.abc import Sequence
+from itertools import chain
+from typing import NamedTuple
+
+from beryltrack.peers.placement import compute_rank
+from beryltrack.settings.messages import Endpoint
+
+RESERVED = 2
+"""Connections that no instance uses, for those of an instance that is replaced."""
+
+LEAST_SHARE = 2.5
+"""Connections for each instance, on average, below which not all open their own. With
+fewer, an open transaction would often hold an instance's only connection."""
+
+OWNER_SHARE = 5
+"""Connections of an owner, the one for control requests among them: enough that open
+transactions leave room, few enough that several instances can own a group."""
+
+
+class Peer(NamedTuple):
+    """An instance as others see it.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    zone : str
+        Its availability zone.
+    relay : Endpoint
+        Where it takes the statements of others.
+    """
+
+    name: str
+    zone: str
+    relay: Endpoint
+
+
+class Placement(NamedTuple):
+    """Who opens connections to the databases of a group.
+
+    Parameters
+    ----------
+    owners : tuple of Peer
+        The owners, highest rank first; empty if all instances own the group.
+    share : int
+        Connections of one owner to each database.
+    """
+
+    owners: tuple[Peer, ...]
+    share: int
+
+
+def compute_placement(
+    group: str, peers: Sequence[Peer], max_connections: int, least_instances: int = 1
+) -> Placement:
+    """Return who opens connections to the databases of a group.
+
+    Parameters
+    ----------
+    group : str
+        The group.
+    peers : sequence of Peer
+        All instances that are known.
+    max_connections : int
+        Most connections to each database, of all instances together.
+    least_instances : int
+        How many instances to reckon with at the least.
+
+    Returns
+    -------
+    Placement
+        Owners by rendezvous hashing, from as many availability zones as can be.
+    """
+    usable = max(1, max_connections - RESERVED)
+    instances = max(len(peers), least_instances)
+    if instances * LEAST_SHARE <= usable:
+        return Placement((), usable // instances)
+    count = max(1, usable // OWNER_SHARE)
+    if count >= len(peers):
+        return Placement((), max(1, usable // instances))
+    return Placement(choose_owners(group, peers, count), usable // count)
+
+
+def choose_owners(group: str, peers: Sequence[Peer], count: int) -> tuple[Peer, ...]:
+    """Return `count` instances by rendezvous hashing, spread over the zones."""
+    ranked = sorted(
+        peers, key=lambda peer: compute_rank(group, peer.name), reverse=True
+    )
+    zones = dict.fromkeys(peer.zone for peer in ranked)
+    by_zone = [[peer for peer in ranked if peer.zone == zone] for zone in zones]
+    longest = max(map(len, by_zone), default=0)
+    in_turn = chain.from_iterable(
+        (line[turn] for line in by_zone if turn < len(line)) for turn in range(longest)
+    )
+    return tuple(in_turn)[:count]
+
+
+def order_owners(
+    owners: Sequence[Peer], group: str, name: str, zone: str
+) -> list[Peer]:
+    """Return the owners in the order in which an instance asks them.
+
+    Those of its own zone first, as bytes between zones are paid for and late; among
+    equals each instance has an order of its own, so that owners share the load.
+    """
+    return sorted(
+        owners,
+        key=lambda peer: (
+            peer.zone != zone,
+            compute_rank(f"{group}\0{name}", peer.name),
+        ),
+    )
--- a/beryltrack/requests/execution.py
+++ b/beryltrack/requests/execution.py
@@ -11,29 +11,8 @@
 from beryltrack.requests.protocol import RunLost, RunResult
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.requests.target_settings import TargetSettings
-from beryltrack.wire.messages import Producer, ResponseSink
-
-
-class CollectingSink:
-    """Keeps the frames of an answer to a command of the proxy's own."""
-
-    def __init__(self):
-        self._parts: list[bytes] = []
-
-    @property
-    def frames(self) -> bytes:
-        """All frames so far."""
-        return b"".join(self._parts)
-
-    def write(self, data: bytes) -> None:
-        """Keep frames."""
-        self._parts.append(bytes(data))
-
-    def attach(self, producer: Producer) -> None:
-        """Take a producer; it is never paused, as the answers are short."""
-
-    def detach(self) -> None:
-        """Forget the producer."""
+from beryltrack.wire.messages import ResponseSink
+from beryltrack.wire.sinks import CollectingSink
 
 
 async def run_plan(
--- a/beryltrack/requests/marked.py
+++ b/beryltrack/requests/marked.py
@@ -30,7 +30,6 @@
     send_failure,
 )
 from beryltrack.requests.execution import (
-    CollectingSink,
     apply_settings,
     read_rows,
     run_command,
@@ -48,6 +47,7 @@
 from beryltrack.routing.messages import WriteRequest
 from beryltrack.transactions.decider import CommitOutcome
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
+from beryltrack.wire.sinks import CollectingSink
 
 PAUSE = 0.02
 """Seconds between two attempts to find out what became of a request."""
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -8,8 +8,10 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from returns.result import Result
+from twisted.internet.defer import TimeoutError
+from twisted.python.failure import Failure
 
-from beryltrack.connections.messages import PooledConnection
+from beryltrack.connections.messages import PooledConnection, TargetLost
 from beryltrack.errors import SqlError
 from beryltrack.groups.messages import LogPosition
 from beryltrack.requests.sink import AnswerSink
@@ -65,6 +67,15 @@
 RunResult = ResponseEnd | RunLost
 
 
+def describe_loss(failure: Failure) -> RunLost:
+    """Return how a run was lost, as an errback of the run."""
+    failure.trap(TargetLost, TimeoutError)
+    lost = failure.value
+    if isinstance(lost, TargetLost):
+        return RunLost(lost.sent, lost.reason)
+    return RunLost(True, f"no answer in time: {lost}")
+
+
 class UnitPlan(Protocol):
     """One unit of a caller, understood."""
 
--- a/beryltrack/settings/node.py
+++ b/beryltrack/settings/node.py
@@ -20,12 +20,16 @@
         Where the balancer asks whether the instance takes callers.
     member_listen : Endpoint
         Where other instances look whether this one is there.
+    relay_listen : Endpoint
+        Where other instances use this one's connections to databases.
     store : Endpoint
         The object store.
     promotion : Endpoint
         The service that carries out promotions.
     grace : float
         Seconds between SIGTERM and SIGKILL.
+    is_first_start : bool
+        True if the whole system starts for the first time.
     """
 
     name: str
@@ -33,6 +37,8 @@
     listen: Endpoint
     ready_listen: Endpoint
     member_listen: Endpoint
+    relay_listen: Endpoint
     store: Endpoint
     promotion: Endpoint
     grace: float
+    is_first_start: bool = True
--- a/tests/daemon/test_members.py
+++ b/tests/daemon/test_members.py
@@ -16,6 +16,7 @@
     get_next,
 )
 from beryltrack.objects.messages import ObjectList, PlatformObject
+from beryltrack.relay.owners import Peer
 from beryltrack.settings.messages import Endpoint
 
 
@@ -27,7 +28,7 @@
 
     def add(self, name):
         path = f"{KIND}/{name}"
-        value = {"host": "10.0.0.9", "port": 7440}
+        value = {"host": "10.0.0.9", "port": 7440, "relay": 7441, "zone": "z"}
         self.objects[path] = PlatformObject(path, 1, value, False)
 
     async def get(self, path):
@@ -53,7 +54,8 @@
     for name in others:
         store.add(name)
     endpoint = Endpoint("10.0.0.1", 7440)
-    task = MemberTask(reactor, store, "b", endpoint, seen.append, random.Random(1))
+    own = Peer("b", "z", Endpoint("10.0.0.1", 7441))
+    task = MemberTask(reactor, store, own, endpoint, seen.append, random.Random(1))
     task.start()
     reactor.advance(WATCH_GAP)
     return reactor, store, seen, task
@@ -67,8 +69,13 @@
 
 def test_an_instance_registers_and_knows_the_others():
     _, store, seen, _ = start_member("a", "c")
-    assert store.objects[f"{KIND}/b"].value == {"host": "10.0.0.1", "port": 7440}
-    assert seen[-1] == ("a", "b", "c")
+    assert store.objects[f"{KIND}/b"].value == {
+        "host": "10.0.0.1",
+        "port": 7440,
+        "relay": 7441,
+        "zone": "z",
+    }
+    assert [peer.name for peer in seen[-1]] == ["a", "b", "c"]
 
 
 def test_an_instance_that_takes_no_connections_is_removed():
--- a/tests/platform/test_caller.py
+++ b/tests/platform/test_caller.py
@@ -10,7 +10,7 @@
 
 from beryltrack.errors import make_not_run, make_outcome_unknown, make_rolled_back
 from beryltrack.platform.caller import LineCallerFactory
-from beryltrack.platform.protocol import LineProtocol, _format_setups
+from beryltrack.platform.protocol import LineProtocol, format_setups
 from beryltrack.platform.statements import parse_query
 from beryltrack.requests.protocol import RequestPolicy
 from beryltrack.settings.messages import GroupSettings, RouteSettings
@@ -221,7 +221,7 @@
 def make_setups(connection, session, query):
     statement = parse_query(query)
     plan = session.handler.protocol.plan(statement, session.caller, GROUP, ()).unwrap()
-    return _format_setups(connection, session.caller, plan)
+    return format_setups(connection, session.caller.lines, plan.shape)
 
 
 def test_a_connection_is_brought_to_the_session(session):
--- a/tests/platform/test_group.py
+++ b/tests/platform/test_group.py
@@ -5,16 +5,18 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, gatherResults
 
+from beryltrack.groups.adapter import ControlLimits
 from beryltrack.groups.messages import PRIMARY, LogPosition
 from beryltrack.objects.http import fail_call
 from beryltrack.objects.messages import ErrorKind
-from beryltrack.platform.group import ControlLimits, LineDatabaseGroup, parse_row
+from beryltrack.platform.group import LineDatabaseGroup, parse_row
+from beryltrack.platform.target import connect_line_target
 from beryltrack.settings.messages import GroupSettings
 from beryltrack.wire.sockets import SocketLimits
 from tests.platform.databases import DatabaseFactory
 from tests.reactor_thread import run
 
-LIMITS = ControlLimits(0.5, 0.2, SocketLimits())
+LIMITS = ControlLimits(0.4, 0.2)
 
 
 class Promotions:
@@ -37,7 +39,14 @@
         self.promotions = Promotions()
         settings = self.database.make_settings()
         group = GroupSettings("main", "", (settings,), "", "", 0.0, 0.5)
-        self.adapter = LineDatabaseGroup(reactor, group, self.promotions, LIMITS)
+        self.adapter = LineDatabaseGroup(
+            reactor, group, self.promotions, self.connect, LIMITS
+        )
+
+    def connect(self, item):
+        return connect_line_target(
+            reactor, item.endpoint, "main", item.name, 0.5, SocketLimits()
+        )
 
     def call(self, name, *arguments):
         method = getattr(self.adapter, name)
@@ -127,6 +136,28 @@
     assert site.call("get_status").unwrap().role == PRIMARY
 
 
+def test_a_connection_that_has_fallen_silent_is_no_silent_database(site):
+    site.call("get_status")
+    first = site.database.sessions[0]
+    first.dataReceived = lambda data: None
+    assert site.call("get_status").unwrap().role == PRIMARY
+    assert len(site.database.sessions) == 2
+
+
+def test_a_silent_database_fails_within_the_limit(site):
+    site.call("get_status")
+    site.database.answers.pop(b"QUERY - STATUS")
+    failure = site.call("get_status").failure()
+    assert not failure.is_answered
+
+
+def test_an_owner_without_a_way_to_the_database_tells_nothing_of_it(site):
+    site.database.answers[b"QUERY - STATUS"] = (
+        b"ERROR UNREACHABLE no way\r\nREADY I -\r\n"
+    )
+    assert not site.call("get_status").failure().is_answered
+
+
 @pytest.mark.parametrize(
     "row", [b"", b"DATAROW", b"DATAROW primary x 3.9 0", b"DATAROW primary 3 - 0 0"]
 )
--- /dev/null
+++ b/tests/platform/test_relay.py
@@ -0,0 +1,168 @@
+"""Statements that reach a database through an owner of its group, on real sockets."""
+
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, TimeoutError
+
+from beryltrack.connections.messages import ConnectRefused, TargetLost
+from beryltrack.connections.task import PoolTask
+from beryltrack.errors import CANNOT_CONNECT_NOW
+from beryltrack.groups.messages import LogPosition
+from beryltrack.platform.relay import LineRelayFactory, run_status
+from beryltrack.platform.target import connect_line_target
+from beryltrack.relay.handler import RelayHandler
+from beryltrack.settings.messages import Endpoint
+from beryltrack.wire.messages import TransactionStatus
+from beryltrack.wire.sinks import CollectingSink
+from beryltrack.wire.sockets import SocketLimits
+from tests.platform.databases import HOST, DatabaseFactory
+from tests.reactor_thread import run
+
+BOUNDS = SimpleNamespace(
+    stall=5.0, waiting=8, transaction_idle=lambda: 0.0, sockets=SocketLimits()
+)
+
+
+class Site:
+    """A database and an instance that lends connections to it."""
+
+    def __init__(self):
+        self.database = DatabaseFactory()
+        settings = self.database.make_settings()
+        self.pool = PoolTask(
+            reactor, settings, lambda: self.connect(settings.endpoint), limit=1
+        )
+        handler = RelayHandler(
+            reactor.seconds,
+            self.get_pool,
+            lambda connection: run_status(connection, reactor, 0.2),
+            0.3,
+        )
+        self.factory = LineRelayFactory(reactor, handler, BOUNDS)
+        self.port = reactor.listenTCP(0, self.factory, interface=HOST)
+        self.endpoint = Endpoint(HOST, self.port.getHost().port)
+
+    def connect(self, endpoint, database="db-1"):
+        return connect_line_target(
+            reactor, endpoint, "group", database, 0.5, SocketLimits()
+        )
+
+    def get_pool(self, group, database):
+        return self.pool if (group, database) == ("group", "db-1") else None
+
+    def ask(self, *texts):
+        """Return how each statement of one session ended."""
+
+        async def go():
+            session = await self.connect(self.endpoint)
+            ends = []
+            for text in texts:
+                sink = CollectingSink()
+                running = session.run(f"QUERY {text}\r\n".encode(), sink)
+                end = await running.addTimeout(1.0, reactor)
+                ends.append((sink.frames, end))
+            session.close()
+            return ends
+
+        return run(lambda: Deferred.fromCoroutine(go()))
+
+    def stop(self):
+        self.pool.drain()
+        self.pool.break_connections()
+        self.port.stopListening()
+        return self.database.stop()
+
+
+@pytest.fixture
+def site():
+    made = run(Site)
+    made.database.answers[b"QUERY q1 AFTER 3.7 READ x"] = (
+        b"DATAROW a\r\nCOMPLETE 7.1\r\nREADY I 3.8\r\n"
+    )
+    made.database.answers[b"QUERY q1 BEGIN"] = b"COMPLETE 7.2\r\nREADY T 3.8\r\n"
+    made.database.answers[b"QUERY q2 WRITE x y"] = b"COMPLETE 7.3\r\nREADY T 3.8\r\n"
+    made.database.answers[b"QUERY q3 COMMIT"] = b"COMPLETE 7.4\r\nREADY I 3.9\r\n"
+    yield made
+    run(made.stop)
+
+
+def test_a_statement_passes_with_its_identifier_and_position(site):
+    ((rows, end),) = site.ask("q1 AFTER 3.7 READ x")
+    assert b"QUERY q1 AFTER 3.7 READ x" in site.database.seen
+    assert (rows, end.tail) == (b"DATAROW a\r\n", b"COMPLETE 7.1\r\n")
+    assert end.position == LogPosition(3, 8)
+
+
+def test_a_transaction_runs_on_one_connection(site):
+    ends = site.ask("q1 BEGIN", "q2 WRITE x y", "q3 COMMIT")
+    assert [end.status for _, end in ends] == [
+        TransactionStatus.IN_TRANSACTION,
+        TransactionStatus.IN_TRANSACTION,
+        TransactionStatus.IDLE,
+    ]
+    assert len(site.database.sessions) == 1
+
+
+def test_a_status_passes_with_its_row(site):
+    ((rows, end),) = site.ask("- STATUS")
+    assert rows == b"DATAROW primary 3 3.9 0 0 1 2\r\n"
+    assert end.position == LogPosition(3, 7)
+
+
+def test_values_and_prepared_statements_reach_the_connection(site):
+    ok = b"COMPLETE -\r\nREADY I 3.7\r\n"
+    site.database.answers |= {b"QUERY - SET": ok, b"QUERY - PREPARE": ok}
+    site.database.answers[b"QUERY q4 EXECUTE p1 k"] = ok
+    site.ask("- SET a b", "- PREPARE p7 READ shape", "q4 EXECUTE p7 k")
+    assert site.database.seen[1:] == [
+        b"QUERY - SET a b",
+        b"QUERY - PREPARE p1 READ shape",
+        b"QUERY q4 EXECUTE p1 k",
+    ]
+
+
+def test_what_one_session_sets_another_does_not_see(site):
+    ok = b"COMPLETE -\r\nREADY I 3.7\r\n"
+    site.database.answers |= {b"QUERY - SET": ok, b"QUERY - RESET": ok}
+    site.database.answers[b"QUERY q5 READ"] = ok
+    site.ask("- SET a b", "q5 READ k")
+    site.ask("q5 READ k")
+    assert site.database.seen[-2:] == [b"QUERY - RESET", b"QUERY q5 READ k"]
+
+
+def test_a_full_owner_refuses_what_it_has_not_sent(site):
+    async def go():
+        first = await site.connect(site.endpoint)
+        await first.run(b"QUERY q1 BEGIN\r\n", CollectingSink())
+        second = await site.connect(site.endpoint)
+        return await second.run(b"QUERY q9 READ x\r\n", CollectingSink())
+
+    end = run(lambda: Deferred.fromCoroutine(go()))
+    assert end.error is not None and end.status is TransactionStatus.IDLE
+    assert not any(line.startswith(b"QUERY q9") for line in site.database.seen)
+
+
+def test_a_database_out_of_reach_is_told_apart_from_a_busy_one(site):
+    run(site.database.stop)
+    ((_, end),) = site.ask("- STATUS")
+    assert end.error.sqlstate == CANNOT_CONNECT_NOW
+    run(site.database.listen)
+
+
+def test_a_lost_answer_ends_the_session(site):
+    with pytest.raises((TargetLost, TimeoutError)):
+        site.ask("q8 READ never")
+
+
+def test_who_lends_no_connection_refuses_the_session(site):
+    with pytest.raises(ConnectRefused) as refused:
+        run(site.connect, site.endpoint, "db-2")
+    assert refused.value.sqlstate == CANNOT_CONNECT_NOW
+
+
+def test_a_malformed_statement_is_refused(site):
+    ((_, end),) = site.ask("q1 NONSENSE x")
+    assert end.error is not None
+    assert not any(b"NONSENSE" in line for line in site.database.seen)
--- /dev/null
+++ b/tests/relay/test_directory.py
@@ -0,0 +1,72 @@
+"""An instance's part in the groups."""
+
+from beryltrack.relay.directory import AVOID_TIME, RelayDirectory
+from beryltrack.relay.owners import Peer
+from beryltrack.settings.messages import Endpoint
+
+LIMIT = 12
+
+
+def make_peer(name):
+    return Peer(name, "z", Endpoint("10.0.0.1", 7000))
+
+
+class Fleet:
+    """A directory of the instance ``me`` among others."""
+
+    def __init__(self, others):
+        self.now = 100.0
+        self.directory = RelayDirectory(make_peer("me"), lambda: self.now, 8)
+        self.directory.set_peers([make_peer(f"n{n}") for n in range(others)])
+
+    def choose(self):
+        owner = self.directory.choose_owner("g", LIMIT)
+        return owner and owner.name
+
+    def find_group(self, owned):
+        """Return a group that this instance owns, or does not own."""
+        names = (f"g{number}" for number in range(1000))
+        return next(n for n in names if self.directory.is_owner(n, LIMIT) is owned)
+
+
+def test_before_the_members_are_known_an_instance_opens_its_own_connections():
+    directory = RelayDirectory(make_peer("me"), lambda: 0.0, 8)
+    assert directory.choose_owner("g", 43) is None
+    assert directory.get_placement("g", 43).share == 5
+
+
+def test_all_of_a_small_fleet_may_act_for_a_group():
+    directory = Fleet(3).directory
+    assert directory.get_candidates("g", 43) == ("me", "n0", "n1", "n2")
+
+
+def test_only_owners_act_for_a_group_of_a_large_fleet():
+    directory = Fleet(30).directory
+    owners = directory.get_candidates("g", LIMIT)
+    assert len(owners) == 2
+    assert directory.is_owner("g", LIMIT) == ("me" in owners)
+
+
+def test_an_owner_opens_its_own_connections():
+    fleet = Fleet(30)
+    group = fleet.find_group(True)
+    assert fleet.directory.choose_owner(group, LIMIT) is None
+
+
+def test_an_owner_that_gave_no_connection_is_passed_over_for_a_while():
+    fleet = Fleet(30)
+    group = fleet.find_group(False)
+
+    def choose():
+        return fleet.directory.choose_owner(group, LIMIT).name
+
+    first = choose()
+    fleet.directory.avoid(first)
+    second = choose()
+    assert second != first
+    fleet.now += 0.5
+    fleet.directory.avoid(second)
+    # All are passed over: the one that was so first is asked again.
+    assert choose() == first
+    fleet.now += AVOID_TIME
+    assert choose() == first
--- /dev/null
+++ b/tests/relay/test_handler.py
@@ -0,0 +1,207 @@
+"""An owner lends connections for statements and transactions of other instances."""
+
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from beryltrack.connections.messages import PoolRefusal, PoolRefused, RefusalReason
+from beryltrack.relay.handler import RelayHandler
+from beryltrack.requests.protocol import RunLost
+from beryltrack.wire.messages import ResponseEnd, TransactionStatus
+
+IDLE, OPEN = TransactionStatus.IDLE, TransactionStatus.IN_TRANSACTION
+
+
+def make_end(status=IDLE):
+    return ResponseEnd(status, b"COMPLETE 1\r\n", None, b"", None, 0, 0)
+
+
+class Pool:
+    """Gives connections when a test says so."""
+
+    def __init__(self):
+        self.asked = []
+        self.released = []
+
+    def acquire(self, deadline):
+        self.asked.append(Deferred())
+        return self.asked[-1]
+
+    def release(self, connection, reusable):
+        self.released.append((connection.name, reusable))
+
+
+class Session:
+    """A session of another instance that notes what it is sent."""
+
+    def __init__(self, database="db-1"):
+        self.group, self.database = "g", database
+        self.pinned, self.status = None, IDLE
+        self.sent, self.runs, self.on_gone = [], [], None
+
+    def run_on(self, connection, unit):
+        self.runs.append((connection.name, unit, Deferred()))
+        return self.runs[-1][2]
+
+    def send_refusal(self, error):
+        self.sent.append(("refused", error.message))
+
+    def send_end(self, end):
+        self.status = end.status
+        self.sent.append(("end", end.status))
+
+    def send_rows(self, rows):
+        self.sent.append(("rows", rows))
+
+    def set_gone(self, callback):
+        self.on_gone = callback
+
+    def abort(self):
+        self.sent.append(("aborted", ""))
+
+
+class Owner:
+    """The handler with one pool, whose status runs a test answers."""
+
+    def __init__(self):
+        self.pool, self.statuses = Pool(), []
+        self.handler = RelayHandler(
+            lambda: 10.0, lambda group, name: self.pool, self.run_status, 0.5
+        )
+
+    def run_status(self, connection):
+        self.statuses.append(Deferred())
+        return self.statuses[-1]
+
+    def give(self, name="c1"):
+        """Give the last one that asked a connection."""
+        closed = []
+        connection = SimpleNamespace(name=name, close=lambda: closed.append(name))
+        connection.closings = closed
+        self.pool.asked[-1].callback(connection)
+        return connection
+
+
+@pytest.fixture
+def owner():
+    return Owner()
+
+
+def test_a_statement_takes_a_connection_and_gives_it_back(owner):
+    session = Session()
+    owner.handler.handle("u1", session)
+    owner.give()
+    assert [run[:2] for run in session.runs] == [("c1", "u1")]
+    assert owner.pool.released == []
+    session.runs[0][2].callback(make_end())
+    assert session.sent == [("end", IDLE)]
+    assert owner.pool.released == [("c1", True)] and session.pinned is None
+
+
+def test_a_transaction_keeps_its_connection(owner):
+    session = Session()
+    owner.handler.handle("begin", session)
+    owner.give()
+    session.runs[0][2].callback(make_end(OPEN))
+    owner.handler.handle("commit", session)
+    assert len(owner.pool.asked) == 1
+    session.runs[1][2].callback(make_end())
+    assert owner.pool.released == [("c1", True)]
+
+
+def test_a_refusal_of_the_pool_says_that_nothing_was_run(owner):
+    session = Session()
+    owner.handler.handle("u1", session)
+    refusal = PoolRefusal(RefusalReason.QUEUE_FULL, 0.1)
+    owner.pool.asked[0].errback(PoolRefused(refusal))
+    assert session.sent == [("refused", RefusalReason.QUEUE_FULL.value)]
+
+
+def test_a_statement_that_was_not_sent_is_refused(owner):
+    session = Session()
+    owner.handler.handle("u1", session)
+    owner.give()
+    session.runs[0][2].callback(RunLost(False, "closed"))
+    assert session.sent == [("refused", "closed")]
+    assert owner.pool.released == [("c1", False)]
+
+
+def test_a_statement_whose_answer_is_lost_ends_the_session(owner):
+    session = Session()
+    owner.handler.handle("u1", session)
+    owner.give()
+    session.runs[0][2].callback(RunLost(True, "reset"))
+    assert session.sent == [("aborted", "")]
+    assert owner.pool.released == [("c1", False)]
+
+
+def test_a_transaction_whose_connection_is_lost_ends_the_session(owner):
+    session = Session()
+    owner.handler.handle("begin", session)
+    owner.give()
+    session.runs[0][2].callback(make_end(OPEN))
+    owner.handler.handle("u2", session)
+    session.runs[1][2].callback(RunLost(False, "closed"))
+    assert session.sent[-1] == ("aborted", "")
+
+
+def test_a_session_that_ends_rolls_its_transaction_back(owner):
+    session = Session()
+    owner.handler.handle("begin", session)
+    owner.give()
+    session.runs[0][2].callback(make_end(OPEN))
+    owner.handler.forget(session)
+    assert owner.pool.released == [("c1", False)]
+    owner.handler.forget(session)
+    assert len(owner.pool.released) == 1
+
+
+def test_a_session_that_ends_breaks_off_what_runs(owner):
+    session = Session()
+    owner.handler.handle("u1", session)
+    connection = owner.give()
+    session.on_gone()
+    assert connection.closings == ["c1"]
+
+
+def test_a_session_that_ends_while_it_waits_leaves_the_queue(owner):
+    session = Session()
+    owner.handler.handle("u1", session)
+    session.on_gone()
+    assert owner.pool.asked[0].called and session.sent == []
+
+
+def test_who_owns_no_group_refuses(owner):
+    owner.pool = None
+    session = Session()
+    assert not owner.handler.takes(session)
+    owner.handler.handle("u1", session)
+    owner.handler.handle_status(session)
+    assert session.sent == [("refused", "the group has other owners")] * 2
+
+
+def test_sessions_that_wait_for_a_status_share_it(owner):
+    sessions = [Session() for _ in range(3)]
+    for session in sessions:
+        owner.handler.handle_status(session)
+    owner.give()
+    late = Session()
+    owner.handler.handle_status(late)
+    owner.statuses[0].callback((b"ROW", make_end()))
+    shared = [("rows", b"ROW"), ("end", IDLE)]
+    assert [session.sent for session in sessions] == [shared] * 3
+    # One that asked after it was sent gets the next one.
+    assert late.sent == [] and len(owner.pool.asked) == 2
+    owner.give()
+    owner.statuses[1].callback((b"NEW", make_end()))
+    assert late.sent[0] == ("rows", b"NEW")
+
+
+def test_a_status_without_an_answer_ends_the_sessions(owner):
+    session = Session()
+    owner.handler.handle_status(session)
+    owner.give()
+    owner.statuses[0].callback((b"", RunLost(True, "silent")))
+    assert session.sent == [("aborted", "")]
+    assert owner.pool.released == [("c1", False)]
