Close connections that open after their way is over

Ruled out: owners that refuse; their shares add up to 30 of 35. Change: the pool and the control connections judge a connection by its way when it opens, too.

--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -74,6 +74,7 @@
         self._connections: dict[int, PooledConnection] = {}
         self._numbers: dict[PooledConnection, int] = {}
         self._retired: set[int] = set()
+        self._is_stale: Callable[[PooledConnection], bool] = lambda _: False
         self._timer: IDelayedCall | None = None
         self._timer_at = 0.0
         self._listeners: list[Callable[[], None]] = []
@@ -160,14 +161,24 @@
             connection.close()
 
     def retire(self, is_stale: Callable[[PooledConnection], bool]) -> None:
-        """Use some connections no more; those that are lent close when given back."""
-        idle = self._decider.idle_numbers
-        for connection, number in tuple(self._numbers.items()):
-            if not is_stale(connection):
-                continue
-            self._retired.add(number)
-            if number in idle:
-                connection.close()
+        """Use some connections no more; those that are lent close when given back.
+
+        Parameters
+        ----------
+        is_stale : callable
+            Says of a connection whether it is one of them. It is asked of each that
+            opens later too: it may have been on its way already.
+        """
+        self._is_stale = is_stale
+        for connection in filter(is_stale, tuple(self._numbers)):
+            self._retire(connection)
+
+    def _retire(self, connection: PooledConnection) -> None:
+        """Close a connection now or when it is given back."""
+        number = self._numbers[connection]
+        self._retired.add(number)
+        if number in self._decider.idle_numbers:
+            connection.close()
 
     def get_running(self) -> list[PooledConnection]:
         """Return the connections that run something."""
@@ -263,6 +274,8 @@
         actions = self._decider.observe_opened(number, self._now)
         connection.closed.addBoth(self._observe_closed, connection, number)
         self._perform(actions)
+        if connection in self._numbers and self._is_stale(connection):
+            self._retire(connection)
 
     def _observe_open_failed(self, failure: Failure, number: int) -> None:
         log.warning(
--- a/beryltrack/platform/group.py
+++ b/beryltrack/platform/group.py
@@ -101,6 +101,7 @@
         self._limits = limits
         self._databases: dict[str, DatabaseSettings] = {}
         self._connections: dict[str, LineTarget] = {}
+        self._ways: tuple[str, ...] | None = None
         self._locks: dict[str, DeferredLock] = {}
         self.set_databases(group.databases)
 
@@ -215,11 +216,16 @@
         if item is None:
             raise ConnectionError("the database is no member any more")
         connection = await self._open(item)
+        if self._ways is not None and connection.way not in self._ways:
+            # The ways have changed while it was opened.
+            connection.end_session()
+            raise ConnectionError("the way to the database is used no more")
         self._connections[database] = connection
         return connection
 
     def renew(self, ways: tuple[str, ...]) -> None:
         """Open new connections in place of those that go another way than these."""
+        self._ways = ways
         for name, connection in tuple(self._connections.items()):
             if connection.way not in ways:
                 self._connections.pop(name).end_session()
--- a/tests/connections/test_task.py
+++ b/tests/connections/test_task.py
@@ -94,3 +94,29 @@
     pool.release(first, True)
     assert done.called and target.open_count == 0
     assert clock.getDelayedCalls() == []
+
+
+def test_an_idle_connection_that_is_retired_closes(site):
+    _, target, pool = site
+    first = get_result(pool.acquire(10.0))
+    pool.release(first, True)
+    pool.retire(lambda connection: connection is first)
+    assert first.closed.called
+    assert get_result(pool.acquire(10.0)) is target.connections[1]
+
+
+def test_a_lent_connection_that_is_retired_closes_when_it_is_given_back(site):
+    _, _, pool = site
+    first = get_result(pool.acquire(10.0))
+    pool.retire(lambda connection: connection is first)
+    assert not first.closed.called
+    pool.release(first, True)
+    assert first.closed.called
+
+
+def test_a_stale_connection_that_opens_later_is_used_once(site):
+    _, target, pool = site
+    pool.retire(lambda connection: connection is target.connections[0])
+    first = get_result(pool.acquire(10.0))
+    pool.release(first, True)
+    assert first.closed.called
