Answer relayed statuses from an owner's control connection

Ruled out: the databases; they answered statements meanwhile. Change: an owner asks over its control connection, for all who wait. What it learns so it takes in itself.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -31,7 +31,7 @@
 from beryltrack.platform.caller import LineCallerFactory
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.protocol import LineProtocol
-from beryltrack.platform.relay import LineRelayFactory, run_status
+from beryltrack.platform.relay import LineRelayFactory
 from beryltrack.platform.settings import (
     CONFIG_KIND,
     CONFIG_PATH,
@@ -163,9 +163,6 @@
         self._relay = RelayHandler(
             reactor.seconds,
             self._get_lender,
-            lambda connection, database: run_status(
-                connection, database, reactor, options.CONTROL.request
-            ),
             options.RELAY_WAIT,
         )
         self._relays = LineRelayFactory(
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -251,6 +251,14 @@
         self._decider.observe_lead(database, position, sent_at, self._seconds())
         self._answer_samples()
 
+    async def ask_status(self, database: str) -> StatusResult:
+        """Return the status of a database, for another instance; take it in too."""
+        sent_at = self.get_time()
+        result = await self._adapter.get_status(database)
+        if isinstance(result, Success):
+            self.take_status(result.unwrap(), sent_at)
+        return result
+
     def observe_proof(self, proof: Sample) -> None:
         """Take in a proven position of the primary from another instance."""
         if proof.position.term > self.view.term:
--- a/beryltrack/platform/group.py
+++ b/beryltrack/platform/group.py
@@ -69,6 +69,15 @@
     return StatusRow(fields[1].decode(), int(fields[2]), received, int(fields[4]))
 
 
+def format_row(status: DatabaseStatus) -> bytes:
+    """Return the row that says the same of a database to another instance."""
+    term, held = status.term, 0
+    if status.is_held:
+        term, held = status.received.term, status.term
+    fields = (status.role.encode(), term, *status.received, held)
+    return b"DATAROW %s %d %d.%d %d\r\n" % fields
+
+
 class LineDatabaseGroup:
     """The databases of one group; see `DatabaseGroup`.
 
@@ -182,7 +191,7 @@
         except (TargetLost, TimeoutError, OSError) as error:
             self._drop(database)
             return Failure(ControlFailure(database, f"no answer: {error}"))
-        return make_status(database, rows, end)
+        return _make_status(database, rows, end)
 
     async def _run(self, database: str, text: bytes) -> Answer:
         """Send one control request over the connection that is open, or a new one.
@@ -244,7 +253,7 @@
     return status.is_held and status.term >= term
 
 
-def make_status(database: str, rows: bytes, end: ResponseEnd) -> StatusResult:
+def _make_status(database: str, rows: bytes, end: ResponseEnd) -> StatusResult:
     """Return the status that an answer holds."""
     if end.error is not None:
         # A database that refuses is at work, only without a slot for this. An owner
--- a/beryltrack/platform/relay.py
+++ b/beryltrack/platform/relay.py
@@ -10,11 +10,12 @@
 
 from beryltrack.callers.sequence import SequentialFactory
 from beryltrack.errors import CANNOT_CONNECT_NOW, SqlError
+from beryltrack.groups.messages import DatabaseStatus
 from beryltrack.groups.view import NEVER
 from beryltrack.platform import lines
 from beryltrack.platform.caller import LineSpeaker
 from beryltrack.platform.codes import UNREACHABLE, encode_error
-from beryltrack.platform.group import make_status
+from beryltrack.platform.group import format_row
 from beryltrack.platform.protocol import format_setups, format_text
 from beryltrack.platform.statements import (
     NEEDS_PRIMARY,
@@ -25,10 +26,9 @@
     parse_query,
 )
 from beryltrack.platform.target import LineTarget
-from beryltrack.relay.handler import Proven, RelayHandler, StatusAnswer
-from beryltrack.requests.protocol import RunLost, RunResult, describe_loss
+from beryltrack.relay.handler import Proven, RelayHandler
+from beryltrack.requests.protocol import RunResult, describe_loss
 from beryltrack.wire.messages import ResponseEnd
-from beryltrack.wire.sinks import CollectingSink
 
 _LOCAL = frozenset((b"SET", b"PREPARE", b"DEALLOCATE"))
 
@@ -104,9 +104,12 @@
             self.write(encode_error(error))
         self.send_ready(self.status)
 
-    def send_rows(self, rows: bytes) -> None:
-        """Send rows that were kept."""
-        self.write(rows)
+    def send_status(self, status: DatabaseStatus, proven: Proven | None) -> None:
+        """Send the status of the session's database."""
+        self.write(format_row(status) + lines.EMPTY_COMPLETE)
+        if proven is not None:
+            self.write(lines.format_proven(*proven))
+        self.write(lines.format_ready(self.status, status.applied))
 
     def send_end(self, end: ResponseEnd, proven: Proven | None) -> None:
         """Send the end of an answer, and what is proven of the primary."""
@@ -168,17 +171,3 @@
 
     protocol = LineRelay
     handler: RelayHandler
-
-
-async def run_status(
-    connection: LineTarget, database: str, reactor, limit: float
-) -> StatusAnswer:
-    """Ask a database for its status over a connection."""
-    sink = CollectingSink()
-    running = connection.run(lines.format_query(lines.NO_ID, b"STATUS"), sink)
-    running.addTimeout(limit, reactor)
-    end = await running.addErrback(describe_loss)
-    if isinstance(end, RunLost):
-        return StatusAnswer(b"", end, None)
-    status = make_status(database, sink.frames, end)
-    return StatusAnswer(sink.frames, end, status.value_or(None))
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -12,12 +12,18 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from returns.result import Success
 from twisted.internet.defer import CancelledError, Deferred
 
 from beryltrack.connections.messages import PooledConnection, PoolRefused
 from beryltrack.connections.task import PoolTask
-from beryltrack.errors import SqlError, make_refusal
-from beryltrack.groups.messages import DatabaseStatus, LogPosition
+from beryltrack.errors import (
+    CANNOT_CONNECT_NOW,
+    TOO_MANY_CONNECTIONS,
+    SqlError,
+    make_refusal,
+)
+from beryltrack.groups.messages import ControlFailure, DatabaseStatus, LogPosition
 from beryltrack.groups.task import GroupTask
 from beryltrack.requests.protocol import RunLost, RunResult
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
@@ -60,24 +66,6 @@
     age: float
 
 
-class StatusAnswer(NamedTuple):
-    """A database's answer to the question for its status.
-
-    Parameters
-    ----------
-    rows : bytes
-        The rows as they came.
-    end : ResponseEnd or RunLost
-        How the answer ended.
-    status : DatabaseStatus or None
-        What it says, if it can be read.
-    """
-
-    rows: bytes
-    end: RunResult
-    status: DatabaseStatus | None
-
-
 class RelayedUnit(Protocol):
     """A statement of another instance."""
 
@@ -108,8 +96,8 @@
     def send_end(self, end: ResponseEnd, proven: Proven | None) -> None:
         """Send the end of an answer, and what is proven of the primary if it is new."""
 
-    def send_rows(self, rows: bytes) -> None:
-        """Send rows that were kept."""
+    def send_status(self, status: DatabaseStatus, proven: Proven | None) -> None:
+        """Send the status of the session's database."""
 
     def set_gone(self, callback: Callable[[], object] | None) -> None:
         """Call back when the session ends."""
@@ -118,15 +106,6 @@
         """End the session at once."""
 
 
-class StatusRun(Protocol):
-    """Asks a database for its status over a connection."""
-
-    async def __call__(
-        self, connection: PooledConnection, database: str
-    ) -> StatusAnswer:
-        """Return the answer of a database over a connection."""
-
-
 class _StatusShare:
     """Who waits for the status of one database."""
 
@@ -145,8 +124,6 @@
     get_lender : callable
         Returns who lends connections to a group's database; None if this instance
         lends none.
-    run_status : StatusRun
-        Asks a database for its status.
     most_wait : float
         Seconds that a statement may wait for a connection.
     """
@@ -155,12 +132,10 @@
         self,
         seconds: Callable[[], float],
         get_lender: GetLender,
-        run_status: StatusRun,
         most_wait: float,
     ):
         self._seconds = seconds
         self._get_lender = get_lender
-        self._run_status = run_status
         self._most_wait = most_wait
         self._shares: dict[tuple[str, str], _StatusShare] = {}
         self._lent: dict[RelayedSession, Lender] = {}
@@ -209,28 +184,11 @@
             self._finish_lost(session, connection, result)
             return
         _observe_end(task, session.database, unit, result, sent_at)
-        self._send_end(session, result, task)
+        session.send_end(result, _get_news(session, task))
         session.pinned = connection
         if result.status is TransactionStatus.IDLE:
             self._take_back(session, connection, True)
 
-    def _send_end(
-        self, session: RelayedSession, end: ResponseEnd, task: GroupTask
-    ) -> None:
-        """Send the end of an answer, with the newest proof if it was not sent yet.
-
-        An owner has many proofs from the statements that pass. Without them each
-        instance would ask each primary for a position of its own every second: on
-        74 instances that made 59,700 status requests beside 23,700 statements.
-        """
-        sample = task.get_proof()
-        proven = None
-        if sample is not None and sample.sent_at > session.proven_at:
-            session.proven_at = sample.sent_at
-            age = max(0.0, task.get_time() - sample.sent_at)
-            proven = Proven(sample.position, age)
-        session.send_end(end, proven)
-
     def _find_lender(self, group: str, database: str) -> Lender | None:
         """Return what lends connections to a database, None once this one leaves."""
         return None if self._is_leaving else self._get_lender(group, database)
@@ -288,43 +246,32 @@
         answer, task = await waiter
         if isinstance(answer, SqlError):
             session.send_refusal(answer)
-            return
-        if isinstance(answer.end, RunLost):
-            session.abort()
-            return
-        session.send_rows(answer.rows)
-        self._send_end(session, answer.end, task)
+        else:
+            session.send_status(answer, _get_news(session, task))
 
     async def _ask_status(self, key: tuple[str, str], share: _StatusShare) -> None:
         """Ask for statuses for as long as somebody waits for one."""
         try:
             while share.waiting:
-                answer, waiting = await self._ask_once(key, share)
+                # Whoever comes after this waits for the next answer.
+                waiting, share.waiting = share.waiting, []
+                answer = await self._ask_once(*key)
                 for waiter in waiting:
                     waiter.callback(answer)
         finally:
             share.is_running = False
 
     async def _ask_once(
-        self, key: tuple[str, str], share: _StatusShare
-    ) -> tuple[tuple[StatusAnswer | SqlError, GroupTask | None], list[Deferred]]:
-        """Return one answer, and all who had asked before it was asked for."""
-        lender = self._find_lender(*key)
+        self, group: str, database: str
+    ) -> tuple[DatabaseStatus | SqlError, GroupTask | None]:
+        """Return a status or why there is none, and who watches the group."""
+        lender = self._find_lender(group, database)
         if lender is None:
-            refusal = make_refusal(OTHER_OWNERS, 0.0)
-            return (refusal, None), _take_waiting(share)
-        pool, task = lender
-        try:
-            connection = await pool.acquire(self._seconds() + self._most_wait)
-        except PoolRefused as refused:
-            return (_make_error(refused), task), _take_waiting(share)
-        waiting = _take_waiting(share)
-        sent_at = task.get_time()
-        answer = await self._run_status(connection, key[1])
-        pool.release(connection, not isinstance(answer.end, RunLost))
-        if answer.status is not None:
-            task.take_status(answer.status, sent_at)
-        return (answer, task), waiting
+            return make_refusal(OTHER_OWNERS, 0.0), None
+        result = await lender.task.ask_status(database)
+        if isinstance(result, Success):
+            return result.unwrap(), lender.task
+        return _make_status_error(result.failure()), lender.task
 
 
 def _observe_end(
@@ -338,6 +285,52 @@
         task.observe_lead(database, end.position, sent_at)
 
 
+def _get_news(session: RelayedSession, task: GroupTask) -> Proven | None:
+    """Return the newest proof, None if the session was told of it before.
+
+    An owner has many proofs from the statements that pass. Without them each
+    instance would ask each primary for a position of its own every second: on 74
+    instances that made 59,700 status requests beside 23,700 statements.
+    """
+    sample = task.get_proof()
+    if sample is None or sample.sent_at <= session.proven_at:
+        return None
+    session.proven_at = sample.sent_at
+    return Proven(sample.position, max(0.0, task.get_time() - sample.sent_at))
+
+
+def _make_status_error(failure: ControlFailure) -> SqlError:
+    """Return the error of a status that the database did not give.
+
+    One that is at work and has no slot is told apart from one that is silent.
+    """
+    state = TOO_MANY_CONNECTIONS if failure.is_answered else CANNOT_CONNECT_NOW
+    return make_refusal(failure.text, 0.0, state)
+
+
+def _get_news(session: RelayedSession, task: GroupTask) -> Proven | None:
+    """Return the newest proof, None if the session was told of it before.
+
+    An owner has many proofs from the statements that pass. Without them each
+    instance would ask each primary for a position of its own every second: on 74
+    instances that made 59,700 status requests beside 23,700 statements.
+    """
+    sample = task.get_proof()
+    if sample is None or sample.sent_at <= session.proven_at:
+        return None
+    session.proven_at = sample.sent_at
+    return Proven(sample.position, max(0.0, task.get_time() - sample.sent_at))
+
+
+def _make_status_error(failure: ControlFailure) -> SqlError:
+    """Return the error of a status that the database did not give.
+
+    One that is at work and has no slot is told apart from one that is silent.
+    """
+    state = TOO_MANY_CONNECTIONS if failure.is_answered else CANNOT_CONNECT_NOW
+    return make_refusal(failure.text, 0.0, state)
+
+
 def _take_waiting(share: _StatusShare) -> list[Deferred]:
     """Return who waits now; whoever comes later waits for the next answer."""
     waiting, share.waiting = share.waiting, []
