Keep a soak of real processes under faults from outside

Change: beryltrack_standins.lines has databases with terms, lag, holds, promotions and transactions, a store with conditions and watches, and the promotion service; beryltrack-bench soak runs three to five nodes as processes before them, through links that are delayed, cut, cut one way, reset or silenced, kills, stops and pauses nodes, crashes databases, and has the store lose, refuse or forget. Callers and databases judge: UNASKED, PINNED, STALE, TWICE, REFUSED, LOST, MIXED.

--- a/beryltrack_bench/main.py
+++ b/beryltrack_bench/main.py
@@ -24,6 +24,7 @@
 from beryltrack_bench.deployment import DEPLOYMENTS, load_deployment
 from beryltrack_bench.options import Options
 from beryltrack_bench.report import write_report
+from beryltrack_bench.soak.command import SoakCommand
 
 EXIT_HELD = 0
 EXIT_USAGE = 1
@@ -161,6 +162,7 @@
     for name in list_experiments():
         application.add(ExperimentCommand(name))
     application.add(AllCommand())
+    application.add(SoakCommand())
     return application
 
 
--- /dev/null
+++ b/beryltrack_bench/soak/command.py
@@ -0,0 +1,51 @@
+"""The command `beryltrack-bench soak`: some seeds, one after the other."""
+
+import json
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+from twisted.internet.defer import Deferred
+
+from beryltrack_bench.soak.run import run_soak
+
+EXIT_HELD, EXIT_VIOLATIONS = 0, 2
+
+
+class SoakCommand(Command):
+    """Runs the soak on some seeds and prints one JSON object for each."""
+
+    name = "soak"
+    description = "Run real processes under random faults and check the promises."
+    options = [
+        option("seed", None, "The first seed.", False, default="1"),
+        option("runs", None, "How many seeds, from the first one on.", False, default="1"),
+        option("seconds", None, "Seconds of faults in each run.", False, default="15"),
+    ]
+
+    def handle(self) -> int:
+        """Run the seeds; the exit code tells whether all promises held."""
+        from twisted.internet import reactor
+
+        first, runs = int(self.option("seed")), int(self.option("runs"))
+        seconds = float(self.option("seconds"))
+        failures = []
+
+        async def run_all() -> None:
+            for seed in range(first, first + runs):
+                result = await run_soak(reactor, seed, seconds)
+                self.line(json.dumps(result._asdict()))
+                if result.violations or not result.served_last:
+                    failures.append(seed)
+
+        def finish(failure: object) -> None:
+            if failure is not None:
+                failures.append(failure)
+                self.line_error(str(failure))
+            reactor.stop()
+
+        def start() -> None:
+            Deferred.fromCoroutine(run_all()).addBoth(finish)
+
+        reactor.callWhenRunning(start)
+        reactor.run()
+        return EXIT_VIOLATIONS if failures else EXIT_HELD
--- /dev/null
+++ b/beryltrack_bench/soak/faults.py
@@ -0,0 +1,186 @@
+"""The faults of the soak: each begins, lasts for a while and ends; they overlap."""
+
+import random
+import signal
+from collections.abc import Callable
+from typing import NamedTuple
+
+from beryltrack_bench.soak.links import TO_NODE, TO_TARGET
+from beryltrack_bench.soak.site import DATABASES, Node, SoakSite
+from beryltrack_standins.lines.store import LOST, REFUSING, SILENT
+
+Step = Callable[[], None]
+
+
+class Fault(NamedTuple):
+    """What a fault is called, how it begins and how it ends."""
+
+    name: str
+    begin: Step
+    end: Step
+
+
+def draw_fault(site: SoakSite, rng: random.Random) -> Fault:
+    """Return a fault that is drawn at random."""
+    make = rng.choice(_MAKERS)
+    return make(site, rng)
+
+
+def _do_nothing() -> None:
+    """End a fault that ends by itself."""
+
+
+def _draw_node(site: SoakSite, rng: random.Random) -> Node:
+    return rng.choice(site.nodes)
+
+
+def _kill_node(site: SoakSite, rng: random.Random) -> Fault:
+    node = _draw_node(site, rng)
+    return Fault(
+        f"kill {node.name}",
+        lambda: site.signal_node(node, signal.SIGKILL),
+        lambda: site.start_node(node),
+    )
+
+
+def _kill_all(site: SoakSite, rng: random.Random) -> Fault:
+    def begin() -> None:
+        for node in site.nodes:
+            site.signal_node(node, signal.SIGKILL)
+
+    def end() -> None:
+        for node in site.nodes:
+            site.start_node(node)
+
+    return Fault("kill all nodes", begin, end)
+
+
+def _stop_node(site: SoakSite, rng: random.Random) -> Fault:
+    node = _draw_node(site, rng)
+    return Fault(
+        f"stop {node.name}",
+        lambda: site.signal_node(node, signal.SIGTERM),
+        lambda: site.start_node(node),
+    )
+
+
+def _pause_node(site: SoakSite, rng: random.Random) -> Fault:
+    node = _draw_node(site, rng)
+    return Fault(
+        f"pause {node.name}",
+        lambda: site.signal_node(node, signal.SIGSTOP),
+        lambda: site.signal_node(node, signal.SIGCONT),
+    )
+
+
+def _crash_database(site: SoakSite, rng: random.Random) -> Fault:
+    leads = rng.random() < 0.7 and site.group.primary is not None
+    name = site.group.primary.name if leads else rng.choice(DATABASES)
+    is_dark = rng.random() < 0.5
+    return Fault(
+        f"{'darken' if is_dark else 'crash'} {name}",
+        lambda: site.databases[name].crash(is_dark),
+        lambda: site.databases[name].restart(),
+    )
+
+
+def _cut_link(site: SoakSite, rng: random.Random) -> Fault:
+    node = _draw_node(site, rng)
+    key = rng.choice(sorted(node.links))
+    ways = rng.choice(((TO_TARGET, TO_NODE), (TO_TARGET,), (TO_NODE,)))
+    link = node.links[key]
+    return Fault(f"cut {node.name} {key} {ways}", lambda: link.cut(*ways), link.heal)
+
+
+def _cut_primary(site: SoakSite, rng: random.Random) -> Fault:
+    name = site.group.primary.name if site.group.primary else DATABASES[0]
+    cut = [node.links[name] for node in site.nodes if rng.random() < 0.6]
+
+    def begin() -> None:
+        for link in cut:
+            link.cut(TO_TARGET, TO_NODE)
+
+    def end() -> None:
+        for link in cut:
+            link.heal()
+
+    return Fault(f"cut {len(cut)} nodes from {name}", begin, end)
+
+
+def _delay_link(site: SoakSite, rng: random.Random) -> Fault:
+    node = _draw_node(site, rng)
+    key = rng.choice(sorted(node.links))
+    link = node.links[key]
+
+    def begin() -> None:
+        link.delay = 0.15
+
+    return Fault(f"delay {node.name} {key}", begin, link.heal)
+
+
+def _break_links(site: SoakSite, rng: random.Random) -> Fault:
+    node = _draw_node(site, rng)
+    is_silent = rng.random() < 0.6
+
+    def begin() -> None:
+        for link in node.links.values():
+            if is_silent:
+                link.silence()
+            else:
+                link.reset()
+
+    word = "silence" if is_silent else "reset"
+    return Fault(f"{word} the connections of {node.name}", begin, _do_nothing)
+
+
+def _trouble_store(site: SoakSite, rng: random.Random) -> Fault:
+    trouble = rng.choice((LOST, REFUSING, SILENT))
+    nodes = [node for node in site.nodes if rng.random() < 0.7]
+
+    def set_all(value: str) -> None:
+        for node in nodes:
+            node.store.trouble = value
+
+    name = f"store {trouble} for {len(nodes)}"
+    return Fault(name, lambda: set_all(trouble), lambda: set_all(""))
+
+
+def _forget_changes(site: SoakSite, rng: random.Random) -> Fault:
+    return Fault("the store forgets its changes", site.store.forget, _do_nothing)
+
+
+def _delay_promotions(site: SoakSite, rng: random.Random) -> Fault:
+    def set_share(share: float) -> None:
+        for node in site.nodes:
+            node.promotions.late_share = share
+
+    return Fault("promotions late", lambda: set_share(0.5), lambda: set_share(0.0))
+
+
+def _lag_replicas(site: SoakSite, rng: random.Random) -> Fault:
+    def set_lag(factor: float) -> None:
+        site.group.lag = factor
+
+    return Fault("replicas lag", lambda: set_lag(40.0), lambda: set_lag(1.0))
+
+
+_MAKERS = (
+    _kill_node,
+    _kill_node,
+    _kill_all,
+    _stop_node,
+    _pause_node,
+    _pause_node,
+    _crash_database,
+    _crash_database,
+    _crash_database,
+    _cut_link,
+    _cut_primary,
+    _delay_link,
+    _break_links,
+    _break_links,
+    _trouble_store,
+    _forget_changes,
+    _delay_promotions,
+    _lag_replicas,
+)
--- /dev/null
+++ b/beryltrack_bench/soak/run.py
@@ -0,0 +1,142 @@
+"""One run of the soak: a site, its callers, and faults by a seed."""
+
+import random
+from pathlib import Path
+from tempfile import mkdtemp
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.task import deferLater
+
+from beryltrack_bench.soak.caller import Caller
+from beryltrack_bench.soak.faults import draw_fault
+from beryltrack_bench.soak.history import Violation
+from beryltrack_bench.soak.site import ROUTES, SoakSite
+
+START_LIMIT = 15.0
+"""Seconds within which the nodes must take callers."""
+
+CALLERS = 4
+"""Callers of each route."""
+
+SETTLE_TIME = 5.0
+"""Seconds after the last fault in which callers go on."""
+
+
+class SoakResult(NamedTuple):
+    """What a run came to.
+
+    Parameters
+    ----------
+    seed : int
+        Its seed.
+    violations : tuple of Violation
+        What was broken.
+    outcomes : dict of str to int
+        How many statements ended how.
+    faults : tuple of str
+        The faults, in order.
+    promotions : int
+        Changes of primary.
+    served_last : int
+        Statements served after the last fault was over.
+    folder : str
+        Where the nodes' logs lie.
+    """
+
+    seed: int
+    violations: tuple[Violation, ...]
+    outcomes: dict[str, int]
+    faults: tuple[str, ...]
+    promotions: int
+    served_last: int
+    folder: str
+
+
+async def run_soak(reactor, seed: int, seconds: float) -> SoakResult:
+    """Run a site under faults and judge what callers and databases saw.
+
+    Parameters
+    ----------
+    reactor : reactor
+        Carries the stand-ins and the callers.
+    seed : int
+        Decides sizes, faults and what callers ask. Times of processes vary, so that
+        a seed gives the same faults and not the same run.
+    seconds : float
+        How long faults are injected.
+    """
+    rng = random.Random(seed)
+    count, limit = rng.choice(((3, 40), (4, 40), (5, 14)))
+    folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
+    site = SoakSite(reactor, seed, count, limit, rng, folder)
+    try:
+        site.start()
+        await _wait_ready(reactor, site)
+        return await _run_callers(reactor, site, rng, seed, seconds, folder)
+    finally:
+        site.stop()
+
+
+async def _run_callers(
+    reactor, site: SoakSite, rng: random.Random, seed: int, seconds: float, folder: Path
+) -> SoakResult:
+    """Run callers beside faults."""
+    fronts = [node.front for node in site.nodes]
+    callers = [
+        Caller(reactor, site.history, fronts, route, kind, random.Random(rng.random()))
+        for kind, route in ROUTES.items()
+        for _ in range(CALLERS)
+    ]
+    runs = [Deferred.fromCoroutine(caller.run()) for caller in callers]
+    faults = await _inject(reactor, site, rng, seconds)
+    served = site.history.outcomes["served"]
+    await deferLater(reactor, SETTLE_TIME)
+    for caller in callers:
+        caller.is_stopped = True
+    await gatherResults(runs)
+    await deferLater(reactor, 0.5)
+    site.history.finish()
+    return SoakResult(
+        seed,
+        tuple(site.history.violations),
+        dict(site.history.outcomes),
+        tuple(faults),
+        site.group.promotions,
+        site.history.outcomes["served"] - served,
+        str(folder),
+    )
+
+
+async def _wait_ready(reactor, site: SoakSite) -> None:
+    """Wait until all nodes have registered, as they do once they run."""
+    deadline = reactor.seconds() + START_LIMIT
+    names = {node.name for node in site.nodes}
+    while reactor.seconds() < deadline:
+        known = {name for kind, name in site.store.objects if kind == "members"}
+        if known >= names:
+            break
+        await deferLater(reactor, 0.1)
+    await deferLater(reactor, 2.0)
+
+
+async def _inject(
+    reactor, site: SoakSite, rng: random.Random, seconds: float
+) -> list[str]:
+    """Begin and end faults for a time; all are over at the end."""
+    until = reactor.seconds() + seconds
+    names, version = [], 1
+    while reactor.seconds() < until:
+        fault = draw_fault(site, rng)
+        names.append(fault.name)
+        fault.begin()
+        reactor.callLater(rng.uniform(0.5, 3.0), fault.end)
+        if rng.random() < 0.2:
+            version += 1
+            site.write_configuration(version)
+        await deferLater(reactor, rng.uniform(0.2, 2.0))
+    await deferLater(reactor, 3.0)
+    for node in site.nodes:
+        if not site.is_running(node):
+            site.start_node(node)
+    return names
--- /dev/null
+++ b/beryltrack_bench/soak/site.py
@@ -0,0 +1,240 @@
+"""A site for the soak: stand-ins in this process, nodes as processes of their own.
+
+Each site has addresses of its own in the loopback range, so that several can run at
+once. Nodes reach databases, the store and the promotions through links.
+"""
+
+import itertools
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+from twisted.web.server import Site as HttpSite
+
+from beryltrack.settings.messages import Endpoint, RouteSettings
+from beryltrack_bench.soak.history import (
+    BOUNDED_ROUTE,
+    OWN_ROUTE,
+    PRIMARY_ROUTE,
+    History,
+)
+from beryltrack_bench.soak.links import Link
+from beryltrack_standins.lines.database import DatabaseFactory
+from beryltrack_standins.lines.group import Group
+from beryltrack_standins.lines.store import PromotionView, Store, StoreView
+
+ROOT = Path(__file__).resolve().parents[2]
+GROUP = "group"
+DATABASES = ("i-a", "i-b", "i-c")
+FRONT_PORT, READY_PORT, INTERNAL_PORT = 8784, 8785, 7440
+GRACE = 4
+"""Seconds between SIGTERM and SIGKILL."""
+
+ROUTES = {
+    PRIMARY_ROUTE: RouteSettings("db1", GROUP, "primary", 0.0, False, 0.8, 0.15, 1),
+    BOUNDED_ROUTE: RouteSettings("db2", GROUP, "any", 1.5, False, 2.0, 0.5, 2),
+    OWN_ROUTE: RouteSettings("db3", GROUP, "any", 2.5, True, 0.8, 0.25, 2),
+}
+_WIRE_KINDS = {
+    PRIMARY_ROUTE: "primary",
+    BOUNDED_ROUTE: "bounded_staleness",
+    OWN_ROUTE: "read_own_writes",
+}
+
+
+class Node(NamedTuple):
+    """One node: where it listens, its links by target, and its view of the store."""
+
+    name: str
+    host: str
+    links: dict[str, Link]
+    store: StoreView
+    promotions: PromotionView
+
+    @property
+    def front(self) -> Endpoint:
+        """Where it takes callers."""
+        return Endpoint(self.host, FRONT_PORT)
+
+
+class SoakSite:
+    """Stand-ins, links and processes.
+
+    Parameters
+    ----------
+    reactor : reactor
+        Carries the stand-ins.
+    number : int
+        Sets the site's addresses apart from those of others.
+    count : int
+        How many nodes.
+    max_connections : int
+        Most connections to a database, of all nodes.
+    rng : random.Random
+        Source of all that varies.
+    folder : Path
+        Takes settings files and logs.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        number: int,
+        count: int,
+        max_connections: int,
+        rng: random.Random,
+        folder: Path,
+    ):
+        self._reactor = reactor
+        self._number = number
+        self._rng = rng
+        self._folder = folder
+        self._limit = max_connections
+        self._ports = []
+        self._processes: dict[str, subprocess.Popen] = {}
+        self._starts: itertools.count = itertools.count(1)
+        self.group = Group(reactor, DATABASES, rng)
+        self.history = History(self.group, reactor.seconds)
+        self.store = Store()
+        self._fences: dict[str, int] = {}
+        numbers = itertools.count(1)
+        self.databases = {
+            name: DatabaseFactory(reactor, self.group, name, self.history, rng, numbers)
+            for name in DATABASES
+        }
+        self._endpoints = {
+            name: self._listen(factory) for name, factory in self.databases.items()
+        }
+        self._addresses: dict[tuple[str, str], str] = {}
+        self.nodes = [self._make_node(index) for index in range(count)]
+        self._fill_store()
+
+    def start(self) -> None:
+        """Start all nodes."""
+        for node in self.nodes:
+            self.start_node(node, True)
+
+    def start_node(self, node: Node, is_first: bool = False) -> None:
+        """Start a node's process if none runs."""
+        running = self._processes.get(node.name)
+        if running is not None and running.poll() is None:
+            return
+        path = self._folder / f"{node.name}.json"
+        path.write_text(json.dumps(self._make_boot(node, is_first)))
+        log = open(self._folder / f"{node.name}.log", "ab")
+        with log:
+            self._processes[node.name] = subprocess.Popen(
+                [sys.executable, "-m", "beryltrack.daemon.node_process"],
+                cwd=ROOT,
+                env={"BERYLTRACK_BOOT": str(path), "PATH": os.environ["PATH"]},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal_node(self, node: Node, number: int) -> None:
+        """Send a signal to a node's process, if it runs."""
+        process = self._processes.get(node.name)
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    def is_running(self, node: Node) -> bool:
+        """Return whether a node's process runs."""
+        process = self._processes.get(node.name)
+        return process is not None and process.poll() is None
+
+    def stop(self) -> None:
+        """End the processes that were started here, and close all ports."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        for port in self._ports:
+            port.stopListening()
+
+    def write_configuration(self, version: int) -> None:
+        """Write what operators have configured."""
+        routes = [
+            {
+                "name": f"route-{kind}",
+                "database_name": route.name,
+                "service": GROUP,
+                "kind": _WIRE_KINDS[kind],
+                "max_staleness_ms": int(route.max_age * 1000),
+                "timeout_ms": int(route.statement_timeout * 1000),
+                "target_latency_ms": int(route.target_latency * 1000),
+                "priority": route.priority,
+            }
+            for kind, route in ROUTES.items()
+        ]
+        services = [{"name": GROUP, "connection_limit": self._limit}]
+        spec = {"config_version": version, "routes": routes, "services": services}
+        self.store.change("config", "main", spec)
+
+    def _listen(self, factory, host: str = "127.0.0.1", port: int = 0) -> Endpoint:
+        """Open a port; return where it listens."""
+        opened = self._reactor.listenTCP(port, factory, interface=host)
+        self._ports.append(opened)
+        return Endpoint(host, opened.getHost().port)
+
+    def _make_node(self, index: int) -> Node:
+        """Return a node with links to all that it talks to."""
+        host = f"127.{10 + self._number % 200}.{self._number // 200}.{index + 1}"
+        name = f"node-{index + 1}"
+        store = StoreView(self._reactor, self.store, self._get_rewrite(name), self._rng)
+        promotions = PromotionView(
+            self._reactor, {GROUP: self.group}, self._fences, self._rng
+        )
+        targets = dict(self._endpoints)
+        targets["store"] = self._listen(HttpSite(store))
+        targets["promotions"] = self._listen(HttpSite(promotions))
+        links = {key: Link(self._reactor, target) for key, target in targets.items()}
+        for key, link in links.items():
+            host_port = self._listen(link)
+            self._addresses[name, key] = f"{host_port.host}:{host_port.port}"
+        return Node(name, host, links, store, promotions)
+
+    def _get_rewrite(self, node: str):
+        """Return what gives a node its own addresses of the databases."""
+
+        def rewrite(kind: str, name: str, spec: dict) -> dict:
+            if kind != "servers":
+                return spec
+            return {**spec, "address": self._addresses[node, name]}
+
+        return rewrite
+
+    def _fill_store(self) -> None:
+        """Write the configuration and the databases."""
+        self.write_configuration(1)
+        for name in DATABASES:
+            spec = {
+                "service": GROUP,
+                "address": "",
+                "zone": "zone-1",
+                "slots": 3,
+                "state": "ready",
+            }
+            self.store.change("servers", name, spec)
+
+    def _make_boot(self, node: Node, is_first: bool) -> dict:
+        """Return a node's settings file."""
+        return {
+            "node_name": node.name,
+            "zone": f"zone-{1 + int(node.name[-1]) % 2}",
+            "ip": node.host,
+            "listen": {
+                "front": f"{node.host}:{FRONT_PORT}",
+                "ready": f"{node.host}:{READY_PORT}",
+            },
+            "internal_ports": [INTERNAL_PORT, INTERNAL_PORT + 15],
+            "first_start": is_first,
+            "bounds": {"grace_s": GRACE},
+            "platform": {"address": self._addresses[node.name, "store"]},
+            "cloud": {"address": self._addresses[node.name, "promotions"]},
+        }
--- /dev/null
+++ b/beryltrack_standins/lines/store.py
@@ -0,0 +1,258 @@
+"""The users' store of objects and their promotion service, over HTTP.
+
+One instance of the server listens for each node, so that each can be given addresses
+of its own for the databases and be turned away on its own.
+"""
+
+import json
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from twisted.internet.task import deferLater
+from twisted.web.http import (
+    BAD_REQUEST,
+    CONFLICT,
+    GONE,
+    NOT_FOUND,
+    SERVICE_UNAVAILABLE,
+)
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from beryltrack_standins.lines.group import Group
+
+KEPT_EVENTS = 200
+"""Changes that the store remembers."""
+
+LOST, REFUSING, SILENT = "lost", "refusing", "silent"
+
+
+class Event(NamedTuple):
+    """One change: its revision, the object, and whether that is gone."""
+
+    revision: int
+    kind: str
+    item: dict
+    removed: bool
+
+
+class Store:
+    """Objects by kind and name, with one counter of revisions."""
+
+    def __init__(self):
+        self.revision = 1
+        self.objects: dict[tuple[str, str], dict] = {}
+        self.events: list[Event] = []
+        self.forgotten = 0
+        self.writes = 0
+        self._watches: list[Callable[[], None]] = []
+
+    def change(self, kind: str, name: str, spec: object, removed: bool = False) -> dict:
+        """Write or remove an object; return it."""
+        self.revision += 1
+        self.writes += 1
+        item = {"meta": {"name": name, "revision": self.revision}, "spec": spec}
+        if removed:
+            self.objects.pop((kind, name), None)
+        else:
+            self.objects[kind, name] = item
+        self.events.append(Event(self.revision, kind, item, removed))
+        if len(self.events) > KEPT_EVENTS:
+            self.forgotten = self.events.pop(0).revision
+        watches, self._watches = self._watches, []
+        for watch in watches:
+            watch()
+        return item
+
+    def forget(self) -> None:
+        """Forget all changes, as a store that compacts its history."""
+        self.events.clear()
+        self.forgotten = self.revision
+
+    def get_events(self, kind: str, after: int) -> list[Event]:
+        """Return the changes of a kind after a revision."""
+        return [each for each in self.events if each.kind == kind and each[0] > after]
+
+    def wake_at_change(self, callback: Callable[[], None]) -> None:
+        """Call back once at the next change."""
+        self._watches.append(callback)
+
+
+class StoreView(Resource):
+    """The store as one node sees it.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Source of timers.
+    store : Store
+        The objects.
+    rewrite : callable
+        Changes the spec of an object for this node, by kind and name.
+    rng : random.Random
+        Decides which answers are lost.
+    """
+
+    isLeaf = True
+
+    def __init__(self, reactor, store: Store, rewrite, rng: random.Random):
+        super().__init__()
+        self.trouble = ""
+        self._reactor = reactor
+        self._store = store
+        self._rewrite = rewrite
+        self._rng = rng
+
+    def render(self, request):
+        """Answer one call."""
+        if self.trouble == SILENT:
+            return NOT_DONE_YET
+        if self.trouble == REFUSING:
+            return self._refuse(request, SERVICE_UNAVAILABLE)
+        parts = request.path.decode().strip("/").split("/")
+        if parts[:2] != ["api", "objects"] or len(parts) < 3:
+            return self._refuse(request, NOT_FOUND)
+        kind, name = parts[2], "/".join(parts[3:])
+        if request.method == b"GET":
+            return self._get(request, kind, name)
+        answer = self._change(request, kind, name)
+        if self.trouble == LOST and self._rng.random() < 0.4:
+            request.transport.abortConnection()
+            return NOT_DONE_YET
+        return answer
+
+    def _get(self, request, kind: str, name: str):
+        """Read one object, list a kind, or wait for its changes."""
+        if name:
+            item = self._store.objects.get((kind, name))
+            return self._send(request, item) if item else self._refuse(request, 404)
+        watch = request.args.get(b"watch")
+        if watch:
+            wait = int(request.args.get(b"wait_ms", [b"1000"])[0]) / 1000
+            return self._watch(request, kind, int(watch[0]), wait)
+        items = [
+            self._show(kind, item)
+            for (each, _), item in self._store.objects.items()
+            if each == kind
+        ]
+        page = {"items": items, "has_more": False, "current_rev": self._store.revision}
+        return self._send(request, page)
+
+    def _watch(self, request, kind: str, after: int, wait: float):
+        """Answer as soon as there is a change, or with none after a time."""
+        if after < self._store.forgotten:
+            return self._refuse(request, GONE)
+        gone = []
+        request.notifyFinish().addErrback(gone.append)
+        timer = deferLater(self._reactor, wait, lambda: finish(True))
+        timer.addErrback(lambda _: None)
+
+        def finish(at_once: bool = False) -> None:
+            if gone or request.finished:
+                return
+            events = self._store.get_events(kind, after)
+            if not (events or at_once):
+                self._store.wake_at_change(finish)
+                return
+            timer.cancel()
+            shown = [
+                {"object": self._show(kind, each.item), "removed": each.removed}
+                for each in events
+            ]
+            body = {"events": shown, "current_rev": self._store.revision}
+            request.write(self._send(request, body))
+            request.finish()
+
+        finish()
+        return NOT_DONE_YET
+
+    def _change(self, request, kind: str, name: str):
+        """Create, replace or remove an object on its condition."""
+        body = json.loads(request.content.read() or b"{}")
+        meta = body.get("meta", {})
+        name = name or meta.get("name", "")
+        kept = self._store.objects.get((kind, name))
+        if request.method == b"POST":
+            if kept is not None:
+                return self._refuse(request, CONFLICT)
+            return self._send(request, self._store.change(kind, name, body["spec"]))
+        if kept is None:
+            return self._refuse(request, NOT_FOUND)
+        wanted = request.args.get(b"revision", [meta.get("revision")])[0]
+        if wanted is not None and int(wanted) != kept["meta"]["revision"]:
+            return self._refuse(request, CONFLICT)
+        removed = request.method == b"DELETE"
+        spec = None if removed else body["spec"]
+        return self._send(request, self._store.change(kind, name, spec, removed))
+
+    def _show(self, kind: str, item: dict) -> dict:
+        """Return an object with the addresses that this node is to use."""
+        spec = self._rewrite(kind, item["meta"]["name"], item["spec"])
+        return {**item, "spec": spec}
+
+    def _send(self, request, value: object) -> bytes:
+        """Return a JSON body."""
+        request.setHeader(b"content-type", b"application/json")
+        return json.dumps(value).encode()
+
+    def _refuse(self, request, code: int) -> bytes:
+        """Return an error."""
+        request.setResponseCode(code)
+        return b"{}"
+
+
+class PromotionView(Resource):
+    """The promotion service as one node sees it.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Carries out promotions some time after the call.
+    groups : dict of str to Group
+        The groups.
+    fences : dict of str to int
+        The highest token seen of each group; shared by all nodes.
+    rng : random.Random
+        Decides which calls are late.
+    """
+
+    isLeaf = True
+
+    def __init__(self, reactor, groups: dict[str, Group], fences: dict, rng):
+        super().__init__()
+        self.late_share = 0.0
+        self._reactor = reactor
+        self._groups = groups
+        self._fences = fences
+        self._rng = rng
+
+    def render_POST(self, request):  # noqa: N802
+        """Take one call; one that is late is carried out without an answer."""
+        body = json.loads(request.content.read())
+        token = int(request.getHeader("Beryltrack-Fencing-Token") or 0)
+        group = self._groups.get(body.get("service", ""))
+        if group is None or body.get("id") not in group.databases:
+            request.setResponseCode(BAD_REQUEST)
+            return b"{}"
+        if self._rng.random() < self.late_share:
+            delay = self._rng.uniform(1.0, 3.0)
+            self._reactor.callLater(delay, self._carry_out, group, body, token)
+            request.transport.abortConnection()
+            return NOT_DONE_YET
+        if not self._carry_out(group, body, token):
+            request.setResponseCode(CONFLICT)
+        return b"{}"
+
+    def _carry_out(self, group: Group, body: dict, token: int) -> bool:
+        """Begin a promotion unless it is fenced off."""
+        name, database = body["service"], group.databases[body["id"]]
+        if token < self._fences.get(name, 0) or not database.is_up:
+            return False
+        self._fences[name] = token
+        self._reactor.callLater(PROMOTE_TIME, group.promote, database.name)
+        return True
+
+
+PROMOTE_TIME = 0.3
+"""Seconds from a call until the named database leads."""
--- /dev/null
+++ b/tests/bench/test_soak.py
@@ -0,0 +1,163 @@
+"""The soak: its judgement on tiny inputs, its links, and one short run."""
+
+import json
+import random
+import subprocess
+import sys
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.task import Clock
+
+from beryltrack.groups.messages import LogPosition
+from beryltrack_bench.soak.history import (
+    BOUNDED_ROUTE,
+    OWN_ROUTE,
+    PRIMARY_ROUTE,
+    History,
+    Sent,
+)
+from beryltrack_standins.lines.group import Group
+
+RUN_LIMIT = 180
+"""Seconds after which a run is given up; it takes about 20."""
+
+
+class Judged:
+    """A history over a group of three, with a clock of its own."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.group = Group(self.clock, ("a", "b", "c"), random.Random(1))
+        self.history = History(self.group, self.clock.seconds)
+        self.session = SimpleNamespace(values={}, writes=None, prepared={})
+
+    def send(self, request, text, route=PRIMARY_ROUTE, transaction=0, session=1):
+        now = self.clock.seconds()
+        max_age = 0.0 if route == PRIMARY_ROUTE else 1.0
+        self.history.note_sent(
+            Sent(request, text, session, transaction, route, max_age, now, ())
+        )
+
+    def run(self, request, text, database="a"):
+        place = self.group.databases[database]
+        self.history.observe_run(place, self.session, request, text)
+
+    def commit(self, request, is_acknowledged=True):
+        position = self.group.commit(self.group.primary, {b"k": request})
+        self.history.observe_commit(request, position)
+        if is_acknowledged:
+            self.history.note_acknowledged(request)
+        return position
+
+    @property
+    def kinds(self):
+        return [violation.kind for violation in self.history.violations]
+
+
+@pytest.fixture
+def judged():
+    return Judged()
+
+
+def test_a_statement_that_nobody_sent_is_found(judged):
+    judged.run(b"1", b"READ k")
+    judged.send(b"2", b"READ k")
+    judged.run(b"2", b"READ l")
+    assert judged.kinds == ["UNASKED", "UNASKED"]
+
+
+def test_a_write_that_is_committed_twice_is_found(judged):
+    judged.send(b"1", b"WRITE k v")
+    judged.commit(b"1")
+    judged.commit(b"1", False)
+    judged.history.finish()
+    assert judged.kinds == ["TWICE"]
+
+
+def test_a_refusal_of_what_was_committed_is_found(judged):
+    judged.send(b"1", b"WRITE k v")
+    judged.commit(b"1", False)
+    judged.history.note_refused([b"1"], "BUSY")
+    judged.history.finish()
+    assert judged.kinds == ["REFUSED"]
+
+
+def test_an_acknowledged_commit_that_a_promotion_loses_is_found(judged):
+    judged.send(b"1", b"WRITE k v")
+    judged.commit(b"1")
+    judged.group.promote("b")
+    judged.history.finish()
+    assert judged.kinds == ["LOST"]
+
+
+def test_success_without_a_commit_is_found(judged):
+    judged.send(b"1", b"WRITE k v")
+    judged.history.note_acknowledged(b"1")
+    assert judged.kinds == ["MIXED"]
+
+
+@pytest.mark.parametrize(
+    ("route", "session", "delay", "is_stale"),
+    [
+        (PRIMARY_ROUTE, 2, 0.1, True),
+        (BOUNDED_ROUTE, 2, 0.5, False),
+        (BOUNDED_ROUTE, 2, 1.5, True),
+        (OWN_ROUTE, 2, 0.5, False),
+        (OWN_ROUTE, 1, 0.5, True),
+    ],
+)
+def test_a_read_that_lacks_what_it_must_see_is_found(
+    judged, route, session, delay, is_stale
+):
+    judged.send(b"1", b"WRITE k v")
+    judged.commit(b"1")
+    # Time passes for the reader, and nothing is replicated.
+    judged.group.databases["b"].held = 9
+    judged.clock.advance(delay)
+    judged.send(b"2", b"READ k", route, session=session)
+    judged.run(b"2", b"READ k", "b")
+    assert judged.kinds == (["STALE"] if is_stale else [])
+
+
+def test_a_statement_outside_of_its_transaction_is_found(judged):
+    judged.send(b"1", b"BEGIN", transaction=7)
+    judged.run(b"1", b"BEGIN")
+    judged.session.writes = {}
+    judged.send(b"2", b"READ k", transaction=7)
+    judged.run(b"2", b"READ k")
+    assert judged.kinds == []
+    judged.send(b"3", b"READ k")
+    judged.run(b"3", b"READ k")
+    assert judged.kinds == ["PINNED"]
+
+
+def test_values_of_another_session_are_found(judged):
+    judged.session.values = {b"name": b"other"}
+    judged.send(b"1", b"READ k")
+    judged.run(b"1", b"READ k")
+    assert judged.kinds == ["PINNED"]
+
+
+def test_a_rolled_back_commit_need_not_be_seen(judged):
+    judged.send(b"1", b"WRITE k v")
+    position = judged.commit(b"1")
+    judged.group.rolled_back.add(position)
+    judged.clock.advance(1.0)
+    judged.send(b"2", b"READ k")
+    judged.run(b"2", b"READ k", "b")
+    assert judged.kinds == [] and position == LogPosition(1, 1)
+
+
+@pytest.mark.parametrize("seed", [1, 5])
+def test_real_processes_keep_the_promises_under_faults(seed):
+    words = ("soak", "--seed", str(seed), "--seconds", "4")
+    ran = subprocess.run(
+        (sys.executable, "-m", "beryltrack_bench", *words),
+        capture_output=True,
+        text=True,
+        timeout=RUN_LIMIT,
+    )
+    assert ran.returncode == 0, ran.stdout + ran.stderr
+    result = json.loads(ran.stdout.splitlines()[-1])
+    assert result["violations"] == [] and result["served_last"] > 0
