Keep watches within the store's memory, and register with one call

A watch waited 25 s, the store remembers 20 s of changes: each watch that ran out was told 410, which cost two lists and a short watch. Ruled out: changes; at rest the instances made the same calls. Change: a watch waits 15 s; databases are asked for a second after a change instead of 0.4 s; an instance of a system that starts for the first time writes its object without asking for it first.

--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -77,7 +77,8 @@
     rng : random.Random
         Source of jitter.
     first_look : float
-        Seconds after which the others are looked for.
+        Seconds after which the others are looked for; above zero where the whole
+        system starts for the first time.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         self._own = own
         self._name = own.name
         self._first_look = first_look
+        self._is_new = first_look > 0
         self._endpoint = endpoint
         self._callback = callback
         self._feed = FeedTask(reactor, listing, KIND, self._take, rng, WATCH_GAP)
@@ -147,6 +149,12 @@
             "zone": self._own.zone,
         }
         path = f"{KIND}/{self._name}"
+        if self._is_new:
+            # Nobody of this name was there before, so that the question is spared.
+            self._is_new = False
+            if isinstance(await self._store.put(path, value, 0), Success):
+                self._is_registering = False
+                return
         while not self._is_leaving:
             found = await self._store.get(path)
             if isinstance(found, Success):
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -101,9 +101,10 @@
 SETTINGS_GAP = 0.1
 """Seconds between two watches of the settings, which are to be in force within 3 s."""
 
-DATABASES_GAP = 0.4
-"""Seconds between two watches of the databases. Nine databases register within two
-seconds of a start, and one that is to leave serves on for seconds."""
+DATABASES_GAP = 1.0
+"""Seconds from a change of the databases until the next one is asked for. Nine to
+twelve register within two seconds of a start, each change is a call of each instance,
+and one that is to leave serves on for 7 s."""
 
 STALL_LIMIT = 10.0
 """Seconds that a caller may leave an answer unread."""
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -22,8 +22,10 @@
 
 log = logging.getLogger(__name__)
 
-WATCH_TIMEOUT = 25.0
-"""Seconds that a watch waits; the store allows 30."""
+WATCH_TIMEOUT = 15.0
+"""Seconds that a watch waits. The store allows 30 and remembers changes for 20: a watch
+that waits for longer than that is told that its changes are forgotten, which costs two
+lists and a short watch in place of one call."""
 
 SECOND_LOOK = 1.5
 """Seconds after a failure was over until all objects are listed again. A store that
