--- a/beryltrack_bench/soak/command.py
+++ b/beryltrack_bench/soak/command.py
@@ -18,7 +18,7 @@
     description = "Run real processes under random faults and check the promises."
     options = [
         option("seed", None, "The first seed.", False, default="1"),
-        option("runs", None, "How many seeds, one after the other.", False, default="1"),
+        option("runs", None, "How many seeds, in order.", False, default="1"),
         option("seconds", None, "Seconds of faults in each run.", False, default="15"),
     ]
 
