Start from what other instances know while the store is away

Ruled out: keeping copies on the instance, which has no disk. Change: an instance gives its copies of the store's objects to whoever connects to its port for that; one that starts again asks those of the seeds, from 0.3 s after its start until it takes callers, and goes by the store as soon as that answers.

--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -9,7 +9,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from returns.result import Success
 from twisted.internet.defer import Deferred
@@ -114,6 +114,15 @@
         self._reactor.callLater(self._first_look, self._feed.start)
         self._checking.start(CHECK_PERIOD, now=False)
 
+    @property
+    def objects(self) -> dict[str, PlatformObject]:
+        """The objects of all instances by path."""
+        return {f"{KIND}/{name}": item for name, item in self._objects.items()}
+
+    def learn(self, objects: Mapping[str, PlatformObject]) -> None:
+        """Take which instances there are from another one's copy."""
+        self._callback(self._make_peers(objects))
+
     def stop(self) -> None:
         """Look no more."""
         self._feed.stop()
@@ -130,9 +139,13 @@
         self._objects = {path.partition("/")[2]: each for path, each in objects.items()}
         if self._name not in self._objects:
             self._register()
-        peers = map(read_peer, self._objects.values())
+        self._callback(self._make_peers(objects))
+
+    def _make_peers(self, objects: Mapping[str, PlatformObject]) -> tuple[Peer, ...]:
+        """Return all instances, this one among them."""
+        peers = map(read_peer, objects.values())
         others = (peer for peer in peers if peer and peer.name != self._name)
-        self._callback(tuple(sorted((self._own, *others))))
+        return tuple(sorted((self._own, *others)))
 
     def _register(self) -> None:
         """Register unless that is under way."""
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -18,6 +18,7 @@
 from beryltrack.daemon import node_options as options
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.line_kit import LineKit
+from beryltrack.daemon.members import KIND as MEMBERS_KIND
 from beryltrack.daemon.members import WATCH_GAP, MemberPort, MemberTask
 from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
 from beryltrack.events.log import EventLog
@@ -27,6 +28,7 @@
 from beryltrack.objects.feed import FeedTask
 from beryltrack.objects.http import HttpClient
 from beryltrack.objects.messages import PlatformObject
+from beryltrack.objects.snapshot import Snapshot, SnapshotPort, SnapshotTask
 from beryltrack.platform.boot import READY_PATH
 from beryltrack.platform.caller import LineCallerFactory
 from beryltrack.platform.promotion import PromotionCalls
@@ -149,6 +151,7 @@
         self._roster = Roster()
         self._has_roster = False
         self._has_members = False
+        self._learned: Snapshot = {}
         self._look_call = None
         self._services = make_services(
             reactor,
@@ -195,6 +198,9 @@
             # All instances of a fleet that starts have registered by then.
             WATCH_GAP if settings.is_first_start else 0.0,
         )
+        self._snapshots = SnapshotTask(
+            reactor, settings.snapshot_sources, self._take_snapshot, rng
+        )
         self._ports = []
         self.metrics.set_gauges(self._get_gauges)
 
@@ -215,6 +221,11 @@
         self._listen(endpoint, PlainPages(self._reactor, metrics))
         self._listen(self.settings.member_listen, MemberPort())
         self._listen(self.settings.relay_listen, self._relays)
+        if self.settings.snapshot_listen is not None:
+            port = SnapshotPort(self._get_snapshot)
+            self._listen(self.settings.snapshot_listen, port)
+        if not self.settings.is_first_start:
+            self._snapshots.start()
         self._services.admission.start()
         self._overdue.start()
         for feed in self._feeds:
@@ -251,6 +262,7 @@
         for feed in self._feeds:
             feed.stop()
         self._members.stop()
+        self._snapshots.stop()
         self._services.admission.stop()
         self._overdue.stop()
         for port in self._ports:
@@ -307,6 +319,31 @@
         self._has_roster = True
         self._apply()
 
+    def _get_snapshot(self) -> Snapshot:
+        """Return the copies of the store's objects that this instance goes by."""
+        config, databases = (feed.objects for feed in self._feeds)
+        copies = {
+            CONFIG_KIND: config,
+            DATABASES_KIND: databases,
+            MEMBERS_KIND: self._members.objects,
+        }
+        return {
+            kind: each or self._learned.get(kind, {}) for kind, each in copies.items()
+        }
+
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        """Go by another instance's copies until the store tells more.
+
+        Without this an instance that starts while the store is away takes no callers
+        before it is back.
+        """
+        self._learned = snapshot
+        if not self._has_members and snapshot.get(MEMBERS_KIND):
+            self._members.learn(snapshot[MEMBERS_KIND])
+        if not self._has_roster and snapshot.get(DATABASES_KIND):
+            self._take_databases(snapshot[DATABASES_KIND])
+        self._take_configuration(snapshot.get(CONFIG_KIND, {}))
+
     def _get_lender(self, group: str, database: str) -> Lender | None:
         """Return what lends connections to a database, if this instance owns it."""
         runtime = self._groups.get(group)
@@ -366,6 +403,7 @@
         if self.state is NodeState.STARTING:
             self._listen(self.settings.listen, self._callers)
             self.state = NodeState.LIVE
+            self._snapshots.stop()
             log.info("daemon: Instance %s is ready.", self.settings.name)
 
     def _look_again(self, now: float) -> None:
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -93,6 +93,11 @@
         self._looks_twice = False
         self._loop: Deferred | None = None
 
+    @property
+    def objects(self) -> dict[str, PlatformObject]:
+        """All objects by path, as they were last told."""
+        return self._objects
+
     def start(self) -> None:
         """Begin to follow the objects."""
         self._loop = Deferred.fromCoroutine(self._run())
--- a/beryltrack/platform/boot.py
+++ b/beryltrack/platform/boot.py
@@ -56,4 +56,11 @@
         parse_endpoint(fields["cloud"]["address"]),  # Carries out promotions.
         float(bounds["grace_s"]),
         bool(fields.get("first_start", True)),
+        Endpoint(fields["ip"], first_port + 2),
+        # A seed is another instance's address for control; its ports are as here.
+        tuple(
+            Endpoint(parse_endpoint(seed).host, first_port + 2)
+            for seed in fields.get("seeds") or ()
+            if parse_endpoint(seed).host != fields["ip"]
+        ),
     )
--- a/beryltrack/settings/node.py
+++ b/beryltrack/settings/node.py
@@ -30,6 +30,10 @@
         Seconds between SIGTERM and SIGKILL.
     is_first_start : bool
         True if the whole system starts for the first time.
+    snapshot_listen : Endpoint or None
+        Where this instance gives its copies of the store's objects; None if nowhere.
+    snapshot_sources : tuple of Endpoint
+        Where others may give theirs.
     """
 
     name: str
@@ -42,3 +46,5 @@
     promotion: Endpoint
     grace: float
     is_first_start: bool = True
+    snapshot_listen: Endpoint | None = None
+    snapshot_sources: tuple[Endpoint, ...] = ()
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -31,7 +31,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 GROUP = "group"
 DATABASES = ("i-a", "i-b", "i-c")
-FRONT_PORT, READY_PORT, INTERNAL_PORT = 8784, 8785, 7440
+FRONT_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT = 8784, 8785, 8782, 7440
 GRACE = 4
 """Seconds between SIGTERM and SIGKILL."""
 
@@ -233,6 +233,7 @@
                 "ready": f"{node.host}:{READY_PORT}",
             },
             "internal_ports": [INTERNAL_PORT, INTERNAL_PORT + 15],
+            "seeds": [f"{each.host}:{CONTROL_PORT}" for each in self.nodes[:3]],
             "first_start": is_first,
             "bounds": {"grace_s": GRACE},
             "platform": {"address": self._addresses[node.name, "store"]},
