Cut nobody off at the end of an instance's grace

Sessions that came after the others were told to go, as the balancer still sends some where most of a zone leaves, and transactions that were open took statements up to that moment. Change: at seven tenths of the grace an instance takes no further statements: what runs is answered, open transactions end between two statements (they may count on half of the grace), and sessions that come then are refused as not run. Three tests, of which two fail before.

--- a/beryltrack/callers/sequence.py
+++ b/beryltrack/callers/sequence.py
@@ -63,6 +63,7 @@
         self._waiting: deque[bytes] = deque()
         self._is_running = False
         self._is_leaving = False
+        self._is_finishing = False
         self._is_full = False
         self._producer: Producer | None = None
         self._on_gone: Callable[[], object] | None = None
@@ -125,6 +126,14 @@
         self._is_leaving = True
         self._end_if_idle()
 
+    def finish(self) -> None:
+        """End the connection as soon as what runs is answered.
+
+        A transaction that is open between two statements is rolled back.
+        """
+        self._is_finishing = True
+        self._end_if_idle()
+
     def abort(self) -> None:
         """End the connection at once."""
         self.transport.abortConnection()
@@ -197,9 +206,11 @@
         self._go_on()
 
     def _end_if_idle(self) -> None:
-        """End a caller that is to leave, between two transactions."""
-        is_idle = not (self._is_running or self.in_transaction or self._waiting)
-        if self._is_leaving and is_idle and not self.gone:
+        """End a caller that is to leave, between two transactions or statements."""
+        if self.gone or self._is_running:
+            return
+        is_idle = not (self.in_transaction or self._waiting)
+        if self._is_finishing or (self._is_leaving and is_idle):
             self.transport.loseConnection()
 
     def _start_timer(self, delay: float) -> None:
@@ -237,6 +248,7 @@
         self.handler = handler
         self.limits = limits
         self.callers: set[SequentialCaller] = set()
+        self.is_finishing = False
         self._left: Deferred[None] | None = None
 
     def buildProtocol(self, addr) -> SequentialCaller:  # noqa: N802
@@ -244,13 +256,23 @@
         return self.protocol(self)
 
     def leave(self) -> "Deferred[None]":
-        """End all callers between two transactions; fires when all are gone."""
+        """End all callers between two transactions; fires when all are gone.
+
+        Those that connect later are served until `finish`: the balancer still sends
+        some where most instances of a zone leave.
+        """
         self._left = Deferred()
         for caller in tuple(self.callers):
             caller.leave()
         self.note_gone()
         return self._left
 
+    def finish(self) -> None:
+        """End all callers as soon as what they have sent is answered; take no more."""
+        self.is_finishing = True
+        for caller in tuple(self.callers):
+            caller.finish()
+
     def abort(self) -> None:
         """End all callers at once."""
         for caller in tuple(self.callers):
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -72,6 +72,11 @@
 """Seconds that the balancer may take to notice that an instance leaves: two
 questions, one a second."""
 
+FINISH_PART = 0.7
+"""Part of the grace after which open transactions are ended between two statements:
+what was taken before has a second left to be answered, a statement's usual limit.
+Transactions may count on half of the grace."""
+
 LAST_PART = 0.12
 """Part of the grace that is left when the last callers are cut off."""
 
@@ -249,14 +254,25 @@
         leaving = gatherResults([self._callers.leave(), relays_left])
         limit = grace * (1 - LAST_PART) - min(BALANCER_TIME, grace / 2)
         leaving.addTimeout(limit, self._reactor)
+        finishing = self._reactor.callLater(
+            grace * FINISH_PART - min(BALANCER_TIME, grace / 2), self._finish_callers
+        )
         try:
             await leaving
         except TimeoutError:
             log.warning("daemon: Callers are cut off at the end of the grace.")
+        if finishing.active():
+            finishing.cancel()
         self._callers.abort()
         self._relays.abort()
         await self.stop()
 
+    def _finish_callers(self) -> None:
+        """Take no further statements, so that none is cut off at the end."""
+        log.info("daemon: Open transactions end between two statements from now on.")
+        self._callers.finish()
+        self._relays.finish()
+
     async def stop(self) -> None:
         """Close everything."""
         for feed in self._feeds:
--- a/beryltrack/platform/caller.py
+++ b/beryltrack/platform/caller.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from beryltrack.callers.sequence import SequentialCaller, SequentialFactory
-from beryltrack.errors import PROTOCOL_VIOLATION, SqlError
+from beryltrack.errors import PROTOCOL_VIOLATION, SqlError, make_refusal
 from beryltrack.platform import lines
 from beryltrack.platform.codes import encode_error
 from beryltrack.platform.statements import LineSession, LineStatement, parse_query
@@ -106,6 +106,8 @@
             return
         self.database = fields[1].decode("utf-8", "replace")
         error = self._factory.handler.check_session(self)
+        if error is None and self._factory.is_finishing:
+            error = make_refusal("the instance leaves", 0.0)
         if error is not None:
             self.session = None
             self.send_error(error)
--- a/tests/callers/test_sequence.py
+++ b/tests/callers/test_sequence.py
@@ -101,3 +101,22 @@
     caller.dataReceived(b"a")
     caller.run.errback(RuntimeError("defect"))
     assert caller.transport.disconnected
+
+
+def test_at_the_end_a_transaction_is_ended_between_two_statements():
+    _, factory, caller, _ = open_caller()
+    caller.status = TransactionStatus.IN_TRANSACTION
+    factory.leave()
+    assert not caller.transport.disconnecting
+    factory.finish()
+    assert caller.transport.disconnecting
+
+
+def test_at_the_end_a_statement_that_runs_is_answered_first():
+    _, factory, caller, _ = open_caller()
+    caller.status = TransactionStatus.IN_TRANSACTION
+    caller.dataReceived(b"a")
+    factory.finish()
+    assert not caller.transport.disconnecting
+    caller.run.callback(None)
+    assert caller.transport.disconnecting
--- a/tests/platform/test_caller.py
+++ b/tests/platform/test_caller.py
@@ -102,6 +102,18 @@
     assert session.transport.disconnecting
 
 
+def test_a_caller_that_comes_while_the_instance_leaves_is_refused_as_not_run():
+    session = Session()
+    factory = session.caller._factory
+    factory.leave()
+    factory.finish()
+    late, transport = factory.buildProtocol(None), Transport()
+    late.makeConnection(transport)
+    late.dataReceived(b"START own u1\r\n")
+    assert transport.value().startswith(b"ERROR BUSY the instance leaves")
+    assert transport.disconnecting
+
+
 def test_settings_and_prepared_statements_are_answered_here(session):
     session.send("QUERY 1 SET a b", "QUERY 2 PREPARE s WRITE q", "QUERY 3 ROLLBACK")
     assert session.take() == b"COMPLETE -\r\nREADY I -\r\n" * 3
