Let no instance of a fleet that starts change a primary before it knows the others

Cause: found in reading: before the members are known, 1.5 s after a first start, each instance ranked itself first among itself alone, so that 74 of them could have begun elections of one group at once. Change: it is no candidate until then. A test that fails without the candidate's check.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -444,6 +444,9 @@
         """Watch a group from now on."""
         if self._has_members:
             self._set_candidates(runtime)
+        else:
+            # Of a fleet that starts each instance would take itself for the first.
+            runtime.task.set_nodes((self.settings.name,), False)
         runtime.ensure_started()
 
     def _get_gauges(self) -> Iterable[Gauge]:
--- a/tests/failover/test_decider.py
+++ b/tests/failover/test_decider.py
@@ -282,3 +282,10 @@
     )
     election = decider.decide(again, 20.0)
     assert election.kind is ElectionKind.RECLAIM and election.preferred == "a"
+
+
+def test_an_instance_that_is_no_candidate_holds_no_election():
+    decider = make_decider(nodes=("n1",))
+    decider.set_nodes(("n2",), False)
+    assert decider.decide(DEAD, 10.0) is None
+    assert not decider.is_first
