--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -7,7 +7,6 @@
 """
 
 import logging
-import math
 from collections.abc import Callable
 from random import Random
 
@@ -23,6 +22,7 @@
 from beryltrack.groups.adapter import DatabaseGroup
 from beryltrack.groups.decider import GroupDecider
 from beryltrack.groups.messages import PRIMARY, DatabaseStatus, LogPosition
+from beryltrack.groups.plain_pace import PaceFacts, PlainPace, get_witness
 from beryltrack.groups.policy import (
     ProbePolicy,
     compute_delay,
@@ -37,7 +37,6 @@
     GroupView,
     get_database,
     get_outline,
-    get_primary,
     has_applied,
 )
 from beryltrack.groups.waiters import (
@@ -55,13 +54,6 @@
 # proven by requests sent "at or after" a time, so no two times may be equal.
 TIME_STEP = 1e-7
 
-# Seconds without a call of `notice_pause` after which the process was paused: less
-# than the shortest silence that counts as a loss.
-PAUSE_LIMIT = 0.4
-# Seconds after which a commit's receipt is asked of all plain replicas. The first
-# one asked has nearly always received it, and each question is paid for.
-WITNESS_TIME = 0.012
-
 
 class GroupTask:
     """Watches one group and answers for it.
@@ -125,7 +117,6 @@
             authority,
         )
         self._sent_at = dict.fromkeys(names, 0.0)
-        self._heard_at: dict[str, float] = {}
         self._last_time = 0.0
         self._used_at = NEVER
         self._samples: list[SampleWaiter] = []
@@ -133,12 +124,8 @@
         self._subscribers: list[Callable[[GroupView], None]] = []
         self._failover_subscribers: list[Callable[[FailoverReport], None]] = []
         self._running = False
-        self._suspected_at = NEVER
-        self._suspect_until = NEVER
-        self._confirming_since = math.inf
-        self._asks_all = False
+        self._pace = PlainPace(self._policy, self._seconds())
         self._reported = self._decider.view
-        self._turn_at = self._seconds()
 
     @property
     def view(self) -> GroupView:
@@ -153,7 +140,7 @@
     def start(self) -> None:
         """Begin to watch the group."""
         self._running = True
-        self._turn_at = self._seconds()
+        self._pace.restart(self._seconds())
         for watch in self._watches.values():
             watch.start()
 
@@ -190,9 +177,7 @@
         self._commits.set_size(len(names))
         self._failover.set_databases(names)
         self._sent_at = {name: self._sent_at.get(name, 0.0) for name in names}
-        self._heard_at = {
-            name: at for name, at in self._heard_at.items() if name in names
-        }
+        self._pace.keep_databases(names)
         for name in self._watches.keys() - set(names):
             self._watches.pop(name).stop()
         for waiter in tuple(self._applied):
@@ -246,7 +231,7 @@
     def observe_position(self, database: str, position: LogPosition) -> None:
         """Take in an applied position that came with an answer to a statement."""
         self._note_use()
-        self._heard_at[database] = self._seconds()
+        self._pace.note_heard(database, self._seconds())
         self._decider.observe_position(database, position, self._seconds())
         self._answer_applied()
 
@@ -282,7 +267,7 @@
 
     def observe_lagging(self, database: str) -> None:
         """Take in that a replica did not show a position that it was asked for."""
-        self._heard_at[database] = self._seconds()
+        self._pace.note_heard(database, self._seconds())
         self._decider.observe_lagging(database, self._seconds())
 
     def get_needed_position(self, since: float) -> LogPosition | None:
@@ -291,7 +276,7 @@
 
     def was_heard(self, database: str, since: float) -> bool:
         """Return whether a database has answered any statement after a time."""
-        return self._heard_at.get(database, NEVER) > since
+        return self._pace.was_heard(database, since)
 
     def suspect(self, database: str, since: float) -> None:
         """Take in a sign that a database may be lost: look closely for a while.
@@ -311,10 +296,8 @@
                 # It has answered others that came later, so that it is only slow.
                 return
             self._decider.observe_primary_asked(since)
-            if now >= self._suspect_until:
-                self._suspected_at = now
+            if self._pace.note_suspicion(now):
                 self._wake_all()
-            self._suspect_until = now + self._policy.suspect_time
         elif now - self._sent_at[database] > self._policy.suspect_interval:
             self._watches[database].wake()
 
@@ -369,9 +352,9 @@
         if answer.called:
             return answer
         if self._policy.is_plain:
-            self._confirming_since = min(self._confirming_since, self._seconds())
+            self._pace.begin_confirming(self._seconds())
             answer.addBoth(self._end_confirming)
-            witness = self._get_witness()
+            witness = get_witness(self.view)
             if witness:
                 self._watches[witness].wake()
         else:
@@ -461,7 +444,13 @@
         if self.get_wait(database) is not None:
             return 0.0
         if self._policy.is_plain:
-            return self._get_plain_delay(item)
+            facts = PaceFacts(
+                self._is_awaited(item),
+                self._failover.is_suspect(self.view),
+                self._failover.is_first,
+                self._decider.heard_at,
+            )
+            return self._pace.compute_delay(self.view, item, facts, self._seconds())
         if self._failover.is_suspect(self.view):
             return self._policy.suspect_interval
         in_use = self._seconds() < self._used_at + self._policy.use_time
@@ -472,7 +461,8 @@
         self.notice_pause()
         if isinstance(result, Success):
             self.take_status(result.unwrap(), sent_at)
-            self._ask_all_if_late()
+            if self._pace.turns_to_all(self._seconds()):
+                self._wake_replicas()
             return
         if result.failure().is_answered:
             self._decider.observe_answer(database, self._seconds())
@@ -487,9 +477,8 @@
     def take_status(self, status: DatabaseStatus, sent_at: float) -> None:
         """Take in a status, and answer all who waited for what it shows."""
         self._decider.observe_status(status, sent_at, self._seconds())
-        if status.name == self.view.primary and sent_at >= self._suspected_at:
-            # One that is slow now and then is not to be asked for seconds on end.
-            self._suspect_until = NEVER
+        if status.name == self.view.primary:
+            self._pace.note_primary_status(sent_at)
         self._commits.observe_status(status)
         self._answer_applied()
         self._answer_samples()
@@ -501,33 +490,7 @@
         for callback in tuple(self._failover_subscribers):
             callback(report)
 
-    def _get_plain_delay(self, item: DatabaseView) -> float:
-        """Return the seconds until a plain database is asked again.
-
-        A probe takes a slot of the database and is paid for, so that databases
-        are asked only for what traffic does not tell.
-        """
-        policy, view, now = self._policy, self.view, self._seconds()
-        if self._is_awaited(item, now):
-            # A commit that nobody receives is asked for ever more seldom.
-            waited = now - min(self._confirming_since, now)
-            return min(max(policy.poll_interval, waited / 4), policy.suspect_interval)
-        leader = get_primary(view)
-        is_suspect = now < self._suspect_until or item.is_held
-        # A primary that leaves is handed over on fresh answers of the others.
-        is_suspect = is_suspect or leader is None or leader.leaving
-        # Others may have elected another one since this node heard nothing.
-        is_suspect = is_suspect or not leader.reachable
-        if is_suspect or self._failover.is_suspect(view) or item.seen_at == NEVER:
-            return policy.suspect_interval
-        if not item.reachable:
-            return policy.interval
-        if item.name == view.primary and self._failover.is_first:
-            since_heard = now - self._decider.heard_at
-            return max(policy.poll_interval, policy.guard_interval - since_heard)
-        return policy.rest_interval
-
-    def _is_awaited(self, item: DatabaseView, now: float) -> bool:
+    def _is_awaited(self, item: DatabaseView) -> bool:
         """Return whether somebody waits for the progress of a replica."""
         if item.role == PRIMARY or not item.reachable:
             return False
@@ -535,30 +498,12 @@
             return True
         if self._commits.get_wait_offset(item.name) is None:
             return False
-        return self._asks_all or item.name == self._get_witness()
-
-    def _ask_all_if_late(self) -> None:
-        """Ask all replicas of a commit that the first one asked lacks."""
-        waited = self._seconds() - self._confirming_since
-        if waited > WITNESS_TIME and not self._asks_all:
-            self._asks_all = True
-            self._wake_replicas()
-
-    def _get_witness(self) -> str:
-        """Return the replica that is asked first whether it received a commit."""
-        fit = [
-            item
-            for item in self.view.databases
-            if item.role != PRIMARY and item.reachable and not item.is_held
-        ]
-        best = max(fit, key=lambda item: item.received, default=None)
-        return best.name if best else ""
+        return self._pace.asks_all or item.name == get_witness(self.view)
 
     def _end_confirming(self, result: object) -> object:
         """Note that a commit is waited for no longer."""
         if self._commits.pending <= 1:
-            self._confirming_since = math.inf
-            self._asks_all = False
+            self._pace.end_confirming()
         return result
 
     def notice_pause(self) -> None:
@@ -566,12 +511,11 @@
 
         After such a pause the answers of replicas may be read before that of the
         primary, which would then be replaced without need. Has to be called
-        several times within `PAUSE_LIMIT` where databases are plain.
+        several times within `plain_pace.PAUSE_LIMIT` where databases are plain.
         """
         now = self._seconds()
-        if now - self._turn_at > PAUSE_LIMIT:
+        if self._pace.note_turn(now):
             self._decider.observe_primary_heard(now)
-        self._turn_at = now
 
     def _get_until_lost(self, item: DatabaseView) -> float:
         """Return after how much more silence a replica will have lost its primary."""
--- a/tests/groups/test_plain.py
+++ b/tests/groups/test_plain.py
@@ -15,6 +15,7 @@
     GrantReply,
     LogPosition,
 )
+from beryltrack.groups.plain_pace import get_witness
 from beryltrack.groups.policy import ProbePolicy
 from beryltrack.groups.task import GroupTask
 from beryltrack.groups.view import get_database
@@ -143,7 +144,7 @@
 
 def test_a_commit_that_the_first_replica_lacks_is_asked_of_the_other():
     clock, databases, task = start_group()
-    databases.received["c" if task._get_witness() == "b" else "b"] = 6
+    databases.received["c" if get_witness(task.view) == "b" else "b"] = 6
     answer = task.confirm(LogPosition(1, 6), 1.0, "a")
     run(clock, task, 0.1)
     assert answer.result is CommitOutcome.CONFIRMED
--- /dev/null
+++ b/tests/groups/test_plain_pace.py
@@ -0,0 +1,79 @@
+"""How often databases are asked that tell little, on literal times."""
+
+from beryltrack.groups.messages import PRIMARY, REPLICA, LogPosition
+from beryltrack.groups.plain_pace import (
+    PAUSE_LIMIT,
+    WITNESS_TIME,
+    PaceFacts,
+    PlainPace,
+    get_witness,
+)
+from beryltrack.groups.policy import ProbePolicy
+from beryltrack.groups.view import DatabaseView, GroupView
+
+POLICY = ProbePolicy(0.25, 0.25, suspect_interval=0.1, is_plain=True)
+CALM = PaceFacts(False, False, False, 0.0)
+
+
+def make_item(name, role=REPLICA, received=5, **fields):
+    seen = {"reachable": True, "seen_at": 9.0, **fields}
+    return DatabaseView(name, role, 1, LogPosition(1, received), **seen)
+
+
+LEADER = make_item("a", PRIMARY)
+VIEW = GroupView(
+    "g", 1, "a", databases=(LEADER, make_item("b"), make_item("c", received=0))
+)
+
+
+def compute(pace, item=VIEW.databases[1], facts=CALM, now=10.0, view=VIEW):
+    return pace.compute_delay(view, item, facts, now)
+
+
+def test_a_database_at_rest_is_asked_seldom():
+    assert compute(PlainPace(POLICY, 0.0)) == POLICY.rest_interval
+
+
+def test_the_first_instance_guards_a_primary_that_it_does_not_hear():
+    facts = CALM._replace(is_first=True, heard_at=9.9)
+    delay = compute(PlainPace(POLICY, 0.0), LEADER, facts)
+    assert round(delay, 6) == POLICY.guard_interval - 0.1
+
+
+def test_a_suspicion_ends_with_an_answer_from_after_it():
+    pace = PlainPace(POLICY, 0.0)
+    assert pace.note_suspicion(10.0) and not pace.note_suspicion(10.1)
+    assert compute(pace, now=10.2) == POLICY.suspect_interval
+    pace.note_primary_status(9.9)
+    assert compute(pace, now=10.2) == POLICY.suspect_interval
+    pace.note_primary_status(10.1)
+    assert compute(pace, now=10.2) == POLICY.rest_interval
+
+
+def test_a_receipt_is_asked_for_ever_more_seldom_and_then_of_all():
+    pace, facts = PlainPace(POLICY, 0.0), CALM._replace(is_awaited=True)
+    pace.begin_confirming(10.0)
+    assert compute(pace, facts=facts, now=10.0) == POLICY.poll_interval
+    assert 0.049 < compute(pace, facts=facts, now=10.2) < 0.051
+    assert not pace.turns_to_all(10.0 + WITNESS_TIME / 2)
+    assert pace.turns_to_all(10.0 + WITNESS_TIME * 2)
+    assert not pace.turns_to_all(10.0 + WITNESS_TIME * 3)
+    pace.end_confirming()
+    assert not pace.asks_all
+
+
+def test_a_group_without_a_primary_is_watched_closely():
+    view = VIEW._replace(primary="")
+    assert compute(PlainPace(POLICY, 0.0), view=view) == POLICY.suspect_interval
+
+
+def test_a_pause_is_a_long_time_without_a_turn():
+    pace = PlainPace(POLICY, 0.0)
+    assert not pace.note_turn(PAUSE_LIMIT / 2)
+    assert pace.note_turn(PAUSE_LIMIT * 2)
+
+
+def test_the_witness_is_the_replica_that_received_most():
+    assert get_witness(VIEW) == "b"
+    held = VIEW._replace(databases=(LEADER, make_item("b", is_held=True)))
+    assert get_witness(held) == ""
