--- a/tests/groups/test_plain_pace.py
+++ b/tests/groups/test_plain_pace.py
@@ -1,5 +1,7 @@
 """How often databases are asked that tell little, on literal times."""
 
+import pytest
+
 from beryltrack.groups.messages import PRIMARY, REPLICA, LogPosition
 from beryltrack.groups.plain_pace import (
     PAUSE_LIMIT,
@@ -37,7 +39,7 @@
 def test_the_first_instance_guards_a_primary_that_it_does_not_hear():
     facts = CALM._replace(is_first=True, heard_at=9.9)
     delay = compute(PlainPace(POLICY, 0.0), LEADER, facts)
-    assert round(delay, 6) == POLICY.guard_interval - 0.1
+    assert delay == pytest.approx(POLICY.guard_interval - 0.1)
 
 
 def test_a_suspicion_ends_with_an_answer_from_after_it():
