--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -308,29 +308,6 @@
     return make_refusal(failure.text, 0.0, state)
 
 
-def _get_news(session: RelayedSession, task: GroupTask) -> Proven | None:
-    """Return the newest proof, None if the session was told of it before.
-
-    An owner has many proofs from the statements that pass. Without them each
-    instance would ask each primary for a position of its own every second: on 74
-    instances that made 59,700 status requests beside 23,700 statements.
-    """
-    sample = task.get_proof()
-    if sample is None or sample.sent_at <= session.proven_at:
-        return None
-    session.proven_at = sample.sent_at
-    return Proven(sample.position, max(0.0, task.get_time() - sample.sent_at))
-
-
-def _make_status_error(failure: ControlFailure) -> SqlError:
-    """Return the error of a status that the database did not give.
-
-    One that is at work and has no slot is told apart from one that is silent.
-    """
-    state = TOO_MANY_CONNECTIONS if failure.is_answered else CANNOT_CONNECT_NOW
-    return make_refusal(failure.text, 0.0, state)
-
-
 def _take_waiting(share: _StatusShare) -> list[Deferred]:
     """Return who waits now; whoever comes later waits for the next answer."""
     waiting, share.waiting = share.waiting, []
