Let owners judge whether a full database is lost

Change: relayed control requests have three times as long, and an owner that has heard a database by statements says that it is at work when a status fails.

--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -63,7 +63,9 @@
 
 # A status takes 1 to 4 ms, and 0.2 s behind a full queue of its database. What is
 # left for a new connection after that is enough for its 12 to 30 ms.
-CONTROL = ControlLimits(request=0.4, doubt=0.2)
+# An owner may be at two such requests before it comes to that of another instance. With
+# 0.4 s for these too, instances took a full primary for lost and broke what ran on it.
+CONTROL = ControlLimits(request=0.4, doubt=0.2, relayed=3.0)
 
 CONTROL_CONNECT = 0.4
 """Seconds until a new control connection counts as failed; it takes 12 to 30 ms."""
--- a/beryltrack/groups/adapter.py
+++ b/beryltrack/groups/adapter.py
@@ -58,10 +58,14 @@
     doubt : float
         Seconds without an answer after which a connection that was open before is
         given up and the request is sent over a new one, within the same limit.
+    relayed : float
+        Factor of both for requests that an owner passes on: it answers the ones
+        before, and judges itself whether the database is silent.
     """
 
     request: float
     doubt: float
+    relayed: float = 1.0
 
 
 class DatabaseGroup(Protocol):
--- a/beryltrack/groups/control_calls.py
+++ b/beryltrack/groups/control_calls.py
@@ -113,26 +113,26 @@
         Without a second attempt over a new one all instances would take a primary
         for lost whose open connections have been cut without a word.
         """
-        limit = self._limits.request
+        left = 1.0
         kept = self._connections.get(database)
         if kept is not None and not kept.broken:
             try:
-                return await self._ask(kept, wire, limit, database)
+                return await self._ask(kept, wire, left, database)
             except (TargetLost, TimeoutError) as error:
                 log.info("groups: A connection to %s fails: %s", database, error)
-                limit -= self._limits.doubt
+                left -= self._limits.doubt / self._limits.request
                 self._observe_silence(kept)
         connection = await self._connect(database)
-        return await self._ask(connection, wire, limit)
+        return await self._ask(connection, wire, left)
 
     async def _ask(
         self,
         connection: RelayedConnection,
         wire: bytes,
-        limit: float,
+        part: float,
         doubted: str = "",
     ) -> ControlAnswer:
-        """Send one request over a connection.
+        """Send one request over a connection, within a part of the time limit.
 
         Where a database is named, the connection is given up sooner unless the
         database was heard otherwise: it is only slow then, and a new connection
@@ -141,12 +141,15 @@
         sink = CollectingSink()
         running = connection.run(wire, sink)
         since = connection.run_since
+        factor = self._limits.relayed if connection.way else 1.0
+        limit = self._limits.request * part * factor
+        doubt_after = min(self._limits.doubt * factor, limit)
 
         def doubt() -> None:
             if doubted and not self._was_heard(doubted, since):
                 connection.close()
 
-        doubting = self._reactor.callLater(min(self._limits.doubt, limit), doubt)
+        doubting = self._reactor.callLater(doubt_after, doubt)
         try:
             end = await running.addTimeout(limit, self._reactor)
         finally:
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from random import Random
 
-from returns.result import Success
+from returns.result import Failure, Success
 from twisted.internet.defer import Deferred
 
 from beryltrack.clock import get_seconds
@@ -248,6 +248,9 @@
         result = await self._adapter.get_status(database)
         if isinstance(result, Success):
             self.take_status(result.unwrap(), sent_at)
+        elif self.was_heard(database, sent_at):
+            # The other instance must not take it for lost either.
+            return Failure(result.failure()._replace(is_answered=True))
         return result
 
     def observe_proof(self, proof: Sample) -> None:
--- a/tests/groups/test_plain.py
+++ b/tests/groups/test_plain.py
@@ -266,3 +266,21 @@
     task.suspect("b", task.get_time())
     run(clock, task, 0.6)
     assert not get_database(task.view, "b").reachable
+
+
+def test_a_status_for_another_instance_tells_a_busy_database_from_a_silent_one():
+    clock, databases, task = start_group()
+    databases.silent.add("a")
+    answers = []
+
+    def ask():
+        asking = Deferred.fromCoroutine(task.ask_status("a"))
+        asking.addCallback(lambda result: answers.append(result.failure().is_answered))
+
+    ask()
+    run(clock, task, 0.1)
+    task.observe_position("a", LogPosition(1, 5))
+    run(clock, task, 0.4)
+    ask()
+    run(clock, task, 0.5)
+    assert answers == [True, False]
--- a/tests/platform/test_group.py
+++ b/tests/platform/test_group.py
@@ -159,6 +159,21 @@
     assert len(site.database.sessions) == 1
 
 
+def test_an_owner_has_more_time_than_a_database(site):
+    site.calls._limits = ControlLimits(0.1, 0.05, 8.0)
+    site.call("get_status")
+    first = site.database.sessions[0]
+    take = first.dataReceived
+
+    def answer_late(data):
+        reactor.callLater(0.25, take, data)
+
+    first.dataReceived = answer_late
+    site.calls._connections["db-1"].way = "owner"
+    assert site.call("get_status").unwrap().role == PRIMARY
+    assert len(site.database.sessions) == 1 and site.silent == []
+
+
 def test_a_silent_database_fails_within_the_limit(site):
     site.call("get_status")
     site.database.answers.pop(b"QUERY - STATUS")
