Break off no read at an owner that is at work

Reads behind the queues of an owner and of a full database take longer than the 0.4 s after which a read's connection is closed; the owner then breaks off what the database runs for it, and opens another connection. Change: a read through an owner has its statement's time.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -15,6 +15,7 @@
 from twisted.web.http import OK
 
 from beryltrack.clock import get_seconds
+from beryltrack.connections.task import PoolTask
 from beryltrack.daemon import node_options as options
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.line_kit import LineKit
@@ -46,7 +47,7 @@
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.handler import Lender, RelayHandler
 from beryltrack.relay.owners import Peer
-from beryltrack.relay.ways import give_up
+from beryltrack.relay.ways import give_up, is_silent
 from beryltrack.requests.overdue import OverdueWatch
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import make_services
@@ -190,6 +191,7 @@
             self._seconds,
             lambda: self._groups.runtimes,
             self._give_up,
+            lambda connection: is_silent(connection, self._get_pools()),
         )
         self._members = MemberTask(
             reactor,
@@ -371,12 +373,15 @@
 
     def _give_up(self, connection: LineTarget) -> None:
         """Close a connection that does not answer, and leave its way if that is so."""
-        runtimes = self._groups.runtimes
-        pools = [pool for runtime in runtimes for pool in runtime.pools.values()]
-        owner = give_up(connection, pools)
+        owner = give_up(connection, self._get_pools())
         if owner:
             self._directory.avoid(owner)
 
+    def _get_pools(self) -> list[PoolTask]:
+        """Return the pools of all databases."""
+        runtimes = self._groups.runtimes
+        return [pool for runtime in runtimes for pool in runtime.pools.values()]
+
     def _is_owner(self, runtime: GroupRuntime) -> bool:
         """Return whether this instance opens connections to a group's databases."""
         limit = get_most_connections(runtime.settings)
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -118,7 +118,9 @@
     ) -> RunResult:
         """Bring a connection to the caller's session, and run a statement on it."""
         policy = plan.policy
-        is_repeatable = plan.is_read and not caller.in_transaction
+        # An owner that is at work only has a queue; to break a read off there would
+        # throw its work away and open another connection to a full database.
+        is_repeatable = plan.is_read and not (caller.in_transaction or connection.way)
         limit = policy.read_timeout if is_repeatable else policy.run_timeout
         setups = format_setups(connection, caller.lines, plan.shape)
         prefix = lines.format_after(after) if after is not None else b""
--- a/beryltrack/relay/ways.py
+++ b/beryltrack/relay/ways.py
@@ -20,6 +20,22 @@
     heard_at: float
 
 
+def is_silent(connection: RelayedConnection, pools: Iterable[PoolTask]) -> bool:
+    """Return whether nothing came from an owner since a connection's request was sent.
+
+    A connection straight to a database is not judged by this.
+    """
+    since, way = connection.run_since, connection.way
+    if not way or since is None:
+        return False
+    return not any(
+        each.heard_at > since
+        for pool in pools
+        for each in pool.get_connections()
+        if each.way == way
+    )
+
+
 def give_up(connection: RelayedConnection, pools: Iterable[PoolTask]) -> str:
     """Close a connection whose request is far too late.
 
@@ -36,19 +52,14 @@
         The owner to ask no more for a while, as nothing came from it since the
         request was sent; its idle connections are closed. Empty if there is none.
     """
-    since, way = connection.run_since, connection.way
+    pools = tuple(pools)
+    must_leave = is_silent(connection, pools)
     connection.close()
-    if not way:
-        return ""
-    same = [
-        (pool, each)
-        for pool in pools
-        for each in pool.get_connections()
-        if each.way == way
-    ]
-    if since is None or any(each.heard_at > since for _, each in same):
+    if not must_leave:
         return ""
-    log.warning("relay: %s does not answer, others are asked.", way)
-    for pool, each in same:
-        pool.close_idle(each)
-    return way
+    log.warning("relay: %s does not answer, others are asked.", connection.way)
+    for pool in pools:
+        for each in pool.get_connections():
+            if each.way == connection.way:
+                pool.close_idle(each)
+    return connection.way
--- a/beryltrack/requests/overdue.py
+++ b/beryltrack/requests/overdue.py
@@ -20,6 +20,11 @@
 """Seconds after which a request is late: longer than nearly all statements run."""
 
 
+SILENT_AFTER = 0.4
+"""Seconds without an answer after which an owner is looked at: it usually gives one
+within 0.2 s, behind a full queue of its database."""
+
+
 class OverdueWatch:
     """Watches the requests of all groups.
 
@@ -33,6 +38,8 @@
         Returns the groups.
     give_up : callable
         Takes each connection whose request is far too late.
+    is_silent : callable
+        Says of a connection whether what it goes through has fallen silent.
     """
 
     def __init__(
@@ -41,10 +48,12 @@
         seconds: Callable[[], float],
         get_runtimes: Callable[[], Iterable[GroupRuntime]],
         give_up: Callable[[PooledConnection], None],
+        is_silent: Callable[[PooledConnection], bool] = lambda connection: False,
     ):
         self._seconds = seconds
         self._get_runtimes = get_runtimes
         self._give_up = give_up
+        self._is_silent = is_silent
         self._looking = LoopingCall(self.look)
         self._looking.clock = reactor
 
@@ -65,7 +74,10 @@
             for name, pool in runtime.pools.items():
                 for connection in pool.get_running():
                     since = connection.run_since
-                    if now > connection.run_until:
+                    is_over = now > connection.run_until
+                    if is_over or (
+                        now - since > SILENT_AFTER and self._is_silent(connection)
+                    ):
                         self._give_up(connection)
                     elif now - since > LATE_AFTER:
                         runtime.task.suspect(name, since)
--- a/tests/platform/test_caller.py
+++ b/tests/platform/test_caller.py
@@ -253,8 +253,8 @@
     values: dict = {}
     prepared: dict = {}
 
-    def __init__(self):
-        self.limits = []
+    def __init__(self, way=""):
+        self.limits, self.way = [], way
 
     def run(self, wire, sink, setups, limit):
         self.limits.append(limit)
@@ -278,3 +278,11 @@
     session.caller.status = TransactionStatus.IN_TRANSACTION
     run_on(target, session, b"QUERY 3 READ a")
     assert target.limits == [0.3, 0.8, 0.8]
+
+
+def test_a_read_through_an_owner_is_left_its_time(session):
+    policy = RequestPolicy(0.8, 0.4, run_timeout=0.8, read_timeout=0.3)
+    session.handler.protocol = LineProtocol(ROUTES.get, lambda route: policy)
+    target = Target("owner")
+    run_on(target, session, b"QUERY 1 READ a")
+    assert target.limits == [0.8]
--- a/tests/relay/test_ways.py
+++ b/tests/relay/test_ways.py
@@ -2,7 +2,7 @@
 
 from types import SimpleNamespace
 
-from beryltrack.relay.ways import give_up
+from beryltrack.relay.ways import give_up, is_silent
 
 
 class Connection:
@@ -42,3 +42,10 @@
     late, idle = Connection("", 5.0), Connection("")
     assert give_up(late, [make_pool(late, idle)]) == ""
     assert late.closed and not idle.closed
+
+
+def test_only_an_owner_can_be_silent():
+    straight, late = Connection("", 5.0), Connection("n1", 5.0)
+    assert not is_silent(straight, [make_pool(straight)])
+    assert is_silent(late, [make_pool(late)])
+    assert not is_silent(late, [make_pool(late, Connection("n1", heard_at=5.1))])
--- a/tests/requests/test_overdue.py
+++ b/tests/requests/test_overdue.py
@@ -22,14 +22,16 @@
         self.closed = True
 
 
-def start_watch(since):
+def start_watch(since, is_silent=False):
     clock, connection, signs = Clock(), Connection(since), []
     pool = SimpleNamespace(get_running=lambda: [connection])
     task = SimpleNamespace(
         notice_pause=lambda: None, suspect=lambda name, since: signs.append(name)
     )
     runtime = SimpleNamespace(pools={"db-1": pool}, task=task)
-    OverdueWatch(clock, clock.seconds, lambda: [runtime], Connection.close).start()
+    OverdueWatch(
+        clock, clock.seconds, lambda: [runtime], Connection.close, lambda _: is_silent
+    ).start()
     return clock, connection, signs
 
 
@@ -45,3 +47,11 @@
     clock, connection, _ = start_watch(0.0)
     clock.pump([0.05] * 21)
     assert connection.closed
+
+
+def test_a_request_through_an_owner_that_is_silent_is_given_up_sooner():
+    clock, connection, _ = start_watch(0.0, is_silent=True)
+    clock.pump([0.05] * 8)
+    assert not connection.closed
+    clock.pump([0.05] * 2)
+    assert connection.closed
