--- a/beryltrack_bench/soak/run.py
+++ b/beryltrack_bench/soak/run.py
@@ -82,9 +82,9 @@
     reactor, site: SoakSite, rng: random.Random, seed: int, seconds: float, folder: Path
 ) -> SoakResult:
     """Run callers beside faults."""
-    fronts = [node.front for node in site.nodes]
+    entries = [node.listen for node in site.nodes]
     callers = [
-        Caller(reactor, site.history, fronts, route, kind, random.Random(rng.random()))
+        Caller(reactor, site.history, entries, route, kind, random.Random(rng.random()))
         for kind, route in ROUTES.items()
         for _ in range(CALLERS)
     ]
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -57,7 +57,7 @@
     promotions: PromotionView
 
     @property
-    def front(self) -> Endpoint:
+    def listen(self) -> Endpoint:
         """Where it takes callers."""
         return Endpoint(self.host, FRONT_PORT)
 
