Let all instances own a group that would have a single owner, and ask statuses over free connections

Ruled out: more, smaller owners, as each transaction at rest holds one of few connections. Change: below two owners all own the group while there is a connection for each; the rest of an even share goes to some by rank. No connection is kept for control requests: they take one that the pool has free, else open one that is closed after a second.

--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Iterable
 from enum import Enum
 from itertools import count
 
@@ -65,7 +66,9 @@
         self._idle: dict[int, float] = {}
         self._in_use: dict[int, float] = {}
         self._closing: set[int] = set()
+        self._uncounted: set[int] = set()
         self._waiters = DeadlineQueue()
+        self._waiting_since: dict[int, float] = {}
         self._hold = ServiceEstimate(FIRST_HOLD_TIME)
         self._open_time = ServiceEstimate(FIRST_OPEN_TIME)
         self._backoff = OpenBackoff(policy, rng)
@@ -139,14 +142,32 @@
         if wait > self._policy.most_wait:
             return [self._refuse(waiter, RefusalReason.QUEUE_FULL, now)]
         self._waiters.add(queued)
+        self._waiting_since[waiter] = now
         # Whoever now waits behind may have lost its last chance.
         is_last = place == len(self._waiters) - 1
         late = [] if is_last and self._limit else self._refuse_late(now)
         return late + self._fill(now)
 
+    def take_idle(self, now: float) -> int | None:
+        """Return an idle connection, for a request of the proxy's own.
+
+        How long that takes tells nothing of the requests of callers.
+        """
+        if self._state is not _State.ACTIVE or not self._idle:
+            return None
+        connection = self._idle.popitem()[0]
+        self._in_use[connection] = now
+        self._uncounted.add(connection)
+        return connection
+
     def cancel(self, waiter: int) -> None:
         """Forget a waiter that does not want its connection any more."""
+        self._remove(waiter)
+
+    def _remove(self, waiter: int) -> None:
+        """Take a waiter out of the queue."""
         self._waiters.remove(waiter)
+        self._waiting_since.pop(waiter, None)
 
     def release(
         self, connection: int, is_reusable: bool, now: float
@@ -169,7 +190,11 @@
         """
         if connection not in self._in_use:
             return []
-        self._hold.observe(self._end_use(connection, now))
+        held = self._end_use(connection, now)
+        if connection in self._uncounted:
+            self._uncounted.discard(connection)
+        else:
+            self._hold.observe(held)
         surplus = self._live_count >= self._limit
         if not is_reusable or surplus or self._state is not _State.ACTIVE:
             return self._close(connection) + self._fill(now)
@@ -196,6 +221,7 @@
         """Take in that a connection is gone, by whatever cause."""
         self._closing.discard(connection)
         self._idle.pop(connection, None)
+        self._uncounted.discard(connection)
         if connection in self._in_use:
             self._end_use(connection, now)
         return self._fill(now)
@@ -253,22 +279,39 @@
     def get_wakeup(self, now: float) -> float | None:
         """Return when `tick` is next due, or None if nothing waits for time."""
         if self._waiters:
-            return now + SCAN_PERIOD
+            return self._get_next_scan(now)
         if self._state is not _State.ACTIVE:
             return None
         times = []
-        if now < self._backoff.open_after and self._wanted_count > 0:
+        if now < self._backoff.open_after and self._count_wanted(now) > 0:
             times.append(self._backoff.open_after)
         if self._idle and self._live_count > self._policy.warm:
             times.append(next(iter(self._idle.values())) + self._policy.idle_timeout)
         return min(times, default=None)
 
-    @property
-    def _wanted_count(self) -> int:
-        """Connections that should be opened besides those on the way."""
-        for_waiters = len(self._waiters) - len(self._opening)
+    def _get_next_scan(self, now: float) -> float:
+        """Return when to look at the waiters again."""
+        scan = now + SCAN_PERIOD
+        ends = (since + self._policy.open_patience for since in self._oldest_first())
+        return min(scan, next((end for end in ends if end > now), scan))
+
+    def _oldest_first(self) -> Iterable[float]:
+        """Return since when each request waits, the first that came first."""
+        return self._waiting_since.values()
+
+    def _count_wanted(self, now: float) -> int:
+        """Return how many connections to open besides those on the way.
+
+        A connection that is in use comes back soon, mostly. One that is opened for
+        each request that finds none free takes a slot of the database for 12 to 30
+        ms, and counts against its limit for 3 s after its instance has lost power.
+        """
+        latest = now - self._policy.open_patience
+        waiting = sum(1 for since in self._oldest_first() if since <= latest)
+        if not self._live_count:
+            waiting = len(self._waiters)
         for_warmth = self._policy.warm - self._live_count
-        return max(for_waiters, for_warmth)
+        return max(waiting - len(self._opening), for_warmth)
 
     def _is_cut_off(self, now: float) -> bool:
         """Return whether nothing is open and opening has just failed."""
@@ -313,7 +356,7 @@
     def _refuse_waiter(
         self, waiter: int, reason: RefusalReason, now: float
     ) -> RefuseWaiter:
-        self._waiters.remove(waiter)
+        self._remove(waiter)
         return self._refuse(waiter, reason, now)
 
     def _refuse_all(self, reason: RefusalReason, now: float) -> list[PoolAction]:
@@ -359,7 +402,7 @@
         actions: list[PoolAction] = []
         while self._waiters:
             first = self._waiters.first
-            self._waiters.remove(first.waiter)
+            self._remove(first.waiter)
             if now + self._compute_service() <= first.deadline:
                 return actions + [self._give(first.waiter, connection, now)]
             actions.append(self._refuse(first.waiter, RefusalReason.TOO_LATE, now))
@@ -396,7 +439,7 @@
         at_once = most - len(self._opening)
         numbers = [
             next(self._numbers)
-            for _ in range(max(0, min(self._wanted_count, room, at_once)))
+            for _ in range(max(0, min(self._count_wanted(now), room, at_once)))
         ]
         self._opening.update((number, now) for number in numbers)
         return [OpenConnection(number) for number in numbers]
--- a/beryltrack/connections/pool_policy.py
+++ b/beryltrack/connections/pool_policy.py
@@ -17,6 +17,9 @@
         Connections to keep open while nothing asks for them.
     idle_timeout : float
         Seconds after which a surplus idle connection is closed.
+    open_patience : float
+        Seconds that a request waits for a connection that is in use before another
+        one is opened for it.
     most_opening : int
         Most connections to open at the same time.
     first_backoff, most_backoff : float
@@ -32,6 +35,7 @@
     most_wait: float = 0.25
     warm: int = 1
     idle_timeout: float = 30.0
+    open_patience: float = 0.0
     most_opening: int = 4
     first_backoff: float = 0.05
     most_backoff: float = 0.5
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -121,6 +121,11 @@
         self._perform(self._decider.acquire(waiter, deadline, self._now))
         return result
 
+    def take_idle(self) -> PooledConnection | None:
+        """Return a connection that is free, or None; it has to be released."""
+        number = self._decider.take_idle(self._now)
+        return self._connections.get(number) if number is not None else None
+
     def release(self, connection: PooledConnection, reusable: bool) -> None:
         """Give a connection back.
 
--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -1,6 +1,7 @@
 """The parts of a group whose databases speak the users' line protocol."""
 
 import random
+from weakref import WeakValueDictionary
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
@@ -60,6 +61,9 @@
         self._authority = authority
         self._directory = directory
         self._rng = rng
+        self._pools: WeakValueDictionary[tuple[str, str], PoolTask] = (
+            WeakValueDictionary()
+        )
 
     def make_task(self, group: GroupSettings) -> GroupTask:
         """Return the task that watches a group."""
@@ -68,6 +72,8 @@
             lambda item: self._connect(group.name, item, options.CONTROL_CONNECT),
             options.CONTROL,
             self._leave_way,
+            lambda database: self._pools.get((group.name, database)),
+            options.CONTROL_IDLE,
         )
         adapter = LineDatabaseGroup(group, self._promotion, calls, self._is_fenced)
         policy = options.FAILOVER if self._is_fenced else options.UNFENCED_FAILOVER
@@ -88,7 +94,7 @@
 
     def make_pool(self, group: GroupSettings, database: DatabaseSettings) -> PoolTask:
         """Return the pool of one database."""
-        return PoolTask(
+        pool = PoolTask(
             self._reactor,
             database,
             lambda: self._connect(group.name, database, options.CONNECT_TIMEOUT),
@@ -96,6 +102,8 @@
             limit=self.share_limit,
             rng=self._rng,
         )
+        self._pools[group.name, database.name] = pool
+        return pool
 
     def _connect(
         self, group: str, database: DatabaseSettings, timeout: float
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -468,7 +468,7 @@
         for runtime in self._groups.runtimes:
             limit = get_most_connections(runtime.settings)
             placement = self._directory.get_placement(runtime.settings.name, limit)
-            share = max(1, placement.share - options.CONTROL_CONNECTIONS)
+            share = placement.get_share(self.settings.name)
             most = share if self._is_owner(runtime) else options.RELAY_STREAMS
             for pool in runtime.pools.values():
                 pool.set_limit(most)
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -14,8 +14,9 @@
 """Seconds without a word of a primary after which it is replaced: twice the time
 between two probes, and more than a status waits in a full queue (0.2 s)."""
 
-CONTROL_CONNECTIONS = 1
-"""Connections to each database beside the pool, for status and promotion."""
+CONTROL_IDLE = 1.0
+"""Seconds after which a control connection that nothing needs is closed. It is opened
+only while the pool has no connection free; a database's limit counts it."""
 
 FIRST_INSTANCES = 8
 """Instances that share the connections for as long as the members are not known:
--- a/beryltrack/groups/control_calls.py
+++ b/beryltrack/groups/control_calls.py
@@ -5,10 +5,12 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from twisted.internet.defer import Deferred, DeferredLock, TimeoutError
+from twisted.internet.interfaces import IDelayedCall
 
 from beryltrack.connections.messages import TargetLost
 from beryltrack.groups.adapter import ControlLimits
@@ -22,6 +24,16 @@
 Connect = Callable[[DatabaseSettings], Deferred[RelayedConnection]]
 
 
+class Spare(Protocol):
+    """Gives connections that are free for a moment, as `PoolTask` does."""
+
+    def take_idle(self) -> RelayedConnection | None:
+        """Return a connection that is free, or None."""
+
+    def release(self, connection: RelayedConnection, reusable: bool) -> None:
+        """Give it back."""
+
+
 class ControlAnswer(NamedTuple):
     """The rows of an answer as they came, and how it ended."""
 
@@ -42,6 +54,10 @@
         Times.
     observe_silence : callable
         Takes each open connection that gave no answer.
+    get_spare : callable
+        Returns what lends free connections to a database, or None.
+    idle_time : float
+        Seconds after which a connection of its own is closed if nothing needs it.
     """
 
     def __init__(
@@ -50,7 +66,12 @@
         connect: Connect,
         limits: ControlLimits,
         observe_silence: Callable[[RelayedConnection], None],
+        get_spare: Callable[[str], Spare | None] = lambda database: None,
+        idle_time: float = math.inf,
     ):
+        self._get_spare = get_spare
+        self._idle_time = idle_time
+        self._closing: dict[str, IDelayedCall] = {}
         self._reactor = reactor
         self._open = connect
         self._limits = limits
@@ -85,6 +106,9 @@
         for connection in self._connections.values():
             connection.end_session()
         self._connections.clear()
+        for closing in self._closing.values():
+            if closing.active():
+                closing.cancel()
 
     async def call(self, database: str, wire: bytes) -> ControlAnswer:
         """Send one request once those before it are answered.
@@ -104,6 +128,7 @@
             self._drop(database)
             raise
         finally:
+            self._close_later(database)
             lock.release()
 
     async def _run(self, database: str, wire: bytes) -> ControlAnswer:
@@ -115,6 +140,10 @@
         """
         left = 1.0
         kept = self._connections.get(database)
+        spare = self._get_spare(database)
+        lent = spare.take_idle() if spare is not None else None
+        if lent is not None:
+            kept = lent
         if kept is not None and not kept.broken:
             try:
                 return await self._ask(kept, wire, left, database)
@@ -122,9 +151,34 @@
                 log.info("groups: A connection to %s fails: %s", database, error)
                 left -= self._limits.doubt / self._limits.request
                 self._observe_silence(kept)
+            finally:
+                if lent is not None:
+                    spare.release(lent, not lent.busy)
         connection = await self._connect(database)
         return await self._ask(connection, wire, left)
 
+    def _close_later(self, database: str) -> None:
+        """Close a connection of one's own once nothing has needed it for a while.
+
+        Where a database has few connections, one that is kept for control requests
+        would take the place of one for callers.
+        """
+        closing = self._closing.pop(database, None)
+        if closing is not None and closing.active():
+            closing.cancel()
+        if math.isfinite(self._idle_time) and database in self._connections:
+            self._closing[database] = self._reactor.callLater(
+                self._idle_time, self._close_idle, database
+            )
+
+    def _close_idle(self, database: str) -> None:
+        """Close a connection of one's own unless it is in use."""
+        connection = self._connections.get(database)
+        if connection is not None and connection.busy:
+            self._close_later(database)
+        elif connection is not None:
+            self._connections.pop(database).end_session()
+
     async def _ask(
         self,
         connection: RelayedConnection,
--- a/beryltrack/relay/owners.py
+++ b/beryltrack/relay/owners.py
@@ -22,6 +22,11 @@
 """Connections for each instance, on average, below which not all open their own. With
 fewer, an open transaction would often hold an instance's only connection."""
 
+LEAST_OWNERS = 2
+"""Owners below which all instances open their own connections, if there is one for
+each. All statements would pass through a single owner, mostly from other availability
+zones, and all would wait where it is cut off or overloaded."""
+
 OWNER_SHARE = 10
 """Least connections of an owner, the one for control requests among them. With 5,
 transactions that rest held all of an owner's connections while those of others were
@@ -59,10 +64,17 @@
         The owners, highest rank first; empty if all instances own the group.
     share : int
         Connections of one owner to each database.
+    favoured : frozenset of str
+        Names of the instances that have one more, where no even share uses up all.
     """
 
     owners: tuple[Peer, ...]
     share: int
+    favoured: frozenset[str] = frozenset()
+
+    def get_share(self, name: str) -> int:
+        """Return how many connections an instance may open to each database."""
+        return self.share + (name in self.favoured)
 
 
 def compute_placement(
@@ -88,15 +100,27 @@
     """
     usable = max(1, max_connections - RESERVED)
     instances = max(len(peers), least_instances)
-    if instances * LEAST_SHARE <= usable:
-        return Placement((), usable // instances)
     zones = len({peer.zone for peer in peers})
     count = max(1, min(usable // OWNER_SHARE, zones * OWNERS_PER_ZONE))
-    if count >= len(peers):
-        return Placement((), max(1, usable // instances))
+    can_all_own = instances <= usable and count < LEAST_OWNERS
+    if can_all_own or instances * LEAST_SHARE <= usable or count >= len(peers):
+        return _share_evenly(group, peers, usable, instances)
     return Placement(choose_owners(group, peers, count), usable // count)
 
 
+def _share_evenly(
+    group: str, peers: Sequence[Peer], usable: int, instances: int
+) -> Placement:
+    """Return the placement in which all own a group; some have one connection more."""
+    share, rest = divmod(usable, instances)
+    ranked = sorted(
+        (peer.name for peer in peers),
+        key=lambda name: compute_rank(group, name),
+        reverse=True,
+    )
+    return Placement((), max(1, share), frozenset(ranked[:rest] if share else ()))
+
+
 def choose_owners(group: str, peers: Sequence[Peer], count: int) -> tuple[Peer, ...]:
     """Return `count` instances by rendezvous hashing, spread over the zones."""
     ranked = sorted(
--- a/beryltrack/relay/ways.py
+++ b/beryltrack/relay/ways.py
@@ -15,9 +15,13 @@
 
 
 class RelayedConnection(PooledConnection, Protocol):
-    """A connection that tells when anything came over it, by the node's clock."""
+    """A connection that tells when anything came over it, by the node's clock.
+
+    `busy` is True while a statement runs on it.
+    """
 
     heard_at: float
+    busy: bool
 
 
 def is_silent(connection: RelayedConnection, pools: Iterable[PoolTask]) -> bool:
--- a/tests/connections/test_pool.py
+++ b/tests/connections/test_pool.py
@@ -267,3 +267,41 @@
     pool.release(1, True, 60.0)
     assert pool.acquire(2, 62.0, 60.0) == [GiveConnection(2, 1)]
     assert get_refused(pool.acquire(3, 62.0, 60.0)) == [(3, RefusalReason.TOO_LATE)]
+
+
+def test_another_connection_is_opened_only_for_a_request_that_has_waited():
+    pool = make_pool(limit=2, open_patience=0.03)
+    pool.acquire(1, 10.0, 0.0)
+    pool.observe_opened(1, 0.0)
+    assert pool.acquire(2, 10.0, 1.0) == []
+    assert pool.get_wakeup(1.0) == 1.03
+    assert pool.tick(1.02) == []
+    assert pool.tick(1.03) == [OpenConnection(2)]
+    assert pool.tick(1.04) == []
+
+
+def test_a_request_that_gets_a_connection_in_time_opens_none():
+    pool = make_pool(limit=2, open_patience=0.03)
+    pool.acquire(1, 10.0, 0.0)
+    pool.observe_opened(1, 0.0)
+    pool.acquire(2, 10.0, 1.0)
+    assert pool.release(1, True, 1.01) == [GiveConnection(2, 1)]
+    assert pool.tick(1.5) == []
+
+
+def test_without_any_connection_one_is_opened_at_once():
+    pool = make_pool(limit=2, open_patience=0.03)
+    assert pool.acquire(1, 10.0, 0.0) == [OpenConnection(1)]
+
+
+def test_a_request_of_the_proxy_itself_takes_a_free_connection_and_tells_nothing():
+    pool = make_pool(limit=1)
+    assert pool.take_idle(0.0) is None
+    pool.acquire(1, 10.0, 0.0)
+    pool.observe_opened(1, 0.0)
+    pool.release(1, True, 0.1)
+    hold = pool.get_load(0.1).hold_time
+    assert pool.take_idle(0.2) == 1 and pool.take_idle(0.2) is None
+    pool.acquire(2, 10.0, 0.2)
+    assert pool.release(1, True, 5.0) == [GiveConnection(2, 1)]
+    assert pool.get_load(5.0).hold_time == hold
--- /dev/null
+++ b/tests/groups/test_control_calls.py
@@ -0,0 +1,118 @@
+"""Control requests over connections that the pool has free, or over one's own."""
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from beryltrack.groups.adapter import ControlLimits
+from beryltrack.groups.control_calls import ControlCalls
+from beryltrack.settings.messages import DatabaseSettings, Endpoint
+from beryltrack.wire.messages import ResponseEnd, TransactionStatus
+
+DATABASE = DatabaseSettings("db-1", Endpoint("10.0.0.1", 1), "z", 9, 3, False)
+END = ResponseEnd(TransactionStatus.IDLE, b"", None, b"", None, 0, 0)
+IDLE_TIME = 1.0
+
+
+class Connection:
+    """Answers at once unless it is silent."""
+
+    way = ""
+
+    def __init__(self, clock, is_silent=False):
+        self.clock, self.is_silent = clock, is_silent
+        self.broken = self.busy = self.has_ended = False
+        self.requests = 0
+        self.run_since = None
+
+    def run(self, wire, sink):
+        self.requests += 1
+        self.run_since = self.clock.seconds()
+        self.busy = True
+        answer = Deferred(lambda _: self.close())
+        if not self.is_silent:
+            self.busy = False
+            answer.callback(END)
+        return answer
+
+    def close(self):
+        self.broken, self.busy = True, False
+
+    def end_session(self):
+        self.has_ended = self.broken = True
+
+
+class Pool:
+    """Has one connection that may be free."""
+
+    def __init__(self, connection):
+        self.free = connection
+        self.returned = []
+
+    def take_idle(self):
+        taken, self.free = self.free, None
+        return taken
+
+    def release(self, connection, reusable):
+        self.returned.append(reusable and not connection.broken)
+        self.free = connection
+
+
+class Site:
+    """Control calls to one database."""
+
+    def __init__(self, spare=None, is_silent=False):
+        self.clock = Clock()
+        self.opened = []
+        self.pool = Pool(Connection(self.clock, is_silent) if spare else None)
+        self.calls = ControlCalls(
+            self.clock,
+            self.open,
+            ControlLimits(0.4, 0.2),
+            lambda connection: None,
+            lambda database: self.pool,
+            IDLE_TIME,
+        )
+        self.calls.set_databases((DATABASE,))
+
+    def open(self, item):
+        done = Deferred()
+        self.opened.append(Connection(self.clock))
+        done.callback(self.opened[-1])
+        return done
+
+    def call(self):
+        return Deferred.fromCoroutine(self.calls.call("db-1", b"STATUS"))
+
+
+def test_a_free_connection_of_the_pool_is_used_and_given_back():
+    site = Site(spare=True)
+    assert site.call().result.end is END
+    assert site.opened == [] and site.pool.returned == [True]
+
+
+def test_one_of_its_own_is_opened_while_the_pool_has_none_free():
+    site = Site()
+    assert site.call().result.end is END
+    assert site.call().result.end is END
+    assert len(site.opened) == 1 and site.opened[0].requests == 2
+
+
+def test_one_of_its_own_is_closed_when_nothing_needs_it():
+    site = Site()
+    site.call()
+    site.clock.advance(IDLE_TIME / 2)
+    site.call()
+    site.clock.advance(IDLE_TIME / 2)
+    assert not site.opened[0].has_ended
+    site.clock.advance(IDLE_TIME / 2)
+    assert site.opened[0].has_ended
+
+
+def test_a_pooled_connection_that_is_silent_costs_no_answer():
+    site = Site(spare=True, is_silent=True)
+    calling = site.call()
+    site.clock.advance(0.2)
+    # The connection breaks: whoever ran something on it is told so.
+    site.clock.advance(0.2)
+    calling.addErrback(lambda failure: None)
+    assert site.pool.returned == [False]
