Open connections only for requests that wait, and close surplus ones soon

Cause: after a loss of all power the databases count the connections of before for 3 s. Change: another connection is opened for a request that has waited 30 ms, no longer for each that finds none free; a surplus one is closed after 0.5 s instead of 10 s.

--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -54,9 +54,11 @@
 ROUTING = RoutingPolicy(max_wait=0.0, refresh_share=0.95, checks_positions=True)
 UNFENCED_ROUTING = ROUTING._replace(samples_position=False)
 
-# A connection costs its database 12 to 30 ms of a slot, so that a surplus one is kept
-# for 10 s, and two are opened at a time.
-POOLS = PoolPolicy(idle_timeout=10.0, most_opening=2)
+# A connection costs its database 12 to 30 ms of a slot, so that two are opened at a
+# time, and only for requests that wait longer than most statements run. One that is
+# open counts against the database's limit for 3 s after its instance has lost power: a
+# surplus one is closed soon.
+POOLS = PoolPolicy(idle_timeout=0.5, most_opening=2, open_patience=0.03)
 
 # A database that is cut off is noticed by its control requests within 0.5 s; the
 # kernel clears up what they leave after 2 to 4 s.
