--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -66,6 +66,7 @@
         self._idle: dict[int, float] = {}
         self._in_use: dict[int, float] = {}
         self._closing: set[int] = set()
+        self._brief: dict[int, None] = {}
         self._uncounted: set[int] = set()
         self._waiters = DeadlineQueue()
         self._waiting_since: dict[int, float] = {}
@@ -148,17 +149,22 @@
         late = [] if is_last and self._limit else self._refuse_late(now)
         return late + self._fill(now)
 
-    def take_idle(self, now: float) -> int | None:
-        """Return an idle connection, for a request of the proxy's own.
+    def acquire_briefly(self, waiter: int, now: float) -> list[PoolAction]:
+        """Ask for a connection for a short request of the proxy's own.
 
-        How long that takes tells nothing of the requests of callers.
+        It goes before the requests of callers, and how long it takes tells nothing of
+        them. No connection is opened for it.
         """
-        if self._state is not _State.ACTIVE or not self._idle:
-            return None
-        connection = self._idle.popitem()[0]
-        self._in_use[connection] = now
+        if self._state is not _State.ACTIVE:
+            return [self._refuse(waiter, RefusalReason.LEAVING, now)]
+        if self._idle:
+            return [self._give_briefly(waiter, self._idle.popitem()[0], now)]
+        self._brief[waiter] = None
+        return []
+
+    def _give_briefly(self, waiter: int, connection: int, now: float) -> GiveConnection:
         self._uncounted.add(connection)
-        return connection
+        return self._give(waiter, connection, now)
 
     def cancel(self, waiter: int) -> None:
         """Forget a waiter that does not want its connection any more."""
@@ -168,6 +174,7 @@
         """Take a waiter out of the queue."""
         self._waiters.remove(waiter)
         self._waiting_since.pop(waiter, None)
+        self._brief.pop(waiter, None)
 
     def release(
         self, connection: int, is_reusable: bool, now: float
@@ -360,7 +367,7 @@
         return self._refuse(waiter, reason, now)
 
     def _refuse_all(self, reason: RefusalReason, now: float) -> list[PoolAction]:
-        waiters = [queued.waiter for queued in self._waiters]
+        waiters = [*self._brief, *(queued.waiter for queued in self._waiters)]
         return [self._refuse_waiter(waiter, reason, now) for waiter in waiters]
 
     def _refuse_late(self, now: float) -> list[PoolAction]:
@@ -400,6 +407,10 @@
     def _serve(self, connection: int, now: float) -> list[PoolAction]:
         """Give a free connection to the first waiter that can still be done."""
         actions: list[PoolAction] = []
+        if self._brief:
+            waiter = next(iter(self._brief))
+            self._remove(waiter)
+            return [self._give_briefly(waiter, connection, now)]
         while self._waiters:
             first = self._waiters.first
             self._remove(first.waiter)
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from itertools import count
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, TimeoutError
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.python.failure import Failure
 
@@ -121,10 +121,31 @@
         self._perform(self._decider.acquire(waiter, deadline, self._now))
         return result
 
-    def take_idle(self) -> PooledConnection | None:
-        """Return a connection that is free, or None; it has to be released."""
-        number = self._decider.take_idle(self._now)
-        return self._connections.get(number) if number is not None else None
+    def acquire_briefly(
+        self, patience: float, open_patience: float
+    ) -> Deferred[PooledConnection | None]:
+        """Get a connection for a short request of the proxy's own.
+
+        Parameters
+        ----------
+        patience : float
+            Seconds to wait for one that is in use.
+        open_patience : float
+            Seconds to wait while none is open.
+
+        Returns
+        -------
+        Deferred of PooledConnection or None
+            None if none is free in time. What it gives has to be released.
+        """
+        waiter = next(self._waiter_numbers)
+        result: Deferred = Deferred(lambda _: self._cancel(waiter))
+        self._waiters[waiter] = result
+        self._perform(self._decider.acquire_briefly(waiter, self._now))
+        if not result.called:
+            limit = patience if self._connections else open_patience
+            result.addTimeout(limit, self._reactor)
+        return result.addErrback(_give_none)
 
     def release(self, connection: PooledConnection, reusable: bool) -> None:
         """Give a connection back.
@@ -329,3 +350,8 @@
     def _tick(self) -> None:
         self._timer = None
         self._perform(self._decider.tick(self._now))
+
+
+def _give_none(failure: Failure) -> None:
+    """Return None for a connection that was not free in time."""
+    failure.trap(PoolRefused, TimeoutError)
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -14,6 +14,10 @@
 """Seconds without a word of a primary after which it is replaced: twice the time
 between two probes, and more than a status waits in a full queue (0.2 s)."""
 
+RESTART_TIME = 3.0
+"""Seconds after a restart for which an instance opens half of its connections only: for
+so long databases count the connections of instances that have lost power."""
+
 CONTROL_IDLE = 1.0
 """Seconds after which a control connection that nothing needs is closed. It is opened
 only while the pool has no connection free; a database's limit counts it."""
--- a/beryltrack/groups/control_calls.py
+++ b/beryltrack/groups/control_calls.py
@@ -21,14 +21,24 @@
 
 log = logging.getLogger(__name__)
 
+FREE_WAIT = 0.025
+"""Seconds to wait for a connection of the pool that is in use: most statements run for
+less, and a new one takes 12 to 30 ms of a slot."""
+
+OPEN_WAIT = 0.15
+"""Seconds to wait for the pool's first connection. After a loss of power a database
+still counts the connections of before, and has room for one of each instance only."""
+
 Connect = Callable[[DatabaseSettings], Deferred[RelayedConnection]]
 
 
 class Spare(Protocol):
     """Gives connections that are free for a moment, as `PoolTask` does."""
 
-    def take_idle(self) -> RelayedConnection | None:
-        """Return a connection that is free, or None."""
+    def acquire_briefly(
+        self, patience: float, open_patience: float
+    ) -> Deferred[RelayedConnection | None]:
+        """Return a Deferred of a connection, or of None if none is free in time."""
 
     def release(self, connection: RelayedConnection, reusable: bool) -> None:
         """Give it back."""
@@ -141,7 +151,12 @@
         left = 1.0
         kept = self._connections.get(database)
         spare = self._get_spare(database)
-        lent = spare.take_idle() if spare is not None else None
+        lent = None
+        if spare is not None:
+            is_open = kept is not None and not kept.broken
+            lent = await spare.acquire_briefly(
+                0.0 if is_open else FREE_WAIT, 0.0 if is_open else OPEN_WAIT
+            )
         if lent is not None:
             kept = lent
         if kept is not None and not kept.broken:
--- a/tests/connections/test_pool.py
+++ b/tests/connections/test_pool.py
@@ -294,14 +294,28 @@
     assert pool.acquire(1, 10.0, 0.0) == [OpenConnection(1)]
 
 
-def test_a_request_of_the_proxy_itself_takes_a_free_connection_and_tells_nothing():
+def test_a_short_request_of_the_proxy_takes_a_free_connection_and_tells_nothing():
     pool = make_pool(limit=1)
-    assert pool.take_idle(0.0) is None
     pool.acquire(1, 10.0, 0.0)
     pool.observe_opened(1, 0.0)
     pool.release(1, True, 0.1)
     hold = pool.get_load(0.1).hold_time
-    assert pool.take_idle(0.2) == 1 and pool.take_idle(0.2) is None
-    pool.acquire(2, 10.0, 0.2)
-    assert pool.release(1, True, 5.0) == [GiveConnection(2, 1)]
+    assert pool.acquire_briefly(2, 0.2) == [GiveConnection(2, 1)]
+    pool.acquire(3, 10.0, 0.2)
+    assert pool.release(1, True, 5.0) == [GiveConnection(3, 1)]
     assert pool.get_load(5.0).hold_time == hold
+
+
+def test_a_short_request_goes_before_those_of_callers_and_opens_nothing():
+    pool = make_busy_pool()
+    pool.acquire(3, 9.0, 0.0)
+    assert pool.acquire_briefly(4, 0.0) == []
+    assert pool.release(1, True, 0.1) == [GiveConnection(4, 1)]
+    assert pool.release(1, True, 0.2) == [GiveConnection(3, 1)]
+
+
+def test_a_short_request_that_is_given_up_gets_nothing():
+    pool = make_busy_pool()
+    pool.acquire_briefly(3, 0.0)
+    pool.cancel(3)
+    assert pool.release(1, True, 0.1) == []
--- a/tests/connections/test_task.py
+++ b/tests/connections/test_task.py
@@ -120,3 +120,17 @@
     first = get_result(pool.acquire(10.0))
     pool.release(first, True)
     assert first.closed.called
+
+
+def test_a_short_request_gets_the_first_connection_or_none_in_time(site):
+    clock, target, pool = site
+    held = get_result(pool.acquire(10.0))
+    brief = pool.acquire_briefly(0.025, 0.15)
+    clock.advance(0.02)
+    pool.release(held, True)
+    assert get_result(brief) is held
+    again = pool.acquire_briefly(0.025, 0.15)
+    clock.advance(0.03)
+    assert again.called and get_result(again) is None
+    pool.release(held, True)
+    assert get_result(pool.acquire(10.0)) is held
--- a/tests/groups/test_control_calls.py
+++ b/tests/groups/test_control_calls.py
@@ -1,6 +1,6 @@
 """Control requests over connections that the pool has free, or over one's own."""
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
 from beryltrack.groups.adapter import ControlLimits
@@ -48,9 +48,10 @@
         self.free = connection
         self.returned = []
 
-    def take_idle(self):
+    def acquire_briefly(self, patience, open_patience):
+        self.patience = patience
         taken, self.free = self.free, None
-        return taken
+        return succeed(taken)
 
     def release(self, connection, reusable):
         self.returned.append(reusable and not connection.broken)
@@ -95,6 +96,8 @@
     assert site.call().result.end is END
     assert site.call().result.end is END
     assert len(site.opened) == 1 and site.opened[0].requests == 2
+    # With one of its own it does not wait.
+    assert site.pool.patience == 0.0
 
 
 def test_one_of_its_own_is_closed_when_nothing_needs_it():
