Reach a database through others where no packet comes back from it

Cause: a primary that is cut off from some instances only was replaced by the first of them in rank, or their callers were refused until the partition was over. Change: an owner that gets no packet back within 0.1 s asks the others for a way, one after the other, and tries the direct way again every 2 s. An instance lends only connections that go straight to the database.

--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -86,6 +86,10 @@
         self.refusal = refusal
 
 
+class TargetUnreachable(ConnectionError):
+    """No packet came back from where a target listens."""
+
+
 class ConnectRefused(Exception):
     """Raised by a `connect` when the target answered and refused the session.
 
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -196,7 +196,11 @@
             opens later too: it may have been on its way already.
         """
         self._is_stale = is_stale
-        for connection in filter(is_stale, tuple(self._numbers)):
+        self.retire_stale()
+
+    def retire_stale(self) -> None:
+        """Look again which connections are used no more."""
+        for connection in filter(self._is_stale, tuple(self._numbers)):
             self._retire(connection)
 
     def get_connections(self) -> tuple[PooledConnection, ...]:
--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -3,8 +3,7 @@
 import random
 from weakref import WeakValueDictionary
 
-from twisted.internet.defer import CancelledError, Deferred
-from twisted.python.failure import Failure
+from twisted.internet.defer import Deferred
 
 from beryltrack.connections.task import PoolTask
 from beryltrack.daemon import node_options as options
@@ -16,7 +15,8 @@
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.target import LineTarget, connect_line_target
 from beryltrack.relay.directory import RelayDirectory
-from beryltrack.settings.messages import DatabaseSettings, GroupSettings
+from beryltrack.relay.opener import OpenLimits, TargetOpener
+from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
 
 
 class LineKit:
@@ -59,19 +59,26 @@
         self._node_name = node_name
         self._promotion = promotion
         self._authority = authority
-        self._directory = directory
         self._rng = rng
         self._pools: WeakValueDictionary[tuple[str, str], PoolTask] = (
             WeakValueDictionary()
         )
+        self._opener = TargetOpener(
+            reactor,
+            directory,
+            self._open_at,
+            lambda group, database: (group, database) in self._pools,
+            OpenLimits(options.RELAY_CONNECT, options.CONTROL_CONNECT),
+        )
 
     def make_task(self, group: GroupSettings) -> GroupTask:
         """Return the task that watches a group."""
+        opener = self._opener
         calls = ControlCalls(
             self._reactor,
-            lambda item: self._connect(group.name, item, options.CONTROL_CONNECT),
+            lambda item: opener.open(group.name, item, options.CONTROL_CONNECT),
             options.CONTROL,
-            self._leave_way,
+            opener.observe_silence,
             lambda database: self._pools.get((group.name, database)),
             options.CONTROL_IDLE,
         )
@@ -97,7 +104,7 @@
         pool = PoolTask(
             self._reactor,
             database,
-            lambda: self._connect(group.name, database, options.CONNECT_TIMEOUT),
+            lambda: self._opener.open(group.name, database, options.CONNECT_TIMEOUT),
             options.POOLS,
             limit=self.share_limit,
             rng=self._rng,
@@ -105,38 +112,16 @@
         self._pools[group.name, database.name] = pool
         return pool
 
-    def _connect(
-        self, group: str, database: DatabaseSettings, timeout: float
+    def _open_at(
+        self, endpoint: Endpoint, group: str, database: str, timeout: float
     ) -> Deferred[LineTarget]:
-        """Open a connection to a database, or to an owner of its group."""
-        owner = self._directory.choose_owner(group, database.max_connections)
-        endpoint = database.endpoint if owner is None else owner.relay
-        connecting = connect_line_target(
+        """Open a connection to a database, or a session at another instance."""
+        return connect_line_target(
             self._reactor,
             endpoint,
             group,
-            database.name,
-            timeout if owner is None else options.RELAY_CONNECT,
+            database,
+            timeout,
             options.TARGET_SOCKETS,
+            options.REACH_TIME,
         )
-        name = "" if owner is None else owner.name
-        return connecting.addCallbacks(
-            _note_way, self._avoid, callbackArgs=(name,), errbackArgs=(name,)
-        )
-
-    def _leave_way(self, connection: LineTarget) -> None:
-        """Ask another owner next: this one does not answer."""
-        if connection.way:
-            self._directory.avoid(connection.way)
-
-    def _avoid(self, failure: Failure, owner: str) -> Failure:
-        """Pass over an owner that gave no connection."""
-        if owner and not failure.check(CancelledError):
-            self._directory.avoid(owner)
-        return failure
-
-
-def _note_way(connection: LineTarget, owner: str) -> LineTarget:
-    """Note through which owner a connection goes; empty for none."""
-    connection.way = owner
-    return connection
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -155,6 +155,7 @@
             rng,
             settings.is_fenced,
         )
+        self._directory.set_block_observer(self._share_connections)
         self._groups = GroupTable(reactor, self._kit)
         self._groups.subscribe_started(self._start_group)
         self._site = SiteSettings(0, (), (), ())
@@ -405,6 +406,9 @@
         pool = runtime.pools.get(database) if runtime is not None else None
         if pool is None or not self._is_owner(runtime):
             return None
+        if self._directory.is_blocked(database):
+            # It would go through a third instance, or back to the one that asks.
+            return None
         runtime.ensure_started()
         return Lender(pool, runtime.task)
 
@@ -439,11 +443,23 @@
         names = self._directory.get_candidates(name, limit)
         is_owner = self._directory.is_owner(name, limit)
         runtime.task.set_nodes(names, is_owner)
-        ways = ("",) if is_owner else names
-        for pool in runtime.pools.values():
-            pool.retire(lambda connection: connection.way not in ways)
+        ways = ("", *names) if is_owner else names
+        for database, pool in runtime.pools.items():
+            pool.retire(self._get_staleness(database, is_owner, names))
         runtime.task.renew_ways(ways)
 
+    def _get_staleness(
+        self, database: str, is_owner: bool, names: tuple[str, ...]
+    ) -> Callable[[LineTarget], bool]:
+        """Return what says of a connection whether its way is used no more."""
+
+        def is_stale(connection: LineTarget) -> bool:
+            if not is_owner:
+                return connection.way not in names
+            return bool(connection.way) != self._directory.is_blocked(database)
+
+        return is_stale
+
     def _apply(self) -> None:
         """Put the settings in force."""
         is_known = self._has_members or self.settings.is_first_start
@@ -479,9 +495,11 @@
             share = placement.get_share(self.settings.name)
             if self._is_restarting:
                 share = max(1, share // 2)
-            most = share if self._is_owner(runtime) else options.RELAY_STREAMS
-            for pool in runtime.pools.values():
-                pool.set_limit(most)
+            is_owner = self._is_owner(runtime)
+            for name, pool in runtime.pools.items():
+                is_direct = is_owner and not self._directory.is_blocked(name)
+                pool.set_limit(share if is_direct else options.RELAY_STREAMS)
+                pool.retire_stale()
 
     def _start_group(self, runtime: GroupRuntime) -> None:
         """Watch a group from now on."""
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -79,6 +79,11 @@
 CONTROL_CONNECT = 0.4
 """Seconds until a new control connection counts as failed; it takes 12 to 30 ms."""
 
+REACH_TIME = 0.1
+"""Seconds within which a packet must come back from a database or an owner: they are 1
+to 4 ms away. A lost packet is repeated after a second, so that one of 20 opens over a
+link that loses 2.5% goes another way for a while."""
+
 RELAY_CONNECT = 0.3
 """Seconds until an owner counts as out of reach; it answers in 1 to 4 ms."""
 
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -19,7 +19,7 @@
 from beryltrack.errors import SqlError
 from beryltrack.groups.samples import Sample
 from beryltrack.platform import lines
-from beryltrack.platform.codes import decode_error
+from beryltrack.platform.codes import UNREACHABLE, decode_error
 from beryltrack.platform.statements import Shape
 from beryltrack.settings.messages import Endpoint
 from beryltrack.wire.messages import ResponseEnd, ResponseSink
@@ -29,6 +29,9 @@
 """Who connects, as databases are told; they accept any word."""
 
 
+_USELESS = b"ERROR " + UNREACHABLE
+
+
 class LineTarget(Protocol):
     """A connection to a database; see `PooledConnection`.
 
@@ -61,6 +64,8 @@
         self.run_until = math.inf
         self.way = ""  # The instance that it goes through, if any.
         self.heard_at = -math.inf
+        # Called if that instance says that it does not reach the database.
+        self.on_useless: Callable[[], object] = lambda: None
         self._seconds = seconds
         self._clear()
 
@@ -211,6 +216,10 @@
             0,
             self._proof,
         )
+        if self._error_frame.startswith(_USELESS):
+            # Whoever used it next would only be told the same.
+            self.on_useless()
+            self.end_session()
         self._end_run().callback(end)
 
     def _end_run(self) -> "Deferred[ResponseEnd]":
@@ -238,6 +247,7 @@
     database: str,
     timeout: float,
     limits: SocketLimits,
+    reach_timeout: float | None = None,
 ) -> "Deferred[LineTarget]":
     """Open a connection to a database.
 
@@ -255,13 +265,14 @@
         Seconds within which the database must be ready.
     limits : SocketLimits
         When a silent database is given up.
+    reach_timeout : float, optional
+        Seconds within which it must be reached at all; see `open_within`.
 
     Returns
     -------
     Deferred of LineTarget
-        Fails with `ConnectRefused` if the database answered and refused, with
-        `ConnectionError` if it cannot be reached.
+        Its failures are those of `open_within`.
     """
     start = b"START %s %s %s\r\n" % (service.encode(), PROXY_NAME, database.encode())
     target = LineTarget(start, limits, get_seconds(reactor))
-    return open_within(reactor, endpoint, target, timeout)
+    return open_within(reactor, endpoint, target, timeout, reach_timeout)
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -2,7 +2,8 @@
 
 The directory follows the members of the fleet and says through which instance the
 next connection to a database goes. An owner that could not be reached is passed
-over for a while.
+over for a while. An owner that does not reach a database itself goes through another
+one, as it is often cut off alone.
 """
 
 from collections.abc import Callable, Sequence
@@ -13,6 +14,10 @@
 """Seconds for which an owner that gave no connection is passed over. Shorter than the
 8 s until the members tell that it is gone; a new attempt costs one connection."""
 
+DETOUR_TIME = 2.0
+"""Seconds between two attempts to reach a database that is reached through others
+meanwhile, and for which one that does not reach it either is passed over."""
+
 
 class RelayDirectory:
     """Says who owns each group, and which owner to ask next.
@@ -35,6 +40,9 @@
         self._is_known = False
         self._placements: dict[tuple[str, int], Placement] = {}
         self._avoided: dict[str, float] = {}
+        self._blocked: set[str] = set()
+        self._useless: dict[tuple[str, str], float] = {}
+        self._observe_block: Callable[[], object] = lambda: None
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -83,6 +91,62 @@
         longest = min(ordered, key=lambda each: self._avoided.get(each.name, 0.0))
         return next(fit, longest)
 
+    def choose_way(
+        self, group: str, database: str, max_connections: int
+    ) -> Peer | None:
+        """Return the instance through which the next connection goes; None for none.
+
+        Parameters
+        ----------
+        group : str
+            The database's group.
+        database : str
+            The database.
+        max_connections : int
+            Most connections to it, of all instances.
+        """
+        if not self.is_owner(group, max_connections):
+            return self.choose_owner(group, max_connections)
+        if not self.is_blocked(database):
+            return None
+        now = self._seconds()
+        owners = self.get_placement(group, max_connections).owners or self._peers
+        ordered = order_owners(owners, group, self._own.name, self._own.zone)
+        fit = (
+            each
+            for each in ordered
+            if each != self._own
+            and now >= self._avoided.get(each.name, now)
+            and now >= self._useless.get((database, each.name), now)
+        )
+        return next(fit, None)
+
+    def is_blocked(self, database: str) -> bool:
+        """Return whether this instance does not reach a database itself."""
+        return database in self._blocked
+
+    def set_block_observer(self, callback: Callable[[], object]) -> None:
+        """Call back after each change of what this instance reaches itself."""
+        self._observe_block = callback
+
+    def block(self, database: str) -> bool:
+        """Reach a database through others from now on; return whether that is new."""
+        if database in self._blocked:
+            return False
+        self._blocked.add(database)
+        self._observe_block()
+        return True
+
+    def unblock(self, database: str) -> None:
+        """Take in that this instance reaches a database itself."""
+        if database in self._blocked:
+            self._blocked.discard(database)
+            self._observe_block()
+
+    def note_useless(self, database: str, name: str) -> None:
+        """Take in that another instance does not reach a database either."""
+        self._useless[database, name] = self._seconds() + DETOUR_TIME
+
     def avoid(self, name: str) -> None:
         """Pass over an owner for a while."""
         self._avoided[name] = self._seconds() + AVOID_TIME
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -213,6 +213,11 @@
             return None
         finally:
             session.set_gone(None)
+        if connection.way:
+            # It goes through another instance itself, perhaps the one that asks.
+            lender.pool.release(connection, True)
+            session.send_refusal(make_refusal(OTHER_OWNERS, 0.0))
+            return None
         self._lent[session] = lender
         return connection
 
--- /dev/null
+++ b/beryltrack/relay/opener.py
@@ -0,0 +1,172 @@
+"""Opens connections to databases, directly or through another instance.
+
+An instance is often cut off from a database alone, while others reach it. An owner to
+which no packet comes back from a database asks the others for a way, one after the
+other, and tries in between whether it reaches the database itself again. So a partition
+between some instances and a primary costs those a hop, and the group no change of
+primary. A database that is slow or full is reached: it would only get more to do.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from beryltrack.connections.messages import ConnectRefused, TargetUnreachable
+from beryltrack.relay.directory import DETOUR_TIME, RelayDirectory
+from beryltrack.relay.owners import Peer
+from beryltrack.relay.ways import RelayedConnection
+from beryltrack.settings.messages import DatabaseSettings, Endpoint
+
+log = logging.getLogger(__name__)
+
+Open = Callable[[Endpoint, str, str, float], Deferred[RelayedConnection]]
+
+
+class OpenLimits(NamedTuple):
+    """Times of opening, seconds.
+
+    Parameters
+    ----------
+    relay : float
+        Until another instance counts as out of reach.
+    probe : float
+        Until a database counts as still out of reach.
+    """
+
+    relay: float
+    probe: float
+
+
+class TargetOpener:
+    """Opens connections to databases.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Source of timers.
+    directory : RelayDirectory
+        Says through which instance a connection goes.
+    open_at : callable
+        Opens a connection at an address, for a group's database, within a time.
+    is_used : callable
+        Says whether a group's database is still used.
+    limits : OpenLimits
+        Times.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        directory: RelayDirectory,
+        open_at: Open,
+        is_used: Callable[[str, str], bool],
+        limits: OpenLimits,
+    ):
+        self._reactor = reactor
+        self._directory = directory
+        self._open_at = open_at
+        self._is_used = is_used
+        self._limits = limits
+
+    def open(
+        self, group: str, database: DatabaseSettings, timeout: float
+    ) -> Deferred[RelayedConnection]:
+        """Open a connection; `timeout` holds for one straight to the database."""
+        return Deferred.fromCoroutine(self._open(group, database, timeout))
+
+    def observe_silence(self, connection: RelayedConnection) -> None:
+        """Take another way next: nothing comes over this connection."""
+        if connection.way:
+            self._directory.avoid(connection.way)
+
+    async def _open(
+        self, group: str, database: DatabaseSettings, timeout: float
+    ) -> RelayedConnection:
+        """Try one way after the other, the direct one once."""
+        reason: Exception | None = None
+        while True:
+            owner = self._choose(group, database)
+            if owner is None and reason is not None:
+                raise reason
+            try:
+                if owner is None:
+                    return await self._open_directly(group, database, timeout)
+                return await self._open_through(owner, group, database)
+            except (ConnectRefused, OSError) as error:
+                if not self._directory.is_blocked(database.name):
+                    raise
+                reason = error
+
+    def _choose(self, group: str, database: DatabaseSettings) -> Peer | None:
+        limit = database.max_connections
+        return self._directory.choose_way(group, database.name, limit)
+
+    async def _open_directly(
+        self, group: str, database: DatabaseSettings, timeout: float
+    ) -> RelayedConnection:
+        """Open a connection to the database itself."""
+        opening = self._open_at(database.endpoint, group, database.name, timeout)
+        try:
+            connection = await opening
+        except TargetUnreachable:
+            self._block(group, database)
+            raise
+        except (ConnectRefused, OSError):
+            self._end_detour(database)
+            raise
+        self._end_detour(database)
+        return connection
+
+    async def _open_through(
+        self, owner: Peer, group: str, database: DatabaseSettings
+    ) -> RelayedConnection:
+        """Open a session to another instance, and pass over one that gives none."""
+        directory, name = self._directory, database.name
+        opening = self._open_at(owner.relay, group, name, self._limits.relay)
+        try:
+            connection = await opening
+        except ConnectRefused:
+            if directory.is_blocked(name):
+                directory.note_useless(name, owner.name)
+            else:
+                directory.avoid(owner.name)
+            raise
+        except OSError:
+            directory.avoid(owner.name)
+            raise
+        connection.way = owner.name
+        connection.on_useless = lambda: directory.note_useless(name, owner.name)
+        return connection
+
+    def _block(self, group: str, database: DatabaseSettings) -> None:
+        """Reach a database through others until it is reached directly again."""
+        if self._directory.block(database.name):
+            log.warning("relay: %s is reached through others.", database.name)
+            self._probe_later(group, database)
+
+    def _end_detour(self, database: DatabaseSettings) -> None:
+        """Reach a database directly from now on."""
+        if self._directory.is_blocked(database.name):
+            log.info("relay: %s is reached directly again.", database.name)
+            self._directory.unblock(database.name)
+
+    def _probe_later(self, group: str, database: DatabaseSettings) -> None:
+        """Try in a while whether a database can be reached directly again."""
+        self._reactor.callLater(DETOUR_TIME, self._probe, group, database)
+
+    def _probe(self, group: str, database: DatabaseSettings) -> None:
+        """Try whether a database can be reached directly again."""
+        if not self._directory.is_blocked(database.name):
+            return
+        if not self._is_used(group, database.name):
+            self._directory.unblock(database.name)
+            return
+        opening = Deferred.fromCoroutine(
+            self._open_directly(group, database, self._limits.probe)
+        )
+        opening.addCallbacks(
+            lambda connection: connection.end_session(),
+            lambda failure: self._probe_later(group, database),
+        )
--- a/beryltrack/relay/ways.py
+++ b/beryltrack/relay/ways.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from beryltrack.connections.messages import PooledConnection
@@ -17,11 +17,13 @@
 class RelayedConnection(PooledConnection, Protocol):
     """A connection that tells when anything came over it, by the node's clock.
 
-    `busy` is True while a statement runs on it.
+    `busy` is True while a statement runs on it; `on_useless` is called if the
+    instance that it goes through says that it does not reach the database.
     """
 
     heard_at: float
     busy: bool
+    on_useless: Callable[[], object]
 
 
 def is_silent(connection: RelayedConnection, pools: Iterable[PoolTask]) -> bool:
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -141,3 +141,19 @@
 
     run(lambda: Deferred.fromCoroutine(go()))
     assert closed == [None]
+
+
+def test_an_instance_without_a_way_to_the_database_is_used_no_more(database):
+    database.answers[b"QUERY 1"] = b"ERROR UNREACHABLE no way\r\nREADY I -\r\n"
+    told = []
+
+    async def go():
+        target = await connect_line_target(
+            reactor, database.endpoint, "group", "db-1", 2.0, LIMITS
+        )
+        target.on_useless = lambda: told.append(target.broken)
+        end = await target.run(b"QUERY 1 READ a\r\n", Sink())
+        return end.error.sqlstate, target.broken
+
+    assert run(lambda: Deferred.fromCoroutine(go())) == (CANNOT_CONNECT_NOW, True)
+    assert told == [False]
--- a/tests/relay/test_handler.py
+++ b/tests/relay/test_handler.py
@@ -108,10 +108,12 @@
     def get_lender(self, group, database):
         return Lender(self.pool, self.task) if self.pool is not None else None
 
-    def give(self, name="c1"):
+    def give(self, name="c1", way=""):
         """Give the last one that asked a connection."""
         closed = []
-        connection = SimpleNamespace(name=name, close=lambda: closed.append(name))
+        connection = SimpleNamespace(
+            name=name, way=way, close=lambda: closed.append(name)
+        )
         connection.closings = closed
         self.pool.asked[-1].callback(connection)
         return connection
@@ -284,3 +286,11 @@
     assert owner.pool.released == [("c1", True)]
     owner.handler.handle(READ, session)
     assert session.sent[-1][0] == "refused" and not owner.handler.takes(session)
+
+
+def test_a_connection_that_goes_through_a_third_instance_is_not_lent(owner):
+    session = Session()
+    owner.handler.handle(READ, session)
+    owner.give("c1", way="n2")
+    assert session.states == [CANNOT_CONNECT_NOW]
+    assert owner.pool.released == [("c1", True)] and session.runs == []
--- /dev/null
+++ b/tests/relay/test_opener.py
@@ -0,0 +1,121 @@
+"""Ways to a database that an instance does not reach itself."""
+
+from types import SimpleNamespace
+
+from twisted.internet.defer import fail, succeed
+from twisted.internet.task import Clock
+
+from beryltrack.connections.messages import ConnectRefused, TargetUnreachable
+from beryltrack.relay.directory import DETOUR_TIME, RelayDirectory
+from beryltrack.relay.opener import OpenLimits, TargetOpener
+from beryltrack.relay.owners import Peer
+from beryltrack.settings.messages import DatabaseSettings, Endpoint
+
+DATABASE = DatabaseSettings("db-1", Endpoint("10.0.0.9", 1), "z", 40, 3, False)
+OTHERS = ("n1", "n2", "n3")
+
+
+def make_peer(name):
+    return Peer(name, "z", Endpoint(name, 7000))
+
+
+class Site:
+    """An instance among three others; `answers` says what an address answers."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.directory = RelayDirectory(make_peer("me"), self.clock.seconds, 8)
+        self.directory.set_peers([make_peer(name) for name in OTHERS])
+        self.changes = []
+        self.directory.set_block_observer(lambda: self.changes.append(1))
+        self.answers = {}
+        self.tried = []
+        self.opener = TargetOpener(
+            self.clock,
+            self.directory,
+            self.open_at,
+            lambda group, database: True,
+            OpenLimits(0.3, 0.4),
+        )
+
+    def open_at(self, endpoint, group, database, timeout):
+        self.tried.append(endpoint.host)
+        error = self.answers.get(endpoint.host)
+        if error is not None:
+            return fail(error)
+        return succeed(SimpleNamespace(way="", end_session=lambda: None))
+
+    def open(self):
+        self.tried.clear()
+        outcomes = []
+        self.opener.open("g", DATABASE, 1.0).addBoth(outcomes.append)
+        return outcomes[0]
+
+
+def cut_off():
+    site = Site()
+    site.answers["10.0.0.9"] = TargetUnreachable("nothing came back")
+    return site
+
+
+def test_a_database_that_is_reached_is_opened_directly():
+    site = Site()
+    assert site.open().way == "" and site.tried == ["10.0.0.9"]
+
+
+def test_one_that_is_not_reached_is_opened_through_another_instance_at_once():
+    site = cut_off()
+    connection = site.open()
+    assert connection.way in OTHERS
+    assert site.tried == ["10.0.0.9", connection.way]
+    # The next one does not try the direct way first.
+    assert site.open().way == connection.way and len(site.tried) == 1
+
+
+def test_others_that_do_not_reach_it_either_are_passed_over():
+    site = cut_off()
+    first = site.open().way
+    site.answers[first] = ConnectRefused("57P03")
+    second = site.open().way
+    assert second not in ("", first) and site.tried == [first, second]
+    assert site.open().way == second
+
+
+def test_one_that_says_so_later_is_passed_over_too():
+    site = cut_off()
+    first = site.open()
+    first.on_useless()
+    assert site.open().way not in ("", first.way)
+
+
+def test_a_database_that_nobody_reaches_fails_after_one_round():
+    site = cut_off()
+    site.answers |= {name: ConnectRefused("57P03") for name in OTHERS}
+    assert site.open().check(ConnectRefused)
+    assert sorted(site.tried) == ["10.0.0.9", *OTHERS]
+
+
+def test_a_database_that_is_full_or_slow_is_not_gone_round():
+    for error in (ConnectRefused("53300"), ConnectionError("not ready in time")):
+        site = Site()
+        site.answers["10.0.0.9"] = error
+        assert site.open().check(type(error)) and site.tried == ["10.0.0.9"]
+        assert not site.directory.is_blocked("db-1")
+
+
+def test_the_direct_way_is_tried_again_and_then_used():
+    site = cut_off()
+    site.open()
+    site.clock.advance(DETOUR_TIME)
+    assert site.tried[-1] == "10.0.0.9" and site.directory.is_blocked("db-1")
+    site.answers.clear()
+    site.clock.advance(DETOUR_TIME)
+    assert not site.directory.is_blocked("db-1") and len(site.changes) == 2
+    assert site.open().way == ""
+
+
+def test_an_instance_that_gives_no_answer_is_passed_over():
+    site = cut_off()
+    first = site.open().way
+    site.answers[first] = TargetUnreachable("nothing came back")
+    assert site.open().way not in ("", first)
