Send writes without a new proof for longer

The proof only spares requests that cannot succeed. Change: 5 s where a replaced primary refuses by itself, 1.5 s where it goes on.

--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -54,9 +54,14 @@
 # up with the first one that fails; at a replaced primary no answer can be of use.
 LOSSES = LossPolicy(grace=0.4, replaced_grace=0.1)
 
-# A wait for a replica costs probes; the primary has room for what replicas miss.
-ROUTING = RoutingPolicy(max_wait=0.0, refresh_share=0.95, checks_positions=True)
-UNFENCED_ROUTING = ROUTING._replace(samples_position=False)
+# A wait for a replica costs probes; the primary has room for what replicas miss. A
+# primary that was replaced refuses writes by itself: they need no recent proof.
+ROUTING = RoutingPolicy(
+    max_wait=0.0, refresh_share=0.95, checks_positions=True, confirmed_within=5.0
+)
+# One that goes on takes writes that nobody confirms: a proof in each change of primary,
+# which takes 1.5 to 2 s, keeps callers from an unknown outcome.
+UNFENCED_ROUTING = ROUTING._replace(samples_position=False, confirmed_within=1.5)
 
 # A connection costs its database 12 to 30 ms of a slot, so that two are opened at a
 # time, and only for requests that wait longer than most statements run. One that is
