--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -27,9 +27,9 @@
 the most of today's sites."""
 
 # A database that does not answer is asked four times a second, and all of a suspect
-# group ten times: a status takes 1 to 4 ms there, and a loss counts after 0.5 s. Requests
-# that are late show a lost primary within 0.2 s; one that nobody uses is asked each
-# second by the first to act, instead of each 0.4 s for 345 requests in 46 s.
+# group ten times: a status takes 1 to 4 ms there, and a loss counts after 0.5 s.
+# Requests that are late show a lost primary within 0.2 s; one that nobody uses is asked
+# each second by the first to act, instead of each 0.4 s for 345 requests in 46 s.
 PROBES = ProbePolicy(
     interval=0.25,
     idle_interval=0.25,
