--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -12,7 +12,6 @@
 
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IDelayedCall
 
 from beryltrack.clock import get_seconds
 from beryltrack.failover.authority import PromotionAuthority
@@ -21,6 +20,7 @@
 from beryltrack.failover.messages import FailoverReport
 from beryltrack.failover.task import FailoverTask
 from beryltrack.groups.adapter import DatabaseGroup
+from beryltrack.groups.confirmations import LeadConfirmations
 from beryltrack.groups.decider import GroupDecider
 from beryltrack.groups.messages import (
     PRIMARY,
@@ -28,13 +28,7 @@
     LeadProof,
     LogPosition,
 )
-from beryltrack.groups.plain_pace import (
-    WITNESS_TIME,
-    PaceFacts,
-    PlainPace,
-    get_witness,
-    get_witnesses,
-)
+from beryltrack.groups.plain_pace import PaceFacts, PlainPace, get_witness
 from beryltrack.groups.policy import (
     ProbePolicy,
     compute_delay,
@@ -135,8 +129,7 @@
         self._last_time = 0.0
         self._used_at = NEVER
         self._samples: list[SampleWaiter] = []
-        self._confirmations: list[SampleWaiter] = []
-        self._ask_others_call: IDelayedCall | None = None
+        self._confirmations = LeadConfirmations(reactor, self)
         self._applied: list[AppliedWaiter] = []
         self._subscribers: list[Callable[[GroupView], None]] = []
         self._failover_subscribers: list[Callable[[FailoverReport], None]] = []
@@ -154,6 +147,19 @@
         """Names of the databases that an operator drains."""
         return self._decider.draining
 
+    @property
+    def witness_count(self) -> int:
+        """How many databases beside the primary have to confirm its term."""
+        return self._decider.witness_count
+
+    def get_sent_at(self, database: str) -> float:
+        """Return when a database was last asked."""
+        return self._sent_at[database]
+
+    def wake(self, database: str) -> None:
+        """Ask a database now."""
+        self._watches[database].wake()
+
     def start(self) -> None:
         """Begin to watch the group."""
         self._running = True
@@ -171,10 +177,9 @@
         self._commits.stop()
         for waiter in tuple(self._applied):
             waiter.answer.callback(False)
-        for waiter in (*self._samples, *self._confirmations):
+        for waiter in tuple(self._samples):
             waiter.answer.cancel()
-        if self._ask_others_call is not None and self._ask_others_call.active():
-            self._ask_others_call.cancel()
+        self._confirmations.stop()
 
     def set_draining(self, draining: frozenset[str]) -> None:
         """Take the databases that an operator drains from new settings."""
@@ -357,41 +362,15 @@
     def confirm_lead(self) -> Deferred:
         """Have it proven that no later term had a primary before this call.
 
-        All who wait share the questions that are made. The first witnesses asked
-        nearly always answer at once; the others are asked a little later.
+        All who wait share the questions that are made.
 
         Returns
         -------
         Deferred
             Fires with None. It has no timeout of its own; cancel it.
         """
-        waiter = SampleWaiter(self.get_time(), Deferred())
-        self._confirmations.append(waiter)
         self._note_use()
-        waiter.answer.addBoth(self._drop, self._confirmations, waiter)
-        names = get_witnesses(self.view, self._decider.witness_count)
-        for name in names:
-            self._watches[name].wake()
-        if not names:
-            self._wake_all()
-        elif self._ask_others_call is None or not self._ask_others_call.active():
-            self._plan_others()
-        return waiter.answer
-
-    def _plan_others(self) -> None:
-        """Look in a while whether the first witnesses have answered."""
-        self._ask_others_call = self._reactor.callLater(WITNESS_TIME, self._ask_others)
-
-    def _ask_others(self) -> None:
-        """Ask all for what the first witnesses have not confirmed in time."""
-        if not self._confirmations:
-            return
-        oldest = self._confirmations[0].called_at
-        if self._seconds() - oldest >= WITNESS_TIME / 2:
-            for item in self.view.databases:
-                if item.role != PRIMARY and self._sent_at[item.name] < oldest:
-                    self._watches[item.name].wake()
-        self._plan_others()
+        return self._confirmations.wait()
 
     def confirm(
         self, position: LogPosition, timeout: float, database: str = ""
@@ -503,9 +482,7 @@
             return self._policy.idle_interval
         sent_at = self._sent_at[database]
         is_asked = any(waiter.called_at > sent_at for waiter in self._samples)
-        if item.name in get_witnesses(self.view, self._decider.witness_count):
-            is_asked |= any(each.called_at > sent_at for each in self._confirmations)
-        if is_asked and item.reachable:
+        if (is_asked or self._confirmations.wants(database)) and item.reachable:
             return 0.0
         if self._failover.busy:
             return self._policy.suspect_interval
@@ -601,9 +578,7 @@
             position = self._decider.get_confirmed_sample(waiter.called_at)
             if position is not None:
                 waiter.answer.callback(position)
-        for waiter in tuple(self._confirmations):
-            if self._decider.confirmed_at >= waiter.called_at:
-                waiter.answer.callback(None)
+        self._confirmations.answer(self._decider.confirmed_at)
 
     def _report_view(self) -> None:
         """Let failover look at the view, and tell the subscribers of changes."""
--- /dev/null
+++ b/tests/failover/lost_primary.py
@@ -0,0 +1,57 @@
+"""A failover task that sees its primary lost, for the tests of this folder."""
+
+from random import Random
+
+from beryltrack.failover.detector import FixedDetector
+from beryltrack.failover.task import FailoverTask
+from beryltrack.groups.messages import PRIMARY, REPLICA, LogPosition
+from beryltrack.groups.view import DatabaseView, GroupView
+from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
+
+NAMES = ("a", "b", "c")
+END = LogPosition(1, 5)
+
+
+class Owner:
+    """A group's task."""
+
+    draining = frozenset()
+
+    def __init__(self, clock):
+        self.get_time = clock.seconds
+        self.reports = []
+
+    def take_status(self, status, sent_at):
+        pass
+
+    def take_report(self, report):
+        self.reports.append(report)
+
+
+def lose_primary(clock, databases, authority, policy):
+    """Let a task see that ``a`` is lost; return its owner."""
+    members = tuple(
+        DatabaseSettings(name, Endpoint("10.0.0.1", 1), "z", 9, 3, False)
+        for name in NAMES
+    )
+    owner = Owner(clock)
+    task = FailoverTask(
+        clock,
+        GroupSettings("main", "", members, "", "", 0.0, 0.5),
+        databases,
+        "node",
+        Random(1),
+        owner,
+        FixedDetector(0.5),
+        policy,
+        authority,
+    )
+    lost = [
+        DatabaseView(name, REPLICA, 1, END, END, (), True, seen_at=0.0, heard_age=0.6)
+        for name in "bc"
+    ]
+    primary = DatabaseView("a", PRIMARY, 1, END, END)
+    task.observe_view(
+        GroupView("main", 1, "a", databases=(primary, *lost), last_primary="a")
+    )
+    return owner
--- a/tests/failover/test_former_primary.py
+++ b/tests/failover/test_former_primary.py
@@ -1,17 +1,14 @@
 """Elections where the former primary goes on until it is told."""
 
-from random import Random
-
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from beryltrack.failover.authority import Permit
 from beryltrack.failover.decider import FailoverPolicy, choose_primary
-from beryltrack.failover.detector import FixedDetector
 from beryltrack.failover.grants import collect_grants
 from beryltrack.failover.messages import Election, ElectionKind
-from beryltrack.failover.task import STEP_DOWN_PERIOD, FailoverTask
+from beryltrack.failover.task import STEP_DOWN_PERIOD
 from beryltrack.groups.adapter import PromoteReply
 from beryltrack.groups.messages import (
     PRIMARY,
@@ -21,10 +18,8 @@
     GrantReply,
     LogPosition,
 )
-from beryltrack.groups.view import DatabaseView, GroupView
-from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
+from tests.failover.lost_primary import NAMES, lose_primary
 
-NAMES = ("a", "b", "c")
 POLICY = FailoverPolicy(has_authority=True, former_goes_on=True)
 
 
@@ -105,55 +100,15 @@
         return Success(Permit("node", self.token))
 
 
-class Owner:
-    """A group's task."""
-
-    draining = frozenset()
-
-    def __init__(self, clock):
-        self.get_time = clock.seconds
-        self.reports = []
-
-    def take_status(self, status, sent_at):
-        pass
-
-    def take_report(self, report):
-        self.reports.append(report)
-
-
-def lose_primary(*answers):
+def start(*answers):
     """Let the primary be lost; only some databases answer."""
     clock, group, authority = Clock(), Group(*answers), Authority()
-    members = tuple(
-        DatabaseSettings(name, Endpoint("10.0.0.1", 1), "z", 9, 3, False)
-        for name in NAMES
-    )
-    owner = Owner(clock)
-    task = FailoverTask(
-        clock,
-        GroupSettings("main", "", members, "", "", 0.0, 0.5),
-        group,
-        "node",
-        Random(1),
-        owner,
-        FixedDetector(0.5),
-        POLICY,
-        authority,
-    )
-    end = LogPosition(1, 5)
-    lost = [
-        DatabaseView(name, REPLICA, 1, end, end, (), True, seen_at=0.0, heard_age=0.6)
-        for name in "bc"
-    ]
-    former = DatabaseView("a", PRIMARY, 1, end, end)
     clock.advance(0.1)
-    view = GroupView("main", 1, "a", databases=(former, *lost), last_primary="a")
-    task.observe_view(view)
-    return clock, group, authority, owner
+    return clock, group, authority, lose_primary(clock, group, authority, POLICY)
 
 
 def test_the_former_primary_is_stepped_down_until_it_answers():
-    clock, group, _, owner = lose_primary("b", "c")
+    clock, group, _, owner = start("b", "c")
     assert len(group.promoted) == 1 and owner.reports
     clock.pump([STEP_DOWN_PERIOD] * 3)
     assert group.stepped == [("a", 1)] * 4
@@ -163,12 +118,12 @@
 
 
 def test_nobody_is_promoted_while_a_witness_is_not_held():
-    _, group, _, _ = lose_primary("a", "b")
+    _, group, _, _ = start("a", "b")
     assert group.promoted == []
 
 
 def test_the_permit_is_looked_at_when_a_change_becomes_due():
-    assert lose_primary("b", "c")[2].prepared == 1
+    assert start("b", "c")[2].prepared == 1
 
 
 def test_grants_are_waited_for_until_enough_others_have_given_theirs():
--- a/tests/failover/test_permits.py
+++ b/tests/failover/test_permits.py
@@ -1,14 +1,11 @@
 """Elections under a permit: who is released when, and which token is used."""
 
-from random import Random
-
 from returns.result import Failure, Success
 from twisted.internet.task import Clock
 
 from beryltrack.failover.authority import Permit
 from beryltrack.failover.decider import FailoverPolicy
-from beryltrack.failover.detector import FixedDetector
-from beryltrack.failover.task import LEAD_LIMIT, FailoverTask
+from beryltrack.failover.task import LEAD_LIMIT
 from beryltrack.groups.adapter import PromoteReply
 from beryltrack.groups.messages import (
     PRIMARY,
@@ -16,13 +13,9 @@
     ControlFailure,
     DatabaseStatus,
     GrantReply,
-    LogPosition,
 )
-from beryltrack.groups.view import DatabaseView, GroupView
-from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
+from tests.failover.lost_primary import END, NAMES, lose_primary
 
-NAMES = ("a", "b", "c")
-END = LogPosition(1, 5)
 LOST = Failure(ControlFailure("b", "no answer"))
 
 
@@ -84,47 +77,10 @@
         return Success(self.make_status(name))
 
 
-class Owner:
-    """A group's task."""
-
-    draining = frozenset()
-
-    def __init__(self, clock):
-        self.get_time = clock.seconds
-        self.reports = []
-
-    def take_status(self, status, sent_at):
-        pass
-
-    def take_report(self, report):
-        self.reports.append(report)
-
-
 def hold_election(*promotions):
     clock, databases, authority = Clock(), Databases(*promotions), Authority()
-    members = tuple(
-        DatabaseSettings(name, Endpoint("10.0.0.1", 1), "z", 9, 3, False)
-        for name in NAMES
-    )
-    group = GroupSettings("main", "", members, "", "", 0.0, 0.5)
-    owner = Owner(clock)
-    task = FailoverTask(
-        clock,
-        group,
-        databases,
-        "node",
-        Random(1),
-        owner,
-        FixedDetector(0.5),
-        FailoverPolicy(has_authority=True),
-        authority,
-    )
-    lost = [
-        DatabaseView(name, REPLICA, 1, END, END, (), True, seen_at=0.0, heard_age=0.6)
-        for name in "bc"
-    ]
-    primary = DatabaseView("a", PRIMARY, 1, END, END)
-    task.observe_view(GroupView("main", 1, "a", databases=(primary, *lost)))
+    policy = FailoverPolicy(has_authority=True)
+    owner = lose_primary(clock, databases, authority, policy)
     clock.pump([0.05] * int(LEAD_LIMIT / 0.05 + 5))
     return databases, authority, owner
 
--- /dev/null
+++ b/tests/groups/test_confirmations.py
@@ -0,0 +1,93 @@
+"""Who is asked for the proof that no later term has a primary."""
+
+from twisted.internet.task import Clock
+
+from beryltrack.groups.confirmations import LeadConfirmations
+from beryltrack.groups.messages import PRIMARY, LogPosition
+from beryltrack.groups.plain_pace import WITNESS_TIME
+from beryltrack.groups.view import DatabaseView, GroupView
+
+
+class Owner:
+    """A group of three: ``a`` leads, ``b`` has received more than ``c``."""
+
+    witness_count = 1
+
+    def __init__(self):
+        self.clock = Clock()
+        self.clock.advance(1.0)
+        self.asked = []
+        self.sent_at = dict.fromkeys("abc", 0.0)
+        self.view = GroupView(
+            "g",
+            1,
+            "a",
+            databases=(
+                DatabaseView("a", PRIMARY, 1, LogPosition(1, 9), reachable=True),
+                DatabaseView("c", term=1, received=LogPosition(1, 7), reachable=True),
+                DatabaseView("b", term=1, received=LogPosition(1, 8), reachable=True),
+            ),
+        )
+        self.waits = LeadConfirmations(self.clock, self)
+
+    def get_time(self):
+        return self.clock.seconds()
+
+    def get_sent_at(self, database):
+        return self.sent_at[database]
+
+    def wake(self, database):
+        self.asked.append(database)
+        self.sent_at[database] = self.clock.seconds()
+
+
+def test_the_replica_that_has_received_most_is_asked_alone():
+    owner = Owner()
+    waiting = owner.waits.wait()
+    assert owner.asked == ["b"]
+    owner.waits.answer(1.0)
+    assert waiting.called
+    owner.clock.advance(1.0)
+    assert owner.asked == ["b"]
+
+
+def test_the_others_are_asked_when_it_does_not_answer():
+    owner = Owner()
+    owner.waits.wait()
+    owner.clock.advance(WITNESS_TIME)
+    assert owner.asked == ["b", "c"]
+    owner.clock.advance(WITNESS_TIME)
+    assert owner.asked == ["b", "c"]
+
+
+def test_a_proof_of_before_does_not_count():
+    owner = Owner()
+    waiting = owner.waits.wait()
+    owner.waits.answer(0.9)
+    assert not waiting.called
+
+
+def test_whoever_comes_after_the_question_has_it_asked_again():
+    owner = Owner()
+    owner.waits.wait()
+    assert not owner.waits.wants("b")
+    owner.clock.advance(0.001)
+    owner.waits.wait()
+    owner.sent_at["b"] = 1.0
+    assert owner.waits.wants("b") and not owner.waits.wants("c")
+
+
+def test_without_a_replica_at_work_all_are_asked():
+    owner = Owner()
+    owner.view = owner.view._replace(databases=owner.view.databases[:1])
+    owner.waits.wait()
+    assert owner.asked == ["a"]
+
+
+def test_one_that_gives_up_is_forgotten():
+    owner = Owner()
+    waiting = owner.waits.wait()
+    waiting.addErrback(lambda failure: None)
+    waiting.cancel()
+    owner.clock.advance(WITNESS_TIME)
+    assert owner.asked == ["b"] and owner.clock.getDelayedCalls() == []
