Replace a primary whose commits reach no other database

Cause: a primary that is cut off from its replicas, and not from callers, goes on answering, so that nobody took it for lost: no write was acknowledged for as long as that lasted, nor where all replicas receive nothing for a while. Ruled out: taking a late receipt alone for a sign; a full replica answers late as well. The others must have been asked in the second half of the time, and still lack the commit. Change: commits that wait 0.5 s without any receipt, while enough replicas answer, make an election of its own kind, in the order of ranks as after a loss.

--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -44,6 +44,10 @@
     reclaim_after=2.5,
     # A holder of the permit notices a loss within 0.25 s of the others.
     takeover=0.7,
+    # As long as a silence that counts as a loss, and less than a statement may take: a
+    # receipt takes 1 to 4 ms. A primary that was cut off from its replicas alone had no
+    # write acknowledged for as long as that lasted.
+    stalled_after=0.5,
     rotates=False,
     has_authority=True,
 )
--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -4,6 +4,7 @@
 about time: to act soon after a loss, never without one, and seldom two at once.
 """
 
+import math
 from collections.abc import Iterable
 from random import Random
 from typing import NamedTuple
@@ -73,6 +74,9 @@
     rotates : bool
         True if another instance is first in rank in each term. False where a
         permit is held, which is to change hands seldom.
+    stalled_after : float
+        How long commits must have waited without a receipt, while the other databases
+        answer, until the primary is replaced; infinite where databases do not tell.
     has_authority : bool
         True if an authority promotes, so that databases need not see to it that only
         one is elected.
@@ -96,6 +100,7 @@
     grant_wait: float = 0.1
     takeover: float = 0.0
     rotates: bool = True
+    stalled_after: float = math.inf
     has_authority: bool = False
     former_goes_on: bool = False
 
@@ -108,6 +113,8 @@
 
 DEFAULT_POLICY = FailoverPolicy()
 
+_WITHOUT_PRIMARY = (ElectionKind.LOST, ElectionKind.STALLED)
+
 
 class FailoverDecider:
     """Decides for one group on one node.
@@ -248,6 +255,8 @@
         if is_lost(view, self._detector, now - self._policy.fresh, quorum):
             return ElectionKind.LOST
         leader = get_primary(view)
+        if leader is not None and self._is_stalled(view, leader, now, quorum):
+            return ElectionKind.STALLED
         if leader is None or not self._leads_now(view, leader, now):
             return None
         if any(self._refuses(item, leader, now) for item in view.databases):
@@ -256,6 +265,28 @@
             return ElectionKind.HAND_OVER
         return None
 
+    def _is_stalled(
+        self, view: GroupView, leader: DatabaseView, now: float, quorum: int
+    ) -> bool:
+        """Return whether nothing of the primary reaches the other databases.
+
+        Such a primary is cut off from them, or they receive nothing for a while. The
+        others must have answered late enough in that time: a receipt takes a few
+        milliseconds.
+        """
+        waited = now - view.stalled_since
+        if waited < self._policy.stalled_after:
+            return False
+        asked_after = view.stalled_since + self._policy.stalled_after / 2
+        lacking = sum(
+            item.name != leader.name
+            and item.reachable
+            and item.seen_at >= asked_after
+            and item.term == leader.term
+            for item in view.databases
+        )
+        return lacking >= quorum
+
     def _is_fresh(self, item: DatabaseView, now: float) -> bool:
         """Return whether a database answered lately."""
         return item.reachable and item.seen_at >= now - self._policy.fresh
@@ -341,6 +372,7 @@
         successor = get_successor(view)
         preferred = {
             ElectionKind.LOST: "",
+            ElectionKind.STALLED: "",
             ElectionKind.HAND_OVER: successor.name if successor else "",
             ElectionKind.RECLAIM: view.primary,
         }[kind]
@@ -348,7 +380,7 @@
             kind,
             self._get_next_term(view),
             f"{self._node}/{self._rng.getrandbits(64):016x}",
-            self._get_lost_after(view) if kind is ElectionKind.LOST else 0.0,
+            self._get_lost_after(view) if kind in _WITHOUT_PRIMARY else 0.0,
             view.primary,
             leader.term if leader else 0,
             preferred,
--- a/beryltrack/failover/messages.py
+++ b/beryltrack/failover/messages.py
@@ -9,6 +9,9 @@
 
     LOST = "lost"
     """A majority of the group's databases has lost the primary."""
+    STALLED = "stalled"
+    """The primary answers, but nothing that it commits reaches another database, so
+    that no commit can be acknowledged."""
     HAND_OVER = "hand-over"
     """The primary is leaving and another database takes over."""
     RECLAIM = "reclaim"
--- a/beryltrack/groups/plain_pace.py
+++ b/beryltrack/groups/plain_pace.py
@@ -60,6 +60,7 @@
         self._suspect_until = NEVER
         self._confirming_since = math.inf
         self._asks_all = False
+        self._receipt_at = NEVER
         self._heard_at: dict[str, float] = {}
         self._turn_at = now
 
@@ -112,6 +113,15 @@
         """Take that a commit waits for its receipt."""
         self._confirming_since = min(self._confirming_since, now)
 
+    @property
+    def stalled_since(self) -> float:
+        """Since when commits wait and none was received; infinite if none waits."""
+        return max(self._confirming_since, self._receipt_at)
+
+    def note_receipt(self, now: float) -> None:
+        """Take that a commit that waited was received by another database."""
+        self._receipt_at = now
+
     def end_confirming(self) -> None:
         """Take that no commit waits any longer."""
         self._confirming_since = math.inf
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -524,7 +524,8 @@
         self._decider.observe_status(status, sent_at, self._seconds())
         if status.name == self.view.primary:
             self._pace.note_primary_status(sent_at)
-        self._commits.observe_status(status)
+        if self._commits.observe_status(status):
+            self._pace.note_receipt(self._seconds())
         self._answer_applied()
         self._answer_samples()
         self._report_view()
@@ -584,7 +585,8 @@
         """Let failover look at the view, and tell the subscribers of changes."""
         if not self._running:
             return
-        self._failover.observe_view(self.view)
+        stalled_since = self._pace.stalled_since
+        self._failover.observe_view(self.view._replace(stalled_since=stalled_since))
         before, self._reported = self._reported, self.view
         if get_outline(before) == get_outline(self.view):
             return
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -97,6 +97,9 @@
         All members, in the order of the settings.
     last_primary : str
         Who led the newest term that had a primary, also if it leads no more.
+    stalled_since : float
+        Since when commits of this node wait and none of them has been received by
+        another database; infinite if none waits.
     """
 
     group: str
@@ -106,6 +109,7 @@
     confirmed_at: float = NEVER
     databases: tuple[DatabaseView, ...] = ()
     last_primary: str = ""
+    stalled_since: float = math.inf
 
 
 def get_database(view: GroupView, name: str) -> DatabaseView | None:
--- a/beryltrack/transactions/waits.py
+++ b/beryltrack/transactions/waits.py
@@ -66,10 +66,12 @@
         """Take how many databases the group has from new settings."""
         self._decider.set_size(size)
 
-    def observe_status(self, status: DatabaseStatus) -> None:
-        """Take in a status and answer those whose commits it decides."""
-        for decision in self._decider.observe_status(status):
+    def observe_status(self, status: DatabaseStatus) -> int:
+        """Take in a status, answer whose commits it decides, return their number."""
+        decisions = self._decider.observe_status(status)
+        for decision in decisions:
             self._waiting[decision.key].callback(decision.outcome)
+        return len(decisions)
 
     def get_wait_offset(self, database: str) -> int | None:
         """Return the offset whose receipt by a database would tell most."""
