Open relayed sessions at once, and keep them

Cause: sessions at another instance take no slot of a database, and went by the figures of connections that do. Change: they are opened for each request that finds none free, and kept for 10 s.

--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -244,6 +244,10 @@
         actions = [action for number in closed for action in self._close(number)]
         return actions + self._refuse_late(now) + self._fill(now)
 
+    def set_policy(self, policy: PoolPolicy) -> None:
+        """Go by other figures from now on."""
+        self._policy = policy
+
     def enforce_limit(self, limit: int) -> list[PoolAction]:
         """Close connections beyond `limit`, also those in use.
 
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -169,6 +169,10 @@
         if limit != self._decider.limit:
             self._perform(self._decider.set_limit(limit, self._now))
 
+    def set_policy(self, policy: PoolPolicy) -> None:
+        """Go by other figures from now on."""
+        self._decider.set_policy(policy)
+
     def enforce_limit(self, limit: int) -> None:
         """Close connections beyond `limit` at once, also those in use."""
         self._perform(self._decider.enforce_limit(limit))
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -488,6 +488,7 @@
             is_owner = self._is_owner(runtime)
             for name, pool in runtime.pools.items():
                 is_direct = is_owner and not self._directory.is_blocked(name)
+                pool.set_policy(options.POOLS if is_direct else options.RELAYED_POOLS)
                 pool.set_limit(share if is_direct else options.RELAY_STREAMS)
                 pool.retire_stale()
 
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -74,6 +74,9 @@
 # With 0.25 s such days were worth up to 0.04 less, and none was worth more.
 POOLS = PoolPolicy(most_wait=0.6, idle_timeout=0.5, most_opening=2, open_patience=0.03)
 
+# A session at another instance takes no slot: it is opened at once and kept.
+RELAYED_POOLS = POOLS._replace(idle_timeout=10.0, open_patience=0.0)
+
 # A database that is cut off is noticed by its control requests within 0.5 s; the
 # kernel clears up what they leave after 2 to 4 s.
 TARGET_SOCKETS = SocketLimits(idle=2, interval=1, count=2, user_timeout=2_000)
--- a/tests/connections/test_pool.py
+++ b/tests/connections/test_pool.py
@@ -319,3 +319,12 @@
     pool.acquire_briefly(3, 0.0)
     pool.cancel(3)
     assert pool.release(1, True, 0.1) == []
+
+
+def test_a_policy_that_changes_holds_for_the_next_request():
+    pool = make_pool(limit=2, open_patience=0.03)
+    pool.acquire(1, 10.0, 0.0)
+    pool.observe_opened(1, 0.0)
+    assert pool.acquire(2, 10.0, 1.0) == []
+    pool.set_policy(PoolPolicy())
+    assert pool.acquire(3, 10.0, 1.0) == [OpenConnection(2)]
