Give up a permit that is not written in time, and write the next one

A permit is of no use after 0.5 s. Change: calls for permits have their own client, with a limit of 0.5 s.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -24,7 +24,11 @@
 from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
 from beryltrack.events.log import EventLog
 from beryltrack.failover.authority import PromotionAuthority, StoreAuthority
-from beryltrack.failover.unfenced_authority import CONNECT_TIME, UnfencedAuthority
+from beryltrack.failover.unfenced_authority import (
+    CONNECT_TIME,
+    USABLE_TIME,
+    UnfencedAuthority,
+)
 from beryltrack.findings import format_finding
 from beryltrack.metrics.plain import Gauge, PlainMetrics
 from beryltrack.objects.feed import FeedTask
@@ -303,14 +307,21 @@
             authority = StoreAuthority(self._store, settings.name)
         else:
             client = self._make_client(settings.promotion, CONNECT_TIME)
+            # A permit that is not written in time is of no use: the next one is tried.
+            permits = PlatformStore(
+                self._make_client(settings.store, CONNECT_TIME, USABLE_TIME)
+            )
             process = f"{self._rng.getrandbits(64):016x}"
             authority = UnfencedAuthority(
-                self._store, settings.name, process, self._seconds
+                permits, settings.name, process, self._seconds
             )
         return PromotionCalls(client, settings.name), authority
 
     def _make_client(
-        self, endpoint: Endpoint, connect_timeout: float = options.STORE_TIMEOUT
+        self,
+        endpoint: Endpoint,
+        connect_timeout: float = options.STORE_TIMEOUT,
+        timeout: float = options.STORE_TIMEOUT,
     ) -> HttpClient:
         """Return a client of one of the platform's services."""
         url = f"http://{endpoint.host}:{endpoint.port}"
@@ -318,7 +329,7 @@
             self._reactor,
             url,
             self._rng,
-            options.STORE_TIMEOUT,
+            timeout,
             connect_timeout=connect_timeout,
         )
 
