Stop no writes of a leaving primary while no permit can be had

Cause: found in reading. Where permits are taken for each promotion, a hand-over stepped the primary down first and asked for the permit then: with the store away the group would have had no primary until it was back. Change: a permit first, and another one after the successor has caught up. Figures: a test that failed before.

--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -240,6 +240,8 @@
     async def _elect(self, election: Election) -> str | None:
         """Return who leads the term, or None if nobody does for all we know."""
         if election.kind is ElectionKind.HAND_OVER:
+            if not await self._may_stop_writes():
+                return None
             is_ready = await self._prepare_hand_over(election)
             # Where a primary that was stopped takes no writes again by itself,
             # the election goes on, whether the successor has caught up or not.
@@ -274,6 +276,15 @@
         await self._release(name for name in self._databases if name != chosen)
         return chosen
 
+    async def _may_stop_writes(self) -> bool:
+        """Return whether a permit can be had for the promotion that has to follow.
+
+        While the store is away a primary that was stepped down would have no successor.
+        """
+        if self._authority is None or self._authority.keeps_permits:
+            return True
+        return await self._acquire_permit(False) is not None
+
     async def _promote(self, election: Election, chosen: str) -> bool:
         """Make a database the primary; True once it leads."""
         for _ in range(PROMOTE_TRIES):
--- a/tests/failover/lost_primary.py
+++ b/tests/failover/lost_primary.py
@@ -28,8 +28,8 @@
         self.reports.append(report)
 
 
-def lose_primary(clock, databases, authority, policy):
-    """Let a task see that ``a`` is lost; return its owner."""
+def lose_primary(clock, databases, authority, policy, view=None):
+    """Let a task see that ``a`` is lost, or another view; return its owner."""
     members = tuple(
         DatabaseSettings(name, Endpoint("10.0.0.1", 1), "z", 9, 3, False)
         for name in NAMES
@@ -52,6 +52,6 @@
     ]
     primary = DatabaseView("a", PRIMARY, 1, END, END)
     task.observe_view(
-        GroupView("main", 1, "a", databases=(primary, *lost), last_primary="a")
+        view or GroupView("main", 1, "a", databases=(primary, *lost), last_primary="a")
     )
     return owner
--- a/tests/failover/test_former_primary.py
+++ b/tests/failover/test_former_primary.py
@@ -18,6 +18,8 @@
     GrantReply,
     LogPosition,
 )
+from beryltrack.groups.view import DatabaseView, GroupView
+from beryltrack.objects.messages import ErrorKind, PlatformError
 from tests.failover.lost_primary import NAMES, lose_primary
 
 POLICY = FailoverPolicy(has_authority=True, former_goes_on=True)
@@ -67,6 +69,9 @@
     async def get_status(self, name):
         return Success(self.make_status(name))
 
+    async def wait_status(self, name, wait, timeout):
+        return Success(self.make_status(name)._replace(term=1))
+
     async def release(self, name):
         return Success(self.make_status(name))
 
@@ -145,3 +150,31 @@
     assert not collecting.called
     answers["c"].callback(Success(make_reply("c")))
     assert len(collecting.result) == 3
+
+
+def hand_over(has_permit):
+    """Let a primary leave; return what was done."""
+    clock, group = Clock(), Group(*NAMES)
+    authority = Authority() if has_permit else NoPermits()
+    end = LogPosition(1, 5)
+    clock.advance(10.0)
+    primary = DatabaseView("a", PRIMARY, 1, end, end, (), True, True, seen_at=10.0)
+    others = [
+        DatabaseView(name, REPLICA, 1, end, end, (), True, seen_at=10.0, heard_age=0.0)
+        for name in "bc"
+    ]
+    view = GroupView("main", 1, "a", databases=(primary, *others), last_primary="a")
+    lose_primary(clock, group, authority, POLICY, view)
+    return group
+
+
+class NoPermits(Authority):
+    """The store is away."""
+
+    async def acquire(self, group, renew):
+        return Failure(PlatformError(ErrorKind.REFUSED, "no store"))
+
+
+def test_a_primary_that_leaves_is_not_stopped_while_no_permit_can_be_had():
+    assert hand_over(has_permit=False).stepped == []
+    assert hand_over(has_permit=True).stepped[0] == ("a", 1)
