--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -51,7 +51,9 @@
     rotates=False,
     has_authority=True,
 )
-UNFENCED_FAILOVER = FAILOVER._replace(former_goes_on=True)
+# Nobody holds a permit beforehand there, so that the next in rank need not wait for a
+# holder: databases that are held show that another one is at work.
+UNFENCED_FAILOVER = FAILOVER._replace(former_goes_on=True, takeover=0.0)
 
 # A control request fails after 0.4 s, so that what runs at a silent database is given
 # up with the first one that fails; at a replaced primary no answer can be of use.
