--- a/beryltrack/failover/authority.py
+++ b/beryltrack/failover/authority.py
@@ -5,7 +5,8 @@
 than one it has seen, so that a call that is carried out late cannot undo a newer
 promotion. The permit is taken before it is needed and has no end: it passes on
 when another instance takes it with the next token. So it costs no call while
-nothing happens, and a primary can be replaced while the store is down.
+nothing happens, and a primary can be replaced while the store is down. An authority
+that refuses nothing needs other permits: see `failover.unfenced_authority`.
 """
 
 import logging
