Give two runs of one seed of the soak addresses of their own

Traced by the nodes' logs: Couldn't listen on 127.11.0.1:8785, address already in use. Both runs had the same seeds and so the same addresses, and callers of one were answered by nodes of the other. Change: a run holds an address of its block, and takes the next block if another one does.

--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import Factory
 from twisted.web.server import Site as HttpSite
 
 from beryltrack.settings.messages import Endpoint, RouteSettings
@@ -52,6 +54,18 @@
 }
 
 
+BLOCKS = 200
+"""Blocks of addresses of each of which a site has one; more have another third byte."""
+
+GUARD_INDEX = 249
+"""Place of the address that a run holds to keep its block to itself."""
+
+
+def _make_host(number: int, index: int) -> str:
+    """Return the address of a node of a site."""
+    return f"127.{10 + number % BLOCKS}.{number // BLOCKS % 250}.{index + 1}"
+
+
 class Node(NamedTuple):
     """One node: where it listens, its links by target, and its view of the store."""
 
@@ -99,11 +113,11 @@
         is_fenced: bool = True,
     ):
         self._reactor = reactor
-        self._number = number
         self._rng = rng
         self._folder = folder
         self._limit = max_connections
         self._ports = []
+        self._number = self._hold_addresses(number)
         self._processes: dict[str, subprocess.Popen] = {}
         self._starts: itertools.count = itertools.count(1)
         self.is_fenced = is_fenced
@@ -185,6 +199,19 @@
         spec = {"config_version": version, "routes": routes, "services": services}
         self.store.change("config", "main", spec)
 
+    def _hold_addresses(self, number: int) -> int:
+        """Return a number whose addresses no other run on this machine uses.
+
+        Two runs of one seed would give their nodes the same ones: a node of the second
+        could not listen, and callers of one run would be answered by the other's.
+        """
+        for free in itertools.count(number, BLOCKS):
+            try:
+                self._listen(Factory(), _make_host(free, GUARD_INDEX), CONTROL_PORT)
+            except CannotListenError:
+                continue
+            return free
+
     def _listen(self, factory, host: str = "127.0.0.1", port: int = 0) -> Endpoint:
         """Open a port; return where it listens."""
         opened = self._reactor.listenTCP(port, factory, interface=host)
@@ -193,7 +220,7 @@
 
     def _make_node(self, index: int) -> Node:
         """Return a node with links to all that it talks to."""
-        host = f"127.{10 + self._number % 200}.{self._number // 200}.{index + 1}"
+        host = _make_host(self._number, index)
         name = f"node-{index + 1}"
         store = StoreView(self._reactor, self.store, self._get_rewrite(name), self._rng)
         promotions = PromotionView(
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 
 import pytest
+from twisted.internet import reactor
 from twisted.internet.task import Clock
 
 from beryltrack.groups.messages import LogPosition
@@ -17,7 +18,9 @@
     History,
     Sent,
 )
+from beryltrack_bench.soak.site import SoakSite
 from beryltrack_standins.lines.group import Group
+from tests.reactor_thread import run
 
 RUN_LIMIT = 180
 """Seconds after which a run is given up; it takes about 20."""
@@ -169,3 +172,17 @@
     assert ran.returncode == 0, ran.stdout + ran.stderr
     result = json.loads(ran.stdout.splitlines()[-1])
     assert result["violations"] == [] and result["served_last"] > 0
+
+
+def test_two_runs_of_one_seed_have_addresses_of_their_own(tmp_path):
+    def make_sites():
+        sites = [
+            SoakSite(reactor, 1999, 2, 40, random.Random(1), tmp_path) for _ in range(2)
+        ]
+        hosts = [{node.host for node in site.nodes} for site in sites]
+        for site in sites:
+            site.stop()
+        return hosts
+
+    first, second = run(make_sites)
+    assert len(first) == len(second) == 2 and not first & second
