--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -73,7 +73,7 @@
 # open counts against the database's limit for 3 s after its instance has lost power: a
 # surplus one is closed soon. Callers wait 1 s and more for an answer, so that a queue
 # of 0.6 s is still served in time after a restart, when each has one connection.
-# With 0.25 s such days were worth up to 0.04 less, and none was worth more.
+# A queue of 0.25 s earned up to 0.04 less of what callers were owed, and never more.
 POOLS = PoolPolicy(most_wait=0.6, idle_timeout=0.5, most_opening=2, open_patience=0.03)
 
 # A session at another instance takes no slot: it is opened at once and kept.
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -4,7 +4,7 @@
 """
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
 from random import Random
 from typing import Protocol
 
@@ -185,15 +185,13 @@
         self._busy = True
         is_loss = election.kind is not ElectionKind.HAND_OVER
         silence = compute_silence(view, now) if is_loss else 0.0
-        self._running = Deferred.fromCoroutine(self._hold(election, silence))
-        self._running.addErrback(_log_defect)
+        self._running = _start(self._hold(election, silence))
 
     def _prepare_if_due(self) -> None:
         """Prepare once for each change of primary that becomes due."""
         was_due, self._was_due = self._was_due, self._decider.due > NEVER
         if self._authority is not None and self._was_due and not was_due:
-            preparing = Deferred.fromCoroutine(self._authority.prepare(self._group))
-            preparing.addErrback(_log_defect)
+            _start(self._authority.prepare(self._group))
 
     def _look_again(self, delay: float) -> None:
         """Decide again after a time, also if no new view comes."""
@@ -267,8 +265,7 @@
         )
         if chosen not in (None, election.former) and election.former:
             # It goes on otherwise, and takes writes that nobody confirms.
-            stepping = Deferred.fromCoroutine(self._step_down(election))
-            stepping.addErrback(_log_defect)
+            _start(self._step_down(election))
         if chosen is None or not await self._promote(election, chosen):
             if not self._unanswered:
                 await self._release(reply.status.name for reply in replies)
@@ -366,11 +363,9 @@
         if self._stopped or not is_wanted:
             return
         if not self._authority.keeps_permits:
-            preparing = Deferred.fromCoroutine(self._authority.prepare(self._group))
-            preparing.addErrback(_log_defect)
+            _start(self._authority.prepare(self._group))
             return
-        taking = Deferred.fromCoroutine(self._acquire_permit(False))
-        taking.addErrback(_log_defect)
+        taking = _start(self._acquire_permit(False))
         taking.addCallback(lambda _: self._plan_permit(PERMIT_PERIOD))
 
     async def _prepare_hand_over(self, election: Election) -> bool:
@@ -410,6 +405,11 @@
         return False
 
 
+def _start(work: Coroutine) -> Deferred:
+    """Begin work that nobody waits for; a defect in it is logged."""
+    return Deferred.fromCoroutine(work).addErrback(_log_defect)
+
+
 def _log_defect(failure: DefectFailure) -> None:
     """Log what ended an election, unless it was stopped on purpose."""
     if not failure.check(CancelledError):
--- a/beryltrack/groups/confirmations.py
+++ b/beryltrack/groups/confirmations.py
@@ -74,11 +74,10 @@
 
     def wants(self, database: str) -> bool:
         """Return whether a database is to be asked again at once."""
-        names = get_witnesses(self._owner.view, self._owner.witness_count)
         sent_at = self._owner.get_sent_at(database)
-        return database in names and any(
-            waiter.called_at > sent_at for waiter in self._waiting
-        )
+        if not any(waiter.called_at > sent_at for waiter in self._waiting):
+            return False
+        return database in get_witnesses(self._owner.view, self._owner.witness_count)
 
     def answer(self, confirmed_at: float) -> None:
         """Answer those who waited for the proof up to a time."""
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -261,7 +261,7 @@
         try:
             while share.waiting:
                 # Whoever comes after this waits for the next answer.
-                waiting, share.waiting = share.waiting, []
+                waiting = _take_waiting(share)
                 answer = await self._ask_once(*key)
                 for waiter in waiting:
                     waiter.callback(answer)
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -192,9 +192,9 @@
         """Keep what a unit has changed inside of a transaction."""
 
     def proves_lead(self, plan: UnitPlan) -> bool:
-        """Return whether a database that ran a unit without an error was leading.
+        """Return whether a database that ran a unit without an error says it leads.
 
-        Only where databases lose their lead at the moment of a promotion.
+        What that word proves depends on the databases; see `LeadProof`.
         """
 
     def has_committed(
--- a/tests/failover/test_unfenced_authority.py
+++ b/tests/failover/test_unfenced_authority.py
@@ -26,6 +26,14 @@
     def make(self, name, process="p1"):
         return UnfencedAuthority(self.store, name, process, self.clock.seconds)
 
+    def make_pair(self):
+        """Return two holders; the second has seen the first one's permit for long."""
+        first, second = self.make("node-1"), self.make("node-2", "p2")
+        acquire(first)
+        prepare(second)
+        self.pass_time(OVERTAKE_TIME)
+        return first, second
+
     def pass_time(self, seconds):
         self.clock.advance(seconds)
 
@@ -60,20 +68,13 @@
 
 
 def test_a_permit_that_was_seen_before_need_not_be_waited_for():
-    site = Site()
-    first, second = site.make("node-1"), site.make("node-2", "p2")
-    acquire(first)
-    prepare(second)
-    site.pass_time(OVERTAKE_TIME)
+    _, second = Site().make_pair()
     assert acquire(second) == 2
 
 
 def test_a_holder_that_was_paused_sends_no_older_token():
     site = Site()
-    first, second = site.make("node-1"), site.make("node-2", "p2")
-    acquire(first)
-    prepare(second)
-    site.pass_time(OVERTAKE_TIME)
+    first, second = site.make_pair()
     assert acquire(second) == 2
     # It wakes, and knows nothing of the other one.
     assert acquire(first) is None
@@ -125,10 +126,7 @@
 
 def test_a_permit_that_changes_again_is_waited_for_again():
     site = Site()
-    first, second = site.make("node-1"), site.make("node-2", "p2")
-    acquire(first)
-    prepare(second)
-    site.pass_time(OVERTAKE_TIME)
+    first, second = site.make_pair()
     acquire(first, renew=True)
     assert acquire(second) is None
     site.pass_time(OVERTAKE_TIME)
