Say when the store last told something, and log refused sessions

Cause: the record of settings that came late could not tell three hypotheses apart. No line named a refused session, and no line or gauge said since when an instance had heard nothing of the store. Change: each refused session and statement without a database leaves a line with the version of the settings; a failed wait says how long the store was silent; gauges give silence and revision by kind.

--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -119,6 +119,11 @@
         """The objects of all instances by path."""
         return {f"{KIND}/{name}": item for name, item in self._objects.items()}
 
+    @property
+    def feed(self) -> FeedTask:
+        """What follows the instances."""
+        return self._feed
+
     def learn(self, objects: Mapping[str, PlatformObject]) -> None:
         """Take which instances there are from another one's copy."""
         self._callback(self._make_peers(objects))
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -517,6 +517,10 @@
         version = self._configuration.version if self._configuration else 0
         yield "beryltrack_settings_version", "", version
         yield "beryltrack_callers", "", len(self._callers.callers)
+        for feed in (*self._feeds, self._members.feed):
+            labels = f'kind="{feed.kind}"'
+            yield "beryltrack_store_silence_seconds", labels, round(feed.silence, 3)
+            yield "beryltrack_store_revision", labels, feed.revision
         for runtime in self._groups.runtimes:
             for name, pool in runtime.pools.items():
                 labels = f'group="{runtime.settings.name}",database="{name}"'
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
 
+from beryltrack.clock import get_seconds
 from beryltrack.objects.backoff import compute_delay
 from beryltrack.objects.messages import (
     ObjectList,
@@ -82,6 +83,7 @@
         gap: float = 0.0,
     ):
         self._reactor = reactor
+        self._seconds = get_seconds(reactor)
         self._source = source
         self._kind = kind
         self._callback = callback
@@ -89,6 +91,7 @@
         self._rng = rng
         self._objects: dict[str, PlatformObject] = {}
         self._revision: int | None = None
+        self._answered_at = self._seconds()
         self._failures = 0
         self._looks_twice = False
         self._loop: Deferred | None = None
@@ -98,6 +101,21 @@
         """All objects by path, as they were last told."""
         return self._objects
 
+    @property
+    def kind(self) -> str:
+        """The kind that is followed."""
+        return self._kind
+
+    @property
+    def revision(self) -> int:
+        """The store's revision up to which changes are known; 0 before a list."""
+        return self._revision or 0
+
+    @property
+    def silence(self) -> float:
+        """Seconds since the store last answered for this kind, or since the start."""
+        return self._seconds() - self._answered_at
+
     def start(self) -> None:
         """Begin to follow the objects."""
         self._loop = Deferred.fromCoroutine(self._run())
@@ -165,8 +183,13 @@
     def _note_answer(self) -> None:
         """Note that the store answers."""
         if self._failures:
-            log.info("objects: The store answers again for %s.", self._kind)
+            log.info(
+                "objects: The store answers again for %s, after %.1f s.",
+                self._kind,
+                self.silence,
+            )
         self._failures = 0
+        self._answered_at = self._seconds()
 
     def _note_failure(self, error: PlatformError) -> None:
         """Note that the store gives no answer, or forgot its changes."""
@@ -178,8 +201,9 @@
         self._failures += 1
         if self._failures == 1:
             log.warning(
-                "objects: No answer for %s (%s): %s.",
+                "objects: No answer for %s for %.1f s (%s): %s.",
                 self._kind,
+                self.silence,
                 error.kind.value,
                 error.text,
             )
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -66,6 +66,10 @@
         caller.route = self._get_route(caller.database)
         return None if caller.route is not None else _make_unknown(caller)
 
+    def get_request_id(self, unit: LineStatement) -> str:
+        """Return the caller's identifier of a statement."""
+        return unit.request_id.decode("utf-8", "replace")
+
     def describe_missing(self, caller: LineCaller) -> SqlError:
         """Return why a caller's database cannot be served."""
         if self._get_route(caller.database) is None:
--- a/beryltrack/requests/postgres.py
+++ b/beryltrack/requests/postgres.py
@@ -64,6 +64,10 @@
         """Return the plan of a unit, or why it cannot be run."""
         return plan_request(unit, caller, group, rules)
 
+    def get_request_id(self, unit: Request) -> str:
+        """Return nothing: the identifier stands in marks that only a plan reads."""
+        return ""
+
     def describe_missing(self, caller: Caller) -> SqlError:
         """Return the refusal of a caller whose group is not in the settings."""
         return make_refusal("the database group is not in the settings", 5.0)
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -154,6 +154,9 @@
     ) -> Result[UnitPlan, SqlError]:
         """Return the plan of a unit, or why it cannot be run."""
 
+    def get_request_id(self, unit: object) -> str:
+        """Return the caller's identifier of a unit that is not planned, if known."""
+
     def describe_missing(self, caller: UnitCaller) -> SqlError:
         """Return why a caller's database cannot be served."""
 
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from beryltrack.errors import SqlError, make_not_run
+from beryltrack.events.messages import RequestEvent, RequestStep, SharedDecision
 from beryltrack.requests.admission_task import UNCOUNTED, Ticket
 from beryltrack.requests.answers import RequestContext
 from beryltrack.requests.course import RequestCourse
@@ -18,6 +19,10 @@
 
 GONE = make_not_run("the caller is gone")
 
+SESSION = "session"
+STATEMENT = "statement"
+"""What a line calls a session that is not opened, and a unit that was not planned."""
+
 
 class RequestTask:
     """Takes units of callers and sees to their answers.
@@ -50,7 +55,10 @@
 
     def check_session(self, caller: UnitCaller) -> SqlError | None:
         """Open a caller's session; return an error if its settings are wrong."""
-        return self._services.protocol.check_session(caller)
+        error = self._services.protocol.check_session(caller)
+        if error is not None:
+            self._record_refusal(caller, SESSION, error)
+        return error
 
     def handle(self, unit: object, caller: UnitCaller) -> "Deferred[None]":
         """Run one unit; see `RequestHandler`."""
@@ -74,7 +82,10 @@
         """Plan a unit and run it."""
         runtime = self._find_runtime(caller)
         if runtime is None:
-            _refuse(caller, self._services.protocol.describe_missing(caller))
+            error = self._services.protocol.describe_missing(caller)
+            request_id = self._services.protocol.get_request_id(unit)
+            self._record_refusal(caller, STATEMENT, error, request_id)
+            _refuse(caller, error)
             return
         rules = self._rules.select(self._get_settings().rules, runtime.settings)
         protocol = self._services.protocol
@@ -87,6 +98,25 @@
             return
         await self._run(plan, caller, runtime, may_forward)
 
+    def _record_refusal(
+        self, caller: UnitCaller, kind: str, error: SqlError, request_id: str = ""
+    ) -> None:
+        """Log that the settings in force know no database for a caller."""
+        events = self._services.events
+        if events.wants(RequestStep.NOT_RUN):
+            event = RequestEvent(
+                request_id,
+                caller.database,
+                kind,
+                RequestStep.NOT_RUN,
+                error.message,
+                settings_version=self._get_settings().revision,
+            )
+            events.record(event)
+        elif request_id:
+            shared = SharedDecision(RequestStep.NOT_RUN, error.message, 0, "")
+            events.note(request_id, shared)
+
     def _find_runtime(self, caller: UnitCaller) -> GroupRuntime | None:
         """Return the group of a caller; that of its transaction if one is open."""
         pinned = caller.session.pinned
--- a/tests/objects/test_feed.py
+++ b/tests/objects/test_feed.py
@@ -31,6 +31,7 @@
         self.listed = make_list(1, 1)
         self.lists = 0
         self.watches = []
+        self.feed = None
 
     async def list(self, kind):
         self.lists += 1
@@ -48,6 +49,7 @@
         clock, store, "kind", lambda found: seen.append(dict(found)), random.Random(1)
     )
     feed.start()
+    store.feed = feed
     return clock, store, seen
 
 
@@ -78,3 +80,15 @@
     store.watches[0][2].callback(CUT)
     clock.advance(1.0)
     assert seen[-1] == {}
+
+
+def test_it_says_since_when_the_store_is_silent_and_what_is_known(caplog):
+    clock, store, _ = start_feed()
+    feed = store.feed
+    clock.advance(2.0)
+    store.watches[0][2].callback(make_list(7, 7))
+    assert (feed.kind, feed.revision, feed.silence) == ("kind", 7, 0.0)
+    clock.advance(3.0)
+    assert feed.silence == 3.0
+    store.watches[1][2].callback(CUT)
+    assert "No answer for kind for 3.0 s (unknown): the watch was cut" in caplog.text
--- /dev/null
+++ b/tests/requests/test_refusals.py
@@ -0,0 +1,82 @@
+"""A caller whose database is not in the settings leaves a line that says why."""
+
+from types import SimpleNamespace
+
+from beryltrack.errors import INVALID_CATALOG_NAME, SqlError
+from beryltrack.events.messages import RequestStep
+from beryltrack.requests.task import RequestTask
+
+UNKNOWN = SqlError(INVALID_CATALOG_NAME, "no route serves orders")
+
+
+class Events:
+    """Keeps what is logged, as long as there is room."""
+
+    def __init__(self, has_room=True):
+        self.has_room = has_room
+        self.events = []
+        self.noted = []
+
+    def wants(self, step):
+        return self.has_room
+
+    def record(self, event):
+        self.events.append(event)
+
+    def note(self, request, shared):
+        self.noted.append((request, shared.step, shared.reason))
+
+
+class Caller:
+    """A caller that asks for a database that nobody knows."""
+
+    database = "orders"
+    status = None
+    session = SimpleNamespace(pinned=None)
+
+    def __init__(self):
+        self.errors = []
+
+    def send_error(self, error):
+        self.errors.append(error)
+
+    def send_ready(self, status):
+        pass
+
+
+def make_task(events):
+    protocol = SimpleNamespace(
+        check_session=lambda caller: UNKNOWN,
+        describe_missing=lambda caller: UNKNOWN,
+        get_request_id=lambda unit: unit,
+    )
+    services = SimpleNamespace(protocol=protocol, events=events)
+    settings = SimpleNamespace(revision=58)
+    return RequestTask(services, lambda: settings, lambda name: None)
+
+
+def test_a_refused_session_names_its_database_and_the_settings():
+    events = Events()
+    assert make_task(events).check_session(Caller()) is UNKNOWN
+    (event,) = events.events
+    assert (event.database, event.kind, event.step) == (
+        "orders",
+        "session",
+        RequestStep.NOT_RUN,
+    )
+    assert (event.reason, event.settings_version) == (UNKNOWN.message, 58)
+
+
+def test_a_statement_whose_database_is_gone_is_named():
+    events, caller = Events(), Caller()
+    make_task(events).handle("r-1", caller)
+    assert [(each.request, each.kind) for each in events.events] == [
+        ("r-1", "statement")
+    ]
+    assert caller.errors == [UNKNOWN]
+
+
+def test_without_room_for_a_line_the_identifier_is_kept():
+    events = Events(has_room=False)
+    make_task(events).handle("r-1", Caller())
+    assert events.noted == [("r-1", RequestStep.NOT_RUN, UNKNOWN.message)]
