End each wait for changes well before they must be in force

Cause: a call that waits for a change and reaches a silent store is never answered, and its connection stays open; only its own time limit of 17 s (35 s on the PostgreSQL side) ended it, so that changes that the store confirmed after its return were not seen for up to 13.65 s. Ruled out: changes taken for older ones (no answer came at all), lost connections (none was). Change: a watch waits for two thirds of the time that its changes have (settings file: settings 3 s, databases 7 s) and counts as lost 0.6 s later; members 5 s; the PostgreSQL side 6 s and 5 s. A test of that side's calls names 6.0 in place of 30.0, as strict. Weighed and left: long waits beside a cheap read that shows outages, which would miss a silence between two reads.

--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -41,6 +41,10 @@
 WATCH_GAP = 1.5
 """Seconds between two watches of the members: all of a fleet register at a start."""
 
+WATCH_WAIT = 5.0
+"""Seconds that a watch waits for a change. One that is lost in a silent store hides
+for so long that an instance has come or gone; the call costs a tenth of another."""
+
 RETRY_PERIOD = 0.5
 """Seconds between two attempts to register."""
 
@@ -100,7 +104,9 @@
         self._is_new = first_look > 0
         self._endpoint = endpoint
         self._callback = callback
-        self._feed = FeedTask(reactor, listing, KIND, self._take, rng, WATCH_GAP)
+        self._feed = FeedTask(
+            reactor, listing, KIND, self._take, rng, WATCH_WAIT, WATCH_GAP
+        )
         self._objects: dict[str, PlatformObject] = {}
         self._misses: dict[str, int] = {}
         self._is_leaving = False
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -31,7 +31,7 @@
 )
 from beryltrack.findings import format_finding
 from beryltrack.metrics.plain import Gauge, PlainMetrics
-from beryltrack.objects.feed import FeedTask
+from beryltrack.objects.feed import FeedTask, compute_wait
 from beryltrack.objects.http import HttpClient
 from beryltrack.objects.messages import PlatformObject
 from beryltrack.objects.snapshot import Snapshot, SnapshotPort, SnapshotTask
@@ -191,10 +191,22 @@
             reactor, self._relay, RelayBounds(self._get_site)
         )
         self._feeds = [
-            FeedTask(reactor, self._store, kind, callback, rng, gap)
-            for kind, callback, gap in (
-                (CONFIG_KIND, self._take_configuration, options.SETTINGS_GAP),
-                (DATABASES_KIND, self._take_databases, options.DATABASES_GAP),
+            FeedTask(
+                reactor, self._store, kind, callback, rng, compute_wait(limit), gap
+            )
+            for kind, callback, limit, gap in (
+                (
+                    CONFIG_KIND,
+                    self._take_configuration,
+                    settings.change_limit,
+                    options.SETTINGS_GAP,
+                ),
+                (
+                    DATABASES_KIND,
+                    self._take_databases,
+                    settings.drain_limit,
+                    options.DATABASES_GAP,
+                ),
             )
         ]
         self._overdue = OverdueWatch(
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -23,10 +23,8 @@
 
 log = logging.getLogger(__name__)
 
-WATCH_TIMEOUT = 15.0
-"""Seconds that a watch waits. The store allows 30 and remembers changes for 20: a watch
-that waits for longer than that is told that its changes are forgotten, which costs two
-lists and a short watch in place of one call."""
+LEAST_WAIT = 0.5
+"""Seconds that a watch waits at the least, two calls a second."""
 
 SECOND_LOOK = 1.5
 """Seconds after a failure was over until all objects are listed again. A store that
@@ -53,6 +51,26 @@
 FeedCallback = Callable[[dict[str, PlatformObject]], None]
 
 
+def compute_wait(limit: float) -> float:
+    """Return how long a watch may wait if its changes are to be known in time.
+
+    A watch that reaches a silent store is lost without a sign, so that the store may
+    be back for the whole of its wait before its objects are listed again. A third of
+    the limit is left for a late answer (0.6 s) and the list (0.4 s).
+
+    Parameters
+    ----------
+    limit : float
+        Seconds within which a change must be known.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    return max(LEAST_WAIT, limit * 2 / 3)
+
+
 class FeedTask:
     """Keeps the copy of one kind.
 
@@ -68,6 +86,10 @@
         Called with all objects by path after each change of them.
     rng : random.Random
         Source of jitter.
+    wait : float
+        Seconds that a watch waits for a change. A watch that a silent store has taken
+        is never answered, and holds changes up for as long as it may last; see
+        `compute_wait`.
     gap : float
         Seconds after a change until the next is asked for. Changes that come in
         a row, as at a start, then cost one call together.
@@ -80,6 +102,7 @@
         kind: str,
         callback: FeedCallback,
         rng: random.Random,
+        wait: float,
         gap: float = 0.0,
     ):
         self._reactor = reactor
@@ -87,6 +110,7 @@
         self._source = source
         self._kind = kind
         self._callback = callback
+        self._wait = wait
         self._gap = gap
         self._rng = rng
         self._objects: dict[str, PlatformObject] = {}
@@ -148,7 +172,7 @@
             if isinstance(result, Success):
                 self._take_list(result.unwrap())
             return result
-        timeout = SECOND_LOOK if self._looks_twice else WATCH_TIMEOUT
+        timeout = SECOND_LOOK if self._looks_twice else self._wait
         result = await self._source.watch(self._kind, self._revision, timeout)
         if isinstance(result, Success):
             self._take_changes(result.unwrap())
--- a/beryltrack/platform/boot.py
+++ b/beryltrack/platform/boot.py
@@ -6,7 +6,7 @@
 from beryltrack.findings import Finding
 from beryltrack.platform.settings import parse_endpoint
 from beryltrack.settings.messages import Endpoint
-from beryltrack.settings.node import NodeSettings
+from beryltrack.settings.node import CHANGE_LIMIT, DRAIN_LIMIT, NodeSettings
 
 READY_PATH = b"/api/readiness"
 """Where the platform asks whether an instance takes callers, once a second."""
@@ -64,4 +64,6 @@
             if parse_endpoint(seed).host != fields["ip"]
         ),
         bool(bounds.get("fencing_enforced", True)),
+        float(bounds.get("config_apply_ms", CHANGE_LIMIT * 1000)) / 1000,
+        float(bounds.get("drain_ms", DRAIN_LIMIT * 1000)) / 1000,
     )
--- a/beryltrack/platform/store.py
+++ b/beryltrack/platform/store.py
@@ -18,6 +18,10 @@
     PlatformObject,
 )
 
+ANSWER_TIME = 0.6
+"""Seconds after its wait within which a watch is answered: 4 ms, and 0.3 s when the
+store is slow. One that is not is lost, and what it waited for is listed."""
+
 NOT_FOUND = 404
 CONFLICT = 409
 GONE = 410
@@ -76,7 +80,7 @@
         """Wait for changes of a kind; one attempt, outside the call limit."""
         wait = {"watch": after, "wait_ms": int(timeout * 1000)}
         url = _get_list_url(kind, self._options | wait)
-        limit = timeout + self._http.timeout
+        limit = timeout + ANSWER_TIME
         answer = await self._http.attempt("GET", url, None, limit)
         if isinstance(answer, Success) and answer.unwrap().code == GONE:
             return fail_call(ErrorKind.EXPIRED, "the platform forgot the changes")
--- a/beryltrack/settings/node.py
+++ b/beryltrack/settings/node.py
@@ -4,6 +4,13 @@
 
 from beryltrack.settings.messages import Endpoint
 
+CHANGE_LIMIT = 3.0
+"""Seconds within which a change of the settings must be in force, if not stated; the
+shortest limit of today's sites."""
+
+DRAIN_LIMIT = 7.0
+"""Seconds until a database that is to leave gets no new work, if not stated."""
+
 
 class NodeSettings(NamedTuple):
     """A process's own settings.
@@ -37,6 +44,10 @@
     is_fenced : bool
         True if the service that promotes refuses a lower fencing token than it has
         seen. Where it does not, replaced primaries go on for a while, too.
+    change_limit : float
+        Seconds within which a confirmed change of the settings must be in force.
+    drain_limit : float
+        Seconds within which a database that is to leave must get no new work.
     """
 
     name: str
@@ -52,3 +63,5 @@
     snapshot_listen: Endpoint | None = None
     snapshot_sources: tuple[Endpoint, ...] = ()
     is_fenced: bool = True
+    change_limit: float = CHANGE_LIMIT
+    drain_limit: float = DRAIN_LIMIT
--- a/beryltrack/settings/task.py
+++ b/beryltrack/settings/task.py
@@ -27,7 +27,9 @@
 
 log = logging.getLogger(__name__)
 
-WATCH_TIMEOUT = 30.0
+# A watch that a silent store has taken is never answered: it ends 5 s after its time,
+# and a change is to be in force within 15 s.
+WATCH_TIMEOUT = 6.0
 # Several changes in a row are fetched by one call of the watch.
 WATCH_GAP = 0.1
 POLL_PERIOD = 15.0
--- a/tests/objects/test_feed.py
+++ b/tests/objects/test_feed.py
@@ -2,11 +2,12 @@
 
 import random
 
+import pytest
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from beryltrack.objects.feed import SECOND_LOOK, FeedTask
+from beryltrack.objects.feed import SECOND_LOOK, FeedTask, compute_wait
 from beryltrack.objects.messages import (
     ErrorKind,
     ObjectList,
@@ -46,7 +47,12 @@
 def start_feed():
     clock, store, seen = Clock(), ScriptedStore(), []
     feed = FeedTask(
-        clock, store, "kind", lambda found: seen.append(dict(found)), random.Random(1)
+        clock,
+        store,
+        "kind",
+        lambda found: seen.append(dict(found)),
+        random.Random(1),
+        wait=4.0,
     )
     feed.start()
     store.feed = feed
@@ -92,3 +98,13 @@
     assert feed.silence == 3.0
     store.watches[1][2].callback(CUT)
     assert "No answer for kind for 3.0 s (unknown): the watch was cut" in caplog.text
+
+
+@pytest.mark.parametrize(("limit", "wait"), [(3.0, 2.0), (6.0, 4.0), (0.2, 0.5)])
+def test_a_watch_waits_for_two_thirds_of_the_time_that_a_change_has(limit, wait):
+    assert compute_wait(limit) == wait
+
+
+def test_a_watch_waits_for_no_longer_than_it_may():
+    _, store, _ = start_feed()
+    assert store.watches[0][:2] == (1, 4.0)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -100,6 +100,13 @@
     assert settings.member_listen == Endpoint("10.1.0.8", 7440)
     assert settings.promotion == Endpoint("10.2.0.2", 83)
     assert settings.grace == 6.0
+    assert (settings.change_limit, settings.drain_limit) == (3.0, 7.0)
+
+
+def test_a_process_learns_within_what_time_changes_must_be_in_force():
+    bounds = {"grace_s": 6, "config_apply_ms": 5000, "drain_ms": 10000}
+    settings = parse_node_settings(BOOT | {"bounds": bounds})
+    assert (settings.change_limit, settings.drain_limit) == (5.0, 10.0)
 
 
 def test_a_file_that_is_not_there_is_a_finding(tmp_path):
--- a/tests/settings/test_lost_watch.py
+++ b/tests/settings/test_lost_watch.py
@@ -1,4 +1,4 @@
-"""A watch that is never answered must not hold settings up for longer than they may take.
+"""A watch that is never answered must not hold settings up for too long.
 
 A store that is silent for a moment takes a watch and never answers it, while the
 connection stays open. The watch waited for 30 s and its answer for 5 s more, so that an
--- a/tests/settings/test_task.py
+++ b/tests/settings/test_task.py
@@ -62,7 +62,7 @@
     task.subscribe(seen.append)
     store.answer(make_list(5, make_object(GROUP_PATH, 5, make_group(max_age=1))))
     clock.advance(WATCH_GAP)
-    assert store.calls == [("list",), ("watch", 3, 30.0), ("watch", 5, 30.0)]
+    assert store.calls == [("list",), ("watch", 3, 6.0), ("watch", 5, 6.0)]
     assert [site.groups[0].max_age for site in seen] == [1]
 
 
@@ -74,7 +74,7 @@
     assert store.calls[1:] == [("watch", 3, 0.0)]
     clock.advance(1)
     task.set_watcher(True)
-    assert store.calls[2:] == [("watch", 3, 30.0)]
+    assert store.calls[2:] == [("watch", 3, 6.0)]
 
 
 def test_settings_hold_and_peers_are_heard_while_the_store_is_down():
