Ask each node of the soak for a route that was added after the last fault

Cause: the soak silences stores and connections, but never looked at which settings nodes go by, so that it missed a node that a lost wait kept on old ones for 17 s. Change: after the last fault a version of the settings adds a route; 5 s later each node is asked for it.

--- a/beryltrack_bench/soak/history.py
+++ b/beryltrack_bench/soak/history.py
@@ -129,6 +129,11 @@
         if position.term < self._group.term:
             self._replaced.add(request)
 
+    def note_session(self, node: str, route: str, answer: list[bytes]) -> None:
+        """Judge what a node says of a route that was confirmed long enough before."""
+        if any(line.startswith(b"ERROR NODATABASE ") for line in answer):
+            self._add("CONFIG", route.encode(), f"{node} says {answer}")
+
     def finish(self, breaches: Iterable[str] = ()) -> None:
         """Judge what the log of the last primary holds, and the order of tokens."""
         for text in breaches:
--- a/beryltrack_bench/soak/run.py
+++ b/beryltrack_bench/soak/run.py
@@ -5,13 +5,15 @@
 from tempfile import mkdtemp
 from typing import NamedTuple
 
-from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.defer import Deferred, TimeoutError, gatherResults
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectError
 from twisted.internet.task import deferLater
 
-from beryltrack_bench.soak.caller import Caller
+from beryltrack_bench.soak.caller import Caller, CallerConnection, CallerGone
 from beryltrack_bench.soak.faults import draw_fault
-from beryltrack_bench.soak.history import Violation
-from beryltrack_bench.soak.site import ROUTES, SoakSite
+from beryltrack_bench.soak.history import BOUNDED_ROUTE, Violation
+from beryltrack_bench.soak.site import ROUTES, Node, SoakSite
 
 START_LIMIT = 15.0
 """Seconds within which the nodes must take callers."""
@@ -20,7 +22,11 @@
 """Callers of each route."""
 
 SETTLE_TIME = 5.0
-"""Seconds after the last fault in which callers go on."""
+"""Seconds after the last fault in which callers go on; a change of the settings that is
+made at its beginning must be in force at its end, as it has 3 s."""
+
+ADDED_ROUTE = ROUTES[BOUNDED_ROUTE]._replace(name="db4")
+"""The route that the last change of the settings adds."""
 
 
 class SoakResult(NamedTuple):
@@ -64,7 +70,7 @@
         Carries the stand-ins and the callers.
     seed : int
         Decides sizes, faults and what callers ask. Times of processes vary, so that
-        a seed gives the same faults and not the same run.
+        a seed gives the same faults, one after the other, and not the same run.
     seconds : float
         How long faults are injected.
     is_fenced : bool
@@ -93,9 +99,13 @@
         for _ in range(CALLERS)
     ]
     runs = [Deferred.fromCoroutine(caller.run()) for caller in callers]
-    faults = await _inject(reactor, site, rng, seconds)
+    # The stand-ins draw from their own numbers as often as they are asked.
+    faults = await _inject(reactor, site, random.Random(f"faults {seed}"), seconds)
     served = site.history.outcomes["served"]
+    site.write_configuration(ADDED_ROUTE)
     await deferLater(reactor, SETTLE_TIME)
+    for node in site.nodes:
+        await _check_settings(reactor, site, node)
     for caller in callers:
         caller.is_stopped = True
     await gatherResults(runs)
@@ -112,6 +122,23 @@
     )
 
 
+async def _check_settings(reactor, site: SoakSite, node: Node) -> None:
+    """Ask a node for the route that was added; one that is not there says nothing."""
+    endpoint = TCP4ClientEndpoint(reactor, *node.listen, timeout=1)
+    try:
+        connection = await connectProtocol(endpoint, CallerConnection())
+    except ConnectError:
+        site.history.outcomes["no last session"] += 1
+        return
+    start = b"START %s u" % ADDED_ROUTE.name.encode()
+    try:
+        await connection.ask(start).addTimeout(1.0, reactor)
+    except (CallerGone, TimeoutError) as error:
+        site.history.outcomes[f"last session: {type(error).__name__}"] += 1
+    connection.transport.abortConnection()
+    site.history.note_session(node.name, ADDED_ROUTE.name, connection.lines)
+
+
 async def _wait_ready(reactor, site: SoakSite) -> None:
     """Wait until all nodes have registered, as they do once they run."""
     deadline = reactor.seconds() + START_LIMIT
@@ -129,15 +156,14 @@
 ) -> list[str]:
     """Begin and end faults for a time; all are over at the end."""
     until = reactor.seconds() + seconds
-    names, version = [], 1
+    names = []
     while reactor.seconds() < until:
         fault = draw_fault(site, rng)
         names.append(fault.name)
         fault.begin()
         reactor.callLater(rng.uniform(0.5, 3.0), fault.end)
         if rng.random() < 0.2:
-            version += 1
-            site.write_configuration(version)
+            site.write_configuration()
         await deferLater(reactor, rng.uniform(0.2, 2.0))
     await deferLater(reactor, 3.0)
     for node in site.nodes:
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -120,6 +120,7 @@
         self._number = self._hold_addresses(number)
         self._processes: dict[str, subprocess.Popen] = {}
         self._starts: itertools.count = itertools.count(1)
+        self._versions = itertools.count(1)
         self.is_fenced = is_fenced
         self.group = Group(reactor, DATABASES, rng, not is_fenced)
         self.history = History(self.group, reactor.seconds)
@@ -180,22 +181,32 @@
         for port in self._ports:
             port.stopListening()
 
-    def write_configuration(self, version: int) -> None:
-        """Write what operators have configured."""
+    def write_configuration(self, added: RouteSettings | None = None) -> None:
+        """Write a new version of what operators have configured.
+
+        Parameters
+        ----------
+        added : RouteSettings, optional
+            A route that reads need not be current on, beside the usual ones.
+        """
+        kinds = dict(ROUTES.items())
+        if added is not None:
+            kinds[added.name] = added
         routes = [
             {
                 "name": f"route-{kind}",
                 "database_name": route.name,
                 "service": GROUP,
-                "kind": _WIRE_KINDS[kind],
+                "kind": _WIRE_KINDS.get(kind, "bounded_staleness"),
                 "max_staleness_ms": int(route.max_age * 1000),
                 "timeout_ms": int(route.statement_timeout * 1000),
                 "target_latency_ms": int(route.target_latency * 1000),
                 "priority": route.priority,
             }
-            for kind, route in ROUTES.items()
+            for kind, route in kinds.items()
         ]
         services = [{"name": GROUP, "connection_limit": self._limit}]
+        version = next(self._versions)
         spec = {"config_version": version, "routes": routes, "services": services}
         self.store.change("config", "main", spec)
 
@@ -247,7 +258,7 @@
 
     def _fill_store(self) -> None:
         """Write the configuration and the databases."""
-        self.write_configuration(1)
+        self.write_configuration()
         for name in DATABASES:
             spec = {
                 "service": GROUP,
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -70,6 +70,12 @@
     assert judged.kinds == ["UNASKED", "UNASKED"]
 
 
+def test_a_confirmed_route_that_a_node_does_not_know_is_found(judged):
+    judged.history.note_session("node-1", "db4", [b"READY I -"])
+    judged.history.note_session("node-2", "db4", [b"ERROR NODATABASE no route"])
+    assert judged.kinds == ["CONFIG"]
+
+
 def test_a_write_that_is_committed_twice_is_found(judged):
     judged.send(b"1", b"WRITE k v")
     judged.commit(b"1")
