Give each mechanism of the decisions a switch in the settings

Change: BERYLTRACK_DISABLED names the mechanisms that an instance does without, checked at the start and logged; the policies of an instance are made in one place (daemon/node_policies.py) and no longer chosen where they are used. The queue in order of arrival and refusals at the deadline can be had for the first time. By default nothing changes.

--- a/beryltrack/connections/deadline_queue.py
+++ b/beryltrack/connections/deadline_queue.py
@@ -21,11 +21,21 @@
     waiter: int
 
 
+def _get_number(queued: QueuedWaiter) -> int:
+    return queued.waiter
+
+
 class DeadlineQueue:
-    """A queue from which waiters may leave at any place."""
+    """A queue from which waiters may leave at any place.
+
+    Parameters
+    ----------
+    by_deadline : bool
+        False if the waiters stand in the order of their numbers, in which they came.
+    """
 
-    def __init__(self):
-        self._queue: SortedSet = SortedSet()
+    def __init__(self, by_deadline: bool = True):
+        self._queue: SortedSet = SortedSet(key=None if by_deadline else _get_number)
         self._deadlines: dict[int, float] = {}
 
     def __len__(self) -> int:
@@ -36,7 +46,7 @@
 
     @property
     def first(self) -> QueuedWaiter:
-        """The waiter with the earliest deadline; the queue must not be empty."""
+        """The waiter whose turn it is; the queue must not be empty."""
         return self._queue[0]
 
     def find_place(self, waiter: QueuedWaiter) -> int:
--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -68,7 +68,7 @@
         self._closing: set[int] = set()
         self._brief: dict[int, None] = {}
         self._uncounted: set[int] = set()
-        self._waiters = DeadlineQueue()
+        self._waiters = DeadlineQueue(policy.by_deadline)
         self._waiting_since: dict[int, float] = {}
         self._hold = ServiceEstimate(FIRST_HOLD_TIME)
         self._open_time = ServiceEstimate(FIRST_OPEN_TIME)
@@ -138,9 +138,10 @@
         queued = QueuedWaiter(deadline, waiter)
         place = self._waiters.find_place(queued)
         wait = self._compute_wait(place, now)
-        if now + wait + self._compute_service() > deadline:
+        refuses_early = self._policy.refuses_early
+        if refuses_early and now + wait + self._compute_service() > deadline:
             return [self._refuse(waiter, RefusalReason.TOO_LATE, now)]
-        if wait > self._policy.most_wait:
+        if refuses_early and wait > self._policy.most_wait:
             return [self._refuse(waiter, RefusalReason.QUEUE_FULL, now)]
         self._waiters.add(queued)
         self._waiting_since[waiter] = now
@@ -380,6 +381,11 @@
             return self._refuse_all(RefusalReason.NO_SHARE, now)
         if not self._waiters:
             return []
+        if not self._policy.refuses_early:
+            over = [each.waiter for each in self._waiters if now > each.deadline]
+            return [
+                self._refuse_waiter(each, RefusalReason.TOO_LATE, now) for each in over
+            ]
         late, place = [], 0
         model, done_at = self._model_waits(now), now + self._compute_service()
         for queued in self._waiters:
--- a/beryltrack/connections/pool_policy.py
+++ b/beryltrack/connections/pool_policy.py
@@ -29,6 +29,10 @@
     share_wait : float
         Seconds that requests wait for a share of the connections to come free
         when the pool has none.
+    by_deadline : bool
+        False if requests wait in the order of their arrival.
+    refuses_early : bool
+        False if a request is refused only when its own time is over.
     """
 
     queue_limit: int = 256
@@ -41,3 +45,5 @@
     most_backoff: float = 0.5
     deviations: float = 2.0
     share_wait: float = 0.25
+    by_deadline: bool = True
+    refuses_early: bool = True
--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -7,6 +7,7 @@
 
 from beryltrack.connections.task import PoolTask
 from beryltrack.daemon import node_options as options
+from beryltrack.daemon.node_policies import NodePolicies
 from beryltrack.failover.authority import PromotionAuthority
 from beryltrack.groups.control_calls import ControlCalls
 from beryltrack.groups.messages import LeadProof
@@ -38,6 +39,8 @@
         Source of jitter.
     is_fenced : bool
         True if promotions are fenced, and a replaced primary leads no more.
+    policies : NodePolicies
+        What steers this instance's decisions.
     """
 
     keeps_members = True
@@ -52,9 +55,11 @@
         directory: RelayDirectory,
         rng: random.Random,
         is_fenced: bool,
+        policies: NodePolicies,
     ):
         self.share_limit = 1
         self._is_fenced = is_fenced
+        self._policies = policies
         self._reactor = reactor
         self._node_name = node_name
         self._promotion = promotion
@@ -68,7 +73,9 @@
             directory,
             self._open_at,
             lambda group, database: (group, database) in self._pools,
-            OpenLimits(options.RELAY_CONNECT, options.CONTROL_CONNECT),
+            OpenLimits(
+                options.RELAY_CONNECT, options.CONTROL_CONNECT, policies.takes_detours
+            ),
         )
 
     def make_task(self, group: GroupSettings) -> GroupTask:
@@ -83,7 +90,6 @@
             options.CONTROL_IDLE,
         )
         adapter = LineDatabaseGroup(group, self._promotion, calls, self._is_fenced)
-        policy = options.FAILOVER if self._is_fenced else options.UNFENCED_FAILOVER
         proof = LeadProof.OWN_WORD if self._is_fenced else LeadProof.WITNESSES
         task = GroupTask(
             self._reactor,
@@ -91,9 +97,9 @@
             adapter,
             self._node_name,
             self._rng,
-            options.PROBES,
+            self._policies.probes,
             authority=self._authority,
-            failover_policy=policy,
+            failover_policy=self._policies.failover,
             proof=proof,
         )
         calls.set_hearing(task.was_heard)
@@ -105,7 +111,7 @@
             self._reactor,
             database,
             lambda: self._opener.open(group.name, database, options.CONNECT_TIMEOUT),
-            options.POOLS,
+            self._policies.pools,
             limit=self.share_limit,
             rng=self._rng,
         )
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -21,6 +21,7 @@
 from beryltrack.daemon.line_kit import LineKit
 from beryltrack.daemon.members import KIND as MEMBERS_KIND
 from beryltrack.daemon.members import WATCH_GAP, MemberPort, MemberTask
+from beryltrack.daemon.node_policies import make_policies
 from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
 from beryltrack.events.log import EventLog
 from beryltrack.failover.authority import PromotionAuthority, StoreAuthority
@@ -150,6 +151,7 @@
         promotion, authority = self._make_authority(settings)
         own = Peer(settings.name, settings.zone, settings.relay_listen)
         self._directory = RelayDirectory(own, self._seconds, options.FIRST_INSTANCES)
+        self._policies = make_policies(settings.is_fenced, settings.disabled)
         self._kit = LineKit(
             reactor,
             settings.name,
@@ -158,6 +160,7 @@
             self._directory,
             rng,
             settings.is_fenced,
+            self._policies,
         )
         self._directory.set_block_observer(self._share_connections)
         self._groups = GroupTable(reactor, self._kit)
@@ -176,8 +179,10 @@
             self.metrics,
             rng,
             LineProtocol(self._get_route, options.make_request_policy),
-            routing=options.ROUTING if settings.is_fenced else options.UNFENCED_ROUTING,
+            routing=self._policies.routing,
             events=EventLog(settings.name, write_line, self._seconds),
+            retries=self._policies.retries,
+            admission=self._policies.admission,
         )
         handler = RequestTask(self._services, self._get_site, self._find_group)
         bounds = CallerBounds(self._get_site)
@@ -215,6 +220,7 @@
             lambda: self._groups.runtimes,
             self._give_up,
             lambda connection: is_silent(connection, self._get_pools()),
+            self._policies.late_after,
         )
         self._members = MemberTask(
             reactor,
@@ -254,7 +260,7 @@
         if self.settings.snapshot_listen is not None:
             port = SnapshotPort(self._get_snapshot)
             self._listen(self.settings.snapshot_listen, port)
-        if not self.settings.is_first_start:
+        if self._policies.takes_snapshots and not self.settings.is_first_start:
             self._snapshots.start()
         self._services.admission.start()
         self._overdue.start()
@@ -262,6 +268,8 @@
             feed.start()
         self._members.start()
         log.info("daemon: Instance %s starts.", self.settings.name)
+        for mechanism in sorted(each.value for each in self.settings.disabled):
+            log.warning("daemon: %s is switched off.", mechanism)
 
     async def leave(self) -> None:
         """Shut down without cutting off a request in flight.
@@ -511,7 +519,8 @@
             is_owner = self._is_owner(runtime)
             for name, pool in runtime.pools.items():
                 is_direct = is_owner and not self._directory.is_blocked(name)
-                pool.set_policy(options.POOLS if is_direct else options.RELAYED_POOLS)
+                policies = self._policies
+                pool.set_policy(policies.pools if is_direct else policies.relayed_pools)
                 pool.set_limit(share if is_direct else options.RELAY_STREAMS)
                 pool.retire_stale()
 
--- /dev/null
+++ b/beryltrack/daemon/node_policies.py
@@ -0,0 +1,138 @@
+"""The policies of one instance on the users' platform.
+
+They follow from whether promotions are fenced and from the mechanisms that are switched
+off; `node_options` has the figures and where they come from.
+"""
+
+import math
+from typing import NamedTuple
+
+from beryltrack.connections.pool_policy import PoolPolicy
+from beryltrack.daemon import node_options as options
+from beryltrack.failover.decider import FailoverPolicy
+from beryltrack.groups.policy import ProbePolicy
+from beryltrack.requests.admission import AdmissionPolicy
+from beryltrack.requests.overdue import LATE_AFTER
+from beryltrack.requests.retry import RetryPolicy
+from beryltrack.requests.services import RETRIES
+from beryltrack.routing.decider import RoutingPolicy
+from beryltrack.settings.mechanisms import Mechanism
+
+SHORT_PROOFS = 0.5
+"""Seconds for which a write needs no new proof without `Mechanism.LONG_PROOFS`."""
+
+EAGER_GUARD = 0.4
+"""Seconds between two questions to an idle primary without `Mechanism.CALM_GUARD`."""
+
+SHORT_QUEUE = 0.25
+"""Longest expected wait without `Mechanism.LONG_QUEUE`, seconds."""
+
+LONG_IDLE = 10.0
+"""Seconds that surplus connections stay without `Mechanism.FEW_CONNECTIONS`."""
+
+UNBOUNDED = 1e9
+"""Retries of a budget that never ends."""
+
+
+class NodePolicies(NamedTuple):
+    """What steers the decisions of an instance.
+
+    Parameters
+    ----------
+    pools, relayed_pools : PoolPolicy
+        Connections to databases, and sessions at other instances.
+    routing : RoutingPolicy
+        Where requests run.
+    probes : ProbePolicy
+        How often databases are asked.
+    failover : FailoverPolicy
+        When a primary is replaced.
+    retries : RetryPolicy
+        What is run again.
+    admission : AdmissionPolicy
+        How many requests are taken on.
+    late_after : float
+        Seconds after which a statement makes its primary be asked.
+    takes_detours : bool
+        True if databases may be reached through other instances.
+    takes_snapshots : bool
+        True if an instance that starts may go by another one's copies.
+    """
+
+    pools: PoolPolicy
+    relayed_pools: PoolPolicy
+    routing: RoutingPolicy
+    probes: ProbePolicy
+    failover: FailoverPolicy
+    retries: RetryPolicy
+    admission: AdmissionPolicy
+    late_after: float
+    takes_detours: bool
+    takes_snapshots: bool
+
+
+def make_policies(
+    is_fenced: bool, disabled: frozenset[Mechanism] = frozenset()
+) -> NodePolicies:
+    """Return the policies of an instance.
+
+    Parameters
+    ----------
+    is_fenced : bool
+        True if promotions are fenced, and a replaced primary leads no more.
+    disabled : frozenset of Mechanism
+        What it does without.
+    """
+    policies = NodePolicies(
+        options.POOLS,
+        options.RELAYED_POOLS,
+        options.ROUTING if is_fenced else options.UNFENCED_ROUTING,
+        options.PROBES,
+        options.FAILOVER if is_fenced else options.UNFENCED_FAILOVER,
+        RETRIES,
+        AdmissionPolicy(),
+        LATE_AFTER,
+        takes_detours=Mechanism.DETOURS not in disabled,
+        takes_snapshots=Mechanism.SNAPSHOTS not in disabled,
+    )
+    for mechanism in sorted(disabled, key=lambda each: each.value):
+        if mechanism in _WITHOUT:
+            policies = _WITHOUT[mechanism](policies)
+    return policies
+
+
+def _change_pools(policies: NodePolicies, **figures: object) -> NodePolicies:
+    """Return policies whose pools have other figures."""
+    return policies._replace(
+        pools=policies.pools._replace(**figures),
+        relayed_pools=policies.relayed_pools._replace(**figures),
+    )
+
+
+def _change(name: str, **figures: object):
+    """Return what gives one of the policies other figures."""
+
+    def change(policies: NodePolicies) -> NodePolicies:
+        return policies._replace(**{name: getattr(policies, name)._replace(**figures)})
+
+    return change
+
+
+_WITHOUT = {
+    Mechanism.ADMISSION_BOUND: _change("admission", most_delay=math.inf),
+    Mechanism.CALM_GUARD: _change("probes", guard_interval=EAGER_GUARD),
+    Mechanism.DEADLINE_ORDER: lambda each: _change_pools(each, by_deadline=False),
+    Mechanism.EARLY_REFUSAL: lambda each: _change_pools(each, refuses_early=False),
+    Mechanism.FEW_CONNECTIONS: _change(
+        "pools", open_patience=0.0, idle_timeout=LONG_IDLE
+    ),
+    Mechanism.REPLICA_PAUSE: _change("routing", lagging_pause=0.0),
+    Mechanism.LATE_STATEMENTS: lambda each: each._replace(late_after=math.inf),
+    Mechanism.LONG_PROOFS: _change("routing", confirmed_within=SHORT_PROOFS),
+    Mechanism.LONG_QUEUE: lambda each: _change_pools(each, most_wait=SHORT_QUEUE),
+    Mechanism.NEAR_REPLICAS: _change("routing", prefers_near=False),
+    Mechanism.RETRIES: _change("retries", most_attempts=1),
+    Mechanism.RETRY_BUDGET: _change(
+        "retries", ratio=1.0, most_saved=UNBOUNDED, first_saved=UNBOUNDED
+    ),
+}
--- a/beryltrack/daemon/node_process.py
+++ b/beryltrack/daemon/node_process.py
@@ -9,8 +9,10 @@
 
 from beryltrack.daemon.logs import configure_logs
 from beryltrack.events.log import NonBlockingStream
-from beryltrack.findings import format_finding
+from beryltrack.findings import Finding, format_finding
 from beryltrack.platform.boot import read_node_settings
+from beryltrack.settings.mechanisms import read_disabled
+from beryltrack.settings.node import NodeSettings
 
 EXIT_DONE = 0
 EXIT_FINDINGS = 1
@@ -18,9 +20,18 @@
 log = logging.getLogger(__name__)
 
 
+def _read_settings() -> tuple[NodeSettings | None, list[Finding]]:
+    """Return the settings of this process, None if any is wrong, and what is."""
+    settings, findings = read_node_settings(os.environ)
+    disabled, wrong = read_disabled(os.environ)
+    if settings is None or wrong:
+        return None, findings + wrong
+    return settings._replace(disabled=disabled), findings
+
+
 def main() -> int:
     """Run an instance until SIGTERM and return its exit code."""
-    settings, findings = read_node_settings(os.environ)
+    settings, findings = _read_settings()
     if settings is None:
         for finding in findings:
             print(format_finding(finding), file=sys.stderr)
@@ -47,7 +58,7 @@
         return None
 
     def reload(*_: object) -> None:
-        found, wrong = read_node_settings(os.environ)
+        found, wrong = _read_settings()
         for finding in wrong:
             log.error("daemon: Finding: %s", format_finding(finding))
         if found is None or found == settings:
--- a/beryltrack/relay/opener.py
+++ b/beryltrack/relay/opener.py
@@ -25,7 +25,7 @@
 
 
 class OpenLimits(NamedTuple):
-    """Times of opening, seconds.
+    """Times of opening, seconds, and which ways are taken.
 
     Parameters
     ----------
@@ -33,10 +33,13 @@
         Until another instance counts as out of reach.
     probe : float
         Until a database counts as still out of reach.
+    takes_detours : bool
+        False if a database that is out of reach is not reached through others.
     """
 
     relay: float
     probe: float
+    takes_detours: bool = True
 
 
 class TargetOpener:
@@ -142,6 +145,8 @@
 
     def _block(self, group: str, database: DatabaseSettings) -> None:
         """Reach a database through others until it is reached directly again."""
+        if not self._limits.takes_detours:
+            return
         if self._directory.block(database.name):
             log.warning("relay: %s is reached through others.", database.name)
             self._probe_later(group, database)
--- a/beryltrack/requests/overdue.py
+++ b/beryltrack/requests/overdue.py
@@ -40,6 +40,8 @@
         Takes each connection whose request is far too late.
     is_silent : callable
         Says of a connection whether what it goes through has fallen silent.
+    late_after : float
+        Seconds after which a request makes its database be asked whether it lives.
     """
 
     def __init__(
@@ -49,11 +51,13 @@
         get_runtimes: Callable[[], Iterable[GroupRuntime]],
         give_up: Callable[[PooledConnection], None],
         is_silent: Callable[[PooledConnection], bool] = lambda connection: False,
+        late_after: float = LATE_AFTER,
     ):
         self._seconds = seconds
         self._get_runtimes = get_runtimes
         self._give_up = give_up
         self._is_silent = is_silent
+        self._late_after = late_after
         self._looking = LoopingCall(self.look)
         self._looking.clock = reactor
 
@@ -79,5 +83,5 @@
                         now - since > SILENT_AFTER and self._is_silent(connection)
                     ):
                         self._give_up(connection)
-                    elif now - since > LATE_AFTER:
+                    elif now - since > self._late_after:
                         runtime.task.suspect(name, since)
--- a/beryltrack/requests/services.py
+++ b/beryltrack/requests/services.py
@@ -8,13 +8,14 @@
 from beryltrack.clock import get_seconds
 from beryltrack.events.messages import RequestEvents, SilentEvents
 from beryltrack.metrics.messages import RequestMetrics
+from beryltrack.requests.admission import AdmissionPolicy
 from beryltrack.requests.admission_task import AdmissionTask
 from beryltrack.requests.protocol import RequestPolicy, WireProtocol
 from beryltrack.requests.retry import RetryBudget, RetryPolicy
 from beryltrack.routing.decider import DEFAULT_POLICY, RoutingPolicy
 
-FIRST_RETRIES = 10.0
-"""Retries that an instance may make before requests have filled its budget."""
+RETRIES = RetryPolicy(first_saved=10.0)
+"""An instance may make ten retries before requests have filled its budget."""
 
 
 class RequestServices(NamedTuple):
@@ -68,6 +69,8 @@
     policy: RequestPolicy | None = None,
     routing: RoutingPolicy = DEFAULT_POLICY,
     events: RequestEvents | None = None,
+    retries: RetryPolicy = RETRIES,
+    admission: AdmissionPolicy | None = None,
 ) -> RequestServices:
     """Return the services of one instance.
 
@@ -89,6 +92,10 @@
         The limits by which targets are chosen.
     events : RequestEvents, optional
         Logs the decisions about requests.
+    retries : RetryPolicy, optional
+        When a request is repeated.
+    admission : AdmissionPolicy, optional
+        How many requests are taken on.
 
     Returns
     -------
@@ -100,8 +107,8 @@
         get_seconds(reactor),
         zone,
         metrics,
-        AdmissionTask(reactor),
-        RetryBudget(RetryPolicy(first_saved=FIRST_RETRIES), rng),
+        AdmissionTask(reactor, admission),
+        RetryBudget(retries, rng),
         protocol,
         policy or RequestPolicy(),
         count(),
--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -69,6 +69,8 @@
     samples_position : bool
         False where others than the primary confirm its term. They alone are asked
         then: the primary holds whatever was acknowledged in its term.
+    prefers_near : bool
+        True if replicas of the node's own availability zone are preferred.
     """
 
     max_wait: float = 0.0055
@@ -82,6 +84,7 @@
     usual_lag: float = 0.2
     lagging_pause: float = 0.3
     samples_position: bool = True
+    prefers_near: bool = True
 
 
 DEFAULT_POLICY = RoutingPolicy()
@@ -132,7 +135,8 @@
     if ready:
         refreshes = needs_refresh(view, request, policy)
         after = compute_after(request) if policy.checks_positions else None
-        return UseTarget(_pick_replica(ready, request, loads), True, refreshes, after)
+        chosen = _pick_replica(ready, request, loads, policy)
+        return UseTarget(chosen, True, refreshes, after)
     waiting = _choose_wait(view, request, replicas, loads, now, policy)
     return waiting or _choose_primary(view, request, now, policy)
 
@@ -284,27 +288,36 @@
 
 
 def _pick_replica(
-    ready: list[DatabaseView], request: ReadRequest, loads: tuple[TargetLoad, ...]
+    ready: list[DatabaseView],
+    request: ReadRequest,
+    loads: tuple[TargetLoad, ...],
+    policy: RoutingPolicy,
 ) -> str:
     """Return the replica with the least work, a near one before a far one."""
     if len(ready) == 1:
         return ready[0].name
     turn = request.sequence % len(ready)
     ranked = (
-        (_rank_load(_get_load(loads, item.name), request.zone), place, item.name)
+        (
+            _rank_load(_get_load(loads, item.name), request.zone, policy),
+            place,
+            item.name,
+        )
         for place, item in enumerate(ready[turn:] + ready[:turn])
     )
     return min(ranked)[-1]
 
 
-def _rank_load(load: TargetLoad, zone: str) -> tuple[int, int, bool]:
+def _rank_load(
+    load: TargetLoad, zone: str, policy: RoutingPolicy
+) -> tuple[int, int, bool]:
     """Return the rank of a database by its queue, its work and its zone.
 
     A far database counts as if it had one request more, since a request there
     costs about as much more as one that waits for a slot.
     """
     rounds_waiting = load.outstanding // max(load.limit, 1)
-    is_far = load.zone != zone
+    is_far = policy.prefers_near and load.zone != zone
     return rounds_waiting, load.outstanding + is_far, is_far
 
 
@@ -324,7 +337,7 @@
     candidates = sorted(
         _Candidate(
             compute_lag(view, item),
-            _rank_load(_get_load(loads, item.name), request.zone),
+            _rank_load(_get_load(loads, item.name), request.zone, policy),
             AwaitedTarget(item.name, position),
         )
         for item, position in positions
--- a/beryltrack/settings/node.py
+++ b/beryltrack/settings/node.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from beryltrack.settings.mechanisms import Mechanism
 from beryltrack.settings.messages import Endpoint
 
 CHANGE_LIMIT = 3.0
@@ -48,6 +49,8 @@
         Seconds within which a confirmed change of the settings must be in force.
     drain_limit : float
         Seconds within which a database that is to leave must get no new work.
+    disabled : frozenset of Mechanism
+        What the instance does without.
     """
 
     name: str
@@ -65,3 +68,4 @@
     is_fenced: bool = True
     change_limit: float = CHANGE_LIMIT
     drain_limit: float = DRAIN_LIMIT
+    disabled: frozenset[Mechanism] = frozenset()
--- a/tests/connections/test_pool.py
+++ b/tests/connections/test_pool.py
@@ -328,3 +328,22 @@
     assert pool.acquire(2, 10.0, 1.0) == []
     pool.set_policy(PoolPolicy())
     assert pool.acquire(3, 10.0, 1.0) == [OpenConnection(2)]
+
+
+def test_without_the_order_of_deadlines_who_came_first_is_served_first():
+    pool = make_busy_pool(by_deadline=False)
+    pool.acquire(3, 9.0, 0.0)
+    pool.acquire(4, 5.0, 0.0)
+    given = [
+        each for each in pool.release(1, True, 0.1) if type(each) is GiveConnection
+    ]
+    assert [each.waiter for each in given] == [3]
+
+
+def test_without_early_refusals_a_request_waits_until_its_time_is_over():
+    for refuses_early, refused_at_once in ((True, True), (False, False)):
+        pool = make_busy_pool(hold=1.0, refuses_early=refuses_early)
+        refused = get_refused(pool.acquire(3, 0.4, 0.0))
+        assert bool(refused) is refused_at_once
+    assert get_refused(pool.tick(0.3)) == []
+    assert get_refused(pool.tick(0.5)) == [(3, RefusalReason.TOO_LATE)]
--- /dev/null
+++ b/tests/daemon/test_node_policies.py
@@ -0,0 +1,32 @@
+"""What an instance's policies lose with each mechanism that is switched off."""
+
+import pytest
+
+from beryltrack.daemon import node_options as options
+from beryltrack.daemon.node_policies import make_policies
+from beryltrack.settings.mechanisms import Mechanism
+
+
+def test_with_all_mechanisms_the_figures_of_the_options_hold():
+    policies = make_policies(True)
+    assert policies.pools == options.POOLS
+    assert policies.routing == options.ROUTING
+    assert policies.failover == options.FAILOVER
+    assert policies.takes_detours and policies.takes_snapshots
+
+
+def test_without_fences_other_figures_hold():
+    policies = make_policies(False)
+    assert policies.routing == options.UNFENCED_ROUTING
+    assert policies.failover == options.UNFENCED_FAILOVER
+
+
+@pytest.mark.parametrize("mechanism", Mechanism)
+def test_each_switch_changes_something(mechanism):
+    assert make_policies(True, frozenset({mechanism})) != make_policies(True)
+
+
+def test_switches_add_up():
+    both = {Mechanism.LONG_QUEUE, Mechanism.DEADLINE_ORDER}
+    pools = make_policies(True, frozenset(both)).pools
+    assert pools.most_wait < options.POOLS.most_wait and not pools.by_deadline
--- a/tests/routing/test_decider.py
+++ b/tests/routing/test_decider.py
@@ -205,3 +205,14 @@
     assert isinstance(_choose(_view(primary=""), WriteRequest(NOW)), Refuse)
     refused = WriteRequest(NOW, True, ("p",))
     assert isinstance(_choose(view, refused), Refuse)
+
+
+def test_a_far_replica_is_as_good_as_a_near_one_where_near_ones_are_not_preferred():
+    view = _view(_database("b", 90), _database("c", 90))
+    loads = (TargetLoad("b", "far", 0, 4), TargetLoad("c", "a", 0, 4))
+    chosen = {
+        choose_target(view, _read(sequence=turn), loads, NOW, policy).database
+        for policy in (RoutingPolicy(prefers_near=False),)
+        for turn in range(2)
+    }
+    assert chosen == {"b", "c"}
--- /dev/null
+++ b/tests/settings/test_mechanisms.py
@@ -0,0 +1,23 @@
+"""Mechanisms that the environment switches off."""
+
+import pytest
+
+from beryltrack.settings.mechanisms import DISABLED_VARIABLE, Mechanism, read_disabled
+
+
+@pytest.mark.parametrize("text", ["", " ", " , "])
+def test_by_default_nothing_is_switched_off(text):
+    assert read_disabled({DISABLED_VARIABLE: text}) == (frozenset(), [])
+    assert read_disabled({}) == (frozenset(), [])
+
+
+def test_names_stand_between_commas():
+    disabled, findings = read_disabled({DISABLED_VARIABLE: "detours, retries"})
+    assert disabled == {Mechanism.DETOURS, Mechanism.RETRIES} and findings == []
+
+
+def test_an_unknown_name_is_a_finding():
+    disabled, findings = read_disabled({DISABLED_VARIABLE: "detours,magic"})
+    assert disabled == {Mechanism.DETOURS}
+    (finding,) = findings
+    assert (finding.source, finding.place) == (DISABLED_VARIABLE, "magic")
