Take the sharing of connections and the clients of the platform out of the node

Change: daemon/group_connections.py shares the databases' connections by the members that are known, daemon/store_clients.py makes the clients of the store and of the promotions; node.py has 425 lines. No behaviour changes. The test of who may import the adapter names store_clients.py in place of node_options.py, which imports nothing of it: four names as before.

--- /dev/null
+++ b/beryltrack/daemon/group_connections.py
@@ -0,0 +1,144 @@
+"""How an instance's pools share the databases' connections with other instances.
+
+It follows the members of the fleet: which groups this instance owns, how many
+connections each pool may open, and which ways to a database are used no more.
+"""
+
+from collections.abc import Callable
+
+from beryltrack.connections.task import PoolTask
+from beryltrack.daemon import node_options as options
+from beryltrack.daemon.groups import GroupTable
+from beryltrack.daemon.node_policies import NodePolicies
+from beryltrack.relay.directory import RelayDirectory
+from beryltrack.relay.handler import Lender
+from beryltrack.relay.owners import Peer
+from beryltrack.relay.ways import RelayedConnection, give_up, is_silent
+from beryltrack.requests.runtime import GroupRuntime
+from beryltrack.settings.messages import GroupSettings
+
+
+class GroupConnections:
+    """The connections of one instance to the databases of all groups.
+
+    Parameters
+    ----------
+    name : str
+        Name of this instance.
+    directory : RelayDirectory
+        Says who owns each group.
+    groups : GroupTable
+        The groups.
+    policies : NodePolicies
+        What steers the pools.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        directory: RelayDirectory,
+        groups: GroupTable,
+        policies: NodePolicies,
+    ):
+        self._name = name
+        self._directory = directory
+        self._groups = groups
+        self._policies = policies
+        self._has_members = False
+
+    @property
+    def has_members(self) -> bool:
+        """True once it is known which instances there are."""
+        return self._has_members
+
+    @property
+    def pools(self) -> list[PoolTask]:
+        """The pools of all databases."""
+        runtimes = self._groups.runtimes
+        return [pool for runtime in runtimes for pool in runtime.pools.values()]
+
+    def set_members(self, peers: tuple[Peer, ...]) -> None:
+        """Take in which instances there are."""
+        self._directory.set_peers(peers)
+        self._has_members = True
+        for runtime in self._groups.runtimes:
+            self._set_candidates(runtime)
+
+    def start_group(self, runtime: GroupRuntime) -> None:
+        """Watch a group from now on."""
+        if self._has_members:
+            self._set_candidates(runtime)
+        else:
+            # Of a fleet that starts each instance would take itself for the first.
+            runtime.task.set_nodes((self._name,), False)
+        runtime.ensure_started()
+
+    def share(self) -> None:
+        """Give each pool its part of the database's connections."""
+        policies = self._policies
+        for runtime in self._groups.runtimes:
+            limit = get_most_connections(runtime.settings)
+            placement = self._directory.get_placement(runtime.settings.name, limit)
+            share = placement.get_share(self._name)
+            is_owner = self._is_owner(runtime)
+            for name, pool in runtime.pools.items():
+                is_direct = is_owner and not self._directory.is_blocked(name)
+                pool.set_policy(policies.pools if is_direct else policies.relayed_pools)
+                pool.set_limit(share if is_direct else options.RELAY_STREAMS)
+                pool.retire_stale()
+
+    def get_lender(self, group: str, database: str) -> Lender | None:
+        """Return what lends connections to a database, if this instance owns it."""
+        runtime = self._groups.get(group)
+        pool = runtime.pools.get(database) if runtime is not None else None
+        if pool is None or not self._is_owner(runtime):
+            return None
+        if self._directory.is_blocked(database):
+            # It would go through a third instance, or back to the one that asks.
+            return None
+        runtime.ensure_started()
+        return Lender(pool, runtime.task)
+
+    def give_up(self, connection: RelayedConnection) -> None:
+        """Close a connection that does not answer, and leave its way if that is so."""
+        owner = give_up(connection, self.pools)
+        if owner:
+            self._directory.avoid(owner)
+
+    def is_silent(self, connection: RelayedConnection) -> bool:
+        """Return whether nothing comes any more from where a connection goes."""
+        return is_silent(connection, self.pools)
+
+    def _is_owner(self, runtime: GroupRuntime) -> bool:
+        """Return whether this instance opens connections to a group's databases."""
+        limit = get_most_connections(runtime.settings)
+        return self._directory.is_owner(runtime.settings.name, limit)
+
+    def _set_candidates(self, runtime: GroupRuntime) -> None:
+        """Tell a group who may change its primary, and use no way that is over."""
+        limit = get_most_connections(runtime.settings)
+        name = runtime.settings.name
+        names = self._directory.get_candidates(name, limit)
+        is_owner = self._directory.is_owner(name, limit)
+        runtime.task.set_nodes(names, is_owner)
+        ways = ("", *names) if is_owner else names
+        for database, pool in runtime.pools.items():
+            pool.retire(self._get_staleness(database, is_owner, names))
+        runtime.task.renew_ways(ways)
+
+    def _get_staleness(
+        self, database: str, is_owner: bool, names: tuple[str, ...]
+    ) -> Callable[[RelayedConnection], bool]:
+        """Return what says of a connection whether its way is used no more."""
+
+        def is_stale(connection: RelayedConnection) -> bool:
+            if not is_owner:
+                return connection.way not in names
+            return bool(connection.way) != self._directory.is_blocked(database)
+
+        return is_stale
+
+
+def get_most_connections(group: GroupSettings) -> int:
+    """Return the most connections to a database of a group, of all instances."""
+    return min(item.max_connections for item in group.databases)
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -15,30 +15,23 @@
 from twisted.web.http import OK
 
 from beryltrack.clock import get_seconds
-from beryltrack.connections.task import PoolTask
 from beryltrack.daemon import node_options as options
+from beryltrack.daemon.group_connections import GroupConnections
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.line_kit import LineKit
 from beryltrack.daemon.members import KIND as MEMBERS_KIND
 from beryltrack.daemon.members import WATCH_GAP, MemberPort, MemberTask
 from beryltrack.daemon.node_policies import make_policies
 from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
+from beryltrack.daemon.store_clients import make_store_clients
 from beryltrack.events.log import EventLog
-from beryltrack.failover.authority import PromotionAuthority, StoreAuthority
-from beryltrack.failover.unfenced_authority import (
-    CONNECT_TIME,
-    USABLE_TIME,
-    UnfencedAuthority,
-)
 from beryltrack.findings import format_finding
 from beryltrack.metrics.plain import Gauge, PlainMetrics
 from beryltrack.objects.feed import FeedTask, compute_wait
-from beryltrack.objects.http import HttpClient
 from beryltrack.objects.messages import PlatformObject
 from beryltrack.objects.snapshot import Snapshot, SnapshotPort, SnapshotTask
 from beryltrack.platform.boot import READY_PATH
 from beryltrack.platform.caller import LineCallerFactory
-from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.protocol import LineProtocol
 from beryltrack.platform.relay import LineRelayFactory
 from beryltrack.platform.settings import (
@@ -48,19 +41,15 @@
     read_configuration,
     read_entry,
 )
-from beryltrack.platform.store import PlatformStore
-from beryltrack.platform.target import LineTarget
 from beryltrack.relay.directory import RelayDirectory
-from beryltrack.relay.handler import Lender, RelayHandler
+from beryltrack.relay.handler import RelayHandler
 from beryltrack.relay.owners import Peer
-from beryltrack.relay.ways import give_up, is_silent
 from beryltrack.requests.overdue import OverdueWatch
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import make_services
 from beryltrack.requests.task import RequestTask
 from beryltrack.settings.messages import (
     Endpoint,
-    GroupSettings,
     RouteSettings,
     SiteSettings,
 )
@@ -146,31 +135,31 @@
         self._reactor = reactor
         self._rng = rng
         self._seconds = get_seconds(reactor)
-        store_client = self._make_client(settings.store)
-        self._store = PlatformStore(store_client)
-        promotion, authority = self._make_authority(settings)
+        clients = make_store_clients(reactor, settings, rng)
         own = Peer(settings.name, settings.zone, settings.relay_listen)
-        self._directory = RelayDirectory(own, self._seconds, options.FIRST_INSTANCES)
+        directory = RelayDirectory(own, self._seconds, options.FIRST_INSTANCES)
         self._policies = make_policies(settings.is_fenced, settings.disabled)
         self._kit = LineKit(
             reactor,
             settings.name,
-            promotion,
-            authority,
-            self._directory,
+            clients.promotion,
+            clients.authority,
+            directory,
             rng,
             settings.is_fenced,
             self._policies,
         )
-        self._directory.set_block_observer(self._share_connections)
         self._groups = GroupTable(reactor, self._kit)
-        self._groups.subscribe_started(self._start_group)
+        self._connections = GroupConnections(
+            settings.name, directory, self._groups, self._policies
+        )
+        directory.set_block_observer(self._connections.share)
+        self._groups.subscribe_started(self._connections.start_group)
         self._site = SiteSettings(0, (), (), ())
         self._routes: dict[str, RouteSettings] = {}
         self._configuration: SiteConfiguration | None = None
         self._roster = Roster()
         self._has_roster = False
-        self._has_members = False
         self._learned: Snapshot = {}
         self._look_call = None
         self._services = make_services(
@@ -189,7 +178,7 @@
         self._callers = LineCallerFactory(reactor, handler, bounds)
         self._relay = RelayHandler(
             reactor.seconds,
-            self._get_lender,
+            self._connections.get_lender,
             options.RELAY_TIME,
         )
         self._relays = LineRelayFactory(
@@ -197,7 +186,7 @@
         )
         self._feeds = [
             FeedTask(
-                reactor, self._store, kind, callback, rng, compute_wait(limit), gap
+                reactor, clients.store, kind, callback, rng, compute_wait(limit), gap
             )
             for kind, callback, limit, gap in (
                 (
@@ -218,15 +207,14 @@
             reactor,
             self._seconds,
             lambda: self._groups.runtimes,
-            self._give_up,
-            lambda connection: is_silent(connection, self._get_pools()),
+            self._connections.give_up,
+            self._connections.is_silent,
             self._policies.late_after,
         )
         self._members = MemberTask(
             reactor,
-            self._store,
-            # Each instance lists them: so told, a call costs a tenth.
-            PlatformStore(store_client, may_lag=True),
+            clients.store,
+            clients.lagging_store,
             own,
             settings.member_listen,
             self._take_members,
@@ -318,41 +306,6 @@
             await maybeDeferred(port.stopListening)
         log.info("daemon: Instance %s has left.", self.settings.name)
 
-    def _make_authority(
-        self, settings: NodeSettings
-    ) -> tuple[PromotionCalls, PromotionAuthority]:
-        """Return what promotes, and what gives the permits for it."""
-        if settings.is_fenced:
-            client = self._make_client(settings.promotion)
-            authority = StoreAuthority(self._store, settings.name)
-        else:
-            client = self._make_client(settings.promotion, CONNECT_TIME)
-            # A permit that is not written in time is of no use: the next one is tried.
-            permits = PlatformStore(
-                self._make_client(settings.store, CONNECT_TIME, USABLE_TIME)
-            )
-            process = f"{self._rng.getrandbits(64):016x}"
-            authority = UnfencedAuthority(
-                permits, settings.name, process, self._seconds
-            )
-        return PromotionCalls(client, settings.name), authority
-
-    def _make_client(
-        self,
-        endpoint: Endpoint,
-        connect_timeout: float = options.STORE_TIMEOUT,
-        timeout: float = options.STORE_TIMEOUT,
-    ) -> HttpClient:
-        """Return a client of one of the platform's services."""
-        url = f"http://{endpoint.host}:{endpoint.port}"
-        return HttpClient(
-            self._reactor,
-            url,
-            self._rng,
-            timeout,
-            connect_timeout=connect_timeout,
-        )
-
     def _listen(self, endpoint: Endpoint, factory) -> None:
         """Open one listening socket."""
         port = self._reactor.listenTCP(
@@ -417,75 +370,20 @@
         before it is back.
         """
         self._learned = snapshot
-        if not self._has_members and snapshot.get(MEMBERS_KIND):
+        if not self._connections.has_members and snapshot.get(MEMBERS_KIND):
             self._members.learn(snapshot[MEMBERS_KIND])
         if not self._has_roster and snapshot.get(DATABASES_KIND):
             self._take_databases(snapshot[DATABASES_KIND])
         self._take_configuration(snapshot.get(CONFIG_KIND, {}))
 
-    def _get_lender(self, group: str, database: str) -> Lender | None:
-        """Return what lends connections to a database, if this instance owns it."""
-        runtime = self._groups.get(group)
-        pool = runtime.pools.get(database) if runtime is not None else None
-        if pool is None or not self._is_owner(runtime):
-            return None
-        if self._directory.is_blocked(database):
-            # It would go through a third instance, or back to the one that asks.
-            return None
-        runtime.ensure_started()
-        return Lender(pool, runtime.task)
-
-    def _give_up(self, connection: LineTarget) -> None:
-        """Close a connection that does not answer, and leave its way if that is so."""
-        owner = give_up(connection, self._get_pools())
-        if owner:
-            self._directory.avoid(owner)
-
-    def _get_pools(self) -> list[PoolTask]:
-        """Return the pools of all databases."""
-        runtimes = self._groups.runtimes
-        return [pool for runtime in runtimes for pool in runtime.pools.values()]
-
-    def _is_owner(self, runtime: GroupRuntime) -> bool:
-        """Return whether this instance opens connections to a group's databases."""
-        limit = get_most_connections(runtime.settings)
-        return self._directory.is_owner(runtime.settings.name, limit)
-
     def _take_members(self, peers: tuple[Peer, ...]) -> None:
         """Take in which instances there are."""
-        self._directory.set_peers(peers)
-        self._has_members = True
-        for runtime in self._groups.runtimes:
-            self._set_candidates(runtime)
+        self._connections.set_members(peers)
         self._apply()
 
-    def _set_candidates(self, runtime: GroupRuntime) -> None:
-        """Tell a group who may change its primary, and use no way that is over."""
-        limit = get_most_connections(runtime.settings)
-        name = runtime.settings.name
-        names = self._directory.get_candidates(name, limit)
-        is_owner = self._directory.is_owner(name, limit)
-        runtime.task.set_nodes(names, is_owner)
-        ways = ("", *names) if is_owner else names
-        for database, pool in runtime.pools.items():
-            pool.retire(self._get_staleness(database, is_owner, names))
-        runtime.task.renew_ways(ways)
-
-    def _get_staleness(
-        self, database: str, is_owner: bool, names: tuple[str, ...]
-    ) -> Callable[[LineTarget], bool]:
-        """Return what says of a connection whether its way is used no more."""
-
-        def is_stale(connection: LineTarget) -> bool:
-            if not is_owner:
-                return connection.way not in names
-            return bool(connection.way) != self._directory.is_blocked(database)
-
-        return is_stale
-
     def _apply(self) -> None:
         """Put the settings in force."""
-        is_known = self._has_members or self.settings.is_first_start
+        is_known = self._connections.has_members or self.settings.is_first_start
         if self._configuration is None or not (self._has_roster and is_known):
             return
         now = self._seconds()
@@ -494,7 +392,7 @@
         )
         self._routes = {route.name: route for route in self._site.routes}
         self._groups.apply(self._site)
-        self._share_connections()
+        self._connections.share()
         self._look_again(now)
         if self.state is NodeState.STARTING:
             self._listen(self.settings.listen, self._callers)
@@ -510,29 +408,6 @@
         if due is not None:
             self._look_call = self._reactor.callLater(due - now + 0.01, self._apply)
 
-    def _share_connections(self) -> None:
-        """Give each pool its part of the database's connections."""
-        for runtime in self._groups.runtimes:
-            limit = get_most_connections(runtime.settings)
-            placement = self._directory.get_placement(runtime.settings.name, limit)
-            share = placement.get_share(self.settings.name)
-            is_owner = self._is_owner(runtime)
-            for name, pool in runtime.pools.items():
-                is_direct = is_owner and not self._directory.is_blocked(name)
-                policies = self._policies
-                pool.set_policy(policies.pools if is_direct else policies.relayed_pools)
-                pool.set_limit(share if is_direct else options.RELAY_STREAMS)
-                pool.retire_stale()
-
-    def _start_group(self, runtime: GroupRuntime) -> None:
-        """Watch a group from now on."""
-        if self._has_members:
-            self._set_candidates(runtime)
-        else:
-            # Of a fleet that starts each instance would take itself for the first.
-            runtime.task.set_nodes((self.settings.name,), False)
-        runtime.ensure_started()
-
     def _get_gauges(self) -> Iterable[Gauge]:
         """Return the values of the moment."""
         version = self._configuration.version if self._configuration else 0
@@ -547,8 +422,3 @@
                 labels = f'group="{runtime.settings.name}",database="{name}"'
                 yield "beryltrack_pool_busy", labels, pool.load.in_use
                 yield "beryltrack_pool_waiting", labels, pool.load.waiting
-
-
-def get_most_connections(group: GroupSettings) -> int:
-    """Return the most connections to a database of a group, of all instances."""
-    return min(item.max_connections for item in group.databases)
--- /dev/null
+++ b/beryltrack/daemon/store_clients.py
@@ -0,0 +1,84 @@
+"""The clients of the platform's services: the object store and the promotions."""
+
+import random
+from typing import NamedTuple
+
+from beryltrack.clock import get_seconds
+from beryltrack.daemon import node_options as options
+from beryltrack.failover.authority import PromotionAuthority, StoreAuthority
+from beryltrack.failover.unfenced_authority import (
+    CONNECT_TIME,
+    USABLE_TIME,
+    UnfencedAuthority,
+)
+from beryltrack.objects.http import HttpClient
+from beryltrack.platform.promotion import PromotionCalls
+from beryltrack.platform.store import PlatformStore
+from beryltrack.settings.messages import Endpoint
+from beryltrack.settings.node import NodeSettings
+
+
+class StoreClients(NamedTuple):
+    """What an instance calls.
+
+    Parameters
+    ----------
+    store : PlatformStore
+        The object store.
+    lagging_store : PlatformStore
+        The same over the same connections; its lists may be seconds old, at a tenth
+        of the price.
+    promotion : PromotionCalls
+        Carries out promotions.
+    authority : PromotionAuthority
+        Gives the permits for them.
+    """
+
+    store: PlatformStore
+    lagging_store: PlatformStore
+    promotion: PromotionCalls
+    authority: PromotionAuthority
+
+
+def make_store_clients(
+    reactor, settings: NodeSettings, rng: random.Random
+) -> StoreClients:
+    """Return the clients of one instance.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        Carries connections and timeouts.
+    settings : NodeSettings
+        Where the services listen, and whether promotions are fenced.
+    rng : random.Random
+        Source of jitter, and of the name of this process.
+    """
+
+    def make_client(
+        endpoint: Endpoint,
+        connect_timeout: float = options.STORE_TIMEOUT,
+        timeout: float = options.STORE_TIMEOUT,
+    ) -> HttpClient:
+        url = f"http://{endpoint.host}:{endpoint.port}"
+        return HttpClient(reactor, url, rng, timeout, connect_timeout=connect_timeout)
+
+    http = make_client(settings.store)
+    store = PlatformStore(http)
+    if settings.is_fenced:
+        promotions = make_client(settings.promotion)
+        authority = StoreAuthority(store, settings.name)
+    else:
+        promotions = make_client(settings.promotion, CONNECT_TIME)
+        # A permit that is not written in time is of no use: the next one is tried.
+        permits = PlatformStore(make_client(settings.store, CONNECT_TIME, USABLE_TIME))
+        process = f"{rng.getrandbits(64):016x}"
+        authority = UnfencedAuthority(
+            permits, settings.name, process, get_seconds(reactor)
+        )
+    return StoreClients(
+        store,
+        PlatformStore(http, may_lag=True),
+        PromotionCalls(promotions, settings.name),
+        authority,
+    )
--- a/tests/daemon/test_silent_store.py
+++ b/tests/daemon/test_silent_store.py
@@ -145,7 +145,7 @@
         self.store = Store(self.clock)
         self.agent = RequestTraversalAgent(self.store)
         make_client = partial(HttpClient, agent=self.agent)
-        monkeypatch.setattr("beryltrack.daemon.node.HttpClient", make_client)
+        monkeypatch.setattr("beryltrack.daemon.store_clients.HttpClient", make_client)
         self.store.put("config/main", CONFIG)
         for number in range(3):
             self.set_state(number, "ready")
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -6,7 +6,7 @@
 
 ROOT = Path(__file__).parents[2] / "beryltrack"
 ADAPTER = ROOT / "platform"
-COMPOSITION = {"line_kit.py", "node.py", "node_options.py", "node_process.py"}
+COMPOSITION = {"line_kit.py", "node.py", "node_process.py", "store_clients.py"}
 
 WIRE_NAMES = (
     "config_version",
