--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -43,13 +43,8 @@
     GroupView,
     get_database,
     get_outline,
-    has_applied,
-)
-from beryltrack.groups.waiters import (
-    AppliedWaiter,
-    SampleWaiter,
-    make_answer,
 )
+from beryltrack.groups.waiters import ViewWaiters
 from beryltrack.groups.watch import DatabaseWatch, StatusResult, WatchWait
 from beryltrack.settings.messages import GroupSettings
 from beryltrack.transactions.waits import CommitWaits
@@ -128,9 +123,8 @@
         self._sent_at = dict.fromkeys(names, 0.0)
         self._last_time = 0.0
         self._used_at = NEVER
-        self._samples: list[SampleWaiter] = []
+        self._waiters = ViewWaiters(reactor)
         self._confirmations = LeadConfirmations(reactor, self)
-        self._applied: list[AppliedWaiter] = []
         self._subscribers: list[Callable[[GroupView], None]] = []
         self._failover_subscribers: list[Callable[[FailoverReport], None]] = []
         self._running = False
@@ -175,10 +169,7 @@
         self._failover.stop()
         self._adapter.close()
         self._commits.stop()
-        for waiter in tuple(self._applied):
-            waiter.answer.callback(False)
-        for waiter in tuple(self._samples):
-            waiter.answer.cancel()
+        self._waiters.stop()
         self._confirmations.stop()
 
     def set_draining(self, draining: frozenset[str]) -> None:
@@ -204,9 +195,7 @@
         self._pace.keep_databases(names)
         for name in self._watches.keys() - set(names):
             self._watches.pop(name).stop()
-        for waiter in tuple(self._applied):
-            if waiter.database not in self._watches:
-                waiter.answer.callback(False)
+        self._waiters.keep_databases(names)
         for name in names:
             if name not in self._watches:
                 watch = DatabaseWatch(self._reactor, name, self._adapter, self)
@@ -264,7 +253,7 @@
             self._decider.observe_shown(database, position, sent_at)
         self._pace.note_heard(database, self._seconds())
         self._decider.observe_position(database, position, self._seconds())
-        self._answer_applied()
+        self._waiters.answer_applied(self.view)
 
     def observe_lead(
         self, database: str, position: LogPosition, sent_at: float
@@ -349,15 +338,13 @@
         Deferred
             Fires with a `LogPosition`. It has no timeout of its own; cancel it.
         """
-        waiter = SampleWaiter(self.get_time(), Deferred())
-        self._samples.append(waiter)
+        answer = self._waiters.wait_sample(self.get_time())
         self._note_use()
-        waiter.answer.addBoth(self._drop, self._samples, waiter)
         if self.view.primary:
             self._watches[self.view.primary].wake()
         else:
             self._wake_all()
-        return waiter.answer
+        return answer
 
     def confirm_lead(self) -> Deferred:
         """Have it proven that no later term had a primary before this call.
@@ -426,11 +413,8 @@
             Fires with True, or with False at the timeout.
         """
         self._note_use()
-        answer = make_answer(self._reactor, timeout, False)
-        waiter = AppliedWaiter(database, token, answer)
-        self._applied.append(waiter)
-        answer.addBoth(self._drop, self._applied, waiter)
-        self._answer_applied()
+        answer = self._waiters.wait_applied(database, token, timeout)
+        self._waiters.answer_applied(self.view)
         if not answer.called:
             self._watches[database].wake()
         return answer
@@ -452,7 +436,7 @@
             self._decider.observe_primary_asked(sent_at)
         if database == self.view.primary:
             self._decider.observe_primary_asked(sent_at)
-            if self._samples and not self._policy.is_plain:
+            if self._waiters.has_samples and not self._policy.is_plain:
                 self._wake_replicas()
         return sent_at
 
@@ -468,7 +452,7 @@
         if self._failover.busy or item.role == PRIMARY or not item.reachable:
             return None
         received = self._commits.get_wait_offset(database)
-        tokens = [each.token for each in self._applied if each.database == database]
+        tokens = self._waiters.get_tokens(database)
         suspect = self._failover.is_suspect(self.view)
         if received is None and not tokens and not suspect:
             return None
@@ -481,7 +465,7 @@
         if item is None:
             return self._policy.idle_interval
         sent_at = self._sent_at[database]
-        is_asked = any(waiter.called_at > sent_at for waiter in self._samples)
+        is_asked = self._waiters.wants_sample_after(sent_at)
         if (is_asked or self._confirmations.wants(database)) and item.reachable:
             return 0.0
         if self._failover.busy:
@@ -526,7 +510,7 @@
             self._pace.note_primary_status(sent_at)
         if self._commits.observe_status(status):
             self._pace.note_receipt(self._seconds())
-        self._answer_applied()
+        self._waiters.answer_applied(self.view)
         self._answer_samples()
         self._report_view()
 
@@ -540,7 +524,7 @@
         """Return whether somebody waits for the progress of a replica."""
         if item.role == PRIMARY or not item.reachable:
             return False
-        if any(each.database == item.name for each in self._applied):
+        if self._waiters.get_tokens(item.name):
             return True
         if self._commits.get_wait_offset(item.name) is None:
             return False
@@ -567,18 +551,9 @@
         """Return after how much more silence a replica will have lost its primary."""
         return self._detector.get_limit(item.name) - item.heard_age
 
-    def _answer_applied(self) -> None:
-        view = self.view
-        for waiter in tuple(self._applied):
-            item = get_database(view, waiter.database)
-            if item is not None and has_applied(item, waiter.token):
-                waiter.answer.callback(True)
-
     def _answer_samples(self) -> None:
-        for waiter in tuple(self._samples):
-            position = self._decider.get_confirmed_sample(waiter.called_at)
-            if position is not None:
-                waiter.answer.callback(position)
+        """Answer those who wait for a sample, or for the proof of a term."""
+        self._waiters.answer_samples(self._decider.get_confirmed_sample)
         self._confirmations.answer(self._decider.confirmed_at)
 
     def _report_view(self) -> None:
@@ -620,11 +595,6 @@
         if was_idle and not self._policy.is_plain:
             self._wake_all()
 
-    def _drop(self, result: object, waiters: list, waiter: object) -> object:
-        """Take a waiter that was answered or cancelled off its list."""
-        waiters.remove(waiter)
-        return result
-
 
 def get_draining(group_settings: GroupSettings) -> frozenset[str]:
     """Return the names of the databases that are to get no new work."""
--- a/beryltrack/groups/waiters.py
+++ b/beryltrack/groups/waiters.py
@@ -1,10 +1,12 @@
 """Those who wait for something that a group's view will show."""
 
+from collections.abc import Callable, Container
 from typing import NamedTuple
 
 from twisted.internet.defer import Deferred
 
 from beryltrack.groups.messages import LogPosition
+from beryltrack.groups.view import GroupView, get_database, has_applied
 
 
 class SampleWaiter(NamedTuple):
@@ -40,6 +42,82 @@
     answer: Deferred
 
 
+class ViewWaiters:
+    """All who wait for something that a group's view will show.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Source of timers.
+    """
+
+    def __init__(self, reactor):
+        self._reactor = reactor
+        self._samples: list[SampleWaiter] = []
+        self._applied: list[AppliedWaiter] = []
+
+    @property
+    def has_samples(self) -> bool:
+        """True if somebody waits for a sample of the primary."""
+        return bool(self._samples)
+
+    def wait_sample(self, called_at: float) -> Deferred:
+        """Return what fires with a position sampled at or after a time."""
+        waiter = SampleWaiter(called_at, Deferred())
+        self._samples.append(waiter)
+        return waiter.answer.addBoth(_drop, self._samples, waiter)
+
+    def wait_applied(
+        self, database: str, token: LogPosition, timeout: float
+    ) -> Deferred:
+        """Return what fires with whether a database shows a token in time."""
+        waiter = AppliedWaiter(
+            database, token, make_answer(self._reactor, timeout, False)
+        )
+        self._applied.append(waiter)
+        return waiter.answer.addBoth(_drop, self._applied, waiter)
+
+    def wants_sample_after(self, sent_at: float) -> bool:
+        """Return whether a request of a time is too old for somebody who waits."""
+        return any(waiter.called_at > sent_at for waiter in self._samples)
+
+    def get_tokens(self, database: str) -> list[LogPosition]:
+        """Return what is waited for at a database."""
+        return [each.token for each in self._applied if each.database == database]
+
+    def answer_applied(self, view: GroupView) -> None:
+        """Answer those whose database shows what they wait for."""
+        for waiter in tuple(self._applied):
+            item = get_database(view, waiter.database)
+            if item is not None and has_applied(item, waiter.token):
+                waiter.answer.callback(True)
+
+    def answer_samples(self, get_sample: Callable[[float], LogPosition | None]) -> None:
+        """Answer those for whose time there is a confirmed sample."""
+        for waiter in tuple(self._samples):
+            position = get_sample(waiter.called_at)
+            if position is not None:
+                waiter.answer.callback(position)
+
+    def keep_databases(self, names: Container[str]) -> None:
+        """Tell those who wait for another database that it will not show it."""
+        for waiter in tuple(self._applied):
+            if waiter.database not in names:
+                waiter.answer.callback(False)
+
+    def stop(self) -> None:
+        """Tell all that they wait in vain."""
+        self.keep_databases(())
+        for waiter in tuple(self._samples):
+            waiter.answer.cancel()
+
+
+def _drop(result: object, waiters: list, waiter: object) -> object:
+    """Take a waiter that was answered or cancelled off its list."""
+    waiters.remove(waiter)
+    return result
+
+
 def make_answer(reactor, timeout: float, otherwise: object) -> Deferred:
     """Return a Deferred that fires with `otherwise` unless it fires before.
 
