--- a/tests/events/test_log.py
+++ b/tests/events/test_log.py
@@ -161,3 +161,14 @@
     assert tester.execute(f"r-99 --logs {file}") == 0
     output = tester.io.fetch_output()
     assert "not_run (no primary), like 39 others within a second" in output
+
+
+def test_a_transaction_is_found_by_the_identifier_that_opened_it():
+    # Callers report a failed transaction by its first request. Of ten failed requests
+    # two had no line, as that of the statement that failed names only itself:
+    #     rolled_back (the connection to the target was lost) after 707.7 ms, kind write
+    log, lines, _ = make_log()
+    event = make_event("r-7")
+    record(log, event._replace(opened_by="r-5"))
+    found = explain_request("r-5", read_lines(lines))
+    assert found.deciding["request"] == "r-7"
