Name the request that opened a transaction in the lines of its statements

Cause: callers know a failed transaction by its first request; the line of the statement that failed named only itself. Change: a session remembers which request began outside of a transaction; each line inside names it, lines that many share carry both identifiers, and explain looks for either.

--- a/beryltrack/events/explain.py
+++ b/beryltrack/events/explain.py
@@ -65,8 +65,9 @@
 
 
 def _tells_of(line: dict, request: str) -> bool:
-    """Return whether a line tells of a request, alone or among others."""
-    return line.get("request") == request or request in line.get("requests", ())
+    """Return whether a line tells of a request, of its transaction, or of many."""
+    own = (line.get("request"), line.get("opened_by"))
+    return request in own or request in line.get("requests", ())
 
 
 def format_line(line: dict) -> str:
--- a/beryltrack/events/messages.py
+++ b/beryltrack/events/messages.py
@@ -60,6 +60,9 @@
         How many it may have.
     way : str
         The owner that lent the connection; empty if it is this instance's own.
+    opened_by : str
+        Identifier of the request that opened its transaction; empty if it opened one
+        itself, or ran outside of one.
     """
 
     request: str
@@ -77,6 +80,7 @@
     pool_busy: int = 0
     pool_limit: int = 0
     way: str = ""
+    opened_by: str = ""
 
 
 class RequestEvents(Protocol):
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -55,6 +55,8 @@
         By which it was taken on.
     settings_version : int
         Version of the settings by which it was planned.
+    opened_by : str
+        Identifier of the request that opened its transaction; its own outside of one.
     """
 
     services: RequestServices
@@ -64,6 +66,7 @@
     arrived_at: float
     ticket: Ticket
     settings_version: int = 0
+    opened_by: str = ""
 
     @property
     def policy(self) -> RequestPolicy:
@@ -159,16 +162,20 @@
 ) -> None:
     """Log a decision about a request, with what it rested on."""
     services, view = context.services, context.runtime.view
+    request_id = context.plan.request_id
+    # Callers know a transaction by the request that opened it.
+    opened_by = context.opened_by if context.opened_by != request_id else ""
     if not services.events.wants(step):
         shared = SharedDecision(step, reason, view.term, view.primary)
-        services.events.note(context.plan.request_id, shared)
+        for each in filter(None, (request_id, opened_by)):
+            services.events.note(each, shared)
         return
     now = services.seconds()
     confirmed_at = view.confirmed_at
     pool = context.runtime.pools.get(view.primary)
     load = pool.load if pool is not None else None
     event = RequestEvent(
-        context.plan.request_id,
+        request_id,
         context.caller.database,
         context.plan.kind.value,
         step,
@@ -183,6 +190,7 @@
         load.in_use if load else 0,
         load.limit if load else 0,
         way,
+        opened_by,
     )
     services.events.record(event)
 
--- a/beryltrack/requests/session.py
+++ b/beryltrack/requests/session.py
@@ -59,6 +59,9 @@
         True if the open transaction may have changed data.
     written_at : float
         When the session's last commit was confirmed, by the node's clock.
+    opened_by : str
+        Identifier of the last request that began outside of a transaction; it opened
+        the one that is open.
     """
 
     token: SessionToken = UNKNOWN_TOKEN
@@ -67,6 +70,7 @@
     has_changed_settings: bool = False
     has_written: bool = False
     written_at: float = -math.inf
+    opened_by: str = ""
 
     def get_known_position(self, group: str) -> LogPosition | None:
         """Return what the session has written in a group, None if unknown."""
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -145,8 +145,17 @@
         ticket = admitted.value_or(Ticket(UNCOUNTED, services.admission))
         caller.set_gone(lambda: ticket.put_out(GONE))
         version = self._get_settings().revision
+        if session.pinned is None:
+            session.opened_by = plan.request_id
         context = RequestContext(
-            services, runtime, caller, plan, arrived_at, ticket, version
+            services,
+            runtime,
+            caller,
+            plan,
+            arrived_at,
+            ticket,
+            version,
+            session.opened_by,
         )
         try:
             if may_forward and self._is_for_others(context):
