--- /dev/null
+++ b/beryltrack_bench/experiments/ablate.py
@@ -0,0 +1,180 @@
+"""What each mechanism of waiting, rejecting and repeating is worth under overload.
+
+The real pools, admission and retry budgets of `overload` run with the figures of an
+instance on the users' platform, once with all mechanisms and once without each, over
+several seeds. Callers have patience of two lengths, so that the order in which they
+wait shows. Mechanisms of routing and of changes of primary are not exercised here.
+"""
+
+from collections.abc import Callable
+from functools import partial
+from statistics import mean
+from typing import NamedTuple
+
+from beryltrack.daemon.node_policies import NodePolicies, make_policies
+from beryltrack.settings.mechanisms import Mechanism
+from beryltrack_bench.deployment import Deployment
+from beryltrack_bench.experiments.overload import (
+    RunResult,
+    count_violations,
+    run_scenario,
+)
+from beryltrack_bench.options import Options
+from beryltrack_bench.overload.load import Offer, get_seconds
+from beryltrack_bench.overload.proxy import Outcome
+from beryltrack_bench.overload.site import SiteOptions
+from beryltrack_bench.overload.workload import compute_capacity
+
+ALL_ON = "all"
+DEFAULT_RUNS = 1
+MEASURED = 2.0
+"""Seconds of callers in each run, twice their longest patience: what a queue holds at
+the end weighs less."""
+PATIENCE = (0.3, 1.0)
+"""Seconds that callers wait at the most, half of them each."""
+
+MECHANISMS = (
+    Mechanism.DEADLINE_ORDER,
+    Mechanism.EARLY_REFUSAL,
+    Mechanism.FEW_CONNECTIONS,
+    Mechanism.LONG_QUEUE,
+    Mechanism.RETRIES,
+    Mechanism.RETRY_BUDGET,
+)
+
+
+class Load(NamedTuple):
+    """A load pattern.
+
+    Parameters
+    ----------
+    times : float
+        Times what the connections carry.
+    storming : bool
+        True if callers try again at once after each refusal.
+    outage : bool
+        True if all databases were away just before, and all callers return.
+    """
+
+    times: float
+    storming: bool = False
+    outage: bool = False
+
+
+LOADS = {
+    "0.8 times what is carried": Load(0.8),
+    "2 times": Load(2.0),
+    "5 times": Load(5.0),
+    "2 times, refused callers return at once": Load(2.0, storming=True),
+    "all return after an outage": Load(1.0, storming=True, outage=True),
+}
+
+
+class Worth(NamedTuple):
+    """What one run came to.
+
+    Parameters
+    ----------
+    goodput : float
+        Requests done in time, of those offered.
+    p99 : float
+        99th percentile of the time that a request that was done took, seconds.
+    late : int
+        Requests that were done after their deadline.
+    refused : float
+        Requests that were refused, of those offered.
+    violations : int
+        Refusals that were not true, and connections beyond a limit.
+    """
+
+    goodput: float
+    p99: float
+    late: int
+    refused: float
+    violations: int
+
+
+def run(deployment: Deployment, seed: int, options: Options) -> dict:
+    """Run all loads with all mechanisms and without each.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The sizes.
+    seed : int
+        The first seed.
+    options : Options
+        `runs` is the number of seeds, `seconds` the measured time of each run.
+
+    Returns
+    -------
+    dict
+        For each load and each mechanism that is off the means, and the spread of the
+        goodput.
+    """
+    seeds = range(seed, seed + (options.runs or DEFAULT_RUNS))
+    seconds = options.seconds or MEASURED
+    cases = {ALL_ON: frozenset()}
+    cases.update((each.value, frozenset({each})) for each in MECHANISMS)
+    rows = {
+        load: {
+            name: [
+                measure(deployment, number, pattern, make_policies(True, off), seconds)
+                for number in seeds
+            ]
+            for name, off in cases.items()
+        }
+        for load, pattern in LOADS.items()
+    }
+    every = (worth for row in rows.values() for runs in row.values() for worth in runs)
+    return {
+        "loads": {
+            load: {name: summarize(runs) for name, runs in row.items()}
+            for load, row in rows.items()
+        },
+        "violations": sum(worth.violations for worth in every),
+    }
+
+
+def measure(
+    deployment: Deployment,
+    seed: int,
+    load: Load,
+    policies: NodePolicies,
+    seconds: float,
+) -> Worth:
+    """Return what one run came to."""
+    rate = load.times * compute_capacity(deployment)
+    offer = Offer("a", rate, load.storming, patience=PATIENCE)
+    options = SiteOptions(pool=policies.pools, retries=policies.retries)
+    result = run_scenario(deployment, seed, [offer], seconds, options, load.outage)
+    return compute_worth(result)
+
+
+def compute_worth(result: RunResult) -> Worth:
+    """Return the figures of a run."""
+    tally = result.tally
+    offered = max(tally.offered, 1)
+    return Worth(
+        sum(tally.done.values()) / offered,
+        get_seconds(tally.latency, 99.0),
+        tally.late,
+        tally.ended[Outcome.REFUSED] / offered,
+        count_violations(result),
+    )
+
+
+def summarize(runs: list[Worth]) -> dict:
+    """Return the printed figures of the runs of one case."""
+    take: Callable[[str], list[float]] = partial(_take, runs)
+    return {
+        "goodput": round(mean(take("goodput")), 4),
+        "goodput_spread": round(max(take("goodput")) - min(take("goodput")), 4),
+        "p99_s": round(mean(take("p99")), 4),
+        "late": sum(take("late")),
+        "refused": round(mean(take("refused")), 4),
+    }
+
+
+def _take(runs: list[Worth], name: str) -> list[float]:
+    return [getattr(each, name) for each in runs]
--- a/beryltrack_bench/overload/load.py
+++ b/beryltrack_bench/overload/load.py
@@ -30,12 +30,15 @@
         True if callers try again at once after each refusal.
     weights : tuple of float
         Relative share of each proxy; empty for equal shares.
+    patience : tuple of float
+        Seconds that callers wait at the most, drawn for each request.
     """
 
     team: str
     rate: float
     storming: bool = False
     weights: tuple[float, ...] = ()
+    patience: tuple[float, ...] = (PATIENCE,)
 
 
 def make_histogram() -> HdrHistogram:
@@ -157,7 +160,10 @@
         now = self._site.clock.seconds()
         self._numbers += 1
         statements = draw_statements(self._rng)
-        request = Request(self._numbers, team, statements, now, now + PATIENCE, attempt)
+        patience = self._offers[team].patience
+        # One length draws no number, so that runs without a choice stay the same.
+        wait = self._rng.choice(patience) if len(patience) > 1 else patience[0]
+        request = Request(self._numbers, team, statements, now, now + wait, attempt)
         if self._tally.start <= now < self._tally.end:
             self._tally.offered += 1
         self._choose_proxy(self._offers[team]).handle(request)
--- a/beryltrack_bench/overload/proxy.py
+++ b/beryltrack_bench/overload/proxy.py
@@ -57,6 +57,8 @@
         Most requests that it holds at once.
     tell : callable
         Called with the `Ended` of each request.
+    retries : RetryPolicy
+        When a refused request is tried again.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         rng: random.Random,
         most_requests: int,
         tell: Callable[[Ended], None],
+        retries: RetryPolicy,
     ):
         self.request_count = 0
         self.retry_count = 0
@@ -77,7 +80,7 @@
         self._tell = tell
         policy = AdmissionPolicy(most_requests=most_requests)
         self._admission = AdmissionDecider(policy, UNWEIGHTED)
-        self._retries = RetryBudget(RetryPolicy(), rng)
+        self._retries = RetryBudget(retries, rng)
         self._acquiring: dict[int, Deferred] = {}
         self._put_out: dict[int, float] = {}
 
--- a/beryltrack_bench/overload/site.py
+++ b/beryltrack_bench/overload/site.py
@@ -18,6 +18,7 @@
 from beryltrack.connections.budget_task import BudgetTask
 from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.connections.task import PoolTask
+from beryltrack.requests.retry import RetryPolicy
 from beryltrack.settings.messages import DatabaseSettings, Endpoint
 from beryltrack_bench.deployment import Deployment
 from beryltrack_bench.overload.clock import SortedClock
@@ -43,12 +44,15 @@
         Of all pools.
     budget : BudgetPolicy
         Of all budgets.
+    retries : RetryPolicy
+        Of all proxies.
     """
 
     teams: tuple[str, ...] = ("a",)
     most_requests: int = 1024
     pool: PoolPolicy = PoolPolicy()
     budget: BudgetPolicy = BudgetPolicy()
+    retries: RetryPolicy = RetryPolicy()
 
 
 class _Store:
@@ -179,7 +183,9 @@
             for team, group in self.databases.items()
         }
         gap = 2 * deployment.client_delay
-        return OverloadProxy(self.clock, pools, gap, rng, options.most_requests, tell)
+        return OverloadProxy(
+            self.clock, pools, gap, rng, options.most_requests, tell, options.retries
+        )
 
     def _make_pool(
         self,
