--- /dev/null
+++ b/tests/daemon/test_node_process.py
@@ -0,0 +1,31 @@
+"""What the process of an instance learns from its environment."""
+
+import json
+
+import pytest
+
+from beryltrack.daemon.node_process import EXIT_FINDINGS, _read_settings, main
+from beryltrack.platform.boot import PATH_VARIABLE
+from beryltrack.settings.mechanisms import DISABLED_VARIABLE, Mechanism
+from tests.platform.test_settings import BOOT
+
+
+@pytest.fixture
+def environment(tmp_path, monkeypatch):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(BOOT))
+    monkeypatch.setenv(PATH_VARIABLE, str(path))
+    monkeypatch.delenv(DISABLED_VARIABLE, raising=False)
+    return monkeypatch
+
+
+def test_the_settings_name_what_is_switched_off(environment):
+    environment.setenv(DISABLED_VARIABLE, "detours")
+    settings, findings = _read_settings()
+    assert settings.disabled == {Mechanism.DETOURS} and findings == []
+
+
+def test_an_unknown_mechanism_keeps_the_process_from_starting(environment, capsys):
+    environment.setenv(DISABLED_VARIABLE, "magic")
+    assert main() == EXIT_FINDINGS
+    assert "magic" in capsys.readouterr().err
