--- /dev/null
+++ b/tests/daemon/test_group_connections.py
@@ -0,0 +1,97 @@
+"""How pools share a database's connections, by the members that are known."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from beryltrack.daemon import node_options as options
+from beryltrack.daemon.group_connections import GroupConnections
+from beryltrack.daemon.node_policies import make_policies
+from beryltrack.relay.directory import RelayDirectory
+from beryltrack.relay.owners import Peer
+from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
+
+DATABASE = DatabaseSettings("a", Endpoint("10.0.0.1", 80), "z", 20, 3, False)
+GROUP = GroupSettings("orders", "", (DATABASE,), "", "", 0.0, 0.5)
+
+
+class Pool:
+    """Keeps what it was told."""
+
+    limit = policy = None
+
+    def set_policy(self, policy):
+        self.policy = policy
+
+    def set_limit(self, limit):
+        self.limit = limit
+
+    def retire(self, is_stale):
+        self.is_stale = is_stale
+
+    def retire_stale(self):
+        pass
+
+
+class Site:
+    """One instance's share of one group."""
+
+    def __init__(self):
+        self.told = []
+        self.pool = Pool()
+        task = SimpleNamespace(
+            set_nodes=lambda *words: self.told.append(words),
+            renew_ways=lambda ways: self.told.append(ways),
+        )
+        self.runtime = SimpleNamespace(
+            settings=GROUP,
+            pools={"a": self.pool},
+            task=task,
+            ensure_started=lambda: None,
+        )
+        groups = SimpleNamespace(runtimes=[self.runtime], get=lambda name: self.runtime)
+        self.directory = RelayDirectory(make_peer(1), lambda: 0.0, 8)
+        self.policies = make_policies(True)
+        self.connections = GroupConnections(
+            "front-1", self.directory, groups, self.policies
+        )
+
+
+def make_peer(number):
+    return Peer(f"front-{number}", "z", Endpoint(f"10.0.1.{number}", 7441))
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+def test_members_share_the_connections_of_a_database(site):
+    site.connections.set_members(tuple(make_peer(each) for each in (1, 2)))
+    site.connections.share()
+    # Two of the twenty are reserved.
+    assert site.pool.limit == 9 and site.pool.policy == site.policies.pools
+
+
+def test_a_database_that_is_out_of_reach_has_sessions_at_others(site):
+    site.connections.set_members((make_peer(1), make_peer(2)))
+    site.directory.block("a")
+    site.connections.share()
+    assert site.pool.limit == options.RELAY_STREAMS
+    assert site.pool.policy == site.policies.relayed_pools
+    assert site.pool.is_stale(SimpleNamespace(way=""))
+    assert site.connections.get_lender("orders", "a") is None
+
+
+def test_before_the_members_are_known_an_instance_is_no_candidate(site):
+    site.connections.start_group(site.runtime)
+    assert site.told == [(("front-1",), False)] and not site.connections.has_members
+    site.connections.set_members((make_peer(1),))
+    assert site.connections.has_members and site.told[1] == (("front-1",), True)
+
+
+def test_an_owner_lends_its_pool(site):
+    site.connections.set_members((make_peer(1),))
+    lender = site.connections.get_lender("orders", "a")
+    assert lender.pool is site.pool and lender.task is site.runtime.task
+    assert site.connections.get_lender("orders", "b") is None
