--- a/beryltrack_bench/experiments/ablate.py
+++ b/beryltrack_bench/experiments/ablate.py
@@ -6,8 +6,6 @@
 wait shows. Mechanisms of routing and of changes of primary are not exercised here.
 """
 
-from collections.abc import Callable
-from functools import partial
 from statistics import mean
 from typing import NamedTuple
 
@@ -166,15 +164,11 @@
 
 def summarize(runs: list[Worth]) -> dict:
     """Return the printed figures of the runs of one case."""
-    take: Callable[[str], list[float]] = partial(_take, runs)
+    goodputs = [each.goodput for each in runs]
     return {
-        "goodput": round(mean(take("goodput")), 4),
-        "goodput_spread": round(max(take("goodput")) - min(take("goodput")), 4),
-        "p99_s": round(mean(take("p99")), 4),
-        "late": sum(take("late")),
-        "refused": round(mean(take("refused")), 4),
+        "goodput": round(mean(goodputs), 4),
+        "goodput_spread": round(max(goodputs) - min(goodputs), 4),
+        "p99_s": round(mean(each.p99 for each in runs), 4),
+        "late": sum(each.late for each in runs),
+        "refused": round(mean(each.refused for each in runs), 4),
     }
-
-
-def _take(runs: list[Worth], name: str) -> list[float]:
-    return [getattr(each, name) for each in runs]
