Test that an unreadable object of the store costs itself alone: tests that fail

Cause: read_entry raises AttributeError on an address that is no text, which ends the taking in of all databases; fields of other types, a state that is not known and names that no database has are taken as a database to use; one object of a page that cannot be decoded (wrong types, bytes that are no UTF-8, nesting of 50,000, numbers of 5,000 digits) makes the whole list fail; another instance's copy is taken unchecked. Ruled out: the configuration as a whole and objects of instances are left out already.

--- /dev/null
+++ b/tests/platform/test_unreadable_objects.py
@@ -0,0 +1,210 @@
+"""Objects of the store that another writer may have left cost themselves alone."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Success
+from twisted.internet.defer import Deferred
+
+from beryltrack.daemon.members import read_peer
+from beryltrack.objects.http import HttpAnswer
+from beryltrack.objects.messages import PlatformObject
+from beryltrack.objects.snapshot import decode_snapshot, encode_snapshot
+from beryltrack.platform.settings import read_configuration, read_entry
+from beryltrack.platform.store import PlatformStore
+from tests.platform.test_settings import CONFIG, make_item
+
+ENTRY = {
+    "service": "huvo",
+    "address": "10.1.0.9:80",
+    "zone": "z",
+    "config_version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "database_role": "replica",
+    "sequence": 4,
+}
+MEMBER = {"host": "10.1.0.9", "port": 7440, "relay": 7441, "zone": "z"}
+DEEP = 50_000
+
+BAD_FIELDS = [
+    ("address", 7),
+    ("address", None),
+    ("address", "10.1.0.9"),
+    ("address", "10.1.0.9:70000"),
+    ("address", "10.1.0.9:0"),
+    ("address", "10.1.0.9:8x"),
+    ("address", "db.example:80"),
+    ("zone", 5),
+    ("zone", None),
+    ("service", ["huvo"]),
+    ("service", 3),
+    ("service", ""),
+    ("service", "hu vo"),
+    ("service", "huvo\r\nQUERY"),
+    ("slots", True),
+    ("slots", -1),
+    ("slots", 0),
+    ("slots", "3"),
+    ("slots", 3.0),
+    ("state", "hibernating"),
+    ("state", None),
+    ("state", ["ready"]),
+    ("config_version", 1),
+    ("cold_remaining_ms", "0"),
+    ("sequence", "4"),
+    ("sequence", None),
+    ("database_role", "witness"),
+    ("born", "1764728000000"),
+    ("born", 1764728000000.0),
+    ("born", None),
+    ("born", True),
+    ("born", -1),
+]
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+@pytest.mark.parametrize(("field", "value"), BAD_FIELDS)
+def test_an_entry_with_a_field_of_another_kind_names_no_database(field, value):
+    found, findings = read_entry(make_item(ENTRY | {field: value}, "servers/i-1"))
+    assert found is None and findings
+    assert findings[0].source == "servers/i-1" and field in findings[0].place
+
+
+@pytest.mark.parametrize("field", sorted(ENTRY.keys() - {"database_role"}))
+def test_an_entry_that_lacks_a_field_names_no_database(field):
+    value = {name: each for name, each in ENTRY.items() if name != field}
+    found, findings = read_entry(make_item(value, "servers/i-1"))
+    assert found is None and field in findings[0].place
+
+
+@pytest.mark.parametrize("value", [None, [], "text", 7, {}])
+def test_what_is_no_entry_names_no_database(value):
+    found, findings = read_entry(make_item(value, "servers/i-1"))
+    assert found is None and findings
+
+
+@pytest.mark.parametrize("name", ["", "i 1", "i-1\r\n", "i-é", "\ud800"])
+def test_an_entry_under_a_name_that_no_database_has_is_left_out(name):
+    found, findings = read_entry(make_item(ENTRY, f"servers/{name}"))
+    assert found is None and findings
+
+
+def test_fields_that_are_not_known_do_no_harm():
+    found, findings = read_entry(make_item(ENTRY | {"other": [1]}, "servers/i-1"))
+    assert found is not None and findings == []
+
+
+@given(JSON_VALUES, st.sampled_from(sorted(ENTRY)))
+def test_any_value_of_any_field_is_read_or_is_a_finding(value, field):
+    found, findings = read_entry(make_item(ENTRY | {field: value}, "servers/i-1"))
+    assert (found is None) == bool(findings)
+
+
+@given(JSON_VALUES)
+def test_any_object_is_read_or_is_a_finding(value):
+    for path, read in (
+        ("servers/i-1", read_entry),
+        ("config/main", read_configuration),
+    ):
+        found, findings = read(make_item(value, path))
+        assert found is not None or findings
+
+
+@given(JSON_VALUES, st.sampled_from(sorted(MEMBER)))
+def test_any_object_of_an_instance_is_read_or_left_out(value, field):
+    item = make_item(MEMBER | {field: value}, "members/front-1")
+    peer = read_peer(item)
+    assert peer is None or peer.relay.port in range(1, 65536)
+
+
+def test_a_route_that_cannot_be_read_costs_itself_alone():
+    bad = CONFIG["routes"][0] | {"kind": "eventual"}
+    value = CONFIG | {"routes": [bad, CONFIG["routes"][1], 7]}
+    found, findings = read_configuration(make_item(value))
+    assert [route.name for route in found.routes] == ["fiti"]
+    assert len(findings) == 2
+
+
+class RawHttp:
+    """Gives one answer as bytes."""
+
+    timeout = 2.0
+
+    def __init__(self, body):
+        self.body = body
+
+    async def repeat(self, method, url, body, repeatable):
+        return Success(HttpAnswer(200, self.body))
+
+    async def attempt(self, method, url, body, timeout=None, headers=None):
+        return Success(HttpAnswer(200, self.body))
+
+
+def make_object(name, spec):
+    return {"meta": {"name": name, "revision": 3}, "spec": spec}
+
+
+def list_objects(body):
+    store = PlatformStore(RawHttp(body))
+    result = Deferred.fromCoroutine(store.list("servers")).result
+    return [item.path for item in result.unwrap().objects if item.value is not None]
+
+
+BAD_OBJECTS = [
+    b"7",
+    b"null",
+    b"{}",
+    b'{"meta": null, "spec": {}}',
+    b'{"meta": {"name": 7, "revision": 3}, "spec": {}}',
+    b'{"meta": {"name": "x"}, "spec": null}',
+    b'{"meta": {"name": "x", "revision": "y"}, "spec": null}',
+    b'{"meta": {"name": "x", "revision": 1e999}, "spec": null}',
+    b'{"meta": {"name": "x", "revision": %s}, "spec": null}' % (b"7" * 5000),
+    b'{"meta": {"name": "x", "revision": 3}, "spec": null, "y": "\xff\xfe"}',
+    b'{"meta": {"name": "x", "revision": 3}, "spec": null, "y": "\\ud800"}',
+    b'{"meta": {"name": "x", "revision": 3}, "spec": null, "y": %s}'
+    % (b"[" * DEEP + b"]" * DEEP),
+]
+
+
+@pytest.mark.parametrize("bad", BAD_OBJECTS, ids=range(len(BAD_OBJECTS)))
+def test_an_object_that_cannot_be_decoded_takes_no_other_one_away(bad):
+    good = json.dumps(make_object("i-1", ENTRY)).encode()
+    last = json.dumps(make_object("i-2", ENTRY)).encode()
+    body = b'{"items": [%s, %s, %s], "has_more": false, "current_rev": 9}'
+    assert list_objects(body % (good, bad, last)) == ["servers/i-1", "servers/i-2"]
+
+
+@pytest.mark.parametrize("bad", BAD_OBJECTS, ids=range(len(BAD_OBJECTS)))
+def test_a_change_that_cannot_be_decoded_takes_no_other_one_away(bad):
+    good = json.dumps({"object": make_object("i-1", ENTRY), "removed": False}).encode()
+    body = b'{"events": [{"object": %s, "removed": false}, %s], "current_rev": 9}'
+    store = PlatformStore(RawHttp(body % (bad, good)))
+    found = Deferred.fromCoroutine(store.watch("servers", 3, 1.0)).result.unwrap()
+    assert found.revision == 9
+    paths = [item.path for item in found.objects if item.value is not None]
+    assert paths == ["servers/i-1"]
+
+
+@pytest.mark.parametrize(
+    "fields", [(7, 1, {}, False), ("servers/i-2", "x", {}, False), ("a",), ()]
+)
+def test_an_object_of_another_instances_copy_costs_itself_alone(fields):
+    good = PlatformObject("servers/i-1", 3, ENTRY, False)
+    copies = {"servers": {"servers/i-1": good, "x": fields}}
+    found = decode_snapshot(encode_snapshot(copies))
+    assert list(found["servers"]) == ["servers/i-1"]
+
+
+@given(st.binary(max_size=200))
+def test_a_copy_of_any_bytes_is_read_or_left_out(data):
+    assert decode_snapshot(data) is None or isinstance(decode_snapshot(data), dict)
