Read objects of the store one by one, field by field

Cause: entries of databases, the configuration's rows, objects of instances and copies of other instances were taken as they came; one wrong type ended the taking in of all. Ruled out: the JSON schema library, which the platform's process does not load (start-up time and memory are paid for). A database is named by its identifier and the time of its start (settings/incarnations.py); one that starts again replaces the member before at once.

--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -18,8 +18,17 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from beryltrack.failover.hints import ObjectClient
+from beryltrack.findings import Finding
 from beryltrack.objects.feed import FeedTask, ObjectFeed
+from beryltrack.objects.fields import (
+    Field,
+    parse_ip,
+    parse_name,
+    parse_port,
+    read_fields,
+)
 from beryltrack.objects.messages import PlatformObject
+from beryltrack.objects.rejects import RejectLog
 from beryltrack.relay.owners import Peer
 from beryltrack.settings.messages import Endpoint
 
@@ -49,6 +58,14 @@
 """Seconds between two attempts to register."""
 
 
+_FIELDS = (
+    Field("host", parse_ip),
+    Field("port", parse_port),
+    Field("relay", parse_port),
+    Field("zone", parse_name),
+)
+
+
 class MemberPort(Factory):
     """Takes the connections by which other instances look at this one."""
 
@@ -83,6 +100,8 @@
     first_look : float
         Seconds after which the others are looked for; above zero where the whole
         system starts for the first time.
+    rejects : RejectLog, optional
+        Takes what is wrong with the objects of others.
     """
 
     def __init__(
@@ -95,7 +114,9 @@
         callback: Callable[[tuple[Peer, ...]], None],
         rng: random.Random,
         first_look: float = WATCH_GAP,
+        rejects: RejectLog | None = None,
     ):
+        self._rejects = rejects or RejectLog()
         self._reactor = reactor
         self._store = store
         self._own = own
@@ -108,6 +129,7 @@
             reactor, listing, KIND, self._take, rng, WATCH_WAIT, WATCH_GAP
         )
         self._objects: dict[str, PlatformObject] = {}
+        self._looks: dict[str, Endpoint] = {}
         self._misses: dict[str, int] = {}
         self._is_leaving = False
         self._is_registering = False
@@ -148,14 +170,18 @@
     def _take(self, objects: dict[str, PlatformObject]) -> None:
         """Take in which instances there are."""
         self._objects = {path.partition("/")[2]: each for path, each in objects.items()}
+        # An object that no instance has written is in nobody's place in the ring.
+        looks = {name: _read_look(item) for name, item in self._objects.items()}
+        self._looks = {name: look for name, look in looks.items() if look is not None}
         if self._name not in self._objects:
             self._register()
         self._callback(self._make_peers(objects))
 
     def _make_peers(self, objects: Mapping[str, PlatformObject]) -> tuple[Peer, ...]:
         """Return all instances, this one among them."""
-        peers = map(read_peer, objects.values())
-        others = (peer for peer in peers if peer and peer.name != self._name)
+        pairs = [read_peer(item) for item in objects.values()]
+        self._rejects.report(finding for _, found in pairs for finding in found)
+        others = (peer for peer, _ in pairs if peer and peer.name != self._name)
         return tuple(sorted((self._own, *others)))
 
     def _register(self) -> None:
@@ -194,12 +220,12 @@
 
     def _check(self) -> None:
         """Look at the next instance in the order of names."""
-        name = get_next(tuple(self._objects), self._name)
-        value = self._objects[name].value if name is not None else None
-        if not isinstance(value, dict) or not value.get("host"):
+        name = get_next(tuple(self._looks), self._name)
+        if name is None:
             return
+        look = self._looks[name]
         endpoint = TCP4ClientEndpoint(
-            self._reactor, value["host"], int(value["port"]), timeout=CHECK_TIMEOUT
+            self._reactor, look.host, look.port, timeout=CHECK_TIMEOUT
         )
         connecting = connectProtocol(endpoint, Protocol())
         connecting.addCallbacks(
@@ -226,15 +252,28 @@
             await self._store.delete(f"{KIND}/{name}", found.unwrap().version)
 
 
-def read_peer(item: PlatformObject) -> Peer | None:
-    """Return the instance that an object stands for, None if it is malformed."""
-    name = item.path.partition("/")[2]
+def read_peer(item: PlatformObject) -> tuple[Peer | None, list[Finding]]:
+    """Return the instance that an object stands for, and what is wrong with it.
+
+    Returns
+    -------
+    tuple
+        The instance, None if the object cannot be read, and the findings.
+    """
+    fields, findings = read_fields(item.path, "", item.value, _FIELDS)
     try:
-        relay = Endpoint(str(item.value["host"]), int(item.value["relay"]))
-        return Peer(name, str(item.value["zone"]), relay)
-    except (KeyError, TypeError, ValueError) as error:
-        log.warning("members: The object of %s is malformed: %r.", name, error)
-        return None
+        name = parse_name(item.path.partition("/")[2])
+    except ValueError as error:
+        findings.append(Finding(item.path, "", f"the name of the instance {error}"))
+    if findings:
+        return None, findings
+    return Peer(name, fields["zone"], Endpoint(fields["host"], fields["relay"])), []
+
+
+def _read_look(item: PlatformObject) -> Endpoint | None:
+    """Return where an instance takes the looks of others, None if that is not told."""
+    fields, findings = read_fields(item.path, "", item.value, _FIELDS)
+    return None if findings else Endpoint(fields["host"], fields["port"])
 
 
 def get_next(names: tuple[str, ...], own: str) -> str | None:
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -25,10 +25,10 @@
 from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
 from beryltrack.daemon.store_clients import make_store_clients
 from beryltrack.events.log import EventLog
-from beryltrack.findings import format_finding
 from beryltrack.metrics.plain import Gauge, PlainMetrics
 from beryltrack.objects.feed import FeedTask, compute_wait
 from beryltrack.objects.messages import PlatformObject
+from beryltrack.objects.rejects import RejectLog
 from beryltrack.objects.snapshot import Snapshot, SnapshotPort, SnapshotTask
 from beryltrack.platform.boot import READY_PATH
 from beryltrack.platform.caller import LineCallerFactory
@@ -135,7 +135,8 @@
         self._reactor = reactor
         self._rng = rng
         self._seconds = get_seconds(reactor)
-        clients = make_store_clients(reactor, settings, rng)
+        self._rejects = RejectLog()
+        clients = make_store_clients(reactor, settings, rng, self._rejects)
         own = Peer(settings.name, settings.zone, settings.relay_listen)
         directory = RelayDirectory(own, self._seconds, options.FIRST_INSTANCES)
         self._policies = make_policies(settings.is_fenced, settings.disabled)
@@ -221,6 +222,7 @@
             rng,
             # All instances of a fleet that starts have registered by then.
             WATCH_GAP if settings.is_first_start else 0.0,
+            self._rejects,
         )
         self._snapshots = SnapshotTask(
             reactor, settings.snapshot_sources, self._take_snapshot, rng
@@ -332,8 +334,7 @@
         if item is None:
             return
         configuration, findings = read_configuration(item)
-        for finding in findings:
-            log.error("settings: Finding: %s", format_finding(finding))
+        self._rejects.report(findings)
         known = self._configuration
         if configuration is None or (known and configuration.version <= known.version):
             return
@@ -344,8 +345,7 @@
     def _take_databases(self, objects: dict[str, PlatformObject]) -> None:
         """Take in which databases there are."""
         pairs = [read_entry(item) for item in objects.values()]
-        for finding in (finding for _, findings in pairs for finding in findings):
-            log.error("settings: Finding: %s", format_finding(finding))
+        self._rejects.report(finding for _, findings in pairs for finding in findings)
         entries = tuple(entry for entry, _ in pairs if entry is not None)
         self._roster.observe(entries, self._seconds())
         self._has_roster = True
@@ -413,6 +413,7 @@
         version = self._configuration.version if self._configuration else 0
         yield "beryltrack_settings_version", "", version
         yield "beryltrack_callers", "", len(self._callers.callers)
+        yield "beryltrack_unreadable_objects_total", "", self._rejects.count
         for feed in (*self._feeds, self._members.feed):
             labels = f'kind="{feed.kind}"'
             yield "beryltrack_store_silence_seconds", labels, round(feed.silence, 3)
--- a/beryltrack/daemon/store_clients.py
+++ b/beryltrack/daemon/store_clients.py
@@ -12,6 +12,7 @@
     UnfencedAuthority,
 )
 from beryltrack.objects.http import HttpClient
+from beryltrack.objects.rejects import RejectLog
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.store import PlatformStore
 from beryltrack.settings.messages import Endpoint
@@ -41,7 +42,7 @@
 
 
 def make_store_clients(
-    reactor, settings: NodeSettings, rng: random.Random
+    reactor, settings: NodeSettings, rng: random.Random, rejects: RejectLog
 ) -> StoreClients:
     """Return the clients of one instance.
 
@@ -53,6 +54,8 @@
         Where the services listen, and whether promotions are fenced.
     rng : random.Random
         Source of jitter, and of the name of this process.
+    rejects : RejectLog
+        Takes what is wrong with objects that cannot be decoded.
     """
 
     def make_client(
@@ -64,21 +67,23 @@
         return HttpClient(reactor, url, rng, timeout, connect_timeout=connect_timeout)
 
     http = make_client(settings.store)
-    store = PlatformStore(http)
+    store = PlatformStore(http, rejects)
     if settings.is_fenced:
         promotions = make_client(settings.promotion)
         authority = StoreAuthority(store, settings.name)
     else:
         promotions = make_client(settings.promotion, CONNECT_TIME)
         # A permit that is not written in time is of no use: the next one is tried.
-        permits = PlatformStore(make_client(settings.store, CONNECT_TIME, USABLE_TIME))
+        permits = PlatformStore(
+            make_client(settings.store, CONNECT_TIME, USABLE_TIME), rejects
+        )
         process = f"{rng.getrandbits(64):016x}"
         authority = UnfencedAuthority(
             permits, settings.name, process, get_seconds(reactor)
         )
     return StoreClients(
         store,
-        PlatformStore(http, may_lag=True),
+        PlatformStore(http, rejects, may_lag=True),
         PromotionCalls(promotions, settings.name),
         authority,
     )
--- a/beryltrack/objects/parsing.py
+++ b/beryltrack/objects/parsing.py
@@ -4,8 +4,12 @@
 missing or of another type raises `ValueError`, which the client reports.
 """
 
+import logging
+
 from beryltrack.objects.messages import InstanceEntry, ObjectList, PlatformObject
 
+log = logging.getLogger(__name__)
+
 
 def _get_field(answer: object, name: str, kind: type) -> object:
     """Return one field of a JSON object, or raise `ValueError`."""
@@ -53,7 +57,17 @@
     """
     revision = _get_field(answer, "revision", int)
     objects = _get_field(answer, "objects", list)
-    return ObjectList(revision, tuple(parse_object(item) for item in objects))
+    parsed = (_parse_or_leave_out(item) for item in objects)
+    return ObjectList(revision, tuple(item for item in parsed if item is not None))
+
+
+def _parse_or_leave_out(item: object) -> PlatformObject | None:
+    """Return one object of a list; one that cannot be read costs itself alone."""
+    try:
+        return parse_object(item)
+    except ValueError as error:
+        log.warning("objects: An object of a list is left out: %s.", error)
+        return None
 
 
 def _parse_instance(answer: object) -> InstanceEntry:
--- a/beryltrack/objects/snapshot.py
+++ b/beryltrack/objects/snapshot.py
@@ -32,6 +32,15 @@
 FETCH_LIMIT = 0.5
 """Seconds within which another instance must have given its copy."""
 
+_MALFORMED = (
+    cbor2.CBORError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 Snapshot = Mapping[str, Mapping[str, PlatformObject]]
 
 
@@ -50,18 +59,24 @@
     """Return the objects that a form stands for, None if it cannot be read."""
     try:
         kinds = cbor2.loads(data)
-        objects = {
-            kind: [PlatformObject(*fields) for fields in items]
-            for kind, items in kinds.items()
-        }
         return {
-            kind: {item.path: item for item in items} for kind, items in objects.items()
+            kind: {item.path: item for item in map(_decode_object, items) if item}
+            for kind, items in kinds.items()
         }
-    except (cbor2.CBORError, AttributeError, TypeError, ValueError) as error:
+    except _MALFORMED as error:
         log.warning("objects: A snapshot cannot be read: %r.", error)
         return None
 
 
+def _decode_object(fields: object) -> PlatformObject | None:
+    """Return one object of a snapshot, None if it is malformed."""
+    match fields:
+        case [str() as path, int() as version, value, bool() as deleted]:
+            return PlatformObject(path, version, value, deleted)
+    log.warning("objects: An object of a snapshot is left out: it is malformed.")
+    return None
+
+
 class _Giver(Protocol):
     """Sends the copy and closes."""
 
--- a/beryltrack/platform/boot.py
+++ b/beryltrack/platform/boot.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 
 from beryltrack.findings import Finding
-from beryltrack.platform.settings import parse_endpoint
+from beryltrack.objects.fields import parse_address
 from beryltrack.settings.messages import Endpoint
 from beryltrack.settings.node import CHANGE_LIMIT, DRAIN_LIMIT, NodeSettings
 
@@ -48,20 +48,20 @@
     return NodeSettings(
         fields["node_name"],
         fields["zone"],
-        parse_endpoint(listen["front"]),
-        parse_endpoint(listen["ready"]),
+        parse_address(listen["front"]),
+        parse_address(listen["ready"]),
         Endpoint(fields["ip"], first_port),
         Endpoint(fields["ip"], first_port + 1),
-        parse_endpoint(fields["platform"]["address"]),
-        parse_endpoint(fields["cloud"]["address"]),  # Carries out promotions.
+        parse_address(fields["platform"]["address"]),
+        parse_address(fields["cloud"]["address"]),  # Carries out promotions.
         float(bounds["grace_s"]),
         bool(fields.get("first_start", True)),
         Endpoint(fields["ip"], first_port + 2),
         # A seed is another instance's address for control; its ports are as here.
         tuple(
-            Endpoint(parse_endpoint(seed).host, first_port + 2)
+            Endpoint(parse_address(seed).host, first_port + 2)
             for seed in fields.get("seeds") or ()
-            if parse_endpoint(seed).host != fields["ip"]
+            if parse_address(seed).host != fields["ip"]
         ),
         bool(bounds.get("fencing_enforced", True)),
         float(bounds.get("config_apply_ms", CHANGE_LIMIT * 1000)) / 1000,
--- a/beryltrack/platform/group.py
+++ b/beryltrack/platform/group.py
@@ -19,6 +19,7 @@
 from beryltrack.objects.messages import ErrorKind
 from beryltrack.platform import lines
 from beryltrack.platform.promotion import PromotionCalls
+from beryltrack.settings.incarnations import get_identifier
 from beryltrack.settings.messages import DatabaseSettings, GroupSettings
 from beryltrack.wire.messages import ResponseEnd
 
@@ -128,7 +129,8 @@
         self, database: str, term: int, candidate: str, token: int
     ) -> Result[PromoteReply, ControlFailure]:
         """Have the platform make a database the primary."""
-        called = await self._promotion.promote(self._group, database, token)
+        identifier = get_identifier(database)
+        called = await self._promotion.promote(self._group, identifier, token)
         if not isinstance(called, Success):
             error = called.failure()
             if error.kind is not ErrorKind.CONFLICT:
--- a/beryltrack/platform/settings.py
+++ b/beryltrack/platform/settings.py
@@ -1,9 +1,13 @@
 """The platform's configuration and its list of databases, in the product's words."""
 
 from beryltrack.findings import Finding
+from beryltrack.groups.messages import PRIMARY, REPLICA
+from beryltrack.objects import fields
+from beryltrack.objects.fields import Field, parse_name, parse_number
 from beryltrack.objects.messages import PlatformObject
 from beryltrack.sessions.marks import READS_ANY, READS_PRIMARY
-from beryltrack.settings.messages import Endpoint, RouteSettings
+from beryltrack.settings.incarnations import MARK, make_name
+from beryltrack.settings.messages import RouteSettings
 from beryltrack.settings.roster import GroupLimits, RosterEntry, SiteConfiguration
 
 CONFIG_KIND = "config"
@@ -13,36 +17,72 @@
 # Field names of the wire; those that mislead carry a comment.
 PRIMARY_KIND = "primary"
 OWN_WRITES_KIND = "read_own_writes"
-DRAINING = "draining"
+ROUTE_KINDS = (PRIMARY_KIND, "bounded_staleness", OWN_WRITES_KIND)
+READY, DRAINING = "ready", "draining"
+
+_CONFIGURATION_FIELDS = (
+    Field("config_version", fields.parse_whole_number),
+    Field("routes", fields.parse_list),
+    Field("services", fields.parse_list),
+)
+_LIMIT_FIELDS = (Field("transaction_idle_ms", parse_number, False),)
+_ROUTE_FIELDS = (
+    # The name that callers ask for; a route's own "name" is a label.
+    Field("database_name", parse_name),
+    Field("service", parse_name),  # The group.
+    Field("kind", fields.make_choice(ROUTE_KINDS)),
+    Field("timeout_ms", parse_number),
+    Field("target_latency_ms", parse_number),
+    Field("priority", fields.parse_whole_number),
+    Field("max_staleness_ms", parse_number, False),
+)
+_GROUP_FIELDS = (
+    Field("name", parse_name),
+    Field("connection_limit", fields.parse_positive),
+)
+_ENTRY_FIELDS = (
+    Field("service", parse_name),  # The group.
+    Field("address", fields.parse_address),
+    Field("zone", parse_name),
+    Field("slots", fields.parse_positive),
+    Field("state", fields.make_choice((READY, DRAINING))),
+    # When it started, milliseconds since 1970.
+    Field("born", fields.parse_positive, False),
+    # Not used, but an entry that lacks them is not a database's own.
+    Field("config_version", parse_name),  # The version of the database's software.
+    Field("cold_remaining_ms", parse_number),
+    Field("sequence", fields.parse_whole_number),  # Counts the heartbeats.
+    Field("database_role", fields.make_choice((PRIMARY, REPLICA)), False),
+)
 
 
 def read_configuration(
     item: PlatformObject,
 ) -> tuple[SiteConfiguration | None, list[Finding]]:
-    """Return the configuration that the operators have written.
-
-    Parameters
-    ----------
-    item : PlatformObject
-        The object at `CONFIG_PATH`.
+    """Return the configuration that the operators have written at `CONFIG_PATH`.
 
     Returns
     -------
     tuple
-        The configuration, None if it cannot be read, and what is wrong with it.
+        The configuration, None if it cannot be read, and what is wrong with it. A
+        route or a group that cannot be read is left out.
     """
-    try:
-        value = item.value
-        limits = value.get("limits") or {}
-        configuration = SiteConfiguration(
-            int(value["config_version"]),
-            tuple(map(_read_route, value["routes"])),
-            tuple(map(_read_group, value["services"])),
-            float(limits.get("transaction_idle_ms", 0)) / 1000,
-        )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        return None, [Finding(item.path, "", f"cannot be read: {error!r}")]
-    return configuration, []
+    found, findings = fields.read_fields(
+        item.path, "", item.value, _CONFIGURATION_FIELDS
+    )
+    if findings:
+        return None, findings
+    value = {"limits": {}} | item.value
+    limits, wrong_limits = fields.read_nested(item.path, value, "limits", _LIMIT_FIELDS)
+    routes, wrong_routes = fields.read_rows(item.path, "routes", found, _ROUTE_FIELDS)
+    groups, wrong_groups = fields.read_rows(item.path, "services", found, _GROUP_FIELDS)
+    configuration = SiteConfiguration(
+        found["config_version"],
+        tuple(map(_make_route, routes)),
+        tuple(GroupLimits(row["name"], row["connection_limit"]) for row in groups),
+        limits.get("transaction_idle_ms", 0.0) / 1000,
+    )
+    return configuration, wrong_limits + wrong_routes + wrong_groups
 
 
 def read_entry(item: PlatformObject) -> tuple[RosterEntry | None, list[Finding]]:
@@ -51,52 +91,39 @@
     Returns
     -------
     tuple
-        The entry, None if it cannot be read, and what is wrong with it.
+        The entry, None if it cannot be read, and what is wrong with it. An entry that
+        another program has written names no database to use.
     """
+    found, findings = fields.read_fields(item.path, "", item.value, _ENTRY_FIELDS)
     try:
-        value = item.value
-        entry = RosterEntry(
-            item.path.partition("/")[2],
-            value["service"],
-            parse_endpoint(value["address"]),
-            value["zone"],
-            int(value["slots"]),
-            value["state"] == DRAINING,
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        return None, [Finding(item.path, "", f"cannot be read: {error!r}")]
+        identifier = parse_name(item.path.partition("/")[2])
+        if MARK in identifier:
+            raise ValueError(f"has {MARK}")
+    except ValueError as error:
+        findings.append(Finding(item.path, "", f"the identifier {error}"))
+    if findings:
+        return None, findings
+    entry = RosterEntry(
+        make_name(identifier, found.get("born")),
+        found["service"],
+        found["address"],
+        found["zone"],
+        found["slots"],
+        found["state"] == DRAINING,
+    )
     return entry, []
 
 
-def parse_endpoint(text: str) -> Endpoint:
-    """Return the endpoint of an address as ``HOST:PORT``.
-
-    Raises
-    ------
-    ValueError
-        If there is no port.
-    """
-    host, separator, port = text.rpartition(":")
-    if not separator:
-        raise ValueError(f"address {text!r} has no port")
-    return Endpoint(host, int(port))
-
-
-def _read_route(value: dict) -> RouteSettings:
+def _make_route(row: dict[str, object]) -> RouteSettings:
     """Return one route."""
-    kind = value["kind"]
+    kind = row["kind"]
     return RouteSettings(
-        value["database_name"],  # The name that callers ask for.
-        value["service"],  # The group; a route's own "name" is a label.
+        row["database_name"],
+        row["service"],
         READS_PRIMARY if kind == PRIMARY_KIND else READS_ANY,
-        float(value.get("max_staleness_ms") or 0) / 1000,
+        row.get("max_staleness_ms", 0.0) / 1000,
         kind == OWN_WRITES_KIND,
-        float(value["timeout_ms"]) / 1000,
-        float(value["target_latency_ms"]) / 1000,
-        int(value["priority"]),
+        row["timeout_ms"] / 1000,
+        row["target_latency_ms"] / 1000,
+        row["priority"],
     )
-
-
-def _read_group(value: dict) -> GroupLimits:
-    """Return what the operators say of one group."""
-    return GroupLimits(value["name"], int(value["connection_limit"]))
--- a/beryltrack/platform/store.py
+++ b/beryltrack/platform/store.py
@@ -4,12 +4,14 @@
 value is what the platform calls ``spec``.
 """
 
-import json
 from urllib.parse import quote, urlencode
 
 from returns.result import Result, Success
 from twisted.internet.defer import Deferred
 
+from beryltrack.objects import fields
+from beryltrack.objects.answers import decode_answer
+from beryltrack.objects.fields import Field
 from beryltrack.objects.http import HttpAnswer, HttpClient, fail_call
 from beryltrack.objects.messages import (
     ErrorKind,
@@ -17,6 +19,7 @@
     PlatformError,
     PlatformObject,
 )
+from beryltrack.objects.rejects import RejectLog
 
 ANSWER_TIME = 0.6
 """Seconds after its wait within which a watch is answered: 4 ms, and 0.3 s when the
@@ -25,6 +28,10 @@
 NOT_FOUND = 404
 CONFLICT = 409
 GONE = 410
+_META_FIELDS = (
+    Field("name", fields.parse_text),
+    Field("revision", fields.parse_whole_number),
+)
 _REPEATABLE_READ = frozenset((ErrorKind.REFUSED, ErrorKind.UNKNOWN))
 _REPEATABLE_CHANGE = frozenset((ErrorKind.REFUSED,))
 
@@ -36,12 +43,20 @@
     ----------
     http : HttpClient
         Carries the calls.
+    rejects : RejectLog, optional
+        Takes what is wrong with objects that cannot be decoded.
     may_lag : bool
         True if lists and watches may tell what is seconds old. They cost a tenth.
     """
 
-    def __init__(self, http: HttpClient, may_lag: bool = False):
+    def __init__(
+        self,
+        http: HttpClient,
+        rejects: RejectLog | None = None,
+        may_lag: bool = False,
+    ):
         self._http = http
+        self._rejects = rejects or RejectLog()
         self._options = {"allow_stale": 1} if may_lag else {}
 
     async def get(self, path: str) -> Result[PlatformObject | None, PlatformError]:
@@ -49,7 +64,8 @@
         answer = await self._http.repeat("GET", _get_url(path), None, _REPEATABLE_READ)
         if isinstance(answer, Success) and answer.unwrap().code == NOT_FOUND:
             return Success(None)
-        return answer.bind(lambda each: _read(each, _get_kind(path), _parse_object))
+        kind = path.partition("/")[0]
+        return answer.bind(lambda each: _read(each, kind, self._decode_one))
 
     async def list(self, kind: str) -> Result[ObjectList, PlatformError]:
         """Return all objects of a kind, page by page.
@@ -64,14 +80,16 @@
             place = {"after": after} if after else {}
             url = _get_list_url(kind, self._options | place)
             answer = await self._http.repeat("GET", url, None, _REPEATABLE_READ)
-            page = answer.bind(lambda each: _read(each, kind, _parse_page))
+            page = answer.bind(lambda each: _read(each, kind, self._parse_page))
             if not isinstance(page, Success):
                 return page
             items, at, has_more = page.unwrap()
             revision = at if revision is None else revision
             objects.update((item.path, item) for item in items)
-            if not (has_more and items):
+            if not has_more:
                 return Success(ObjectList(revision, tuple(objects.values())))
+            if not items:
+                return fail_call(ErrorKind.INVALID, "no object of a page has a name")
             after = items[-1].path.partition("/")[2]
 
     async def watch(
@@ -84,7 +102,7 @@
         answer = await self._http.attempt("GET", url, None, limit)
         if isinstance(answer, Success) and answer.unwrap().code == GONE:
             return fail_call(ErrorKind.EXPIRED, "the platform forgot the changes")
-        return answer.bind(lambda each: _read(each, kind, _parse_events))
+        return answer.bind(lambda each: _read(each, kind, self._parse_events))
 
     async def put(
         self, path: str, value: object, if_version: int
@@ -99,22 +117,54 @@
             method, url = "POST", f"/api/objects/{quote(kind)}"
         body = {"meta": meta, "spec": value}
         answer = await self._http.repeat(method, url, body, _REPEATABLE_CHANGE)
-        return answer.bind(lambda each: _read_change(each, kind))
+        return answer.bind(_read_change)
 
     async def delete(self, path: str, if_version: int) -> Result[int, PlatformError]:
         """Delete an object if its version is `if_version`."""
         url = f"{_get_url(path)}?{urlencode({'revision': if_version})}"
         answer = await self._http.repeat("DELETE", url, None, _REPEATABLE_CHANGE)
-        return answer.bind(lambda each: _read_change(each, _get_kind(path)))
+        return answer.bind(_read_change)
 
     def close(self) -> Deferred:
         """Close the idle connections; fires when they are closed."""
         return self._http.close()
 
-
-def _get_kind(path: str) -> str:
-    """Return the kind of the object at a path."""
-    return path.partition("/")[0]
+    def _parse_page(
+        self, kind: str, answer: dict
+    ) -> tuple[tuple[PlatformObject, ...], int, bool]:
+        """Return the objects of a page, the store's revision, and if more follow."""
+        items = [self._decode(kind, item) for item in answer["items"]]
+        known = tuple(item for item in items if item is not None)
+        return known, int(answer["current_rev"]), bool(answer.get("has_more"))
+
+    def _parse_events(self, kind: str, answer: dict) -> ObjectList:
+        """Return the objects that changed."""
+        items = [
+            self._decode(kind, event.get("object"), bool(event.get("removed")))
+            for event in answer["events"]
+            if isinstance(event, dict)
+        ]
+        known = tuple(item for item in items if item is not None)
+        return ObjectList(int(answer["current_rev"]), known)
+
+    def _decode_one(self, kind: str, item: object) -> PlatformObject:
+        """Return the object that was asked for; raise `ValueError` if it is none."""
+        found = self._decode(kind, item)
+        if found is None or not found.version:
+            raise ValueError("no object, or one without a revision")
+        return found
+
+    def _decode(
+        self, kind: str, item: object, is_gone: bool = False
+    ) -> PlatformObject | None:
+        """Return an object, without its value if only its name can be read, or None."""
+        meta, findings = fields.read_nested(kind, item, "meta", _META_FIELDS)
+        self._rejects.report(findings)
+        if "name" not in meta:
+            return None
+        value = None if findings or is_gone else item.get("spec")
+        path = f"{kind}/{meta['name']}"
+        return PlatformObject(path, meta.get("revision", 0), value, is_gone)
 
 
 def _get_list_url(kind: str, options: dict[str, object]) -> str:
@@ -134,13 +184,13 @@
     if answer.code >= 400:
         return fail_call(ErrorKind.INVALID, f"the platform answered {answer.code}")
     try:
-        return Success(parse(kind, json.loads(answer.body)))
-    except (KeyError, TypeError, ValueError) as error:
+        return Success(parse(kind, decode_answer(answer.body)))
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
         text = f"the platform's answer is faulty: {error!r}"
         return fail_call(ErrorKind.INVALID, text)
 
 
-def _read_change(answer: HttpAnswer, kind: str) -> Result[int, PlatformError]:
+def _read_change(answer: HttpAnswer) -> Result[int, PlatformError]:
     """Return the new version that a change gave."""
     if answer.code == NOT_FOUND:
         return fail_call(ErrorKind.CONFLICT, "the object is not there")
@@ -149,30 +199,7 @@
     if answer.code >= 400:
         return fail_call(ErrorKind.INVALID, f"the platform answered {answer.code}")
     try:
-        return Success(_parse_object(kind, json.loads(answer.body)).version)
+        return Success(int(decode_answer(answer.body)["meta"]["revision"]))
     except (AttributeError, KeyError, TypeError, ValueError):
         # A deletion is answered without the object.
         return Success(0)
-
-
-def _parse_object(kind: str, item: dict, is_gone: bool = False) -> PlatformObject:
-    """Return one object from its form in the store."""
-    meta = item["meta"]
-    path = f"{kind}/{meta['name']}"
-    value = None if is_gone else item.get("spec")
-    return PlatformObject(path, int(meta["revision"]), value, is_gone)
-
-
-def _parse_page(kind: str, answer: dict) -> tuple[list[PlatformObject], int, bool]:
-    """Return the objects of one page, the store's revision, and if more follow."""
-    items = [_parse_object(kind, item) for item in answer["items"]]
-    return items, int(answer["current_rev"]), bool(answer.get("has_more"))
-
-
-def _parse_events(kind: str, answer: dict) -> ObjectList:
-    """Return the objects that changed."""
-    objects = tuple(
-        _parse_object(kind, event["object"], bool(event.get("removed")))
-        for event in answer["events"]
-    )
-    return ObjectList(int(answer["current_rev"]), objects)
--- a/beryltrack/relay/opener.py
+++ b/beryltrack/relay/opener.py
@@ -17,6 +17,7 @@
 from beryltrack.relay.directory import DETOUR_TIME, RelayDirectory
 from beryltrack.relay.owners import Peer
 from beryltrack.relay.ways import RelayedConnection
+from beryltrack.settings.incarnations import get_identifier
 from beryltrack.settings.messages import DatabaseSettings, Endpoint
 
 log = logging.getLogger(__name__)
@@ -110,7 +111,9 @@
         self, group: str, database: DatabaseSettings, timeout: float
     ) -> RelayedConnection:
         """Open a connection to the database itself."""
-        opening = self._open_at(database.endpoint, group, database.name, timeout)
+        # A database knows its identifier alone; an owner is also told the incarnation.
+        identifier = get_identifier(database.name)
+        opening = self._open_at(database.endpoint, group, identifier, timeout)
         try:
             connection = await opening
         except TargetUnreachable:
--- a/beryltrack/settings/roster.py
+++ b/beryltrack/settings/roster.py
@@ -6,10 +6,14 @@
 work. It counts as a member for some seconds more, in which the others receive what
 only it may have confirmed, and for good if its group would be left with one database,
 which could confirm a commit to itself alone.
+
+A database that has started again under its identifier is another member: what the one
+before held is lost, and nothing is waited for.
 """
 
 from typing import NamedTuple
 
+from beryltrack.settings.incarnations import get_identifier
 from beryltrack.settings.messages import (
     DatabaseSettings,
     Endpoint,
@@ -39,7 +43,7 @@
     Parameters
     ----------
     name : str
-        Its identifier, never used again for another.
+        Its name, which no other incarnation has; see `incarnations`.
     group : str
         The group that it belongs to.
     endpoint : Endpoint
@@ -111,16 +115,28 @@
 
     def observe(self, entries: tuple[RosterEntry, ...], now: float) -> None:
         """Take in all entries that the store has at a time."""
+        entries = tuple(map(self._keep_name, entries))
         present = {entry.name: _Known(entry, None) for entry in entries}
+        identifiers = {get_identifier(name) for name in present}
         missing = {
             name: known
             if known.missing_since is not None
             else known._replace(missing_since=now)
             for name, known in self._known.items()
-            if name not in present
+            if get_identifier(name) not in identifiers
         }
         self._known = present | missing
 
+    def _keep_name(self, entry: RosterEntry) -> RosterEntry:
+        """Return an entry that does not tell its start under the name it had.
+
+        It says nothing of another start, so that nothing known is given up.
+        """
+        if get_identifier(entry.name) != entry.name:
+            return entry
+        names = (name for name in self._known if get_identifier(name) == entry.name)
+        return entry._replace(name=next(names, entry.name))
+
     def get_members(self, group: str, now: float) -> tuple[RosterEntry, ...]:
         """Return the members of a group; forget those that are gone for good."""
         all_known = [
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -121,6 +121,7 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._starts: itertools.count = itertools.count(1)
         self._versions = itertools.count(1)
+        self._births = itertools.count(1)
         self.is_fenced = is_fenced
         self.group = Group(reactor, DATABASES, rng, not is_fenced)
         self.history = History(self.group, reactor.seconds)
@@ -264,8 +265,12 @@
                 "service": GROUP,
                 "address": "",
                 "zone": "zone-1",
+                "config_version": "v1",
                 "slots": 3,
                 "state": "ready",
+                "cold_remaining_ms": 0,
+                "sequence": 0,
+                "born": next(self._births),
             }
             self.store.change("servers", name, spec)
 
--- a/tests/daemon/test_silent_store.py
+++ b/tests/daemon/test_silent_store.py
@@ -35,7 +35,7 @@
 from beryltrack.daemon.node import Node
 from beryltrack.objects.http import HttpClient
 from beryltrack.platform.boot import parse_node_settings
-from tests.platform.test_settings import BOOT, CONFIG
+from tests.platform.test_settings import BOOT, CONFIG, ENTRY
 
 STEP = 0.05
 STARTS = (20.0, 20.4, 20.8, 21.2, 21.6, 22.0, 22.4)
@@ -154,8 +154,8 @@
         self.node.start()
 
     def set_state(self, number, state):
-        entry = {"service": "huvo", "address": f"10.1.0.{number}:80", "zone": "z"}
-        self.store.put(f"servers/i-{number}", entry | {"slots": 3, "state": state})
+        entry = ENTRY | {"address": f"10.1.0.{number}:80", "state": state}
+        self.store.put(f"servers/i-{number}", entry)
 
     def advance(self, seconds):
         for _ in range(round(seconds / STEP)):
--- /dev/null
+++ b/tests/daemon/test_unreadable_entries.py
@@ -0,0 +1,51 @@
+"""Entries that another program wrote stop an instance from following nothing."""
+
+import pytest
+
+from tests.daemon.test_silent_store import make_site  # noqa: F401
+from tests.platform.test_settings import ENTRY
+from tests.platform.test_unreadable_objects import BAD_FIELDS
+
+MEMBER = {"host": "10.1.0.9", "port": 7440, "relay": 7441, "zone": "z"}
+
+
+def get_databases(site):
+    """Return the names of the databases that are used."""
+    return {each.name for each in site.node._groups.get("huvo").settings.databases}
+
+
+def test_no_entry_of_another_program_hides_what_databases_say(make_site):  # noqa: F811
+    site = make_site()
+    site.advance(2.0)
+    for number, (field, value) in enumerate(BAD_FIELDS):
+        site.store.put(f"servers/bad-{number}", ENTRY | {field: value})
+    site.advance(2.0)
+    assert get_databases(site) == {"i-0", "i-1", "i-2"}
+    site.set_state(1, "draining")
+    site.advance(2.0)
+    assert site.is_draining("i-1")
+    text = site.node.metrics.render().decode()
+    assert f"beryltrack_unreadable_objects_total {len(BAD_FIELDS)}" in text
+
+
+@pytest.mark.parametrize("value", [None, 7, [], {"host": 7}, MEMBER | {"port": "x"}])
+def test_no_object_of_another_program_is_an_instance(make_site, value):  # noqa: F811
+    site = make_site()
+    site.store.put("members/another", value)
+    site.store.put("members/front-2", MEMBER)
+    site.advance(10.0)
+    names = [
+        peer.name
+        for peer in site.node._members._make_peers(site.node._members.feed.objects)
+    ]
+    assert names == ["front-1", "front-2"]
+    assert site.node._members._checking.running
+
+
+def test_a_database_that_comes_back_empty_is_another_member(make_site):  # noqa: F811
+    site = make_site()
+    site.store.put("servers/i-1", ENTRY | {"state": "ready", "born": 1000})
+    site.advance(2.0)
+    site.store.put("servers/i-1", ENTRY | {"state": "ready", "born": 2000})
+    site.advance(2.0)
+    assert get_databases(site) == {"i-0", "i-1@2000", "i-2"}
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 from beryltrack.objects.messages import PlatformObject
 from beryltrack.platform.boot import parse_node_settings, read_node_settings
 from beryltrack.platform.settings import read_configuration, read_entry
+from beryltrack.settings.incarnations import get_identifier
 from beryltrack.settings.messages import Endpoint
 
 CONFIG = {
@@ -40,8 +41,11 @@
     "service": "huvo",
     "address": "10.1.0.9:80",
     "zone": "z",
+    "config_version": "v1",
     "slots": 3,
     "state": "draining",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
 }
 BOOT = {
     "node_name": "front-1",
@@ -77,10 +81,12 @@
     assert found is None and field in findings[0].text
 
 
-@pytest.mark.parametrize("value", [None, [], "text", {"routes": [1]}])
-def test_what_is_no_configuration_is_a_finding(value):
+@pytest.mark.parametrize(
+    ("value", "count"), [(None, 1), ([], 1), ("text", 1), ({"routes": [1]}, 2)]
+)
+def test_what_is_no_configuration_is_a_finding(value, count):
     found, findings = read_configuration(make_item(value))
-    assert found is None and len(findings) == 1
+    assert found is None and len(findings) == count
 
 
 def test_an_entry_of_a_database_is_read():
@@ -90,6 +96,13 @@
     assert found.endpoint == Endpoint("10.1.0.9", 80)
 
 
+def test_a_database_that_starts_again_has_another_name():
+    first, _ = read_entry(make_item(ENTRY | {"born": 1764728000000}, "servers/i-1"))
+    again, _ = read_entry(make_item(ENTRY | {"born": 1764728000900}, "servers/i-1"))
+    assert first.name != again.name
+    assert get_identifier(first.name) == get_identifier(again.name) == "i-1"
+
+
 def test_an_entry_without_an_address_is_a_finding():
     found, findings = read_entry(make_item(ENTRY | {"address": "x"}, "servers/i-1"))
     assert found is None and findings[0].source == "servers/i-1"
--- a/tests/platform/test_unreadable_objects.py
+++ b/tests/platform/test_unreadable_objects.py
@@ -122,7 +122,8 @@
 @given(JSON_VALUES, st.sampled_from(sorted(MEMBER)))
 def test_any_object_of_an_instance_is_read_or_left_out(value, field):
     item = make_item(MEMBER | {field: value}, "members/front-1")
-    peer = read_peer(item)
+    peer, findings = read_peer(item)
+    assert (peer is None) == bool(findings)
     assert peer is None or peer.relay.port in range(1, 65536)
 
 
--- a/tests/settings/test_roster.py
+++ b/tests/settings/test_roster.py
@@ -73,3 +73,28 @@
     roster.observe((A, B), 0.0)
     roster.observe((A,), 1.0)
     assert get_names(roster, 99.0) == ["a", "b"]
+
+
+def test_a_database_that_started_again_replaces_the_one_before_at_once():
+    roster = Roster()
+    before, after = make_entry("a@1000"), make_entry("a@2000")
+    roster.observe((before, B, C), 0.0)
+    roster.observe((after, B, C), 1.0)
+    assert get_names(roster, 1.0) == ["a@2000", "b", "c"]
+    assert roster.get_due(1.0) is None
+
+
+def test_a_start_that_is_not_told_is_no_other_start():
+    roster = Roster()
+    roster.observe((make_entry("a@1000"), B, C), 0.0)
+    roster.observe((make_entry("a", draining=True), B, C), 1.0)
+    first, *_ = roster.get_members("main", 1.0)
+    assert (first.name, first.draining) == ("a@1000", True)
+
+
+def test_a_database_that_lapsed_and_started_again_is_another_one():
+    roster = Roster()
+    roster.observe((make_entry("a@1000"), B, C), 0.0)
+    roster.observe((B, C), 1.0)
+    roster.observe((make_entry("a@2000"), B, C), 2.0)
+    assert get_names(roster, 2.0) == ["a@2000", "b", "c"]
