Let a database that starts again empty count only once it has caught up

Cause: all that was known of a database was kept by an identifier under which it may start again empty. A status that fell back was dropped for good; receipts and grants of before went on to count in majorities of which one had forgotten. A member that started again (told by the store through its name, or by a status that falls back) is recovering until it has received a proven sample of a primary that was asked for after the start was known; until then it confirms no commit, witnesses no term, and counts in an election only for a candidate that has received what it may have lost. Where the last primary cannot come back with its log, the longest of all members is elected. Before a promotion is sent the chosen one must still have what it was chosen for. Calls that name a member that has gone answer instead of raising KeyError. Ruled out: counting it as any other (loses the commit), never again (no failover for good), after some seconds (replicas lag without a bound).

--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -5,8 +5,9 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from random import Random
+from types import MappingProxyType
 from typing import NamedTuple
 
 from beryltrack.failover.detector import (
@@ -17,13 +18,20 @@
 )
 from beryltrack.failover.messages import Election, ElectionKind
 from beryltrack.failover.ranking import compute_rank
-from beryltrack.groups.messages import REPLICA, GrantReply
+from beryltrack.groups.messages import (
+    NO_POSITION,
+    REPLICA,
+    DatabaseStatus,
+    GrantReply,
+    LogPosition,
+)
 from beryltrack.groups.view import (
     NEVER,
     DatabaseView,
     GroupView,
     compute_electors,
     compute_majority,
+    count_electors,
     get_led_term,
     get_primary,
     is_deposed,
@@ -157,6 +165,11 @@
         self._failures = 0
         self._is_holder = False
 
+    @property
+    def is_candidate(self) -> bool:
+        """True if this instance may act for the group."""
+        return self._is_candidate
+
     @property
     def is_first(self) -> bool:
         """True if this instance is first in rank."""
@@ -261,10 +274,22 @@
             return None
         if any(self._refuses(item, leader, now) for item in view.databases):
             return ElectionKind.RECLAIM
-        if leader.leaving and get_successor(view) is not None:
+        if leader.leaving and self._can_hand_over(view, leader, quorum):
             return ElectionKind.HAND_OVER
         return None
 
+    def _can_hand_over(
+        self, view: GroupView, leader: DatabaseView, quorum: int
+    ) -> bool:
+        """Return whether another primary could be elected once this one has stopped."""
+        voters = [
+            item
+            for item in view.databases
+            if item.reachable and not (self._policy.former_goes_on and item == leader)
+        ]
+        has_quorum = count_electors(view, voters) >= quorum
+        return has_quorum and get_successor(view) is not None
+
     def _is_stalled(
         self, view: GroupView, leader: DatabaseView, now: float, quorum: int
     ) -> bool:
@@ -278,14 +303,15 @@
         if waited < self._policy.stalled_after:
             return False
         asked_after = view.stalled_since + self._policy.stalled_after / 2
-        lacking = sum(
-            item.name != leader.name
+        lacking = [
+            item
+            for item in view.databases
+            if item.name != leader.name
             and item.reachable
             and item.seen_at >= asked_after
             and item.term == leader.term
-            for item in view.databases
-        )
-        return lacking >= quorum
+        ]
+        return count_electors(view, lacking) >= quorum
 
     def _is_fresh(self, item: DatabaseView, now: float) -> bool:
         """Return whether a database answered lately."""
@@ -418,6 +444,8 @@
     unwanted: frozenset[str],
     quorum: int | None = None,
     former: str = "",
+    recovering: Mapping[str, LogPosition | None] = MappingProxyType({}),
+    is_log_lost: bool = False,
 ) -> str | None:
     """Return who shall lead the term that the replies granted.
 
@@ -435,6 +463,12 @@
         How many databases an election needs; None for a majority.
     former : str
         The primary so far if its grant counts for nothing; else empty.
+    recovering : mapping of str to LogPosition or None
+        What databases that have started again empty may have held, None if that is
+        not known. Each counts only for a candidate that has received it.
+    is_log_lost : bool
+        True if the last primary cannot come back with its log, so that the longest
+        log of all members is as good as any can be.
 
     Returns
     -------
@@ -446,10 +480,12 @@
     granted = [reply.status for reply in replies if reply.granted]
     needed = compute_majority(size) if quorum is None else quorum
     voters = [status for status in granted if status.name != former]
+    if is_log_lost and len(granted) == size:
+        recovering = {}
     fit = [
         status
         for status in granted
-        if sum(other.received <= status.received for other in voters) >= needed
+        if sum(_counts_for(status, voter, recovering) for voter in voters) >= needed
     ]
     best = max(
         fit,
@@ -462,3 +498,13 @@
         default=None,
     )
     return best.name if best else None
+
+
+def _counts_for(
+    candidate: DatabaseStatus,
+    voter: DatabaseStatus,
+    recovering: Mapping[str, LogPosition | None],
+) -> bool:
+    """Return whether a candidate has all that a voter has, or has lost."""
+    lost = recovering.get(voter.name, NO_POSITION)
+    return lost is not None and max(lost, voter.received) <= candidate.received
--- a/beryltrack/failover/detector.py
+++ b/beryltrack/failover/detector.py
@@ -13,6 +13,7 @@
     DatabaseView,
     GroupView,
     compute_majority,
+    count_electors,
     get_primary,
     is_deposed,
 )
@@ -113,7 +114,8 @@
     `quorum` is how many an election needs; None for a majority.
     """
     losers = get_losers(view, detector, oldest)
-    return len(losers) >= (quorum or compute_majority(len(view.databases)))
+    needed = quorum or compute_majority(len(view.databases))
+    return count_electors(view, losers) >= needed
 
 
 def compute_lost_at(
--- a/beryltrack/failover/grants.py
+++ b/beryltrack/failover/grants.py
@@ -12,7 +12,10 @@
 class _Collection:
     """The replies so far, and the Deferred that fires when they suffice."""
 
-    def __init__(self, size: int, preferred: str, quorum: int, former: str):
+    def __init__(
+        self, size: int, preferred: str, quorum: int, former: str, needs_all: bool
+    ):
+        self._needs_all = needs_all
         self.done: Deferred = Deferred()
         self._size = size
         self._quorum = quorum
@@ -45,7 +48,8 @@
             for reply in self._replies
         )
         waits_for_preferred = self._preferred and self._preferred not in answered
-        return granted >= self._quorum and not waits_for_preferred
+        waits = self._needs_all or waits_for_preferred
+        return granted >= self._quorum and not waits
 
 
 async def collect_grants(
@@ -54,6 +58,7 @@
     databases: tuple[str, ...],
     election: Election,
     quorum: int | None = None,
+    needs_all: bool = False,
 ) -> tuple[GrantReply, ...]:
     """Ask each database for the election's term.
 
@@ -69,6 +74,8 @@
         What to ask for.
     quorum : int or None
         How many databases the election needs; None for a majority.
+    needs_all : bool
+        True if what one more database has received may decide who can be elected.
 
     Returns
     -------
@@ -82,6 +89,7 @@
         election.preferred,
         quorum or compute_majority(len(databases)),
         election.former,
+        needs_all,
     )
 
     async def ask(database: str) -> None:
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -26,8 +26,19 @@
 from beryltrack.failover.grants import collect_grants
 from beryltrack.failover.messages import Election, ElectionKind, FailoverReport
 from beryltrack.groups.adapter import DatabaseGroup, StatusWait
-from beryltrack.groups.messages import PRIMARY, DatabaseStatus
-from beryltrack.groups.view import NEVER, GroupView
+from beryltrack.groups.messages import (
+    NO_POSITION,
+    PRIMARY,
+    DatabaseStatus,
+    GrantReply,
+)
+from beryltrack.groups.view import (
+    NEVER,
+    GroupView,
+    get_database,
+    get_recovering,
+    is_log_lost,
+)
 from beryltrack.settings.messages import GroupSettings
 
 log = logging.getLogger(__name__)
@@ -154,6 +165,11 @@
             self._decider.set_holder(self._decider.is_first)
         self._plan_permit(PERMIT_DELAY)
 
+    @property
+    def is_candidate(self) -> bool:
+        """True if this instance may act for the group."""
+        return self._decider.is_candidate
+
     @property
     def is_first(self) -> bool:
         """True if this instance is the first to act for the group."""
@@ -166,9 +182,9 @@
 
     def observe_view(self, view: GroupView) -> None:
         """Look at a new view and begin an election if one is due."""
+        self._view = view
         if self.busy:
             return
-        self._view = view
         now = self._seconds()
         election = self._decider.decide(view, now)
         self._prepare_if_due()
@@ -251,10 +267,16 @@
         sent_at = self._owner.get_time()
         quorum = self._policy.get_quorum(len(self._databases))
         replies = await collect_grants(
-            self._reactor, self._adapter, self._databases, election, quorum
+            self._reactor,
+            self._adapter,
+            self._databases,
+            election,
+            quorum,
+            bool(get_recovering(self._view.databases)),
         )
         for reply in replies:
             self._owner.take_status(reply.status, sent_at)
+        # The replies themselves may show that a database has started again.
         chosen = choose_primary(
             replies,
             len(self._databases),
@@ -262,11 +284,13 @@
             self._owner.draining,
             quorum,
             election.former,
+            get_recovering(self._view.databases),
+            is_log_lost(self._view),
         )
         if chosen not in (None, election.former) and election.former:
             # It goes on otherwise, and takes writes that nobody confirms.
             _start(self._step_down(election))
-        if chosen is None or not await self._promote(election, chosen):
+        if chosen is None or not await self._promote(election, chosen, replies):
             if not self._unanswered:
                 await self._release(reply.status.name for reply in replies)
             return None
@@ -282,11 +306,13 @@
             return True
         return await self._acquire_permit(False) is not None
 
-    async def _promote(self, election: Election, chosen: str) -> bool:
+    async def _promote(
+        self, election: Election, chosen: str, replies: tuple[GrantReply, ...]
+    ) -> bool:
         """Make a database the primary; True once it leads."""
         for _ in range(PROMOTE_TRIES):
             token = await self._acquire_permit(self._unanswered)
-            if token is None:
+            if token is None or not self._still_holds(chosen, replies):
                 return False
             sent_at = self._owner.get_time()
             result = await self._adapter.promote(
@@ -306,6 +332,17 @@
                 return False
         return False
 
+    def _still_holds(self, chosen: str, replies: tuple[GrantReply, ...]) -> bool:
+        """Return whether the chosen database still has what it was chosen for.
+
+        One that has started again since has nothing, and would take the others'
+        logs away as it leads.
+        """
+        item = get_database(self._view, chosen)
+        granted = (each.status for each in replies if each.status.name == chosen)
+        held = max((status.received for status in granted), default=NO_POSITION)
+        return item is not None and item.received >= held
+
     async def _step_down(self, election: Election) -> None:
         """Have the former primary lead no more, as soon as it can be reached."""
         for _ in range(STEP_DOWN_TRIES):
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -3,14 +3,20 @@
 The decider holds the last status of each database, the samples of the
 primary's position, and the times until which a majority has confirmed a term.
 It reads no clock: the node's time comes in as an argument.
+
+A database that starts again empty is a member with nothing known of it, which counts in
+no majority until it has received what it may have held before; see `DatabaseView`.
 """
 
+import math
+
 from beryltrack.groups.messages import (
     PRIMARY,
     DatabaseStatus,
     LeadProof,
     LogPosition,
 )
+from beryltrack.groups.restarts import Told, has_fallen_back
 from beryltrack.groups.samples import Sample, SampleLog
 from beryltrack.groups.view import (
     NEVER,
@@ -20,6 +26,7 @@
     compute_majority,
     get_database,
 )
+from beryltrack.settings.incarnations import find_restarted
 
 
 class GroupDecider:
@@ -46,6 +53,7 @@
     ):
         self._proof = proof
         self._leaders: dict[int, str] = {}
+        self._told: dict[str, Told] = {}
         self._group = group
         self._draining = draining
         self._samples = SampleLog()
@@ -96,9 +104,14 @@
         """How many databases are a majority."""
         return compute_majority(len(self._databases))
 
+    def is_recovering(self, database: str) -> bool:
+        """Return whether a database has yet to receive what it may have lost."""
+        item = self._databases.get(database)
+        return item is not None and item.recovering_since is not None
+
     def observe_status(
         self, status: DatabaseStatus, sent_at: float, now: float
-    ) -> None:
+    ) -> bool:
         """Take in what a database said of itself.
 
         Parameters
@@ -109,12 +122,21 @@
             When the request was sent, by the node's clock.
         now : float
             When the answer came.
+
+        Returns
+        -------
+        bool
+            True if the status shows that the database has started again empty.
         """
         before = self._databases.get(status.name)
         if before is None or sent_at < before.seen_at:
-            return
-        if status.term < before.term and not before.is_held:
-            return
+            return False
+        has_restarted = has_fallen_back(self._told.get(status.name), status, sent_at)
+        if has_restarted:
+            before = self._restart(status.name, now)
+        elif status.term < before.term and not before.is_held:
+            return False
+        self._told[status.name] = Told(status, now)
         self._databases[status.name] = before._replace(
             role=status.role,
             term=status.term,
@@ -141,6 +163,8 @@
         # whoever holds them may be gone, and then the group needs another one.
         if status.role == PRIMARY and status.name == self.view.primary:
             self.observe_primary_heard(now)
+        self._end_recoveries()
+        return has_restarted
 
     def observe_sample(
         self, database: str, position: LogPosition, sent_at: float, now: float
@@ -234,6 +258,7 @@
         if self._proof is LeadProof.OWN_WORD:
             self._confirm_until(position.term, sent_at)
         self._view = None
+        self._end_recoveries()
 
     def observe_shown(
         self, database: str, position: LogPosition, sent_at: float
@@ -251,6 +276,7 @@
         self.observe_lead(self.view.primary, proof.position, proof.sent_at, now)
         if self._leaders.get(proof.position.term) == self.view.primary:
             self._confirm_until(proof.position.term, proof.sent_at)
+        self._end_recoveries()
 
     def observe_lagging(self, database: str, now: float) -> None:
         """Take in that a replica did not show a position that it was asked for."""
@@ -289,14 +315,58 @@
         }
         self._view = None
 
-    def set_databases(self, databases: tuple[str, ...]) -> None:
-        """Take the members from new settings; those that stay keep their state."""
+    def set_databases(self, databases: tuple[str, ...], now: float) -> frozenset[str]:
+        """Take the members from new settings; those that stay keep their state.
+
+        Parameters
+        ----------
+        databases : tuple of str
+            Names of all members, in the order of the settings.
+        now : float
+            The current time.
+
+        Returns
+        -------
+        frozenset of str
+            The members that are later incarnations of earlier ones.
+        """
+        restarted = find_restarted(self._databases, databases)
         self._databases = {
             name: self._databases.get(name)
             or DatabaseView(name, leaving=name in self._draining)
             for name in databases
         }
+        self._told = {
+            name: told for name, told in self._told.items() if name in databases
+        }
+        for name in restarted:
+            self._restart(name, now)
+        self._view = None
+        return restarted
+
+    def _restart(self, name: str, now: float) -> DatabaseView:
+        """Forget what was known of a database that has started again empty."""
+        item = DatabaseView(name, leaving=name in self._draining, recovering_since=now)
+        self._databases[name] = item
+        self._told.pop(name, None)
         self._view = None
+        return item
+
+    def _end_recoveries(self) -> None:
+        """Let databases count again that have received what they may have lost."""
+        for name, item in tuple(self._databases.items()):
+            if item.recovering_since is None:
+                continue
+            needed = item.needed or self._samples.get_oldest(item.recovering_since)
+            if needed is None:
+                continue
+            is_whole = item.received >= needed
+            self._databases[name] = (
+                item._replace(recovering_since=None, needed=None)
+                if is_whole
+                else item._replace(needed=needed)
+            )
+            self._view = None
 
     def set_draining(self, draining: frozenset[str]) -> None:
         """Take the members that an operator drains from new settings."""
@@ -335,7 +405,8 @@
         float
             Seconds; infinite if nothing is proven.
         """
-        return compute_age(self._databases[database], now)
+        item = self._databases.get(database)
+        return math.inf if item is None else compute_age(item, now)
 
     def get_confirmed_sample(self, since: float) -> LogPosition | None:
         """Return a position sampled at or after `since` in a confirmed term."""
@@ -365,7 +436,10 @@
             (
                 item.seen_at
                 for item in self._databases.values()
-                if item.term == term and item.name != left_out
+                if item.term == term
+                and item.name != left_out
+                # It may have forgotten that it promised a later term.
+                and item.recovering_since is None
             ),
             reverse=True,
         )
@@ -394,9 +468,10 @@
         term = max((item.term for item in leaders), default=0)
         later = sum(item.term > term for item in databases)
         primary = next((item.name for item in leaders if item.term == term), "")
-        if later >= self.majority:
+        if later >= self.majority or self._leads_in_vain(primary):
             primary = ""
-        if self._hint.term > max(item.term for item in databases):
+        is_newer = self._hint.term > max(item.term for item in databases)
+        if is_newer and self._hint.primary in self._databases:
             term, primary = self._hint.term, self._hint.primary
         view = GroupView(self._group, term, primary, databases=databases)
         leader = get_database(view, primary) if primary else None
@@ -405,3 +480,10 @@
         return view._replace(
             head=head, confirmed_at=self._confirmed_at, last_primary=last_primary
         )
+
+    def _leads_in_vain(self, name: str) -> bool:
+        """Return whether a database leads a term of before, as it has lost its log."""
+        item = self._databases.get(name)
+        if item is None or item.recovering_since is None:
+            return False
+        return item.term < max(self._leaders)
--- a/beryltrack/groups/messages.py
+++ b/beryltrack/groups/messages.py
@@ -88,6 +88,9 @@
     knows_lead : bool
         True if a database of this kind loses its lead at the very moment at which
         another one gains it. Its own word that it leads then proves its term.
+    incarnation : str
+        Names the data that it holds, where databases of its kind tell: another one
+        under the same name holds nothing of before.
     """
 
     name: str
@@ -100,6 +103,7 @@
     leaving: bool
     is_held: bool = False
     knows_lead: bool = False
+    incarnation: str = ""
 
 
 class GrantReply(NamedTuple):
--- a/beryltrack/groups/status_rows.py
+++ b/beryltrack/groups/status_rows.py
@@ -73,7 +73,9 @@
         findings.append(Finding(source, "role", "is not a known role"))
     if findings:
         return None, tuple(findings)
-    return DatabaseStatus(*values.values()), ()
+    status = DatabaseStatus(*values.values())
+    # Databases of an older version do not tell.
+    return status._replace(incarnation=row.get("incarnation") or ""), ()
 
 
 def _parse_history(text: str) -> tuple[TermStart, ...]:
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -148,11 +148,12 @@
 
     def get_sent_at(self, database: str) -> float:
         """Return when a database was last asked."""
-        return self._sent_at[database]
+        return self._sent_at.get(database, 0.0)
 
     def wake(self, database: str) -> None:
-        """Ask a database now."""
-        self._watches[database].wake()
+        """Ask a database now, if it is still a member."""
+        if database in self._watches:
+            self._watches[database].wake()
 
     def start(self) -> None:
         """Begin to watch the group."""
@@ -187,9 +188,9 @@
         """
         names = tuple(item.name for item in group_settings.databases)
         self._adapter.set_databases(group_settings.databases)
-        self._decider.set_databases(names)
+        restarted = self._decider.set_databases(names, self._seconds())
         self._decider.set_draining(get_draining(group_settings))
-        self._commits.set_size(len(names))
+        self._commits.keep_databases(names)
         self._failover.set_databases(names)
         self._sent_at = {name: self._sent_at.get(name, 0.0) for name in names}
         self._pace.keep_databases(names)
@@ -202,6 +203,8 @@
                 self._watches[name] = watch
                 if self._running:
                     watch.start()
+        for name in restarted:
+            self._note_restart(name)
         self._report_view()
 
     def set_nodes(self, nodes: tuple[str, ...], is_candidate: bool = True) -> None:
@@ -416,7 +419,7 @@
         answer = self._waiters.wait_applied(database, token, timeout)
         self._waiters.answer_applied(self.view)
         if not answer.called:
-            self._watches[database].wake()
+            self.wake(database)
         return answer
 
     def get_time(self) -> float:
@@ -505,15 +508,35 @@
 
     def take_status(self, status: DatabaseStatus, sent_at: float) -> None:
         """Take in a status, and answer all who waited for what it shows."""
-        self._decider.observe_status(status, sent_at, self._seconds())
+        if self._decider.observe_status(status, sent_at, self._seconds()):
+            self._commits.forget(status.name)
+            self._note_restart(status.name)
         if status.name == self.view.primary:
             self._pace.note_primary_status(sent_at)
-        if self._commits.observe_status(status):
-            self._pace.note_receipt(self._seconds())
+        if not self._decider.is_recovering(status.name):
+            self._note_receipts(status)
         self._waiters.answer_applied(self.view)
         self._answer_samples()
         self._report_view()
 
+    def _note_receipts(self, status: DatabaseStatus) -> None:
+        """Take in what a database has received, and answer whose commit that is."""
+        if self._commits.observe_status(status):
+            self._pace.note_receipt(self._seconds())
+
+    def _note_restart(self, database: str) -> None:
+        """Note that a database has started again, and learn what it may have lost.
+
+        Whoever may have to act for the group asks the primary while it lives.
+        """
+        log.warning(
+            "groups: %s of %s has started again; it counts once it has caught up.",
+            database,
+            self.view.group,
+        )
+        if self._failover.is_candidate and self.view.primary:
+            self.wake(self.view.primary)
+
     def take_report(self, report: FailoverReport) -> None:
         """Tell the subscribers of a change of primary that this node made."""
         self._wake_all()
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from beryltrack.groups.messages import (
@@ -58,6 +59,12 @@
         True if its own word that it leads proves its term.
     lagged_at : float
         When it last did not show a position that a read asked for.
+    recovering_since : float or None
+        When it was known to have started again with nothing of before; None if it
+        has since received what it may have held, or has not started again.
+    needed : LogPosition or None
+        A position up to which it may have received entries before it started again;
+        None until a primary has told of one.
     """
 
     name: str
@@ -75,6 +82,8 @@
     is_held: bool = False
     knows_lead: bool = False
     lagged_at: float = NEVER
+    recovering_since: float | None = None
+    needed: LogPosition | None = None
 
 
 class GroupView(NamedTuple):
@@ -161,6 +170,58 @@
     return database.received.term if database.is_held else database.term
 
 
+def get_recovering(
+    databases: Iterable[DatabaseView],
+) -> dict[str, LogPosition | None]:
+    """Return what each recovering database may have held, None if that is not known.
+
+    A database that has started again empty took part in confirming commits. In an
+    election it stands for them only with a candidate that has received all of them.
+    """
+    return {
+        item.name: item.needed
+        for item in databases
+        if item.recovering_since is not None
+    }
+
+
+def is_log_lost(view: GroupView) -> bool:
+    """Return whether the last primary cannot come back with its log.
+
+    It is a member no more, or it has started again empty. Until then an election may
+    have to wait for it, as it may have what a recovering database has lost.
+    """
+    if not view.last_primary:
+        return False
+    item = get_database(view, view.last_primary)
+    return item is None or item.recovering_since is not None
+
+
+def count_electors(view: GroupView, voters: Collection[DatabaseView]) -> int:
+    """Return how many of some databases count in an election among them.
+
+    Parameters
+    ----------
+    view : GroupView
+        The group's view.
+    voters : collection of DatabaseView
+        Members that would grant a term.
+
+    Returns
+    -------
+    int
+        Those that are not recovering, and those whose losses one of them makes good.
+    """
+    if is_log_lost(view) and len(voters) == len(view.databases):
+        return len(voters)
+    longest = max((item.received for item in voters), default=NO_POSITION)
+    return sum(
+        item.recovering_since is None
+        or (item.needed is not None and item.needed <= longest)
+        for item in voters
+    )
+
+
 def is_deposed(view: GroupView, database: DatabaseView) -> bool:
     """Return whether a database still believes to lead a term that is over.
 
--- a/beryltrack/transactions/decider.py
+++ b/beryltrack/transactions/decider.py
@@ -14,6 +14,7 @@
 up to there is final.
 """
 
+from collections.abc import Collection
 from enum import Enum
 from typing import NamedTuple
 
@@ -95,9 +96,22 @@
         """Number of commits that wait."""
         return len(self._pending)
 
-    def set_size(self, size: int) -> None:
-        """Take how many databases the group has from new settings."""
-        self._majority = compute_majority(size)
+    def keep_databases(self, names: Collection[str]) -> None:
+        """Take the group's members from new settings; others confirm nothing more."""
+        self._majority = compute_majority(len(names))
+        self._receipts = {
+            name: kept for name, kept in self._receipts.items() if name in names
+        }
+        self._primaries = {
+            term: name for term, name in self._primaries.items() if name in names
+        }
+
+    def forget(self, name: str) -> None:
+        """Forget what a database has received or led: it has started again empty."""
+        self._receipts.pop(name, None)
+        self._primaries = {
+            term: each for term, each in self._primaries.items() if each != name
+        }
 
     def add(self, key: int, position: LogPosition) -> Decision | None:
         """Add a commit and return its outcome if it is known already.
--- a/beryltrack/transactions/waits.py
+++ b/beryltrack/transactions/waits.py
@@ -1,6 +1,7 @@
 """Those who wait for the outcome of a commit, and the decider that knows it."""
 
 import itertools
+from collections.abc import Collection
 
 from twisted.internet.defer import Deferred
 
@@ -62,9 +63,13 @@
         """Number of commits that wait."""
         return self._decider.pending
 
-    def set_size(self, size: int) -> None:
-        """Take how many databases the group has from new settings."""
-        self._decider.set_size(size)
+    def keep_databases(self, names: Collection[str]) -> None:
+        """Take the group's members from new settings; others confirm nothing more."""
+        self._decider.keep_databases(names)
+
+    def forget(self, database: str) -> None:
+        """Forget what a database has received: it has started again empty."""
+        self._decider.forget(database)
 
     def observe_status(self, status: DatabaseStatus) -> int:
         """Take in a status, answer whose commits it decides, return their number."""
