Let the soak start databases again empty and write objects that cannot be read

The stand-ins of the line protocol restart empty under the same identifier, one at a time: what two have lost before either has caught up was perhaps nowhere else. A group without a primary at the end is a finding.

--- a/beryltrack_bench/soak/command.py
+++ b/beryltrack_bench/soak/command.py
@@ -21,6 +21,7 @@
         option("runs", None, "How many seeds, in order.", False, default="1"),
         option("seconds", None, "Seconds of faults in each run.", False, default="15"),
         option("unfenced", None, "No fences, and former primaries go on.", True),
+        option("forgetful", None, "Databases start again empty.", True),
     ]
 
     def handle(self) -> int:
@@ -30,11 +31,12 @@
         first, runs = int(self.option("seed")), int(self.option("runs"))
         seconds = float(self.option("seconds"))
         is_fenced = not self.option("unfenced")
+        is_forgetful = self.option("forgetful")
         failures = []
 
         async def run_all() -> None:
             for seed in range(first, first + runs):
-                result = await run_soak(reactor, seed, seconds, is_fenced)
+                result = await run_soak(reactor, seed, seconds, is_fenced, is_forgetful)
                 self.line(json.dumps(result._asdict()))
                 if result.violations or not result.served_last:
                     failures.append(seed)
--- a/beryltrack_bench/soak/faults.py
+++ b/beryltrack_bench/soak/faults.py
@@ -22,8 +22,10 @@
 
 def draw_fault(site: SoakSite, rng: random.Random) -> Fault:
     """Return a fault that is drawn at random."""
-    make = rng.choice(_MAKERS if site.is_fenced else _UNFENCED_MAKERS)
-    return make(site, rng)
+    makers = _MAKERS if site.is_fenced else _UNFENCED_MAKERS
+    if site.is_forgetful:
+        makers += _FORGETFUL_MAKERS
+    return rng.choice(makers)(site, rng)
 
 
 def _do_nothing() -> None:
@@ -182,6 +184,47 @@
     return Fault("replicas lag", lambda: set_lag(40.0), lambda: set_lag(1.0))
 
 
+def _empty_database(site: SoakSite, rng: random.Random) -> Fault:
+    leads = rng.random() < 0.5 and site.group.primary is not None
+    name = site.group.primary.name if leads else rng.choice(DATABASES)
+    is_dark = rng.random() < 0.5
+
+    def end() -> None:
+        # By now another one may have lost what only this one still has.
+        if site.group.may_forget:
+            site.databases[name].restart_empty()
+        else:
+            site.databases[name].restart()
+        site.tell_start(name)
+
+    return Fault(f"empty {name}", lambda: site.databases[name].crash(is_dark), end)
+
+
+def _write_unreadable(site: SoakSite, rng: random.Random) -> Fault:
+    kind = rng.choice(("servers", "members"))
+    names = [f"other-{rng.randrange(9)}" for _ in range(3)]
+
+    def begin() -> None:
+        for name in names:
+            site.store.change(kind, name, rng.choice(_UNREADABLE))
+
+    def end() -> None:
+        for name in names:
+            if (kind, name) in site.store.objects:
+                site.store.change(kind, name, None, True)
+
+    return Fault(f"unreadable {kind}", begin, end)
+
+
+_UNREADABLE = (
+    None,
+    7,
+    "text",
+    {"service": "group", "address": 7, "zone": None},
+    {"service": ["group"], "address": "127.0.0.1:1", "zone": "zone-1", "slots": True},
+    {"host": None, "port": "x", "relay": 70000, "zone": "zone-1"},
+)
+
 _MAKERS = (
     _kill_node,
     _kill_node,
@@ -203,6 +246,11 @@
     _lag_replicas,
 )
 
+_FORGETFUL_MAKERS = (
+    *(_empty_database,) * 5,
+    *(_write_unreadable,) * 2,
+)
+
 # Where nobody stops a former primary, or a call under an old token, what makes them
 # comes more often.
 _UNFENCED_MAKERS = (
--- a/beryltrack_bench/soak/history.py
+++ b/beryltrack_bench/soak/history.py
@@ -138,6 +138,9 @@
         """Judge what the log of the last primary holds, and the order of tokens."""
         for text in breaches:
             self._add("ONE", b"-", text)
+        if self._group.primary is None:
+            self._add("LOST", b"-", "the group has no primary at the end")
+            return
         kept = {commit.position for commit in self._group.primary.log}
         for request, positions in self._commits.items():
             count = sum(position in kept for position in positions)
--- a/beryltrack_bench/soak/run.py
+++ b/beryltrack_bench/soak/run.py
@@ -60,7 +60,11 @@
 
 
 async def run_soak(
-    reactor, seed: int, seconds: float, is_fenced: bool = True
+    reactor,
+    seed: int,
+    seconds: float,
+    is_fenced: bool = True,
+    is_forgetful: bool = False,
 ) -> SoakResult:
     """Run a site under faults and judge what callers and databases saw.
 
@@ -75,11 +79,13 @@
         How long faults are injected.
     is_fenced : bool
         False if promotions are not fenced, and former primaries go on.
+    is_forgetful : bool
+        True if databases start again empty, and other programs write to the store.
     """
     rng = random.Random(seed)
     count, limit = rng.choice(((3, 40), (4, 40), (5, 14)))
     folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
-    site = SoakSite(reactor, seed, count, limit, rng, folder, is_fenced)
+    site = SoakSite(reactor, seed, count, limit, rng, folder, is_fenced, is_forgetful)
     try:
         site.start()
         await _wait_ready(reactor, site)
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -100,6 +100,8 @@
         Takes settings files and logs.
     is_fenced : bool
         False if promotions are not fenced, and former primaries go on.
+    is_forgetful : bool
+        True if databases start again empty, and other programs write to the store.
     """
 
     def __init__(
@@ -111,7 +113,9 @@
         rng: random.Random,
         folder: Path,
         is_fenced: bool = True,
+        is_forgetful: bool = False,
     ):
+        self.is_forgetful = is_forgetful
         self._reactor = reactor
         self._rng = rng
         self._folder = folder
@@ -211,6 +215,21 @@
         spec = {"config_version": version, "routes": routes, "services": services}
         self.store.change("config", "main", spec)
 
+    def tell_start(self, name: str) -> None:
+        """Write a database's entry anew, as it does at each start."""
+        spec = {
+            "service": GROUP,
+            "address": "",
+            "zone": "zone-1",
+            "config_version": "v1",
+            "slots": 3,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 0,
+            "born": next(self._births),
+        }
+        self.store.change("servers", name, spec)
+
     def _hold_addresses(self, number: int) -> int:
         """Return a number whose addresses no other run on this machine uses.
 
@@ -251,7 +270,7 @@
         """Return what gives a node its own addresses of the databases."""
 
         def rewrite(kind: str, name: str, spec: dict) -> dict:
-            if kind != "servers":
+            if kind != "servers" or name not in DATABASES:
                 return spec
             return {**spec, "address": self._addresses[node, name]}
 
@@ -261,18 +280,7 @@
         """Write the configuration and the databases."""
         self.write_configuration()
         for name in DATABASES:
-            spec = {
-                "service": GROUP,
-                "address": "",
-                "zone": "zone-1",
-                "config_version": "v1",
-                "slots": 3,
-                "state": "ready",
-                "cold_remaining_ms": 0,
-                "sequence": 0,
-                "born": next(self._births),
-            }
-            self.store.change("servers", name, spec)
+            self.tell_start(name)
 
     def _make_boot(self, node: Node, is_first: bool) -> dict:
         """Return a node's settings file."""
--- a/beryltrack_standins/lines/database.py
+++ b/beryltrack_standins/lines/database.py
@@ -267,6 +267,12 @@
         self.break_connections()
         self.group.restart(self.database.name)
 
+    def restart_empty(self) -> None:
+        """Start the database again with nothing of what it held."""
+        self.is_dark = False
+        self.break_connections()
+        self.group.restart_empty(self.database.name)
+
     def break_connections(self) -> None:
         """Break all connections."""
         for session in tuple(self.sessions):
--- a/beryltrack_standins/lines/group.py
+++ b/beryltrack_standins/lines/group.py
@@ -9,6 +9,7 @@
 """
 
 import random
+from collections import Counter
 from typing import NamedTuple
 
 from beryltrack.groups.messages import PRIMARY, REPLICA, LogPosition
@@ -48,18 +49,17 @@
         self.is_cut = False
         self.log: list[Commit] = []
         self.applied = 0
+        self.start = LogPosition(1, 0)
 
     @property
     def received(self) -> LogPosition:
         """The last entry of its log."""
-        return self.log[-1].position if self.log else LogPosition(1, 0)
+        return self.log[-1].position if self.log else self.start
 
     @property
     def shown(self) -> LogPosition:
         """The last entry that its readers see."""
-        return (
-            self.log[self.applied - 1].position if self.applied else LogPosition(1, 0)
-        )
+        return self.log[self.applied - 1].position if self.applied else self.start
 
     def read(self, item: bytes) -> bytes:
         """Return the data of an item as its readers see it."""
@@ -98,6 +98,8 @@
         self.lag = 1.0
         self.rolled_back: set[LogPosition] = set()
         self.promotions = 0
+        self.promoting: Counter[str] = Counter()
+        self._forgetful: tuple[Database, LogPosition] | None = None
         self._clock = clock
         self._rng = rng
 
@@ -201,6 +203,31 @@
             if replica.log[index].position <= position:
                 replica.applied = index + 1
 
+    @property
+    def may_forget(self) -> bool:
+        """True if a database may start again empty.
+
+        One at a time: what two have lost before either has caught up was perhaps
+        nowhere else. Nor while a call to promote one is under way, which the promotion
+        service carries out for whatever runs under the identifier by then.
+        """
+        if any(self.promoting.values()) or self.primary is None:
+            return False
+        if self._forgetful is None:
+            return True
+        database, needed = self._forgetful
+        return database.received >= needed
+
+    def restart_empty(self, name: str) -> None:
+        """Start a database again that holds and knows nothing of before."""
+        database = self.databases[name]
+        longest = max(each.received for each in self.databases.values())
+        self._forgetful = (database, longest)
+        database.log, database.applied = [], 0
+        database.start, database.term = LogPosition(0, 0), 0
+        database.role = REPLICA
+        self.restart(name)
+
     def crash(self, name: str) -> None:
         """Stop a database; it keeps its log."""
         self.databases[name].is_up = False
--- a/beryltrack_standins/lines/store.py
+++ b/beryltrack_standins/lines/store.py
@@ -270,6 +270,7 @@
             return b"{}"
         holder = request.getHeader("Beryltrack-Duty-Holder") or ""
         self._tokens.note_call(body["service"], token, holder)
+        group.promoting[body["id"]] += 1
         if self._rng.random() < self.late_share:
             delay = self._rng.uniform(1.0, 3.0)
             self._reactor.callLater(delay, self._carry_out, group, body, token)
@@ -283,10 +284,16 @@
         """Begin a promotion unless it is fenced off."""
         name, database = body["service"], group.databases[body["id"]]
         if not (database.is_up and self._tokens.may_carry_out(name, token)):
+            group.promoting[database.name] -= 1
             return False
-        self._reactor.callLater(PROMOTE_TIME, group.promote, database.name)
+        self._reactor.callLater(PROMOTE_TIME, self._finish, group, database.name)
         return True
 
+    def _finish(self, group: Group, name: str) -> None:
+        """Let a database lead."""
+        group.promoting[name] -= 1
+        group.promote(name)
+
 
 PROMOTE_TIME = 0.3
 """Seconds from a call until the named database leads."""
