--- a/beryltrack_bench/soak/faults.py
+++ b/beryltrack_bench/soak/faults.py
@@ -110,7 +110,7 @@
 
 
 def _cut_off_primary(site: SoakSite, rng: random.Random) -> Fault:
-    primary = site.group.primary
+    primary = site.group.primary or site.group.databases[DATABASES[0]]
     away = [node.links[primary.name] for node in site.nodes if rng.random() < 0.4]
 
     def begin() -> None:
