--- a/tests/groups/test_restarts.py
+++ b/tests/groups/test_restarts.py
@@ -113,6 +113,10 @@
     def __init__(self):
         self.clock = Clock()
         self.databases = ForgetfulDatabases(self.clock)
+        self.start()
+
+    def start(self):
+        """Start the instance, which knows nothing of before."""
         self.task = GroupTask(
             self.clock,
             make_group(),
@@ -275,6 +279,17 @@
     assert len(site.promoted) == 1
 
 
+def test_a_group_gets_a_primary_that_no_instance_has_seen_led():
+    """All instances started while its primary was down, which came back empty."""
+    site = Site()
+    site.databases.restart_empty("a")
+    site.start()
+    site.databases.restart_empty("b", "b@2")
+    site.tell("a", "b@2", "c")
+    site.run(3.0)
+    assert len(site.promoted) == 1
+
+
 def test_one_that_started_again_since_it_was_chosen_is_not_promoted():
     site = Site()
     site.ask("a", "b", "c")
--- a/tests/routing/test_checked_reads.py
+++ b/tests/routing/test_checked_reads.py
@@ -77,3 +77,10 @@
     read = ReadRequest(10.0, None, 0.0, READS_PRIMARY, deadline=11.0)
     choice = choose_target(make_view(), read, (), 10.01, CONFIRMING)
     assert choice == UseTarget("a", False)
+
+
+def test_the_primary_too_must_show_what_it_has_shown_before():
+    """One that has started again empty between its word and the read shows nothing."""
+    view = make_view()._replace(confirmed_at=10.0)
+    read = make_read(reads=READS_PRIMARY, max_age=0.0, token=None)
+    assert choose(view, read) == UseTarget("a", False, False, NEW)
