Let few instances of a large fleet ask the store, and the others follow them

Change: three watchers of each zone by rank (objects/watchers.py) ask; the others keep a link to one (objects/copies.py, follow.py): the first frames hold all objects, later ones changes, one at least each 0.5 s. A feed is held back only while its watcher says that it hears from the store; after 1.3 s of silence, or 0.8 s of a watcher that hears nothing, another is tried, and the store is asked. One kind finds out for all whether the store answers. Watchers that are turned away are told by others meanwhile. Nothing goes back: what is older than the own revision is left out. Fleets of up to three instances a zone do as before. Switch: shared-copies. Tests: 195 instances before a store in simulated time: calls as many as with 15; changes in force in 3 s with half of the watchers lost, eight cut off without a word, half of the instances turned away, and after outages.

--- /dev/null
+++ b/beryltrack/daemon/copies.py
@@ -0,0 +1,43 @@
+"""The copies of the store's objects that the instances of a fleet share."""
+
+from beryltrack.objects.copies import CopyPort
+from beryltrack.objects.feed import FeedTask
+from beryltrack.objects.follow import FollowTask
+from beryltrack.relay.owners import Peer
+
+
+class FleetCopies:
+    """Tells others what this instance knows of the store, and is told by others.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        Source of connections and timers.
+    feeds : tuple of FeedTask
+        The kinds that are shared; the first one finds out whether the store answers.
+    own : Peer
+        This instance.
+    """
+
+    def __init__(self, reactor, feeds: tuple[FeedTask, ...], own: Peer):
+        self.port = CopyPort(reactor, feeds)
+        self._follow = FollowTask(reactor, feeds, own)
+
+    @property
+    def source(self) -> str:
+        """The name of the instance that tells this one; empty if none does."""
+        return self._follow.source
+
+    def start(self) -> None:
+        """Begin to tell and to be told."""
+        self.port.start()
+        self._follow.start()
+
+    def stop(self) -> None:
+        """End all links."""
+        self._follow.stop()
+        self.port.stop()
+
+    def set_peers(self, peers: tuple[Peer, ...]) -> None:
+        """Take all instances that are known."""
+        self._follow.set_peers(peers)
--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -63,6 +63,7 @@
     Field("port", parse_port),
     Field("relay", parse_port),
     Field("zone", parse_name),
+    Field("copies", parse_port, False),
 )
 
 
@@ -198,6 +199,8 @@
             "relay": self._own.relay.port,
             "zone": self._own.zone,
         }
+        if self._own.copies is not None:
+            value["copies"] = self._own.copies.port
         path = f"{KIND}/{self._name}"
         if self._is_new:
             # Nobody of this name was there before, so that the question is spared.
@@ -267,7 +270,10 @@
         findings.append(Finding(item.path, "", f"the name of the instance {error}"))
     if findings:
         return None, findings
-    return Peer(name, fields["zone"], Endpoint(fields["host"], fields["relay"])), []
+    host, copies = fields["host"], fields.get("copies")
+    relay = Endpoint(host, fields["relay"])
+    source = None if copies is None else Endpoint(host, copies)
+    return Peer(name, fields["zone"], relay, source), []
 
 
 def _read_look(item: PlatformObject) -> Endpoint | None:
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -16,6 +16,7 @@
 
 from beryltrack.clock import get_seconds
 from beryltrack.daemon import node_options as options
+from beryltrack.daemon.copies import FleetCopies
 from beryltrack.daemon.group_connections import GroupConnections
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.line_kit import LineKit
@@ -137,9 +138,11 @@
         self._seconds = get_seconds(reactor)
         self._rejects = RejectLog()
         clients = make_store_clients(reactor, settings, rng, self._rejects)
-        own = Peer(settings.name, settings.zone, settings.relay_listen)
-        directory = RelayDirectory(own, self._seconds, options.FIRST_INSTANCES)
         self._policies = make_policies(settings.is_fenced, settings.disabled)
+        copies = settings.copies_listen if self._policies.shares_copies else None
+        own = Peer(settings.name, settings.zone, settings.relay_listen, copies)
+        self._own = own
+        directory = RelayDirectory(own, self._seconds, options.FIRST_INSTANCES)
         self._kit = LineKit(
             reactor,
             settings.name,
@@ -224,6 +227,7 @@
             WATCH_GAP if settings.is_first_start else 0.0,
             self._rejects,
         )
+        self._copies = FleetCopies(reactor, (*self._feeds, self._members.feed), own)
         self._snapshots = SnapshotTask(
             reactor, settings.snapshot_sources, self._take_snapshot, rng
         )
@@ -250,6 +254,9 @@
         if self.settings.snapshot_listen is not None:
             port = SnapshotPort(self._get_snapshot)
             self._listen(self.settings.snapshot_listen, port)
+        if self._own.copies is not None:
+            self._listen(self._own.copies, self._copies.port)
+            self._copies.start()
         if self._policies.takes_snapshots and not self.settings.is_first_start:
             self._snapshots.start()
         self._services.admission.start()
@@ -298,6 +305,7 @@
 
     async def stop(self) -> None:
         """Close everything."""
+        self._copies.stop()
         for feed in self._feeds:
             feed.stop()
         self._members.stop()
@@ -378,6 +386,7 @@
 
     def _take_members(self, peers: tuple[Peer, ...]) -> None:
         """Take in which instances there are."""
+        self._copies.set_peers(peers)
         self._connections.set_members(peers)
         self._apply()
 
@@ -413,6 +422,7 @@
         version = self._configuration.version if self._configuration else 0
         yield "beryltrack_settings_version", "", version
         yield "beryltrack_callers", "", len(self._callers.callers)
+        yield "beryltrack_store_is_followed", "", int(not self._copies.source)
         yield "beryltrack_unreadable_objects_total", "", self._rejects.count
         for feed in (*self._feeds, self._members.feed):
             labels = f'kind="{feed.kind}"'
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -57,6 +57,8 @@
         True if databases may be reached through other instances.
     takes_snapshots : bool
         True if an instance that starts may go by another one's copies.
+    shares_copies : bool
+        True if instances may tell each other what the store holds.
     """
 
     pools: PoolPolicy
@@ -69,6 +71,7 @@
     late_after: float
     takes_detours: bool
     takes_snapshots: bool
+    shares_copies: bool
 
 
 def make_policies(
@@ -94,6 +97,7 @@
         LATE_AFTER,
         takes_detours=Mechanism.DETOURS not in disabled,
         takes_snapshots=Mechanism.SNAPSHOTS not in disabled,
+        shares_copies=Mechanism.SHARED_COPIES not in disabled,
     )
     for mechanism in sorted(disabled, key=lambda each: each.value):
         if mechanism in _WITHOUT:
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -1,7 +1,8 @@
 """A live copy of all objects of one kind, by one list and then watches.
 
 The store counts each call, a waiting watch as one, so that a feed makes few: a
-list at the start and after the store forgot its changes, else one watch at a time.
+list at the start and after the store forgot its changes, else one watch at a time. A
+feed may be held back while another instance tells what the store holds.
 """
 
 import logging
@@ -118,6 +119,11 @@
         self._answered_at = self._seconds()
         self._failures = 0
         self._looks_twice = False
+        self._must_list = True
+        self._most_delay = MOST_DELAY
+        self._is_held = False
+        self._released: Deferred | None = None
+        self._observers: list[Callable[[FeedTask], None]] = []
         self._loop: Deferred | None = None
 
     @property
@@ -135,6 +141,16 @@
         """The store's revision up to which changes are known; 0 before a list."""
         return self._revision or 0
 
+    @property
+    def is_held(self) -> bool:
+        """True if the store is not asked, as another instance tells."""
+        return self._is_held
+
+    @property
+    def is_live(self) -> bool:
+        """True if the store is asked and answers."""
+        return not (self._is_held or self._failures) and self._revision is not None
+
     @property
     def silence(self) -> float:
         """Seconds since the store last answered for this kind, or since the start."""
@@ -145,6 +161,52 @@
         self._loop = Deferred.fromCoroutine(self._run())
         self._loop.addErrback(lambda failure: failure.trap(CancelledError))
 
+    def subscribe(self, observer: "Callable[[FeedTask], None]") -> None:
+        """Call back after each change, and when the store is heard or lost."""
+        self._observers.append(observer)
+
+    def set_most_delay(self, seconds: float) -> None:
+        """Take how long to wait at the most between two attempts that fail."""
+        self._most_delay = seconds
+
+    def hold(self) -> None:
+        """Ask the store no more once the present call is answered."""
+        self._is_held = True
+
+    def release(self) -> None:
+        """Ask the store again for what came after the last word."""
+        if self._is_held:
+            self._is_held = False
+            released, self._released = self._released, None
+            if released is not None:
+                released.callback(None)
+
+    def learn(
+        self, revision: int, objects: tuple[PlatformObject, ...], is_whole: bool
+    ) -> None:
+        """Take in what another instance has been told by the store.
+
+        Parameters
+        ----------
+        revision : int
+            The store's revision up to which that instance knows the kind. What is
+            older than the own knowledge is left out.
+        objects : tuple of PlatformObject
+            All objects, or those that have changed.
+        is_whole : bool
+            True if these are all.
+        """
+        if revision < self.revision or (not is_whole and self._revision is None):
+            return
+        self._answered_at = self._seconds()
+        found = ObjectList(revision, objects)
+        if not is_whole:
+            self._take_changes(found)
+        elif {item.path: item for item in objects} == self._objects:
+            self._revision, self._must_list = revision, False
+        else:
+            self._take_list(found)
+
     def stop(self) -> None:
         """Follow them no more."""
         loop, self._loop = self._loop, None
@@ -153,6 +215,9 @@
 
     async def _run(self) -> None:
         while True:
+            if self._is_held:
+                self._released = Deferred()
+                await self._released
             result = await self._ask()
             if isinstance(result, Success):
                 self._note_answer()
@@ -161,13 +226,13 @@
                 continue
             self._note_failure(result.failure())
             delay = compute_delay(
-                self._failures, self._rng, first=FIRST_DELAY, most=MOST_DELAY
+                self._failures, self._rng, first=FIRST_DELAY, most=self._most_delay
             )
             await deferLater(self._reactor, delay)
 
     async def _ask(self) -> Result[ObjectList, PlatformError]:
         """Make one call and take in what it says."""
-        if self._revision is None:
+        if self._must_list:
             result = await self._source.list(self._kind)
             if isinstance(result, Success):
                 self._take_list(result.unwrap())
@@ -177,24 +242,34 @@
         if isinstance(result, Success):
             self._take_changes(result.unwrap())
             if self._looks_twice:
-                self._looks_twice, self._revision = False, None
+                self._looks_twice, self._must_list = False, True
         return result
 
     def _take_list(self, found: ObjectList) -> None:
         """Take in all objects; those that are not listed are gone."""
+        self._must_list = False
+        if found.revision < self.revision:
+            # Another instance has told of later changes meanwhile.
+            return
         self._revision = found.revision
         self._objects = {item.path: item for item in found.objects}
         self._tell()
 
     def _take_changes(self, found: ObjectList) -> None:
         """Take in what has changed."""
-        self._revision = max(self._revision, found.revision)
+        self._revision = max(self.revision, found.revision)
+        objects = dict(self._objects)
         for item in found.objects:
+            known = objects.get(item.path)
+            if known is not None and known.version > item.version:
+                # A call of before is answered after another instance has told more.
+                continue
             if item.deleted:
-                self._objects.pop(item.path, None)
+                objects.pop(item.path, None)
             else:
-                self._objects[item.path] = item
+                objects[item.path] = item
         if found.objects:
+            self._objects = objects
             self._tell()
 
     def _tell(self) -> None:
@@ -203,6 +278,12 @@
             self._callback(self._objects)
         except Exception:
             log.exception("objects: A change of %s met a defect.", self._kind)
+        self._tell_observers()
+
+    def _tell_observers(self) -> None:
+        """Tell those that pass the copy on."""
+        for observer in self._observers:
+            observer(self)
 
     def _note_answer(self) -> None:
         """Note that the store answers."""
@@ -212,16 +293,17 @@
                 self._kind,
                 self.silence,
             )
-        self._failures = 0
+        was_lost, self._failures = self._failures > 0, 0
         self._answered_at = self._seconds()
+        if was_lost:
+            self._tell_observers()
 
     def _note_failure(self, error: PlatformError) -> None:
         """Note that the store gives no answer, or forgot its changes."""
         # A watch that begins just before the store drops its changes hears
         # nothing of them, so that after any failure all objects are listed, and
         # once more when that is over.
-        self._revision = None
-        self._looks_twice = True
+        self._must_list = self._looks_twice = True
         self._failures += 1
         if self._failures == 1:
             log.warning(
@@ -231,3 +313,4 @@
                 error.kind.value,
                 error.text,
             )
+            self._tell_observers()
--- a/beryltrack/objects/snapshot.py
+++ b/beryltrack/objects/snapshot.py
@@ -32,7 +32,7 @@
 FETCH_LIMIT = 0.5
 """Seconds within which another instance must have given its copy."""
 
-_MALFORMED = (
+MALFORMED = (
     cbor2.CBORError,
     AttributeError,
     OverflowError,
@@ -40,6 +40,7 @@
     TypeError,
     ValueError,
 )
+"""What reading a form raises if it was not written as agreed."""
 
 Snapshot = Mapping[str, Mapping[str, PlatformObject]]
 
@@ -60,15 +61,15 @@
     try:
         kinds = cbor2.loads(data)
         return {
-            kind: {item.path: item for item in map(_decode_object, items) if item}
+            kind: {item.path: item for item in map(decode_object, items) if item}
             for kind, items in kinds.items()
         }
-    except _MALFORMED as error:
+    except MALFORMED as error:
         log.warning("objects: A snapshot cannot be read: %r.", error)
         return None
 
 
-def _decode_object(fields: object) -> PlatformObject | None:
+def decode_object(fields: object) -> PlatformObject | None:
     """Return one object of a snapshot, None if it is malformed."""
     match fields:
         case [str() as path, int() as version, value, bool() as deleted]:
--- a/beryltrack/relay/owners.py
+++ b/beryltrack/relay/owners.py
@@ -48,11 +48,14 @@
         Its availability zone.
     relay : Endpoint
         Where it takes the statements of others.
+    copies : Endpoint or None
+        Where it tells others what the store holds; None if it does not.
     """
 
     name: str
     zone: str
     relay: Endpoint
+    copies: Endpoint | None = None
 
 
 class Placement(NamedTuple):
--- a/beryltrack/settings/mechanisms.py
+++ b/beryltrack/settings/mechanisms.py
@@ -43,6 +43,8 @@
     """What did not run is run again elsewhere."""
     RETRY_BUDGET = "retry-budget"
     """Retries are at most a tenth of the requests."""
+    SHARED_COPIES = "shared-copies"
+    """Most instances of a large fleet are told by others what the store holds."""
     SNAPSHOTS = "snapshots"
     """An instance that starts goes by another one's copies while the store is away."""
 
--- a/beryltrack/settings/node.py
+++ b/beryltrack/settings/node.py
@@ -69,3 +69,9 @@
     change_limit: float = CHANGE_LIMIT
     drain_limit: float = DRAIN_LIMIT
     disabled: frozenset[Mechanism] = frozenset()
+
+    @property
+    def copies_listen(self) -> Endpoint | None:
+        """Where it tells others of changes in the store: the port after the copies'."""
+        place = self.snapshot_listen
+        return None if place is None else Endpoint(place.host, place.port + 1)
