--- a/beryltrack_bench/soak/run.py
+++ b/beryltrack_bench/soak/run.py
@@ -65,6 +65,7 @@
     seconds: float,
     is_fenced: bool = True,
     is_forgetful: bool = False,
+    nodes: int = 0,
 ) -> SoakResult:
     """Run a site under faults and judge what callers and databases saw.
 
@@ -81,9 +82,13 @@
         False if promotions are not fenced, and former primaries go on.
     is_forgetful : bool
         True if databases start again empty, and other programs write to the store.
+    nodes : int
+        How many nodes; 0 lets the seed decide. From seven on some follow others
+        instead of the store.
     """
     rng = random.Random(seed)
     count, limit = rng.choice(((3, 40), (4, 40), (5, 14)))
+    count = nodes or count
     folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
     site = SoakSite(reactor, seed, count, limit, rng, folder, is_fenced, is_forgetful)
     try:
