--- a/beryltrack_standins/database/control_calls.py
+++ b/beryltrack_standins/database/control_calls.py
@@ -19,6 +19,7 @@
     "history",
     "heard_ms",
     "leaving",
+    "incarnation",
 )
 _CALL = re.compile(r"beryltrack_(\w+)\s*\(([^)]*)\)", re.I)
 _MILLISECONDS = 1000.0
@@ -120,4 +121,5 @@
         json.dumps(status.history),
         status.heard_age * _MILLISECONDS,
         status.leaving,
+        status.incarnation,
     )
--- a/beryltrack_standins/database/database.py
+++ b/beryltrack_standins/database/database.py
@@ -192,6 +192,16 @@
             self.log.stopped_writes = True
             self._clock.callLater(STOPPED_WRITES_LIMIT, self._resume_writes, term)
 
+    def start_again_empty(self) -> None:
+        """Hold and know nothing of before, under the same name."""
+        incarnation = str(int(self.log.incarnation) + 1)
+        self.log = ReplicaLog(self.name, incarnation)
+        self.log.heard_at = self._clock.seconds()
+        self.reader = SqlCopy()
+        self._reader_offset = 0
+        self._checkpoints.clear()
+        self._follow_role()
+
     def set_leaving(self, leaving: bool) -> None:
         """Say whether the database is about to leave."""
         self.log.leaving = leaving
--- a/beryltrack_standins/database/replica_log.py
+++ b/beryltrack_standins/database/replica_log.py
@@ -43,10 +43,13 @@
     ----------
     name : str
         The database's name in its group.
+    incarnation : str
+        Names the data; a database that starts again empty has another one.
     """
 
-    def __init__(self, name: str):
+    def __init__(self, name: str, incarnation: str = "1"):
         self.name = name
+        self.incarnation = incarnation
         self.role = REPLICA
         self.term = 0
         self.granted_to = ""
@@ -90,6 +93,7 @@
             self.history,
             heard_age,
             self.leaving,
+            incarnation=self.incarnation,
         )
 
     def grant(
