--- a/beryltrack_standins/lines/database.py
+++ b/beryltrack_standins/lines/database.py
@@ -274,6 +274,7 @@
         self.group.restart_empty(self.database.name)
 
     def break_connections(self) -> None:
-        """Break all connections."""
+        """Break all connections; what runs on them ends with the process."""
         for session in tuple(self.sessions):
+            session.is_gone = True
             session.transport.abortConnection()
