Take the watches of a group out of its task

groups/watches.py holds one watch for each member and when each was asked; the task keeps what is decided with their results.

--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -45,7 +45,8 @@
     get_outline,
 )
 from beryltrack.groups.waiters import ViewWaiters
-from beryltrack.groups.watch import DatabaseWatch, StatusResult, WatchWait
+from beryltrack.groups.watch import StatusResult, WatchWait
+from beryltrack.groups.watches import GroupWatches
 from beryltrack.settings.messages import GroupSettings
 from beryltrack.transactions.waits import CommitWaits
 
@@ -106,9 +107,7 @@
         self._detector = detector or FixedDetector(group_settings.lost_after)
         self._decider = GroupDecider(group_settings.name, names, draining, proof)
         self._commits = CommitWaits(reactor, len(names))
-        self._watches = {
-            name: DatabaseWatch(reactor, name, adapter, self) for name in names
-        }
+        self._watches = GroupWatches(reactor, adapter, self, names)
         self._failover = FailoverTask(
             reactor,
             group_settings,
@@ -120,7 +119,6 @@
             failover_policy,
             authority,
         )
-        self._sent_at = dict.fromkeys(names, 0.0)
         self._last_time = 0.0
         self._used_at = NEVER
         self._waiters = ViewWaiters(reactor)
@@ -148,25 +146,22 @@
 
     def get_sent_at(self, database: str) -> float:
         """Return when a database was last asked."""
-        return self._sent_at.get(database, 0.0)
+        return self._watches.get_sent_at(database)
 
     def wake(self, database: str) -> None:
         """Ask a database now, if it is still a member."""
-        if database in self._watches:
-            self._watches[database].wake()
+        self._watches.wake(database)
 
     def start(self) -> None:
         """Begin to watch the group."""
         self._running = True
         self._pace.restart(self._seconds())
-        for watch in self._watches.values():
-            watch.start()
+        self._watches.start()
 
     def stop(self) -> None:
         """Watch no more; who still waits is told what is known."""
         self._running = False
-        for watch in self._watches.values():
-            watch.stop()
+        self._watches.stop()
         self._failover.stop()
         self._adapter.close()
         self._commits.stop()
@@ -192,17 +187,9 @@
         self._decider.set_draining(get_draining(group_settings))
         self._commits.keep_databases(names)
         self._failover.set_databases(names)
-        self._sent_at = {name: self._sent_at.get(name, 0.0) for name in names}
         self._pace.keep_databases(names)
-        for name in self._watches.keys() - set(names):
-            self._watches.pop(name).stop()
         self._waiters.keep_databases(names)
-        for name in names:
-            if name not in self._watches:
-                watch = DatabaseWatch(self._reactor, name, self._adapter, self)
-                self._watches[name] = watch
-                if self._running:
-                    watch.start()
+        self._watches.set_databases(names)
         for name in restarted:
             self._note_restart(name)
         self._report_view()
@@ -237,7 +224,7 @@
         before = self.view.term
         self._decider.learn_view(view)
         if self.view.term > before:
-            self._wake_all()
+            self._watches.wake_all()
         self._report_view()
 
     def get_age(self, database: str) -> float:
@@ -280,7 +267,7 @@
         """Take in a proven position of the primary from another instance."""
         if proof.position.term > self.view.term:
             # The group has a primary that this node does not know of yet.
-            self._wake_all()
+            self._watches.wake_all()
             return
         self._decider.observe_proof(proof, self._seconds())
         self._answer_samples()
@@ -312,7 +299,7 @@
         since : float
             When it was asked what it has not answered, by the node's clock.
         """
-        if database not in self._watches:
+        if not self._watches.is_watched(database):
             return
         now = self._seconds()
         if database == self.view.primary:
@@ -321,9 +308,9 @@
                 return
             self._decider.observe_primary_asked(since)
             if self._pace.note_suspicion(now):
-                self._wake_all()
-        elif now - self._sent_at[database] > self._policy.suspect_interval:
-            self._watches[database].wake()
+                self._watches.wake_all()
+        elif now - self.get_sent_at(database) > self._policy.suspect_interval:
+            self.wake(database)
 
     def observe_sample(
         self, database: str, position: LogPosition, sent_at: float
@@ -344,9 +331,9 @@
         answer = self._waiters.wait_sample(self.get_time())
         self._note_use()
         if self.view.primary:
-            self._watches[self.view.primary].wake()
+            self.wake(self.view.primary)
         else:
-            self._wake_all()
+            self._watches.wake_all()
         return answer
 
     def confirm_lead(self) -> Deferred:
@@ -391,9 +378,9 @@
             answer.addBoth(self._end_confirming)
             witness = get_witness(self.view)
             if witness:
-                self._watches[witness].wake()
+                self.wake(witness)
         else:
-            self._wake_replicas()
+            self._watches.wake_replicas(self.view)
         return answer
 
     def wait_applied(
@@ -433,14 +420,15 @@
         A sample is proven by answers to requests that were sent after it, so
         the others are asked once more when the primary is asked for one.
         """
-        sent_at = self._sent_at[database] = self.get_time()
+        sent_at = self.get_time()
+        self._watches.note_sent(database, sent_at)
         if not self.view.primary:
             # Whoever was to give the group another one may be gone itself.
             self._decider.observe_primary_asked(sent_at)
         if database == self.view.primary:
             self._decider.observe_primary_asked(sent_at)
             if self._waiters.has_samples and not self._policy.is_plain:
-                self._wake_replicas()
+                self._watches.wake_replicas(self.view)
         return sent_at
 
     def get_wait(self, database: str) -> WatchWait | None:
@@ -467,7 +455,7 @@
         item = get_database(self.view, database)
         if item is None:
             return self._policy.idle_interval
-        sent_at = self._sent_at[database]
+        sent_at = self.get_sent_at(database)
         is_asked = self._waiters.wants_sample_after(sent_at)
         if (is_asked or self._confirmations.wants(database)) and item.reachable:
             return 0.0
@@ -494,7 +482,7 @@
         if isinstance(result, Success):
             self.take_status(result.unwrap(), sent_at)
             if self._pace.turns_to_all(self._seconds()):
-                self._wake_replicas()
+                self._watches.wake_replicas(self.view)
             return
         if result.failure().is_answered:
             self._decider.observe_answer(database, self._seconds())
@@ -539,7 +527,7 @@
 
     def take_report(self, report: FailoverReport) -> None:
         """Tell the subscribers of a change of primary that this node made."""
-        self._wake_all()
+        self._watches.wake_all()
         for callback in tuple(self._failover_subscribers):
             callback(report)
 
@@ -590,7 +578,7 @@
             return
         if self._policy.is_plain:
             # They may rest for long: what has changed may concern them too.
-            self._wake_all()
+            self._watches.wake_all()
         if before.term != self.view.term or before.primary != self.view.primary:
             log.info(
                 "groups: %s is led by %s in term %d.",
@@ -601,22 +589,13 @@
         for callback in tuple(self._subscribers):
             callback(self.view)
 
-    def _wake_all(self) -> None:
-        for watch in self._watches.values():
-            watch.wake()
-
-    def _wake_replicas(self) -> None:
-        for item in self.view.databases:
-            if item.role != PRIMARY:
-                self._watches[item.name].wake()
-
     def _note_use(self) -> None:
         """Keep the ages exact while requests come; wake an idle watch once."""
         now = self._seconds()
         was_idle = now >= self._used_at + self._policy.use_time
         self._used_at = now
         if was_idle and not self._policy.is_plain:
-            self._wake_all()
+            self._watches.wake_all()
 
 
 def get_draining(group_settings: GroupSettings) -> frozenset[str]:
