--- a/beryltrack/groups/confirmations.py
+++ b/beryltrack/groups/confirmations.py
@@ -14,7 +14,7 @@
 from beryltrack.groups.messages import PRIMARY
 from beryltrack.groups.plain_pace import WITNESS_TIME, get_witnesses
 from beryltrack.groups.view import GroupView
-from beryltrack.groups.waiters import SampleWaiter
+from beryltrack.groups.waiters import ProofWaiters
 
 
 class ConfirmationOwner(Protocol):
@@ -53,7 +53,7 @@
         self._reactor = reactor
         self._seconds = get_seconds(reactor)
         self._owner = owner
-        self._waiting: list[SampleWaiter] = []
+        self._waiting = ProofWaiters()
         self._look_call: IDelayedCall | None = None
 
     def wait(self) -> "Deferred[None]":
@@ -61,34 +61,31 @@
 
         It has no timeout of its own; cancel it.
         """
-        waiter = SampleWaiter(self._owner.get_time(), Deferred())
-        self._waiting.append(waiter)
-        waiter.answer.addBoth(self._drop, waiter)
+        answer = self._waiting.wait(self._owner.get_time())
         view = self._owner.view
         names = get_witnesses(view, self._owner.witness_count)
         for name in names or (item.name for item in view.databases):
             self._owner.wake(name)
         if self._look_call is None or not self._look_call.active():
             self._plan_look()
-        return waiter.answer
+        return answer.addCallback(_return_none)
 
     def wants(self, database: str) -> bool:
         """Return whether a database is to be asked again at once."""
         sent_at = self._owner.get_sent_at(database)
-        if not any(waiter.called_at > sent_at for waiter in self._waiting):
+        if not self._waiting.wants_after(sent_at):
             return False
         return database in get_witnesses(self._owner.view, self._owner.witness_count)
 
     def answer(self, confirmed_at: float) -> None:
         """Answer those who waited for the proof up to a time."""
-        for waiter in tuple(self._waiting):
-            if confirmed_at >= waiter.called_at:
-                waiter.answer.callback(None)
+        self._waiting.answer(
+            lambda called_at: True if confirmed_at >= called_at else None
+        )
 
     def stop(self) -> None:
         """Give up whoever waits."""
-        for waiter in tuple(self._waiting):
-            waiter.answer.cancel()
+        self._waiting.stop()
         if self._look_call is not None and self._look_call.active():
             self._look_call.cancel()
 
@@ -100,7 +97,7 @@
         """Ask all for what the first witnesses have not confirmed in time."""
         if not self._waiting:
             return
-        oldest = self._waiting[0].called_at
+        oldest = self._waiting.oldest
         if self._seconds() - oldest >= WITNESS_TIME / 2:
             for item in self._owner.view.databases:
                 is_asked = self._owner.get_sent_at(item.name) >= oldest
@@ -108,7 +105,6 @@
                     self._owner.wake(item.name)
         self._plan_look()
 
-    def _drop(self, result: object, waiter: SampleWaiter) -> object:
-        """Take a waiter that was answered or cancelled off the list."""
-        self._waiting.remove(waiter)
-        return result
+
+def _return_none(proof: object) -> None:
+    """Return nothing: that there is a proof is all that is told."""
--- a/beryltrack/groups/waiters.py
+++ b/beryltrack/groups/waiters.py
@@ -9,21 +9,58 @@
 from beryltrack.groups.view import GroupView, get_database, has_applied
 
 
-class SampleWaiter(NamedTuple):
-    """Somebody waits for a position sampled after a time.
+class ProofWaiter(NamedTuple):
+    """Somebody waits for something that is proven up to a time.
 
     Parameters
     ----------
     called_at : float
-        Only samples asked for at or after this time count.
+        Only what was asked for at or after this time counts.
     answer : Deferred
-        Fires with the `LogPosition`.
+        Fires with what is proven.
     """
 
     called_at: float
     answer: Deferred
 
 
+class ProofWaiters:
+    """All who wait for one kind of proof, in the order in which they came."""
+
+    def __init__(self) -> None:
+        self._waiting: list[ProofWaiter] = []
+
+    def __bool__(self) -> bool:
+        return bool(self._waiting)
+
+    @property
+    def oldest(self) -> float:
+        """Since when the first of them waits."""
+        return self._waiting[0].called_at
+
+    def wait(self, called_at: float) -> Deferred:
+        """Return what fires with a proof of what was asked at or after a time."""
+        waiter = ProofWaiter(called_at, Deferred())
+        self._waiting.append(waiter)
+        return waiter.answer.addBoth(_drop, self._waiting, waiter)
+
+    def wants_after(self, sent_at: float) -> bool:
+        """Return whether a request of a time is too old for somebody who waits."""
+        return any(waiter.called_at > sent_at for waiter in self._waiting)
+
+    def answer(self, get_proof: Callable[[float], object | None]) -> None:
+        """Answer those for whose time there is a proof; None says there is none."""
+        for waiter in tuple(self._waiting):
+            proof = get_proof(waiter.called_at)
+            if proof is not None:
+                waiter.answer.callback(proof)
+
+    def stop(self) -> None:
+        """Cancel all: they wait in vain."""
+        for waiter in tuple(self._waiting):
+            waiter.answer.cancel()
+
+
 class AppliedWaiter(NamedTuple):
     """Somebody waits until a database has applied what a token stands for.
 
@@ -53,7 +90,7 @@
 
     def __init__(self, reactor):
         self._reactor = reactor
-        self._samples: list[SampleWaiter] = []
+        self._samples = ProofWaiters()
         self._applied: list[AppliedWaiter] = []
 
     @property
@@ -63,9 +100,7 @@
 
     def wait_sample(self, called_at: float) -> Deferred:
         """Return what fires with a position sampled at or after a time."""
-        waiter = SampleWaiter(called_at, Deferred())
-        self._samples.append(waiter)
-        return waiter.answer.addBoth(_drop, self._samples, waiter)
+        return self._samples.wait(called_at)
 
     def wait_applied(
         self, database: str, token: LogPosition, timeout: float
@@ -79,7 +114,7 @@
 
     def wants_sample_after(self, sent_at: float) -> bool:
         """Return whether a request of a time is too old for somebody who waits."""
-        return any(waiter.called_at > sent_at for waiter in self._samples)
+        return self._samples.wants_after(sent_at)
 
     def get_tokens(self, database: str) -> list[LogPosition]:
         """Return what is waited for at a database."""
@@ -94,10 +129,7 @@
 
     def answer_samples(self, get_sample: Callable[[float], LogPosition | None]) -> None:
         """Answer those for whose time there is a confirmed sample."""
-        for waiter in tuple(self._samples):
-            position = get_sample(waiter.called_at)
-            if position is not None:
-                waiter.answer.callback(position)
+        self._samples.answer(get_sample)
 
     def keep_databases(self, names: Container[str]) -> None:
         """Tell those who wait for another database that it will not show it."""
@@ -108,8 +140,7 @@
     def stop(self) -> None:
         """Tell all that they wait in vain."""
         self.keep_databases(())
-        for waiter in tuple(self._samples):
-            waiter.answer.cancel()
+        self._samples.stop()
 
 
 def _drop(result: object, waiters: list, waiter: object) -> object:
