Test that a lost primary is asked for no proofs in vain: tests that fail

A write asks for a proof of the term although its primary cannot be reached; proven by the others within 4 ms it is refused, waits 20 ms for a change, forgets the proof and asks again. A read that no replica can serve asks again as soon as the proof has come. So witnesses were asked back to back.

--- a/tests/routing/test_checked_reads.py
+++ b/tests/routing/test_checked_reads.py
@@ -6,6 +6,7 @@
 from beryltrack.routing.messages import (
     NeedSample,
     ReadRequest,
+    Refuse,
     UseTarget,
     WriteRequest,
 )
@@ -84,3 +85,28 @@
     view = make_view()._replace(confirmed_at=10.0)
     read = make_read(reads=READS_PRIMARY, max_age=0.0, token=None)
     assert choose(view, read) == UseTarget("a", False, False, NEW)
+
+
+LOST = make_view()._replace(
+    databases=(
+        make_view().databases[0]._replace(reachable=False),
+        *make_view().databases[1:],
+    )
+)
+
+
+def test_no_proof_is_asked_for_a_write_that_its_primary_cannot_take():
+    """Each waiting write asked for one each 25 ms, for as long as a loss lasted."""
+    choice = choose_target(LOST, WriteRequest(10.0), (), 10.0, CONFIRMING)
+    assert isinstance(choice, Refuse)
+
+
+def test_a_read_asks_once_whether_a_proof_lets_a_replica_serve_it():
+    read = make_read(needed=None, deadline=11.0)
+    lost = LOST._replace(confirmed_at=5.0)
+    assert isinstance(choose_target(lost, read, (), 10.0, CONFIRMING), NeedSample)
+    tried = read._replace(tried_proof=True)
+    assert isinstance(choose_target(lost, tried, (), 10.0, CONFIRMING), Refuse)
+    # The primary can be reached again, so that a proof is of use again.
+    back = make_view()._replace(confirmed_at=5.0)
+    assert isinstance(choose_target(back, tried, (), 10.0, CONFIRMING), NeedSample)
