Ask for no proofs that can be of no use while a primary is lost

A write is told to wait for another primary without a proof of the lost one's term; a read asks for one proof, which may let a replica serve it, and no more until the primary can be reached.

--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -192,9 +192,9 @@
         return request if sample is None else _add_sample(request, sample)
     confirming = confirm_lead(services, runtime, need.timeout)
     is_confirmed = await search.ticket.wait(Deferred.fromCoroutine(confirming))
-    if is_confirmed and isinstance(request, WriteRequest):
-        return request._replace(sampled=True)
-    return request
+    if isinstance(request, ReadRequest):
+        return request._replace(tried_proof=True)
+    return request._replace(sampled=is_confirmed)
 
 
 async def confirm_lead(
--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -384,7 +384,10 @@
         shown = primary.applied if policy.checks_positions else NO_POSITION
         after = shown if shown.offset else None
         return UseTarget(primary.name, False, refreshes, after)
-    if request.sample is None and view.primary:
+    # While the primary cannot be reached a proof can only let a replica serve, once:
+    # asked for again and again it made 43,521 status requests in a loss of 8 s.
+    is_of_use = is_usable or not request.tried_proof
+    if request.sample is None and view.primary and is_of_use:
         timeout = min(policy.sample_timeout, request.deadline - now)
         return NeedSample(timeout, policy.samples_position)
     return Refuse(
@@ -417,6 +420,7 @@
     confirmed_after = now - policy.confirmed_within
     if is_usable and (request.sampled or view.confirmed_at >= confirmed_after):
         return UseTarget(primary.name, False)
-    if view.primary and not request.sampled:
+    # No proof makes a primary take a write that cannot be reached.
+    if is_usable and not request.sampled:
         return NeedSample(policy.sample_timeout, policy.samples_position)
     return Refuse(NOT_AVAILABLE, "no primary can be confirmed", policy.retry_after)
--- a/beryltrack/routing/messages.py
+++ b/beryltrack/routing/messages.py
@@ -72,6 +72,8 @@
     needed : LogPosition or None
         A position that shows all that was acknowledged before the needed time,
         for databases that check it; None if none is proven.
+    tried_proof : bool
+        True if a proof of the term was asked for since it arrived, and was of no use.
     """
 
     arrived_at: float
@@ -86,6 +88,7 @@
     sequence: int = 0
     written_at: float = -math.inf
     needed: LogPosition | None = None
+    tried_proof: bool = False
 
 
 class WriteRequest(NamedTuple):
