--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -384,8 +384,9 @@
         shown = primary.applied if policy.checks_positions else NO_POSITION
         after = shown if shown.offset else None
         return UseTarget(primary.name, False, refreshes, after)
-    # While the primary cannot be reached a proof can only let a replica serve, once:
-    # asked for again and again it made 43,521 status requests in a loss of 8 s.
+    # While the primary cannot be reached a proof can only let a replica serve, once.
+    # Asked for again and again it made 43,521 status requests beside 6,660 statements
+    # of seven instances in two losses of 8 s; 5,951 so.
     is_of_use = is_usable or not request.tried_proof
     if request.sample is None and view.primary and is_of_use:
         timeout = min(policy.sample_timeout, request.deadline - now)
