--- a/beryltrack_bench/soak/caller.py
+++ b/beryltrack_bench/soak/caller.py
@@ -125,7 +125,9 @@
             await self._ask(connection, b"START %s u" % self._route.name.encode())
             if self._rng.random() < 0.4:
                 value = b"v%d" % session
-                await self._ask(connection, b"QUERY s%d SET name %s" % (session, value))
+                setting = b"QUERY s%d SET name %s" % (session, value)
+                if not self._judge(await self._ask(connection, setting), [], None):
+                    return
                 values[b"name"] = value
             for _ in range(self._rng.randint(1, 12)):
                 if self.is_stopped:
--- a/beryltrack_bench/soak/run.py
+++ b/beryltrack_bench/soak/run.py
@@ -90,7 +90,17 @@
     count, limit = rng.choice(((3, 40), (4, 40), (5, 14)))
     count = nodes or count
     folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
-    site = SoakSite(reactor, seed, count, limit, rng, folder, is_fenced, is_forgetful)
+    site = SoakSite(
+        reactor,
+        seed,
+        count,
+        limit,
+        rng,
+        folder,
+        is_fenced,
+        is_forgetful,
+        shares_copies=bool(nodes),
+    )
     try:
         site.start()
         await _wait_ready(reactor, site)
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -18,6 +18,7 @@
 from twisted.internet.protocol import Factory
 from twisted.web.server import Site as HttpSite
 
+from beryltrack.settings.mechanisms import DISABLED_VARIABLE, Mechanism
 from beryltrack.settings.messages import Endpoint, RouteSettings
 from beryltrack_bench.soak.history import (
     BOUNDED_ROUTE,
@@ -102,6 +103,9 @@
         False if promotions are not fenced, and former primaries go on.
     is_forgetful : bool
         True if databases start again empty, and other programs write to the store.
+    shares_copies : bool
+        True if nodes may follow others in place of the store. Each node has addresses
+        of its own for the databases; one that follows another goes by those of that.
     """
 
     def __init__(
@@ -114,8 +118,10 @@
         folder: Path,
         is_fenced: bool = True,
         is_forgetful: bool = False,
+        shares_copies: bool = False,
     ):
         self.is_forgetful = is_forgetful
+        self._disabled = "" if shares_copies else Mechanism.SHARED_COPIES.value
         self._reactor = reactor
         self._rng = rng
         self._folder = folder
@@ -160,7 +166,11 @@
             self._processes[node.name] = subprocess.Popen(
                 [sys.executable, "-m", "beryltrack.daemon.node_process"],
                 cwd=ROOT,
-                env={"BERYLTRACK_BOOT": str(path), "PATH": os.environ["PATH"]},
+                env={
+                    "BERYLTRACK_BOOT": str(path),
+                    DISABLED_VARIABLE: self._disabled,
+                    "PATH": os.environ["PATH"],
+                },
                 stdout=log,
                 stderr=log,
             )
