--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -164,7 +164,8 @@
 # that waited for a change had no answer and 17 s to wait for it.
 # Seed 206, forgetful, without fences: nodes that had started since elected a replica
 # beside an empty database, and five commits were lost.
-# Seed 211, forgetful: statements found other session values; docs/incidents/soak-211.md.
+# Seed 211, forgetful: statements found other session values, as the caller had not
+# read that its SET was refused; docs/incidents/soak-211.md.
 @pytest.mark.parametrize(
     "words",
     [
