--- a/beryltrack/objects/follow.py
+++ b/beryltrack/objects/follow.py
@@ -88,6 +88,7 @@
         self._own = own
         self._connect = connect or self._open
         self._peers: tuple[Peer, ...] = (own,)
+        self._is_watcher = True
         self._avoided: dict[str, float] = {}
         self._link: CopyReceiver | None = None
         self._source = ""
@@ -116,21 +117,20 @@
     def set_peers(self, peers: tuple[Peer, ...]) -> None:
         """Take all instances that are known, this one among them."""
         self._peers = peers
+        self._is_watcher = is_watcher(peers, self._own)
 
     def _look(self) -> None:
         """Judge the link, open one if it is wanted, hold the feeds back or not."""
         now = self._seconds()
-        is_own_watcher = is_watcher(self._peers, self._own)
-        hears = self._first.is_live
-        if is_own_watcher and hears:
+        if self._is_watcher and self._first.is_live:
             self._drop()
         elif self._source:
             self._judge_link(now)
         else:
             self._follow_next(now)
         for feed in self._feeds.values():
-            feed.set_most_delay(MOST_DELAY if is_own_watcher else FALLBACK_DELAY)
-            is_told = not is_own_watcher and self._is_told(feed, now)
+            feed.set_most_delay(MOST_DELAY if self._is_watcher else FALLBACK_DELAY)
+            is_told = not self._is_watcher and self._is_told(feed, now)
             # While the store does not answer for one kind it answers for none: the
             # first one finds out for all.
             is_vain = feed is not self._first and not self._first.is_live
