--- a/tests/bench/test_faults.py
+++ b/tests/bench/test_faults.py
@@ -57,7 +57,7 @@
 
 
 def test_a_promotion_of_the_shortest_log_is_found(monkeypatch):
-    def choose(replies, size, preferred, unwanted, quorum=None, former=""):
+    def choose(replies, size, preferred, unwanted, quorum=None, former="", lost=()):
         granted = [reply.status for reply in replies if reply.granted]
         if len(granted) < size // 2 + 1:
             return None
