--- a/beryltrack/objects/watchers.py
+++ b/beryltrack/objects/watchers.py
@@ -2,7 +2,8 @@
 
 Each call to the store is counted, a waiting one too. 195 instances that each followed
 three kinds of objects made 9,411 calls in 50 s, and 4,657 so. A few instances of each
-availability zone, the watchers, ask the store; each of the others follows one of them. Every instance works the watchers out by itself from the members that it knows:
+availability zone, the watchers, ask the store; each of the others follows one of
+them. Every instance works the watchers out by itself from the members that it knows:
 views that differ cost a call more, or a link to one that has nothing to tell.
 """
 
