Test that a kind that cannot be read holds up no other: a test that fails

Cause: while the store does not answer for the settings the other kinds are held back; so they are too where it answers, but the settings' answer is faulty.

--- a/tests/objects/test_shared_copies.py
+++ b/tests/objects/test_shared_copies.py
@@ -50,6 +50,7 @@
         self.calls = {}
         self.is_silent = self.is_refusing = False
         self.refused = set()
+        self.faulty = set()
         self._waiting = []
         for kind in KINDS:
             self.put(kind, 0)
@@ -78,11 +79,16 @@
         self.store, self.name = store, name
 
     async def list(self, kind):
+        if kind in self.store.faulty:
+            return fail(ErrorKind.INVALID, "the answer is faulty")
         return await self.call(lambda: self.store.get(kind), 2.0)
 
     async def watch(self, kind, after, timeout):
         store, until = self.store, self.store.clock.seconds() + timeout
 
+        if kind in store.faulty:
+            return fail(ErrorKind.INVALID, "the answer is faulty")
+
         def look():
             found = store.get(kind, after)
             is_over = store.clock.seconds() >= until - 1e-6
@@ -310,6 +316,16 @@
     fleet.change()
 
 
+def test_a_kind_that_cannot_be_read_holds_up_no_other():
+    fleet = Fleet(6)
+    fleet.store.faulty.add("config")
+    fleet.run(8.0)
+    fleet.store.put("servers", fleet.store.revision)
+    fleet.run(LIMIT)
+    value = fleet.store.objects["servers/main"].value
+    assert all(each.known["servers"] == value for each in fleet.instances.values())
+
+
 def test_a_small_fleet_asks_by_itself():
     fleet = Fleet(ZONES * WATCHERS_PER_ZONE)
     assert all(not each.follow.source for each in fleet.instances.values())
