--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -17,6 +17,7 @@
 from beryltrack.clock import get_seconds
 from beryltrack.objects.backoff import compute_delay
 from beryltrack.objects.messages import (
+    ErrorKind,
     ObjectList,
     PlatformError,
     PlatformObject,
@@ -36,6 +37,8 @@
 """Seconds between two attempts while the store gives no answer. Settings are to be
 in force within seconds of its return, and a refused call costs as much as another."""
 
+_UNANSWERED = frozenset((ErrorKind.REFUSED, ErrorKind.UNKNOWN))
+
 
 class ObjectFeed(Protocol):
     """Lists and watches the objects of a kind."""
@@ -118,6 +121,7 @@
         self._revision: int | None = None
         self._answered_at = self._seconds()
         self._failures = 0
+        self._last_error: ErrorKind | None = None
         self._looks_twice = False
         self._must_list = True
         self._most_delay = MOST_DELAY
@@ -151,6 +155,11 @@
         """True if the store is asked and answers."""
         return not (self._is_held or self._failures) and self._revision is not None
 
+    @property
+    def is_unanswered(self) -> bool:
+        """True if the last call found no store that answers."""
+        return self._failures > 0 and self._last_error in _UNANSWERED
+
     @property
     def silence(self) -> float:
         """Seconds since the store last answered for this kind, or since the start."""
@@ -305,6 +314,7 @@
         # once more when that is over.
         self._must_list = self._looks_twice = True
         self._failures += 1
+        self._last_error = error.kind
         if self._failures == 1:
             log.warning(
                 "objects: No answer for %s for %.1f s (%s): %s.",
--- a/beryltrack/objects/follow.py
+++ b/beryltrack/objects/follow.py
@@ -30,14 +30,14 @@
 The shortest time that a change may take is 3 s: this, 0.3 s in which another watcher is
 looked for, and a call of at most 0.3 s remain below that."""
 
-DEAF_LIMIT = 0.8
+NO_STORE_LIMIT = 0.8
 """Seconds for which a watcher may hear nothing of the store until another is tried."""
 
 CONNECT_LIMIT = 0.2
 """Seconds within which a watcher takes a link; it is 1 to 4 ms away."""
 
 AVOID_TIME = 3.0
-"""Seconds for which a watcher that was lost or deaf is passed over."""
+"""Seconds for which a watcher is passed over that was lost or heard no store."""
 
 FALLBACK_DELAY = 1.2
 """Most seconds between two attempts of an instance that is no watcher while the store
@@ -133,7 +133,7 @@
             is_told = not self._is_watcher and self._is_told(feed, now)
             # While the store does not answer for one kind it answers for none: the
             # first one finds out for all.
-            is_vain = feed is not self._first and not self._first.is_live
+            is_vain = feed is not self._first and self._first.is_unanswered
             if is_told or (is_vain and not self._first.is_held):
                 feed.hold()
             else:
@@ -143,7 +143,7 @@
         """Give up a watcher that is silent, or that hears nothing of the store."""
         if now - self._heard_at > SILENCE_LIMIT:
             self._give_up("is silent", now)
-        elif now - self._live_at > DEAF_LIMIT:
+        elif now - self._live_at > NO_STORE_LIMIT:
             self._give_up("hears nothing of the store", now)
 
     def _give_up(self, reason: str, now: float) -> None:
