--- a/tests/routing/test_checked_reads.py
+++ b/tests/routing/test_checked_reads.py
@@ -110,3 +110,8 @@
     # The primary can be reached again, so that a proof is of use again.
     back = make_view()._replace(confirmed_at=5.0)
     assert isinstance(choose_target(back, tried, (), 10.0, CONFIRMING), NeedSample)
+
+
+def test_where_primaries_are_sampled_a_write_waits_for_the_next_one():
+    choice = choose_target(LOST, WriteRequest(10.0), (), 10.0, POLICY)
+    assert isinstance(choice, NeedSample)
