--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -421,8 +421,8 @@
     confirmed_after = now - policy.confirmed_within
     if is_usable and (request.sampled or view.confirmed_at >= confirmed_after):
         return UseTarget(primary.name, False)
-    # No proof by others makes a primary take a write that cannot be reached. Where it is
-    # sampled itself, the answer comes from the next one, which callers wait for.
+    # No proof by others makes a primary take a write that cannot be reached. Where it
+    # is sampled itself, the answer comes from the next one, which callers wait for.
     is_of_use = is_usable or (policy.samples_position and bool(view.primary))
     if is_of_use and not request.sampled:
         return NeedSample(policy.sample_timeout, policy.samples_position)
