Keep a session's values and statements, and the cutting of lines, outside of the adapter

Change: sessions/kept.py and wire/line_buffer.py; behaviour as before, the tests of the buffer moved to the package they test, as strict.

--- a/beryltrack/callers/sequence.py
+++ b/beryltrack/callers/sequence.py
@@ -16,16 +16,13 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from beryltrack.wire.line_buffer import MalformedMessage
 from beryltrack.wire.messages import Producer, TransactionStatus
 from beryltrack.wire.sockets import SocketLimits, tune_socket
 
 log = logging.getLogger(__name__)
 
 
-class MalformedMessage(Exception):
-    """Raised when bytes of a peer are no message of the protocol."""
-
-
 class CallerLimits(Interface):
     """What bounds a caller's connection; all in seconds or messages.
 
--- a/beryltrack/platform/caller.py
+++ b/beryltrack/platform/caller.py
@@ -8,9 +8,11 @@
 from beryltrack.errors import PROTOCOL_VIOLATION, SqlError, make_refusal
 from beryltrack.platform import lines
 from beryltrack.platform.codes import encode_error
-from beryltrack.platform.statements import LineSession, LineStatement, parse_query
+from beryltrack.platform.statements import LineStatement, parse_query
 from beryltrack.requests.session import CallerSession
+from beryltrack.sessions.kept import KeptState
 from beryltrack.settings.messages import RouteSettings
+from beryltrack.wire.line_buffer import LineBuffer
 from beryltrack.wire.messages import TransactionStatus
 
 MALFORMED = SqlError(PROTOCOL_VIOLATION, "the statement is malformed")
@@ -40,8 +42,8 @@
 
     def __init__(self, factory: SequentialFactory):
         super().__init__(factory)
-        self.lines = LineSession()
-        self._buffer = lines.LineBuffer()
+        self.lines = KeptState()
+        self._buffer = LineBuffer()
 
     def split(self, data: bytes) -> list[bytes]:
         """Return the lines that are complete now."""
--- a/beryltrack/platform/lines.py
+++ b/beryltrack/platform/lines.py
@@ -7,14 +7,10 @@
 import math
 from typing import NamedTuple
 
-from beryltrack.callers.sequence import MalformedMessage
 from beryltrack.groups.messages import LogPosition
+from beryltrack.wire.line_buffer import MalformedMessage
 from beryltrack.wire.messages import TransactionStatus
 
-LINE_END = b"\r\n"
-MAX_MESSAGE = 1 << 20
-"""Most bytes of one message, by the protocol's definition."""
-
 START = b"START"
 QUERY = b"QUERY"
 TERMINATE = b"TERMINATE"
@@ -39,29 +35,6 @@
     """Raised when bytes of a peer are no message of the protocol."""
 
 
-class LineBuffer:
-    """Cuts a stream of bytes into lines."""
-
-    __slots__ = ("_rest",)
-
-    def __init__(self):
-        self._rest = b""
-
-    def feed(self, data: bytes) -> list[bytes]:
-        """Return the lines that are complete now, without their ends.
-
-        Raises
-        ------
-        LineError
-            If a line is longer than a message may be.
-        """
-        *lines, self._rest = (self._rest + data if self._rest else data).split(LINE_END)
-        longest = max(map(len, lines), default=0)
-        if max(longest, len(self._rest)) > MAX_MESSAGE:
-            raise LineError("the message is too long")
-        return lines
-
-
 class ReadyState(NamedTuple):
     """What a READY message says.
 
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -16,9 +16,7 @@
 from beryltrack.platform.caller import MALFORMED, LineCaller
 from beryltrack.platform.statements import (
     LinePlan,
-    LineSession,
     LineStatement,
-    Shape,
     apply_local,
     get_kind,
 )
@@ -32,6 +30,7 @@
 from beryltrack.requests.session import CallerSession, PinnedTransaction
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.routing.messages import StatementKind
+from beryltrack.sessions.kept import KeptState, Shape
 from beryltrack.sessions.marks import READS_PRIMARY, RequestMarks
 from beryltrack.sessions.tokens import NEW_TOKEN
 from beryltrack.settings.messages import GroupSettings, RouteSettings, RuleSettings
@@ -175,7 +174,7 @@
 
 
 def format_setups(
-    connection: LineTarget, session: LineSession, shape: Shape | None
+    connection: LineTarget, session: KeptState, shape: Shape | None
 ) -> list[bytes]:
     """Return the statements that give a connection a session's state.
 
@@ -186,7 +185,7 @@
     ----------
     connection : LineTarget
         The connection.
-    session : LineSession
+    session : KeptState
         What the session has set and prepared.
     shape : Shape or None
         What the statement to run executes, if it is a prepared one.
--- a/beryltrack/platform/relay.py
+++ b/beryltrack/platform/relay.py
@@ -20,7 +20,6 @@
 from beryltrack.platform.statements import (
     NEEDS_PRIMARY,
     LineStatement,
-    Shape,
     apply_local,
     get_kind,
     parse_query,
@@ -28,6 +27,7 @@
 from beryltrack.platform.target import LineTarget
 from beryltrack.relay.handler import Proven, RelayHandler
 from beryltrack.requests.protocol import RunResult, describe_loss
+from beryltrack.sessions.kept import Shape
 from beryltrack.wire.messages import ResponseEnd
 
 _LOCAL = frozenset((b"SET", b"PREPARE", b"DEALLOCATE"))
@@ -136,8 +136,7 @@
         if request_id == lines.NO_ID and text == b"STATUS":
             return handler.handle_status(self)
         if request_id == lines.NO_ID and text == b"RESET":
-            self.lines.values.clear()
-            self.lines.prepared.clear()
+            self.lines.reset()
             self.answer_local(True)
             return None
         unit = self._read_unit(request_id, text)
--- a/beryltrack/platform/statements.py
+++ b/beryltrack/platform/statements.py
@@ -1,26 +1,17 @@
 """Statements of the line protocol, and the session state that they change."""
 
 import re
-from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from beryltrack.requests.protocol import RequestPolicy
 from beryltrack.routing.messages import StatementKind
+from beryltrack.sessions.kept import KeptState, Shape
 from beryltrack.sessions.marks import RequestMarks
 
 NEEDS_PRIMARY = frozenset((StatementKind.WRITE, StatementKind.BEGIN))
 """What a database refuses that does not lead."""
 
 _NAME = re.compile(rb"[^\x00-\x20]{1,256}")
-MAX_NAMES = 1000
-"""Most values, and most prepared statements, that one session keeps."""
-
-
-class Shape(NamedTuple):
-    """What a prepared statement does: its mode (READ or WRITE) and its shape."""
-
-    mode: bytes
-    text: bytes
 
 
 class LineStatement(NamedTuple):
@@ -44,22 +35,6 @@
     fields: tuple[bytes, ...]
 
 
-@dataclass
-class LineSession:
-    """What a caller has set and prepared.
-
-    Parameters
-    ----------
-    values : dict of bytes to bytes
-        Session values by name.
-    prepared : dict of bytes to Shape
-        Prepared statements by the caller's names.
-    """
-
-    values: dict[bytes, bytes] = field(default_factory=dict)
-    prepared: dict[bytes, Shape] = field(default_factory=dict)
-
-
 class LinePlan(NamedTuple):
     """One statement, understood; see `UnitPlan`.
 
@@ -155,22 +130,11 @@
     return _KINDS[statement.verb]
 
 
-def apply_local(statement: LineStatement, session: LineSession) -> bool:
-    """Change the session as SET, PREPARE or DEALLOCATE asks.
-
-    Returns
-    -------
-    bool
-        False if the session keeps too much, or has no such statement.
-    """
+def apply_local(statement: LineStatement, kept: KeptState) -> bool:
+    """Change the session as SET, PREPARE or DEALLOCATE asks; False if it cannot."""
     fields = statement.fields
     if statement.verb == b"DEALLOCATE":
-        return session.prepared.pop(fields[0], None) is not None
+        return kept.deallocate(fields[0])
     if statement.verb == b"SET":
-        kept, name, value = session.values, fields[0], fields[1]
-    else:
-        kept, name, value = session.prepared, fields[0], Shape(fields[1], fields[2])
-    if name not in kept and len(kept) >= MAX_NAMES:
-        return False
-    kept[name] = value
-    return True
+        return kept.set_value(fields[0], fields[1])
+    return kept.prepare(fields[0], Shape(fields[1], fields[2]))
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -20,8 +20,9 @@
 from beryltrack.groups.samples import Sample
 from beryltrack.platform import lines
 from beryltrack.platform.codes import UNREACHABLE, decode_error
-from beryltrack.platform.statements import Shape
+from beryltrack.sessions.kept import Shape
 from beryltrack.settings.messages import Endpoint
+from beryltrack.wire.line_buffer import LINE_END, LineBuffer, MalformedMessage
 from beryltrack.wire.messages import ResponseEnd, ResponseSink
 from beryltrack.wire.sockets import SocketLimits, tune_socket
 
@@ -56,7 +57,7 @@
         self.numbers = itertools.count(1)
         self._start = start
         self._limits = limits
-        self._buffer = lines.LineBuffer()
+        self._buffer = LineBuffer()
         self._sink: ResponseSink | None = None
         self._answer: Deferred[ResponseEnd] | None = None
         self._setups = 0
@@ -144,7 +145,7 @@
         try:
             for line in self._buffer.feed(data):
                 self._take(line)
-        except lines.LineError:
+        except MalformedMessage:
             self.close()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
@@ -176,16 +177,16 @@
                 raise lines.LineError("the session could not be set up")
         elif word == lines.ROW:
             self._row_bytes += len(line) + 2
-            self._sink.write(line + lines.LINE_END)
+            self._sink.write(line + LINE_END)
         elif word == lines.PROVEN:
             # It was sent after this statement, so that its age counts from then.
             position, age = lines.parse_proven(line)
             self._proof = Sample(position, self.run_since - age)
         elif word == lines.COMPLETE:
-            self._tail = line + lines.LINE_END
+            self._tail = line + LINE_END
         elif word == lines.ERROR:
             self._error = decode_error(line)
-            self._error_frame = line + lines.LINE_END
+            self._error_frame = line + LINE_END
         else:
             raise lines.LineError("unknown message")
 
--- a/beryltrack_bench/soak/caller.py
+++ b/beryltrack_bench/soak/caller.py
@@ -8,8 +8,8 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.internet.task import deferLater
 
-from beryltrack.platform.lines import LineBuffer
 from beryltrack.settings.messages import Endpoint, RouteSettings
+from beryltrack.wire.line_buffer import LineBuffer
 from beryltrack_bench.soak.history import PRIMARY_ROUTE, History, Sent
 
 PROMISES = frozenset(
--- a/beryltrack_standins/lines/database.py
+++ b/beryltrack_standins/lines/database.py
@@ -8,7 +8,8 @@
 from twisted.internet.task import deferLater
 
 from beryltrack.groups.messages import PRIMARY, LogPosition
-from beryltrack.platform.lines import LineBuffer, parse_position
+from beryltrack.platform.lines import parse_position
+from beryltrack.wire.line_buffer import LineBuffer
 from beryltrack_standins.lines.group import Database, Group
 
 WORK_TIME = (0.001, 0.012)
--- a/tests/platform/databases.py
+++ b/tests/platform/databases.py
@@ -3,8 +3,8 @@
 from twisted.internet import reactor
 from twisted.internet.protocol import Factory, Protocol
 
-from beryltrack.platform.lines import LineBuffer
 from beryltrack.settings.messages import DatabaseSettings, Endpoint
+from beryltrack.wire.line_buffer import LineBuffer
 
 HOST = "127.0.0.1"
 
--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -11,23 +11,6 @@
 from beryltrack.platform.statements import LineStatement, parse_query
 
 
-@given(st.binary(max_size=300), st.lists(st.integers(0, 300), max_size=8))
-def test_lines_are_the_same_however_the_bytes_arrive(data, cuts):
-    whole = lines.LineBuffer().feed(data)
-    buffer, found = lines.LineBuffer(), []
-    places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
-    for start, stop in zip(places, places[1:], strict=False):
-        found += buffer.feed(data[start:stop])
-    assert found == whole
-
-
-def test_an_endless_line_is_refused():
-    buffer = lines.LineBuffer()
-    with pytest.raises(lines.LineError):
-        for _ in range(3):
-            buffer.feed(b"x" * (lines.MAX_MESSAGE // 2))
-
-
 @given(st.binary(max_size=200))
 def test_any_query_is_a_statement_or_nothing(line):
     found = parse_query(line)
--- /dev/null
+++ b/tests/wire/test_line_buffer.py
@@ -0,0 +1,24 @@
+"""Lines are cut out of a stream of bytes."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from beryltrack.wire.line_buffer import MAX_LINE, LineBuffer, MalformedMessage
+
+
+@given(st.binary(max_size=300), st.lists(st.integers(0, 300), max_size=8))
+def test_lines_are_the_same_however_the_bytes_arrive(data, cuts):
+    whole = LineBuffer().feed(data)
+    buffer, found = LineBuffer(), []
+    places = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+    for start, stop in zip(places, places[1:], strict=False):
+        found += buffer.feed(data[start:stop])
+    assert found == whole
+
+
+def test_an_endless_line_is_refused():
+    buffer = LineBuffer()
+    with pytest.raises(MalformedMessage):
+        for _ in range(3):
+            buffer.feed(b"x" * (MAX_LINE // 2))
