--- /dev/null
+++ b/tests/connections/test_account_pool.py
@@ -0,0 +1,180 @@
+"""A pool whose connections belong to accounts."""
+
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from beryltrack.connections.messages import (
+    CloseConnection,
+    GiveConnection,
+    OpenConnection,
+    RefuseWaiter,
+)
+from beryltrack.connections.pool import PoolDecider
+from beryltrack.connections.pool_policy import PoolPolicy
+
+POLICY = PoolPolicy(warm=0, idle_timeout=5.0, open_patience=0.03, most_wait=1.0)
+
+
+def make_pool(limit=2):
+    return PoolDecider(POLICY, limit, random.Random(1))
+
+
+@pytest.fixture
+def pool():
+    return make_pool()
+
+
+def test_a_connection_is_opened_for_an_account(pool):
+    assert pool.acquire(1, 9.0, 0.0, "one") == [OpenConnection(1, "one")]
+    assert pool.observe_opened(1, 0.01) == [GiveConnection(1, 1)]
+
+
+def test_an_idle_connection_of_another_account_is_not_given(pool):
+    pool.acquire(1, 9.0, 0.0, "one")
+    pool.observe_opened(1, 0.01)
+    pool.release(1, True, 0.02)
+    assert pool.acquire(2, 9.0, 0.03, "two") == [OpenConnection(2, "two")]
+    assert pool.acquire(3, 9.0, 0.03, "one") == [GiveConnection(3, 1)]
+
+
+def fill(pool, *accounts):
+    """Leave one idle connection of each account, the first one idle for longest."""
+    for number, account in enumerate(accounts, 1):
+        pool.acquire(number, 9.0, number / 100, account)
+        pool.observe_opened(number, number / 100)
+        pool.release(number, True, number / 100)
+
+
+def test_where_none_may_be_opened_the_one_that_rested_longest_goes(pool):
+    fill(pool, "one", "two")
+    assert pool.acquire(3, 9.0, 0.5, "three") == [CloseConnection(1)]
+    assert pool.observe_closed(1, 0.5) == [OpenConnection(3, "three")]
+    assert pool.open_count == 2
+
+
+def test_one_is_closed_for_each_that_waits(pool):
+    fill(pool, "one", "two")
+    closed = pool.acquire(3, 9.0, 0.5, "three") + pool.acquire(4, 9.0, 0.5, "four")
+    assert closed == [CloseConnection(1), CloseConnection(2)]
+
+
+def test_a_connection_that_comes_back_serves_its_own_account_first(pool):
+    fill(pool, "one", "two")
+    pool.acquire(3, 9.0, 0.5, "one")
+    pool.acquire(4, 9.0, 0.5, "two")
+    assert pool.acquire(5, 5.0, 0.5, "three") == []
+    assert pool.acquire(6, 8.0, 0.5, "one") == []
+    assert pool.release(1, True, 0.51) == [GiveConnection(6, 1)]
+
+
+def test_an_account_with_more_connections_gives_one_up_to_another(pool):
+    """A busy account takes no connection for ever from those that wait for one."""
+    fill(pool, "one", "one")
+    pool.acquire(3, 9.0, 0.5, "one")
+    pool.acquire(4, 9.0, 0.5, "one")
+    assert pool.acquire(5, 9.0, 0.5, "two") == []
+    assert pool.acquire(6, 8.0, 0.5, "one") == []
+    assert pool.release(1, True, 0.6) == [CloseConnection(1)]
+    assert pool.observe_closed(1, 0.6) == [OpenConnection(3, "two")]
+    assert pool.observe_opened(3, 0.62) == [GiveConnection(5, 3)]
+
+
+def test_an_account_without_traffic_holds_no_connection(pool):
+    fill(pool, "one", "two")
+    assert pool.tick(20.0) == [CloseConnection(1), CloseConnection(2)]
+
+
+def test_a_connection_for_which_nobody_waits_any_more_is_kept(pool):
+    pool.acquire(1, 9.0, 0.0, "one")
+    pool.cancel(1)
+    assert pool.observe_opened(1, 0.01) == []
+    assert pool.acquire(2, 9.0, 0.02, "one") == [GiveConnection(2, 1)]
+
+
+class AccountPool(RuleBasedStateMachine):
+    """Any order of requests, holds, failures and changes of the limit."""
+
+    def __init__(self):
+        super().__init__()
+        self.now, self.number = 0.0, 0
+        self.pool = make_pool(3)
+        self.waiting, self.held, self.opening, self.closing = {}, {}, {}, set()
+        self.accounts, self.limit, self.most_open = {}, 3, 0
+
+    def apply(self, actions):
+        for action in actions:
+            match action:
+                case OpenConnection(number, account):
+                    self.opening[number] = account
+                    self.accounts[number] = account
+                    assert len(self.accounts) <= self.limit
+                case CloseConnection(number):
+                    self.closing.add(number)
+                    self.held.pop(number, None)
+                case GiveConnection(waiter, number):
+                    assert self.waiting.pop(waiter) == self.accounts[number]
+                    assert number not in self.held and number not in self.opening
+                    self.held[number] = waiter
+                case RefuseWaiter(waiter):
+                    del self.waiting[waiter]
+
+    @rule(account=st.sampled_from("abcde"), patience=st.floats(0.01, 3.0))
+    def ask(self, account, patience):
+        self.number += 1
+        self.waiting[self.number] = account
+        deadline = self.now + patience
+        self.apply(self.pool.acquire(self.number, deadline, self.now, account))
+
+    @precondition(lambda self: self.opening)
+    @rule(data=st.data(), is_open=st.booleans())
+    def end_opening(self, data, is_open):
+        number = data.draw(st.sampled_from(sorted(self.opening)))
+        del self.opening[number]
+        if is_open:
+            self.apply(self.pool.observe_opened(number, self.now))
+            return
+        del self.accounts[number]
+        self.apply(self.pool.observe_open_failed(number, self.now))
+
+    @precondition(lambda self: self.held)
+    @rule(data=st.data(), is_reusable=st.booleans())
+    def give_back(self, data, is_reusable):
+        number = data.draw(st.sampled_from(sorted(self.held)))
+        del self.held[number]
+        self.apply(self.pool.release(number, is_reusable, self.now))
+
+    @precondition(lambda self: self.closing)
+    @rule(data=st.data())
+    def end_closing(self, data):
+        number = data.draw(st.sampled_from(sorted(self.closing)))
+        self.closing.discard(number)
+        del self.accounts[number]
+        self.apply(self.pool.observe_closed(number, self.now))
+
+    @precondition(lambda self: self.waiting)
+    @rule(data=st.data())
+    def give_up(self, data):
+        waiter = data.draw(st.sampled_from(sorted(self.waiting)))
+        del self.waiting[waiter]
+        self.pool.cancel(waiter)
+
+    @rule(step=st.floats(0.0, 1.0))
+    def pass_time(self, step):
+        self.now += step
+        self.apply(self.pool.tick(self.now))
+
+    @invariant()
+    def no_request_is_forgotten(self):
+        """Whoever waits is served, refused, or has something that will wake it."""
+        if self.waiting and not (self.opening or self.held or self.closing):
+            assert self.pool.get_wakeup(self.now) is not None
+
+
+TestAccountPool = AccountPool.TestCase
+TestAccountPool.settings = settings(
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+)
