--- /dev/null
+++ b/beryltrack/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: their keys, and how much each may ask of the whole fleet."""
--- /dev/null
+++ b/beryltrack/accounts/quota.py
@@ -0,0 +1,160 @@
+"""Whether an account may run one more operation now.
+
+One token bucket for each account, at the instance that runs its operations. It fills at
+the account's rate times the part of it that instances have lent to this one (`rights`),
+and holds the account's burst times that part. What is refused is told when its token
+will be there; each one that is refused is told a later time, so that they do not all
+come back at once.
+
+An operation beyond a limit is refused before it takes a connection, a slot of a
+database or a place in a queue. An open transaction is not touched.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from beryltrack.accounts.messages import AccountSettings
+from beryltrack.accounts.rights import RightsLedger
+from beryltrack.accounts.slots import get_slot
+
+FIRST_TOKENS = 2.0
+"""Operations that an instance runs for an account before it knows of any rights, so
+that a caller is served at once after a start. They are spent once for each start and
+instance that owns connections, of which there are few."""
+
+SLACK_PART = 0.5
+"""Part of the tolerated excess that buckets may hold beside the burst. The rest is for
+limits that change, loans that overlap while members change, and first tokens."""
+
+WHOLE = 1.0 - 1e-9
+"""Tokens of one operation, less what sums of fractions are rounded by."""
+
+UNKNOWN_WAIT = 0.1
+"""Seconds after which to ask again for an account that the settings here do not have:
+another instance has them already, so that they are on their way."""
+
+LONGEST_WAIT = 5.0
+"""Longest time to come back, seconds: limits are stated over a few seconds."""
+
+
+class Tolerance(NamedTuple):
+    """How far an account may exceed its limit.
+
+    Parameters
+    ----------
+    overage : float
+        Part of the rate.
+    slack : float
+        Operations, in a window of some seconds.
+    """
+
+    overage: float = 0.0
+    slack: float = 0.0
+
+
+class _Bucket:
+    """The tokens of one account."""
+
+    __slots__ = ("free_at", "integral", "tokens")
+
+    def __init__(self, integral: float):
+        self.tokens = FIRST_TOKENS
+        self.integral = integral
+        self.free_at = 0.0
+
+
+class QuotaDecider:
+    """Counts the operations of accounts.
+
+    Parameters
+    ----------
+    get_account : callable
+        Returns an account of the settings in force, or None.
+    tolerance : Tolerance
+        How far limits may be exceeded.
+    """
+
+    def __init__(
+        self,
+        get_account: Callable[[str], AccountSettings | None],
+        tolerance: Tolerance = Tolerance(),  # noqa: B008 - immutable
+    ):
+        self._get_account = get_account
+        self._tolerance = tolerance
+        self._buckets: dict[str, _Bucket] = {}
+        self._by_slot: dict[int, set[str]] = {}
+        self.rights = RightsLedger(self._observe_loss)
+
+    def spend(self, name: str, now: float) -> float:
+        """Count one operation of an account.
+
+        Returns
+        -------
+        float
+            0 if it may run; else the seconds after which to come back.
+        """
+        account = self._get_account(name)
+        if account is None:
+            return UNKNOWN_WAIT
+        if account.rate == float("inf"):
+            return 0.0
+        slot = get_slot(name)
+        bucket = self._fill(account, slot, now)
+        if bucket.tokens >= WHOLE:
+            bucket.tokens -= 1.0
+            bucket.free_at = now
+            return 0.0
+        part = self.rights.get_part(slot, now)
+        return self._promise(bucket, account.rate * part, now)
+
+    def refund(self, name: str) -> None:
+        """Take in that a counted operation did not run."""
+        bucket = self._buckets.get(name)
+        if bucket is not None:
+            bucket.tokens += 1.0
+
+    def forget(self) -> None:
+        """Forget the accounts that the settings have no more."""
+        for name in [each for each in self._buckets if not self._get_account(each)]:
+            del self._buckets[name]
+            self._by_slot[get_slot(name)].discard(name)
+
+    def _fill(self, account: AccountSettings, slot: int, now: float) -> _Bucket:
+        """Return an account's bucket with the tokens that it has now."""
+        integral = self.rights.get_integral(slot, now)
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            bucket = self._buckets[account.name] = _Bucket(integral)
+            self._by_slot.setdefault(slot, set()).add(account.name)
+        rate = account.rate * (1 + self._tolerance.overage * SLACK_PART / 2)
+        earned = max(0.0, integral - bucket.integral) * rate
+        bucket.integral = integral
+        part = self.rights.get_part(slot, now)
+        most = self._get_size(account) * part
+        # First tokens are kept until rights come.
+        bucket.tokens = min(bucket.tokens + earned, max(most, FIRST_TOKENS))
+        return bucket
+
+    def _get_size(self, account: AccountSettings) -> float:
+        """Return how many tokens an account may save up in the whole fleet."""
+        return account.burst + self._tolerance.slack * SLACK_PART
+
+    def _observe_loss(self, slot: int, part: float, now: float) -> None:
+        """Hold no more tokens than the part of a slot that is left.
+
+        Whoever has that part now saves up tokens of its own: without this two
+        instances could spend a burst each.
+        """
+        for name in self._by_slot.get(slot, ()):
+            account, bucket = self._get_account(name), self._buckets[name]
+            if account is not None:
+                most = self._get_size(account) * part
+                bucket.tokens = min(bucket.tokens, max(most, FIRST_TOKENS))
+
+    def _promise(self, bucket: _Bucket, rate: float, now: float) -> float:
+        """Return when an operation that is refused may come back."""
+        if rate <= 0.0:
+            return LONGEST_WAIT / 10
+        first = now + (1.0 - bucket.tokens) / rate
+        bucket.free_at = max(first, bucket.free_at + 1.0 / rate)
+        return min(LONGEST_WAIT, bucket.free_at - now)
--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -137,9 +137,10 @@
 
 
 class OpenConnection(NamedTuple):
-    """Open a connection under a new number."""
+    """Open a connection under a new number, for an account."""
 
     connection: int
+    account: str = ""
 
 
 class CloseConnection(NamedTuple):
--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -3,12 +3,15 @@
 A connection is lent per transaction. Requests wait in the order of their
 deadlines. Who cannot be done in time, by what holds took of late, is told so
 at once: a refusal is final and true, for nothing was sent.
+
+A connection belongs to one account. Where accounts outnumber the connections, one that
+rests is closed for an account that has none, the one that rested longest first.
 """
 
 import random
+from collections import Counter
 from collections.abc import Iterable
 from enum import Enum
-from itertools import count
 
 from beryltrack.connections.deadline_queue import DeadlineQueue, QueuedWaiter
 from beryltrack.connections.messages import (
@@ -24,6 +27,7 @@
 from beryltrack.connections.open_backoff import OpenBackoff
 from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.connections.service_estimate import ServiceEstimate
+from beryltrack.connections.stock import ConnectionStock
 from beryltrack.connections.wait_model import WaitModel, model_waits
 
 FIRST_HOLD_TIME = 0.005
@@ -61,15 +65,12 @@
         self._policy = policy
         self._limit = limit
         self._state = _State.ACTIVE
-        self._numbers = count(1)
-        self._opening: dict[int, float] = {}
-        self._idle: dict[int, float] = {}
-        self._in_use: dict[int, float] = {}
-        self._closing: set[int] = set()
+        self._stock = ConnectionStock()
         self._brief: dict[int, None] = {}
         self._uncounted: set[int] = set()
         self._waiters = DeadlineQueue(policy.by_deadline)
         self._waiting_since: dict[int, float] = {}
+        self._waiting_for: dict[int, str] = {}
         self._hold = ServiceEstimate(FIRST_HOLD_TIME)
         self._open_time = ServiceEstimate(FIRST_OPEN_TIME)
         self._backoff = OpenBackoff(policy, rng)
@@ -83,34 +84,32 @@
     @property
     def open_count(self) -> int:
         """Connections that the target may count, closing ones included."""
-        return self._live_count + len(self._closing)
+        return self._stock.open_count
 
     @property
     def is_short(self) -> bool:
         """True if more requests want a connection than may be open."""
-        return len(self._waiters) + len(self._in_use) > self._limit
+        return len(self._waiters) + len(self._stock.in_use) > self._limit
 
     @property
     def is_drained(self) -> bool:
         """True if the pool takes no work and all its connections are gone."""
         return self._state is _State.DRAINING and self.open_count == 0
 
-    @property
-    def _live_count(self) -> int:
-        return len(self._opening) + len(self._idle) + len(self._in_use)
-
     def get_load(self, now: float) -> PoolLoad:
         """Return the pool's load at the time `now`."""
         return PoolLoad(
             self._limit,
             self.open_count,
-            len(self._in_use),
+            len(self._stock.in_use),
             len(self._waiters),
             self._compute_wait(len(self._waiters), now),
             self._hold.mean,
         )
 
-    def acquire(self, waiter: int, deadline: float, now: float) -> list[PoolAction]:
+    def acquire(
+        self, waiter: int, deadline: float, now: float, account: str = ""
+    ) -> list[PoolAction]:
         """Ask for a connection.
 
         Parameters
@@ -121,6 +120,8 @@
             Time by which the request must be done.
         now : float
             The current time.
+        account : str
+            Whose connection it must be.
 
         Returns
         -------
@@ -129,8 +130,9 @@
         """
         if self._state is not _State.ACTIVE:
             return [self._refuse(waiter, RefusalReason.LEAVING, now)]
-        if self._idle and now + self._compute_service() <= deadline:
-            return [self._give(waiter, self._idle.popitem()[0], now)]
+        idle = self._stock.find_idle(account)
+        if idle is not None and now + self._compute_service() <= deadline:
+            return [self._give(waiter, idle, now)]
         if len(self._waiters) >= self._policy.queue_limit:
             return [self._refuse(waiter, RefusalReason.QUEUE_FULL, now)]
         if self._is_cut_off(now):
@@ -145,6 +147,7 @@
             return [self._refuse(waiter, RefusalReason.QUEUE_FULL, now)]
         self._waiters.add(queued)
         self._waiting_since[waiter] = now
+        self._waiting_for[waiter] = account
         # Whoever now waits behind may have lost its last chance.
         is_last = place == len(self._waiters) - 1
         late = [] if is_last and self._limit else self._refuse_late(now)
@@ -158,8 +161,8 @@
         """
         if self._state is not _State.ACTIVE:
             return [self._refuse(waiter, RefusalReason.LEAVING, now)]
-        if self._idle:
-            return [self._give_briefly(waiter, self._idle.popitem()[0], now)]
+        if self._stock.idle:
+            return [self._give_briefly(waiter, next(reversed(self._stock.idle)), now)]
         self._brief[waiter] = None
         return []
 
@@ -175,6 +178,7 @@
         """Take a waiter out of the queue."""
         self._waiters.remove(waiter)
         self._waiting_since.pop(waiter, None)
+        self._waiting_for.pop(waiter, None)
         self._brief.pop(waiter, None)
 
     def release(
@@ -196,30 +200,29 @@
         list of PoolAction
             What follows from it.
         """
-        if connection not in self._in_use:
+        if connection not in self._stock.in_use:
             return []
         held = self._end_use(connection, now)
         if connection in self._uncounted:
             self._uncounted.discard(connection)
         else:
             self._hold.observe(held)
-        surplus = self._live_count >= self._limit
+        surplus = self._stock.live_count >= self._limit
         if not is_reusable or surplus or self._state is not _State.ACTIVE:
             return self._close(connection) + self._fill(now)
         return self._serve(connection, now)
 
     def observe_opened(self, connection: int, now: float) -> list[PoolAction]:
         """Take in that a connection is open."""
-        started = self._opening.pop(connection)
-        self._open_time.observe(now - started)
+        self._open_time.observe(now - self._stock.opening.pop(connection))
         self._backoff.reset()
-        if self._state is not _State.ACTIVE or self._live_count >= self._limit:
+        if self._state is not _State.ACTIVE or self._stock.live_count >= self._limit:
             return self._close(connection)
         return self._serve(connection, now) + self._fill(now)
 
     def observe_open_failed(self, connection: int, now: float) -> list[PoolAction]:
         """Take in that a connection could not be opened: back off."""
-        started = self._opening.pop(connection)
+        started = self._stock.fail(connection)
         self._backoff.observe_failure(started, now)
         if self._is_cut_off(now):
             return self._refuse_all(RefusalReason.UNREACHABLE, now)
@@ -227,11 +230,8 @@
 
     def observe_closed(self, connection: int, now: float) -> list[PoolAction]:
         """Take in that a connection is gone, by whatever cause."""
-        self._closing.discard(connection)
-        self._idle.pop(connection, None)
         self._uncounted.discard(connection)
-        if connection in self._in_use:
-            self._end_use(connection, now)
+        self._stock.forget(connection)
         return self._fill(now)
 
     def set_limit(self, limit: int, now: float) -> list[PoolAction]:
@@ -240,8 +240,8 @@
         A surplus is closed at once if idle, else when it comes back.
         """
         self._limit = limit
-        surplus = min(max(0, self._live_count - limit), len(self._idle))
-        closed = [self._idle.popitem()[0] for _ in range(surplus)]
+        surplus = min(max(0, self._stock.live_count - limit), len(self._stock.idle))
+        closed = tuple(reversed(self._stock.idle))[:surplus]
         actions = [action for number in closed for action in self._close(number)]
         return actions + self._refuse_late(now) + self._fill(now)
 
@@ -255,22 +255,23 @@
         Only for a share that has lapsed: it may be in other hands already.
         Those in use for the shortest time go first, for they lose the least.
         """
-        surplus = max(0, self._live_count - limit)
-        idle = list(self._idle)
-        in_use = sorted(self._in_use, key=self._in_use.__getitem__, reverse=True)
+        surplus = max(0, self._stock.live_count - limit)
+        idle = list(self._stock.idle)
+        in_use = sorted(
+            self._stock.in_use, key=self._stock.in_use.__getitem__, reverse=True
+        )
         chosen = (idle + in_use)[:surplus]
-        return [action for number in chosen for action in self._throw_away(number)]
+        return [action for number in chosen for action in self._close(number)]
 
     @property
     def idle_numbers(self) -> tuple[int, ...]:
         """Numbers of the connections that are open and lent to nobody."""
-        return tuple(self._idle)
+        return tuple(self._stock.idle)
 
     def drain(self, now: float) -> list[PoolAction]:
         """Take no new work; connections in use close when they come back."""
         self._state = _State.DRAINING
-        idle = list(self._idle)
-        self._idle.clear()
+        idle = tuple(self._stock.idle)
         closed = [action for number in idle for action in self._close(number)]
         return closed + self._refuse_all(RefusalReason.LEAVING, now)
 
@@ -295,10 +296,12 @@
         if self._state is not _State.ACTIVE:
             return None
         times = []
-        if now < self._backoff.open_after and self._count_wanted(now) > 0:
+        if now < self._backoff.open_after and self._list_wanted(now):
             times.append(self._backoff.open_after)
-        if self._idle and self._live_count > self._policy.warm:
-            times.append(next(iter(self._idle.values())) + self._policy.idle_timeout)
+        if self._stock.idle and self._stock.live_count > self._policy.warm:
+            times.append(
+                next(iter(self._stock.idle.values())) + self._policy.idle_timeout
+            )
         return min(times, default=None)
 
     def _get_next_scan(self, now: float) -> float:
@@ -311,24 +314,30 @@
         """Return since when each request waits, the first that came first."""
         return self._waiting_since.values()
 
-    def _count_wanted(self, now: float) -> int:
-        """Return how many connections to open besides those on the way.
+    def _list_wanted(self, now: float) -> list[str]:
+        """Return whose connections to open besides those on the way.
 
         A connection that is in use comes back soon, mostly. One that is opened for
         each request that finds none free takes a slot of the database for 12 to 30
         ms, and counts against its limit for 3 s after its instance has lost power.
         """
         latest = now - self._policy.open_patience
-        waiting = sum(1 for since in self._oldest_first() if since <= latest)
-        if not self._live_count:
-            waiting = len(self._waiters)
-        for_warmth = self._policy.warm - self._live_count
-        return max(waiting - len(self._opening), for_warmth)
+        live = self._stock.count_by_account() if self._waiting_since else Counter()
+        on_the_way = Counter(map(self._stock.get_account, self._stock.opening))
+        wanted: list[str] = []
+        for waiter, since in self._waiting_since.items():
+            account = self._waiting_for[waiter]
+            if on_the_way[account]:
+                on_the_way[account] -= 1
+            elif since <= latest or not live[account]:
+                wanted.append(account)
+        for_warmth = self._policy.warm - self._stock.live_count - len(wanted)
+        return wanted + [""] * for_warmth
 
     def _is_cut_off(self, now: float) -> bool:
         """Return whether nothing is open and opening has just failed."""
         return (
-            self._live_count == 0
+            self._stock.live_count == 0
             and now < self._backoff.open_after
             and self._backoff.has_failed
         )
@@ -339,7 +348,7 @@
         While none is held the estimate has nothing to learn from. A request
         must be let through then, or one long hold would refuse all for ever.
         """
-        if not self._in_use:
+        if not self._stock.in_use:
             return 0.0
         return self._hold.mean + self._policy.deviations * self._hold.deviation
 
@@ -347,9 +356,9 @@
         """Return how the expected wait depends on the place in the queue."""
         is_backing_off = now < self._backoff.open_after
         return model_waits(
-            self._live_count if is_backing_off else self._limit,
-            self._in_use.values(),
-            0.0 if self._idle else self._open_time.mean,
+            self._stock.live_count if is_backing_off else self._limit,
+            self._stock.in_use.values(),
+            0.0 if self._stock.idle else self._open_time.mean,
             self._hold.mean,
             now - STUCK_FACTOR * self._compute_service(),
             now,
@@ -407,12 +416,13 @@
         return now - self._dry_since > self._policy.share_wait
 
     def _give(self, waiter: int, connection: int, now: float) -> GiveConnection:
-        self._in_use[connection] = now
+        self._stock.idle.pop(connection, None)
+        self._stock.in_use[connection] = now
         return GiveConnection(waiter, connection)
 
     def _end_use(self, connection: int, now: float) -> float:
         """Take a connection out of use and return how long it was held."""
-        return now - self._in_use.pop(connection)
+        return now - self._stock.in_use.pop(connection)
 
     def _serve(self, connection: int, now: float) -> list[PoolAction]:
         """Give a free connection to the first waiter that can still be done."""
@@ -421,46 +431,91 @@
             waiter = next(iter(self._brief))
             self._remove(waiter)
             return [self._give_briefly(waiter, connection, now)]
-        while self._waiters:
-            first = self._waiters.first
+        account = self._stock.get_account(connection)
+        if self._find_poorer(account, now) is not None:
+            return self._close(connection)
+        while (first := self._find_first(account)) is not None:
             self._remove(first.waiter)
             if now + self._compute_service() <= first.deadline:
-                return actions + [self._give(first.waiter, connection, now)]
+                return [*actions, self._give(first.waiter, connection, now)]
             actions.append(self._refuse(first.waiter, RefusalReason.TOO_LATE, now))
-        self._idle[connection] = now
-        return actions
+        self._stock.idle[connection] = now
+        return actions + self._fill(now)
+
+    def _find_first(self, account: str) -> QueuedWaiter | None:
+        """Return the first request of an account that waits."""
+        mine = (each for each in self._waiters if self._is_for(each, account))
+        return next(mine, None)
+
+    def _is_for(self, queued: QueuedWaiter, account: str) -> bool:
+        """Return whether a request wants a connection of an account."""
+        return self._waiting_for[queued.waiter] == account
+
+    def _find_poorer(self, account: str, now: float) -> str | None:
+        """Return who is to have the connection that an account gives back, if another.
+
+        While an account's requests follow each other its connections never rest. So
+        one goes to an account whose request has waited for as long as a connection is
+        waited for, if that holds fewer, or none and its turn comes before.
+        """
+        # The connection that came back is in no state now.
+        has_room = self._stock.open_count + 1 < self._limit
+        if has_room or not self._waiting_since:
+            return None
+        latest = now - self._policy.open_patience
+        late = [
+            each
+            for each in self._waiters
+            if self._waiting_since[each.waiter] <= latest
+            and not self._is_for(each, account)
+        ]
+        if len(late) <= len(self._stock.closing):
+            return None
+        first = self._find_first(account)
+        held = self._stock.count_in_use(account)
+        live = self._stock.count_by_account()
+        others = (
+            self._waiting_for[each.waiter]
+            for each in late
+            if live[self._waiting_for[each.waiter]] < held
+            or (
+                not live[self._waiting_for[each.waiter]]
+                and (first is None or each.deadline < first.deadline)
+            )
+        )
+        return next(others, None)
 
     def _close(self, connection: int) -> list[PoolAction]:
-        self._closing.add(connection)
+        self._stock.close(connection)
         return [CloseConnection(connection)]
 
-    def _throw_away(self, connection: int) -> list[PoolAction]:
-        self._idle.pop(connection, None)
-        if connection in self._in_use:
-            self._end_use(connection, self._in_use[connection])
-        return self._close(connection)
-
     def _reap(self, now: float) -> list[PoolAction]:
         """Close idle connections beyond the warm ones after the timeout."""
-        surplus = max(0, self._live_count - self._policy.warm)
+        surplus = max(0, self._stock.live_count - self._policy.warm)
         expired = [
             number
-            for number, since in self._idle.items()
+            for number, since in self._stock.idle.items()
             if now - since >= self._policy.idle_timeout
         ][:surplus]
-        return [action for number in expired for action in self._throw_away(number)]
+        return [action for number in expired for action in self._close(number)]
 
     def _fill(self, now: float) -> list[PoolAction]:
         """Open what waiters and warmth ask for, within the limits."""
         if self._state is not _State.ACTIVE or now < self._backoff.open_after:
             return []
-        room = self._limit - self.open_count
         # After a failure one attempt is enough to learn that the target is back.
         most = 1 if self._backoff.has_failed else self._policy.most_opening
-        at_once = most - len(self._opening)
-        numbers = [
-            next(self._numbers)
-            for _ in range(max(0, min(self._count_wanted(now), room, at_once)))
+        at_once = max(0, most - len(self._stock.opening))
+        wanted = self._list_wanted(now)[:at_once]
+        room = max(0, self._limit - self._stock.open_count)
+        opened = [
+            OpenConnection(self._stock.begin(account, now), account)
+            for account in wanted[:room]
         ]
-        self._opening.update((number, now) for number in numbers)
-        return [OpenConnection(number) for number in numbers]
+        return opened + self._make_room(len(wanted) - room)
+
+    def _make_room(self, count: int) -> list[PoolAction]:
+        """Close connections that rest, so that others can be opened in their place."""
+        surplus = max(0, count - len(self._stock.closing))
+        oldest = tuple(self._stock.idle)[:surplus]
+        return [action for number in oldest for action in self._close(number)]
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -42,8 +42,8 @@
     database : DatabaseSettings
         The database.
     connect : callable
-        Opens a connection: returns a Deferred of a `PooledConnection` that is
-        ready for a request. It must fail or fire within a bounded time.
+        Opens a connection for an account: returns a Deferred of a `PooledConnection`
+        that is ready for a request. It must fail or fire within a bounded time.
     policy : PoolPolicy
         The figures that steer the pool.
     limit : int or None
@@ -57,7 +57,7 @@
         self,
         reactor: IReactorTime,
         database: DatabaseSettings,
-        connect: Callable[[], Deferred[PooledConnection]],
+        connect: Callable[[str], Deferred[PooledConnection]],
         policy: PoolPolicy | None = None,
         limit: int | None = None,
         rng: random.Random | None = None,
@@ -100,7 +100,7 @@
         """Open the warm connections."""
         self._tick()
 
-    def acquire(self, deadline: float) -> Deferred[PooledConnection]:
+    def acquire(self, deadline: float, account: str = "") -> Deferred[PooledConnection]:
         """Get a connection for one request or transaction.
 
         Parameters
@@ -108,6 +108,8 @@
         deadline : float
             Time of the reactor's clock, in seconds, by which the request must
             be done.
+        account : str
+            Whose connection it must be; the empty name where there are no accounts.
 
         Returns
         -------
@@ -118,7 +120,7 @@
         waiter = next(self._waiter_numbers)
         result: Deferred[PooledConnection] = Deferred(lambda _: self._cancel(waiter))
         self._waiters[waiter] = result
-        self._perform(self._decider.acquire(waiter, deadline, self._now))
+        self._perform(self._decider.acquire(waiter, deadline, self._now, account))
         return result
 
     def acquire_briefly(
@@ -272,7 +274,7 @@
             case RefuseWaiter():
                 self._refuse(action)
             case OpenConnection():
-                self._open(action.connection)
+                self._open(action)
             case CloseConnection():
                 connection = self._connections.get(action.connection)
                 if connection is not None:
@@ -302,8 +304,9 @@
         if waiter is not None:
             waiter.errback(PoolRefused(action.refusal))
 
-    def _open(self, number: int) -> None:
-        self._connect().addCallbacks(
+    def _open(self, action: OpenConnection) -> None:
+        number = action.connection
+        self._connect(action.account).addCallbacks(
             self._observe_opened,
             self._observe_open_failed,
             callbackArgs=(number,),
--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -119,7 +119,12 @@
         return pool
 
     def _open_at(
-        self, endpoint: Endpoint, group: str, database: str, timeout: float
+        self,
+        endpoint: Endpoint,
+        group: str,
+        database: str,
+        timeout: float,
+        account: str = "",
     ) -> Deferred[LineTarget]:
         """Open a connection to a database, or a session at another instance."""
         return connect_line_target(
@@ -129,5 +134,6 @@
             database,
             timeout,
             options.TARGET_SOCKETS,
+            account,
             options.REACH_TIME,
         )
--- a/beryltrack/daemon/postgres_kit.py
+++ b/beryltrack/daemon/postgres_kit.py
@@ -48,7 +48,7 @@
     def make_pool(self, group: GroupSettings, database: DatabaseSettings) -> PoolTask:
         """Return the pool of one database."""
 
-        def connect() -> Deferred[TargetConnection]:
+        def connect(account: str) -> Deferred[TargetConnection]:
             connecting = connect_target(
                 self._reactor,
                 database.endpoint,
--- a/beryltrack/objects/fields.py
+++ b/beryltrack/objects/fields.py
@@ -237,6 +237,30 @@
     return value
 
 
+def parse_flag(value: object) -> bool:
+    """Return true or false.
+
+    Raises
+    ------
+    ValueError
+        If it is neither.
+    """
+    if not isinstance(value, bool):
+        raise ValueError("is neither true nor false")
+    return value
+
+
+def parse_names(value: object) -> list[str]:
+    """Return a list of names; see `parse_name`.
+
+    Raises
+    ------
+    ValueError
+        If it is none.
+    """
+    return [parse_name(each) for each in parse_list(value)]
+
+
 def parse_map(value: object) -> dict:
     """Return an object of JSON.
 
--- a/beryltrack/platform/caller.py
+++ b/beryltrack/platform/caller.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.defer import Deferred
 
+from beryltrack.accounts.keys import digest_key
 from beryltrack.callers.sequence import SequentialCaller, SequentialFactory
 from beryltrack.errors import PROTOCOL_VIOLATION, SqlError, make_refusal
 from beryltrack.platform import lines
@@ -79,6 +80,8 @@
     def __init__(self, factory: "LineCallerFactory"):
         super().__init__(factory)
         self.database = ""
+        self.account = ""
+        self.key_digest = ""
         self.route: RouteSettings | None = None
         self.session: CallerSession | None = None
 
@@ -107,6 +110,8 @@
             self.transport.abortConnection()
             return
         self.database = fields[1].decode("utf-8", "replace")
+        if len(fields) > 2:
+            self.key_digest = digest_key(fields[2].decode("utf-8", "surrogateescape"))
         error = self._factory.handler.check_session(self)
         if error is None and self._factory.is_finishing:
             error = make_refusal("the instance leaves", 0.0)
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -5,7 +5,9 @@
 
 from returns.result import Failure, Result, Success
 
+from beryltrack.accounts.book import AccountBook
 from beryltrack.errors import (
+    INVALID_AUTHORIZATION,
     INVALID_CATALOG_NAME,
     INVALID_SQL_STATEMENT_NAME,
     SqlError,
@@ -41,9 +43,13 @@
 _BEGINS = frozenset((StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY))
 
 GetRoute = Callable[[str], RouteSettings | None]
+GetAccounts = Callable[[], AccountBook | None]
 GetPolicy = Callable[[RouteSettings], RequestPolicy]
 
 
+UNKNOWN_KEY = SqlError(INVALID_AUTHORIZATION, "the key belongs to no account")
+
+
 class LineProtocol(UnmarkedProtocol):
     """The line protocol at both ends; see `WireProtocol`.
 
@@ -53,17 +59,27 @@
         Returns the route in force of a database name, or None.
     get_policy : callable
         Returns the times that bound the requests of a route.
+    get_accounts : callable
+        Returns the accounts in force, None where callers need no key.
     """
 
-    def __init__(self, get_route: GetRoute, get_policy: GetPolicy):
+    def __init__(
+        self,
+        get_route: GetRoute,
+        get_policy: GetPolicy,
+        get_accounts: GetAccounts = lambda: None,
+    ):
         self._get_route = get_route
         self._get_policy = get_policy
+        self._get_accounts = get_accounts
 
     def check_session(self, caller: LineCaller) -> SqlError | None:
-        """Open a caller's session; return an error if there is no such route."""
+        """Open a caller's session; return an error if it may not have one."""
         caller.session = CallerSession(NEW_TOKEN, True)
         caller.route = self._get_route(caller.database)
-        return None if caller.route is not None else _make_unknown(caller)
+        if caller.route is None:
+            return _make_unknown(caller)
+        return self._identify(caller)
 
     def get_request_id(self, unit: LineStatement) -> str:
         """Return the caller's identifier of a statement."""
@@ -96,6 +112,9 @@
         if not caller.in_transaction:
             # A change of a route applies from the next transaction on.
             route = caller.route = self._get_route(caller.database) or route
+            error = self._identify(caller)
+            if error is not None:
+                return Failure(error)
             caller.session.is_tracked = route.reads != READS_PRIMARY
             caller.session.has_written = False
         marks = RequestMarks(route.max_age, "", True, route.reads)
@@ -145,6 +164,14 @@
             caller.session.has_written = True
         return await self.run(connection, plan, sink, caller)
 
+    def _identify(self, caller: LineCaller) -> SqlError | None:
+        """Find the account of a caller's key; return an error if it has none."""
+        book = self._get_accounts()
+        account = book.by_key.get(caller.key_digest) if book is not None else None
+        caller.account = account.name if account is not None else ""
+        needs_key = book is not None and not caller.route.is_public
+        return UNKNOWN_KEY if needs_key and account is None else None
+
     def proves_lead(self, plan: LinePlan) -> bool:
         """Return whether a database refuses a unit once it leads no more."""
         return not plan.is_read
--- a/beryltrack/platform/settings.py
+++ b/beryltrack/platform/settings.py
@@ -1,5 +1,9 @@
 """The platform's configuration and its list of databases, in the product's words."""
 
+import math
+
+from beryltrack.accounts.keys import digest_key
+from beryltrack.accounts.messages import AccountSettings
 from beryltrack.findings import Finding
 from beryltrack.groups.messages import PRIMARY, REPLICA
 from beryltrack.objects import fields
@@ -19,6 +23,7 @@
 OWN_WRITES_KIND = "read_own_writes"
 ROUTE_KINDS = (PRIMARY_KIND, "bounded_staleness", OWN_WRITES_KIND)
 READY, DRAINING = "ready", "draining"
+ACCOUNTS, KEYS = "tenants", "api_keys"
 
 _CONFIGURATION_FIELDS = (
     Field("config_version", fields.parse_whole_number),
@@ -35,6 +40,13 @@
     Field("target_latency_ms", parse_number),
     Field("priority", fields.parse_whole_number),
     Field("max_staleness_ms", parse_number, False),
+    Field("public", fields.parse_flag, False),  # Serves callers without a key.
+)
+_ACCOUNT_FIELDS = (
+    Field("name", parse_name),
+    Field(KEYS, fields.parse_names),  # Digests; see `hide_keys`.
+    Field("rate_per_s", parse_number, False),
+    Field("burst_size", parse_number, False),
 )
 _GROUP_FIELDS = (
     Field("name", parse_name),
@@ -76,13 +88,55 @@
     limits, wrong_limits = fields.read_nested(item.path, value, "limits", _LIMIT_FIELDS)
     routes, wrong_routes = fields.read_rows(item.path, "routes", found, _ROUTE_FIELDS)
     groups, wrong_groups = fields.read_rows(item.path, "services", found, _GROUP_FIELDS)
+    accounts, wrong_accounts = _read_accounts(item)
     configuration = SiteConfiguration(
         found["config_version"],
         tuple(map(_make_route, routes)),
         tuple(GroupLimits(row["name"], row["connection_limit"]) for row in groups),
         limits.get("transaction_idle_ms", 0.0) / 1000,
+        accounts,
+    )
+    findings = wrong_limits + wrong_routes + wrong_groups + wrong_accounts
+    return configuration, findings
+
+
+def hide_keys(value: object) -> object:
+    """Return a configuration with digests in place of the accounts' keys."""
+    if not isinstance(value, dict) or not isinstance(value.get(ACCOUNTS), list):
+        return value
+    return value | {ACCOUNTS: [_hide_row(row) for row in value[ACCOUNTS]]}
+
+
+def _hide_row(row: object) -> object:
+    """Return an account with digests in place of its keys."""
+    if not isinstance(row, dict) or KEYS not in row:
+        return row
+    keys = row[KEYS] if isinstance(row[KEYS], list) else None
+    is_whole = keys is not None and all(isinstance(key, str) for key in keys)
+    # What is no list of keys is a finding when it is read, but nothing of it is kept.
+    return row | {KEYS: [*map(digest_key, keys)] if is_whole else None}
+
+
+def _read_accounts(
+    item: PlatformObject,
+) -> tuple[tuple[AccountSettings, ...] | None, list[Finding]]:
+    """Return the accounts, None if the configuration has none, and the findings."""
+    if ACCOUNTS not in item.value:
+        return None, []
+    value = {ACCOUNTS: item.value[ACCOUNTS]}
+    if not isinstance(value[ACCOUNTS], list):
+        return (), [Finding(item.path, f"/{ACCOUNTS}", "is no list")]
+    rows, findings = fields.read_rows(item.path, ACCOUNTS, value, _ACCOUNT_FIELDS)
+    accounts = (
+        AccountSettings(
+            row["name"],
+            frozenset(row[KEYS]),
+            row.get("rate_per_s", math.inf),
+            row.get("burst_size", math.inf),
+        )
+        for row in rows
     )
-    return configuration, wrong_limits + wrong_routes + wrong_groups
+    return tuple(accounts), findings
 
 
 def read_entry(item: PlatformObject) -> tuple[RosterEntry | None, list[Finding]]:
@@ -126,4 +180,5 @@
         row["timeout_ms"] / 1000,
         row["target_latency_ms"] / 1000,
         row["priority"],
+        row.get("public", False),
     )
--- a/beryltrack/platform/store.py
+++ b/beryltrack/platform/store.py
@@ -20,6 +20,7 @@
     PlatformObject,
 )
 from beryltrack.objects.rejects import RejectLog
+from beryltrack.platform.settings import hide_keys
 
 ANSWER_TIME = 0.6
 """Seconds after its wait within which a watch is answered: 4 ms, and 0.3 s when the
@@ -162,7 +163,7 @@
         self._rejects.report(findings)
         if "name" not in meta:
             return None
-        value = None if findings or is_gone else item.get("spec")
+        value = None if findings or is_gone else hide_keys(item.get("spec"))
         path = f"{kind}/{meta['name']}"
         return PlatformObject(path, meta.get("revision", 0), value, is_gone)
 
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -1,20 +1,14 @@
-"""A connection to one database over the line protocol.
-
-Whatever is not exactly one whole answer to the one statement in flight breaks the
-connection: it is closed and never used again, so that an answer that is late or
-partial cannot reach another caller.
-"""
+"""A connection to one database over the line protocol."""
 
 import itertools
 import math
 from collections.abc import Callable
 
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import Protocol, connectionDone
-from twisted.python.failure import Failure
 
 from beryltrack.clock import get_seconds
-from beryltrack.connections.messages import ConnectRefused, TargetLost
+from beryltrack.connections.exclusive import ExclusiveConnection
+from beryltrack.connections.messages import ConnectRefused
 from beryltrack.connections.opening import open_within
 from beryltrack.errors import SqlError
 from beryltrack.groups.samples import Sample
@@ -22,64 +16,35 @@
 from beryltrack.platform.codes import UNREACHABLE, decode_error
 from beryltrack.sessions.kept import Shape
 from beryltrack.settings.messages import Endpoint
-from beryltrack.wire.line_buffer import LINE_END, LineBuffer, MalformedMessage
+from beryltrack.wire.line_buffer import LINE_END, LineBuffer
 from beryltrack.wire.messages import ResponseEnd, ResponseSink
-from beryltrack.wire.sockets import SocketLimits, tune_socket
+from beryltrack.wire.sockets import SocketLimits
 
-PROXY_NAME = b"beryltrack"
-"""Who connects, as databases are told; they accept any word."""
+PROXY_NAME = "beryltrack"
+"""Who connects for no account, as databases are told; they accept any word."""
 
 
 _USELESS = b"ERROR " + UNREACHABLE
 
 
-class LineTarget(Protocol):
-    """A connection to a database; see `PooledConnection`.
-
-    Parameters
-    ----------
-    start : bytes
-        The START message.
-    limits : SocketLimits
-        When a silent database is given up.
-    seconds : callable
-        The node's time.
-    """
+class LineTarget(ExclusiveConnection):
+    """A connection to a database; see `ExclusiveConnection` for its parameters."""
 
     def __init__(
-        self, start: bytes, limits: SocketLimits, seconds: Callable[[], float]
+        self,
+        start: bytes,
+        limits: SocketLimits,
+        seconds: Callable[[], float],
+        account: str = "",
     ):
-        self.broken = False
-        self.ready: Deferred[LineTarget] = Deferred()
-        self.closed: Deferred[None] = Deferred()
+        super().__init__(start, limits, seconds, account)
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[Shape, bytes] = {}
         self.numbers = itertools.count(1)
-        self._start = start
-        self._limits = limits
         self._buffer = LineBuffer()
-        self._sink: ResponseSink | None = None
-        self._answer: Deferred[ResponseEnd] | None = None
         self._setups = 0
-        self.run_since: float | None = None
-        self.run_until = math.inf
-        self.way = ""  # The instance that it goes through, if any.
-        self.heard_at = -math.inf
-        # Called if that instance says that it does not reach the database.
-        self.on_useless: Callable[[], object] = lambda: None
-        self._seconds = seconds
         self._clear()
 
-    @property
-    def busy(self) -> bool:
-        """True while a statement runs on the connection."""
-        return self._answer is not None
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Ask for the database."""
-        tune_socket(self.transport, self._limits)
-        self.transport.write(self._start)
-
     def run(
         self,
         wire: bytes,
@@ -87,42 +52,11 @@
         setups: int = 0,
         limit: float = math.inf,
     ) -> "Deferred[ResponseEnd]":
-        """Send one statement and stream its answer.
-
-        Parameters
-        ----------
-        wire : bytes
-            Statements of the proxy's own, if any, then the one to run.
-        sink : ResponseSink
-            Takes the rows as they come.
-        setups : int
-            How many statements come before the one to run.
-        limit : float
-            Seconds after which whoever watches the runs may close the connection.
-
-        Returns
-        -------
-        Deferred of ResponseEnd
-            The end of the answer. Fails with `TargetLost`.
-        """
-        answer: Deferred[ResponseEnd] = Deferred(lambda _: self.close())
-        if self.broken or self.busy:
-            answer.errback(TargetLost(False, "the connection is closed"))
-            return answer
-        self._sink = sink
-        self._setups = setups
-        self._answer = answer
-        self.run_since = self._seconds()
-        self.run_until = self.run_since + limit
-        sink.attach(self)
-        self.transport.write(wire)
-        return answer
-
-    def close(self) -> None:
-        """Close the connection; what it ran ends as lost."""
-        self.broken = True
-        if self.transport is not None:
-            self.transport.abortConnection()
+        """Send one statement; `setups` statements of the proxy's own come before it."""
+        if not (self.broken or self.busy):
+            self._setups = setups
+            self._clear()
+        return self.send(wire, sink, limit)
 
     def end_session(self) -> None:
         """Close the connection when all that was sent has gone out."""
@@ -130,36 +64,10 @@
         self.transport.write(b"TERMINATE\r\n")
         self.transport.loseConnection()
 
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Read no more until the sink has room."""
-        self.transport.pauseProducing()
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Read again."""
-        if not self.broken:
-            self.transport.resumeProducing()
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+    def take_bytes(self, data: bytes) -> None:
         """Take bytes of the database."""
-        self.heard_at = self._seconds()
-        try:
-            for line in self._buffer.feed(data):
-                self._take(line)
-        except MalformedMessage:
-            self.close()
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Tell whoever waits that the connection is gone."""
-        self.broken = True
-        text = reason.getErrorMessage()
-        if not self.ready.called:
-            self.ready.errback(ConnectionError(text))
-        if self._answer is not None:
-            answer = self._end_run()
-            # Whoever gave it up was told so already.
-            if not answer.called:
-                answer.errback(TargetLost(True, text))
-        self.closed.callback(None)
+        for line in self._buffer.feed(data):
+            self._take(line)
 
     def _take(self, line: bytes) -> None:
         """Take one message."""
@@ -221,16 +129,7 @@
             # Whoever used it next would only be told the same.
             self.on_useless()
             self.end_session()
-        self._end_run().callback(end)
-
-    def _end_run(self) -> "Deferred[ResponseEnd]":
-        """Be free for the next statement; return who waits for this one."""
-        answer, self._answer = self._answer, None
-        self._sink.detach()
-        self._sink = None
-        self.run_since = None
-        self._clear()
-        return answer
+        self.end_run().callback(end)
 
     def _clear(self) -> None:
         """Expect a new answer."""
@@ -248,9 +147,10 @@
     database: str,
     timeout: float,
     limits: SocketLimits,
+    account: str = "",
     reach_timeout: float | None = None,
 ) -> "Deferred[LineTarget]":
-    """Open a connection to a database.
+    """Open a connection to a database; see `open_within` for its times and failures.
 
     Parameters
     ----------
@@ -266,14 +166,12 @@
         Seconds within which the database must be ready.
     limits : SocketLimits
         When a silent database is given up.
+    account : str
+        Whose statements it will run; empty for those of the proxy itself.
     reach_timeout : float, optional
-        Seconds within which it must be reached at all; see `open_within`.
-
-    Returns
-    -------
-    Deferred of LineTarget
-        Its failures are those of `open_within`.
+        Seconds within which it must be reached at all.
     """
-    start = b"START %s %s %s\r\n" % (service.encode(), PROXY_NAME, database.encode())
-    target = LineTarget(start, limits, get_seconds(reactor))
+    words = (service, account or PROXY_NAME, database)
+    start = "START {} {} {}\r\n".format(*words).encode()
+    target = LineTarget(start, limits, get_seconds(reactor), account)
     return open_within(reactor, endpoint, target, timeout, reach_timeout)
--- a/beryltrack/settings/messages.py
+++ b/beryltrack/settings/messages.py
@@ -136,6 +136,8 @@
         Seconds within which callers want a whole operation done.
     priority : int
         Zero is the highest.
+    is_public : bool
+        True if it serves callers of no account, too.
     """
 
     name: str
@@ -146,6 +148,7 @@
     statement_timeout: float
     target_latency: float
     priority: int
+    is_public: bool = False
 
 
 class UserSettings(NamedTuple):
--- a/beryltrack/settings/roster.py
+++ b/beryltrack/settings/roster.py
@@ -13,6 +13,7 @@
 
 from typing import NamedTuple
 
+from beryltrack.accounts.messages import AccountSettings
 from beryltrack.settings.incarnations import get_identifier
 from beryltrack.settings.messages import (
     DatabaseSettings,
@@ -92,12 +93,15 @@
         All groups.
     transaction_idle : float
         Seconds after which a transaction that rests may be ended.
+    accounts : tuple of AccountSettings or None
+        All client accounts; None where callers need no key.
     """
 
     version: int
     routes: tuple[RouteSettings, ...]
     groups: tuple[GroupLimits, ...]
     transaction_idle: float
+    accounts: tuple[AccountSettings, ...] | None = None
 
 
 class _Known(NamedTuple):
--- a/beryltrack_bench/matrix/proxy.py
+++ b/beryltrack_bench/matrix/proxy.py
@@ -197,7 +197,7 @@
         return PoolTask(
             self.node,
             database,
-            lambda: self._connect(database),
+            lambda account: self._connect(database),
             limit=limit,
             rng=self._rng,
         )
--- a/beryltrack_bench/overload/site.py
+++ b/beryltrack_bench/overload/site.py
@@ -199,7 +199,12 @@
         total = database.max_connections
         settings = DatabaseSettings(key, Endpoint("", 0), "", total, 0, False)
         pool = PoolTask(
-            self.clock, settings, database.connect, options.pool, limit=0, rng=rng
+            self.clock,
+            settings,
+            lambda account: database.connect(),
+            options.pool,
+            limit=0,
+            rng=rng,
         )
         budget.add_pool(BudgetedDatabase(key, team, total), pool, CONTROL_CONNECTIONS)
         self.pools.append(pool)
--- /dev/null
+++ b/tests/accounts/test_quota_safety.py
@@ -0,0 +1,245 @@
+"""No order of messages, pauses, cuts and restarts lets an account exceed its limit.
+
+A fleet of instances in simulated time. Each lends its part to the owner that it sends
+the account's operations to, which it chooses anew at any moment; messages are late or
+lost, links end on one side before the other, processes pause and start again. The
+account asks for far more than its limit at all owners. Any five seconds are judged.
+"""
+
+import math
+import random
+from collections import deque
+
+import pytest
+
+from beryltrack.accounts.lending import (
+    LOAN_TIME,
+    RENEW_PERIOD,
+    LendingDecider,
+    Offer,
+)
+from beryltrack.accounts.messages import AccountSettings
+from beryltrack.accounts.quota import QuotaDecider, Tolerance
+from beryltrack.accounts.rights import Loan
+from beryltrack.accounts.slots import get_slot
+
+WINDOW, OVERAGE, SLACK = 5.0, 0.1, 20.0
+ACCOUNT = AccountSettings("hot", frozenset(), 200.0, 60.0)
+BOUND = (ACCOUNT.rate * WINDOW + ACCOUNT.burst) * (1 + OVERAGE) + SLACK
+STEP = 0.05
+
+
+class Link:
+    """A link of one lender to one owner; it ends with either process."""
+
+    def __init__(self, lender, owner):
+        self.lender, self.owner = lender, owner
+        self.answered_at = None
+        self.is_new = True
+        self.sent_at = None
+
+    @property
+    def is_over(self):
+        return self.lender.links.get(self.owner.name) is not self
+
+
+class Instance:
+    """One process: it lends, and counts what it has."""
+
+    def __init__(self, fleet, name, is_new):
+        self.fleet, self.name = fleet, name
+        self.offset = fleet.rng.uniform(0.0, 1e6)
+        self.paused_until = 0.0
+        self.links = {}
+        self.next_tick = fleet.now
+        self.target = fleet.get_target()
+        self.lending = LendingDecider(lambda slot: self.target, self.now, is_new)
+        self.lending.set_members(fleet.names, self.now)
+        self.quota = QuotaDecider({"hot": ACCOUNT}.get, Tolerance(OVERAGE, SLACK))
+
+    @property
+    def now(self):
+        """The instance's own clock."""
+        return self.fleet.now + self.offset
+
+    def tick(self):
+        for name, link in tuple(self.links.items()):
+            if link.sent_at is not None and self.fleet.now - link.sent_at > 1.2:
+                del self.links[name]
+        if self.fleet.now < self.next_tick:
+            return
+        self.next_tick = self.fleet.now + RENEW_PERIOD
+        for name, offer in self.lending.plan(self.now).items():
+            if name == self.name:
+                self.lending.observe_sent(name, offer, self.now)
+                loan = Loan(offer.slots, offer.part, self.now + LOAN_TIME)
+                self.quota.rights.lend(name, loan, self.now)
+                self.lending.observe_taken(name, offer)
+            else:
+                self.tell(name, offer)
+
+    def tell(self, name, offer):
+        owner = self.fleet.instances[name]
+        link = self.links.setdefault(name, Link(self, owner))
+        if link.sent_at is not None:
+            return
+        link.sent_at = self.fleet.now
+        if link.is_new:
+            offer = Offer(0, 0.0)
+        else:
+            self.lending.observe_sent(name, offer, self.now)
+        self.fleet.put(self.name, owner, lambda: owner.take(link, offer))
+
+    def take(self, link, offer):
+        """Take an offer as an owner, and answer it."""
+        if link.answered_at is not None:
+            until = link.answered_at + LOAN_TIME
+            if self.fleet.counts_from_receipt:
+                until = self.now + LOAN_TIME
+            loan = Loan(offer.slots, offer.part, until)
+            self.quota.rights.lend(link.lender.name, loan, self.now)
+        link.answered_at = self.now
+        self.fleet.put(self.name, link.lender, lambda: link.lender.end(link, offer))
+
+    def end(self, link, offer):
+        """Take the answer to an offer."""
+        if link.is_over:
+            return
+        link.sent_at = None
+        if not link.is_new:
+            self.lending.observe_taken(link.owner.name, offer)
+        link.is_new = False
+
+
+class Fleet:
+    """All instances, and what is on its way between them."""
+
+    def __init__(self, seed, count=8, owners=3, counts_from_receipt=False):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.delays, self.next_trouble = (0.002,), 5.0
+        self.names = [f"i{number}" for number in range(count)]
+        self.owners = self.names[:owners]
+        self.counts_from_receipt = counts_from_receipt
+        self.mail = []
+        self.spent = deque()
+        self.worst = 0
+        self.served = 0
+        self.cut = set()
+        self.instances = {name: Instance(self, name, True) for name in self.names}
+
+    def get_target(self):
+        """Return whom an instance takes for the owner at its start."""
+        return self.rng.choice(self.owners) if self.now else self.owners[0]
+
+    def put(self, source, target, carry_out):
+        """Put a message on its way, to this process and no later one of its name."""
+        if (source, target.name) not in self.cut:
+            delay = self.rng.choice(self.delays)
+            self.mail.append((self.now + delay, target, carry_out))
+
+    def deliver(self):
+        due = [each for each in self.mail if each[0] <= self.now]
+        self.mail = [each for each in self.mail if each[0] > self.now]
+        for _, target, carry_out in sorted(due, key=lambda each: each[0]):
+            if self.now < target.paused_until:
+                self.mail.append((target.paused_until, target, carry_out))
+            elif self.instances[target.name] is target:
+                carry_out()
+
+    def disturb(self):
+        """Change something every few seconds; calm comes back in between."""
+        if self.now < self.next_trouble:
+            return
+        rng = self.rng
+        self.next_trouble = self.now + rng.uniform(0.3, 6.0)
+        some = rng.sample(self.names, rng.randint(1, len(self.names)))
+        old, new = rng.sample(self.owners, 2)
+        match rng.randrange(7):
+            case 0:
+                self.move(some, new)
+            case 1:
+                self.instances[old].paused_until = self.now + rng.uniform(0.1, 6.0)
+                self.move(some, new)
+            case 2:
+                self.restart(rng.choice(self.names))
+            case 3:
+                self.cut |= {(each, old) for each in some}
+                self.move(some, new)
+            case 4:
+                self.cut |= {(old, each) for each in some}
+            case 5:
+                self.delays = (3.0,)
+                self.next_trouble = self.now + rng.uniform(0.3, 1.0)
+            case 6:
+                self.delays = (0.002,)
+                self.cut.clear()
+                self.move(self.names, new)
+                self.next_trouble = self.now + 8.0
+
+    def move(self, names, owner):
+        """Have some instances send the account's operations to another owner."""
+        for name in names:
+            self.instances[name].target = owner
+
+    def restart(self, name):
+        """Kill a process; those that had lent to it are told by their connections."""
+        for each in self.instances.values():
+            each.lending.observe_ended(name)
+            each.links.pop(name, None)
+            each.quota.rights.drop(name, each.now)
+        self.instances[name] = Instance(self, name, False)
+
+    def step(self):
+        self.now += STEP
+        self.disturb()
+        self.deliver()
+        for instance in self.instances.values():
+            if self.now < instance.paused_until:
+                continue
+            instance.tick()
+        for name in self.owners:
+            self.spend(self.instances[name])
+        while self.spent and self.spent[0] <= self.now - WINDOW:
+            self.spent.popleft()
+        self.worst = max(self.worst, len(self.spent))
+
+    def spend(self, owner):
+        """Run what the account may run at one owner; it asks for ten times its rate."""
+        if self.now < owner.paused_until:
+            return
+        for _ in range(math.ceil(ACCOUNT.rate * 10 * STEP)):
+            if not owner.quota.spend("hot", owner.now):
+                self.spent.append(self.now)
+                self.served += 1
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_five_seconds_exceed_the_limit(seed):
+    fleet = Fleet(seed)
+    for _ in range(int(45 / STEP)):
+        fleet.step()
+    assert fleet.worst <= BOUND
+
+
+def test_a_calm_fleet_gives_an_account_all_that_it_may_have():
+    fleet = Fleet(1)
+    fleet.disturb = lambda: None
+    for _ in range(int(30 / STEP)):
+        fleet.step()
+    assert fleet.served >= 0.9 * ACCOUNT.rate * 30
+
+
+def test_a_loan_that_is_counted_from_its_receipt_is_found_out():
+    """The check sees a borrower that believes in a loan for longer than its lender."""
+    worst = 0
+    for seed in range(6):
+        fleet = Fleet(seed, counts_from_receipt=True)
+        for _ in range(int(45 / STEP)):
+            fleet.step()
+        worst = max(worst, fleet.worst)
+    assert worst > BOUND
+
+
+def test_the_slot_of_the_account_is_one_of_many():
+    assert 0 <= get_slot("hot") < 64
--- a/tests/connections/fake_target.py
+++ b/tests/connections/fake_target.py
@@ -28,7 +28,7 @@
     def open_count(self):
         return sum(not connection.closed.called for connection in self.connections)
 
-    def connect(self):
+    def connect(self, account=""):
         result = Deferred()
         self.pending.append(result)
         if self.at_once:
--- a/tests/connections/test_account_pool.py
+++ b/tests/connections/test_account_pool.py
@@ -73,9 +73,11 @@
 
 def test_an_account_with_more_connections_gives_one_up_to_another(pool):
     """A busy account takes no connection for ever from those that wait for one."""
-    fill(pool, "one", "one")
-    pool.acquire(3, 9.0, 0.5, "one")
-    pool.acquire(4, 9.0, 0.5, "one")
+    assert pool.acquire(1, 9.0, 0.0, "one") == [OpenConnection(1, "one")]
+    pool.observe_opened(1, 0.01)
+    pool.acquire(2, 9.0, 0.01, "one")
+    assert pool.tick(0.05) == [OpenConnection(2, "one")]
+    pool.observe_opened(2, 0.06)
     assert pool.acquire(5, 9.0, 0.5, "two") == []
     assert pool.acquire(6, 8.0, 0.5, "one") == []
     assert pool.release(1, True, 0.6) == [CloseConnection(1)]
@@ -83,6 +85,19 @@
     assert pool.observe_opened(3, 0.62) == [GiveConnection(5, 3)]
 
 
+def test_an_account_that_has_none_gets_its_turn(pool):
+    """Two busy accounts with one connection each, and a third that asked before."""
+    pool.acquire(1, 9.0, 0.0, "one")
+    pool.observe_opened(1, 0.01)
+    pool.acquire(2, 9.0, 0.0, "two")
+    pool.observe_opened(2, 0.01)
+    pool.acquire(3, 8.0, 0.1, "three")
+    pool.acquire(4, 8.5, 0.1, "one")
+    assert pool.release(1, True, 0.11) == [GiveConnection(4, 1)]
+    pool.acquire(5, 8.6, 0.12, "one")
+    assert pool.release(1, True, 0.2) == [CloseConnection(1)]
+
+
 def test_an_account_without_traffic_holds_no_connection(pool):
     fill(pool, "one", "two")
     assert pool.tick(20.0) == [CloseConnection(1), CloseConnection(2)]
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -57,7 +57,7 @@
         self.database = DatabaseFactory()
         settings = self.settings = self.database.make_settings()
         self.pool = PoolTask(
-            reactor, settings, lambda: self.connect(settings.endpoint), limit=1
+            reactor, settings, lambda account: self.connect(settings.endpoint), limit=1
         )
         self.task = Statuses()
         handler = RelayHandler(
