--- a/beryltrack/accounts/lending.py
+++ b/beryltrack/accounts/lending.py
@@ -91,6 +91,10 @@
         """The part of each limit that this instance may lend."""
         return 1.0 / max(1, len(self._seen))
 
+    def get_holder(self, slot: int) -> str:
+        """Return which instance has this one's part of a slot, empty if none has."""
+        return self._loans[slot].holder
+
     def set_members(self, names: Iterable[str], now: float) -> None:
         """Take in which instances there are."""
         self._seen |= dict.fromkeys(names, now)
--- a/beryltrack/accounts/quota.py
+++ b/beryltrack/accounts/quota.py
@@ -10,6 +10,7 @@
 database or a place in a queue. An open transaction is not touched.
 """
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -52,6 +53,13 @@
     slack: float = 0.0
 
 
+class Counts(NamedTuple):
+    """How many operations of an account ran here, and how many were refused."""
+
+    run: int = 0
+    refused: int = 0
+
+
 class _Bucket:
     """The tokens of one account."""
 
@@ -83,6 +91,7 @@
         self._tolerance = tolerance
         self._buckets: dict[str, _Bucket] = {}
         self._by_slot: dict[int, set[str]] = {}
+        self.counts: dict[str, Counts] = {}
         self.rights = RightsLedger(self._observe_loss)
 
     def spend(self, name: str, now: float) -> float:
@@ -96,9 +105,14 @@
         account = self._get_account(name)
         if account is None:
             return UNKNOWN_WAIT
-        if account.rate == float("inf"):
-            return 0.0
-        slot = get_slot(name)
+        wait = 0.0 if math.isinf(account.rate) else self._take_token(account, now)
+        run, refused = self.counts.get(name, Counts())
+        self.counts[name] = Counts(run + (not wait), refused + (wait > 0.0))
+        return wait
+
+    def _take_token(self, account: AccountSettings, now: float) -> float:
+        """Take a token of an account; return how long until there is one."""
+        slot = get_slot(account.name)
         bucket = self._fill(account, slot, now)
         if bucket.tokens >= WHOLE:
             bucket.tokens -= 1.0
@@ -117,6 +131,7 @@
         """Forget the accounts that the settings have no more."""
         for name in [each for each in self._buckets if not self._get_account(each)]:
             del self._buckets[name]
+            del self.counts[name]
             self._by_slot[get_slot(name)].discard(name)
 
     def _fill(self, account: AccountSettings, slot: int, now: float) -> _Bucket:
--- a/beryltrack/callers/caller.py
+++ b/beryltrack/callers/caller.py
@@ -73,6 +73,7 @@
         self.status = TransactionStatus.IDLE
         self.arrived_at = 0.0
         self.gone = False
+        self.account = ""
         self.session: object = None
         self._reactor = reactor
         self._transport = transport
--- a/beryltrack/connections/exclusive.py
+++ b/beryltrack/connections/exclusive.py
@@ -48,6 +48,8 @@
         self.run_until = math.inf
         self.way = ""  # The instance that it goes through, if any.
         self.heard_at = -math.inf
+        # True if that instance need not count the next operation of the account.
+        self.is_counted = False
         # Called if that instance says that it does not reach the database.
         self.on_useless: Callable[[], object] = lambda: None
         self._start = start
--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -9,7 +9,11 @@
 
 from twisted.internet.defer import Deferred
 
-from beryltrack.errors import CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS
+from beryltrack.errors import (
+    CANNOT_CONNECT_NOW,
+    CONFIGURATION_LIMIT_EXCEEDED,
+    TOO_MANY_CONNECTIONS,
+)
 
 
 class PooledConnection(Protocol):
@@ -44,6 +48,7 @@
     UNREACHABLE = "the target cannot be reached"
     NO_SHARE = "no share of the target's connections is free"
     LEAVING = "the target takes no new work"
+    OVER_LIMIT = "the account is over its limit"
 
     @property
     def is_overload(self) -> bool:
@@ -68,6 +73,8 @@
     @property
     def sqlstate(self) -> str:
         """The SQLSTATE that says the same to a caller."""
+        if self.reason is RefusalReason.OVER_LIMIT:
+            return CONFIGURATION_LIMIT_EXCEEDED
         is_overload = self.reason.is_overload
         return TOO_MANY_CONNECTIONS if is_overload else CANNOT_CONNECT_NOW
 
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -149,7 +149,9 @@
             result.addTimeout(limit, self._reactor)
         return result.addErrback(_give_none)
 
-    def release(self, connection: PooledConnection, reusable: bool) -> None:
+    def release(
+        self, connection: PooledConnection, reusable: bool, has_run: bool = True
+    ) -> None:
         """Give a connection back.
 
         Parameters
@@ -158,6 +160,8 @@
             What `acquire` gave.
         reusable : bool
             False if its state is in doubt; it is then thrown away.
+        has_run : bool
+            False if what it was lent for did not run; that is not counted here.
         """
         number = self._numbers.get(connection)
         if number is None:
--- a/beryltrack/daemon/group_connections.py
+++ b/beryltrack/daemon/group_connections.py
@@ -6,10 +6,9 @@
 
 from collections.abc import Callable
 
-from beryltrack.connections.task import PoolTask
-from beryltrack.daemon import node_options as options
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.node_policies import NodePolicies
+from beryltrack.relay.access import DatabaseAccess
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.handler import Lender
 from beryltrack.relay.owners import Peer
@@ -52,7 +51,7 @@
         return self._has_members
 
     @property
-    def pools(self) -> list[PoolTask]:
+    def pools(self) -> list[DatabaseAccess]:
         """The pools of all databases."""
         runtimes = self._groups.runtimes
         return [pool for runtime in runtimes for pool in runtime.pools.values()]
@@ -73,9 +72,21 @@
             runtime.task.set_nodes((self._name,), False)
         runtime.ensure_started()
 
+    def set_accounts(self, has_accounts: bool) -> None:
+        """Take in whether connections belong to accounts."""
+        limits = [get_most_connections(each.settings) for each in self._groups.runtimes]
+        is_known = has_accounts and limits
+        has_changed = self._directory.set_accounts(min(limits) if is_known else None)
+        if has_changed and self._has_members:
+            for runtime in self._groups.runtimes:
+                self._set_candidates(runtime)
+
     def share(self) -> None:
         """Give each pool its part of the database's connections."""
         policies = self._policies
+        pools = (
+            policies.account_pools if self._directory.has_accounts else policies.pools
+        )
         for runtime in self._groups.runtimes:
             limit = get_most_connections(runtime.settings)
             placement = self._directory.get_placement(runtime.settings.name, limit)
@@ -83,8 +94,8 @@
             is_owner = self._is_owner(runtime)
             for name, pool in runtime.pools.items():
                 is_direct = is_owner and not self._directory.is_blocked(name)
-                pool.set_policy(policies.pools if is_direct else policies.relayed_pools)
-                pool.set_limit(share if is_direct else options.RELAY_STREAMS)
+                pool.direct.set_policy(pools)
+                pool.set_limit(share if is_direct else 0)
                 pool.retire_stale()
 
     def get_lender(self, group: str, database: str) -> Lender | None:
@@ -93,8 +104,9 @@
         pool = runtime.pools.get(database) if runtime is not None else None
         if pool is None or not self._is_owner(runtime):
             return None
-        if self._directory.is_blocked(database):
-            # It would go through a third instance, or back to the one that asks.
+        is_blocked = self._directory.is_blocked(database)
+        if is_blocked and not self._directory.has_accounts:
+            # Another owner serves as well, and goes straight to the database.
             return None
         runtime.ensure_started()
         return Lender(pool, runtime.task)
@@ -123,20 +135,15 @@
         runtime.task.set_nodes(names, is_owner)
         ways = ("", *names) if is_owner else names
         for database, pool in runtime.pools.items():
-            pool.retire(self._get_staleness(database, is_owner, names))
+            pool.set_ways(names)
+            pool.retire(self._get_staleness(database, is_owner))
         runtime.task.renew_ways(ways)
 
     def _get_staleness(
-        self, database: str, is_owner: bool, names: tuple[str, ...]
+        self, database: str, is_owner: bool
     ) -> Callable[[RelayedConnection], bool]:
-        """Return what says of a connection whether its way is used no more."""
-
-        def is_stale(connection: RelayedConnection) -> bool:
-            if not is_owner:
-                return connection.way not in names
-            return bool(connection.way) != self._directory.is_blocked(database)
-
-        return is_stale
+        """Return what says of a connection to a database whether it is used no more."""
+        return lambda _: not is_owner or self._directory.is_blocked(database)
 
 
 def get_most_connections(group: GroupSettings) -> int:
--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -5,6 +5,8 @@
 
 from twisted.internet.defer import Deferred
 
+from beryltrack.accounts.quota import QuotaDecider
+from beryltrack.clock import get_seconds
 from beryltrack.connections.task import PoolTask
 from beryltrack.daemon import node_options as options
 from beryltrack.daemon.node_policies import NodePolicies
@@ -15,6 +17,7 @@
 from beryltrack.platform.group import LineDatabaseGroup
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.target import LineTarget, connect_line_target
+from beryltrack.relay.access import DatabaseAccess
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.opener import OpenLimits, TargetOpener
 from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
@@ -41,6 +44,8 @@
         True if promotions are fenced, and a replaced primary leads no more.
     policies : NodePolicies
         What steers this instance's decisions.
+    quota : QuotaDecider
+        Counts the operations of accounts that run here.
     """
 
     keeps_members = True
@@ -56,7 +61,11 @@
         rng: random.Random,
         is_fenced: bool,
         policies: NodePolicies,
+        quota: QuotaDecider,
     ):
+        self._quota = quota
+        self._directory = directory
+        self._seconds = get_seconds(reactor)
         self.share_limit = 1
         self._is_fenced = is_fenced
         self._policies = policies
@@ -65,7 +74,7 @@
         self._promotion = promotion
         self._authority = authority
         self._rng = rng
-        self._pools: WeakValueDictionary[tuple[str, str], PoolTask] = (
+        self._pools: WeakValueDictionary[tuple[str, str], DatabaseAccess] = (
             WeakValueDictionary()
         )
         self._opener = TargetOpener(
@@ -105,18 +114,48 @@
         calls.set_hearing(task.was_heard)
         return task
 
-    def make_pool(self, group: GroupSettings, database: DatabaseSettings) -> PoolTask:
-        """Return the pool of one database."""
-        pool = PoolTask(
+    def make_pool(
+        self, group: GroupSettings, database: DatabaseSettings
+    ) -> DatabaseAccess:
+        """Return the pools of one database."""
+        opener, policies = self._opener, self._policies
+
+        def open_directly(account: str) -> Deferred[LineTarget]:
+            limit = options.CONNECT_TIMEOUT
+            return opener.open_directly(group.name, database, limit, account)
+
+        def make_sessions(owner: str) -> PoolTask:
+            return PoolTask(
+                self._reactor,
+                database,
+                lambda account: opener.open_session(group.name, database, owner),
+                policies.relayed_pools,
+                limit=options.RELAY_STREAMS,
+                rng=self._rng,
+            )
+
+        def choose_way(account: str) -> str:
+            limit = database.max_connections
+            peer = self._directory.choose_way(group.name, database.name, limit, account)
+            return "" if peer is None else peer.name
+
+        direct = PoolTask(
             self._reactor,
             database,
-            lambda: self._opener.open(group.name, database, options.CONNECT_TIMEOUT),
-            self._policies.pools,
+            open_directly,
+            policies.pools,
             limit=self.share_limit,
             rng=self._rng,
         )
-        self._pools[group.name, database.name] = pool
-        return pool
+        access = DatabaseAccess(
+            direct,
+            make_sessions,
+            choose_way,
+            lambda account: self._quota.spend(account, self._seconds()),
+            self._quota.refund,
+        )
+        self._pools[group.name, database.name] = access
+        return access
 
     def _open_at(
         self,
--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -24,6 +24,7 @@
     Field,
     parse_ip,
     parse_name,
+    parse_number,
     parse_port,
     read_fields,
 )
@@ -64,6 +65,8 @@
     Field("relay", parse_port),
     Field("zone", parse_name),
     Field("copies", parse_port, False),
+    Field("rights", parse_port, False),
+    Field("capacity", parse_number, False),
 )
 
 
@@ -198,9 +201,12 @@
             "port": self._endpoint.port,
             "relay": self._own.relay.port,
             "zone": self._own.zone,
+            "capacity": self._own.capacity,
         }
         if self._own.copies is not None:
             value["copies"] = self._own.copies.port
+        if self._own.rights is not None:
+            value["rights"] = self._own.rights.port
         path = f"{KIND}/{self._name}"
         if self._is_new:
             # Nobody of this name was there before, so that the question is spared.
@@ -270,10 +276,11 @@
         findings.append(Finding(item.path, "", f"the name of the instance {error}"))
     if findings:
         return None, findings
-    host, copies = fields["host"], fields.get("copies")
+    host = fields["host"]
     relay = Endpoint(host, fields["relay"])
-    source = None if copies is None else Endpoint(host, copies)
-    return Peer(name, fields["zone"], relay, source), []
+    others = (fields.get("copies"), fields.get("rights"))
+    places = (None if port is None else Endpoint(host, port) for port in others)
+    return Peer(name, fields["zone"], relay, *places, fields.get("capacity", 1.0)), []
 
 
 def _read_look(item: PlatformObject) -> Endpoint | None:
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -22,6 +22,7 @@
 from beryltrack.daemon.line_kit import LineKit
 from beryltrack.daemon.members import KIND as MEMBERS_KIND
 from beryltrack.daemon.members import WATCH_GAP, MemberPort, MemberTask
+from beryltrack.daemon.node_accounts import NodeAccounts
 from beryltrack.daemon.node_policies import make_policies
 from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
 from beryltrack.daemon.store_clients import make_store_clients
@@ -140,9 +141,17 @@
         clients = make_store_clients(reactor, settings, rng, self._rejects)
         self._policies = make_policies(settings.is_fenced, settings.disabled)
         copies = settings.copies_listen if self._policies.shares_copies else None
-        own = Peer(settings.name, settings.zone, settings.relay_listen, copies)
+        own = Peer(
+            settings.name,
+            settings.zone,
+            settings.relay_listen,
+            copies,
+            settings.rights_listen,
+            settings.capacity,
+        )
         self._own = own
         directory = RelayDirectory(own, self._seconds, options.FIRST_INSTANCES)
+        self._accounts = NodeAccounts(reactor, settings, directory, rng)
         self._kit = LineKit(
             reactor,
             settings.name,
@@ -152,6 +161,7 @@
             rng,
             settings.is_fenced,
             self._policies,
+            self._accounts.quota,
         )
         self._groups = GroupTable(reactor, self._kit)
         self._connections = GroupConnections(
@@ -171,7 +181,9 @@
             settings.zone,
             self.metrics,
             rng,
-            LineProtocol(self._get_route, options.make_request_policy),
+            LineProtocol(
+                self._get_route, options.make_request_policy, self._accounts.get_book
+            ),
             routing=self._policies.routing,
             events=EventLog(settings.name, write_line, self._seconds),
             retries=self._policies.retries,
@@ -257,6 +269,8 @@
         if self._own.copies is not None:
             self._listen(self._own.copies, self._copies.port)
             self._copies.start()
+        if self._own.rights is not None:
+            self._listen(self._own.rights, self._accounts.port)
         if self._policies.takes_snapshots and not self.settings.is_first_start:
             self._snapshots.start()
         self._services.admission.start()
@@ -279,6 +293,7 @@
         grace = self.settings.grace
         Deferred.fromCoroutine(self._members.leave())
         self._relay.leave()
+        self._accounts.leave()
         relays_left = self._relays.leave()
         await deferLater(self._reactor, min(BALANCER_TIME, grace / 2))
         leaving = gatherResults([self._callers.leave(), relays_left])
@@ -306,6 +321,7 @@
     async def stop(self) -> None:
         """Close everything."""
         self._copies.stop()
+        self._accounts.stop()
         for feed in self._feeds:
             feed.stop()
         self._members.stop()
@@ -347,6 +363,7 @@
         if configuration is None or (known and configuration.version <= known.version):
             return
         self._configuration = configuration
+        self._rejects.report(self._accounts.set_accounts(configuration.accounts))
         log.info("settings: Version %d is in force.", configuration.version)
         self._apply()
 
@@ -388,6 +405,7 @@
         """Take in which instances there are."""
         self._copies.set_peers(peers)
         self._connections.set_members(peers)
+        self._accounts.set_members(peers)
         self._apply()
 
     def _apply(self) -> None:
@@ -401,6 +419,7 @@
         )
         self._routes = {route.name: route for route in self._site.routes}
         self._groups.apply(self._site)
+        self._connections.set_accounts(self._accounts.get_book() is not None)
         self._connections.share()
         self._look_again(now)
         if self.state is NodeState.STARTING:
@@ -433,3 +452,4 @@
                 labels = f'group="{runtime.settings.name}",database="{name}"'
                 yield "beryltrack_pool_busy", labels, pool.load.in_use
                 yield "beryltrack_pool_waiting", labels, pool.load.waiting
+        yield from self._accounts.get_gauges()
--- /dev/null
+++ b/beryltrack/daemon/node_accounts.py
@@ -0,0 +1,128 @@
+"""An instance's part in the accounts of the fleet: their keys, rights and counts."""
+
+import random
+from collections.abc import Iterable
+
+from beryltrack.accounts.book import NO_ACCOUNTS, AccountBook, make_book
+from beryltrack.accounts.lending import LendingDecider
+from beryltrack.accounts.link import RightsPort
+from beryltrack.accounts.messages import AccountSettings
+from beryltrack.accounts.quota import QuotaDecider
+from beryltrack.accounts.task import RightsTask
+from beryltrack.clock import get_seconds
+from beryltrack.findings import Finding
+from beryltrack.metrics.plain import Gauge
+from beryltrack.relay.directory import RelayDirectory
+from beryltrack.relay.owners import Peer
+from beryltrack.settings.messages import Endpoint
+from beryltrack.settings.node import NodeSettings
+
+SOURCE = "settings"
+"""What findings about accounts name as their place."""
+
+
+class NodeAccounts:
+    """The accounts as one instance knows them.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        Source of connections and timers.
+    settings : NodeSettings
+        What the settings file of the process says.
+    directory : RelayDirectory
+        Says which instance runs an account's operations.
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        settings: NodeSettings,
+        directory: RelayDirectory,
+        rng: random.Random,
+    ):
+        self._book: AccountBook | None = None
+        self._directory = directory
+        self._seconds = get_seconds(reactor)
+        self.quota = QuotaDecider(self._get_account, settings.tolerance)
+        lending = LendingDecider(
+            self._choose_owner, self._seconds(), settings.is_first_start
+        )
+        self._lending = lending
+        self._task = RightsTask(
+            reactor,
+            settings.name,
+            self.quota,
+            lending,
+            self._get_endpoint,
+            self._seconds,
+            rng,
+        )
+        directory.set_holder_source(lending.get_holder)
+        directory.set_owner_observer(self._task.hurry)
+
+    @property
+    def port(self) -> RightsPort:
+        """What takes the rights of other instances."""
+        return self._task.port
+
+    def get_book(self) -> AccountBook | None:
+        """Return the accounts in force, None where callers need no key."""
+        return self._book
+
+    def set_accounts(
+        self, accounts: tuple[AccountSettings, ...] | None
+    ) -> list[Finding]:
+        """Take in all accounts; return what is wrong with them."""
+        if accounts is None:
+            self._book = None
+            return []
+        self._book, findings = make_book(accounts, SOURCE)
+        self.quota.forget()
+        self._start()
+        return findings
+
+    def set_members(self, peers: tuple[Peer, ...]) -> None:
+        """Take in which instances there are."""
+        self._lending.set_members((peer.name for peer in peers), self._seconds())
+        self._start()
+
+    def leave(self) -> None:
+        """Give back what others have lent, so that they lend it to the next owner."""
+        self._task.port.leave()
+
+    def stop(self) -> None:
+        """Lend no more."""
+        self._task.stop()
+
+    def get_gauges(self) -> Iterable[Gauge]:
+        """Return how many operations ran and were refused here, by account."""
+        for name, counts in self.quota.counts.items():
+            labels = f'account="{name}"'
+            yield "beryltrack_account_operations_total", labels, counts.run
+            yield "beryltrack_account_refusals_total", labels, counts.refused
+        if self._book is not None:
+            lenders = len(self.quota.rights.lenders)
+            yield "beryltrack_account_lenders", "", lenders
+
+    def _start(self) -> None:
+        """Lend once there are accounts and the members are known."""
+        if self._book is not None and self._directory.is_known:
+            self._task.start()
+
+    def _get_account(self, name: str) -> AccountSettings | None:
+        """Return an account of the settings in force."""
+        return (self._book or NO_ACCOUNTS).by_name.get(name)
+
+    def _choose_owner(self, slot: int) -> str | None:
+        """Return the name of the instance that is to run a slot's accounts."""
+        if not self._directory.has_accounts:
+            return None
+        return self._directory.choose_slot_owner(slot).name
+
+    def _get_endpoint(self, name: str) -> Endpoint | None:
+        """Return where an instance takes rights."""
+        peer = self._directory.get_peer(name)
+        return None if peer is None else peer.rights
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -39,8 +39,9 @@
 
     Parameters
     ----------
-    pools, relayed_pools : PoolPolicy
-        Connections to databases, and sessions at other instances.
+    pools, account_pools, relayed_pools : PoolPolicy
+        Connections to databases, the same where they belong to accounts, and sessions
+        at other instances.
     routing : RoutingPolicy
         Where requests run.
     probes : ProbePolicy
@@ -62,6 +63,7 @@
     """
 
     pools: PoolPolicy
+    account_pools: PoolPolicy
     relayed_pools: PoolPolicy
     routing: RoutingPolicy
     probes: ProbePolicy
@@ -88,6 +90,7 @@
     """
     policies = NodePolicies(
         options.POOLS,
+        options.ACCOUNT_POOLS,
         options.RELAYED_POOLS,
         options.ROUTING if is_fenced else options.UNFENCED_ROUTING,
         options.PROBES,
@@ -109,6 +112,7 @@
     """Return policies whose pools have other figures."""
     return policies._replace(
         pools=policies.pools._replace(**figures),
+        account_pools=policies.account_pools._replace(**figures),
         relayed_pools=policies.relayed_pools._replace(**figures),
     )
 
--- a/beryltrack/platform/boot.py
+++ b/beryltrack/platform/boot.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Mapping
 
+from beryltrack.accounts.quota import Tolerance
 from beryltrack.findings import Finding
 from beryltrack.objects.fields import parse_address
 from beryltrack.settings.messages import Endpoint
@@ -66,4 +67,15 @@
         bool(bounds.get("fencing_enforced", True)),
         float(bounds.get("config_apply_ms", CHANGE_LIMIT * 1000)) / 1000,
         float(bounds.get("drain_ms", DRAIN_LIMIT * 1000)) / 1000,
+        capacity=_read_capacity(fields.get("limits") or {}),
+        tolerance=Tolerance(
+            float(bounds.get("quota_overage", 0.0)),
+            float(bounds.get("quota_slack", 0.0)),  # Operations, in any window.
+        ),
     )
+
+
+def _read_capacity(limits: dict) -> float:
+    """Return the processor time that the process may use, in cores of usual speed."""
+    # "cores" says how many times as fast as a usual one the core is.
+    return float(limits.get("cpu_share", 1.0)) * float(limits.get("cores", 1))
--- a/beryltrack/platform/codes.py
+++ b/beryltrack/platform/codes.py
@@ -24,12 +24,16 @@
 """What an instance answers another with when it gives no connection to a database:
 the statement did not run. Neither callers nor databases know it."""
 
+OVER_LIMIT = b"OVERLIMIT"
+"""What an instance answers another with whose account asks for too much."""
+
 # Codes that a database answers with. BUSY, LAGGING and READONLY: it did not run.
 _STATES_BY_CODE = {
     b"BUSY": TOO_MANY_CONNECTIONS,
     b"TOOMANY": TOO_MANY_CONNECTIONS,
     b"LAGGING": CANNOT_CONNECT_NOW,
     UNREACHABLE: CANNOT_CONNECT_NOW,
+    OVER_LIMIT: CONFIGURATION_LIMIT_EXCEEDED,
     b"READONLY": READ_ONLY_REFUSAL,
     b"UNPREPARED": INVALID_SQL_STATEMENT_NAME,
     b"FAILED": SYSTEM_ERROR,
@@ -66,6 +70,15 @@
     return SqlError(_STATES_BY_CODE.get(code, SYSTEM_ERROR), f"{name}: {text}")
 
 
+def encode_refusal(error: SqlError) -> bytes:
+    """Return the ERROR line that tells another instance that nothing ran."""
+    own = {CANNOT_CONNECT_NOW: UNREACHABLE, CONFIGURATION_LIMIT_EXCEEDED: OVER_LIMIT}
+    code = own.get(error.sqlstate)
+    if code is None:
+        return encode_error(error)
+    return b"ERROR %s %s\r\n" % (code, f"{error.message}. {error.hint}".encode())
+
+
 def encode_error(error: SqlError) -> bytes:
     """Return the ERROR line for an error of the proxy's own."""
     code = _CODES_BY_STATE.get(error.sqlstate, _OTHER_CODE)
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -47,6 +47,9 @@
 GetPolicy = Callable[[RouteSettings], RequestPolicy]
 
 
+ACCOUNT, COUNTED = b"ACCOUNT ", b"counted"
+"""Between instances: whose the next operation is, and if it was counted."""
+
 UNKNOWN_KEY = SqlError(INVALID_AUTHORIZATION, "the key belongs to no account")
 
 
@@ -144,7 +147,7 @@
         # throw its work away and open another connection to a full database.
         is_repeatable = plan.is_read and not (caller.in_transaction or connection.way)
         limit = policy.read_timeout if is_repeatable else policy.run_timeout
-        setups = format_setups(connection, caller.lines, plan.shape)
+        setups = format_setups(connection, caller.lines, plan.shape, caller.account)
         prefix = lines.format_after(after) if after is not None else b""
         text = prefix + format_text(connection, plan.statement, plan.shape)
         setups.append(lines.format_query(plan.statement.request_id, text))
@@ -201,7 +204,10 @@
 
 
 def format_setups(
-    connection: LineTarget, session: KeptState, shape: Shape | None
+    connection: LineTarget,
+    session: KeptState,
+    shape: Shape | None,
+    account: str = "",
 ) -> list[bytes]:
     """Return the statements that give a connection a session's state.
 
@@ -216,9 +222,16 @@
         What the session has set and prepared.
     shape : Shape or None
         What the statement to run executes, if it is a prepared one.
+    account : str
+        Whose statement it is.
+
+    Raises
+    ------
+    ValueError
+        If the connection belongs to another account.
     """
     wanted, applied = session.values, connection.values
-    texts = []
+    texts = _format_account(connection, account)
     if any(name not in wanted for name in applied):
         texts.append(b"RESET")
         applied.clear()
@@ -233,6 +246,23 @@
     return [lines.format_query(lines.NO_ID, text) for text in texts]
 
 
+def _format_account(connection: LineTarget, account: str) -> list[bytes]:
+    """Return what tells another instance whose statement comes."""
+    if not connection.way:
+        if connection.account != account:
+            raise ValueError("a statement on a connection of another account")
+        return []
+    terms = b"%s%s %s" % (
+        ACCOUNT,
+        account.encode(),
+        COUNTED if connection.is_counted else b"new",
+    )
+    if terms == connection.terms or not (account or connection.terms):
+        return []
+    connection.terms = terms
+    return [terms]
+
+
 def format_text(
     connection: LineTarget, statement: LineStatement, shape: Shape | None
 ) -> bytes:
--- a/beryltrack/platform/relay.py
+++ b/beryltrack/platform/relay.py
@@ -9,14 +9,19 @@
 from twisted.internet.defer import Deferred
 
 from beryltrack.callers.sequence import SequentialFactory
-from beryltrack.errors import CANNOT_CONNECT_NOW, SqlError
+from beryltrack.errors import SqlError
 from beryltrack.groups.messages import DatabaseStatus
 from beryltrack.groups.view import NEVER
 from beryltrack.platform import lines
 from beryltrack.platform.caller import LineSpeaker
-from beryltrack.platform.codes import UNREACHABLE, encode_error
+from beryltrack.platform.codes import UNREACHABLE, encode_refusal
 from beryltrack.platform.group import format_row
-from beryltrack.platform.protocol import format_setups, format_text
+from beryltrack.platform.protocol import (
+    ACCOUNT,
+    COUNTED,
+    format_setups,
+    format_text,
+)
 from beryltrack.platform.statements import (
     NEEDS_PRIMARY,
     LineStatement,
@@ -69,6 +74,8 @@
         super().__init__(factory)
         self.group = ""
         self.database = ""
+        self.account = ""
+        self.is_counted = True
         self.pinned: LineTarget | None = None
         self.proven_at = NEVER
 
@@ -89,7 +96,7 @@
         self, connection: LineTarget, unit: RelayedStatement
     ) -> "Deferred[RunResult]":
         """Run a statement; its rows go out as they come."""
-        setups = format_setups(connection, self.lines, unit.shape)
+        setups = format_setups(connection, self.lines, unit.shape, self.account)
         text = unit.prefix + format_text(connection, unit.statement, unit.shape)
         setups.append(lines.format_query(unit.statement.request_id, text))
         running = connection.run(b"".join(setups), self, len(setups) - 1)
@@ -97,11 +104,7 @@
 
     def send_refusal(self, error: SqlError) -> None:
         """Say that a statement was not run."""
-        if error.sqlstate == CANNOT_CONNECT_NOW:
-            text = f"{error.message} {error.hint}"
-            self.write(b"ERROR %s %s\r\n" % (UNREACHABLE, text.encode()))
-        else:
-            self.write(encode_error(error))
+        self.write(encode_refusal(error))
         self.send_ready(self.status)
 
     def send_status(self, status: DatabaseStatus, proven: Proven | None) -> None:
@@ -139,6 +142,9 @@
             self.lines.reset()
             self.answer_local(True)
             return None
+        if request_id == lines.NO_ID and text.startswith(ACCOUNT):
+            self._take_account(text.split(b" "))
+            return None
         unit = self._read_unit(request_id, text)
         if unit is None:
             self.answer_local(False)
@@ -148,6 +154,14 @@
             return handler.handle(unit, self)
         return None
 
+    def _take_account(self, fields: list[bytes]) -> None:
+        """Note whose operation comes next, and whether it was counted."""
+        is_whole = len(fields) == 3 and not self.in_transaction
+        if is_whole:
+            self.account = fields[1].decode()
+            self.is_counted = fields[2] == COUNTED
+        self.answer_local(is_whole)
+
     def _read_unit(self, request_id: bytes, text: bytes) -> RelayedStatement | None:
         """Return a statement, None if it is malformed."""
         prefix = b""
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -10,10 +10,10 @@
 from beryltrack.connections.exclusive import ExclusiveConnection
 from beryltrack.connections.messages import ConnectRefused
 from beryltrack.connections.opening import open_within
-from beryltrack.errors import SqlError
+from beryltrack.errors import CONFIGURATION_LIMIT_EXCEEDED, SqlError
 from beryltrack.groups.samples import Sample
 from beryltrack.platform import lines
-from beryltrack.platform.codes import UNREACHABLE, decode_error
+from beryltrack.platform.codes import UNREACHABLE, decode_error, encode_error
 from beryltrack.sessions.kept import Shape
 from beryltrack.settings.messages import Endpoint
 from beryltrack.wire.line_buffer import LINE_END, LineBuffer
@@ -40,6 +40,7 @@
         super().__init__(start, limits, seconds, account)
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[Shape, bytes] = {}
+        self.terms = b""  # Whose statement another instance was last told.
         self.numbers = itertools.count(1)
         self._buffer = LineBuffer()
         self._setups = 0
@@ -95,6 +96,9 @@
         elif word == lines.ERROR:
             self._error = decode_error(line)
             self._error_frame = line + LINE_END
+            if self._error.sqlstate == CONFIGURATION_LIMIT_EXCEEDED:
+                # Callers know no code of the instances' own.
+                self._error_frame = encode_error(self._error)
         else:
             raise lines.LineError("unknown message")
 
--- /dev/null
+++ b/beryltrack/relay/access.py
@@ -0,0 +1,271 @@
+"""One database as an instance reaches it: itself, or through others.
+
+An instance that owns an account's connections opens them to the database. For all other
+accounts it keeps sessions at the instances that own theirs. Each way has a pool of its
+own, so that an owner that fails holds up no other way.
+"""
+
+import logging
+from collections.abc import Callable, Collection
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred, fail, gatherResults
+from twisted.python.failure import Failure
+
+from beryltrack.connections.messages import (
+    PooledConnection,
+    PoolLoad,
+    PoolRefusal,
+    PoolRefused,
+    RefusalReason,
+)
+from beryltrack.connections.task import PoolTask
+from beryltrack.relay.ways import RelayedConnection
+
+log = logging.getLogger(__name__)
+
+MOST_WAYS = 3
+"""Ways that one request tries, each only after the one before could not be reached."""
+
+ChooseWay = Callable[[str], str]
+Admit = Callable[[str], float]
+
+
+class _Lent(NamedTuple):
+    """The pool that a connection came from, and for whom an operation was counted."""
+
+    pool: PoolTask
+    counted: str = ""
+
+
+class DatabaseAccess:
+    """The pools of one database; used as one pool.
+
+    Parameters
+    ----------
+    direct : PoolTask
+        Connections to the database itself.
+    make_sessions : callable
+        Returns the pool of sessions at an instance.
+    choose_way : callable
+        Returns the instance through which an account's connections go; empty for none.
+    admit : callable
+        Counts an operation of an account that runs through this instance; returns 0,
+        or the seconds after which to come back.
+    refund : callable
+        Takes in that a counted operation of an account did not run.
+    """
+
+    def __init__(
+        self,
+        direct: PoolTask,
+        make_sessions: Callable[[str], PoolTask],
+        choose_way: ChooseWay,
+        admit: Admit = lambda account: 0.0,
+        refund: Callable[[str], object] = lambda account: None,
+    ):
+        self.direct = direct
+        self._make_sessions = make_sessions
+        self._choose_way = choose_way
+        self._admit = admit
+        self._refund = refund
+        self._sessions: dict[str, PoolTask] = {}
+        self._lent: dict[PooledConnection, _Lent] = {}
+        self._is_drained = False
+
+    @property
+    def load(self) -> PoolLoad:
+        """The load of all ways together, with the limit of those that are used."""
+        direct, others = self.direct.load, [pool.load for pool in self._pools[1:]]
+        most = max((load.limit for load in others), default=0)
+        return direct._replace(
+            limit=max(1, direct.limit or most),
+            open=direct.open + sum(load.open for load in others),
+            in_use=direct.in_use + sum(load.in_use for load in others),
+            waiting=direct.waiting + sum(load.waiting for load in others),
+        )
+
+    @property
+    def _pools(self) -> tuple[PoolTask, ...]:
+        return (self.direct, *self._sessions.values())
+
+    def start(self) -> None:
+        """Open the connections that are kept open."""
+        if not self._choose_way(""):
+            self.direct.start()
+
+    def acquire(self, deadline: float, account: str = "") -> Deferred[PooledConnection]:
+        """Get a connection for one request or transaction of an account.
+
+        Parameters
+        ----------
+        deadline : float
+            Time of the reactor's clock, in seconds, by which the request must be done.
+        account : str
+            Whose request it is.
+
+        Returns
+        -------
+        Deferred of PooledConnection
+            Fails with `PoolRefused`; the request was not run then.
+        """
+        return self._try_ways(deadline, account, MOST_WAYS)
+
+    def lend(
+        self, deadline: float, account: str, is_counted: bool
+    ) -> Deferred[PooledConnection]:
+        """Get a connection for a request that another instance sent here.
+
+        One that was counted there already goes to the database itself and no further.
+        """
+        way = "" if is_counted else self._choose_way(account)
+        return self._acquire_by(way, deadline, account, not is_counted, True)
+
+    def acquire_briefly(
+        self, patience: float, open_patience: float
+    ) -> Deferred[PooledConnection | None]:
+        """Get a connection for a short request of the proxy's own; see `PoolTask`."""
+        way = self._choose_way("")
+        pool = self._get_sessions(way) if way else self.direct
+        return pool.acquire_briefly(patience, open_patience).addCallback(
+            self._note_lent, _Lent(pool)
+        )
+
+    def release(
+        self, connection: PooledConnection, reusable: bool, has_run: bool = True
+    ) -> None:
+        """Give a connection back; `has_run` is False if what it was for did not run."""
+        lent = self._lent.pop(connection, None)
+        if lent is None:
+            return
+        if lent.counted and not has_run:
+            self._refund(lent.counted)
+        lent.pool.release(connection, reusable)
+
+    def set_limit(self, limit: int) -> None:
+        """Change how many connections this instance may open to the database."""
+        self.direct.set_limit(limit)
+
+    def set_ways(self, names: Collection[str]) -> None:
+        """Keep sessions at these instances only."""
+        for name in self._sessions.keys() - set(names):
+            self._sessions.pop(name).drain()
+
+    def retire(self, is_stale: Callable[[RelayedConnection], bool]) -> None:
+        """Use some connections to the database no more; see `PoolTask`."""
+        self.direct.retire(is_stale)
+
+    def retire_stale(self) -> None:
+        """Look again which connections are used no more."""
+        self.direct.retire_stale()
+
+    def observe_reachable(self) -> None:
+        """Take in that the database answers."""
+        for pool in self._pools:
+            pool.observe_reachable()
+
+    def break_connections(self) -> None:
+        """Close all connections at once, also those in use."""
+        for pool in self._pools:
+            pool.break_connections()
+
+    def get_connections(self) -> tuple[PooledConnection, ...]:
+        """Return all connections that are open."""
+        return tuple(each for pool in self._pools for each in pool.get_connections())
+
+    def get_running(self) -> list[PooledConnection]:
+        """Return the connections that run something."""
+        return [each for pool in self._pools for each in pool.get_running()]
+
+    def close_idle(self, connection: PooledConnection) -> None:
+        """Close a connection unless it is lent."""
+        for pool in self._pools:
+            pool.close_idle(connection)
+
+    def enforce_limit(self, limit: int) -> None:
+        """Close connections beyond a limit at once, also those in use."""
+        for pool in self._pools:
+            pool.enforce_limit(limit)
+
+    def drain(self) -> Deferred:
+        """Take no new work; fires when all connections are closed."""
+        self._is_drained = True
+        return gatherResults([pool.drain() for pool in self._pools])
+
+    def resume(self) -> None:
+        """Take work again after a drain."""
+        self._is_drained = False
+        for pool in self._pools:
+            pool.resume()
+
+    def _try_ways(
+        self, deadline: float, account: str, tries: int
+    ) -> Deferred[PooledConnection]:
+        """Get a connection by the way of the moment, then by another one."""
+        way = self._choose_way(account)
+        acquiring = self._acquire_by(way, deadline, account, not way, False)
+        if way and tries > 1:
+            acquiring.addErrback(self._go_round, way, deadline, account, tries)
+        return acquiring
+
+    def _go_round(
+        self, failure: Failure, way: str, deadline: float, account: str, tries: int
+    ) -> Deferred[PooledConnection] | Failure:
+        """Try another way if an instance could not be reached."""
+        refused = failure.check(PoolRefused)
+        reason = failure.value.refusal.reason if refused else None
+        if reason is not RefusalReason.UNREACHABLE or self._choose_way(account) == way:
+            return failure
+        return self._try_ways(deadline, account, tries - 1)
+
+    def _acquire_by(
+        self, way: str, deadline: float, account: str, counts: bool, is_lent: bool
+    ) -> Deferred[PooledConnection]:
+        """Get a connection by one way.
+
+        `counts` is True if the operation is counted here; at the end of the way it is
+        counted unless it was lent a connection here, as then it was counted before.
+        """
+        counted = account if counts else ""
+        wait = self._admit(counted) if counted else 0.0
+        if wait:
+            refusal = PoolRefusal(RefusalReason.OVER_LIMIT, wait)
+            return fail(PoolRefused(refusal))
+        if way:
+            pool = self._get_sessions(way)
+            acquiring = pool.acquire(deadline).addCallback(_mark, is_lent)
+        else:
+            pool = self.direct
+            acquiring = pool.acquire(deadline, account)
+        acquiring.addCallback(self._note_lent, _Lent(pool, counted))
+        if counted:
+            acquiring.addErrback(self._take_back, counted)
+        return acquiring
+
+    def _take_back(self, failure: Failure, account: str) -> Failure:
+        """Count an operation no more that got no connection."""
+        self._refund(account)
+        return failure
+
+    def _note_lent(
+        self, connection: PooledConnection | None, lent: "_Lent"
+    ) -> PooledConnection | None:
+        """Keep which pool a connection goes back to."""
+        if connection is not None:
+            self._lent[connection] = lent
+        return connection
+
+    def _get_sessions(self, way: str) -> PoolTask:
+        """Return the pool of sessions at an instance."""
+        pool = self._sessions.get(way)
+        if pool is None:
+            pool = self._sessions[way] = self._make_sessions(way)
+            if self._is_drained:
+                pool.drain()
+        return pool
+
+
+def _mark(connection: RelayedConnection, is_counted: bool) -> RelayedConnection:
+    """Have an instance told whether the next operation was counted already."""
+    connection.is_counted = is_counted
+    return connection
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -6,9 +6,19 @@
 one, as it is often cut off alone.
 """
 
+import math
 from collections.abc import Callable, Sequence
 
-from beryltrack.relay.owners import Peer, Placement, compute_placement, order_owners
+from beryltrack.accounts.slots import get_slot
+from beryltrack.relay.owners import (
+    Peer,
+    Placement,
+    choose_account_owners,
+    compute_account_share,
+    compute_placement,
+    order_owners,
+    order_slots,
+)
 
 AVOID_TIME = 2.0
 """Seconds for which an owner that gave no connection is passed over. Shorter than the
@@ -43,30 +53,110 @@
         self._blocked: set[str] = set()
         self._useless: dict[tuple[str, str], float] = {}
         self._observe_block: Callable[[], object] = lambda: None
+        self._observe_owners: Callable[[], object] = lambda: None
+        self._get_holder: Callable[[int], str] = lambda slot: ""
+        self._least_connections: int | None = None
+        self._slot_owners: dict[int, tuple[Peer, ...]] = {}
 
     @property
     def names(self) -> tuple[str, ...]:
         """Names of all instances, this one among them."""
         return tuple(peer.name for peer in self._peers)
 
+    @property
+    def is_known(self) -> bool:
+        """True once it is known which instances there are."""
+        return self._is_known
+
+    @property
+    def has_accounts(self) -> bool:
+        """True if connections belong to accounts."""
+        return self._least_connections is not None
+
     def set_peers(self, peers: Sequence[Peer]) -> None:
         """Take all instances that are known."""
         others = (peer for peer in peers if peer.name != self._own.name)
         self._peers = tuple(sorted((self._own, *others)))
         self._is_known = True
+        self._forget_placements()
+
+    def set_accounts(self, least_connections: int | None) -> bool:
+        """Take in whether connections belong to accounts.
+
+        Parameters
+        ----------
+        least_connections : int or None
+            The most connections that the smallest database of all groups takes; None
+            where connections belong to no account. With accounts the same instances
+            own all groups, so that one of them runs all that an account asks for.
+
+        Returns
+        -------
+        bool
+            True if that has changed.
+        """
+        has_changed = least_connections != self._least_connections
+        if has_changed:
+            self._least_connections = least_connections
+            self._forget_placements()
+        return has_changed
+
+    def _forget_placements(self) -> None:
         self._placements.clear()
+        self._slot_owners.clear()
+        self._observe_owners()
 
     def get_placement(self, group: str, max_connections: int) -> Placement:
         """Return who owns a group."""
         key = (group, max_connections)
         placement = self._placements.get(key)
         if placement is None:
-            alone = not self._is_known or len(self._peers) == 1
-            least = self._first_instances if alone else 1
-            placement = compute_placement(group, self._peers, max_connections, least)
+            placement = self._compute_placement(group, max_connections)
             self._placements[key] = placement
         return placement
 
+    def _compute_placement(self, group: str, max_connections: int) -> Placement:
+        """Return who owns a group, by the members that are known."""
+        if self._least_connections is not None:
+            owners = choose_account_owners(self._peers, self._least_connections)
+            return Placement(owners, compute_account_share(max_connections, owners))
+        alone = not self._is_known or len(self._peers) == 1
+        least = self._first_instances if alone else 1
+        return compute_placement(group, self._peers, max_connections, least)
+
+    def get_peer(self, name: str) -> Peer | None:
+        """Return an instance by its name, None if it is not known."""
+        return next((peer for peer in self._peers if peer.name == name), None)
+
+    def choose_account_owner(self, account: str) -> Peer:
+        """Return the instance that runs an account's operations now.
+
+        The one that has this instance's rights to them, as long as it is reached: it
+        gives them back first when another one is to run them.
+        """
+        slot = get_slot(account)
+        holder = self._get_holder(slot)
+        if holder and self._seconds() >= self._avoided.get(holder, -math.inf):
+            peer = self.get_peer(holder)
+            if peer is not None:
+                return peer
+        return self.choose_slot_owner(slot)
+
+    def choose_slot_owner(self, slot: int) -> Peer:
+        """Return the instance that runs the operations of a slot's accounts now.
+
+        The first owner in the slot's own order that is not passed over; all
+        instances that know the same members and reach the same owners choose the same.
+        """
+        if not self._slot_owners:
+            owners = self.get_placement("", self._least_connections or 1).owners
+            self._slot_owners = order_slots(owners or self._peers)
+        ordered = self._slot_owners[slot]
+        now = self._seconds()
+        fit = (each for each in ordered if now >= self._avoided.get(each.name, now))
+        longest = min(ordered, key=lambda each: self._avoided.get(each.name, 0.0))
+        return next(fit, longest)
+
     def is_owner(self, group: str, max_connections: int) -> bool:
         """Return whether this instance opens connections of its own."""
         owners = self.get_placement(group, max_connections).owners
@@ -92,7 +182,7 @@
         return next(fit, longest)
 
     def choose_way(
-        self, group: str, database: str, max_connections: int
+        self, group: str, database: str, max_connections: int, account: str = ""
     ) -> Peer | None:
         """Return the instance through which the next connection goes; None for none.
 
@@ -104,8 +194,14 @@
             The database.
         max_connections : int
             Most connections to it, of all instances.
+        account : str
+            Whose requests the connection is for; empty for none.
         """
-        if not self.is_owner(group, max_connections):
+        if account and self.has_accounts:
+            owner = self.choose_account_owner(account)
+            if owner.name != self._own.name:
+                return owner
+        elif not self.is_owner(group, max_connections):
             return self.choose_owner(group, max_connections)
         if not self.is_blocked(database):
             return None
@@ -125,6 +221,14 @@
         """Return whether this instance does not reach a database itself."""
         return database in self._blocked
 
+    def set_owner_observer(self, callback: Callable[[], object]) -> None:
+        """Call back after each change of who runs the accounts' operations."""
+        self._observe_owners = callback
+
+    def set_holder_source(self, get_holder: Callable[[int], str]) -> None:
+        """Ask `get_holder` who has this instance's rights to a slot of accounts."""
+        self._get_holder = get_holder
+
     def set_block_observer(self, callback: Callable[[], object]) -> None:
         """Call back after each change of what this instance reaches itself."""
         self._observe_block = callback
@@ -150,3 +254,4 @@
     def avoid(self, name: str) -> None:
         """Pass over an owner for a while."""
         self._avoided[name] = self._seconds() + AVOID_TIME
+        self._observe_owners()
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -16,7 +16,6 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from beryltrack.connections.messages import PooledConnection, PoolRefused
-from beryltrack.connections.task import PoolTask
 from beryltrack.errors import (
     CANNOT_CONNECT_NOW,
     TOO_MANY_CONNECTIONS,
@@ -25,6 +24,8 @@
 )
 from beryltrack.groups.messages import ControlFailure, DatabaseStatus, LogPosition
 from beryltrack.groups.task import GroupTask
+from beryltrack.relay.access import DatabaseAccess
+from beryltrack.requests.outcomes import NOT_RUN_REFUSALS
 from beryltrack.requests.protocol import RunLost, RunResult
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
 
@@ -38,13 +39,13 @@
 
     Parameters
     ----------
-    pool : PoolTask
+    pool : DatabaseAccess
         The connections.
     task : GroupTask
         Watches the database's group.
     """
 
-    pool: PoolTask
+    pool: DatabaseAccess
     task: GroupTask
 
 
@@ -78,11 +79,14 @@
     """A session of another instance.
 
     `pinned` is the connection of its transaction; `proven_at` when the newest proof
-    that it was told of was asked for.
+    that it was told of was asked for. `account` is whose operation comes next, and
+    `is_counted` says whether another instance has counted it.
     """
 
     group: str
     database: str
+    account: str
+    is_counted: bool
     pinned: PooledConnection | None
     status: TransactionStatus
     proven_at: float
@@ -189,7 +193,8 @@
         session.send_end(result, _get_news(session, task))
         session.pinned = connection
         if result.status is TransactionStatus.IDLE:
-            self._take_back(session, connection, True)
+            is_refused = result.error and result.error.sqlstate in NOT_RUN_REFUSALS
+            self._take_back(session, connection, True, not (is_first and is_refused))
 
     def _find_lender(self, group: str, database: str) -> Lender | None:
         """Return what lends connections to a database, None once this one leaves."""
@@ -201,7 +206,8 @@
         if lender is None:
             session.send_refusal(make_refusal(OTHER_OWNERS, 0.0))
             return None
-        acquiring = lender.pool.acquire(self._seconds() + self._time_limit)
+        deadline = self._seconds() + self._time_limit
+        acquiring = lender.pool.lend(deadline, session.account, session.is_counted)
         session.set_gone(acquiring.cancel)
         try:
             connection = await acquiring
@@ -213,30 +219,30 @@
             return None
         finally:
             session.set_gone(None)
-        if connection.way:
-            # It goes through another instance itself, perhaps the one that asks.
-            lender.pool.release(connection, True)
-            session.send_refusal(make_refusal(OTHER_OWNERS, 0.0))
-            return None
         self._lent[session] = lender
         return connection
 
     def _take_back(
-        self, session: RelayedSession, connection: PooledConnection, reusable: bool
+        self,
+        session: RelayedSession,
+        connection: PooledConnection,
+        reusable: bool,
+        has_run: bool = True,
     ) -> None:
         """Take a connection back after a statement or a transaction."""
         session.pinned = None
         lender = self._lent.pop(session, None)
         if lender is not None:
-            lender.pool.release(connection, reusable)
+            lender.pool.release(connection, reusable, has_run)
 
     def _finish_lost(
         self, session: RelayedSession, connection: PooledConnection, lost: RunLost
     ) -> None:
         """End a statement whose connection was lost."""
         is_first = session.pinned is None
-        self._take_back(session, connection, False)
-        if lost.is_sent or not is_first:
+        has_run = lost.is_sent or not is_first
+        self._take_back(session, connection, False, has_run)
+        if has_run:
             session.abort()
         else:
             session.send_refusal(make_refusal(lost.reason, 0.0))
--- a/beryltrack/relay/opener.py
+++ b/beryltrack/relay/opener.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail
 
 from beryltrack.connections.messages import ConnectRefused, TargetUnreachable
 from beryltrack.relay.directory import DETOUR_TIME, RelayDirectory
@@ -22,7 +22,7 @@
 
 log = logging.getLogger(__name__)
 
-Open = Callable[[Endpoint, str, str, float], Deferred[RelayedConnection]]
+Open = Callable[[Endpoint, str, str, float, str], Deferred[RelayedConnection]]
 
 
 class OpenLimits(NamedTuple):
@@ -53,7 +53,8 @@
     directory : RelayDirectory
         Says through which instance a connection goes.
     open_at : callable
-        Opens a connection at an address, for a group's database, within a time.
+        Opens a connection at an address, for a group's database, within a time, for
+        an account.
     is_used : callable
         Says whether a group's database is still used.
     limits : OpenLimits
@@ -80,6 +81,23 @@
         """Open a connection; `timeout` holds for one straight to the database."""
         return Deferred.fromCoroutine(self._open(group, database, timeout))
 
+    def open_directly(
+        self, group: str, database: DatabaseSettings, timeout: float, account: str = ""
+    ) -> Deferred[RelayedConnection]:
+        """Open a connection of an account to the database itself."""
+        return Deferred.fromCoroutine(
+            self._open_directly(group, database, timeout, account)
+        )
+
+    def open_session(
+        self, group: str, database: DatabaseSettings, owner: str
+    ) -> Deferred[RelayedConnection]:
+        """Open a session to the database at another instance."""
+        peer = self._directory.get_peer(owner)
+        if peer is None:
+            return fail(ConnectionError(f"{owner} is no instance any more"))
+        return Deferred.fromCoroutine(self._open_through(peer, group, database))
+
     def observe_silence(self, connection: RelayedConnection) -> None:
         """Take another way next: nothing comes over this connection."""
         if connection.way:
@@ -108,12 +126,12 @@
         return self._directory.choose_way(group, database.name, limit)
 
     async def _open_directly(
-        self, group: str, database: DatabaseSettings, timeout: float
+        self, group: str, database: DatabaseSettings, timeout: float, account: str = ""
     ) -> RelayedConnection:
         """Open a connection to the database itself."""
         # A database knows its identifier alone; an owner is also told the incarnation.
         identifier = get_identifier(database.name)
-        opening = self._open_at(database.endpoint, group, identifier, timeout)
+        opening = self._open_at(database.endpoint, group, identifier, timeout, account)
         try:
             connection = await opening
         except TargetUnreachable:
@@ -130,7 +148,7 @@
     ) -> RelayedConnection:
         """Open a session to another instance, and pass over one that gives none."""
         directory, name = self._directory, database.name
-        opening = self._open_at(owner.relay, group, name, self._limits.relay)
+        opening = self._open_at(owner.relay, group, name, self._limits.relay, "")
         try:
             connection = await opening
         except ConnectRefused:
--- a/beryltrack/relay/owners.py
+++ b/beryltrack/relay/owners.py
@@ -12,6 +12,7 @@
 from itertools import chain
 from typing import NamedTuple
 
+from beryltrack.accounts.slots import SLOTS
 from beryltrack.peers.placement import compute_rank
 from beryltrack.settings.messages import Endpoint
 
@@ -37,6 +38,14 @@
 is lost. More would only cut the connections into smaller shares."""
 
 
+STRONG_PART = 0.5
+"""Part of the largest capacity that an owner of accounts has at the least, where enough
+instances have it: all that accounts ask for passes through a few owners."""
+
+ACCOUNTS = "accounts"
+"""What owners of accounts are chosen for."""
+
+
 class Peer(NamedTuple):
     """An instance as others see it.
 
@@ -50,12 +59,18 @@
         Where it takes the statements of others.
     copies : Endpoint or None
         Where it tells others what the store holds; None if it does not.
+    rights : Endpoint or None
+        Where it takes the rights of others to run accounts' operations.
+    capacity : float
+        Processor time that it may use, in cores.
     """
 
     name: str
     zone: str
     relay: Endpoint
     copies: Endpoint | None = None
+    rights: Endpoint | None = None
+    capacity: float = 1.0
 
 
 class Placement(NamedTuple):
@@ -138,6 +153,42 @@
     return tuple(in_turn)[:count]
 
 
+def choose_account_owners(
+    peers: Sequence[Peer], least_connections: int
+) -> tuple[Peer, ...]:
+    """Return the instances that run all accounts' operations.
+
+    They are the same for all groups, so that one instance counts an account's
+    operations, and has its connections. Those that can carry the most are taken first.
+    """
+    usable = max(1, least_connections - RESERVED)
+    zones = len({peer.zone for peer in peers})
+    count = max(1, min(usable // OWNER_SHARE, zones * OWNERS_PER_ZONE))
+    most = max((peer.capacity for peer in peers), default=0.0)
+    strong = [peer for peer in peers if peer.capacity >= most * STRONG_PART]
+    fit = strong if len(strong) >= count else peers
+    return choose_owners(ACCOUNTS, fit, count)
+
+
+def compute_account_share(max_connections: int, owners: Sequence[Peer]) -> int:
+    """Return how many connections to a database each owner of accounts may open."""
+    return max(1, (max_connections - RESERVED) // max(1, len(owners)))
+
+
+def order_slots(owners: Sequence[Peer]) -> dict[int, tuple[Peer, ...]]:
+    """Return the owners in the order in which each slot of accounts uses them."""
+    return {
+        slot: tuple(
+            sorted(
+                owners,
+                key=lambda peer: compute_rank(f"{ACCOUNTS} {slot}", peer.name),
+                reverse=True,
+            )
+        )
+        for slot in range(SLOTS)
+    }
+
+
 def order_owners(
     owners: Sequence[Peer], group: str, name: str, zone: str
 ) -> list[Peer]:
--- a/beryltrack/relay/ways.py
+++ b/beryltrack/relay/ways.py
@@ -18,10 +18,12 @@
     """A connection that tells when anything came over it, by the node's clock.
 
     `busy` is True while a statement runs on it; `on_useless` is called if the
-    instance that it goes through says that it does not reach the database.
+    instance that it goes through says that it does not reach the database. That
+    instance counts the next operation unless `is_counted` says that it was counted.
     """
 
     heard_at: float
+    is_counted: bool
     busy: bool
     on_useless: Callable[[], object]
 
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -78,7 +78,12 @@
         """Where and how long to look for a target."""
         done_by = self.deadline if self.plan.policy else None
         return TargetSearch(
-            self.services, self.runtime, self.ticket, self.give_up_at, done_by
+            self.services,
+            self.runtime,
+            self.ticket,
+            self.give_up_at,
+            done_by,
+            self.caller.account,
         )
 
     @property
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -111,7 +111,7 @@
         """Run the unit once; return the next step and why it is needed."""
         result = await self._run_on(target)
         if isinstance(result, RunLost):
-            target.pool.release(target.connection, False)
+            target.pool.release(target.connection, False, result.is_sent)
             self._may_have_run |= result.is_sent
             self._exclude(target)
             return self._decide_failure(RunFailure(result.is_sent, "")), LOST_TEXT
@@ -121,7 +121,7 @@
                 self._exclude(target)
                 self._observe_refusal(target, result.error)
                 is_idle = result.status is TransactionStatus.IDLE
-                target.pool.release(target.connection, is_idle)
+                target.pool.release(target.connection, is_idle, False)
                 return step, result.error.message
         return await self._finish(target, result)
 
--- a/beryltrack/requests/outcomes.py
+++ b/beryltrack/requests/outcomes.py
@@ -21,6 +21,10 @@
 has no room. Another database, or the same one later, may run it."""
 
 
+NOT_RUN_REFUSALS = REPEATABLE_REFUSALS | {READ_ONLY_REFUSAL}
+"""SQLSTATEs by which a database says that it did not run a request."""
+
+
 class NextStep(Enum):
     """What happens next to a request."""
 
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -105,11 +105,15 @@
 
 
 class UnitCaller(ResponseSink, Protocol):
-    """A caller, as the course of its requests sees it."""
+    """A caller, as the course of its requests sees it.
+
+    `account` is the client account that it belongs to; empty where there are none.
+    """
 
     session: "CallerSession"
     status: TransactionStatus
     gone: bool
+    account: str
 
     @property
     def database(self) -> str:
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -80,6 +80,8 @@
     done_by : float or None
         Time, by the node's clock, by which it must be done, where that is bounded
         by its own policy; None for `give_up_at`.
+    account : str
+        Whose request it is; empty where there are no accounts.
     """
 
     services: RequestServices
@@ -87,6 +89,7 @@
     ticket: Ticket
     give_up_at: float
     done_by: float | None = None
+    account: str = ""
 
 
 async def find_target(
@@ -229,7 +232,7 @@
     started_at = services.seconds()
     done_by = search.give_up_at if search.done_by is None else search.done_by
     remaining = max(0.0, done_by - started_at)
-    acquiring = pool.acquire(services.reactor.seconds() + remaining)
+    acquiring = pool.acquire(services.reactor.seconds() + remaining, search.account)
     connection = await search.ticket.wait(acquiring)
     services.metrics.record_queue_time(services.seconds() - started_at)
     return FoundTarget(use.database, use.is_replica, pool, connection, use.after)
--- a/beryltrack/settings/node.py
+++ b/beryltrack/settings/node.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from beryltrack.accounts.quota import Tolerance
 from beryltrack.settings.mechanisms import Mechanism
 from beryltrack.settings.messages import Endpoint
 
@@ -51,6 +52,10 @@
         Seconds within which a database that is to leave must get no new work.
     disabled : frozenset of Mechanism
         What the instance does without.
+    capacity : float
+        Processor time that it may use, in cores.
+    tolerance : Tolerance
+        How far accounts may exceed their limits.
     """
 
     name: str
@@ -69,9 +74,17 @@
     change_limit: float = CHANGE_LIMIT
     drain_limit: float = DRAIN_LIMIT
     disabled: frozenset[Mechanism] = frozenset()
+    capacity: float = 1.0
+    tolerance: Tolerance = Tolerance()
 
     @property
     def copies_listen(self) -> Endpoint | None:
         """Where it tells others of changes in the store: the port after the copies'."""
         place = self.snapshot_listen
         return None if place is None else Endpoint(place.host, place.port + 1)
+
+    @property
+    def rights_listen(self) -> Endpoint | None:
+        """Where it takes rights to run accounts' operations: the port after that."""
+        place = self.snapshot_listen
+        return None if place is None else Endpoint(place.host, place.port + 2)
--- a/tests/daemon/test_members.py
+++ b/tests/daemon/test_members.py
@@ -76,6 +76,7 @@
         "port": 7440,
         "relay": 7441,
         "zone": "z",
+        "capacity": 1.0,
     }
     assert [peer.name for peer in seen[-1]] == ["a", "b", "c"]
 
--- /dev/null
+++ b/tests/relay/test_access.py
@@ -0,0 +1,151 @@
+"""One database, reached directly and through other instances."""
+
+import random
+
+import pytest
+from twisted.internet.task import Clock
+
+from beryltrack.connections.messages import (
+    ConnectRefused,
+    PoolRefused,
+    RefusalReason,
+)
+from beryltrack.connections.pool_policy import PoolPolicy
+from beryltrack.connections.task import PoolTask
+from beryltrack.errors import CANNOT_CONNECT_NOW
+from beryltrack.relay.access import DatabaseAccess
+from tests.connections.fake_target import FakeTarget
+from tests.connections.test_task import DATABASE, get_result
+
+POLICY = PoolPolicy(warm=0)
+
+
+class Site:
+    """An instance that runs the accounts ``own``; ``two`` and ``three`` run others."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.targets = {name: FakeTarget() for name in ("", "two", "three")}
+        self.opened = []
+        self.ways = {"": "two"}
+        self.waits, self.refunds, self.counted = {}, [], []
+        self.access = DatabaseAccess(
+            self.make_pool(""),
+            self.make_pool,
+            lambda account: self.ways.get(account, ""),
+            self.admit,
+            self.refunds.append,
+        )
+
+    def make_pool(self, name):
+        def connect(account):
+            self.opened.append((name, account))
+            return self.targets[name].connect().addCallback(self.mark, name)
+
+        return PoolTask(
+            self.clock, DATABASE, connect, POLICY, limit=2, rng=random.Random(1)
+        )
+
+    def mark(self, connection, name):
+        connection.way = name
+        return connection
+
+    def admit(self, account):
+        self.counted.append(account)
+        return self.waits.get(account, 0.0)
+
+    def acquire(self, account):
+        return get_result(self.access.acquire(10.0, account))
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+def test_an_account_that_runs_here_has_connections_of_its_own(site):
+    first, second = site.acquire("own-1"), site.acquire("own-2")
+    assert site.opened == [("", "own-1"), ("", "own-2")]
+    assert site.counted == ["own-1", "own-2"]
+    site.access.release(first, True)
+    assert site.acquire("own-1") is first and first is not second
+
+
+def test_other_accounts_share_the_sessions_at_their_instance(site):
+    site.ways |= {"a": "two", "b": "two"}
+    first = site.acquire("a")
+    site.access.release(first, True)
+    assert site.acquire("b") is first and not first.is_counted
+    assert site.opened == [("two", "")] and site.counted == []
+
+
+def test_an_account_over_its_limit_takes_no_connection(site):
+    site.waits["own"] = 0.4
+    with pytest.raises(PoolRefused) as refused:
+        site.acquire("own")
+    refusal = refused.value.refusal
+    assert (refusal.reason, refusal.retry_after) == (RefusalReason.OVER_LIMIT, 0.4)
+    assert site.opened == [] and site.refunds == []
+
+
+def test_what_got_no_connection_or_did_not_run_is_not_counted(site):
+    site.access.release(site.acquire("own"), True, False)
+    assert site.refunds == ["own"]
+    site.access.drain()
+    with pytest.raises(PoolRefused):
+        site.acquire("own")
+    assert site.refunds == ["own", "own"]
+    assert site.counted == ["own", "own"]
+
+
+def test_another_instance_is_tried_where_the_first_cannot_be_reached(site):
+    site.ways["a"] = "two"
+    site.targets["two"].at_once = False
+    waiting = site.access.acquire(10.0, "a")
+    site.ways["a"] = "three"
+    site.targets["two"].pending[0].errback(ConnectRefused(CANNOT_CONNECT_NOW))
+    assert get_result(waiting).way == "three"
+
+
+def test_an_operation_lent_to_another_instance_is_counted_where_it_is_to_run(site):
+    get_result(site.access.lend(10.0, "own", False))
+    assert site.counted == ["own"] and site.opened == [("", "own")]
+
+
+def test_what_was_counted_goes_straight_to_the_database_and_no_further(site):
+    site.ways["a"] = "two"
+    get_result(site.access.lend(10.0, "a", True))
+    assert site.opened == [("", "a")] and site.counted == []
+
+
+def test_an_owner_that_does_not_reach_a_database_counts_and_passes_on(site):
+    site.ways["own"] = "three"
+    passed = get_result(site.access.lend(10.0, "own", False))
+    assert site.counted == ["own"] and site.opened == [("three", "")]
+    assert passed.is_counted
+
+
+def test_short_requests_of_the_proxy_go_the_way_of_no_account(site):
+    given = get_result(site.access.acquire_briefly(0.1, 0.1).addCallback(lambda c: c))
+    assert given is None or given.way == "two"
+    site.ways[""] = ""
+    held = site.acquire("own")
+    site.access.release(held, True)
+    assert get_result(site.access.acquire_briefly(0.1, 0.1)) is held
+
+
+def test_sessions_at_instances_that_own_nothing_any_more_are_closed(site):
+    site.ways["a"] = "two"
+    held = site.acquire("a")
+    site.access.set_ways(["three"])
+    assert not held.closed.called
+    site.access.release(held, True)
+    assert held.closed.called
+
+
+def test_a_lost_database_ends_what_runs_on_all_ways(site):
+    site.ways["a"] = "two"
+    held = [site.acquire("a"), site.acquire("own")]
+    site.access.break_connections()
+    assert all(each.closed.called for each in held)
+    assert site.access.load.in_use == 0
--- a/tests/requests/test_refusals.py
+++ b/tests/requests/test_refusals.py
@@ -30,6 +30,7 @@
 class Caller:
     """A caller that asks for a database that nobody knows."""
 
+    account = ""
     database = "orders"
     status = None
     session = SimpleNamespace(pinned=None)
