Let an account's reads prefer one replica

Cause: connections belong to accounts, and an account's reads came to both replicas of a group from instances of different zones, so that it needed a connection on each. Ruled out: the zone as before (kept for sites without accounts, and behind the switch own-replicas). Change: the replica that ranks first for the account counts as near; compute_rank moves to ranks.py, below peers, relay and routing.

--- a/beryltrack/accounts/slots.py
+++ b/beryltrack/accounts/slots.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from beryltrack.peers.placement import compute_rank
+from beryltrack.ranks import compute_rank
 
 SLOTS = 64
 """Slots of accounts: more than the instances that own connections, so that each of
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -139,6 +139,7 @@
     Mechanism.LONG_PROOFS: _change("routing", confirmed_within=SHORT_PROOFS),
     Mechanism.LONG_QUEUE: lambda each: _change_pools(each, most_wait=SHORT_QUEUE),
     Mechanism.NEAR_REPLICAS: _change("routing", prefers_near=False),
+    Mechanism.OWN_REPLICAS: _change("routing", prefers_own=False),
     Mechanism.RETRIES: _change("retries", most_attempts=1),
     Mechanism.RETRY_BUDGET: _change(
         "retries", ratio=1.0, most_saved=UNBOUNDED, first_saved=UNBOUNDED
--- a/beryltrack/objects/watchers.py
+++ b/beryltrack/objects/watchers.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from beryltrack.peers.placement import compute_rank
+from beryltrack.ranks import compute_rank
 from beryltrack.relay.owners import Peer, choose_owners
 
 WATCHERS_PER_ZONE = 3
--- a/beryltrack/peers/placement.py
+++ b/beryltrack/peers/placement.py
@@ -1,17 +1,15 @@
 """Who does what among the members: neighbours, watchers and owners.
 
 Every proxy works these out by itself from the members that it knows, with
-`xxhash`, so that nothing has to be agreed on. Views that differ for a while
+`ranks`, so that nothing has to be agreed on. Views that differ for a while
 cost a spare link or a spare owner, never correctness.
 """
 
 from collections.abc import Sequence
-from functools import lru_cache
 from itertools import chain
 
-import xxhash
-
 from beryltrack.peers.messages import JOINED, PRESENT_STATES, Member
+from beryltrack.ranks import compute_rank
 
 RING_COUNT = 3
 WATCHER_COUNT = 3
@@ -19,13 +17,6 @@
 BASE_FLEET_SIZE = 8
 
 
-# Ranks are asked for again at each change of the fleet.
-@lru_cache(maxsize=16384)
-def compute_rank(role: str, name: str) -> int:
-    """Return the rank of a name for a role: a hash that both decide."""
-    return xxhash.xxh64_intdigest(f"{role}\0{name}".encode())
-
-
 def get_neighbours(
     own_name: str, members: Sequence[Member], ring_count: int = RING_COUNT
 ) -> tuple[str, ...]:
--- a/beryltrack/relay/owners.py
+++ b/beryltrack/relay/owners.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from beryltrack.accounts.slots import SLOTS
-from beryltrack.peers.placement import compute_rank
+from beryltrack.ranks import compute_rank
 from beryltrack.settings.messages import Endpoint
 
 RESERVED = 2
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -105,6 +105,7 @@
             deadline=context.give_up_at,
             written_at=context.caller.session.written_at,
             sequence=next(context.services.sequence),
+            account=context.caller.account,
         )
 
     async def _attempt(self, target: FoundTarget) -> tuple[NextStep, str]:
--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -9,6 +9,7 @@
 these rules.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from beryltrack.groups.messages import NO_POSITION, REPLICA, LogPosition
@@ -19,6 +20,7 @@
     get_primary,
     has_applied,
 )
+from beryltrack.ranks import compute_rank
 from beryltrack.routing.messages import (
     AwaitedTarget,
     Choice,
@@ -71,6 +73,9 @@
         then: the primary holds whatever was acknowledged in its term.
     prefers_near : bool
         True if replicas of the node's own availability zone are preferred.
+    prefers_own : bool
+        True if the reads of an account prefer one replica instead, the same one on all
+        nodes: connections belong to accounts, and a new one costs as much as a read.
     """
 
     max_wait: float = 0.0055
@@ -85,6 +90,7 @@
     lagging_pause: float = 0.3
     samples_position: bool = True
     prefers_near: bool = True
+    prefers_own: bool = True
 
 
 DEFAULT_POLICY = RoutingPolicy()
@@ -297,9 +303,10 @@
     if len(ready) == 1:
         return ready[0].name
     turn = request.sequence % len(ready)
+    is_far = _make_distance(ready, request, policy)
     ranked = (
         (
-            _rank_load(_get_load(loads, item.name), request.zone, policy),
+            _rank_load(_get_load(loads, item.name), is_far),
             place,
             item.name,
         )
@@ -308,17 +315,29 @@
     return min(ranked)[-1]
 
 
-def _rank_load(
-    load: TargetLoad, zone: str, policy: RoutingPolicy
-) -> tuple[int, int, bool]:
-    """Return the rank of a database by its queue, its work and its zone.
+IsFar = Callable[[TargetLoad], bool]
+
+
+def _make_distance(
+    replicas: list[DatabaseView], request: ReadRequest, policy: RoutingPolicy
+) -> IsFar:
+    """Return what says of a database that another one is preferred for a read."""
+    if request.account and policy.prefers_own and replicas:
+        names = (item.name for item in replicas)
+        own = max(names, key=lambda name: compute_rank(request.account, name))
+        return lambda load: load.database != own
+    return lambda load: policy.prefers_near and load.zone != request.zone
+
+
+def _rank_load(load: TargetLoad, is_far: IsFar) -> tuple[int, int, bool]:
+    """Return the rank of a database by its queue, its work and its distance.
 
     A far database counts as if it had one request more, since a request there
     costs about as much more as one that waits for a slot.
     """
     rounds_waiting = load.outstanding // max(load.limit, 1)
-    is_far = policy.prefers_near and load.zone != zone
-    return rounds_waiting, load.outstanding + is_far, is_far
+    far = is_far(load)
+    return rounds_waiting, load.outstanding + far, far
 
 
 def _choose_wait(
@@ -333,11 +352,12 @@
     timeout = min(request.arrived_at + policy.max_wait, request.deadline) - now
     if not request.may_wait or timeout <= 0:
         return None
+    is_far = _make_distance(replicas, request, policy)
     positions = ((item, _get_awaited(view, request, item)) for item in replicas)
     candidates = sorted(
         _Candidate(
             compute_lag(view, item),
-            _rank_load(_get_load(loads, item.name), request.zone, policy),
+            _rank_load(_get_load(loads, item.name), is_far),
             AwaitedTarget(item.name, position),
         )
         for item, position in positions
--- a/beryltrack/routing/messages.py
+++ b/beryltrack/routing/messages.py
@@ -74,6 +74,8 @@
         for databases that check it; None if none is proven.
     tried_proof : bool
         True if a proof of the term was asked for since it arrived, and was of no use.
+    account : str
+        The client account whose read it is; empty where there are none.
     """
 
     arrived_at: float
@@ -89,6 +91,7 @@
     written_at: float = -math.inf
     needed: LogPosition | None = None
     tried_proof: bool = False
+    account: str = ""
 
 
 class WriteRequest(NamedTuple):
--- a/tests/routing/test_decider.py
+++ b/tests/routing/test_decider.py
@@ -216,3 +216,36 @@
         for turn in range(2)
     }
     assert chosen == {"b", "c"}
+
+
+def test_an_accounts_reads_stay_with_one_replica_while_that_has_no_more_work():
+    """On whatever node: the account's connections are there."""
+    view = _view(*(_database(name, 80, fresh_at=99.8) for name in "ab"))
+    idle = [TargetLoad(name, zone, 0, 4) for name, zone in (("a", "z1"), ("b", "z2"))]
+    chosen = {
+        account: {
+            _choose(view, _read(zone=zone, account=account, sequence=turn), *idle)
+            for zone in ("z1", "z2")
+            for turn in (0, 1)
+        }
+        for account in map(str, range(20))
+    }
+    assert all(len(choices) == 1 for choices in chosen.values())
+    assert len(set.union(*chosen.values())) == 2
+
+
+def test_an_accounts_reads_go_elsewhere_where_its_replica_has_more_work():
+    view = _view(*(_database(name, 80, fresh_at=99.8) for name in "ab"))
+    request = _read(account="one")
+    own = _choose(view, request).database
+    loads = [TargetLoad(name, "z1", 3 * (name == own), 4) for name in "ab"]
+    assert _choose(view, request, *loads).database != own
+
+
+def test_without_that_preference_an_accounts_reads_stay_near():
+    view = _view(*(_database(name, 80, fresh_at=99.8) for name in "ab"))
+    loads = TargetLoad("a", "z1", 0, 4), TargetLoad("b", "z2", 0, 4)
+    policy = RoutingPolicy(prefers_own=False)
+    for account in map(str, range(20)):
+        request = _read(zone="z2", account=account)
+        assert choose_target(view, request, loads, 100.0, policy).database == "b"
