Let the soak have client accounts

Cause: the soak knew no accounts, so that nothing judged whose connection a statement ran on, limits, or keys that come and go, beside its other faults.

--- a/beryltrack_bench/soak/caller.py
+++ b/beryltrack_bench/soak/caller.py
@@ -83,6 +83,8 @@
         Its kind.
     rng : random.Random
         Decides what is asked.
+    account, key : str
+        Its client account, and the key that it presents.
     """
 
     def __init__(
@@ -93,7 +95,11 @@
         route: RouteSettings,
         kind: str,
         rng: random.Random,
+        account: str = "",
+        key: str = "u",
     ):
+        self._account = account
+        self._key = key
         self.is_stopped = False
         self._reactor = reactor
         self._history = history
@@ -122,7 +128,9 @@
         session = next(_numbers)
         values: dict[bytes, bytes] = {}
         try:
-            await self._ask(connection, b"START %s u" % self._route.name.encode())
+            start = f"START {self._route.name} {self._key}".encode()
+            if not self._judge(await self._ask(connection, start), [], None):
+                return
             if self._rng.random() < 0.4:
                 value = b"v%d" % session
                 setting = b"QUERY s%d SET name %s" % (session, value)
@@ -160,6 +168,7 @@
                 self._route.max_age,
                 asked_at,
                 kept,
+                self._account,
             )
         )
         return request
--- a/beryltrack_bench/soak/command.py
+++ b/beryltrack_bench/soak/command.py
@@ -22,6 +22,7 @@
         option("seconds", None, "Seconds of faults in each run.", False, default="15"),
         option("unfenced", None, "No fences, and former primaries go on.", True),
         option("forgetful", None, "Databases start again empty.", True),
+        option("accounts", None, "Callers need keys, accounts have limits.", True),
         option("nodes", None, "How many nodes; by the seed if 0.", False, default="0"),
     ]
 
@@ -33,13 +34,20 @@
         seconds = float(self.option("seconds"))
         is_fenced = not self.option("unfenced")
         is_forgetful = self.option("forgetful")
+        has_accounts = self.option("accounts")
         nodes = int(self.option("nodes"))
         failures = []
 
         async def run_all() -> None:
             for seed in range(first, first + runs):
                 result = await run_soak(
-                    reactor, seed, seconds, is_fenced, is_forgetful, nodes
+                    reactor,
+                    seed,
+                    seconds,
+                    is_fenced,
+                    is_forgetful,
+                    nodes,
+                    has_accounts,
                 )
                 self.line(json.dumps(result._asdict()))
                 if result.violations or not result.served_last:
--- a/beryltrack_bench/soak/faults.py
+++ b/beryltrack_bench/soak/faults.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from beryltrack_bench.soak.history import AccountLimit
 from beryltrack_bench.soak.links import TO_NODE, TO_TARGET
-from beryltrack_bench.soak.site import DATABASES, Node, SoakSite
+from beryltrack_bench.soak.site import ACCOUNTS, DATABASES, Node, SoakSite
 from beryltrack_standins.lines.store import LOST, REFUSING, SILENT
 
 Step = Callable[[], None]
@@ -25,6 +26,8 @@
     makers = _MAKERS if site.is_fenced else _UNFENCED_MAKERS
     if site.is_forgetful:
         makers += _FORGETFUL_MAKERS
+    if site.accounts:
+        makers += _ACCOUNT_MAKERS
     return rng.choice(makers)(site, rng)
 
 
@@ -200,6 +203,26 @@
     return Fault(f"empty {name}", lambda: site.databases[name].crash(is_dark), end)
 
 
+def _take_key(site: SoakSite, rng: random.Random) -> Fault:
+    name = rng.choice(sorted(site.accounts))
+    keys = ACCOUNTS[name][0]
+    return Fault(
+        f"take the keys of {name}",
+        lambda: site.change_account(name, keys=("unused",)),
+        lambda: site.change_account(name, keys=keys),
+    )
+
+
+def _lower_limit(site: SoakSite, rng: random.Random) -> Fault:
+    low = AccountLimit(rng.choice((0.0, 2.0, 6.0)), 2.0)
+    name = rng.choice(("hot", "calm"))
+    return Fault(
+        f"limit {name} to {low.rate}",
+        lambda: site.change_account(name, limit=low),
+        lambda: site.change_account(name, limit=ACCOUNTS[name][1]),
+    )
+
+
 def _write_unreadable(site: SoakSite, rng: random.Random) -> Fault:
     kind = rng.choice(("servers", "members"))
     names = [f"other-{rng.randrange(9)}" for _ in range(3)]
@@ -251,6 +274,8 @@
     *(_write_unreadable,) * 2,
 )
 
+_ACCOUNT_MAKERS = (*(_take_key,) * 2, *(_lower_limit,) * 2)
+
 # Where nobody stops a former primary, or a call under an old token, what makes them
 # comes more often.
 _UNFENCED_MAKERS = (
--- a/beryltrack_bench/soak/history.py
+++ b/beryltrack_bench/soak/history.py
@@ -4,6 +4,7 @@
 clock. Each finding names the statement that shows it.
 """
 
+from bisect import bisect
 from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -15,6 +16,29 @@
 PRIMARY_ROUTE, BOUNDED_ROUTE, OWN_ROUTE = "primary", "bounded", "own"
 
 
+QUOTA_WINDOW = 5.0
+"""Seconds of the windows in which operations of an account are counted."""
+
+QUOTA_OVERAGE, QUOTA_SLACK = 0.1, 20.0
+"""How far an account may exceed its limit: a part of it, and operations."""
+
+CHANGE_LIMIT = 5.0
+"""Seconds after which a lower limit binds in each window: the time of a change of the
+settings (3 s) and what an instance that the store turns away needs beside it."""
+
+
+class AccountLimit(NamedTuple):
+    """How much an account may ask for: operations a second, and at once."""
+
+    rate: float
+    burst: float
+
+    def get_most(self) -> float:
+        """Return how many operations a window may have."""
+        nominal = self.rate * QUOTA_WINDOW + self.burst
+        return nominal * (1 + QUOTA_OVERAGE) + QUOTA_SLACK
+
+
 class Violation(NamedTuple):
     """A broken promise: its kind, the statement's identifier, and what was seen."""
 
@@ -44,6 +68,8 @@
         When it, or its transaction, was sent.
     values : tuple
         The session's values, sorted.
+    account : str
+        The client account of the caller; empty where there are none.
     """
 
     request: bytes
@@ -54,6 +80,7 @@
     max_age: float
     asked_at: float
     values: tuple
+    account: str = ""
 
 
 class Acknowledged(NamedTuple):
@@ -86,6 +113,12 @@
         self._refused: dict[bytes, str] = {}
         self._places: dict[int, DatabaseSession] = {}
         self._replaced: set[bytes] = set()
+        self._operations: dict[str, list[float]] = {}
+        self._limits: dict[str, list[tuple[float, AccountLimit]]] = {}
+
+    def note_limit(self, account: str, limit: AccountLimit) -> None:
+        """Take that operators have set how much an account may ask for."""
+        self._limits.setdefault(account, []).append((self._seconds(), limit))
 
     def note_sent(self, sent: Sent) -> None:
         """Take a statement that a caller sends."""
@@ -116,6 +149,7 @@
         if sent is None:
             self._add("UNASKED", request, f"{database.name} runs {text!r}")
             return
+        self._check_account(sent, session, text)
         self._check_text(sent, session, text)
         self._check_place(sent, session, text)
         is_read = text.startswith((b"READ", b"EXECUTE"))
@@ -132,15 +166,24 @@
         if position.term < self._group.term:
             self._replaced.add(request)
 
-    def note_session(self, node: str, route: str, answer: list[bytes]) -> None:
-        """Judge what a node says of a route that was confirmed long enough before."""
-        if any(line.startswith(b"ERROR NODATABASE ") for line in answer):
+    def note_session(
+        self, node: str, route: str, answer: list[bytes], is_served: bool = True
+    ) -> None:
+        """Judge what a node says of a route or key, confirmed long enough before.
+
+        `is_served` is False for a key that was taken away.
+        """
+        codes = (b"ERROR NODATABASE ", b"ERROR UNKNOWNKEY ")
+        is_refused = any(line.startswith(codes) for line in answer)
+        if answer and is_refused is is_served:
             self._add("CONFIG", route.encode(), f"{node} says {answer}")
 
     def finish(self, breaches: Iterable[str] = ()) -> None:
         """Judge what the log of the last primary holds, and the order of tokens."""
         for text in breaches:
             self._add("ONE", b"-", text)
+        for account in self._limits:
+            self._check_quota(account)
         if self._group.primary is None:
             self._add("LOST", b"-", "the group has no primary at the end")
             return
@@ -155,6 +198,31 @@
             if each.position not in kept:
                 self._add("LOST", request, f"the commit {each.position} is gone")
 
+    def _check_account(self, sent: Sent, session: DatabaseSession, text: bytes) -> None:
+        """Check whose connection a statement runs on, and count operations."""
+        if not sent.account:
+            return
+        if session.account != sent.account:
+            text = f"of {sent.account} on a connection of {session.account}"
+            self._add("UNASKED", sent.request, text)
+        if not sent.transaction or text.startswith(b"BEGIN"):
+            self._operations.setdefault(sent.account, []).append(self._seconds())
+
+    def _check_quota(self, account: str) -> None:
+        """Check that no window has more operations than a limit of its time allows."""
+        times = self._operations.get(account, [])
+        for first, start in enumerate(times):
+            count = bisect(times, start + QUOTA_WINDOW) - first
+            most = max(
+                limit.get_most()
+                for since, limit, until in _pair_limits(self._limits[account])
+                if since <= start + QUOTA_WINDOW and until >= start - CHANGE_LIMIT
+            )
+            if count > most:
+                text = f"{count} operations from {start:.2f} s on, {most:.0f} allowed"
+                self._add("QUOTA", account.encode(), text)
+                return
+
     def _check_text(self, sent: Sent, session: DatabaseSession, text: bytes) -> None:
         """Compare what is run with what was sent."""
         if text.startswith(b"EXECUTE "):
@@ -191,3 +259,11 @@
     def _add(self, kind: str, request: bytes, text: str) -> None:
         """Keep a finding."""
         self.violations.append(Violation(kind, request.decode(), text))
+
+
+def _pair_limits(
+    limits: list[tuple[float, AccountLimit]],
+) -> list[tuple[float, AccountLimit, float]]:
+    """Return each limit with when it came and when the next one did."""
+    ends = [since for since, _ in limits[1:]] + [float("inf")]
+    return [(*each, end) for each, end in zip(limits, ends, strict=True)]
--- a/beryltrack_bench/soak/run.py
+++ b/beryltrack_bench/soak/run.py
@@ -1,5 +1,6 @@
 """One run of the soak: a site, its callers, and faults by a seed."""
 
+import itertools
 import random
 from pathlib import Path
 from tempfile import mkdtemp
@@ -13,7 +14,14 @@
 from beryltrack_bench.soak.caller import Caller, CallerConnection, CallerGone
 from beryltrack_bench.soak.faults import draw_fault
 from beryltrack_bench.soak.history import BOUNDED_ROUTE, Violation
-from beryltrack_bench.soak.site import ROUTES, Node, SoakSite
+from beryltrack_bench.soak.site import (
+    ADDED_KEY,
+    NO_ACCOUNT,
+    ROUTES,
+    TAKEN_KEY,
+    Node,
+    SoakSite,
+)
 
 START_LIMIT = 15.0
 """Seconds within which the nodes must take callers."""
@@ -66,6 +74,7 @@
     is_fenced: bool = True,
     is_forgetful: bool = False,
     nodes: int = 0,
+    has_accounts: bool = False,
 ) -> SoakResult:
     """Run a site under faults and judge what callers and databases saw.
 
@@ -85,6 +94,8 @@
     nodes : int
         How many nodes; 0 lets the seed decide. From seven on some follow others
         instead of the store.
+    has_accounts : bool
+        True if callers need keys, which come and go, and accounts have limits.
     """
     rng = random.Random(seed)
     count, limit = rng.choice(((3, 40), (4, 40), (5, 14)))
@@ -100,6 +111,7 @@
         is_fenced,
         is_forgetful,
         shares_copies=bool(nodes),
+        has_accounts=has_accounts,
     )
     try:
         site.start()
@@ -114,19 +126,36 @@
 ) -> SoakResult:
     """Run callers beside faults."""
     entries = [node.listen for node in site.nodes]
+    owners = itertools.cycle(site.accounts.values() or (NO_ACCOUNT,))
     callers = [
-        Caller(reactor, site.history, entries, route, kind, random.Random(rng.random()))
+        Caller(
+            reactor,
+            site.history,
+            entries,
+            route,
+            kind,
+            random.Random(rng.random()),
+            account.name,
+            account.keys[0],
+        )
         for kind, route in ROUTES.items()
-        for _ in range(CALLERS)
+        for account in itertools.islice(owners, CALLERS)
     ]
     runs = [Deferred.fromCoroutine(caller.run()) for caller in callers]
     # The stand-ins draw from their own numbers as often as they are asked.
     faults = await _inject(reactor, site, random.Random(f"faults {seed}"), seconds)
     served = site.history.outcomes["served"]
+    if site.accounts:
+        site.accounts["calm"] = site.accounts["calm"]._replace(keys=("calm-1",))
+        keys = ("other-1", ADDED_KEY)
+        site.accounts["other"] = site.accounts["other"]._replace(keys=keys)
     site.write_configuration(ADDED_ROUTE)
     await deferLater(reactor, SETTLE_TIME)
     for node in site.nodes:
-        await _check_settings(reactor, site, node)
+        await _check_settings(reactor, site, node, "calm-1")
+        if site.accounts:
+            await _check_settings(reactor, site, node, ADDED_KEY)
+            await _check_settings(reactor, site, node, TAKEN_KEY, False)
     for caller in callers:
         caller.is_stopped = True
     await gatherResults(runs)
@@ -143,7 +172,9 @@
     )
 
 
-async def _check_settings(reactor, site: SoakSite, node: Node) -> None:
+async def _check_settings(
+    reactor, site: SoakSite, node: Node, key: str, is_served: bool = True
+) -> None:
     """Ask a node for the route that was added; one that is not there says nothing."""
     endpoint = TCP4ClientEndpoint(reactor, *node.listen, timeout=1)
     try:
@@ -151,13 +182,14 @@
     except ConnectError:
         site.history.outcomes["no last session"] += 1
         return
-    start = b"START %s u" % ADDED_ROUTE.name.encode()
+    start = f"START {ADDED_ROUTE.name} {key}".encode()
     try:
         await connection.ask(start).addTimeout(1.0, reactor)
     except (CallerGone, TimeoutError) as error:
         site.history.outcomes[f"last session: {type(error).__name__}"] += 1
     connection.transport.abortConnection()
-    site.history.note_session(node.name, ADDED_ROUTE.name, connection.lines)
+    lines = connection.lines
+    site.history.note_session(node.name, ADDED_ROUTE.name, lines, is_served)
 
 
 async def _wait_ready(reactor, site: SoakSite) -> None:
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -24,6 +24,10 @@
     BOUNDED_ROUTE,
     OWN_ROUTE,
     PRIMARY_ROUTE,
+    QUOTA_OVERAGE,
+    QUOTA_SLACK,
+    QUOTA_WINDOW,
+    AccountLimit,
     History,
 )
 from beryltrack_bench.soak.links import Link
@@ -67,6 +71,37 @@
     return f"127.{10 + number % BLOCKS}.{number // BLOCKS % 250}.{index + 1}"
 
 
+class Account(NamedTuple):
+    """A client account: its name, its keys, and how much it may ask for."""
+
+    name: str
+    keys: tuple[str, ...]
+    limit: AccountLimit
+
+    def to_wire(self) -> dict:
+        """Return the account as operators write it."""
+        return {
+            "name": self.name,
+            "api_keys": list(self.keys),
+            "rate_per_s": self.limit.rate,
+            "burst_size": self.limit.burst,
+        }
+
+
+ACCOUNTS = {
+    "calm": (("calm-1", "calm-2"), AccountLimit(500.0, 100.0)),
+    "other": (("other-1",), AccountLimit(500.0, 100.0)),
+    "hot": (("hot-1",), AccountLimit(12.0, 6.0)),
+}
+"""Accounts by name. Callers of the last one ask for far more than its limit."""
+
+NO_ACCOUNT = Account("", ("u",), AccountLimit(0.0, 0.0))
+"""What callers belong to where there are no accounts."""
+
+TAKEN_KEY, ADDED_KEY = "calm-2", "other-2"
+"""The keys that the last change of the settings takes away and adds."""
+
+
 class Node(NamedTuple):
     """One node: where it listens, its links by target, and its view of the store."""
 
@@ -103,6 +138,8 @@
         False if promotions are not fenced, and former primaries go on.
     is_forgetful : bool
         True if databases start again empty, and other programs write to the store.
+    has_accounts : bool
+        True if callers need keys, and accounts have limits.
     shares_copies : bool
         True if nodes may follow others in place of the store. Each node has addresses
         of its own for the databases; one that follows another goes by those of that.
@@ -119,7 +156,13 @@
         is_fenced: bool = True,
         is_forgetful: bool = False,
         shares_copies: bool = False,
+        has_accounts: bool = False,
     ):
+        self.accounts = (
+            {name: Account(name, *each) for name, each in ACCOUNTS.items()}
+            if has_accounts
+            else {}
+        )
         self.is_forgetful = is_forgetful
         self._disabled = "" if shares_copies else Mechanism.SHARED_COPIES.value
         self._reactor = reactor
@@ -223,8 +266,17 @@
         services = [{"name": GROUP, "connection_limit": self._limit}]
         version = next(self._versions)
         spec = {"config_version": version, "routes": routes, "services": services}
+        if self.accounts:
+            spec["tenants"] = [each.to_wire() for each in self.accounts.values()]
+            for each in self.accounts.values():
+                self.history.note_limit(each.name, each.limit)
         self.store.change("config", "main", spec)
 
+    def change_account(self, name: str, **fields: object) -> None:
+        """Give an account other keys or another limit, in a new configuration."""
+        self.accounts[name] = self.accounts[name]._replace(**fields)
+        self.write_configuration()
+
     def tell_start(self, name: str) -> None:
         """Write a database's entry anew, as it does at each start."""
         spec = {
@@ -305,7 +357,13 @@
             "internal_ports": [INTERNAL_PORT, INTERNAL_PORT + 15],
             "seeds": [f"{each.host}:{CONTROL_PORT}" for each in self.nodes[:3]],
             "first_start": is_first,
-            "bounds": {"grace_s": GRACE, "fencing_enforced": self.is_fenced},
+            "bounds": {
+                "grace_s": GRACE,
+                "fencing_enforced": self.is_fenced,
+                "quota_window_s": QUOTA_WINDOW,
+                "quota_overage": QUOTA_OVERAGE,
+                "quota_slack": QUOTA_SLACK,
+            },
             "platform": {"address": self._addresses[node.name, "store"]},
             "cloud": {"address": self._addresses[node.name, "promotions"]},
         }
--- a/beryltrack_standins/lines/database.py
+++ b/beryltrack_standins/lines/database.py
@@ -41,6 +41,7 @@
         self.is_failed = False
         self.term = 0
         self.is_started = False
+        self.account = ""
         self.lines: list[bytes] = []
         self.is_busy = False
         self.is_gone = False
@@ -81,7 +82,7 @@
             fields = line.split(b" ")
             if fields[3:] and fields[3].decode() != self.factory.database.name:
                 return b"ERROR MISROUTED\r\n"
-            self.is_started = True
+            self.is_started, self.account = True, fields[2].decode()
             return self._ready()
         if not line.startswith(b"QUERY "):
             self.transport.loseConnection()
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -13,8 +13,10 @@
 from beryltrack.groups.messages import LogPosition
 from beryltrack_bench.soak.history import (
     BOUNDED_ROUTE,
+    CHANGE_LIMIT,
     OWN_ROUTE,
     PRIMARY_ROUTE,
+    AccountLimit,
     History,
     Sent,
 )
@@ -201,3 +203,52 @@
 
     first, second = run(make_sites)
     assert len(first) == len(second) == 2 and not first & second
+
+
+def send_for(judged, number, account, of):
+    judged.session.account = of
+    request = b"%d" % number
+    judged.send(request, b"READ k")
+    sent = judged.history._sent[request]
+    judged.history.note_sent(sent._replace(account=account))
+    judged.run(request, b"READ k")
+
+
+def test_a_statement_on_a_connection_of_another_account_is_found(judged):
+    send_for(judged, 1, "one", "one")
+    send_for(judged, 2, "one", "two")
+    assert judged.kinds == ["UNASKED"]
+
+
+@pytest.mark.parametrize(("count", "kinds"), [(36, []), (37, ["QUOTA"])])
+def test_a_window_with_too_many_operations_is_found(judged, count, kinds):
+    # 2 a second and 5 at once: 15, 16.5 with the overage, 36.5 with the slack.
+    judged.history.note_limit("one", AccountLimit(2.0, 5.0))
+    for number in range(count):
+        send_for(judged, number, "one", "one")
+    judged.clock.advance(6.0)
+    send_for(judged, 99, "one", "one")
+    judged.history.finish()
+    assert judged.kinds == kinds
+
+
+def test_a_higher_limit_counts_while_it_may_be_in_force(judged):
+    judged.history.note_limit("one", AccountLimit(100.0, 5.0))
+    for number in range(60):
+        send_for(judged, number, "one", "one")
+    judged.history.note_limit("one", AccountLimit(1.0, 1.0))
+    judged.history.finish()
+    assert judged.kinds == []
+    judged.clock.advance(CHANGE_LIMIT + 0.1)
+    for number in range(100, 160):
+        send_for(judged, number, "one", "one")
+    judged.history.finish()
+    assert judged.kinds == ["QUOTA"]
+
+
+def test_a_key_that_was_taken_away_and_is_served_is_found(judged):
+    judged.history.note_session("n", "db4", [b"READY I -"], False)
+    judged.history.note_session("n", "db4", [b"ERROR UNKNOWNKEY no"], False)
+    judged.history.note_session("n", "db4", [b"ERROR UNKNOWNKEY no"])
+    judged.history.note_session("n", "db4", [], False)
+    assert judged.kinds == ["CONFIG", "CONFIG"]
