Use the next owner of accounts at once when one ends its links

Cause: an owner that leaves refused statements one by one, and each session at it had to be used up; one that is killed was noticed by the next request only. Ruled out: counting a pool's 'cannot be reached' as a sign of the owner: the database may be the cause, and accounts would wander between owners. Change: the end of a rights link by its other side passes the owner over; a code of its own says that an instance gives no connections to the group; an instance that started again lends elsewhere at once where its first choice has ended.

--- a/beryltrack/accounts/lending.py
+++ b/beryltrack/accounts/lending.py
@@ -68,8 +68,8 @@
         Returns the name of the instance that is to run a slot's accounts, or None.
     started_at : float
         When this process started. What it lent before it was restarted it has
-        forgotten: it lends to another instance than the first choice only when that
-        must have ended.
+        forgotten. That was to the instance that is the first choice now, as a rule: it
+        lends to another one only when that has given it back, or it must have ended.
     is_new : bool
         True if no process of this name has run before.
     """
@@ -85,6 +85,7 @@
         self._loans: list[SlotLoan] = [NOBODY] * SLOTS
         self._seen: dict[str, float] = {}
         self._first: dict[int, str] = {}
+        self._ended: set[str] = set()
 
     @property
     def part(self) -> float:
@@ -144,10 +145,13 @@
         ]
         for slot in returned:
             self._loans[slot] = NOBODY
+        if returned:
+            self._ended.add(name)
         return bool(returned)
 
     def observe_ended(self, name: str) -> None:
         """Take in that an instance has ended, or given back all that it had."""
+        self._ended.add(name)
         self._loans = [NOBODY if each.holder == name else each for each in self._loans]
 
     def _may_lend(self, slot: int, wanted: str, now: float) -> bool:
@@ -156,4 +160,4 @@
         if loan.holder == wanted or now < loan.until:
             return loan.holder == wanted
         first = self._first.setdefault(slot, wanted)
-        return now >= self._free_at or wanted == first
+        return now >= self._free_at or wanted == first or first in self._ended
--- a/beryltrack/accounts/task.py
+++ b/beryltrack/accounts/task.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectionRefusedError
 
 from beryltrack.accounts.lending import (
     LOAN_TIME,
@@ -59,6 +60,9 @@
         The node's time.
     rng : random.Random
         Source of jitter.
+    observe_lost : callable
+        Called with the name of an owner that has ended its link: it was killed or
+        leaves. The next one is used at once then, and not after a request has failed.
     """
 
     def __init__(
@@ -70,7 +74,9 @@
         get_endpoint: GetEndpoint,
         seconds: Callable[[], float],
         rng: random.Random,
+        observe_lost: Callable[[str], object] = lambda name: None,
     ):
+        self._observe_lost = observe_lost
         self.port = RightsPort(quota.rights, seconds)
         self._reactor = reactor
         self._name = name
@@ -181,11 +187,16 @@
     def _fail(self, failure, name: str) -> None:
         """Try again at the next turn: an owner could not be reached."""
         del self._links[name]
+        if failure.check(ConnectionRefusedError):
+            # Its process has ended, and nothing that was lent to it is left.
+            self._lending.observe_ended(name)
         log.info("accounts: No link to %s: %s", name, failure.getErrorMessage())
 
     def _end(self, is_given_back: bool, name: str) -> None:
         """Take in that a link has ended."""
         del self._links[name]
-        if is_given_back:
+        if is_given_back and self._is_running:
+            log.info("accounts: %s has ended its link.", name)
             self._lending.observe_ended(name)
+            self._observe_lost(name)
         self.hurry()
--- a/beryltrack/connections/exclusive.py
+++ b/beryltrack/connections/exclusive.py
@@ -50,8 +50,9 @@
         self.heard_at = -math.inf
         # True if that instance need not count the next operation of the account.
         self.is_counted = False
-        # Called if that instance says that it does not reach the database.
-        self.on_useless: Callable[[], object] = lambda: None
+        # Called if that instance says that it does not reach the database, or (True)
+        # that it gives connections to none of the group's.
+        self.on_useless: Callable[[bool], object] = lambda has_left: None
         self._start = start
         self._limits = limits
         self._seconds = seconds
--- a/beryltrack/daemon/node_accounts.py
+++ b/beryltrack/daemon/node_accounts.py
@@ -59,6 +59,7 @@
             self._get_endpoint,
             self._seconds,
             rng,
+            directory.avoid,
         )
         directory.set_holder_source(lending.get_holder)
         directory.set_owner_observer(self._task.hurry)
--- a/beryltrack/platform/caller.py
+++ b/beryltrack/platform/caller.py
@@ -1,7 +1,5 @@
 """The caller's side of the line protocol."""
 
-from typing import Protocol as Interface
-
 from twisted.internet.defer import Deferred
 
 from beryltrack.accounts.keys import digest_key
@@ -9,7 +7,7 @@
 from beryltrack.errors import PROTOCOL_VIOLATION, SqlError, make_refusal
 from beryltrack.platform import lines
 from beryltrack.platform.codes import encode_error
-from beryltrack.platform.statements import LineStatement, parse_query
+from beryltrack.platform.statements import parse_query
 from beryltrack.requests.session import CallerSession
 from beryltrack.sessions.kept import KeptState
 from beryltrack.settings.messages import RouteSettings
@@ -19,19 +17,6 @@
 MALFORMED = SqlError(PROTOCOL_VIOLATION, "the statement is malformed")
 
 
-class UnitHandler(Interface):
-    """What runs the statements of callers, as `RequestTask` does."""
-
-    def check_session(self, caller: "LineCaller") -> SqlError | None:
-        """Open a caller's session."""
-
-    def handle(self, unit: LineStatement, caller: "LineCaller") -> "Deferred[None]":
-        """Run one statement; ends after `caller.send_ready`."""
-
-    def forget(self, caller: "LineCaller") -> None:
-        """Give up all that is kept for a caller that is gone."""
-
-
 class LineSpeaker(SequentialCaller):
     """A peer that sends lines and is answered in lines.
 
--- a/beryltrack/platform/codes.py
+++ b/beryltrack/platform/codes.py
@@ -24,6 +24,9 @@
 """What an instance answers another with when it gives no connection to a database:
 the statement did not run. Neither callers nor databases know it."""
 
+NOT_OWNER = b"NOTOWNER"
+"""What one answers that gives no connections to the group at all, as it leaves."""
+
 OVER_LIMIT = b"OVERLIMIT"
 """What an instance answers another with whose account asks for too much."""
 
@@ -33,6 +36,7 @@
     b"TOOMANY": TOO_MANY_CONNECTIONS,
     b"LAGGING": CANNOT_CONNECT_NOW,
     UNREACHABLE: CANNOT_CONNECT_NOW,
+    NOT_OWNER: CANNOT_CONNECT_NOW,
     OVER_LIMIT: CONFIGURATION_LIMIT_EXCEEDED,
     b"READONLY": READ_ONLY_REFUSAL,
     b"UNPREPARED": INVALID_SQL_STATEMENT_NAME,
--- a/beryltrack/platform/relay.py
+++ b/beryltrack/platform/relay.py
@@ -14,7 +14,7 @@
 from beryltrack.groups.view import NEVER
 from beryltrack.platform import lines
 from beryltrack.platform.caller import LineSpeaker
-from beryltrack.platform.codes import UNREACHABLE, encode_refusal
+from beryltrack.platform.codes import NOT_OWNER, encode_refusal
 from beryltrack.platform.group import format_row
 from beryltrack.platform.protocol import (
     ACCOUNT,
@@ -30,7 +30,7 @@
     parse_query,
 )
 from beryltrack.platform.target import LineTarget
-from beryltrack.relay.handler import Proven, RelayHandler
+from beryltrack.relay.handler import OTHER_OWNERS, Proven, RelayHandler
 from beryltrack.requests.protocol import RunResult, describe_loss
 from beryltrack.sessions.kept import Shape
 from beryltrack.wire.messages import ResponseEnd
@@ -107,6 +107,11 @@
         self.write(encode_refusal(error))
         self.send_ready(self.status)
 
+    def send_not_owner(self) -> None:
+        """Say that this instance gives no connections to the group."""
+        self.write(b"ERROR %s %s\r\n" % (NOT_OWNER, OTHER_OWNERS.encode()))
+        self.send_ready(self.status)
+
     def send_status(self, status: DatabaseStatus, proven: Proven | None) -> None:
         """Send the status of the session's database."""
         self.write(format_row(status) + lines.EMPTY_COMPLETE)
@@ -128,7 +133,7 @@
             return
         self.group, self.database = fields[1].decode(), fields[3].decode()
         if not self._factory.handler.takes(self):
-            self.write(b"ERROR %s the group has other owners\r\n" % UNREACHABLE)
+            self.send_not_owner()
             self.transport.loseConnection()
             return
         self.send_ready(self.status)
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -13,7 +13,12 @@
 from beryltrack.errors import CONFIGURATION_LIMIT_EXCEEDED, SqlError
 from beryltrack.groups.samples import Sample
 from beryltrack.platform import lines
-from beryltrack.platform.codes import UNREACHABLE, decode_error, encode_error
+from beryltrack.platform.codes import (
+    NOT_OWNER,
+    UNREACHABLE,
+    decode_error,
+    encode_error,
+)
 from beryltrack.sessions.kept import Shape
 from beryltrack.settings.messages import Endpoint
 from beryltrack.wire.line_buffer import LINE_END, LineBuffer
@@ -25,6 +30,7 @@
 
 
 _USELESS = b"ERROR " + UNREACHABLE
+_LEFT = b"ERROR " + NOT_OWNER
 
 
 class LineTarget(ExclusiveConnection):
@@ -129,9 +135,9 @@
             0,
             self._proof,
         )
-        if self._error_frame.startswith(_USELESS):
+        if self._error_frame.startswith((_USELESS, _LEFT)):
             # Whoever used it next would only be told the same.
-            self.on_useless()
+            self.on_useless(self._error_frame.startswith(_LEFT))
             self.end_session()
         self.end_run().callback(end)
 
@@ -162,18 +168,14 @@
         Opens it.
     endpoint : Endpoint
         Where the database listens.
-    service : str
-        Name of its group.
-    database : str
-        Its identifier; another database at the same address refuses it.
-    timeout : float
-        Seconds within which the database must be ready.
+    service, database : str
+        Its group, and its identifier: another one at the same address refuses it.
+    timeout, reach_timeout : float
+        Seconds within which it must be ready, and reached at all.
     limits : SocketLimits
         When a silent database is given up.
     account : str
         Whose statements it will run; empty for those of the proxy itself.
-    reach_timeout : float, optional
-        Seconds within which it must be reached at all.
     """
     words = (service, account or PROXY_NAME, database)
     start = "START {} {} {}\r\n".format(*words).encode()
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -99,6 +99,9 @@
     def send_refusal(self, error: SqlError) -> None:
         """Say that a statement was not run."""
 
+    def send_not_owner(self) -> None:
+        """Say that this instance gives no connections to the session's group."""
+
     def send_end(self, end: ResponseEnd, proven: Proven | None) -> None:
         """Send the end of an answer, and what is proven of the primary if it is new."""
 
@@ -204,7 +207,7 @@
         """Return a connection for a session; None if it was refused or has gone."""
         lender = self._find_lender(session.group, session.database)
         if lender is None:
-            session.send_refusal(make_refusal(OTHER_OWNERS, 0.0))
+            session.send_not_owner()
             return None
         deadline = self._seconds() + self._time_limit
         acquiring = lender.pool.lend(deadline, session.account, session.is_counted)
@@ -257,7 +260,9 @@
             share.is_running = True
             Deferred.fromCoroutine(self._ask_status(key, share)).addErrback(_log_defect)
         answer, task = await waiter
-        if isinstance(answer, SqlError):
+        if task is None and answer is None:
+            session.send_not_owner()
+        elif isinstance(answer, SqlError):
             session.send_refusal(answer)
         else:
             session.send_status(answer, _get_news(session, task))
@@ -276,11 +281,14 @@
 
     async def _ask_once(
         self, group: str, database: str
-    ) -> tuple[DatabaseStatus | SqlError, GroupTask | None]:
-        """Return a status or why there is none, and who watches the group."""
+    ) -> tuple[DatabaseStatus | SqlError | None, GroupTask | None]:
+        """Return a status or why there is none, and who watches the group.
+
+        Neither if this instance gives no connections to it.
+        """
         lender = self._find_lender(group, database)
         if lender is None:
-            return make_refusal(OTHER_OWNERS, 0.0), None
+            return None, None
         result = await lender.task.ask_status(database)
         if isinstance(result, Success):
             return result.unwrap(), lender.task
--- a/beryltrack/relay/opener.py
+++ b/beryltrack/relay/opener.py
@@ -161,7 +161,11 @@
             directory.avoid(owner.name)
             raise
         connection.way = owner.name
-        connection.on_useless = lambda: directory.note_useless(name, owner.name)
+        connection.on_useless = lambda has_left: (
+            directory.avoid(owner.name)
+            if has_left
+            else directory.note_useless(name, owner.name)
+        )
         return connection
 
     def _block(self, group: str, database: DatabaseSettings) -> None:
--- a/beryltrack/relay/ways.py
+++ b/beryltrack/relay/ways.py
@@ -18,14 +18,15 @@
     """A connection that tells when anything came over it, by the node's clock.
 
     `busy` is True while a statement runs on it; `on_useless` is called if the
-    instance that it goes through says that it does not reach the database. That
-    instance counts the next operation unless `is_counted` says that it was counted.
+    instance that it goes through says that it does not reach the database, with True
+    if it gives no connections to the group at all. That instance counts the next
+    operation unless `is_counted` says that it was counted.
     """
 
     heard_at: float
     is_counted: bool
     busy: bool
-    on_useless: Callable[[], object]
+    on_useless: Callable[[bool], object]
 
 
 def is_silent(connection: RelayedConnection, pools: Iterable[PoolTask]) -> bool:
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from returns.result import Result
-from twisted.internet.defer import TimeoutError
+from twisted.internet.defer import Deferred, TimeoutError
 from twisted.python.failure import Failure
 
 from beryltrack.connections.messages import PooledConnection, TargetLost
@@ -133,6 +133,19 @@
         """Call `callback` when the caller disconnects; at once if it has."""
 
 
+class UnitHandler(Protocol):
+    """What runs the units of callers, as `RequestTask` does."""
+
+    def check_session(self, caller: UnitCaller) -> SqlError | None:
+        """Open a caller's session."""
+
+    def handle(self, unit: object, caller: UnitCaller) -> "Deferred[None]":
+        """Run one unit; ends after `caller.send_ready`."""
+
+    def forget(self, caller: UnitCaller) -> None:
+        """Give up all that is kept for a caller that is gone."""
+
+
 class UnitForwarder(Protocol):
     """Passes units on to other instances."""
 
--- a/tests/relay/test_handler.py
+++ b/tests/relay/test_handler.py
@@ -90,6 +90,9 @@
         self.states.append(error.sqlstate)
         self.sent.append(("refused", error.message))
 
+    def send_not_owner(self):
+        self.sent.append(("refused", "the group has other owners"))
+
     def send_end(self, end, proven):
         self.status = end.status
         self.proven.append(proven)
