Log which accounts are refused, with the limit and the part of it that decided

Cause: a refusal over a limit could not be told from rights that are missing: the line named neither the limit nor the part of it that the owner has.

--- a/beryltrack/accounts/quota.py
+++ b/beryltrack/accounts/quota.py
@@ -70,6 +70,29 @@
     refused: int = 0
 
 
+class Refusals(NamedTuple):
+    """What was refused of an account for some time, and what that rested on.
+
+    Parameters
+    ----------
+    account : str
+        Its name.
+    refused, run : int
+        Operations that were refused, and that ran.
+    rate, burst : float
+        Its limit in the whole fleet, by the settings.
+    part : float
+        The part of it that this instance has.
+    """
+
+    account: str
+    refused: int
+    run: int
+    rate: float
+    burst: float
+    part: float
+
+
 class _Bucket:
     """The tokens of one account."""
 
@@ -102,6 +125,7 @@
         self._buckets: dict[str, _Bucket] = {}
         self._by_slot: dict[int, set[str]] = {}
         self.counts: dict[str, Counts] = {}
+        self._told: dict[str, Counts] = {}
         self.rights = RightsLedger(self._observe_loss)
 
     def spend(self, name: str, now: float) -> float:
@@ -137,6 +161,23 @@
         if bucket is not None:
             bucket.tokens += 1.0
 
+    def take_refusals(self, now: float) -> list[Refusals]:
+        """Return of which accounts something was refused since the last call."""
+        before, self._told = self._told, dict(self.counts)
+        return [
+            Refusals(
+                name,
+                counts.refused - before.get(name, Counts()).refused,
+                counts.run - before.get(name, Counts()).run,
+                account.rate,
+                account.burst,
+                self.rights.get_part(get_slot(name), now),
+            )
+            for name, counts in self.counts.items()
+            if counts.refused > before.get(name, Counts()).refused
+            and (account := self._get_account(name)) is not None
+        ]
+
     def forget(self) -> None:
         """Forget the accounts that the settings have no more."""
         for name in [each for each in self._buckets if not self._get_account(each)]:
--- a/beryltrack/daemon/node_accounts.py
+++ b/beryltrack/daemon/node_accounts.py
@@ -1,8 +1,11 @@
 """An instance's part in the accounts of the fleet: their keys, rights and counts."""
 
+import logging
 import random
 from collections.abc import Iterable
 
+from twisted.internet.task import LoopingCall
+
 from beryltrack.accounts.book import NO_ACCOUNTS, AccountBook, make_book
 from beryltrack.accounts.lending import LendingDecider
 from beryltrack.accounts.link import RightsPort
@@ -17,6 +20,15 @@
 from beryltrack.settings.messages import Endpoint
 from beryltrack.settings.node import NodeSettings
 
+log = logging.getLogger(__name__)
+
+TELL_PERIOD = 1.0
+"""Seconds between two lines about an account of which operations are refused."""
+
+MOST_TOLD = 5
+"""Accounts that a line is written of each time, those with most refusals: all of 10,000
+accounts could be over their limits together."""
+
 SOURCE = "settings"
 """What findings about accounts name as their place."""
 
@@ -61,6 +73,8 @@
             rng,
             directory.avoid,
         )
+        self._telling = LoopingCall(self._tell_refusals)
+        self._telling.clock = reactor
         directory.set_holder_source(lending.get_holder)
         directory.set_owner_observer(self._task.hurry)
 
@@ -97,6 +111,19 @@
     def stop(self) -> None:
         """Lend no more."""
         self._task.stop()
+        if self._telling.running:
+            self._telling.stop()
+
+    def _tell_refusals(self) -> None:
+        """Log of which accounts operations were refused, and what that rested on."""
+        refusals = self.quota.take_refusals(self._seconds())
+        refusals.sort(key=lambda each: -each.refused)
+        for each in refusals[:MOST_TOLD]:
+            log.info(
+                "accounts: %s is over its limit: %d refused, %d run; %.1f a second and "
+                "%.0f at once in the fleet, %.2f of that here.",
+                *each,
+            )
 
     def get_gauges(self) -> Iterable[Gauge]:
         """Return how many operations ran and were refused here, by account."""
@@ -112,6 +139,8 @@
         """Lend once there are accounts and the members are known."""
         if self._book is not None and self._directory.is_known:
             self._task.start()
+            if not self._telling.running:
+                self._telling.start(TELL_PERIOD, now=False)
 
     def _get_account(self, name: str) -> AccountSettings | None:
         """Return an account of the settings in force."""
--- a/tests/accounts/test_quota.py
+++ b/tests/accounts/test_quota.py
@@ -115,3 +115,11 @@
     assert most <= nominal * 1.1 + 20
     later = [each for each in runs if each >= 15.0]
     assert len(later) >= 3 * (5 * rate + 10)
+
+
+def test_what_was_refused_is_told_once_with_what_it_rested_on():
+    site = Site(rate=10.0, burst=5.0, part=0.5)
+    site.run(0.0, 4)
+    (told,) = site.quota.take_refusals(0.0)
+    assert told == ("one", 3, 1, 10.0, 5.0, 0.5)
+    assert site.quota.take_refusals(0.0) == []
