Keep an owner of accounts that answers on its rights link

A statement at a database that hung made the instance take its owner for silent, for few statements go from one instance to one owner. Ruled out: the owners' own links (they answered all the while). Change: an owner that has answered an offer since the statement was sent is not left.

--- a/beryltrack/accounts/task.py
+++ b/beryltrack/accounts/task.py
@@ -1,6 +1,7 @@
 """Lends this instance's rights, and keeps what others lend to it."""
 
 import logging
+import math
 import random
 from collections.abc import Callable
 
@@ -86,6 +87,7 @@
         self._seconds = seconds
         self._rng = rng
         self._links: dict[str, _Link] = {}
+        self._heard_at: dict[str, float] = {}
         self._timer = None
         self._is_running = False
 
@@ -104,6 +106,10 @@
             if link.lender is not None:
                 link.lender.give_up()
 
+    def was_heard(self, name: str, since: float) -> bool:
+        """Return whether an owner has answered on its link since a time."""
+        return self._heard_at.get(name, -math.inf) > since
+
     def hurry(self) -> None:
         """Tell owners soon: who they are has changed."""
         if self._is_running:
@@ -148,7 +154,7 @@
         if link.lender.is_new:
             # It lends nothing: the borrower has no answer yet to count from.
             link.lender.tell(self._name, Offer(0, 0.0)).addCallback(
-                lambda _: self.hurry()
+                lambda _: self._observe_first(name)
             )
             return
         self._lending.observe_sent(name, offer, now)
@@ -158,9 +164,15 @@
 
     def _observe_taken(self, name: str, offer: Offer) -> None:
         """Take in that an owner has an offer."""
+        self._heard_at[name] = self._seconds()
         if self._lending.observe_taken(name, offer):
             self.hurry()
 
+    def _observe_first(self, name: str) -> None:
+        """Take in that a link works: what it is for can be lent now."""
+        self._heard_at[name] = self._seconds()
+        self.hurry()
+
     def _open(self, name: str, now: float) -> None:
         """Open a link to an owner."""
         place = self._get_endpoint(name)
--- a/beryltrack/daemon/group_connections.py
+++ b/beryltrack/daemon/group_connections.py
@@ -12,7 +12,13 @@
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.handler import Lender
 from beryltrack.relay.owners import Peer
-from beryltrack.relay.ways import RelayedConnection, give_up, is_silent
+from beryltrack.relay.ways import (
+    RelayedConnection,
+    WasHeard,
+    give_up,
+    hear_nothing,
+    is_silent,
+)
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.settings.messages import GroupSettings
 
@@ -30,6 +36,8 @@
         The groups.
     policies : NodePolicies
         What steers the pools.
+    was_heard : callable
+        Says of an instance whether it has answered this one since a time.
     """
 
     def __init__(
@@ -38,7 +46,9 @@
         directory: RelayDirectory,
         groups: GroupTable,
         policies: NodePolicies,
+        was_heard: WasHeard = hear_nothing,
     ):
+        self._was_heard = was_heard
         self._name = name
         self._directory = directory
         self._groups = groups
@@ -113,13 +123,13 @@
 
     def give_up(self, connection: RelayedConnection) -> None:
         """Close a connection that does not answer, and leave its way if that is so."""
-        owner = give_up(connection, self.pools)
+        owner = give_up(connection, self.pools, self._was_heard)
         if owner:
             self._directory.avoid(owner)
 
     def is_silent(self, connection: RelayedConnection) -> bool:
         """Return whether nothing comes any more from where a connection goes."""
-        return is_silent(connection, self.pools)
+        return is_silent(connection, self.pools, self._was_heard)
 
     def _is_owner(self, runtime: GroupRuntime) -> bool:
         """Return whether this instance opens connections to a group's databases."""
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -165,7 +165,11 @@
         )
         self._groups = GroupTable(reactor, self._kit)
         self._connections = GroupConnections(
-            settings.name, directory, self._groups, self._policies
+            settings.name,
+            directory,
+            self._groups,
+            self._policies,
+            self._accounts.was_heard,
         )
         directory.set_block_observer(self._connections.share)
         self._groups.subscribe_started(self._connections.start_group)
--- a/beryltrack/daemon/node_accounts.py
+++ b/beryltrack/daemon/node_accounts.py
@@ -104,6 +104,10 @@
         self._lending.set_members((peer.name for peer in peers), self._seconds())
         self._start()
 
+    def was_heard(self, name: str, since: float) -> bool:
+        """Return whether an owner has answered this instance since a time."""
+        return self._task.was_heard(name, since)
+
     def leave(self) -> None:
         """Give back what others have lent, so that they lend it to the next owner."""
         self._task.port.leave()
--- a/beryltrack/relay/ways.py
+++ b/beryltrack/relay/ways.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 
 from beryltrack.connections.messages import PooledConnection
-from beryltrack.connections.task import PoolTask
 
 log = logging.getLogger(__name__)
 
@@ -29,13 +28,37 @@
     on_useless: Callable[[bool], object]
 
 
-def is_silent(connection: RelayedConnection, pools: Iterable[PoolTask]) -> bool:
+class ConnectionPool(Protocol):
+    """What holds connections, as `DatabaseAccess` does."""
+
+    def get_connections(self) -> tuple[RelayedConnection, ...]:
+        """Return all connections that are open."""
+
+    def close_idle(self, connection: RelayedConnection) -> None:
+        """Close a connection unless it is lent."""
+
+
+WasHeard = Callable[[str, float], bool]
+
+
+def hear_nothing(name: str, since: float) -> bool:
+    """Return False: an instance is heard over its sessions alone."""
+    return False
+
+
+def is_silent(
+    connection: RelayedConnection,
+    pools: Iterable[ConnectionPool],
+    was_heard: WasHeard = hear_nothing,
+) -> bool:
     """Return whether nothing came from an owner since a connection's request was sent.
 
-    A connection straight to a database is not judged by this.
+    A connection straight to a database is not judged by this. Where few statements go
+    to an owner, one that waits for a database that hangs says nothing of the owner:
+    `was_heard` tells whether it answered elsewhere since a time.
     """
     since, way = connection.run_since, connection.way
-    if not way or since is None:
+    if not way or since is None or was_heard(way, since):
         return False
     return not any(
         each.heard_at > since
@@ -45,15 +68,21 @@
     )
 
 
-def give_up(connection: RelayedConnection, pools: Iterable[PoolTask]) -> str:
+def give_up(
+    connection: RelayedConnection,
+    pools: Iterable[ConnectionPool],
+    was_heard: WasHeard = hear_nothing,
+) -> str:
     """Close a connection whose request is far too late.
 
     Parameters
     ----------
     connection : RelayedConnection
         The connection.
-    pools : iterable of PoolTask
+    pools : iterable of ConnectionPool
         All pools of this instance.
+    was_heard : callable
+        Says of an instance whether it has answered elsewhere since a time.
 
     Returns
     -------
@@ -62,7 +91,7 @@
         request was sent; its idle connections are closed. Empty if there is none.
     """
     pools = tuple(pools)
-    must_leave = is_silent(connection, pools)
+    must_leave = is_silent(connection, pools, was_heard)
     connection.close()
     if not must_leave:
         return ""
--- a/tests/relay/test_ways.py
+++ b/tests/relay/test_ways.py
@@ -49,3 +49,15 @@
     assert not is_silent(straight, [make_pool(straight)])
     assert is_silent(late, [make_pool(late)])
     assert not is_silent(late, [make_pool(late, Connection("n1", heard_at=5.1))])
+
+
+def test_an_owner_that_has_answered_elsewhere_is_kept():
+    """Its database hangs: few statements go there, and none of them is answered."""
+    late, idle = Connection("n1", 5.0), Connection("n1")
+    pools = [make_pool(late, idle)]
+    heard = {"n1": 5.2}
+    assert not is_silent(late, pools, lambda name, since: heard[name] > since)
+    assert give_up(late, pools, lambda name, since: heard[name] > since) == ""
+    assert late.closed and not idle.closed
+    heard["n1"] = 4.9
+    assert is_silent(late, pools, lambda name, since: heard[name] > since)
