Keep an owner's share while it does not reach a database

Since a database has a pool for each way, an owner that does not reach it had a share of none, and where no other way fitted the request waited for that share.

--- a/beryltrack/daemon/group_connections.py
+++ b/beryltrack/daemon/group_connections.py
@@ -102,10 +102,12 @@
             placement = self._directory.get_placement(runtime.settings.name, limit)
             share = placement.get_share(self._name)
             is_owner = self._is_owner(runtime)
-            for name, pool in runtime.pools.items():
-                is_direct = is_owner and not self._directory.is_blocked(name)
+            for pool in runtime.pools.values():
                 pool.direct.set_policy(pools)
-                pool.set_limit(share if is_direct else 0)
+                # Also while a database is out of reach: where no other instance reaches
+                # it either, an attempt tells so within 0.1 s. Without a share requests
+                # waited 0.25 s for one, 320 in the lines of a dozen instances in 5 s.
+                pool.set_limit(share if is_owner else 0)
                 pool.retire_stale()
 
     def get_lender(self, group: str, database: str) -> Lender | None:
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -149,3 +149,13 @@
     site.access.break_connections()
     assert all(each.closed.called for each in held)
     assert site.access.load.in_use == 0
+
+
+def test_a_database_that_nobody_reaches_is_told_so_at_once(site):
+    """No other way fits, and this instance does not reach it: no wait for a share."""
+    site.ways[""] = ""
+    site.targets[""].failure = ConnectRefused(CANNOT_CONNECT_NOW)
+    with pytest.raises(PoolRefused) as refused:
+        site.acquire("own")
+    assert refused.value.refusal.reason is RefusalReason.UNREACHABLE
+    assert site.clock.seconds() == 0.0
