Say once what the accounts' code said twice

Cause: a last reading. The choice among owners that are passed over stood twice in the directory, the size of a bucket twice in the quota, a test of a slot's bit four times; that the members are known was kept beside the directory, which knows it. Change: _choose_fit, _get_most, has_slot and list_slots, has_members from the directory. Behaviour as before, no test changed.

--- a/beryltrack/accounts/lending.py
+++ b/beryltrack/accounts/lending.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from beryltrack.accounts.slots import SLOTS, make_set
+from beryltrack.accounts.slots import SLOTS, has_slot, list_slots, make_set
 
 LOAN_TIME = 1.2
 """Seconds that a loan lasts: after an owner was lost without a sign its accounts have
@@ -127,9 +127,8 @@
 
     def observe_sent(self, name: str, offer: Offer, now: float) -> None:
         """Take in that an offer was sent at a time; it binds from then on."""
-        for slot in range(SLOTS):
-            if offer.slots >> slot & 1:
-                self._loans[slot] = SlotLoan(name, now + LOAN_TIME)
+        for slot in list_slots(offer.slots):
+            self._loans[slot] = SlotLoan(name, now + LOAN_TIME)
 
     def observe_taken(self, name: str, offer: Offer) -> bool:
         """Take in that an instance has an offer: what was not in it, it gave back.
@@ -142,7 +141,7 @@
         returned = [
             slot
             for slot, loan in enumerate(self._loans)
-            if loan.holder == name and not offer.slots >> slot & 1
+            if loan.holder == name and not has_slot(offer.slots, slot)
         ]
         for slot in returned:
             self._loans[slot] = NOBODY
--- a/beryltrack/accounts/quota.py
+++ b/beryltrack/accounts/quota.py
@@ -202,14 +202,16 @@
         earned = max(0.0, integral - bucket.integral) * self._get_rate(account)
         bucket.integral = integral
         part = self.rights.get_part(slot, now)
-        most = self._get_size(account) * part
-        # First tokens are kept until rights come.
-        bucket.tokens = min(bucket.tokens + earned, max(most, FIRST_TOKENS))
+        bucket.tokens = min(bucket.tokens + earned, self._get_most(account, part))
         return bucket
 
-    def _get_size(self, account: AccountSettings) -> float:
-        """Return how many tokens an account may save up in the whole fleet."""
-        return account.burst + self._tolerance.slack * BURST_SLACK
+    def _get_most(self, account: AccountSettings, part: float) -> float:
+        """Return how many tokens a part of an account's limit may save up.
+
+        First tokens are kept until rights come.
+        """
+        size = account.burst + self._tolerance.slack * BURST_SLACK
+        return max(size * part, FIRST_TOKENS)
 
     def _get_rate(self, account: AccountSettings) -> float:
         """Return how many tokens a second an account gets in the whole fleet."""
@@ -229,8 +231,7 @@
         for name in self._by_slot.get(slot, ()):
             account, bucket = self._get_account(name), self._buckets[name]
             if account is not None:
-                most = self._get_size(account) * part
-                bucket.tokens = min(bucket.tokens, max(most, FIRST_TOKENS))
+                bucket.tokens = min(bucket.tokens, self._get_most(account, part))
 
     def _promise(self, bucket: _Bucket, rate: float, now: float) -> float:
         """Return when an operation that is refused may come back."""
--- a/beryltrack/accounts/rights.py
+++ b/beryltrack/accounts/rights.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from beryltrack.accounts.slots import SLOTS, list_slots
+from beryltrack.accounts.slots import SLOTS, has_slot, list_slots
 
 OnLoss = Callable[[int, float, float], None]
 
@@ -131,4 +131,4 @@
 
 def _get_part(loan: Loan, slot: int) -> float:
     """Return the part of a slot that a loan gives."""
-    return loan.part if loan.slots >> slot & 1 else 0.0
+    return loan.part if has_slot(loan.slots, slot) else 0.0
--- a/beryltrack/accounts/slots.py
+++ b/beryltrack/accounts/slots.py
@@ -26,6 +26,11 @@
     return sum(1 << slot for slot in set(slots))
 
 
+def has_slot(slots: int, slot: int) -> bool:
+    """Return whether a slot is in a set."""
+    return bool(slots >> slot & 1)
+
+
 def list_slots(slots: int) -> Iterator[int]:
     """Return the slots of a set, the lowest first."""
-    return (slot for slot in range(SLOTS) if slots >> slot & 1)
+    return (slot for slot in range(SLOTS) if has_slot(slots, slot))
--- a/beryltrack/daemon/group_connections.py
+++ b/beryltrack/daemon/group_connections.py
@@ -53,12 +53,11 @@
         self._directory = directory
         self._groups = groups
         self._policies = policies
-        self._has_members = False
 
     @property
     def has_members(self) -> bool:
         """True once it is known which instances there are."""
-        return self._has_members
+        return self._directory.is_known
 
     @property
     def pools(self) -> list[DatabaseAccess]:
@@ -69,13 +68,12 @@
     def set_members(self, peers: tuple[Peer, ...]) -> None:
         """Take in which instances there are."""
         self._directory.set_peers(peers)
-        self._has_members = True
         for runtime in self._groups.runtimes:
             self._set_candidates(runtime)
 
     def start_group(self, runtime: GroupRuntime) -> None:
         """Watch a group from now on."""
-        if self._has_members:
+        if self.has_members:
             self._set_candidates(runtime)
         else:
             # Of a fleet that starts each instance would take itself for the first.
@@ -87,7 +85,7 @@
         limits = [get_most_connections(each.settings) for each in self._groups.runtimes]
         is_known = has_accounts and limits
         has_changed = self._directory.set_accounts(min(limits) if is_known else None)
-        if has_changed and self._has_members:
+        if has_changed and self.has_members:
             for runtime in self._groups.runtimes:
                 self._set_candidates(runtime)
 
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -76,7 +76,8 @@
     @property
     def load(self) -> PoolLoad:
         """The load of all ways together, with the limit of those that are used."""
-        direct, others = self.direct.load, [pool.load for pool in self._pools[1:]]
+        direct = self.direct.load
+        others = [pool.load for pool in self._sessions.values()]
         return direct._replace(
             limit=self.limit,
             open=direct.open + sum(load.open for load in others),
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -153,7 +153,13 @@
         if not self._slot_owners:
             owners = self.get_placement("", self._least_connections or 1).owners
             self._slot_owners = order_slots(owners or self._peers)
-        ordered = self._slot_owners[slot]
+        return self._choose_fit(self._slot_owners[slot])
+
+    def _choose_fit(self, ordered: Sequence[Peer]) -> Peer:
+        """Return the first owner that is not passed over.
+
+        If all are, the one that was so first is asked again.
+        """
         now = self._seconds()
         fit = (each for each in ordered if now >= self._avoided.get(each.name, now))
         longest = min(ordered, key=lambda each: self._avoided.get(each.name, 0.0))
@@ -178,10 +184,7 @@
             return None
         owners = self.get_placement(group, max_connections).owners
         ordered = order_owners(owners, group, self._own.name, self._own.zone)
-        now = self._seconds()
-        fit = (each for each in ordered if now >= self._avoided.get(each.name, now))
-        longest = min(ordered, key=lambda each: self._avoided.get(each.name, 0.0))
-        return next(fit, longest)
+        return self._choose_fit(ordered)
 
     def choose_way(
         self, group: str, database: str, max_connections: int, account: str = ""
