Log a list that is passed over

Callers were served by old settings while each list of the store was answered and had no effect; no line told why.

--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -259,6 +259,12 @@
         self._must_list = False
         if found.revision < self.revision:
             # Another instance has told of later changes meanwhile.
+            log.info(
+                "objects: A list of %s at revision %d is passed over, %d is known.",
+                self._kind,
+                found.revision,
+                self.revision,
+            )
             return
         self._revision = found.revision
         self._objects = {item.path: item for item in found.objects}
