Let the stand-in store come back from an older copy; settings then stand still

Callers would be served by settings of before the store's return for ever: a confirmed version 9 is not in force 3 s later in any of 9 cases (one, three and forty lost writes; answers lost, refused, none), and a wait that was not cut off misses it in 5 of 5. The line 'A list of config at revision 8 is passed over, 12 is known' alternates with 'expired', as in the record, with one instance alone: no peer and no repeated loss of the history is needed, which rules the other two hypotheses out. The stand-in tells its era in a header, keeps copies, answers 410 to a revision that it does not have, and can leave waits open when it comes back.

--- a/beryltrack_standins/lines/store.py
+++ b/beryltrack_standins/lines/store.py
@@ -25,6 +25,9 @@
 KEPT_EVENTS = 200
 """Changes that the store remembers."""
 
+ERA_HEADER = "Store-Era"
+"""Names the header that rises by one each time the store comes back from a copy."""
+
 LOST, REFUSING, SILENT = "lost", "refusing", "silent"
 
 
@@ -37,15 +40,32 @@
     removed: bool
 
 
+class Copy(NamedTuple):
+    """All that the store held at a moment: its revision, objects and changes."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict]
+    events: tuple[Event, ...]
+
+
 class Store:
-    """Objects by kind and name, with one counter of revisions."""
+    """Objects by kind and name, with one counter of revisions.
+
+    Parameters
+    ----------
+    era : int or None
+        How often it has come back from a copy, as its answers tell; None if they tell
+        nothing of that.
+    """
 
-    def __init__(self):
+    def __init__(self, era: int | None = 1):
+        self.era = era
         self.revision = 1
         self.objects: dict[tuple[str, str], dict] = {}
         self.events: list[Event] = []
         self.forgotten = 0
         self.writes = 0
+        self.cuts: set[Callable[[], None]] = set()
         self._watches: list[Callable[[], None]] = []
 
     def change(self, kind: str, name: str, spec: object, removed: bool = False) -> dict:
@@ -70,6 +90,23 @@
         self.events.clear()
         self.forgotten = self.revision
 
+    def make_copy(self) -> Copy:
+        """Return a copy from which the store may come back."""
+        return Copy(self.revision, dict(self.objects), tuple(self.events))
+
+    def come_back(self, copy: Copy, cuts_waits: bool = True) -> None:
+        """Go back to a copy: what was written since is gone.
+
+        Revisions after the copy's are given out again. A wait that is not cut off goes
+        on from a revision that now stands for something else.
+        """
+        self.revision, self.objects = copy.revision, dict(copy.objects)
+        self.events = list(copy.events)
+        if self.era is not None:
+            self.era += 1
+        for cut in tuple(self.cuts) if cuts_waits else ():
+            cut()
+
     def get_events(self, kind: str, after: int) -> list[Event]:
         """Return the changes of a kind after a revision."""
         return [each for each in self.events if each.kind == kind and each[0] > after]
@@ -108,6 +145,8 @@
         """Answer one call."""
         if self.trouble == SILENT:
             return NOT_DONE_YET
+        if self._store.era is not None:
+            request.setHeader(ERA_HEADER, str(self._store.era))
         if self.trouble == REFUSING:
             return self._refuse(request, SERVICE_UNAVAILABLE)
         parts = request.path.decode().strip("/").split("/")
@@ -141,7 +180,7 @@
 
     def _watch(self, request, kind: str, after: int, wait: float):
         """Answer as soon as there is a change, or with none after a time."""
-        if after < self._store.forgotten:
+        if after < self._store.forgotten or after > self._store.revision:
             return self._refuse(request, GONE)
         gone = []
         request.notifyFinish().addErrback(gone.append)
@@ -150,12 +189,14 @@
 
         def finish(at_once: bool = False) -> None:
             if gone or request.finished:
+                self._store.cuts.discard(cut)
                 return
             events = self._store.get_events(kind, after)
             if not (events or at_once):
                 self._store.wake_at_change(finish)
                 return
             timer.cancel()
+            self._store.cuts.discard(cut)
             shown = [
                 {"object": self._show(kind, each.item), "removed": each.removed}
                 for each in events
@@ -164,6 +205,14 @@
             request.write(self._send(request, body))
             request.finish()
 
+        def cut() -> None:
+            self._store.cuts.discard(cut)
+            timer.cancel()
+            if not (gone or request.finished):
+                gone.append(None)
+                request.transport.abortConnection()
+
+        self._store.cuts.add(cut)
         finish()
         return NOT_DONE_YET
 
--- /dev/null
+++ b/tests/daemon/test_restored_store.py
@@ -0,0 +1,195 @@
+"""Settings go on to change after the store came back from an older copy.
+
+The store was away for 2.6 s and came back from a copy: its revisions had gone back, and
+were given out again. Six instances that knew revision 26 took each list for one that
+was overtaken by what another instance had told, as its revision was lower, and asked
+for what came after revision 26, a history that did not exist. So each of them listed
+and asked seven times a second, and none learned of three confirmed versions.
+
+The lines that settled it, repeated without end, of one instance alone whose store came
+back at revision 7, when 12 was known, and confirmed a new version of the settings:
+
+    objects: A list of config at revision 8 is passed over, 12 is known.
+    objects: No answer for config for 0.1 s (expired): the platform forgot the changes.
+
+If the revision that was known had been given out again meanwhile, the wait was
+answered as if nothing had happened, and what had been written before it was missed.
+"""
+
+import random
+from functools import partial
+from itertools import product
+
+import pytest
+from treq.testing import RequestTraversalAgent
+
+from beryltrack.daemon.node import Node
+from beryltrack.objects.http import HttpClient
+from beryltrack.platform.boot import parse_node_settings
+from beryltrack_standins.lines.store import (
+    LOST,
+    REFUSING,
+    SILENT,
+    Store,
+    StoreView,
+)
+from tests.daemon.test_silent_store import STEP, Reactor
+from tests.platform.test_settings import BOOT, CONFIG, ENTRY
+
+APPLY_LIMIT = 3.0
+"""Seconds within which a confirmed change is to be in force."""
+
+COLD_START = 2.0
+"""Seconds after the start by which the instance has listed all it follows."""
+
+
+class RestoredSite:
+    """One instance and a store that can come back from a copy, in simulated time."""
+
+    def __init__(self, monkeypatch, era=1):
+        self.clock = Reactor()
+        self.store = Store(era)
+        self.view = StoreView(
+            self.clock, self.store, lambda kind, name, spec: spec, random.Random(1)
+        )
+        self.agent = RequestTraversalAgent(self.view)
+        make_client = partial(HttpClient, agent=self.agent)
+        monkeypatch.setattr("beryltrack.daemon.store_clients.HttpClient", make_client)
+        self.versions = []
+        self.configure(7)
+        for number in range(3):
+            self.register(number)
+        settings = parse_node_settings(BOOT)
+        self.node = Node(self.clock, settings, random.Random(1), lambda line: None)
+        self.node.start()
+        self.advance(COLD_START)
+
+    @property
+    def version(self):
+        """The version of the settings in force."""
+        return self.node._configuration.version
+
+    def configure(self, version, *names):
+        routes = [
+            CONFIG["routes"][0] | {"name": f"r-{name}", "database_name": name}
+            for name in names
+        ]
+        value = {"config_version": version, "routes": [*CONFIG["routes"], *routes]}
+        self.store.change("config", "main", CONFIG | value)
+
+    def register(self, number, **fields):
+        entry = ENTRY | {"address": f"10.1.0.{number}:80", "state": "ready"} | fields
+        self.store.change("servers", f"i-{number}", entry)
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / STEP)):
+            self.clock.advance(STEP)
+            self.agent.flush()
+            self.versions.append(self.version)
+
+    def write_others(self, count):
+        """Let other instances write what this one does not go by."""
+        for number in range(count):
+            self.store.change("permits", "other", {"token": number})
+
+
+@pytest.fixture
+def make_site(monkeypatch):
+    return partial(RestoredSite, monkeypatch)
+
+
+def test_a_change_after_the_return_is_in_force_in_time(make_site):
+    in_force = {}
+    for how, lost in product((LOST, REFUSING, SILENT), (1, 3, 40)):
+        site = make_site()
+        site.configure(8)
+        site.advance(1.0)
+        copy = site.store.make_copy()
+        site.write_others(lost)
+        site.register(0, cold_remaining_ms=5)
+        site.advance(1.0)
+        site.view.trouble = how
+        site.advance(2.6)
+        site.store.come_back(copy)
+        site.view.trouble = ""
+        site.configure(9, "new")
+        site.advance(APPLY_LIMIT)
+        is_served = site.node._get_route("new") is not None
+        in_force[how, lost] = site.version, is_served
+    assert set(in_force.values()) == {(9, True)}
+
+
+def test_nothing_is_missed_though_the_known_revision_was_given_out_again(make_site):
+    """A wait that was not cut off is answered as if nothing had happened."""
+    in_force = {}
+    for written_again in (1, 2, 3, 4, 9):
+        site = make_site()
+        copy = site.store.make_copy()
+        site.write_others(2)
+        site.register(0, cold_remaining_ms=5)
+        site.advance(1.0)
+        site.store.come_back(copy, cuts_waits=False)
+        site.configure(9, "new")
+        site.write_others(written_again)
+        site.advance(APPLY_LIMIT)
+        in_force[written_again] = site.version
+    assert set(in_force.values()) == {9}
+
+
+def test_settings_never_go_back_while_the_store_has_an_older_version(make_site):
+    site = make_site()
+    copy = site.store.make_copy()
+    site.configure(8)
+    site.advance(1.0)
+    site.view.trouble = REFUSING
+    site.advance(1.0)
+    site.store.come_back(copy)
+    site.view.trouble = ""
+    site.advance(3.0)
+    assert site.version == 8
+    site.configure(8)
+    site.advance(1.0)
+    site.configure(9)
+    site.advance(APPLY_LIMIT)
+    assert site.version == 9 and site.versions == sorted(site.versions)
+
+
+def test_a_database_that_left_in_the_lost_seconds_gets_no_work_for_long(make_site):
+    """It is to be told again, as with any outage, two seconds after the return."""
+    site = make_site()
+    copy = site.store.make_copy()
+    site.register(2, state="draining")
+    site.advance(1.0)
+    site.view.trouble = REFUSING
+    site.advance(1.0)
+    site.store.come_back(copy)
+    site.view.trouble = ""
+    site.advance(2.0)
+    site.register(2, state="draining")
+    site.advance(APPLY_LIMIT)
+    databases = site.node._groups.get("huvo").settings.databases
+    assert [each.draining for each in databases] == [False, False, True]
+
+
+@pytest.mark.parametrize("times", [2, 3])
+def test_it_holds_for_several_returns_in_a_row(make_site, times):
+    site = make_site()
+    copy = site.store.make_copy()
+    site.write_others(5)
+    site.register(0, cold_remaining_ms=5)
+    site.advance(1.0)
+    for _ in range(times):
+        site.store.come_back(copy)
+        site.write_others(5)
+        site.register(0, cold_remaining_ms=5)
+        site.advance(0.3)
+    site.configure(9)
+    site.advance(APPLY_LIMIT)
+    assert site.version == 9
+
+
+def test_a_store_without_eras_works_as_before(make_site):
+    site = make_site(era=None)
+    site.configure(8)
+    site.advance(APPLY_LIMIT)
+    assert site.version == 8
