Let versions stand for the store's era and the revision in it

Callers were served by version 21 of the settings 3.03 s after version 23 had been confirmed, and for as long as the instances lived. Cause: revisions alone ordered what the store tells. It came back from a copy with lower ones, so each list was passed over as overtaken by another instance's word ('A list of config at revision 8 is passed over, 12 is known'), and each watch asked for a history that does not exist. Ruled out: a history dropped again and again (the lists were lower), and other instances (one alone shows it).

A version is now the era of the answer (its header) above the revision. An answer of a past era says nothing; a watch that another era answers has expired, and a list follows; a list of pages of two eras is none; a condition is sent in its era only, and is unknown if another one answers. A store without eras works as before.

It holds since no rule compares bare revisions any more: they are read and sent in two clients only.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -28,6 +28,7 @@
 from beryltrack.daemon.store_clients import make_store_clients
 from beryltrack.events.log import EventLog
 from beryltrack.metrics.plain import Gauge, PlainMetrics
+from beryltrack.objects.eras import EraTracker, get_revision
 from beryltrack.objects.feed import FeedTask, compute_wait
 from beryltrack.objects.messages import PlatformObject
 from beryltrack.objects.rejects import RejectLog
@@ -139,6 +140,7 @@
         self._seconds = get_seconds(reactor)
         self._rejects = RejectLog()
         clients = make_store_clients(reactor, settings, rng, self._rejects)
+        self._eras: EraTracker = clients.eras
         self._policies = make_policies(settings.is_fenced, settings.disabled)
         copies = settings.copies_listen if self._policies.shares_copies else None
         own = Peer(
@@ -176,6 +178,7 @@
         self._site = SiteSettings(0, (), (), ())
         self._routes: dict[str, RouteSettings] = {}
         self._configuration: SiteConfiguration | None = None
+        self._configured_by: dict[str, PlatformObject] = {}
         self._roster = Roster()
         self._has_roster = False
         self._learned: Snapshot = {}
@@ -367,6 +370,7 @@
         if configuration is None or (known and configuration.version <= known.version):
             return
         self._configuration = configuration
+        self._configured_by = {CONFIG_PATH: item}
         self._rejects.report(self._accounts.set_accounts(configuration.accounts))
         log.info("settings: Version %d is in force.", configuration.version)
         self._apply()
@@ -382,9 +386,10 @@
 
     def _get_snapshot(self) -> Snapshot:
         """Return the copies of the store's objects that this instance goes by."""
-        config, databases = (feed.objects for feed in self._feeds)
+        _, databases = (feed.objects for feed in self._feeds)
         copies = {
-            CONFIG_KIND: config,
+            # A store that came back from a copy may have older settings for a while.
+            CONFIG_KIND: self._configured_by,
             DATABASES_KIND: databases,
             MEMBERS_KIND: self._members.objects,
         }
@@ -446,11 +451,12 @@
         yield "beryltrack_settings_version", "", version
         yield "beryltrack_callers", "", len(self._callers.callers)
         yield "beryltrack_store_is_followed", "", int(not self._copies.source)
+        yield "beryltrack_store_era", "", self._eras.era
         yield "beryltrack_unreadable_objects_total", "", self._rejects.count
         for feed in (*self._feeds, self._members.feed):
             labels = f'kind="{feed.kind}"'
             yield "beryltrack_store_silence_seconds", labels, round(feed.silence, 3)
-            yield "beryltrack_store_revision", labels, feed.revision
+            yield "beryltrack_store_revision", labels, get_revision(feed.revision)
         for runtime in self._groups.runtimes:
             for name, pool in runtime.pools.items():
                 labels = f'group="{runtime.settings.name}",database="{name}"'
--- a/beryltrack/daemon/store_clients.py
+++ b/beryltrack/daemon/store_clients.py
@@ -11,6 +11,7 @@
     USABLE_TIME,
     UnfencedAuthority,
 )
+from beryltrack.objects.eras import EraTracker
 from beryltrack.objects.http import HttpClient
 from beryltrack.objects.rejects import RejectLog
 from beryltrack.platform.promotion import PromotionCalls
@@ -33,12 +34,15 @@
         Carries out promotions.
     authority : PromotionAuthority
         Gives the permits for them.
+    eras : EraTracker
+        The era of the store, as answers to any of these clients tell.
     """
 
     store: PlatformStore
     lagging_store: PlatformStore
     promotion: PromotionCalls
     authority: PromotionAuthority
+    eras: EraTracker
 
 
 def make_store_clients(
@@ -62,11 +66,15 @@
         endpoint: Endpoint,
         connect_timeout: float = options.STORE_TIMEOUT,
         timeout: float = options.STORE_TIMEOUT,
+        eras: EraTracker | None = None,
     ) -> HttpClient:
         url = f"http://{endpoint.host}:{endpoint.port}"
-        return HttpClient(reactor, url, rng, timeout, connect_timeout=connect_timeout)
+        return HttpClient(
+            reactor, url, rng, timeout, connect_timeout=connect_timeout, eras=eras
+        )
 
-    http = make_client(settings.store)
+    eras = EraTracker(get_seconds(reactor))
+    http = make_client(settings.store, eras=eras)
     store = PlatformStore(http, rejects)
     if settings.is_fenced:
         promotions = make_client(settings.promotion)
@@ -75,7 +83,7 @@
         promotions = make_client(settings.promotion, CONNECT_TIME)
         # A permit that is not written in time is of no use: the next one is tried.
         permits = PlatformStore(
-            make_client(settings.store, CONNECT_TIME, USABLE_TIME), rejects
+            make_client(settings.store, CONNECT_TIME, USABLE_TIME, eras), rejects
         )
         process = f"{rng.getrandbits(64):016x}"
         authority = UnfencedAuthority(
@@ -86,4 +94,5 @@
         PlatformStore(http, rejects, may_lag=True),
         PromotionCalls(promotions, settings.name),
         authority,
+        eras,
     )
--- a/beryltrack/objects/client.py
+++ b/beryltrack/objects/client.py
@@ -17,6 +17,11 @@
 from twisted.internet.defer import Deferred
 from twisted.web.iweb import IAgent
 
+from beryltrack.objects.eras import (
+    EraTracker,
+    format_version,
+    get_revision,
+)
 from beryltrack.objects.http import (
     CALL_TIMEOUT,
     HttpAnswer,
@@ -70,6 +75,11 @@
     ):
         self._http = HttpClient(reactor, url, rng, timeout, agent)
 
+    @property
+    def eras(self) -> EraTracker:
+        """The era that the store is in."""
+        return self._http.eras
+
     async def get(self, path: str) -> Result[PlatformObject | None, PlatformError]:
         """Return one object, or None if there is none at this path."""
         return await self._read(_get_object_url(path), parse_object)
@@ -105,9 +115,10 @@
         Result
             The changed objects, possibly none.
         """
-        query = urlencode({"prefix": prefix, "after": after, "timeout": timeout})
+        place = {"prefix": prefix, "after": get_revision(after), "timeout": timeout}
         limit = timeout + self._http.timeout
-        result = await self._http.attempt("GET", f"/watch?{query}", None, limit)
+        url = f"/watch?{urlencode(place)}"
+        result = await self._http.watch(url, after, limit)
         return _require(result.bind(lambda answer: _read_answer(answer, parse_list)))
 
     async def put(
@@ -120,8 +131,8 @@
         Result
             The new version.
         """
-        body = {"value": value, "if_version": if_version}
-        return await self._change("PUT", _get_object_url(path), body)
+        body = {"value": value, "if_version": get_revision(if_version)}
+        return await self._change("PUT", _get_object_url(path), body, if_version)
 
     async def delete(self, path: str, if_version: int) -> Result[int, PlatformError]:
         """Delete an object if its version is `if_version`.
@@ -131,23 +142,25 @@
         Result
             The version of the deletion.
         """
-        query = urlencode({"if_version": if_version})
-        return await self._change("DELETE", f"{_get_object_url(path)}?{query}", None)
+        query = urlencode({"if_version": get_revision(if_version)})
+        url = f"{_get_object_url(path)}?{query}"
+        return await self._change("DELETE", url, None, if_version)
 
     def close(self) -> Deferred:
         """Close the idle connections; fires when they are closed."""
         return self._http.close()
 
-    async def _read(self, url: str, parse: Callable[[object], T]) -> Result:
+    async def _read(self, url: str, parse: Callable[[object, int], T]) -> Result:
         """Repeat a read until it gives an answer or the attempts are used up."""
         repeatable = frozenset({ErrorKind.REFUSED, ErrorKind.UNKNOWN})
         result = await self._http.repeat("GET", url, None, repeatable)
         return result.bind(lambda answer: _read_answer(answer, parse))
 
-    async def _change(self, method: str, url: str, body: object) -> Result:
+    async def _change(
+        self, method: str, url: str, body: object, if_version: int
+    ) -> Result:
         """Send a change, again only as long as it was refused before its effect."""
-        repeatable = frozenset({ErrorKind.REFUSED})
-        result = await self._http.repeat(method, url, body, repeatable)
+        result = await self._http.change(method, url, body, if_version)
         return result.bind(_read_change)
 
 
@@ -156,14 +169,14 @@
     return f"/objects/{quote(path)}"
 
 
-def _read_answer(answer: HttpAnswer, parse: Callable[[object], T]) -> Result:
+def _read_answer(answer: HttpAnswer, parse: Callable[[object, int], T]) -> Result:
     """Return the parsed answer to a read, None for an object that is not there."""
     if answer.code == NOT_FOUND:
         return Success(None)
     if answer.code >= 400:
         return fail_call(ErrorKind.INVALID, f"the platform answered {answer.code}")
     try:
-        return Success(parse(json.loads(answer.body)))
+        return Success(parse(json.loads(answer.body), answer.era))
     except ValueError as error:
         return fail_call(ErrorKind.INVALID, f"the platform's answer is faulty: {error}")
 
@@ -175,15 +188,14 @@
     if answer.code >= 400 and answer.code != CONFLICT:
         return fail_call(ErrorKind.INVALID, f"the platform answered {answer.code}")
     try:
-        version = parse_version(json.loads(answer.body))
+        version = parse_version(json.loads(answer.body), answer.era)
     except ValueError as error:
         # The change was accepted although its answer cannot be read.
         kind = ErrorKind.CONFLICT if answer.code == CONFLICT else ErrorKind.UNKNOWN
         return fail_call(kind, f"the platform's answer is faulty: {error}")
     if answer.code == CONFLICT:
-        return fail_call(
-            ErrorKind.CONFLICT, f"the object has version {version}", version
-        )
+        text = f"the object has version {format_version(version)}"
+        return fail_call(ErrorKind.CONFLICT, text, version)
     return Success(version)
 
 
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -16,6 +16,7 @@
 
 from beryltrack.clock import get_seconds
 from beryltrack.objects.backoff import compute_delay
+from beryltrack.objects.eras import format_version
 from beryltrack.objects.messages import (
     ErrorKind,
     ObjectList,
@@ -142,7 +143,7 @@
 
     @property
     def revision(self) -> int:
-        """The store's revision up to which changes are known; 0 before a list."""
+        """The store's version up to which changes are known; 0 before a list."""
         return self._revision or 0
 
     @property
@@ -198,8 +199,8 @@
         Parameters
         ----------
         revision : int
-            The store's revision up to which that instance knows the kind. What is
-            older than the own knowledge is left out.
+            The store's version up to which that instance knows the kind. What is
+            older than the own knowledge, or of an earlier era, is left out.
         objects : tuple of PlatformObject
             All objects, or those that have changed.
         is_whole : bool
@@ -260,10 +261,10 @@
         if found.revision < self.revision:
             # Another instance has told of later changes meanwhile.
             log.info(
-                "objects: A list of %s at revision %d is passed over, %d is known.",
+                "objects: A list of %s at revision %s is passed over, %s is known.",
                 self._kind,
-                found.revision,
-                self.revision,
+                format_version(found.revision),
+                format_version(self.revision),
             )
             return
         self._revision = found.revision
--- a/beryltrack/objects/http.py
+++ b/beryltrack/objects/http.py
@@ -34,6 +34,7 @@
 from zope.interface import implementer
 
 from beryltrack.objects.backoff import compute_delay
+from beryltrack.objects.eras import ERA_HEADER, EraTracker, get_era, parse_era
 from beryltrack.objects.messages import ErrorKind, PlatformError
 from beryltrack.wire.sockets import SocketLimits, tune_socket
 
@@ -48,6 +49,7 @@
 SERVICE_LIMITS = SocketLimits(idle=1, interval=1, count=2, user_timeout=3_000)
 # Both are sent by the service instead of running the call.
 REFUSALS = frozenset({429, 503})
+_REFUSED = frozenset({ErrorKind.REFUSED})
 
 
 class HttpAnswer(NamedTuple):
@@ -59,10 +61,13 @@
         HTTP status code.
     body : bytes
         The body as received.
+    era : int
+        The era of the service's store that it is of; 0 if there are none.
     """
 
     code: int
     body: bytes
+    era: int = 0
 
 
 class BodyCollector(Protocol):
@@ -176,6 +181,8 @@
         Carries the requests in place of connections of this client's own.
     connect_timeout : float, optional
         Seconds until a new connection counts as failed.
+    eras : EraTracker, optional
+        Takes the era that answers tell; shared by all clients of one store.
     """
 
     def __init__(
@@ -186,7 +193,9 @@
         timeout: float = CALL_TIMEOUT,
         agent: IAgent | None = None,
         connect_timeout: float = CONNECT_TIMEOUT,
+        eras: EraTracker | None = None,
     ):
+        self.eras = eras or EraTracker(reactor.seconds)
         self._reactor = reactor
         self._url = url.rstrip("/")
         self._rng = rng or random.Random()
@@ -211,12 +220,59 @@
         """Close the idle connections; fires when they are closed."""
         return self._pool.closeCachedConnections()
 
+    async def watch(
+        self, url: str, after: int, limit: float
+    ) -> Result[HttpAnswer, PlatformError]:
+        """Ask for changes after a version; one attempt, outside the call limit.
+
+        A revision of an earlier era stands for something else now, so that an answer
+        of a later era would miss changes.
+        """
+        expired = fail_call(ErrorKind.EXPIRED, "the platform came back from a copy")
+        if self.eras.is_past(get_era(after)):
+            return expired
+        answer = await self.attempt("GET", url, None, limit)
+        is_other = isinstance(answer, Success) and answer.unwrap().era != get_era(after)
+        return expired if is_other else answer
+
+    async def change(
+        self, method: str, url: str, body: object, if_version: int
+    ) -> Result[HttpAnswer, PlatformError]:
+        """Send a change, again only as long as it was refused before its effect.
+
+        One that is conditional on a version is sent in the version's era only. What
+        another one answers does not tell whether the condition held.
+        """
+        era = get_era(if_version) if if_version else None
+        return await self.repeat(method, url, body, _REFUSED, era)
+
     async def repeat(
-        self, method: str, url: str, body: object, repeatable: frozenset[ErrorKind]
+        self,
+        method: str,
+        url: str,
+        body: object,
+        repeatable: frozenset[ErrorKind],
+        era: int | None = None,
     ) -> Result[HttpAnswer, PlatformError]:
-        """Make up to `MAX_ATTEMPTS` attempts with jittered delays between them."""
+        """Make up to `MAX_ATTEMPTS` attempts with jittered delays between them.
+
+        Parameters
+        ----------
+        method, url : str
+            The request.
+        body : object
+            Its JSON value, None for none.
+        repeatable : frozenset of ErrorKind
+            Failures after which it may be sent again.
+        era : int, optional
+            The only era in which it may be sent; None for any.
+        """
         for attempt in range(1, MAX_ATTEMPTS + 1):
+            if era is not None and self.eras.is_past(era):
+                return fail_call(ErrorKind.CONFLICT, "its version is of a past era")
             result = await self._limit(method, url, body)
+            if isinstance(result, Success) and era not in (None, result.unwrap().era):
+                return fail_call(ErrorKind.UNKNOWN, "the store changed its era")
             match result:
                 case Failure(PlatformError(kind)) if kind in repeatable:
                     pass
@@ -273,6 +329,10 @@
             return fail_call(ErrorKind.REFUSED, f"the platform answered {answer.code}")
         if answer.code >= 500:
             return fail_call(ErrorKind.UNKNOWN, f"the platform answered {answer.code}")
+        if self.eras.is_past(answer.era):
+            # What it read or wrote may be lost since.
+            text = f"the answer is of era {answer.era}, now is era {self.eras.era}"
+            return fail_call(ErrorKind.UNKNOWN, text)
         return Success(answer)
 
     async def _send(
@@ -286,7 +346,9 @@
         )
         collector = BodyCollector()
         response.deliverBody(collector)
-        return HttpAnswer(response.code, await collector.done)
+        told = response.headers.getRawHeaders(ERA_HEADER, [None])[0]
+        body = await collector.done
+        return HttpAnswer(response.code, body, self.eras.observe(parse_era(told)))
 
     def _build_producer(self, body: object) -> FileBodyProducer:
         """Return a producer of JSON text that runs on this client's reactor."""
--- a/beryltrack/objects/messages.py
+++ b/beryltrack/objects/messages.py
@@ -19,7 +19,7 @@
     path : str
         Where it is kept, for example ``settings/shop/groups/orders``.
     version : int
-        Its version, a number of one growing sequence over all objects.
+        Its version, a number of one growing sequence over all objects; see `eras`.
     value : object
         The JSON value; None if it is deleted.
     deleted : bool
@@ -78,7 +78,7 @@
     another version than the condition asked for, UNKNOWN that the call may or
     may not have had its effect, INVALID that the platform did not understand
     the call or its answer made no sense, EXPIRED that a watch asked for changes
-    which the platform has forgotten.
+    which the platform has forgotten, or that it came back from a copy meanwhile.
     """
 
     REFUSED = "refused"
--- a/beryltrack/objects/parsing.py
+++ b/beryltrack/objects/parsing.py
@@ -6,6 +6,7 @@
 
 import logging
 
+from beryltrack.objects.eras import make_version
 from beryltrack.objects.messages import InstanceEntry, ObjectList, PlatformObject
 
 log = logging.getLogger(__name__)
@@ -21,19 +22,26 @@
     return value
 
 
-def parse_version(answer: object) -> int:
+def parse_version(answer: object, era: int = 0) -> int:
     """Return the version in the answer to a change.
 
+    Parameters
+    ----------
+    answer : object
+        The JSON value.
+    era : int
+        The era that the answer is of.
+
     Raises
     ------
     ValueError
         If there is none.
     """
-    return _get_field(answer, "version", int)
+    return make_version(era, _get_field(answer, "version", int))
 
 
-def parse_object(answer: object) -> PlatformObject:
-    """Return one object from its JSON form.
+def parse_object(answer: object, era: int = 0) -> PlatformObject:
+    """Return one object from its JSON form, in an answer of an era.
 
     Raises
     ------
@@ -41,14 +49,14 @@
         If a field is missing or of another type.
     """
     path = _get_field(answer, "path", str)
-    version = parse_version(answer)
+    version = parse_version(answer, era)
     deleted = answer.get("deleted") is True
     value = None if deleted else answer.get("value")
     return PlatformObject(path, version, value, deleted)
 
 
-def parse_list(answer: object) -> ObjectList:
-    """Return the objects of a list or a watch.
+def parse_list(answer: object, era: int = 0) -> ObjectList:
+    """Return the objects of a list or a watch, in an answer of an era.
 
     Raises
     ------
@@ -57,14 +65,15 @@
     """
     revision = _get_field(answer, "revision", int)
     objects = _get_field(answer, "objects", list)
-    parsed = (_parse_or_leave_out(item) for item in objects)
-    return ObjectList(revision, tuple(item for item in parsed if item is not None))
+    parsed = (_parse_or_leave_out(item, era) for item in objects)
+    known = tuple(item for item in parsed if item is not None)
+    return ObjectList(make_version(era, revision), known)
 
 
-def _parse_or_leave_out(item: object) -> PlatformObject | None:
+def _parse_or_leave_out(item: object, era: int) -> PlatformObject | None:
     """Return one object of a list; one that cannot be read costs itself alone."""
     try:
-        return parse_object(item)
+        return parse_object(item, era)
     except ValueError as error:
         log.warning("objects: An object of a list is left out: %s.", error)
         return None
@@ -81,8 +90,8 @@
     )
 
 
-def parse_instances(answer: object) -> tuple[InstanceEntry, ...]:
-    """Return the instance list.
+def parse_instances(answer: object, era: int = 0) -> tuple[InstanceEntry, ...]:
+    """Return the instance list, which has no versions.
 
     Raises
     ------
--- a/beryltrack/platform/store.py
+++ b/beryltrack/platform/store.py
@@ -11,6 +11,7 @@
 
 from beryltrack.objects import fields
 from beryltrack.objects.answers import decode_answer
+from beryltrack.objects.eras import get_era, get_revision, make_version
 from beryltrack.objects.fields import Field
 from beryltrack.objects.http import HttpAnswer, HttpClient, fail_call
 from beryltrack.objects.messages import (
@@ -34,7 +35,6 @@
     Field("revision", fields.parse_whole_number),
 )
 _REPEATABLE_READ = frozenset((ErrorKind.REFUSED, ErrorKind.UNKNOWN))
-_REPEATABLE_CHANGE = frozenset((ErrorKind.REFUSED,))
 
 
 class PlatformStore:
@@ -72,7 +72,7 @@
         """Return all objects of a kind, page by page.
 
         The revision is that of the first page, so that a watch from there misses
-        no change made while the later ones were read.
+        no change made while the later ones were read. Pages of two eras are no list.
         """
         objects: dict[str, PlatformObject] = {}
         revision: int | None = None
@@ -86,6 +86,8 @@
                 return page
             items, at, has_more = page.unwrap()
             revision = at if revision is None else revision
+            if get_era(at) != get_era(revision):
+                return fail_call(ErrorKind.EXPIRED, "the pages are of two eras")
             objects.update((item.path, item) for item in items)
             if not has_more:
                 return Success(ObjectList(revision, tuple(objects.values())))
@@ -97,10 +99,9 @@
         self, kind: str, after: int, timeout: float
     ) -> Result[ObjectList, PlatformError]:
         """Wait for changes of a kind; one attempt, outside the call limit."""
-        wait = {"watch": after, "wait_ms": int(timeout * 1000)}
+        wait = {"watch": get_revision(after), "wait_ms": int(timeout * 1000)}
         url = _get_list_url(kind, self._options | wait)
-        limit = timeout + ANSWER_TIME
-        answer = await self._http.attempt("GET", url, None, limit)
+        answer = await self._http.watch(url, after, timeout + ANSWER_TIME)
         if isinstance(answer, Success) and answer.unwrap().code == GONE:
             return fail_call(ErrorKind.EXPIRED, "the platform forgot the changes")
         return answer.bind(lambda each: _read(each, kind, self._parse_events))
@@ -110,20 +111,22 @@
     ) -> Result[int, PlatformError]:
         """Write an object if its version is `if_version`, 0 if it must not exist."""
         kind, _, name = path.partition("/")
-        if if_version:
-            meta = {"name": name, "revision": if_version, "finalizers": []}
+        revision = get_revision(if_version)
+        if revision:
+            meta = {"name": name, "revision": revision, "finalizers": []}
             method, url = "PUT", _get_url(path)
         else:
             meta = {"name": name, "finalizers": []}
             method, url = "POST", f"/api/objects/{quote(kind)}"
         body = {"meta": meta, "spec": value}
-        answer = await self._http.repeat(method, url, body, _REPEATABLE_CHANGE)
+        answer = await self._http.change(method, url, body, if_version)
         return answer.bind(_read_change)
 
     async def delete(self, path: str, if_version: int) -> Result[int, PlatformError]:
         """Delete an object if its version is `if_version`."""
-        url = f"{_get_url(path)}?{urlencode({'revision': if_version})}"
-        answer = await self._http.repeat("DELETE", url, None, _REPEATABLE_CHANGE)
+        query = urlencode({"revision": get_revision(if_version)})
+        url = f"{_get_url(path)}?{query}"
+        answer = await self._http.change("DELETE", url, None, if_version)
         return answer.bind(_read_change)
 
     def close(self) -> Deferred:
@@ -131,32 +134,33 @@
         return self._http.close()
 
     def _parse_page(
-        self, kind: str, answer: dict
+        self, kind: str, answer: dict, era: int
     ) -> tuple[tuple[PlatformObject, ...], int, bool]:
         """Return the objects of a page, the store's revision, and if more follow."""
-        items = [self._decode(kind, item) for item in answer["items"]]
+        items = [self._decode(kind, item, era) for item in answer["items"]]
         known = tuple(item for item in items if item is not None)
-        return known, int(answer["current_rev"]), bool(answer.get("has_more"))
+        at = make_version(era, int(answer["current_rev"]))
+        return known, at, bool(answer.get("has_more"))
 
-    def _parse_events(self, kind: str, answer: dict) -> ObjectList:
+    def _parse_events(self, kind: str, answer: dict, era: int) -> ObjectList:
         """Return the objects that changed."""
         items = [
-            self._decode(kind, event.get("object"), bool(event.get("removed")))
+            self._decode(kind, event.get("object"), era, bool(event.get("removed")))
             for event in answer["events"]
             if isinstance(event, dict)
         ]
         known = tuple(item for item in items if item is not None)
-        return ObjectList(int(answer["current_rev"]), known)
+        return ObjectList(make_version(era, int(answer["current_rev"])), known)
 
-    def _decode_one(self, kind: str, item: object) -> PlatformObject:
+    def _decode_one(self, kind: str, item: object, era: int) -> PlatformObject:
         """Return the object that was asked for; raise `ValueError` if it is none."""
-        found = self._decode(kind, item)
-        if found is None or not found.version:
+        found = self._decode(kind, item, era)
+        if found is None or not get_revision(found.version):
             raise ValueError("no object, or one without a revision")
         return found
 
     def _decode(
-        self, kind: str, item: object, is_gone: bool = False
+        self, kind: str, item: object, era: int, is_gone: bool = False
     ) -> PlatformObject | None:
         """Return an object, without its value if only its name can be read, or None."""
         meta, findings = fields.read_nested(kind, item, "meta", _META_FIELDS)
@@ -165,7 +169,8 @@
             return None
         value = None if findings or is_gone else hide_keys(item.get("spec"))
         path = f"{kind}/{meta['name']}"
-        return PlatformObject(path, meta.get("revision", 0), value, is_gone)
+        version = make_version(era, meta.get("revision", 0))
+        return PlatformObject(path, version, value, is_gone)
 
 
 def _get_list_url(kind: str, options: dict[str, object]) -> str:
@@ -185,7 +190,7 @@
     if answer.code >= 400:
         return fail_call(ErrorKind.INVALID, f"the platform answered {answer.code}")
     try:
-        return Success(parse(kind, decode_answer(answer.body)))
+        return Success(parse(kind, decode_answer(answer.body), answer.era))
     except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
         text = f"the platform's answer is faulty: {error!r}"
         return fail_call(ErrorKind.INVALID, text)
@@ -200,7 +205,8 @@
     if answer.code >= 400:
         return fail_call(ErrorKind.INVALID, f"the platform answered {answer.code}")
     try:
-        return Success(int(decode_answer(answer.body)["meta"]["revision"]))
+        revision = int(decode_answer(answer.body)["meta"]["revision"])
+        return Success(make_version(answer.era, revision))
     except (AttributeError, KeyError, TypeError, ValueError):
         # A deletion is answered without the object.
         return Success(0)
--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -14,6 +14,10 @@
 
 If the revision that was known had been given out again meanwhile, the wait was
 answered as if nothing had happened, and what had been written before it was missed.
+
+The cause was that revisions alone ordered what the store tells. A version now stands
+for the store's era and the revision in it, so that a later era goes before all of an
+earlier one, and a wait that an answer of another era ends is followed by a list.
 """
 
 import random
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -30,6 +30,12 @@
         code, value = self.answers.pop(0)
         return Success(HttpAnswer(code, json.dumps(value).encode()))
 
+    async def watch(self, url, after, limit):
+        return await self.attempt("GET", url, None)
+
+    async def change(self, method, url, body, if_version):
+        return await self.attempt(method, url, body)
+
     async def repeat(self, method, url, body, repeatable):
         return await self.attempt(method, url, body)
 
--- a/tests/platform/test_unreadable_objects.py
+++ b/tests/platform/test_unreadable_objects.py
@@ -146,7 +146,7 @@
     async def repeat(self, method, url, body, repeatable):
         return Success(HttpAnswer(200, self.body))
 
-    async def attempt(self, method, url, body, timeout=None, headers=None):
+    async def watch(self, url, after, limit):
         return Success(HttpAnswer(200, self.body))
 
 
