--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -85,6 +85,11 @@
         entry = ENTRY | {"address": f"10.1.0.{number}:80", "state": "ready"} | fields
         self.store.change("servers", f"i-{number}", entry)
 
+    def get_databases(self):
+        """Return the name of each database, and if it is to leave."""
+        databases = self.node._groups.get("huvo").settings.databases
+        return [(each.name, each.draining) for each in databases]
+
     def advance(self, seconds):
         for _ in range(round(seconds / STEP)):
             self.clock.advance(STEP)
@@ -158,21 +163,41 @@
     assert site.version == 9 and site.versions == sorted(site.versions)
 
 
-def test_a_database_that_left_in_the_lost_seconds_gets_no_work_for_long(make_site):
-    """It is to be told again, as with any outage, two seconds after the return."""
+def test_what_databases_said_in_the_lost_seconds_is_not_forgotten(make_site):
+    """For two seconds the store has what they said before, until they say it again.
+
+    A database that had started again, and so had lost what it held, was taken for the
+    one of before; one that was to leave got new work.
+    """
     site = make_site()
+    site.register(1, born=1_000)
+    site.advance(1.0)
     copy = site.store.make_copy()
+    site.register(1, born=2_000)
     site.register(2, state="draining")
     site.advance(1.0)
+    before = site.get_databases()
     site.view.trouble = REFUSING
     site.advance(1.0)
     site.store.come_back(copy)
     site.view.trouble = ""
-    site.advance(2.0)
+    site.advance(1.9)
+    assert before[1:] == [("i-1@2000", False), ("i-2", True)]
+    assert site.get_databases() == before
+    site.register(1, born=2_000)
     site.register(2, state="draining")
-    site.advance(APPLY_LIMIT)
-    databases = site.node._groups.get("huvo").settings.databases
-    assert [each.draining for each in databases] == [False, False, True]
+    site.advance(4.0)
+    assert site.get_databases() == before
+
+
+def test_what_databases_have_not_said_again_by_then_is_taken_back(make_site):
+    site = make_site()
+    copy = site.store.make_copy()
+    site.register(2, state="draining")
+    site.advance(1.0)
+    site.store.come_back(copy)
+    site.advance(4.0)
+    assert site.get_databases() == [("i-0", False), ("i-1", False), ("i-2", False)]
 
 
 @pytest.mark.parametrize("times", [2, 3])
