Give no fencing token twice when the store came back from an older copy

What callers would see: two instances that promote with one token, the late call of the first passing the fence of the second; where no fence is checked, two that promote at a time. Cause: a token was the one in the stored permit plus one, and a store that comes back from a copy has forgotten the last permits. Ruled out: numbering tokens within an era (a call of an earlier era that is carried out late can overwrite the newest permit if the revisions match, and the count goes on from the older one).

The token is now the version of the permit's write: eras never go back, and no revision of an era is given to two writes. The object names the version that it follows, since a write that changes nothing has no revision of its own. A permit whose write was answered in a later era than it was read in is not used.

The stand-in carries calls out late now.

--- a/beryltrack/daemon/store_clients.py
+++ b/beryltrack/daemon/store_clients.py
@@ -78,7 +78,7 @@
     store = PlatformStore(http, rejects)
     if settings.is_fenced:
         promotions = make_client(settings.promotion)
-        authority = StoreAuthority(store, settings.name)
+        authority = StoreAuthority(store, settings.name, eras)
     else:
         promotions = make_client(settings.promotion, CONNECT_TIME)
         # A permit that is not written in time is of no use: the next one is tried.
@@ -87,7 +87,7 @@
         )
         process = f"{rng.getrandbits(64):016x}"
         authority = UnfencedAuthority(
-            permits, settings.name, process, get_seconds(reactor)
+            permits, settings.name, process, get_seconds(reactor), eras
         )
     return StoreClients(
         store,
--- a/beryltrack/failover/authority.py
+++ b/beryltrack/failover/authority.py
@@ -15,7 +15,8 @@
 from returns.result import Failure, Result, Success
 
 from beryltrack.failover.hints import ObjectClient
-from beryltrack.objects.messages import ErrorKind, PlatformError, PlatformObject
+from beryltrack.objects.eras import EraTracker
+from beryltrack.objects.messages import ErrorKind, PlatformError
 
 log = logging.getLogger(__name__)
 
@@ -33,7 +34,9 @@
     holder : str
         Name of the instance that holds it.
     token : int
-        Fencing token; grows each time that the permit is taken.
+        Fencing token: the version of the write by which the permit was taken. No
+        version is given to two writes, also where the store came back from a copy and
+        has forgotten the last ones, or a write of before is carried out late.
     """
 
     holder: str
@@ -70,13 +73,18 @@
         The object store.
     holder : str
         Name of this instance.
+    eras : EraTracker, optional
+        The era of the store; without it the store never loses what it acknowledged.
     """
 
     keeps_permits = True
 
-    def __init__(self, client: ObjectClient, holder: str):
+    def __init__(
+        self, client: ObjectClient, holder: str, eras: EraTracker | None = None
+    ):
         self._client = client
         self._holder = holder
+        self._eras = eras or EraTracker()
         self._permits: dict[str, Permit] = {}
 
     def holds(self, group: str) -> bool:
@@ -127,11 +135,15 @@
             found = await self._client.get(path)
             if not isinstance(found, Success):
                 return found
-            kept = found.unwrap()
-            permit = Permit(self._holder, get_token(kept) + 1)
+            kept, era = found.unwrap(), self._eras.era
             version = 0 if kept is None else kept.version
-            written = await self._client.put(path, permit._asdict(), version)
+            value = make_permit_value(self._holder, version)
+            written = await self._client.put(path, value, version)
+            if self._eras.era != era:
+                # What was read may not have been what the write replaced.
+                continue
             if isinstance(written, Success):
+                permit = Permit(self._holder, written.unwrap())
                 log.info("failover: %s: permit with token %d.", group, permit.token)
                 return Success(permit)
             failure = written
@@ -140,8 +152,10 @@
         return failure
 
 
-def get_token(kept: PlatformObject | None) -> int:
-    """Return the token of a stored permit; 0 if there is none yet."""
-    value = kept.value if kept is not None else None
-    token = value.get("token") if isinstance(value, dict) else None
-    return token if isinstance(token, int) else 0
+def make_permit_value(holder: str, after: int) -> dict[str, object]:
+    """Return the stored form of a permit.
+
+    It names the version that it follows, as a write that changes nothing would be
+    given no version of its own.
+    """
+    return {"holder": holder, "after": after}
--- a/beryltrack/failover/unfenced_authority.py
+++ b/beryltrack/failover/unfenced_authority.py
@@ -7,6 +7,10 @@
 it can still be sent. A process that was paused or cut off finds its permit too old and
 sends nothing.
 
+A store that comes back from an older copy may have forgotten a permit under which
+calls are still sent. So nobody takes one within that time of first hearing of an era,
+and one whose write was answered in another era than its group's last is not used.
+
 Without a store nobody promotes: a permit of before proves nothing, as another instance
 may have reached the store since. Weighed: a permit that lasts, renewed by a call every
 second or two, would allow a promotion in the first seconds of an outage; it costs calls
@@ -20,8 +24,9 @@
 
 from returns.result import Failure, Result, Success
 
-from beryltrack.failover.authority import PATH_PREFIX, Permit, get_token
+from beryltrack.failover.authority import PATH_PREFIX, Permit, make_permit_value
 from beryltrack.failover.hints import ObjectClient
+from beryltrack.objects.eras import EraTracker
 from beryltrack.objects.messages import ErrorKind, PlatformError, PlatformObject
 
 log = logging.getLogger(__name__)
@@ -48,10 +53,13 @@
         The stored object; None if there is none yet.
     seen_at : float
         When this version was first seen, by the node's clock.
+    era : int
+        The era of the store in which it was seen last.
     """
 
     kept: PlatformObject | None
     seen_at: float
+    era: int
 
     @property
     def version(self) -> int:
@@ -79,6 +87,8 @@
         Sets this process apart from earlier ones of the same instance.
     seconds : callable
         The node's time.
+    eras : EraTracker, optional
+        The era of the store; without it the store never loses what it acknowledged.
     """
 
     keeps_permits = False
@@ -89,7 +99,9 @@
         holder: str,
         process: str,
         seconds: Callable[[], float],
+        eras: EraTracker | None = None,
     ):
+        self._eras = eras or EraTracker()
         self._client = client
         self._holder = holder
         self._process = process
@@ -116,10 +128,10 @@
         used = self._used.get(group)
         if used is not None and not renew and self._is_usable(used):
             return Success(used.permit)
-        seen = self._seen.get(group)
+        seen = self._get_seen(group)
         if seen is None:
             await self.prepare(group)
-            seen = self._seen.get(group)
+            seen = self._get_seen(group)
         if seen is None:
             return _refuse("the permit cannot be read")
         if not self._may_overtake(seen):
@@ -129,16 +141,20 @@
     async def _take(self, group: str, seen: SeenPermit) -> Result:
         """Write the permit that follows one that was seen."""
         sent_at = self._seconds()
-        permit = Permit(self._holder, get_token(seen.kept) + 1)
-        value = permit._asdict() | {"process": self._process}
+        value = make_permit_value(self._holder, seen.version)
+        value |= {"process": self._process}
         path = PATH_PREFIX + group
         written = await self._client.put(path, value, seen.version)
+        if self._eras.era != seen.era:
+            # What was seen may not have been what the write replaced.
+            written = _refuse("the store came back from an older copy")
         if not isinstance(written, Success):
             # It may have been written all the same, or another one was.
             self._used.pop(group, None)
             await self.prepare(group)
             return written
         version = written.unwrap()
+        permit = Permit(self._holder, version)
         self._observe(group, PlatformObject(path, version, value, False))
         used = self._used[group] = UsedPermit(permit, sent_at)
         log.info("failover: %s: permit with token %d.", group, permit.token)
@@ -148,10 +164,16 @@
 
     def _observe(self, group: str, kept: PlatformObject | None) -> None:
         """Keep what the store has; the time of a version that stands goes on."""
-        seen = self._seen.get(group)
+        seen, era = self._seen.get(group), self._eras.era
         version = 0 if kept is None else kept.version
-        if seen is None or seen.version != version:
-            self._seen[group] = SeenPermit(kept, self._seconds())
+        is_same = seen is not None and seen.version == version
+        seen_at = seen.seen_at if is_same else self._seconds()
+        self._seen[group] = SeenPermit(kept, seen_at, era)
+
+    def _get_seen(self, group: str) -> SeenPermit | None:
+        """Return the permit as it was last seen in the store's present era."""
+        seen = self._seen.get(group)
+        return seen if seen is not None and seen.era == self._eras.era else None
 
     def _is_usable(self, used: UsedPermit) -> bool:
         """Return whether a call under a permit of this process may begin."""
@@ -159,6 +181,8 @@
 
     def _may_overtake(self, seen: SeenPermit) -> bool:
         """Return whether no other process can still call under a permit."""
+        if self._eras.age < OVERTAKE_TIME:
+            return False
         if seen.kept is None or _get_process(seen.kept) == self._process:
             return True
         return self._seconds() - seen.seen_at >= OVERTAKE_TIME
--- a/beryltrack_standins/lines/store.py
+++ b/beryltrack_standins/lines/store.py
@@ -28,7 +28,7 @@
 ERA_HEADER = "Store-Era"
 """Names the header that rises by one each time the store comes back from a copy."""
 
-LOST, REFUSING, SILENT = "lost", "refusing", "silent"
+LOST, REFUSING, SILENT, LATE = "lost", "refusing", "silent", "late"
 
 
 class Event(NamedTuple):
@@ -40,6 +40,16 @@
     removed: bool
 
 
+class Change(NamedTuple):
+    """What a call is to change, and the revision on which that depends (or None)."""
+
+    method: bytes
+    kind: str
+    name: str
+    spec: object
+    condition: int | None
+
+
 class Copy(NamedTuple):
     """All that the store held at a moment: its revision, objects and changes."""
 
@@ -155,11 +165,19 @@
         kind, name = parts[2], "/".join(parts[3:])
         if request.method == b"GET":
             return self._get(request, kind, name)
-        answer = self._change(request, kind, name)
+        change = self._read_change(request, kind, name)
+        if self.trouble == LATE and self._rng.random() < 0.4:
+            delay = self._rng.uniform(0.3, 6.0)
+            self._reactor.callLater(delay, self._carry_out, change)
+            request.transport.abortConnection()
+            return NOT_DONE_YET
+        done = self._carry_out(change)
         if self.trouble == LOST and self._rng.random() < 0.4:
             request.transport.abortConnection()
             return NOT_DONE_YET
-        return answer
+        if isinstance(done, int):
+            return self._refuse(request, done)
+        return self._send(request, done)
 
     def _get(self, request, kind: str, name: str):
         """Read one object, list a kind, or wait for its changes."""
@@ -216,24 +234,32 @@
         finish()
         return NOT_DONE_YET
 
-    def _change(self, request, kind: str, name: str):
-        """Create, replace or remove an object on its condition."""
+    def _read_change(self, request, kind: str, name: str) -> Change:
+        """Return what a call is to change."""
         body = json.loads(request.content.read() or b"{}")
         meta = body.get("meta", {})
+        revision = request.args.get(b"revision", [meta.get("revision")])[0]
+        condition = None if revision is None else int(revision)
         name = name or meta.get("name", "")
-        kept = self._store.objects.get((kind, name))
-        if request.method == b"POST":
+        return Change(request.method, kind, name, body.get("spec"), condition)
+
+    def _carry_out(self, change: Change) -> dict | int:
+        """Create, replace or remove an object on its condition; return it, or why not.
+
+        A call whose answer is lost may be carried out seconds later.
+        """
+        kept = self._store.objects.get((change.kind, change.name))
+        removed = change.method == b"DELETE"
+        if change.method == b"POST":
             if kept is not None:
-                return self._refuse(request, CONFLICT)
-            return self._send(request, self._store.change(kind, name, body["spec"]))
-        if kept is None:
-            return self._refuse(request, NOT_FOUND)
-        wanted = request.args.get(b"revision", [meta.get("revision")])[0]
-        if wanted is not None and int(wanted) != kept["meta"]["revision"]:
-            return self._refuse(request, CONFLICT)
-        removed = request.method == b"DELETE"
-        spec = None if removed else body["spec"]
-        return self._send(request, self._store.change(kind, name, spec, removed))
+                return CONFLICT
+        elif kept is None:
+            return NOT_FOUND
+        elif change.condition not in (None, kept["meta"]["revision"]):
+            return CONFLICT
+        elif not removed and kept["spec"] == change.spec:
+            return kept
+        return self._store.change(change.kind, change.name, change.spec, removed)
 
     def _show(self, kind: str, item: dict) -> dict:
         """Return an object with the addresses that this node is to use."""
--- a/tests/failover/test_restored_permits.py
+++ b/tests/failover/test_restored_permits.py
@@ -6,8 +6,13 @@
 fence is checked, the next permit was taken while calls under the forgotten one were
 still sent, in 12 of 12 runs.
 
+A token now is the version of the permit's write, which begins with the store's era and
+is given to no two writes; a permit whose write was answered in a later era than it was
+read in is not used; and where no fence is checked nobody takes one until calls under
+any of an earlier era have ended.
+
 Processes take permits at random here, step by step, so that the store may come back
-between any two steps of theirs; answers are lost, calls are refused.
+between any two steps; answers are lost, calls are refused or carried out late.
 """
 
 import random
@@ -22,7 +27,7 @@
 from beryltrack.objects.http import HttpClient
 from beryltrack.objects.rejects import RejectLog
 from beryltrack.platform.boot import parse_node_settings
-from beryltrack_standins.lines.store import LOST, REFUSING, Store, StoreView
+from beryltrack_standins.lines.store import LATE, LOST, REFUSING, Store, StoreView
 from tests.daemon.test_silent_store import Reactor
 from tests.platform.test_settings import BOOT
 
@@ -111,7 +116,7 @@
         if rng.random() < 0.1:
             process.follow()
         if rng.random() < 0.03:
-            process.view.trouble = rng.choice(("", "", LOST, REFUSING))
+            process.view.trouble = rng.choice(("", "", LOST, LATE, REFUSING))
         if rng.random() < 0.02:
             self.copy = self.store.make_copy()
         elif rng.random() < 0.005:
