Believe no older word of a database at once when its store came back

What callers would see: reads of a database that has lost what it held, as one that started again in the lost seconds was taken for the one of before, and its receipts counted; new work at one that was to leave. Cause: the store has the entries of the copy until the databases have written theirs again, two seconds after the return at the latest, and the last word of the store counted whatever its era. Ruled out: letting the later start count always (a database whose clock went back would never be a member again).

An entry of a later era that tells an earlier start, or that a database that was leaving is ready, is now believed as late as a missing one counts as gone (2.5 s). Within an era the last word counts as before.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -28,7 +28,7 @@
 from beryltrack.daemon.store_clients import make_store_clients
 from beryltrack.events.log import EventLog
 from beryltrack.metrics.plain import Gauge, PlainMetrics
-from beryltrack.objects.eras import EraTracker, get_revision
+from beryltrack.objects.eras import EraTracker, get_latest_era, get_revision
 from beryltrack.objects.feed import FeedTask, compute_wait
 from beryltrack.objects.messages import PlatformObject
 from beryltrack.objects.rejects import RejectLog
@@ -380,7 +380,8 @@
         pairs = [read_entry(item) for item in objects.values()]
         self._rejects.report(finding for _, findings in pairs for finding in findings)
         entries = tuple(entry for entry, _ in pairs if entry is not None)
-        self._roster.observe(entries, self._seconds())
+        era = get_latest_era(item.version for item in objects.values())
+        self._roster.observe(entries, self._seconds(), era)
         self._has_roster = True
         self._apply()
 
--- a/beryltrack/settings/incarnations.py
+++ b/beryltrack/settings/incarnations.py
@@ -36,6 +36,12 @@
     return name.partition(MARK)[0]
 
 
+def get_start(name: str) -> int:
+    """Return when a database started, by its name; 0 if that is not known."""
+    started_at = name.partition(MARK)[2]
+    return int(started_at) if started_at else 0
+
+
 def find_restarted(before: Iterable[str], after: Iterable[str]) -> frozenset[str]:
     """Return the names in `after` that are later incarnations of some in `before`."""
     known = set(before)
--- a/beryltrack/settings/roster.py
+++ b/beryltrack/settings/roster.py
@@ -7,6 +7,10 @@
 only it may have confirmed, and for good if its group would be left with one database,
 which could confirm a commit to itself alone.
 
+A store that comes back from an older copy has entries of before for a moment, until the
+databases have written theirs again. One that is behind what was known, by an earlier
+start or in that its database was to leave, is believed as late as a missing one counts.
+
 A database that has started again under its identifier is another member: what the one
 before held is lost, and nothing is waited for.
 """
@@ -14,7 +18,7 @@
 from typing import NamedTuple
 
 from beryltrack.accounts.messages import AccountSettings
-from beryltrack.settings.incarnations import get_identifier
+from beryltrack.settings.incarnations import get_identifier, get_start
 from beryltrack.settings.messages import (
     DatabaseSettings,
     Endpoint,
@@ -105,10 +109,11 @@
 
 
 class _Known(NamedTuple):
-    """An entry, and since when it is missing (None if it is not)."""
+    """An entry, since when it is missing (None if it is not), and its store's era."""
 
     entry: RosterEntry
     missing_since: float | None
+    era: int = 0
 
 
 class Roster:
@@ -116,11 +121,16 @@
 
     def __init__(self):
         self._known: dict[str, _Known] = {}
+        self._behind: tuple[_Known, ...] = ()
 
-    def observe(self, entries: tuple[RosterEntry, ...], now: float) -> None:
-        """Take in all entries that the store has at a time."""
+    def observe(
+        self, entries: tuple[RosterEntry, ...], now: float, era: int = 0
+    ) -> None:
+        """Take in all entries that the store has at a time, and the store's era."""
         entries = tuple(map(self._keep_name, entries))
-        present = {entry.name: _Known(entry, None) for entry in entries}
+        told = [_Known(entry, None, era) for entry in entries]
+        self._behind = tuple(each for each in told if self._is_behind(each, now))
+        present = {each.entry.name: each for each in told if each not in self._behind}
         identifiers = {get_identifier(name) for name in present}
         missing = {
             name: known
@@ -131,6 +141,35 @@
         }
         self._known = present | missing
 
+    def _is_behind(self, told: _Known, now: float) -> bool:
+        """Return whether an entry tells what was so before the store's last return."""
+        entry, known = told.entry, self._find_earlier(told)
+        if known is None or _is_gone(known, now):
+            return False
+        if entry.name == known.entry.name:
+            return known.entry.draining and not entry.draining
+        return get_start(entry.name) < get_start(known.entry.name)
+
+    def _find_earlier(self, told: _Known) -> _Known | None:
+        """Return what was known of a database in an earlier era of the store."""
+        identifier = get_identifier(told.entry.name)
+        earlier = (
+            known
+            for known in self._known.values()
+            if get_identifier(known.entry.name) == identifier and known.era < told.era
+        )
+        return next(earlier, None)
+
+    def _believe_behind(self, now: float) -> None:
+        """Take the entries that were behind for too long to be overtaken."""
+        due = [each for each in self._behind if not self._is_behind(each, now)]
+        for told in due:
+            known = self._find_earlier(told)
+            if known is not None:
+                del self._known[known.entry.name]
+            self._known[told.entry.name] = told
+        self._behind = tuple(each for each in self._behind if each not in due)
+
     def _keep_name(self, entry: RosterEntry) -> RosterEntry:
         """Return an entry that does not tell its start under the name it had.
 
@@ -143,6 +182,7 @@
 
     def get_members(self, group: str, now: float) -> tuple[RosterEntry, ...]:
         """Return the members of a group; forget those that are gone for good."""
+        self._believe_behind(now)
         all_known = [
             known for known in self._known.values() if known.entry.group == group
         ]
--- a/tests/settings/test_roster.py
+++ b/tests/settings/test_roster.py
@@ -98,3 +98,40 @@
     roster.observe((B, C), 1.0)
     roster.observe((make_entry("a@2000"), B, C), 2.0)
     assert get_names(roster, 2.0) == ["a@2000", "b", "c"]
+
+
+def test_an_earlier_start_is_not_believed_at_once_in_a_new_era():
+    """A store that came back from a copy has what databases said before it."""
+    roster = Roster()
+    before, after = make_entry("a@1000"), make_entry("a@2000")
+    roster.observe((after, B, C), 0.0, era=1)
+    roster.observe((before, B, C), 1.0, era=2)
+    assert roster.get_members("main", 1.0 + MISSING_GRACE - 0.1) == (after, B, C)
+    assert roster.get_due(1.0) == 1.0 + MISSING_GRACE
+    roster.observe((after, B, C), 3.0, era=2)
+    assert roster.get_members("main", 20.0) == (after, B, C)
+
+
+def test_an_earlier_start_that_stays_is_believed_in_the_end():
+    roster = Roster()
+    before, after = make_entry("a@1000"), make_entry("a@2000")
+    roster.observe((after, B, C), 0.0, era=1)
+    roster.observe((before, B, C), 1.0, era=2)
+    assert roster.get_members("main", 1.0 + MISSING_GRACE) == (before, B, C)
+
+
+def test_within_an_era_the_last_word_counts():
+    roster = Roster()
+    before, after = make_entry("a@1000"), make_entry("a@2000")
+    roster.observe((after, B, C), 0.0, era=1)
+    roster.observe((before, B, C), 1.0, era=1)
+    assert roster.get_members("main", 1.0) == (before, B, C)
+
+
+def test_one_that_was_to_leave_gets_no_work_when_its_store_comes_back():
+    roster = Roster()
+    leaving = make_entry("a", draining=True)
+    roster.observe((leaving, B, C), 0.0, era=1)
+    roster.observe((A, B, C), 1.0, era=2)
+    assert roster.get_members("main", 1.0 + MISSING_GRACE - 0.1) == (leaving, B, C)
+    assert roster.get_members("main", 1.0 + MISSING_GRACE) == (A, B, C)
