Keep instances for a while that the store has forgotten, and register them again

What callers would see: more connections to a database than it takes, as each instance gave the parts of the forgotten ones to itself while they went on using them; slots of accounts that move twice. Cause: what the store does not list counted as gone at once.

An instance that a list of a later era lacks is known for 10 s more. It registers again by itself, in a large fleet spread to 100 a second; one that cannot is registered by the instance that looks after it, which finds out lost ones as before.

--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -5,6 +5,10 @@
 names still takes connections, and takes away the object of one that does not. That
 costs the store no call while nothing changes. An instance that finds its own object
 gone while it lives registers again.
+
+A store that comes back from an older copy has forgotten who registered since. They are
+still known for a while, in which they register again. One that cannot, as the store
+turns it away, is registered by the one that looks after it.
 """
 
 import logging
@@ -19,6 +23,7 @@
 
 from beryltrack.failover.hints import ObjectClient
 from beryltrack.findings import Finding
+from beryltrack.objects.eras import get_era
 from beryltrack.objects.feed import FeedTask, ObjectFeed
 from beryltrack.objects.fields import (
     Field,
@@ -58,6 +63,14 @@
 RETRY_PERIOD = 0.5
 """Seconds between two attempts to register."""
 
+FORGOTTEN_TIME = 10.0
+"""Seconds for which an instance that the store has forgotten is still known: a watch
+that hears of it, its own registration, and the looks of who registers it if it cannot.
+One that was lost as well is found out in less than that."""
+
+FORGOTTEN_PER_SECOND = 100
+"""Instances that register again in a second when the store has forgotten many of them:
+a quarter of the writes that the smallest store takes."""
 
 _FIELDS = (
     Field("host", parse_ip),
@@ -135,6 +148,10 @@
         self._objects: dict[str, PlatformObject] = {}
         self._looks: dict[str, Endpoint] = {}
         self._misses: dict[str, int] = {}
+        self._era = 0
+        self._forgotten: dict[str, PlatformObject] = {}
+        self._forgetting = None
+        self._rng = rng
         self._is_leaving = False
         self._is_registering = False
         self._checking = LoopingCall(self._check)
@@ -163,6 +180,8 @@
     def stop(self) -> None:
         """Look no more."""
         self._feed.stop()
+        if self._forgetting is not None and self._forgetting.active():
+            self._forgetting.cancel()
         if self._checking.running:
             self._checking.stop()
 
@@ -173,13 +192,43 @@
 
     def _take(self, objects: dict[str, PlatformObject]) -> None:
         """Take in which instances there are."""
-        self._objects = {path.partition("/")[2]: each for path, each in objects.items()}
+        told = {path.partition("/")[2]: each for path, each in objects.items()}
+        self._keep_forgotten(told)
+        self._objects = self._forgotten | told
         # An object that no instance has written is in nobody's place in the ring.
         looks = {name: _read_look(item) for name, item in self._objects.items()}
         self._looks = {name: look for name, look in looks.items() if look is not None}
-        if self._name not in self._objects:
-            self._register()
-        self._callback(self._make_peers(objects))
+        if self._name not in told:
+            spread = len(self._forgotten) / FORGOTTEN_PER_SECOND
+            delay = self._rng.uniform(0.0, spread)
+            self._reactor.callLater(delay, self._register)
+        self._callback(self._make_peers(self._objects))
+
+    def _keep_forgotten(self, told: Mapping[str, PlatformObject]) -> None:
+        """Keep for a while whom a store that came back from a copy has forgotten."""
+        era, before = get_era(self._feed.revision), self._era
+        self._era = era
+        lost = self._objects if era > before and self._objects else {}
+        kept = self._forgotten | lost
+        self._forgotten = {name: kept[name] for name in kept.keys() - told.keys()}
+        if not lost or not self._forgotten:
+            return
+        log.warning(
+            "members: The store has forgotten %d instances; they are kept for %g s.",
+            len(self._forgotten),
+            FORGOTTEN_TIME,
+        )
+        if self._forgetting is not None and self._forgetting.active():
+            self._forgetting.cancel()
+        self._forgetting = self._reactor.callLater(FORGOTTEN_TIME, self._forget)
+
+    def _forget(self) -> None:
+        """Know those no longer who have not registered again."""
+        for name in self._forgotten:
+            self._objects.pop(name, None)
+            self._looks.pop(name, None)
+        self._forgotten = {}
+        self._callback(self._make_peers(self._objects))
 
     def _make_peers(self, objects: Mapping[str, PlatformObject]) -> tuple[Peer, ...]:
         """Return all instances, this one among them."""
@@ -242,9 +291,12 @@
         )
 
     def _note_alive(self, protocol: Protocol, name: str) -> None:
-        """Note that an instance is there."""
+        """Note that an instance is there; register it if the store has forgotten it."""
         protocol.transport.loseConnection()
         self._misses.pop(name, None)
+        if name in self._forgotten:
+            item = self._forgotten[name]
+            Deferred.fromCoroutine(self._store.put(item.path, item.value, 0))
 
     def _note_miss(self, failure, name: str) -> None:
         """Note that an instance took no connection; remove it after some."""
@@ -252,6 +304,10 @@
         if self._misses[name] >= MOST_MISSES:
             self._misses.pop(name)
             log.warning("members: %s is gone: %s", name, failure.getErrorMessage())
+            if name in self._forgotten:
+                del self._forgotten[name], self._objects[name], self._looks[name]
+                self._callback(self._make_peers(self._objects))
+                return
             Deferred.fromCoroutine(self._remove(name))
 
     async def _remove(self, name: str) -> None:
