Ask for no lagging reads just after the store came back from a copy

A lagging read is seconds old, so that after a return it may tell the objects of before under the present era: instances that were forgotten would look registered, and a watch would go on from a revision that stands for something else. Elsewhere nothing changes.

--- a/beryltrack/daemon/store_clients.py
+++ b/beryltrack/daemon/store_clients.py
@@ -13,6 +13,7 @@
 )
 from beryltrack.objects.eras import EraTracker
 from beryltrack.objects.http import HttpClient
+from beryltrack.objects.lagging import LaggingFeed
 from beryltrack.objects.rejects import RejectLog
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.store import PlatformStore
@@ -27,7 +28,7 @@
     ----------
     store : PlatformStore
         The object store.
-    lagging_store : PlatformStore
+    lagging_store : LaggingFeed
         The same over the same connections; its lists may be seconds old, at a tenth
         of the price.
     promotion : PromotionCalls
@@ -39,7 +40,7 @@
     """
 
     store: PlatformStore
-    lagging_store: PlatformStore
+    lagging_store: LaggingFeed
     promotion: PromotionCalls
     authority: PromotionAuthority
     eras: EraTracker
@@ -91,7 +92,7 @@
         )
     return StoreClients(
         store,
-        PlatformStore(http, rejects, may_lag=True),
+        LaggingFeed(store, PlatformStore(http, rejects, may_lag=True), eras),
         PromotionCalls(promotions, settings.name),
         authority,
         eras,
--- a/beryltrack/objects/eras.py
+++ b/beryltrack/objects/eras.py
@@ -73,6 +73,7 @@
         self._seconds = seconds
         self._era: int | None = None
         self._since = -math.inf
+        self._returned_at = -math.inf
         self._observers: list[EraObserver] = []
 
     @property
@@ -85,6 +86,11 @@
         """Seconds since this process first heard of the era; infinite without eras."""
         return self._seconds() - self._since
 
+    @property
+    def time_since_return(self) -> float:
+        """Seconds since the store was seen to come back from a copy, or infinite."""
+        return self._seconds() - self._returned_at
+
     def subscribe(self, observer: EraObserver) -> None:
         """Call back with the new era when the store has come back from a copy."""
         self._observers.append(observer)
@@ -96,6 +102,7 @@
         if self._era is None or told > self._era:
             before, self._era, self._since = self._era, told, self._seconds()
             if before is not None:
+                self._returned_at = self._since
                 self._tell(before)
         return told
 
