--- a/beryltrack_bench/soak/command.py
+++ b/beryltrack_bench/soak/command.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from beryltrack_bench.soak.run import run_soak
+from beryltrack_bench.soak.site import SoakOptions
 
 EXIT_HELD, EXIT_VIOLATIONS = 0, 2
 
@@ -23,6 +24,7 @@
         option("unfenced", None, "No fences, and former primaries go on.", True),
         option("forgetful", None, "Databases start again empty.", True),
         option("accounts", None, "Callers need keys, accounts have limits.", True),
+        option("returns", None, "The store comes back from older copies.", True),
         option("nodes", None, "How many nodes; by the seed if 0.", False, default="0"),
     ]
 
@@ -32,23 +34,18 @@
 
         first, runs = int(self.option("seed")), int(self.option("runs"))
         seconds = float(self.option("seconds"))
-        is_fenced = not self.option("unfenced")
-        is_forgetful = self.option("forgetful")
-        has_accounts = self.option("accounts")
-        nodes = int(self.option("nodes"))
+        options = SoakOptions(
+            is_fenced=not self.option("unfenced"),
+            is_forgetful=self.option("forgetful"),
+            has_accounts=self.option("accounts"),
+            loses_writes=self.option("returns"),
+            nodes=int(self.option("nodes")),
+        )
         failures = []
 
         async def run_all() -> None:
             for seed in range(first, first + runs):
-                result = await run_soak(
-                    reactor,
-                    seed,
-                    seconds,
-                    is_fenced,
-                    is_forgetful,
-                    nodes,
-                    has_accounts,
-                )
+                result = await run_soak(reactor, seed, seconds, options)
                 self.line(json.dumps(result._asdict()))
                 if result.violations or not result.served_last:
                     failures.append(seed)
--- a/beryltrack_bench/soak/faults.py
+++ b/beryltrack_bench/soak/faults.py
@@ -8,7 +8,7 @@
 from beryltrack_bench.soak.history import AccountLimit
 from beryltrack_bench.soak.links import TO_NODE, TO_TARGET
 from beryltrack_bench.soak.site import ACCOUNTS, DATABASES, Node, SoakSite
-from beryltrack_standins.lines.store import LOST, REFUSING, SILENT
+from beryltrack_standins.lines.store import LATE, LOST, REFUSING, SILENT
 
 Step = Callable[[], None]
 
@@ -23,11 +23,13 @@
 
 def draw_fault(site: SoakSite, rng: random.Random) -> Fault:
     """Return a fault that is drawn at random."""
-    makers = _MAKERS if site.is_fenced else _UNFENCED_MAKERS
-    if site.is_forgetful:
+    makers = _MAKERS if site.options.is_fenced else _UNFENCED_MAKERS
+    if site.options.is_forgetful:
         makers += _FORGETFUL_MAKERS
     if site.accounts:
         makers += _ACCOUNT_MAKERS
+    if site.options.loses_writes:
+        makers += _RETURN_MAKERS
     return rng.choice(makers)(site, rng)
 
 
@@ -203,6 +205,34 @@
     return Fault(f"empty {name}", lambda: site.databases[name].crash(is_dark), end)
 
 
+def _lose_writes(site: SoakSite, rng: random.Random) -> Fault:
+    away = rng.choice(("", REFUSING, SILENT))
+    nodes = [node for node in site.nodes if rng.random() < 0.8]
+    times = rng.choice((1, 1, 2))
+    copies = []
+
+    def begin() -> None:
+        copies.append(site.store.make_copy())
+        for node in nodes:
+            node.store.trouble = away
+
+    def end() -> None:
+        for _ in range(times):
+            site.come_back(copies[0])
+        for node in nodes:
+            node.store.trouble = ""
+
+    return Fault(f"the store comes back {times} times, {away or 'here'}", begin, end)
+
+
+def _write_late(site: SoakSite, rng: random.Random) -> Fault:
+    def set_all(value: str) -> None:
+        for node in site.nodes:
+            node.store.trouble = value
+
+    return Fault("store writes late", lambda: set_all(LATE), lambda: set_all(""))
+
+
 def _take_key(site: SoakSite, rng: random.Random) -> Fault:
     name = rng.choice(sorted(site.accounts))
     keys = ACCOUNTS[name][0]
@@ -274,6 +304,8 @@
     *(_write_unreadable,) * 2,
 )
 
+_RETURN_MAKERS = (*(_lose_writes,) * 6, _write_late)
+
 _ACCOUNT_MAKERS = (*(_take_key,) * 2, *(_lower_limit,) * 2)
 
 # Where nobody stops a former primary, or a call under an old token, what makes them
--- a/beryltrack_bench/soak/run.py
+++ b/beryltrack_bench/soak/run.py
@@ -20,6 +20,7 @@
     ROUTES,
     TAKEN_KEY,
     Node,
+    SoakOptions,
     SoakSite,
 )
 
@@ -71,10 +72,7 @@
     reactor,
     seed: int,
     seconds: float,
-    is_fenced: bool = True,
-    is_forgetful: bool = False,
-    nodes: int = 0,
-    has_accounts: bool = False,
+    options: SoakOptions = SoakOptions(),  # noqa: B008 (immutable)
 ) -> SoakResult:
     """Run a site under faults and judge what callers and databases saw.
 
@@ -87,32 +85,14 @@
         a seed gives the same faults, one after the other, and not the same run.
     seconds : float
         How long faults are injected.
-    is_fenced : bool
-        False if promotions are not fenced, and former primaries go on.
-    is_forgetful : bool
-        True if databases start again empty, and other programs write to the store.
-    nodes : int
-        How many nodes; 0 lets the seed decide. From seven on some follow others
-        instead of the store.
-    has_accounts : bool
-        True if callers need keys, which come and go, and accounts have limits.
+    options : SoakOptions
+        What may go wrong beside the usual faults, and how many nodes there are.
     """
     rng = random.Random(seed)
     count, limit = rng.choice(((3, 40), (4, 40), (5, 14)))
-    count = nodes or count
+    count = options.nodes or count
     folder = Path(mkdtemp(prefix=f"soak-{seed}-"))
-    site = SoakSite(
-        reactor,
-        seed,
-        count,
-        limit,
-        rng,
-        folder,
-        is_fenced,
-        is_forgetful,
-        shares_copies=bool(nodes),
-        has_accounts=has_accounts,
-    )
+    site = SoakSite(reactor, seed, count, limit, rng, folder, options)
     try:
         site.start()
         await _wait_ready(reactor, site)
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -34,6 +34,7 @@
 from beryltrack_standins.lines.database import DatabaseFactory
 from beryltrack_standins.lines.group import Group
 from beryltrack_standins.lines.store import (
+    Copy,
     PromotionLog,
     PromotionView,
     Store,
@@ -117,6 +118,32 @@
         return Endpoint(self.host, FRONT_PORT)
 
 
+class SoakOptions(NamedTuple):
+    """What a run has beside the usual faults.
+
+    Parameters
+    ----------
+    is_fenced : bool
+        False if promotions are not fenced, and former primaries go on.
+    is_forgetful : bool
+        True if databases start again empty, and other programs write to the store.
+    has_accounts : bool
+        True if callers need keys, which come and go, and accounts have limits.
+    loses_writes : bool
+        True if the store comes back from older copies.
+    nodes : int
+        How many nodes; 0 lets the seed decide. Above 0 nodes may follow others in place
+        of the store, as they do from seven on. Each node has addresses of its own for
+        the databases; one that follows another goes by those of that.
+    """
+
+    is_fenced: bool = True
+    is_forgetful: bool = False
+    has_accounts: bool = False
+    loses_writes: bool = False
+    nodes: int = 0
+
+
 class SoakSite:
     """Stand-ins, links and processes.
 
@@ -134,15 +161,8 @@
         Source of all that varies.
     folder : Path
         Takes settings files and logs.
-    is_fenced : bool
-        False if promotions are not fenced, and former primaries go on.
-    is_forgetful : bool
-        True if databases start again empty, and other programs write to the store.
-    has_accounts : bool
-        True if callers need keys, and accounts have limits.
-    shares_copies : bool
-        True if nodes may follow others in place of the store. Each node has addresses
-        of its own for the databases; one that follows another goes by those of that.
+    options : SoakOptions, optional
+        What it has beside the usual faults.
     """
 
     def __init__(
@@ -153,18 +173,15 @@
         max_connections: int,
         rng: random.Random,
         folder: Path,
-        is_fenced: bool = True,
-        is_forgetful: bool = False,
-        shares_copies: bool = False,
-        has_accounts: bool = False,
+        options: SoakOptions = SoakOptions(),  # noqa: B008 (immutable)
     ):
         self.accounts = (
             {name: Account(name, *each) for name, each in ACCOUNTS.items()}
-            if has_accounts
+            if options.has_accounts
             else {}
         )
-        self.is_forgetful = is_forgetful
-        self._disabled = "" if shares_copies else Mechanism.SHARED_COPIES.value
+        self.options = options
+        self._disabled = "" if options.nodes else Mechanism.SHARED_COPIES.value
         self._reactor = reactor
         self._rng = rng
         self._folder = folder
@@ -175,11 +192,11 @@
         self._starts: itertools.count = itertools.count(1)
         self._versions = itertools.count(1)
         self._births = itertools.count(1)
-        self.is_fenced = is_fenced
-        self.group = Group(reactor, DATABASES, rng, not is_fenced)
+        self._entries: dict[str, dict] = {}
+        self.group = Group(reactor, DATABASES, rng, not options.is_fenced)
         self.history = History(self.group, reactor.seconds)
         self.store = Store()
-        self.tokens = PromotionLog(is_fenced)
+        self.tokens = PromotionLog(options.is_fenced)
         numbers = itertools.count(1)
         self.databases = {
             name: DatabaseFactory(reactor, self.group, name, self.history, rng, numbers)
@@ -277,6 +294,25 @@
         self.accounts[name] = self.accounts[name]._replace(**fields)
         self.write_configuration()
 
+    def come_back(self, copy: Copy) -> None:
+        """Let the store come back from a copy.
+
+        The configuration is written again at once, the databases' entries within the
+        two seconds that they have, by what each was last told to say.
+        """
+        specs = {key: item["spec"] for key, item in self.store.objects.items()}
+        self.store.come_back(copy)
+        self.store.change("config", "main", specs["config", "main"])
+        for name in self.databases:
+            delay = self._rng.uniform(0.0, 2.0)
+            self._reactor.callLater(delay, self._tell_again, name)
+
+    def _tell_again(self, name: str) -> None:
+        """Write a database's entry again if the store has another one."""
+        kept = self.store.objects.get(("servers", name))
+        if kept is None or kept["spec"] != self._entries[name]:
+            self.store.change("servers", name, self._entries[name])
+
     def tell_start(self, name: str) -> None:
         """Write a database's entry anew, as it does at each start."""
         spec = {
@@ -290,6 +326,7 @@
             "sequence": 0,
             "born": next(self._births),
         }
+        self._entries[name] = spec
         self.store.change("servers", name, spec)
 
     def _hold_addresses(self, number: int) -> int:
@@ -359,7 +396,7 @@
             "first_start": is_first,
             "bounds": {
                 "grace_s": GRACE,
-                "fencing_enforced": self.is_fenced,
+                "fencing_enforced": self.options.is_fenced,
                 "quota_window_s": QUOTA_WINDOW,
                 "quota_overage": QUOTA_OVERAGE,
                 "quota_slack": QUOTA_SLACK,
