Log what a store that came back from a copy has otherwise than known

Each instance logs the change of the era once, and then, for each kind, from which version to which it goes back and which objects are not as they were known; an instance that registers again, or is registered by another, says so.

--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -199,6 +199,7 @@
         looks = {name: _read_look(item) for name, item in self._objects.items()}
         self._looks = {name: look for name, look in looks.items() if look is not None}
         if self._name not in told:
+            log.info("members: The store lacks this instance; it registers again.")
             spread = len(self._forgotten) / FORGOTTEN_PER_SECOND
             delay = self._rng.uniform(0.0, spread)
             self._reactor.callLater(delay, self._register)
@@ -295,6 +296,7 @@
         protocol.transport.loseConnection()
         self._misses.pop(name, None)
         if name in self._forgotten:
+            log.info("members: %s lives; it is registered again.", name)
             item = self._forgotten[name]
             Deferred.fromCoroutine(self._store.put(item.path, item.value, 0))
 
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -16,7 +16,7 @@
 
 from beryltrack.clock import get_seconds
 from beryltrack.objects.backoff import compute_delay
-from beryltrack.objects.eras import format_version
+from beryltrack.objects.eras import format_version, get_era
 from beryltrack.objects.messages import (
     ErrorKind,
     ObjectList,
@@ -38,6 +38,10 @@
 """Seconds between two attempts while the store gives no answer. Settings are to be
 in force within seconds of its return, and a refused call costs as much as another."""
 
+MOST_NAMED = 8
+"""Objects that a line of the log names."""
+
+_ABSENT = object()
 _UNANSWERED = frozenset((ErrorKind.REFUSED, ErrorKind.UNKNOWN))
 
 
@@ -267,10 +271,32 @@
                 format_version(self.revision),
             )
             return
-        self._revision = found.revision
-        self._objects = {item.path: item for item in found.objects}
+        objects = {item.path: item for item in found.objects}
+        if self._revision and get_era(found.revision) > get_era(self._revision):
+            self._log_return(found.revision, objects)
+        self._revision, self._objects = found.revision, objects
         self._tell()
 
+    def _log_return(self, revision: int, objects: dict[str, PlatformObject]) -> None:
+        """Log what a store that came back from a copy has otherwise than known."""
+        known = {path: item.value for path, item in self._objects.items()}
+        told = {path: item.value for path, item in objects.items()}
+        other = sorted(
+            path
+            for path in known.keys() | told.keys()
+            if known.get(path, _ABSENT) != told.get(path, _ABSENT)
+        )
+        log.warning(
+            "objects: The store has %s at %s after %s; %d of %d objects are not as "
+            "they were known: %s.",
+            self._kind,
+            format_version(revision),
+            format_version(self.revision),
+            len(other),
+            len(told),
+            ", ".join(other[:MOST_NAMED]) or "none",
+        )
+
     def _take_changes(self, found: ObjectList) -> None:
         """Take in what has changed."""
         self._revision = max(self.revision, found.revision)
--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -222,3 +222,19 @@
     site.configure(8)
     site.advance(APPLY_LIMIT)
     assert site.version == 8
+
+
+def test_a_return_is_logged_with_what_the_store_has_otherwise(make_site, caplog):
+    site = make_site()
+    copy = site.store.make_copy()
+    site.register(1, cold_remaining_ms=5)
+    site.configure(8)
+    site.advance(1.0)
+    site.store.come_back(copy)
+    site.advance(4.0)
+    text = caplog.text
+    assert text.count("The store came back from an older copy: era 2 after 1") == 1
+    assert "The store has config at 2.6 after 1.8; 1 of 1 objects" in text
+    assert "1 of 3 objects are not as they were known: servers/i-1." in text
+    gauges = dict(each[::2] for each in site.node._get_gauges() if not each[1])
+    assert gauges["beryltrack_store_era"] == 2
