Test settings under paths when their store comes back from a copy

The stand-in of this side plays it: copies, eras in a header, 410 to a version that it does not have.

--- a/beryltrack_standins/platform/server.py
+++ b/beryltrack_standins/platform/server.py
@@ -22,10 +22,12 @@
 from beryltrack_standins.platform.store import (
     ChangeResult,
     ObjectStore,
+    StoreCopy,
     StoredObject,
 )
 
 HOST = "127.0.0.1"
+ERA_HEADER = "Store-Era"
 _MAX_WATCH = 300.0
 _DEFAULT_WATCH = 30.0
 
@@ -68,13 +70,15 @@
         The reactor.
     options : PlatformOptions
         Rates and delays.
+    era : int, optional
+        The era of its store; without it the store has no eras.
     """
 
     isLeaf = True
 
-    def __init__(self, reactor, options: PlatformOptions):
+    def __init__(self, reactor, options: PlatformOptions, era: int | None = None):
         super().__init__()
-        self.store = ObjectStore()
+        self.store = ObjectStore(era)
         self.faults = PlatformFaults()
         self.calls: Counter[str] = Counter()
         self._reactor = reactor
@@ -116,6 +120,11 @@
         if self.faults.down:
             self._wake_watches()
 
+    def come_back(self, copy: StoreCopy) -> None:
+        """Let the store come back from a copy; waits go on in the new era."""
+        self.store.come_back(copy)
+        self._wake_watches()
+
     def render(self, request: Request) -> int:
         """Answer one call."""
         lost = request.notifyFinish()
@@ -137,6 +146,8 @@
             return
         request.setResponseCode(code)
         request.setHeader(b"content-type", b"application/json")
+        if self.store.era is not None:
+            request.setHeader(ERA_HEADER, str(self.store.era))
         request.write(json.dumps(body).encode())
         request.finish()
 
@@ -225,6 +236,8 @@
         after = int(_get_text(request, "after") or 0)
         timeout = float(_get_text(request, "timeout") or _DEFAULT_WATCH)
         deadline = self._reactor.seconds() + min(timeout, _MAX_WATCH)
+        if after > self.store.revision:
+            raise HttpError(410, {"error": "there is no such version"})
         while not (changes := self.store.list_changes(prefix, after)):
             remaining = deadline - self._reactor.seconds()
             if remaining <= 0:
--- a/beryltrack_standins/platform/store.py
+++ b/beryltrack_standins/platform/store.py
@@ -42,15 +42,48 @@
     version: int
 
 
+class StoreCopy(NamedTuple):
+    """All that the store held at a moment."""
+
+    revision: int
+    objects: dict[str, StoredObject]
+    versions: tuple[int, ...]
+    paths: tuple[str, ...]
+
+
 class ObjectStore:
-    """Objects with versions and conditional changes."""
+    """Objects with versions and conditional changes.
+
+    Parameters
+    ----------
+    era : int or None
+        How often it has come back from a copy, as its answers tell; None if they tell
+        nothing of that.
+    """
 
-    def __init__(self):
+    def __init__(self, era: int | None = None):
+        self.era = era
         self.revision = 0
         self._objects: dict[str, StoredObject] = {}
         self._versions: list[int] = []
         self._paths: list[str] = []
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy from which the store may come back."""
+        return StoreCopy(
+            self.revision,
+            dict(self._objects),
+            tuple(self._versions),
+            tuple(self._paths),
+        )
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Go back to a copy: what was written since is gone."""
+        self.revision, self._objects = copy.revision, dict(copy.objects)
+        self._versions, self._paths = list(copy.versions), list(copy.paths)
+        if self.era is not None:
+            self.era += 1
+
     def get(self, path: str) -> StoredObject | None:
         """Return an object, or None if there is none at the path."""
         found = self._objects.get(path)
