Keep confirmed settings in force that the store has lost, and list after a return

What callers saw in the test: settings of before for up to ten minutes after the store's return, as the watch of an instance asked for a version that the store did not have and only a full list would have ended that; and a rule that had been taken away back in force. Ruled out: taking what the store has whatever it is (what was taken away comes back), and holding all that a return changed for a time (a new change would be late).

A watch that has expired is followed by a list. Proxies keep the identifiers of an object's last eight changes: what a later era has is passed over if it is what the known value followed, and so is that an object is missing. Each such object is a finding until operators write it again; a change made on the older value counts at once, since it is none that the known one followed. Left: an instance that starts then goes by what the store has until it is written again.

--- a/beryltrack/settings/compact.py
+++ b/beryltrack/settings/compact.py
@@ -13,6 +13,7 @@
 from beryltrack.settings.parsing import SettingsObject, parse_settings
 from beryltrack.settings.stored import (
     StoredValue,
+    get_changes,
     get_records,
     is_deletion,
     is_stored_value,
@@ -69,6 +70,9 @@
     value = item.value
     kept = StoredValue(settings=value["settings"])
     kept["created"] = str(value.get("created", ""))
+    changes = get_changes(value)
+    if changes:
+        kept["changes"] = list(changes)
     is_settled = True
     if findings:
         is_settled, good = find_last_good(item)
--- a/beryltrack/settings/decider.py
+++ b/beryltrack/settings/decider.py
@@ -5,17 +5,23 @@
 nothing goes back. An object that fails its checks leaves the last good
 settings in force: those of its own history first, so that a proxy which never
 saw them decides like the others.
+
+A store that came back from an older copy has lost changes that were confirmed. What it
+has instead, of a later era, does not count while it is what those changes followed; it
+is a finding until operators write them again.
 """
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from beryltrack.findings import Finding
+from beryltrack.objects.eras import format_version, get_era
 from beryltrack.objects.messages import ObjectList, PlatformObject
 from beryltrack.settings.compact import JudgedObject, judge_object
 from beryltrack.settings.messages import SiteSettings
 from beryltrack.settings.paths import PREFIX
 from beryltrack.settings.site import EMPTY_SITE, AcceptedObject, build_site
+from beryltrack.settings.stored import is_overtaken
 
 MAX_TOMBSTONES = 4096
 
@@ -48,6 +54,7 @@
         self._objects: dict[str, PlatformObject] = {}
         self._accepted: dict[str, AcceptedObject] = {}
         self._findings: dict[str, tuple[Finding, ...]] = {}
+        self._lost: dict[str, Finding] = {}
         self._site_findings: tuple[Finding, ...] = ()
         self._current = EMPTY_SITE
         self._revision = 0
@@ -72,7 +79,12 @@
     def findings(self) -> tuple[Finding, ...]:
         """All that is wrong with the objects known."""
         own = (self._findings[path] for path in sorted(self._findings))
-        return tuple(item for group in own for item in group) + self._site_findings
+        lost = tuple(self._lost[path] for path in sorted(self._lost))
+        return (
+            tuple(item for group in own for item in group)
+            + lost
+            + (self._site_findings)
+        )
 
     def observe_list(self, answer: ObjectList) -> SettingsUpdate:
         """Take in a full list of the store; what it lacks was deleted.
@@ -84,7 +96,9 @@
         deletions = tuple(
             PlatformObject(path, answer.revision, None, True)
             for path, item in self._objects.items()
-            if path not in listed and not item.deleted
+            if path not in listed
+            and not item.deleted
+            and not self._note_lost(item, answer.revision)
         )
         update = self.learn(answer.objects + deletions)
         self._revision = max(self._revision, answer.revision)
@@ -119,14 +133,27 @@
             return False
         if known is not None and item.version <= known.version:
             return False
+        if known is not None and is_overtaken(item.value, known.value):
+            self._note_lost(known, item.version)
+            return False
         # A full list of a later revision lacked it, so it was deleted before.
         if known is None and item.version <= self._listed_revision:
             return False
         judged = judge_object(item)
+        self._lost.pop(item.path, None)
         self._objects[item.path] = judged.item
         self._put_in_force(judged)
         return True
 
+    def _note_lost(self, known: PlatformObject, told: int) -> bool:
+        """Return whether a version is one that the store has lost, and keep that."""
+        if get_era(known.version) >= get_era(told):
+            return False
+        text = f"the store has lost version {format_version(known.version)}: "
+        finding = Finding(known.path, "", text + "it holds on, write it again")
+        self._lost[known.path] = finding
+        return True
+
     def _put_in_force(self, judged: JudgedObject) -> None:
         """Replace what is in force of one object.
 
--- a/beryltrack/settings/stored.py
+++ b/beryltrack/settings/stored.py
@@ -9,6 +9,9 @@
 from typing import NamedTuple, NotRequired, TypedDict
 
 MAX_HISTORY = 20
+MAX_KEPT_CHANGES = 8
+"""Newest changes of an object whose identifiers proxies keep: more than are made in the
+seconds that a store may lose."""
 # The platform holds values of up to a megabyte; half of it is left for growth.
 MAX_VALUE_BYTES = 512 * 1024
 
@@ -30,17 +33,19 @@
 
 
 class StoredValue(TypedDict):
-    """A settings object as the platform keeps it.
+    """A settings object as the platform keeps it, or cut down as proxies do.
 
     ``settings`` is None after a deletion; the object itself stays, so that the
     record of the deletion stays too. ``created`` is the time of the first
     change (UTC, ISO 8601); it decides between two teams that claim one name.
+    ``changes`` is kept by proxies: identifiers of the last changes, newest first.
     """
 
     settings: dict[str, object] | None
     audit: NotRequired[AuditRecord]
     history: NotRequired[list[AuditRecord]]
     created: NotRequired[str]
+    changes: NotRequired[list[str]]
 
 
 class ChangeRequest(NamedTuple):
@@ -98,6 +103,22 @@
     return (*newest, *value.get("history", ()))
 
 
+def get_changes(value: object) -> tuple[str, ...]:
+    """Return the identifiers of the last changes of a stored value, newest first."""
+    if not is_stored_value(value):
+        return ()
+    kept = value.get("changes")
+    if not isinstance(kept, list):
+        kept = [record.get("change_id") for record in get_records(value)]
+    return tuple(item for item in kept if isinstance(item, str))[:MAX_KEPT_CHANGES]
+
+
+def is_overtaken(value: object, later: object) -> bool:
+    """Return whether a stored value is one that another one has followed."""
+    own, others = get_changes(value)[:1], get_changes(later)[1:]
+    return bool(own) and own[0] in others
+
+
 def build_value(
     request: ChangeRequest, version: int, present: StoredValue | None
 ) -> StoredValue:
--- a/beryltrack/settings/task.py
+++ b/beryltrack/settings/task.py
@@ -39,6 +39,8 @@
 # many poll periods.
 LIST_PERIODS = 40
 
+_NEEDS_LIST = frozenset((ErrorKind.INVALID, ErrorKind.EXPIRED))
+
 SiteCallback = Callable[[SiteSettings], None]
 ObjectsCallback = Callable[[tuple[PlatformObject, ...]], None]
 
@@ -198,8 +200,8 @@
                 return WATCH_GAP if self._watcher else period
             case Failure(error):
                 self._failures += 1
-                if error.kind is ErrorKind.INVALID:
-                    # The revision may be too old to watch from; a list mends that.
+                if error.kind in _NEEDS_LIST:
+                    # The revision may be too old to watch from, or of a past era.
                     self._next_list = 0.0
                 if self._failures == 1:
                     log.warning("settings: the store gives no answer: %s", error.text)
--- a/tests/settings/test_restored_settings.py
+++ b/tests/settings/test_restored_settings.py
@@ -3,6 +3,9 @@
 An instance that watched the store asked for what came after a revision that the store
 no longer had, for up to ten minutes, until its next full list. What had been changed in
 the lost seconds was taken back: a user who had been taken away could log on again.
+
+A wait that has expired is followed by a list now. What the store has of before does not
+count where it is known what followed it, by the identifiers of the changes.
 """
 
 import random
