Keep each seat with one holder while the store comes back from a copy

What callers would see: more connections to a database than it takes, and refusals there. Cause: the store showed seats of the lost seconds as free, or as an earlier holder's; the holder lost its share at once, a newcomer claimed the seat. Ruled out: a pause after the return in which nobody claims (an instance that is cut off from the store for longer is live and goes on).

A seat's value tells the era of its write, so that one that a copy brings back is older than the lost write that followed it. Holders confirm their seats in the new era, and tell so; a free seat that was not written in it is claimed only when all that are live have. The model of the seats has a store that comes back now, with calls of past eras that are carried out: 1,000 random steps of each of six seeds and the state machine keep the total. The platform's instances have no seats in the store.

--- a/beryltrack/connections/budget.py
+++ b/beryltrack/connections/budget.py
@@ -90,6 +90,16 @@
         """Seats that this process holds."""
         return self._seats.held
 
+    @property
+    def era(self) -> int:
+        """The latest era of the store in which the held seats are confirmed, or 0."""
+        return self._seats.era
+
+    @property
+    def seat_records(self) -> tuple[SeatRecord, ...]:
+        """What is known of all seats."""
+        return self._seats.records
+
     @property
     def is_settled(self) -> bool:
         """True if no seat waits to be claimed, freed or given up."""
--- a/beryltrack/connections/budget_messages.py
+++ b/beryltrack/connections/budget_messages.py
@@ -5,6 +5,8 @@
 process, so that a restarted instance is not taken for its predecessor.
 """
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 
@@ -49,14 +51,19 @@
     seat : int
         Number of the seat, from 0.
     version : int
-        Version of the object; 0 if it was never written.
+        Version of the write that made it; 0 if it was never written. It keeps the era
+        of that write also where a store shows it that came back from a copy since.
     holder : str
         Identifier of the holder; empty if the seat is free.
+    seen : int
+        Version under which the store shows it, on which a write of it depends; 0 if
+        it was not told by the store.
     """
 
     seat: int
     version: int
     holder: str
+    seen: int = 0
 
 
 class LiveHolders(NamedTuple):
@@ -68,10 +75,13 @@
         Identifiers of all that may still run.
     leaving : frozenset of str
         Those among them that are leaving and want no seat.
+    eras : mapping of str to int
+        The era of the store in which each has confirmed its seats, 0 if not given.
     """
 
     live: frozenset[str]
     leaving: frozenset[str] = frozenset()
+    eras: Mapping[str, int] = MappingProxyType({})
 
 
 class DatabaseUse(NamedTuple):
--- a/beryltrack/connections/budget_service.py
+++ b/beryltrack/connections/budget_service.py
@@ -60,9 +60,10 @@
     ):
         self._reactor = reactor
         self._links = LoanLinks(reactor, peers, incarnation)
-        store = PlatformSeatStore(client)
+        store = PlatformSeatStore(client, plan.seats)
         holder = self._links.holder
         self.task = BudgetTask(reactor, holder, plan, self._links, store, rng)
+        client.eras.subscribe(lambda era: self.task.read_soon())
 
     def start(self) -> None:
         """Tell the peers who this process is, and claim a seat."""
--- a/beryltrack/connections/budget_task.py
+++ b/beryltrack/connections/budget_task.py
@@ -27,10 +27,14 @@
     WriteSeat,
 )
 from beryltrack.connections.task import PoolTask
+from beryltrack.objects.eras import get_latest_era
 
 log = logging.getLogger(__name__)
 
 FIRST_READ_PERIOD = 1.0
+"""Seconds between two reads of the seats while one waits for something, and within
+which all proxies read them when the store came back from an older copy."""
+
 READ_PERIOD = 15.0
 READ_FLEET = 8
 LIVE_PERIOD = 1.0
@@ -48,6 +52,9 @@
     def publish_seat(self, record: SeatRecord) -> None:
         """Tell all proxies of a seat's object."""
 
+    def publish_era(self, era: int) -> None:
+        """Tell all proxies in which era of the store the own seats are confirmed."""
+
 
 class SeatStore(Protocol):
     """Where the objects of the seats are kept."""
@@ -111,6 +118,7 @@
         self._fleet_size = 1
         self._is_reading = False
         self._is_running = False
+        self._told_era = 0
         self._writing = 0
         self._left: Deferred[None] | None = None
         self._actions: deque[BudgetAction] = deque()
@@ -185,6 +193,13 @@
     def observe_seats(self, records: tuple[SeatRecord, ...]) -> None:
         """Take in seats' objects that peers told of."""
         self._perform(self._decider.observe_seats(records, False, self._now))
+        if get_latest_era(record.version for record in records) > self._decider.era:
+            self.read_soon()
+
+    def read_soon(self) -> None:
+        """Read the seats soon, as the store may have lost what they were."""
+        soon = self._now + self._rng.uniform(0.0, FIRST_READ_PERIOD)
+        self._read_at = min(self._read_at, soon)
 
     def _read_use(self, key: str) -> DatabaseUse:
         """Return the use of a database at this moment."""
@@ -266,6 +281,14 @@
             now = self._now
             self._perform(self._decider.observe_seats(records, is_complete, now))
             self._perform(self._decider.tick(now))
+            self._tell_era()
+
+    def _tell_era(self) -> None:
+        """Tell the others once the own seats are confirmed in a new era."""
+        era = self._decider.era
+        if era > self._told_era:
+            self._told_era = era
+            self._peers.publish_era(era)
 
     def _tick(self) -> None:
         self._timer = None
--- a/beryltrack/connections/loan_links.py
+++ b/beryltrack/connections/loan_links.py
@@ -88,6 +88,7 @@
         )
         self._opened_at: dict[str, float] = {}
         self._holders: dict[str, str] = {}
+        self._eras: dict[str, int] = {}
         self._seats: dict[int, str] = {}
         self._receive: Callable[[str, BudgetMessage], None] | None = None
         self._observe_seats: Callable[[tuple[SeatRecord, ...]], None] | None = None
@@ -103,9 +104,7 @@
         self._peers.set_owner(LOANS, self)
         self._peers.subscribe(HOLDER_KIND, self._learn_holder)
         self._peers.subscribe(SEAT_KIND, self._learn_seat)
-        version = (self._incarnation,)
-        own = KnowledgeItem(HOLDER_KIND, self._peers.name, version, self.holder)
-        self._peers.publish(own)
+        self.publish_era(0)
 
     def get_live_holders(self) -> LiveHolders:
         """Return who is live, by the instance list or by the peers' word.
@@ -121,7 +120,7 @@
             for holder in live
             if _is_staying(members.get(get_holder_name(holder)))
         )
-        return LiveHolders(live | {self.holder}, live - wanting)
+        return LiveHolders(live | {self.holder}, live - wanting, self._eras)
 
     def send(self, holder: str, message: BudgetMessage) -> None:
         """Send a message to a process, opening a link if there is none."""
@@ -140,6 +139,12 @@
             KnowledgeItem(SEAT_KIND, str(record.seat), (record.version,), record.holder)
         )
 
+    def publish_era(self, era: int) -> None:
+        """Tell all proxies who this process is, and what era its seats are of."""
+        version = (self._incarnation, era)
+        own = KnowledgeItem(HOLDER_KIND, self._peers.name, version, self.holder)
+        self._peers.publish(own)
+
     def accept_link(self, link: PeerLink) -> None:
         """Send what waited for this link, if it is not too old."""
         now = self._reactor.seconds()
@@ -189,6 +194,7 @@
     def _learn_holder(self, item: KnowledgeItem) -> None:
         if isinstance(item.value, str):
             self._holders[item.key] = item.value
+            self._eras[item.value] = item.version[1] if len(item.version) > 1 else 0
 
     def _learn_seat(self, item: KnowledgeItem) -> None:
         is_known = item.key.isdecimal() and isinstance(item.value, str)
--- a/beryltrack/connections/seats.py
+++ b/beryltrack/connections/seats.py
@@ -3,14 +3,17 @@
 Each seat is one object of the platform, changed by conditional updates only,
 so that no two proxies ever hold it. A proxy uses a seat as long as the highest
 version that it knows names its own process. Nothing lapses while the store is
-away: seats then just stay where they are. A seat is freed by its holder when
+away: seats then just stay where they are. A store that came back from an older copy
+shows seats as they were before; what was written later counts on. Each holder confirms
+its seats by a write in the new era, and nobody claims a seat that has not been written
+in it before all that are live have confirmed theirs. A seat is freed by its holder when
 nothing uses it any more, or by another proxy when its holder has been missing
 from the instance list and from the peers' word for longer than any loan lasts.
 """
 
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from math import ceil
 from typing import NamedTuple
 
@@ -20,6 +23,7 @@
     SeatRecord,
     WriteSeat,
 )
+from beryltrack.objects.eras import get_era, get_latest_era
 
 FREE = ""
 
@@ -66,6 +70,9 @@
         self._policy = policy
         self._rng = rng
         self._records = {n: SeatRecord(n, 0, FREE) for n in range(plan.seats)}
+        self._seen = dict.fromkeys(self._records, 0)
+        self._eras: Mapping[str, int] = {}
+        self._live: frozenset[str] = frozenset()
         self._released: dict[int, int] = {}
         self._giving_up: set[int] = set()
         self._wanting: frozenset[str] = frozenset()
@@ -92,10 +99,38 @@
 
     @property
     def is_settled(self) -> bool:
-        """True if no seat waits to be claimed, freed or given up."""
+        """True if no seat waits to be claimed, freed, given up or confirmed."""
         missing = self._missing_since.keys() & self._holders
         has_seat = bool(self.held) or self._is_leaving
-        return has_seat and not (self._giving_up or missing or self._get_free())
+        is_confirmed = self.era == self._latest_era
+        waiting = self._giving_up or missing or self._get_free()
+        return has_seat and is_confirmed and not waiting
+
+    @property
+    def records(self) -> tuple[SeatRecord, ...]:
+        """What is known of all seats."""
+        return tuple(self._records.values())
+
+    @property
+    def era(self) -> int:
+        """The latest era of the store in which all seats that it holds are confirmed.
+
+        Zero while one of them is not.
+        """
+        latest = self._latest_era
+        is_listed = all(get_era(seen) == latest for seen in self._seen.values())
+        is_confirmed = all(self._is_confirmed(seat) for seat in self.held)
+        return latest if is_listed and is_confirmed else 0
+
+    @property
+    def _latest_era(self) -> int:
+        """The latest era of the store that is known."""
+        versions = (record.version for record in self._records.values())
+        return get_latest_era((*versions, *self._seen.values()))
+
+    def _is_confirmed(self, seat: int) -> bool:
+        """Return whether a seat was written in the store's latest era."""
+        return get_era(self._records[seat].version) == self._latest_era
 
     def get_holders(self, seats: Iterable[int]) -> tuple[str, ...]:
         """Return the holders of some seats, each once, in the order of the seats."""
@@ -115,7 +150,13 @@
         """
         for record in records:
             known = self._records.get(record.seat)
-            if known is not None and record.version > known.version:
+            if known is None:
+                continue
+            seen = max(record.seen, record.version)
+            if seen > self._seen[record.seat]:
+                self._seen[record.seat] = seen
+                self._written_at.pop(record.seat, None)
+            if record.version > known.version:
                 self._records[record.seat] = record
                 self._written_at.pop(record.seat, None)
         self._is_read = self._is_read or is_complete
@@ -124,6 +165,7 @@
     def observe_live(self, holders: LiveHolders, now: float) -> None:
         """Take in who is live; who is leaving keeps its seats but wants none."""
         live = holders.live | {self._holder}
+        self._live, self._eras = live, holders.eras
         self._wanting = live - holders.leaving
         since = self._missing_since
         missing = self._holders - live
@@ -173,6 +215,7 @@
         if not self._is_read:
             return []
         writes = [*self._free_given_up(can_give_up), *self._evict(now)]
+        writes += self._confirm()
         writes += self._claim(now)
         due = [write for write in writes if self._is_due(write.seat, now)]
         self._written_at.update((write.seat, now) for write in due)
@@ -192,7 +235,28 @@
         return now - last >= self._policy.repeat_period
 
     def _write(self, seat: int, holder: str) -> WriteSeat:
-        return WriteSeat(seat, holder, self._records[seat].version)
+        return WriteSeat(seat, holder, self._seen[seat])
+
+    def _confirm(self) -> list[WriteSeat]:
+        """Write the seats that it holds again in the store's new era."""
+        return [
+            self._write(seat, self._holder)
+            for seat in sorted(self.held)
+            if not self._is_confirmed(seat) and self._is_shown(seat)
+        ]
+
+    def _is_shown(self, seat: int) -> bool:
+        """Return whether the store has shown a seat in its latest era."""
+        return get_era(self._seen[seat]) == self._latest_era
+
+    def _may_claim(self, seat: int) -> bool:
+        """Return whether nobody can hold a free seat whose claim the store lost."""
+        if not self._is_shown(seat):
+            return False
+        others = self._live - {self._holder}
+        latest = self._latest_era
+        are_confirmed = all(self._eras.get(name, 0) == latest for name in others)
+        return self._is_confirmed(seat) or are_confirmed
 
     def _free_given_up(self, can_give_up: Callable[[], bool]) -> list[WriteSeat]:
         """Free the seats that nothing uses; from then on they are not used."""
@@ -226,7 +290,7 @@
 
     def _claim(self, now: float) -> list[WriteSeat]:
         """Claim one free seat if we have none, or if it stays without a taker."""
-        free = self._get_free()
+        free = [seat for seat in self._get_free() if self._may_claim(seat)]
         if not free or self._is_leaving:
             self._free_since = None
             return []
--- a/tests/connections/budget_model.py
+++ b/tests/connections/budget_model.py
@@ -13,6 +13,7 @@
     SetLimit,
     WriteSeat,
 )
+from beryltrack.objects.eras import get_era, get_revision, make_version
 
 KEY = "g/d"
 TOTAL = 7
@@ -83,7 +84,9 @@
         self.messages = []
         self.writes = []
         self.seats = {}
-        self.version = 0
+        self.era = 0
+        self.copy = {}, 0
+        self.revision = 0
         self.joined = 0
         self.leaving = set()
 
@@ -108,10 +111,34 @@
     def list_live(self, proxy):
         """Tell a proxy the instance list: it may still show the dead."""
         live = frozenset(self.proxies)
-        proxy.decider.observe_live(LiveHolders(live, frozenset(self.leaving)), self.now)
+        eras = {name: each.decider.era for name, each in self.proxies.items()}
+        holders = LiveHolders(live, frozenset(self.leaving), eras)
+        proxy.decider.observe_live(holders, self.now)
 
     def read_store(self, proxy):
-        proxy.learn(self.seats.values(), True)
+        records = [self.see_seat(seat) for seat in range(PLAN.seats)]
+        proxy.learn(records, True)
+
+    def see_seat(self, seat):
+        """Return a seat as the store shows it in its present era."""
+        revision, holder, written_in = self.seats.get(seat, (0, "", 0))
+        written = make_version(written_in, revision) if revision else 0
+        return SeatRecord(seat, written, holder, make_version(self.era, revision))
+
+    def tell_peers(self, sender, receiver):
+        """Let a proxy tell another what it knows of the seats."""
+        receiver.learn(
+            [record._replace(seen=0) for record in sender.decider.seat_records]
+        )
+
+    def make_copy(self):
+        """Keep a copy from which the store may come back."""
+        self.copy = dict(self.seats), self.revision
+
+    def come_back(self):
+        """Let the store come back from its copy."""
+        self.seats, self.revision = dict(self.copy[0]), self.copy[1]
+        self.era += 1
 
     def deliver(self, index, keep=False):
         sender, holder, message = self.messages[index]
@@ -124,15 +151,17 @@
     def write(self, index, answered):
         """Let a write reach the store; its answer may be lost."""
         name, action = self.writes.pop(index)
-        known = self.seats.get(action.seat, SeatRecord(action.seat, 0, ""))
-        if known.version == action.if_version:
-            self.version += 1
-            self.seats[action.seat] = SeatRecord(
-                action.seat, self.version, action.holder
-            )
+        era = get_era(action.if_version)
+        kept = get_revision(self.see_seat(action.seat).seen)
+        # A call of an earlier era is carried out if the revisions match by chance; what
+        # it answers is not believed.
+        if kept == get_revision(action.if_version):
+            self.revision += 1
+            self.seats[action.seat] = self.revision, action.holder, era
         proxy = self.proxies.get(name)
-        if answered and proxy is not None and not proxy.paused:
-            proxy.learn([self.seats[action.seat]])
+        is_heard = answered and era == self.era
+        if is_heard and proxy is not None and not proxy.paused:
+            proxy.learn([self.see_seat(action.seat)])
 
     def settle(self, seconds, step=0.05):
         """Let all run without faults for a while."""
--- a/tests/connections/test_budget.py
+++ b/tests/connections/test_budget.py
@@ -158,6 +158,81 @@
     assert any(rights > TOTAL for rights in most)
 
 
+def run_returns(site, rng, steps):
+    """Run random faults with a store that comes back from copies."""
+    most = 0
+    for _ in range(steps):
+        fault_step(site, rng)
+        if rng.random() < 0.05:
+            site.make_copy()
+        if rng.random() < 0.01:
+            site.come_back()
+        if len(site.running) > 1:
+            site.tell_peers(*rng.sample(site.running, 2))
+        most = max(most, site.right_sum)
+    return most
+
+
+def test_seats_that_the_store_forgets_are_still_held_by_one_each():
+    """A store that came back from a copy showed seats as free that were held.
+
+    Whoever held one lost its share at once, a newcomer took the seat, and where the
+    holder heard of the return later than the newcomer both used it.
+    """
+    site = ModelSite()
+    site.make_copy()
+    for _ in range(3):
+        site.join()
+    site.settle(8.0)
+    held = {name: each.decider.held_seats for name, each in site.proxies.items()}
+    site.come_back()
+    newcomer = site.join()
+    for _ in range(100):
+        site.now += 0.05
+        site.list_live(newcomer)
+        site.read_store(newcomer)
+        newcomer.tick()
+        while site.writes:
+            site.write(0, True)
+        assert site.right_sum <= TOTAL
+    site.settle(8.0)
+    assert site.right_sum == TOTAL
+    assert all(site.proxies[name].decider.held_seats == held[name] for name in held)
+    assert not newcomer.decider.held_seats
+    assert {each.decider.era for each in site.proxies.values()} == {1}
+    site.crash("p2")
+    site.settle(25.0)
+    assert newcomer.decider.held_seats and site.right_sum == TOTAL
+
+
+def test_a_seat_that_was_freed_in_the_lost_seconds_is_not_used_again():
+    site = make_site(3)
+    site.make_copy()
+    leaver = site.proxies["p1"]
+    site.leaving.add("p1")
+    leaver.perform(leaver.decider.leave(site.now))
+    site.settle(1.0)
+    taker = site.join()
+    site.settle(3.0)
+    assert taker.decider.held_seats and not leaver.decider.held_seats
+    site.come_back()
+    for _ in range(200):
+        site.settle(0.05)
+        assert site.right_sum <= TOTAL
+    assert taker.decider.held_seats and not leaver.decider.held_seats
+    assert site.right_sum == TOTAL
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_the_total_holds_while_the_store_comes_back_from_copies(seed):
+    site = ModelSite()
+    assert run_returns(site, random.Random(seed), 1000) <= TOTAL
+    for proxy in site.proxies.values():
+        proxy.paused = False
+    site.settle(25.0)
+    assert site.right_sum == TOTAL or not site.proxies
+
+
 @pytest.mark.parametrize(["evict_after", "holds"], [(10.0, True), (0.0, False)])
 def test_a_seat_is_free_only_when_the_loans_of_its_dead_holder_are_over(
     evict_after, holds
@@ -243,6 +318,19 @@
         if not proxy.paused:
             proxy.tick()
 
+    @rule()
+    def make_copy(self):
+        self.site.make_copy()
+
+    @rule()
+    def come_back(self):
+        self.site.come_back()
+
+    @precondition(lambda self: len(self.site.running) > 1)
+    @rule(index=proxy, other=proxy)
+    def tell(self, index, other):
+        self.site.tell_peers(self.pick(index), self.pick(other))
+
     @invariant()
     def rights_stay_within_the_total(self):
         assert self.site.right_sum <= TOTAL
