Write addresses and records of who leads again when the store came back

What operators would see: instances without a status address until they restart, and a record of who leads that is terms behind. Cause: both are written once. Each instance now writes its address, and the records of the changes of primary that it made, again within 5 s of hearing of a new era, spread so that 520 instances stay under the store's rates; a later term in the store stays. Two tests on the stand-in: neither was there again before.

--- a/beryltrack/daemon/fleet.py
+++ b/beryltrack/daemon/fleet.py
@@ -85,6 +85,7 @@
         )
         self.forwarder = Forwarder(reactor, self.peers, handler, self.get_owner_names)
         self._hints = HintWriter(reactor, platform, rng)
+        platform.eras.subscribe(lambda era: self._hints.write_again())
         self._writing: set[Deferred] = set()
         self._sharing = GroupSharing(self.peers, self.get_owner_names)
         self._told_owners: dict[str, tuple[str, ...]] = {}
--- a/beryltrack/failover/hints.py
+++ b/beryltrack/failover/hints.py
@@ -1,7 +1,8 @@
 """Writes who leads a group into the platform's store, after the fact.
 
 The record is a hint for operators and for new instances. Nothing waits for
-it, and a store that is slow or down delays no change of primary.
+it, and a store that is slow or down delays no change of primary. Whoever wrote it
+writes it again when the store has come back from a copy that may lack it.
 """
 
 import logging
@@ -13,6 +14,7 @@
 from twisted.internet.task import deferLater
 
 from beryltrack.failover.messages import FailoverReport
+from beryltrack.objects.eras import RETURN_SPREAD
 from beryltrack.objects.messages import PlatformError, PlatformObject
 
 log = logging.getLogger(__name__)
@@ -52,6 +54,13 @@
         self._reactor = reactor
         self._client = client
         self._rng = rng
+        self._last: dict[str, FailoverReport] = {}
+
+    def write_again(self) -> None:
+        """Write the last report of each group again, some time from now."""
+        for report in self._last.values():
+            delay = self._rng.uniform(0.0, RETURN_SPREAD)
+            self._reactor.callLater(delay, self.write, report)
 
     def write(self, report: FailoverReport) -> Deferred:
         """Write a report, in the background.
@@ -67,6 +76,7 @@
             Fires with True if the store has this or a later term, with False
             if it was given up.
         """
+        self._last[report.group] = report
         return Deferred.fromCoroutine(self._write(report))
 
     async def _write(self, report: FailoverReport) -> bool:
--- a/beryltrack/objects/eras.py
+++ b/beryltrack/objects/eras.py
@@ -21,6 +21,10 @@
 ERA_HEADER = "Store-Era"
 """Names the header of an answer that tells the era, a whole number."""
 
+RETURN_SPREAD = 5.0
+"""Seconds over which the instances of a fleet write again what a store has lost: 520
+instances then make a quarter of the writes that the smallest store takes."""
+
 REVISIONS_PER_ERA = 1 << 40
 """Above all revisions: a store that made a thousand changes a second for 30 years."""
 
--- a/beryltrack/objects/registration.py
+++ b/beryltrack/objects/registration.py
@@ -4,7 +4,8 @@
 instance writes the address of its HTTP endpoint once, when it starts, and takes
 it away when it leaves. One that crashes leaves its address behind; whoever starts
 later takes away what is old and no longer in the list. So the platform sees a few
-calls at the start of an instance, two at its end, and none in between.
+calls at the start of an instance, two at its end, and none in between but when it has
+come back from an older copy, which may lack the address.
 """
 
 import logging
@@ -21,6 +22,7 @@
 from beryltrack.json_form import from_json, to_json
 from beryltrack.objects.backoff import compute_delay
 from beryltrack.objects.client import PlatformClient
+from beryltrack.objects.eras import RETURN_SPREAD
 from beryltrack.objects.messages import PlatformError, PlatformObject
 from beryltrack.settings.messages import Endpoint
 
@@ -83,6 +85,8 @@
         self._get_time = get_time
         self._rng = rng or random.Random()
         self._call: Deferred | None = None
+        self._is_stopped = False
+        client.eras.subscribe(lambda era: self._start_again())
 
     def start(self) -> Deferred:
         """Write the address, again until it is there; fires when it is."""
@@ -92,6 +96,7 @@
 
     async def stop(self) -> None:
         """Take the address away if the store answers soon."""
+        self._is_stopped = True
         if self._call is not None:
             self._call.cancel()
         removal = Deferred.fromCoroutine(self._remove())
@@ -100,6 +105,17 @@
         except TimeoutError:
             log.warning("platform: the status address could not be taken away")
 
+    def _start_again(self) -> None:
+        """Write the address again, some time from now, as the store may lack it."""
+        delay = self._rng.uniform(0.0, RETURN_SPREAD)
+        self._reactor.callLater(delay, self._restart)
+
+    def _restart(self) -> None:
+        """Write the address anew unless the instance leaves."""
+        if self._call is not None and not self._is_stopped:
+            self._call.cancel()
+            self.start()
+
     async def _remove(self) -> None:
         """Take the address away if it is still the one that was written."""
         match await self._client.get(self._path):
--- /dev/null
+++ b/tests/objects/test_restored_registration.py
@@ -0,0 +1,72 @@
+"""Addresses and records of who leads are written again after a return of the store."""
+
+import random
+
+from treq.testing import RequestTraversalAgent
+from twisted.internet.task import Clock
+
+from beryltrack.failover.hints import PATH_PREFIX, HintWriter
+from beryltrack.failover.messages import ElectionKind, FailoverReport
+from beryltrack.objects.client import PlatformClient
+from beryltrack.objects.eras import RETURN_SPREAD
+from beryltrack.objects.registration import PREFIX, RegistrationTask
+from beryltrack.settings.messages import Endpoint
+from beryltrack_standins.platform.limits import PlatformOptions
+from beryltrack_standins.platform.server import PlatformServer
+
+STEP = 0.1
+LIMIT = RETURN_SPREAD + 2.0
+"""Seconds after hearing of the return within which all is there again."""
+
+
+class Site:
+    """A client and a store that comes back from copies."""
+
+    def __init__(self):
+        self.clock, self.rng = Clock(), random.Random(1)
+        self.platform = PlatformServer(self.clock, PlatformOptions(), era=1)
+        self.agent = RequestTraversalAgent(self.platform)
+        self.client = PlatformClient(
+            self.clock, "http://127.0.0.1", self.rng, agent=self.agent
+        )
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / STEP)):
+            self.clock.advance(STEP)
+            self.agent.flush()
+
+    def hear(self):
+        """Make a call, as those that follow the settings do."""
+        self.client.eras.observe(self.platform.store.era)
+
+    def has(self, path):
+        return self.platform.store.get(path) is not None
+
+
+def test_an_address_that_was_lost_is_written_again():
+    site = Site()
+    copy = site.platform.store.make_copy()
+    endpoint = Endpoint("127.0.0.1", 1)
+    task = RegistrationTask(
+        site.clock, site.client, "a", endpoint, site.rng, lambda: 1.0
+    )
+    task.start()
+    site.advance(2.0)
+    assert site.has(f"{PREFIX}a")
+    site.platform.come_back(copy)
+    site.hear()
+    site.advance(LIMIT)
+    assert site.has(f"{PREFIX}a")
+
+
+def test_a_record_of_who_leads_that_was_lost_is_written_again():
+    site = Site()
+    copy = site.platform.store.make_copy()
+    writer = HintWriter(site.clock, site.client, site.rng)
+    writer.write(FailoverReport("g", ElectionKind.LOST, 4, "b", 0.25, 0.3))
+    site.advance(2.0)
+    site.platform.come_back(copy)
+    site.client.eras.subscribe(lambda era: writer.write_again())
+    site.hear()
+    site.advance(LIMIT)
+    assert site.platform.store.get(f"{PATH_PREFIX}g").value["primary"] == "b"
