Test an instance that starts just after the store came back from a copy

It goes by the settings of the copy, version 7, while the others have 8 in force: a key that was taken away would be served there until operators have written again.

--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -29,6 +29,7 @@
 
 from beryltrack.daemon.node import Node
 from beryltrack.objects.http import HttpClient
+from beryltrack.objects.snapshot import SnapshotTask
 from beryltrack.platform.boot import parse_node_settings
 from beryltrack_standins.lines.store import (
     LOST,
@@ -63,7 +64,14 @@
         self.configure(7)
         for number in range(3):
             self.register(number)
-        settings = parse_node_settings(BOOT)
+        self.node = None
+        self.start_node()
+
+    def start_node(self, **boot):
+        """Start the instance, anew if there was one."""
+        if self.node is not None:
+            self.node.stop()
+        settings = parse_node_settings(BOOT | boot)
         self.node = Node(self.clock, settings, random.Random(1), lambda line: None)
         self.node.start()
         self.advance(COLD_START)
@@ -224,6 +232,45 @@
     assert site.version == 8
 
 
+@pytest.mark.parametrize(("era", "is_asked"), [(1, True), (None, False)])
+def test_one_that_starts_just_after_the_return_goes_by_what_others_know(
+    make_site, monkeypatch, era, is_asked
+):
+    """It was served by the settings of the copy: a key that had been taken away."""
+    site = make_site(era)
+    copy = site.store.make_copy()
+    site.configure(8)
+    site.advance(1.0)
+    known, asked = site.node._get_snapshot(), []
+
+    async def fetch(self, source):
+        asked.append(source)
+        return known
+
+    monkeypatch.setattr(SnapshotTask, "_fetch", fetch)
+    if era is not None:
+        site.store.come_back(copy)
+    site.start_node(first_start=False, seeds=["10.1.0.7:82"])
+    assert site.version == 8
+    site.advance(20.0)
+    assert site.version == 8 and len(asked) == int(is_asked)
+
+
+def test_one_that_starts_after_a_return_asks_the_others_for_a_while_only(
+    make_site, monkeypatch
+):
+    asked = []
+
+    async def fetch(self, source):
+        asked.append(source)
+
+    monkeypatch.setattr(SnapshotTask, "_fetch", fetch)
+    site = make_site()
+    site.start_node(first_start=False, seeds=["10.1.0.7:82"])
+    site.advance(30.0)
+    assert 1 <= len(asked) <= 6
+
+
 def test_a_return_is_logged_with_what_the_store_has_otherwise(make_site, caplog):
     site = make_site()
     copy = site.store.make_copy()
