Let an instance that starts ask others for newer settings than a copy's

What callers would see: an instance that starts between the store's return from a copy and the operators' writing again serves by the older settings, with a key that was taken away. Cause: it asked other instances only while the store did not answer. Where the store has eras it now also takes the settings of another instance once it serves, if they are of a higher version, and asks for 5 s at the most, at once. Ruled out: asking in all stores (0.1 MB between zones for each start, for nothing), and waiting for it before it serves (a start would take as long as the slowest other instance). Left: some milliseconds in which it goes by the copy. Without eras nothing changes.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -67,6 +67,10 @@
 
 METRICS_PATH = b"/metrics"
 
+NEWER_SETTINGS_TIME = 5.0
+"""Seconds for which an instance that has started looks for newer settings than those of
+a store that may have come back from an older copy."""
+
 BALANCER_TIME = 2.6
 """Seconds that the balancer may take to notice that an instance leaves: two
 questions, one a second."""
@@ -410,6 +414,8 @@
         if not self._has_roster and snapshot.get(DATABASES_KIND):
             self._take_databases(snapshot[DATABASES_KIND])
         self._take_configuration(snapshot.get(CONFIG_KIND, {}))
+        if self.state is NodeState.LIVE:
+            self._snapshots.stop()
 
     def _take_members(self, peers: tuple[Peer, ...]) -> None:
         """Take in which instances there are."""
@@ -435,9 +441,21 @@
         if self.state is NodeState.STARTING:
             self._listen(self.settings.listen, self._callers)
             self.state = NodeState.LIVE
-            self._snapshots.stop()
+            self._stop_snapshots()
             log.info("daemon: Instance %s is ready.", self.settings.name)
 
+    def _stop_snapshots(self) -> None:
+        """Ask no other instance for its copies any more, but for the settings.
+
+        A store that has eras may have come back from an older copy just now: the others
+        then have newer settings in force, which operators have yet to write again.
+        """
+        if not self._eras.era:
+            self._snapshots.stop()
+            return
+        self._snapshots.hurry()
+        self._reactor.callLater(NEWER_SETTINGS_TIME, self._snapshots.stop)
+
     def _look_again(self, now: float) -> None:
         """Look at the databases again when one that is missing counts as gone."""
         if self._look_call is not None and self._look_call.active():
--- a/beryltrack/objects/snapshot.py
+++ b/beryltrack/objects/snapshot.py
@@ -157,6 +157,11 @@
         """Begin to ask, some time from now."""
         self._call = self._reactor.callLater(FIRST_DELAY, self._begin)
 
+    def hurry(self) -> None:
+        """Ask now, if nobody is asked yet."""
+        if self._call is not None and self._call.active():
+            self._call.reset(0)
+
     def stop(self) -> None:
         """Ask no more."""
         self._is_stopped = True
