--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -198,7 +198,7 @@
         # An object that no instance has written is in nobody's place in the ring.
         looks = {name: _read_look(item) for name, item in self._objects.items()}
         self._looks = {name: look for name, look in looks.items() if look is not None}
-        if self._name not in told:
+        if self._name not in told and not self._is_registering:
             log.info("members: The store lacks this instance; it registers again.")
             spread = len(self._forgotten) / FORGOTTEN_PER_SECOND
             delay = self._rng.uniform(0.0, spread)
