Move what an instance knows of its site out of node.py

Behaviour as before: the tests of daemon, platform and settings pass unchanged but for the name by which one reads the version.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -24,6 +24,7 @@
 from beryltrack.daemon.members import WATCH_GAP, MemberPort, MemberTask
 from beryltrack.daemon.node_accounts import NodeAccounts
 from beryltrack.daemon.node_policies import make_policies
+from beryltrack.daemon.node_site import NodeSite
 from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
 from beryltrack.daemon.store_clients import make_store_clients
 from beryltrack.events.log import EventLog
@@ -57,7 +58,6 @@
     SiteSettings,
 )
 from beryltrack.settings.node import NodeSettings
-from beryltrack.settings.roster import Roster, SiteConfiguration, make_site
 
 log = logging.getLogger(__name__)
 
@@ -179,13 +179,9 @@
         )
         directory.set_block_observer(self._connections.share)
         self._groups.subscribe_started(self._connections.start_group)
-        self._site = SiteSettings(0, (), (), ())
-        self._routes: dict[str, RouteSettings] = {}
-        self._configuration: SiteConfiguration | None = None
         self._configured_by: dict[str, PlatformObject] = {}
-        self._roster = Roster()
-        self._has_roster = False
         self._learned: Snapshot = {}
+        self._site = NodeSite(self._seconds)
         self._look_call = None
         self._services = make_services(
             reactor,
@@ -352,15 +348,15 @@
 
     def _get_site(self) -> SiteSettings:
         """Return the settings in force."""
-        return self._site
+        return self._site.settings
 
     def _get_route(self, name: str) -> RouteSettings | None:
         """Return the route of a database name."""
-        return self._routes.get(name)
+        return self._site.get_route(name)
 
     def _find_group(self, database: str) -> GroupRuntime | None:
         """Return the group that serves a database name, if it is known."""
-        route = self._routes.get(database)
+        route = self._site.get_route(database)
         return self._groups.get(route.group) if route is not None else None
 
     def _take_configuration(self, objects: dict[str, PlatformObject]) -> None:
@@ -370,13 +366,11 @@
             return
         configuration, findings = read_configuration(item)
         self._rejects.report(findings)
-        known = self._configuration
-        if configuration is None or (known and configuration.version <= known.version):
+        if configuration is None or not self._site.take_configuration(configuration):
             return
-        self._configuration = configuration
         self._configured_by = {CONFIG_PATH: item}
         self._rejects.report(self._accounts.set_accounts(configuration.accounts))
-        log.info("settings: Version %d is in force.", configuration.version)
+        log.info("settings: Version %d is in force.", self._site.version)
         self._apply()
 
     def _take_databases(self, objects: dict[str, PlatformObject]) -> None:
@@ -385,8 +379,7 @@
         self._rejects.report(finding for _, findings in pairs for finding in findings)
         entries = tuple(entry for entry, _ in pairs if entry is not None)
         era = get_latest_era(item.version for item in objects.values())
-        self._roster.observe(entries, self._seconds(), era)
-        self._has_roster = True
+        self._site.take_databases(entries, era)
         self._apply()
 
     def _get_snapshot(self) -> Snapshot:
@@ -411,7 +404,7 @@
         self._learned = snapshot
         if not self._connections.has_members and snapshot.get(MEMBERS_KIND):
             self._members.learn(snapshot[MEMBERS_KIND])
-        if not self._has_roster and snapshot.get(DATABASES_KIND):
+        if not self._site.has_databases and snapshot.get(DATABASES_KIND):
             self._take_databases(snapshot[DATABASES_KIND])
         self._take_configuration(snapshot.get(CONFIG_KIND, {}))
         if self.state is NodeState.LIVE:
@@ -427,14 +420,10 @@
     def _apply(self) -> None:
         """Put the settings in force."""
         is_known = self._connections.has_members or self.settings.is_first_start
-        if self._configuration is None or not (self._has_roster and is_known):
+        if not (self._site.is_known and is_known):
             return
         now = self._seconds()
-        self._site = make_site(
-            self._configuration, self._roster, options.LOST_AFTER, now
-        )
-        self._routes = {route.name: route for route in self._site.routes}
-        self._groups.apply(self._site)
+        self._groups.apply(self._site.apply(now))
         self._connections.set_accounts(self._accounts.get_book() is not None)
         self._connections.share()
         self._look_again(now)
@@ -460,14 +449,13 @@
         """Look at the databases again when one that is missing counts as gone."""
         if self._look_call is not None and self._look_call.active():
             self._look_call.cancel()
-        due = self._roster.get_due(now)
+        due = self._site.get_due(now)
         if due is not None:
             self._look_call = self._reactor.callLater(due - now + 0.01, self._apply)
 
     def _get_gauges(self) -> Iterable[Gauge]:
         """Return the values of the moment."""
-        version = self._configuration.version if self._configuration else 0
-        yield "beryltrack_settings_version", "", version
+        yield "beryltrack_settings_version", "", self._site.version
         yield "beryltrack_callers", "", len(self._callers.callers)
         yield "beryltrack_store_is_followed", "", int(not self._copies.source)
         yield "beryltrack_store_era", "", self._eras.era
--- /dev/null
+++ b/beryltrack/daemon/node_site.py
@@ -0,0 +1,79 @@
+"""What an instance knows of its site: the settings and the databases in force."""
+
+from collections.abc import Callable
+
+from beryltrack.daemon import node_options as options
+from beryltrack.settings.messages import RouteSettings, SiteSettings
+from beryltrack.settings.roster import (
+    Roster,
+    RosterEntry,
+    SiteConfiguration,
+    make_site,
+)
+
+
+class NodeSite:
+    """The settings in force, and what they rest on. They never go back to older.
+
+    Parameters
+    ----------
+    seconds : callable
+        The node's time.
+    """
+
+    def __init__(self, seconds: Callable[[], float]):
+        self._seconds = seconds
+        self._settings = SiteSettings(0, (), (), ())
+        self._routes: dict[str, RouteSettings] = {}
+        self._configuration: SiteConfiguration | None = None
+        self._roster = Roster()
+        self._has_roster = False
+
+    @property
+    def settings(self) -> SiteSettings:
+        """The settings in force."""
+        return self._settings
+
+    @property
+    def version(self) -> int:
+        """The version of what operators have configured; 0 before it is known."""
+        return self._configuration.version if self._configuration else 0
+
+    @property
+    def has_databases(self) -> bool:
+        """True once it is known which databases there are."""
+        return self._has_roster
+
+    @property
+    def is_known(self) -> bool:
+        """True once all is known that callers are served by."""
+        return self._configuration is not None and self._has_roster
+
+    def get_route(self, name: str) -> RouteSettings | None:
+        """Return the route of a database name."""
+        return self._routes.get(name)
+
+    def take_configuration(self, configuration: SiteConfiguration) -> bool:
+        """Take in what operators have configured; return whether that is newer."""
+        known = self._configuration
+        if known is not None and configuration.version <= known.version:
+            return False
+        self._configuration = configuration
+        return True
+
+    def take_databases(self, entries: tuple[RosterEntry, ...], era: int) -> None:
+        """Take in which databases there are, and the era of the store that says so."""
+        self._roster.observe(entries, self._seconds(), era)
+        self._has_roster = True
+
+    def apply(self, now: float) -> SiteSettings:
+        """Put what is known in force; return the settings."""
+        self._settings = make_site(
+            self._configuration, self._roster, options.LOST_AFTER, now
+        )
+        self._routes = {route.name: route for route in self._settings.routes}
+        return self._settings
+
+    def get_due(self, now: float) -> float | None:
+        """Return when the databases are to be looked at again; None for never."""
+        return self._roster.get_due(now)
--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -79,7 +79,7 @@
     @property
     def version(self):
         """The version of the settings in force."""
-        return self.node._configuration.version
+        return self.node._site.version
 
     def configure(self, version, *names):
         routes = [
