Test settings and databases at random returns of the store

Two instances in simulated time, a store that is away in each of its ways and comes back from copies at random, in a row too, while settings change, databases start again or leave and instances restart. In 6 cases an instance takes a database that has started again for the one of before: where the store turns it away after its return for longer than 2.5 s, and where the store comes back twice within that time.

--- /dev/null
+++ b/tests/daemon/test_random_returns.py
@@ -0,0 +1,205 @@
+"""Settings and databases of two instances whose store comes back at random moments.
+
+The store is away in each of its ways and comes back from copies up to five seconds old,
+also several times in a row, while the configuration changes, databases start again or
+leave, and instances are restarted. What operators and databases wrote is written again
+within two seconds. No instance's settings go back; what was confirmed is in force 3 s
+after the last trouble, the databases are as they last said, and no start of one that
+was known is forgotten.
+"""
+
+import random
+from functools import partial
+
+import pytest
+from treq.testing import RequestTraversalAgent
+from twisted.internet.defer import Deferred
+
+from beryltrack.daemon.node import Node
+from beryltrack.objects.http import HttpClient
+from beryltrack.objects.snapshot import SnapshotTask
+from beryltrack.platform.boot import parse_node_settings
+from beryltrack.settings.incarnations import get_identifier, get_start
+from beryltrack_standins.lines.store import (
+    LATE,
+    LOST,
+    REFUSING,
+    SILENT,
+    Store,
+    StoreView,
+)
+from tests.daemon.test_silent_store import STEP, Reactor
+from tests.platform.test_settings import BOOT, CONFIG, ENTRY
+
+HOSTS = ("10.1.0.8", "10.1.0.9")
+WRITTEN_AGAIN = 2.0
+"""Seconds within which operators and databases write theirs again."""
+
+CALM = 3.0 + WRITTEN_AGAIN
+"""Seconds after the last trouble until all that was confirmed must be in force."""
+
+COPY_AGE = 5.0
+SEEDS = range(16)
+
+
+class Instance:
+    """One instance and its way to the store."""
+
+    def __init__(self, site, host):
+        self.site, self.host, self.node = site, host, None
+        self.view = StoreView(
+            site.clock, site.store, lambda kind, name, spec: spec, site.rng
+        )
+        self.agent = RequestTraversalAgent(self.view)
+        self.start(True)
+
+    def start(self, is_first):
+        """Start, anew if it runs."""
+        if self.node is not None:
+            Deferred.fromCoroutine(self.node.stop())
+        self.site.patch(partial(HttpClient, agent=self.agent))
+        boot = BOOT | {"node_name": f"front-{self.host}", "ip": self.host}
+        seeds = [f"{host}:82" for host in HOSTS if host != self.host]
+        settings = parse_node_settings(boot | {"first_start": is_first, "seeds": seeds})
+        rng = random.Random(self.site.rng.random())
+        self.node = Node(self.site.clock, settings, rng, lambda line: None)
+        self.versions, self.starts, self.forgotten = [], {}, set()
+        self.node.start()
+
+    def advance(self):
+        self.agent.flush()
+        self.versions.append(self.node._site.version)
+        for name in self.get_databases():
+            identifier, start = get_identifier(name), get_start(name)
+            if start < self.starts.get(identifier, 0):
+                self.forgotten.add((self.site.clock.seconds(), name))
+            self.starts[identifier] = start
+
+    def get_databases(self):
+        runtime = self.node._groups.get("huvo")
+        databases = runtime.settings.databases if runtime else ()
+        return {each.name: each.draining for each in databases}
+
+
+class Site:
+    """Two instances, the operator, three databases and their store."""
+
+    def __init__(self, patch, seed):
+        self.patch, self.rng = patch, random.Random(seed)
+        self.clock, self.store = Reactor(), Store()
+        self.version, self.calm_since = 1, 0.0
+        self.written = {}
+        self.copies = []
+        self.configure()
+        for number in range(3):
+            self.register(number, born=1000)
+        self.instances = {host: Instance(self, host) for host in HOSTS}
+        self.run(4.0)
+
+    def write(self, kind, name, spec):
+        """Write what is written again when the store has lost it."""
+        self.written[kind, name] = spec
+        self.store.change(kind, name, spec)
+        self.calm_since = self.clock.seconds()
+
+    def configure(self):
+        self.version += 1
+        self.write("config", "main", CONFIG | {"config_version": self.version})
+
+    def register(self, number, **fields):
+        entry = ENTRY | {"address": f"10.1.0.{number}:80", "state": "ready"} | fields
+        self.write("servers", f"i-{number}", entry)
+
+    def write_again(self, key):
+        item = self.store.objects.get(key)
+        if item is None or item["spec"] != self.written[key]:
+            self.write(*key, self.written[key])
+
+    def come_back(self):
+        """Let the store come back from one of its copies."""
+        self.store.come_back(self.rng.choice(self.copies)[1])
+        for key in self.written:
+            delay = self.rng.choice((0.0, self.rng.uniform(0.0, WRITTEN_AGAIN)))
+            self.clock.callLater(delay, self.write_again, key)
+        self.calm_since = self.clock.seconds()
+
+    def run(self, seconds, act=lambda: None):
+        for _ in range(round(seconds / STEP)):
+            act()
+            self.clock.advance(STEP)
+            for instance in self.instances.values():
+                instance.advance()
+            now = self.clock.seconds()
+            self.copies = [each for each in self.copies if now - each[0] <= COPY_AGE]
+            if not self.copies or now - self.copies[-1][0] >= 0.5:
+                self.copies.append((now, self.store.make_copy()))
+
+    def act(self):
+        """Do something at random, seldom."""
+        rng, instance = self.rng, self.rng.choice(list(self.instances.values()))
+        if rng.random() < 0.02:
+            self.configure()
+        if rng.random() < 0.01:
+            born = int(self.clock.seconds() * 1000) + 2000
+            state = rng.choice(("ready", "draining"))
+            self.register(rng.randrange(3), born=born, state=state)
+        if rng.random() < 0.03:
+            troubles = ("", "", "", LOST, LATE, REFUSING, SILENT)
+            instance.view.trouble = rng.choice(troubles)
+        if rng.random() < 0.012:
+            self.come_back()
+        if rng.random() < 0.004:
+            instance.start(False)
+            self.calm_since = self.clock.seconds()
+
+    def settle(self):
+        """Let all trouble end."""
+        for instance in self.instances.values():
+            instance.view.trouble = ""
+        self.run(CALM + WRITTEN_AGAIN)
+
+
+@pytest.fixture
+def make_site(monkeypatch):
+    def patch(make_client):
+        monkeypatch.setattr("beryltrack.daemon.store_clients.HttpClient", make_client)
+
+    def make(seed):
+        site = Site(patch, seed)
+
+        async def fetch(task, source):
+            return site.instances[source.host].node._get_snapshot()
+
+        monkeypatch.setattr(SnapshotTask, "_fetch", fetch)
+        return site
+
+    return make
+
+
+def get_wanted(site):
+    """Return the databases as they last said."""
+    servers = {key: spec for key, spec in site.written.items() if key[0] == "servers"}
+    return {
+        f"{name}@{spec['born']}": spec["state"] == "draining"
+        for (_, name), spec in servers.items()
+    }
+
+
+def test_what_was_confirmed_holds_whenever_the_store_comes_back(make_site):
+    found = []
+    for seed in SEEDS:
+        site = make_site(seed)
+        for _ in range(3):
+            site.run(12.0, site.act)
+            site.settle()
+            for host, instance in site.instances.items():
+                if instance.versions != sorted(instance.versions):
+                    found.append((seed, host, "went back"))
+                if instance.forgotten:
+                    found.append((seed, host, "forgot", instance.forgotten))
+                if instance.versions[-1] != site.version:
+                    found.append((seed, host, instance.versions[-1], site.version))
+                if instance.get_databases() != get_wanted(site):
+                    wanted = get_wanted(site)
+                    found.append((seed, host, instance.get_databases(), wanted))
+    assert found == []
--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -26,6 +26,7 @@
 
 import pytest
 from treq.testing import RequestTraversalAgent
+from twisted.internet.defer import Deferred
 
 from beryltrack.daemon.node import Node
 from beryltrack.objects.http import HttpClient
@@ -70,7 +71,7 @@
     def start_node(self, **boot):
         """Start the instance, anew if there was one."""
         if self.node is not None:
-            self.node.stop()
+            Deferred.fromCoroutine(self.node.stop())
         settings = parse_node_settings(BOOT | boot)
         self.node = Node(self.clock, settings, random.Random(1), lambda line: None)
         self.node.start()
