Believe an older word of a database only if the store tells it again

What callers would see: commits confirmed by a database that has lost them, counted under the name of its earlier start. Cause: an entry of before was believed 2.5 s after it was first seen, also by an instance that the store told nothing since, and the time did not begin anew with the next return. Ruled out: a longer time (an instance may be turned away for longer than any).

The known entry stays in force until the store tells the earlier one again 2.5 s or more after its last return; a missing one has its time anew with each return, too. It acts only when an era rises.

--- a/beryltrack/settings/roster.py
+++ b/beryltrack/settings/roster.py
@@ -9,7 +9,7 @@
 
 A store that comes back from an older copy has entries of before for a moment, until the
 databases have written theirs again. One that is behind what was known, by an earlier
-start or in that its database was to leave, is believed as late as a missing one counts.
+start or in that its database was to leave, does not count before they had that time.
 
 A database that has started again under its identifier is another member: what the one
 before held is lost, and nothing is waited for.
@@ -115,60 +115,60 @@
     missing_since: float | None
     era: int = 0
 
+    def miss(self, now: float) -> "_Known":
+        """Return the entry as missing since a time."""
+        return self._replace(missing_since=now)
+
 
 class Roster:
     """The databases of all groups, as far as the store has told."""
 
     def __init__(self):
         self._known: dict[str, _Known] = {}
-        self._behind: tuple[_Known, ...] = ()
+        self._era = 0
+        self._behind: dict[str, float] = {}
 
     def observe(
         self, entries: tuple[RosterEntry, ...], now: float, era: int = 0
     ) -> None:
         """Take in all entries that the store has at a time, and the store's era."""
-        entries = tuple(map(self._keep_name, entries))
-        told = [_Known(entry, None, era) for entry in entries]
-        self._behind = tuple(each for each in told if self._is_behind(each, now))
-        present = {each.entry.name: each for each in told if each not in self._behind}
+        if era > self._era:
+            # The time within which entries are back begins with each return.
+            self._era, self._behind = era, {}
+            self._known = {
+                name: known if known.missing_since is None else known.miss(now)
+                for name, known in self._known.items()
+            }
+        told = [
+            self._overtake(_Known(entry, None, era), now)
+            for entry in map(self._keep_name, entries)
+        ]
+        present = {known.entry.name: known for known in told}
         identifiers = {get_identifier(name) for name in present}
         missing = {
-            name: known
-            if known.missing_since is not None
-            else known._replace(missing_since=now)
+            name: known if known.missing_since is not None else known.miss(now)
             for name, known in self._known.items()
             if get_identifier(name) not in identifiers
         }
         self._known = present | missing
 
-    def _is_behind(self, told: _Known, now: float) -> bool:
-        """Return whether an entry tells what was so before the store's last return."""
-        entry, known = told.entry, self._find_earlier(told)
-        if known is None or _is_gone(known, now):
-            return False
-        if entry.name == known.entry.name:
-            return known.entry.draining and not entry.draining
-        return get_start(entry.name) < get_start(known.entry.name)
-
-    def _find_earlier(self, told: _Known) -> _Known | None:
-        """Return what was known of a database in an earlier era of the store."""
+    def _overtake(self, told: _Known, now: float) -> _Known:
+        """Return what is known of a database if its entry is behind that, or the entry.
+
+        An entry that is still behind when the store tells it again, after the time that
+        databases have to write theirs, is what its database says.
+        """
         identifier = get_identifier(told.entry.name)
         earlier = (
             known
             for known in self._known.values()
             if get_identifier(known.entry.name) == identifier and known.era < told.era
         )
-        return next(earlier, None)
-
-    def _believe_behind(self, now: float) -> None:
-        """Take the entries that were behind for too long to be overtaken."""
-        due = [each for each in self._behind if not self._is_behind(each, now)]
-        for told in due:
-            known = self._find_earlier(told)
-            if known is not None:
-                del self._known[known.entry.name]
-            self._known[told.entry.name] = told
-        self._behind = tuple(each for each in self._behind if each not in due)
+        known = next(earlier, None)
+        if known is None or not _is_behind(told.entry, known.entry):
+            return told
+        since = self._behind.setdefault(identifier, now)
+        return told if now - since >= MISSING_GRACE else known
 
     def _keep_name(self, entry: RosterEntry) -> RosterEntry:
         """Return an entry that does not tell its start under the name it had.
@@ -182,7 +182,6 @@
 
     def get_members(self, group: str, now: float) -> tuple[RosterEntry, ...]:
         """Return the members of a group; forget those that are gone for good."""
-        self._believe_behind(now)
         all_known = [
             known for known in self._known.values() if known.entry.group == group
         ]
@@ -216,6 +215,13 @@
         return min((time for time in times if time > now), default=None)
 
 
+def _is_behind(told: RosterEntry, known: RosterEntry) -> bool:
+    """Return whether an entry tells what was so before a known one."""
+    if told.name == known.name:
+        return known.draining and not told.draining
+    return get_start(told.name) < get_start(known.name)
+
+
 def _is_gone(known: _Known, now: float) -> bool:
     """Return whether an entry has been missing for too long."""
     since = known.missing_since
