Compare three ways to hold limits of accounts, in simulated time

`beryltrack-bench quota` plays even shares, shares lent to an owner (the product's way) and one owner that counts alone, by the product's own deciders, at 8 to 520 instances: what is refused of accounts that ask for no more than their limit, in a calm fleet, a split one and after an owner was lost; the most that an account ran; messages a second. The lenders of the safety test moved to it, so that both play the same links. Tests: the judgement on tiny inputs; at 8 instances the product's way refuses nothing while calm and holds the limit, one owner breaks it in a split.

--- /dev/null
+++ b/beryltrack_bench/experiments/quota.py
@@ -0,0 +1,43 @@
+"""Limits of accounts: three ways to hold them, in simulated time.
+
+For each way: the part of operations within an account's limit that was refused (in a
+calm fleet, a split one, and after an owner was lost without a sign), the most that an
+account ran in a window by what it may, and messages a second.
+"""
+
+from beryltrack_bench.deployment import Deployment
+from beryltrack_bench.options import Options
+from beryltrack_bench.quota.site import Figures
+from beryltrack_bench.quota.ways import WAYS, run_way
+
+SIZES = (8, 67, 195, 520)
+"""Instances of the users' fleets, and of the size to design for."""
+
+
+def run(deployment: Deployment, seed: int, options: Options) -> dict:
+    """Play each way at each size; the standing one must hold all limits."""
+    sizes = (options.nodes,) if options.nodes else SIZES
+    figures = {
+        str(count): {name: _show(run_way(name, count, seed)) for name in WAYS}
+        for count in sizes
+    }
+    broken = [
+        f"{count} instances: an account ran {ways['lent']['excess']} of its limit"
+        for count, ways in figures.items()
+        if ways["lent"]["excess"] > 1.0
+    ]
+    return {"sizes": figures, "violations": broken}
+
+
+def _show(figures: Figures) -> dict:
+    """Return the printed form of a way's figures."""
+    refused = {
+        phase.name: round(phase.refused / max(1, phase.asked), 4)
+        for phase in figures.phases
+    }
+    return {
+        "refused_within_limit": refused,
+        "excess": round(figures.excess, 3),
+        "messages_per_second": round(figures.messages_per_second, 1),
+        "owner_messages_per_second": round(figures.owner_messages_per_second, 1),
+    }
--- /dev/null
+++ b/beryltrack_bench/quota/lender.py
@@ -0,0 +1,152 @@
+"""Instances that lend their rights over links, without sockets.
+
+The deciders are those of the product (`beryltrack.accounts`); a message takes as long
+as whoever carries it says, and reaches the process that it was sent to or nobody.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
+
+from beryltrack.accounts.lending import (
+    LOAN_TIME,
+    RENEW_PERIOD,
+    LendingDecider,
+    Offer,
+)
+from beryltrack.accounts.messages import AccountSettings
+from beryltrack.accounts.quota import QuotaDecider, Tolerance
+from beryltrack.accounts.rights import Loan
+from beryltrack.accounts.task import ANSWER_TIMEOUT
+
+
+class Carrier(Protocol):
+    """Carries messages between processes, and has the time."""
+
+    now: float
+    instances: "Mapping[str, Lender]"
+
+    def put(
+        self, source: str, target: "Lender", carry_out: Callable[[], object]
+    ) -> None:
+        """Put a message on its way; it is carried out when it arrives."""
+
+
+class Link:
+    """A link of one lender to one owner; it ends with either process."""
+
+    def __init__(self, lender: "Lender", owner: "Lender"):
+        self.lender, self.owner = lender, owner
+        self.answered_at: float | None = None
+        self.is_new = True
+        self.sent_at: float | None = None
+
+    @property
+    def is_over(self) -> bool:
+        """True if its lender uses another link, or none."""
+        return self.lender.links.get(self.owner.name) is not self
+
+
+class Lender:
+    """One process: it lends, and counts what it has.
+
+    Parameters
+    ----------
+    carrier : Carrier
+        Carries its messages.
+    name : str
+        Its name.
+    members : iterable of str
+        Names of all instances.
+    accounts : mapping of str to AccountSettings
+        The accounts.
+    tolerance : Tolerance
+        How far their limits may be exceeded.
+    offset : float
+        What its clock is ahead of the carrier's, seconds.
+    is_new : bool
+        True if no process of this name has run before.
+    """
+
+    def __init__(
+        self,
+        carrier: Carrier,
+        name: str,
+        members: Iterable[str],
+        accounts: Mapping[str, AccountSettings],
+        tolerance: Tolerance,
+        offset: float = 0.0,
+        is_new: bool = True,
+    ):
+        self.name = name
+        self.links: dict[str, Link] = {}
+        self._carrier = carrier
+        self._offset = offset
+        self._next_tick = carrier.now
+        self.lending = LendingDecider(self.choose_owner, self.now, is_new)
+        self.lending.set_members(members, self.now)
+        self.quota = QuotaDecider(accounts.get, tolerance)
+
+    @property
+    def now(self) -> float:
+        """The process's own clock."""
+        return self._carrier.now + self._offset
+
+    def choose_owner(self, slot: int) -> str | None:
+        """Return to whom the operations of a slot's accounts are sent."""
+        raise NotImplementedError
+
+    def get_loan_end(self, link: Link) -> float:
+        """Return when a loan ends that an open link has brought now."""
+        return link.answered_at + LOAN_TIME
+
+    def tick(self) -> None:
+        """Tell each owner what it has, if that is due."""
+        now = self._carrier.now
+        for name, link in tuple(self.links.items()):
+            if link.sent_at is not None and now - link.sent_at > ANSWER_TIMEOUT:
+                del self.links[name]
+        if now < self._next_tick:
+            return
+        self._next_tick = now + RENEW_PERIOD
+        for name, offer in self.lending.plan(self.now).items():
+            if name == self.name:
+                self.lending.observe_sent(name, offer, self.now)
+                loan = Loan(offer.slots, offer.part, self.now + LOAN_TIME)
+                self.quota.rights.lend(name, loan, self.now)
+                self.lending.observe_taken(name, offer)
+            else:
+                self._tell(name, offer)
+
+    def _tell(self, name: str, offer: Offer) -> None:
+        """Send an offer unless the last one is not answered."""
+        owner = self._carrier.instances[name]
+        link = self.links.get(name)
+        if link is None or link.owner is not owner:
+            link = self.links[name] = Link(self, owner)
+        if link.sent_at is not None:
+            return
+        link.sent_at = self._carrier.now
+        if link.is_new:
+            offer = Offer(0, 0.0)
+        else:
+            self.lending.observe_sent(name, offer, self.now)
+        self._carrier.put(self.name, owner, lambda: owner.take(link, offer))
+
+    def take(self, link: Link, offer: Offer) -> None:
+        """Take an offer as an owner, and answer it."""
+        if link.answered_at is not None:
+            loan = Loan(offer.slots, offer.part, self.get_loan_end(link))
+            self.quota.rights.lend(link.lender.name, loan, self.now)
+        link.answered_at = self.now
+        self._carrier.put(self.name, link.lender, lambda: link.lender.end(link, offer))
+
+    def end(self, link: Link, offer: Offer) -> None:
+        """Take the answer to an offer."""
+        if link.is_over:
+            return
+        link.sent_at = None
+        if not link.is_new:
+            self.lending.observe_taken(link.owner.name, offer)
+        elif self._next_tick > self._carrier.now:
+            self._next_tick = self._carrier.now
+        link.is_new = False
--- a/tests/accounts/test_quota_safety.py
+++ b/tests/accounts/test_quota_safety.py
@@ -12,17 +12,11 @@
 
 import pytest
 
-from beryltrack.accounts.lending import (
-    LOAN_TIME,
-    RENEW_PERIOD,
-    LendingDecider,
-    Offer,
-)
+from beryltrack.accounts.lending import LOAN_TIME
 from beryltrack.accounts.messages import AccountSettings
-from beryltrack.accounts.quota import QuotaDecider, Tolerance
-from beryltrack.accounts.rights import Loan
+from beryltrack.accounts.quota import Tolerance
 from beryltrack.accounts.slots import get_slot
-from beryltrack.accounts.task import ANSWER_TIMEOUT
+from beryltrack_bench.quota.lender import Lender
 
 WINDOW, OVERAGE, SLACK = 5.0, 0.1, 20.0
 ACCOUNT = AccountSettings("hot", frozenset(), 400.0, 60.0)
@@ -30,89 +24,24 @@
 STEP = 0.05
 
 
-class Link:
-    """A link of one lender to one owner; it ends with either process."""
-
-    def __init__(self, lender, owner):
-        self.lender, self.owner = lender, owner
-        self.answered_at = None
-        self.is_new = True
-        self.sent_at = None
-
-    @property
-    def is_over(self):
-        return self.lender.links.get(self.owner.name) is not self
-
-
-class Instance:
-    """One process: it lends, and counts what it has."""
+class Instance(Lender):
+    """One process, which a test may pause or send to another owner."""
 
     def __init__(self, fleet, name, is_new):
-        self.fleet, self.name = fleet, name
-        self.offset = fleet.rng.uniform(0.0, 1e6)
+        self.fleet = fleet
         self.paused_until = 0.0
-        self.links = {}
-        self.next_tick = fleet.now
         self.target = fleet.get_target()
-        self.lending = LendingDecider(lambda slot: self.target, self.now, is_new)
-        self.lending.set_members(fleet.names, self.now)
-        self.quota = QuotaDecider({"hot": ACCOUNT}.get, Tolerance(OVERAGE, SLACK))
-
-    @property
-    def now(self):
-        """The instance's own clock."""
-        return self.fleet.now + self.offset
-
-    def tick(self):
-        for name, link in tuple(self.links.items()):
-            if (
-                link.sent_at is not None
-                and self.fleet.now - link.sent_at > ANSWER_TIMEOUT
-            ):
-                del self.links[name]
-        if self.fleet.now < self.next_tick:
-            return
-        self.next_tick = self.fleet.now + RENEW_PERIOD
-        for name, offer in self.lending.plan(self.now).items():
-            if name == self.name:
-                self.lending.observe_sent(name, offer, self.now)
-                loan = Loan(offer.slots, offer.part, self.now + LOAN_TIME)
-                self.quota.rights.lend(name, loan, self.now)
-                self.lending.observe_taken(name, offer)
-            else:
-                self.tell(name, offer)
-
-    def tell(self, name, offer):
-        owner = self.fleet.instances[name]
-        link = self.links.setdefault(name, Link(self, owner))
-        if link.sent_at is not None:
-            return
-        link.sent_at = self.fleet.now
-        if link.is_new:
-            offer = Offer(0, 0.0)
-        else:
-            self.lending.observe_sent(name, offer, self.now)
-        self.fleet.put(self.name, owner, lambda: owner.take(link, offer))
-
-    def take(self, link, offer):
-        """Take an offer as an owner, and answer it."""
-        if link.answered_at is not None:
-            until = link.answered_at + LOAN_TIME
-            if self.fleet.counts_from_receipt:
-                until = self.now + LOAN_TIME
-            loan = Loan(offer.slots, offer.part, until)
-            self.quota.rights.lend(link.lender.name, loan, self.now)
-        link.answered_at = self.now
-        self.fleet.put(self.name, link.lender, lambda: link.lender.end(link, offer))
-
-    def end(self, link, offer):
-        """Take the answer to an offer."""
-        if link.is_over:
-            return
-        link.sent_at = None
-        if not link.is_new:
-            self.lending.observe_taken(link.owner.name, offer)
-        link.is_new = False
+        offset = fleet.rng.uniform(0.0, 1e6)
+        accounts, tolerance = {"hot": ACCOUNT}, Tolerance(OVERAGE, SLACK)
+        super().__init__(fleet, name, fleet.names, accounts, tolerance, offset, is_new)
+
+    def choose_owner(self, slot):
+        return self.target
+
+    def get_loan_end(self, link):
+        if self.fleet.counts_from_receipt:
+            return self.now + LOAN_TIME
+        return super().get_loan_end(link)
 
 
 class Fleet:
--- /dev/null
+++ b/tests/bench/test_quota.py
@@ -0,0 +1,64 @@
+"""The comparison of ways to hold limits: its judgement, and that lent shares hold."""
+
+from collections import Counter
+
+import pytest
+
+from beryltrack.accounts.messages import AccountSettings
+from beryltrack_bench.quota.site import (
+    LOST_FROM,
+    SPLIT_UNTIL,
+    TOLERANCE,
+    WINDOW,
+    QuotaSite,
+    Recorder,
+    get_phase,
+)
+from beryltrack_bench.quota.ways import run_way
+
+ACCOUNT = AccountSettings("a", frozenset(), 2.0, 5.0)
+
+
+def test_an_account_beyond_its_limit_is_not_counted_as_refused_within_it():
+    recorder = Recorder({"a": ACCOUNT})
+    for _ in range(20):
+        recorder.note("a", 3.0, False)
+    calm, *others = recorder.get_phases()
+    # Its limit allows 15 operations in five seconds.
+    assert (calm.asked, calm.refused) == (15, 15)
+    assert {phase.asked for phase in others} == {0}
+
+
+def test_what_an_account_ran_in_a_window_is_measured_by_what_it_may():
+    recorder = Recorder({"a": ACCOUNT})
+    most = (2.0 * WINDOW + 5.0) * (1 + TOLERANCE.overage) + TOLERANCE.slack
+    for number in range(10):
+        recorder.note("a", number * 0.1, True)
+    recorder.note("a", 10.0, True)
+    assert recorder.excess == 10 / most
+
+
+@pytest.mark.parametrize(
+    ("now", "phase"), [(9.0, "calm"), (SPLIT_UNTIL, "split"), (LOST_FROM, "lost")]
+)
+def test_each_moment_belongs_to_a_part_of_the_run(now, phase):
+    assert get_phase(now) == phase
+
+
+def test_a_split_fleet_chooses_owners_on_each_side_once_that_is_noticed():
+    site = QuotaSite(8, 1)
+    names = Counter(site.choose_owner(name, 0) for name in site.names)
+    assert len(names) == 1
+    site.now = 12.0
+    sides = {(site.sides[name], site.choose_owner(name, 0)) for name in site.names}
+    assert len(sides) == 2 and len({owner for _, owner in sides}) == 2
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_lent_shares_hold_the_limit_and_one_owner_does_not(seed):
+    lent, owner, even = (run_way(way, 8, seed) for way in ("lent", "one_owner", "even"))
+    assert lent.excess <= 1.0 < owner.excess
+    assert lent.phases[0].refused == 0
+    # Callers of an account come in at few instances.
+    assert even.phases[0].refused > 0.2 * even.phases[0].asked
+    assert even.messages_per_second == 0.0
