--- a/tests/local_proxies.py
+++ b/tests/local_proxies.py
@@ -11,9 +11,13 @@
 
 
 @contextlib.contextmanager
-def run_proxies(count=2, options=None, seats=0):
-    """Run stand-ins and proxies; yield the `LocalProxies`."""
+def run_proxies(count=2, options=None, seats=0, era=None):
+    """Run stand-ins and proxies; yield the `LocalProxies`.
+
+    With an era the answers of the store tell it.
+    """
     site = LocalSite(reactor, options or SiteOptions())
+    site.platform.store.era = era
     local = LocalProxies(reactor, site, count, seats)
     run(local.start)
     try:
