--- a/tests/e2e/test_store_return.py
+++ b/tests/e2e/test_store_return.py
@@ -1,8 +1,8 @@
 """Real proxies go on when their store comes back without anything that they wrote.
 
 The copy is from before the site was set up: settings, seats and addresses are gone.
-Both proxies keep serving by what was confirmed, hold the seats that they held, and write
-seats and addresses again.
+Both proxies keep serving by what was confirmed, hold the seats that they held, and
+write seats and addresses again.
 """
 
 import time
