Let instances of earlier releases read no frames with eras

What callers would see in a rolling upgrade before a store that tells its era: an instance of the old release that follows one of the new takes a version for a revision, asks the store for what comes after it, and goes by old settings until it is upgraded, too. Reasoned from the two forms, not seen in a run. The era is a field of its own in the frames, so that neither release reads the other's; both then ask the store by themselves, as when a watcher is lost.

--- a/beryltrack/objects/copies.py
+++ b/beryltrack/objects/copies.py
@@ -2,6 +2,10 @@
 
 A frame says up to which revision the watcher knows a kind, and whether it hears from
 the store. The first frames of a link hold all objects, later ones what has changed.
+
+The store's era is a field of its own: an instance of an earlier release, which knows no
+eras, cannot read the frames, and asks the store instead of taking a version for a
+revision.
 """
 
 from typing import NamedTuple
@@ -12,6 +16,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
+from beryltrack.objects.eras import get_era, get_revision, make_version
 from beryltrack.objects.feed import FeedTask
 from beryltrack.objects.messages import PlatformObject
 from beryltrack.objects.snapshot import MALFORMED, decode_object
@@ -34,7 +39,7 @@
     kind : str
         The kind of the objects.
     revision : int
-        The store's revision up to which the watcher knows them.
+        The store's version up to which the watcher knows them.
     is_live : bool
         True if the watcher follows the store itself and hears from it.
     is_whole : bool
@@ -52,9 +57,14 @@
 
 def encode_frames(frames: tuple[CopyFrame, ...]) -> bytes:
     """Return the form of some frames."""
-    return cbor2.dumps(
-        [[*frame[:4], [list(item) for item in frame.objects]] for frame in frames]
-    )
+    return cbor2.dumps(list(map(_encode_frame, frames)))
+
+
+def _encode_frame(frame: CopyFrame) -> list[object]:
+    """Return the fields of one frame."""
+    place = [get_era(frame.revision), get_revision(frame.revision)]
+    objects = [list(item) for item in frame.objects]
+    return [frame.kind, *place, frame.is_live, frame.is_whole, objects]
 
 
 def decode_frames(data: bytes) -> tuple[CopyFrame, ...]:
@@ -76,13 +86,15 @@
     match fields:
         case [
             str() as kind,
-            int() as at,
+            int() as era,
+            int() as revision,
             bool() as live,
             bool() as whole,
             list() as of,
         ]:
             objects = tuple(item for item in map(decode_object, of) if item)
-            return CopyFrame(kind, at, live, whole, objects)
+            version = make_version(era, revision)
+            return CopyFrame(kind, version, live, whole, objects)
     raise ValueError("a frame is malformed")
 
 
--- a/tests/objects/test_shared_copies.py
+++ b/tests/objects/test_shared_copies.py
@@ -7,6 +7,7 @@
 
 import random
 
+import cbor2
 import pytest
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred, succeed
@@ -15,6 +16,7 @@
 from twisted.python.failure import Failure as Reason
 
 from beryltrack.objects.copies import CopyFrame, CopyPort, decode_frames, encode_frames
+from beryltrack.objects.eras import make_version
 from beryltrack.objects.feed import FeedTask, compute_wait
 from beryltrack.objects.follow import FollowTask
 from beryltrack.objects.messages import (
@@ -333,10 +335,17 @@
 
 def test_frames_are_read_as_they_were_sent():
     item = PlatformObject("config/main", 3, {"a": [1]}, False)
-    frames = (CopyFrame("config", 4, True, False, (item,)),)
+    at = make_version(2, 4)
+    frames = (CopyFrame("config", at, True, False, (item,)),)
     assert decode_frames(encode_frames(frames)) == frames
 
 
+def test_a_frame_of_a_release_without_eras_is_no_frame():
+    """Its revision would be taken for a version, or the other way round."""
+    with pytest.raises(ValueError):
+        decode_frames(cbor2.dumps([["config", 4, True, True, []]]))
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff", encode_frames(())[:0], b"\x81\x01"])
 def test_what_is_no_frame_is_told(data):
     with pytest.raises(ValueError):
