Call a store that is restored from a backup so

The field's terms in place of the phrase that the mend began with: backup, restore. Behaviour as before: the whole suite passes with its test renamed, and no rule was touched.

--- a/beryltrack/connections/budget_messages.py
+++ b/beryltrack/connections/budget_messages.py
@@ -52,7 +52,7 @@
         Number of the seat, from 0.
     version : int
         Version of the write that made it; 0 if it was never written. It keeps the era
-        of that write also where a store shows it that came back from a copy since.
+        of that write also where a store shows it that was restored from a backup since.
     holder : str
         Identifier of the holder; empty if the seat is free.
     seen : int
--- a/beryltrack/connections/budget_task.py
+++ b/beryltrack/connections/budget_task.py
@@ -33,7 +33,7 @@
 
 FIRST_READ_PERIOD = 1.0
 """Seconds between two reads of the seats while one waits for something, and within
-which all proxies read them when the store came back from an older copy."""
+which all proxies read them when the store was restored from a backup."""
 
 READ_PERIOD = 15.0
 READ_FLEET = 8
--- a/beryltrack/connections/seats.py
+++ b/beryltrack/connections/seats.py
@@ -3,7 +3,7 @@
 Each seat is one object of the platform, changed by conditional updates only,
 so that no two proxies ever hold it. A proxy uses a seat as long as the highest
 version that it knows names its own process. Nothing lapses while the store is
-away: seats then just stay where they are. A store that came back from an older copy
+away: seats then just stay where they are. A store that was restored from a backup
 shows seats as they were before; what was written later counts on. Each holder confirms
 its seats by a write in the new era, and nobody claims a seat that has not been written
 in it before all that are live have confirmed theirs. A seat is freed by its holder when
--- a/beryltrack/daemon/members.py
+++ b/beryltrack/daemon/members.py
@@ -6,7 +6,7 @@
 costs the store no call while nothing changes. An instance that finds its own object
 gone while it lives registers again.
 
-A store that comes back from an older copy has forgotten who registered since. They are
+A store that is restored from a backup has forgotten who registered since. They are
 still known for a while, in which they register again. One that cannot, as the store
 turns it away, is registered by the one that looks after it.
 """
@@ -206,7 +206,7 @@
         self._callback(self._make_peers(self._objects))
 
     def _keep_forgotten(self, told: Mapping[str, PlatformObject]) -> None:
-        """Keep for a while whom a store that came back from a copy has forgotten."""
+        """Keep for a while whom a store that was restored has forgotten."""
         era, before = get_era(self._feed.revision), self._era
         self._era = era
         lost = self._objects if era > before and self._objects else {}
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -69,7 +69,7 @@
 
 NEWER_SETTINGS_TIME = 5.0
 """Seconds for which an instance that has started looks for newer settings than those of
-a store that may have come back from an older copy."""
+a store that may have been restored from a backup."""
 
 BALANCER_TIME = 2.6
 """Seconds that the balancer may take to notice that an instance leaves: two
@@ -386,7 +386,7 @@
         """Return the copies of the store's objects that this instance goes by."""
         _, databases = (feed.objects for feed in self._feeds)
         copies = {
-            # A store that came back from a copy may have older settings for a while.
+            # A store that was restored from a backup may have older settings a while.
             CONFIG_KIND: self._configured_by,
             DATABASES_KIND: databases,
             MEMBERS_KIND: self._members.objects,
@@ -436,7 +436,7 @@
     def _stop_snapshots(self) -> None:
         """Ask no other instance for its copies any more, but for the settings.
 
-        A store that has eras may have come back from an older copy just now: the others
+        A store that has eras may have been restored from a backup just now: the others
         then have newer settings in force, which operators have yet to write again.
         """
         if not self._eras.era:
--- a/beryltrack/failover/authority.py
+++ b/beryltrack/failover/authority.py
@@ -35,8 +35,8 @@
         Name of the instance that holds it.
     token : int
         Fencing token: the version of the write by which the permit was taken. No
-        version is given to two writes, also where the store came back from a copy and
-        has forgotten the last ones, or a write of before is carried out late.
+        version is given to two writes, also where the store was restored from a backup
+        and has forgotten the last ones, or a write of before is carried out late.
     """
 
     holder: str
--- a/beryltrack/failover/hints.py
+++ b/beryltrack/failover/hints.py
@@ -2,7 +2,7 @@
 
 The record is a hint for operators and for new instances. Nothing waits for
 it, and a store that is slow or down delays no change of primary. Whoever wrote it
-writes it again when the store has come back from a copy that may lack it.
+writes it again when the store has been restored from a backup that may lack it.
 """
 
 import logging
@@ -14,7 +14,7 @@
 from twisted.internet.task import deferLater
 
 from beryltrack.failover.messages import FailoverReport
-from beryltrack.objects.eras import RETURN_SPREAD
+from beryltrack.objects.eras import RESTORE_SPREAD
 from beryltrack.objects.messages import PlatformError, PlatformObject
 
 log = logging.getLogger(__name__)
@@ -59,7 +59,7 @@
     def write_again(self) -> None:
         """Write the last report of each group again, some time from now."""
         for report in self._last.values():
-            delay = self._rng.uniform(0.0, RETURN_SPREAD)
+            delay = self._rng.uniform(0.0, RESTORE_SPREAD)
             self._reactor.callLater(delay, self.write, report)
 
     def write(self, report: FailoverReport) -> Deferred:
--- a/beryltrack/failover/unfenced_authority.py
+++ b/beryltrack/failover/unfenced_authority.py
@@ -7,7 +7,7 @@
 it can still be sent. A process that was paused or cut off finds its permit too old and
 sends nothing.
 
-A store that comes back from an older copy may have forgotten a permit under which
+A store that is restored from a backup may have forgotten a permit under which
 calls are still sent. So nobody takes one within that time of first hearing of an era,
 and one whose write was answered in another era than its group's last is not used.
 
@@ -147,7 +147,7 @@
         written = await self._client.put(path, value, seen.version)
         if self._eras.era != seen.era:
             # What was seen may not have been what the write replaced.
-            written = _refuse("the store came back from an older copy")
+            written = _refuse("the store was restored from a backup")
         if not isinstance(written, Success):
             # It may have been written all the same, or another one was.
             self._used.pop(group, None)
--- a/beryltrack/objects/eras.py
+++ b/beryltrack/objects/eras.py
@@ -1,6 +1,6 @@
-"""Eras of the store: how often it has come back from an older copy.
+"""Eras of the store: how often it has been restored from a backup.
 
-A store that comes back from a copy has lost what was written since, and gives the
+A store that is restored from a backup has lost what was written since, and gives the
 revisions of that time out again. So a revision orders nothing by itself, and one that
 matches may belong to another value. What is called a version in the product stands for
 both: the era above, the revision in it below. Versions of a later era are higher than
@@ -21,7 +21,7 @@
 ERA_HEADER = "Store-Era"
 """Names the header of an answer that tells the era, a whole number."""
 
-RETURN_SPREAD = 5.0
+RESTORE_SPREAD = 5.0
 """Seconds over which the instances of a fleet write again what a store has lost: 520
 instances then make a quarter of the writes that the smallest store takes."""
 
@@ -77,7 +77,7 @@
         self._seconds = seconds
         self._era: int | None = None
         self._since = -math.inf
-        self._returned_at = -math.inf
+        self._restored_at = -math.inf
         self._observers: list[EraObserver] = []
 
     @property
@@ -91,12 +91,12 @@
         return self._seconds() - self._since
 
     @property
-    def time_since_return(self) -> float:
-        """Seconds since the store was seen to come back from a copy, or infinite."""
-        return self._seconds() - self._returned_at
+    def time_since_restore(self) -> float:
+        """Seconds since the store was seen to be restored, or infinite."""
+        return self._seconds() - self._restored_at
 
     def subscribe(self, observer: EraObserver) -> None:
-        """Call back with the new era when the store has come back from a copy."""
+        """Call back with the new era when the store has been restored from a backup."""
         self._observers.append(observer)
 
     def observe(self, told: int | None) -> int:
@@ -106,7 +106,7 @@
         if self._era is None or told > self._era:
             before, self._era, self._since = self._era, told, self._seconds()
             if before is not None:
-                self._returned_at = self._since
+                self._restored_at = self._since
                 self._tell(before)
         return told
 
@@ -115,9 +115,9 @@
         return era < self.era
 
     def _tell(self, before: int) -> None:
-        """Tell that the store has come back from a copy."""
+        """Tell that the store has been restored from a backup."""
         log.warning(
-            "objects: The store came back from an older copy: era %d after %d; "
+            "objects: The store was restored from a backup: era %d after %d; "
             "versions of before count no more.",
             self.era,
             before,
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -273,12 +273,12 @@
             return
         objects = {item.path: item for item in found.objects}
         if self._revision and get_era(found.revision) > get_era(self._revision):
-            self._log_return(found.revision, objects)
+            self._log_restore(found.revision, objects)
         self._revision, self._objects = found.revision, objects
         self._tell()
 
-    def _log_return(self, revision: int, objects: dict[str, PlatformObject]) -> None:
-        """Log what a store that came back from a copy has otherwise than known."""
+    def _log_restore(self, revision: int, objects: dict[str, PlatformObject]) -> None:
+        """Log what a store that was restored from a backup has otherwise than known."""
         known = {path: item.value for path, item in self._objects.items()}
         told = {path: item.value for path, item in objects.items()}
         other = sorted(
--- a/beryltrack/objects/http.py
+++ b/beryltrack/objects/http.py
@@ -228,7 +228,9 @@
         A revision of an earlier era stands for something else now, so that an answer
         of a later era would miss changes.
         """
-        expired = fail_call(ErrorKind.EXPIRED, "the platform came back from a copy")
+        expired = fail_call(
+            ErrorKind.EXPIRED, "the platform was restored from a backup"
+        )
         if self.eras.is_past(get_era(after)):
             return expired
         answer = await self.attempt("GET", url, None, limit)
--- a/beryltrack/objects/lagging.py
+++ b/beryltrack/objects/lagging.py
@@ -1,7 +1,7 @@
-"""Reads that may lag, at a tenth of the price, but for the time after a return.
+"""Reads that may lag, at a tenth of the price, but for the time after a restore.
 
-What a lagging read tells is seconds old. If the store has come back from a copy within
-these seconds it may be of the era before, under the name of the present one.
+What a lagging read tells is seconds old. If the store has been restored from a backup
+within these seconds it may be of the era before, under the name of the present one.
 """
 
 from returns.result import Result
@@ -44,5 +44,5 @@
 
     def _choose(self) -> ObjectFeed:
         """Return what may be asked now."""
-        has_returned = self._eras.time_since_return < MOST_LAG
-        return self._exact if has_returned else self._lagging
+        was_restored = self._eras.time_since_restore < MOST_LAG
+        return self._exact if was_restored else self._lagging
--- a/beryltrack/objects/messages.py
+++ b/beryltrack/objects/messages.py
@@ -78,7 +78,7 @@
     another version than the condition asked for, UNKNOWN that the call may or
     may not have had its effect, INVALID that the platform did not understand
     the call or its answer made no sense, EXPIRED that a watch asked for changes
-    which the platform has forgotten, or that it came back from a copy meanwhile.
+    which the platform has forgotten, or that it was restored from a backup meanwhile.
     """
 
     REFUSED = "refused"
--- a/beryltrack/objects/registration.py
+++ b/beryltrack/objects/registration.py
@@ -5,7 +5,7 @@
 it away when it leaves. One that crashes leaves its address behind; whoever starts
 later takes away what is old and no longer in the list. So the platform sees a few
 calls at the start of an instance, two at its end, and none in between but when it has
-come back from an older copy, which may lack the address.
+been restored from a backup, which may lack the address.
 """
 
 import logging
@@ -22,7 +22,7 @@
 from beryltrack.json_form import from_json, to_json
 from beryltrack.objects.backoff import compute_delay
 from beryltrack.objects.client import PlatformClient
-from beryltrack.objects.eras import RETURN_SPREAD
+from beryltrack.objects.eras import RESTORE_SPREAD
 from beryltrack.objects.messages import PlatformError, PlatformObject
 from beryltrack.settings.messages import Endpoint
 
@@ -107,7 +107,7 @@
 
     def _start_again(self) -> None:
         """Write the address again, some time from now, as the store may lack it."""
-        delay = self._rng.uniform(0.0, RETURN_SPREAD)
+        delay = self._rng.uniform(0.0, RESTORE_SPREAD)
         self._reactor.callLater(delay, self._restart)
 
     def _restart(self) -> None:
--- a/beryltrack/settings/decider.py
+++ b/beryltrack/settings/decider.py
@@ -6,7 +6,7 @@
 settings in force: those of its own history first, so that a proxy which never
 saw them decides like the others.
 
-A store that came back from an older copy has lost changes that were confirmed. What it
+A store that was restored from a backup has lost changes that were confirmed. What it
 has instead, of a later era, does not count while it is what those changes followed; it
 is a finding until operators write them again.
 """
--- a/beryltrack/settings/roster.py
+++ b/beryltrack/settings/roster.py
@@ -7,7 +7,7 @@
 only it may have confirmed, and for good if its group would be left with one database,
 which could confirm a commit to itself alone.
 
-A store that comes back from an older copy has entries of before for a moment, until the
+A store that is restored from a backup has entries of before for a moment, until the
 databases have written theirs again. One that is behind what was known, by an earlier
 start or in that its database was to leave, does not count before they had that time.
 
@@ -133,7 +133,7 @@
     ) -> None:
         """Take in all entries that the store has at a time, and the store's era."""
         if era > self._era:
-            # The time within which entries are back begins with each return.
+            # The time within which entries are back begins with each restore.
             self._era, self._behind = era, {}
             self._known = {
                 name: known if known.missing_since is None else known.miss(now)
--- a/beryltrack_bench/soak/command.py
+++ b/beryltrack_bench/soak/command.py
@@ -24,7 +24,7 @@
         option("unfenced", None, "No fences, and former primaries go on.", True),
         option("forgetful", None, "Databases start again empty.", True),
         option("accounts", None, "Callers need keys, accounts have limits.", True),
-        option("returns", None, "The store comes back from older copies.", True),
+        option("restores", None, "The store is restored from backups.", True),
         option("nodes", None, "How many nodes; by the seed if 0.", False, default="0"),
     ]
 
@@ -38,7 +38,7 @@
             is_fenced=not self.option("unfenced"),
             is_forgetful=self.option("forgetful"),
             has_accounts=self.option("accounts"),
-            loses_writes=self.option("returns"),
+            loses_writes=self.option("restores"),
             nodes=int(self.option("nodes")),
         )
         failures = []
--- a/beryltrack_bench/soak/faults.py
+++ b/beryltrack_bench/soak/faults.py
@@ -29,7 +29,7 @@
     if site.accounts:
         makers += _ACCOUNT_MAKERS
     if site.options.loses_writes:
-        makers += _RETURN_MAKERS
+        makers += _RESTORE_MAKERS
     return rng.choice(makers)(site, rng)
 
 
@@ -212,17 +212,17 @@
     copies = []
 
     def begin() -> None:
-        copies.append(site.store.make_copy())
+        copies.append(site.store.make_backup())
         for node in nodes:
             node.store.trouble = away
 
     def end() -> None:
         for _ in range(times):
-            site.come_back(copies[0])
+            site.restore(copies[0])
         for node in nodes:
             node.store.trouble = ""
 
-    return Fault(f"the store comes back {times} times, {away or 'here'}", begin, end)
+    return Fault(f"the store is restored {times} times, {away or 'here'}", begin, end)
 
 
 def _write_late(site: SoakSite, rng: random.Random) -> Fault:
@@ -304,7 +304,7 @@
     *(_write_unreadable,) * 2,
 )
 
-_RETURN_MAKERS = (*(_lose_writes,) * 6, _write_late)
+_RESTORE_MAKERS = (*(_lose_writes,) * 6, _write_late)
 
 _ACCOUNT_MAKERS = (*(_take_key,) * 2, *(_lower_limit,) * 2)
 
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -34,7 +34,7 @@
 from beryltrack_standins.lines.database import DatabaseFactory
 from beryltrack_standins.lines.group import Group
 from beryltrack_standins.lines.store import (
-    Copy,
+    Backup,
     PromotionLog,
     PromotionView,
     Store,
@@ -130,7 +130,7 @@
     has_accounts : bool
         True if callers need keys, which come and go, and accounts have limits.
     loses_writes : bool
-        True if the store comes back from older copies.
+        True if the store is restored from backups.
     nodes : int
         How many nodes; 0 lets the seed decide. Above 0 nodes may follow others in place
         of the store, as they do from seven on. Each node has addresses of its own for
@@ -294,14 +294,14 @@
         self.accounts[name] = self.accounts[name]._replace(**fields)
         self.write_configuration()
 
-    def come_back(self, copy: Copy) -> None:
-        """Let the store come back from a copy.
+    def restore(self, backup: Backup) -> None:
+        """Let the store be restored from a backup.
 
         The configuration is written again at once, the databases' entries within the
         two seconds that they have, by what each was last told to say.
         """
         specs = {key: item["spec"] for key, item in self.store.objects.items()}
-        self.store.come_back(copy)
+        self.store.restore(backup)
         self.store.change("config", "main", specs["config", "main"])
         for name in self.databases:
             delay = self._rng.uniform(0.0, 2.0)
--- a/beryltrack_standins/lines/store.py
+++ b/beryltrack_standins/lines/store.py
@@ -26,7 +26,7 @@
 """Changes that the store remembers."""
 
 ERA_HEADER = "Store-Era"
-"""Names the header that rises by one each time the store comes back from a copy."""
+"""Names the header that rises by one each time the store is restored from a backup."""
 
 LOST, REFUSING, SILENT, LATE = "lost", "refusing", "silent", "late"
 
@@ -50,7 +50,7 @@
     condition: int | None
 
 
-class Copy(NamedTuple):
+class Backup(NamedTuple):
     """All that the store held at a moment: its revision, objects and changes."""
 
     revision: int
@@ -64,7 +64,7 @@
     Parameters
     ----------
     era : int or None
-        How often it has come back from a copy, as its answers tell; None if they tell
+        How often it was restored from a backup, as its answers tell; None if they tell
         nothing of that.
     """
 
@@ -100,18 +100,18 @@
         self.events.clear()
         self.forgotten = self.revision
 
-    def make_copy(self) -> Copy:
-        """Return a copy from which the store may come back."""
-        return Copy(self.revision, dict(self.objects), tuple(self.events))
+    def make_backup(self) -> Backup:
+        """Return a backup from which the store can be restored."""
+        return Backup(self.revision, dict(self.objects), tuple(self.events))
 
-    def come_back(self, copy: Copy, cuts_waits: bool = True) -> None:
-        """Go back to a copy: what was written since is gone.
+    def restore(self, backup: Backup, cuts_waits: bool = True) -> None:
+        """Go back to a backup: what was written since is gone.
 
-        Revisions after the copy's are given out again. A wait that is not cut off goes
-        on from a revision that now stands for something else.
+        Revisions after the backup's are given out again. A wait that is not cut off
+        goes on from a revision that now stands for something else.
         """
-        self.revision, self.objects = copy.revision, dict(copy.objects)
-        self.events = list(copy.events)
+        self.revision, self.objects = backup.revision, dict(backup.objects)
+        self.events = list(backup.events)
         if self.era is not None:
             self.era += 1
         for cut in tuple(self.cuts) if cuts_waits else ():
--- a/beryltrack_standins/platform/server.py
+++ b/beryltrack_standins/platform/server.py
@@ -22,7 +22,7 @@
 from beryltrack_standins.platform.store import (
     ChangeResult,
     ObjectStore,
-    StoreCopy,
+    StoreBackup,
     StoredObject,
 )
 
@@ -120,9 +120,9 @@
         if self.faults.down:
             self._wake_watches()
 
-    def come_back(self, copy: StoreCopy) -> None:
-        """Let the store come back from a copy; waits go on in the new era."""
-        self.store.come_back(copy)
+    def restore(self, backup: StoreBackup) -> None:
+        """Let the store be restored from a backup; waits go on in the new era."""
+        self.store.restore(backup)
         self._wake_watches()
 
     def render(self, request: Request) -> int:
--- a/beryltrack_standins/platform/store.py
+++ b/beryltrack_standins/platform/store.py
@@ -42,7 +42,7 @@
     version: int
 
 
-class StoreCopy(NamedTuple):
+class StoreBackup(NamedTuple):
     """All that the store held at a moment."""
 
     revision: int
@@ -57,7 +57,7 @@
     Parameters
     ----------
     era : int or None
-        How often it has come back from a copy, as its answers tell; None if they tell
+        How often it was restored from a backup, as its answers tell; None if they tell
         nothing of that.
     """
 
@@ -68,19 +68,19 @@
         self._versions: list[int] = []
         self._paths: list[str] = []
 
-    def make_copy(self) -> StoreCopy:
-        """Return a copy from which the store may come back."""
-        return StoreCopy(
+    def make_backup(self) -> StoreBackup:
+        """Return a backup from which the store can be restored."""
+        return StoreBackup(
             self.revision,
             dict(self._objects),
             tuple(self._versions),
             tuple(self._paths),
         )
 
-    def come_back(self, copy: StoreCopy) -> None:
-        """Go back to a copy: what was written since is gone."""
-        self.revision, self._objects = copy.revision, dict(copy.objects)
-        self._versions, self._paths = list(copy.versions), list(copy.paths)
+    def restore(self, backup: StoreBackup) -> None:
+        """Go back to a backup: what was written since is gone."""
+        self.revision, self._objects = backup.revision, dict(backup.objects)
+        self._versions, self._paths = list(backup.versions), list(backup.paths)
         if self.era is not None:
             self.era += 1
 
--- a/tests/connections/budget_model.py
+++ b/tests/connections/budget_model.py
@@ -131,12 +131,12 @@
             [record._replace(seen=0) for record in sender.decider.seat_records]
         )
 
-    def make_copy(self):
-        """Keep a copy from which the store may come back."""
+    def make_backup(self):
+        """Keep a backup from which the store can be restored."""
         self.copy = dict(self.seats), self.revision
 
-    def come_back(self):
-        """Let the store come back from its copy."""
+    def restore(self):
+        """Let the store be restored from its backup."""
         self.seats, self.revision = dict(self.copy[0]), self.copy[1]
         self.era += 1
 
--- a/tests/connections/test_budget.py
+++ b/tests/connections/test_budget.py
@@ -158,15 +158,15 @@
     assert any(rights > TOTAL for rights in most)
 
 
-def run_returns(site, rng, steps):
-    """Run random faults with a store that comes back from copies."""
+def run_restores(site, rng, steps):
+    """Run random faults with a store that is restored from backups."""
     most = 0
     for _ in range(steps):
         fault_step(site, rng)
         if rng.random() < 0.05:
-            site.make_copy()
+            site.make_backup()
         if rng.random() < 0.01:
-            site.come_back()
+            site.restore()
         if len(site.running) > 1:
             site.tell_peers(*rng.sample(site.running, 2))
         most = max(most, site.right_sum)
@@ -174,18 +174,18 @@
 
 
 def test_seats_that_the_store_forgets_are_still_held_by_one_each():
-    """A store that came back from a copy showed seats as free that were held.
+    """A store that was restored from a backup showed seats as free that were held.
 
     Whoever held one lost its share at once, a newcomer took the seat, and where the
-    holder heard of the return later than the newcomer both used it.
+    holder heard of the restore later than the newcomer both used it.
     """
     site = ModelSite()
-    site.make_copy()
+    site.make_backup()
     for _ in range(3):
         site.join()
     site.settle(8.0)
     held = {name: each.decider.held_seats for name, each in site.proxies.items()}
-    site.come_back()
+    site.restore()
     newcomer = site.join()
     for _ in range(100):
         site.now += 0.05
@@ -207,7 +207,7 @@
 
 def test_a_seat_that_was_freed_in_the_lost_seconds_is_not_used_again():
     site = make_site(3)
-    site.make_copy()
+    site.make_backup()
     leaver = site.proxies["p1"]
     site.leaving.add("p1")
     leaver.perform(leaver.decider.leave(site.now))
@@ -215,7 +215,7 @@
     taker = site.join()
     site.settle(3.0)
     assert taker.decider.held_seats and not leaver.decider.held_seats
-    site.come_back()
+    site.restore()
     for _ in range(200):
         site.settle(0.05)
         assert site.right_sum <= TOTAL
@@ -226,7 +226,7 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_the_total_holds_while_the_store_comes_back_from_copies(seed):
     site = ModelSite()
-    assert run_returns(site, random.Random(seed), 1000) <= TOTAL
+    assert run_restores(site, random.Random(seed), 1000) <= TOTAL
     for proxy in site.proxies.values():
         proxy.paused = False
     site.settle(25.0)
@@ -319,12 +319,12 @@
             proxy.tick()
 
     @rule()
-    def make_copy(self):
-        self.site.make_copy()
+    def make_backup(self):
+        self.site.make_backup()
 
     @rule()
-    def come_back(self):
-        self.site.come_back()
+    def restore(self):
+        self.site.restore()
 
     @precondition(lambda self: len(self.site.running) > 1)
     @rule(index=proxy, other=proxy)
--- a/tests/connections/test_seat_store.py
+++ b/tests/connections/test_seat_store.py
@@ -1,4 +1,4 @@
-"""Seats in a store that comes back from a copy keep the era of their writes."""
+"""Seats in a store that is restored from a backup keep the era of their writes."""
 
 import random
 
@@ -46,10 +46,10 @@
     assert site.read() == (SeatRecord(0, 0, "", absent), SeatRecord(1, 0, "", absent))
     first = site.write(0, "a", absent)
     assert first == SeatRecord(0, make_version(1, 1), "a", make_version(1, 1))
-    copy = site.platform.store.make_copy()
+    copy = site.platform.store.make_backup()
     site.write(0, "b", first.seen)
     site.write(1, "c", absent)
-    site.platform.come_back(copy)
+    site.platform.restore(copy)
     assert site.read() == (
         SeatRecord(0, make_version(1, 1), "a", make_version(2, 1)),
         SeatRecord(1, 0, "", make_version(2, 0)),
@@ -58,9 +58,9 @@
 
 def test_a_write_on_what_an_earlier_era_had_gives_the_seat_as_it_is():
     site = Site()
-    copy = site.platform.store.make_copy()
+    copy = site.platform.store.make_backup()
     lost = site.write(1, "c", make_version(1, 0))
-    site.platform.come_back(copy)
+    site.platform.restore(copy)
     now = site.write(1, "c", lost.seen)
     assert now == SeatRecord(1, 0, "", make_version(2, 0))
     again = site.write(1, "c", now.seen)
--- a/tests/daemon/test_random_returns.py
+++ b/tests/daemon/test_random_restores.py
@@ -1,11 +1,11 @@
-"""Settings and databases of two instances whose store comes back at random moments.
-
-The store is away in each of its ways and comes back from copies up to five seconds old,
-also several times in a row, while the configuration changes, databases start again or
-leave, and instances are restarted. What operators and databases wrote is written again
-within two seconds. No instance's settings go back; what was confirmed is in force 3 s
-after the last trouble, the databases are as they last said, and no start of one that
-was known is forgotten.
+"""Settings and databases of two instances whose store is restored at random moments.
+
+The store is away in each of its ways and is restored from backups up to five seconds
+old, also several times in a row, while the configuration changes, databases start again
+or leave, and instances are restarted. What operators and databases wrote is written
+again within two seconds. No instance's settings go back; what was confirmed is in force
+3 s after the last trouble, the databases are as they last said, and no known start of
+one is forgotten.
 """
 
 import random
@@ -115,9 +115,9 @@
         if item is None or item["spec"] != self.written[key]:
             self.write(*key, self.written[key])
 
-    def come_back(self):
-        """Let the store come back from one of its copies."""
-        self.store.come_back(self.rng.choice(self.copies)[1])
+    def restore(self):
+        """Let the store be restored from one of its backups."""
+        self.store.restore(self.rng.choice(self.copies)[1])
         for key in self.written:
             delay = self.rng.choice((0.0, self.rng.uniform(0.0, WRITTEN_AGAIN)))
             self.clock.callLater(delay, self.write_again, key)
@@ -132,7 +132,7 @@
             now = self.clock.seconds()
             self.copies = [each for each in self.copies if now - each[0] <= COPY_AGE]
             if not self.copies or now - self.copies[-1][0] >= 0.5:
-                self.copies.append((now, self.store.make_copy()))
+                self.copies.append((now, self.store.make_backup()))
 
     def act(self):
         """Do something at random, seldom."""
@@ -147,7 +147,7 @@
             troubles = ("", "", "", LOST, LATE, REFUSING, SILENT)
             instance.view.trouble = rng.choice(troubles)
         if rng.random() < 0.012:
-            self.come_back()
+            self.restore()
         if rng.random() < 0.004:
             instance.start(False)
             self.calm_since = self.clock.seconds()
--- a/tests/daemon/test_restored_members.py
+++ b/tests/daemon/test_restored_members.py
@@ -1,6 +1,6 @@
 """Instances that live are not taken for gone when the store forgets them.
 
-A store that came back from an older copy no longer had the objects of instances that
+A store that was restored from a backup no longer had the objects of instances that
 had registered since. Each of the others dropped them at once, and gave their parts of
 the databases' connections to itself, while they went on using them. One that the store
 turned away meanwhile could not register again, and stayed away.
@@ -24,7 +24,7 @@
 
 STEP = 0.05
 REGISTERED_AGAIN = 6.0
-"""Seconds after the return within which all that live are in the store again."""
+"""Seconds after the restore within which all that live are in the store again."""
 
 
 class Member:
@@ -69,7 +69,7 @@
 
 
 class MemberSite:
-    """Some instances, and a store that comes back from copies."""
+    """Some instances, and a store that is restored from backups."""
 
     def __init__(self):
         self.store, self.members = Store(), {}
@@ -102,19 +102,19 @@
         return all(member.known >= self.names for member in self.members.values())
 
 
-def come_back_without_the_last(*last):
+def restore_without_the_last(*last):
     """Return a site whose store has forgotten the instances that came last."""
     site = MemberSite()
     site.add(1, 2, 4, 5)
-    copy = site.store.make_copy()
+    copy = site.store.make_backup()
     site.add(*last)
     assert site.all_know_all()
-    site.store.come_back(copy)
+    site.store.restore(copy)
     return site
 
 
 def test_those_that_live_are_known_throughout_and_register_again():
-    site = come_back_without_the_last(3, 6)
+    site = restore_without_the_last(3, 6)
     known = []
     site.run(REGISTERED_AGAIN, lambda: known.append(site.all_know_all()))
     assert all(known) and site.stored == site.names
@@ -126,18 +126,18 @@
 def test_one_that_the_store_turns_away_is_registered_by_who_looks_after_it(away):
     site = MemberSite()
     site.add(1, 2, 4, 5)
-    copy = site.store.make_copy()
+    copy = site.store.make_backup()
     site.add(3, 6)
     for number in away:
         site.members[number].view.trouble = REFUSING
-    site.store.come_back(copy)
+    site.store.restore(copy)
     known = []
     site.run(20.0, lambda: known.append(site.all_know_all()))
     assert all(known) and site.stored == site.names
 
 
 def test_one_that_was_lost_meanwhile_is_known_no_longer():
-    site = come_back_without_the_last(3, 6)
+    site = restore_without_the_last(3, 6)
     site.lose(3)
     site.run(25.0)
     known = set(chain.from_iterable(each.known for each in site.members.values()))
@@ -147,11 +147,11 @@
 def test_one_that_left_in_the_lost_seconds_goes_again():
     site = MemberSite()
     site.add(1, 2, 3)
-    copy = site.store.make_copy()
+    copy = site.store.make_backup()
     site.store.change(KIND, "n-002", None, True)
     site.lose(2)
     site.run(1.0)
-    site.store.come_back(copy)
+    site.store.restore(copy)
     site.run(25.0)
     assert site.stored == site.names == {"n-001", "n-003"}
 
@@ -159,10 +159,10 @@
 def test_a_whole_fleet_that_is_forgotten_registers_at_a_bearable_pace():
     """Sixty instances of which all objects are lost write less than 200 a second."""
     site = MemberSite()
-    copy = site.store.make_copy()
+    copy = site.store.make_backup()
     site.add(*range(1, 61))
     assert site.all_know_all()
-    site.store.come_back(copy)
+    site.store.restore(copy)
     writes, known = [], []
 
     def check():
--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -1,10 +1,10 @@
-"""Settings go on to change after the store came back from an older copy.
+"""Settings go on to change after the store was restored from a backup.
 
-The store was away for 2.6 s and came back from a copy: its revisions had gone back, and
-were given out again. Six instances that knew revision 26 took each list for one that
-was overtaken by what another instance had told, as its revision was lower, and asked
-for what came after revision 26, a history that did not exist. So each of them listed
-and asked seven times a second, and none learned of three confirmed versions.
+The store was away for 2.6 s and was restored from a backup: its revisions had gone
+back, and were given out again. Six instances that knew revision 26 took each list for
+one that was overtaken by what another instance had told, as its revision was lower, and
+asked for what came after revision 26, a history that did not exist. So each of them
+listed and asked seven times a second, and none learned of three confirmed versions.
 
 The lines that settled it, repeated without end, of one instance alone whose store came
 back at revision 7, when 12 was known, and confirmed a new version of the settings:
@@ -50,7 +50,7 @@
 
 
 class RestoredSite:
-    """One instance and a store that can come back from a copy, in simulated time."""
+    """One instance and a store that can be restored, in simulated time."""
 
     def __init__(self, monkeypatch, era=1):
         self.clock = Reactor()
@@ -116,19 +116,19 @@
     return partial(RestoredSite, monkeypatch)
 
 
-def test_a_change_after_the_return_is_in_force_in_time(make_site):
+def test_a_change_after_the_restore_is_in_force_in_time(make_site):
     in_force = {}
     for how, lost in product((LOST, REFUSING, SILENT), (1, 3, 40)):
         site = make_site()
         site.configure(8)
         site.advance(1.0)
-        copy = site.store.make_copy()
+        copy = site.store.make_backup()
         site.write_others(lost)
         site.register(0, cold_remaining_ms=5)
         site.advance(1.0)
         site.view.trouble = how
         site.advance(2.6)
-        site.store.come_back(copy)
+        site.store.restore(copy)
         site.view.trouble = ""
         site.configure(9, "new")
         site.advance(APPLY_LIMIT)
@@ -142,11 +142,11 @@
     in_force = {}
     for written_again in (1, 2, 3, 4, 9):
         site = make_site()
-        copy = site.store.make_copy()
+        copy = site.store.make_backup()
         site.write_others(2)
         site.register(0, cold_remaining_ms=5)
         site.advance(1.0)
-        site.store.come_back(copy, cuts_waits=False)
+        site.store.restore(copy, cuts_waits=False)
         site.configure(9, "new")
         site.write_others(written_again)
         site.advance(APPLY_LIMIT)
@@ -156,12 +156,12 @@
 
 def test_settings_never_go_back_while_the_store_has_an_older_version(make_site):
     site = make_site()
-    copy = site.store.make_copy()
+    copy = site.store.make_backup()
     site.configure(8)
     site.advance(1.0)
     site.view.trouble = REFUSING
     site.advance(1.0)
-    site.store.come_back(copy)
+    site.store.restore(copy)
     site.view.trouble = ""
     site.advance(3.0)
     assert site.version == 8
@@ -181,14 +181,14 @@
     site = make_site()
     site.register(1, born=1_000)
     site.advance(1.0)
-    copy = site.store.make_copy()
+    copy = site.store.make_backup()
     site.register(1, born=2_000)
     site.register(2, state="draining")
     site.advance(1.0)
     before = site.get_databases()
     site.view.trouble = REFUSING
     site.advance(1.0)
-    site.store.come_back(copy)
+    site.store.restore(copy)
     site.view.trouble = ""
     site.advance(1.9)
     assert before[1:] == [("i-1@2000", False), ("i-2", True)]
@@ -201,23 +201,23 @@
 
 def test_what_databases_have_not_said_again_by_then_is_taken_back(make_site):
     site = make_site()
-    copy = site.store.make_copy()
+    copy = site.store.make_backup()
     site.register(2, state="draining")
     site.advance(1.0)
-    site.store.come_back(copy)
+    site.store.restore(copy)
     site.advance(4.0)
     assert site.get_databases() == [("i-0", False), ("i-1", False), ("i-2", False)]
 
 
 @pytest.mark.parametrize("times", [2, 3])
-def test_it_holds_for_several_returns_in_a_row(make_site, times):
+def test_it_holds_for_several_restores_in_a_row(make_site, times):
     site = make_site()
-    copy = site.store.make_copy()
+    copy = site.store.make_backup()
     site.write_others(5)
     site.register(0, cold_remaining_ms=5)
     site.advance(1.0)
     for _ in range(times):
-        site.store.come_back(copy)
+        site.store.restore(copy)
         site.write_others(5)
         site.register(0, cold_remaining_ms=5)
         site.advance(0.3)
@@ -234,12 +234,12 @@
 
 
 @pytest.mark.parametrize(("era", "is_asked"), [(1, True), (None, False)])
-def test_one_that_starts_just_after_the_return_goes_by_what_others_know(
+def test_one_that_starts_just_after_the_restore_goes_by_what_others_know(
     make_site, monkeypatch, era, is_asked
 ):
     """It was served by the settings of the copy: a key that had been taken away."""
     site = make_site(era)
-    copy = site.store.make_copy()
+    copy = site.store.make_backup()
     site.configure(8)
     site.advance(1.0)
     known, asked = site.node._get_snapshot(), []
@@ -250,14 +250,14 @@
 
     monkeypatch.setattr(SnapshotTask, "_fetch", fetch)
     if era is not None:
-        site.store.come_back(copy)
+        site.store.restore(copy)
     site.start_node(first_start=False, seeds=["10.1.0.7:82"])
     assert site.version == 8
     site.advance(20.0)
     assert site.version == 8 and len(asked) == int(is_asked)
 
 
-def test_one_that_starts_after_a_return_asks_the_others_for_a_while_only(
+def test_one_that_starts_after_a_restore_asks_the_others_for_a_while_only(
     make_site, monkeypatch
 ):
     asked = []
@@ -272,17 +272,17 @@
     assert 1 <= len(asked) <= 6
 
 
-def test_a_return_costs_few_calls(make_site):
+def test_a_restore_costs_few_calls(make_site):
     """Each instance made sixteen calls a second for as long as it lived."""
     calls = []
-    for returns in (False, True):
+    for is_restored in (False, True):
         site = make_site()
-        copy = site.store.make_copy()
+        copy = site.store.make_backup()
         site.write_others(3)
         site.register(0, cold_remaining_ms=5)
         site.advance(1.0)
-        if returns:
-            site.store.come_back(copy)
+        if is_restored:
+            site.store.restore(copy)
         before = site.view.calls
         site.advance(20.0)
         calls.append(site.view.calls - before)
@@ -290,16 +290,16 @@
     assert calls[1] <= calls[0] + 12
 
 
-def test_a_return_is_logged_with_what_the_store_has_otherwise(make_site, caplog):
+def test_a_restore_is_logged_with_what_the_store_has_otherwise(make_site, caplog):
     site = make_site()
-    copy = site.store.make_copy()
+    copy = site.store.make_backup()
     site.register(1, cold_remaining_ms=5)
     site.configure(8)
     site.advance(1.0)
-    site.store.come_back(copy)
+    site.store.restore(copy)
     site.advance(4.0)
     text = caplog.text
-    assert text.count("The store came back from an older copy: era 2 after 1") == 1
+    assert text.count("The store was restored from a backup: era 2 after 1") == 1
     assert "The store has config at 2.6 after 1.8; 1 of 1 objects" in text
     assert "1 of 3 objects are not as they were known: servers/i-1." in text
     gauges = dict(each[::2] for each in site.node._get_gauges() if not each[1])
--- a/tests/e2e/test_store_return.py
+++ b/tests/e2e/test_store_restore.py
@@ -1,4 +1,4 @@
-"""Real proxies go on when their store comes back without anything that they wrote.
+"""Real proxies go on when their store is restored to before anything that they wrote.
 
 The copy is from before the site was set up: settings, seats and addresses are gone.
 Both proxies keep serving by what was confirmed, hold the seats that they held, and
@@ -39,8 +39,8 @@
         assert wait_until(lambda: count(ADDRESSES) == 2)
         callers = [connect(proxy) for proxy in local.proxies]
         callers[0].execute("CREATE TABLE item (id integer PRIMARY KEY)")
-        empty = run(store.make_copy)._replace(objects={}, versions=(), paths=())
-        run(local.site.platform.come_back, empty._replace(revision=0))
+        empty = run(store.make_backup)._replace(objects={}, versions=(), paths=())
+        run(local.site.platform.restore, empty._replace(revision=0))
         numbers = iter(range(10_000))
 
         def is_written_again():
--- a/tests/failover/test_restored_permits.py
+++ b/tests/failover/test_restored_permits.py
@@ -1,6 +1,6 @@
-"""No permit is given twice though the store came back from an older copy.
+"""No permit is given twice though the store was restored from a backup.
 
-A store that comes back from a copy has forgotten the last permits. The next instance
+A store that is restored from a backup has forgotten the last permits. The next instance
 was given a token that another one had used before, in 12 of 12 random runs: an equal
 token passes the fence, so that a late call of its first holder would, too. Where no
 fence is checked, the next permit was taken while calls under the forgotten one were
@@ -11,7 +11,7 @@
 read in is not used; and where no fence is checked nobody takes one until calls under
 any of an earlier era have ended.
 
-Processes take permits at random here, step by step, so that the store may come back
+Processes take permits at random here, step by step, so that the store may be restored
 between any two steps; answers are lost, calls are refused or carried out late.
 """
 
@@ -91,13 +91,13 @@
 
 
 class PermitSite:
-    """Some processes, and a store that comes back from copies."""
+    """Some processes, and a store that is restored from backups."""
 
     def __init__(self, patch, seed, is_fenced):
         self.patch, self.rng = patch, random.Random(seed)
         self.clock, self.store = Reactor(), Store()
         self.processes = [Process(self, name, is_fenced) for name in PROCESSES]
-        self.copy = self.store.make_copy()
+        self.copy = self.store.make_backup()
 
     @property
     def grants(self):
@@ -118,9 +118,9 @@
         if rng.random() < 0.03:
             process.view.trouble = rng.choice(("", "", LOST, LATE, REFUSING))
         if rng.random() < 0.02:
-            self.copy = self.store.make_copy()
+            self.copy = self.store.make_backup()
         elif rng.random() < 0.005:
-            self.store.come_back(self.copy)
+            self.store.restore(self.copy)
         for each in self.processes:
             if rng.random() < 0.7:
                 each.step()
--- a/tests/objects/test_eras.py
+++ b/tests/objects/test_eras.py
@@ -57,7 +57,7 @@
     assert [eras.observe(told) for told in (5, 4, None)] == [5, 4, 5]
     assert (eras.era, eras.age, seen) == (5, 0.0, [5])
     assert eras.is_past(4) and not eras.is_past(5)
-    assert "came back from an older copy: era 5 after 4" in caplog.text
+    assert "was restored from a backup: era 5 after 4" in caplog.text
 
 
 class EraSite(Resource):
--- a/tests/objects/test_lagging.py
+++ b/tests/objects/test_lagging.py
@@ -20,7 +20,7 @@
         return f"{self.name} watch"
 
 
-def test_exact_reads_are_asked_for_a_while_after_a_return():
+def test_exact_reads_are_asked_for_a_while_after_a_restore():
     clock = Clock()
     eras = EraTracker(clock.seconds)
     feed = LaggingFeed(Feed("exact"), Feed("lagging"), eras)
--- a/tests/objects/test_restored_copies.py
+++ b/tests/objects/test_restored_copies.py
@@ -1,6 +1,6 @@
 """The newer era wins among instances that tell each other what the store holds.
 
-The store comes back from a copy while some instances are turned away, cut off or
+The store is restored from a backup while some instances are turned away, cut off or
 start; those that still have copies of before must not bring these back, and those
 that hear of the new era from others go by it though its revisions are lower.
 """
@@ -39,7 +39,7 @@
 
 
 class EraFleet(Fleet):
-    """A fleet whose store can come back from a copy."""
+    """A fleet whose store can be restored from a backup."""
 
     def __init__(self, count, monkeypatch):
         monkeypatch.setattr("tests.objects.test_shared_copies.StoreOf", EraStoreOf)
@@ -58,7 +58,7 @@
         }
 
     def lose_writes(self, count):
-        """Let the store come back without its last writes; they are written again."""
+        """Restore the store to before its last writes; they are written again."""
         values = [self.store.objects[f"{kind}/main"].value for kind in KINDS]
         self.store.revision -= count + len(KINDS)
         self.store.objects = {
@@ -94,7 +94,7 @@
 
 @pytest.mark.parametrize("lost", LOST_REVISIONS)
 @pytest.mark.parametrize("count", [6, 60])
-def test_a_change_after_the_return_is_known_to_all(make_fleet, count, lost):
+def test_a_change_after_the_restore_is_known_to_all(make_fleet, count, lost):
     fleet = make_fleet(count)
     fleet.write(lost)
     fleet.change()
--- a/tests/objects/test_restored_registration.py
+++ b/tests/objects/test_restored_registration.py
@@ -1,4 +1,4 @@
-"""Addresses and records of who leads are written again after a return of the store."""
+"""Addresses and records of who leads are written again after a restore of the store."""
 
 import random
 
@@ -8,19 +8,19 @@
 from beryltrack.failover.hints import PATH_PREFIX, HintWriter
 from beryltrack.failover.messages import ElectionKind, FailoverReport
 from beryltrack.objects.client import PlatformClient
-from beryltrack.objects.eras import RETURN_SPREAD
+from beryltrack.objects.eras import RESTORE_SPREAD
 from beryltrack.objects.registration import PREFIX, RegistrationTask
 from beryltrack.settings.messages import Endpoint
 from beryltrack_standins.platform.limits import PlatformOptions
 from beryltrack_standins.platform.server import PlatformServer
 
 STEP = 0.1
-LIMIT = RETURN_SPREAD + 2.0
-"""Seconds after hearing of the return within which all is there again."""
+LIMIT = RESTORE_SPREAD + 2.0
+"""Seconds after hearing of the restore within which all is there again."""
 
 
 class Site:
-    """A client and a store that comes back from copies."""
+    """A client and a store that is restored from backups."""
 
     def __init__(self):
         self.clock, self.rng = Clock(), random.Random(1)
@@ -45,7 +45,7 @@
 
 def test_an_address_that_was_lost_is_written_again():
     site = Site()
-    copy = site.platform.store.make_copy()
+    copy = site.platform.store.make_backup()
     endpoint = Endpoint("127.0.0.1", 1)
     task = RegistrationTask(
         site.clock, site.client, "a", endpoint, site.rng, lambda: 1.0
@@ -53,7 +53,7 @@
     task.start()
     site.advance(2.0)
     assert site.has(f"{PREFIX}a")
-    site.platform.come_back(copy)
+    site.platform.restore(copy)
     site.hear()
     site.advance(LIMIT)
     assert site.has(f"{PREFIX}a")
@@ -61,11 +61,11 @@
 
 def test_a_record_of_who_leads_that_was_lost_is_written_again():
     site = Site()
-    copy = site.platform.store.make_copy()
+    copy = site.platform.store.make_backup()
     writer = HintWriter(site.clock, site.client, site.rng)
     writer.write(FailoverReport("g", ElectionKind.LOST, 4, "b", 0.25, 0.3))
     site.advance(2.0)
-    site.platform.come_back(copy)
+    site.platform.restore(copy)
     site.client.eras.subscribe(lambda era: writer.write_again())
     site.hear()
     site.advance(LIMIT)
--- a/tests/settings/test_restored_settings.py
+++ b/tests/settings/test_restored_settings.py
@@ -1,4 +1,4 @@
-"""Settings under paths when the store came back from an older copy.
+"""Settings under paths when the store was restored from a backup.
 
 An instance that watched the store asked for what came after a revision that the store
 no longer had, for up to ten minutes, until its next full list. What had been changed in
@@ -47,7 +47,7 @@
 
 
 class Site:
-    """Two instances, an operator and a store that comes back from copies."""
+    """Two instances, an operator and a store that is restored from backups."""
 
     def __init__(self):
         self.clock = Clock()
@@ -93,13 +93,13 @@
 
 
 @pytest.mark.parametrize("lost", [1, 4])
-def test_a_change_after_the_return_is_in_force_in_time(lost):
+def test_a_change_after_the_restore_is_in_force_in_time(lost):
     site = Site()
-    copy = site.platform.store.make_copy()
+    copy = site.platform.store.make_backup()
     for age in range(2, 2 + lost):
         site.change(GROUP_PATH, make_group(max_age=age))
     site.advance(LIMIT * 1.5)
-    site.platform.come_back(copy)
+    site.platform.restore(copy)
     site.change(GROUP_PATH, make_group(max_age=9))
     site.advance(LIMIT)
     site.share()
@@ -108,12 +108,12 @@
 
 def test_what_was_confirmed_in_the_lost_seconds_stays_in_force():
     site = Site()
-    copy = site.platform.store.make_copy()
+    copy = site.platform.store.make_backup()
     site.change(GROUP_PATH, make_group(max_age=2))
     site.change(GROUP_PATH, make_group(max_age=3))
     site.change(RULE_PATH, None)
     site.advance(LIMIT * 1.5)
-    site.platform.come_back(copy)
+    site.platform.restore(copy)
     for _ in range(40):
         site.advance(1.0)
         site.share()
@@ -125,10 +125,10 @@
 
 def test_it_is_over_once_it_was_written_again():
     site = Site()
-    copy = site.platform.store.make_copy()
+    copy = site.platform.store.make_backup()
     site.change(GROUP_PATH, make_group(max_age=3))
     site.advance(LIMIT * 1.5)
-    site.platform.come_back(copy)
+    site.platform.restore(copy)
     site.advance(LIMIT)
     site.change(GROUP_PATH, make_group(max_age=3))
     site.change(RULE_PATH, None)
@@ -141,10 +141,10 @@
 
 def test_an_object_that_was_added_in_the_lost_seconds_stays_too():
     site = Site()
-    copy = site.platform.store.make_copy()
+    copy = site.platform.store.make_backup()
     site.change("settings/shop/rules/fresh", {"max_age": 1})
     site.advance(LIMIT * 1.5)
-    site.platform.come_back(copy)
+    site.platform.restore(copy)
     site.advance(LIMIT * 3)
     site.share()
     assert [len(each.task.current.rules) for each in site.instances] == [2, 2]
--- a/tests/settings/test_roster.py
+++ b/tests/settings/test_roster.py
@@ -101,7 +101,7 @@
 
 
 def test_an_earlier_start_is_not_believed_at_once_in_a_new_era():
-    """A store that came back from a copy has what databases said before it."""
+    """A store that was restored from a backup has what databases said before it."""
     roster = Roster()
     before, after = make_entry("a@1000"), make_entry("a@2000")
     roster.observe((after, B, C), 0.0, era=1)
@@ -128,7 +128,7 @@
     assert roster.get_members("main", 60.0) == (after, B, C)
 
 
-def test_each_return_gives_databases_their_time():
+def test_each_restore_gives_databases_their_time():
     roster = Roster()
     before, after = make_entry("a@1000"), make_entry("a@2000")
     roster.observe((after, B, C), 0.0, era=1)
