Carry what an operation demands of its database from its arrival to its way

Nothing decides by it yet, so that nothing a caller sees changes. The acquire of pools and of DatabaseAccess takes the demand in place of the account; their tests say so too.

--- a/beryltrack/connections/exclusive.py
+++ b/beryltrack/connections/exclusive.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from beryltrack.connections.messages import TargetLost
+from beryltrack.load.messages import NO_DEMAND
 from beryltrack.wire.line_buffer import MalformedMessage
 from beryltrack.wire.messages import ResponseEnd, ResponseSink
 from beryltrack.wire.sockets import SocketLimits, tune_socket
@@ -50,6 +51,8 @@
         self.heard_at = -math.inf
         # True if that instance need not count the next operation of the account.
         self.is_counted = False
+        # What the next operation asks for, as that instance is told.
+        self.demand = NO_DEMAND
         # Called if that instance says that it does not reach the database, or (True)
         # that it gives connections to none of the group's.
         self.on_useless: Callable[[bool], object] = lambda has_left: None
--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -27,6 +27,7 @@
 )
 from beryltrack.connections.pool import LEAST_RETRY_AFTER, PoolDecider
 from beryltrack.connections.pool_policy import PoolPolicy
+from beryltrack.load.messages import NO_DEMAND, Demand
 from beryltrack.settings.messages import DatabaseSettings
 
 log = logging.getLogger(__name__)
@@ -110,7 +111,9 @@
         """Open the warm connections."""
         self._tick()
 
-    def acquire(self, deadline: float, account: str = "") -> Deferred[PooledConnection]:
+    def acquire(
+        self, deadline: float, demand: Demand = NO_DEMAND
+    ) -> Deferred[PooledConnection]:
         """Get a connection for one request or transaction.
 
         Parameters
@@ -118,8 +121,8 @@
         deadline : float
             Time of the reactor's clock, in seconds, by which the request must
             be done.
-        account : str
-            Whose connection it must be; the empty name where there are no accounts.
+        demand : Demand
+            What the request asks for; the connection must be of its account.
 
         Returns
         -------
@@ -130,7 +133,8 @@
         waiter = next(self._waiter_numbers)
         result: Deferred[PooledConnection] = Deferred(lambda _: self._cancel(waiter))
         self._waiters[waiter] = result
-        self._perform(self._decider.acquire(waiter, deadline, self._now, account))
+        actions = self._decider.acquire(waiter, deadline, self._now, demand.account)
+        self._perform(actions)
         return result
 
     def acquire_briefly(
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -4,6 +4,7 @@
 from beryltrack.failover.decider import FailoverPolicy
 from beryltrack.groups.adapter import ControlLimits
 from beryltrack.groups.policy import ProbePolicy
+from beryltrack.load.messages import LOWEST_PRIORITY
 from beryltrack.requests.losses import LossPolicy
 from beryltrack.requests.protocol import RequestPolicy
 from beryltrack.routing.decider import RoutingPolicy
@@ -156,4 +157,11 @@
 def make_request_policy(route: RouteSettings) -> RequestPolicy:
     """Return the times that bound the requests of a route."""
     timeout = route.statement_timeout
-    return RequestPolicy(timeout, min(MOST_HOLD, timeout / 2), timeout, READ_LIMIT)
+    return RequestPolicy(
+        timeout,
+        min(MOST_HOLD, timeout / 2),
+        timeout,
+        READ_LIMIT,
+        min(route.priority, LOWEST_PRIORITY),
+        route.target_latency,
+    )
--- /dev/null
+++ b/beryltrack/load/__init__.py
@@ -0,0 +1,1 @@
+"""Decides under load what runs at a database, in which order, where, and what not."""
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -46,7 +46,6 @@
 GetAccounts = Callable[[], AccountBook | None]
 GetPolicy = Callable[[RouteSettings], RequestPolicy]
 
-
 ACCOUNT, COUNTED = b"ACCOUNT ", b"counted"
 """Between instances: whose the next operation is, and if it was counted."""
 
--- a/beryltrack/platform/relay.py
+++ b/beryltrack/platform/relay.py
@@ -12,6 +12,7 @@
 from beryltrack.errors import SqlError
 from beryltrack.groups.messages import DatabaseStatus
 from beryltrack.groups.view import NEVER
+from beryltrack.load.messages import NO_DEMAND
 from beryltrack.platform import lines
 from beryltrack.platform.caller import LineSpeaker
 from beryltrack.platform.codes import NOT_OWNER, encode_refusal
@@ -74,7 +75,7 @@
         super().__init__(factory)
         self.group = ""
         self.database = ""
-        self.account = ""
+        self.demand = NO_DEMAND
         self.is_counted = True
         self.pinned: LineTarget | None = None
         self.proven_at = NEVER
@@ -96,7 +97,8 @@
         self, connection: LineTarget, unit: RelayedStatement
     ) -> "Deferred[RunResult]":
         """Run a statement; its rows go out as they come."""
-        setups = format_setups(connection, self.lines, unit.shape, self.account)
+        account = self.demand.account
+        setups = format_setups(connection, self.lines, unit.shape, account)
         text = unit.prefix + format_text(connection, unit.statement, unit.shape)
         setups.append(lines.format_query(unit.statement.request_id, text))
         running = connection.run(b"".join(setups), self, len(setups) - 1)
@@ -163,7 +165,7 @@
         """Note whose operation comes next, and whether it was counted."""
         is_whole = len(fields) == 3 and not self.in_transaction
         if is_whole:
-            self.account = fields[1].decode()
+            self.demand = self.demand._replace(account=fields[1].decode())
             self.is_counted = fields[2] == COUNTED
         self.answer_local(is_whole)
 
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -28,7 +28,6 @@
 PROXY_NAME = "beryltrack"
 """Who connects for no account, as databases are told; they accept any word."""
 
-
 _USELESS = b"ERROR " + UNREACHABLE
 _LEFT = b"ERROR " + NOT_OWNER
 
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -20,6 +20,7 @@
     RefusalReason,
 )
 from beryltrack.connections.task import PoolTask
+from beryltrack.load.messages import NO_DEMAND, Demand
 from beryltrack.relay.ways import RelayedConnection
 
 log = logging.getLogger(__name__)
@@ -106,32 +107,34 @@
         if not self._choose_way(""):
             self.direct.start()
 
-    def acquire(self, deadline: float, account: str = "") -> Deferred[PooledConnection]:
+    def acquire(
+        self, deadline: float, demand: Demand = NO_DEMAND
+    ) -> Deferred[PooledConnection]:
         """Get a connection for one request or transaction of an account.
 
         Parameters
         ----------
         deadline : float
             Time of the reactor's clock, in seconds, by which the request must be done.
-        account : str
-            Whose request it is.
+        demand : Demand
+            What the request asks for, and whose it is.
 
         Returns
         -------
         Deferred of PooledConnection
             Fails with `PoolRefused`; the request was not run then.
         """
-        return self._try_ways(deadline, account, MOST_WAYS)
+        return self._try_ways(deadline, demand, MOST_WAYS)
 
     def lend(
-        self, deadline: float, account: str, is_counted: bool
+        self, deadline: float, demand: Demand, is_counted: bool
     ) -> Deferred[PooledConnection]:
         """Get a connection for a request that another instance sent here.
 
         One that was counted there already goes to the database itself and no further.
         """
-        way = "" if is_counted else self._choose_way(account)
-        return self._acquire_by(way, deadline, account, not is_counted, True)
+        way = "" if is_counted else self._choose_way(demand.account)
+        return self._acquire_by(way, deadline, demand, not is_counted, True)
 
     def acquire_briefly(
         self, patience: float, open_patience: float
@@ -211,49 +214,63 @@
             pool.resume()
 
     def _try_ways(
-        self, deadline: float, account: str, tries: int
+        self, deadline: float, demand: Demand, tries: int
     ) -> Deferred[PooledConnection]:
         """Get a connection by the way of the moment, then by another one."""
-        way = self._choose_way(account)
-        acquiring = self._acquire_by(way, deadline, account, not way, False)
+        way = self._choose_way(demand.account)
+        acquiring = self._acquire_by(way, deadline, demand, not way, False)
         if way and tries > 1:
-            acquiring.addErrback(self._go_round, way, deadline, account, tries)
+            acquiring.addErrback(self._go_round, way, deadline, demand, tries)
         return acquiring
 
     def _go_round(
-        self, failure: Failure, way: str, deadline: float, account: str, tries: int
+        self, failure: Failure, way: str, deadline: float, demand: Demand, tries: int
     ) -> Deferred[PooledConnection] | Failure:
         """Try another way if an instance could not be reached."""
         refused = failure.check(PoolRefused)
         reason = failure.value.refusal.reason if refused else None
-        if reason is not RefusalReason.UNREACHABLE or self._choose_way(account) == way:
+        if reason is not RefusalReason.UNREACHABLE:
+            return failure
+        if self._choose_way(demand.account) == way:
             return failure
-        return self._try_ways(deadline, account, tries - 1)
+        return self._try_ways(deadline, demand, tries - 1)
 
     def _acquire_by(
-        self, way: str, deadline: float, account: str, counts: bool, is_lent: bool
+        self, way: str, deadline: float, demand: Demand, counts: bool, is_lent: bool
     ) -> Deferred[PooledConnection]:
         """Get a connection by one way.
 
         `counts` is True if the operation is counted here; at the end of the way it is
         counted unless it was lent a connection here, as then it was counted before.
         """
-        counted = account if counts else ""
+        counted = demand.account if counts else ""
         wait = self._admit(counted) if counted else 0.0
         if wait:
             refusal = PoolRefusal(RefusalReason.OVER_LIMIT, wait)
             return fail(PoolRefused(refusal))
         if way:
-            pool = self._get_sessions(way)
-            acquiring = pool.acquire(deadline).addCallback(_mark, is_lent)
+            acquiring = self._acquire_through(way, deadline, demand, is_lent)
         else:
-            pool = self.direct
-            acquiring = pool.acquire(deadline, account)
+            acquiring = self._acquire_directly(deadline, demand)
+        pool = self._get_sessions(way) if way else self.direct
         acquiring.addCallback(self._note_lent, _Lent(pool, counted))
         if counted:
             acquiring.addErrback(self._take_back, counted)
         return acquiring
 
+    def _acquire_directly(
+        self, deadline: float, demand: Demand
+    ) -> Deferred[PooledConnection]:
+        """Get one of this instance's own connections."""
+        return self.direct.acquire(deadline, demand)
+
+    def _acquire_through(
+        self, way: str, deadline: float, demand: Demand, is_lent: bool
+    ) -> Deferred[PooledConnection]:
+        """Get a session at another instance."""
+        acquiring = self._get_sessions(way).acquire(deadline)
+        return acquiring.addCallback(_mark, is_lent, demand)
+
     def _take_back(self, failure: Failure, account: str) -> Failure:
         """Count an operation no more that got no connection."""
         self._refund(account)
@@ -277,7 +294,10 @@
         return pool
 
 
-def _mark(connection: RelayedConnection, is_counted: bool) -> RelayedConnection:
-    """Have an instance told whether the next operation was counted already."""
+def _mark(
+    connection: RelayedConnection, is_counted: bool, demand: Demand
+) -> RelayedConnection:
+    """Have an instance told what the next operation asks, and if it was counted."""
     connection.is_counted = is_counted
+    connection.demand = demand
     return connection
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -24,6 +24,7 @@
 )
 from beryltrack.groups.messages import ControlFailure, DatabaseStatus, LogPosition
 from beryltrack.groups.task import GroupTask
+from beryltrack.load.messages import Demand
 from beryltrack.relay.access import DatabaseAccess
 from beryltrack.requests.outcomes import NOT_RUN_REFUSALS
 from beryltrack.requests.protocol import RunLost, RunResult
@@ -79,13 +80,13 @@
     """A session of another instance.
 
     `pinned` is the connection of its transaction; `proven_at` when the newest proof
-    that it was told of was asked for. `account` is whose operation comes next, and
+    that it was told of was asked for. `demand` is what the next operation asks for, and
     `is_counted` says whether another instance has counted it.
     """
 
     group: str
     database: str
-    account: str
+    demand: Demand
     is_counted: bool
     pinned: PooledConnection | None
     status: TransactionStatus
@@ -210,7 +211,7 @@
             session.send_not_owner()
             return None
         deadline = self._seconds() + self._time_limit
-        acquiring = lender.pool.lend(deadline, session.account, session.is_counted)
+        acquiring = lender.pool.lend(deadline, session.demand, session.is_counted)
         session.set_gone(acquiring.cancel)
         try:
             connection = await acquiring
--- a/beryltrack/relay/ways.py
+++ b/beryltrack/relay/ways.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from beryltrack.connections.messages import PooledConnection
+from beryltrack.load.messages import Demand
 
 log = logging.getLogger(__name__)
 
@@ -19,11 +20,12 @@
     `busy` is True while a statement runs on it; `on_useless` is called if the
     instance that it goes through says that it does not reach the database, with True
     if it gives no connections to the group at all. That instance counts the next
-    operation unless `is_counted` says that it was counted.
+    operation unless `is_counted` says that it was counted, and is told of its `demand`.
     """
 
     heard_at: float
     is_counted: bool
+    demand: Demand
     busy: bool
     on_useless: Callable[[bool], object]
 
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -13,6 +13,7 @@
 from beryltrack.events.messages import RequestEvent, RequestStep, SharedDecision
 from beryltrack.groups.messages import LogPosition
 from beryltrack.groups.view import NEVER
+from beryltrack.load.messages import Demand
 from beryltrack.metrics.messages import RequestKind, RequestOutcome, TargetKind
 from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.outcomes import NextStep
@@ -83,6 +84,16 @@
             self.ticket,
             self.give_up_at,
             done_by,
+            self.demand,
+        )
+
+    @property
+    def demand(self) -> Demand:
+        """What it asks of its database, counted from its arrival."""
+        return Demand(
+            self.policy.priority,
+            self.policy.target_latency,
+            self.policy.request_timeout,
             self.caller.account,
         )
 
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -5,6 +5,7 @@
 else in this slice knows a message of it.
 """
 
+import math
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from returns.result import Result
@@ -41,12 +42,18 @@
         connection is closed then, so that the run ends as lost.
     read_timeout : float or None
         The same for a read that can be run again on another target.
+    priority : int
+        Zero is the most urgent.
+    target_latency : float
+        Seconds within which its caller wants it done.
     """
 
     request_timeout: float = 10.0
     target_timeout: float = 5.0
     run_timeout: float | None = None
     read_timeout: float | None = None
+    priority: int = 0
+    target_latency: float = math.inf
 
 
 class RunLost(NamedTuple):
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -18,6 +18,7 @@
 from beryltrack.connections.task import PoolTask
 from beryltrack.errors import SqlError, make_refusal
 from beryltrack.groups.messages import LogPosition
+from beryltrack.load.messages import NO_DEMAND, Demand
 from beryltrack.requests.admission_task import PutOut, Ticket
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
@@ -31,6 +32,7 @@
     WriteRequest,
 )
 from beryltrack.routing.waits import wait_for_target
+from beryltrack.sessions.marks import READS_PRIMARY
 
 # Reasons that pass when the group's view changes, so that waiting helps.
 _PASSING = frozenset(
@@ -80,8 +82,8 @@
     done_by : float or None
         Time, by the node's clock, by which it must be done, where that is bounded
         by its own policy; None for `give_up_at`.
-    account : str
-        Whose request it is; empty where there are no accounts.
+    demand : Demand
+        What it asks of its database, counted from its arrival.
     """
 
     services: RequestServices
@@ -89,7 +91,7 @@
     ticket: Ticket
     give_up_at: float
     done_by: float | None = None
-    account: str = ""
+    demand: Demand = NO_DEMAND
 
 
 async def find_target(
@@ -130,7 +132,7 @@
             return chosen
         use = chosen.unwrap()
         try:
-            return Success(await _acquire(search, use))
+            return Success(await _acquire(search, use, request))
         except PoolRefused as refused:
             refusal = refused.refusal
         if refusal.reason not in _PASSING or services.seconds() >= search.give_up_at:
@@ -225,19 +227,31 @@
         return None
 
 
-async def _acquire(search: TargetSearch, use: UseTarget) -> FoundTarget:
+async def _acquire(
+    search: TargetSearch, use: UseTarget, request: TargetRequest
+) -> FoundTarget:
     """Get a connection to the database that was chosen."""
     services = search.services
     pool = search.runtime.pools[use.database]
     started_at = services.seconds()
     done_by = search.give_up_at if search.done_by is None else search.done_by
     remaining = max(0.0, done_by - started_at)
-    acquiring = pool.acquire(services.reactor.seconds() + remaining, search.account)
+    demand = search.demand.after(started_at - request.arrived_at)._replace(
+        is_displaced=_is_displaced(request, use)
+    )
+    acquiring = pool.acquire(services.reactor.seconds() + remaining, demand)
     connection = await search.ticket.wait(acquiring)
     services.metrics.record_queue_time(services.seconds() - started_at)
     return FoundTarget(use.database, use.is_replica, pool, connection, use.after)
 
 
+def _is_displaced(request: TargetRequest, use: UseTarget) -> bool:
+    """Return whether a read goes to the primary only as replicas are behind."""
+    if use.is_replica or isinstance(request, WriteRequest):
+        return False
+    return request.reads != READS_PRIMARY
+
+
 def _add_sample(request: TargetRequest, sample: LogPosition) -> TargetRequest:
     """Return the request with the knowledge that a sample brought."""
     if isinstance(request, WriteRequest):
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -13,6 +13,7 @@
 from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.connections.task import PoolTask
 from beryltrack.errors import CANNOT_CONNECT_NOW
+from beryltrack.load.messages import Demand
 from beryltrack.relay.access import DatabaseAccess
 from tests.connections.fake_target import FakeTarget
 from tests.connections.test_task import DATABASE, get_result
@@ -55,7 +56,7 @@
         return self.waits.get(account, 0.0)
 
     def acquire(self, account):
-        return get_result(self.access.acquire(10.0, account))
+        return get_result(self.access.acquire(10.0, Demand(account=account)))
 
 
 @pytest.fixture
@@ -101,26 +102,26 @@
 def test_another_instance_is_tried_where_the_first_cannot_be_reached(site):
     site.ways["a"] = "two"
     site.targets["two"].at_once = False
-    waiting = site.access.acquire(10.0, "a")
+    waiting = site.access.acquire(10.0, Demand(account="a"))
     site.ways["a"] = "three"
     site.targets["two"].pending[0].errback(ConnectRefused(CANNOT_CONNECT_NOW))
     assert get_result(waiting).way == "three"
 
 
 def test_an_operation_lent_to_another_instance_is_counted_where_it_is_to_run(site):
-    get_result(site.access.lend(10.0, "own", False))
+    get_result(site.access.lend(10.0, Demand(account="own"), False))
     assert site.counted == ["own"] and site.opened == [("", "own")]
 
 
 def test_what_was_counted_goes_straight_to_the_database_and_no_further(site):
     site.ways["a"] = "two"
-    get_result(site.access.lend(10.0, "a", True))
+    get_result(site.access.lend(10.0, Demand(account="a"), True))
     assert site.opened == [("", "a")] and site.counted == []
 
 
 def test_an_owner_that_does_not_reach_a_database_counts_and_passes_on(site):
     site.ways["own"] = "three"
-    passed = get_result(site.access.lend(10.0, "own", False))
+    passed = get_result(site.access.lend(10.0, Demand(account="own"), False))
     assert site.counted == ["own"] and site.opened == [("three", "")]
     assert passed.is_counted
 
--- a/tests/relay/test_handler.py
+++ b/tests/relay/test_handler.py
@@ -16,6 +16,7 @@
 )
 from beryltrack.groups.messages import ControlFailure, LogPosition
 from beryltrack.groups.samples import Sample
+from beryltrack.load.messages import Demand
 from beryltrack.relay.handler import Lender, Proven, RelayHandler
 from beryltrack.requests.protocol import RunLost
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
@@ -38,9 +39,9 @@
         self.asked, self.lent_to = [], []
         self.released, self.has_run = [], []
 
-    def lend(self, deadline, account, is_counted):
+    def lend(self, deadline, demand, is_counted):
         self.asked.append(Deferred())
-        self.lent_to.append((account, is_counted))
+        self.lent_to.append((demand, is_counted))
         return self.asked[-1]
 
     def release(self, connection, reusable, has_run=True):
@@ -77,7 +78,7 @@
 
     def __init__(self, database="db-1"):
         self.group, self.database = "g", database
-        self.account, self.is_counted = "one", False
+        self.demand, self.is_counted = Demand(account="one"), False
         self.pinned, self.status = None, IDLE
         self.proven_at, self.proven, self.states = -math.inf, [], []
         self.sent, self.runs, self.on_gone = [], [], None
@@ -305,7 +306,7 @@
     session = Session()
     session.is_counted = is_counted
     owner.handler.handle(READ, session)
-    assert owner.pool.lent_to == [("one", is_counted)]
+    assert owner.pool.lent_to == [(Demand(account="one"), is_counted)]
 
 
 @pytest.mark.parametrize(
