Tell owners what a relayed statement demands, and instances how loaded an owner is

Callers of a full group were served in the order of their arrival and refused only when their time was over: a statement that is relayed carried neither deadline nor priority, and the owner gave each 2 s.

The first statement of an operation now has its demand as a prefix of its text, such as "WITHIN 1 250 800 " (17 bytes), with no message of its own; times are durations from the receipt. An owner gives a statement its own time, at most its limit of 2 s.

A rolling upgrade is safe both ways. An owner says in its answer to START that it understands demands, by the number of its process; earlier releases ignore that field, and only who sends demands is sent a report. Tests play both directions over real sessions.

--- a/beryltrack/connections/exclusive.py
+++ b/beryltrack/connections/exclusive.py
@@ -14,6 +14,7 @@
 
 from beryltrack.connections.messages import TargetLost
 from beryltrack.load.messages import NO_DEMAND
+from beryltrack.load.reports import ToldReport
 from beryltrack.wire.line_buffer import MalformedMessage
 from beryltrack.wire.messages import ResponseEnd, ResponseSink
 from beryltrack.wire.sockets import SocketLimits, tune_socket
@@ -53,6 +54,13 @@
         self.is_counted = False
         # What the next operation asks for, as that instance is told.
         self.demand = NO_DEMAND
+        # Number of that instance's process if it understands demands; else zero.
+        self.incarnation = 0
+        # Whose statement that instance was last told.
+        self.terms = b""
+        # Called with what that instance tells of its load, and with when the statement
+        # was sent that it came with an answer to.
+        self.on_report: Callable[[ToldReport, float], object] = lambda told, since: None
         # Called if that instance says that it does not reach the database, or (True)
         # that it gives connections to none of the group's.
         self.on_useless: Callable[[bool], object] = lambda has_left: None
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import time
 from collections.abc import Callable, Iterable
 from enum import Enum
 
@@ -47,6 +48,7 @@
 )
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.handler import RelayHandler
+from beryltrack.relay.load_teller import LoadTeller
 from beryltrack.relay.owners import Peer
 from beryltrack.requests.overdue import OverdueWatch
 from beryltrack.requests.runtime import GroupRuntime
@@ -147,6 +149,8 @@
         self._eras: EraTracker = clients.eras
         self._policies = make_policies(settings.is_fenced, settings.disabled)
         copies = settings.copies_listen if self._policies.shares_copies else None
+        # Later processes of an instance have higher numbers, also without a disk.
+        self._incarnation = int(time.time() * 1000)
         own = Peer(
             settings.name,
             settings.zone,
@@ -203,6 +207,8 @@
             reactor.seconds,
             self._connections.get_lender,
             options.RELAY_TIME,
+            LoadTeller(self._seconds, self._policies.takes_reports),
+            self._incarnation,
         )
         self._relays = LineRelayFactory(
             reactor, self._relay, RelayBounds(self._get_site)
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -54,6 +54,8 @@
         How many requests are taken on.
     late_after : float
         Seconds after which a statement makes its primary be asked.
+    takes_reports : bool
+        True if owners tell of their load, and what they can't do is refused in front.
     takes_detours : bool
         True if databases may be reached through other instances.
     takes_snapshots : bool
@@ -71,6 +73,7 @@
     retries: RetryPolicy
     admission: AdmissionPolicy
     late_after: float
+    takes_reports: bool
     takes_detours: bool
     takes_snapshots: bool
     shares_copies: bool
@@ -98,6 +101,7 @@
         RETRIES,
         AdmissionPolicy(),
         LATE_AFTER,
+        takes_reports=Mechanism.OWNER_REPORTS not in disabled,
         takes_detours=Mechanism.DETOURS not in disabled,
         takes_snapshots=Mechanism.SNAPSHOTS not in disabled,
         shares_copies=Mechanism.SHARED_COPIES not in disabled,
--- a/beryltrack/load/messages.py
+++ b/beryltrack/load/messages.py
@@ -29,6 +29,9 @@
         Whose operation it is; empty where there are no accounts.
     is_displaced : bool
         True for a read that a replica would run if it were not behind.
+    is_returning : bool
+        True if its caller was refused, and comes back when it was told to. Other
+        instances are not told.
     """
 
     priority: int = 0
@@ -36,6 +39,7 @@
     time_left: float = math.inf
     account: str = ""
     is_displaced: bool = False
+    is_returning: bool = False
 
     def after(self, elapsed: float) -> "Demand":
         """Return the demand as it is some seconds later."""
--- a/beryltrack/platform/codes.py
+++ b/beryltrack/platform/codes.py
@@ -18,18 +18,9 @@
     TRANSACTION_RESOLUTION_UNKNOWN,
     SqlError,
 )
+from beryltrack.relay.words import NOT_OWNER, OVER_LIMIT, UNREACHABLE
 from beryltrack.requests.outcomes import READ_ONLY_REFUSAL
 
-UNREACHABLE = b"UNREACHABLE"
-"""What an instance answers another with when it gives no connection to a database:
-the statement did not run. Neither callers nor databases know it."""
-
-NOT_OWNER = b"NOTOWNER"
-"""What one answers that gives no connections to the group at all, as it leaves."""
-
-OVER_LIMIT = b"OVERLIMIT"
-"""What an instance answers another with whose account asks for too much."""
-
 # Codes that a database answers with. BUSY, LAGGING and READONLY: it did not run.
 _STATES_BY_CODE = {
     b"BUSY": TOO_MANY_CONNECTIONS,
--- a/beryltrack/platform/lines.py
+++ b/beryltrack/platform/lines.py
@@ -4,7 +4,6 @@
 Lines are framed and told apart here; their rows pass through as bytes.
 """
 
-import math
 from typing import NamedTuple
 
 from beryltrack.groups.messages import LogPosition
@@ -18,9 +17,6 @@
 ROW = b"DATAROW"
 COMPLETE = b"COMPLETE"
 ERROR = b"ERROR"
-PROVEN = b"PROVEN"
-"""Between instances only: a position of the primary that shows all that was
-acknowledged until some microseconds before this message was sent."""
 NO_ID = b"-"
 """Stands for the identifier of a statement of the proxy's own."""
 
@@ -93,26 +89,6 @@
     return b"READY %s %d.%d\r\n" % (status.value.encode(), *position)
 
 
-def format_proven(position: LogPosition, age: float) -> bytes:
-    """Return a PROVEN message; the age is rounded up, which is the safe side."""
-    return b"PROVEN %d.%d %d\r\n" % (*position, math.ceil(age * 1e6))
-
-
-def parse_proven(line: bytes) -> tuple[LogPosition, float]:
-    """Return the position and the age, in seconds, of a PROVEN line.
-
-    Raises
-    ------
-    LineError
-        If it is malformed.
-    """
-    fields = line.split(b" ")
-    position = parse_position(fields[1]) if len(fields) == 3 else None
-    if position is None or not fields[2].isdigit():
-        raise LineError("malformed PROVEN")
-    return position, int(fields[2]) / 1e6
-
-
 def format_query(request_id: bytes, text: bytes) -> bytes:
     """Return a QUERY message."""
     return b"QUERY %s %s\r\n" % (request_id, text)
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
+from twisted.internet.defer import Deferred
 
 from beryltrack.accounts.book import AccountBook
 from beryltrack.errors import (
@@ -23,6 +24,7 @@
     get_kind,
 )
 from beryltrack.platform.target import LineTarget
+from beryltrack.relay.words import format_terms, take_demand
 from beryltrack.requests.protocol import (
     RequestPolicy,
     RunResult,
@@ -36,7 +38,7 @@
 from beryltrack.sessions.marks import READS_PRIMARY, RequestMarks
 from beryltrack.sessions.tokens import NEW_TOKEN
 from beryltrack.settings.messages import GroupSettings, RouteSettings, RuleSettings
-from beryltrack.wire.messages import ResponseEnd, TransactionStatus
+from beryltrack.wire.messages import ResponseEnd, ResponseSink, TransactionStatus
 
 _LOCAL = frozenset((StatementKind.SESSION_SET, StatementKind.DEALLOCATE))
 _ENDS = frozenset((StatementKind.COMMIT, StatementKind.ROLLBACK))
@@ -46,9 +48,6 @@
 GetAccounts = Callable[[], AccountBook | None]
 GetPolicy = Callable[[RouteSettings], RequestPolicy]
 
-ACCOUNT, COUNTED = b"ACCOUNT ", b"counted"
-"""Between instances: whose the next operation is, and if it was counted."""
-
 UNKNOWN_KEY = SqlError(INVALID_AUTHORIZATION, "the key belongs to no account")
 
 
@@ -146,13 +145,12 @@
         # throw its work away and open another connection to a full database.
         is_repeatable = plan.is_read and not (caller.in_transaction or connection.way)
         limit = policy.read_timeout if is_repeatable else policy.run_timeout
-        setups = format_setups(connection, caller.lines, plan.shape, caller.account)
-        prefix = lines.format_after(after) if after is not None else b""
-        text = prefix + format_text(connection, plan.statement, plan.shape)
-        setups.append(lines.format_query(plan.statement.request_id, text))
         limit = math.inf if limit is None else limit
-        running = connection.run(b"".join(setups), sink, len(setups) - 1, limit)
-        return await running.addErrback(describe_loss)
+        prefix = lines.format_after(after) if after is not None else b""
+        state, account = caller.lines, caller.account
+        return await run_statement(
+            connection, state, plan, prefix, account, sink, limit
+        )
 
     async def run_pinned(
         self,
@@ -230,7 +228,7 @@
         If the connection belongs to another account.
     """
     wanted, applied = session.values, connection.values
-    texts = _format_account(connection, account)
+    texts = format_terms(connection, account)
     if any(name not in wanted for name in applied):
         texts.append(b"RESET")
         applied.clear()
@@ -245,28 +243,28 @@
     return [lines.format_query(lines.NO_ID, text) for text in texts]
 
 
-def _format_account(connection: LineTarget, account: str) -> list[bytes]:
-    """Return what tells another instance whose statement comes."""
-    if not connection.way:
-        if connection.account != account:
-            raise ValueError("a statement on a connection of another account")
-        return []
-    terms = b"%s%s %s" % (
-        ACCOUNT,
-        account.encode(),
-        COUNTED if connection.is_counted else b"new",
-    )
-    if terms == connection.terms or not (account or connection.terms):
-        return []
-    connection.terms = terms
-    return [terms]
-
-
-def format_text(
-    connection: LineTarget, statement: LineStatement, shape: Shape | None
-) -> bytes:
-    """Return a statement's text, with the name that the connection knows."""
-    if shape is None:
-        return statement.text
-    name = connection.prepared[shape]
-    return b" ".join((b"EXECUTE", name, *statement.fields[1:]))
+def run_statement(
+    connection: LineTarget,
+    session: KeptState,
+    unit: LinePlan,
+    prefix: bytes,
+    account: str,
+    sink: ResponseSink,
+    limit: float = math.inf,
+) -> Deferred[RunResult]:
+    """Bring a connection to a session's state, and run a statement on it.
+
+    The name of what it executes is the one that the connection knows. The first
+    statement of an operation that goes to another instance tells its demand.
+    """
+    statement, shape = unit.statement, unit.shape
+    setups = format_setups(connection, session, shape, account)
+    text = statement.text
+    if shape is not None:
+        text = b" ".join(
+            (b"EXECUTE", connection.prepared[shape], *statement.fields[1:])
+        )
+    text = prefix + take_demand(connection) + text
+    setups.append(lines.format_query(statement.request_id, text))
+    running = connection.run(b"".join(setups), sink, len(setups) - 1, limit)
+    return running.addErrback(describe_loss)
--- a/beryltrack/platform/relay.py
+++ b/beryltrack/platform/relay.py
@@ -13,16 +13,12 @@
 from beryltrack.groups.messages import DatabaseStatus
 from beryltrack.groups.view import NEVER
 from beryltrack.load.messages import NO_DEMAND
+from beryltrack.load.reports import ToldReport
 from beryltrack.platform import lines
 from beryltrack.platform.caller import LineSpeaker
-from beryltrack.platform.codes import NOT_OWNER, encode_refusal
+from beryltrack.platform.codes import encode_refusal
 from beryltrack.platform.group import format_row
-from beryltrack.platform.protocol import (
-    ACCOUNT,
-    COUNTED,
-    format_setups,
-    format_text,
-)
+from beryltrack.platform.protocol import run_statement
 from beryltrack.platform.statements import (
     NEEDS_PRIMARY,
     LineStatement,
@@ -31,8 +27,9 @@
     parse_query,
 )
 from beryltrack.platform.target import LineTarget
+from beryltrack.relay import words
 from beryltrack.relay.handler import OTHER_OWNERS, Proven, RelayHandler
-from beryltrack.requests.protocol import RunResult, describe_loss
+from beryltrack.requests.protocol import RunResult
 from beryltrack.sessions.kept import Shape
 from beryltrack.wire.messages import ResponseEnd
 
@@ -79,6 +76,8 @@
         self.is_counted = True
         self.pinned: LineTarget | None = None
         self.proven_at = NEVER
+        self.tells_demands = False
+        self.told: ToldReport | None = None
 
     def take(self, message: bytes) -> "Deferred[None] | None":
         """Take one message."""
@@ -98,34 +97,34 @@
     ) -> "Deferred[RunResult]":
         """Run a statement; its rows go out as they come."""
         account = self.demand.account
-        setups = format_setups(connection, self.lines, unit.shape, account)
-        text = unit.prefix + format_text(connection, unit.statement, unit.shape)
-        setups.append(lines.format_query(unit.statement.request_id, text))
-        running = connection.run(b"".join(setups), self, len(setups) - 1)
-        return running.addErrback(describe_loss)
+        return run_statement(connection, self.lines, unit, unit.prefix, account, self)
 
     def send_refusal(self, error: SqlError) -> None:
         """Say that a statement was not run."""
         self.write(encode_refusal(error))
         self.send_ready(self.status)
 
+    def send_report(self, told: ToldReport) -> None:
+        """Tell of the database's load; the end of an answer follows."""
+        self.write(words.format_report(told))
+
     def send_not_owner(self) -> None:
         """Say that this instance gives no connections to the group."""
-        self.write(b"ERROR %s %s\r\n" % (NOT_OWNER, OTHER_OWNERS.encode()))
+        self.write(b"ERROR %s %s\r\n" % (words.NOT_OWNER, OTHER_OWNERS.encode()))
         self.send_ready(self.status)
 
     def send_status(self, status: DatabaseStatus, proven: Proven | None) -> None:
         """Send the status of the session's database."""
         self.write(format_row(status) + lines.EMPTY_COMPLETE)
         if proven is not None:
-            self.write(lines.format_proven(*proven))
+            self.write(words.format_proven(*proven))
         self.write(lines.format_ready(self.status, status.applied))
 
     def send_end(self, end: ResponseEnd, proven: Proven | None) -> None:
         """Send the end of an answer, and what is proven of the primary."""
         self.status = end.status
         ready = lines.format_ready(end.status, end.position)
-        proof = lines.format_proven(*proven) if proven is not None else b""
+        proof = words.format_proven(*proven) if proven is not None else b""
         self.write(end.tail + end.error_frame + proof + ready)
 
     def _take_start(self, fields: list[bytes]) -> None:
@@ -138,7 +137,8 @@
             self.send_not_owner()
             self.transport.loseConnection()
             return
-        self.send_ready(self.status)
+        number = b"%d" % self._factory.handler.incarnation
+        self.write(lines.READY_LINES[self.status].replace(b"\r", b" %s\r" % number))
 
     def _take_query(self, request_id: bytes, text: bytes) -> "Deferred[None] | None":
         """Run a statement, or keep what it sets."""
@@ -149,7 +149,7 @@
             self.lines.reset()
             self.answer_local(True)
             return None
-        if request_id == lines.NO_ID and text.startswith(ACCOUNT):
+        if request_id == lines.NO_ID and text.startswith(words.ACCOUNT):
             self._take_account(text.split(b" "))
             return None
         unit = self._read_unit(request_id, text)
@@ -166,7 +166,7 @@
         is_whole = len(fields) == 3 and not self.in_transaction
         if is_whole:
             self.demand = self.demand._replace(account=fields[1].decode())
-            self.is_counted = fields[2] == COUNTED
+            self.is_counted = fields[2] == words.COUNTED
         self.answer_local(is_whole)
 
     def _read_unit(self, request_id: bytes, text: bytes) -> RelayedStatement | None:
@@ -175,6 +175,11 @@
         if text.startswith(b"AFTER "):
             word, position, text = (text.split(b" ", 2) + [b""])[:3]
             prefix = b"%s %s " % (word, position)
+        asked = words.parse_demand(text, self.demand.account)
+        if asked is None or (asked[1] != text and self.in_transaction):
+            return None
+        self.tells_demands |= asked[1] != text
+        demand, text = asked
         statement = parse_query(lines.QUERY + b" %s %s" % (request_id, text))
         if statement is None:
             return None
@@ -183,6 +188,8 @@
             shape = self.lines.prepared.get(statement.fields[0])
             if shape is None:
                 return None
+        if not self.in_transaction:
+            self.demand = demand
         return RelayedStatement(prefix, statement, shape)
 
 
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -13,12 +13,8 @@
 from beryltrack.errors import CONFIGURATION_LIMIT_EXCEEDED, SqlError
 from beryltrack.groups.samples import Sample
 from beryltrack.platform import lines
-from beryltrack.platform.codes import (
-    NOT_OWNER,
-    UNREACHABLE,
-    decode_error,
-    encode_error,
-)
+from beryltrack.platform.codes import decode_error, encode_error
+from beryltrack.relay import words
 from beryltrack.sessions.kept import Shape
 from beryltrack.settings.messages import Endpoint
 from beryltrack.wire.line_buffer import LINE_END, LineBuffer
@@ -28,8 +24,8 @@
 PROXY_NAME = "beryltrack"
 """Who connects for no account, as databases are told; they accept any word."""
 
-_USELESS = b"ERROR " + UNREACHABLE
-_LEFT = b"ERROR " + NOT_OWNER
+_USELESS = b"ERROR " + words.UNREACHABLE
+_LEFT = b"ERROR " + words.NOT_OWNER
 
 
 class LineTarget(ExclusiveConnection):
@@ -45,7 +41,6 @@
         super().__init__(start, limits, seconds, account)
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[Shape, bytes] = {}
-        self.terms = b""  # Whose statement another instance was last told.
         self.numbers = itertools.count(1)
         self._buffer = LineBuffer()
         self._setups = 0
@@ -92,10 +87,12 @@
         elif word == lines.ROW:
             self._row_bytes += len(line) + 2
             self._sink.write(line + LINE_END)
-        elif word == lines.PROVEN:
+        elif word == words.PROVEN:
             # It was sent after this statement, so that its age counts from then.
-            position, age = lines.parse_proven(line)
+            position, age = words.parse_proven(line)
             self._proof = Sample(position, self.run_since - age)
+        elif word == words.LOAD and self.incarnation:
+            self.on_report(words.parse_report(line, self.incarnation), self.run_since)
         elif word == lines.COMPLETE:
             self._tail = line + LINE_END
         elif word == lines.ERROR:
@@ -110,6 +107,7 @@
     def _take_start(self, word: bytes, line: bytes) -> None:
         """Take the answer to START."""
         if word == lines.READY:
+            self.incarnation = words.parse_incarnation(line)
             self.ready.callback(self)
             return
         self.broken = True
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -20,7 +20,7 @@
     RefusalReason,
 )
 from beryltrack.connections.task import PoolTask
-from beryltrack.load.messages import NO_DEMAND, Demand
+from beryltrack.load.messages import NO_DEMAND, DatabaseReport, Demand
 from beryltrack.relay.ways import RelayedConnection
 
 log = logging.getLogger(__name__)
@@ -102,6 +102,10 @@
     def _pools(self) -> tuple[PoolTask, ...]:
         return (self.direct, *self._sessions.values())
 
+    def get_report(self) -> DatabaseReport | None:
+        """Return what this instance tells others of the database's load."""
+        return None
+
     def start(self) -> None:
         """Open the connections that are kept open."""
         if not self._choose_way(""):
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -26,6 +26,7 @@
 from beryltrack.groups.task import GroupTask
 from beryltrack.load.messages import Demand
 from beryltrack.relay.access import DatabaseAccess
+from beryltrack.relay.load_teller import LoadTeller, ToldSession
 from beryltrack.requests.outcomes import NOT_RUN_REFUSALS
 from beryltrack.requests.protocol import RunLost, RunResult
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
@@ -76,7 +77,7 @@
         """True if a database refuses it once it leads no more."""
 
 
-class RelayedSession(Protocol):
+class RelayedSession(ToldSession, Protocol):
     """A session of another instance.
 
     `pinned` is the connection of its transaction; `proven_at` when the newest proof
@@ -85,7 +86,6 @@
     """
 
     group: str
-    database: str
     demand: Demand
     is_counted: bool
     pinned: PooledConnection | None
@@ -135,7 +135,11 @@
         Returns who lends connections to a group's database; None if this instance
         lends none.
     time_limit : float
-        Seconds within which a statement must be done.
+        Seconds within which a statement must be done, if its own time is not shorter.
+    teller : LoadTeller
+        Tells sessions of the load.
+    incarnation : int
+        Number of this process, which sessions are told; zero if it takes no demands.
     """
 
     def __init__(
@@ -143,7 +147,11 @@
         seconds: Callable[[], float],
         get_lender: GetLender,
         time_limit: float,
+        teller: LoadTeller,
+        incarnation: int,
     ):
+        self.incarnation = incarnation
+        self._teller = teller
         self._seconds = seconds
         self._get_lender = get_lender
         self._time_limit = time_limit
@@ -194,6 +202,7 @@
             self._finish_lost(session, connection, result)
             return
         _observe_end(task, session.database, unit, result, sent_at, is_first)
+        self._teller.tell(session, self._lent[session].pool)
         session.send_end(result, _get_news(session, task))
         session.pinned = connection
         if result.status is TransactionStatus.IDLE:
@@ -210,12 +219,14 @@
         if lender is None:
             session.send_not_owner()
             return None
-        deadline = self._seconds() + self._time_limit
+        limit = min(self._time_limit, session.demand.time_left)
+        deadline = self._seconds() + limit
         acquiring = lender.pool.lend(deadline, session.demand, session.is_counted)
         session.set_gone(acquiring.cancel)
         try:
             connection = await acquiring
         except PoolRefused as refused:
+            self._teller.tell(session, lender.pool)
             session.send_refusal(_make_error(refused))
             return None
         except CancelledError:
--- /dev/null
+++ b/beryltrack/relay/words.py
@@ -0,0 +1,205 @@
+"""What instances tell each other beside the statements and answers of the databases.
+
+These words pass between instances of this product alone. What an operation asks for
+stands in the text of its first statement, and what an owner tells of its load goes out
+with an answer: each byte between availability zones is paid for, and each message takes
+processor time at both ends.
+
+An owner that understands demands says so when a session opens, by the number of its
+process. Instances of earlier releases ignore that number, and never get a report, as
+they never send a demand.
+"""
+
+import math
+import re
+
+from beryltrack.connections.exclusive import ExclusiveConnection
+from beryltrack.groups.messages import LogPosition
+from beryltrack.load.messages import (
+    LOWEST_PRIORITY,
+    NO_DEMAND,
+    DatabaseReport,
+    Demand,
+)
+from beryltrack.load.reports import ToldReport
+from beryltrack.wire.line_buffer import MalformedMessage
+
+ACCOUNT, COUNTED = b"ACCOUNT ", b"counted"
+"""Before an operation: whose it is, and if it was counted."""
+
+WITHIN = b"WITHIN "
+"""Before the text of an operation's first statement: priority, and the milliseconds
+within which its caller wants it done and after which its result is of no use."""
+
+LOAD = b"LOAD"
+"""With an answer: the load of the session's database at the owner."""
+
+PROVEN = b"PROVEN"
+"""With an answer: a position of the primary that shows all that was acknowledged until
+some microseconds before this message was sent."""
+
+UNREACHABLE = b"UNREACHABLE"
+"""What an instance answers another with when it gives no connection to a database:
+the statement did not run. Neither callers nor databases know it."""
+
+NOT_OWNER = b"NOTOWNER"
+"""What one answers that gives no connections to the group at all, as it leaves."""
+
+OVER_LIMIT = b"OVERLIMIT"
+"""What an instance answers another with whose account asks for too much."""
+
+_UNKNOWN = b"-"
+_DISPLACED = b"+"
+_MOST_MS = 10**9 - 1
+_DEMAND = re.compile(rb"WITHIN (\d{1,3})(\+?) (-?\d{1,9}|-) (-?\d{1,9}|-) (.+)")
+_PROVEN = re.compile(rb"PROVEN (\d+)\.(\d+) (\d+)")
+_REPORT = re.compile(
+    rb"LOAD (\d{1,15}) (\d{1,6}) (\d{1,6}) (\d{1,9}) (\d{1,9}(?:,\d{1,9}){0,7}|-)"
+)
+
+
+def format_proven(position: LogPosition, age: float) -> bytes:
+    """Return a PROVEN message; the age is rounded up, which is the safe side."""
+    return b"PROVEN %d.%d %d\r\n" % (*position, math.ceil(age * 1e6))
+
+
+def parse_proven(line: bytes) -> tuple[LogPosition, float]:
+    """Return the position and the age, in seconds, of a PROVEN line.
+
+    Raises
+    ------
+    MalformedMessage
+        If it is malformed.
+    """
+    match = _PROVEN.fullmatch(line)
+    if match is None:
+        raise MalformedMessage("malformed PROVEN")
+    term, number, age = map(int, match.groups())
+    return LogPosition(term, number), age / 1e6
+
+
+def format_terms(connection: ExclusiveConnection, account: str) -> list[bytes]:
+    """Return the texts that tell another instance whose statement comes.
+
+    Raises
+    ------
+    ValueError
+        If the connection belongs to another account.
+    """
+    if not connection.way:
+        if connection.account != account:
+            raise ValueError("a statement on a connection of another account")
+        return []
+    counted = COUNTED if connection.is_counted else b"new"
+    terms = b"%s%s %s" % (ACCOUNT, account.encode(), counted)
+    if terms == connection.terms or not (account or connection.terms):
+        return []
+    connection.terms = terms
+    return [terms]
+
+
+def take_demand(connection: ExclusiveConnection) -> bytes:
+    """Return the prefix of the next statement on a connection.
+
+    Only the first statement of an operation has one, and only if the instance at the
+    other end understands it.
+    """
+    demand, connection.demand = connection.demand, NO_DEMAND
+    is_told = connection.way and connection.incarnation
+    return format_demand(demand) if is_told else b""
+
+
+def format_demand(demand: Demand) -> bytes:
+    """Return the prefix that tells a demand; empty if there is nothing to tell."""
+    if demand._replace(account="", is_returning=False) == NO_DEMAND:
+        return b""
+    displaced = _DISPLACED if demand.is_displaced else b""
+    aim, left = _format_time(demand.aim_left), _format_time(demand.time_left)
+    return b"%s%d%s %s %s " % (WITHIN, demand.priority, displaced, aim, left)
+
+
+def parse_demand(text: bytes, account: str) -> tuple[Demand, bytes] | None:
+    """Return an operation's demand and the rest of its first statement's text.
+
+    Parameters
+    ----------
+    text : bytes
+        The text.
+    account : str
+        Whose operation it is, which the session knows.
+
+    Returns
+    -------
+    tuple of Demand and bytes, or None
+        None if the prefix is malformed. A text without a prefix, as instances of
+        earlier releases send, demands nothing.
+    """
+    if not text.startswith(WITHIN):
+        return NO_DEMAND._replace(account=account), text
+    match = _DEMAND.fullmatch(text)
+    if match is None:
+        return None
+    priority, displaced, aim, left, rest = match.groups()
+    demand = Demand(
+        min(int(priority), LOWEST_PRIORITY),
+        _parse_time(aim),
+        max(0.0, _parse_time(left)),
+        account,
+        displaced == _DISPLACED,
+    )
+    return demand, rest
+
+
+def format_report(told: ToldReport) -> bytes:
+    """Return a LOAD message; waits in milliseconds, the work in microseconds."""
+    report = told.report
+    waits = b",".join(_format_time(wait) for wait in report.waits) or _UNKNOWN
+    return b"%s %d %d %d %d %s\r\n" % (
+        LOAD,
+        told.told_at * 1e3,
+        report.limit,
+        report.running,
+        report.work * 1e6,
+        waits,
+    )
+
+
+def parse_report(line: bytes, incarnation: int) -> ToldReport:
+    """Return what a LOAD line of an owner's process says.
+
+    Raises
+    ------
+    MalformedMessage
+        If it is malformed.
+    """
+    match = _REPORT.fullmatch(line)
+    if match is None:
+        raise MalformedMessage("malformed LOAD")
+    told_at, limit, running, work, waits = match.groups()
+    times = () if waits == _UNKNOWN else tuple(map(_parse_time, waits.split(b",")))
+    report = DatabaseReport(
+        int(limit), int(running), times, int(work) / 1e6, incarnation
+    )
+    return ToldReport(report, int(told_at) / 1e3)
+
+
+def parse_incarnation(line: bytes) -> int:
+    """Return the number of an owner's process in its answer to START.
+
+    Zero if there is none: an instance of an earlier release understands no demands.
+    """
+    fields = line.split(b" ")
+    is_told = len(fields) > 3 and re.fullmatch(rb"\d{1,15}", fields[3])
+    return int(fields[3]) if is_told else 0
+
+
+def _format_time(seconds: float) -> bytes:
+    """Return whole milliseconds, rounded down; a dash for what is without end."""
+    if math.isinf(seconds):
+        return _UNKNOWN
+    return b"%d" % max(-_MOST_MS, min(_MOST_MS, math.floor(seconds * 1e3)))
+
+
+def _parse_time(field: bytes) -> float:
+    """Return a time in seconds."""
+    return math.inf if field == _UNKNOWN else int(field) / 1e3
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -10,7 +10,11 @@
 from beryltrack.clock import get_seconds
 from beryltrack.connections.messages import ConnectRefused, TargetLost
 from beryltrack.connections.task import PoolTask
-from beryltrack.errors import CANNOT_CONNECT_NOW, CONFIGURATION_LIMIT_EXCEEDED
+from beryltrack.errors import (
+    CANNOT_CONNECT_NOW,
+    CONFIGURATION_LIMIT_EXCEEDED,
+    PROTOCOL_VIOLATION,
+)
 from beryltrack.groups.adapter import ControlLimits
 from beryltrack.groups.control_calls import ControlCalls
 from beryltrack.groups.messages import (
@@ -20,11 +24,16 @@
     LogPosition,
 )
 from beryltrack.groups.samples import Sample
+from beryltrack.load.messages import NO_DEMAND, DatabaseReport, Demand
 from beryltrack.platform.group import LineDatabaseGroup
+from beryltrack.platform.protocol import run_statement
 from beryltrack.platform.relay import LineRelayFactory
+from beryltrack.platform.statements import parse_query
 from beryltrack.platform.target import connect_line_target
 from beryltrack.relay.access import DatabaseAccess
 from beryltrack.relay.handler import Lender, RelayHandler
+from beryltrack.relay.load_teller import LoadTeller
+from beryltrack.sessions.kept import KeptState
 from beryltrack.settings.messages import Endpoint, GroupSettings
 from beryltrack.wire.messages import TransactionStatus
 from beryltrack.wire.sinks import CollectingSink
@@ -74,8 +83,12 @@
             reactor.seconds,
             self.get_lender,
             0.3,
+            LoadTeller(get_seconds(reactor)),
+            7,
         )
         self.factory = LineRelayFactory(reactor, handler, BOUNDS)
+        self.sessions, build = [], self.factory.buildProtocol
+        self.factory.buildProtocol = lambda addr: self.note(build(addr))
         self.port = reactor.listenTCP(0, self.factory, interface=HOST)
         self.endpoint = Endpoint(HOST, self.port.getHost().port)
 
@@ -84,10 +97,33 @@
             reactor, endpoint, "group", database, 0.5, SocketLimits(), account
         )
 
+    def note(self, session):
+        self.sessions.append(session)
+        return session
+
     def get_lender(self, group, database):
         is_known = (group, database) == ("group", "db-1")
         return Lender(self.pool, self.task) if is_known else None
 
+    def tell(self, endpoint, demand, text=b"READ x"):
+        """Return what an instance of this release was told after its statement."""
+        statement = parse_query(b"QUERY q1 " + text)
+        unit = SimpleNamespace(statement=statement, shape=None)
+
+        async def go():
+            session = await self.connect(endpoint)
+            told = []
+            session.way, session.demand = "owner", demand
+            session.on_report = lambda report, since: told.append(report)
+            running = run_statement(
+                session, KeptState(), unit, b"", "", CollectingSink()
+            )
+            end = await running.addTimeout(1.0, reactor)
+            session.close()
+            return told, end
+
+        return run(lambda: Deferred.fromCoroutine(go()))
+
     def ask(self, *texts):
         """Return how each statement of one session ended."""
 
@@ -254,3 +290,89 @@
     site.pool._admit = lambda account: 0.25
     *_, (_, end) = site.ask("- ACCOUNT one counted", "q1 READ x")
     assert end.error is None
+
+
+URGENT = Demand(0, 0.25, 0.2, "", True)
+FULL = DatabaseReport(4, 4, (0.1, 0.4), 0.01, 7)
+
+
+def watch_lending(site):
+    """Return the list of what the owner's pool is asked for from now on."""
+    asked, lend = [], site.pool.lend
+
+    def note(deadline, demand, is_counted):
+        asked.append(demand)
+        return lend(deadline, demand, is_counted)
+
+    site.pool.lend = note
+    return asked
+
+
+def test_a_demand_reaches_the_owner_and_no_database(site):
+    site.database.answers[b"QUERY q1 READ x"] = b"COMPLETE 7.1\r\nREADY I 3.8\r\n"
+    asked = watch_lending(site)
+    _, end = site.tell(site.endpoint, URGENT)
+    assert end.error is None and asked == [URGENT]
+    assert site.database.seen[-1] == b"QUERY q1 READ x"
+
+
+def test_a_demand_stands_between_the_position_and_the_statement(site):
+    asked = watch_lending(site)
+    ((_, end),) = site.ask("q1 AFTER 3.7 WITHIN 0+ 250 200 READ x")
+    assert end.error is None and asked == [URGENT]
+    assert site.database.seen[-1] == b"QUERY q1 AFTER 3.7 READ x"
+
+
+def test_an_instance_of_an_earlier_release_demands_nothing_and_is_told_nothing(site):
+    site.pool.get_report = lambda: FULL
+    asked = watch_lending(site)
+    site.ask("q1 AFTER 3.7 READ x")
+    assert asked == [NO_DEMAND]
+    # Its sessions break at any word that they do not know.
+    (session,) = site.sessions
+    assert not session.tells_demands and session.told is None
+
+
+def test_an_owner_of_an_earlier_release_is_sent_no_demand(site):
+    site.database.answers |= {
+        b"START": b"READY I -\r\n",
+        b"QUERY q1 READ x": b"COMPLETE 7.1\r\nREADY I 3.8\r\n",
+    }
+    told, end = site.tell(site.settings.endpoint, URGENT)
+    assert end.error is None and told == []
+    assert site.database.seen[-1] == b"QUERY q1 READ x"
+
+
+def test_an_owner_tells_of_its_load_with_an_answer(site):
+    site.database.answers[b"QUERY q1 READ x"] = b"COMPLETE 7.1\r\nREADY I 3.8\r\n"
+    site.pool.get_report = lambda: FULL
+    (told,), end = site.tell(site.endpoint, URGENT)
+    assert told.report == FULL and end.error is None
+
+
+def test_an_owner_without_load_tells_nothing(site):
+    site.database.answers[b"QUERY q1 READ x"] = b"COMPLETE 7.1\r\nREADY I 3.8\r\n"
+    site.pool.get_report = lambda: FULL._replace(running=1, waits=(0.0,))
+    assert site.tell(site.endpoint, URGENT)[0] == []
+
+
+def test_a_demand_comes_with_the_first_statement_of_a_transaction_alone(site):
+    asked = watch_lending(site)
+    ends = site.ask("q1 WITHIN 0+ 250 200 BEGIN", "q2 WRITE x y", "q3 COMMIT")
+    assert [end.error for _, end in ends] == [None, None, None] and asked == [URGENT]
+    *_, (_, end) = site.ask("q1 BEGIN", "q2 WITHIN 0+ 250 200 WRITE x y")
+    assert end.error.sqlstate == PROTOCOL_VIOLATION
+
+
+@pytest.mark.parametrize("prefix", ["WITHIN", "WITHIN x 250 200", "WITHIN 0 250"])
+def test_a_malformed_demand_is_answered_as_malformed(site, prefix):
+    ((_, end),) = site.ask(f"q1 {prefix} READ x")
+    assert end.error.sqlstate == PROTOCOL_VIOLATION
+    assert not any(b"READ" in line for line in site.database.seen)
+
+
+def test_what_one_operation_demanded_the_next_one_does_not(site):
+    site.database.answers[b"QUERY q1 READ x"] = b"COMPLETE 7.1\r\nREADY I 3.8\r\n"
+    asked = watch_lending(site)
+    site.ask("q1 WITHIN 0+ 250 200 READ x", "q1 READ x")
+    assert asked == [URGENT, NO_DEMAND]
--- a/tests/relay/test_handler.py
+++ b/tests/relay/test_handler.py
@@ -16,8 +16,10 @@
 )
 from beryltrack.groups.messages import ControlFailure, LogPosition
 from beryltrack.groups.samples import Sample
-from beryltrack.load.messages import Demand
+from beryltrack.load.messages import DatabaseReport, Demand
+from beryltrack.load.reports import ToldReport
 from beryltrack.relay.handler import Lender, Proven, RelayHandler
+from beryltrack.relay.load_teller import LoadTeller
 from beryltrack.requests.protocol import RunLost
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
 
@@ -38,12 +40,17 @@
     def __init__(self):
         self.asked, self.lent_to = [], []
         self.released, self.has_run = [], []
+        self.deadlines, self.report = [], None
 
     def lend(self, deadline, demand, is_counted):
         self.asked.append(Deferred())
+        self.deadlines.append(deadline)
         self.lent_to.append((demand, is_counted))
         return self.asked[-1]
 
+    def get_report(self):
+        return self.report
+
     def release(self, connection, reusable, has_run=True):
         self.released.append((connection.name, reusable))
         self.has_run.append(has_run)
@@ -82,6 +89,7 @@
         self.pinned, self.status = None, IDLE
         self.proven_at, self.proven, self.states = -math.inf, [], []
         self.sent, self.runs, self.on_gone = [], [], None
+        self.tells_demands, self.told = False, None
 
     def run_on(self, connection, unit):
         self.runs.append((connection.name, unit, Deferred()))
@@ -91,6 +99,9 @@
         self.states.append(error.sqlstate)
         self.sent.append(("refused", error.message))
 
+    def send_report(self, told):
+        self.sent.append(("load", told))
+
     def send_not_owner(self):
         self.sent.append(("refused", "the group has other owners"))
 
@@ -115,7 +126,9 @@
     def __init__(self):
         self.pool = Pool()
         self.task = Task()
-        self.handler = RelayHandler(lambda: 10.0, self.get_lender, 0.5)
+        self.now = 10.0
+        teller = LoadTeller(lambda: self.now)
+        self.handler = RelayHandler(lambda: 10.0, self.get_lender, 0.5, teller, 7)
 
     def get_lender(self, group, database):
         return Lender(self.pool, self.task) if self.pool is not None else None
@@ -327,3 +340,43 @@
     refusal = PoolRefusal(RefusalReason.OVER_LIMIT, 0.4)
     owner.pool.asked[0].errback(PoolRefused(refusal))
     assert session.states == [CONFIGURATION_LIMIT_EXCEEDED] and session.runs == []
+
+
+@pytest.mark.parametrize(("time_left", "deadline"), [(0.2, 10.2), (9.0, 10.5)])
+def test_a_statement_waits_as_long_as_its_caller_and_no_longer_than_the_owner(
+    owner, time_left, deadline
+):
+    session = Session()
+    session.demand = Demand(time_left=time_left)
+    owner.handler.handle(READ, session)
+    assert owner.pool.deadlines == [deadline]
+
+
+def test_a_session_that_has_told_a_demand_is_told_of_the_load(owner):
+    session = Session()
+    session.tells_demands = True
+    owner.pool.report = DatabaseReport(4, 4, (0.3,), 0.01, 7)
+    owner.handler.handle(READ, session)
+    owner.give()
+    session.runs[0][2].callback(make_end())
+    told = ToldReport(owner.pool.report, 0.0)
+    assert session.sent == [("load", told), ("end", IDLE)]
+
+
+def test_a_refusal_comes_with_the_load_that_it_answers(owner):
+    session = Session()
+    session.tells_demands = True
+    owner.pool.report = DatabaseReport(4, 4, (0.3,), 0.01, 7)
+    owner.handler.handle(READ, session)
+    refusal = PoolRefusal(RefusalReason.QUEUE_FULL, 0.3)
+    owner.pool.asked[0].errback(PoolRefused(refusal))
+    assert [word for word, _ in session.sent] == ["load", "refused"]
+
+
+def test_a_session_of_an_earlier_release_is_told_no_load(owner):
+    session = Session()
+    owner.pool.report = DatabaseReport(4, 4, (0.3,), 0.01, 7)
+    owner.handler.handle(READ, session)
+    owner.give()
+    session.runs[0][2].callback(make_end())
+    assert session.sent == [("end", IDLE)]
