Leave replicas that stay far behind alone, by the word of owners

Callers of a group whose two replicas were behind waited for one or two refusals before each of their reads, and 2,275 of 15,576 statements of the site were refused by databases. Cause: a replica that refused was left alone for 0.3 s by the instance that had asked it, and each of 67 instances asks a group 1.7 times a second. Ruled out: a position that nobody could show (a probe of what reads asked for and replicas had showed them 30 to 130 writes behind for 20 s).

An owner now refuses for a replica what it has just lacked, and how long a replica is left alone grows with the time for which it has been behind, up to 2 s; a read that asks for less, or a replica that has shown the position, ends that. No promise rests on it: a refusal says that nothing was run, and the primary is read instead.

The fake task of the relay's tests answers the new question; a statement's position reaches an owner parsed, so that one that is malformed ends the session there.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -209,6 +209,7 @@
             options.RELAY_TIME,
             LoadTeller(self._seconds, self._policies.takes_reports),
             self._incarnation,
+            self._policies.routing.lagging_pause,
         )
         self._relays = LineRelayFactory(
             reactor, self._relay, RelayBounds(self._get_site)
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -10,6 +10,7 @@
 
 import math
 
+from beryltrack.groups.lagging import is_lacking, note_refusal, note_shown
 from beryltrack.groups.messages import (
     PRIMARY,
     DatabaseStatus,
@@ -25,6 +26,7 @@
     compute_age,
     compute_majority,
     get_database,
+    has_applied,
 )
 from beryltrack.settings.incarnations import find_restarted
 
@@ -150,6 +152,7 @@
             heard_age=self._get_heard_age(status, sent_at),
             is_held=status.is_held,
             knows_lead=status.knows_lead,
+            lag=note_shown(before.lag, status.applied),
         )
         if status.role == PRIMARY:
             self._leaders[status.term] = status.name
@@ -212,7 +215,9 @@
         if position.offset <= item.applied.offset:
             return
         received = max(item.received, position)
-        self._databases[database] = item._replace(applied=position, received=received)
+        self._databases[database] = item._replace(
+            applied=position, received=received, lag=note_shown(item.lag, position)
+        )
         self._update_fresh(database)
         self._view = None
 
@@ -278,13 +283,23 @@
             self._confirm_until(proof.position.term, proof.sent_at)
         self._end_recoveries()
 
-    def observe_lagging(self, database: str, now: float) -> None:
+    def observe_lagging(self, database: str, position: LogPosition, now: float) -> None:
         """Take in that a replica did not show a position that it was asked for."""
         item = self._databases.get(database)
         if item is not None:
-            self._databases[database] = item._replace(lagged_at=now)
+            lag = note_refusal(item.lag, position, now)
+            self._databases[database] = item._replace(lag=lag)
             self._view = None
 
+    def lacks(
+        self, database: str, position: LogPosition, now: float, least_pause: float
+    ) -> bool:
+        """Return whether a replica has refused a position too lately to be asked."""
+        item = self._databases.get(database)
+        if item is None or has_applied(item, position):
+            return False
+        return is_lacking(item.lag, position, now, least_pause)
+
     def get_needed_position(self, since: float) -> LogPosition | None:
         """Return what shows all that was acknowledged before a time, if proven."""
         return self._samples.get_oldest(since)
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -276,10 +276,14 @@
         """Return the newest proven position of the primary."""
         return self._decider.newest_sample
 
-    def observe_lagging(self, database: str) -> None:
+    def observe_lagging(self, database: str, position: LogPosition) -> None:
         """Take in that a replica did not show a position that it was asked for."""
         self._pace.note_heard(database, self._seconds())
-        self._decider.observe_lagging(database, self._seconds())
+        self._decider.observe_lagging(database, position, self._seconds())
+
+    def lacks(self, database: str, position: LogPosition, least_pause: float) -> bool:
+        """Return whether a replica has refused a position too lately to be asked."""
+        return self._decider.lacks(database, position, self._seconds(), least_pause)
 
     def get_needed_position(self, since: float) -> LogPosition | None:
         """Return what shows all that was acknowledged before a time, if proven."""
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
+from beryltrack.groups.lagging import Lag
 from beryltrack.groups.messages import (
     NO_POSITION,
     PRIMARY,
@@ -57,8 +58,8 @@
         True if `term` is a promise that the candidate can take back.
     knows_lead : bool
         True if its own word that it leads proves its term.
-    lagged_at : float
-        When it last did not show a position that a read asked for.
+    lag : Lag or None
+        What its refusals of positions that reads asked for say; None without any.
     recovering_since : float or None
         When it was known to have started again with nothing of before; None if it
         has since received what it may have held, or has not started again.
@@ -81,7 +82,7 @@
     heard_age: float = math.inf
     is_held: bool = False
     knows_lead: bool = False
-    lagged_at: float = NEVER
+    lag: Lag | None = None
     recovering_since: float | None = None
     needed: LogPosition | None = None
 
--- a/beryltrack/platform/lines.py
+++ b/beryltrack/platform/lines.py
@@ -77,9 +77,9 @@
     return LogPosition(int(term), int(number))
 
 
-def format_after(position: LogPosition) -> bytes:
+def format_after(position: LogPosition | None) -> bytes:
     """Return the prefix that lets a database check that it shows a position."""
-    return b"AFTER %d.%d " % position
+    return b"AFTER %d.%d " % position if position is not None else b""
 
 
 def format_ready(status: TransactionStatus, position: LogPosition | None) -> bytes:
--- a/beryltrack/platform/protocol.py
+++ b/beryltrack/platform/protocol.py
@@ -146,11 +146,8 @@
         is_repeatable = plan.is_read and not (caller.in_transaction or connection.way)
         limit = policy.read_timeout if is_repeatable else policy.run_timeout
         limit = math.inf if limit is None else limit
-        prefix = lines.format_after(after) if after is not None else b""
         state, account = caller.lines, caller.account
-        return await run_statement(
-            connection, state, plan, prefix, account, sink, limit
-        )
+        return await run_statement(connection, state, plan, after, account, sink, limit)
 
     async def run_pinned(
         self,
@@ -247,7 +244,7 @@
     connection: LineTarget,
     session: KeptState,
     unit: LinePlan,
-    prefix: bytes,
+    after: LogPosition | None,
     account: str,
     sink: ResponseSink,
     limit: float = math.inf,
@@ -264,7 +261,7 @@
         text = b" ".join(
             (b"EXECUTE", connection.prepared[shape], *statement.fields[1:])
         )
-    text = prefix + take_demand(connection) + text
+    text = lines.format_after(after) + take_demand(connection) + text
     setups.append(lines.format_query(statement.request_id, text))
     running = connection.run(b"".join(setups), sink, len(setups) - 1, limit)
     return running.addErrback(describe_loss)
--- a/beryltrack/platform/relay.py
+++ b/beryltrack/platform/relay.py
@@ -10,7 +10,7 @@
 
 from beryltrack.callers.sequence import SequentialFactory
 from beryltrack.errors import SqlError
-from beryltrack.groups.messages import DatabaseStatus
+from beryltrack.groups.messages import DatabaseStatus, LogPosition
 from beryltrack.groups.view import NEVER
 from beryltrack.load.messages import NO_DEMAND
 from beryltrack.load.reports import ToldReport
@@ -41,15 +41,15 @@
 
     Parameters
     ----------
-    prefix : bytes
-        What the database must show, with the blank that follows; may be empty.
+    after : LogPosition or None
+        What the database must show, None for nothing.
     statement : LineStatement
         The statement.
     shape : Shape or None
         What an EXECUTE runs.
     """
 
-    prefix: bytes
+    after: LogPosition | None
     statement: LineStatement
     shape: Shape | None
 
@@ -97,7 +97,7 @@
     ) -> "Deferred[RunResult]":
         """Run a statement; its rows go out as they come."""
         account = self.demand.account
-        return run_statement(connection, self.lines, unit, unit.prefix, account, self)
+        return run_statement(connection, self.lines, unit, unit.after, account, self)
 
     def send_refusal(self, error: SqlError) -> None:
         """Say that a statement was not run."""
@@ -171,10 +171,10 @@
 
     def _read_unit(self, request_id: bytes, text: bytes) -> RelayedStatement | None:
         """Return a statement, None if it is malformed."""
-        prefix = b""
+        after = None
         if text.startswith(b"AFTER "):
-            word, position, text = (text.split(b" ", 2) + [b""])[:3]
-            prefix = b"%s %s " % (word, position)
+            _, position, text = (text.split(b" ", 2) + [b""])[:3]
+            after = lines.parse_position(position)
         asked = words.parse_demand(text, self.demand.account)
         if asked is None or (asked[1] != text and self.in_transaction):
             return None
@@ -190,7 +190,7 @@
                 return None
         if not self.in_transaction:
             self.demand = demand
-        return RelayedStatement(prefix, statement, shape)
+        return RelayedStatement(after, statement, shape)
 
 
 class LineRelayFactory(SequentialFactory):
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -18,6 +18,7 @@
 from beryltrack.connections.messages import PooledConnection, PoolRefused
 from beryltrack.errors import (
     CANNOT_CONNECT_NOW,
+    POSITION_NOT_SHOWN,
     TOO_MANY_CONNECTIONS,
     SqlError,
     make_refusal,
@@ -33,6 +34,9 @@
 
 log = logging.getLogger(__name__)
 
+BEHIND = SqlError(POSITION_NOT_SHOWN, "the replica has just refused the position")
+"""Of a statement that asks for a position which its replica lacked a moment ago."""
+
 OTHER_OWNERS = "the group has other owners"
 
 
@@ -70,7 +74,12 @@
 
 
 class RelayedUnit(Protocol):
-    """A statement of another instance."""
+    """A statement of another instance.
+
+    `after` is what its database must show, None for nothing.
+    """
+
+    after: LogPosition | None
 
     @property
     def proves_lead(self) -> bool:
@@ -140,6 +149,10 @@
         Tells sessions of the load.
     incarnation : int
         Number of this process, which sessions are told; zero if it takes no demands.
+        Seconds within which a statement must be done.
+    lagging_pause : float
+        Least seconds for which a replica that was behind is asked for nothing that it
+        lacked; zero: it is asked again at once.
     """
 
     def __init__(
@@ -149,12 +162,14 @@
         time_limit: float,
         teller: LoadTeller,
         incarnation: int,
+        lagging_pause: float = 0.0,
     ):
         self.incarnation = incarnation
         self._teller = teller
         self._seconds = seconds
         self._get_lender = get_lender
         self._time_limit = time_limit
+        self._lagging_pause = lagging_pause
         self._shares: dict[tuple[str, str], _StatusShare] = {}
         self._lent: dict[RelayedSession, Lender] = {}
         self._is_leaving = False
@@ -190,6 +205,9 @@
         """Run one statement on a connection of the pool."""
         connection, is_first = session.pinned, session.pinned is None
         if connection is None:
+            if self._is_behind(unit, session):
+                session.send_refusal(BEHIND)
+                return
             connection = await self._lend(session)
             if connection is None:
                 return
@@ -203,12 +221,24 @@
             return
         _observe_end(task, session.database, unit, result, sent_at, is_first)
         self._teller.tell(session, self._lent[session].pool)
+        if is_first and _is_lagging(unit, result) and not connection.way:
+            task.observe_lagging(session.database, unit.after)
         session.send_end(result, _get_news(session, task))
         session.pinned = connection
         if result.status is TransactionStatus.IDLE:
             is_refused = result.error and result.error.sqlstate in NOT_RUN_REFUSALS
             self._take_back(session, connection, True, not (is_first and is_refused))
 
+    def _is_behind(self, unit: RelayedUnit, session: RelayedSession) -> bool:
+        """Return whether a replica has just refused what a statement asks for.
+
+        All instances' reads pass through a few owners: one refusal tells them for all.
+        """
+        lender = self._find_lender(session.group, session.database)
+        if lender is None or unit.after is None:
+            return False
+        return lender.task.lacks(session.database, unit.after, self._lagging_pause)
+
     def _find_lender(self, group: str, database: str) -> Lender | None:
         """Return what lends connections to a database, None once this one leaves."""
         return None if self._is_leaving else self._get_lender(group, database)
@@ -327,6 +357,12 @@
         task.observe_lead(database, end.position, sent_at)
 
 
+def _is_lagging(unit: RelayedUnit, end: ResponseEnd) -> bool:
+    """Return whether a database did not show what a statement asked for."""
+    is_refused = end.error is not None and end.error.sqlstate == CANNOT_CONNECT_NOW
+    return is_refused and unit.after is not None
+
+
 def _get_news(session: RelayedSession, task: GroupTask) -> Proven | None:
     """Return the newest proof, None if the session was told of it before.
 
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -139,7 +139,8 @@
         """Take in what a refusal tells of its database."""
         task = self._context.runtime.task
         if error.sqlstate == CANNOT_CONNECT_NOW:
-            task.observe_lagging(target.database)
+            if target.after is not None:
+                task.observe_lagging(target.database, target.after)
         elif error.sqlstate == READ_ONLY_REFUSAL:
             # It was replaced, which nobody has told this node yet.
             task.suspect(target.database, self._sent_at)
--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from beryltrack.groups.lagging import is_lacking
 from beryltrack.groups.messages import NO_POSITION, REPLICA, LogPosition
 from beryltrack.groups.view import (
     NEVER,
@@ -67,7 +68,7 @@
         Seconds after which replicas usually show a write. A replica is not tried
         for a write that is younger.
     lagging_pause : float
-        Seconds for which a replica that was behind is not tried.
+        Least seconds for which a replica that was behind is not tried.
     samples_position : bool
         False where others than the primary confirm its term. They alone are asked
         then: the primary holds whatever was acknowledged in its term.
@@ -206,7 +207,7 @@
     if has_applied(database, after):
         return True
     is_young = now - request.written_at < policy.usual_lag
-    is_behind = now - database.lagged_at < policy.lagging_pause
+    is_behind = is_lacking(database.lag, after, now, policy.lagging_pause)
     return request.sample is None and not (is_young or is_behind)
 
 
--- a/tests/groups/test_restarts.py
+++ b/tests/groups/test_restarts.py
@@ -329,7 +329,7 @@
     site.task.observe_position("a", LogPosition(1, 9), 0.5)
     site.task.observe_lead("a", LogPosition(1, 9), 0.5)
     site.task.suspect("a", 0.0)
-    site.task.observe_lagging("a")
+    site.task.observe_lagging("a", LogPosition(1, 9))
     assert site.task.get_age("a") > 1e9
     assert not site.task.wait_applied("a", LogPosition(1, 5), 0.1).called
     site.run(0.2)
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -116,7 +116,7 @@
             session.way, session.demand = "owner", demand
             session.on_report = lambda report, since: told.append(report)
             running = run_statement(
-                session, KeptState(), unit, b"", "", CollectingSink()
+                session, KeptState(), unit, None, "", CollectingSink()
             )
             end = await running.addTimeout(1.0, reactor)
             session.close()
--- a/tests/relay/test_handler.py
+++ b/tests/relay/test_handler.py
@@ -26,8 +26,8 @@
 IDLE, OPEN = TransactionStatus.IDLE, TransactionStatus.IN_TRANSACTION
 
 
-READ = SimpleNamespace(proves_lead=False)
-WRITE = SimpleNamespace(proves_lead=True)
+READ = SimpleNamespace(proves_lead=False, after=None)
+WRITE = SimpleNamespace(proves_lead=True, after=None)
 
 
 def make_end(status=IDLE, position=None):
@@ -66,6 +66,9 @@
     def get_time(self):
         return self.now
 
+    def lacks(self, database, position, least_pause):
+        return False
+
     def get_proof(self):
         return self.proof
 
@@ -128,7 +131,7 @@
         self.task = Task()
         self.now = 10.0
         teller = LoadTeller(lambda: self.now)
-        self.handler = RelayHandler(lambda: 10.0, self.get_lender, 0.5, teller, 7)
+        self.handler = RelayHandler(lambda: 10.0, self.get_lender, 0.5, teller, 7, 0.3)
 
     def get_lender(self, group, database):
         return Lender(self.pool, self.task) if self.pool is not None else None
--- a/tests/relay/test_lagging_replica.py
+++ b/tests/relay/test_lagging_replica.py
@@ -1,11 +1,13 @@
-"""Replicas that stay far behind are left alone by a whole fleet, not by one instance."""
+"""Replicas that stay far behind are left alone by a whole fleet, not by each one."""
+
+from types import SimpleNamespace
 
 import pytest
 
 from beryltrack.errors import CANNOT_CONNECT_NOW, SqlError
 from beryltrack.groups.decider import GroupDecider
 from beryltrack.groups.messages import LogPosition
-from tests.relay.test_handler import READ, Owner, Session, Task, make_end
+from tests.relay.test_handler import Owner, Session, Task, make_end
 
 POSITION = LogPosition(1, 9)
 LAGGING = SqlError(CANNOT_CONNECT_NOW, "lagging: db-1")
@@ -34,9 +36,8 @@
 
 def read(owner, after=POSITION):
     """Send a read of an instance of its own; return its session."""
-    unit, session = READ, Session()
-    unit.after = after
-    owner.handler.handle(unit, session)
+    session = Session()
+    owner.handler.handle(SimpleNamespace(proves_lead=False, after=after), session)
     return session
 
 
@@ -46,9 +47,40 @@
     session.runs[0][2].callback(make_end()._replace(error=LAGGING))
 
 
-@pytest.mark.xfail(strict=True, reason="each instance finds out for itself")
 def test_one_refusal_of_a_replica_tells_an_owner_for_all_instances(owner):
     refuse(owner, read(owner))
     others = [read(owner) for _ in range(66)]
     assert len(owner.pool.asked) == 1
     assert {session.states[0] for session in others} == {"55000"}
+
+
+def test_a_read_that_asks_for_less_is_worth_a_try(owner):
+    refuse(owner, read(owner))
+    read(owner, LogPosition(1, 8))
+    assert len(owner.pool.asked) == 2
+
+
+def test_the_longer_a_replica_is_behind_the_longer_it_is_left_alone(owner):
+    asked_at = []
+    for step in range(300):
+        owner.task.now = 50.0 + step / 10
+        session = read(owner)
+        if not session.states:
+            asked_at.append(step / 10)
+            refuse(owner, session)
+    assert asked_at[:3] == [0.0, 0.3, 0.6]
+    assert len(asked_at) <= 25 and asked_at[-1] - asked_at[-2] == pytest.approx(2.0)
+
+
+def test_a_replica_that_shows_the_position_again_is_asked_at_once(owner):
+    refuse(owner, read(owner))
+    owner.task.decider.observe_position("db-1", POSITION, owner.task.now)
+    owner.task.decider.observe_lagging("db-1", LogPosition(1, 12), owner.task.now)
+    read(owner, LogPosition(1, 11))
+    assert len(owner.pool.asked) == 2
+
+
+def test_a_statement_that_asks_for_no_position_goes_to_the_database(owner):
+    refuse(owner, read(owner))
+    read(owner, None)
+    assert len(owner.pool.asked) == 2
--- a/tests/routing/test_checked_reads.py
+++ b/tests/routing/test_checked_reads.py
@@ -1,5 +1,6 @@
 """Reads where databases check themselves what they show."""
 
+from beryltrack.groups.lagging import Lag
 from beryltrack.groups.messages import PRIMARY, LogPosition
 from beryltrack.groups.view import DatabaseView, GroupView
 from beryltrack.routing.decider import RoutingPolicy, choose_target
@@ -47,13 +48,13 @@
 
 
 def test_a_replica_that_was_behind_is_left_alone_for_a_while():
-    view = make_view(lagged_at=9.9)
+    view = make_view(lag=Lag(9.9, 9.9, NEW))
     assert choose(view, make_read()).database == "a"
     assert choose(view, make_read(), 10.5).database == "b"
 
 
 def test_a_replica_that_is_known_to_show_it_serves_in_any_case():
-    view = make_view(lagged_at=9.9, applied=NEW)
+    view = make_view(lag=Lag(9.9, 9.9, NEW), applied=NEW)
     assert choose(view, make_read(written_at=9.99)).database == "b"
 
 
