Follow an instance of the settings file when no member is known

What callers saw: at an instance that the store turned away a route that was added was unknown, and one that was taken away was known, for as long as it was turned away.

Cause: whom an instance may follow it takes from the members. A fleet that starts for the first time lists these 1.5 s after the start. One that the store turns away before that knows itself alone: it is a watcher by rank, may follow nobody, and asks on in vain.

Ruled out: a watcher by rank that follows nobody (five real processes, two turned away 4 s after the start, by refusals and by silence: both followed another one and had the new settings); a feed that died (it asked on to the end).

Change: while the store fails and no member can be followed, an instance asks those that its settings file names, which it asks for their copies after a restart already. The link tells it the members, too. While the store answers nobody is asked.

Why it holds: what is told goes by versions, whoever tells it; a link to a named one is judged and given up as any other.

--- a/beryltrack/daemon/copies.py
+++ b/beryltrack/daemon/copies.py
@@ -4,6 +4,7 @@
 from beryltrack.objects.feed import FeedTask
 from beryltrack.objects.follow import FollowTask
 from beryltrack.relay.owners import Peer
+from beryltrack.settings.messages import Endpoint
 
 
 class FleetCopies:
@@ -17,11 +18,19 @@
         The kinds that are shared; the first one finds out whether the store answers.
     own : Peer
         This instance.
+    seeds : tuple of Endpoint, optional
+        Where others may tell this one while it knows none of them.
     """
 
-    def __init__(self, reactor, feeds: tuple[FeedTask, ...], own: Peer):
+    def __init__(
+        self,
+        reactor,
+        feeds: tuple[FeedTask, ...],
+        own: Peer,
+        seeds: tuple[Endpoint, ...] = (),
+    ):
         self.port = CopyPort(reactor, feeds)
-        self._follow = FollowTask(reactor, feeds, own)
+        self._follow = FollowTask(reactor, feeds, own, seeds=seeds)
 
     @property
     def source(self) -> str:
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -246,7 +246,8 @@
             WATCH_GAP if settings.is_first_start else 0.0,
             self._rejects,
         )
-        self._copies = FleetCopies(reactor, (*self._feeds, self._members.feed), own)
+        shared = (*self._feeds, self._members.feed)
+        self._copies = FleetCopies(reactor, shared, own, settings.copies_sources)
         self._snapshots = SnapshotTask(
             reactor, settings.snapshot_sources, self._take_snapshot, rng
         )
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -165,6 +165,11 @@
         """True if the last call found no store that answers."""
         return self._failures > 0 and self._last_error in _UNANSWERED
 
+    @property
+    def is_failing(self) -> bool:
+        """True if the last call failed, in whatever way."""
+        return self._failures > 0
+
     @property
     def silence(self) -> float:
         """Seconds since the store last answered for this kind, or since the start."""
--- a/beryltrack/objects/follow.py
+++ b/beryltrack/objects/follow.py
@@ -3,7 +3,8 @@
 An instance that is no watcher holds its own calls back while a watcher tells it that
 it hears from the store. It asks by itself as soon as that watcher is silent or says
 that it hears nothing, so that no change is in force later than by its own calls. An
-instance that the store turns away, watcher or not, is told by another one meanwhile.
+instance that the store turns away, watcher or not, is told by another one meanwhile,
+also before it has heard of any: its settings file names some.
 """
 
 import logging
@@ -17,8 +18,9 @@
 from beryltrack.clock import get_seconds
 from beryltrack.objects.copies import CopyFrame, CopyReceiver
 from beryltrack.objects.feed import MOST_DELAY, FeedTask
-from beryltrack.objects.watchers import is_watcher, order_sources
+from beryltrack.objects.watchers import is_watcher, list_seeds, order_sources
 from beryltrack.relay.owners import Peer
+from beryltrack.settings.messages import Endpoint
 
 log = logging.getLogger(__name__)
 
@@ -72,6 +74,8 @@
         This instance.
     connect : callable, optional
         Opens a link to another instance; TCP if not given.
+    seeds : tuple of Endpoint, optional
+        Where to ask when the store fails and no member can be followed.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         feeds: tuple[FeedTask, ...],
         own: Peer,
         connect: Connect | None = None,
+        seeds: tuple[Endpoint, ...] = (),
     ):
         self._reactor = reactor
         self._seconds = get_seconds(reactor)
@@ -87,6 +92,7 @@
         self._feeds = {feed.kind: feed for feed in feeds}
         self._own = own
         self._connect = connect or self._open
+        self._seeds = seeds
         self._peers: tuple[Peer, ...] = (own,)
         self._is_watcher = True
         self._avoided: dict[str, float] = {}
@@ -163,6 +169,8 @@
     def _follow_next(self, now: float) -> None:
         """Open a link to the best watcher, if there is one."""
         sources = order_sources(self._peers, self._own, self._avoided, now)
+        if not sources and self._first.is_failing:
+            sources = list_seeds(self._seeds, self._peers, self._avoided, now)
         if not sources:
             return
         source = sources[0]
--- a/beryltrack/objects/watchers.py
+++ b/beryltrack/objects/watchers.py
@@ -11,6 +11,7 @@
 
 from beryltrack.ranks import compute_rank
 from beryltrack.relay.owners import Peer, choose_owners
+from beryltrack.settings.messages import Endpoint
 
 WATCHERS_PER_ZONE = 3
 """Watchers of each availability zone: two may be lost at once, and its instances are
@@ -70,3 +71,34 @@
             ),
         )
     )
+
+
+def list_seeds(
+    places: Sequence[Endpoint],
+    peers: Sequence[Peer],
+    avoided: Mapping[str, float],
+    now: float,
+) -> tuple[Peer, ...]:
+    """Return whom an instance may follow that is not known as a member.
+
+    An instance that the store turns away at its start has heard of no members, or of
+    too few, and would be told by nobody.
+
+    Parameters
+    ----------
+    places : sequence of Endpoint
+        Where instances may tell what the store holds, by the settings file.
+    peers : sequence of Peer
+        All instances that are known; their places are left out.
+    avoided : mapping of str to float
+        Until when others are passed over, by name; a seed's is its address.
+    now : float
+        The current time, seconds.
+    """
+    known = {peer.copies for peer in peers}
+    seeds = (
+        Peer(f"{place.host}:{place.port}", "", place, place)
+        for place in places
+        if place not in known
+    )
+    return tuple(seed for seed in seeds if now >= avoided.get(seed.name, now))
--- a/beryltrack/settings/node.py
+++ b/beryltrack/settings/node.py
@@ -83,6 +83,13 @@
         place = self.snapshot_listen
         return None if place is None else Endpoint(place.host, place.port + 1)
 
+    @property
+    def copies_sources(self) -> tuple[Endpoint, ...]:
+        """Where others may tell of changes in the store."""
+        return tuple(
+            Endpoint(place.host, place.port + 1) for place in self.snapshot_sources
+        )
+
     @property
     def rights_listen(self) -> Endpoint | None:
         """Where it takes rights to run accounts' operations: the port after that."""
--- a/tests/daemon/test_turned_away.py
+++ b/tests/daemon/test_turned_away.py
@@ -1,9 +1,9 @@
-"""One that the store turns away goes by the settings that others have, in real processes.
+"""One that the store turns away goes by the settings of others, in real processes.
 
-Two of five instances were turned away by the store before the second of them had heard
-which instances there are: the members are first listed 1.5 s after the first start of a
-fleet. It knew nobody whom it could follow, so that it followed nobody for as long as the
-store turned it away, also across a restore of the store from a backup.
+Two of five instances were turned away by the store before the second of them had
+heard which instances there are: the members are first listed 1.5 s after the first
+start of a fleet. It knew nobody whom it could follow, so that it followed nobody for
+as long as the store turned it away, also across a restore from a backup.
 """
 
 import random
@@ -37,7 +37,6 @@
         time.sleep(0.02)
 
 
-@pytest.mark.xfail(strict=True, reason="in KNOWN-RED.txt")
 def test_one_that_is_turned_away_before_it_knows_the_others_hears_of_a_restore(
     site, tmp_path
 ):
--- a/tests/objects/test_restored_copies.py
+++ b/tests/objects/test_restored_copies.py
@@ -138,7 +138,7 @@
     fleet.change()
     fleet.lose_writes(4)
     peers = [each.peer for each in fleet.instances.values()]
-    peers.append(Peer("n99", "z1", Endpoint("", 1), Endpoint("", 2)))
+    peers.append(Peer("n99", "z1", Endpoint("n99", 1), Endpoint("n99", 2)))
     fleet.instances["n99"] = Instance(fleet, peers[-1])
     fleet.instances["n99"].start(tuple(peers))
     fleet.change()
--- a/tests/objects/test_shared_copies.py
+++ b/tests/objects/test_shared_copies.py
@@ -154,7 +154,7 @@
 class Instance:
     """One instance: its feeds, what it tells and whom it follows."""
 
-    def __init__(self, fleet, peer):
+    def __init__(self, fleet, peer, seeds=()):
         self.peer = peer
         self.known = dict.fromkeys(KINDS, -1)
         source = StoreOf(fleet.store, peer.name)
@@ -174,7 +174,8 @@
             fleet.clock,
             self.feeds,
             peer,
-            lambda other, link: fleet.connect(peer.name, other.name, link),
+            lambda other, link: fleet.connect(peer.name, other.relay.host, link),
+            seeds,
         )
 
     def take(self, kind, objects):
@@ -192,6 +193,11 @@
             task.stop()
 
 
+def get_places(name):
+    """Return where an instance takes others; its name stands for its address."""
+    return Endpoint(name, 1), Endpoint(name, 2)
+
+
 class Fleet:
     """Instances in five zones and one store."""
 
@@ -200,7 +206,7 @@
         self.store = Store(self.clock)
         self.cut = set()
         peers = tuple(
-            Peer(f"n{each}", f"z{each % ZONES}", Endpoint("", 1), Endpoint("", 2))
+            Peer(f"n{each}", f"z{each % ZONES}", *get_places(f"n{each}"))
             for each in range(count)
         )
         self.instances = {peer.name: Instance(self, peer) for peer in peers}
@@ -332,6 +338,33 @@
     assert all(each.known["servers"] == value for each in fleet.instances.values())
 
 
+@pytest.mark.parametrize("refused", [(), ("n0",), ("n0", "n1")])
+@pytest.mark.parametrize("known", [(), ("n0",)])
+def test_one_that_is_turned_away_before_it_knows_the_others_is_told(refused, known):
+    """Its settings file names some, of which others may be turned away, too."""
+    fleet = Fleet(5)
+    own = Peer("n9", "z9", *get_places("n9"))
+    fleet.store.refused.update((*refused, "n9"))
+    seeds = tuple(get_places(f"n{each}")[1] for each in range(3))
+    one = fleet.instances["n9"] = Instance(fleet, own, seeds)
+    one.start((own, *(fleet.instances[name].peer for name in known)))
+    fleet.run(6.0)
+    fleet.change()
+
+
+def test_one_that_knows_nobody_asks_the_store_alone_while_that_answers():
+    fleet = Fleet(5)
+    own = Peer("n9", "z9", *get_places("n9"))
+    one = fleet.instances["n9"] = Instance(fleet, own, (get_places("n0")[1],))
+    one.start((own,))
+    links = fleet.instances["n0"].port.links
+    found = set()
+    for _ in range(40):
+        fleet.run(STEP)
+        found.update(links)
+    assert not found
+
+
 def test_a_small_fleet_asks_by_itself():
     fleet = Fleet(ZONES * WATCHERS_PER_ZONE)
     assert all(not each.follow.source for each in fleet.instances.values())
