Pass a lost owner over until it answers a probe, and find it out without requests

What callers saw: with the store answering busy from 1.0 to 6.8 s and one of six owners of accounts gone for good at 3.0 s, a quarter of all requests was refused for nine seconds: its accounts ran by a part of their limit until the store was back, and 5 s more.

Cause, two: (1) an instance gave up the link over which an owner did not answer its offers, and opened it again to the same owner, as only a caller's request passed an owner over. An instance without such a request never moved its part. (2) Those that did passed the owner over for 2 s; then its slots were wanted there again, so that the next owner was told to give them back, and the lost one was connected to in vain, until a request failed again. With each turn an instance's part was out of use.

Ruled out: the rule that a slot moves only once it came back or its loan ended: it moves 1.2 s after the last offer, as meant. The members name the lost one on while the store is down, which is what (2) rests on; they cannot do better.

Change: an owner that does not answer an offer in 0.8 s, or takes no link, is passed over by that instance, until it answers a probe, a link on which nothing is lent, after 0.5 s first, then 8 s at the most. One that answers and gives no connection is probed after 2 s. A late turn of a process that was held up judges nobody: answers are read after it. One that leaves takes no link, or it would answer probes.

Why it holds: to whom an instance lends follows the same rules as before, so that parts add up to one at most. tests/accounts/test_quota_safety.py has the product's tasks with an owner lost, frozen, cut off from some, and unheard: 12 runs, the sum of all parts and the limit hold.

--- a/beryltrack/accounts/link.py
+++ b/beryltrack/accounts/link.py
@@ -118,6 +118,10 @@
         self._links: dict[str, RightsBorrower] = {}
         self._is_leaving = False
 
+    def buildProtocol(self, addr) -> RightsBorrower | None:  # noqa: N802
+        """Return a link; none once this instance leaves, as it is to be passed over."""
+        return None if self._is_leaving else super().buildProtocol(addr)
+
     def leave(self) -> None:
         """Give back all that was lent, and take no more."""
         self._is_leaving = True
--- a/beryltrack/accounts/task.py
+++ b/beryltrack/accounts/task.py
@@ -28,6 +28,10 @@
 """Seconds without an answer after which a link is given up: two messages' time, and
 less than a loan lasts, so that a new link can renew it."""
 
+LATE = 0.2
+"""Seconds by which a turn is late in a process that was held up. The answers that came
+meanwhile are read after it, so that no link is judged by their absence."""
+
 SOON = 0.02
 """Seconds after a change of the owners until all are told: changes come together."""
 
@@ -62,8 +66,9 @@
     rng : random.Random
         Source of jitter.
     observe_lost : callable
-        Called with the name of an owner that has ended its link: it was killed or
-        leaves. The next one is used at once then, and not after a request has failed.
+        Called with the name of an owner that has ended its link, was killed, leaves, or
+        does not answer. The next one is used at once then by this instance, also where
+        it has no request that would fail: the owner needs the parts of all.
     """
 
     def __init__(
@@ -121,9 +126,12 @@
 
     def _tick(self) -> None:
         """Tell each owner what it has."""
+        is_late = self._timer is not None and self._now - self._timer.getTime() > LATE
         period = RENEW_PERIOD * self._rng.uniform(0.9, 1.1)
         self._timer = self._reactor.callLater(period, self._tick)
         now = self._seconds()
+        if not is_late:
+            self._judge_links(now)
         for name, offer in self._lending.plan(now).items():
             if name == self._name:
                 self._keep(offer, now)
@@ -145,8 +153,15 @@
             self._open(name, now)
         elif link.lender is not None and not link.lender.is_waiting:
             self._send(name, link, offer, now)
-        elif link.lender is not None and now - link.since > ANSWER_TIMEOUT:
-            link.lender.give_up()
+
+    def _judge_links(self, now: float) -> None:
+        """Give up the links over which an answer is overdue, and their owners."""
+        for name, link in tuple(self._links.items()):
+            is_waiting = link.lender is not None and link.lender.is_waiting
+            if is_waiting and now - link.since > ANSWER_TIMEOUT:
+                log.warning("accounts: %s does not answer, others are asked.", name)
+                link.lender.give_up()
+                self._observe_lost(name)
 
     def _send(self, name: str, link: _Link, offer: Offer, now: float) -> None:
         """Send an offer over an open link."""
@@ -197,12 +212,13 @@
         self._send(name, link, Offer(0, 0.0), self._seconds())
 
     def _fail(self, failure, name: str) -> None:
-        """Try again at the next turn: an owner could not be reached."""
+        """Go on with the next owner: one could not be reached."""
         del self._links[name]
         if failure.check(ConnectionRefusedError):
             # Its process has ended, and nothing that was lent to it is left.
             self._lending.observe_ended(name)
         log.info("accounts: No link to %s: %s", name, failure.getErrorMessage())
+        self._observe_lost(name)
 
     def _end(self, is_given_back: bool, name: str) -> None:
         """Take in that a link has ended."""
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -279,6 +279,7 @@
             self._copies.start()
         if self._own.rights is not None:
             self._listen(self._own.rights, self._accounts.port)
+        self._accounts.start()
         if self._policies.takes_snapshots and not self.settings.is_first_start:
             self._snapshots.start()
         self._services.admission.start()
--- a/beryltrack/daemon/node_accounts.py
+++ b/beryltrack/daemon/node_accounts.py
@@ -17,6 +17,7 @@
 from beryltrack.metrics.plain import Gauge
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.owners import Peer
+from beryltrack.relay.probes import ProbeTask
 from beryltrack.settings.messages import Endpoint
 from beryltrack.settings.node import NodeSettings
 
@@ -73,6 +74,7 @@
             rng,
             directory.avoid,
         )
+        self._probes = ProbeTask(reactor, settings.name, directory)
         self._telling = LoopingCall(self._tell_refusals)
         self._telling.clock = reactor
         directory.set_holder_source(lending.get_holder)
@@ -83,6 +85,10 @@
         """What takes the rights of other instances."""
         return self._task.port
 
+    def start(self) -> None:
+        """Begin to probe owners that are passed over."""
+        self._probes.start()
+
     def get_book(self) -> AccountBook | None:
         """Return the accounts in force, None where callers need no key."""
         return self._book
@@ -115,6 +121,7 @@
     def stop(self) -> None:
         """Lend no more."""
         self._task.stop()
+        self._probes.stop()
         if self._telling.running:
             self._telling.stop()
 
--- /dev/null
+++ b/beryltrack/relay/avoided.py
@@ -0,0 +1,70 @@
+"""Which instances are passed over, and when to try whether they are back.
+
+An instance that was not reached stays passed over until it answers a probe: it is on
+no caller's way meanwhile, and what others have taken over from it stays with them. The
+pauses between probes grow, as most that are gone for long stay gone.
+"""
+
+from typing import NamedTuple
+
+AVOID_TIME = 2.0
+"""Seconds for which an instance is passed over that answered, but gave no connection:
+it leaves, or knows other members, and knows these by then."""
+
+FIRST_PAUSE = 0.5
+MOST_PAUSE = 8.0
+"""Seconds between two probes, the first and the longest: one that restarts is back
+after 1 to 4 s, and the members tell after 8 s that one is gone."""
+
+
+class _Avoided(NamedTuple):
+    """Since when an instance is passed over, and when it is probed next."""
+
+    at: float
+    due: float
+    misses: int = 0
+
+
+class AvoidedOwners:
+    """The instances that are passed over, by name."""
+
+    def __init__(self):
+        self._avoided: dict[str, _Avoided] = {}
+
+    def has(self, name: str) -> bool:
+        """Return whether an instance is passed over."""
+        return name in self._avoided
+
+    def get_time(self, name: str) -> float:
+        """Return when an instance was last found out of reach; 0 if it is not."""
+        return self._avoided[name].at if name in self._avoided else 0.0
+
+    def add(self, name: str, now: float, least: float = FIRST_PAUSE) -> bool:
+        """Pass over an instance for a time at the least; return if that is new."""
+        known = self._avoided.get(name, _Avoided(now, 0.0))
+        due = max(known.due, now + least)
+        is_new = name not in self._avoided
+        self._avoided[name] = known._replace(at=now, due=due)
+        return is_new
+
+    def get_due(self, now: float) -> tuple[str, ...]:
+        """Return which instances are to be probed now."""
+        return tuple(name for name, each in self._avoided.items() if each.due <= now)
+
+    def note_miss(self, name: str, now: float) -> None:
+        """Take in that a probe was not answered."""
+        known = self._avoided.get(name)
+        if known is not None:
+            pause = min(MOST_PAUSE, FIRST_PAUSE * 2**known.misses)
+            later = known._replace(due=now + pause, misses=known.misses + 1)
+            self._avoided[name] = later
+
+    def note_answer(self, name: str) -> bool:
+        """Pass over an instance no more; return whether it was."""
+        return self._avoided.pop(name, None) is not None
+
+    def keep(self, names: frozenset[str]) -> None:
+        """Forget all but these: the others are no members any more."""
+        self._avoided = {
+            name: each for name, each in self._avoided.items() if name in names
+        }
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -1,15 +1,15 @@
 """An instance's part in the groups: their owner, or a user of one.
 
 The directory follows the members of the fleet and says through which instance the
-next connection to a database goes. An owner that could not be reached is passed
-over for a while. An owner that does not reach a database itself goes through another
-one, as it is often cut off alone.
+next connection to a database goes. An owner that could not be reached is passed over
+until it answers a probe. An owner that does not reach a database itself goes through
+another one, as it is often cut off alone.
 """
 
-import math
 from collections.abc import Callable, Sequence
 
 from beryltrack.accounts.slots import get_slot
+from beryltrack.relay.avoided import AVOID_TIME, FIRST_PAUSE, AvoidedOwners
 from beryltrack.relay.owners import (
     Peer,
     Placement,
@@ -20,10 +20,6 @@
     order_slots,
 )
 
-AVOID_TIME = 2.0
-"""Seconds for which an owner that gave no connection is passed over. Shorter than the
-8 s until the members tell that it is gone; a new attempt costs one connection."""
-
 DETOUR_TIME = 2.0
 """Seconds between two attempts to reach a database that is reached through others
 meanwhile, and for which one that does not reach it either is passed over."""
@@ -50,7 +46,7 @@
         self._by_name = {own.name: own}
         self._is_known = False
         self._placements: dict[tuple[str, int], Placement] = {}
-        self._avoided: dict[str, float] = {}
+        self._avoided = AvoidedOwners()
         self._blocked: set[str] = set()
         self._useless: dict[tuple[str, str], float] = {}
         self._observe_block: Callable[[], object] = lambda: None
@@ -80,6 +76,7 @@
         self._peers = tuple(sorted((self._own, *others)))
         self._by_name = {peer.name: peer for peer in self._peers}
         self._is_known = True
+        self._avoided.keep(frozenset(self._by_name))
         self._forget_placements()
 
     def set_accounts(self, least_connections: int | None) -> bool:
@@ -138,7 +135,7 @@
         """
         slot = get_slot(account)
         holder = self._get_holder(slot)
-        if holder and self._seconds() >= self._avoided.get(holder, -math.inf):
+        if holder and not self._avoided.has(holder):
             peer = self.get_peer(holder)
             if peer is not None:
                 return peer
@@ -160,9 +157,8 @@
 
         If all are, the one that was so first is asked again.
         """
-        now = self._seconds()
-        fit = (each for each in ordered if now >= self._avoided.get(each.name, now))
-        longest = min(ordered, key=lambda each: self._avoided.get(each.name, 0.0))
+        fit = (each for each in ordered if not self._avoided.has(each.name))
+        longest = min(ordered, key=lambda each: self._avoided.get_time(each.name))
         return next(fit, longest)
 
     def is_owner(self, group: str, max_connections: int) -> bool:
@@ -217,7 +213,7 @@
             each
             for each in ordered
             if each != self._own
-            and now >= self._avoided.get(each.name, now)
+            and not self._avoided.has(each.name)
             and now >= self._useless.get((database, each.name), now)
         )
         return next(fit, None)
@@ -256,7 +252,24 @@
         """Take in that another instance does not reach a database either."""
         self._useless[database, name] = self._seconds() + DETOUR_TIME
 
-    def avoid(self, name: str) -> None:
-        """Pass over an owner for a while."""
-        self._avoided[name] = self._seconds() + AVOID_TIME
-        self._observe_owners()
+    def avoid(self, name: str, least: float = FIRST_PAUSE) -> None:
+        """Pass over an owner until it answers a probe, for a time at the least."""
+        if self._avoided.add(name, self._seconds(), least):
+            self._observe_owners()
+
+    def note_refusal(self, name: str) -> None:
+        """Pass over an owner that answers, but gives no connection."""
+        self.avoid(name, AVOID_TIME)
+
+    def get_due_probes(self) -> tuple[str, ...]:
+        """Return which owners that are passed over are to be probed now."""
+        return self._avoided.get_due(self._seconds())
+
+    def note_unreached(self, name: str) -> None:
+        """Take in that a probe of an owner was not answered."""
+        self._avoided.note_miss(name, self._seconds())
+
+    def note_reached(self, name: str) -> None:
+        """Pass over an owner no more: it answers."""
+        if self._avoided.note_answer(name):
+            self._observe_owners()
--- a/beryltrack/relay/opener.py
+++ b/beryltrack/relay/opener.py
@@ -155,14 +155,14 @@
             if directory.is_blocked(name):
                 directory.note_useless(name, owner.name)
             else:
-                directory.avoid(owner.name)
+                directory.note_refusal(owner.name)
             raise
         except OSError:
             directory.avoid(owner.name)
             raise
         connection.way = owner.name
         connection.on_useless = lambda has_left: (
-            directory.avoid(owner.name)
+            directory.note_refusal(owner.name)
             if has_left
             else directory.note_useless(name, owner.name)
         )
--- a/tests/accounts/test_quota_safety.py
+++ b/tests/accounts/test_quota_safety.py
@@ -17,6 +17,7 @@
 from beryltrack.accounts.quota import Tolerance
 from beryltrack.accounts.slots import get_slot
 from beryltrack_bench.quota.lender import Lender
+from tests.accounts.network import Network
 
 WINDOW, OVERAGE, SLACK = 5.0, 0.1, 20.0
 ACCOUNT = AccountSettings("hot", frozenset(), 400.0, 60.0)
@@ -180,3 +181,59 @@
 
 def test_the_slot_of_the_account_is_one_of_many():
     assert 0 <= get_slot("hot") < 64
+
+
+class SpentNetwork(Network):
+    """The product's own tasks, and an account that asks for far more at each instance.
+
+    The store is down: nobody hears of a member that is gone.
+    """
+
+    def __init__(self, seed):
+        super().__init__(rate=ACCOUNT.rate, burst=ACCOUNT.burst, seed=seed)
+        self.spent, self.worst, self.most = deque(), 0, 0.0
+
+    def spend(self):
+        """Run what the account may run; note the most, and the sum of all parts."""
+        slot, total = get_slot("hot"), 0.0
+        for each in self.instances.values():
+            if each.is_lost or self.now < each.paused_until:
+                continue
+            total += each.get_part(slot)
+            if self.rng.random() < 0.2:
+                each.ask(slot)
+            now = each.reactor.seconds()
+            while not each.accounts.quota.spend("hot", now):
+                self.spent.append(self.now)
+        while self.spent and self.spent[0] <= self.now - WINDOW:
+            self.spent.popleft()
+        self.worst = max(self.worst, len(self.spent))
+        self.most = max(self.most, total)
+
+    def disturb(self, how):
+        """Take the account's owner away in some way for a while."""
+        one = next(iter(self.instances.values())).directory
+        owner = one.choose_account_owner("hot").name
+        others = [name for name in self.instances if name != owner]
+        some = self.rng.sample(others, self.rng.randint(1, len(others)))
+        if how == "lost":
+            self.instances[owner].is_lost = True
+        elif how == "frozen":
+            self.instances[owner].paused_until = self.now + self.rng.uniform(0.3, 4.0)
+        elif how == "cut":
+            self.cut |= {(each, owner) for each in some}
+        elif how == "unheard":
+            self.cut |= {(owner, each) for each in some}
+
+
+@pytest.mark.parametrize("how", ["lost", "frozen", "cut", "unheard"])
+@pytest.mark.parametrize("seed", range(3))
+def test_an_owner_that_is_passed_over_lets_no_account_exceed_its_limit(seed, how):
+    network = SpentNetwork(seed)
+    for _ in range(4):
+        network.disturb(how)
+        network.run(network.rng.uniform(0.5, 4.0), network.spend)
+        network.cut.clear()
+        network.run(network.rng.uniform(0.5, 6.0), network.spend)
+    assert network.worst <= BOUND
+    assert network.most <= 1.0 + 1e-9
--- /dev/null
+++ b/tests/relay/test_avoided.py
@@ -0,0 +1,59 @@
+"""When an instance that is passed over is probed."""
+
+from beryltrack.relay.avoided import (
+    AVOID_TIME,
+    FIRST_PAUSE,
+    MOST_PAUSE,
+    AvoidedOwners,
+)
+
+
+def find_probes(avoided, until, step=0.25):
+    """Return when an instance is probed that never answers."""
+    found = []
+    for number in range(int(until / step)):
+        now = number * step
+        for name in avoided.get_due(now):
+            found.append(now)
+            avoided.note_miss(name, now)
+    return found
+
+
+def test_pauses_between_probes_grow():
+    avoided = AvoidedOwners()
+    assert avoided.add("a", 0.0)
+    times = find_probes(avoided, 60.0)
+    assert times[:5] == [0.5, 1.0, 2.0, 4.0, 8.0]
+    assert times[-1] - times[-2] == MOST_PAUSE and avoided.has("a")
+
+
+def test_one_that_answers_a_probe_is_passed_over_no_more():
+    avoided = AvoidedOwners()
+    avoided.add("a", 0.0)
+    assert avoided.get_due(FIRST_PAUSE) == ("a",)
+    assert avoided.note_answer("a") and not avoided.has("a")
+    assert not avoided.note_answer("a")
+
+
+def test_one_that_refuses_connections_is_not_probed_at_once():
+    avoided = AvoidedOwners()
+    avoided.add("a", 0.0, AVOID_TIME)
+    assert avoided.get_due(AVOID_TIME - 0.1) == ()
+    assert avoided.get_due(AVOID_TIME) == ("a",)
+
+
+def test_another_failure_does_not_shorten_the_pause():
+    avoided = AvoidedOwners()
+    avoided.add("a", 0.0)
+    for _ in range(5):
+        avoided.note_miss("a", 0.0)
+    assert not avoided.add("a", 0.1)
+    assert avoided.get_due(7.9) == () and avoided.get_due(8.0) == ("a",)
+
+
+def test_those_that_are_no_members_any_more_are_forgotten():
+    avoided = AvoidedOwners()
+    avoided.add("a", 0.0)
+    avoided.add("b", 0.0)
+    avoided.keep(frozenset("b"))
+    assert not avoided.has("a") and avoided.has("b")
--- a/tests/relay/test_directory.py
+++ b/tests/relay/test_directory.py
@@ -1,6 +1,7 @@
 """An instance's part in the groups."""
 
-from beryltrack.relay.directory import AVOID_TIME, RelayDirectory
+from beryltrack.relay.avoided import AVOID_TIME
+from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.owners import Peer
 from beryltrack.settings.messages import Endpoint
 
