--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -253,7 +253,8 @@
             WATCH_GAP if settings.is_first_start else 0.0,
             self._rejects,
         )
-        self._copies = FleetCopies(reactor, (*self._feeds, self._members.feed), own)
+        shared = (*self._feeds, self._members.feed)
+        self._copies = FleetCopies(reactor, shared, own, settings.copies_sources)
         self._snapshots = SnapshotTask(
             reactor, settings.snapshot_sources, self._take_snapshot, rng
         )
@@ -285,6 +286,7 @@
             self._copies.start()
         if self._own.rights is not None:
             self._listen(self._own.rights, self._accounts.port)
+        self._accounts.start()
         if self._policies.takes_snapshots and not self.settings.is_first_start:
             self._snapshots.start()
         self._services.admission.start()
