Run an account's operations in the zone where they come in

Change: who counts and runs a slot's accounts is a choice behind one protocol (relay/slot_choice.py): one owner in the fleet, as before, or one in each zone, which the zone's instances use and lend their rights to. Switch: zone-owners. Lending is as it was: each instance lends to whom it sends. What a zone's owner refuses as over the limit, the instance that took it asks of another zone's owner, at once and each owner once; one that has refused is asked last for 0.2 s. An operation that another instance sent is not passed on for that, so there are no chains. The refused operation has not run, and it draws on no retry budget.

Changed tests: test_access.py's site takes the new callback; no assertion was changed.

--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -134,9 +134,10 @@
                 rng=self._rng,
             )
 
-        def choose_way(account: str) -> str:
-            limit = database.max_connections
-            peer = self._directory.choose_way(group.name, database.name, limit, account)
+        def choose_way(account: str, is_lent: bool = False) -> str:
+            peer = self._directory.choose_way(
+                group.name, database.name, database.max_connections, account, is_lent
+            )
             return "" if peer is None else peer.name
 
         direct = PoolTask(
@@ -153,6 +154,8 @@
             choose_way,
             lambda account: self._quota.spend(account, self._seconds()),
             self._quota.refund,
+            lambda account: choose_way(account, True),
+            self._directory.observe_spent,
         )
         self._pools[group.name, database.name] = access
         return access
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -156,7 +156,12 @@
             settings.capacity,
         )
         self._own = own
-        directory = RelayDirectory(own, self._seconds, options.FIRST_INSTANCES)
+        directory = RelayDirectory(
+            own,
+            self._seconds,
+            options.FIRST_INSTANCES,
+            self._policies.owners_of_accounts,
+        )
         self._accounts = NodeAccounts(reactor, settings, directory, rng)
         self._kit = LineKit(
             reactor,
@@ -195,6 +200,7 @@
             events=EventLog(settings.name, write_line, self._seconds),
             retries=self._policies.retries,
             admission=self._policies.admission,
+            observe_spent=directory.observe_spent,
         )
         handler = RequestTask(self._services, self._get_site, self._find_group)
         bounds = CallerBounds(self._get_site)
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -11,6 +11,7 @@
 from beryltrack.daemon import node_options as options
 from beryltrack.failover.decider import FailoverPolicy
 from beryltrack.groups.policy import ProbePolicy
+from beryltrack.relay.slot_choice import FleetOwners, SlotChoice, ZoneOwners
 from beryltrack.requests.admission import AdmissionPolicy
 from beryltrack.requests.overdue import LATE_AFTER
 from beryltrack.requests.retry import RetryPolicy
@@ -60,6 +61,8 @@
         True if an instance that starts may go by another one's copies.
     shares_copies : bool
         True if instances may tell each other what the store holds.
+    owners_of_accounts : SlotChoice
+        Which owners count and run the operations of accounts.
     """
 
     pools: PoolPolicy
@@ -74,6 +77,7 @@
     takes_detours: bool
     takes_snapshots: bool
     shares_copies: bool
+    owners_of_accounts: SlotChoice
 
 
 def make_policies(
@@ -101,6 +105,9 @@
         takes_detours=Mechanism.DETOURS not in disabled,
         takes_snapshots=Mechanism.SNAPSHOTS not in disabled,
         shares_copies=Mechanism.SHARED_COPIES not in disabled,
+        owners_of_accounts=FleetOwners()
+        if Mechanism.ZONE_OWNERS in disabled
+        else ZoneOwners(),
     )
     for mechanism in sorted(disabled, key=lambda each: each.value):
         if mechanism in _WITHOUT:
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -30,6 +30,7 @@
 
 ChooseWay = Callable[[str], str]
 Admit = Callable[[str], float]
+ObserveSpent = Callable[[str, str], bool]
 
 
 class _Lent(NamedTuple):
@@ -55,6 +56,11 @@
         or the seconds after which to come back.
     refund : callable
         Takes in that a counted operation of an account did not run.
+    choose_lent_way : callable, optional
+        The same as `choose_way` for an operation that another instance sent here.
+    observe_spent : callable
+        Takes in that an operation of an account was refused as over its limit, and by
+        which instance; returns True if another one may run it.
     """
 
     def __init__(
@@ -64,12 +70,16 @@
         choose_way: ChooseWay,
         admit: Admit = lambda account: 0.0,
         refund: Callable[[str], object] = lambda account: None,
+        choose_lent_way: ChooseWay | None = None,
+        observe_spent: ObserveSpent = lambda account, way: False,
     ):
         self.direct = direct
         self._make_sessions = make_sessions
         self._choose_way = choose_way
         self._admit = admit
         self._refund = refund
+        self._choose_lent_way = choose_lent_way or choose_way
+        self._observe_spent = observe_spent
         self._sessions: dict[str, PoolTask] = {}
         self._lent: dict[PooledConnection, _Lent] = {}
         self._is_drained = False
@@ -133,7 +143,7 @@
 
         One that was counted there already goes to the database itself and no further.
         """
-        way = "" if is_counted else self._choose_way(demand.account)
+        way = "" if is_counted else self._choose_lent_way(demand.account)
         return self._acquire_by(way, deadline, demand, not is_counted, True)
 
     def acquire_briefly(
@@ -219,7 +229,7 @@
         """Get a connection by the way of the moment, then by another one."""
         way = self._choose_way(demand.account)
         acquiring = self._acquire_by(way, deadline, demand, not way, False)
-        if way and tries > 1:
+        if tries > 1:
             acquiring.addErrback(self._go_round, way, deadline, demand, tries)
         return acquiring
 
@@ -229,7 +239,11 @@
         """Try another way if an instance could not be reached."""
         refused = failure.check(PoolRefused)
         reason = failure.value.refusal.reason if refused else None
-        if reason is not RefusalReason.UNREACHABLE:
+        if reason is RefusalReason.OVER_LIMIT:
+            # Refused here: another zone's owner may have rights left.
+            if not self._observe_spent(demand.account, way):
+                return failure
+        elif not way or reason is not RefusalReason.UNREACHABLE:
             return failure
         if self._choose_way(demand.account) == way:
             return failure
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -17,7 +17,13 @@
     compute_account_share,
     compute_placement,
     order_owners,
-    order_slots,
+)
+from beryltrack.relay.slot_choice import (
+    FleetOwners,
+    Line,
+    SlotChoice,
+    SpentNotes,
+    make_all_lines,
 )
 
 AVOID_TIME = 2.0
@@ -40,9 +46,17 @@
         The node's time.
     first_instances : int
         Instances to reckon with before the members are known.
+    choice : SlotChoice
+        Which owners count and run the operations of accounts.
     """
 
-    def __init__(self, own: Peer, seconds: Callable[[], float], first_instances: int):
+    def __init__(
+        self,
+        own: Peer,
+        seconds: Callable[[], float],
+        first_instances: int,
+        choice: SlotChoice = FleetOwners(),  # noqa: B008 - it keeps nothing
+    ):
         self._own = own
         self._seconds = seconds
         self._first_instances = first_instances
@@ -57,7 +71,9 @@
         self._observe_owners: Callable[[], object] = lambda: None
         self._get_holder: Callable[[int], str] = lambda slot: ""
         self._least_connections: int | None = None
-        self._slot_owners: dict[int, tuple[Peer, ...]] = {}
+        self._choice = choice
+        self._slot_lines: dict[int, tuple[Line, ...]] = {}
+        self._spent = SpentNotes(seconds)
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -105,7 +121,7 @@
 
     def _forget_placements(self) -> None:
         self._placements.clear()
-        self._slot_owners.clear()
+        self._slot_lines.clear()
         self._observe_owners()
 
     def get_placement(self, group: str, max_connections: int) -> Placement:
@@ -131,7 +147,7 @@
         return self._by_name.get(name)
 
     def choose_account_owner(self, account: str) -> Peer:
-        """Return the instance that runs an account's operations now.
+        """Return the instance that counts this one's operations of an account now.
 
         The one that has this instance's rights to them, as long as it is reached: it
         gives them back first when another one is to run them.
@@ -150,10 +166,55 @@
         The first owner in the slot's own order that is not passed over; all
         instances that know the same members and reach the same owners choose the same.
         """
-        if not self._slot_owners:
+        return self._choose_fit(self._get_lines(slot)[0])
+
+    def choose_account_way(self, account: str) -> Peer:
+        """Return the instance to which an account's next operation goes.
+
+        The one that counts those of this instance; after it has refused one as over
+        the limit, for a while that of another zone, which has rights of its own.
+        """
+        names = self._list_counting(account)
+        return self._by_name[self._spent.choose(account, names)]
+
+    def observe_spent(self, account: str, way: str) -> bool:
+        """Take in that an owner has refused an operation as over the limit.
+
+        Parameters
+        ----------
+        account : str
+            Whose operation it is.
+        way : str
+            The owner; empty for this instance.
+
+        Returns
+        -------
+        bool
+            True if another owner, which has not refused lately, may run it.
+        """
+        if not account or not self.has_accounts:
+            return False
+        self._spent.note(account, way or self._own.name)
+        return self._spent.has_other(account, self._list_counting(account))
+
+    def _list_counting(self, account: str) -> tuple[str, ...]:
+        """Return who counts an account's operations, of each line the one reached."""
+        first = self.choose_account_owner(account)
+        now = self._seconds()
+        others = (
+            next((p for p in line if now >= self._avoided.get(p.name, now)), first)
+            for line in self._get_lines(get_slot(account))[1:]
+        )
+        return tuple(dict.fromkeys(peer.name for peer in (first, *others)))
+
+    def _get_lines(self, slot: int) -> tuple[Line, ...]:
+        """Return the lines of owners that count a slot's accounts."""
+        if not self._slot_lines:
             owners = self.get_placement("", self._least_connections or 1).owners
-            self._slot_owners = order_slots(owners or self._peers)
-        return self._choose_fit(self._slot_owners[slot])
+            self._slot_lines = make_all_lines(
+                owners or self._peers, self._choice, self._own.zone
+            )
+        return self._slot_lines[slot]
 
     def _choose_fit(self, ordered: Sequence[Peer]) -> Peer:
         """Return the first owner that is not passed over.
@@ -187,7 +248,12 @@
         return self._choose_fit(ordered)
 
     def choose_way(
-        self, group: str, database: str, max_connections: int, account: str = ""
+        self,
+        group: str,
+        database: str,
+        max_connections: int,
+        account: str = "",
+        is_lent: bool = False,
     ) -> Peer | None:
         """Return the instance through which the next connection goes; None for none.
 
@@ -201,9 +267,13 @@
             Most connections to it, of all instances.
         account : str
             Whose requests the connection is for; empty for none.
+        is_lent : bool
+            True if another instance has chosen this one: its request goes on to none
+            because of the limit.
         """
         if account and self.has_accounts:
-            owner = self.choose_account_owner(account)
+            choose = self.choose_account_owner if is_lent else self.choose_account_way
+            owner = choose(account)
             if owner.name != self._own.name:
                 return owner
         elif not self.is_owner(group, max_connections):
--- a/beryltrack/relay/owners.py
+++ b/beryltrack/relay/owners.py
@@ -12,7 +12,6 @@
 from itertools import chain
 from typing import NamedTuple
 
-from beryltrack.accounts.slots import SLOTS
 from beryltrack.ranks import compute_rank
 from beryltrack.settings.messages import Endpoint
 
@@ -175,20 +174,6 @@
     return max(1, (max_connections - RESERVED) // max(1, len(owners)))
 
 
-def order_slots(owners: Sequence[Peer]) -> dict[int, tuple[Peer, ...]]:
-    """Return the owners in the order in which each slot of accounts uses them."""
-    return {
-        slot: tuple(
-            sorted(
-                owners,
-                key=lambda peer: compute_rank(f"{ACCOUNTS} {slot}", peer.name),
-                reverse=True,
-            )
-        )
-        for slot in range(SLOTS)
-    }
-
-
 def order_owners(
     owners: Sequence[Peer], group: str, name: str, zone: str
 ) -> list[Peer]:
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -6,6 +6,7 @@
 
 from beryltrack.errors import (
     CANNOT_CONNECT_NOW,
+    CONFIGURATION_LIMIT_EXCEEDED,
     SqlError,
     make_refusal,
     make_rolled_back,
@@ -40,6 +41,10 @@
 LOST_TEXT = "the connection to the target was lost"
 REPLACED_TEXT = "the primary was replaced"
 
+MOST_ATTEMPTS = 4
+"""Attempts after which a refusal as over a limit is the answer: one in each zone that
+has rights to an account, mostly, and one that met another failure."""
+
 
 class RequestCourse:
     """Carries one unit outside of a transaction through to its answer.
@@ -58,6 +63,7 @@
         self._sent_at = 0.0
         self._excluded: tuple[str, ...] = ()
         self._may_have_run = False
+        self._is_passed_on = False
 
     async def run(self) -> None:
         """Run the unit until it has an answer."""
@@ -81,7 +87,7 @@
                 self._attempts,
                 found.unwrap().connection.way,
             )
-            if not await self._wait_to_retry():
+            if not (self._is_passed_on or await self._wait_to_retry()):
                 self._fail(self._make_refusal(make_refusal(reason, 1.0)))
                 return
 
@@ -111,11 +117,16 @@
     async def _attempt(self, target: FoundTarget) -> tuple[NextStep, str]:
         """Run the unit once; return the next step and why it is needed."""
         result = await self._run_on(target)
+        self._is_passed_on = self._goes_on(target, result)
         if isinstance(result, RunLost):
             target.pool.release(target.connection, False, result.is_sent)
             self._may_have_run |= result.is_sent
             self._exclude(target)
             return self._decide_failure(RunFailure(result.is_sent, "")), LOST_TEXT
+        if self._is_passed_on:
+            self._sink.take_held()
+            target.pool.release(target.connection, True, False)
+            return NextStep.RETRY, result.error.message
         if result.error is not None:
             step = self._decide_failure(RunFailure(True, result.error.sqlstate))
             if step is not NextStep.ANSWER:
@@ -126,6 +137,22 @@
                 return step, result.error.message
         return await self._finish(target, result)
 
+    def _goes_on(self, target: FoundTarget, result: RunResult) -> bool:
+        """Return whether another instance may run what one refused as over a limit.
+
+        It has not run, and the other one has rights of its own: it goes there at once
+        and draws on no budget, as no instance is asked twice.
+        """
+        if isinstance(result, RunLost) or result.error is None:
+            return False
+        way, context = target.connection.way, self._context
+        is_refused = result.error.sqlstate == CONFIGURATION_LIMIT_EXCEEDED and way
+        if not is_refused or self._sink.is_answered:
+            return False
+        if self._attempts >= MOST_ATTEMPTS:
+            return False
+        return context.services.observe_spent(context.caller.account, way)
+
     async def _run_on(self, target: FoundTarget) -> RunResult:
         """Run the unit on a connection."""
         context = self._context
--- a/beryltrack/requests/services.py
+++ b/beryltrack/requests/services.py
@@ -18,6 +18,14 @@
 """An instance may make ten retries before requests have filled its budget."""
 
 
+ObserveSpent = Callable[[str, str], bool]
+
+
+def refuse_spent(account: str, way: str) -> bool:
+    """Return False: no other instance may run an account's operation."""
+    return False
+
+
 class RequestServices(NamedTuple):
     """What the courses of requests use.
 
@@ -45,6 +53,9 @@
         The limits by which targets are chosen.
     events : RequestEvents
         Logs the decisions about requests.
+    observe_spent : callable
+        Takes in that an instance refused an operation of an account as over its limit;
+        returns True if another one may run it.
     """
 
     reactor: object
@@ -58,6 +69,7 @@
     sequence: Iterator[int]
     routing: RoutingPolicy = DEFAULT_POLICY
     events: RequestEvents = SilentEvents()
+    observe_spent: ObserveSpent = refuse_spent
 
 
 def make_services(
@@ -71,6 +83,7 @@
     events: RequestEvents | None = None,
     retries: RetryPolicy = RETRIES,
     admission: AdmissionPolicy | None = None,
+    observe_spent: ObserveSpent = refuse_spent,
 ) -> RequestServices:
     """Return the services of one instance.
 
@@ -96,6 +109,8 @@
         When a request is repeated.
     admission : AdmissionPolicy, optional
         How many requests are taken on.
+    observe_spent : callable
+        Says whether another instance may run what one refused as over a limit.
 
     Returns
     -------
@@ -114,4 +129,5 @@
         count(),
         routing,
         events or SilentEvents(),
+        observe_spent,
     )
--- a/beryltrack_bench/quota/site.py
+++ b/beryltrack_bench/quota/site.py
@@ -15,7 +15,8 @@
 
 from beryltrack.accounts.messages import AccountSettings
 from beryltrack.accounts.quota import Tolerance
-from beryltrack.relay.owners import Peer, choose_account_owners, order_slots
+from beryltrack.relay.owners import Peer, choose_account_owners
+from beryltrack.relay.slot_choice import FleetOwners, Line, SlotChoice, make_all_lines
 from beryltrack.settings.messages import Endpoint
 from beryltrack_bench.quota.lender import Lender
 
@@ -110,9 +111,16 @@
         Instances.
     seed : int
         Decides the accounts and what they ask for.
+    choice : SlotChoice
+        Which owner runs a slot's accounts.
     """
 
-    def __init__(self, count: int, seed: int):
+    def __init__(
+        self,
+        count: int,
+        seed: int,
+        choice: SlotChoice = FleetOwners(),  # noqa: B008 - it keeps nothing
+    ):
         self.now = 0.0
         self.rng = random.Random(seed)
         peers = [
@@ -123,7 +131,11 @@
         self.sides = {name: number % 2 for number, name in enumerate(self.names)}
         self.owners = choose_account_owners(peers, LEAST_CONNECTIONS)
         self.accounts = dict(map(self._make_account, range(ACCOUNTS)))
-        self._orders = order_slots(self.owners)
+        self.zones = {peer.name: peer.zone for peer in peers}
+        self._orders = {
+            zone: make_all_lines(self.owners, choice, zone)
+            for zone in set(self.zones.values())
+        }
         self._sessions = {
             name: self.rng.choices(self.names, k=SESSIONS) for name in self.accounts
         }
@@ -160,7 +172,17 @@
 
     def choose_owner(self, name: str, slot: int) -> str:
         """Return the first owner of a slot that an instance takes to be in reach."""
-        ordered = self._orders[slot]
+        return self._choose_of(name, self._orders[self.zones[name]][slot][0])
+
+    def list_counting(self, name: str, slot: int) -> tuple[str, ...]:
+        """Return who counts a slot's accounts, the one that an instance asks first."""
+        first, *lines = self._orders[self.zones[name]][slot]
+        others = (self._choose_of(name, line) for line in lines)
+        reached = (each for each in others if self.reaches(name, each, NOTICE_TIME))
+        return tuple(dict.fromkeys((self._choose_of(name, first), *reached)))
+
+    def _choose_of(self, name: str, ordered: Line) -> str:
+        """Return the first of some owners that an instance takes to be in reach."""
         fit = (
             peer.name for peer in ordered if self.reaches(name, peer.name, NOTICE_TIME)
         )
--- a/beryltrack_bench/quota/ways.py
+++ b/beryltrack_bench/quota/ways.py
@@ -10,6 +10,7 @@
 
 from beryltrack.accounts.rights import Loan
 from beryltrack.accounts.slots import ALL_SLOTS, SLOTS, get_slot, make_set
+from beryltrack.relay.slot_choice import FleetOwners, SpentNotes, ZoneOwners
 from beryltrack_bench.quota.site import CALM_UNTIL, END, Figures, QuotaSite, Recorder
 
 RESERVE = 0.1
@@ -91,7 +92,40 @@
         return not site.instances[place].quota.spend(account, site.now)
 
 
-WAYS = {"even": EvenShares, "lent": LentShares, "one_owner": OneOwner}
+class PassedOn(LentShares):
+    """What an owner of the zone refuses goes to the owners of other zones."""
+
+    def __init__(self):
+        self._notes: dict[str, SpentNotes] = {}
+        self.tries: Counter[int] = Counter()
+
+    def spend(self, site: QuotaSite, account: str, instance: str) -> bool:
+        """Count it at an owner that has a right left, by what the instance knows."""
+        notes = self._notes.setdefault(instance, SpentNotes(lambda: site.now))
+        names = site.list_counting(instance, get_slot(account))
+        for tries in range(1, len(names) + 1):
+            owner = notes.choose(account, names)
+            if not site.reaches(instance, owner):
+                return False
+            if not site.instances[owner].quota.spend(account, site.now):
+                self.tries[tries] += 1
+                return True
+            notes.note(account, owner)
+            if not notes.has_other(account, names):
+                return False
+        return False
+
+
+WAYS = {
+    "even": EvenShares,
+    "lent": LentShares,
+    "one_owner": OneOwner,
+    "zone_lent": LentShares,
+    "zone_passed_on": PassedOn,
+}
+
+CHOICES = {"zone_lent": ZoneOwners(), "zone_passed_on": ZoneOwners()}
+"""Who owns a slot, where that is not one instance of the whole fleet."""
 
 
 def run_way(name: str, count: int, seed: int) -> Figures:
@@ -106,7 +140,8 @@
     seed : int
         Decides the accounts and what they ask for, the same for all ways.
     """
-    site, way = QuotaSite(count, seed), WAYS[name]()
+    site = QuotaSite(count, seed, CHOICES.get(name, FleetOwners()))
+    way = WAYS[name]()
     recorder = Recorder(site.accounts)
     messages: list[Counter[str]] = []
     for until in (JUDGED_FROM, CALM_UNTIL, END):
--- a/tests/accounts/test_quota_safety.py
+++ b/tests/accounts/test_quota_safety.py
@@ -57,6 +57,7 @@
         self.mail = []
         self.spent = deque()
         self.worst = 0
+        self.by_owner = dict.fromkeys(self.owners, 0)
         self.served = 0
         self.cut = set()
         self.instances = {name: Instance(self, name, True) for name in self.names}
@@ -145,6 +146,61 @@
             if not owner.quota.spend("hot", owner.now):
                 self.spent.append(self.now)
                 self.served += 1
+                self.by_owner[owner.name] += 1
+
+
+class ZonedFleet(Fleet):
+    """Each of three zones has an owner, which its instances use while it is reached.
+
+    Owners are lost, cut off, frozen and woken; the instances of a zone then go to the
+    owner of the next zone, some earlier than others, and come back.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.zones = {
+            name: self.owners[number % 3] for number, name in enumerate(self.names)
+        }
+        self.go_home(self.names)
+
+    def go_home(self, names):
+        """Have instances use the owner of their own zone."""
+        for name in names:
+            self.instances[name].target = self.zones[name]
+
+    def restart(self, name):
+        super().restart(name)
+        self.go_home([name])
+
+    def disturb(self):
+        """Trouble an owner, or a zone, for some seconds."""
+        if self.now < self.next_trouble:
+            return
+        rng = self.rng
+        self.next_trouble = self.now + rng.uniform(0.3, 6.0)
+        lost, other = rng.sample(self.owners, 2)
+        zone = [name for name, owner in self.zones.items() if owner == lost]
+        some = rng.sample(zone, rng.randint(1, len(zone)))
+        match rng.randrange(6):
+            case 0:
+                self.restart(lost)
+            case 1:
+                self.instances[lost].paused_until = self.now + rng.uniform(0.1, 6.0)
+                self.move(some, other)
+            case 2:
+                self.cut |= {(each, lost) for each in some}
+                self.move(some, other)
+            case 3:
+                self.cut |= {(lost, each) for each in self.names}
+                self.move(some, other)
+            case 4:
+                self.delays = (rng.uniform(0.3, 3.0),)
+                self.next_trouble = self.now + rng.uniform(0.3, 1.0)
+            case 5:
+                self.delays = (0.002,)
+                self.cut.clear()
+                self.go_home(self.names)
+                self.next_trouble = self.now + rng.uniform(0.3, 4.0)
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -155,6 +211,26 @@
     assert fleet.worst <= BOUND
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_no_five_seconds_exceed_the_limit_with_an_owner_in_each_zone(seed):
+    fleet = ZonedFleet(seed)
+    for _ in range(int(45 / STEP)):
+        fleet.step()
+    assert fleet.worst <= BOUND
+    assert all(fleet.by_owner.values())
+
+
+def test_owners_of_the_zones_together_may_run_all_of_a_limit():
+    """Each has the part of its zone's instances: of eight three, three and two."""
+    fleet = ZonedFleet(1)
+    fleet.disturb = lambda: None
+    for _ in range(int(30 / STEP)):
+        fleet.step()
+    assert fleet.served >= 0.9 * ACCOUNT.rate * 30
+    parts = [each / fleet.served for each in fleet.by_owner.values()]
+    assert parts == pytest.approx([3 / 8, 3 / 8, 2 / 8], abs=0.05)
+
+
 def test_a_calm_fleet_gives_an_account_all_that_it_may_have():
     fleet = Fleet(1)
     fleet.disturb = lambda: None
--- a/tests/bench/test_quota.py
+++ b/tests/bench/test_quota.py
@@ -62,3 +62,12 @@
     # Callers of an account come in at few instances.
     assert even.phases[0].refused > 0.2 * even.phases[0].asked
     assert even.messages_per_second == 0.0
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_owners_of_zones_refuse_little_only_if_they_pass_operations_on(seed):
+    lent, passed = (run_way(way, 8, seed) for way in ("zone_lent", "zone_passed_on"))
+    assert lent.excess <= 1.0 and passed.excess <= 1.0
+    # Callers of an account come in at few zones, which have only their own rights.
+    assert lent.phases[0].refused > 0.1 * lent.phases[0].asked
+    assert passed.phases[0].refused <= 0.01 * passed.phases[0].asked
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -30,12 +30,14 @@
         self.opened = []
         self.ways = {"": "two"}
         self.waits, self.refunds, self.counted = {}, [], []
+        self.spent = {}
         self.access = DatabaseAccess(
             self.make_pool(""),
             self.make_pool,
             lambda account: self.ways.get(account, ""),
             self.admit,
             self.refunds.append,
+            observe_spent=self.observe_spent,
         )
 
     def make_pool(self, name):
@@ -55,6 +57,13 @@
         self.counted.append(account)
         return self.waits.get(account, 0.0)
 
+    def observe_spent(self, account, way):
+        """Send the account's operations elsewhere, if there is a way."""
+        if account not in self.spent:
+            return False
+        self.ways[account] = self.spent.pop(account)
+        return True
+
     def acquire(self, account):
         return get_result(self.access.acquire(10.0, Demand(account=account)))
 
@@ -89,6 +98,24 @@
     assert site.opened == [] and site.refunds == []
 
 
+def test_what_this_zones_owner_may_not_run_goes_to_another_zones(site):
+    site.waits["own"] = 0.4
+    site.spent["own"] = "two"
+    given = site.acquire("own")
+    assert given.way == "two" and not given.is_counted
+    # It is counted once, where it runs.
+    site.access.release(given, True, False)
+    assert site.refunds == []
+
+
+def test_what_another_instance_sent_is_refused_and_not_passed_on(site):
+    site.waits["own"] = 0.4
+    site.spent["own"] = "two"
+    with pytest.raises(PoolRefused):
+        get_result(site.access.lend(10.0, Demand(account="own"), False))
+    assert site.opened == []
+
+
 def test_what_got_no_connection_or_did_not_run_is_not_counted(site):
     site.access.release(site.acquire("own"), True, False)
     assert site.refunds == ["own"]
--- /dev/null
+++ b/tests/requests/test_passed_on.py
@@ -0,0 +1,84 @@
+"""What one owner refuses as over a limit is run by another that has rights left."""
+
+from returns.result import Success
+
+from beryltrack.errors import CONFIGURATION_LIMIT_EXCEEDED
+from beryltrack.requests import course
+from beryltrack.requests.targets import FoundTarget
+from beryltrack.routing.messages import StatementKind
+from tests.requests.scripted import (
+    FakePool,
+    ScriptedConnection,
+    make_context,
+    make_end,
+    run_to_end,
+)
+
+
+def make_connection(way, *script):
+    connection = ScriptedConnection(*script)
+    connection.way = way
+    return connection
+
+
+def refuse(way):
+    text = f"refused by {way}".encode()
+    end = make_end(sqlstate=CONFIGURATION_LIMIT_EXCEEDED, tail=text)
+    return make_connection(way, end)
+
+
+class Site:
+    """Runs one unit at some owners, one after the other."""
+
+    def __init__(self, monkeypatch, *connections, left=0):
+        self.found, self.asked, self.pool = list(connections), [], FakePool()
+        self.left = left
+
+        async def find_target(search, request):
+            return Success(FoundTarget("main-1", False, self.pool, self.found.pop(0)))
+
+        async def wait_to_retry(each):
+            raise AssertionError("it goes on at once")
+
+        monkeypatch.setattr(course, "find_target", find_target)
+        monkeypatch.setattr(course.RequestCourse, "_make_request", lambda self: None)
+        monkeypatch.setattr(course.RequestCourse, "_wait_to_retry", wait_to_retry)
+
+    def observe_spent(self, account, way):
+        self.asked.append(way)
+        self.left -= 1
+        return self.left >= 0
+
+    def run(self, kind=StatementKind.WRITE):
+        context, transport = make_context("text", kind)
+        services = context.services._replace(observe_spent=self.observe_spent)
+        context = context._replace(services=services)
+        run_to_end(context, course.RequestCourse(context).run())
+        return transport.sent
+
+
+def test_it_runs_at_another_zones_owner(monkeypatch):
+    end = make_end(position=5, tail=b"done")
+    site = Site(monkeypatch, refuse("one"), make_connection("two", end), left=1)
+    assert b"done" in site.run()
+    assert site.asked == ["one"] and site.pool.released == [True, True]
+
+
+def test_the_last_refusal_is_the_answer(monkeypatch):
+    site = Site(monkeypatch, refuse("one"), refuse("two"), left=1)
+    sent = site.run()
+    assert b"refused by two" in sent and b"refused by one" not in sent
+    assert site.asked == ["one", "two"]
+
+
+def test_no_request_is_passed_on_for_ever(monkeypatch):
+    many = [refuse(f"owner-{number}") for number in range(10)]
+    site = Site(monkeypatch, *many, left=99)
+    site.run()
+    assert len(site.asked) == course.MOST_ATTEMPTS - 1
+
+
+def test_what_a_database_refuses_itself_is_not_passed_on(monkeypatch):
+    site = Site(monkeypatch, refuse(""), left=1)
+    site.run()
+    assert site.asked == [] and site.found == []
