--- a/beryltrack/settings/mechanisms.py
+++ b/beryltrack/settings/mechanisms.py
@@ -31,6 +31,8 @@
     """A connection is opened only for requests that have waited, and closed soon."""
     OWNER_REPORTS = "owner-reports"
     """Owners tell of their load; what waits there too long is refused in front."""
+    KEPT_CONNECTIONS = "kept-connections"
+    """Connections of accounts that ask often rest for long, and go last."""
     OWN_REPLICAS = "own-replicas"
     """An account's reads prefer one replica, on which it has a connection already."""
     REPLICA_PAUSE = "replica-pause"
@@ -51,6 +53,8 @@
     """Most instances of a large fleet are told by others what the store holds."""
     SNAPSHOTS = "snapshots"
     """An instance that starts goes by another one's copies while the store is away."""
+    ZONE_OWNERS = "zone-owners"
+    """An account's operations run in the zone where they come in, not at one owner."""
 
 
 def read_disabled(
