Run reads of the primary while it is asked whether it leads, where others pass them on

Cause: such a read first asks, through another instance, for the primary's position, with a slot of the database, and runs after the answer. Ruled out: that the asking could be left out, as a replaced primary would run a plain read.

The read now goes out at once, to a primary that led within 5 s, and the proof is asked for beside it. Its answer is held until then. A missing proof, another term or another primary drop it, its connection with the transaction that it began, and it runs again after a proof; it is called rolled back if it cannot.

Why it holds: a primary that leads after the read arrived has in its log what was acknowledged before that, and keeps it in its term, whenever the read ran; the answer's position must be of the proven term. Only where instances pass statements on: elsewhere the question is one hop.

--- a/beryltrack/daemon/group_connections.py
+++ b/beryltrack/daemon/group_connections.py
@@ -143,6 +143,7 @@
         names = self._directory.get_candidates(name, limit)
         is_owner = self._directory.is_owner(name, limit)
         runtime.task.set_nodes(names, is_owner)
+        runtime.is_relayed = self._directory.is_relayed(name, limit)
         ways = ("", *names) if is_owner else names
         for database, pool in runtime.pools.items():
             pool.set_ways(names)
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -63,7 +63,11 @@
 # A wait for a replica costs probes; the primary has room for what replicas miss. A
 # primary that was replaced refuses writes by itself: they need no recent proof.
 ROUTING = RoutingPolicy(
-    max_wait=0.0, refresh_share=0.95, checks_positions=True, confirmed_within=5.0
+    max_wait=0.0,
+    refresh_share=0.95,
+    checks_positions=True,
+    confirmed_within=5.0,
+    runs_unproven=True,
 )
 # One that goes on takes writes that nobody confirms: a proof in each change of primary,
 # which takes 1.5 to 2 s, keeps callers from an unknown outcome.
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -146,6 +146,7 @@
         "pools", open_patience=0.0, idle_timeout=LONG_IDLE
     ),
     Mechanism.KEPT_CONNECTIONS: _change("account_pools", kept_part=0.0),
+    Mechanism.PARALLEL_PROOFS: _change("routing", runs_unproven=False),
     Mechanism.REPLICA_PAUSE: _change("routing", lagging_pause=0.0),
     Mechanism.LATE_STATEMENTS: lambda each: each._replace(late_after=math.inf),
     Mechanism.LONG_PROOFS: _change("routing", confirmed_within=SHORT_PROOFS),
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -226,6 +226,10 @@
         owners = self.get_placement(group, max_connections).owners
         return not owners or self._own in owners
 
+    def is_relayed(self, group: str, max_connections: int) -> bool:
+        """Return whether some instances open connections for the others."""
+        return bool(self.get_placement(group, max_connections).owners)
+
     def get_candidates(self, group: str, max_connections: int) -> tuple[str, ...]:
         """Return the names of the instances that may act for a group."""
         owners = self.get_placement(group, max_connections).owners
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -39,6 +39,7 @@
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
 
 LOST_TEXT = "the connection to the target was lost"
+UNPROVEN_TEXT = "the primary's lead was not proven"
 REPLACED_TEXT = "the primary was replaced"
 
 MOST_ATTEMPTS = 4
@@ -63,6 +64,7 @@
         self._sent_at = 0.0
         self._excluded: tuple[str, ...] = ()
         self._may_have_run = False
+        self._lacked_proof = False
         self._is_passed_on = False
 
     async def run(self) -> None:
@@ -112,6 +114,7 @@
             written_at=context.caller.session.written_at,
             sequence=next(context.services.sequence),
             account=context.caller.account,
+            may_run_unproven=context.runtime.is_relayed and not self._lacked_proof,
         )
 
     async def _attempt(self, target: FoundTarget) -> tuple[NextStep, str]:
@@ -157,6 +160,8 @@
         """Run the unit on a connection."""
         context = self._context
         protocol, plan = context.services.protocol, context.plan
+        if target.proof is not None:
+            self._sink.hold()
         self._sent_at = context.services.seconds()
         return await protocol.run(
             target.connection, plan, self._sink, context.caller, target.after
@@ -207,6 +212,9 @@
             self._release(target)
         else:
             self._pin(target)
+        if not await self._is_proven(target, end):
+            self._drop_unproven(target, end)
+            return NextStep.RETRY, UNPROVEN_TEXT
         is_commit = end.error is None and end.status is TransactionStatus.IDLE
         if self._must_write and is_commit and end.position is not None:
             outcome = await confirm_commit(context, end.position, target.database)
@@ -218,6 +226,30 @@
         self._answer(target, end)
         return NextStep.ANSWER, ""
 
+    async def _is_proven(self, target: FoundTarget, end: ResponseEnd) -> bool:
+        """Return whether an answer shows all that its read must show.
+
+        The primary led when the proof was asked for, after the read had arrived. What
+        was acknowledged before that is in its log then, and stays in the log of its
+        term, whenever the read ran.
+        """
+        if target.proof is None or end.error is not None:
+            return True
+        proven = await target.proof
+        is_same = self._context.runtime.view.primary == target.database
+        if proven is None or end.position is None or not is_same:
+            return False
+        return proven.term == end.position.term
+
+    def _drop_unproven(self, target: FoundTarget, end: ResponseEnd) -> None:
+        """Drop the answer of a read that may show too little; it runs again."""
+        self._sink.take_held()
+        self._lacked_proof = self._may_have_run = True
+        session = self._context.caller.session
+        if end.status is not TransactionStatus.IDLE and session.pinned is not None:
+            session.pinned = None
+            target.pool.release(target.connection, False)
+
     def _observe(self, target: FoundTarget, end: ResponseEnd) -> None:
         """Take in what the answer tells of the target and the session."""
         context = self._context
--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -49,6 +49,8 @@
         self.task = task
         self.pools = pools
         self.is_ledger_ready = False
+        # True where some instances hold the connections, and others go through them.
+        self.is_relayed = False
         self.is_started = False
         self._reactor = reactor
         self._waiting: list[Deferred[None]] = []
--- a/beryltrack/requests/sink.py
+++ b/beryltrack/requests/sink.py
@@ -5,6 +5,8 @@
 answer leaves in one piece. A longer answer streams through.
 """
 
+import math
+
 from beryltrack.wire.messages import Producer, ResponseSink
 
 MAX_HELD_BYTES = 32768
@@ -34,6 +36,10 @@
         """True if a part of the answer has gone to the caller."""
         return self._is_answered
 
+    def hold(self) -> None:
+        """Hold back the whole answer: whether it counts is not known yet."""
+        self._max_held = math.inf
+
     def write(self, data: bytes) -> None:
         """Take frames of the answer, in order."""
         if self._is_answered:
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -57,6 +57,9 @@
         The connection.
     after : LogPosition or None
         What the database must show, where it checks that itself.
+    proof : Deferred or None
+        Fires with a position of the primary that proves its lead since the request
+        arrived, with None if there is none in time; None if no proof is needed.
     """
 
     database: str
@@ -64,6 +67,7 @@
     pool: PoolTask
     connection: PooledConnection
     after: LogPosition | None = None
+    proof: "Deferred[LogPosition | None] | None" = None
 
 
 class TargetSearch(NamedTuple):
@@ -131,8 +135,10 @@
         if isinstance(chosen, Failure):
             return chosen
         use = chosen.unwrap()
+        proof = _ask_proof(search, request) if use.needs_proof else None
         try:
-            return Success(await _acquire(search, use, request))
+            found = await _acquire(search, use, request)
+            return Success(found._replace(proof=proof))
         except PoolRefused as refused:
             refusal = refused.refusal
         if refusal.reason not in _PASSING or services.seconds() >= search.give_up_at:
@@ -227,6 +233,18 @@
         return None
 
 
+def _ask_proof(
+    search: TargetSearch, request: TargetRequest
+) -> "Deferred[LogPosition | None]":
+    """Ask for the proof that the primary leads, while a request goes to it."""
+    services = search.services
+    timeout = min(
+        services.routing.sample_timeout, request.deadline - services.seconds()
+    )
+    sampling = sample_primary(services, search.runtime, max(0.0, timeout))
+    return Deferred.fromCoroutine(sampling)
+
+
 async def _acquire(
     search: TargetSearch, use: UseTarget, request: TargetRequest
 ) -> FoundTarget:
--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -72,6 +72,9 @@
     samples_position : bool
         False where others than the primary confirm its term. They alone are asked
         then: the primary holds whatever was acknowledged in its term.
+    runs_unproven : bool
+        True if reads that another instance passes on may run at the primary while they
+        ask it whether it leads.
     prefers_near : bool
         True if replicas of the node's own availability zone are preferred.
     prefers_own : bool
@@ -90,6 +93,7 @@
     usual_lag: float = 0.2
     lagging_pause: float = 0.3
     samples_position: bool = True
+    runs_unproven: bool = False
     prefers_near: bool = True
     prefers_own: bool = True
 
@@ -398,13 +402,15 @@
         and primary.reachable
         and primary.name not in request.excluded
     )
-    if is_usable and _is_current(view, request):
-        refreshes = needs_refresh(view, request, policy)
+    is_current = is_usable and _is_current(view, request)
+    needs_proof = is_usable and not is_current
+    if is_current or (needs_proof and _may_run_unproven(view, request, now, policy)):
+        refreshes = is_current and needs_refresh(view, request, policy)
         # One that has started again empty since it was proven to lead shows nothing,
         # and answers a plain read all the same.
         shown = primary.applied if policy.checks_positions else NO_POSITION
         after = shown if shown.offset else None
-        return UseTarget(primary.name, False, refreshes, after)
+        return UseTarget(primary.name, False, refreshes, after, needs_proof)
     # While the primary cannot be reached a proof can only let a replica serve, once.
     # Asked for again and again it made 43,521 status requests beside 6,660 statements
     # of seven instances in two losses of 8 s; 5,951 so.
@@ -429,6 +435,22 @@
     return holds_token and view.confirmed_at >= compute_needed_time(request)
 
 
+def _may_run_unproven(
+    view: GroupView, request: ReadRequest, now: float, policy: RoutingPolicy
+) -> bool:
+    """Return whether a read may run while the proof of the primary's lead is asked for.
+
+    Where both pass through another instance, one after the other they cost a read two
+    round trips and the wait for a slot twice. It needs a primary that led a moment ago:
+    what runs at another one runs in vain.
+    """
+    holds_token = request.token is None or request.token.term <= view.term
+    led_lately = view.confirmed_at >= now - policy.confirmed_within
+    is_allowed = policy.runs_unproven and policy.samples_position
+    is_asked = is_allowed and request.may_run_unproven
+    return is_asked and request.sample is None and holds_token and led_lately
+
+
 def _choose_for_write(
     view: GroupView, request: WriteRequest, now: float, policy: RoutingPolicy
 ) -> Choice:
--- a/beryltrack/routing/messages.py
+++ b/beryltrack/routing/messages.py
@@ -76,6 +76,9 @@
         True if a proof of the term was asked for since it arrived, and was of no use.
     account : str
         The client account whose read it is; empty where there are none.
+    may_run_unproven : bool
+        True if it may run at the primary while the proof that this one leads is asked
+        for; its answer is held until then.
     """
 
     arrived_at: float
@@ -92,6 +95,7 @@
     needed: LogPosition | None = None
     tried_proof: bool = False
     account: str = ""
+    may_run_unproven: bool = False
 
 
 class WriteRequest(NamedTuple):
@@ -147,12 +151,16 @@
         later reads find the ages of replicas proven.
     after : LogPosition or None
         What the database must show, where it can check that itself.
+    needs_proof : bool
+        True if the answer counts only once it is proven that the database has led
+        since the request arrived.
     """
 
     database: str
     is_replica: bool
     refreshes: bool = False
     after: LogPosition | None = None
+    needs_proof: bool = False
 
 
 class AwaitedTarget(NamedTuple):
--- a/beryltrack/settings/mechanisms.py
+++ b/beryltrack/settings/mechanisms.py
@@ -35,6 +35,8 @@
     """Connections of accounts that ask often rest for long, and go last."""
     OWN_REPLICAS = "own-replicas"
     """An account's reads prefer one replica, on which it has a connection already."""
+    PARALLEL_PROOFS = "parallel-proofs"
+    """Reads that others pass on run while the primary is asked whether it leads."""
     REPLICA_PAUSE = "replica-pause"
     """A replica that was behind is left alone for a while."""
     LATE_STATEMENTS = "late-statements"
--- /dev/null
+++ b/tests/requests/test_unproven.py
@@ -0,0 +1,87 @@
+"""Reads that run at a primary while it is asked whether it leads."""
+
+import pytest
+from returns.result import Success
+from twisted.internet.defer import Deferred
+
+from beryltrack.groups.messages import LogPosition
+from beryltrack.requests import course
+from beryltrack.requests.targets import FoundTarget
+from beryltrack.routing.messages import StatementKind
+from tests.requests.scripted import (
+    OPEN,
+    FakePool,
+    ScriptedConnection,
+    make_context,
+    make_end,
+)
+
+PROOF = LogPosition(1, 7)
+
+
+class Site:
+    """Runs one read; the first target's answer needs a proof."""
+
+    def __init__(self, monkeypatch, kind=StatementKind.READ, first=None):
+        self.pool, self.proof = FakePool(), Deferred()
+        first = first or make_end(position=5, tail=b"first")
+        again = make_end(position=9, tail=b"second")
+        found = [(first, self.proof), (again, None)]
+
+        async def find_target(search, request):
+            end, proof = found.pop(0)
+            connection = ScriptedConnection(end)
+            return Success(
+                FoundTarget("main-1", False, self.pool, connection, None, proof)
+            )
+
+        async def wait_to_retry(each):
+            return True
+
+        monkeypatch.setattr(course, "find_target", find_target)
+        monkeypatch.setattr(course.RequestCourse, "_make_request", lambda self: None)
+        monkeypatch.setattr(course.RequestCourse, "_wait_to_retry", wait_to_retry)
+        self.context, self.transport = make_context("text", kind)
+        self.done = Deferred.fromCoroutine(course.RequestCourse(self.context).run())
+
+    @property
+    def sent(self):
+        return self.transport.sent
+
+
+def test_the_answer_is_held_until_the_lead_is_proven(monkeypatch):
+    site = Site(monkeypatch)
+    assert site.sent == b"" and site.pool.released == [True]
+    site.proof.callback(PROOF)
+    assert b"first" in site.sent and site.done.called
+
+
+@pytest.mark.parametrize("proof", [None, LogPosition(2, 1)])
+def test_without_a_proof_of_its_term_it_runs_again(monkeypatch, proof):
+    site = Site(monkeypatch)
+    site.proof.callback(proof)
+    assert b"first" not in site.sent and b"second" in site.sent
+
+
+def test_another_primary_meanwhile_proves_nothing(monkeypatch):
+    site = Site(monkeypatch)
+    runtime = site.context.runtime
+    runtime.view = runtime.view._replace(primary="main-2")
+    site.proof.callback(PROOF)
+    assert b"first" not in site.sent and b"second" in site.sent
+
+
+def test_a_transaction_that_was_not_proven_is_dropped_with_its_connection(monkeypatch):
+    first = make_end(status=OPEN, position=5, tail=b"first")
+    site = Site(monkeypatch, StatementKind.BEGIN_READ_ONLY, first)
+    site.proof.callback(None)
+    assert site.pool.released[0] is False
+    assert site.context.caller.session.pinned is None and b"second" in site.sent
+
+
+def test_a_long_answer_does_not_stream_before_it_is_proven(monkeypatch):
+    site = Site(monkeypatch)
+    sink = course.AnswerSink(site.context.caller, 4)
+    sink.hold()
+    sink.write(b"longer than four")
+    assert not sink.is_answered
--- a/tests/routing/test_checked_reads.py
+++ b/tests/routing/test_checked_reads.py
@@ -116,3 +116,29 @@
 def test_where_primaries_are_sampled_a_write_waits_for_the_next_one():
     choice = choose_target(LOST, WriteRequest(10.0), (), 10.0, POLICY)
     assert isinstance(choice, NeedSample)
+
+
+RELAYED = POLICY._replace(runs_unproven=True)
+CURRENT = ReadRequest(10.0, None, 0.0, READS_PRIMARY, may_run_unproven=True)
+
+
+def test_a_read_that_is_passed_on_runs_while_the_primary_is_asked_if_it_leads():
+    view = make_view()._replace(confirmed_at=9.8)
+    found = choose_target(view, CURRENT, (), 10.0, RELAYED)
+    assert found == UseTarget("a", False, False, NEW, needs_proof=True)
+
+
+def test_it_asks_first_where_that_saves_nothing_or_the_primary_was_long_not_heard():
+    lately = make_view()._replace(confirmed_at=9.8)
+    long_ago = make_view()._replace(confirmed_at=9.0)
+    newer = CURRENT._replace(token=LogPosition(2, 1))
+    alone = CURRENT._replace(may_run_unproven=False)
+    cases = [(long_ago, CURRENT), (lately, newer), (lately, alone)]
+    for view, request in cases:
+        assert isinstance(choose_target(view, request, (), 10.0, RELAYED), NeedSample)
+    assert isinstance(choose(lately, CURRENT), NeedSample)
+
+
+def test_with_a_proof_at_hand_nothing_is_held():
+    read = CURRENT._replace(sample=NEW)
+    assert not choose_target(make_view(), read, (), 10.0, RELAYED).needs_proof
