Prefer replicas in the zone of the instance that runs an account's read

What callers saw: the answer of a read crossed zones twice, from the database to the account's owner and from the owner to the instance that took the read, as an account's reads preferred one replica of all zones by its rank.

Change: the read says in which zone its way ends (AccountWays, which RelayDirectory is), and prefers a replica of that zone, the account's own where there are several; where there is none, the account's own of all, as before. Off without near-replicas or without own-replicas; without the latter reads stay near the instance that runs them.

Why it holds: only the order among replicas that may serve the read has changed. Tests play replicas in two zones, with each half switched off. Not measured.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -200,7 +200,7 @@
             events=EventLog(settings.name, write_line, self._seconds),
             retries=self._policies.retries,
             admission=self._policies.admission,
-            observe_spent=directory.observe_spent,
+            ways=directory,
         )
         handler = RequestTask(self._services, self._get_site, self._find_group)
         bounds = CallerBounds(self._get_site)
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -197,6 +197,12 @@
         self._spent.note(account, way or self._own.name)
         return self._spent.has_other(account, self._list_counting(account))
 
+    def get_zone(self, account: str) -> str:
+        """Return the zone in which an account's next operation runs, if it is known."""
+        if not account or not self.has_accounts:
+            return ""
+        return self.choose_account_way(account).zone
+
     def _list_counting(self, account: str) -> tuple[str, ...]:
         """Return who counts an account's operations, of each line the one reached."""
         first = self.choose_account_owner(account)
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -112,6 +112,7 @@
             written_at=context.caller.session.written_at,
             sequence=next(context.services.sequence),
             account=context.caller.account,
+            way_zone=context.services.ways.get_zone(context.caller.account),
         )
 
     async def _attempt(self, target: FoundTarget) -> tuple[NextStep, str]:
@@ -151,7 +152,7 @@
             return False
         if self._attempts >= MOST_ATTEMPTS:
             return False
-        return context.services.observe_spent(context.caller.account, way)
+        return context.services.ways.observe_spent(context.caller.account, way)
 
     async def _run_on(self, target: FoundTarget) -> RunResult:
         """Run the unit on a connection."""
--- a/beryltrack/requests/services.py
+++ b/beryltrack/requests/services.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Iterator
 from itertools import count
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from beryltrack.clock import get_seconds
 from beryltrack.events.messages import RequestEvents, SilentEvents
@@ -18,12 +18,32 @@
 """An instance may make ten retries before requests have filled its budget."""
 
 
-ObserveSpent = Callable[[str, str], bool]
+class AccountWays(Protocol):
+    """Which instances run the operations of accounts."""
 
+    def observe_spent(self, account: str, way: str) -> bool:
+        """Take in that one refused an operation as over the account's limit.
 
-def refuse_spent(account: str, way: str) -> bool:
-    """Return False: no other instance may run an account's operation."""
-    return False
+        Returns True if another one may run it.
+        """
+
+    def get_zone(self, account: str) -> str:
+        """Return the availability zone in which the next one runs; empty if unknown."""
+
+
+class NoWays:
+    """Where there are no accounts all instances run all operations."""
+
+    def observe_spent(self, account: str, way: str) -> bool:
+        """Return False: no other instance may run what one refused."""
+        return False
+
+    def get_zone(self, account: str) -> str:
+        """Return no zone."""
+        return ""
+
+
+NO_WAYS = NoWays()
 
 
 class RequestServices(NamedTuple):
@@ -53,9 +73,8 @@
         The limits by which targets are chosen.
     events : RequestEvents
         Logs the decisions about requests.
-    observe_spent : callable
-        Takes in that an instance refused an operation of an account as over its limit;
-        returns True if another one may run it.
+    ways : AccountWays
+        Which instances run the operations of accounts.
     """
 
     reactor: object
@@ -69,7 +88,7 @@
     sequence: Iterator[int]
     routing: RoutingPolicy = DEFAULT_POLICY
     events: RequestEvents = SilentEvents()
-    observe_spent: ObserveSpent = refuse_spent
+    ways: AccountWays = NO_WAYS
 
 
 def make_services(
@@ -83,7 +102,7 @@
     events: RequestEvents | None = None,
     retries: RetryPolicy = RETRIES,
     admission: AdmissionPolicy | None = None,
-    observe_spent: ObserveSpent = refuse_spent,
+    ways: AccountWays = NO_WAYS,
 ) -> RequestServices:
     """Return the services of one instance.
 
@@ -109,8 +128,8 @@
         When a request is repeated.
     admission : AdmissionPolicy, optional
         How many requests are taken on.
-    observe_spent : callable
-        Says whether another instance may run what one refused as over a limit.
+    ways : AccountWays, optional
+        Which instances run the operations of accounts.
 
     Returns
     -------
@@ -129,5 +148,5 @@
         count(),
         routing,
         events or SilentEvents(),
-        observe_spent,
+        ways,
     )
--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -74,8 +74,10 @@
     prefers_near : bool
         True if replicas of the node's own availability zone are preferred.
     prefers_own : bool
-        True if the reads of an account prefer one replica instead, the same one on all
-        nodes: connections belong to accounts, and a new one costs as much as a read.
+        True if the reads of an account prefer one replica instead: connections belong
+        to accounts, and a new one costs as much as a read. It is one of the zone of the
+        instance that runs them, if there is one and `prefers_near` holds; else the same
+        one on all nodes.
     """
 
     max_wait: float = 0.0055
@@ -303,7 +305,7 @@
     if len(ready) == 1:
         return ready[0].name
     turn = request.sequence % len(ready)
-    is_far = _make_distance(ready, request, policy)
+    is_far = _make_distance(ready, request, loads, policy)
     ranked = (
         (
             _rank_load(_get_load(loads, item.name), is_far),
@@ -319,14 +321,24 @@
 
 
 def _make_distance(
-    replicas: list[DatabaseView], request: ReadRequest, policy: RoutingPolicy
+    replicas: list[DatabaseView],
+    request: ReadRequest,
+    loads: tuple[TargetLoad, ...],
+    policy: RoutingPolicy,
 ) -> IsFar:
-    """Return what says of a database that another one is preferred for a read."""
+    """Return what says of a database that another one is preferred for a read.
+
+    An account's read runs on a connection of its owner, so that the bytes of its answer
+    cross zones on the way from the database too, unless that is in the owner's zone.
+    """
     if request.account and policy.prefers_own and replicas:
-        names = (item.name for item in replicas)
-        own = max(names, key=lambda name: compute_rank(request.account, name))
+        names = [item.name for item in replicas]
+        near = [n for n in names if _get_load(loads, n).zone == request.way_zone]
+        fit = near if near and policy.prefers_near and request.way_zone else names
+        own = max(fit, key=lambda name: compute_rank(request.account, name))
         return lambda load: load.database != own
-    return lambda load: policy.prefers_near and load.zone != request.zone
+    zone = request.way_zone or request.zone
+    return lambda load: policy.prefers_near and load.zone != zone
 
 
 def _rank_load(load: TargetLoad, is_far: IsFar) -> tuple[int, int, bool]:
@@ -352,7 +364,7 @@
     timeout = min(request.arrived_at + policy.max_wait, request.deadline) - now
     if not request.may_wait or timeout <= 0:
         return None
-    is_far = _make_distance(replicas, request, policy)
+    is_far = _make_distance(replicas, request, loads, policy)
     positions = ((item, _get_awaited(view, request, item)) for item in replicas)
     candidates = sorted(
         _Candidate(
--- a/beryltrack/routing/messages.py
+++ b/beryltrack/routing/messages.py
@@ -76,6 +76,9 @@
         True if a proof of the term was asked for since it arrived, and was of no use.
     account : str
         The client account whose read it is; empty where there are none.
+    way_zone : str
+        Availability zone of the instance that runs the account's operations; empty if
+        it is unknown.
     """
 
     arrived_at: float
@@ -92,6 +95,7 @@
     needed: LogPosition | None = None
     tried_proof: bool = False
     account: str = ""
+    way_zone: str = ""
 
 
 class WriteRequest(NamedTuple):
--- a/tests/relay/test_slot_choice.py
+++ b/tests/relay/test_slot_choice.py
@@ -168,3 +168,11 @@
     assert not fleet.directory.observe_spent("", "n0")
     fleet.directory.set_accounts(None)
     assert not fleet.directory.observe_spent("a", "n0")
+
+
+def test_the_zone_in_which_an_account_runs_follows_its_way(fleet):
+    assert fleet.directory.get_zone("a") == "z0" and fleet.directory.get_zone("") == ""
+    fleet.directory.observe_spent("a", fleet.choose())
+    assert fleet.directory.get_zone("a") == fleet.get_zone(fleet.choose()) != "z0"
+    fleet.directory.set_accounts(None)
+    assert fleet.directory.get_zone("a") == ""
--- a/tests/requests/test_passed_on.py
+++ b/tests/requests/test_passed_on.py
@@ -1,5 +1,7 @@
 """What one owner refuses as over a limit is run by another that has rights left."""
 
+from types import SimpleNamespace
+
 from returns.result import Success
 
 from beryltrack.errors import CONFIGURATION_LIMIT_EXCEEDED
@@ -51,7 +53,8 @@
 
     def run(self, kind=StatementKind.WRITE):
         context, transport = make_context("text", kind)
-        services = context.services._replace(observe_spent=self.observe_spent)
+        ways = SimpleNamespace(observe_spent=self.observe_spent)
+        services = context.services._replace(ways=ways)
         context = context._replace(services=services)
         run_to_end(context, course.RequestCourse(context).run())
         return transport.sent
--- a/tests/routing/test_decider.py
+++ b/tests/routing/test_decider.py
@@ -242,6 +242,40 @@
     assert _choose(view, request, *loads).database != own
 
 
+ZONED = [TargetLoad(n, z, 0, 4) for n, z in (("a", "z1"), ("b", "z2"), ("c", "z2"))]
+
+
+def choose_for(account, way_zone, policy=None, zone="z1"):
+    """Return where an account's read runs, of replicas in two zones."""
+    view = _view(*(_database(name, 80, fresh_at=99.8) for name in "abc"))
+    request = _read(zone=zone, account=account, way_zone=way_zone)
+    policy = policy or RoutingPolicy()
+    return choose_target(view, request, tuple(ZONED), NOW, policy).database
+
+
+def test_an_accounts_reads_run_in_the_zone_of_the_instance_that_runs_them():
+    """Whichever zone they came in; in it the account has a replica of its own."""
+    accounts = list(map(str, range(20)))
+    assert {choose_for(each, "z1", zone="z2") for each in accounts} == {"a"}
+    for account in accounts:
+        places = {choose_for(account, "z2", zone=zone) for zone in ("z1", "z2")}
+        assert len(places) == 1 and places < {"b", "c"}
+    assert {choose_for(each, "z2") for each in accounts} == {"b", "c"}
+
+
+def test_where_that_zone_has_no_replica_the_accounts_own_one_of_all_serves():
+    for account in map(str, range(20)):
+        assert choose_for(account, "z9") == choose_for(account, "")
+
+
+@pytest.mark.parametrize("figure", ["prefers_near", "prefers_own"])
+def test_reads_in_the_zone_of_their_way_can_be_switched_off(figure):
+    policy = RoutingPolicy(**{figure: False})
+    chosen = {choose_for(str(each), "z1", policy) for each in range(20)}
+    # By their own replica alone accounts use all; by nearness alone the way's zone.
+    assert chosen == ({"a", "b", "c"} if figure == "prefers_near" else {"a"})
+
+
 def test_without_that_preference_an_accounts_reads_stay_near():
     view = _view(*(_database(name, 80, fresh_at=99.8) for name in "ab"))
     loads = TargetLoad("a", "z1", 0, 4), TargetLoad("b", "z2", 0, 4)
