Have strong instances own the groups, by their capacity

What callers saw: an instance of half a core and a slow network could own a group, as rendezvous hashing alone ranked the instances, while others of two cores stood by.

Change: where instances are of unlike capacity, one of less than half of the largest owns no group while enough others stand by (as for accounts), and the others are ranked by weighted rendezvous hashing. No zone has more than its even part of a group's owners, unless a zone has so few strong instances that these would own all groups. Switch: strong-owners.

Where capacities are alike, and where all own all groups, nothing changes.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -161,6 +161,7 @@
             self._seconds,
             options.FIRST_INSTANCES,
             self._policies.owners_of_accounts,
+            self._policies.choose_owners,
         )
         self._accounts = NodeAccounts(reactor, settings, directory, rng)
         self._kit = LineKit(
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -11,7 +11,9 @@
 from beryltrack.daemon import node_options as options
 from beryltrack.failover.decider import FailoverPolicy
 from beryltrack.groups.policy import ProbePolicy
+from beryltrack.relay.owners import ChooseOwners, choose_owners
 from beryltrack.relay.slot_choice import FleetOwners, SlotChoice, ZoneOwners
+from beryltrack.relay.strong_owners import choose_strong_owners
 from beryltrack.requests.admission import AdmissionPolicy
 from beryltrack.requests.overdue import LATE_AFTER
 from beryltrack.requests.retry import RetryPolicy
@@ -63,6 +65,8 @@
         True if instances may tell each other what the store holds.
     owners_of_accounts : SlotChoice
         Which owners count and run the operations of accounts.
+    choose_owners : callable
+        Chooses the owners of a group whose connections belong to no account.
     """
 
     pools: PoolPolicy
@@ -78,6 +82,7 @@
     takes_snapshots: bool
     shares_copies: bool
     owners_of_accounts: SlotChoice
+    choose_owners: ChooseOwners
 
 
 def make_policies(
@@ -108,6 +113,9 @@
         owners_of_accounts=FleetOwners()
         if Mechanism.ZONE_OWNERS in disabled
         else ZoneOwners(),
+        choose_owners=choose_owners
+        if Mechanism.STRONG_OWNERS in disabled
+        else choose_strong_owners,
     )
     for mechanism in sorted(disabled, key=lambda each: each.value):
         if mechanism in _WITHOUT:
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -11,9 +11,11 @@
 
 from beryltrack.accounts.slots import get_slot
 from beryltrack.relay.owners import (
+    ChooseOwners,
     Peer,
     Placement,
     choose_account_owners,
+    choose_owners,
     compute_account_share,
     compute_placement,
     order_owners,
@@ -48,6 +50,8 @@
         Instances to reckon with before the members are known.
     choice : SlotChoice
         Which owners count and run the operations of accounts.
+    choose_owners : callable
+        Chooses the owners of a group whose connections belong to no account.
     """
 
     def __init__(
@@ -56,7 +60,9 @@
         seconds: Callable[[], float],
         first_instances: int,
         choice: SlotChoice = FleetOwners(),  # noqa: B008 - it keeps nothing
+        choose_owners: ChooseOwners = choose_owners,
     ):
+        self._choose_owners = choose_owners
         self._own = own
         self._seconds = seconds
         self._first_instances = first_instances
@@ -140,7 +146,9 @@
             return Placement(owners, compute_account_share(max_connections, owners))
         alone = not self._is_known or len(self._peers) == 1
         least = self._first_instances if alone else 1
-        return compute_placement(group, self._peers, max_connections, least)
+        return compute_placement(
+            group, self._peers, max_connections, least, self._choose_owners
+        )
 
     def get_peer(self, name: str) -> Peer | None:
         """Return an instance by its name, None if it is not known."""
--- a/beryltrack/relay/owners.py
+++ b/beryltrack/relay/owners.py
@@ -8,7 +8,7 @@
 refused connection, never a promise.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from itertools import chain
 from typing import NamedTuple
 
@@ -94,8 +94,30 @@
         return self.share + (name in self.favoured)
 
 
+ChooseOwners = Callable[[str, Sequence[Peer], int], tuple[Peer, ...]]
+"""Returns some of the instances as the owners of a group, highest rank first."""
+
+
+def choose_owners(group: str, peers: Sequence[Peer], count: int) -> tuple[Peer, ...]:
+    """Return `count` instances by rendezvous hashing, spread over the zones."""
+    ranked = sorted(
+        peers, key=lambda peer: compute_rank(group, peer.name), reverse=True
+    )
+    zones = dict.fromkeys(peer.zone for peer in ranked)
+    by_zone = [[peer for peer in ranked if peer.zone == zone] for zone in zones]
+    longest = max(map(len, by_zone), default=0)
+    in_turn = chain.from_iterable(
+        (line[turn] for line in by_zone if turn < len(line)) for turn in range(longest)
+    )
+    return tuple(in_turn)[:count]
+
+
 def compute_placement(
-    group: str, peers: Sequence[Peer], max_connections: int, least_instances: int = 1
+    group: str,
+    peers: Sequence[Peer],
+    max_connections: int,
+    least_instances: int = 1,
+    choose: ChooseOwners = choose_owners,
 ) -> Placement:
     """Return who opens connections to the databases of a group.
 
@@ -109,6 +131,8 @@
         Most connections to each database, of all instances together.
     least_instances : int
         How many instances to reckon with at the least.
+    choose : callable
+        Chooses the owners.
 
     Returns
     -------
@@ -122,7 +146,7 @@
     can_all_own = instances <= usable and count < LEAST_OWNERS
     if can_all_own or instances * LEAST_SHARE <= usable or count >= len(peers):
         return _share_evenly(group, peers, usable, instances)
-    return Placement(choose_owners(group, peers, count), usable // count)
+    return Placement(choose(group, peers, count), usable // count)
 
 
 def _share_evenly(
@@ -138,20 +162,6 @@
     return Placement((), max(1, share), frozenset(ranked[:rest] if share else ()))
 
 
-def choose_owners(group: str, peers: Sequence[Peer], count: int) -> tuple[Peer, ...]:
-    """Return `count` instances by rendezvous hashing, spread over the zones."""
-    ranked = sorted(
-        peers, key=lambda peer: compute_rank(group, peer.name), reverse=True
-    )
-    zones = dict.fromkeys(peer.zone for peer in ranked)
-    by_zone = [[peer for peer in ranked if peer.zone == zone] for zone in zones]
-    longest = max(map(len, by_zone), default=0)
-    in_turn = chain.from_iterable(
-        (line[turn] for line in by_zone if turn < len(line)) for turn in range(longest)
-    )
-    return tuple(in_turn)[:count]
-
-
 def choose_account_owners(
     peers: Sequence[Peer], least_connections: int
 ) -> tuple[Peer, ...]:
--- a/beryltrack/settings/mechanisms.py
+++ b/beryltrack/settings/mechanisms.py
@@ -51,6 +51,8 @@
     """Most instances of a large fleet are told by others what the store holds."""
     SNAPSHOTS = "snapshots"
     """An instance that starts goes by another one's copies while the store is away."""
+    STRONG_OWNERS = "strong-owners"
+    """Groups are owned by the instances that can carry the most, by their capacity."""
     ZONE_OWNERS = "zone-owners"
     """An account's operations run in the zone where they come in, not at one owner."""
 
