Rank replicas by the time in which a read is expected to be done

What callers saw: an instance ranks databases by its own outstanding requests alone. In a fleet in which many instances share a database these say little of how long a read waits.

Where any are known, the rank is the expected time; distance counts as one statement's time. Each read adds a time of its own to each place, up to twice the longest wait, so that instances that are told the same do not all turn together. Switch: expected-time.

Why it holds: only the order among replicas that may serve the read changes.

--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -149,6 +149,7 @@
     Mechanism.FEW_CONNECTIONS: _change(
         "pools", open_patience=0.0, idle_timeout=LONG_IDLE
     ),
+    Mechanism.EXPECTED_TIME: _change("routing", by_time=False),
     Mechanism.KEPT_CONNECTIONS: _change("account_pools", kept_part=0.0),
     Mechanism.REPLICA_PAUSE: _change("routing", lagging_pause=0.0),
     Mechanism.LATE_STATEMENTS: lambda each: each._replace(late_after=math.inf),
--- a/beryltrack/routing/decider.py
+++ b/beryltrack/routing/decider.py
@@ -9,7 +9,6 @@
 these rules.
 """
 
-from collections.abc import Callable
 from typing import NamedTuple
 
 from beryltrack.groups.messages import NO_POSITION, REPLICA, LogPosition
@@ -20,7 +19,6 @@
     get_primary,
     has_applied,
 )
-from beryltrack.ranks import compute_rank
 from beryltrack.routing.messages import (
     AwaitedTarget,
     Choice,
@@ -32,69 +30,14 @@
     WaitForTarget,
     WriteRequest,
 )
+from beryltrack.routing.policy import RoutingPolicy
+from beryltrack.routing.ranking import Rank, make_ranking, pick_replica
 from beryltrack.sessions.marks import READS_PRIMARY
 
 NOT_AVAILABLE = "57P03"
 """SQLSTATE of a request that was not run as no database could take it."""
 
 
-class RoutingPolicy(NamedTuple):
-    """The limits by which targets are chosen.
-
-    Parameters
-    ----------
-    max_wait : float
-        Longest wait for a replica to catch up, seconds, counted from the arrival
-        of the read, so that a wait for a sample is a part of it. Zero: no wait.
-    stalled_after : float
-        A replica that has been behind for longer is not waited for, seconds.
-    most_awaited : int
-        Replicas that are waited for at once; the first that is ready serves.
-    refresh_share : float
-        Part of the accepted staleness after which ages are proven anew.
-    sample_timeout : float
-        Longest wait for a sample of the primary, seconds.
-    confirmed_within : float
-        A write is sent without a new confirmation of the primary's term if the
-        last one is not older than this, seconds. It only spares requests that
-        cannot succeed: what a replaced primary runs is never acknowledged.
-    retry_after : float
-        Seconds after which a caller is told to try again.
-    checks_positions : bool
-        True if databases check themselves whether they show a position, so that
-        a replica can be tried without a proof of what it shows.
-    usual_lag : float
-        Seconds after which replicas usually show a write. A replica is not tried
-        for a write that is younger.
-    lagging_pause : float
-        Seconds for which a replica that was behind is not tried.
-    samples_position : bool
-        False where others than the primary confirm its term. They alone are asked
-        then: the primary holds whatever was acknowledged in its term.
-    prefers_near : bool
-        True if replicas of the node's own availability zone are preferred.
-    prefers_own : bool
-        True if the reads of an account prefer one replica instead: connections belong
-        to accounts, and a new one costs as much as a read. It is one of the zone of the
-        instance that runs them, if there is one and `prefers_near` holds; else the same
-        one on all nodes.
-    """
-
-    max_wait: float = 0.0055
-    stalled_after: float = 0.3
-    most_awaited: int = 2
-    refresh_share: float = 0.5
-    sample_timeout: float = 1.0
-    confirmed_within: float = 0.5
-    retry_after: float = 0.2
-    checks_positions: bool = False
-    usual_lag: float = 0.2
-    lagging_pause: float = 0.3
-    samples_position: bool = True
-    prefers_near: bool = True
-    prefers_own: bool = True
-
-
 DEFAULT_POLICY = RoutingPolicy()
 
 
@@ -102,7 +45,7 @@
     """A replica that can serve a read once it has applied a position."""
 
     lag: float
-    rank: tuple[int, int, bool]
+    rank: Rank
     target: AwaitedTarget
 
 
@@ -143,7 +86,7 @@
     if ready:
         refreshes = needs_refresh(view, request, policy)
         after = compute_after(request) if policy.checks_positions else None
-        chosen = _pick_replica(ready, request, loads, policy)
+        chosen = pick_replica(ready, request, loads, policy)
         return UseTarget(chosen, True, refreshes, after)
     waiting = _choose_wait(view, request, replicas, loads, now, policy)
     return waiting or _choose_primary(view, request, now, policy)
@@ -287,71 +230,6 @@
     ]
 
 
-def _get_load(loads: tuple[TargetLoad, ...], database: str) -> TargetLoad:
-    """Return this node's work at a database."""
-    for load in loads:
-        if load.database == database:
-            return load
-    return TargetLoad(database, "", 0, 1)
-
-
-def _pick_replica(
-    ready: list[DatabaseView],
-    request: ReadRequest,
-    loads: tuple[TargetLoad, ...],
-    policy: RoutingPolicy,
-) -> str:
-    """Return the replica with the least work, a near one before a far one."""
-    if len(ready) == 1:
-        return ready[0].name
-    turn = request.sequence % len(ready)
-    is_far = _make_distance(ready, request, loads, policy)
-    ranked = (
-        (
-            _rank_load(_get_load(loads, item.name), is_far),
-            place,
-            item.name,
-        )
-        for place, item in enumerate(ready[turn:] + ready[:turn])
-    )
-    return min(ranked)[-1]
-
-
-IsFar = Callable[[TargetLoad], bool]
-
-
-def _make_distance(
-    replicas: list[DatabaseView],
-    request: ReadRequest,
-    loads: tuple[TargetLoad, ...],
-    policy: RoutingPolicy,
-) -> IsFar:
-    """Return what says of a database that another one is preferred for a read.
-
-    An account's read runs on a connection of its owner, so that the bytes of its answer
-    cross zones on the way from the database too, unless that is in the owner's zone.
-    """
-    if request.account and policy.prefers_own and replicas:
-        names = [item.name for item in replicas]
-        near = [n for n in names if _get_load(loads, n).zone == request.way_zone]
-        fit = near if near and policy.prefers_near and request.way_zone else names
-        own = max(fit, key=lambda name: compute_rank(request.account, name))
-        return lambda load: load.database != own
-    zone = request.way_zone or request.zone
-    return lambda load: policy.prefers_near and load.zone != zone
-
-
-def _rank_load(load: TargetLoad, is_far: IsFar) -> tuple[int, int, bool]:
-    """Return the rank of a database by its queue, its work and its distance.
-
-    A far database counts as if it had one request more, since a request there
-    costs about as much more as one that waits for a slot.
-    """
-    rounds_waiting = load.outstanding // max(load.limit, 1)
-    far = is_far(load)
-    return rounds_waiting, load.outstanding + far, far
-
-
 def _choose_wait(
     view: GroupView,
     request: ReadRequest,
@@ -364,12 +242,12 @@
     timeout = min(request.arrived_at + policy.max_wait, request.deadline) - now
     if not request.may_wait or timeout <= 0:
         return None
-    is_far = _make_distance(replicas, request, loads, policy)
+    rank = make_ranking(replicas, request, loads, policy)
     positions = ((item, _get_awaited(view, request, item)) for item in replicas)
     candidates = sorted(
         _Candidate(
             compute_lag(view, item),
-            _rank_load(_get_load(loads, item.name), is_far),
+            rank(item.name),
             AwaitedTarget(item.name, position),
         )
         for item, position in positions
--- a/beryltrack/routing/messages.py
+++ b/beryltrack/routing/messages.py
@@ -129,12 +129,18 @@
         Requests of this node that it runs or that queue for it.
     limit : int
         Requests that this node can have running there at once.
+    wait : float
+        Expected wait there of a request, by what owners tell, seconds; 0 if unknown.
+    work : float
+        Usual time of a statement there, seconds; 0 if unknown.
     """
 
     database: str
     zone: str
     outstanding: int
     limit: int
+    wait: float = 0.0
+    work: float = 0.0
 
 
 class UseTarget(NamedTuple):
--- a/beryltrack/settings/mechanisms.py
+++ b/beryltrack/settings/mechanisms.py
@@ -27,6 +27,8 @@
     """A database that is cut off from this instance is reached through others."""
     EARLY_REFUSAL = "early-refusal"
     """Who cannot be done in time is told so at once, not when the time is over."""
+    EXPECTED_TIME = "expected-time"
+    """Reads go where they are expected to be done first, by what owners tell."""
     FEW_CONNECTIONS = "few-connections"
     """A connection is opened only for requests that have waited, and closed soon."""
     KEPT_CONNECTIONS = "kept-connections"
