--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -167,6 +167,7 @@
             self._seconds,
             options.FIRST_INSTANCES,
             self._policies.owners_of_accounts,
+            self._policies.choose_owners,
         )
         self._accounts = NodeAccounts(reactor, settings, directory, rng)
         self._kit = LineKit(
@@ -209,7 +210,7 @@
             events=EventLog(settings.name, write_line, self._seconds),
             retries=self._policies.retries,
             admission=self._policies.admission,
-            observe_spent=directory.observe_spent,
+            ways=directory,
         )
         handler = RequestTask(self._services, self._get_site, self._find_group)
         bounds = CallerBounds(self._get_site)
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -115,6 +115,7 @@
             sequence=next(context.services.sequence),
             account=context.caller.account,
             may_run_unproven=context.runtime.is_relayed and not self._lacked_proof,
+            way_zone=context.services.ways.get_zone(context.caller.account),
         )
 
     async def _attempt(self, target: FoundTarget) -> tuple[NextStep, str]:
@@ -154,7 +155,7 @@
             return False
         if self._attempts >= MOST_ATTEMPTS:
             return False
-        return context.services.observe_spent(context.caller.account, way)
+        return context.services.ways.observe_spent(context.caller.account, way)
 
     async def _run_on(self, target: FoundTarget) -> RunResult:
         """Run the unit on a connection."""
--- a/beryltrack/routing/messages.py
+++ b/beryltrack/routing/messages.py
@@ -79,6 +79,9 @@
     may_run_unproven : bool
         True if it may run at the primary while the proof that this one leads is asked
         for; its answer is held until then.
+    way_zone : str
+        Availability zone of the instance that runs the account's operations; empty if
+        it is unknown.
     """
 
     arrived_at: float
@@ -96,6 +99,7 @@
     tried_proof: bool = False
     account: str = ""
     may_run_unproven: bool = False
+    way_zone: str = ""
 
 
 class WriteRequest(NamedTuple):
@@ -129,12 +133,18 @@
         Requests of this node that it runs or that queue for it.
     limit : int
         Requests that this node can have running there at once.
+    wait : float
+        Expected wait there of a request, by what owners tell, seconds; 0 if unknown.
+    work : float
+        Usual time of a statement there, seconds; 0 if unknown.
     """
 
     database: str
     zone: str
     outstanding: int
     limit: int
+    wait: float = 0.0
+    work: float = 0.0
 
 
 class UseTarget(NamedTuple):
--- a/beryltrack/settings/mechanisms.py
+++ b/beryltrack/settings/mechanisms.py
@@ -27,6 +27,8 @@
     """A database that is cut off from this instance is reached through others."""
     EARLY_REFUSAL = "early-refusal"
     """Who cannot be done in time is told so at once, not when the time is over."""
+    EXPECTED_TIME = "expected-time"
+    """Reads go where they are expected to be done first, by what owners tell."""
     FEW_CONNECTIONS = "few-connections"
     """A connection is opened only for requests that have waited, and closed soon."""
     OWNER_REPORTS = "owner-reports"
@@ -55,6 +57,8 @@
     """Most instances of a large fleet are told by others what the store holds."""
     SNAPSHOTS = "snapshots"
     """An instance that starts goes by another one's copies while the store is away."""
+    STRONG_OWNERS = "strong-owners"
+    """Groups are owned by the instances that can carry the most, by their capacity."""
     ZONE_OWNERS = "zone-owners"
     """An account's operations run in the zone where they come in, not at one owner."""
 
