Refuse in front of an owner what it could not serve in time

Callers of a full group paid a way to the owner and back to hear that there is no room, and in a large fleet all instances asked the same owner at once, again and again. A refusal of an owner was repeated up to three times against the same owner, and its "Try again in N seconds" stood twice in the answer where the repeats had run out.

An operation whose expected wait at its owner is more than 0.8 of its time is refused at once, as not run, with a time to come back that is spread and shorter for the urgent. One operation in 0.2 to 0.4 s finds out whether there is room again. A caller that returns when told to asks all the same; beyond three together, ten a second at an instance do.

What a full owner refuses is run again once, and only where another database can take it; a replica that is behind and a database that is full itself are treated as before. A refusal keeps its time to come back as a number, so that it stands in the answer once. An owner refuses 0.05 s before an operation's time is over: later its sender would take the answer for lost, and a write for one whose outcome nobody knows.

In a fleet whose instances outnumber what the databases take, a request without a database is held for a quarter of its target latency (0.1 to 0.35 s), and of those that find their group without a primary eight at an instance; the others are told at once when to come back. Small fleets are served as before. BERYLTRACK_DISABLED=owner-reports does without reports and refusals in front.

--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -14,6 +14,9 @@
 from beryltrack.groups.control_calls import ControlCalls
 from beryltrack.groups.messages import LeadProof
 from beryltrack.groups.task import GroupTask
+from beryltrack.load.messages import DatabaseReport, Demand
+from beryltrack.load.outlook import ReportedOutlook
+from beryltrack.load.verdicts import FrontDecider
 from beryltrack.platform.group import LineDatabaseGroup
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.target import LineTarget, connect_line_target
@@ -74,6 +77,11 @@
         self._promotion = promotion
         self._authority = authority
         self._rng = rng
+        self._by_database: WeakValueDictionary[str, DatabaseAccess] = (
+            WeakValueDictionary()
+        )
+        self.outlook = ReportedOutlook(self._seconds, self._get_report)
+        self._front = FrontDecider(self.outlook, rng)
         self._pools: WeakValueDictionary[tuple[str, str], DatabaseAccess] = (
             WeakValueDictionary()
         )
@@ -85,6 +93,7 @@
             OpenLimits(
                 options.RELAY_CONNECT, options.CONTROL_CONNECT, policies.takes_detours
             ),
+            self.outlook,
         )
 
     def make_task(self, group: GroupSettings) -> GroupTask:
@@ -153,10 +162,24 @@
             choose_way,
             lambda account: self._quota.spend(account, self._seconds()),
             self._quota.refund,
+            lambda way, demand: self._judge(way, database.name, demand),
+            self._seconds,
         )
         self._pools[group.name, database.name] = access
+        self._by_database[database.name] = access
         return access
 
+    def _get_report(self, database: str) -> DatabaseReport | None:
+        """Return what this instance tells others of a database."""
+        access = self._by_database.get(database)
+        return access.get_report() if access is not None else None
+
+    def _judge(self, way: str, database: str, demand: Demand) -> float:
+        """Decide whether an operation goes to another instance."""
+        if not self._policies.takes_reports:
+            return 0.0
+        return self._front.judge(way, database, demand, self._seconds())
+
     def _open_at(
         self,
         endpoint: Endpoint,
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -199,6 +199,7 @@
             events=EventLog(settings.name, write_line, self._seconds),
             retries=self._policies.retries,
             admission=self._policies.admission,
+            is_crowded=lambda: directory.is_crowded,
         )
         handler = RequestTask(self._services, self._get_site, self._find_group)
         bounds = CallerBounds(self._get_site)
--- a/beryltrack/errors.py
+++ b/beryltrack/errors.py
@@ -6,6 +6,7 @@
 these SQLSTATEs.
 """
 
+import re
 from typing import NamedTuple
 
 ERROR = "ERROR"
@@ -36,6 +37,9 @@
 )
 
 
+_HINTED = re.compile(r"(.*?)\.? ?(Try again in (\d{1,6}\.\d\d) seconds\.)")
+
+
 class SqlError(NamedTuple):
     """One error in the form that the PostgreSQL protocol carries.
 
@@ -51,6 +55,8 @@
         What to do about it; empty for none.
     severity : str
         `ERROR` if the connection stays, `FATAL` if it ends.
+    retry_after : float
+        Seconds after which to come back, as the hint says; 0 if it says nothing.
     """
 
     sqlstate: str
@@ -58,6 +64,7 @@
     detail: str = ""
     hint: str = ""
     severity: str = ERROR
+    retry_after: float = 0.0
 
 
 class SqlException(Exception):
@@ -99,7 +106,24 @@
         The error.
     """
     hint = f"Try again in {retry_after:.2f} seconds."
-    return make_not_run(message, sqlstate)._replace(hint=hint)
+    told = round(retry_after, 2)
+    return make_not_run(message, sqlstate)._replace(hint=hint, retry_after=told)
+
+
+def split_refusal(text: str) -> tuple[str, str, float]:
+    """Return the message and the hint of a refusal that stand in one text.
+
+    Returns
+    -------
+    tuple
+        The message, the hint and the seconds that it names; an empty hint and zero if
+        the text has none.
+    """
+    match = _HINTED.fullmatch(text)
+    if match is None:
+        return text, "", 0.0
+    message, hint, seconds = match.groups()
+    return message, hint, float(seconds)
 
 
 def make_rolled_back(message: str) -> SqlError:
--- a/beryltrack/platform/codes.py
+++ b/beryltrack/platform/codes.py
@@ -17,6 +17,7 @@
     TOO_MANY_CONNECTIONS,
     TRANSACTION_RESOLUTION_UNKNOWN,
     SqlError,
+    split_refusal,
 )
 from beryltrack.relay.words import NOT_OWNER, OVER_LIMIT, UNREACHABLE
 from beryltrack.requests.outcomes import READ_ONLY_REFUSAL
@@ -61,8 +62,11 @@
     fields = line.split(b" ", 2)
     code = fields[1] if len(fields) > 1 else b""
     text = fields[2].decode("utf-8", "replace") if len(fields) > 2 else ""
+    # An instance has said when to come back: nobody may add another time to that.
+    text, hint, retry_after = split_refusal(text)
     name = code.decode("ascii", "replace").lower()
-    return SqlError(_STATES_BY_CODE.get(code, SYSTEM_ERROR), f"{name}: {text}")
+    state = _STATES_BY_CODE.get(code, SYSTEM_ERROR)
+    return SqlError(state, f"{name}: {text}", hint=hint, retry_after=retry_after)
 
 
 def encode_refusal(error: SqlError) -> bytes:
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -30,6 +30,7 @@
 
 ChooseWay = Callable[[str], str]
 Admit = Callable[[str], float]
+Judge = Callable[[str, Demand], float]
 
 
 class _Lent(NamedTuple):
@@ -55,6 +56,11 @@
         or the seconds after which to come back.
     refund : callable
         Takes in that a counted operation of an account did not run.
+    judge : callable
+        Decides whether an operation of this instance goes to another one; returns 0,
+        or the seconds after which to come back.
+    seconds : callable
+        The node's time.
     """
 
     def __init__(
@@ -64,7 +70,11 @@
         choose_way: ChooseWay,
         admit: Admit = lambda account: 0.0,
         refund: Callable[[str], object] = lambda account: None,
+        judge: Judge = lambda way, demand: 0.0,
+        seconds: Callable[[], float] = lambda: 0.0,
     ):
+        self._judge = judge
+        self._seconds = seconds
         self.direct = direct
         self._make_sessions = make_sessions
         self._choose_way = choose_way
@@ -271,9 +281,26 @@
     def _acquire_through(
         self, way: str, deadline: float, demand: Demand, is_lent: bool
     ) -> Deferred[PooledConnection]:
-        """Get a session at another instance."""
+        """Get a session at another instance, unless it is known to have no room."""
+        # What was lent here was judged by the instance that took it.
+        wait = 0.0 if is_lent else self._judge(way, demand)
+        if wait:
+            return fail(PoolRefused(PoolRefusal(RefusalReason.TOO_LATE, wait)))
         acquiring = self._get_sessions(way).acquire(deadline)
-        return acquiring.addCallback(_mark, is_lent, demand)
+        return acquiring.addCallback(self._mark, is_lent, demand, self._seconds())
+
+    def _mark(
+        self,
+        connection: RelayedConnection,
+        is_counted: bool,
+        demand: Demand,
+        asked_at: float,
+    ) -> RelayedConnection:
+        """Have an instance told what the next operation asks, and if it was counted."""
+        connection.is_counted = is_counted
+        # It may have waited for the session.
+        connection.demand = demand.after(self._seconds() - asked_at)
+        return connection
 
     def _take_back(self, failure: Failure, account: str) -> Failure:
         """Count an operation no more that got no connection."""
@@ -296,12 +323,3 @@
             if self._is_drained:
                 pool.drain()
         return pool
-
-
-def _mark(
-    connection: RelayedConnection, is_counted: bool, demand: Demand
-) -> RelayedConnection:
-    """Have an instance told what the next operation asks, and if it was counted."""
-    connection.is_counted = is_counted
-    connection.demand = demand
-    return connection
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -58,6 +58,12 @@
         self._get_holder: Callable[[int], str] = lambda slot: ""
         self._least_connections: int | None = None
         self._slot_owners: dict[int, tuple[Peer, ...]] = {}
+        self._is_crowded = False
+
+    @property
+    def is_crowded(self) -> bool:
+        """True if instances outnumber what the databases of a group in use take."""
+        return self._is_crowded
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -106,6 +112,7 @@
     def _forget_placements(self) -> None:
         self._placements.clear()
         self._slot_owners.clear()
+        self._is_crowded = False
         self._observe_owners()
 
     def get_placement(self, group: str, max_connections: int) -> Placement:
@@ -119,12 +126,14 @@
 
     def _compute_placement(self, group: str, max_connections: int) -> Placement:
         """Return who owns a group, by the members that are known."""
-        if self._least_connections is not None:
-            owners = choose_account_owners(self._peers, self._least_connections)
-            return Placement(owners, compute_account_share(max_connections, owners))
         alone = not self._is_known or len(self._peers) == 1
         least = self._first_instances if alone else 1
-        return compute_placement(group, self._peers, max_connections, least)
+        placement = compute_placement(group, self._peers, max_connections, least)
+        self._is_crowded |= bool(placement.owners)
+        if self._least_connections is None:
+            return placement
+        owners = choose_account_owners(self._peers, self._least_connections)
+        return Placement(owners, compute_account_share(max_connections, owners))
 
     def get_peer(self, name: str) -> Peer | None:
         """Return an instance by its name, None if it is not known."""
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -33,6 +33,11 @@
 
 log = logging.getLogger(__name__)
 
+ANSWER_TIME = 0.05
+"""Seconds of an operation's time that are left for a refusal to arrive: two ways of
+4 ms between availability zones, and a process that is late. One that comes too late is
+taken for a lost answer, and a write for one whose outcome nobody knows."""
+
 OTHER_OWNERS = "the group has other owners"
 
 
@@ -219,7 +224,9 @@
         if lender is None:
             session.send_not_owner()
             return None
-        limit = min(self._time_limit, session.demand.time_left)
+        # Whoever is refused at the last moment must hear so before it gives up.
+        time_left = max(0.0, session.demand.time_left - ANSWER_TIME)
+        limit = min(self._time_limit, time_left)
         deadline = self._seconds() + limit
         acquiring = lender.pool.lend(deadline, session.demand, session.is_counted)
         session.set_gone(acquiring.cancel)
--- a/beryltrack/relay/ways.py
+++ b/beryltrack/relay/ways.py
@@ -10,6 +10,7 @@
 
 from beryltrack.connections.messages import PooledConnection
 from beryltrack.load.messages import Demand
+from beryltrack.load.reports import ToldReport
 
 log = logging.getLogger(__name__)
 
@@ -21,6 +22,9 @@
     instance that it goes through says that it does not reach the database, with True
     if it gives no connections to the group at all. That instance counts the next
     operation unless `is_counted` says that it was counted, and is told of its `demand`.
+    `incarnation` is the number of that instance's process, zero if it is of an earlier
+    release; `on_report` takes what it tells of its load, and when the statement was
+    sent that it came with an answer to.
     """
 
     heard_at: float
@@ -28,6 +32,8 @@
     demand: Demand
     busy: bool
     on_useless: Callable[[bool], object]
+    incarnation: int
+    on_report: Callable[[ToldReport, float], object]
 
 
 class ConnectionPool(Protocol):
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -1,5 +1,6 @@
 """Ends a request: waits for its commit if it made one, and answers the caller."""
 
+import math
 from typing import NamedTuple
 
 from beryltrack.errors import (
@@ -14,6 +15,7 @@
 from beryltrack.groups.messages import LogPosition
 from beryltrack.groups.view import NEVER
 from beryltrack.load.messages import Demand
+from beryltrack.load.verdicts import compute_hold
 from beryltrack.metrics.messages import RequestKind, RequestOutcome, TargetKind
 from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.outcomes import NextStep
@@ -95,6 +97,7 @@
             self.policy.target_latency,
             self.policy.request_timeout,
             self.caller.account,
+            is_returning=self.arrived_at >= self.caller.session.come_back_at,
         )
 
     @property
@@ -105,7 +108,11 @@
     @property
     def give_up_at(self) -> float:
         """When it is refused if no database has taken it, by the node's clock."""
-        return self.arrived_at + self.policy.target_timeout
+        policy = self.policy
+        is_crowded = self.services.is_crowded()
+        return self.arrived_at + compute_hold(
+            policy.target_timeout, policy.target_latency, is_crowded
+        )
 
 
 async def confirm_commit(
@@ -148,6 +155,7 @@
 ) -> None:
     """Send the rest of an answer and say that the caller may go on."""
     caller = context.caller
+    caller.session.come_back_at = math.inf
     parts = [sink.take_held()]
     if has_new_token:
         parts.append(context.services.protocol.encode_token(caller))
@@ -161,6 +169,8 @@
 ) -> None:
     """Answer with an error."""
     caller = context.caller
+    wait = error.retry_after or math.inf
+    caller.session.come_back_at = context.services.seconds() + wait
     caller.send_error(error)
     caller.send_ready(status)
     count_request(context, TargetKind.NONE, _OUTCOMES.get(error.sqlstate))
--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -6,6 +6,7 @@
 
 from beryltrack.errors import (
     CANNOT_CONNECT_NOW,
+    TOO_MANY_CONNECTIONS,
     SqlError,
     make_refusal,
     make_rolled_back,
@@ -30,7 +31,7 @@
     decide_after_failure,
 )
 from beryltrack.requests.protocol import RunLost, RunResult
-from beryltrack.requests.retry import FailedAttempt
+from beryltrack.requests.retry import FailedAttempt, may_repeat_refused
 from beryltrack.requests.session import PinnedTransaction
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.requests.targets import FoundTarget, find_target
@@ -58,6 +59,9 @@
         self._sent_at = 0.0
         self._excluded: tuple[str, ...] = ()
         self._may_have_run = False
+        self._refusal: SqlError | None = None
+        self._refusals = 0
+        self._is_at_replica = False
 
     async def run(self) -> None:
         """Run the unit until it has an answer."""
@@ -81,8 +85,9 @@
                 self._attempts,
                 found.unwrap().connection.way,
             )
-            if not await self._wait_to_retry():
-                self._fail(self._make_refusal(make_refusal(reason, 1.0)))
+            if self._is_refused_for_good() or not await self._wait_to_retry():
+                refusal = self._refusal or make_refusal(reason, 1.0)
+                self._fail(self._make_refusal(refusal))
                 return
 
     async def _find_target(self):
@@ -110,6 +115,7 @@
 
     async def _attempt(self, target: FoundTarget) -> tuple[NextStep, str]:
         """Run the unit once; return the next step and why it is needed."""
+        self._refusal = None
         result = await self._run_on(target)
         if isinstance(result, RunLost):
             target.pool.release(target.connection, False, result.is_sent)
@@ -120,6 +126,7 @@
             step = self._decide_failure(RunFailure(True, result.error.sqlstate))
             if step is not NextStep.ANSWER:
                 self._exclude(target)
+                self._note_refusal(target, result.error)
                 self._observe_refusal(target, result.error)
                 is_idle = result.status is TransactionStatus.IDLE
                 target.pool.release(target.connection, is_idle, False)
@@ -135,6 +142,22 @@
             target.connection, plan, self._sink, context.caller, target.after
         )
 
+    def _note_refusal(self, target: FoundTarget, error: SqlError) -> None:
+        """Keep when another instance says to come back, and whether it is full."""
+        if not (target.connection.way and error.retry_after):
+            return
+        self._refusal = error
+        if error.sqlstate == TOO_MANY_CONNECTIONS:
+            self._refusals += 1
+            self._is_at_replica = target.is_replica
+
+    def _is_refused_for_good(self) -> bool:
+        """Return whether the last run was refused by a full instance for good."""
+        refusal = self._refusal
+        if refusal is None or refusal.sqlstate != TOO_MANY_CONNECTIONS:
+            return False
+        return not may_repeat_refused(self._refusals, self._is_at_replica)
+
     def _observe_refusal(self, target: FoundTarget, error: SqlError) -> None:
         """Take in what a refusal tells of its database."""
         task = self._context.runtime.task
--- a/beryltrack/requests/retry.py
+++ b/beryltrack/requests/retry.py
@@ -10,6 +10,9 @@
 
 from returns.maybe import Maybe, Nothing, Some
 
+MOST_REPEATS_ELSEWHERE = 1
+"""Repeats of a request that instances refuse which are full."""
+
 
 class RetryPolicy(NamedTuple):
     """The figures that steer retries.
@@ -55,6 +58,21 @@
     retry_after: float = 0.0
 
 
+def may_repeat_refused(refusals: int, is_at_replica: bool) -> bool:
+    """Return whether what a full instance refused is run again, at another database.
+
+    The same one would refuse it again, as its queue has moved on by a statement or two.
+
+    Parameters
+    ----------
+    refusals : int
+        How often full instances have refused the request.
+    is_at_replica : bool
+        True if the last one did so for a replica: another database may take it.
+    """
+    return is_at_replica and refusals <= MOST_REPEATS_ELSEWHERE
+
+
 class RetryBudget:
     """A token bucket of retries, filled by requests.
 
--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -63,6 +63,11 @@
         """The group as this instance knows it now."""
         return self.task.view
 
+    @property
+    def held(self) -> int:
+        """Requests that wait for a change of what is known of the group."""
+        return len(self._waiting)
+
     def ensure_started(self) -> None:
         """Watch the databases and open connections from now on.
 
--- a/beryltrack/requests/services.py
+++ b/beryltrack/requests/services.py
@@ -45,6 +45,8 @@
         The limits by which targets are chosen.
     events : RequestEvents
         Logs the decisions about requests.
+    is_crowded : callable
+        Says whether instances outnumber what the databases take.
     """
 
     reactor: object
@@ -58,6 +60,7 @@
     sequence: Iterator[int]
     routing: RoutingPolicy = DEFAULT_POLICY
     events: RequestEvents = SilentEvents()
+    is_crowded: Callable[[], bool] = lambda: False
 
 
 def make_services(
@@ -71,6 +74,7 @@
     events: RequestEvents | None = None,
     retries: RetryPolicy = RETRIES,
     admission: AdmissionPolicy | None = None,
+    is_crowded: Callable[[], bool] = lambda: False,
 ) -> RequestServices:
     """Return the services of one instance.
 
@@ -96,6 +100,8 @@
         When a request is repeated.
     admission : AdmissionPolicy, optional
         How many requests are taken on.
+    is_crowded : callable, optional
+        Says whether instances outnumber what the databases take.
 
     Returns
     -------
@@ -114,4 +120,5 @@
         count(),
         routing,
         events or SilentEvents(),
+        is_crowded,
     )
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -19,6 +19,7 @@
 from beryltrack.errors import SqlError, make_refusal
 from beryltrack.groups.messages import LogPosition
 from beryltrack.load.messages import NO_DEMAND, Demand
+from beryltrack.load.verdicts import may_hold
 from beryltrack.requests.admission_task import PutOut, Ticket
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
@@ -175,7 +176,7 @@
                 request = request._replace(may_wait=False)
             case NeedSample() if now < give_up_at:
                 request = await _prove_lead(search, request, choice)
-            case Refuse() if now < give_up_at:
+            case Refuse() if now < give_up_at and _may_hold(search):
                 await ticket.wait(runtime.wait_change())
                 request = _forget_refusals(request)
             case Refuse():
@@ -186,6 +187,13 @@
                 return Failure(make_refusal("the primary cannot be confirmed", 1.0))
 
 
+def _may_hold(search: TargetSearch) -> bool:
+    """Return whether a request waits for a change of what is known of its group."""
+    runtime = search.runtime
+    has_primary = bool(runtime.view.primary)
+    return may_hold(runtime.held, has_primary, search.services.is_crowded())
+
+
 async def _prove_lead(
     search: TargetSearch, request: TargetRequest, need: NeedSample
 ) -> TargetRequest:
--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -67,3 +67,17 @@
 
 def test_a_position_is_asked_for():
     assert lines.format_after(LogPosition(3, 1207)) == b"AFTER 3.1207 "
+
+
+@pytest.mark.parametrize(
+    ("text", "message", "retry_after"),
+    [
+        (b"full Try again in 0.20 seconds.", "busy: full", 0.2),
+        (b"full. Try again in 12.00 seconds.", "busy: full", 12.0),
+        (b"full, try again", "busy: full, try again", 0.0),
+        (b"Try again in x seconds.", "busy: Try again in x seconds.", 0.0),
+    ],
+)
+def test_when_to_come_back_is_read_of_a_refusal(text, message, retry_after):
+    error = decode_error(b"ERROR BUSY " + text)
+    assert (error.message, error.retry_after) == (message, retry_after)
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -5,15 +5,22 @@
 import pytest
 from returns.result import Success
 from twisted.internet import reactor
-from twisted.internet.defer import Deferred, TimeoutError
+from twisted.internet.defer import Deferred, TimeoutError, fail
 
 from beryltrack.clock import get_seconds
-from beryltrack.connections.messages import ConnectRefused, TargetLost
+from beryltrack.connections.messages import (
+    ConnectRefused,
+    PoolRefusal,
+    PoolRefused,
+    RefusalReason,
+    TargetLost,
+)
 from beryltrack.connections.task import PoolTask
 from beryltrack.errors import (
     CANNOT_CONNECT_NOW,
     CONFIGURATION_LIMIT_EXCEEDED,
     PROTOCOL_VIOLATION,
+    TOO_MANY_CONNECTIONS,
 )
 from beryltrack.groups.adapter import ControlLimits
 from beryltrack.groups.control_calls import ControlCalls
@@ -25,6 +32,7 @@
 )
 from beryltrack.groups.samples import Sample
 from beryltrack.load.messages import NO_DEMAND, DatabaseReport, Demand
+from beryltrack.platform.codes import encode_error
 from beryltrack.platform.group import LineDatabaseGroup
 from beryltrack.platform.protocol import run_statement
 from beryltrack.platform.relay import LineRelayFactory
@@ -376,3 +384,35 @@
     asked = watch_lending(site)
     site.ask("q1 WITHIN 0+ 250 200 READ x", "q1 READ x")
     assert asked == [URGENT, NO_DEMAND]
+
+
+@pytest.mark.parametrize(
+    "reason",
+    [RefusalReason.QUEUE_FULL, RefusalReason.TOO_LATE, RefusalReason.OVER_LIMIT],
+)
+def test_a_time_to_come_back_passes_as_the_owner_said_it(site, reason):
+    refused = PoolRefused(PoolRefusal(reason, 0.374))
+    site.pool.lend = lambda *words: fail(refused)
+    _, end = site.tell(site.endpoint, URGENT)
+    assert end.status is TransactionStatus.IDLE
+    assert end.error.retry_after == 0.37
+    assert end.error.hint == "Try again in 0.37 seconds."
+    assert end.error.message.endswith(reason.value)
+    # A caller is told so once, whether it gets the error or the line as it came.
+    for text in (encode_error(end.error), end.error_frame):
+        assert text.count(b"Try again in 0.37 seconds.") == 1 == text.count(b"Try")
+
+
+def test_a_write_whose_time_the_owners_queue_used_up_is_told_that_it_did_not_run(site):
+    """Its sender would else give it up, and not know what became of it."""
+
+    async def go():
+        first = await site.connect(site.endpoint)
+        await first.run(b"QUERY q1 BEGIN\r\n", CollectingSink())
+        second = await site.connect(site.endpoint)
+        text = b"QUERY q9 WITHIN 1 100 200 WRITE x y\r\n"
+        return await second.run(text, CollectingSink(), limit=0.2)
+
+    end = run(lambda: Deferred.fromCoroutine(go()))
+    assert end.error.sqlstate == TOO_MANY_CONNECTIONS and end.error.retry_after > 0
+    assert not any(line.startswith(b"QUERY q9") for line in site.database.seen)
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -29,6 +29,7 @@
         self.targets = {name: FakeTarget() for name in ("", "two", "three")}
         self.opened = []
         self.ways = {"": "two"}
+        self.judged = {}
         self.waits, self.refunds, self.counted = {}, [], []
         self.access = DatabaseAccess(
             self.make_pool(""),
@@ -36,6 +37,8 @@
             lambda account: self.ways.get(account, ""),
             self.admit,
             self.refunds.append,
+            lambda way, demand: self.judged.get(way, 0.0),
+            self.clock.seconds,
         )
 
     def make_pool(self, name):
@@ -160,3 +163,34 @@
         site.acquire("own")
     assert refused.value.refusal.reason is RefusalReason.UNREACHABLE
     assert site.clock.seconds() == 0.0
+
+
+def test_an_operation_that_would_wait_too_long_at_an_owner_does_not_ask_it(site):
+    site.ways["a"] = "two"
+    site.judged["two"] = 0.4
+    with pytest.raises(PoolRefused) as refused:
+        site.acquire("a")
+    refusal = refused.value.refusal
+    assert (refusal.reason, refusal.retry_after) == (RefusalReason.TOO_LATE, 0.4)
+    assert site.opened == [] and site.refunds == []
+
+
+def test_own_connections_are_not_judged_in_front(site):
+    site.judged[""] = 0.4
+    assert site.acquire("own") is not None
+
+
+def test_what_was_lent_here_was_judged_by_who_took_it(site):
+    site.ways["own"] = "three"
+    site.judged["three"] = 0.4
+    passed = get_result(site.access.lend(10.0, Demand(account="own"), False))
+    assert passed.way == "three"
+
+
+def test_an_owner_is_told_what_is_left_after_the_wait_for_a_session(site):
+    site.ways["a"] = "two"
+    site.targets["two"].at_once = False
+    waiting = site.access.acquire(10.0, Demand(1, 0.25, 1.0, "a"))
+    site.clock.advance(0.5)
+    site.targets["two"].finish_one()
+    assert get_result(waiting).demand == Demand(1, -0.25, 0.5, "a")
--- a/tests/relay/test_directory.py
+++ b/tests/relay/test_directory.py
@@ -1,5 +1,8 @@
 """An instance's part in the groups."""
 
+import pytest
+from twisted.internet.task import Clock
+
 from beryltrack.relay.directory import AVOID_TIME, RelayDirectory
 from beryltrack.relay.owners import Peer
 from beryltrack.settings.messages import Endpoint
@@ -70,3 +73,25 @@
     assert choose() == first
     fleet.now += AVOID_TIME
     assert choose() == first
+
+
+@pytest.mark.parametrize(
+    ("others", "connections", "is_crowded"),
+    [(5, 22, False), (7, 43, False), (71, 156, True)],
+)
+def test_a_fleet_is_crowded_if_its_databases_do_not_take_all_instances(
+    others, connections, is_crowded
+):
+    me = Peer("me", "a", Endpoint("me", 1))
+    directory = RelayDirectory(me, Clock().seconds, 8)
+    names = [f"n{each}" for each in range(others)]
+    peers = [
+        Peer(name, "abc"[at % 3], Endpoint(name, 1)) for at, name in enumerate(names)
+    ]
+    directory.set_peers(peers)
+    directory.get_placement("g", connections)
+    assert directory.is_crowded is is_crowded
+    # Accounts have owners in each fleet; what a small one does stays.
+    directory.set_accounts(connections)
+    directory.get_placement("g", connections)
+    assert directory.is_crowded is is_crowded
--- a/tests/relay/test_handler.py
+++ b/tests/relay/test_handler.py
@@ -342,7 +342,9 @@
     assert session.states == [CONFIGURATION_LIMIT_EXCEEDED] and session.runs == []
 
 
-@pytest.mark.parametrize(("time_left", "deadline"), [(0.2, 10.2), (9.0, 10.5)])
+@pytest.mark.parametrize(
+    ("time_left", "deadline"), [(0.25, 10.2), (9.0, 10.5), (0.04, 10.0)]
+)
 def test_a_statement_waits_as_long_as_its_caller_and_no_longer_than_the_owner(
     owner, time_left, deadline
 ):
--- a/tests/relay/test_opener.py
+++ b/tests/relay/test_opener.py
@@ -6,6 +6,9 @@
 from twisted.internet.task import Clock
 
 from beryltrack.connections.messages import ConnectRefused, TargetUnreachable
+from beryltrack.load.messages import DatabaseReport
+from beryltrack.load.outlook import ReportedOutlook
+from beryltrack.load.reports import ToldReport
 from beryltrack.relay.directory import DETOUR_TIME, RelayDirectory
 from beryltrack.relay.opener import OpenLimits, TargetOpener
 from beryltrack.relay.owners import Peer
@@ -28,7 +31,8 @@
         self.directory.set_peers([make_peer(name) for name in OTHERS])
         self.changes = []
         self.directory.set_block_observer(lambda: self.changes.append(1))
-        self.answers = {}
+        self.answers, self.incarnation = {}, 7
+        self.outlook = ReportedOutlook(self.clock.seconds)
         self.tried = []
         self.opener = TargetOpener(
             self.clock,
@@ -36,6 +40,7 @@
             self.open_at,
             lambda group, database: True,
             OpenLimits(0.3, 0.4),
+            self.outlook,
         )
 
     def open_at(self, endpoint, group, database, timeout, account):
@@ -43,7 +48,11 @@
         error = self.answers.get(endpoint.host)
         if error is not None:
             return fail(error)
-        return succeed(SimpleNamespace(way="", end_session=lambda: None))
+        return succeed(
+            SimpleNamespace(
+                way="", end_session=lambda: None, incarnation=self.incarnation
+            )
+        )
 
     def open(self):
         self.tried.clear()
@@ -119,3 +128,22 @@
     first = site.open().way
     site.answers[first] = TargetUnreachable("nothing came back")
     assert site.open().way not in ("", first)
+
+
+REPORT = DatabaseReport(4, 4, (0.5,), 0.01, 7)
+
+
+def test_what_an_owner_tells_of_its_load_is_kept():
+    site = cut_off()
+    connection = site.open()
+    connection.on_report(ToldReport(REPORT, 3.0), site.clock.seconds())
+    assert site.outlook.get_wait(connection.way, "db-1", 0) == 0.5
+
+
+def test_a_session_to_a_later_process_voids_what_the_one_before_told():
+    site = cut_off()
+    connection = site.open()
+    connection.on_report(ToldReport(REPORT, 3.0), site.clock.seconds())
+    site.incarnation = 8
+    assert site.open().way == connection.way
+    assert site.outlook.get_wait(connection.way, "db-1", 0) == 0.0
--- a/tests/requests/test_course.py
+++ b/tests/requests/test_course.py
@@ -1,13 +1,20 @@
 """A unit that is given up between two runs is told the truth."""
 
+import random
+
 from returns.result import Failure, Success
 
-from beryltrack.errors import make_refusal
+from beryltrack.errors import CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS, make_refusal
 from beryltrack.requests import course
+from beryltrack.requests.answers import send_answer, send_failure
+from beryltrack.requests.retry import RetryBudget, RetryPolicy
+from beryltrack.requests.services import RETRIES
+from beryltrack.requests.sink import AnswerSink
 from beryltrack.requests.targets import FoundTarget
 from beryltrack.routing.messages import StatementKind
 from beryltrack.transactions.decider import CommitOutcome
 from tests.requests.scripted import (
+    IDLE,
     LOST,
     FakePool,
     ScriptedConnection,
@@ -57,3 +64,86 @@
     connection = ScriptedConnection(LOST)
     sent = run_then_refuse(monkeypatch, StatementKind.READ, connection)
     assert b"40001" in sent and b"not run" not in sent
+
+
+FULL = "Try again in 0.20 seconds."
+
+
+def refuse(sqlstate, retry_after=0.0):
+    """Return the end of a run that was refused."""
+    error = make_refusal("too many requests wait", retry_after, sqlstate)
+    error = error if retry_after else error._replace(hint="", retry_after=0.0)
+    return make_end()._replace(error=error)
+
+
+def run_through(monkeypatch, way, is_replica, *ends):
+    """Run a read on databases that refuse it; return what was sent and the attempts."""
+    left, excluded = list(ends), []
+
+    async def find_target(search, request):
+        excluded.append(request.excluded)
+        connection = ScriptedConnection(left.pop(0))
+        connection.way = way
+        name = f"main-{len(excluded)}"
+        return Success(FoundTarget(name, is_replica, FakePool(), connection))
+
+    monkeypatch.setattr(course, "find_target", find_target)
+    context, transport = make_context("text", StatementKind.READ)
+    context = context._replace(services=make_retrying(context.services))
+    context.runtime.task.observe_lagging = lambda database: None
+    run_to_end(context, course.RequestCourse(context).run())
+    return transport.sent.decode("latin-1"), excluded
+
+
+def make_retrying(services):
+    """Return services whose budget allows ten repeats."""
+    return services._replace(retries=RetryBudget(RETRIES, random.Random(5)))
+
+
+def test_what_a_full_owner_refused_at_a_primary_is_not_asked_of_it_again(monkeypatch):
+    sent, tries = run_through(
+        monkeypatch, "owner", False, refuse(TOO_MANY_CONNECTIONS, 0.2)
+    )
+    assert len(tries) == 1 and "53300" in sent
+    # The time to come back is the owner's, and stands there once.
+    assert FULL in sent and sent.count("Try again") == 1
+
+
+def test_what_a_full_owner_refused_at_a_replica_is_run_once_elsewhere(monkeypatch):
+    full = refuse(TOO_MANY_CONNECTIONS, 0.2)
+    sent, tries = run_through(monkeypatch, "owner", True, full, full)
+    assert tries == [(), ("main-1",)] and sent.count("Try again") == 1 and FULL in sent
+
+
+def test_a_read_that_another_database_takes_is_answered(monkeypatch):
+    full = refuse(TOO_MANY_CONNECTIONS, 0.2)
+    sent, tries = run_through(monkeypatch, "owner", True, full, make_end())
+    assert len(tries) == 2 and "53300" not in sent
+
+
+def test_a_database_that_is_full_itself_is_tried_again_as_before(monkeypatch):
+    full = refuse(TOO_MANY_CONNECTIONS)
+    _, tries = run_through(monkeypatch, "owner", False, full, full, make_end())
+    assert len(tries) == 3
+
+
+def test_a_read_that_a_replica_is_behind_for_is_run_elsewhere_as_before(monkeypatch):
+    lagging = refuse(CANNOT_CONNECT_NOW)
+    _, tries = run_through(monkeypatch, "owner", True, lagging, lagging, make_end())
+    assert tries == [(), ("main-1",), ("main-1", "main-2")]
+
+
+def test_repeats_of_all_ways_draw_on_one_budget(monkeypatch):
+    monkeypatch.setattr("tests.requests.test_course.RETRIES", RetryPolicy())
+    lagging = refuse(CANNOT_CONNECT_NOW, 0.3)
+    sent, tries = run_through(monkeypatch, "owner", True, lagging)
+    assert len(tries) == 1 and sent.count("Try again in 0.30 seconds.") == 1
+
+
+def test_a_caller_that_was_refused_returns_when_it_was_told_to(monkeypatch):
+    context, _ = make_context("text", StatementKind.READ)
+    send_failure(context, make_refusal("full", 0.2, TOO_MANY_CONNECTIONS), IDLE)
+    returns = [context._replace(arrived_at=at).demand.is_returning for at in (0.1, 0.2)]
+    assert returns == [False, True]
+    send_answer(context, AnswerSink(context.caller), b"", IDLE)
+    assert not context._replace(arrived_at=0.3).demand.is_returning
--- /dev/null
+++ b/tests/requests/test_hold.py
@@ -0,0 +1,71 @@
+"""For how long a request is held that no database can take."""
+
+from types import SimpleNamespace
+
+import pytest
+from returns.result import Failure
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from beryltrack.groups.view import GroupView
+from beryltrack.requests.protocol import RequestPolicy
+from beryltrack.requests.targets import TargetSearch, find_target
+from beryltrack.routing.decider import DEFAULT_POLICY
+from beryltrack.routing.messages import StatementKind, WriteRequest
+from tests.requests.scripted import make_context
+
+
+class Site:
+    """A group without a primary, in a fleet of some size."""
+
+    def __init__(self, is_crowded, held=0):
+        self.clock = Clock()
+        self.waiting = [Deferred() for _ in range(held)]
+        self.runtime = SimpleNamespace(
+            view=GroupView("g", 1, ""),
+            ensure_started=lambda: None,
+            get_loads=lambda: (),
+            wait_change=self.wait_change,
+            pools={},
+        )
+        self.services = SimpleNamespace(
+            seconds=self.clock.seconds,
+            is_crowded=lambda: is_crowded,
+            routing=DEFAULT_POLICY,
+        )
+
+    def wait_change(self):
+        self.waiting.append(Deferred())
+        return self.waiting[-1]
+
+    def ask(self):
+        self.runtime.held = len(self.waiting)
+        ticket = SimpleNamespace(wait=lambda waiting: waiting, start=lambda: None)
+        search = TargetSearch(self.services, self.runtime, ticket, 0.35)
+        finding = find_target(search, WriteRequest(0.0, sampled=True))
+        ends = []
+        Deferred.fromCoroutine(finding).addCallback(ends.append)
+        return ends
+
+
+def test_a_request_waits_for_a_primary_in_a_small_fleet():
+    assert Site(False, held=100).ask() == []
+
+
+def test_the_first_requests_wait_for_a_primary_in_a_large_fleet():
+    assert Site(True, held=7).ask() == []
+
+
+def test_later_ones_are_told_at_once_when_to_come_back():
+    (end,) = Site(True, held=8).ask()
+    assert isinstance(end, Failure) and end.failure().retry_after > 0
+
+
+@pytest.mark.parametrize(("is_crowded", "give_up_at"), [(False, 0.35), (True, 0.125)])
+def test_a_request_is_held_by_its_target_latency_in_a_large_fleet(
+    is_crowded, give_up_at
+):
+    context, _ = make_context("text", StatementKind.WRITE)
+    policy = RequestPolicy(0.8, 0.35, target_latency=0.5)
+    services = context.services._replace(is_crowded=lambda: is_crowded, policy=policy)
+    assert context._replace(services=services).give_up_at == give_up_at
