Let all ways that one request tries draw on the budget of its repeats

Where an owner could not be reached, each request tried two more instances at once, beside the budget that bounds its repeats: 70 instances that lose an owner would ask the next one three times over. The next way is now tried at once only as long as the budget of repeats has room; without it the request looks again 20 ms later, as it does for any change of its group, and goes the way that is chosen then.

--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -23,6 +23,7 @@
 from beryltrack.relay.access import DatabaseAccess
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.opener import OpenLimits, TargetOpener
+from beryltrack.requests.retry import RetryBudget
 from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
 
 
@@ -81,6 +82,7 @@
             WeakValueDictionary()
         )
         self.outlook = ReportedOutlook(self._seconds, self._get_report)
+        self._retries: RetryBudget | None = None
         self._front = FrontDecider(self.outlook, rng)
         self._pools: WeakValueDictionary[tuple[str, str], DatabaseAccess] = (
             WeakValueDictionary()
@@ -96,6 +98,10 @@
             self.outlook,
         )
 
+    def set_retries(self, retries: RetryBudget) -> None:
+        """Let all ways to a database draw on the budget of the requests' repeats."""
+        self._retries = retries
+
     def make_task(self, group: GroupSettings) -> GroupTask:
         """Return the task that watches a group."""
         opener = self._opener
@@ -164,6 +170,7 @@
             self._quota.refund,
             lambda way, demand: self._judge(way, database.name, demand),
             self._seconds,
+            lambda: self._retries is None or self._retries.draw(),
         )
         self._pools[group.name, database.name] = access
         self._by_database[database.name] = access
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -201,6 +201,7 @@
             admission=self._policies.admission,
             is_crowded=lambda: directory.is_crowded,
         )
+        self._kit.set_retries(self._services.retries)
         handler = RequestTask(self._services, self._get_site, self._find_group)
         bounds = CallerBounds(self._get_site)
         self._callers = LineCallerFactory(reactor, handler, bounds)
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -61,6 +61,9 @@
         or the seconds after which to come back.
     seconds : callable
         The node's time.
+    may_repeat : callable
+        Draws on the budget of repeats; returns False if an operation whose instance
+        could not be reached is not to try another one at once.
     """
 
     def __init__(
@@ -72,7 +75,9 @@
         refund: Callable[[str], object] = lambda account: None,
         judge: Judge = lambda way, demand: 0.0,
         seconds: Callable[[], float] = lambda: 0.0,
+        may_repeat: Callable[[], bool] = lambda: True,
     ):
+        self._may_repeat = may_repeat
         self._judge = judge
         self._seconds = seconds
         self.direct = direct
@@ -245,7 +250,7 @@
         reason = failure.value.refusal.reason if refused else None
         if reason is not RefusalReason.UNREACHABLE:
             return failure
-        if self._choose_way(demand.account) == way:
+        if self._choose_way(demand.account) == way or not self._may_repeat():
             return failure
         return self._try_ways(deadline, demand, tries - 1)
 
--- a/beryltrack/requests/retry.py
+++ b/beryltrack/requests/retry.py
@@ -99,6 +99,13 @@
         saved = self._tokens + self._policy.ratio
         self._tokens = min(self._policy.most_saved, saved)
 
+    def draw(self) -> bool:
+        """Return whether one more way is tried at once; it has drawn on the budget."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
     def choose_retry(
         self, attempt: FailedAttempt, deadline: float, needed: float, now: float
     ) -> Maybe[float]:
@@ -124,9 +131,8 @@
         if not attempt.is_not_run or attempt.number >= self._policy.most_attempts:
             return Nothing
         delay = max(attempt.retry_after, self._compute_delay(attempt.number))
-        if now + delay + needed > deadline or self._tokens < 1.0:
+        if now + delay + needed > deadline or not self.draw():
             return Nothing
-        self._tokens -= 1.0
         return Some(delay)
 
     def _compute_delay(self, attempt: int) -> float:
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -29,7 +29,7 @@
         self.targets = {name: FakeTarget() for name in ("", "two", "three")}
         self.opened = []
         self.ways = {"": "two"}
-        self.judged = {}
+        self.judged, self.has_budget = {}, True
         self.waits, self.refunds, self.counted = {}, [], []
         self.access = DatabaseAccess(
             self.make_pool(""),
@@ -39,6 +39,7 @@
             self.refunds.append,
             lambda way, demand: self.judged.get(way, 0.0),
             self.clock.seconds,
+            lambda: self.has_budget,
         )
 
     def make_pool(self, name):
@@ -194,3 +195,17 @@
     site.clock.advance(0.5)
     site.targets["two"].finish_one()
     assert get_result(waiting).demand == Demand(1, -0.25, 0.5, "a")
+
+
+def test_without_a_budget_of_repeats_no_other_instance_is_tried_at_once(site):
+    site.has_budget = False
+    site.ways["a"] = "two"
+    site.targets["two"].at_once = False
+    waiting = site.access.acquire(10.0, Demand(account="a"))
+    site.ways["a"] = "three"
+    site.targets["two"].pending[0].errback(ConnectRefused(CANNOT_CONNECT_NOW))
+    with pytest.raises(PoolRefused) as refused:
+        get_result(waiting)
+    # The request looks again 20 ms later, and goes the other way then.
+    assert refused.value.refusal.reason is RefusalReason.UNREACHABLE
+    assert [name for name, _ in site.opened] == ["two"]
--- a/tests/requests/test_retry.py
+++ b/tests/requests/test_retry.py
@@ -49,3 +49,9 @@
     assert budget.choose_retry(NOT_RUN, 0.2, 0.3, 0.0) is Nothing
     assert budget.choose_retry(FailedAttempt(2, True), 9.0, 0.0, 0.0) is Nothing
     assert budget.tokens > 9
+
+
+def test_other_ways_draw_on_the_budget_of_the_repeats():
+    budget = make_budget(first_saved=2.0, requests=0)
+    assert [budget.draw() for _ in range(3)] == [True, True, False]
+    assert budget.choose_retry(NOT_RUN, 9.0, 0.0, 0.0) is Nothing
