Let the sharing of statuses stand on its own beside an owner's handler

The handler of relayed statements had grown to 374 lines and held two duties: lending connections, and sharing one status of a database among the sessions that wait for it. The second moved to relay/statuses.py as it was, with a named result in place of a pair of optional values. The tests of both are unchanged and pass.

--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -12,21 +12,19 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from returns.result import Success
 from twisted.internet.defer import CancelledError, Deferred
 
 from beryltrack.connections.messages import PooledConnection, PoolRefused
 from beryltrack.errors import (
-    CANNOT_CONNECT_NOW,
-    TOO_MANY_CONNECTIONS,
     SqlError,
     make_refusal,
 )
-from beryltrack.groups.messages import ControlFailure, DatabaseStatus, LogPosition
+from beryltrack.groups.messages import DatabaseStatus, LogPosition
 from beryltrack.groups.task import GroupTask
 from beryltrack.load.messages import Demand
 from beryltrack.relay.access import DatabaseAccess
 from beryltrack.relay.load_teller import LoadTeller, ToldSession
+from beryltrack.relay.statuses import StatusSharing
 from beryltrack.requests.outcomes import NOT_RUN_REFUSALS
 from beryltrack.requests.protocol import RunLost, RunResult
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
@@ -121,14 +119,6 @@
         """End the session at once."""
 
 
-class _StatusShare:
-    """Who waits for the status of one database."""
-
-    def __init__(self):
-        self.waiting: list[Deferred] = []
-        self.is_running = False
-
-
 class RelayHandler:
     """Lends an owner's connections to the sessions of other instances.
 
@@ -160,7 +150,7 @@
         self._seconds = seconds
         self._get_lender = get_lender
         self._time_limit = time_limit
-        self._shares: dict[tuple[str, str], _StatusShare] = {}
+        self._statuses = StatusSharing(self._find_lender)
         self._lent: dict[RelayedSession, Lender] = {}
         self._is_leaving = False
 
@@ -182,7 +172,7 @@
         A status takes a slot of its database and is paid for: all sessions that
         wait for the next one share it.
         """
-        return Deferred.fromCoroutine(self._share_status(session))
+        return Deferred.fromCoroutine(self._send_status(session))
 
     def forget(self, session: RelayedSession) -> None:
         """Roll back what a session that is gone has left open."""
@@ -269,49 +259,15 @@
         else:
             session.send_refusal(make_refusal(lost.reason, 0.0))
 
-    async def _share_status(self, session: RelayedSession) -> None:
+    async def _send_status(self, session: RelayedSession) -> None:
         """Wait for the next status of a session's database, and send it."""
-        key = (session.group, session.database)
-        share = self._shares.setdefault(key, _StatusShare())
-        waiter: Deferred = Deferred()
-        share.waiting.append(waiter)
-        if not share.is_running:
-            share.is_running = True
-            Deferred.fromCoroutine(self._ask_status(key, share)).addErrback(_log_defect)
-        answer, task = await waiter
-        if task is None and answer is None:
+        shared = await self._statuses.wait(session.group, session.database)
+        if shared is None:
             session.send_not_owner()
-        elif isinstance(answer, SqlError):
-            session.send_refusal(answer)
+        elif isinstance(shared.answer, SqlError):
+            session.send_refusal(shared.answer)
         else:
-            session.send_status(answer, _get_news(session, task))
-
-    async def _ask_status(self, key: tuple[str, str], share: _StatusShare) -> None:
-        """Ask for statuses for as long as somebody waits for one."""
-        try:
-            while share.waiting:
-                # Whoever comes after this waits for the next answer.
-                waiting = _take_waiting(share)
-                answer = await self._ask_once(*key)
-                for waiter in waiting:
-                    waiter.callback(answer)
-        finally:
-            share.is_running = False
-
-    async def _ask_once(
-        self, group: str, database: str
-    ) -> tuple[DatabaseStatus | SqlError | None, GroupTask | None]:
-        """Return a status or why there is none, and who watches the group.
-
-        Neither if this instance gives no connections to it.
-        """
-        lender = self._find_lender(group, database)
-        if lender is None:
-            return None, None
-        result = await lender.task.ask_status(database)
-        if isinstance(result, Success):
-            return result.unwrap(), lender.task
-        return _make_status_error(result.failure()), lender.task
+            session.send_status(shared.answer, _get_news(session, shared.task))
 
 
 def _observe_end(
@@ -348,27 +304,7 @@
     return Proven(sample.position, max(0.0, task.get_time() - sample.sent_at))
 
 
-def _make_status_error(failure: ControlFailure) -> SqlError:
-    """Return the error of a status that the database did not give.
-
-    One that is at work and has no slot is told apart from one that is silent.
-    """
-    state = TOO_MANY_CONNECTIONS if failure.is_answered else CANNOT_CONNECT_NOW
-    return make_refusal(failure.text, 0.0, state)
-
-
-def _take_waiting(share: _StatusShare) -> list[Deferred]:
-    """Return who waits now; whoever comes later waits for the next answer."""
-    waiting, share.waiting = share.waiting, []
-    return waiting
-
-
 def _make_error(refused: PoolRefused) -> SqlError:
     """Return the error of a statement that got no connection."""
     refusal = refused.refusal
     return make_refusal(refusal.reason.value, refusal.retry_after, refusal.sqlstate)
-
-
-def _log_defect(failure) -> None:
-    """Log a defect: those who wait then run into their own time limits."""
-    log.error("relay: A status met a defect: %s", failure.getTraceback())
