Name the refusal in front of an owner, for whoever explains it later

A line of the log of requests told the same of an operation that its own instance refused by an owner's report and of one that waited in vain: "no connection in time". The first has a reason of its own now, which counts as an overload as before. An owner's handler keeps the pool that it lends from across the run, as its session may end meanwhile.

--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -49,11 +49,19 @@
     NO_SHARE = "no share of the target's connections is free"
     LEAVING = "the target takes no new work"
     OVER_LIMIT = "the account is over its limit"
+    OWNER_FULL = "too much waits where the connections are"
 
     @property
     def is_overload(self) -> bool:
         """True if another attempt would only add to the load."""
-        return self in (RefusalReason.QUEUE_FULL, RefusalReason.TOO_LATE)
+        return self in _OVERLOADS
+
+
+_OVERLOADS = (
+    RefusalReason.QUEUE_FULL,
+    RefusalReason.TOO_LATE,
+    RefusalReason.OWNER_FULL,
+)
 
 
 class PoolRefusal(NamedTuple):
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -290,7 +290,7 @@
         # What was lent here was judged by the instance that took it.
         wait = 0.0 if is_lent else self._judge(way, demand)
         if wait:
-            return fail(PoolRefused(PoolRefusal(RefusalReason.TOO_LATE, wait)))
+            return fail(PoolRefused(PoolRefusal(RefusalReason.OWNER_FULL, wait)))
         acquiring = self._get_sessions(way).acquire(deadline)
         return acquiring.addCallback(self._mark, is_lent, demand, self._seconds())
 
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -189,7 +189,7 @@
             if connection is None:
                 return
         session.set_gone(connection.close)
-        task = self._lent[session].task
+        pool, task = self._lent[session]
         sent_at = task.get_time()
         result = await session.run_on(connection, unit)
         session.set_gone(None)
@@ -197,7 +197,7 @@
             self._finish_lost(session, connection, result)
             return
         _observe_end(task, session.database, unit, result, sent_at, is_first)
-        self._teller.tell(session, self._lent[session].pool)
+        self._teller.tell(session, pool)
         session.send_end(result, _get_news(session, task))
         session.pinned = connection
         if result.status is TransactionStatus.IDLE:
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -12,7 +12,7 @@
 )
 from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.connections.task import PoolTask
-from beryltrack.errors import CANNOT_CONNECT_NOW
+from beryltrack.errors import CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS
 from beryltrack.load.messages import Demand
 from beryltrack.relay.access import DatabaseAccess
 from tests.connections.fake_target import FakeTarget
@@ -172,7 +172,8 @@
     with pytest.raises(PoolRefused) as refused:
         site.acquire("a")
     refusal = refused.value.refusal
-    assert (refusal.reason, refusal.retry_after) == (RefusalReason.TOO_LATE, 0.4)
+    assert (refusal.reason, refusal.retry_after) == (RefusalReason.OWNER_FULL, 0.4)
+    assert refusal.sqlstate == TOO_MANY_CONNECTIONS
     assert site.opened == [] and site.refunds == []
 
 
