--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -14,12 +14,16 @@
 from beryltrack.groups.control_calls import ControlCalls
 from beryltrack.groups.messages import LeadProof
 from beryltrack.groups.task import GroupTask
+from beryltrack.load.messages import DatabaseReport, Demand
+from beryltrack.load.outlook import ReportedOutlook
+from beryltrack.load.verdicts import FrontDecider
 from beryltrack.platform.group import LineDatabaseGroup
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.target import LineTarget, connect_line_target
 from beryltrack.relay.access import DatabaseAccess
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.opener import OpenLimits, TargetOpener
+from beryltrack.requests.retry import RetryBudget
 from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
 
 
@@ -74,6 +78,12 @@
         self._promotion = promotion
         self._authority = authority
         self._rng = rng
+        self._by_database: WeakValueDictionary[str, DatabaseAccess] = (
+            WeakValueDictionary()
+        )
+        self.outlook = ReportedOutlook(self._seconds, self._get_report)
+        self._retries: RetryBudget | None = None
+        self._front = FrontDecider(self.outlook, rng)
         self._pools: WeakValueDictionary[tuple[str, str], DatabaseAccess] = (
             WeakValueDictionary()
         )
@@ -85,8 +95,13 @@
             OpenLimits(
                 options.RELAY_CONNECT, options.CONTROL_CONNECT, policies.takes_detours
             ),
+            self.outlook,
         )
 
+    def set_retries(self, retries: RetryBudget) -> None:
+        """Let all ways to a database draw on the budget of the requests' repeats."""
+        self._retries = retries
+
     def make_task(self, group: GroupSettings) -> GroupTask:
         """Return the task that watches a group."""
         opener = self._opener
@@ -156,10 +171,25 @@
             self._quota.refund,
             lambda account: choose_way(account, True),
             self._directory.observe_spent,
+            judge=lambda way, demand: self._judge(way, database.name, demand),
+            seconds=self._seconds,
+            may_repeat=lambda: self._retries is None or self._retries.draw(),
         )
         self._pools[group.name, database.name] = access
+        self._by_database[database.name] = access
         return access
 
+    def _get_report(self, database: str) -> DatabaseReport | None:
+        """Return what this instance tells others of a database."""
+        access = self._by_database.get(database)
+        return access.get_report() if access is not None else None
+
+    def _judge(self, way: str, database: str, demand: Demand) -> float:
+        """Decide whether an operation goes to another instance."""
+        if not self._policies.takes_reports:
+            return 0.0
+        return self._front.judge(way, database, demand, self._seconds())
+
     def _open_at(
         self,
         endpoint: Endpoint,
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -31,6 +31,7 @@
 ChooseWay = Callable[[str], str]
 Admit = Callable[[str], float]
 ObserveSpent = Callable[[str, str], bool]
+Judge = Callable[[str, Demand], float]
 
 
 class _Lent(NamedTuple):
@@ -61,6 +62,14 @@
     observe_spent : callable
         Takes in that an operation of an account was refused as over its limit, and by
         which instance; returns True if another one may run it.
+    judge : callable
+        Decides whether an operation of this instance goes to another one; returns 0,
+        or the seconds after which to come back.
+    seconds : callable
+        The node's time.
+    may_repeat : callable
+        Draws on the budget of repeats; returns False if an operation whose instance
+        could not be reached is not to try another one at once.
     """
 
     def __init__(
@@ -72,7 +81,13 @@
         refund: Callable[[str], object] = lambda account: None,
         choose_lent_way: ChooseWay | None = None,
         observe_spent: ObserveSpent = lambda account, way: False,
+        judge: Judge = lambda way, demand: 0.0,
+        seconds: Callable[[], float] = lambda: 0.0,
+        may_repeat: Callable[[], bool] = lambda: True,
     ):
+        self._may_repeat = may_repeat
+        self._judge = judge
+        self._seconds = seconds
         self.direct = direct
         self._make_sessions = make_sessions
         self._choose_way = choose_way
@@ -249,7 +264,7 @@
                 return failure
         elif not way or reason is not RefusalReason.UNREACHABLE:
             return failure
-        if self._choose_way(demand.account) == way:
+        if self._choose_way(demand.account) == way or not self._may_repeat():
             return failure
         return self._try_ways(deadline, demand, tries - 1)
 
@@ -285,9 +300,26 @@
     def _acquire_through(
         self, way: str, deadline: float, demand: Demand, is_lent: bool
     ) -> Deferred[PooledConnection]:
-        """Get a session at another instance."""
+        """Get a session at another instance, unless it is known to have no room."""
+        # What was lent here was judged by the instance that took it.
+        wait = 0.0 if is_lent else self._judge(way, demand)
+        if wait:
+            return fail(PoolRefused(PoolRefusal(RefusalReason.OWNER_FULL, wait)))
         acquiring = self._get_sessions(way).acquire(deadline)
-        return acquiring.addCallback(_mark, is_lent, demand)
+        return acquiring.addCallback(self._mark, is_lent, demand, self._seconds())
+
+    def _mark(
+        self,
+        connection: RelayedConnection,
+        is_counted: bool,
+        demand: Demand,
+        asked_at: float,
+    ) -> RelayedConnection:
+        """Have an instance told what the next operation asks, and if it was counted."""
+        connection.is_counted = is_counted
+        # It may have waited for the session.
+        connection.demand = demand.after(self._seconds() - asked_at)
+        return connection
 
     def _take_back(self, failure: Failure, account: str) -> Failure:
         """Count an operation no more that got no connection."""
@@ -310,12 +342,3 @@
             if self._is_drained:
                 pool.drain()
         return pool
-
-
-def _mark(
-    connection: RelayedConnection, is_counted: bool, demand: Demand
-) -> RelayedConnection:
-    """Have an instance told what the next operation asks, and if it was counted."""
-    connection.is_counted = is_counted
-    connection.demand = demand
-    return connection
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -76,6 +76,12 @@
         self._choice = choice
         self._slot_lines: dict[int, tuple[Line, ...]] = {}
         self._spent = SpentNotes(seconds)
+        self._is_crowded = False
+
+    @property
+    def is_crowded(self) -> bool:
+        """True if instances outnumber what the databases of a group in use take."""
+        return self._is_crowded
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -125,6 +131,7 @@
     def _forget_placements(self) -> None:
         self._placements.clear()
         self._slot_lines.clear()
+        self._is_crowded = False
         self._observe_owners()
 
     def get_placement(self, group: str, max_connections: int) -> Placement:
@@ -138,14 +145,16 @@
 
     def _compute_placement(self, group: str, max_connections: int) -> Placement:
         """Return who owns a group, by the members that are known."""
-        if self._least_connections is not None:
-            owners = choose_account_owners(self._peers, self._least_connections)
-            return Placement(owners, compute_account_share(max_connections, owners))
         alone = not self._is_known or len(self._peers) == 1
         least = self._first_instances if alone else 1
-        return compute_placement(
+        placement = compute_placement(
             group, self._peers, max_connections, least, self._choose_owners
         )
+        self._is_crowded |= bool(placement.owners)
+        if self._least_connections is None:
+            return placement
+        owners = choose_account_owners(self._peers, self._least_connections)
+        return Placement(owners, compute_account_share(max_connections, owners))
 
     def get_peer(self, name: str) -> Peer | None:
         """Return an instance by its name, None if it is not known."""
@@ -240,10 +249,6 @@
         owners = self.get_placement(group, max_connections).owners
         return not owners or self._own in owners
 
-    def is_relayed(self, group: str, max_connections: int) -> bool:
-        """Return whether some instances open connections for the others."""
-        return bool(self.get_placement(group, max_connections).owners)
-
     def get_candidates(self, group: str, max_connections: int) -> tuple[str, ...]:
         """Return the names of the instances that may act for a group."""
         owners = self.get_placement(group, max_connections).owners
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -12,22 +12,21 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from returns.result import Success
 from twisted.internet.defer import CancelledError, Deferred
 
 from beryltrack.connections.messages import PooledConnection, PoolRefused
 from beryltrack.errors import (
     CANNOT_CONNECT_NOW,
     POSITION_NOT_SHOWN,
-    TOO_MANY_CONNECTIONS,
     SqlError,
     make_refusal,
 )
-from beryltrack.groups.messages import ControlFailure, DatabaseStatus, LogPosition
+from beryltrack.groups.messages import DatabaseStatus, LogPosition
 from beryltrack.groups.task import GroupTask
 from beryltrack.load.messages import Demand
 from beryltrack.relay.access import DatabaseAccess
 from beryltrack.relay.load_teller import LoadTeller, ToldSession
+from beryltrack.relay.statuses import StatusSharing
 from beryltrack.requests.outcomes import NOT_RUN_REFUSALS
 from beryltrack.requests.protocol import RunLost, RunResult
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
@@ -36,6 +35,10 @@
 
 BEHIND = SqlError(POSITION_NOT_SHOWN, "the replica has just refused the position")
 """Of a statement that asks for a position which its replica lacked a moment ago."""
+ANSWER_TIME = 0.05
+"""Seconds of an operation's time that are left for a refusal to arrive: two ways of
+4 ms between availability zones, and a process that is late. One that comes too late is
+taken for a lost answer, and a write for one whose outcome nobody knows."""
 
 OTHER_OWNERS = "the group has other owners"
 
@@ -125,14 +128,6 @@
         """End the session at once."""
 
 
-class _StatusShare:
-    """Who waits for the status of one database."""
-
-    def __init__(self):
-        self.waiting: list[Deferred] = []
-        self.is_running = False
-
-
 class RelayHandler:
     """Lends an owner's connections to the sessions of other instances.
 
@@ -170,7 +165,7 @@
         self._get_lender = get_lender
         self._time_limit = time_limit
         self._lagging_pause = lagging_pause
-        self._shares: dict[tuple[str, str], _StatusShare] = {}
+        self._statuses = StatusSharing(self._find_lender)
         self._lent: dict[RelayedSession, Lender] = {}
         self._is_leaving = False
 
@@ -192,7 +187,7 @@
         A status takes a slot of its database and is paid for: all sessions that
         wait for the next one share it.
         """
-        return Deferred.fromCoroutine(self._share_status(session))
+        return Deferred.fromCoroutine(self._send_status(session))
 
     def forget(self, session: RelayedSession) -> None:
         """Roll back what a session that is gone has left open."""
@@ -212,7 +207,7 @@
             if connection is None:
                 return
         session.set_gone(connection.close)
-        task = self._lent[session].task
+        pool, task = self._lent[session]
         sent_at = task.get_time()
         result = await session.run_on(connection, unit)
         session.set_gone(None)
@@ -220,9 +215,9 @@
             self._finish_lost(session, connection, result)
             return
         _observe_end(task, session.database, unit, result, sent_at, is_first)
-        self._teller.tell(session, self._lent[session].pool)
         if is_first and _is_lagging(unit, result) and not connection.way:
             task.observe_lagging(session.database, unit.after)
+        self._teller.tell(session, pool)
         session.send_end(result, _get_news(session, task))
         session.pinned = connection
         if result.status is TransactionStatus.IDLE:
@@ -249,7 +244,9 @@
         if lender is None:
             session.send_not_owner()
             return None
-        limit = min(self._time_limit, session.demand.time_left)
+        # Whoever is refused at the last moment must hear so before it gives up.
+        time_left = max(0.0, session.demand.time_left - ANSWER_TIME)
+        limit = min(self._time_limit, time_left)
         deadline = self._seconds() + limit
         acquiring = lender.pool.lend(deadline, session.demand, session.is_counted)
         session.set_gone(acquiring.cancel)
@@ -292,49 +289,15 @@
         else:
             session.send_refusal(make_refusal(lost.reason, 0.0))
 
-    async def _share_status(self, session: RelayedSession) -> None:
+    async def _send_status(self, session: RelayedSession) -> None:
         """Wait for the next status of a session's database, and send it."""
-        key = (session.group, session.database)
-        share = self._shares.setdefault(key, _StatusShare())
-        waiter: Deferred = Deferred()
-        share.waiting.append(waiter)
-        if not share.is_running:
-            share.is_running = True
-            Deferred.fromCoroutine(self._ask_status(key, share)).addErrback(_log_defect)
-        answer, task = await waiter
-        if task is None and answer is None:
+        shared = await self._statuses.wait(session.group, session.database)
+        if shared is None:
             session.send_not_owner()
-        elif isinstance(answer, SqlError):
-            session.send_refusal(answer)
+        elif isinstance(shared.answer, SqlError):
+            session.send_refusal(shared.answer)
         else:
-            session.send_status(answer, _get_news(session, task))
-
-    async def _ask_status(self, key: tuple[str, str], share: _StatusShare) -> None:
-        """Ask for statuses for as long as somebody waits for one."""
-        try:
-            while share.waiting:
-                # Whoever comes after this waits for the next answer.
-                waiting = _take_waiting(share)
-                answer = await self._ask_once(*key)
-                for waiter in waiting:
-                    waiter.callback(answer)
-        finally:
-            share.is_running = False
-
-    async def _ask_once(
-        self, group: str, database: str
-    ) -> tuple[DatabaseStatus | SqlError | None, GroupTask | None]:
-        """Return a status or why there is none, and who watches the group.
-
-        Neither if this instance gives no connections to it.
-        """
-        lender = self._find_lender(group, database)
-        if lender is None:
-            return None, None
-        result = await lender.task.ask_status(database)
-        if isinstance(result, Success):
-            return result.unwrap(), lender.task
-        return _make_status_error(result.failure()), lender.task
+            session.send_status(shared.answer, _get_news(session, shared.task))
 
 
 def _observe_end(
@@ -377,27 +340,7 @@
     return Proven(sample.position, max(0.0, task.get_time() - sample.sent_at))
 
 
-def _make_status_error(failure: ControlFailure) -> SqlError:
-    """Return the error of a status that the database did not give.
-
-    One that is at work and has no slot is told apart from one that is silent.
-    """
-    state = TOO_MANY_CONNECTIONS if failure.is_answered else CANNOT_CONNECT_NOW
-    return make_refusal(failure.text, 0.0, state)
-
-
-def _take_waiting(share: _StatusShare) -> list[Deferred]:
-    """Return who waits now; whoever comes later waits for the next answer."""
-    waiting, share.waiting = share.waiting, []
-    return waiting
-
-
 def _make_error(refused: PoolRefused) -> SqlError:
     """Return the error of a statement that got no connection."""
     refusal = refused.refusal
     return make_refusal(refusal.reason.value, refusal.retry_after, refusal.sqlstate)
-
-
-def _log_defect(failure) -> None:
-    """Log a defect: those who wait then run into their own time limits."""
-    log.error("relay: A status met a defect: %s", failure.getTraceback())
--- a/beryltrack/requests/retry.py
+++ b/beryltrack/requests/retry.py
@@ -10,6 +10,9 @@
 
 from returns.maybe import Maybe, Nothing, Some
 
+MOST_REPEATS_ELSEWHERE = 1
+"""Repeats of a request that instances refuse which are full."""
+
 
 class RetryPolicy(NamedTuple):
     """The figures that steer retries.
@@ -55,6 +58,21 @@
     retry_after: float = 0.0
 
 
+def may_repeat_refused(refusals: int, is_at_replica: bool) -> bool:
+    """Return whether what a full instance refused is run again, at another database.
+
+    The same one would refuse it again, as its queue has moved on by a statement or two.
+
+    Parameters
+    ----------
+    refusals : int
+        How often full instances have refused the request.
+    is_at_replica : bool
+        True if the last one did so for a replica: another database may take it.
+    """
+    return is_at_replica and refusals <= MOST_REPEATS_ELSEWHERE
+
+
 class RetryBudget:
     """A token bucket of retries, filled by requests.
 
@@ -81,6 +99,13 @@
         saved = self._tokens + self._policy.ratio
         self._tokens = min(self._policy.most_saved, saved)
 
+    def draw(self) -> bool:
+        """Return whether one more way is tried at once; it has drawn on the budget."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
     def choose_retry(
         self, attempt: FailedAttempt, deadline: float, needed: float, now: float
     ) -> Maybe[float]:
@@ -106,9 +131,8 @@
         if not attempt.is_not_run or attempt.number >= self._policy.most_attempts:
             return Nothing
         delay = max(attempt.retry_after, self._compute_delay(attempt.number))
-        if now + delay + needed > deadline or self._tokens < 1.0:
+        if now + delay + needed > deadline or not self.draw():
             return Nothing
-        self._tokens -= 1.0
         return Some(delay)
 
     def _compute_delay(self, attempt: int) -> float:
--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -49,8 +49,6 @@
         self.task = task
         self.pools = pools
         self.is_ledger_ready = False
-        # True where some instances hold the connections, and others go through them.
-        self.is_relayed = False
         self.is_started = False
         self._reactor = reactor
         self._waiting: list[Deferred[None]] = []
@@ -65,6 +63,11 @@
         """The group as this instance knows it now."""
         return self.task.view
 
+    @property
+    def held(self) -> int:
+        """Requests that wait for a change of what is known of the group."""
+        return len(self._waiting)
+
     def ensure_started(self) -> None:
         """Watch the databases and open connections from now on.
 
--- a/beryltrack/requests/services.py
+++ b/beryltrack/requests/services.py
@@ -75,6 +75,8 @@
         Logs the decisions about requests.
     ways : AccountWays
         Which instances run the operations of accounts.
+    is_crowded : callable
+        Says whether instances outnumber what the databases take.
     """
 
     reactor: object
@@ -89,6 +91,7 @@
     routing: RoutingPolicy = DEFAULT_POLICY
     events: RequestEvents = SilentEvents()
     ways: AccountWays = NO_WAYS
+    is_crowded: Callable[[], bool] = lambda: False
 
 
 def make_services(
@@ -103,6 +106,7 @@
     retries: RetryPolicy = RETRIES,
     admission: AdmissionPolicy | None = None,
     ways: AccountWays = NO_WAYS,
+    is_crowded: Callable[[], bool] = lambda: False,
 ) -> RequestServices:
     """Return the services of one instance.
 
@@ -130,6 +134,8 @@
         How many requests are taken on.
     ways : AccountWays, optional
         Which instances run the operations of accounts.
+    is_crowded : callable, optional
+        Says whether instances outnumber what the databases take.
 
     Returns
     -------
@@ -149,4 +155,5 @@
         routing,
         events or SilentEvents(),
         ways,
+        is_crowded,
     )
