Let an owner decide what runs at a database, in which order

An owner let as many statements run as it had connections: 4 to 6 owners with 9 to 11 connections each filled the queue of a database with 4 slots, and its queue followed the order of arrival.

It takes effect where a group has owners; where all instances own all groups nothing changes.

--- a/beryltrack/connections/exclusive.py
+++ b/beryltrack/connections/exclusive.py
@@ -12,7 +12,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from beryltrack.connections.messages import TargetLost
+from beryltrack.connections.messages import RunObserver, TargetLost
 from beryltrack.load.messages import NO_DEMAND
 from beryltrack.wire.line_buffer import MalformedMessage
 from beryltrack.wire.messages import ResponseEnd, ResponseSink
@@ -53,6 +53,8 @@
         self.is_counted = False
         # What the next operation asks for, as that instance is told.
         self.demand = NO_DEMAND
+        # Who follows the statements of the operation that it is lent for, if any.
+        self.observer: RunObserver | None = None
         # Called if that instance says that it does not reach the database, or (True)
         # that it gives connections to none of the group's.
         self.on_useless: Callable[[bool], object] = lambda has_left: None
@@ -109,6 +111,9 @@
         self._answer = answer
         self.run_since = self._seconds()
         self.run_until = self.run_since + limit
+        if self.observer is not None:
+            self.observer.observe_start()
+            answer.addBoth(self._tell_end, self.observer, self.run_since)
         sink.attach(self)
         self.transport.write(wire)
         return answer
@@ -121,6 +126,13 @@
         self.run_since = None
         return answer
 
+    def _tell_end(
+        self, end: ResponseEnd | Failure, observer: RunObserver, since: float
+    ) -> ResponseEnd | Failure:
+        """Tell who follows a statement that it has ended."""
+        observer.observe_end(self._seconds() - since, end)
+        return end
+
     def close(self) -> None:
         """Close the connection; what it ran ends as lost."""
         self.broken = True
--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -40,6 +40,24 @@
         """Close the connection; `closed` fires when it is gone."""
 
 
+class RunObserver(Protocol):
+    """Follows the statements that run on a connection while it is lent."""
+
+    def observe_start(self) -> None:
+        """Take in that a statement is sent."""
+
+    def observe_end(self, seconds: float, end: object) -> None:
+        """Take in that a statement has ended.
+
+        Parameters
+        ----------
+        seconds : float
+            How long it took.
+        end : ResponseEnd or Failure
+            What became of it.
+        """
+
+
 class RefusalReason(Enum):
     """Why a pool gave no connection; in each case the request was not run."""
 
--- a/beryltrack/daemon/group_connections.py
+++ b/beryltrack/daemon/group_connections.py
@@ -8,6 +8,7 @@
 
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.node_policies import NodePolicies
+from beryltrack.load.limit import Bounds
 from beryltrack.relay.access import DatabaseAccess
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.handler import Lender
@@ -100,6 +101,7 @@
             placement = self._directory.get_placement(runtime.settings.name, limit)
             share = placement.get_share(self._name)
             is_owner = self._is_owner(runtime)
+            self._limit_statements(runtime, share)
             for pool in runtime.pools.values():
                 pool.direct.set_policy(pools)
                 # Also while a database is out of reach: where no other instance reaches
@@ -108,6 +110,21 @@
                 pool.set_limit(share if is_owner else 0)
                 pool.retire_stale()
 
+    def _limit_statements(self, runtime: GroupRuntime, connections: int) -> None:
+        """Say how much of a group's databases is this instance's part.
+
+        Where all instances own the group nothing is relayed, and as many statements run
+        as there are connections.
+        """
+        limit = get_most_connections(runtime.settings)
+        owners = self._directory.get_placement(runtime.settings.name, limit).owners
+        load = self._policies.load
+        is_gated = load.is_limited or load.is_ordered
+        is_asked = is_gated and owners and self._is_owner(runtime)
+        for item in runtime.settings.databases:
+            bounds = Bounds(item.slots, len(owners), connections) if is_asked else None
+            runtime.pools[item.name].set_bounds(bounds)
+
     def get_lender(self, group: str, database: str) -> Lender | None:
         """Return what lends connections to a database, if this instance owns it."""
         runtime = self._groups.get(group)
--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -1,6 +1,7 @@
 """The parts of a group whose databases speak the users' line protocol."""
 
 import random
+import time
 from weakref import WeakValueDictionary
 
 from twisted.internet.defer import Deferred
@@ -14,6 +15,8 @@
 from beryltrack.groups.control_calls import ControlCalls
 from beryltrack.groups.messages import LeadProof
 from beryltrack.groups.task import GroupTask
+from beryltrack.load.gate import GateDecider
+from beryltrack.load.gate_task import GateTask
 from beryltrack.platform.group import LineDatabaseGroup
 from beryltrack.platform.promotion import PromotionCalls
 from beryltrack.platform.target import LineTarget, connect_line_target
@@ -22,6 +25,9 @@
 from beryltrack.relay.opener import OpenLimits, TargetOpener
 from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
 
+MILLISECONDS = 1000
+"""Milliseconds in a second: processes of an instance start further apart."""
+
 
 class LineKit:
     """Makes the tasks and pools of groups; see `TargetKit`.
@@ -74,6 +80,7 @@
         self._promotion = promotion
         self._authority = authority
         self._rng = rng
+        self._incarnation = int(time.time() * MILLISECONDS)
         self._pools: WeakValueDictionary[tuple[str, str], DatabaseAccess] = (
             WeakValueDictionary()
         )
@@ -153,10 +160,16 @@
             choose_way,
             lambda account: self._quota.spend(account, self._seconds()),
             self._quota.refund,
+            self._make_gate,
         )
         self._pools[group.name, database.name] = access
         return access
 
+    def _make_gate(self) -> GateTask:
+        """Return what decides which operations run at a database."""
+        decider = GateDecider(self._policies.load, self._rng, self._incarnation)
+        return GateTask(self._reactor, decider)
+
     def _open_at(
         self,
         endpoint: Endpoint,
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -11,6 +11,7 @@
 from beryltrack.daemon import node_options as options
 from beryltrack.failover.decider import FailoverPolicy
 from beryltrack.groups.policy import ProbePolicy
+from beryltrack.load.policy import LoadPolicy
 from beryltrack.requests.admission import AdmissionPolicy
 from beryltrack.requests.overdue import LATE_AFTER
 from beryltrack.requests.retry import RetryPolicy
@@ -52,6 +53,8 @@
         What is run again.
     admission : AdmissionPolicy
         How many requests are taken on.
+    load : LoadPolicy
+        What runs at a database through an owner, and in which order.
     late_after : float
         Seconds after which a statement makes its primary be asked.
     takes_detours : bool
@@ -70,6 +73,7 @@
     failover: FailoverPolicy
     retries: RetryPolicy
     admission: AdmissionPolicy
+    load: LoadPolicy
     late_after: float
     takes_detours: bool
     takes_snapshots: bool
@@ -97,6 +101,7 @@
         options.FAILOVER if is_fenced else options.UNFENCED_FAILOVER,
         RETRIES,
         AdmissionPolicy(),
+        LoadPolicy(),
         LATE_AFTER,
         takes_detours=Mechanism.DETOURS not in disabled,
         takes_snapshots=Mechanism.SNAPSHOTS not in disabled,
@@ -117,6 +122,12 @@
     )
 
 
+def _refuse_late(policies: NodePolicies) -> NodePolicies:
+    """Return policies by which only what is over its time is refused."""
+    load = policies.load._replace(refuses_early=False)
+    return _change_pools(policies._replace(load=load), refuses_early=False)
+
+
 def _change(name: str, **figures: object):
     """Return what gives one of the policies other figures."""
 
@@ -130,7 +141,7 @@
     Mechanism.ADMISSION_BOUND: _change("admission", most_delay=math.inf),
     Mechanism.CALM_GUARD: _change("probes", guard_interval=EAGER_GUARD),
     Mechanism.DEADLINE_ORDER: lambda each: _change_pools(each, by_deadline=False),
-    Mechanism.EARLY_REFUSAL: lambda each: _change_pools(each, refuses_early=False),
+    Mechanism.EARLY_REFUSAL: _refuse_late,
     Mechanism.FEW_CONNECTIONS: _change(
         "pools", open_patience=0.0, idle_timeout=LONG_IDLE
     ),
@@ -140,8 +151,10 @@
     Mechanism.LONG_QUEUE: lambda each: _change_pools(each, most_wait=SHORT_QUEUE),
     Mechanism.NEAR_REPLICAS: _change("routing", prefers_near=False),
     Mechanism.OWN_REPLICAS: _change("routing", prefers_own=False),
+    Mechanism.PRIORITY_ORDER: _change("load", is_ordered=False),
     Mechanism.RETRIES: _change("retries", most_attempts=1),
     Mechanism.RETRY_BUDGET: _change(
         "retries", ratio=1.0, most_saved=UNBOUNDED, first_saved=UNBOUNDED
     ),
+    Mechanism.STATEMENT_LIMIT: _change("load", is_limited=False),
 }
--- /dev/null
+++ b/beryltrack/load/gate.py
@@ -0,0 +1,312 @@
+"""Decides what runs at one database, in which order, and what is refused.
+
+Pure: each method takes the time and returns what follows. An operation is let run, and
+then counts while one of its statements runs: an open transaction that rests between two
+statements leaves its room to others, and its next statement runs at once, as what
+its transaction holds at the database would otherwise hold up others for longer.
+
+What cannot be done in time is told so when it comes, by the expected wait at its place.
+What waits is bounded in time: when it would take too long until all have run, the least
+urgent leave. Nothing that has been let run is ever refused or put out.
+"""
+
+import math
+import random
+from itertools import takewhile
+
+from beryltrack.connections.messages import RefusalReason
+from beryltrack.connections.service_estimate import ServiceEstimate
+from beryltrack.load.limit import Bounds, Outcome, StatementLimit
+from beryltrack.load.messages import (
+    DatabaseReport,
+    Demand,
+    GateAction,
+    Refuse,
+    Run,
+)
+from beryltrack.load.policy import LoadPolicy
+from beryltrack.load.queue import PRIORITIES, OperationQueue, Waiting
+
+FIRST_TIME = 0.005
+"""Seconds that an operation is expected to take before the first one has ended."""
+
+LEAST_RETRY_AFTER = 0.05
+"""Seconds after which nobody is told to come back sooner: a round trip and more."""
+
+MOST_RETRY_AFTER = 5.0
+"""Seconds after which anybody may come back: longer than callers' deadlines."""
+
+RETRY_SPREAD = (1.0, 1.5)
+"""Bounds of the factor on the time to come back, so that what was refused together does
+not come back together. It is never under the time that the queue takes."""
+
+UNKNOWN_WAIT = 0.6
+"""Seconds that an operation without a known aim waits at most, as in the pools."""
+
+LATE_PART = 0.25
+"""Part of its time left that an operation waits though its aim is over then: a late
+answer is worth more than none, and the rest is for its run and for another try."""
+
+MOST_DRAIN = 1.0
+"""Seconds until all that waits has run, at most: a caller with a target latency of
+0.6 s and a deadline of 4 s waits that long. Beyond it the least urgent make room."""
+
+SCAN_PERIOD = 0.05
+"""Seconds between two looks at what waits."""
+
+STUCK_FACTOR = 8.0
+"""A statement that runs for this many times the mean is not counted on to end soon."""
+
+LEAST_STUCK = 0.25
+"""Seconds under which no statement counts as stuck: reads run for 0.22 s at most."""
+
+
+class GateDecider:
+    """Decides for one database what runs there through one owner.
+
+    Parameters
+    ----------
+    policy : LoadPolicy
+        The figures that steer it.
+    rng : random.Random
+        For the spread of the times to come back.
+    incarnation : int
+        Number of this instance's process.
+    """
+
+    def __init__(self, policy: LoadPolicy, rng: random.Random, incarnation: int):
+        self._policy = policy
+        self._rng = rng
+        self._incarnation = incarnation
+        self._limit = StatementLimit(policy.per_slot, policy.is_limited)
+        self._queue = OperationQueue(policy.floors)
+        self._running: dict[int, float] = {}
+        self._spent: dict[int, float] = {}
+        self._time = ServiceEstimate(FIRST_TIME)
+
+    @property
+    def waiting(self) -> int:
+        """Operations that wait."""
+        return len(self._queue)
+
+    @property
+    def limit(self) -> int:
+        """Operations that may run at once."""
+        return self._limit.value
+
+    @property
+    def running(self) -> int:
+        """Operations that run."""
+        return len(self._running)
+
+    def set_bounds(self, bounds: Bounds, now: float) -> list[GateAction]:
+        """Take in what this instance's part of the database follows from."""
+        self._limit.set_bounds(bounds)
+        return self._fill(now)
+
+    def arrive(self, number: int, demand: Demand, now: float) -> list[GateAction]:
+        """Take in an operation; it waits unless an action is about it.
+
+        Parameters
+        ----------
+        number : int
+            Its number, never used before.
+        demand : Demand
+            What it asks for.
+        now : float
+            The current time, seconds.
+        """
+        if not self._policy.is_ordered:
+            demand = Demand(time_left=demand.time_left)
+        operation = Waiting(number, demand, now)
+        if demand.time_left <= 0.0:
+            return [self._refuse(operation, RefusalReason.TOO_LATE, now)]
+        if not self._queue and self._has_room:
+            return [self._run(number, now)]
+        self._queue.note_late(now + self._limit.mean)
+        operation.is_late = now + self._limit.mean > operation.aim
+        reason = self._judge(operation, demand, now)
+        if reason is not None:
+            return [self._refuse(operation, reason, now)]
+        put_out = self._make_room(operation, now)
+        if put_out and put_out[0].operation == number:
+            return put_out
+        self._queue.add(operation)
+        return put_out + self._fill(now)
+
+    def finish(
+        self, number: int, seconds: float | None, outcome: Outcome, now: float
+    ) -> list[GateAction]:
+        """Take in that an operation has ended.
+
+        Parameters
+        ----------
+        number : int
+            Its number.
+        seconds : float or None
+            How long its last statement took at the database; None if none ran since it
+            rested, or if that tells nothing.
+        outcome : Outcome
+            How that ended.
+        now : float
+            The current time, seconds.
+        """
+        if number in self._running:
+            self._end_statement(number, seconds, outcome, now)
+        spent = self._spent.pop(number, 0.0)
+        if spent:
+            self._time.observe(spent)
+        return self._fill(now)
+
+    def rest(
+        self, number: int, seconds: float | None, outcome: Outcome, now: float
+    ) -> list[GateAction]:
+        """Take in that a statement has ended and its operation may go on.
+
+        See `finish` for the parameters.
+        """
+        if number not in self._running:
+            return []
+        self._end_statement(number, seconds, outcome, now)
+        return self._fill(now)
+
+    def resume(self, number: int, now: float) -> list[GateAction]:
+        """Take in that an operation that rested runs its next statement."""
+        if number in self._spent and number not in self._running:
+            self._running[number] = now
+        return []
+
+    def cancel(self, number: int, now: float) -> list[GateAction]:
+        """Forget an operation that is not to run any more, or did not."""
+        if number in self._queue:
+            self._queue.remove(number)
+        self._running.pop(number, None)
+        self._spent.pop(number, None)
+        return self._fill(now)
+
+    def open(self, now: float) -> list[GateAction]:
+        """Let all run that wait; whoever comes next decides what becomes of them."""
+        return [self._run(self._queue.pop().number, now) for _ in range(self.waiting)]
+
+    def tick(self, now: float) -> list[GateAction]:
+        """Do what is due by time alone."""
+        # Whoever had to be done at its end cannot be done just before it.
+        is_early = self._policy.refuses_early and self._running
+        done_at = now + (self._limit.mean if is_early else 0.0)
+        actions: list[GateAction] = []
+        while (operation := self._queue.pop_over(done_at)) is not None:
+            actions.append(self._refuse(operation, RefusalReason.TOO_LATE, now))
+        step = self._compute_step(now)
+        while self._policy.refuses_early and len(self._queue) * step > MOST_DRAIN:
+            operation = self._queue.pop_least()
+            actions.append(self._refuse(operation, RefusalReason.QUEUE_FULL, now))
+        return actions + self._fill(now)
+
+    def get_wakeup(self, now: float) -> float | None:
+        """Return when `tick` is next due, or None if nothing waits for time."""
+        if not self._queue:
+            return None
+        return min(now + SCAN_PERIOD, max(now, self._queue.next_over))
+
+    def get_report(self, now: float) -> DatabaseReport:
+        """Return the load of the database as it is at the time `now`."""
+        step = self._compute_step(now)
+        is_free = self._has_room and not self._queue
+        waits = tuple(
+            0.0 if is_free else step * self._count_turns(each) for each in PRIORITIES
+        )
+        return DatabaseReport(
+            self.limit, self.running, waits, self._limit.mean, self._incarnation
+        )
+
+    @property
+    def _has_room(self) -> bool:
+        return len(self._running) < self._limit.value
+
+    def _run(self, number: int, now: float) -> Run:
+        self._running[number] = now
+        self._spent[number] = 0.0
+        return Run(number)
+
+    def _end_statement(
+        self, number: int, seconds: float | None, outcome: Outcome, now: float
+    ) -> None:
+        """Take in how a statement ended."""
+        del self._running[number]
+        self._spent[number] += seconds or 0.0
+        self._limit.observe(seconds, outcome, bool(self._queue), now)
+
+    def _fill(self, now: float) -> list[GateAction]:
+        """Let run what there is room for."""
+        actions: list[GateAction] = []
+        if self._queue:
+            self._queue.note_late(now + self._limit.mean)
+        while self._queue and self._has_room:
+            operation = self._queue.pop()
+            if self._is_over(operation, now):
+                actions.append(self._refuse(operation, RefusalReason.TOO_LATE, now))
+            else:
+                actions.append(self._run(operation.number, now))
+        return actions
+
+    def _is_over(self, operation: Waiting, now: float) -> bool:
+        """Return whether an operation whose turn it is cannot be done any more.
+
+        While nothing runs one is let through as long as it has any time: the mean
+        would learn nothing, and one slow spell would refuse all for ever.
+        """
+        is_early = self._policy.refuses_early and self._running
+        return now + (self._limit.mean if is_early else 0.0) >= operation.over
+
+    def _judge(
+        self, operation: Waiting, demand: Demand, now: float
+    ) -> RefusalReason | None:
+        """Return why an operation that comes is refused, None if it may wait."""
+        if not self._policy.refuses_early:
+            return None
+        own = self._queue.count_own(operation)
+        turns = self._queue.count_turns(operation.priority, own)
+        wait = turns * self._compute_step(now)
+        if wait + self._limit.mean > demand.time_left:
+            return RefusalReason.TOO_LATE
+        return RefusalReason.QUEUE_FULL if wait > self._bound(demand) else None
+
+    def _bound(self, demand: Demand) -> float:
+        """Return how long an operation waits at most, seconds."""
+        if demand.aim_left == math.inf:
+            return UNKNOWN_WAIT
+        by_aim = self._policy.most_wait * demand.aim_left
+        return min(MOST_DRAIN, max(by_aim, LATE_PART * demand.time_left))
+
+    def _make_room(self, operation: Waiting, now: float) -> list[GateAction]:
+        """Return who is refused so that all that waits is done in time."""
+        is_full = (len(self._queue) + 1) * self._compute_step(now) > MOST_DRAIN
+        if not (self._policy.refuses_early and is_full and self._queue):
+            return []
+        victim = self._queue.pop_victim(operation.priority, operation.account)
+        return [self._refuse(victim or operation, RefusalReason.QUEUE_FULL, now)]
+
+    def _refuse(self, operation: Waiting, reason: RefusalReason, now: float) -> Refuse:
+        """Return a refusal with the time until what is as urgent has run."""
+        ahead = self._queue.count_until(operation.priority) + 1
+        wait = ahead * self._compute_step(now) * self._rng.uniform(*RETRY_SPREAD)
+        retry_after = min(max(LEAST_RETRY_AFTER, wait), MOST_RETRY_AFTER)
+        return Refuse(operation.number, reason, retry_after)
+
+    def _count_turns(self, priority: int) -> float:
+        """Return how many operations start until one of a priority does."""
+        return self._queue.count_turns(priority, self._queue.get_length(priority))
+
+    def _compute_step(self, now: float) -> float:
+        """Return the seconds after which the next operation can start, on average.
+
+        Statements that are stuck are not counted on. If all are, they are expected to
+        last as long again.
+        """
+        limit = self._limit.value
+        stuck_before = now - max(LEAST_STUCK, STUCK_FACTOR * self._limit.mean)
+        starts = self._running.values()
+        stuck = sum(1 for _ in takewhile(lambda each: each < stuck_before, starts))
+        if stuck < limit:
+            return self._time.mean / (limit - stuck)
+        return max(self._time.mean, now - next(reversed(starts))) / limit
--- /dev/null
+++ b/beryltrack/load/gate_task.py
@@ -0,0 +1,142 @@
+"""The gate of one database as the other parts use it: its timer and who waits."""
+
+from collections import deque
+from itertools import count
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+
+from beryltrack.connections.messages import PoolRefusal, PoolRefused
+from beryltrack.load.gate import GateDecider
+from beryltrack.load.limit import Bounds, Outcome
+from beryltrack.load.messages import DatabaseReport, Demand, GateAction, Run
+
+
+class GateTask:
+    """Lets operations of one database run; what to do is decided by `GateDecider`.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        The clock; a `task.Clock` in tests.
+    decider : GateDecider
+        Decides.
+    """
+
+    def __init__(self, reactor: IReactorTime, decider: GateDecider):
+        self._reactor = reactor
+        self._decider = decider
+        self._numbers = count(1)
+        self._waiters: dict[int, Deferred[int]] = {}
+        self._actions: deque[GateAction] = deque()
+        self._is_performing = False
+        self._timer: IDelayedCall | None = None
+        self._timer_at = 0.0
+
+    @property
+    def waiting(self) -> int:
+        """Operations that wait."""
+        return self._decider.waiting
+
+    @property
+    def _now(self) -> float:
+        return self._reactor.seconds()
+
+    def get_report(self) -> DatabaseReport:
+        """Return the load of the database as it is now."""
+        return self._decider.get_report(self._now)
+
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Take in what this instance's part of the database follows from."""
+        self._perform(self._decider.set_bounds(bounds, self._now))
+
+    def enter(self, deadline: float, demand: Demand) -> Deferred[int]:
+        """Ask to run an operation.
+
+        Parameters
+        ----------
+        deadline : float
+            Time of the reactor's clock, in seconds, by which it must be done.
+        demand : Demand
+            What it asks for.
+
+        Returns
+        -------
+        Deferred of int
+            The operation's number once it may run. Fails with `PoolRefused`; it was not
+            run then. Cancelling it leaves the queue.
+        """
+        number = next(self._numbers)
+        result: Deferred[int] = Deferred(lambda _: self.cancel(number))
+        self._waiters[number] = result
+        time_left = min(demand.time_left, deadline - self._now)
+        demand = demand._replace(time_left=time_left)
+        self._perform(self._decider.arrive(number, demand, self._now))
+        return result
+
+    def finish(self, number: int) -> None:
+        """Take in that an operation has ended."""
+        # Its last statement was told of when it ended.
+        self._perform(self._decider.finish(number, None, Outcome.UNKNOWN, self._now))
+
+    def rest(self, number: int, seconds: float | None, outcome: Outcome) -> None:
+        """Take in how a statement of an operation ended."""
+        self._perform(self._decider.rest(number, seconds, outcome, self._now))
+
+    def resume(self, number: int) -> None:
+        """Take in that an operation that rested runs its next statement."""
+        self._perform(self._decider.resume(number, self._now))
+
+    def cancel(self, number: int) -> None:
+        """Forget an operation that is not to run any more, or did not."""
+        self._waiters.pop(number, None)
+        self._perform(self._decider.cancel(number, self._now))
+
+    def open(self) -> None:
+        """Let all run that wait: the pool decides what becomes of them."""
+        self._perform(self._decider.open(self._now))
+
+    def _perform(self, actions: list[GateAction]) -> None:
+        """Carry out actions, then set the timer for what is due by time.
+
+        A callback may call the gate again; its actions queue behind these.
+        """
+        self._actions.extend(actions)
+        if self._is_performing:
+            return
+        self._is_performing = True
+        try:
+            while self._actions:
+                self._perform_one(self._actions.popleft())
+        finally:
+            self._is_performing = False
+        self._set_timer()
+
+    def _perform_one(self, action: GateAction) -> None:
+        """Tell who waits for it what was decided."""
+        waiter = self._waiters.pop(action.operation, None)
+        if waiter is None:
+            # It was cancelled by what an action before this one did.
+            self._actions.extend(self._decider.cancel(action.operation, self._now))
+        elif isinstance(action, Run):
+            waiter.callback(action.operation)
+        else:
+            refusal = PoolRefusal(action.reason, action.retry_after)
+            waiter.errback(PoolRefused(refusal))
+
+    def _set_timer(self) -> None:
+        """Keep one timer, at the earliest time at which something is due."""
+        wakeup = self._decider.get_wakeup(self._now)
+        if self._timer is not None and self._timer.active():
+            if wakeup is not None and self._timer_at <= wakeup:
+                return
+            self._timer.cancel()
+        self._timer = None
+        if wakeup is not None:
+            self._timer_at = wakeup
+            delay = max(0.0, wakeup - self._now)
+            self._timer = self._reactor.callLater(delay, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._perform(self._decider.tick(self._now))
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -20,7 +20,10 @@
     RefusalReason,
 )
 from beryltrack.connections.task import PoolTask
-from beryltrack.load.messages import NO_DEMAND, Demand
+from beryltrack.load.gate_task import GateTask
+from beryltrack.load.limit import Bounds
+from beryltrack.load.messages import NO_DEMAND, DatabaseReport, Demand
+from beryltrack.relay.gated import GatedOperation
 from beryltrack.relay.ways import RelayedConnection
 
 log = logging.getLogger(__name__)
@@ -55,6 +58,9 @@
         or the seconds after which to come back.
     refund : callable
         Takes in that a counted operation of an account did not run.
+    make_gate : callable or None
+        Returns what decides which operations run at the database; None where as many
+        run as there are connections.
     """
 
     def __init__(
@@ -64,12 +70,16 @@
         choose_way: ChooseWay,
         admit: Admit = lambda account: 0.0,
         refund: Callable[[str], object] = lambda account: None,
+        make_gate: Callable[[], GateTask] | None = None,
     ):
         self.direct = direct
         self._make_sessions = make_sessions
         self._choose_way = choose_way
         self._admit = admit
         self._refund = refund
+        self._make_gate = make_gate
+        self._gate: GateTask | None = None
+        self._gated: dict[PooledConnection, GatedOperation] = {}
         self._sessions: dict[str, PoolTask] = {}
         self._lent: dict[PooledConnection, _Lent] = {}
         self._is_drained = False
@@ -83,13 +93,15 @@
             limit=self.limit,
             open=direct.open + sum(load.open for load in others),
             in_use=direct.in_use + sum(load.in_use for load in others),
-            waiting=direct.waiting + sum(load.waiting for load in others),
+            waiting=self._gate_waiting
+            + direct.waiting
+            + sum(load.waiting for load in others),
         )
 
     @property
     def outstanding(self) -> int:
         """Requests that hold a connection of any way or wait for one."""
-        return sum(pool.outstanding for pool in self._pools)
+        return self._gate_waiting + sum(pool.outstanding for pool in self._pools)
 
     @property
     def limit(self) -> int:
@@ -102,6 +114,11 @@
     def _pools(self) -> tuple[PoolTask, ...]:
         return (self.direct, *self._sessions.values())
 
+    @property
+    def _gate_waiting(self) -> int:
+        """Requests that wait for the database to have room for them."""
+        return self._gate.waiting if self._gate is not None else 0
+
     def start(self) -> None:
         """Open the connections that are kept open."""
         if not self._choose_way(""):
@@ -155,7 +172,35 @@
             return
         if lent.counted and not has_run:
             self._refund(lent.counted)
+        gated = self._gated.pop(connection, None)
+        if gated is not None:
+            connection.observer = None
         lent.pool.release(connection, reusable)
+        if gated is not None:
+            gated.finish()
+
+    def set_bounds(self, bounds: Bounds | None) -> None:
+        """Decide which operations run at the database from now on.
+
+        Parameters
+        ----------
+        bounds : Bounds or None
+            What this instance's part follows from; None if as many operations are to
+            run as there are connections.
+        """
+        if bounds is not None and self._make_gate is not None:
+            self._gate = self._gate or self._make_gate()
+            self._gate.set_bounds(bounds)
+        elif self._gate is not None:
+            gate, self._gate = self._gate, None
+            gate.open()
+
+    def get_report(self) -> DatabaseReport | None:
+        """Return the load of the database through this instance's own connections.
+
+        None if as many operations run as there are connections.
+        """
+        return self._gate.get_report() if self._gate is not None else None
 
     def set_limit(self, limit: int) -> None:
         """Change how many connections this instance may open to the database."""
@@ -205,6 +250,9 @@
     def drain(self) -> Deferred:
         """Take no new work; fires when all connections are closed."""
         self._is_drained = True
+        if self._gate is not None:
+            # Who waits for the database is refused by the pool, as all others are.
+            self._gate.open()
         return gatherResults([pool.drain() for pool in self._pools])
 
     def resume(self) -> None:
@@ -261,8 +309,29 @@
     def _acquire_directly(
         self, deadline: float, demand: Demand
     ) -> Deferred[PooledConnection]:
-        """Get one of this instance's own connections."""
-        return self.direct.acquire(deadline, demand)
+        """Get one of this instance's own connections, once the database has room."""
+        gate = self._gate
+        if gate is None or self._is_drained:
+            return self.direct.acquire(deadline, demand)
+        entering = gate.enter(deadline, demand)
+        return entering.addCallback(self._acquire_admitted, gate, deadline, demand)
+
+    def _acquire_admitted(
+        self, number: int, gate: GateTask, deadline: float, demand: Demand
+    ) -> Deferred[PooledConnection]:
+        """Get a connection for an operation that may run."""
+        operation = GatedOperation(gate, number)
+        acquiring = self.direct.acquire(deadline, demand)
+        return acquiring.addCallbacks(
+            self._follow, operation.give_up, callbackArgs=(operation,)
+        )
+
+    def _follow(
+        self, connection: PooledConnection, operation: GatedOperation
+    ) -> PooledConnection:
+        """Have the gate told what runs on a connection until it is given back."""
+        connection.observer = self._gated[connection] = operation
+        return connection
 
     def _acquire_through(
         self, way: str, deadline: float, demand: Demand, is_lent: bool
--- a/beryltrack/settings/mechanisms.py
+++ b/beryltrack/settings/mechanisms.py
@@ -31,6 +31,8 @@
     """A connection is opened only for requests that have waited, and closed soon."""
     OWN_REPLICAS = "own-replicas"
     """An account's reads prefer one replica, on which it has a connection already."""
+    PRIORITY_ORDER = "priority-order"
+    """What waits at an owner runs by priority, and in turns among accounts."""
     REPLICA_PAUSE = "replica-pause"
     """A replica that was behind is left alone for a while."""
     LATE_STATEMENTS = "late-statements"
@@ -49,6 +51,8 @@
     """Most instances of a large fleet are told by others what the store holds."""
     SNAPSHOTS = "snapshots"
     """An instance that starts goes by another one's copies while the store is away."""
+    STATEMENT_LIMIT = "statement-limit"
+    """An owner lets only so many statements run as the database has room for."""
 
 
 def read_disabled(
--- a/tests/daemon/test_group_connections.py
+++ b/tests/daemon/test_group_connections.py
@@ -17,7 +17,7 @@
 class Pool:
     """Keeps what it was told."""
 
-    limit = policy = ways = None
+    limit = policy = ways = bounds = None
 
     @property
     def direct(self):
@@ -32,6 +32,9 @@
     def set_limit(self, limit):
         self.limit = limit
 
+    def set_bounds(self, bounds):
+        self.bounds = bounds
+
     def retire(self, is_stale):
         self.is_stale = is_stale
 
