--- a/beryltrack/connections/service_estimate.py
+++ b/beryltrack/connections/service_estimate.py
@@ -17,9 +17,12 @@
     ----------
     initial : float
         Seconds to assume before the first sample.
+    weight : float
+        Weight of a sample in the mean.
     """
 
-    def __init__(self, initial: float):
+    def __init__(self, initial: float, weight: float = MEAN_WEIGHT):
+        self._weight = weight
         self._mean = initial
         self._deviation = 0.0
         self._count = 0
@@ -37,7 +40,7 @@
     def observe(self, duration: float) -> None:
         """Take in one duration, seconds."""
         self._count += 1
-        weight = max(MEAN_WEIGHT, 1 / self._count)
+        weight = max(self._weight, 1 / self._count)
         error = duration - self._mean
         self._mean += weight * error
         spread = max(DEVIATION_WEIGHT, 1 / (self._count + 1))
--- a/beryltrack/load/gate.py
+++ b/beryltrack/load/gate.py
@@ -232,9 +232,10 @@
         self, number: int, seconds: float | None, outcome: Outcome, now: float
     ) -> None:
         """Take in how a statement ended."""
+        running = len(self._running)
         del self._running[number]
         self._spent[number] += seconds or 0.0
-        self._limit.observe(seconds, outcome, bool(self._queue), now)
+        self._limit.observe(seconds, outcome, running, bool(self._queue), now)
 
     def _fill(self, now: float) -> list[GateAction]:
         """Let run what there is room for."""
--- a/beryltrack/load/limit.py
+++ b/beryltrack/load/limit.py
@@ -9,8 +9,8 @@
 says that it is full has its parts cut by a factor, at each owner that is told so.
 
 Statements of one kind take ten times as long as those of another. So smoothed means
-are compared, never single statements; and what is usual follows the means of the times
-in which nobody waits, slowly.
+are compared, never single statements. What is usual is the mean of those that ended
+while this owner used no more than its even part of the slots and nobody waited.
 """
 
 import math
@@ -49,12 +49,15 @@
 LEAST_SAMPLES = 16
 """Statements after which a mean tells something."""
 
-USUAL_WEIGHT = 1 / 64
-"""Weight of a mean in what is usual: longer than the mean's own memory."""
+CALM_WEIGHT = 1 / 64
+"""Weight of a statement in the mean of those without load: its noise is a tenth."""
 
-LOADED_WEIGHT = 1 / 4096
-"""The same for longer times while operations wait. They are mostly the load's own
-doing; but a database that has become slower for good must be usual again some day."""
+CALM_SAMPLES = 64
+"""Statements without load after which their mean is what is usual."""
+
+RISE_WEIGHT = 1 / 4096
+"""Weight of a mean in what is usual if it is longer. That is mostly the load's doing,
+of this owner or of others; but a slower database must be usual one day."""
 
 
 class Outcome(Enum):
@@ -107,6 +110,8 @@
         self._lost = 0
         self._mean = ServiceEstimate(0.0)
         self._usual = 0.0
+        self._calm = ServiceEstimate(0.0, CALM_WEIGHT)
+        self._calm_samples = 0
         self._samples = 0
 
     @property
@@ -125,7 +130,7 @@
 
     @property
     def usual(self) -> float:
-        """How long they take while nobody waits, seconds; 0 before the first one."""
+        """How long they take without load, seconds; 0 before the first one."""
         return self._usual
 
     @property
@@ -133,16 +138,27 @@
         """Under this the database would have slots that nobody may use."""
         return max(LEAST_LIMIT, math.ceil(self._bounds.slots / self._bounds.owners))
 
+    @property
+    def _even(self) -> int:
+        """An even part of what all owners let run at first."""
+        bounds = self._bounds
+        even = math.ceil(self._per_slot * bounds.slots / bounds.owners)
+        return max(LEAST_LIMIT, even)
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Start anew with the even part if what it follows from has changed."""
         if bounds == self._bounds:
             return
         self._bounds = bounds
-        even = math.ceil(self._per_slot * bounds.slots / max(1, bounds.owners))
-        self._set(max(LEAST_LIMIT, even))
+        self._set(self._even)
 
     def observe(
-        self, seconds: float | None, outcome: Outcome, is_short: bool, now: float
+        self,
+        seconds: float | None,
+        outcome: Outcome,
+        running: int,
+        is_short: bool,
+        now: float,
     ) -> None:
         """Take in how a statement ended.
 
@@ -152,6 +168,8 @@
             How long it took at the database; None if that tells nothing.
         outcome : Outcome
             How it ended.
+        running : int
+            Statements that ran when it ended, with it.
         is_short : bool
             True if operations wait for one to end.
         now : float
@@ -168,29 +186,40 @@
         if outcome is Outcome.FULL:
             self._cut(FULL_FACTOR, started_at, now)
         elif seconds is not None:
-            self._learn(seconds, is_short)
+            is_calm = not is_short and running * self._bounds.owners <= max(
+                self._bounds.slots, self._bounds.owners
+            )
+            self._learn(seconds, is_calm)
             self._adapt(started_at, is_short, now)
 
-    def _learn(self, seconds: float, is_short: bool) -> None:
+    def _learn(self, seconds: float, is_calm: bool) -> None:
         """Take in how long a statement took."""
         self._samples += 1
         self._mean.observe(seconds)
-        error = self._mean.mean - self._usual
-        is_loaded = is_short and error > 0
-        weight = LOADED_WEIGHT if is_loaded else USUAL_WEIGHT
-        if self._samples <= LEAST_SAMPLES:
-            weight = 1.0
-        self._usual += weight * error
+        shown = self._mean
+        if is_calm:
+            self._calm_samples += 1
+            self._calm.observe(seconds)
+            shown = self._calm
+        if self._calm_samples <= CALM_SAMPLES:
+            # An owner that starts under load has nothing else to go by.
+            self._usual = (self._calm if self._calm_samples else shown).mean
+            return
+        rise = RISE_WEIGHT * (shown.mean - self._usual)
+        self._usual = min(shown.mean, self._usual + rise)
 
     def _adapt(self, started_at: float, is_short: bool, now: float) -> None:
         """Move the limit by how much longer than usual statements take."""
         if self._samples < LEAST_SAMPLES or self._usual <= 0.0:
             return
         factor = self._mean.mean / self._usual
+        is_known = self._calm_samples >= CALM_SAMPLES
         if factor > self._per_slot * SLOW_SLACK:
             self._cut(SLOW_FACTOR, started_at, now)
         elif is_short and factor < self._per_slot * FAST_PART:
-            self._set(self._limit + GROWTH / self._limit)
+            # Who has only seen a database under load can't tell if it has room.
+            most = math.inf if is_known else max(self._limit, self._even)
+            self._set(min(most, self._limit + GROWTH / self._limit))
 
     def _cut(self, factor: float, started_at: float, now: float) -> None:
         """Shrink, once for all statements that met the same crowd."""
--- a/beryltrack/load/queue.py
+++ b/beryltrack/load/queue.py
@@ -19,6 +19,14 @@
 """Credit of a priority whose turn is due; sums of floors are not exact."""
 
 
+URGENT_WEIGHT = 1 / 64
+"""Weight of a turn in how many turns go to what is more urgent than a priority."""
+
+LEAST_SHARE = 0.01
+"""Part of the turns that a priority is expected to get in any case; keeps waits finite
+where one has no floor."""
+
+
 class Waiting:
     """One operation that waits.
 
@@ -70,6 +78,7 @@
         self._floors = floors
         self._lanes = {key: AccountTurns() for key in product(PRIORITIES, LANES)}
         self._credits = [0.0 for _ in PRIORITIES]
+        self._urgent = [0.0 for _ in PRIORITIES]
         self._lengths = [0 for _ in PRIORITIES]
         self._waiting: dict[int, Waiting] = {}
         self._aims: list[tuple[float, int]] = []
@@ -169,7 +178,9 @@
         """
         lower = (each for each in PRIORITIES if each > priority and self._lengths[each])
         left = 1.0 - sum(self._floors[each] for each in lower)
-        by_order = (sum(self._lengths[:priority]) + own + 1) / left
+        # What is more urgent goes on coming while it waits.
+        own_turns = (own + 1) / max(LEAST_SHARE, 1.0 - self._urgent[priority])
+        by_order = (sum(self._lengths[:priority]) + own_turns) / left
         floor = self._floors[priority]
         return min(by_order, (own + 1) / floor) if floor else by_order
 
@@ -195,6 +206,9 @@
         due = (each for each in waiting if self._credits[each] >= DUE)
         chosen = next(due, waiting[0])
         self._credits[chosen] = max(0.0, self._credits[chosen] - 1.0)
+        for each in PRIORITIES:
+            is_before = chosen < each
+            self._urgent[each] += URGENT_WEIGHT * (is_before - self._urgent[each])
         return chosen
 
     def _pop_last(self, priority: int, account: str) -> Waiting:
--- a/beryltrack/load/turns.py
+++ b/beryltrack/load/turns.py
@@ -3,7 +3,7 @@
 Start-time fair queueing: each account has a tag that goes up by one with each turn, and
 the one with the lowest tag is next. One that comes back is given the tag of the account
 whose turn it was last, so that it cannot save turns up; one that just had many turns
-keeps its tag until the others have had as many.
+keeps its tag until the others have had as many, or nobody waits.
 """
 
 from bisect import bisect_left, insort
@@ -56,7 +56,7 @@
         self._note_taken(account)
         if account in self._lines:
             heappush(self._order, (tag + 1.0, account))
-        else:
+        elif self._count:
             self._rest(account, tag + 1.0)
         return number
 
@@ -76,6 +76,16 @@
         self._count -= 1
         if not self._lines[account]:
             del self._lines[account]
+        if not self._count:
+            self._forget()
+
+    def _forget(self) -> None:
+        """Begin anew: where nobody waits nobody has had more than others."""
+        self._order.clear()
+        self._in_order.clear()
+        self._tags.clear()
+        self._rested.clear()
+        self._now = 0.0
 
     def _rest(self, account: str, tag: float) -> None:
         """Keep the tag of an account of which nothing waits, as long as it matters."""
