--- a/beryltrack/load/gate.py
+++ b/beryltrack/load/gate.py
@@ -120,15 +120,17 @@
             demand = Demand(time_left=demand.time_left)
         operation = Waiting(number, demand, now)
         if demand.time_left <= 0.0:
-            return [self._refuse(operation, RefusalReason.TOO_LATE, now)]
+            step = self._compute_step(now)
+            return [self._refuse(operation, RefusalReason.TOO_LATE, step)]
         if not self._queue and self._has_room:
             return [self._run(number, now)]
-        self._queue.note_late(now + self._limit.mean)
-        operation.is_late = now + self._limit.mean > operation.aim
-        reason = self._judge(operation, demand, now)
+        done_at, step = now + self._limit.mean, self._compute_step(now)
+        self._queue.note_late(done_at)
+        operation.is_late = done_at > operation.aim
+        reason = self._judge(operation, demand, step)
         if reason is not None:
-            return [self._refuse(operation, reason, now)]
-        put_out = self._make_room(operation, now)
+            return [self._refuse(operation, reason, step)]
+        put_out = self._make_room(operation, step)
         if put_out and put_out[0].operation == number:
             return put_out
         self._queue.add(operation)
@@ -193,13 +195,13 @@
         # Whoever had to be done at its end cannot be done just before it.
         is_early = self._policy.refuses_early and self._running
         done_at = now + (self._limit.mean if is_early else 0.0)
+        step = self._compute_step(now)
         actions: list[GateAction] = []
         while (operation := self._queue.pop_over(done_at)) is not None:
-            actions.append(self._refuse(operation, RefusalReason.TOO_LATE, now))
-        step = self._compute_step(now)
+            actions.append(self._refuse(operation, RefusalReason.TOO_LATE, step))
         while self._policy.refuses_early and len(self._queue) * step > MOST_DRAIN:
             operation = self._queue.pop_least()
-            actions.append(self._refuse(operation, RefusalReason.QUEUE_FULL, now))
+            actions.append(self._refuse(operation, RefusalReason.QUEUE_FULL, step))
         return actions + self._fill(now)
 
     def get_wakeup(self, now: float) -> float | None:
@@ -240,12 +242,14 @@
     def _fill(self, now: float) -> list[GateAction]:
         """Let run what there is room for."""
         actions: list[GateAction] = []
-        if self._queue:
-            self._queue.note_late(now + self._limit.mean)
+        if not self._queue or not self._has_room:
+            return actions
+        self._queue.note_late(now + self._limit.mean)
         while self._queue and self._has_room:
             operation = self._queue.pop()
             if self._is_over(operation, now):
-                actions.append(self._refuse(operation, RefusalReason.TOO_LATE, now))
+                step = self._compute_step(now)
+                actions.append(self._refuse(operation, RefusalReason.TOO_LATE, step))
             else:
                 actions.append(self._run(operation.number, now))
         return actions
@@ -260,14 +264,13 @@
         return now + (self._limit.mean if is_early else 0.0) >= operation.over
 
     def _judge(
-        self, operation: Waiting, demand: Demand, now: float
+        self, operation: Waiting, demand: Demand, step: float
     ) -> RefusalReason | None:
         """Return why an operation that comes is refused, None if it may wait."""
         if not self._policy.refuses_early:
             return None
         own = self._queue.count_own(operation)
-        turns = self._queue.count_turns(operation.priority, own)
-        wait = turns * self._compute_step(now)
+        wait = step * self._queue.count_turns(operation.priority, own)
         if wait + self._limit.mean > demand.time_left:
             return RefusalReason.TOO_LATE
         return RefusalReason.QUEUE_FULL if wait > self._bound(demand) else None
@@ -279,18 +282,18 @@
         by_aim = self._policy.most_wait * demand.aim_left
         return min(MOST_DRAIN, max(by_aim, LATE_PART * demand.time_left))
 
-    def _make_room(self, operation: Waiting, now: float) -> list[GateAction]:
+    def _make_room(self, operation: Waiting, step: float) -> list[GateAction]:
         """Return who is refused so that all that waits is done in time."""
-        is_full = (len(self._queue) + 1) * self._compute_step(now) > MOST_DRAIN
+        is_full = (len(self._queue) + 1) * step > MOST_DRAIN
         if not (self._policy.refuses_early and is_full and self._queue):
             return []
         victim = self._queue.pop_victim(operation.priority, operation.account)
-        return [self._refuse(victim or operation, RefusalReason.QUEUE_FULL, now)]
+        return [self._refuse(victim or operation, RefusalReason.QUEUE_FULL, step)]
 
-    def _refuse(self, operation: Waiting, reason: RefusalReason, now: float) -> Refuse:
+    def _refuse(self, operation: Waiting, reason: RefusalReason, step: float) -> Refuse:
         """Return a refusal with the time until what is as urgent has run."""
         ahead = self._queue.count_until(operation.priority) + 1
-        wait = ahead * self._compute_step(now) * self._rng.uniform(*RETRY_SPREAD)
+        wait = ahead * step * self._rng.uniform(*RETRY_SPREAD)
         retry_after = min(max(LEAST_RETRY_AFTER, wait), MOST_RETRY_AFTER)
         return Refuse(operation.number, reason, retry_after)
 
@@ -304,9 +307,10 @@
         Statements that are stuck are not counted on. If all are, they are expected to
         last as long again.
         """
-        limit = self._limit.value
+        limit, starts = self._limit.value, self._running.values()
         stuck_before = now - max(LEAST_STUCK, STUCK_FACTOR * self._limit.mean)
-        starts = self._running.values()
+        if next(iter(starts), now) >= stuck_before:
+            return self._time.mean / limit
         stuck = sum(1 for _ in takewhile(lambda each: each < stuck_before, starts))
         if stuck < limit:
             return self._time.mean / (limit - stuck)
--- a/beryltrack/load/queue.py
+++ b/beryltrack/load/queue.py
@@ -2,10 +2,8 @@
 
 import math
 from heapq import heappop, heappush
-from itertools import product
-
-from sortedcontainers import SortedSet
 
+from beryltrack.load.counts import AccountCounts
 from beryltrack.load.messages import LOWEST_PRIORITY, Demand
 from beryltrack.load.turns import AccountTurns
 
@@ -76,15 +74,14 @@
 
     def __init__(self, floors: tuple[float, ...]):
         self._floors = floors
-        self._lanes = {key: AccountTurns() for key in product(PRIORITIES, LANES)}
+        self._lanes = [[AccountTurns() for _ in LANES] for _ in PRIORITIES]
         self._credits = [0.0 for _ in PRIORITIES]
         self._urgent = [0.0 for _ in PRIORITIES]
         self._lengths = [0 for _ in PRIORITIES]
         self._waiting: dict[int, Waiting] = {}
         self._aims: list[tuple[float, int]] = []
         self._overs: list[tuple[float, int]] = []
-        self._counts: list[dict[str, int]] = [{} for _ in PRIORITIES]
-        self._longest = [SortedSet() for _ in PRIORITIES]
+        self._counts = [AccountCounts() for _ in PRIORITIES]
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -104,7 +101,7 @@
         """Add an operation."""
         self._waiting[operation.number] = operation
         self._lengths[operation.priority] += 1
-        self._count(operation, 1)
+        self._counts[operation.priority].add(operation.account)
         self._put(operation)
         if not operation.is_late and operation.aim < math.inf:
             heappush(self._aims, (operation.aim, operation.number))
@@ -121,8 +118,7 @@
     def pop(self) -> Waiting:
         """Take out the operation whose turn it is; one must wait."""
         priority = self._choose_priority()
-        lanes = (self._lanes[priority, lane] for lane in LANES)
-        number = next(lane for lane in lanes if lane).pop()
+        number = next(lane for lane in self._lanes[priority] if lane).pop()
         operation = self._waiting[number]
         self._forget(operation)
         return operation
@@ -154,8 +150,8 @@
             fewer operations that wait.
         """
         lowest = max(each for each in PRIORITIES if self._lengths[each])
-        count, longest = self._longest[lowest][-1]
-        own = self._counts[lowest].get(account, 0)
+        longest, count = self._counts[lowest].get_longest()
+        own = self._counts[lowest].get(account)
         is_fairer = priority == lowest and own + 1 < count
         if not (priority < lowest or is_fairer):
             return None
@@ -164,7 +160,7 @@
     def pop_least(self) -> Waiting:
         """Take out one of the least urgent, of the account that has the most there."""
         lowest = max(each for each in PRIORITIES if self._lengths[each])
-        return self._pop_last(lowest, self._longest[lowest][-1][1])
+        return self._pop_last(lowest, self._counts[lowest].get_longest()[0])
 
     def count_turns(self, priority: int, own: int) -> float:
         """Return how many operations start until one of a priority does.
@@ -176,8 +172,10 @@
         own : int
             Operations of the same priority that come before it.
         """
-        lower = (each for each in PRIORITIES if each > priority and self._lengths[each])
-        left = 1.0 - sum(self._floors[each] for each in lower)
+        pairs = zip(
+            self._floors[priority + 1 :], self._lengths[priority + 1 :], strict=True
+        )
+        left = 1.0 - sum([floor for floor, length in pairs if length])
         # What is more urgent goes on coming while it waits.
         own_turns = (own + 1) / max(LEAST_SHARE, 1.0 - self._urgent[priority])
         by_order = (sum(self._lengths[:priority]) + own_turns) / left
@@ -186,9 +184,9 @@
 
     def count_own(self, operation: Waiting) -> int:
         """Return how many of its priority come before an operation that comes."""
-        better = range(operation.lane)
-        before = sum(len(self._lanes[operation.priority, lane]) for lane in better)
-        return before + self._get_lane(operation).count_ahead(operation.account)
+        better = self._lanes[operation.priority][: operation.lane]
+        own = self._get_lane(operation).count_ahead(operation.account)
+        return sum(map(len, better)) + own
 
     def count_until(self, priority: int) -> int:
         """Return how many wait that are as urgent as a priority or more."""
@@ -200,25 +198,25 @@
 
     def _choose_priority(self) -> int:
         """Return whose turn it is: the most urgent, unless a floor is due."""
+        credits, urgent = self._credits, self._urgent
         waiting = [each for each in PRIORITIES if self._lengths[each]]
         for each in waiting:
-            self._credits[each] += self._floors[each]
-        due = (each for each in waiting if self._credits[each] >= DUE)
+            credits[each] += self._floors[each]
+        due = (each for each in waiting if credits[each] >= DUE)
         chosen = next(due, waiting[0])
-        self._credits[chosen] = max(0.0, self._credits[chosen] - 1.0)
+        credits[chosen] = max(0.0, credits[chosen] - 1.0)
         for each in PRIORITIES:
-            is_before = chosen < each
-            self._urgent[each] += URGENT_WEIGHT * (is_before - self._urgent[each])
+            urgent[each] += URGENT_WEIGHT * ((chosen < each) - urgent[each])
         return chosen
 
     def _pop_last(self, priority: int, account: str) -> Waiting:
         """Take out the last operation of an account in a priority."""
-        lanes = (self._lanes[priority, lane] for lane in reversed(LANES))
+        lanes = reversed(self._lanes[priority])
         numbers = (lane.get_last(account) for lane in lanes)
         return self.remove(next(each for each in numbers if each is not None))
 
     def _get_lane(self, operation: Waiting) -> AccountTurns:
-        return self._lanes[operation.priority, operation.lane]
+        return self._lanes[operation.priority][operation.lane]
 
     def _put(self, operation: Waiting) -> None:
         """Put an operation into its lane."""
@@ -230,18 +228,6 @@
         del self._waiting[operation.number]
         priority = operation.priority
         self._lengths[priority] -= 1
-        self._count(operation, -1)
+        self._counts[priority].remove(operation.account)
         if not self._lengths[priority]:
             self._credits[priority] = 0.0
-
-    def _count(self, operation: Waiting, change: int) -> None:
-        """Count the operations of an account that wait in a priority."""
-        account = operation.account
-        counts = self._counts[operation.priority]
-        longest = self._longest[operation.priority]
-        count = counts.pop(account, 0)
-        if count:
-            longest.remove((count, account))
-        if count + change:
-            counts[account] = count + change
-            longest.add((count + change, account))
