Put the gate before the pool, for statements and open transactions

An operation enters the gate, then the pool. Its connection tells the gate of each statement that starts and ends (RunObserver), so that a transaction takes room only while a statement of it runs, whether it was relayed or is of a caller of this instance. Control requests go to the pool as before. A drain, or the end of this instance's part, sends on what waits, and the pool tells it so.

--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -22,11 +22,13 @@
     `run_since` is when the request that it runs was sent, by the node's clock;
     None while it runs none. `run_until` is when that run is to be given up. `way`
     names the instance that the connection goes through; empty if it goes straight.
+    `observer` is told of each statement, if there is one.
     """
 
     run_since: float | None
     run_until: float
     way: str
+    observer: "RunObserver | None"
 
     @property
     def broken(self) -> bool:
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -23,7 +23,7 @@
 from beryltrack.load.gate_task import GateTask
 from beryltrack.load.limit import Bounds
 from beryltrack.load.messages import NO_DEMAND, DatabaseReport, Demand
-from beryltrack.relay.gated import GatedOperation
+from beryltrack.relay.gated import GatedPool
 from beryltrack.relay.ways import RelayedConnection
 
 log = logging.getLogger(__name__)
@@ -77,9 +77,7 @@
         self._choose_way = choose_way
         self._admit = admit
         self._refund = refund
-        self._make_gate = make_gate
-        self._gate: GateTask | None = None
-        self._gated: dict[PooledConnection, GatedOperation] = {}
+        self._gated = GatedPool(direct, make_gate)
         self._sessions: dict[str, PoolTask] = {}
         self._lent: dict[PooledConnection, _Lent] = {}
         self._is_drained = False
@@ -93,15 +91,15 @@
             limit=self.limit,
             open=direct.open + sum(load.open for load in others),
             in_use=direct.in_use + sum(load.in_use for load in others),
-            waiting=self._gate_waiting
-            + direct.waiting
+            waiting=direct.waiting
+            + self._gated.waiting
             + sum(load.waiting for load in others),
         )
 
     @property
     def outstanding(self) -> int:
         """Requests that hold a connection of any way or wait for one."""
-        return self._gate_waiting + sum(pool.outstanding for pool in self._pools)
+        return self._gated.waiting + sum(pool.outstanding for pool in self._pools)
 
     @property
     def limit(self) -> int:
@@ -114,11 +112,6 @@
     def _pools(self) -> tuple[PoolTask, ...]:
         return (self.direct, *self._sessions.values())
 
-    @property
-    def _gate_waiting(self) -> int:
-        """Requests that wait for the database to have room for them."""
-        return self._gate.waiting if self._gate is not None else 0
-
     def start(self) -> None:
         """Open the connections that are kept open."""
         if not self._choose_way(""):
@@ -172,35 +165,22 @@
             return
         if lent.counted and not has_run:
             self._refund(lent.counted)
-        gated = self._gated.pop(connection, None)
-        if gated is not None:
-            connection.observer = None
+        # The pool may lend it on at once, so that its operation is looked up first.
+        operation = self._gated.take_back(connection)
         lent.pool.release(connection, reusable)
-        if gated is not None:
-            gated.finish()
+        if operation is not None:
+            operation.finish()
 
     def set_bounds(self, bounds: Bounds | None) -> None:
-        """Decide which operations run at the database from now on.
-
-        Parameters
-        ----------
-        bounds : Bounds or None
-            What this instance's part follows from; None if as many operations are to
-            run as there are connections.
-        """
-        if bounds is not None and self._make_gate is not None:
-            self._gate = self._gate or self._make_gate()
-            self._gate.set_bounds(bounds)
-        elif self._gate is not None:
-            gate, self._gate = self._gate, None
-            gate.open()
+        """Limit the operations that run at the database; see `GatedPool`."""
+        self._gated.set_bounds(bounds)
 
     def get_report(self) -> DatabaseReport | None:
         """Return the load of the database through this instance's own connections.
 
         None if as many operations run as there are connections.
         """
-        return self._gate.get_report() if self._gate is not None else None
+        return self._gated.get_report()
 
     def set_limit(self, limit: int) -> None:
         """Change how many connections this instance may open to the database."""
@@ -250,10 +230,10 @@
     def drain(self) -> Deferred:
         """Take no new work; fires when all connections are closed."""
         self._is_drained = True
-        if self._gate is not None:
-            # Who waits for the database is refused by the pool, as all others are.
-            self._gate.open()
-        return gatherResults([pool.drain() for pool in self._pools])
+        draining = gatherResults([pool.drain() for pool in self._pools])
+        # Who waits for the database is refused by the pool, as all others are.
+        self._gated.open()
+        return draining
 
     def resume(self) -> None:
         """Take work again after a drain."""
@@ -310,28 +290,8 @@
         self, deadline: float, demand: Demand
     ) -> Deferred[PooledConnection]:
         """Get one of this instance's own connections, once the database has room."""
-        gate = self._gate
-        if gate is None or self._is_drained:
-            return self.direct.acquire(deadline, demand)
-        entering = gate.enter(deadline, demand)
-        return entering.addCallback(self._acquire_admitted, gate, deadline, demand)
-
-    def _acquire_admitted(
-        self, number: int, gate: GateTask, deadline: float, demand: Demand
-    ) -> Deferred[PooledConnection]:
-        """Get a connection for an operation that may run."""
-        operation = GatedOperation(gate, number)
-        acquiring = self.direct.acquire(deadline, demand)
-        return acquiring.addCallbacks(
-            self._follow, operation.give_up, callbackArgs=(operation,)
-        )
-
-    def _follow(
-        self, connection: PooledConnection, operation: GatedOperation
-    ) -> PooledConnection:
-        """Have the gate told what runs on a connection until it is given back."""
-        connection.observer = self._gated[connection] = operation
-        return connection
+        pool = self.direct if self._is_drained else self._gated
+        return pool.acquire(deadline, demand)
 
     def _acquire_through(
         self, way: str, deadline: float, demand: Demand, is_lent: bool
--- a/beryltrack/relay/gated.py
+++ b/beryltrack/relay/gated.py
@@ -1,10 +1,20 @@
-"""One operation that a gate has let run, as its connection's statements tell of it."""
+"""The connections to one database behind the gate that decides what runs there.
 
+First the gate, then the pool, whose own refusals remain. Control requests take their
+connections from the pool and do not wait at the gate.
+"""
+
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
+from beryltrack.connections.messages import PooledConnection
+from beryltrack.connections.task import PoolTask
 from beryltrack.errors import TOO_MANY_CONNECTIONS
 from beryltrack.load.gate_task import GateTask
-from beryltrack.load.limit import Outcome
+from beryltrack.load.limit import Bounds, Outcome
+from beryltrack.load.messages import DatabaseReport, Demand
 from beryltrack.wire.messages import ResponseEnd
 
 
@@ -50,3 +60,83 @@
         """Take in that it got no connection."""
         self._gate.cancel(self._number)
         return failure
+
+
+class GatedPool:
+    """Lends the connections of a pool to operations that a gate lets run.
+
+    Parameters
+    ----------
+    pool : PoolTask
+        The connections.
+    make_gate : callable or None
+        Returns a gate; None where there is never one.
+    """
+
+    def __init__(self, pool: PoolTask, make_gate: Callable[[], GateTask] | None):
+        self._pool = pool
+        self._make_gate = make_gate
+        self._gate: GateTask | None = None
+        self._operations: dict[PooledConnection, GatedOperation] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Operations that wait for the database to have room for them."""
+        return self._gate.waiting if self._gate is not None else 0
+
+    def set_bounds(self, bounds: Bounds | None) -> None:
+        """Decide which operations run at the database from now on.
+
+        Parameters
+        ----------
+        bounds : Bounds or None
+            What this instance's part follows from; None if as many operations are to
+            run as there are connections.
+        """
+        if bounds is not None and self._make_gate is not None:
+            self._gate = self._gate or self._make_gate()
+            self._gate.set_bounds(bounds)
+        elif self._gate is not None:
+            gate, self._gate = self._gate, None
+            gate.open()
+
+    def get_report(self) -> DatabaseReport | None:
+        """Return the load of the database; None while there is no gate."""
+        return self._gate.get_report() if self._gate is not None else None
+
+    def open(self) -> None:
+        """Send on all that waits: the pool decides what becomes of it."""
+        if self._gate is not None:
+            self._gate.open()
+
+    def acquire(self, deadline: float, demand: Demand) -> Deferred[PooledConnection]:
+        """Get a connection once the database has room; see `PoolTask.acquire`."""
+        gate = self._gate
+        if gate is None:
+            return self._pool.acquire(deadline, demand)
+        entering = gate.enter(deadline, demand)
+        return entering.addCallback(self._acquire_admitted, gate, deadline, demand)
+
+    def take_back(self, connection: PooledConnection) -> GatedOperation | None:
+        """Return the operation that a connection was lent for, if a gate let it run."""
+        operation = self._operations.pop(connection, None)
+        if operation is not None:
+            connection.observer = None
+        return operation
+
+    def _acquire_admitted(
+        self, number: int, gate: GateTask, deadline: float, demand: Demand
+    ) -> Deferred[PooledConnection]:
+        """Get a connection for an operation that may run."""
+        operation = GatedOperation(gate, number)
+        acquiring = self._pool.acquire(deadline, demand)
+        return acquiring.addCallbacks(
+            self._follow, operation.give_up, callbackArgs=(operation,)
+        )
+
+    def _follow(
+        self, connection: PooledConnection, operation: GatedOperation
+    ) -> PooledConnection:
+        """Have the gate told what runs on a connection until it is given back."""
+        connection.observer = self._operations[connection] = operation
+        return connection
--- a/tests/daemon/test_node_policies.py
+++ b/tests/daemon/test_node_policies.py
@@ -30,3 +30,15 @@
     both = {Mechanism.LONG_QUEUE, Mechanism.DEADLINE_ORDER}
     pools = make_policies(True, frozenset(both)).pools
     assert pools.most_wait < options.POOLS.most_wait and not pools.by_deadline
+
+
+def test_without_early_refusals_owners_refuse_none_early_either():
+    policies = make_policies(True, frozenset({Mechanism.EARLY_REFUSAL}))
+    assert not (policies.load.refuses_early or policies.pools.refuses_early)
+
+
+def test_the_limit_and_the_order_are_switched_off_apart():
+    limit = make_policies(True, frozenset({Mechanism.STATEMENT_LIMIT})).load
+    order = make_policies(True, frozenset({Mechanism.PRIORITY_ORDER})).load
+    assert (limit.is_limited, limit.is_ordered) == (False, True)
+    assert (order.is_limited, order.is_ordered) == (True, False)
--- /dev/null
+++ b/tests/load/test_counts.py
@@ -0,0 +1,22 @@
+"""Which account has the most operations that wait."""
+
+import random
+from collections import Counter
+
+from beryltrack.load.counts import AccountCounts
+
+
+def test_an_account_with_the_most_is_known_after_each_change():
+    counts, model, rng = AccountCounts(), Counter(), random.Random(1)
+    for _ in range(2000):
+        account = rng.choice("abcdef")
+        if rng.random() < 0.5:
+            counts.add(account)
+            model[account] += 1
+        elif model[account]:
+            counts.remove(account)
+            model[account] -= 1
+        assert counts.get(account) == model[account]
+        if any(model.values()):
+            longest, count = counts.get_longest()
+            assert model[longest] == count == max(model.values())
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -1,11 +1,13 @@
 """Statements that reach a database through an owner of its group, on real sockets."""
 
+import random
 from types import SimpleNamespace
 
 import pytest
 from returns.result import Success
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, TimeoutError
+from twisted.internet.task import deferLater
 
 from beryltrack.clock import get_seconds
 from beryltrack.connections.messages import ConnectRefused, TargetLost
@@ -20,6 +22,10 @@
     LogPosition,
 )
 from beryltrack.groups.samples import Sample
+from beryltrack.load.gate import GateDecider
+from beryltrack.load.gate_task import GateTask
+from beryltrack.load.limit import Bounds
+from beryltrack.load.policy import LoadPolicy
 from beryltrack.platform.group import LineDatabaseGroup
 from beryltrack.platform.relay import LineRelayFactory
 from beryltrack.platform.target import connect_line_target
@@ -68,6 +74,7 @@
             None,
             lambda account: "",
             self.quota.spend,
+            make_gate=self.make_gate,
         )
         self.task = Statuses()
         handler = RelayHandler(
@@ -79,6 +86,9 @@
         self.port = reactor.listenTCP(0, self.factory, interface=HOST)
         self.endpoint = Endpoint(HOST, self.port.getHost().port)
 
+    def make_gate(self):
+        return GateTask(reactor, GateDecider(LoadPolicy(), random.Random(1), 1))
+
     def connect(self, endpoint, database="db-1", account=""):
         return connect_line_target(
             reactor, endpoint, "group", database, 0.5, SocketLimits(), account
@@ -254,3 +264,53 @@
     site.pool._admit = lambda account: 0.25
     *_, (_, end) = site.ask("- ACCOUNT one counted", "q1 READ x")
     assert end.error is None
+
+
+def test_a_transaction_between_two_statements_takes_no_room_at_the_database(site):
+    """One statement may run, on two connections."""
+    answers = site.database.answers
+    answers[b"QUERY q9 READ x"] = b"COMPLETE 7.1\r\nREADY I 3.8\r\n"
+    reports = []
+
+    async def go():
+        site.pool.set_limit(2)
+        site.pool.set_bounds(Bounds(slots=1, owners=1, connections=1))
+        first = await site.connect(site.endpoint)
+        second = await site.connect(site.endpoint)
+        ends = []
+        for session, text in (
+            (first, b"q1 BEGIN"),
+            (second, b"q9 READ x"),
+            (first, b"q2 WRITE x y"),
+            (first, b"q3 COMMIT"),
+        ):
+            running = session.run(b"QUERY " + text + b"\r\n", CollectingSink())
+            ends.append(await running.addTimeout(1.0, reactor))
+            reports.append(site.pool.get_report())
+        return ends
+
+    ends = run(lambda: Deferred.fromCoroutine(go()))
+    assert [end.error for end in ends] == [None] * 4
+    assert {(report.running, report.limit) for report in reports} == {(0, 1)}
+    assert reports[-1].work > 0.0
+
+
+def test_an_answer_that_is_lost_frees_its_room_and_shows_it(site):
+    async def go():
+        site.pool.set_bounds(Bounds(slots=4, owners=1, connections=8))
+        before = site.pool.get_report().limit
+        session = await site.connect(site.endpoint)
+        running = session.run(b"QUERY q8 READ never\r\n", CollectingSink())
+        await deferLater(reactor, 0.1)
+        running_then = site.pool.get_report().running
+        for each in site.database.sessions:
+            each.transport.abortConnection()
+        try:
+            await running
+        except TargetLost:
+            pass
+        return before, running_then, site.pool.get_report()
+
+    before, running_then, report = run(lambda: Deferred.fromCoroutine(go()))
+    assert running_then == 1 and report.running == 0
+    assert report.limit < before
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -1,6 +1,7 @@
 """One database, reached directly and through other instances."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 from twisted.internet.task import Clock
@@ -12,8 +13,12 @@
 )
 from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.connections.task import PoolTask
-from beryltrack.errors import CANNOT_CONNECT_NOW
+from beryltrack.errors import CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS
+from beryltrack.load.gate import GateDecider
+from beryltrack.load.gate_task import GateTask
+from beryltrack.load.limit import Bounds
 from beryltrack.load.messages import Demand
+from beryltrack.load.policy import LoadPolicy
 from beryltrack.relay.access import DatabaseAccess
 from tests.connections.fake_target import FakeTarget
 from tests.connections.test_task import DATABASE, get_result
@@ -36,6 +41,7 @@
             lambda account: self.ways.get(account, ""),
             self.admit,
             self.refunds.append,
+            self.make_gate,
         )
 
     def make_pool(self, name):
@@ -47,6 +53,14 @@
             self.clock, DATABASE, connect, POLICY, limit=2, rng=random.Random(1)
         )
 
+    def make_gate(self):
+        decider = GateDecider(LoadPolicy(), random.Random(1), 3)
+        return GateTask(self.clock, decider)
+
+    def limit_to_one(self):
+        """Let one statement run at the database, which has two connections."""
+        self.access.set_bounds(Bounds(slots=1, owners=1, connections=1))
+
     def mark(self, connection, name):
         connection.way = name
         return connection
@@ -160,3 +174,117 @@
         site.acquire("own")
     assert refused.value.refusal.reason is RefusalReason.UNREACHABLE
     assert site.clock.seconds() == 0.0
+
+
+def test_without_owners_as_many_run_as_there_are_connections(site):
+    assert site.acquire("own") is not site.acquire("own")
+    assert site.access.get_report() is None
+
+
+def test_what_is_beyond_the_limit_waits_at_the_gate(site):
+    site.limit_to_one()
+    first = site.acquire("own")
+    waiting = site.access.acquire(10.0, Demand(account="own"))
+    assert not waiting.called and site.access.direct.load.waiting == 0
+    assert (site.access.outstanding, site.access.load.waiting) == (2, 1)
+    site.access.release(first, True)
+    assert get_result(waiting) is first
+    report = site.access.get_report()
+    assert (report.running, report.limit, report.incarnation) == (1, 1, 3)
+
+
+def test_what_was_lent_for_another_instance_waits_at_the_gate_too(site):
+    site.limit_to_one()
+    site.acquire("own")
+    assert not site.access.lend(10.0, Demand(account="a"), True).called
+
+
+def test_the_more_urgent_operation_gets_the_connection(site):
+    site.limit_to_one()
+    first = site.acquire("own")
+    low = site.access.acquire(10.0, Demand(3, account="own"))
+    urgent = site.access.acquire(10.0, Demand(0, account="own"))
+    site.access.release(first, True)
+    assert urgent.called and not low.called
+
+
+def test_what_goes_through_another_instance_does_not_wait_here(site):
+    site.ways["a"] = "two"
+    site.limit_to_one()
+    site.acquire("own")
+    assert site.acquire("a").way == "two"
+
+
+def test_short_requests_of_the_proxy_do_not_wait_at_the_gate(site):
+    site.ways[""] = ""
+    idle, first = site.acquire("own"), site.acquire("own")
+    site.access.release(idle, True)
+    site.access.release(first, True)
+    site.limit_to_one()
+    site.acquire("own")
+    assert get_result(site.access.acquire_briefly(0.1, 0.1)) is not None
+    assert site.access.get_report().running == 1
+
+
+def test_a_transaction_that_rests_leaves_its_room(site):
+    site.limit_to_one()
+    first = site.acquire("own")
+    waiting = site.access.acquire(10.0, Demand(account="own"))
+    first.observer.observe_end(0.01, SimpleNamespace(error=None))
+    assert waiting.called
+    first.observer.observe_start()
+    assert site.access.get_report().running == 2
+    site.access.release(first, True)
+    assert site.access.get_report().running == 1 and first.observer is None
+
+
+def test_an_operation_that_got_no_connection_leaves_its_room(site):
+    site.limit_to_one()
+    site.targets[""].failure = ConnectRefused(CANNOT_CONNECT_NOW)
+    refused = [site.access.acquire(10.0, Demand(account="own")) for _ in range(3)]
+    for each in refused:
+        with pytest.raises(PoolRefused):
+            get_result(each)
+    assert site.access.get_report().running == 0
+
+
+def test_who_gives_up_while_a_connection_opens_leaves_its_room(site):
+    site.limit_to_one()
+    site.targets[""].at_once = False
+    waiting = site.access.acquire(10.0, Demand(account="own"))
+    waiting.addErrback(lambda failure: None)
+    assert site.access.get_report().running == 1
+    waiting.cancel()
+    assert site.access.get_report().running == 0
+
+
+def test_a_database_that_says_that_it_is_full_is_given_fewer(site):
+    site.access.set_bounds(Bounds(slots=2, owners=2, connections=2))
+    site.access.set_bounds(Bounds(slots=2, owners=1, connections=4))
+    assert site.access.get_report().limit == 4
+    held = site.acquire("own")
+    error = SimpleNamespace(sqlstate=TOO_MANY_CONNECTIONS)
+    held.observer.observe_end(0.01, SimpleNamespace(error=error))
+    assert site.access.get_report().limit == 2
+
+
+def test_who_waits_when_the_limit_ends_is_served_by_the_pool(site):
+    site.limit_to_one()
+    site.acquire("own")
+    waiting = site.access.acquire(10.0, Demand(account="own"))
+    site.access.set_bounds(None)
+    assert waiting.called and site.access.get_report() is None
+
+
+def test_who_waits_at_a_drain_is_told_so_at_once(site):
+    site.limit_to_one()
+    first = site.acquire("own")
+    waiting = site.access.acquire(10.0, Demand(account="own"))
+    site.access.drain()
+    with pytest.raises(PoolRefused) as refused:
+        get_result(waiting)
+    assert refused.value.refusal.reason is RefusalReason.LEAVING
+    site.access.release(first, True)
+    site.access.resume()
+    assert site.acquire("own") is not None
+    assert site.access.get_report().running == 1
