Bound what one statement does to the means

An owner that was frozen for seconds sees statements that took as long; three of 5 s made the mean 0.5 s, so that all that came looked hopeless for the next hundred statements. A sample counts as eight times the mean at most.

--- a/beryltrack/load/gate.py
+++ b/beryltrack/load/gate.py
@@ -15,7 +15,7 @@
 from itertools import takewhile
 
 from beryltrack.connections.messages import RefusalReason
-from beryltrack.connections.service_estimate import ServiceEstimate
+from beryltrack.load.estimate import BoundedEstimate
 from beryltrack.load.limit import Bounds, Outcome, StatementLimit
 from beryltrack.load.messages import (
     DatabaseReport,
@@ -82,7 +82,7 @@
         self._queue = OperationQueue(policy.floors)
         self._running: dict[int, float] = {}
         self._spent: dict[int, float] = {}
-        self._time = ServiceEstimate(FIRST_TIME)
+        self._time = BoundedEstimate(FIRST_TIME)
 
     @property
     def waiting(self) -> int:
--- a/beryltrack/load/limit.py
+++ b/beryltrack/load/limit.py
@@ -17,7 +17,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from beryltrack.connections.service_estimate import ServiceEstimate
+from beryltrack.load.estimate import LEAST_SAMPLES, BoundedEstimate
 
 LEAST_LIMIT = 2
 """Statements that are let run at a database that answers: with one, a long statement
@@ -46,9 +46,6 @@
 GROWTH = 0.25
 """Statements that are added for each round of as many statements as the limit."""
 
-LEAST_SAMPLES = 16
-"""Statements after which a mean tells something."""
-
 CALM_WEIGHT = 1 / 64
 """Weight of a statement in the mean of those without load: its noise is a tenth."""
 
@@ -108,11 +105,9 @@
         self._limit = 1.0
         self._cut_at = -math.inf
         self._lost = 0
-        self._mean = ServiceEstimate(0.0)
+        self._mean = BoundedEstimate(0.0)
         self._usual = 0.0
-        self._calm = ServiceEstimate(0.0, CALM_WEIGHT)
-        self._calm_samples = 0
-        self._samples = 0
+        self._calm = BoundedEstimate(0.0, CALM_WEIGHT)
 
     @property
     def value(self) -> int:
@@ -194,26 +189,24 @@
 
     def _learn(self, seconds: float, is_calm: bool) -> None:
         """Take in how long a statement took."""
-        self._samples += 1
         self._mean.observe(seconds)
         shown = self._mean
         if is_calm:
-            self._calm_samples += 1
             self._calm.observe(seconds)
             shown = self._calm
-        if self._calm_samples <= CALM_SAMPLES:
+        if self._calm.count <= CALM_SAMPLES:
             # An owner that starts under load has nothing else to go by.
-            self._usual = (self._calm if self._calm_samples else shown).mean
+            self._usual = (self._calm if self._calm.count else shown).mean
             return
         rise = RISE_WEIGHT * (shown.mean - self._usual)
         self._usual = min(shown.mean, self._usual + rise)
 
     def _adapt(self, started_at: float, is_short: bool, now: float) -> None:
         """Move the limit by how much longer than usual statements take."""
-        if self._samples < LEAST_SAMPLES or self._usual <= 0.0:
+        if self._mean.count < LEAST_SAMPLES or self._usual <= 0.0:
             return
         factor = self._mean.mean / self._usual
-        is_known = self._calm_samples >= CALM_SAMPLES
+        is_known = self._calm.count >= CALM_SAMPLES
         if factor > self._per_slot * SLOW_SLACK:
             self._cut(SLOW_FACTOR, started_at, now)
         elif is_short and factor < self._per_slot * FAST_PART:
--- a/tests/load/test_gate.py
+++ b/tests/load/test_gate.py
@@ -322,3 +322,13 @@
 def test_an_unknown_demand_waits_no_longer_than_in_the_pools(site):
     site.ask(aim=math.inf, left=2.0, count=400)
     assert 150 <= site.gate.waiting <= 190
+
+
+def test_an_owner_that_was_frozen_refuses_what_is_over_and_serves_on(site):
+    site.ask(2, aim=0.3, left=1.0, count=40)
+    site.take(site.gate.tick(5.0))
+    assert site.gate.waiting == 0 and len(site.refused) == 37
+    for number in tuple(site.ran):
+        site.end(number, 5.0, 5.0)
+    waiting = site.ask(2, now=5.0, count=20)
+    assert waiting not in site.refused and site.gate.limit >= 2
