--- a/beryltrack/connections/exclusive.py
+++ b/beryltrack/connections/exclusive.py
@@ -12,7 +12,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from beryltrack.connections.messages import TargetLost
+from beryltrack.connections.messages import RunObserver, TargetLost
 from beryltrack.load.messages import NO_DEMAND
 from beryltrack.load.reports import ToldReport
 from beryltrack.wire.line_buffer import MalformedMessage
@@ -61,6 +61,8 @@
         # Called with what that instance tells of its load, and with when the statement
         # was sent that it came with an answer to.
         self.on_report: Callable[[ToldReport, float], object] = lambda told, since: None
+        # Who follows the statements of the operation that it is lent for, if any.
+        self.observer: RunObserver | None = None
         # Called if that instance says that it does not reach the database, or (True)
         # that it gives connections to none of the group's.
         self.on_useless: Callable[[bool], object] = lambda has_left: None
@@ -117,6 +119,9 @@
         self._answer = answer
         self.run_since = self._seconds()
         self.run_until = self.run_since + limit
+        if self.observer is not None:
+            self.observer.observe_start()
+            answer.addBoth(self._tell_end, self.observer, self.run_since)
         sink.attach(self)
         self.transport.write(wire)
         return answer
@@ -129,6 +134,13 @@
         self.run_since = None
         return answer
 
+    def _tell_end(
+        self, end: ResponseEnd | Failure, observer: RunObserver, since: float
+    ) -> ResponseEnd | Failure:
+        """Tell who follows a statement that it has ended."""
+        observer.observe_end(self._seconds() - since, end)
+        return end
+
     def close(self) -> None:
         """Close the connection; what it ran ends as lost."""
         self.broken = True
--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -22,11 +22,13 @@
     `run_since` is when the request that it runs was sent, by the node's clock;
     None while it runs none. `run_until` is when that run is to be given up. `way`
     names the instance that the connection goes through; empty if it goes straight.
+    `observer` is told of each statement, if there is one.
     """
 
     run_since: float | None
     run_until: float
     way: str
+    observer: "RunObserver | None"
 
     @property
     def broken(self) -> bool:
@@ -40,6 +42,24 @@
         """Close the connection; `closed` fires when it is gone."""
 
 
+class RunObserver(Protocol):
+    """Follows the statements that run on a connection while it is lent."""
+
+    def observe_start(self) -> None:
+        """Take in that a statement is sent."""
+
+    def observe_end(self, seconds: float, end: object) -> None:
+        """Take in that a statement has ended.
+
+        Parameters
+        ----------
+        seconds : float
+            How long it took.
+        end : ResponseEnd or Failure
+            What became of it.
+        """
+
+
 class RefusalReason(Enum):
     """Why a pool gave no connection; in each case the request was not run."""
 
--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -14,6 +14,8 @@
 from beryltrack.groups.control_calls import ControlCalls
 from beryltrack.groups.messages import LeadProof
 from beryltrack.groups.task import GroupTask
+from beryltrack.load.gate import GateDecider
+from beryltrack.load.gate_task import GateTask
 from beryltrack.load.messages import DatabaseReport, Demand
 from beryltrack.load.outlook import ReportedOutlook
 from beryltrack.load.verdicts import FrontDecider
@@ -50,6 +52,8 @@
         What steers this instance's decisions.
     quota : QuotaDecider
         Counts the operations of accounts that run here.
+    incarnation : int
+        Number of this instance's process, higher than those of earlier ones.
     """
 
     keeps_members = True
@@ -66,6 +70,7 @@
         is_fenced: bool,
         policies: NodePolicies,
         quota: QuotaDecider,
+        incarnation: int,
     ):
         self._quota = quota
         self._directory = directory
@@ -84,6 +89,7 @@
         self.outlook = ReportedOutlook(self._seconds, self._get_report)
         self._retries: RetryBudget | None = None
         self._front = FrontDecider(self.outlook, rng)
+        self._incarnation = incarnation
         self._pools: WeakValueDictionary[tuple[str, str], DatabaseAccess] = (
             WeakValueDictionary()
         )
@@ -174,6 +180,7 @@
             judge=lambda way, demand: self._judge(way, database.name, demand),
             seconds=self._seconds,
             may_repeat=lambda: self._retries is None or self._retries.draw(),
+            make_gate=self._make_gate,
         )
         self._pools[group.name, database.name] = access
         self._by_database[database.name] = access
@@ -190,6 +197,11 @@
             return 0.0
         return self._front.judge(way, database, demand, self._seconds())
 
+    def _make_gate(self) -> GateTask:
+        """Return what decides which operations run at a database."""
+        decider = GateDecider(self._policies.load, self._rng, self._incarnation)
+        return GateTask(self._reactor, decider)
+
     def _open_at(
         self,
         endpoint: Endpoint,
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -180,6 +180,7 @@
             settings.is_fenced,
             self._policies,
             self._accounts.quota,
+            self._incarnation,
         )
         self._groups = GroupTable(reactor, self._kit)
         self._connections = GroupConnections(
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -20,7 +20,10 @@
     RefusalReason,
 )
 from beryltrack.connections.task import PoolTask
+from beryltrack.load.gate_task import GateTask
+from beryltrack.load.limit import Bounds
 from beryltrack.load.messages import NO_DEMAND, DatabaseReport, Demand
+from beryltrack.relay.gated import GatedPool
 from beryltrack.relay.ways import RelayedConnection
 
 log = logging.getLogger(__name__)
@@ -70,6 +73,9 @@
     may_repeat : callable
         Draws on the budget of repeats; returns False if an operation whose instance
         could not be reached is not to try another one at once.
+    make_gate : callable or None
+        Returns what decides which operations run at the database; None where as many
+        run as there are connections.
     """
 
     def __init__(
@@ -84,6 +90,7 @@
         judge: Judge = lambda way, demand: 0.0,
         seconds: Callable[[], float] = lambda: 0.0,
         may_repeat: Callable[[], bool] = lambda: True,
+        make_gate: Callable[[], GateTask] | None = None,
     ):
         self._may_repeat = may_repeat
         self._judge = judge
@@ -95,6 +102,7 @@
         self._refund = refund
         self._choose_lent_way = choose_lent_way or choose_way
         self._observe_spent = observe_spent
+        self._gated = GatedPool(direct, make_gate)
         self._sessions: dict[str, PoolTask] = {}
         self._lent: dict[PooledConnection, _Lent] = {}
         self._is_drained = False
@@ -108,13 +116,15 @@
             limit=self.limit,
             open=direct.open + sum(load.open for load in others),
             in_use=direct.in_use + sum(load.in_use for load in others),
-            waiting=direct.waiting + sum(load.waiting for load in others),
+            waiting=direct.waiting
+            + self._gated.waiting
+            + sum(load.waiting for load in others),
         )
 
     @property
     def outstanding(self) -> int:
         """Requests that hold a connection of any way or wait for one."""
-        return sum(pool.outstanding for pool in self._pools)
+        return self._gated.waiting + sum(pool.outstanding for pool in self._pools)
 
     @property
     def limit(self) -> int:
@@ -127,10 +137,6 @@
     def _pools(self) -> tuple[PoolTask, ...]:
         return (self.direct, *self._sessions.values())
 
-    def get_report(self) -> DatabaseReport | None:
-        """Return what this instance tells others of the database's load."""
-        return None
-
     def start(self) -> None:
         """Open the connections that are kept open."""
         if not self._choose_way(""):
@@ -184,7 +190,22 @@
             return
         if lent.counted and not has_run:
             self._refund(lent.counted)
+        # The pool may lend it on at once, so that its operation is looked up first.
+        operation = self._gated.take_back(connection)
         lent.pool.release(connection, reusable)
+        if operation is not None:
+            operation.finish()
+
+    def set_bounds(self, bounds: Bounds | None) -> None:
+        """Limit the operations that run at the database; see `GatedPool`."""
+        self._gated.set_bounds(bounds)
+
+    def get_report(self) -> DatabaseReport | None:
+        """Return the load of the database through this instance's own connections.
+
+        None if as many operations run as there are connections.
+        """
+        return self._gated.get_report()
 
     def set_limit(self, limit: int) -> None:
         """Change how many connections this instance may open to the database."""
@@ -234,7 +255,10 @@
     def drain(self) -> Deferred:
         """Take no new work; fires when all connections are closed."""
         self._is_drained = True
-        return gatherResults([pool.drain() for pool in self._pools])
+        draining = gatherResults([pool.drain() for pool in self._pools])
+        # Who waits for the database is refused by the pool, as all others are.
+        self._gated.open()
+        return draining
 
     def resume(self) -> None:
         """Take work again after a drain."""
@@ -294,8 +318,9 @@
     def _acquire_directly(
         self, deadline: float, demand: Demand
     ) -> Deferred[PooledConnection]:
-        """Get one of this instance's own connections."""
-        return self.direct.acquire(deadline, demand)
+        """Get one of this instance's own connections, once the database has room."""
+        pool = self.direct if self._is_drained else self._gated
+        return pool.acquire(deadline, demand)
 
     def _acquire_through(
         self, way: str, deadline: float, demand: Demand, is_lent: bool
--- a/beryltrack/settings/mechanisms.py
+++ b/beryltrack/settings/mechanisms.py
@@ -39,6 +39,8 @@
     """An account's reads prefer one replica, on which it has a connection already."""
     PARALLEL_PROOFS = "parallel-proofs"
     """Reads that others pass on run while the primary is asked whether it leads."""
+    PRIORITY_ORDER = "priority-order"
+    """What waits at an owner runs by priority, and in turns among accounts."""
     REPLICA_PAUSE = "replica-pause"
     """A replica that was behind is left alone for a while."""
     LATE_STATEMENTS = "late-statements"
@@ -61,6 +63,8 @@
     """Groups are owned by the instances that can carry the most, by their capacity."""
     ZONE_OWNERS = "zone-owners"
     """An account's operations run in the zone where they come in, not at one owner."""
+    STATEMENT_LIMIT = "statement-limit"
+    """An owner lets only so many statements run as the database has room for."""
 
 
 def read_disabled(
