Rank replicas by what owners told of their load

The databases' expected waits and works, as owners tell them, reach the choice of the database for each read; where nothing is known it goes by this instance's own work as before. The choice's fake of a group takes the demand.

--- a/beryltrack/connections/task.py
+++ b/beryltrack/connections/task.py
@@ -27,7 +27,7 @@
 )
 from beryltrack.connections.pool import LEAST_RETRY_AFTER, PoolDecider
 from beryltrack.connections.pool_policy import PoolPolicy
-from beryltrack.load.messages import NO_DEMAND, Demand
+from beryltrack.load.messages import NO_DEMAND, Demand, Expected
 from beryltrack.settings.messages import DatabaseSettings
 
 log = logging.getLogger(__name__)
@@ -103,6 +103,10 @@
     def _now(self) -> float:
         return self._reactor.seconds()
 
+    def get_expected(self, demand: Demand) -> Expected:
+        """Return what is known of the target's load: nothing by its connections."""
+        return Expected()
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call `callback` after each change that may concern a budget."""
         self._listeners.append(callback)
--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -16,7 +16,7 @@
 from beryltrack.groups.task import GroupTask
 from beryltrack.load.gate import GateDecider
 from beryltrack.load.gate_task import GateTask
-from beryltrack.load.messages import DatabaseReport, Demand
+from beryltrack.load.messages import DatabaseReport, Demand, Expected
 from beryltrack.load.outlook import ReportedOutlook
 from beryltrack.load.verdicts import FrontDecider
 from beryltrack.platform.group import LineDatabaseGroup
@@ -178,6 +178,7 @@
             lambda account: choose_way(account, True),
             self._directory.observe_spent,
             judge=lambda way, demand: self._judge(way, database.name, demand),
+            expect=lambda way, demand: self._expect(way, database.name, demand),
             seconds=self._seconds,
             may_repeat=lambda: self._retries is None or self._retries.draw(),
             make_gate=self._make_gate,
@@ -191,6 +192,12 @@
         access = self._by_database.get(database)
         return access.get_report() if access is not None else None
 
+    def _expect(self, way: str, database: str, demand: Demand) -> Expected:
+        """Return what an operation may expect of a database through an instance."""
+        outlook = self.outlook
+        wait = outlook.get_wait(way, database, demand.priority)
+        return Expected(wait, outlook.get_work(database))
+
     def _judge(self, way: str, database: str, demand: Demand) -> float:
         """Decide whether an operation goes to another instance."""
         if not self._policies.takes_reports:
--- a/beryltrack/load/messages.py
+++ b/beryltrack/load/messages.py
@@ -109,6 +109,21 @@
 """What a gate decides; an operation without an action waits."""
 
 
+class Expected(NamedTuple):
+    """What an operation may expect of a database.
+
+    Parameters
+    ----------
+    wait : float
+        Seconds until it runs there; 0 if unknown.
+    work : float
+        Usual seconds of a statement there; 0 if unknown.
+    """
+
+    wait: float = 0.0
+    work: float = 0.0
+
+
 class Outlook(Protocol):
     """What is known of the databases' load through each owner."""
 
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -22,7 +22,7 @@
 from beryltrack.connections.task import PoolTask
 from beryltrack.load.gate_task import GateTask
 from beryltrack.load.limit import Bounds
-from beryltrack.load.messages import NO_DEMAND, DatabaseReport, Demand
+from beryltrack.load.messages import NO_DEMAND, DatabaseReport, Demand, Expected
 from beryltrack.relay.gated import GatedPool
 from beryltrack.relay.ways import RelayedConnection
 
@@ -35,6 +35,7 @@
 Admit = Callable[[str], float]
 ObserveSpent = Callable[[str, str], bool]
 Judge = Callable[[str, Demand], float]
+Expect = Callable[[str, Demand], Expected]
 
 
 class _Lent(NamedTuple):
@@ -68,6 +69,9 @@
     judge : callable
         Decides whether an operation of this instance goes to another one; returns 0,
         or the seconds after which to come back.
+    expect : callable
+        Returns what an operation may expect of the database through an instance; empty
+        for this one.
     seconds : callable
         The node's time.
     may_repeat : callable
@@ -88,12 +92,14 @@
         choose_lent_way: ChooseWay | None = None,
         observe_spent: ObserveSpent = lambda account, way: False,
         judge: Judge = lambda way, demand: 0.0,
+        expect: Expect = lambda way, demand: Expected(),
         seconds: Callable[[], float] = lambda: 0.0,
         may_repeat: Callable[[], bool] = lambda: True,
         make_gate: Callable[[], GateTask] | None = None,
     ):
         self._may_repeat = may_repeat
         self._judge = judge
+        self._expect = expect
         self._seconds = seconds
         self.direct = direct
         self._make_sessions = make_sessions
@@ -200,6 +206,10 @@
         """Limit the operations that run at the database; see `GatedPool`."""
         self._gated.set_bounds(bounds)
 
+    def get_expected(self, demand: Demand) -> Expected:
+        """Return what is known of the database's load on the way of the moment."""
+        return self._expect(self._choose_way(demand.account), demand)
+
     def get_report(self) -> DatabaseReport | None:
         """Return the load of the database through this instance's own connections.
 
--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -7,6 +7,7 @@
 from beryltrack.connections.task import PoolTask
 from beryltrack.groups.task import GroupTask
 from beryltrack.groups.view import GroupView
+from beryltrack.load.messages import NO_DEMAND, Demand
 from beryltrack.requests.losses import DEFAULT_POLICY, LossPolicy, LossWatch
 from beryltrack.routing.messages import TargetLoad
 from beryltrack.routing.refresh import AgeRefresher
@@ -110,11 +111,17 @@
                     self.pools[item.name].start()
         self.task.set_databases(settings)
 
-    def get_loads(self) -> tuple[TargetLoad, ...]:
-        """Return this instance's work at each database."""
+    def get_loads(self, demand: Demand = NO_DEMAND) -> tuple[TargetLoad, ...]:
+        """Return the work at each database, this instance's and what owners told."""
         pairs = ((item, self.pools[item.name]) for item in self.settings.databases)
         return tuple(
-            TargetLoad(item.name, item.zone, pool.outstanding, pool.limit)
+            TargetLoad(
+                item.name,
+                item.zone,
+                pool.outstanding,
+                pool.limit,
+                *pool.get_expected(demand),
+            )
             for item, pool in pairs
         )
 
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -167,7 +167,11 @@
             needed = runtime.task.get_needed_position(since)
             request = request._replace(needed=needed)
         choice = choose_target(
-            runtime.view, request, runtime.get_loads(), now, services.routing
+            runtime.view,
+            request,
+            runtime.get_loads(search.demand),
+            now,
+            services.routing,
         )
         match choice:
             case UseTarget():
--- a/tests/requests/test_hold.py
+++ b/tests/requests/test_hold.py
@@ -24,7 +24,7 @@
         self.runtime = SimpleNamespace(
             view=GroupView("g", 1, ""),
             ensure_started=lambda: None,
-            get_loads=lambda: (),
+            get_loads=lambda demand: (),
             wait_change=self.wait_change,
             pools={},
         )
