--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -87,6 +87,7 @@
             self.give_up_at,
             done_by,
             self.demand,
+            self.hold_until,
         )
 
     @property
@@ -108,11 +109,14 @@
     @property
     def give_up_at(self) -> float:
         """When it is refused if no database has taken it, by the node's clock."""
-        policy = self.policy
-        is_crowded = self.services.is_crowded()
-        return self.arrived_at + compute_hold(
-            policy.target_timeout, policy.target_latency, is_crowded
-        )
+        return self.arrived_at + self.policy.target_timeout
+
+    @property
+    def hold_until(self) -> float:
+        """When it is refused if no database can take it, by the node's clock."""
+        policy, is_crowded = self.policy, self.services.is_crowded()
+        hold = compute_hold(policy.target_timeout, policy.target_latency, is_crowded)
+        return self.arrived_at + hold
 
 
 async def confirm_commit(
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -5,6 +5,7 @@
 always a true "not run".
 """
 
+import math
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
@@ -85,6 +86,9 @@
         by its own policy; None for `give_up_at`.
     demand : Demand
         What it asks of its database, counted from its arrival.
+    hold_until : float
+        Time, by the node's clock, until which it waits for a change of the group while
+        no database can take it; a proof that one can is waited for until `give_up_at`.
     """
 
     services: RequestServices
@@ -93,6 +97,11 @@
     give_up_at: float
     done_by: float | None = None
     demand: Demand = NO_DEMAND
+    hold_until: float = math.inf
+
+    def may_wait(self, now: float) -> bool:
+        """Return whether it waits for a change of the group."""
+        return now < min(self.give_up_at, self.hold_until)
 
 
 async def find_target(
@@ -136,7 +145,10 @@
             return Success(await _acquire(search, use, request))
         except PoolRefused as refused:
             refusal = refused.refusal
-        if refusal.reason not in _PASSING or services.seconds() >= search.give_up_at:
+        now = services.seconds()
+        # Another database is looked for without a wait.
+        may_go_on = now < search.give_up_at if use.is_replica else search.may_wait(now)
+        if refusal.reason not in _PASSING or not may_go_on:
             return Failure(
                 make_refusal(
                     refusal.reason.value, refusal.retry_after, refusal.sqlstate
@@ -176,7 +188,7 @@
                 request = request._replace(may_wait=False)
             case NeedSample() if now < give_up_at:
                 request = await _prove_lead(search, request, choice)
-            case Refuse() if now < give_up_at and _may_hold(search):
+            case Refuse() if search.may_wait(now) and _may_hold(search):
                 await ticket.wait(runtime.wait_change())
                 request = _forget_refusals(request)
             case Refuse():
--- a/tests/requests/test_hold.py
+++ b/tests/requests/test_hold.py
@@ -38,10 +38,12 @@
         self.waiting.append(Deferred())
         return self.waiting[-1]
 
-    def ask(self):
+    def ask(self, hold_until=0.35):
         self.runtime.held = len(self.waiting)
         ticket = SimpleNamespace(wait=lambda waiting: waiting, start=lambda: None)
-        search = TargetSearch(self.services, self.runtime, ticket, 0.35)
+        search = TargetSearch(
+            self.services, self.runtime, ticket, 0.35, hold_until=hold_until
+        )
         finding = find_target(search, WriteRequest(0.0, sampled=True))
         ends = []
         Deferred.fromCoroutine(finding).addCallback(ends.append)
@@ -61,11 +63,18 @@
     assert isinstance(end, Failure) and end.failure().retry_after > 0
 
 
-@pytest.mark.parametrize(("is_crowded", "give_up_at"), [(False, 0.35), (True, 0.125)])
+@pytest.mark.parametrize(("is_crowded", "hold_until"), [(False, 0.35), (True, 0.125)])
 def test_a_request_is_held_by_its_target_latency_in_a_large_fleet(
-    is_crowded, give_up_at
+    is_crowded, hold_until
 ):
     context, _ = make_context("text", StatementKind.WRITE)
     policy = RequestPolicy(0.8, 0.35, target_latency=0.5)
     services = context.services._replace(is_crowded=lambda: is_crowded, policy=policy)
-    assert context._replace(services=services).give_up_at == give_up_at
+    assert context._replace(services=services).search.hold_until == hold_until
+
+
+def test_who_has_been_held_for_long_enough_is_told_when_to_come_back():
+    site = Site(True)
+    site.clock.advance(0.2)
+    (end,) = site.ask(hold_until=0.125)
+    assert isinstance(end, Failure) and Site(True).ask(hold_until=0.125) == []
