Test how what owners told steers the pools of a database

The wiring of reports, refusals in front and their switch stood in the kit without a test, as did the search for another replica after the time that a request is held.

--- /dev/null
+++ b/tests/daemon/test_line_kit.py
@@ -0,0 +1,94 @@
+"""The pools of a database, wired to what the owners of its group told."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from beryltrack.connections.messages import PoolRefused, RefusalReason
+from beryltrack.daemon import line_kit
+from beryltrack.daemon.line_kit import LineKit
+from beryltrack.daemon.node_policies import make_policies
+from beryltrack.load.messages import DatabaseReport, Demand
+from beryltrack.load.reports import ToldReport
+from beryltrack.relay.directory import RelayDirectory
+from beryltrack.relay.owners import Peer
+from beryltrack.settings.mechanisms import Mechanism
+from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
+from tests.connections.test_task import get_result
+
+DATABASE = DatabaseSettings("db-1", Endpoint("10.0.0.9", 1), "z", 40, 3, False)
+DEMAND = Demand(1, 0.25, 0.8)
+
+
+def make_peer(name):
+    return Peer(name, "z", Endpoint(name, 7000))
+
+
+class Site:
+    """An instance among seventy, which does not own the group that it uses."""
+
+    def __init__(self, monkeypatch, *disabled):
+        self.clock, self.opened = Clock(), []
+        monkeypatch.setattr(line_kit, "connect_line_target", self.connect)
+        directory = RelayDirectory(make_peer("me"), self.clock.seconds, 8)
+        directory.set_peers([make_peer(f"n{each}") for each in range(70)])
+        names = (f"g{each}" for each in range(100))
+        group = next(each for each in names if not directory.is_owner(each, 40))
+        self.owner = directory.choose_way(group, "db-1", 40).name
+        self.kit = LineKit(
+            self.clock,
+            "me",
+            None,
+            None,
+            directory,
+            random.Random(3),
+            True,
+            make_policies(True, frozenset(disabled)),
+            SimpleNamespace(spend=lambda account, now: 0.0, refund=None),
+        )
+        settings = GroupSettings(group, "", (DATABASE,), "", "", 0.0, 0.5)
+        self.access = self.kit.make_pool(settings, DATABASE)
+
+    def connect(self, reactor, endpoint, *words):
+        self.opened.append(endpoint.host)
+        return Deferred()
+
+    def tell(self, wait):
+        told = ToldReport(DatabaseReport(4, 4, (wait,), 0.01, 7), 1.0)
+        self.kit.outlook.observe(self.owner, "db-1", told, self.clock.seconds())
+
+
+def test_what_an_owner_told_keeps_operations_from_asking_it(monkeypatch):
+    site = Site(monkeypatch)
+    site.tell(3.0)
+    with pytest.raises(PoolRefused) as refused:
+        get_result(site.access.acquire(0.8, DEMAND))
+    assert refused.value.refusal.reason is RefusalReason.OWNER_FULL
+    assert site.opened == []
+
+
+def test_an_owner_that_told_nothing_of_late_is_asked(monkeypatch):
+    site = Site(monkeypatch)
+    site.tell(3.0)
+    site.clock.advance(1.0)
+    site.access.acquire(1.8, DEMAND)
+    assert site.opened == [site.owner]
+
+
+def test_without_reports_each_operation_asks(monkeypatch):
+    site = Site(monkeypatch, Mechanism.OWNER_REPORTS)
+    site.tell(3.0)
+    site.access.acquire(0.8, DEMAND)
+    assert site.opened == [site.owner]
+
+
+def test_the_own_load_of_a_database_is_known_by_its_pools(monkeypatch):
+    site = Site(monkeypatch)
+    assert site.kit.outlook.get_work("db-1") == 0.0
+    report = DatabaseReport(4, 4, (0.2,), 0.03, 7)
+    monkeypatch.setattr(type(site.access), "get_report", lambda access: report)
+    assert site.kit.outlook.get_work("db-1") == 0.03
+    assert site.kit.outlook.get_wait("", "db-1", 2) == 0.2
--- a/tests/requests/test_hold.py
+++ b/tests/requests/test_hold.py
@@ -4,14 +4,15 @@
 
 import pytest
 from returns.result import Failure
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
+from beryltrack.connections.messages import PoolRefusal, PoolRefused, RefusalReason
 from beryltrack.groups.view import GroupView
 from beryltrack.requests.protocol import RequestPolicy
 from beryltrack.requests.targets import TargetSearch, find_target
 from beryltrack.routing.decider import DEFAULT_POLICY
-from beryltrack.routing.messages import StatementKind, WriteRequest
+from beryltrack.routing.messages import StatementKind, UseTarget, WriteRequest
 from tests.requests.scripted import make_context
 
 
@@ -78,3 +79,28 @@
     site.clock.advance(0.2)
     (end,) = site.ask(hold_until=0.125)
     assert isinstance(end, Failure) and Site(True).ask(hold_until=0.125) == []
+
+
+def test_another_replica_is_tried_also_after_the_time_that_a_request_is_held(
+    monkeypatch,
+):
+    site, tried = Site(True), []
+
+    def choose(view, request, loads, now, policy):
+        return UseTarget("b" if "a" in request.excluded else "a", True)
+
+    def acquire(name):
+        tried.append(name)
+        site.clock.advance(0.3)
+        refusal = PoolRefusal(RefusalReason.UNREACHABLE, 0.2)
+        return fail(PoolRefused(refusal)) if name == "a" else succeed(name)
+
+    monkeypatch.setattr("beryltrack.requests.targets.choose_target", choose)
+    site.services.reactor = site.clock
+    site.services.metrics = SimpleNamespace(record_queue_time=lambda seconds: None)
+    for name in ("a", "b"):
+        site.runtime.pools[name] = SimpleNamespace(
+            acquire=lambda deadline, demand, name=name: acquire(name)
+        )
+    (end,) = site.ask(hold_until=0.125)
+    assert tried == ["a", "b"] and end.unwrap().connection == "b"
