--- a/tests/requests/test_hold.py
+++ b/tests/requests/test_hold.py
@@ -4,14 +4,15 @@
 
 import pytest
 from returns.result import Failure
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
+from beryltrack.connections.messages import PoolRefusal, PoolRefused, RefusalReason
 from beryltrack.groups.view import GroupView
 from beryltrack.requests.protocol import RequestPolicy
 from beryltrack.requests.targets import TargetSearch, find_target
 from beryltrack.routing.decider import DEFAULT_POLICY
-from beryltrack.routing.messages import StatementKind, WriteRequest
+from beryltrack.routing.messages import StatementKind, UseTarget, WriteRequest
 from tests.requests.scripted import make_context
 
 
@@ -38,10 +39,12 @@
         self.waiting.append(Deferred())
         return self.waiting[-1]
 
-    def ask(self):
+    def ask(self, hold_until=0.35):
         self.runtime.held = len(self.waiting)
         ticket = SimpleNamespace(wait=lambda waiting: waiting, start=lambda: None)
-        search = TargetSearch(self.services, self.runtime, ticket, 0.35)
+        search = TargetSearch(
+            self.services, self.runtime, ticket, 0.35, hold_until=hold_until
+        )
         finding = find_target(search, WriteRequest(0.0, sampled=True))
         ends = []
         Deferred.fromCoroutine(finding).addCallback(ends.append)
@@ -61,11 +64,43 @@
     assert isinstance(end, Failure) and end.failure().retry_after > 0
 
 
-@pytest.mark.parametrize(("is_crowded", "give_up_at"), [(False, 0.35), (True, 0.125)])
+@pytest.mark.parametrize(("is_crowded", "hold_until"), [(False, 0.35), (True, 0.125)])
 def test_a_request_is_held_by_its_target_latency_in_a_large_fleet(
-    is_crowded, give_up_at
+    is_crowded, hold_until
 ):
     context, _ = make_context("text", StatementKind.WRITE)
     policy = RequestPolicy(0.8, 0.35, target_latency=0.5)
     services = context.services._replace(is_crowded=lambda: is_crowded, policy=policy)
-    assert context._replace(services=services).give_up_at == give_up_at
+    assert context._replace(services=services).search.hold_until == hold_until
+
+
+def test_who_has_been_held_for_long_enough_is_told_when_to_come_back():
+    site = Site(True)
+    site.clock.advance(0.2)
+    (end,) = site.ask(hold_until=0.125)
+    assert isinstance(end, Failure) and Site(True).ask(hold_until=0.125) == []
+
+
+def test_another_replica_is_tried_also_after_the_time_that_a_request_is_held(
+    monkeypatch,
+):
+    site, tried = Site(True), []
+
+    def choose(view, request, loads, now, policy):
+        return UseTarget("b" if "a" in request.excluded else "a", True)
+
+    def acquire(name):
+        tried.append(name)
+        site.clock.advance(0.3)
+        refusal = PoolRefusal(RefusalReason.UNREACHABLE, 0.2)
+        return fail(PoolRefused(refusal)) if name == "a" else succeed(name)
+
+    monkeypatch.setattr("beryltrack.requests.targets.choose_target", choose)
+    site.services.reactor = site.clock
+    site.services.metrics = SimpleNamespace(record_queue_time=lambda seconds: None)
+    for name in ("a", "b"):
+        site.runtime.pools[name] = SimpleNamespace(
+            acquire=lambda deadline, demand, name=name: acquire(name)
+        )
+    (end,) = site.ask(hold_until=0.125)
+    assert tried == ["a", "b"] and end.unwrap().connection == "b"
