--- a/tests/daemon/test_line_kit.py
+++ b/tests/daemon/test_line_kit.py
@@ -48,6 +48,7 @@
             True,
             make_policies(True, frozenset(disabled)),
             SimpleNamespace(spend=lambda account, now: 0.0, refund=None),
+            7,
         )
         settings = GroupSettings(group, "", (DATABASE,), "", "", 0.0, 0.5)
         self.access = self.kit.make_pool(settings, DATABASE)
