Test how an instance's parts send an account's operations on

The way of an account is put together in LineKit from the directory, the counts and the pools. The tests open connections in memory: to the owner of the zone, to another zone's once that one has refused, to the database at the owner itself, and none where each has refused. What another instance sent is refused and not sent on.

--- /dev/null
+++ b/tests/daemon/test_line_kit.py
@@ -0,0 +1,118 @@
+"""How the parts of an instance say where an account's statements go."""
+
+import random
+
+import pytest
+from twisted.internet.testing import MemoryReactorClock
+
+from beryltrack.accounts.messages import AccountSettings
+from beryltrack.accounts.quota import QuotaDecider
+from beryltrack.connections.messages import PoolRefused, RefusalReason
+from beryltrack.daemon.line_kit import LineKit
+from beryltrack.daemon.node_policies import make_policies
+from beryltrack.daemon.zone_traffic import ZoneTraffic
+from beryltrack.load.messages import Demand
+from beryltrack.relay.directory import RelayDirectory
+from beryltrack.relay.owners import Peer
+from beryltrack.relay.slot_choice import ZoneOwners
+from beryltrack.settings.messages import DatabaseSettings, Endpoint, GroupSettings
+
+DATABASE = DatabaseSettings("db", Endpoint("10.0.9.9", 80), "z0", 62, 4, False)
+GROUP = GroupSettings("orders", "", (DATABASE,), "", "", 0.0, 0.5)
+ACCOUNT = AccountSettings("a", frozenset(), 10.0, 0.0)
+
+
+def make_peer(number, capacity=2.0):
+    place = Endpoint(f"10.0.1.{number}", 7000)
+    return Peer(f"n{number}", f"z{number % 3}", place, capacity=capacity)
+
+
+class Site:
+    """One instance of the zone z0; each of three zones has two strong instances."""
+
+    def __init__(self, number=0, capacity=2.0):
+        self.reactor = MemoryReactorClock()
+        own = make_peer(number, capacity)
+        self.directory = RelayDirectory(own, self.reactor.seconds, 8, ZoneOwners())
+        self.directory.set_peers([make_peer(each) for each in range(6)])
+        self.directory.set_accounts(62)
+        self.quota = QuotaDecider({"a": ACCOUNT}.get)
+        kit = LineKit(
+            self.reactor,
+            own.name,
+            None,
+            None,
+            self.directory,
+            random.Random(1),
+            True,
+            make_policies(True),
+            self.quota,
+            ZoneTraffic(self.reactor, own.zone),
+        )
+        self.access = kit.make_pool(GROUP, DATABASE)
+        self.access.set_limit(9)
+
+    def get_opened(self):
+        """Return where the last connection was opened to."""
+        host, port, *_ = self.reactor.tcpClients[-1]
+        return Endpoint(host, port)
+
+    def acquire(self):
+        self.access.acquire(9.0, Demand(account="a")).addErrback(lambda _: None)
+        return self.get_opened()
+
+    def get_counting(self):
+        """Return who counts the account's operations in this zone."""
+        return self.directory.choose_account_owner("a")
+
+
+def find_owner():
+    """Return the owner of the account in the zone z0."""
+    return Site(9, 0.1).get_counting()
+
+
+def test_an_account_runs_at_the_owner_of_the_zone():
+    site = Site(9, 0.1)
+    assert site.get_counting().zone == "z0"
+    assert site.acquire() == site.get_counting().relay
+
+
+def test_what_that_owner_refused_goes_to_another_zones():
+    site = Site(9, 0.1)
+    first = site.get_counting()
+    assert site.directory.observe_spent("a", first.name)
+    second = site.acquire()
+    assert second != first.relay
+    # What another instance sent here is not passed on for this reason.
+    site.access.lend(9.0, Demand(account="a"), False).addErrback(lambda _: None)
+    assert site.get_opened() == first.relay
+
+
+def test_an_owner_that_may_run_no_more_sends_its_own_callers_operations_on():
+    owner = find_owner()
+    site = Site(int(owner.name[1:]))
+    assert site.acquire() == DATABASE.endpoint
+    # The first token is spent, and nobody has lent anything.
+    assert site.acquire() not in (DATABASE.endpoint, owner.relay)
+    assert site.quota.counts["a"].run == 1
+
+
+def test_an_owner_that_may_run_no_more_refuses_what_others_sent():
+    site = Site(int(find_owner().name[1:]))
+    site.acquire()
+    lending = site.access.lend(9.0, Demand(account="a"), False)
+    failure = []
+    lending.addErrback(failure.append)
+    failure[0].trap(PoolRefused)
+    assert failure[0].value.refusal.reason is RefusalReason.OVER_LIMIT
+
+
+def test_in_the_end_the_limit_is_the_answer():
+    site = Site(int(find_owner().name[1:]))
+    site.acquire()
+    for peer in site.directory.get_candidates("orders", 62):
+        site.directory.observe_spent("a", peer)
+    refused = []
+    site.access.acquire(9.0, Demand(account="a")).addErrback(refused.append)
+    with pytest.raises(PoolRefused):
+        refused[0].raiseException()
