--- a/tests/daemon/test_line_kit.py
+++ b/tests/daemon/test_line_kit.py
@@ -11,6 +11,7 @@
 from beryltrack.daemon import line_kit
 from beryltrack.daemon.line_kit import LineKit
 from beryltrack.daemon.node_policies import make_policies
+from beryltrack.daemon.zone_traffic import ZoneTraffic
 from beryltrack.load.messages import DatabaseReport, Demand
 from beryltrack.load.reports import ToldReport
 from beryltrack.relay.directory import RelayDirectory
@@ -49,6 +50,7 @@
             make_policies(True, frozenset(disabled)),
             SimpleNamespace(spend=lambda account, now: 0.0, refund=None),
             7,
+            ZoneTraffic(self.clock, "z"),
         )
         settings = GroupSettings(group, "", (DATABASE,), "", "", 0.0, 0.5)
         self.access = self.kit.make_pool(settings, DATABASE)
