Let probes of owners be switched off, and try a large change after a restore

Change: owner-probes; without it an owner out of reach is asked again after 2 s, as before. In simulated time the next owners' parts then fall below 0.8 of the limit again and again (tests/accounts/test_lost_owner.py). The links' own finding of a loss stays.

Also a test that 1,400 routes are in force in time across a restore of the store.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -159,7 +159,9 @@
         )
         self._own = own
         directory = RelayDirectory(own, self._seconds, options.FIRST_INSTANCES)
-        self._accounts = NodeAccounts(reactor, settings, directory, rng)
+        self._accounts = NodeAccounts(
+            reactor, settings, directory, rng, self._policies.probes_owners
+        )
         self._kit = LineKit(
             reactor,
             settings.name,
--- a/beryltrack/daemon/node_accounts.py
+++ b/beryltrack/daemon/node_accounts.py
@@ -47,6 +47,8 @@
         Says which instance runs an account's operations.
     rng : random.Random
         Source of jitter.
+    probes_owners : bool
+        False if an owner that was out of reach is asked again after a while.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         settings: NodeSettings,
         directory: RelayDirectory,
         rng: random.Random,
+        probes_owners: bool = True,
     ):
         self._book: AccountBook | None = None
         self._directory = directory
@@ -74,7 +77,12 @@
             rng,
             directory.avoid,
         )
-        self._probes = ProbeTask(reactor, settings.name, directory)
+        self._probes = ProbeTask(
+            reactor,
+            settings.name,
+            directory,
+            probes_owners,
+        )
         self._telling = LoopingCall(self._tell_refusals)
         self._telling.clock = reactor
         directory.set_holder_source(lending.get_holder)
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -60,6 +60,8 @@
         True if an instance that starts may go by another one's copies.
     shares_copies : bool
         True if instances may tell each other what the store holds.
+    probes_owners : bool
+        True if an owner out of reach is passed over until it answers a probe.
     """
 
     pools: PoolPolicy
@@ -74,6 +76,7 @@
     takes_detours: bool
     takes_snapshots: bool
     shares_copies: bool
+    probes_owners: bool
 
 
 def make_policies(
@@ -101,6 +104,7 @@
         takes_detours=Mechanism.DETOURS not in disabled,
         takes_snapshots=Mechanism.SNAPSHOTS not in disabled,
         shares_copies=Mechanism.SHARED_COPIES not in disabled,
+        probes_owners=Mechanism.OWNER_PROBES not in disabled,
     )
     for mechanism in sorted(disabled, key=lambda each: each.value):
         if mechanism in _WITHOUT:
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -265,6 +265,10 @@
         """Return which owners that are passed over are to be probed now."""
         return self._avoided.get_due(self._seconds())
 
+    def get_avoided_time(self, name: str) -> float:
+        """Return for how long an owner was not found out of reach, seconds."""
+        return self._seconds() - self._avoided.get_time(name)
+
     def note_unreached(self, name: str) -> None:
         """Take in that a probe of an owner was not answered."""
         self._avoided.note_miss(name, self._seconds())
--- a/beryltrack/relay/probes.py
+++ b/beryltrack/relay/probes.py
@@ -23,6 +23,9 @@
 PROBE_LIMIT = 0.5
 """Seconds until a probe counts as not answered; it takes 1 to 10 ms."""
 
+LAPSE_TIME = 2.0
+"""Seconds for which an instance is passed over where probes are switched off."""
+
 NOTHING = Offer(0, 0.0)
 
 
@@ -37,9 +40,14 @@
         Name of this instance.
     directory : RelayDirectory
         Says which probes are due, and is told their result.
+    probes : bool
+        False if nobody is probed: callers' requests find out who is back.
     """
 
-    def __init__(self, reactor, name: str, directory: RelayDirectory):
+    def __init__(
+        self, reactor, name: str, directory: RelayDirectory, probes: bool = True
+    ):
+        self._probes = probes
         self._reactor = reactor
         self._name = name
         self._directory = directory
@@ -59,21 +67,28 @@
     def _look(self) -> None:
         """Begin the probes that are due."""
         for name in self._directory.get_due_probes():
-            if name in self._running:
-                continue
             peer = self._directory.get_peer(name)
-            if peer is None or peer.rights is None:
-                # One of an earlier release: a caller's request finds out.
-                self._directory.note_reached(name)
-                continue
-            self._running.add(name)
-            probing = Deferred.fromCoroutine(self._probe(peer.rights))
-            probing.addCallbacks(
-                self._note_reached,
-                self._note_missed,
-                callbackArgs=(name,),
-                errbackArgs=(name,),
-            )
+            # One of an earlier release takes no probe: a caller's request finds out.
+            if not self._probes or peer is None or peer.rights is None:
+                self._let_lapse(name)
+            elif name not in self._running:
+                self._begin(name, peer.rights)
+
+    def _let_lapse(self, name: str) -> None:
+        """Pass over an instance no more after a while, without a probe."""
+        if self._directory.get_avoided_time(name) >= LAPSE_TIME:
+            self._directory.note_reached(name)
+
+    def _begin(self, name: str, place: Endpoint) -> None:
+        """Begin a probe."""
+        self._running.add(name)
+        probing = Deferred.fromCoroutine(self._probe(place))
+        probing.addCallbacks(
+            self._note_reached,
+            self._note_missed,
+            callbackArgs=(name,),
+            errbackArgs=(name,),
+        )
 
     async def _probe(self, place: Endpoint) -> None:
         """Ask for an answer at an address; raise if there is none in time."""
--- a/beryltrack/settings/mechanisms.py
+++ b/beryltrack/settings/mechanisms.py
@@ -29,6 +29,8 @@
     """Who cannot be done in time is told so at once, not when the time is over."""
     FEW_CONNECTIONS = "few-connections"
     """A connection is opened only for requests that have waited, and closed soon."""
+    OWNER_PROBES = "owner-probes"
+    """An owner out of reach is passed over until it answers a probe, not for 2 s."""
     OWN_REPLICAS = "own-replicas"
     """An account's reads prefer one replica, on which it has a connection already."""
     REPLICA_PAUSE = "replica-pause"
--- a/tests/accounts/network.py
+++ b/tests/accounts/network.py
@@ -115,7 +115,9 @@
         settings = parse_node_settings(boot)
         self.directory = RelayDirectory(own, self.reactor.seconds, 8)
         rng = random.Random(own.name)
-        self.accounts = NodeAccounts(self.reactor, settings, self.directory, rng)
+        self.accounts = NodeAccounts(
+            self.reactor, settings, self.directory, rng, network.probes
+        )
         self.port = self.accounts.port
 
     def start(self):
@@ -143,9 +145,9 @@
 class Network:
     """A fleet, and what is on its way between its instances."""
 
-    def __init__(self, count=12, rate=400.0, burst=60.0, seed=1):
+    def __init__(self, count=12, rate=400.0, burst=60.0, seed=1, probes=True):
         self.rng = random.Random(seed)
-        self.now = 0.0
+        self.now, self.probes = 0.0, probes
         self.mail = []
         self.cut = set()
         self.settings = (AccountSettings("hot", frozenset({"k"}), rate, burst),)
--- a/tests/accounts/test_lost_owner.py
+++ b/tests/accounts/test_lost_owner.py
@@ -114,3 +114,15 @@
     port = next(iter(network.instances.values())).port
     port.leave()
     assert port.buildProtocol(None) is None
+
+
+def test_without_probes_it_is_asked_again_each_two_seconds():
+    network = Network(COUNT, probes=False)
+    owner, slots = network.list_owners()[0]
+    network.instances[owner].is_lost = True
+    network.run(LIMIT)
+    parts = []
+    for _ in range(60):
+        network.run(0.1)
+        parts.append(least(network, slots))
+    assert max(parts) == pytest.approx(OTHERS) and min(parts) < 0.8
--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -137,6 +137,23 @@
     assert set(in_force.values()) == {(9, True)}
 
 
+def test_a_large_change_after_the_restore_is_in_force_in_time(make_site):
+    """It is read in slices, one of an earlier era perhaps before it."""
+    names = [f"new-{number}" for number in range(1400)]
+    site = make_site()
+    copy = site.store.make_backup()
+    site.configure(8, *names)
+    site.view.trouble = REFUSING
+    site.advance(1.0)
+    site.store.restore(copy)
+    site.view.trouble = ""
+    site.advance(0.1)
+    site.configure(9, *names)
+    site.advance(APPLY_LIMIT)
+    assert site.version == 9 and site.versions == sorted(site.versions)
+    assert all(site.node._get_route(name) is not None for name in names)
+
+
 def test_nothing_is_missed_though_the_known_revision_was_given_out_again(make_site):
     """A wait that was not cut off is answered as if nothing had happened."""
     in_force = {}
