--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -16,6 +16,7 @@
 
 from beryltrack.clock import get_seconds
 from beryltrack.daemon import node_options as options
+from beryltrack.daemon.caller_bounds import CallerBounds, RelayBounds
 from beryltrack.daemon.configuration import ConfigurationRead, ConfigurationTask
 from beryltrack.daemon.copies import FleetCopies
 from beryltrack.daemon.group_connections import GroupConnections
@@ -94,28 +95,6 @@
     LEAVING = "leaving"
 
 
-class CallerBounds:
-    """What bounds callers' connections; see `CallerLimits`."""
-
-    stall = options.STALL_LIMIT
-    waiting = options.MOST_WAITING
-    sockets = options.CALLER_SOCKETS
-
-    def __init__(self, get_site):
-        self._get_site = get_site
-
-    def transaction_idle(self) -> float:
-        """Return how long a transaction may rest, seconds; 0 for ever."""
-        return self._get_site().transaction_idle
-
-
-class RelayBounds(CallerBounds):
-    """What bounds the sessions of other instances; see `CallerLimits`."""
-
-    stall = options.RELAY_STALL
-    sockets = options.TARGET_SOCKETS
-
-
 class Node:
     """One instance.
 
