--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -72,6 +72,8 @@
         Which owners count and run the operations of accounts.
     choose_owners : callable
         Chooses the owners of a group whose connections belong to no account.
+    probes_owners : bool
+        True if an owner out of reach is passed over until it answers a probe.
     """
 
     pools: PoolPolicy
@@ -90,6 +92,7 @@
     shares_copies: bool
     owners_of_accounts: SlotChoice
     choose_owners: ChooseOwners
+    probes_owners: bool
 
 
 def make_policies(
@@ -125,6 +128,7 @@
         choose_owners=choose_owners
         if Mechanism.STRONG_OWNERS in disabled
         else choose_strong_owners,
+        probes_owners=Mechanism.OWNER_PROBES not in disabled,
     )
     for mechanism in sorted(disabled, key=lambda each: each.value):
         if mechanism in _WITHOUT:
--- a/beryltrack/settings/mechanisms.py
+++ b/beryltrack/settings/mechanisms.py
@@ -35,6 +35,8 @@
     """Owners tell of their load; what waits there too long is refused in front."""
     KEPT_CONNECTIONS = "kept-connections"
     """Connections of accounts that ask often rest for long, and go last."""
+    OWNER_PROBES = "owner-probes"
+    """An owner out of reach is passed over until it answers a probe, not for 2 s."""
     OWN_REPLICAS = "own-replicas"
     """An account's reads prefer one replica, on which it has a connection already."""
     PARALLEL_PROOFS = "parallel-proofs"
