Read the figures of the decisions under load from the environment

Operators could switch decisions off but set no figure of them. BERYLTRACK_LOAD holds a JSON object with the figures of LoadPolicy; one options table has names, units, bounds, defaults and meaning, and docs/SETTINGS.md is made from it, with a table of what calls for each part and what switches it off. What is wrong is a finding with its place, logged at the start, and costs itself alone: a process that did not start for a wrong figure would cost its callers more than the default. The schema library is not used: no instance on the platform imports it so far.

NodePolicies carry the figures; the switches load-limit and load-order are new, early-refusal holds for them too.

Found by the fuzz: a whole number of thousands of digits, and deep nesting, made load_json raise where it promises a finding; both are findings now.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -145,7 +145,9 @@
         self._rejects = RejectLog()
         clients = make_store_clients(reactor, settings, rng, self._rejects)
         self._eras: EraTracker = clients.eras
-        self._policies = make_policies(settings.is_fenced, settings.disabled)
+        self._policies = make_policies(
+            settings.is_fenced, settings.disabled, settings.load
+        )
         copies = settings.copies_listen if self._policies.shares_copies else None
         own = Peer(
             settings.name,
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -11,6 +11,7 @@
 from beryltrack.daemon import node_options as options
 from beryltrack.failover.decider import FailoverPolicy
 from beryltrack.groups.policy import ProbePolicy
+from beryltrack.load.policy import LoadPolicy
 from beryltrack.requests.admission import AdmissionPolicy
 from beryltrack.requests.overdue import LATE_AFTER
 from beryltrack.requests.retry import RetryPolicy
@@ -60,6 +61,8 @@
         True if an instance that starts may go by another one's copies.
     shares_copies : bool
         True if instances may tell each other what the store holds.
+    load : LoadPolicy
+        What runs at a database, in which order, and what is refused.
     """
 
     pools: PoolPolicy
@@ -74,10 +77,13 @@
     takes_detours: bool
     takes_snapshots: bool
     shares_copies: bool
+    load: LoadPolicy
 
 
 def make_policies(
-    is_fenced: bool, disabled: frozenset[Mechanism] = frozenset()
+    is_fenced: bool,
+    disabled: frozenset[Mechanism] = frozenset(),
+    load: LoadPolicy = LoadPolicy(),  # noqa: B008 (immutable)
 ) -> NodePolicies:
     """Return the policies of an instance.
 
@@ -87,6 +93,8 @@
         True if promotions are fenced, and a replaced primary leads no more.
     disabled : frozenset of Mechanism
         What it does without.
+    load : LoadPolicy, optional
+        The figures under load that its operators have set.
     """
     policies = NodePolicies(
         options.POOLS,
@@ -101,6 +109,7 @@
         takes_detours=Mechanism.DETOURS not in disabled,
         takes_snapshots=Mechanism.SNAPSHOTS not in disabled,
         shares_copies=Mechanism.SHARED_COPIES not in disabled,
+        load=load,
     )
     for mechanism in sorted(disabled, key=lambda each: each.value):
         if mechanism in _WITHOUT:
@@ -126,15 +135,23 @@
     return change
 
 
+def _refuse_late(policies: NodePolicies) -> NodePolicies:
+    """Return policies by which nobody is refused before the time is over."""
+    load = policies.load._replace(refuses_early=False)
+    return _change_pools(policies, refuses_early=False)._replace(load=load)
+
+
 _WITHOUT = {
     Mechanism.ADMISSION_BOUND: _change("admission", most_delay=math.inf),
     Mechanism.CALM_GUARD: _change("probes", guard_interval=EAGER_GUARD),
     Mechanism.DEADLINE_ORDER: lambda each: _change_pools(each, by_deadline=False),
-    Mechanism.EARLY_REFUSAL: lambda each: _change_pools(each, refuses_early=False),
+    Mechanism.EARLY_REFUSAL: _refuse_late,
     Mechanism.FEW_CONNECTIONS: _change(
         "pools", open_patience=0.0, idle_timeout=LONG_IDLE
     ),
     Mechanism.REPLICA_PAUSE: _change("routing", lagging_pause=0.0),
+    Mechanism.LOAD_LIMIT: _change("load", is_limited=False),
+    Mechanism.LOAD_ORDER: _change("load", is_ordered=False),
     Mechanism.LATE_STATEMENTS: lambda each: each._replace(late_after=math.inf),
     Mechanism.LONG_PROOFS: _change("routing", confirmed_within=SHORT_PROOFS),
     Mechanism.LONG_QUEUE: lambda each: _change_pools(each, most_wait=SHORT_QUEUE),
--- a/beryltrack/daemon/node_process.py
+++ b/beryltrack/daemon/node_process.py
@@ -10,6 +10,7 @@
 from beryltrack.daemon.logs import configure_logs
 from beryltrack.events.log import NonBlockingStream
 from beryltrack.findings import Finding, format_finding
+from beryltrack.load.settings import read_load
 from beryltrack.platform.boot import read_node_settings
 from beryltrack.settings.mechanisms import read_disabled
 from beryltrack.settings.node import NodeSettings
@@ -21,12 +22,23 @@
 
 
 def _read_settings() -> tuple[NodeSettings | None, list[Finding]]:
-    """Return the settings of this process, None if any is wrong, and what is."""
+    """Return the settings of this process, and what is wrong.
+
+    None if it cannot start with them; with wrong figures of its load it can.
+    """
     settings, findings = read_node_settings(os.environ)
     disabled, wrong = read_disabled(os.environ)
+    load, faulty = read_load(os.environ)
+    findings = [*findings, *wrong, *faulty]
     if settings is None or wrong:
-        return None, findings + wrong
-    return settings._replace(disabled=disabled), findings
+        return None, findings
+    return settings._replace(disabled=disabled, load=load), findings
+
+
+def _log_findings(findings: list[Finding]) -> None:
+    """Log what is wrong with the settings."""
+    for finding in findings:
+        log.error("daemon: Finding: %s", format_finding(finding))
 
 
 def main() -> int:
@@ -38,6 +50,7 @@
         return EXIT_FINDINGS
     stream = NonBlockingStream(sys.stdout.fileno())
     configure_logs(settings.name, stream=stream)
+    _log_findings(findings)
     from twisted.internet import reactor
 
     from beryltrack.clock import use_monotonic_time
@@ -59,8 +72,7 @@
 
     def reload(*_: object) -> None:
         found, wrong = _read_settings()
-        for finding in wrong:
-            log.error("daemon: Finding: %s", format_finding(finding))
+        _log_findings(wrong)
         if found is None or found == settings:
             log.info("daemon: SIGHUP, the settings in force stay.")
         else:
--- a/beryltrack/findings.py
+++ b/beryltrack/findings.py
@@ -40,3 +40,9 @@
         ``source: place: text``, without empty parts.
     """
     return ": ".join(part for part in finding if part)
+
+
+def format_pointer(parts: tuple[object, ...]) -> str:
+    """Return the JSON pointer (RFC 6901) of a place in a JSON value."""
+    escaped = (str(part).replace("~", "~0").replace("/", "~1") for part in parts)
+    return "".join(f"/{part}" for part in escaped)
--- /dev/null
+++ b/beryltrack/load/parts.py
@@ -0,0 +1,76 @@
+"""The parts of the decisions under load, and what calls for each.
+
+One table for docs/SETTINGS.md, so that who reads the figures sees when they matter.
+"""
+
+from typing import NamedTuple
+
+from beryltrack.settings.mechanisms import Mechanism
+
+
+class Part(NamedTuple):
+    """One part of the decisions under load.
+
+    Parameters
+    ----------
+    decides : str
+        What it decides.
+    called_for_by : str
+        The settings and the fleet that make it act.
+    options : tuple of str
+        What an operator sets of it.
+    switch : Mechanism or None
+        What switches it off; None if only the settings that call for it do.
+    """
+
+    decides: str
+    called_for_by: str
+    options: tuple[str, ...] = ()
+    switch: Mechanism | None = None
+
+
+PARTS = (
+    Part(
+        "Owners: few instances hold the connections, others relay through them",
+        "A group whose databases have fewer connections than the instances need, or "
+        "accounts in the settings",
+    ),
+    Part(
+        "Limit: how many operations an owner lets run at a database at once",
+        "A group that is relayed; the databases' slots, and how many owners share them",
+        ("is_limited", "per_slot"),
+        Mechanism.LOAD_LIMIT,
+    ),
+    Part(
+        "Order: whose operation runs next",
+        "Routes of unlike priority or target latency, while operations wait",
+        ("is_ordered",),
+        Mechanism.LOAD_ORDER,
+    ),
+    Part(
+        "Floors: the part of the turns that a less urgent priority keeps",
+        "Routes of unlike priority, while the more urgent ones fill the limit",
+        ("floors",),
+        Mechanism.LOAD_ORDER,
+    ),
+    Part(
+        "Turns of accounts: equal priorities take turns by account",
+        "Accounts in the settings, while operations of several wait",
+        (),
+        Mechanism.LOAD_ORDER,
+    ),
+    Part(
+        "Early refusals: who cannot be done in time is told at once",
+        "Routes with a target latency or a statement's time, while operations wait",
+        ("refuses_early", "most_wait"),
+        Mechanism.EARLY_REFUSAL,
+    ),
+    Part(
+        "Limits of accounts: how many operations an account may run",
+        "Accounts with limits in the settings",
+    ),
+    Part(
+        "Owners of accounts: the strong instances hold their connections",
+        "Instances of unlike capacity, where there are accounts",
+    ),
+)
--- a/beryltrack/load/policy.py
+++ b/beryltrack/load/policy.py
@@ -15,7 +15,8 @@
     refuses_early : bool
         False if an operation is refused only when its own time is over.
     per_slot : float
-        Operations for each slot of a database that all owners together let run at first.
+        Operations for each slot of a database that all owners together let run at
+        first.
     floors : tuple of float
         Least part of the turns that each priority gets while it waits, from zero on.
         None starves while more urgent ones fill the database.
--- a/beryltrack/settings/json_text.py
+++ b/beryltrack/settings/json_text.py
@@ -43,4 +43,9 @@
         )
     except json.JSONDecodeError as error:
         return None, (Finding(source, f"line {error.lineno}", f"no JSON: {error.msg}"),)
+    except RecursionError:
+        return None, (Finding(source, "", "is nested too deeply"),)
+    except ValueError as error:
+        # Python converts no whole number of more than some thousand digits.
+        return None, (Finding(source, "", f"no JSON: {error}"),)
     return (None if findings else value), tuple(findings)
--- a/beryltrack/settings/node.py
+++ b/beryltrack/settings/node.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from beryltrack.accounts.quota import Tolerance
+from beryltrack.load.policy import LoadPolicy
 from beryltrack.settings.mechanisms import Mechanism
 from beryltrack.settings.messages import Endpoint
 
@@ -56,6 +57,8 @@
         Processor time that it may use, in cores.
     tolerance : Tolerance
         How far accounts may exceed their limits.
+    load : LoadPolicy
+        The figures of the decisions under load.
     """
 
     name: str
@@ -76,6 +79,7 @@
     disabled: frozenset[Mechanism] = frozenset()
     capacity: float = 1.0
     tolerance: Tolerance = Tolerance()
+    load: LoadPolicy = LoadPolicy()
 
     @property
     def copies_listen(self) -> Endpoint | None:
--- a/beryltrack/settings/options.py
+++ b/beryltrack/settings/options.py
@@ -18,6 +18,7 @@
     FLAG = "true or false"
     ENDPOINT = "object with host (IP number) and port"
     TABLE = "list of objects"
+    NUMBERS = "list of numbers"
 
 
 class Required(enum.Enum):
@@ -46,8 +47,8 @@
     unit : str
         Unit of a number, else empty.
     minimum, maximum : float or None
-        Bounds of a number, of the length of a text or of a list, or of the
-        port of an endpoint, all inclusive.
+        Bounds of a number, of each number of a list, of the length of a text or of
+        a list of objects, or of the port of an endpoint, all inclusive.
     choices : tuple of str
         The only values of a text; empty for any.
     pattern : str
--- a/beryltrack/settings/reference.py
+++ b/beryltrack/settings/reference.py
@@ -8,6 +8,9 @@
 import sys
 from pathlib import Path
 
+from beryltrack.load.parts import PARTS, Part
+from beryltrack.load.settings import LOAD
+from beryltrack.settings.mechanisms import DISABLED_VARIABLE
 from beryltrack.settings.options import (
     INSTANCE,
     REQUIRED,
@@ -61,19 +64,21 @@
         "platform_url": "http://10.0.0.2:8000",
         "peer_key": "at least sixteen characters",
     },
+    "load": {"per_slot": 2, "floors": [0, 0.2, 0.1, 0.05]},
 }
+TITLES = {"instance": "The instance's file", "load": "The decisions under load"}
 
 
 def format_page() -> str:
     """Return the text of docs/SETTINGS.md."""
-    sections = [format_table(table) for table in (*SITE_TABLES, INSTANCE)]
-    return "\n".join([HEAD, *sections])
+    sections = [format_table(table) for table in (*SITE_TABLES, INSTANCE, LOAD)]
+    return "\n".join([HEAD, *sections, format_parts()])
 
 
 def format_table(table: OptionTable) -> str:
     """Return the section of one kind of object."""
     nested = [option for option in table.options if option.columns]
-    title = "The instance's file" if table is INSTANCE else f"Kind `{table.kind}`"
+    title = TITLES.get(table.kind, f"Kind `{table.kind}`")
     example = json.dumps(EXAMPLES[table.kind], indent=2)
     parts = [
         f"## {title}\n",
@@ -88,6 +93,27 @@
     return "\n".join(parts)
 
 
+def format_parts() -> str:
+    """Return the table of what calls for each part of the decisions under load."""
+    head = (
+        "What calls for each part of these decisions, and what switches it off in "
+        f"`{DISABLED_VARIABLE}`:\n\n"
+        "| part | called for by | options | switched off by |\n|---|---|---|---|\n"
+    )
+    return head + "".join(map(_format_part, PARTS))
+
+
+def _format_part(part: Part) -> str:
+    """Return the row of one part of the decisions under load."""
+    cells = (
+        part.decides,
+        part.called_for_by,
+        ", ".join(f"`{name}`" for name in part.options),
+        f"`{part.switch.value}`" if part.switch else "",
+    )
+    return f"| {' | '.join(cells)} |\n"
+
+
 def _format_options(options: tuple[Option, ...]) -> str:
     """Return the rows of a table of options."""
     head = "| option | value | default | bounds | meaning |\n|---|---|---|---|---|\n"
--- a/beryltrack/settings/schema.py
+++ b/beryltrack/settings/schema.py
@@ -13,7 +13,7 @@
 from jsonschema.protocols import Validator
 from jsonschema.validators import extend
 
-from beryltrack.findings import Finding
+from beryltrack.findings import Finding, format_pointer
 from beryltrack.settings.options import REQUIRED, Option, OptionKind, OptionTable
 
 MAX_PORT = 65535
@@ -104,12 +104,6 @@
     return StrictValidator(build_schema(table.options), format_checker=FORMATS)
 
 
-def format_pointer(parts: tuple[object, ...]) -> str:
-    """Return the JSON pointer (RFC 6901) of a place in a JSON value."""
-    escaped = (str(part).replace("~", "~0").replace("/", "~1") for part in parts)
-    return "".join(f"/{part}" for part in escaped)
-
-
 def _is_secret(table: OptionTable, error: ValidationError) -> bool:
     """Return whether an error's message could show a secret value."""
     names = {option.name for option in table.options if option.secret}
--- a/tests/daemon/test_node_process.py
+++ b/tests/daemon/test_node_process.py
@@ -5,6 +5,8 @@
 import pytest
 
 from beryltrack.daemon.node_process import EXIT_FINDINGS, _read_settings, main
+from beryltrack.load.policy import LoadPolicy
+from beryltrack.load.settings import LOAD_VARIABLE
 from beryltrack.platform.boot import PATH_VARIABLE
 from beryltrack.settings.mechanisms import DISABLED_VARIABLE, Mechanism
 from tests.platform.test_settings import BOOT
@@ -16,6 +18,7 @@
     path.write_text(json.dumps(BOOT))
     monkeypatch.setenv(PATH_VARIABLE, str(path))
     monkeypatch.delenv(DISABLED_VARIABLE, raising=False)
+    monkeypatch.delenv(LOAD_VARIABLE, raising=False)
     return monkeypatch
 
 
@@ -29,3 +32,10 @@
     environment.setenv(DISABLED_VARIABLE, "magic")
     assert main() == EXIT_FINDINGS
     assert "magic" in capsys.readouterr().err
+
+
+def test_a_wrong_figure_of_the_load_is_a_finding_and_the_process_starts(environment):
+    environment.setenv(LOAD_VARIABLE, '{"per_slot": 2, "most_wait": -1}')
+    settings, (finding,) = _read_settings()
+    assert settings.load == LoadPolicy(per_slot=2.0)
+    assert (finding.source, finding.place) == (LOAD_VARIABLE, "/most_wait")
--- /dev/null
+++ b/tests/load/test_settings.py
@@ -0,0 +1,129 @@
+"""The figures under load that operators set in the environment."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from beryltrack.load.messages import LOWEST_PRIORITY
+from beryltrack.load.parts import PARTS
+from beryltrack.load.policy import LoadPolicy
+from beryltrack.load.settings import LOAD, LOAD_VARIABLE, MOST_TEXT, read_load
+
+NAMES = [option.name for option in LOAD.options]
+
+
+def read(value):
+    text = value if isinstance(value, str) else json.dumps(value)
+    return read_load({LOAD_VARIABLE: text})
+
+
+@pytest.mark.parametrize("environment", [{}, {LOAD_VARIABLE: ""}, {LOAD_VARIABLE: " "}])
+def test_by_default_the_figures_of_the_policy_hold(environment):
+    assert read_load(environment) == (LoadPolicy(), ())
+
+
+def test_each_figure_can_be_set():
+    value = {
+        "is_limited": False,
+        "is_ordered": False,
+        "refuses_early": False,
+        "per_slot": 2,
+        "floors": [0, 0.5],
+        "most_wait": 0.5,
+    }
+    policy, findings = read(value)
+    assert findings == ()
+    assert policy == LoadPolicy(False, False, False, 2.0, (0.0, 0.5), 0.5)
+    assert list(value) == NAMES
+
+
+def test_the_table_has_each_figure_with_its_default():
+    assert {option.name: option.default for option in LOAD.options} == (
+        LoadPolicy()._asdict()
+    )
+    assert {name for part in PARTS for name in part.options} == set(NAMES)
+
+
+@pytest.mark.parametrize(
+    ("value", "place"),
+    [
+        ({"per_slot": -1}, "/per_slot"),
+        ({"per_slot": 0}, "/per_slot"),
+        ({"per_slot": None}, "/per_slot"),
+        ({"per_slot": True}, "/per_slot"),
+        ({"per_slot": "3"}, "/per_slot"),
+        ({"most_wait": -0.1}, "/most_wait"),
+        ({"is_limited": 0}, "/is_limited"),
+        ({"is_ordered": None}, "/is_ordered"),
+        ({"refuses_early": "no"}, "/refuses_early"),
+        ({"floors": 0.5}, "/floors"),
+        ({"floors": None}, "/floors"),
+        ({"floors": [0.1, -0.1]}, "/floors/1"),
+        ({"floors": [0.6, 0.6]}, "/floors"),
+        ({"floors": [0.1] * (LOWEST_PRIORITY + 2)}, "/floors"),
+        ({"weights": [1, 2]}, "/weights"),
+        ([], ""),
+        ("{", "line 1"),
+        ("NaN", ""),
+        ('{"per_slot": Infinity}', ""),
+        ('{"per_slot": 1, "per_slot": 2}', ""),
+        ('{"per_slot": ' + "9" * 5000 + "}", ""),
+        ("[" * (MOST_TEXT + 1), ""),
+    ],
+)
+def test_what_is_wrong_is_a_finding_with_its_place_and_the_default_holds(value, place):
+    policy, (finding,) = read(value)
+    assert (finding.source, finding.place) == (LOAD_VARIABLE, place)
+    assert finding.text
+    assert policy == LoadPolicy()
+
+
+def test_a_wrong_figure_costs_no_other():
+    policy, findings = read({"per_slot": 1.5, "most_wait": "long", "magic": 1})
+    assert policy == LoadPolicy(per_slot=1.5)
+    assert {finding.place for finding in findings} == {"/most_wait", "/magic"}
+
+
+def test_floors_whose_sum_is_rounded_up_may_fill_the_whole():
+    assert read({"floors": [0.7, 0.1, 0.1, 0.1]})[1] == ()
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda each: (
+        st.lists(each, max_size=6)
+        | st.dictionaries(st.text(max_size=5), each, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def assert_usable(policy):
+    flags = (policy.is_limited, policy.is_ordered, policy.refuses_early)
+    assert all(isinstance(flag, bool) for flag in flags)
+    assert 0.1 <= policy.per_slot <= 100 and 0 <= policy.most_wait <= 100
+    assert len(policy.floors) <= LOWEST_PRIORITY + 1
+    assert all(0 <= floor <= 1 for floor in policy.floors)
+    assert sum(policy.floors) <= 1 + 1e-6
+
+
+@given(st.dictionaries(st.sampled_from(NAMES) | st.text(max_size=9), VALUES))
+def test_whatever_the_options_are_the_figures_can_be_used(value):
+    policy, findings = read(value)
+    assert_usable(policy)
+    if any(finding.place == "" for finding in findings):
+        assert policy == LoadPolicy()
+        return
+    wrong = {finding.place.split("/")[1] for finding in findings} & set(NAMES)
+    default = LoadPolicy()
+    assert all(getattr(policy, name) == getattr(default, name) for name in wrong)
+    assert len(findings) >= len(set(value) - set(NAMES))
+
+
+@given(st.text() | st.text(alphabet='{}[]",:0123456789eE.-', max_size=40))
+def test_whatever_the_text_is_the_figures_can_be_used(text):
+    policy, findings = read_load({LOAD_VARIABLE: text})
+    assert_usable(policy)
+    assert findings or policy == LoadPolicy() or "{" in text
--- a/tests/settings/test_json_text.py
+++ b/tests/settings/test_json_text.py
@@ -15,3 +15,9 @@
 
 def test_broken_text_is_a_finding_with_its_line():
     assert load_json("{\n3}", "f")[1][0].place == "line 2"
+
+
+def test_text_that_python_cannot_convert_is_a_finding():
+    for text in ("9" * 5000, "[" * 100_000):
+        value, findings = load_json(text, "f")
+        assert value is None and len(findings) == 1
