Count requests by priority and account class, and describe each metric

An operator could not see whom an overload costs: requests were counted by kind and outcome only. The metrics page of an instance on the platform now has, by priority and account class, requests, served, in aim, refused by reason, and seconds of waiting; and for owners each gate's limit, running, waiting and expected wait by priority, refused and put out by reason. Where gates' counts come from is a Protocol (load/counts.py, GateSource); Node.gates is NoGates until a source is wired.

Reasons are one word of few: messages carry names and would make a label without end. A request that admission refused was neither counted nor logged; it is both now.

Each metric has # TYPE and # HELP, from one catalog; values of one name stand together, as the text form asks. The instruments of the PostgreSQL side have texts.

--- a/beryltrack/daemon/metrics.py
+++ b/beryltrack/daemon/metrics.py
@@ -17,6 +17,7 @@
 from beryltrack.metrics.messages import (
     Counters,
     PoolUse,
+    RequestEnd,
     RequestKind,
     RequestOutcome,
     TargetKind,
@@ -92,6 +93,12 @@
         """Count one request that ended."""
         self._requests[kind, outcome, target] += 1
 
+    def count_end(self, end: RequestEnd) -> None:
+        """Count nothing: on PostgreSQL's side routes have no priority."""
+
+    def record_wait(self, priority: int, has_account: bool, seconds: float) -> None:
+        """Record nothing, as `count_end`."""
+
     def count_failover(self, group: str) -> None:
         """Count a change of primary that this instance carried out."""
         self._failovers[group] += 1
@@ -130,15 +137,59 @@
         meter = self.meter
         create_counter = meter.create_observable_counter
         create_gauge = meter.create_observable_gauge
-        self._queue_time = meter.create_histogram("beryltrack_queue_time", "s")
-        self._confirm_wait = meter.create_histogram("beryltrack_confirm_wait", "s")
-        self._failover_gap = meter.create_histogram("beryltrack_failover_gap", "s")
-        create_counter("beryltrack_requests", [self._observe_requests])
-        create_counter("beryltrack_failovers", [self._observe_failovers])
-        create_gauge("beryltrack_replica_share", [self._observe_share])
-        create_gauge("beryltrack_settings_revision", [self._observe_revision])
-        create_gauge("beryltrack_pool_connections", [self._observe_pools])
-        create_gauge("beryltrack_pool_waiting", [self._observe_waiting])
+        create_histogram = meter.create_histogram
+        self._queue_time = create_histogram(
+            "beryltrack_queue_time",
+            "s",
+            "Waits for a connection to a database, 0.1 ms or longer.",
+        )
+        self._confirm_wait = create_histogram(
+            "beryltrack_confirm_wait", "s", "Waits for a majority to receive a commit."
+        )
+        self._failover_gap = create_histogram(
+            "beryltrack_failover_gap",
+            "s",
+            "From the last sign of a lost primary until the next one leads.",
+        )
+        for create, name, observe, text in (
+            (
+                create_counter,
+                "requests",
+                self._observe_requests,
+                "Requests that ended.",
+            ),
+            (
+                create_counter,
+                "failovers",
+                self._observe_failovers,
+                "Changes of primary that this instance carried out.",
+            ),
+            (
+                create_gauge,
+                "replica_share",
+                self._observe_share,
+                "Share of reads that replicas served.",
+            ),
+            (
+                create_gauge,
+                "settings_revision",
+                self._observe_revision,
+                "Highest version of a settings object that is known.",
+            ),
+            (
+                create_gauge,
+                "pool_connections",
+                self._observe_pools,
+                "Connections to a database, by state.",
+            ),
+            (
+                create_gauge,
+                "pool_waiting",
+                self._observe_waiting,
+                "Requests that wait for a connection to a database.",
+            ),
+        ):
+            create(f"beryltrack_{name}", [observe], description=text)
 
     def _observe_requests(self, options: CallbackOptions) -> Iterator[Observation]:
         for (kind, outcome, target), count in self._requests.items():
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -28,7 +28,9 @@
 from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
 from beryltrack.daemon.store_clients import make_store_clients
 from beryltrack.events.log import EventLog
-from beryltrack.metrics.plain import Gauge, PlainMetrics
+from beryltrack.load.counts import GateSource, NoGates, render_gates
+from beryltrack.metrics.messages import Gauge
+from beryltrack.metrics.plain import PlainMetrics
 from beryltrack.objects.eras import EraTracker, get_latest_era, get_revision
 from beryltrack.objects.feed import FeedTask, compute_wait
 from beryltrack.objects.messages import PlatformObject
@@ -139,6 +141,7 @@
         self.settings = settings
         self.state = NodeState.STARTING
         self.metrics = PlainMetrics()
+        self.gates: GateSource = NoGates()
         self._reactor = reactor
         self._rng = rng
         self._seconds = get_seconds(reactor)
@@ -472,3 +475,4 @@
                 yield "beryltrack_pool_busy", labels, pool.load.in_use
                 yield "beryltrack_pool_waiting", labels, pool.load.waiting
         yield from self._accounts.get_gauges()
+        yield from render_gates(self.gates.get_counts())
--- a/beryltrack/metrics/messages.py
+++ b/beryltrack/metrics/messages.py
@@ -108,6 +108,34 @@
     return counters.replica_reads / reads if reads else None
 
 
+Gauge = tuple[str, str, float]
+"""Name, labels in the text form, and value."""
+
+
+class RequestEnd(NamedTuple):
+    """How a request ended, by what it had asked for.
+
+    Parameters
+    ----------
+    priority : int
+        Zero is the most urgent.
+    has_account : bool
+        True if a client account asked for it.
+    is_served : bool
+        True if a target answered it.
+    is_in_aim : bool
+        True if that was within the target latency of its route.
+    refused_for : str
+        Why it was refused before it ran, in one word of few; empty if it was not.
+    """
+
+    priority: int
+    has_account: bool
+    is_served: bool
+    is_in_aim: bool
+    refused_for: str = ""
+
+
 class RequestMetrics(Protocol):
     """Takes what the courses of requests report."""
 
@@ -116,8 +144,14 @@
     ) -> None:
         """Count one request that ended."""
 
+    def count_end(self, end: RequestEnd) -> None:
+        """Count the same request by what it had asked for."""
+
     def record_queue_time(self, seconds: float) -> None:
         """Record how long a request waited for a connection."""
 
+    def record_wait(self, priority: int, has_account: bool, seconds: float) -> None:
+        """Record the same by what it asks for, also if it got no connection."""
+
     def record_confirm_wait(self, seconds: float) -> None:
         """Record how long a commit waited for a majority to receive it."""
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from beryltrack.connections.messages import RefusalReason
 from beryltrack.errors import (
     NOT_RUN_STATES,
     SERIALIZATION_FAILURE,
@@ -14,7 +15,12 @@
 from beryltrack.groups.messages import LogPosition
 from beryltrack.groups.view import NEVER
 from beryltrack.load.messages import Demand
-from beryltrack.metrics.messages import RequestKind, RequestOutcome, TargetKind
+from beryltrack.metrics.messages import (
+    RequestEnd,
+    RequestKind,
+    RequestOutcome,
+    TargetKind,
+)
 from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.outcomes import NextStep
 from beryltrack.requests.protocol import RequestPolicy, UnitCaller, UnitPlan
@@ -26,6 +32,9 @@
 from beryltrack.transactions.decider import CommitOutcome
 from beryltrack.wire.messages import TransactionStatus
 
+OTHER_REASON = "other"
+"""Reason of a refusal that no pool and no owner gave."""
+
 _STEPS = {
     SERIALIZATION_FAILURE: RequestStep.ROLLED_BACK,
     TRANSACTION_RESOLUTION_UNKNOWN: RequestStep.UNKNOWN,
@@ -163,7 +172,8 @@
     caller = context.caller
     caller.send_error(error)
     caller.send_ready(status)
-    count_request(context, TargetKind.NONE, _OUTCOMES.get(error.sqlstate))
+    outcome = _OUTCOMES.get(error.sqlstate)
+    count_request(context, TargetKind.NONE, outcome, error.message)
     step = _STEPS.get(error.sqlstate, RequestStep.NOT_RUN)
     record_step(context, step, error.message)
 
@@ -215,10 +225,30 @@
     context: RequestContext,
     target: TargetKind,
     outcome: RequestOutcome | None = RequestOutcome.DONE,
+    reason: str = "",
 ) -> None:
-    """Count a request that has ended."""
+    """Count a request that has ended; `reason` is the text of its refusal."""
+    services, policy = context.services, context.policy
     kind = RequestKind.READ if context.plan.is_read else RequestKind.WRITE
-    context.services.metrics.count_request(kind, outcome or RequestOutcome.DONE, target)
+    services.metrics.count_request(kind, outcome or RequestOutcome.DONE, target)
+    # An error that no target gave, and that is no refusal, answers nothing either.
+    is_served = outcome is RequestOutcome.DONE
+    elapsed = services.seconds() - context.arrived_at
+    is_refused = outcome is RequestOutcome.NOT_RUN
+    end = RequestEnd(
+        policy.priority,
+        bool(context.caller.account),
+        is_served,
+        is_served and elapsed <= policy.target_latency,
+        name_refusal(reason) if is_refused else "",
+    )
+    services.metrics.count_end(end)
+
+
+def name_refusal(message: str) -> str:
+    """Return the reason of a refusal in one word of few, as metrics need it."""
+    found = (each.name.lower() for each in RefusalReason if each.value in message)
+    return next(found, OTHER_REASON)
 
 
 def make_step_error(step: NextStep, reason: str) -> SqlError:
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -240,8 +240,12 @@
         is_displaced=_is_displaced(request, use)
     )
     acquiring = pool.acquire(services.reactor.seconds() + remaining, demand)
-    connection = await search.ticket.wait(acquiring)
-    services.metrics.record_queue_time(services.seconds() - started_at)
+    try:
+        connection = await search.ticket.wait(acquiring)
+    finally:
+        waited = services.seconds() - started_at
+        services.metrics.record_wait(demand.priority, bool(demand.account), waited)
+    services.metrics.record_queue_time(waited)
     return FoundTarget(use.database, use.is_replica, pool, connection, use.after)
 
 
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -7,6 +7,7 @@
 
 from beryltrack.errors import SqlError, make_not_run
 from beryltrack.events.messages import RequestEvent, RequestStep, SharedDecision
+from beryltrack.metrics.messages import RequestEnd
 from beryltrack.requests.admission_task import UNCOUNTED, Ticket
 from beryltrack.requests.answers import RequestContext
 from beryltrack.requests.course import RequestCourse
@@ -23,6 +24,9 @@
 STATEMENT = "statement"
 """What a line calls a session that is not opened, and a unit that was not planned."""
 
+ADMISSION = "admission"
+"""Reason, in metrics, of a refusal for want of room at this instance."""
+
 
 class RequestTask:
     """Takes units of callers and sees to their answers.
@@ -138,7 +142,7 @@
         deadline = arrived_at + (plan.policy or services.policy).request_timeout
         admitted = services.admission.admit(runtime.settings.team, deadline)
         if isinstance(admitted, Failure) and session.pinned is None:
-            _refuse(caller, admitted.failure())
+            self._refuse_new(plan, caller, admitted.failure())
             return
         # A transaction that is open is finished: refusing its next statement
         # would keep its connection for longer.
@@ -166,6 +170,15 @@
             caller.set_gone(None)
             ticket.finish()
 
+    def _refuse_new(self, plan: UnitPlan, caller: UnitCaller, error: SqlError) -> None:
+        """Refuse a unit that this instance has no room for; log and count that."""
+        policy = plan.policy or self._services.policy
+        self._services.metrics.count_end(
+            RequestEnd(policy.priority, bool(caller.account), False, False, ADMISSION)
+        )
+        self._record_refusal(caller, plan.kind.value, error, plan.request_id)
+        _refuse(caller, error)
+
     def _is_for_others(self, context: RequestContext) -> bool:
         """Return whether an owner of the group is to run a unit."""
         return (
--- a/tests/daemon/test_pages.py
+++ b/tests/daemon/test_pages.py
@@ -102,3 +102,12 @@
     lines = text.splitlines()
     revisions = [line for line in lines if line.startswith("beryltrack_settings_rev")]
     assert [line.split()[-1] for line in revisions] == ["12.0"]
+
+
+def test_each_instrument_has_a_text():
+    metrics = InstanceMetrics("p1")
+    metrics.count_request(RequestKind.READ, RequestOutcome.DONE, TargetKind.REPLICA)
+    metrics.record_queue_time(0.002)
+    text = metrics.render().decode()
+    heads = [line for line in text.splitlines() if line.startswith("# HELP beryltrack")]
+    assert heads and all(len(head.split(maxsplit=3)) == 4 for head in heads)
--- /dev/null
+++ b/tests/metrics/test_catalog.py
@@ -0,0 +1,98 @@
+"""Each metric of an instance has a type and a text."""
+
+import re
+from pathlib import Path
+
+from prometheus_client.parser import text_string_to_metric_families
+
+import beryltrack
+from beryltrack.connections.messages import RefusalReason
+from beryltrack.load.counts import GateCounts, render_gates
+from beryltrack.metrics.catalog import METRICS
+from beryltrack.metrics.messages import (
+    RequestEnd,
+    RequestKind,
+    RequestOutcome,
+    TargetKind,
+)
+from beryltrack.metrics.plain import PlainMetrics
+
+ROOT = Path(beryltrack.__file__).parent
+NAME = re.compile(r'yield\s*\(?\s*"(beryltrack_\w+)"')
+GATE = GateCounts(
+    "g",
+    "db-1",
+    3,
+    2,
+    (0, 4),
+    (0.0, 0.25),
+    {RefusalReason.TOO_LATE: 5},
+    {RefusalReason.QUEUE_FULL: 6},
+)
+
+
+def make_metrics():
+    metrics = PlainMetrics()
+    metrics.count_request(RequestKind.READ, RequestOutcome.DONE, TargetKind.REPLICA)
+    metrics.count_end(RequestEnd(0, True, True, True))
+    metrics.count_end(RequestEnd(0, True, True, False))
+    metrics.count_end(RequestEnd(2, False, False, False, "too_late"))
+    metrics.record_wait(0, True, 0.25)
+    metrics.record_queue_time(0.25)
+    metrics.set_gauges(lambda: render_gates([GATE]))
+    return metrics
+
+
+def get_families(metrics):
+    return list(text_string_to_metric_families(metrics.render().decode()))
+
+
+def get_value(metrics, name, **labels):
+    (value,) = (
+        sample.value
+        for family in get_families(metrics)
+        for sample in family.samples
+        if sample.name == name and sample.labels == labels
+    )
+    return value
+
+
+def test_each_metric_that_is_shown_stands_in_the_catalog():
+    sources = (path.read_text() for path in ROOT.rglob("*.py"))
+    shown = {name for source in sources for name in NAME.findall(source)}
+    assert shown and shown <= set(METRICS)
+
+
+def test_each_metric_has_a_type_and_a_text_and_stands_in_one_place():
+    families = get_families(make_metrics())
+    assert all(family.documentation for family in families)
+    assert not {family.type for family in families} & {"unknown", "untyped"}
+    names = [family.name for family in families]
+    assert len(names) == len(set(names))
+
+
+def test_requests_are_counted_by_priority_and_account_class():
+    metrics = make_metrics()
+    urgent = {"priority": "0", "account_class": "account"}
+    late = {"priority": "2", "account_class": "none"}
+    assert get_value(metrics, "beryltrack_priority_requests_total", **urgent) == 2
+    assert get_value(metrics, "beryltrack_priority_served_total", **urgent) == 2
+    assert get_value(metrics, "beryltrack_priority_in_aim_total", **urgent) == 1
+    name = "beryltrack_priority_wait_seconds_total"
+    assert get_value(metrics, name, **urgent) == 0.25
+    name = "beryltrack_priority_refused_total"
+    assert get_value(metrics, name, **late, reason="too_late") == 1
+
+
+def test_an_owner_s_gates_are_shown_by_database_and_priority():
+    metrics = make_metrics()
+    gate = {"group": "g", "database": "db-1"}
+    assert get_value(metrics, "beryltrack_gate_limit", **gate) == 3
+    assert get_value(metrics, "beryltrack_gate_running", **gate) == 2
+    assert get_value(metrics, "beryltrack_gate_waiting", **gate, priority="1") == 4
+    name = "beryltrack_gate_expected_wait_seconds"
+    assert get_value(metrics, name, **gate, priority="1") == 0.25
+    name = "beryltrack_gate_refused_total"
+    assert get_value(metrics, name, **gate, reason="too_late") == 5
+    name = "beryltrack_gate_put_out_total"
+    assert get_value(metrics, name, **gate, reason="queue_full") == 6
