Tell in a request's line what it asked for, and explain its refusal in words

A refused request's line had a reason and no word of what it was refused by. It now has its route's priority, what is left of its target latency, the expected wait for one of this instance's own connections and the refusal in one word, each only where known. Lines that requests share tell their priority.

The expected wait of a database that is reached through owners only is infinite now in PoolLoad: what queues at owners is not seen at the instance, and zero was untrue. Nobody but the line reads it.

--- a/beryltrack/command/commands.py
+++ b/beryltrack/command/commands.py
@@ -27,7 +27,12 @@
 from beryltrack.command.views import check_tree, show_history, show_settings
 from beryltrack.command.waiting import wait_in_force
 from beryltrack.daemon.status import ObjectVersion
-from beryltrack.events.explain import explain_request, format_line, read_lines
+from beryltrack.events.explain import (
+    explain_request,
+    explain_verdict,
+    format_line,
+    read_lines,
+)
 from beryltrack.findings import Finding
 from beryltrack.json_form import to_json
 from beryltrack.settings.json_text import load_json
@@ -377,6 +382,9 @@
         if found.deciding is not None:
             reason = found.deciding.get("reason") or "no trouble"
             self.line(f"decided: {found.deciding.get('step')} ({reason})")
+            verdict = explain_verdict(found.deciding)
+            if verdict:
+                self.line(verdict)
         return ExitCode.OK
 
 
--- a/beryltrack/events/explain.py
+++ b/beryltrack/events/explain.py
@@ -10,6 +10,17 @@
     step.value for step in RequestStep if step is not RequestStep.RETRIED
 )
 
+VERDICTS = {
+    "admission": "the instance that it came to had no room for more requests",
+    "queue_full": "too many requests waited for the database already",
+    "too_late": "it could not have been done in time",
+    "unreachable": "the database could not be reached",
+    "no_share": "no connection to the database was left for it",
+    "leaving": "the database takes no new work",
+    "over_limit": "its account was over its limit",
+}
+"""What the word of a refusal means."""
+
 
 class Explanation(NamedTuple):
     """What is known of one request.
@@ -78,6 +89,7 @@
             f" ({line.get('reason') or 'no trouble'}), like"
             f" {len(line['requests']) - 1} others within a second;"
             f" {line.get('primary') or 'no primary'} in term {line.get('term')}"
+            f"{_format_priority(line)}"
         )
     confirmed = line.get("confirmed_ms")
     age = "never proven" if confirmed is None else f"proven {confirmed} ms ago"
@@ -90,7 +102,48 @@
         f" {primary} in term {line.get('term')}, {age};"
         f" settings {line.get('settings_version')};"
         f" pool {line.get('pool_busy')} of {line.get('pool_limit')}"
+        f"{_format_priority(line)}{_format_demand(line)}"
+    )
+
+
+def explain_verdict(line: dict) -> str:
+    """Return why a request was refused, and what that rested on, in one sentence.
+
+    Empty for a line that refuses nothing, or that tells none of it.
+    """
+    words = VERDICTS.get(line.get("verdict"))
+    if words is None:
+        return ""
+    wait, left = line.get("wait_expected_ms"), line.get("aim_left_ms")
+    rested_on = [
+        "" if wait is None else f"a wait of {wait} ms was expected",
+        "" if left is None else _format_aim(left),
+    ]
+    known = ", ".join(filter(None, rested_on))
+    return f"It was refused as {words}{f' ({known})' if known else ''}."
+
+
+def _format_priority(line: dict) -> str:
+    """Return the priority of a request, if it is known."""
+    priority = line.get("priority")
+    return "" if priority is None else f"; priority {priority}"
+
+
+def _format_demand(line: dict) -> str:
+    """Return the rest of what a request asked for and found, as far as it is known."""
+    wait, left = line.get("wait_expected_ms"), line.get("aim_left_ms")
+    parts = (
+        "" if left is None else f", {_format_aim(left)}",
+        "" if wait is None else f", expected wait {wait} ms",
     )
+    return "".join(parts)
+
+
+def _format_aim(left: float) -> str:
+    """Return what is left of a target latency."""
+    if left < 0:
+        return f"its target latency was over for {-left} ms"
+    return f"{left} ms of its target latency were left"
 
 
 def _format_way(line: dict) -> str:
--- a/beryltrack/events/log.py
+++ b/beryltrack/events/log.py
@@ -7,7 +7,12 @@
 from datetime import UTC, datetime
 
 from beryltrack.events.budget import LineBudget
-from beryltrack.events.messages import RequestEvent, RequestStep, SharedDecision
+from beryltrack.events.messages import (
+    OPTIONAL_FIELDS,
+    RequestEvent,
+    RequestStep,
+    SharedDecision,
+)
 
 MOST_HELD = 65536
 """Bytes that are held for a reader that is slow: the size of a pipe's own buffer."""
@@ -115,6 +120,11 @@
         fields["elapsed_ms"] = round(event.elapsed_ms, 1)
         if event.confirmed_ms is not None:
             fields["confirmed_ms"] = round(event.confirmed_ms, 1)
+        for name in OPTIONAL_FIELDS:
+            if fields[name] is None or fields[name] == "":
+                del fields[name]
+            elif isinstance(fields[name], float):
+                fields[name] = round(fields[name], 1)
         self._write_line("INFO", fields)
 
     def note(self, request: str, shared: SharedDecision) -> None:
@@ -133,6 +143,8 @@
         noted, self._noted, self._noted_count = self._noted, {}, 0
         for shared, requests in noted.items():
             fields = shared._asdict() | {"step": shared.step.value}
+            if shared.priority is None:
+                del fields["priority"]
             for start in range(0, len(requests), IDS_A_LINE):
                 part = requests[start : start + IDS_A_LINE]
                 self._write_line("INFO", fields | {"requests": part})
--- a/beryltrack/events/messages.py
+++ b/beryltrack/events/messages.py
@@ -63,6 +63,17 @@
     opened_by : str
         Identifier of the request that opened its transaction; empty if it opened one
         itself, or ran outside of one.
+    priority : int or None
+        Its route's priority; None if routes have none. This field and those after it
+        stand in the line only where they are known.
+    aim_left_ms : float or None
+        Milliseconds left of its route's target latency, below zero once it is over;
+        None if the route has none.
+    wait_expected_ms : float or None
+        Milliseconds that a request was expected to wait for the database that was
+        chosen; None if nobody could tell.
+    verdict : str
+        Why it was refused before it ran, in one word of few; empty if it was not.
     """
 
     request: str
@@ -81,6 +92,14 @@
     pool_limit: int = 0
     way: str = ""
     opened_by: str = ""
+    priority: int | None = None
+    aim_left_ms: float | None = None
+    wait_expected_ms: float | None = None
+    verdict: str = ""
+
+
+OPTIONAL_FIELDS = ("priority", "aim_left_ms", "wait_expected_ms", "verdict")
+"""Fields that are left out of a line where nothing is known."""
 
 
 class RequestEvents(Protocol):
@@ -109,12 +128,15 @@
         Term of the group's primary as this instance knew it; zero if none.
     primary : str
         That primary; empty if none was known.
+    priority : int or None
+        Their routes' priority; left out of the line if None.
     """
 
     step: RequestStep
     reason: str
     term: int
     primary: str
+    priority: int | None = None
 
 
 class SilentEvents:
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
@@ -76,7 +77,11 @@
 
     @property
     def load(self) -> PoolLoad:
-        """The load of all ways together, with the limit of those that are used."""
+        """The load of all ways together, with the limit of those that are used.
+
+        What queues at other instances is not seen here: the expected wait is infinite
+        where all connections go through them.
+        """
         direct = self.direct.load
         others = [pool.load for pool in self._sessions.values()]
         return direct._replace(
@@ -84,6 +89,7 @@
             open=direct.open + sum(load.open for load in others),
             in_use=direct.in_use + sum(load.in_use for load in others),
             waiting=direct.waiting + sum(load.waiting for load in others),
+            expected_wait=direct.expected_wait if direct.limit else math.inf,
         )
 
     @property
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -1,5 +1,6 @@
 """Ends a request: waits for its commit if it made one, and answers the caller."""
 
+import math
 from typing import NamedTuple
 
 from beryltrack.connections.messages import RefusalReason
@@ -191,12 +192,16 @@
     request_id = context.plan.request_id
     # Callers know a transaction by the request that opened it.
     opened_by = context.opened_by if context.opened_by != request_id else ""
+    # Only where a request has a policy of its own does its route have a priority.
+    policy = context.plan.policy
+    priority = policy.priority if policy else None
     if not services.events.wants(step):
-        shared = SharedDecision(step, reason, view.term, view.primary)
+        shared = SharedDecision(step, reason, view.term, view.primary, priority)
         for each in filter(None, (request_id, opened_by)):
             services.events.note(each, shared)
         return
     now = services.seconds()
+    elapsed = now - context.arrived_at
     confirmed_at = view.confirmed_at
     pool = context.runtime.pools.get(view.primary)
     load = pool.load if pool is not None else None
@@ -208,7 +213,7 @@
         reason,
         target,
         attempt,
-        (now - context.arrived_at) * 1000,
+        elapsed * 1000,
         context.settings_version,
         view.term,
         view.primary,
@@ -217,10 +222,31 @@
         load.limit if load else 0,
         way,
         opened_by,
+        priority,
+        _compute_aim_left(policy, elapsed),
+        _get_expected_wait(context, target or view.primary),
+        name_refusal(reason) if step is RequestStep.NOT_RUN else "",
     )
     services.events.record(event)
 
 
+def _compute_aim_left(policy: RequestPolicy | None, elapsed: float) -> float | None:
+    """Return what is left of a target latency, milliseconds; None without one."""
+    if policy is None or math.isinf(policy.target_latency):
+        return None
+    return (policy.target_latency - elapsed) * 1000
+
+
+def _get_expected_wait(context: RequestContext, database: str) -> float | None:
+    """Return the wait for one of this instance's own connections, milliseconds.
+
+    None if it has none to that database.
+    """
+    pool = context.runtime.pools.get(database)
+    wait = math.inf if pool is None else pool.load.expected_wait
+    return wait * 1000 if math.isfinite(wait) else None
+
+
 def count_request(
     context: RequestContext,
     target: TargetKind,
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -103,9 +103,15 @@
         await self._run(plan, caller, runtime, may_forward)
 
     def _record_refusal(
-        self, caller: UnitCaller, kind: str, error: SqlError, request_id: str = ""
+        self,
+        caller: UnitCaller,
+        kind: str,
+        error: SqlError,
+        request_id: str = "",
+        priority: int | None = None,
+        verdict: str = "",
     ) -> None:
-        """Log that the settings in force know no database for a caller."""
+        """Log that the settings in force know no database for a caller, or no room."""
         events = self._services.events
         if events.wants(RequestStep.NOT_RUN):
             event = RequestEvent(
@@ -115,10 +121,12 @@
                 RequestStep.NOT_RUN,
                 error.message,
                 settings_version=self._get_settings().revision,
+                priority=priority,
+                verdict=verdict,
             )
             events.record(event)
         elif request_id:
-            shared = SharedDecision(RequestStep.NOT_RUN, error.message, 0, "")
+            shared = SharedDecision(RequestStep.NOT_RUN, error.message, 0, "", priority)
             events.note(request_id, shared)
 
     def _find_runtime(self, caller: UnitCaller) -> GroupRuntime | None:
@@ -176,7 +184,10 @@
         self._services.metrics.count_end(
             RequestEnd(policy.priority, bool(caller.account), False, False, ADMISSION)
         )
-        self._record_refusal(caller, plan.kind.value, error, plan.request_id)
+        priority = plan.policy.priority if plan.policy else None
+        self._record_refusal(
+            caller, plan.kind.value, error, plan.request_id, priority, ADMISSION
+        )
         _refuse(caller, error)
 
     def _is_for_others(self, context: RequestContext) -> bool:
--- a/tests/events/test_log.py
+++ b/tests/events/test_log.py
@@ -6,8 +6,9 @@
 from cleo.testers.command_tester import CommandTester
 
 from beryltrack.command.main import build_application
+from beryltrack.connections.messages import RefusalReason
 from beryltrack.events.budget import BURST, OTHER_LINES, LineBudget
-from beryltrack.events.explain import explain_request, read_lines
+from beryltrack.events.explain import VERDICTS, explain_request, read_lines
 from beryltrack.events.log import (
     IDS_A_LINE,
     MOST_HELD,
@@ -16,6 +17,7 @@
     NonBlockingStream,
 )
 from beryltrack.events.messages import RequestEvent, RequestStep, SharedDecision
+from beryltrack.requests.task import ADMISSION
 
 
 def make_event(request="r-1", step=RequestStep.NOT_RUN, reason="no primary"):
@@ -172,3 +174,62 @@
     record(log, event._replace(opened_by="r-5"))
     found = explain_request("r-5", read_lines(lines))
     assert found.deciding["request"] == "r-7"
+
+
+DEMAND = {
+    "priority": 2,
+    "aim_left_ms": -30.04,
+    "wait_expected_ms": 120.06,
+    "verdict": "too_late",
+}
+
+
+def test_what_a_request_asked_for_stands_in_its_line_where_it_is_known():
+    log, lines, _ = make_log()
+    record(log, make_event())
+    record(log, make_event()._replace(**DEMAND))
+    bare, full = map(json.loads, lines)
+    assert not set(DEMAND) & set(bare)
+    told = {name: full[name] for name in DEMAND}
+    assert told == DEMAND | {"aim_left_ms": -30.0, "wait_expected_ms": 120.1}
+
+
+def explain(tmp_path, event):
+    log, lines, _ = make_log()
+    record(log, event)
+    file = tmp_path / "node-1.log"
+    file.write_text("".join(lines))
+    tester = CommandTester(build_application().find("explain"))
+    assert tester.execute(f"r-1 --logs {file}") == 0
+    return tester.io.fetch_output()
+
+
+def test_the_tool_tells_in_words_why_a_request_was_refused(tmp_path):
+    output = explain(tmp_path, make_event()._replace(**DEMAND))
+    assert "; priority 2, its target latency was over for 30.0 ms" in output
+    assert (
+        "It was refused as it could not have been done in time (a wait of 120.1 ms was "
+        "expected, its target latency was over for 30.0 ms)." in output
+    )
+
+
+def test_the_tool_tells_nothing_of_a_demand_that_is_not_known(tmp_path):
+    output = explain(tmp_path, make_event()._replace(verdict="other"))
+    assert "priority" not in output and "It was refused" not in output
+
+
+def test_each_reason_of_a_refusal_has_words():
+    words = {reason.name.lower() for reason in RefusalReason} | {ADMISSION}
+    assert words == set(VERDICTS)
+
+
+def test_requests_that_share_a_line_are_told_apart_by_priority():
+    log, lines, clock = make_log()
+    for number, priority in enumerate((0, 0, 2, None)):
+        shared = SharedDecision(RequestStep.NOT_RUN, "full", 3, "db-1", priority)
+        log.note(f"r-{number}", shared)
+    clock.now = 1.5
+    log.wants(RequestStep.NOT_RUN)
+    told = [(line["requests"], line.get("priority")) for line in map(json.loads, lines)]
+    assert told == [(["r-0", "r-1"], 0), (["r-2"], 2), (["r-3"], None)]
+    assert "priority" not in json.loads(lines[2])
