--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -53,6 +53,8 @@
         What is run again.
     admission : AdmissionPolicy
         How many requests are taken on.
+    load : LoadPolicy
+        What runs at a database through an owner, and in which order.
     late_after : float
         Seconds after which a statement makes its primary be asked.
     takes_detours : bool
@@ -61,8 +63,6 @@
         True if an instance that starts may go by another one's copies.
     shares_copies : bool
         True if instances may tell each other what the store holds.
-    load : LoadPolicy
-        What runs at a database, in which order, and what is refused.
     """
 
     pools: PoolPolicy
@@ -73,11 +73,11 @@
     failover: FailoverPolicy
     retries: RetryPolicy
     admission: AdmissionPolicy
+    load: LoadPolicy
     late_after: float
     takes_detours: bool
     takes_snapshots: bool
     shares_copies: bool
-    load: LoadPolicy
 
 
 def make_policies(
@@ -105,11 +105,11 @@
         options.FAILOVER if is_fenced else options.UNFENCED_FAILOVER,
         RETRIES,
         AdmissionPolicy(),
+        load,
         LATE_AFTER,
         takes_detours=Mechanism.DETOURS not in disabled,
         takes_snapshots=Mechanism.SNAPSHOTS not in disabled,
         shares_copies=Mechanism.SHARED_COPIES not in disabled,
-        load=load,
     )
     for mechanism in sorted(disabled, key=lambda each: each.value):
         if mechanism in _WITHOUT:
@@ -126,6 +126,12 @@
     )
 
 
+def _refuse_late(policies: NodePolicies) -> NodePolicies:
+    """Return policies by which only what is over its time is refused."""
+    load = policies.load._replace(refuses_early=False)
+    return _change_pools(policies._replace(load=load), refuses_early=False)
+
+
 def _change(name: str, **figures: object):
     """Return what gives one of the policies other figures."""
 
@@ -135,12 +141,6 @@
     return change
 
 
-def _refuse_late(policies: NodePolicies) -> NodePolicies:
-    """Return policies by which nobody is refused before the time is over."""
-    load = policies.load._replace(refuses_early=False)
-    return _change_pools(policies, refuses_early=False)._replace(load=load)
-
-
 _WITHOUT = {
     Mechanism.ADMISSION_BOUND: _change("admission", most_delay=math.inf),
     Mechanism.CALM_GUARD: _change("probes", guard_interval=EAGER_GUARD),
@@ -150,15 +150,15 @@
         "pools", open_patience=0.0, idle_timeout=LONG_IDLE
     ),
     Mechanism.REPLICA_PAUSE: _change("routing", lagging_pause=0.0),
-    Mechanism.LOAD_LIMIT: _change("load", is_limited=False),
-    Mechanism.LOAD_ORDER: _change("load", is_ordered=False),
     Mechanism.LATE_STATEMENTS: lambda each: each._replace(late_after=math.inf),
     Mechanism.LONG_PROOFS: _change("routing", confirmed_within=SHORT_PROOFS),
     Mechanism.LONG_QUEUE: lambda each: _change_pools(each, most_wait=SHORT_QUEUE),
     Mechanism.NEAR_REPLICAS: _change("routing", prefers_near=False),
     Mechanism.OWN_REPLICAS: _change("routing", prefers_own=False),
+    Mechanism.PRIORITY_ORDER: _change("load", is_ordered=False),
     Mechanism.RETRIES: _change("retries", most_attempts=1),
     Mechanism.RETRY_BUDGET: _change(
         "retries", ratio=1.0, most_saved=UNBOUNDED, first_saved=UNBOUNDED
     ),
+    Mechanism.STATEMENT_LIMIT: _change("load", is_limited=False),
 }
--- a/beryltrack/load/settings.py
+++ b/beryltrack/load/settings.py
@@ -7,6 +7,7 @@
 
 import math
 from collections.abc import Iterator, Mapping
+from itertools import repeat
 from typing import NamedTuple
 
 from beryltrack.findings import Finding, format_pointer
@@ -24,6 +25,10 @@
 
 PRIORITIES = LOWEST_PRIORITY + 1
 
+MOST_FLOORS = 0.9
+"""What floors add up to at most: with all turns given away by floors, none would be
+left for the most urgent, and its expected wait would have no bound."""
+
 _DEFAULTS = LoadPolicy()
 
 LOAD = OptionTable(
@@ -66,7 +71,8 @@
             "floors",
             OptionKind.NUMBERS,
             "Least part of the turns that each priority gets while it waits, from zero "
-            f"(the most urgent) on. At most {PRIORITIES} parts, together at most one.",
+            f"(the most urgent) on. At most {PRIORITIES} parts, together at most "
+            f"{MOST_FLOORS}; zero for what is left out.",
             _DEFAULTS.floors,
             "of the turns",
             0,
@@ -164,10 +170,12 @@
     )
     if len(value) > PRIORITIES:
         wrong += (((), f"has {len(value)} parts, and there are {PRIORITIES}"),)
-    # Parts such as 0.7, 0.2 and 0.1 add up to a little more than one.
-    elif not wrong and math.fsum(value) > 1 + 1e-9:
-        wrong += (((), f"adds up to {math.fsum(value):g}, more than one"),)
-    return _Reading(None, wrong) if wrong else _Reading(tuple(map(float, value)))
+    elif not wrong and math.fsum(value) > MOST_FLOORS:
+        wrong += (((), f"adds up to {math.fsum(value):g}, over {MOST_FLOORS}"),)
+    if wrong:
+        return _Reading(None, wrong)
+    absent = repeat(0.0, PRIORITIES - len(value))
+    return _Reading((*map(float, value), *absent))
 
 
 def _judge_number(option: Option, value: object) -> Iterator[str]:
--- a/tests/load/test_settings.py
+++ b/tests/load/test_settings.py
@@ -9,7 +9,13 @@
 from beryltrack.load.messages import LOWEST_PRIORITY
 from beryltrack.load.parts import PARTS
 from beryltrack.load.policy import LoadPolicy
-from beryltrack.load.settings import LOAD, LOAD_VARIABLE, MOST_TEXT, read_load
+from beryltrack.load.settings import (
+    LOAD,
+    LOAD_VARIABLE,
+    MOST_FLOORS,
+    MOST_TEXT,
+    read_load,
+)
 
 NAMES = [option.name for option in LOAD.options]
 
@@ -35,7 +41,7 @@
     }
     policy, findings = read(value)
     assert findings == ()
-    assert policy == LoadPolicy(False, False, False, 2.0, (0.0, 0.5), 0.5)
+    assert policy == LoadPolicy(False, False, False, 2.0, (0.0, 0.5, 0.0, 0.0), 0.5)
     assert list(value) == NAMES
 
 
@@ -86,8 +92,9 @@
     assert {finding.place for finding in findings} == {"/most_wait", "/magic"}
 
 
-def test_floors_whose_sum_is_rounded_up_may_fill_the_whole():
-    assert read({"floors": [0.7, 0.1, 0.1, 0.1]})[1] == ()
+def test_floors_leave_turns_to_the_most_urgent():
+    assert read({"floors": [0.6, 0.1, 0.1, 0.1]})[1] == ()
+    assert len(read({"floors": [0, 0.5, 0.3, 0.2]})[1]) == 1
 
 
 VALUES = st.recursive(
@@ -104,9 +111,9 @@
     flags = (policy.is_limited, policy.is_ordered, policy.refuses_early)
     assert all(isinstance(flag, bool) for flag in flags)
     assert 0.1 <= policy.per_slot <= 100 and 0 <= policy.most_wait <= 100
-    assert len(policy.floors) <= LOWEST_PRIORITY + 1
+    assert len(policy.floors) == LOWEST_PRIORITY + 1
     assert all(0 <= floor <= 1 for floor in policy.floors)
-    assert sum(policy.floors) <= 1 + 1e-6
+    assert sum(policy.floors) <= MOST_FLOORS + 1e-6
 
 
 @given(st.dictionaries(st.sampled_from(NAMES) | st.text(max_size=9), VALUES))
