Show on a status page who decides for whom, and what waits

Who owns a group, and through whom an instance goes, stood on no page. The metrics port of an instance on the platform now has /status in JSON: groups with primary, owners and the owner asked next, use and queues of each database, an owner's gates (limit, running, expected waits by priority), and of how many slots of accounts each owner decides for. The gates' limits and waits are on the metrics page too, from the pools' reports.

Waits through owners are shown once LoadView is given an Outlook. Pages carry their content type; the converter of json_form is not used, as it would cost an import.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -20,15 +20,16 @@
 from beryltrack.daemon.group_connections import GroupConnections
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.line_kit import LineKit
+from beryltrack.daemon.load_status import LoadStatus, LoadView, make_status_page
 from beryltrack.daemon.members import KIND as MEMBERS_KIND
 from beryltrack.daemon.members import WATCH_GAP, MemberPort, MemberTask
 from beryltrack.daemon.node_accounts import NodeAccounts
 from beryltrack.daemon.node_policies import make_policies
 from beryltrack.daemon.node_site import NodeSite
-from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
+from beryltrack.daemon.plain_pages import Page, PlainPages, make_ready_page
 from beryltrack.daemon.store_clients import make_store_clients
 from beryltrack.events.log import EventLog
-from beryltrack.load.counts import GateSource, NoGates, render_gates
+from beryltrack.load.counts import render_gates
 from beryltrack.metrics.messages import Gauge
 from beryltrack.metrics.plain import PlainMetrics
 from beryltrack.objects.eras import EraTracker, get_latest_era, get_revision
@@ -68,6 +69,7 @@
 file names it too."""
 
 METRICS_PATH = b"/metrics"
+STATUS_PATH = b"/status"
 
 NEWER_SETTINGS_TIME = 5.0
 """Seconds for which an instance that has started looks for newer settings than those of
@@ -141,7 +143,6 @@
         self.settings = settings
         self.state = NodeState.STARTING
         self.metrics = PlainMetrics()
-        self.gates: GateSource = NoGates()
         self._reactor = reactor
         self._rng = rng
         self._seconds = get_seconds(reactor)
@@ -182,6 +183,7 @@
             self._policies,
             self._accounts.was_heard,
         )
+        self._load = LoadView(directory, lambda: self._groups.runtimes)
         directory.set_block_observer(self._connections.share)
         self._groups.subscribe_started(self._connections.start_group)
         self._configured_by: dict[str, PlatformObject] = {}
@@ -270,9 +272,12 @@
         """
         ready = {READY_PATH: make_ready_page(lambda: self.is_ready)}
         self._listen(self.settings.ready_listen, PlainPages(self._reactor, ready))
-        metrics = {METRICS_PATH: lambda: (OK, self.metrics.render())}
+        pages = {
+            METRICS_PATH: lambda: Page(OK, self.metrics.render()),
+            STATUS_PATH: make_status_page(self._get_status),
+        }
         endpoint = Endpoint(self.settings.listen.host, METRICS_PORT)
-        self._listen(endpoint, PlainPages(self._reactor, metrics))
+        self._listen(endpoint, PlainPages(self._reactor, pages))
         self._listen(self.settings.member_listen, MemberPort())
         self._listen(self.settings.relay_listen, self._relays)
         if self.settings.snapshot_listen is not None:
@@ -475,4 +480,11 @@
                 yield "beryltrack_pool_busy", labels, pool.load.in_use
                 yield "beryltrack_pool_waiting", labels, pool.load.waiting
         yield from self._accounts.get_gauges()
-        yield from render_gates(self.gates.get_counts())
+        yield from render_gates(self._load.gates.get_counts())
+
+    def _get_status(self) -> LoadStatus:
+        """Return who decides for which group, and what waits."""
+        settings = self.settings
+        return self._load.build(
+            settings.name, settings.zone, self.state.value, self._site.version
+        )
--- a/beryltrack/daemon/plain_pages.py
+++ b/beryltrack/daemon/plain_pages.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 from twisted.web.http import (
     NOT_FOUND,
@@ -15,8 +16,30 @@
     Request,
 )
 
-RenderPage = Callable[[], tuple[int, bytes]]
-"""Returns the status code and the body of a page."""
+TEXT = b"text/plain; charset=utf-8"
+JSON = b"application/json"
+
+
+class Page(NamedTuple):
+    """An answer to a request for a page.
+
+    Parameters
+    ----------
+    code : int
+        Status code.
+    body : bytes
+        What it shows.
+    content_type : bytes
+        The form of that.
+    """
+
+    code: int
+    body: bytes = b""
+    content_type: bytes = TEXT
+
+
+RenderPage = Callable[[], Page]
+"""Returns a page as it is now."""
 
 
 class PlainPages(HTTPFactory):
@@ -52,18 +75,18 @@
     def process(self) -> None:
         """Answer it."""
         render = self.channel.factory.pages.get(self.path)
-        code, body = render() if render is not None else (NOT_FOUND, b"")
-        self.setResponseCode(code)
-        self.setHeader(b"content-type", b"text/plain; charset=utf-8")
-        self.setHeader(b"content-length", b"%d" % len(body))
-        self.write(body)
+        page = render() if render is not None else Page(NOT_FOUND)
+        self.setResponseCode(page.code)
+        self.setHeader(b"content-type", page.content_type)
+        self.setHeader(b"content-length", b"%d" % len(page.body))
+        self.write(page.body)
         self.finish()
 
 
 def make_ready_page(is_ready: Callable[[], bool]) -> RenderPage:
     """Return the page that says whether an instance takes callers."""
 
-    def render() -> tuple[int, bytes]:
-        return (OK, b"ready\n") if is_ready() else (SERVICE_UNAVAILABLE, b"")
+    def render() -> Page:
+        return Page(OK, b"ready\n") if is_ready() else Page(SERVICE_UNAVAILABLE)
 
     return render
--- a/beryltrack/load/counts.py
+++ b/beryltrack/load/counts.py
@@ -47,14 +47,6 @@
         """Return what each gate has counted; nothing where the instance owns none."""
 
 
-class NoGates:
-    """The source of an instance that has no gates."""
-
-    def get_counts(self) -> Iterable[GateCounts]:
-        """Return nothing."""
-        return ()
-
-
 def render_gates(counts: Iterable[GateCounts]) -> Iterable[Gauge]:
     """Return the values of gates in the form of the metrics page."""
     for gate in counts:
--- /dev/null
+++ b/tests/daemon/test_load_status.py
@@ -0,0 +1,99 @@
+"""The status page: queues, limits, and who decides for whom."""
+
+import json
+import math
+from types import SimpleNamespace
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from beryltrack.connections.messages import PoolLoad, RefusalReason
+from beryltrack.daemon.load_status import LoadView, make_status_page, simplify
+from beryltrack.daemon.plain_pages import JSON
+from beryltrack.load.counts import GateCounts
+from beryltrack.load.messages import DatabaseReport
+from beryltrack.relay.directory import RelayDirectory
+from beryltrack.settings.messages import GroupSettings
+from tests.daemon.test_group_connections import DATABASE
+from tests.daemon.test_silent_store import Site
+from tests.relay.test_directory import make_peer
+
+REPORT = DatabaseReport(3, 2, (0.0, 0.25), 0.01, 1)
+
+
+class Outlook:
+    """Knows a wait of a tenth of a second for each step of priority."""
+
+    def get_wait(self, owner, database, priority):
+        return priority / 10
+
+    def get_work(self, database):
+        return 0.0
+
+
+def build(others, report=None, limit=20, least_connections=None):
+    directory = RelayDirectory(make_peer("me"), lambda: 100.0, 8)
+    directory.set_peers([make_peer(f"n{number}") for number in range(others)])
+    directory.set_accounts(least_connections)
+    item = DATABASE._replace(max_connections=limit)
+    runtime = SimpleNamespace(
+        settings=GroupSettings("orders", "", (item,), "", "", 0.0, 0.5),
+        view=SimpleNamespace(term=4, primary="a"),
+        pools={
+            "a": SimpleNamespace(
+                load=PoolLoad(5, 5, 4, 7, math.inf, 0.1), get_report=lambda: report
+            )
+        },
+    )
+    view = LoadView(directory, lambda: [runtime], Outlook())
+    return view.build("me", "z", "live", 58)
+
+
+def test_in_a_small_fleet_each_instance_decides_for_itself():
+    status = build(2)
+    (group,) = status.groups
+    assert (group.owners, group.way) == ((), "")
+    assert (group.term, group.primary) == (4, "a")
+    (database,) = group.databases
+    assert (database.busy, database.waiting, database.limit) == (4, 7, 5)
+    assert database.waits == ()
+    assert status.gates == () and status.account_slots == {}
+
+
+def test_in_a_large_fleet_it_says_who_decides_and_what_wait_is_expected_there():
+    (group,) = build(60, limit=10).groups
+    assert group.way in group.owners and "me" not in group.owners
+    assert group.databases[0].waits == (0.0, 0.1, 0.2, 0.3)
+
+
+def test_an_owner_shows_what_its_gates_report():
+    (gate,) = build(2, REPORT).gates
+    assert gate == GateCounts("orders", "a", 3, 2, waits=(0.0, 0.25))
+
+
+def test_accounts_are_counted_by_the_owner_that_decides_for_them():
+    slots = build(30, least_connections=40).account_slots
+    assert sum(slots.values()) == 64 and len(slots) > 1
+
+
+def test_the_page_is_json():
+    page = make_status_page(lambda: build(2, REPORT))()
+    assert page.code == 200 and page.content_type == JSON
+    status = json.loads(page.body)
+    assert status["instance"] == "me" and status["settings_version"] == 58
+    assert status["gates"][0]["waits"] == [0.0, 0.25]
+
+
+def test_reasons_and_infinite_numbers_have_a_form_in_json():
+    gate = GateCounts("g", "a", 1, 0, (), (math.inf,), {RefusalReason.TOO_LATE: 2})
+    shown = json.loads(json.dumps(simplify(gate)))
+    assert shown["waits"] == [None] and shown["refused"] == {"too_late": 2}
+
+
+def test_a_whole_instance_shows_its_groups_and_describes_all_its_metrics(monkeypatch):
+    site = Site(monkeypatch)
+    site.advance(2.0)
+    status = site.node._get_status()
+    assert status.state == "live" and status.settings_version == 7
+    assert [group.name for group in status.groups] == ["huvo"]
+    families = text_string_to_metric_families(site.node.metrics.render().decode())
+    assert all(family.documentation for family in families)
