Replay load patterns against the gates in simulated time

Nothing showed what each decision under load is worth, or whom it costs. `beryltrack-bench replay` plays ten patterns (bursts, a hot account, waves of zones, a slow and a hanging database, reads that replicas leave to the primary, a lost owner, two and four times the load) with all decisions on, with each off, and without limit in order of arrival; tables by priority, account class and second, and a picture. Operators' own figures are one more way (--load). Options set the sizes.

The gates and pools are the product's, the clock and the database those of `overload`, which learns to be slow and to hang; owners are chosen by relay/owners.py. Callers that are refused come back once. Connections belong to no account here, and owners' reports steer nobody yet.

The patterns stand in beryltrack_bench/replay/patterns.py for other tests too.

--- a/beryltrack_bench/main.py
+++ b/beryltrack_bench/main.py
@@ -23,6 +23,7 @@
 from beryltrack_bench import experiments
 from beryltrack_bench.deployment import DEPLOYMENTS, load_deployment
 from beryltrack_bench.options import Options
+from beryltrack_bench.replay.command import ReplayCommand
 from beryltrack_bench.report import write_report
 from beryltrack_bench.soak.command import SoakCommand
 
@@ -162,6 +163,7 @@
     for name in list_experiments():
         application.add(ExperimentCommand(name))
     application.add(AllCommand())
+    application.add(ReplayCommand())
     application.add(SoakCommand())
     return application
 
--- a/beryltrack_bench/overload/target.py
+++ b/beryltrack_bench/overload/target.py
@@ -52,6 +52,9 @@
         self.refused_count = 0
         self.ran: set[int] = set()
         self.is_up = True
+        self._slowness = 1.0
+        self._is_hanging = False
+        self._held: list[_Job] = []
         self._slots = slots
         self.max_connections = max_connections
         self._setup = setup
@@ -93,6 +96,22 @@
         """Take connections again."""
         self.is_up = True
 
+    def set_slowness(self, factor: float) -> None:
+        """Take so many times as long for each statement that starts from now on."""
+        self._slowness = factor
+
+    def hang(self) -> None:
+        """Answer nothing, until `recover`; connections stay open."""
+        self._is_hanging = True
+
+    def recover(self) -> None:
+        """Be as fast as usual, and answer what was held up."""
+        self._slowness, self._is_hanging = 1.0, False
+        held, self._held = self._held, []
+        for job in held:
+            self._finish(job)
+        self._start_next()
+
     def _accept(self, result: Deferred) -> None:
         if not self.is_up:
             self._answer_later(result, ConnectionLost("the database is down"))
@@ -109,15 +128,21 @@
         self.clock.callLater(self.delay, result.errback, error)
 
     def _start_next(self) -> None:
+        if self._is_hanging:
+            return
         while self._queue and len(self._running) < self._slots:
             job = self._queue.popleft()
             self._running.add(job.answer)
             self.ran.add(job.request)
-            self.clock.callLater(job.service_time, self._finish, job)
+            time = job.service_time * self._slowness
+            self.clock.callLater(time, self._finish, job)
 
     def _finish(self, job: _Job) -> None:
         if job.answer not in self._running:
             return
+        if self._is_hanging:
+            self._held.append(job)
+            return
         self._running.remove(job.answer)
         self.clock.callLater(self.delay, job.connection.answer, job.answer)
         self._start_next()
--- /dev/null
+++ b/beryltrack_bench/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Load patterns against the deciders of `beryltrack.load`, in simulated time."""
--- /dev/null
+++ b/tests/bench/test_replay.py
@@ -0,0 +1,119 @@
+"""Load patterns against the deciders: whom they cost, and that refusals are true."""
+
+import json
+import random
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from beryltrack.load.messages import Demand
+from beryltrack_bench.deployment import load_deployment
+from beryltrack_bench.main import make_application
+from beryltrack_bench.replay.figures import (
+    ALL_ON,
+    CASES,
+    STANDING,
+    compute_worth,
+    replay,
+)
+from beryltrack_bench.replay.patterns import (
+    AIMS,
+    DEADLINES,
+    PATTERNS,
+    Operation,
+    Sizes,
+    draw_operations,
+)
+from beryltrack_bench.replay.site import End, Ended
+
+DEPLOYMENT = load_deployment("lectora")
+SECONDS = 3.0
+
+
+def play(pattern, way=ALL_ON, seed=1):
+    return replay(DEPLOYMENT, Sizes(), PATTERNS[pattern], CASES[way], [seed], SECONDS)
+
+
+@pytest.mark.parametrize("way", [ALL_ON, STANDING])
+@pytest.mark.parametrize("pattern", PATTERNS)
+def test_refusals_are_true_and_no_connection_is_beyond_the_limit(pattern, way):
+    figures = play(pattern, way)
+    assert figures.untrue == 0 and figures.over_limit == 0
+    offered = sum(share.offered for share in figures.priorities.values())
+    operations = draw_operations(
+        PATTERNS[pattern], Sizes(), SECONDS, random.Random("1/operations")
+    )
+    assert offered == len(operations)
+
+
+def test_at_the_usual_load_nothing_is_refused():
+    shares = play("usual load").priorities.values()
+    assert all(share.refused == share.lost == 0.0 for share in shares)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_burst_of_the_least_urgent_costs_the_others_little(seed):
+    pattern = "bursts of the least urgent"
+    on, off = play(pattern, ALL_ON, seed), play(pattern, STANDING, seed)
+    assert on.priorities[0].worth > 0.95
+    for priority in range(3):
+        assert on.priorities[priority].worth > off.priorities[priority].worth
+    # Their floor keeps some of them served.
+    assert on.priorities[3].in_aim > 0.0
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_one_hot_account_costs_the_others_less_than_itself(seed):
+    classes = play("one hot account", ALL_ON, seed).classes
+    assert classes["others"].worth > classes["hot"].worth + 0.3
+
+
+def test_each_policy_meets_the_same_operations():
+    pattern = PATTERNS["twice the load"]
+    first, again = (
+        draw_operations(pattern, Sizes(), 1.0, random.Random(7)) for _ in range(2)
+    )
+    assert first == again
+    assert [each.at for each in first] == sorted(each.at for each in first)
+
+
+@pytest.mark.parametrize(
+    ("end", "took", "worth"),
+    [
+        (End.DONE, AIMS[0], 1.0),
+        (End.DONE, (AIMS[0] + DEADLINES[0]) / 2, 0.5),
+        (End.DONE, DEADLINES[0] + 1.0, 0.0),
+        (End.REFUSED, 0.0, 0.0),
+        (End.LOST, 0.0, 0.0),
+    ],
+)
+def test_the_worth_falls_from_the_aim_to_the_deadline(end, took, worth):
+    operation = Operation(1.0, 0, Demand(0, AIMS[0], DEADLINES[0]), (0.004,))
+    assert compute_worth(Ended(operation, end, 1.0 + took)) == pytest.approx(worth)
+
+
+def run_command(options):
+    tester = CommandTester(make_application().find("replay"))
+    code = tester.execute(options)
+    return code, tester.io.fetch_output()
+
+
+def test_the_command_prints_tables_and_draws_a_picture(tmp_path):
+    picture = tmp_path / "replay.png"
+    code, output = run_command(
+        "--runs 1 --seconds 1 --pattern 'lost owner' --way 'all on' --instances 8 "
+        f"--load '{{\"per_slot\": 2}}' --picture {picture}"
+    )
+    assert code == 0
+    assert "## lost owner" in output and "| as set |" in output
+    result = json.loads(output.splitlines()[-1])
+    assert set(result["patterns"]["lost owner"]) == {"all on", "as set"}
+    assert result["sizes"]["instances"] == 8
+    assert picture.stat().st_size > 0
+
+
+@pytest.mark.parametrize(
+    "options", ["--pattern calm", "--way none", "--load '{\"per_slot\": 0}'"]
+)
+def test_what_is_not_known_is_told(options):
+    assert run_command(options)[0] == 1
