Measure what a gate takes for an operation, by how many accounts wait

`beryltrack-bench cost` gives the processor time of an arrival and an end at an owner while four accounts for each instance of the fleet wait, one operation each.

--- /dev/null
+++ b/beryltrack_bench/cost/gates.py
@@ -0,0 +1,79 @@
+"""What a decision under load costs an owner, by how many accounts wait for it."""
+
+import random
+import time
+from collections import deque
+from collections.abc import Sequence
+from itertools import count
+
+from beryltrack.load.gate import GateDecider
+from beryltrack.load.limit import Bounds, Outcome
+from beryltrack.load.messages import LOWEST_PRIORITY, Demand, Run
+from beryltrack.load.policy import LoadPolicy
+
+SIZES = (8, 74, 195, 520)
+"""Instances of the users' fleets, and of the size to design for."""
+
+ACCOUNTS_PER_INSTANCE = 4
+"""Accounts that wait at the owner for each instance of the fleet (an assumption)."""
+
+STATEMENT_TIME = 0.0001
+"""Seconds of a statement: short enough that the queue is done in time."""
+
+BOUNDS = Bounds(slots=3, owners=1, connections=9)
+AIM, TIME_LEFT = 0.5, 2.0
+OPERATIONS = 20_000
+WARM_UP = 500
+"""Operations by which a gate learns how long statements take."""
+
+TURNS = 3
+
+
+def measure_gates(sizes: Sequence[int] = SIZES) -> dict[str, float]:
+    """Return the microseconds of processor time of an operation, by instances."""
+    return {str(size): round(measure_gate(size) * 1e6, 2) for size in sizes}
+
+
+def measure_gate(instances: int, operations: int = OPERATIONS) -> float:
+    """Return the processor time of an arrival and an end, in seconds.
+
+    One operation of each account waits all the time; the least of some turns counts.
+    """
+    return min(_measure_turn(instances, operations) for _ in range(TURNS))
+
+
+def _measure_turn(instances: int, operations: int) -> float:
+    """Return the mean time of an arrival and an end in one turn."""
+    gate = GateDecider(LoadPolicy(), random.Random(1), 1)
+    gate.set_bounds(BOUNDS, 0.0)
+    waiting = instances * ACCOUNTS_PER_INSTANCE
+    demands = [_make_demand(number) for number in range(waiting)]
+    numbers, running = count(), deque()
+    for number in (next(numbers) for _ in range(WARM_UP)):
+        gate.arrive(number, demands[0], 0.0)
+        gate.finish(number, STATEMENT_TIME, Outcome.ANSWERED, 0.0)
+    for number in (next(numbers) for _ in range(gate.limit + waiting)):
+        _note(running, gate.arrive(number, demands[number % waiting], 0.0))
+    began, now = time.process_time(), 0.0
+    for _ in range(operations):
+        now += STATEMENT_TIME / gate.limit
+        number = next(numbers)
+        _note(running, gate.arrive(number, demands[number % waiting], now))
+        ended = running.popleft()
+        actions = gate.finish(ended, STATEMENT_TIME, Outcome.ANSWERED, now)
+        _note(running, actions)
+    taken = time.process_time() - began
+    if gate.waiting != waiting:
+        raise RuntimeError(f"{gate.waiting} of {waiting} operations wait")
+    return taken / operations
+
+
+def _make_demand(number: int) -> Demand:
+    """Return what the operations of one account ask for."""
+    priority = number % (LOWEST_PRIORITY + 1)
+    return Demand(priority, AIM, TIME_LEFT, f"account-{number}")
+
+
+def _note(running: deque, actions: list) -> None:
+    """Note what was let run."""
+    running.extend(each.operation for each in actions if isinstance(each, Run))
--- a/beryltrack_bench/experiments/cost.py
+++ b/beryltrack_bench/experiments/cost.py
@@ -3,7 +3,8 @@
 Client, proxy, stand-ins and platform run in one process on loopback. A proxy's
 processor time for a statement is the difference between the same client's
 loops through the proxy and straight to the target, run in turns. The figures
-are for docs/CAPACITY.md, which works out the fleet from their slopes.
+are for docs/CAPACITY.md, which works out the fleet from their slopes. What a gate
+takes for an operation is measured without sockets.
 """
 
 from collections.abc import Sequence
@@ -26,6 +27,7 @@
     measure_loop,
     prepare_table,
 )
+from beryltrack_bench.cost.gates import measure_gates
 from beryltrack_bench.cost.memory import measure_idle_memory
 from beryltrack_bench.deployment import Deployment
 from beryltrack_bench.fleet.figures import Rates
@@ -67,7 +69,8 @@
     dict
         See docs/CAPACITY.md.
     """
-    return run_in_reactor(lambda reactor: measure(reactor, seed, options))
+    figures = run_in_reactor(lambda reactor: measure(reactor, seed, options))
+    return {**figures, "gate_us_by_instances": measure_gates()}
 
 
 async def measure(reactor, seed: int, options: Options) -> dict:
--- a/tests/bench/test_cost.py
+++ b/tests/bench/test_cost.py
@@ -9,6 +9,7 @@
     make_paths,
     prepare_table,
 )
+from beryltrack_bench.cost.gates import measure_gate
 from beryltrack_bench.cost.memory import measure_idle_memory
 from beryltrack_bench.experiments.cost import describe_loop, measure_turns
 from beryltrack_standins.database.server import DatabaseOptions
@@ -56,3 +57,7 @@
         measure_idle_memory, reactor, endpoint, parameters, 50, readings.__next__
     )
     assert idle == 8_000
+
+
+def test_a_gate_is_measured_while_one_operation_of_each_account_waits():
+    assert measure_gate(8, operations=100) > 0.0
