--- a/beryltrack/daemon/load_status.py
+++ b/beryltrack/daemon/load_status.py
@@ -16,7 +16,7 @@
 from beryltrack.accounts.slots import SLOTS
 from beryltrack.daemon.group_connections import get_most_connections
 from beryltrack.daemon.plain_pages import JSON, Page, RenderPage
-from beryltrack.load.counts import GateCounts, GateSource
+from beryltrack.load.gate_counts import GateCounts, GateSource
 from beryltrack.load.messages import LOWEST_PRIORITY, Outlook
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.requests.runtime import GroupRuntime
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -29,7 +29,7 @@
 from beryltrack.daemon.plain_pages import Page, PlainPages, make_ready_page
 from beryltrack.daemon.store_clients import make_store_clients
 from beryltrack.events.log import EventLog
-from beryltrack.load.counts import render_gates
+from beryltrack.load.gate_counts import render_gates
 from beryltrack.metrics.messages import Gauge
 from beryltrack.metrics.plain import PlainMetrics
 from beryltrack.objects.eras import EraTracker, get_latest_era, get_revision
--- a/tests/daemon/test_load_status.py
+++ b/tests/daemon/test_load_status.py
@@ -9,7 +9,7 @@
 from beryltrack.connections.messages import PoolLoad, RefusalReason
 from beryltrack.daemon.load_status import LoadView, make_status_page, simplify
 from beryltrack.daemon.plain_pages import JSON
-from beryltrack.load.counts import GateCounts
+from beryltrack.load.gate_counts import GateCounts
 from beryltrack.load.messages import DatabaseReport
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.settings.messages import GroupSettings
--- a/tests/metrics/test_catalog.py
+++ b/tests/metrics/test_catalog.py
@@ -7,7 +7,7 @@
 
 import beryltrack
 from beryltrack.connections.messages import RefusalReason
-from beryltrack.load.counts import GateCounts, render_gates
+from beryltrack.load.gate_counts import GateCounts, render_gates
 from beryltrack.metrics.catalog import METRICS
 from beryltrack.metrics.messages import (
     RequestEnd,
