Count at each gate who waits by priority, and who was refused when

The metrics page and /status had a place for these and no source. A gate counts its refusals by reason, those on arrival apart from those after a wait, and tells how many wait by priority; the pools hand both on.

--- a/beryltrack/daemon/load_status.py
+++ b/beryltrack/daemon/load_status.py
@@ -108,9 +108,7 @@
 
 
 class PoolGates:
-    """Limits and waits of the gates of an instance's pools; see `GateSource`.
-
-    Their pools report neither what waits by priority nor what was refused.
+    """What the gates of an instance's pools report and count; see `GateSource`.
 
     Parameters
     ----------
@@ -125,14 +123,17 @@
         """Return what each gate reports."""
         for runtime in self._get_runtimes():
             for name, pool in runtime.pools.items():
-                report = pool.get_report()
-                if report is not None:
+                report, tally = pool.get_report(), pool.get_tally()
+                if report is not None and tally is not None:
                     yield GateCounts(
                         runtime.settings.name,
                         name,
                         report.limit,
                         report.running,
-                        waits=report.waits,
+                        tally.waiting,
+                        report.waits,
+                        tally.refused,
+                        tally.put_out,
                     )
 
 
--- a/beryltrack/load/gate.py
+++ b/beryltrack/load/gate.py
@@ -89,6 +89,11 @@
         """Operations that wait."""
         return len(self._queue)
 
+    @property
+    def lengths(self) -> tuple[int, ...]:
+        """Operations that wait, by priority."""
+        return tuple(map(self._queue.get_length, PRIORITIES))
+
     @property
     def limit(self) -> int:
         """Operations that may run at once."""
--- a/beryltrack/load/gate_task.py
+++ b/beryltrack/load/gate_task.py
@@ -1,15 +1,35 @@
 """The gate of one database as the other parts use it: its timer and who waits."""
 
-from collections import deque
+from collections import Counter, deque
+from collections.abc import Mapping
 from itertools import count
+from typing import NamedTuple
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-from beryltrack.connections.messages import PoolRefusal, PoolRefused
+from beryltrack.connections.messages import PoolRefusal, PoolRefused, RefusalReason
 from beryltrack.load.gate import GateDecider
 from beryltrack.load.limit import Bounds, Outcome
-from beryltrack.load.messages import DatabaseReport, Demand, GateAction, Run
+from beryltrack.load.messages import DatabaseReport, Demand, GateAction, Refuse, Run
+
+
+class GateTally(NamedTuple):
+    """What a gate has counted since it was made.
+
+    Parameters
+    ----------
+    waiting : tuple of int
+        Operations that wait now, by priority.
+    refused : mapping of RefusalReason to int
+        Operations that were refused as they came.
+    put_out : mapping of RefusalReason to int
+        Operations that were refused after they had waited.
+    """
+
+    waiting: tuple[int, ...]
+    refused: Mapping[RefusalReason, int]
+    put_out: Mapping[RefusalReason, int]
 
 
 class GateTask:
@@ -32,6 +52,8 @@
         self._is_performing = False
         self._timer: IDelayedCall | None = None
         self._timer_at = 0.0
+        self._refused: Counter[RefusalReason] = Counter()
+        self._put_out: Counter[RefusalReason] = Counter()
 
     @property
     def waiting(self) -> int:
@@ -46,6 +68,10 @@
         """Return the load of the database as it is now."""
         return self._decider.get_report(self._now)
 
+    def get_tally(self) -> GateTally:
+        """Return what was counted, for the metrics."""
+        return GateTally(self._decider.lengths, self._refused, self._put_out)
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Take in what this instance's part of the database follows from."""
         self._perform(self._decider.set_bounds(bounds, self._now))
@@ -71,7 +97,7 @@
         self._waiters[number] = result
         time_left = min(demand.time_left, deadline - self._now)
         demand = demand._replace(time_left=time_left)
-        self._perform(self._decider.arrive(number, demand, self._now))
+        self._perform(self._decider.arrive(number, demand, self._now), number)
         return result
 
     def finish(self, number: int) -> None:
@@ -96,11 +122,19 @@
         """Let all run that wait: the pool decides what becomes of them."""
         self._perform(self._decider.open(self._now))
 
-    def _perform(self, actions: list[GateAction]) -> None:
+    def _count(self, actions: list[GateAction], arriving: int) -> None:
+        """Count who is refused."""
+        for action in actions:
+            if isinstance(action, Refuse):
+                is_new = action.operation == arriving
+                (self._refused if is_new else self._put_out)[action.reason] += 1
+
+    def _perform(self, actions: list[GateAction], arriving: int = 0) -> None:
         """Carry out actions, then set the timer for what is due by time.
 
         A callback may call the gate again; its actions queue behind these.
         """
+        self._count(actions, arriving)
         self._actions.extend(actions)
         if self._is_performing:
             return
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -21,7 +21,7 @@
     RefusalReason,
 )
 from beryltrack.connections.task import PoolTask
-from beryltrack.load.gate_task import GateTask
+from beryltrack.load.gate_task import GateTally, GateTask
 from beryltrack.load.limit import Bounds
 from beryltrack.load.messages import NO_DEMAND, DatabaseReport, Demand
 from beryltrack.relay.gated import GatedPool
@@ -181,6 +181,10 @@
         """Limit the operations that run at the database; see `GatedPool`."""
         self._gated.set_bounds(bounds)
 
+    def get_tally(self) -> GateTally | None:
+        """Return what this instance's gate has counted; None without one."""
+        return self._gated.get_tally()
+
     def get_report(self) -> DatabaseReport | None:
         """Return the load of the database through this instance's own connections.
 
--- a/beryltrack/relay/gated.py
+++ b/beryltrack/relay/gated.py
@@ -12,7 +12,7 @@
 from beryltrack.connections.messages import PooledConnection
 from beryltrack.connections.task import PoolTask
 from beryltrack.errors import TOO_MANY_CONNECTIONS
-from beryltrack.load.gate_task import GateTask
+from beryltrack.load.gate_task import GateTally, GateTask
 from beryltrack.load.limit import Bounds, Outcome
 from beryltrack.load.messages import DatabaseReport, Demand
 from beryltrack.wire.messages import ResponseEnd
@@ -100,6 +100,10 @@
             gate, self._gate = self._gate, None
             gate.open()
 
+    def get_tally(self) -> GateTally | None:
+        """Return what the gate has counted; None without one."""
+        return self._gate.get_tally() if self._gate is not None else None
+
     def get_report(self) -> DatabaseReport | None:
         """Return the load of the database; None while there is no gate."""
         return self._gate.get_report() if self._gate is not None else None
--- a/tests/daemon/test_load_status.py
+++ b/tests/daemon/test_load_status.py
@@ -10,6 +10,7 @@
 from beryltrack.daemon.load_status import LoadView, make_status_page, simplify
 from beryltrack.daemon.plain_pages import JSON
 from beryltrack.load.gate_counts import GateCounts
+from beryltrack.load.gate_task import GateTally
 from beryltrack.load.messages import DatabaseReport
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.settings.messages import GroupSettings
@@ -19,6 +20,8 @@
 
 REPORT = DatabaseReport(3, 2, (0.0, 0.25), 0.01, 1)
 
+TALLY = GateTally((0, 7), {RefusalReason.TOO_LATE: 1}, {RefusalReason.QUEUE_FULL: 2})
+
 
 class Outlook:
     """Knows a wait of a tenth of a second for each step of priority."""
@@ -40,7 +43,9 @@
         view=SimpleNamespace(term=4, primary="a"),
         pools={
             "a": SimpleNamespace(
-                load=PoolLoad(5, 5, 4, 7, math.inf, 0.1), get_report=lambda: report
+                load=PoolLoad(5, 5, 4, 7, math.inf, 0.1),
+                get_report=lambda: report,
+                get_tally=lambda: report and TALLY,
             )
         },
     )
@@ -67,7 +72,9 @@
 
 def test_an_owner_shows_what_its_gates_report():
     (gate,) = build(2, REPORT).gates
-    assert gate == GateCounts("orders", "a", 3, 2, waits=(0.0, 0.25))
+    assert gate == GateCounts(
+        "orders", "a", 3, 2, (0, 7), (0.0, 0.25), TALLY.refused, TALLY.put_out
+    )
 
 
 def test_accounts_are_counted_by_the_owner_that_decides_for_them():
