--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -23,16 +23,19 @@
 from beryltrack.daemon.group_connections import GroupConnections
 from beryltrack.daemon.groups import GroupTable
 from beryltrack.daemon.line_kit import LineKit
+from beryltrack.daemon.load_status import LoadStatus, LoadView, make_status_page
 from beryltrack.daemon.members import KIND as MEMBERS_KIND
 from beryltrack.daemon.members import WATCH_GAP, MemberPort, MemberTask
 from beryltrack.daemon.node_accounts import NodeAccounts
 from beryltrack.daemon.node_policies import make_policies
 from beryltrack.daemon.node_site import NodeSite
-from beryltrack.daemon.plain_pages import PlainPages, make_ready_page
+from beryltrack.daemon.plain_pages import Page, PlainPages, make_ready_page
 from beryltrack.daemon.store_clients import make_store_clients
 from beryltrack.daemon.zone_traffic import ZoneTraffic
 from beryltrack.events.log import EventLog
-from beryltrack.metrics.plain import Gauge, PlainMetrics
+from beryltrack.load.gate_counts import render_gates
+from beryltrack.metrics.messages import Gauge
+from beryltrack.metrics.plain import PlainMetrics
 from beryltrack.objects.eras import EraTracker, get_latest_era, get_revision
 from beryltrack.objects.feed import FeedTask, compute_wait
 from beryltrack.objects.messages import PlatformObject
@@ -72,6 +75,7 @@
 file names it too."""
 
 METRICS_PATH = b"/metrics"
+STATUS_PATH = b"/status"
 
 NEWER_SETTINGS_TIME = 5.0
 """Seconds for which an instance that has started looks for newer settings than those of
@@ -129,7 +133,9 @@
         self._rejects = RejectLog()
         clients = make_store_clients(reactor, settings, rng, self._rejects)
         self._eras: EraTracker = clients.eras
-        self._policies = make_policies(settings.is_fenced, settings.disabled)
+        self._policies = make_policies(
+            settings.is_fenced, settings.disabled, settings.load
+        )
         copies = settings.copies_listen if self._policies.shares_copies else None
         # Later processes of an instance have higher numbers, also without a disk.
         self._incarnation = int(time.time() * 1000)
@@ -174,6 +180,7 @@
             self._policies,
             self._accounts.was_heard,
         )
+        self._load = LoadView(directory, lambda: self._groups.runtimes)
         directory.set_block_observer(self._connections.share)
         self._groups.subscribe_started(self._connections.start_group)
         self._configured_by: dict[str, PlatformObject] = {}
@@ -272,9 +279,12 @@
         """
         ready = {READY_PATH: make_ready_page(lambda: self.is_ready)}
         self._listen(self.settings.ready_listen, PlainPages(self._reactor, ready))
-        metrics = {METRICS_PATH: lambda: (OK, self.metrics.render())}
+        pages = {
+            METRICS_PATH: lambda: Page(OK, self.metrics.render()),
+            STATUS_PATH: make_status_page(self._get_status),
+        }
         endpoint = Endpoint(self.settings.listen.host, METRICS_PORT)
-        self._listen(endpoint, PlainPages(self._reactor, metrics))
+        self._listen(endpoint, PlainPages(self._reactor, pages))
         self._listen(self.settings.member_listen, MemberPort())
         self._listen(self.settings.relay_listen, self._relays)
         if self.settings.snapshot_listen is not None:
@@ -485,3 +495,11 @@
                 yield "beryltrack_pool_waiting", labels, pool.load.waiting
         yield from self._accounts.get_gauges()
         yield from self._traffic.get_gauges()
+        yield from render_gates(self._load.gates.get_counts())
+
+    def _get_status(self) -> LoadStatus:
+        """Return who decides for which group, and what waits."""
+        settings = self.settings
+        return self._load.build(
+            settings.name, settings.zone, self.state.value, self._site.version
+        )
--- a/beryltrack/daemon/node_policies.py
+++ b/beryltrack/daemon/node_policies.py
@@ -96,7 +96,9 @@
 
 
 def make_policies(
-    is_fenced: bool, disabled: frozenset[Mechanism] = frozenset()
+    is_fenced: bool,
+    disabled: frozenset[Mechanism] = frozenset(),
+    load: LoadPolicy = LoadPolicy(),  # noqa: B008 (immutable)
 ) -> NodePolicies:
     """Return the policies of an instance.
 
@@ -106,6 +108,8 @@
         True if promotions are fenced, and a replaced primary leads no more.
     disabled : frozenset of Mechanism
         What it does without.
+    load : LoadPolicy, optional
+        The figures under load that its operators have set.
     """
     policies = NodePolicies(
         options.POOLS,
@@ -116,7 +120,7 @@
         options.FAILOVER if is_fenced else options.UNFENCED_FAILOVER,
         RETRIES,
         AdmissionPolicy(),
-        LoadPolicy(),
+        load,
         LATE_AFTER,
         takes_reports=Mechanism.OWNER_REPORTS not in disabled,
         takes_detours=Mechanism.DETOURS not in disabled,
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
@@ -20,7 +21,7 @@
     RefusalReason,
 )
 from beryltrack.connections.task import PoolTask
-from beryltrack.load.gate_task import GateTask
+from beryltrack.load.gate_task import GateTally, GateTask
 from beryltrack.load.limit import Bounds
 from beryltrack.load.messages import NO_DEMAND, DatabaseReport, Demand, Expected
 from beryltrack.relay.gated import GatedPool
@@ -115,7 +116,11 @@
 
     @property
     def load(self) -> PoolLoad:
-        """The load of all ways together, with the limit of those that are used."""
+        """The load of all ways together, with the limit of those that are used.
+
+        What queues at other instances is not seen here: the expected wait is infinite
+        where all connections go through them.
+        """
         direct = self.direct.load
         others = [pool.load for pool in self._sessions.values()]
         return direct._replace(
@@ -125,6 +130,7 @@
             waiting=direct.waiting
             + self._gated.waiting
             + sum(load.waiting for load in others),
+            expected_wait=direct.expected_wait if direct.limit else math.inf,
         )
 
     @property
@@ -210,6 +216,10 @@
         """Return what is known of the database's load on the way of the moment."""
         return self._expect(self._choose_way(demand.account), demand)
 
+    def get_tally(self) -> GateTally | None:
+        """Return what this instance's gate has counted; None without one."""
+        return self._gated.get_tally()
+
     def get_report(self) -> DatabaseReport | None:
         """Return the load of the database through this instance's own connections.
 
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -3,6 +3,7 @@
 import math
 from typing import NamedTuple
 
+from beryltrack.connections.messages import RefusalReason
 from beryltrack.errors import (
     NOT_RUN_STATES,
     SERIALIZATION_FAILURE,
@@ -16,7 +17,12 @@
 from beryltrack.groups.view import NEVER
 from beryltrack.load.messages import Demand
 from beryltrack.load.verdicts import compute_hold
-from beryltrack.metrics.messages import RequestKind, RequestOutcome, TargetKind
+from beryltrack.metrics.messages import (
+    RequestEnd,
+    RequestKind,
+    RequestOutcome,
+    TargetKind,
+)
 from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.outcomes import NextStep
 from beryltrack.requests.protocol import RequestPolicy, UnitCaller, UnitPlan
@@ -28,6 +34,9 @@
 from beryltrack.transactions.decider import CommitOutcome
 from beryltrack.wire.messages import TransactionStatus
 
+OTHER_REASON = "other"
+"""Reason of a refusal that no pool and no owner gave."""
+
 _STEPS = {
     SERIALIZATION_FAILURE: RequestStep.ROLLED_BACK,
     TRANSACTION_RESOLUTION_UNKNOWN: RequestStep.UNKNOWN,
@@ -177,7 +186,8 @@
     caller.session.come_back_at = context.services.seconds() + wait
     caller.send_error(error)
     caller.send_ready(status)
-    count_request(context, TargetKind.NONE, _OUTCOMES.get(error.sqlstate))
+    outcome = _OUTCOMES.get(error.sqlstate)
+    count_request(context, TargetKind.NONE, outcome, error.message)
     step = _STEPS.get(error.sqlstate, RequestStep.NOT_RUN)
     record_step(context, step, error.message)
 
@@ -195,12 +205,16 @@
     request_id = context.plan.request_id
     # Callers know a transaction by the request that opened it.
     opened_by = context.opened_by if context.opened_by != request_id else ""
+    # Only where a request has a policy of its own does its route have a priority.
+    policy = context.plan.policy
+    priority = policy.priority if policy else None
     if not services.events.wants(step):
-        shared = SharedDecision(step, reason, view.term, view.primary)
+        shared = SharedDecision(step, reason, view.term, view.primary, priority)
         for each in filter(None, (request_id, opened_by)):
             services.events.note(each, shared)
         return
     now = services.seconds()
+    elapsed = now - context.arrived_at
     confirmed_at = view.confirmed_at
     pool = context.runtime.pools.get(view.primary)
     load = pool.load if pool is not None else None
@@ -212,7 +226,7 @@
         reason,
         target,
         attempt,
-        (now - context.arrived_at) * 1000,
+        elapsed * 1000,
         context.settings_version,
         view.term,
         view.primary,
@@ -221,18 +235,59 @@
         load.limit if load else 0,
         way,
         opened_by,
+        priority,
+        _compute_aim_left(policy, elapsed),
+        _get_expected_wait(context, target or view.primary),
+        name_refusal(reason) if step is RequestStep.NOT_RUN else "",
     )
     services.events.record(event)
 
 
+def _compute_aim_left(policy: RequestPolicy | None, elapsed: float) -> float | None:
+    """Return what is left of a target latency, milliseconds; None without one."""
+    if policy is None or math.isinf(policy.target_latency):
+        return None
+    return (policy.target_latency - elapsed) * 1000
+
+
+def _get_expected_wait(context: RequestContext, database: str) -> float | None:
+    """Return the wait for one of this instance's own connections, milliseconds.
+
+    None if it has none to that database.
+    """
+    pool = context.runtime.pools.get(database)
+    wait = math.inf if pool is None else pool.load.expected_wait
+    return wait * 1000 if math.isfinite(wait) else None
+
+
 def count_request(
     context: RequestContext,
     target: TargetKind,
     outcome: RequestOutcome | None = RequestOutcome.DONE,
+    reason: str = "",
 ) -> None:
-    """Count a request that has ended."""
+    """Count a request that has ended; `reason` is the text of its refusal."""
+    services, policy = context.services, context.policy
     kind = RequestKind.READ if context.plan.is_read else RequestKind.WRITE
-    context.services.metrics.count_request(kind, outcome or RequestOutcome.DONE, target)
+    services.metrics.count_request(kind, outcome or RequestOutcome.DONE, target)
+    # An error that no target gave, and that is no refusal, answers nothing either.
+    is_served = outcome is RequestOutcome.DONE
+    elapsed = services.seconds() - context.arrived_at
+    is_refused = outcome is RequestOutcome.NOT_RUN
+    end = RequestEnd(
+        policy.priority,
+        bool(context.caller.account),
+        is_served,
+        is_served and elapsed <= policy.target_latency,
+        name_refusal(reason) if is_refused else "",
+    )
+    services.metrics.count_end(end)
+
+
+def name_refusal(message: str) -> str:
+    """Return the reason of a refusal in one word of few, as metrics need it."""
+    found = (each.name.lower() for each in RefusalReason if each.value in message)
+    return next(found, OTHER_REASON)
 
 
 def make_step_error(step: NextStep, reason: str) -> SqlError:
--- a/tests/requests/test_hold.py
+++ b/tests/requests/test_hold.py
@@ -97,7 +97,10 @@
 
     monkeypatch.setattr("beryltrack.requests.targets.choose_target", choose)
     site.services.reactor = site.clock
-    site.services.metrics = SimpleNamespace(record_queue_time=lambda seconds: None)
+    site.services.metrics = SimpleNamespace(
+        record_queue_time=lambda seconds: None,
+        record_wait=lambda priority, has_account, seconds: None,
+    )
     for name in ("a", "b"):
         site.runtime.pools[name] = SimpleNamespace(
             acquire=lambda deadline, demand, name=name: acquire(name)
