--- a/beryltrack/events/explain.py
+++ b/beryltrack/events/explain.py
@@ -18,7 +18,7 @@
     "no_share": "no connection to the database was left for it",
     "leaving": "the database takes no new work",
     "over_limit": "its account was over its limit",
-    "owner_full": "the instance with the connections had told that too much waited there",
+    "owner_full": "an owner of the connections had told that too much waited there",
 }
 """What the word of a refusal means."""
 
