Name what admission puts out, and explain refusals that share a line

A request that admission put out later was counted as `other`, and one in a shared line had no verdict, so that explain said nothing of it in words. Shared lines carry the verdict; their number does not grow, as it follows from the reason.

--- a/beryltrack/events/log.py
+++ b/beryltrack/events/log.py
@@ -120,11 +120,7 @@
         fields["elapsed_ms"] = round(event.elapsed_ms, 1)
         if event.confirmed_ms is not None:
             fields["confirmed_ms"] = round(event.confirmed_ms, 1)
-        for name in OPTIONAL_FIELDS:
-            if fields[name] is None or fields[name] == "":
-                del fields[name]
-            elif isinstance(fields[name], float):
-                fields[name] = round(fields[name], 1)
+        _leave_out_unknown(fields)
         self._write_line("INFO", fields)
 
     def note(self, request: str, shared: SharedDecision) -> None:
@@ -143,8 +139,7 @@
         noted, self._noted, self._noted_count = self._noted, {}, 0
         for shared, requests in noted.items():
             fields = shared._asdict() | {"step": shared.step.value}
-            if shared.priority is None:
-                del fields["priority"]
+            _leave_out_unknown(fields)
             for start in range(0, len(requests), IDS_A_LINE):
                 part = requests[start : start + IDS_A_LINE]
                 self._write_line("INFO", fields | {"requests": part})
@@ -157,3 +152,13 @@
         moment = datetime.fromtimestamp(self._get_wall(), UTC).isoformat()
         head = {"timestamp": moment, "level": level, "instance": self._instance}
         self._write(json.dumps(head | {"part": PART} | fields) + "\n")
+
+
+def _leave_out_unknown(fields: dict[str, object]) -> None:
+    """Take out the optional fields of which nothing is known; round the others."""
+    for name in OPTIONAL_FIELDS:
+        value = fields.get(name)
+        if value is None or value == "":
+            fields.pop(name, None)
+        elif isinstance(value, float):
+            fields[name] = round(value, 1)
--- a/beryltrack/events/messages.py
+++ b/beryltrack/events/messages.py
@@ -130,6 +130,8 @@
         That primary; empty if none was known.
     priority : int or None
         Their routes' priority; left out of the line if None.
+    verdict : str
+        Why they were refused, in one word of few; left out if empty.
     """
 
     step: RequestStep
@@ -137,6 +139,7 @@
     term: int
     primary: str
     priority: int | None = None
+    verdict: str = ""
 
 
 class SilentEvents:
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -22,6 +22,7 @@
     RequestOutcome,
     TargetKind,
 )
+from beryltrack.requests.admission import AdmissionReason
 from beryltrack.requests.admission_task import Ticket
 from beryltrack.requests.outcomes import NextStep
 from beryltrack.requests.protocol import RequestPolicy, UnitCaller, UnitPlan
@@ -33,8 +34,15 @@
 from beryltrack.transactions.decider import CommitOutcome
 from beryltrack.wire.messages import TransactionStatus
 
+ADMISSION = "admission"
+"""Reason of a refusal for want of room at this instance, in one word."""
+
 OTHER_REASON = "other"
-"""Reason of a refusal that no pool and no owner gave."""
+"""Reason of a refusal that no pool and no owner gave, as no primary is known."""
+
+_REFUSALS = {each.value: each.name.lower() for each in RefusalReason} | {
+    each.value: ADMISSION for each in AdmissionReason
+}
 
 _STEPS = {
     SERIALIZATION_FAILURE: RequestStep.ROLLED_BACK,
@@ -195,8 +203,11 @@
     # Only where a request has a policy of its own does its route have a priority.
     policy = context.plan.policy
     priority = policy.priority if policy else None
+    verdict = name_refusal(reason) if step is RequestStep.NOT_RUN else ""
     if not services.events.wants(step):
-        shared = SharedDecision(step, reason, view.term, view.primary, priority)
+        shared = SharedDecision(
+            step, reason, view.term, view.primary, priority, verdict
+        )
         for each in filter(None, (request_id, opened_by)):
             services.events.note(each, shared)
         return
@@ -225,7 +236,7 @@
         priority,
         _compute_aim_left(policy, elapsed),
         _get_expected_wait(context, target or view.primary),
-        name_refusal(reason) if step is RequestStep.NOT_RUN else "",
+        verdict,
     )
     services.events.record(event)
 
@@ -273,7 +284,7 @@
 
 def name_refusal(message: str) -> str:
     """Return the reason of a refusal in one word of few, as metrics need it."""
-    found = (each.name.lower() for each in RefusalReason if each.value in message)
+    found = (word for text, word in _REFUSALS.items() if text in message)
     return next(found, OTHER_REASON)
 
 
--- a/beryltrack/requests/task.py
+++ b/beryltrack/requests/task.py
@@ -9,7 +9,7 @@
 from beryltrack.events.messages import RequestEvent, RequestStep, SharedDecision
 from beryltrack.metrics.messages import RequestEnd
 from beryltrack.requests.admission_task import UNCOUNTED, Ticket
-from beryltrack.requests.answers import RequestContext
+from beryltrack.requests.answers import ADMISSION, RequestContext
 from beryltrack.requests.course import RequestCourse
 from beryltrack.requests.pinned import drop_transaction, run_pinned
 from beryltrack.requests.protocol import UnitCaller, UnitForwarder, UnitPlan
@@ -24,9 +24,6 @@
 STATEMENT = "statement"
 """What a line calls a session that is not opened, and a unit that was not planned."""
 
-ADMISSION = "admission"
-"""Reason, in metrics, of a refusal for want of room at this instance."""
-
 
 class RequestTask:
     """Takes units of callers and sees to their answers.
--- a/tests/events/test_log.py
+++ b/tests/events/test_log.py
@@ -17,7 +17,7 @@
     NonBlockingStream,
 )
 from beryltrack.events.messages import RequestEvent, RequestStep, SharedDecision
-from beryltrack.requests.task import ADMISSION
+from beryltrack.requests.answers import ADMISSION
 
 
 def make_event(request="r-1", step=RequestStep.NOT_RUN, reason="no primary"):
@@ -233,3 +233,19 @@
     told = [(line["requests"], line.get("priority")) for line in map(json.loads, lines)]
     assert told == [(["r-0", "r-1"], 0), (["r-2"], 2), (["r-3"], None)]
     assert "priority" not in json.loads(lines[2])
+
+
+def test_the_refusal_of_a_request_in_a_shared_line_is_told_in_words(tmp_path):
+    log, lines, clock = make_log()
+    for number in range(3):
+        shared = SharedDecision(RequestStep.NOT_RUN, "full", 3, "db-1", 1, "queue_full")
+        log.note(f"r-{number}", shared)
+    clock.now = 1.5
+    log.wants(RequestStep.NOT_RUN)
+    file = tmp_path / "node-1.log"
+    file.write_text("".join(lines))
+    tester = CommandTester(build_application().find("explain"))
+    assert tester.execute(f"r-2 --logs {file}") == 0
+    output = tester.io.fetch_output()
+    assert "; priority 1" in output
+    assert "It was refused as too many requests waited" in output
--- a/tests/requests/test_load_counts.py
+++ b/tests/requests/test_load_counts.py
@@ -9,7 +9,13 @@
 from beryltrack.errors import make_not_run, make_refusal
 from beryltrack.events.messages import RequestStep
 from beryltrack.metrics.messages import RequestEnd, TargetKind
-from beryltrack.requests.answers import count_request, name_refusal, send_failure
+from beryltrack.requests.admission import AdmissionReason
+from beryltrack.requests.answers import (
+    ADMISSION,
+    count_request,
+    name_refusal,
+    send_failure,
+)
 from beryltrack.requests.protocol import RequestPolicy
 from beryltrack.requests.session import CallerSession
 from beryltrack.requests.task import RequestTask
@@ -63,6 +69,7 @@
 def test_reasons_are_words_of_a_fixed_list():
     words = {name_refusal(reason.value) for reason in RefusalReason}
     assert words == {reason.name.lower() for reason in RefusalReason}
+    assert {name_refusal(each.value) for each in AdmissionReason} == {ADMISSION}
     assert name_refusal("no route serves q64uy5ms") == "other"
 
 
