Check the sizes of a replay, and play it without any owner left

With more owners than instances, or fewer connections than owners, the replay gave figures of another site; sizes are checked now. When the only owner is lost, its operations were left out of the figures; they count as lost.

--- a/beryltrack_bench/replay/command.py
+++ b/beryltrack_bench/replay/command.py
@@ -18,7 +18,7 @@
     plot_patterns,
     replay,
 )
-from beryltrack_bench.replay.patterns import PATTERNS, Sizes
+from beryltrack_bench.replay.patterns import PATTERNS, Sizes, find_faults
 
 EXIT_HELD, EXIT_USAGE, EXIT_VIOLATIONS = 0, 1, 2
 SECONDS = 6
@@ -50,11 +50,12 @@
         """Replay what is asked for; the exit code tells if a way did what none may."""
         ways, wrong = self._read_ways()
         patterns, faulty = _select(PATTERNS, self.option("pattern"), "pattern")
-        for text in wrong + faulty:
+        sizes = Sizes(*(int(self.option(name)) for name in Sizes._fields))
+        wrong += faulty + find_faults(sizes)
+        for text in wrong:
             self.line_error(f"beryltrack-bench: {text}")
-        if wrong or faulty:
+        if wrong:
             return EXIT_USAGE
-        sizes = Sizes(*(int(self.option(name)) for name in Sizes._fields))
         first, runs = int(self.option("seed")), int(self.option("runs"))
         seconds = float(self.option("seconds"))
         deployment = load_deployment(self.option("deployment"))
--- a/beryltrack_bench/replay/patterns.py
+++ b/beryltrack_bench/replay/patterns.py
@@ -173,6 +173,18 @@
         return self.slots / (STATEMENTS * WORK)
 
 
+def find_faults(sizes: Sizes) -> list[str]:
+    """Return why a site of these sizes cannot be played; empty if it can."""
+    small = (name for name, number in sizes._asdict().items() if number < 1)
+    bounds = (
+        (sizes.owners > sizes.instances, "more owners than instances"),
+        (sizes.zones > sizes.instances, "more zones than instances"),
+        (sizes.connections < sizes.owners, "fewer connections than owners"),
+    )
+    wrong = [text for is_wrong, text in bounds if is_wrong]
+    return [f"{name} must be 1 or more" for name in small] or wrong
+
+
 class Operation(NamedTuple):
     """One operation of a caller.
 
@@ -211,7 +223,8 @@
 ) -> Iterator[Operation]:
     """Return the operations of one stream."""
     at, end = (part * seconds for part in stream.window)
-    zone, step = (0, 1) if stream.zone is None else (stream.zone, sizes.zones)
+    is_everywhere = stream.zone is None
+    zone, step = (0, 1) if is_everywhere else (stream.zone % sizes.zones, sizes.zones)
     priority = stream.priority
     while (at := at + rng.expovariate(stream.load * sizes.capacity)) < end:
         account = stream.account or f"account-{rng.randrange(sizes.accounts)}"
--- a/beryltrack_bench/replay/site.py
+++ b/beryltrack_bench/replay/site.py
@@ -241,15 +241,15 @@
         self._schedule_next()
         Deferred.fromCoroutine(self._serve(operation))
 
-    def _choose_owner(self, operation: Operation) -> Owner:
-        """Return the owner that decides for an operation, as its instance knows."""
+    def _choose_owner(self, operation: Operation) -> Owner | None:
+        """Return the owner that decides for an operation; None if none is left."""
         if self._pattern.has_accounts:
             ordered = self._slots[get_slot(operation.demand.account)]
         else:
             own = self._peers[operation.instance]
             ordered = order_owners(self._owner_peers, GROUP, own.name, own.zone)
         fit = (each.name for each in ordered if each.name not in self._known_lost)
-        return self.owners[next(fit)]
+        return self.owners.get(next(fit, ""))
 
     async def _serve(self, operation: Operation) -> None:
         """Have an operation run; a caller that is refused tries once more."""
@@ -268,7 +268,7 @@
         await deferLater(self.clock, self._delay, int)
         demand = operation.demand.after(self._now - operation.at)
         deadline = self.clock.seconds() + demand.time_left
-        if owner.is_lost:
+        if owner is None or owner.is_lost:
             return End.LOST, 0.0
         try:
             number = await owner.enter(deadline, demand)
--- a/tests/bench/test_replay.py
+++ b/tests/bench/test_replay.py
@@ -113,7 +113,22 @@
 
 
 @pytest.mark.parametrize(
-    "options", ["--pattern calm", "--way none", "--load '{\"per_slot\": 0}'"]
+    "options",
+    [
+        "--pattern calm",
+        "--way none",
+        "--load '{\"per_slot\": 0}'",
+        "--owners 3 --instances 2",
+        "--slots 0",
+        "--connections 2",
+    ],
 )
 def test_what_is_not_known_is_told(options):
     assert run_command(options)[0] == 1
+
+
+def test_without_any_owner_answers_are_lost():
+    sizes = Sizes(owners=1)
+    pattern = PATTERNS["lost owner"]
+    figures = replay(DEPLOYMENT, sizes, pattern, CASES[ALL_ON], [1], SECONDS)
+    assert figures.seconds[0].lost == 0.0 and figures.seconds[2].lost == 1.0
