Let a refused operation use up no turn of its priority

The state machine of the tests found a priority that waited for 11 turns with a floor of every seventh: an operation whose time was over was refused when its turn came, and the turn was gone. What is over is refused before a turn is given; the test with four such operations fails without it.

--- a/beryltrack/load/gate.py
+++ b/beryltrack/load/gate.py
@@ -192,13 +192,8 @@
 
     def tick(self, now: float) -> list[GateAction]:
         """Do what is due by time alone."""
-        # Whoever had to be done at its end cannot be done just before it.
-        is_early = self._policy.refuses_early and self._running
-        done_at = now + (self._limit.mean if is_early else 0.0)
+        actions = self._refuse_over(now)
         step = self._compute_step(now)
-        actions: list[GateAction] = []
-        while (operation := self._queue.pop_over(done_at)) is not None:
-            actions.append(self._refuse(operation, RefusalReason.TOO_LATE, step))
         while self._policy.refuses_early and len(self._queue) * step > MOST_DRAIN:
             operation = self._queue.pop_least()
             actions.append(self._refuse(operation, RefusalReason.QUEUE_FULL, step))
@@ -245,23 +240,27 @@
         if not self._queue or not self._has_room:
             return actions
         self._queue.note_late(now + self._limit.mean)
-        while self._queue and self._has_room:
-            operation = self._queue.pop()
-            if self._is_over(operation, now):
-                step = self._compute_step(now)
-                actions.append(self._refuse(operation, RefusalReason.TOO_LATE, step))
-            else:
-                actions.append(self._run(operation.number, now))
+        while self._has_room:
+            # One that is refused must not use up the turn of its priority.
+            actions += self._refuse_over(now)
+            if not self._queue:
+                break
+            actions.append(self._run(self._queue.pop().number, now))
         return actions
 
-    def _is_over(self, operation: Waiting, now: float) -> bool:
-        """Return whether an operation whose turn it is cannot be done any more.
+    def _refuse_over(self, now: float) -> list[GateAction]:
+        """Refuse what cannot be done any more, even if it ran now.
 
         While nothing runs one is let through as long as it has any time: the mean
         would learn nothing, and one slow spell would refuse all for ever.
         """
         is_early = self._policy.refuses_early and self._running
-        return now + (self._limit.mean if is_early else 0.0) >= operation.over
+        done_at = now + (self._limit.mean if is_early else 0.0)
+        actions: list[GateAction] = []
+        while (operation := self._queue.pop_over(done_at)) is not None:
+            step = self._compute_step(now)
+            actions.append(self._refuse(operation, RefusalReason.TOO_LATE, step))
+        return actions
 
     def _judge(
         self, operation: Waiting, demand: Demand, step: float
--- a/tests/load/test_gate.py
+++ b/tests/load/test_gate.py
@@ -332,3 +332,14 @@
         site.end(number, 5.0, 5.0)
     waiting = site.ask(2, now=5.0, count=20)
     assert waiting not in site.refused and site.gate.limit >= 2
+
+
+def test_what_is_refused_when_its_turn_comes_uses_up_no_turn(site):
+    """The floor of a priority is for those of it that can still run."""
+    site.ask(0, aim=1.0, left=4.0, count=40)
+    site.ask(1, left=0.3, count=4)
+    able = site.ask(1, left=2.0, account="b")
+    for turn in range(9):
+        site.end(site.ran[turn], 0.299 + turn * 0.0001)
+    assert able in site.ran
+    assert len(site.refused) == 4
