--- a/beryltrack/load/limit.py
+++ b/beryltrack/load/limit.py
@@ -195,8 +195,10 @@
             self._calm.observe(seconds)
             shown = self._calm
         if self._calm.count <= CALM_SAMPLES:
-            # An owner that starts under load has nothing else to go by.
-            self._usual = (self._calm if self._calm.count else shown).mean
+            # An owner that starts under load has nothing else to go by: of three short
+            # statements without load the rest would look ten times too long.
+            is_shown = self._calm.count >= LEAST_SAMPLES
+            self._usual = (self._calm if is_shown else self._mean).mean
             return
         rise = RISE_WEIGHT * (shown.mean - self._usual)
         self._usual = min(shown.mean, self._usual + rise)
--- a/tests/load/test_limit.py
+++ b/tests/load/test_limit.py
@@ -131,6 +131,11 @@
     assert site.end(3 * USUAL, count=300, running=3, is_short=True) == 3
 
 
+def test_a_few_short_statements_without_load_are_not_the_usual_ones(site):
+    site.end(USUAL / 3, count=5)
+    assert site.end(2 * USUAL, count=300, running=3, is_short=True) == 3
+
+
 def test_a_database_that_is_slower_for_good_is_usual_one_day(site):
     site.learn()
     site.end(8 * USUAL, count=100, running=3, is_short=True)
