Cut the limit once for all statements that met one crowd at a full database

Symptom: an owner with a limit of 6 that is told twice within 2 ms that its database is full, by statements sent at the same time, goes down to 2.

Cause: the gate was told no duration of a refused statement, so that each counted as sent when it was refused, which is always after the last cut. The limit itself does tell the crowds apart, by when a statement was sent.

Change: the duration of such a statement is told; the time of operations leaves it out, as a refusal takes no slot.

Why it holds: statements sent before the last cut met the crowd that it answers. Two tests, of the connections and of the gate.

--- a/beryltrack/load/gate.py
+++ b/beryltrack/load/gate.py
@@ -241,7 +241,9 @@
         """Take in how a statement ended."""
         running = len(self._running)
         del self._running[number]
-        self._spent[number] += seconds or 0.0
+        if outcome is not Outcome.FULL:
+            # A refusal takes no slot, and tells nothing of how long operations take.
+            self._spent[number] += seconds or 0.0
         self._limit.observe(seconds, outcome, running, bool(self._queue), now)
 
     def _fill(self, now: float) -> list[GateAction]:
--- a/beryltrack/relay/gated.py
+++ b/beryltrack/relay/gated.py
@@ -46,11 +46,12 @@
             self._gate.rest(self._number, seconds, Outcome.LOST)
         elif end.error is None:
             self._gate.rest(self._number, seconds, Outcome.ANSWERED)
+        elif end.error.sqlstate == TOO_MANY_CONNECTIONS:
+            # When it was sent says which crowd at the database it has met.
+            self._gate.rest(self._number, seconds, Outcome.FULL)
         else:
             # Most errors come at once, and tell nothing of how long statements take.
-            is_full = end.error.sqlstate == TOO_MANY_CONNECTIONS
-            outcome = Outcome.FULL if is_full else Outcome.ANSWERED
-            self._gate.rest(self._number, None, outcome)
+            self._gate.rest(self._number, None, Outcome.ANSWERED)
 
     def finish(self) -> None:
         """Take in that the connection was given back."""
--- a/tests/load/test_gate.py
+++ b/tests/load/test_gate.py
@@ -66,6 +66,15 @@
     return made
 
 
+def test_refusals_of_a_full_database_do_not_make_operations_look_short(site):
+    site.ask(count=3)
+    for number in site.ran[:2]:
+        site.end(number, 0.0, 0.0001, FULL)
+    # Half of the limit is left, the least one: two operations run, one waits.
+    site.ask(count=2)
+    assert site.gate.get_report(0.0).waits[0] == pytest.approx(WORK)
+
+
 def test_operations_run_at_once_up_to_the_limit(site):
     site.ask(count=5)
     assert len(site.ran) == 3 and site.gate.waiting == 2 and not site.refused
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -345,6 +345,18 @@
     assert site.access.get_report().limit == 2
 
 
+def test_statements_that_met_one_crowd_at_a_full_database_cut_it_once(site):
+    site.access.set_bounds(Bounds(slots=2, owners=2, connections=2))
+    site.access.set_bounds(Bounds(slots=2, owners=1, connections=8))
+    assert site.access.get_report().limit == 6
+    held = [site.acquire("own") for _ in range(2)]
+    error = SimpleNamespace(sqlstate=TOO_MANY_CONNECTIONS)
+    for each in held:
+        site.clock.advance(0.001)
+        each.observer.observe_end(0.01, SimpleNamespace(error=error))
+    assert site.access.get_report().limit == 3
+
+
 def test_who_waits_when_the_limit_ends_is_served_by_the_pool(site):
     site.limit_to_one()
     site.acquire("own")
