Forget what was more urgent once operations have their turns without a wait

Symptom: after a long flood of the most urgent operations the least urgent are refused as soon as one would have to wait, for as long as none waits: expected 0.67 s where one statement of 0.1 s stood before it.

Cause: the part of the turns that more urgent operations take moved only with turns of the queue. Where all that came was refused the queue stayed empty, so that the part stayed where the flood had left it.

Change: an operation that runs at once, as nobody waits, lowers the part too.

Why it holds: it stands for more urgent operations that keep coming while others wait; a turn that nobody waited for says that there were none. The test fails without it.

--- a/beryltrack/load/gate.py
+++ b/beryltrack/load/gate.py
@@ -128,6 +128,7 @@
             step = self._compute_step(now)
             return [self._refuse(operation, RefusalReason.TOO_LATE, step)]
         if not self._queue and self._has_room:
+            self._queue.note_unqueued()
             return [self._run(number, now)]
         done_at, step = now + self._limit.mean, self._compute_step(now)
         self._queue.note_late(done_at)
--- a/beryltrack/load/queue.py
+++ b/beryltrack/load/queue.py
@@ -108,6 +108,10 @@
         if operation.over < math.inf:
             heappush(self._overs, (operation.over, operation.number))
 
+    def note_unqueued(self) -> None:
+        """Take in that an operation had its turn while none waited."""
+        self._urgent = [each - URGENT_WEIGHT * each for each in self._urgent]
+
     def remove(self, number: int) -> Waiting:
         """Take out an operation, which must wait."""
         operation = self._waiting[number]
--- a/tests/load/test_gate.py
+++ b/tests/load/test_gate.py
@@ -102,6 +102,23 @@
     assert low in site.ran
 
 
+def test_a_flood_of_the_most_urgent_is_forgotten_once_nobody_waits():
+    site = Site()
+    site.gate.set_bounds(BOUNDS._replace(connections=3), 0.0)
+    site.learn(0.1)
+    site.ask(0, aim=5.0, left=10.0, count=8)
+    for turn in range(400):
+        site.ask(0, now=turn * 0.033, aim=5.0, left=10.0)
+        site.serve(turn * 0.033, 1, 0.0, 0.1)
+    site.serve(14.0, 8, 0.033, 0.1)
+    assert not (site.gate.running or site.gate.waiting)
+    # Each runs at once, so that the one that has to wait waits for one statement.
+    for turn in range(400):
+        site.end(site.ask(3, now=15.0 + turn), 15.1 + turn, 0.1)
+    low = site.ask(3, now=500.0, count=4)
+    assert low not in site.refused and site.gate.waiting == 1
+
+
 def test_one_hot_account_waits_behind_its_own(site):
     site.ask(2, account="hot", count=60)
     calm = [site.ask(2, account=name) for name in ("b", "c", "d")]
