Tell the next instance what the first way has left of an operation's time

Symptom: an operation with 1 s left whose first owner could not be reached for 0.5 s tells the next one that it has 1 s. That owner refuses it up to 0.5 s after its sender has given up, so that a write that did not run is "outcome unknown".

Cause: all ways were tried with the demand as it was before the first one.

Change: the time that a way has taken is taken off the demand.

Why it holds: the demand that an instance is told counts from when it is sent; both waits, for a way and for a session, are now in it. The test fails without it.

--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -46,6 +46,14 @@
     counted: str = ""
 
 
+class _Until(NamedTuple):
+    """What an operation asked for when it was sent on a way, and by when it is over."""
+
+    deadline: float
+    demand: Demand
+    asked_at: float
+
+
 class DatabaseAccess:
     """The pools of one database; used as one pool.
 
@@ -293,13 +301,15 @@
         way = self._choose_way(demand.account)
         acquiring = self._acquire_by(way, deadline, demand, not way, False)
         if tries > 1:
-            acquiring.addErrback(self._go_round, way, deadline, demand, tries)
+            until = _Until(deadline, demand, self._seconds())
+            acquiring.addErrback(self._go_round, way, until, tries)
         return acquiring
 
     def _go_round(
-        self, failure: Failure, way: str, deadline: float, demand: Demand, tries: int
+        self, failure: Failure, way: str, until: _Until, tries: int
     ) -> Deferred[PooledConnection] | Failure:
         """Try another way if an instance could not be reached."""
+        demand = until.demand
         refused = failure.check(PoolRefused)
         reason = failure.value.refusal.reason if refused else None
         if reason is RefusalReason.OVER_LIMIT:
@@ -310,7 +320,9 @@
             return failure
         if self._choose_way(demand.account) == way or not self._may_repeat():
             return failure
-        return self._try_ways(deadline, demand, tries - 1)
+        # The way before has taken a part of its time.
+        left = demand.after(self._seconds() - until.asked_at)
+        return self._try_ways(until.deadline, left, tries - 1)
 
     def _acquire_by(
         self, way: str, deadline: float, demand: Demand, counts: bool, is_lent: bool
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -153,6 +153,16 @@
     assert get_result(waiting).way == "three"
 
 
+def test_another_instance_is_told_what_the_first_way_has_left_of_the_time(site):
+    site.ways["a"] = "two"
+    site.targets["two"].at_once = False
+    waiting = site.access.acquire(10.0, Demand(1, 0.25, 1.0, "a"))
+    site.clock.advance(0.5)
+    site.ways["a"] = "three"
+    site.targets["two"].pending[0].errback(ConnectRefused(CANNOT_CONNECT_NOW))
+    assert get_result(waiting).demand == Demand(1, -0.25, 0.5, "a")
+
+
 def test_an_operation_lent_to_another_instance_is_counted_where_it_is_to_run(site):
     get_result(site.access.lend(10.0, Demand(account="own"), False))
     assert site.counted == ["own"] and site.opened == [("", "own")]
