--- a/beryltrack/load/gate.py
+++ b/beryltrack/load/gate.py
@@ -128,6 +128,7 @@
             step = self._compute_step(now)
             return [self._refuse(operation, RefusalReason.TOO_LATE, step)]
         if not self._queue and self._has_room:
+            self._queue.note_unqueued()
             return [self._run(number, now)]
         done_at, step = now + self._limit.mean, self._compute_step(now)
         self._queue.note_late(done_at)
@@ -236,7 +237,9 @@
         """Take in how a statement ended."""
         running = len(self._running)
         del self._running[number]
-        self._spent[number] += seconds or 0.0
+        if outcome is not Outcome.FULL:
+            # A refusal takes no slot, and tells nothing of how long operations take.
+            self._spent[number] += seconds or 0.0
         self._limit.observe(seconds, outcome, running, bool(self._queue), now)
 
     def _fill(self, now: float) -> list[GateAction]:
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -153,6 +153,16 @@
     assert get_result(waiting).way == "three"
 
 
+def test_another_instance_is_told_what_the_first_way_has_left_of_the_time(site):
+    site.ways["a"] = "two"
+    site.targets["two"].at_once = False
+    waiting = site.access.acquire(10.0, Demand(1, 0.25, 1.0, "a"))
+    site.clock.advance(0.5)
+    site.ways["a"] = "three"
+    site.targets["two"].pending[0].errback(ConnectRefused(CANNOT_CONNECT_NOW))
+    assert get_result(waiting).demand == Demand(1, -0.25, 0.5, "a")
+
+
 def test_an_operation_lent_to_another_instance_is_counted_where_it_is_to_run(site):
     get_result(site.access.lend(10.0, Demand(account="own"), False))
     assert site.counted == ["own"] and site.opened == [("", "own")]
@@ -345,6 +355,18 @@
     assert site.access.get_report().limit == 2
 
 
+def test_statements_that_met_one_crowd_at_a_full_database_cut_it_once(site):
+    site.access.set_bounds(Bounds(slots=2, owners=2, connections=2))
+    site.access.set_bounds(Bounds(slots=2, owners=1, connections=8))
+    assert site.access.get_report().limit == 6
+    held = [site.acquire("own") for _ in range(2)]
+    error = SimpleNamespace(sqlstate=TOO_MANY_CONNECTIONS)
+    for each in held:
+        site.clock.advance(0.001)
+        each.observer.observe_end(0.01, SimpleNamespace(error=error))
+    assert site.access.get_report().limit == 3
+
+
 def test_who_waits_when_the_limit_ends_is_served_by_the_pool(site):
     site.limit_to_one()
     site.acquire("own")
