Count probes in vain only as far as they lengthen the pause

Symptom: an owner that is cut off from an instance for two and a half hours while it stays a member is probed ten times a second from then on, and each probe leaves an unhandled error in the log.

Cause: the pause is FIRST_PAUSE * 2 ** misses, cut to MOST_PAUSE after the product. From 1,024 misses on, at 8 s each, the power is no float any more: OverflowError. The next due time was never set, so that the probe stayed due.

Change: misses are counted up to MOST_MISSES, where the pause is the longest one.

Why it holds: the power is bounded by MOST_PAUSE / FIRST_PAUSE, and pauses are the same as before for each count below. The test plays 2,000 misses; it failed with the OverflowError before.

--- a/beryltrack/relay/avoided.py
+++ b/beryltrack/relay/avoided.py
@@ -5,6 +5,7 @@
 pauses between probes grow, as most that are gone for long stay gone.
 """
 
+import math
 from typing import NamedTuple
 
 AVOID_TIME = 0.5
@@ -18,6 +19,9 @@
 loss of power the others are there 0.1 to 0.5 s after an instance; one that restarts
 alone is back after 1 to 4 s, and the members tell after 8 s that one is gone."""
 
+MOST_MISSES = math.ceil(math.log2(MOST_PAUSE / FIRST_PAUSE))
+"""Probes in vain after which the pause is the longest one; more are not counted."""
+
 
 class _Avoided(NamedTuple):
     """Since when an instance is passed over, and when it is probed next."""
@@ -58,7 +62,8 @@
         known = self._avoided.get(name)
         if known is not None:
             pause = min(MOST_PAUSE, FIRST_PAUSE * 2**known.misses)
-            later = known._replace(due=now + pause, misses=known.misses + 1)
+            misses = min(known.misses + 1, MOST_MISSES)
+            later = known._replace(due=now + pause, misses=misses)
             self._avoided[name] = later
 
     def note_answer(self, name: str) -> bool:
--- a/tests/relay/test_avoided.py
+++ b/tests/relay/test_avoided.py
@@ -32,6 +32,15 @@
     assert pauses[-1] == pytest.approx(MOST_PAUSE, abs=0.11) and avoided.has("a")
 
 
+def test_one_that_is_cut_off_for_hours_is_probed_in_the_same_pauses():
+    avoided = AvoidedOwners()
+    avoided.add("a", 0.0)
+    for _ in range(2000):
+        avoided.note_miss("a", 0.0)
+    assert avoided.get_due(MOST_PAUSE - 0.1) == ()
+    assert avoided.get_due(MOST_PAUSE) == ("a",)
+
+
 def test_one_that_answers_a_probe_is_passed_over_no_more():
     avoided = AvoidedOwners()
     avoided.add("a", 0.0)
