Go on with the next configuration after a defect in a slice

Symptom: after an exception while rows are read ahead, no later version of the configuration comes into force until the instance starts again: keys that are taken away serve on.

Cause: the exception passed through _go_on with the version still first in line and its finished steps still set. read() begins nothing while steps are set. A defect where a version is read as a whole or taken was caught, one in a slice was not.

Change: a slice that meets a defect ends the reading ahead of its version, which is then read as a whole like one that was read ahead.

Why it holds: reading ahead only fills a cache; read_rows reads every row that is not in it, and its own defects are caught in _finish. No input is known that raises there; the test takes a field that does, and failed before.

--- a/beryltrack/daemon/configuration.py
+++ b/beryltrack/daemon/configuration.py
@@ -94,13 +94,25 @@
             item = self._waiting[0]
             if self._steps is None:
                 self._steps = self._cache.prepare(item.value, self._tables)
-            if next(self._steps, _DONE) is not _DONE:
+            if self._read_slice():
                 self._call = self._reactor.callLater(0, self._go_on)
                 return
             self._steps = None
             self._waiting.popleft()
             self._finish(item)
 
+    def _read_slice(self) -> bool:
+        """Read one slice ahead; return whether there may be another one.
+
+        After a defect nothing more is read ahead: whatever reads the version as a whole
+        meets it or does not.
+        """
+        try:
+            return next(self._steps, _DONE) is not _DONE
+        except Exception:
+            log.exception("settings: Reading ahead met a defect.")
+            return False
+
     def _finish(self, item: PlatformObject) -> None:
         """Give a version that was read; a defect must not hold up the next one."""
         try:
--- a/tests/daemon/test_configuration.py
+++ b/tests/daemon/test_configuration.py
@@ -4,6 +4,7 @@
 from twisted.internet.task import Clock
 
 from beryltrack.daemon.configuration import ConfigurationTask
+from beryltrack.objects.fields import Field
 from beryltrack.objects.messages import PlatformObject
 from beryltrack.objects.rows import SLICE_ROWS
 from beryltrack.platform.settings import ROW_TABLES, read_configuration
@@ -97,6 +98,19 @@
     assert len(taken) == 2 and "met a defect" in caplog.text
 
 
+def test_a_defect_in_a_slice_holds_up_no_other(caplog):
+    def parse(value):
+        raise RuntimeError("a defect")
+
+    tables = {"routes": (Field("database_name", parse),)}
+    taken = []
+    task = ConfigurationTask(Clock(), read_configuration, tables, taken.append)
+    task.read(make_item(7, 1))
+    task.read(make_item(8, 1))
+    assert [each.item.version for each in taken] == [7, 8]
+    assert "met a defect" in caplog.text
+
+
 def test_nothing_is_read_after_the_end(read):
     read.task.read(make_item(7, COUNT))
     read.task.stop()
