Count an owner's own operations there when it goes round to a database

Symptom: while an owner of accounts does not reach a database itself, the operations of its own callers are refused as over the limit though the accounts are within it, after the first token of each other owner is spent.

Cause: an operation that goes through another instance was left for that one to count, unless it had come from another instance before. With accounts the one that runs them is the owner, whichever way it goes to the database. The other owner has no rights to the slot, counted all the same, and had the operation's way lead back to the first one, which does not reach the database. Operations that others had sent to the owner were counted there and went straight on.

Change: an instance that counts an account counts what goes round, too, and tells the other one so. A refusal of its own is noted as its own and not as the other's, so that another zone's owner is asked.

Why it holds: an operation that was counted goes straight to the database at the other instance, is counted nowhere else, and is given back if it does not run. Whether it goes round is asked only for a database that is out of reach.

--- a/beryltrack/daemon/line_kit.py
+++ b/beryltrack/daemon/line_kit.py
@@ -182,6 +182,10 @@
             self._quota.refund,
             lambda account: choose_way(account, True),
             self._directory.observe_spent,
+            lambda account: (
+                self._directory.is_blocked(database.name)
+                and self._directory.counts_here(account)
+            ),
             judge=lambda way, demand: self._judge(way, database.name, demand),
             expect=lambda way, demand: self._expect(way, database.name, demand),
             seconds=self._seconds,
--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -46,6 +46,13 @@
     counted: str = ""
 
 
+class _Way(NamedTuple):
+    """The instance through which an operation goes, and if it is counted here."""
+
+    way: str
+    counts: bool
+
+
 class DatabaseAccess:
     """The pools of one database; used as one pool.
 
@@ -67,6 +74,9 @@
     observe_spent : callable
         Takes in that an operation of an account was refused as over its limit, and by
         which instance; returns True if another one may run it.
+    counts_here : callable
+        Returns True if this instance counts an account's operations although their way
+        goes through another one, as this one does not reach the database itself.
     judge : callable
         Decides whether an operation of this instance goes to another one; returns 0,
         or the seconds after which to come back.
@@ -92,6 +102,7 @@
         refund: Callable[[str], object] = lambda account: None,
         choose_lent_way: ChooseWay | None = None,
         observe_spent: ObserveSpent = lambda account, way: False,
+        counts_here: Callable[[str], bool] = lambda account: False,
         judge: Judge = lambda way, demand: 0.0,
         expect: Expect = lambda way, demand: Expected(),
         seconds: Callable[[], float] = lambda: 0.0,
@@ -109,6 +120,7 @@
         self._refund = refund
         self._choose_lent_way = choose_lent_way or choose_way
         self._observe_spent = observe_spent
+        self._counts_here = counts_here
         self._gated = GatedPool(direct, make_gate)
         self._sessions: dict[str, PoolTask] = {}
         self._lent: dict[PooledConnection, _Lent] = {}
@@ -290,25 +302,36 @@
         self, deadline: float, demand: Demand, tries: int
     ) -> Deferred[PooledConnection]:
         """Get a connection by the way of the moment, then by another one."""
-        way = self._choose_way(demand.account)
-        acquiring = self._acquire_by(way, deadline, demand, not way, False)
+        chosen = self._choose(demand.account)
+        acquiring = self._acquire_by(chosen.way, deadline, demand, chosen.counts, False)
         if tries > 1:
-            acquiring.addErrback(self._go_round, way, deadline, demand, tries)
+            acquiring.addErrback(self._go_round, chosen, deadline, demand, tries)
         return acquiring
 
+    def _choose(self, account: str) -> _Way:
+        """Return the way of the moment, and whether the operation is counted here."""
+        way = self._choose_way(account)
+        return _Way(way, not way or self._counts_here(account))
+
     def _go_round(
-        self, failure: Failure, way: str, deadline: float, demand: Demand, tries: int
+        self,
+        failure: Failure,
+        tried: _Way,
+        deadline: float,
+        demand: Demand,
+        tries: int,
     ) -> Deferred[PooledConnection] | Failure:
         """Try another way if an instance could not be reached."""
         refused = failure.check(PoolRefused)
         reason = failure.value.refusal.reason if refused else None
         if reason is RefusalReason.OVER_LIMIT:
             # Refused here: another zone's owner may have rights left.
-            if not self._observe_spent(demand.account, way):
+            counting = "" if tried.counts else tried.way
+            if not self._observe_spent(demand.account, counting):
                 return failure
-        elif not way or reason is not RefusalReason.UNREACHABLE:
+        elif not tried.way or reason is not RefusalReason.UNREACHABLE:
             return failure
-        if self._choose_way(demand.account) == way or not self._may_repeat():
+        if self._choose(demand.account) == tried or not self._may_repeat():
             return failure
         return self._try_ways(deadline, demand, tries - 1)
 
@@ -326,7 +349,10 @@
             refusal = PoolRefusal(RefusalReason.OVER_LIMIT, wait)
             return fail(PoolRefused(refusal))
         if way:
-            acquiring = self._acquire_through(way, deadline, demand, is_lent)
+            is_counted = is_lent or bool(counted)
+            acquiring = self._acquire_through(
+                way, deadline, demand, is_lent, is_counted
+            )
         else:
             acquiring = self._acquire_directly(deadline, demand)
         pool = self._get_sessions(way) if way else self.direct
@@ -343,7 +369,12 @@
         return pool.acquire(deadline, demand)
 
     def _acquire_through(
-        self, way: str, deadline: float, demand: Demand, is_lent: bool
+        self,
+        way: str,
+        deadline: float,
+        demand: Demand,
+        is_lent: bool,
+        is_counted: bool,
     ) -> Deferred[PooledConnection]:
         """Get a session at another instance, unless it is known to have no room."""
         # What was lent here was judged by the instance that took it.
@@ -351,7 +382,7 @@
         if wait:
             return fail(PoolRefused(PoolRefusal(RefusalReason.OWNER_FULL, wait)))
         acquiring = self._get_sessions(way).acquire(deadline)
-        return acquiring.addCallback(self._mark, is_lent, demand, self._seconds())
+        return acquiring.addCallback(self._mark, is_counted, demand, self._seconds())
 
     def _mark(
         self,
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -213,6 +213,12 @@
         self._spent.note(account, way or self._own.name)
         return self._spent.has_other(account, self._list_counting(account))
 
+    def counts_here(self, account: str) -> bool:
+        """Return whether this instance counts an account's next operation."""
+        if not account or not self.has_accounts:
+            return False
+        return self.choose_account_way(account).name == self._own.name
+
     def get_zone(self, account: str) -> str:
         """Return the zone in which an account's next operation runs, if it is known."""
         if not account or not self.has_accounts:
--- a/tests/daemon/test_account_ways.py
+++ b/tests/daemon/test_account_ways.py
@@ -117,3 +117,22 @@
     site.access.acquire(9.0, Demand(account="a")).addErrback(refused.append)
     with pytest.raises(PoolRefused):
         refused[0].raiseException()
+
+
+def test_an_owner_that_does_not_reach_a_database_counts_its_own_callers_too():
+    """Nobody has lent rights to the others of its zone: they would refuse."""
+    owner = find_owner()
+    site = Site(int(owner.name[1:]))
+    site.directory.block("db")
+    assert site.acquire() not in (DATABASE.endpoint, owner.relay)
+    assert site.quota.counts["a"].run == 1
+
+
+def test_an_owner_over_the_limit_that_goes_round_asks_another_zones():
+    owner = find_owner()
+    site = Site(int(owner.name[1:]))
+    site.directory.block("db")
+    site.acquire()
+    site.acquire()
+    assert site.quota.counts["a"] == (1, 1)
+    assert site.directory.choose_account_way("a").zone != owner.zone
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -36,7 +36,7 @@
         self.ways = {"": "two"}
         self.judged, self.has_budget = {}, True
         self.waits, self.refunds, self.counted = {}, [], []
-        self.spent = {}
+        self.spent, self.noted, self.owned = {}, [], set()
         self.access = DatabaseAccess(
             self.make_pool(""),
             self.make_pool,
@@ -44,6 +44,7 @@
             self.admit,
             self.refunds.append,
             observe_spent=self.observe_spent,
+            counts_here=lambda account: account in self.owned,
             judge=lambda way, demand: self.judged.get(way, 0.0),
             seconds=self.clock.seconds,
             may_repeat=lambda: self.has_budget,
@@ -79,6 +80,8 @@
         """Send the account's operations elsewhere, if there is a way."""
         if account not in self.spent:
             return False
+        self.noted.append((account, way))
+        self.owned.discard(account)
         self.ways[account] = self.spent.pop(account)
         return True
 
@@ -171,6 +174,23 @@
     assert passed.is_counted
 
 
+def test_an_owner_that_does_not_reach_a_database_counts_what_it_took_itself(site):
+    site.ways["own"], site.owned = "three", {"own"}
+    connection = site.acquire("own")
+    assert connection.is_counted and site.counted == ["own"]
+    assert site.opened == [("three", "")]
+    site.access.release(connection, True, has_run=False)
+    assert site.refunds == ["own"]
+
+
+def test_a_refusal_of_its_own_is_noted_as_its_own_whatever_the_way(site):
+    site.ways["own"], site.owned = "three", {"own"}
+    site.waits["own"] = 0.3
+    site.spent["own"] = "two"
+    assert site.acquire("own").way == "two"
+    assert site.noted == [("own", "")]
+
+
 def test_short_requests_of_the_proxy_go_the_way_of_no_account(site):
     given = get_result(site.access.acquire_briefly(0.1, 0.1).addCallback(lambda c: c))
     assert given is None or given.way == "two"
