--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -331,7 +331,10 @@
                 return failure
         elif not tried.way or reason is not RefusalReason.UNREACHABLE:
             return failure
-        if self._choose(demand.account) == tried or not self._may_repeat():
+        if self._choose(demand.account) == tried:
+            return failure
+        # What is over one owner's limit draws on no budget: none is asked twice.
+        if reason is RefusalReason.UNREACHABLE and not self._may_repeat():
             return failure
         return self._try_ways(deadline, demand, tries - 1)
 
--- a/tests/relay/test_access.py
+++ b/tests/relay/test_access.py
@@ -273,6 +273,13 @@
     assert [name for name, _ in site.opened] == ["two"]
 
 
+def test_what_was_refused_as_over_the_limit_goes_on_without_a_budget(site):
+    """It has not run, and no owner is asked twice."""
+    site.has_budget = False
+    site.waits["own"], site.spent["own"] = 0.3, "two"
+    assert site.acquire("own").way == "two"
+
+
 def test_without_owners_as_many_run_as_there_are_connections(site):
     assert site.acquire("own") is not site.acquire("own")
     assert site.access.get_report() is None
