Keep the owners of a group in two zones where strong instances are in one

Symptom: where only the instances of one zone are strong, they own all groups: with 8 of two cores in one zone and 16 of half a core in two others all six owners of each group are in the first zone. With that zone all groups are out of reach until the members tell so, 8 s later.

Cause: weak instances were left out as soon as there are as many strong ones as a group has owners, wherever these are. The bound for each zone then counts one zone only.

Change: weak instances own nothing only where strong ones are in two zones at the least, or the fleet is in one. Else all own groups by their capacity, with the bounds of all zones.

Why it holds: nothing changes for instances that are alike, for strong ones in two zones or more, or for one zone; existing tests are as they were. The bound of a zone is an even part of a group's owners as long as others can take its part.

--- a/beryltrack/relay/strong_owners.py
+++ b/beryltrack/relay/strong_owners.py
@@ -16,6 +16,10 @@
 RANKS = 2**64
 """Number of ranks."""
 
+LEAST_ZONES = 2
+"""Zones in which the strong instances are at the least where the weak ones own nothing.
+With fewer, all owners of all groups would be lost together with a zone."""
+
 
 def choose_strong_owners(
     group: str, peers: Sequence[Peer], count: int
@@ -37,8 +41,15 @@
     strong = [peer for peer in peers if peer.capacity >= most * STRONG_PART]
     if len(strong) == len(peers):
         return choose_owners(group, peers, count)
-    fit = strong if len(strong) >= count else peers
-    return _choose_by_score(group, fit, count)
+    is_enough = len(strong) >= count and _count_zones(strong) >= min(
+        LEAST_ZONES, _count_zones(peers)
+    )
+    return _choose_by_score(group, strong if is_enough else peers, count)
+
+
+def _count_zones(peers: Sequence[Peer]) -> int:
+    """Return in how many zones instances are."""
+    return len({peer.zone for peer in peers})
 
 
 def compute_score(group: str, peer: Peer) -> float:
--- a/tests/relay/test_strong_owners.py
+++ b/tests/relay/test_strong_owners.py
@@ -52,6 +52,20 @@
         assert max(zones.values()) == -(-count // 3)
 
 
+@pytest.mark.parametrize("count", [2, 6])
+def test_strong_instances_of_one_zone_alone_do_not_own_all_of_a_group(count):
+    """With that zone all owners of each group would be lost."""
+    peers = make_fleet([2.0] * 8, [0.5] * 8, [0.5] * 8)
+    for group in GROUPS:
+        zones = {peer.zone for peer in choose_strong_owners(group, peers, count)}
+        assert len(zones) >= 2
+
+
+def test_in_a_fleet_of_one_zone_weak_instances_own_nothing():
+    owned = count_owned(make_fleet([2.0] * 4 + [0.5] * 4), 2)
+    assert set(owned) == {f"z0-n{number}" for number in range(4)}
+
+
 def test_a_stronger_instance_owns_more_groups():
     peers = make_fleet([2.0, 2.0, 4.0, 4.0, 0.2], [2.0, 2.0, 4.0, 4.0], [2.0] * 8)
     owned = count_owned(peers, 3)
