Probe an instance that is passed over however often requests fail there

Symptom: while failures at an instance that is passed over come more often than each 0.2 s (0.5 s for refusals) it is never probed: none in 30 s with a failure each 0.05 s. That is so where all owners are passed over, as requests are sent to them all the same, each group and database with a back-off of its own. An owner that lives, and refuses one group only, stays beside those that are gone.

Cause: each failure put the next probe off to its own time plus the pause.

Change: only the first failure sets when the first probe is due; after that the probes themselves do. When the last failure was is still kept, as the order of those to ask.

Why it holds: pauses between probes are as before, so that there are no more of them than for one at which nothing fails. One that answers and refuses again is passed over anew for 0.5 s.

--- a/beryltrack/relay/avoided.py
+++ b/beryltrack/relay/avoided.py
@@ -46,12 +46,16 @@
         return self._avoided[name].at if name in self._avoided else 0.0
 
     def add(self, name: str, now: float, least: float = FIRST_PAUSE) -> bool:
-        """Pass over an instance for a time at the least; return if that is new."""
-        known = self._avoided.get(name, _Avoided(now, 0.0))
-        due = max(known.due, now + least)
-        is_new = name not in self._avoided
-        self._avoided[name] = known._replace(at=now, due=due)
-        return is_new
+        """Pass over an instance for a time at the least; return if that is new.
+
+        Further failures put off no probe: they may go on for as long as they like.
+        """
+        known = self._avoided.get(name)
+        if known is None:
+            self._avoided[name] = _Avoided(now, now + least)
+        else:
+            self._avoided[name] = known._replace(at=now)
+        return known is None
 
     def get_due(self, now: float) -> tuple[str, ...]:
         """Return which instances are to be probed now."""
--- a/tests/relay/test_avoided.py
+++ b/tests/relay/test_avoided.py
@@ -65,6 +65,19 @@
     assert avoided.get_due(7.9) == () and avoided.get_due(8.0) == ("a",)
 
 
+@pytest.mark.parametrize("least", [FIRST_PAUSE, AVOID_TIME])
+def test_failures_that_go_on_put_off_no_probe(least):
+    """Where all owners are passed over requests are sent to them all the same."""
+    avoided = AvoidedOwners()
+    for number in range(100):
+        now = 0.05 * number
+        avoided.add("a", now, least)
+        if avoided.get_due(now):
+            break
+    assert now == pytest.approx(least, abs=0.06)
+    assert avoided.get_time("a") == now
+
+
 def test_those_that_are_no_members_any_more_are_forgotten():
     avoided = AvoidedOwners()
     avoided.add("a", 0.0)
