Escape the names of accounts and groups on the metrics page

Symptom: one account or group with a quotation mark or a backslash in its name makes the whole metrics page of each instance unreadable for a scraper.

Cause: names are printable ASCII without blanks, and were put into labels as they are.

Change: format_label escapes what the text form has to; accounts, pools and gates use it. All other labels are words of our own.

Why it holds: the reference parser reads the names back in the tests, and raised before.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -34,7 +34,7 @@
 from beryltrack.daemon.zone_traffic import ZoneTraffic
 from beryltrack.events.log import EventLog
 from beryltrack.load.gate_counts import render_gates
-from beryltrack.metrics.messages import Gauge
+from beryltrack.metrics.messages import Gauge, format_label
 from beryltrack.metrics.plain import PlainMetrics
 from beryltrack.objects.eras import EraTracker, get_latest_era, get_revision
 from beryltrack.objects.feed import FeedTask, compute_wait
@@ -489,8 +489,9 @@
             yield "beryltrack_store_silence_seconds", labels, round(feed.silence, 3)
             yield "beryltrack_store_revision", labels, get_revision(feed.revision)
         for runtime in self._groups.runtimes:
+            group = format_label("group", runtime.settings.name)
             for name, pool in runtime.pools.items():
-                labels = f'group="{runtime.settings.name}",database="{name}"'
+                labels = f"{group},{format_label('database', name)}"
                 yield "beryltrack_pool_busy", labels, pool.load.in_use
                 yield "beryltrack_pool_waiting", labels, pool.load.waiting
         yield from self._accounts.get_gauges()
--- a/beryltrack/daemon/node_accounts.py
+++ b/beryltrack/daemon/node_accounts.py
@@ -14,7 +14,7 @@
 from beryltrack.accounts.task import RightsTask
 from beryltrack.clock import get_seconds
 from beryltrack.findings import Finding
-from beryltrack.metrics.plain import Gauge
+from beryltrack.metrics.messages import Gauge, format_label
 from beryltrack.relay.directory import RelayDirectory
 from beryltrack.relay.owners import Peer
 from beryltrack.relay.probes import ProbeTask
@@ -147,7 +147,7 @@
     def get_gauges(self) -> Iterable[Gauge]:
         """Return how many operations ran and were refused here, by account."""
         for name, counts in self.quota.counts.items():
-            labels = f'account="{name}"'
+            labels = format_label("account", name)
             yield "beryltrack_account_operations_total", labels, counts.run
             yield "beryltrack_account_refusals_total", labels, counts.refused
         if self._book is not None:
--- a/beryltrack/load/gate_counts.py
+++ b/beryltrack/load/gate_counts.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from beryltrack.connections.messages import RefusalReason
-from beryltrack.metrics.messages import Gauge
+from beryltrack.metrics.messages import Gauge, format_label
 
 
 class GateCounts(NamedTuple):
@@ -50,7 +50,9 @@
 def render_gates(counts: Iterable[GateCounts]) -> Iterable[Gauge]:
     """Return the values of gates in the form of the metrics page."""
     for gate in counts:
-        labels = f'group="{gate.group}",database="{gate.database}"'
+        labels = ",".join(
+            (format_label("group", gate.group), format_label("database", gate.database))
+        )
         yield "beryltrack_gate_limit", labels, gate.limit
         yield "beryltrack_gate_running", labels, gate.running
         for priority, count in enumerate(gate.waiting):
--- a/beryltrack/metrics/messages.py
+++ b/beryltrack/metrics/messages.py
@@ -112,6 +112,12 @@
 """Name, labels in the text form, and value."""
 
 
+def format_label(name: str, value: str) -> str:
+    """Return a label in the text form; the value may be any that operators chose."""
+    escaped = value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+    return f'{name}="{escaped}"'
+
+
 class RequestEnd(NamedTuple):
     """How a request ended, by what it had asked for.
 
--- a/tests/metrics/test_catalog.py
+++ b/tests/metrics/test_catalog.py
@@ -6,6 +6,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 import beryltrack
+from beryltrack.accounts.messages import AccountSettings
 from beryltrack.connections.messages import RefusalReason
 from beryltrack.load.gate_counts import GateCounts, render_gates
 from beryltrack.metrics.catalog import METRICS
@@ -16,6 +17,7 @@
     TargetKind,
 )
 from beryltrack.metrics.plain import PlainMetrics
+from tests.accounts.network import Network
 
 ROOT = Path(beryltrack.__file__).parent
 NAME = re.compile(r'yield\s*\(?\s*"(beryltrack_\w+)"')
@@ -84,6 +86,27 @@
     assert get_value(metrics, name, **late, reason="too_late") == 1
 
 
+def test_names_that_operators_chose_break_no_line():
+    odd = 'a"b\\c'
+    metrics = PlainMetrics()
+    metrics.set_gauges(lambda: render_gates([GATE._replace(group=odd, database=odd)]))
+    gate = {"group": odd, "database": odd}
+    assert get_value(metrics, "beryltrack_gate_limit", **gate) == 3
+    assert get_value(metrics, "beryltrack_gate_waiting", **gate, priority="1") == 4
+
+
+def test_an_account_is_shown_whatever_its_name():
+    odd = 'a"b\\c'
+    network = Network(2)
+    accounts = next(iter(network.instances.values())).accounts
+    accounts.set_accounts((AccountSettings(odd, frozenset(), 1.0, 0.0),))
+    accounts.quota.spend(odd, 0.0)
+    metrics = PlainMetrics()
+    metrics.set_gauges(accounts.get_gauges)
+    name = "beryltrack_account_operations_total"
+    assert get_value(metrics, name, account=odd) == 1
+
+
 def test_an_owner_s_gates_are_shown_by_database_and_priority():
     metrics = make_metrics()
     gate = {"group": "g", "database": "db-1"}
