--- a/beryltrack/relay/access.py
+++ b/beryltrack/relay/access.py
@@ -336,7 +336,10 @@
                 return failure
         elif not tried.way or reason is not RefusalReason.UNREACHABLE:
             return failure
-        if self._choose(demand.account) == tried or not self._may_repeat():
+        if self._choose(demand.account) == tried:
+            return failure
+        # What is over one owner's limit draws on no budget: none is asked twice.
+        if reason is RefusalReason.UNREACHABLE and not self._may_repeat():
             return failure
         # The way before has taken a part of its time.
         left = demand.after(self._seconds() - until.asked_at)
