Leave an owner for one database that it does not reach, not for all

Cause: an owner that does not reach a database gives no sessions to it, as another owner may. It said so by the word of one that owns the group no more, so that it was left for every database. Where a primary is lost none of its owners reaches it, so that all of them were left in turn. Ruled out: other members (all knew the same owners then).

An owner now says that it does not reach the database, and whoever asked goes round that owner for that database alone. Old instances take both words alike, as before.

--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -132,11 +132,15 @@
     ----------
     sqlstate : str
         The target's SQLSTATE; 53300 means that its connections are used up.
+    is_useless : bool
+        True if another instance refused it that serves the group, and does not reach
+        this database alone.
     """
 
-    def __init__(self, sqlstate: str):
+    def __init__(self, sqlstate: str, is_useless: bool = False):
         super().__init__(f"the target refused the connection: {sqlstate}")
         self.sqlstate = sqlstate
+        self.is_useless = is_useless
 
 
 class TargetLost(Exception):
--- a/beryltrack/daemon/group_connections.py
+++ b/beryltrack/daemon/group_connections.py
@@ -125,6 +125,11 @@
             bounds = Bounds(item.slots, len(owners), connections) if is_asked else None
             runtime.pools[item.name].set_bounds(bounds)
 
+    def owns(self, group: str) -> bool:
+        """Return whether this instance opens connections to a group's databases."""
+        runtime = self._groups.get(group)
+        return runtime is not None and self._is_owner(runtime)
+
     def get_lender(self, group: str, database: str) -> Lender | None:
         """Return what lends connections to a database, if this instance owns it."""
         runtime = self._groups.get(group)
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -216,6 +216,7 @@
             LoadTeller(self._seconds, self._policies.takes_reports),
             self._incarnation,
             self._policies.routing.lagging_pause,
+            self._connections.owns,
         )
         self._relays = LineRelayFactory(
             reactor, self._relay, RelayBounds(self._get_site)
--- a/beryltrack/platform/relay.py
+++ b/beryltrack/platform/relay.py
@@ -134,7 +134,7 @@
             return
         self.group, self.database = fields[1].decode(), fields[3].decode()
         if not self._factory.handler.takes(self):
-            self.send_not_owner()
+            self._factory.handler.refuse(self)
             self.transport.loseConnection()
             return
         number = b"%d" % self._factory.handler.incarnation
--- a/beryltrack/platform/target.py
+++ b/beryltrack/platform/target.py
@@ -111,7 +111,8 @@
             self.ready.callback(self)
             return
         self.broken = True
-        self.ready.errback(ConnectRefused(decode_error(line).sqlstate))
+        state, is_useless = decode_error(line).sqlstate, line.startswith(_USELESS)
+        self.ready.errback(ConnectRefused(state, is_useless))
         self.transport.abortConnection()
 
     def _take_ready(self, line: bytes) -> None:
--- a/beryltrack/relay/directory.py
+++ b/beryltrack/relay/directory.py
@@ -262,16 +262,25 @@
         owners = self.get_placement(group, max_connections).owners
         return tuple(peer.name for peer in owners) or self.names
 
-    def choose_owner(self, group: str, max_connections: int) -> Peer | None:
+    def choose_owner(
+        self, group: str, max_connections: int, database: str = ""
+    ) -> Peer | None:
         """Return the owner to ask next, None if this instance owns the group.
 
-        If all are passed over, the one that was so first is asked again.
+        One that does not reach the database goes last. If all are passed over, the one
+        that was so first is asked again.
         """
         if self.is_owner(group, max_connections):
             return None
+        now = self._seconds()
         owners = self.get_placement(group, max_connections).owners
         ordered = order_owners(owners, group, self._own.name, self._own.zone)
-        return self._choose_fit(ordered)
+        useful = [
+            each
+            for each in ordered
+            if now >= self._useless.get((database, each.name), now)
+        ]
+        return self._choose_fit(useful or ordered)
 
     def choose_way(
         self,
@@ -303,7 +312,7 @@
             if owner.name != self._own.name:
                 return owner
         elif not self.is_owner(group, max_connections):
-            return self.choose_owner(group, max_connections)
+            return self.choose_owner(group, max_connections, database)
         if not self.is_blocked(database):
             return None
         now = self._seconds()
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -40,6 +40,9 @@
 4 ms between availability zones, and a process that is late. One that comes too late is
 taken for a lost answer, and a write for one whose outcome nobody knows."""
 
+UNREACHED = make_refusal("this instance does not reach the database", 0.0)
+"""Of a statement for a database that this instance alone does not reach."""
+
 OTHER_OWNERS = "the group has other owners"
 
 
@@ -148,6 +151,8 @@
     lagging_pause : float
         Least seconds for which a replica that was behind is asked for nothing that it
         lacked; zero: it is asked again at once.
+    is_owner : callable
+        Says whether this instance lends connections to a group's databases.
     """
 
     def __init__(
@@ -158,7 +163,9 @@
         teller: LoadTeller,
         incarnation: int,
         lagging_pause: float = 0.0,
+        is_owner: Callable[[str], bool] = lambda group: False,
     ):
+        self._is_owner = is_owner
         self.incarnation = incarnation
         self._teller = teller
         self._seconds = seconds
@@ -173,6 +180,13 @@
         """Refuse what is new from now on; open transactions may end."""
         self._is_leaving = True
 
+    def refuse(self, session: RelayedSession) -> None:
+        """Say why this instance lends a session no connections."""
+        if self._is_owner(session.group) and not self._is_leaving:
+            session.send_refusal(UNREACHED)
+        else:
+            session.send_not_owner()
+
     def takes(self, session: RelayedSession) -> bool:
         """Return whether this instance lends connections to a session's database."""
         return self._find_lender(session.group, session.database) is not None
@@ -242,7 +256,7 @@
         """Return a connection for a session; None if it was refused or has gone."""
         lender = self._find_lender(session.group, session.database)
         if lender is None:
-            session.send_not_owner()
+            self.refuse(session)
             return None
         # Whoever is refused at the last moment must hear so before it gives up.
         time_left = max(0.0, session.demand.time_left - ANSWER_TIME)
@@ -293,7 +307,7 @@
         """Wait for the next status of a session's database, and send it."""
         shared = await self._statuses.wait(session.group, session.database)
         if shared is None:
-            session.send_not_owner()
+            self.refuse(session)
         elif isinstance(shared.answer, SqlError):
             session.send_refusal(shared.answer)
         else:
--- a/beryltrack/relay/opener.py
+++ b/beryltrack/relay/opener.py
@@ -156,8 +156,10 @@
         opening = self._open_at(owner.relay, group, name, self._limits.relay, "")
         try:
             connection = await opening
-        except ConnectRefused:
-            if directory.is_blocked(name):
+        except ConnectRefused as refused:
+            # One that is left for a database that it does not reach would be missed for
+            # all others: where a primary was lost, all owners of its group were left.
+            if refused.is_useless or directory.is_blocked(name):
                 directory.note_useless(name, owner.name)
             else:
                 directory.note_refusal(owner.name)
--- a/tests/relay/test_directory.py
+++ b/tests/relay/test_directory.py
@@ -96,3 +96,20 @@
     directory.set_accounts(connections)
     directory.get_placement("g", connections)
     assert directory.is_crowded is is_crowded
+
+
+def test_an_owner_that_does_not_reach_a_database_serves_the_others():
+    fleet = Fleet(30)
+    group = fleet.find_group(False)
+    first = fleet.directory.choose_way(group, "db-1", LIMIT)
+    fleet.directory.note_useless("db-1", first.name)
+    assert fleet.directory.choose_way(group, "db-1", LIMIT) != first
+    assert fleet.directory.choose_way(group, "db-2", LIMIT) == first
+
+
+def test_where_no_owner_reaches_a_database_one_is_asked_all_the_same():
+    fleet = Fleet(30)
+    group = fleet.find_group(False)
+    for name in fleet.directory.get_candidates(group, LIMIT):
+        fleet.directory.note_useless("db-1", name)
+    assert fleet.directory.choose_way(group, "db-1", LIMIT) is not None
--- a/tests/relay/test_handler.py
+++ b/tests/relay/test_handler.py
@@ -126,12 +126,14 @@
 class Owner:
     """The handler with one pool."""
 
-    def __init__(self):
+    def __init__(self, is_owner=False):
         self.pool = Pool()
         self.task = Task()
         self.now = 10.0
         teller = LoadTeller(lambda: self.now)
-        self.handler = RelayHandler(lambda: 10.0, self.get_lender, 0.5, teller, 7, 0.3)
+        self.handler = RelayHandler(
+            lambda: 10.0, self.get_lender, 0.5, teller, 7, 0.3, lambda group: is_owner
+        )
 
     def get_lender(self, group, database):
         return Lender(self.pool, self.task) if self.pool is not None else None
@@ -385,3 +387,14 @@
     owner.give()
     session.runs[0][2].callback(make_end())
     assert session.sent == [("end", IDLE)]
+
+
+def test_an_owner_that_does_not_reach_a_database_says_so_and_stays_an_owner():
+    """It was left for all databases of all groups when it did not reach one."""
+    owner, session = Owner(is_owner=True), Session()
+    owner.pool = None
+    owner.handler.handle(READ, session)
+    assert session.states == [CANNOT_CONNECT_NOW]
+    owner.handler.leave()
+    owner.handler.handle(READ, session)
+    assert session.sent[-1] == ("refused", "the group has other owners")
--- a/tests/relay/test_opener.py
+++ b/tests/relay/test_opener.py
@@ -147,3 +147,13 @@
     site.incarnation = 8
     assert site.open().way == connection.way
     assert site.outlook.get_wait(connection.way, "db-1", 0) == 0.0
+
+
+def test_an_owner_that_does_not_reach_one_database_is_no_lost_owner():
+    site = Site()
+    site.answers = {name: ConnectRefused("57P03", True) for name in OTHERS}
+    outcomes = []
+    site.opener.open_session("g", DATABASE, OTHERS[0]).addErrback(outcomes.append)
+    assert outcomes[0].check(ConnectRefused)
+    site.clock.advance(30.0)
+    assert site.directory.get_due_probes() == ()
