Say in one table what calls for each part that decides under load

Operators could not see from it when owners of zones, kept connections, reports, parallel proofs and probes act, and which word switches each off.

--- a/beryltrack/load/parts.py
+++ b/beryltrack/load/parts.py
@@ -73,4 +73,50 @@
         "Owners of accounts: the strong instances hold their connections",
         "Instances of unlike capacity, where there are accounts",
     ),
+    Part(
+        "Owners of groups: the strong instances hold their connections",
+        "A group that is relayed, instances of unlike capacity, no accounts",
+        (),
+        Mechanism.STRONG_OWNERS,
+    ),
+    Part(
+        "Zones: an account's operations run in the zone where they come in",
+        "Accounts in the settings, owners in several availability zones",
+        (),
+        Mechanism.ZONE_OWNERS,
+    ),
+    Part(
+        "Kept connections: those of accounts that ask often rest for long",
+        "Accounts in the settings",
+        (),
+        Mechanism.KEPT_CONNECTIONS,
+    ),
+    Part(
+        "Reports: owners tell of their load; what waits too long is refused in front",
+        "A group that is relayed",
+        (),
+        Mechanism.OWNER_REPORTS,
+    ),
+    Part(
+        "Expected time: reads go where they are expected to be done first",
+        "A group that is relayed, and reports of its owners",
+        (),
+        Mechanism.EXPECTED_TIME,
+    ),
+    Part(
+        "Parallel proofs: reads of a primary run while it is asked whether it leads",
+        "A group that is relayed, promotions that are fenced",
+        (),
+        Mechanism.PARALLEL_PROOFS,
+    ),
+    Part(
+        "Probes of owners: one out of reach is passed over until it answers",
+        "A group that is relayed, or accounts in the settings",
+        (),
+        Mechanism.OWNER_PROBES,
+    ),
+    Part(
+        "Short holds: a request without a database waits for a part of its aim",
+        "A group that is relayed, routes with a target latency",
+    ),
 )
