Give a connection that was opened for an account to that account

Symptom: of two accounts that wait at a pool without room for both, the one that came first with the later deadline has a connection opened for it, which is closed as soon as it is open, and opened anew, until the other one's deadline. Neither is served meanwhile, and each connection costs the database a statement's time.

Cause: a new connection was judged like one that an account gives back, and closed for whoever has an earlier deadline; but connections are opened in the order of arrival.

Change: only what comes back is closed for another account.

Why it holds: each connection that is opened now serves somebody or rests, and one that rests makes room.

--- a/beryltrack/connections/pool.py
+++ b/beryltrack/connections/pool.py
@@ -226,7 +226,8 @@
         self._room.observe_opened(self._stock.established_count + 1)
         if self._state is not _State.ACTIVE or self._stock.live_count >= self._limit:
             return self._close(connection)
-        return self._serve(connection, now) + self._fill(now)
+        # It was opened for its account: closed unused it would only be opened anew.
+        return self._give_free(connection, now) + self._fill(now)
 
     def observe_open_failed(
         self, connection: int, now: float, is_full: bool = False
@@ -424,6 +425,13 @@
         return now - self._stock.in_use.pop(connection)
 
     def _serve(self, connection: int, now: float) -> list[PoolAction]:
+        """Give on a connection that came back, or close it for another account."""
+        account = self._stock.get_account(connection)
+        if not self._brief and self._find_poorer(account, now) is not None:
+            return self._close(connection)
+        return self._give_free(connection, now)
+
+    def _give_free(self, connection: int, now: float) -> list[PoolAction]:
         """Give a free connection to the first waiter that can still be done."""
         actions: list[PoolAction] = []
         if self._brief:
@@ -431,8 +439,6 @@
             self._remove(waiter)
             return [self._give_briefly(waiter, connection, now)]
         account = self._stock.get_account(connection)
-        if self._find_poorer(account, now) is not None:
-            return self._close(connection)
         while (first := self._waiters.find_first(account)) is not None:
             self._remove(first.waiter)
             if now + self._compute_service() <= first.deadline:
--- a/tests/connections/test_account_pool.py
+++ b/tests/connections/test_account_pool.py
@@ -43,6 +43,17 @@
     assert pool.acquire(3, 9.0, 0.03, "one") == [GiveConnection(3, 1)]
 
 
+def test_a_connection_that_was_opened_for_an_account_is_given_to_it():
+    """Closed for another one, which came later, it would be opened anew for ever."""
+    pool = make_pool(limit=1)
+    assert pool.acquire(1, 9.0, 0.0, "one") == [OpenConnection(1, "one")]
+    pool.acquire(2, 5.0, 0.001, "two")
+    assert pool.observe_opened(1, 0.04) == [GiveConnection(1, 1)]
+    assert pool.release(1, True, 0.05) == [CloseConnection(1)]
+    assert pool.observe_closed(1, 0.05) == [OpenConnection(2, "two")]
+    assert pool.observe_opened(2, 0.09) == [GiveConnection(2, 2)]
+
+
 def fill(pool, *accounts):
     """Leave one idle connection of each account, the first one idle for longest."""
     for number, account in enumerate(accounts, 1):
