Take no word of a replica's lag from an owner that does not reach it

Symptom: a read that an owner refuses as it does not reach the replica, or leaves, makes the instance that sent it leave the replica alone, for 0.3 s at first and for up to 2 s when that repeats, though other owners reach it.

Cause: that refusal and the one of a replica that is behind have the same SQLSTATE.

Change: a refusal after which the session is closed says nothing of the lag.

Why it holds: only the two refusals of owners that give no connection close their session, before the answer's end is told; a replica that is behind keeps it open. The test fails without the change.

--- a/beryltrack/requests/course.py
+++ b/beryltrack/requests/course.py
@@ -197,7 +197,9 @@
         """Take in what a refusal tells of its database."""
         task = self._context.runtime.task
         if error.sqlstate == CANNOT_CONNECT_NOW:
-            if target.after is not None:
+            # An instance that reaches no database ends the session, and says nothing
+            # of what the database shows.
+            if target.after is not None and not target.connection.broken:
                 task.observe_lagging(target.database, target.after)
         elif error.sqlstate == READ_ONLY_REFUSAL:
             # It was replaced, which nobody has told this node yet.
--- a/tests/requests/test_course.py
+++ b/tests/requests/test_course.py
@@ -2,9 +2,11 @@
 
 import random
 
+import pytest
 from returns.result import Failure, Success
 
 from beryltrack.errors import CANNOT_CONNECT_NOW, TOO_MANY_CONNECTIONS, make_refusal
+from beryltrack.groups.messages import LogPosition
 from beryltrack.requests import course
 from beryltrack.requests.answers import send_answer, send_failure
 from beryltrack.requests.retry import RetryBudget, RetryPolicy
@@ -133,6 +135,29 @@
     assert tries == [(), ("main-1",), ("main-1", "main-2")]
 
 
+@pytest.mark.parametrize("is_broken", [False, True])
+def test_an_owner_that_reaches_no_database_says_nothing_of_a_replicas_lag(
+    monkeypatch, is_broken
+):
+    after, noted = LogPosition(1, 7), []
+    connections = [ScriptedConnection(refuse(CANNOT_CONNECT_NOW, 0.3))]
+    connections.append(ScriptedConnection(make_end()))
+    # The session to an instance that does not reach the database is closed.
+    connections[0].broken = is_broken
+
+    async def find_target(search, request):
+        connection = connections.pop(0)
+        connection.way = "owner"
+        return Success(FoundTarget("main-1", True, FakePool(), connection, after))
+
+    monkeypatch.setattr(course, "find_target", find_target)
+    context, _ = make_context("text", StatementKind.READ)
+    context = context._replace(services=make_retrying(context.services))
+    context.runtime.task.observe_lagging = lambda *lag: noted.append(lag)
+    run_to_end(context, course.RequestCourse(context).run())
+    assert not connections and noted == ([] if is_broken else [("main-1", after)])
+
+
 def test_repeats_of_all_ways_draw_on_one_budget(monkeypatch):
     monkeypatch.setattr("tests.requests.test_course.RETRIES", RetryPolicy())
     lagging = refuse(CANNOT_CONNECT_NOW, 0.3)
