Tell the wait that an owner told in a request's line and on the status page

An operator saw the wait for the instance's own connections alone, of which most instances of a large fleet have none.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -180,7 +180,9 @@
             self._policies,
             self._accounts.was_heard,
         )
-        self._load = LoadView(directory, lambda: self._groups.runtimes)
+        self._load = LoadView(
+            directory, lambda: self._groups.runtimes, self._kit.outlook
+        )
         directory.set_block_observer(self._connections.share)
         self._groups.subscribe_started(self._connections.start_group)
         self._configured_by: dict[str, PlatformObject] = {}
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -147,7 +147,6 @@
         Tells sessions of the load.
     incarnation : int
         Number of this process, which sessions are told; zero if it takes no demands.
-        Seconds within which a statement must be done.
     lagging_pause : float
         Least seconds for which a replica that was behind is asked for nothing that it
         lacked; zero: it is asked again at once.
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -262,12 +262,15 @@
 
 
 def _get_expected_wait(context: RequestContext, database: str) -> float | None:
-    """Return the wait for one of this instance's own connections, milliseconds.
+    """Return the wait that was expected at a database, milliseconds; None if unknown.
 
-    None if it has none to that database.
+    What its owner told goes before the wait for this instance's own connections.
     """
     pool = context.runtime.pools.get(database)
-    wait = math.inf if pool is None else pool.load.expected_wait
+    if pool is None:
+        return None
+    told = pool.get_expected(context.demand).wait
+    wait = told or pool.load.expected_wait
     return wait * 1000 if math.isfinite(wait) else None
 
 
