Give the place of a statement that is overdue to others while the database answers

Cause: the primary lost a fifth of its answers, and each statement whose answer was lost kept its place for up to 1.5 s. An owner lets two or three run, so that all places were soon lost ones while slots were free.

A statement that runs for eight times the mean, 0.1 s at the least, no longer counts once one that began later was answered; all are bounded by the connections. Where none is answered, one after the other finds out whether the database answers again, at pauses from 0.1 to 1 s. A database that hangs is still refused for after 0.25 s.

--- a/beryltrack/load/gate.py
+++ b/beryltrack/load/gate.py
@@ -12,7 +12,6 @@
 
 import math
 import random
-from itertools import takewhile
 
 from beryltrack.connections.messages import RefusalReason
 from beryltrack.load.estimate import BoundedEstimate
@@ -26,6 +25,7 @@
 )
 from beryltrack.load.policy import LoadPolicy
 from beryltrack.load.queue import PRIORITIES, OperationQueue, Waiting
+from beryltrack.load.running import RunningStatements
 
 FIRST_TIME = 0.005
 """Seconds that an operation is expected to take before the first one has ended."""
@@ -54,12 +54,6 @@
 SCAN_PERIOD = 0.05
 """Seconds between two looks at what waits."""
 
-STUCK_FACTOR = 8.0
-"""A statement that runs for this many times the mean is not counted on to end soon."""
-
-LEAST_STUCK = 0.25
-"""Seconds under which no statement counts as stuck: reads run for 0.22 s at most."""
-
 
 class GateDecider:
     """Decides for one database what runs there through one owner.
@@ -80,7 +74,7 @@
         self._incarnation = incarnation
         self._limit = StatementLimit(policy.per_slot, policy.is_limited)
         self._queue = OperationQueue(policy.floors)
-        self._running: dict[int, float] = {}
+        self._running = RunningStatements()
         self._spent: dict[int, float] = {}
         self._time = BoundedEstimate(FIRST_TIME)
 
@@ -127,7 +121,7 @@
         if demand.time_left <= 0.0:
             step = self._compute_step(now)
             return [self._refuse(operation, RefusalReason.TOO_LATE, step)]
-        if not self._queue and self._has_room:
+        if not self._queue and self._has_room(now):
             self._queue.note_unqueued()
             return [self._run(number, now)]
         done_at, step = now + self._limit.mean, self._compute_step(now)
@@ -181,14 +175,14 @@
     def resume(self, number: int, now: float) -> list[GateAction]:
         """Take in that an operation that rested runs its next statement."""
         if number in self._spent and number not in self._running:
-            self._running[number] = now
+            self._running.add(number, self._limit.mean, now)
         return []
 
     def cancel(self, number: int, now: float) -> list[GateAction]:
         """Forget an operation that is not to run any more, or did not."""
         if number in self._queue:
             self._queue.remove(number)
-        self._running.pop(number, None)
+        self._running.remove(number)
         self._spent.pop(number, None)
         return self._fill(now)
 
@@ -214,7 +208,7 @@
     def get_report(self, now: float) -> DatabaseReport:
         """Return the load of the database as it is at the time `now`."""
         step = self._compute_step(now)
-        is_free = self._has_room and not self._queue
+        is_free = self._has_room(now) and not self._queue
         waits = tuple(
             0.0 if is_free else step * self._count_turns(each) for each in PRIORITIES
         )
@@ -222,12 +216,12 @@
             self.limit, self.running, waits, self._limit.mean, self._incarnation
         )
 
-    @property
-    def _has_room(self) -> bool:
-        return len(self._running) < self._limit.value
+    def _has_room(self, now: float) -> bool:
+        limit = self._limit
+        return self._running.has_room(limit.value, limit.connections, limit.mean, now)
 
     def _run(self, number: int, now: float) -> Run:
-        self._running[number] = now
+        self._running.add(number, self._limit.mean, now)
         self._spent[number] = 0.0
         return Run(number)
 
@@ -236,7 +230,9 @@
     ) -> None:
         """Take in how a statement ended."""
         running = len(self._running)
-        del self._running[number]
+        self._running.remove(number)
+        if outcome in (Outcome.ANSWERED, Outcome.FULL):
+            self._running.note_answer(now)
         if outcome is not Outcome.FULL:
             # A refusal takes no slot, and tells nothing of how long operations take.
             self._spent[number] += seconds or 0.0
@@ -245,10 +241,10 @@
     def _fill(self, now: float) -> list[GateAction]:
         """Let run what there is room for."""
         actions: list[GateAction] = []
-        if not self._queue or not self._has_room:
+        if not self._queue or not self._has_room(now):
             return actions
         self._queue.note_late(now + self._limit.mean)
-        while self._has_room:
+        while self._has_room(now):
             # One that is refused must not use up the turn of its priority.
             actions += self._refuse_over(now)
             if not self._queue:
@@ -311,14 +307,7 @@
     def _compute_step(self, now: float) -> float:
         """Return the seconds after which the next operation can start, on average.
 
-        Statements that are stuck are not counted on. If all are, they are expected to
-        last as long again.
+        Where the database answers nothing, each is expected to last as long again.
         """
-        limit, starts = self._limit.value, self._running.values()
-        stuck_before = now - max(LEAST_STUCK, STUCK_FACTOR * self._limit.mean)
-        if next(iter(starts), now) >= stuck_before:
-            return self._time.mean / limit
-        stuck = sum(1 for _ in takewhile(lambda each: each < stuck_before, starts))
-        if stuck < limit:
-            return self._time.mean / (limit - stuck)
-        return max(self._time.mean, now - next(reversed(starts))) / limit
+        silence = self._running.get_silence(self._limit.mean, now)
+        return max(self._time.mean, silence) / self._limit.value
--- a/beryltrack/load/limit.py
+++ b/beryltrack/load/limit.py
@@ -118,6 +118,11 @@
             return PROBE_LIMIT
         return int(self._limit)
 
+    @property
+    def connections(self) -> int:
+        """Statements that can run, whatever the limit."""
+        return self._bounds.connections
+
     @property
     def mean(self) -> float:
         """How long statements take now, seconds; 0 before the first one."""
