Wait for a restored store's findings as long as for the rest

The log of one shows why: both proxies had noticed the new era over their seats, and only one had polled the settings since; the other's findings come with its next poll. Seats are written again before that. The check asks the same of each proxy, within the seconds that the test gives to all else.

--- a/tests/e2e/test_store_restore.py
+++ b/tests/e2e/test_store_restore.py
@@ -50,7 +50,11 @@
 
         assert wait_until(is_written_again)
         assert [run(lambda b=b: b.held_seats) for b in budgets] == held
-        told = [run(proxy.settings_task.findings.__len__) for proxy in local.proxies]
-        assert min(told) >= 1
+
+        def has_told(proxy):
+            return run(proxy.settings_task.findings.__len__) >= 1
+
+        # Seats are written again before the settings are polled the next time.
+        assert wait_until(lambda: all(map(has_told, local.proxies)))
         for caller in callers:
             caller.close()
