--- a/beryltrack/relay/statuses.py
+++ b/beryltrack/relay/statuses.py
@@ -114,12 +114,6 @@
     return make_refusal(failure.text, 0.0, state)
 
 
-def _take_waiting(share: _StatusShare) -> list[Deferred]:
-    """Return who waits now; whoever comes later waits for the next answer."""
-    waiting, share.waiting = share.waiting, []
-    return waiting
-
-
 def _log_defect(failure) -> None:
     """Log a defect: those who wait then run into their own time limits."""
     log.error("relay: A status met a defect: %s", failure.getTraceback())
