Wait for a port that is taken as an instance starts, and end where it stays taken

What callers saw: an instance was missing. A proxy whose port was another program's at the moment of its start ended at once with exit code 1 ("Cannot listen"); an instance on the users' platform met the same as an unhandled error and ran on without its ports, never ready and never started again.

Cause: a port in the system's ephemeral range can be given to any other program between two processes of an instance, and a process that leaves holds its ports until its end. The start tried each port once.

On the platform's side: `node_process` with its relay port taken still ran after 16 s, listening on three of its ports; its log had the unhandled CannotListenError.

Change: `daemon/ports.py` looks whether the ports are free and waits 10 s for them, with a line in the log; `daemon/lifecycle.py` runs both kinds of process, in place of two copies: what cannot start ends with exit code 1, so that it is started again. A node opens the callers' port later, once it is ready; it tries again each second if that is taken.

Why it works: what has a port for a moment is gone after some tenths of a second, and a process that leaves within its grace. Nothing is done before the ports are free, so that no peer or caller meets an instance that is half started.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -12,6 +12,7 @@
     gatherResults,
     maybeDeferred,
 )
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import deferLater
 from twisted.web.http import OK
 
@@ -77,6 +78,10 @@
 METRICS_PATH = b"/metrics"
 STATUS_PATH = b"/status"
 
+CALLERS_PORT_PAUSE = 1.0
+"""Seconds between two tries to listen to callers on a port that was taken while the
+instance started."""
+
 NEWER_SETTINGS_TIME = 5.0
 """Seconds for which an instance that has started looks for newer settings than those of
 a store that may have been restored from a backup."""
@@ -192,6 +197,7 @@
             reactor, read_configuration, ROW_TABLES, self._put_in_force
         )
         self._look_call = None
+        self._callers_call = None
         self._services = make_services(
             reactor,
             settings.zone,
@@ -275,6 +281,27 @@
         """True if the instance takes callers."""
         return self.state is NodeState.LIVE
 
+    @property
+    def endpoints(self) -> tuple[Endpoint, ...]:
+        """Where the instance listens, at its start or later."""
+        settings = self.settings
+        each = (
+            settings.ready_listen,
+            self._metrics_listen,
+            settings.member_listen,
+            settings.relay_listen,
+            settings.snapshot_listen,
+            self._own.copies,
+            self._own.rights,
+            settings.listen,
+        )
+        return tuple(endpoint for endpoint in each if endpoint is not None)
+
+    @property
+    def _metrics_listen(self) -> Endpoint:
+        """Where metrics and status are asked for."""
+        return Endpoint(self.settings.listen.host, METRICS_PORT)
+
     def start(self) -> None:
         """Learn the settings, and listen to callers once they are known.
 
@@ -286,8 +313,7 @@
             METRICS_PATH: lambda: Page(OK, self.metrics.render()),
             STATUS_PATH: make_status_page(self._get_status),
         }
-        endpoint = Endpoint(self.settings.listen.host, METRICS_PORT)
-        self._listen(endpoint, PlainPages(self._reactor, pages))
+        self._listen(self._metrics_listen, PlainPages(self._reactor, pages))
         self._listen(self.settings.member_listen, MemberPort())
         self._listen(self.settings.relay_listen, self._relays)
         if self.settings.snapshot_listen is not None:
@@ -455,10 +481,22 @@
         self._connections.share()
         self._look_again(now)
         if self.state is NodeState.STARTING:
+            self._let_callers_in()
+
+    def _let_callers_in(self) -> None:
+        """Listen to callers, now or as soon as their port is free."""
+        try:
             self._listen(self.settings.listen, self._callers)
-            self.state = NodeState.LIVE
-            self._stop_snapshots()
-            log.info("daemon: Instance %s is ready.", self.settings.name)
+        except CannotListenError as error:
+            log.warning("daemon: Callers are not listened to yet: %s", error)
+            if self._callers_call is None or not self._callers_call.active():
+                self._callers_call = self._reactor.callLater(
+                    CALLERS_PORT_PAUSE, self._apply
+                )
+            return
+        self.state = NodeState.LIVE
+        self._stop_snapshots()
+        log.info("daemon: Instance %s is ready.", self.settings.name)
 
     def _stop_snapshots(self) -> None:
         """Ask no other instance for its copies any more, but for the settings.
--- a/beryltrack/daemon/node_process.py
+++ b/beryltrack/daemon/node_process.py
@@ -15,7 +15,6 @@
 from beryltrack.settings.mechanisms import read_disabled
 from beryltrack.settings.node import NodeSettings
 
-EXIT_DONE = 0
 EXIT_FINDINGS = 1
 
 log = logging.getLogger(__name__)
@@ -54,7 +53,8 @@
     from twisted.internet import reactor
 
     from beryltrack.clock import use_monotonic_time
-    from beryltrack.daemon.node import Node, NodeState
+    from beryltrack.daemon.lifecycle import InstanceProcess
+    from beryltrack.daemon.node import Node
 
     use_monotonic_time(reactor)
     # What was imported stays for good: it need not be looked at again, which saves
@@ -63,13 +63,6 @@
     gc.freeze()
     node = Node(reactor, settings, random.Random(), stream.write)
 
-    def leave():
-        from twisted.internet.defer import Deferred
-
-        if node.state is not NodeState.LEAVING:
-            return Deferred.fromCoroutine(node.leave())
-        return None
-
     def reload(*_: object) -> None:
         found, wrong = _read_settings()
         _log_findings(wrong)
@@ -79,11 +72,8 @@
             # Addresses and names of an instance are those of its whole life.
             log.warning("daemon: SIGHUP, what has changed holds at the next start.")
 
-    reactor.callWhenRunning(node.start)
-    reactor.addSystemEventTrigger("before", "shutdown", leave)
     signal.signal(signal.SIGHUP, reload)
-    reactor.run()
-    return EXIT_DONE
+    return InstanceProcess(reactor, node, node.endpoints).run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/daemon/test_lifecycle.py
@@ -0,0 +1,108 @@
+"""The life of an instance's process, in simulated time."""
+
+import socket
+
+import pytest
+from twisted.internet.error import CannotListenError
+from twisted.internet.task import Clock
+
+from beryltrack.daemon.lifecycle import EXIT_DONE, EXIT_FAILED, InstanceProcess
+from beryltrack.daemon.ports import PORT_PAUSE
+from beryltrack.settings.messages import Endpoint
+
+HOST = "127.0.0.1"
+
+
+class Reactor(Clock):
+    """A reactor that runs the steps of a test until it is stopped."""
+
+    def __init__(self):
+        super().__init__()
+        self.steps = []
+        self.stops = 0
+
+    def callWhenRunning(self, call):  # noqa: N802
+        self._begin = call
+
+    def addSystemEventTrigger(self, phase, event, call):  # noqa: N802
+        self._leave = call
+
+    def stop(self):
+        self.stops += 1
+
+    def run(self):
+        self._begin()
+        for step in self.steps:
+            step()
+        assert self.stops
+        self._leave()
+
+
+class Instance:
+    """Counts its starts and ends."""
+
+    def __init__(self, error=None):
+        self.calls = []
+        self._error = error
+
+    def start(self):
+        self.calls.append("start")
+        if self._error is not None:
+            raise self._error
+
+    async def leave(self):
+        self.calls.append("leave")
+
+
+def run(instance, steps=(), endpoints=()):
+    """Run an instance; `steps` get the reactor and what asks it to end."""
+    reactor = Reactor()
+    reactor.steps = [lambda step=step: step(reactor, reactor.stop) for step in steps]
+    return InstanceProcess(reactor, instance, endpoints).run(), reactor
+
+
+def test_sigterm_lets_an_instance_leave():
+    instance = Instance()
+    code, _ = run(instance, [lambda _, terminate: terminate()])
+    assert code == EXIT_DONE and instance.calls == ["start", "leave"]
+
+
+@pytest.mark.parametrize(
+    "error", [CannotListenError(HOST, 5432, OSError()), ValueError("a defect")]
+)
+def test_an_instance_that_cannot_start_ends_its_process(error):
+    """Guards against a process that runs on without its ports and serves nobody."""
+    code, reactor = run(Instance(error))
+    assert code == EXIT_FAILED and reactor.stops == 1
+
+
+def test_an_instance_starts_once_its_ports_are_free():
+    """Guards against an end of the process as a port is taken for a moment."""
+    instance = Instance()
+    with socket.create_server((HOST, 0)) as taken:
+        endpoint = Endpoint(*taken.getsockname())
+
+        def free(reactor, _):
+            assert instance.calls == []
+            taken.close()
+            reactor.advance(PORT_PAUSE)
+            assert instance.calls == ["start"]
+
+        steps = [free, lambda _, terminate: terminate()]
+        code, _ = run(instance, steps, [endpoint])
+    assert code == EXIT_DONE and instance.calls == ["start", "leave"]
+
+
+def test_sigterm_ends_an_instance_that_waits_for_its_ports():
+    """Guards against a wait for a port that outlives the order to end."""
+    instance = Instance()
+    with socket.create_server((HOST, 0)) as taken:
+        endpoint = Endpoint(*taken.getsockname())
+        steps = [
+            lambda _, terminate: terminate(),
+            lambda reactor, _: reactor.advance(PORT_PAUSE),
+        ]
+        code, reactor = run(instance, steps, [endpoint])
+        reactor.advance(PORT_PAUSE)
+    assert code == EXIT_DONE and instance.calls == []
+    assert reactor.getDelayedCalls() == []
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -118,3 +118,20 @@
     _, errors = process.communicate(timeout=PATIENCE)
     assert process.returncode == 1
     assert "/zone" in errors and "/drain_limit" in errors
+
+
+def test_an_instance_waits_for_a_port_that_is_taken_as_it_starts(tmp_path):
+    """Guards against an instance that ends as another has its port for a moment."""
+    path = tmp_path / "proxy.json"
+    with socket.create_server((HOST, 0)) as taken:
+        endpoint = {"host": HOST, "port": taken.getsockname()[1]}
+        settings = make_settings("http://127.0.0.1:1", listen=endpoint)
+        path.write_text(json.dumps(settings))
+        process = start(str(path))
+        try:
+            assert any("is taken" in line for line in process.stderr)
+            taken.close()
+            assert any("Instance proxy-9 listens" in line for line in process.stderr)
+        finally:
+            process.kill()
+            process.communicate()
