Keep the ports of a test's process for it, and show what a failed start logged

What was seen: `test_sigterm_cuts_off_no_transaction` (and each test with a daemon of its own) failed now and then with an AssertionError before the daemon was live, its log not shown.

Cause: the test closed each port as soon as it had found it free, and the daemon opened it seconds later.

Change: `keep_ports` holds each port by a socket that does not listen, until the test has ended. The system gives a held port to nobody, and lets a daemon that asks for it listen. A daemon that does not get live shows what it logged, and is ended.

The test and its checks are as they were; that the health page of another program was asked for this one's is no longer possible either.

--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -17,15 +17,29 @@
 
 HOST = "127.0.0.1"
 PATIENCE = 20.0
+ENDPOINTS = ("listen", "peer_listen", "health_listen")
 
 
-def get_free_port():
-    with socket.create_server((HOST, 0)) as server:
-        return server.getsockname()[1]
+@contextlib.contextmanager
+def keep_ports():
+    """Yield the fields of the addresses, on ports that nobody else is given.
+
+    A port that was only found free may be another program's by the time at which a
+    daemon listens, which is seconds on a busy machine. While a socket that does not
+    listen has the port, the system gives it to no other one, but a daemon that asks
+    for it may listen.
+    """
+    with contextlib.ExitStack() as sockets:
+        endpoints = {}
+        for name in ENDPOINTS:
+            holder = sockets.enter_context(socket.socket())
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            holder.bind((HOST, 0))
+            endpoints[name] = {"host": HOST, "port": holder.getsockname()[1]}
+        yield endpoints
 
 
 def make_settings(platform_url, **changes):
-    endpoints = ("listen", "peer_listen", "health_listen")
     return (
         {
             "name": "proxy-9",
@@ -34,7 +48,7 @@
             "peer_key": "test-only-peer-key",
             "drain_limit": 10,
         }
-        | {name: {"host": HOST, "port": get_free_port()} for name in endpoints}
+        | {name: {"host": HOST, "port": 0} for name in ENDPOINTS}
         | changes
     )
 
@@ -55,24 +69,27 @@
 @contextlib.contextmanager
 def run_daemon(tmp_path, platform_url):
     """Run one daemon; yield its process, its settings and what it has logged."""
-    settings = make_settings(platform_url)
-    path = tmp_path / "proxy.json"
-    path.write_text(json.dumps(settings))
-    process = start(str(path))
-    # What it logs is read on, or it would block when the pipe is full.
-    logged = []
-    reader = threading.Thread(target=lambda: logged.extend(process.stderr))
-    reader.start()
-    give_up_at = time.monotonic() + PATIENCE
-    while not is_live(settings["health_listen"]["port"]):
-        assert process.poll() is None and time.monotonic() < give_up_at
-        time.sleep(0.02)
-    try:
-        yield process, settings, logged
-    finally:
-        process.kill()
-        process.wait()
-        reader.join()
+    with keep_ports() as endpoints:
+        settings = make_settings(platform_url, **endpoints)
+        path = tmp_path / "proxy.json"
+        path.write_text(json.dumps(settings))
+        process = start(str(path))
+        # What it logs is read on, or it would block when the pipe is full.
+        logged = []
+        reader = threading.Thread(target=lambda: logged.extend(process.stderr))
+        reader.start()
+        give_up_at = time.monotonic() + PATIENCE
+        try:
+            while not is_live(settings["health_listen"]["port"]):
+                if process.poll() is not None:
+                    reader.join()
+                assert process.poll() is None and time.monotonic() < give_up_at, logged
+                time.sleep(0.02)
+            yield process, settings, logged
+        finally:
+            process.kill()
+            process.wait()
+            reader.join()
 
 
 def open_caller(settings):
