Let a repeated SIGTERM change nothing of a shutdown

What was seen: a second SIGTERM while an instance waited for an open transaction left a line of level CRITICAL with a traceback in its log; one that came as the process ended replaced its exit code 0 by -15, though all callers had been served. Supervisors that repeat the signal, or send it to a process group as well, report a failed stop. Callers noticed nothing.

Cause: Twisted's handler asks the reactor to stop each time, and a reactor that is stopping raises ReactorNotRunning. As the interpreter ends it puts the default handlers back, which kill.

Change: `InstanceProcess` takes the signals itself, begins one shutdown and logs that a repeated signal changes nothing; after the end of the reactor both signals are ignored.

`test_a_repeated_sigterm_cuts_off_no_transaction` failed before (the CRITICAL line).

--- a/beryltrack/daemon/lifecycle.py
+++ b/beryltrack/daemon/lifecycle.py
@@ -1,6 +1,7 @@
 """The life of an instance's process: its ports, its signals and its exit code."""
 
 import logging
+import signal
 from collections.abc import Iterable
 from typing import Protocol
 
@@ -16,6 +17,8 @@
 EXIT_DONE = 0
 EXIT_FAILED = 1
 
+_END_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 class Instance(Protocol):
     """What a process runs from its start until it is told to end."""
@@ -52,6 +55,7 @@
         self._endpoints = tuple(endpoints)
         self._starting: Deferred[None] | None = None
         self._has_started = False
+        self._is_leaving = False
         self._exit_code = EXIT_DONE
 
     def run(self) -> int:
@@ -59,10 +63,15 @@
         self._reactor.callWhenRunning(self._begin)
         self._reactor.addSystemEventTrigger("before", "shutdown", self._leave)
         self._reactor.run()
+        # A signal that is repeated must not replace the exit code of what has ended.
+        for number in _END_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
         return self._exit_code
 
     def _begin(self) -> None:
-        """Start once the ports are free."""
+        """Take signals, and start once the ports are free."""
+        for number in _END_SIGNALS:
+            signal.signal(number, self._take_signal)
         self._starting = Deferred.fromCoroutine(self._start())
         self._starting.addErrback(self._fail)
 
@@ -81,6 +90,18 @@
         else:
             log.error("daemon: Cannot start: %s", failure.getTraceback())
         self._exit_code = EXIT_FAILED
+        self._stop()
+
+    def _take_signal(self, number: int, frame: object) -> None:
+        """Handle a signal that asks the process to end."""
+        self._reactor.callFromThread(self._stop)
+
+    def _stop(self) -> None:
+        """Begin the shutdown, unless it has begun."""
+        if self._is_leaving:
+            log.info("daemon: A repeated signal changes nothing, the instance leaves.")
+            return
+        self._is_leaving = True
         self._reactor.stop()
 
     def _leave(self) -> Deferred | None:
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -1,11 +1,13 @@
 """The life of an instance's process, in simulated time."""
 
+import signal
 import socket
 
 import pytest
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import Clock
 
+from beryltrack.daemon import lifecycle
 from beryltrack.daemon.lifecycle import EXIT_DONE, EXIT_FAILED, InstanceProcess
 from beryltrack.daemon.ports import PORT_PAUSE
 from beryltrack.settings.messages import Endpoint
@@ -20,6 +22,7 @@
         super().__init__()
         self.steps = []
         self.stops = 0
+        self.callFromThread = lambda call: call()
 
     def callWhenRunning(self, call):  # noqa: N802
         self._begin = call
@@ -54,29 +57,51 @@
         self.calls.append("leave")
 
 
-def run(instance, steps=(), endpoints=()):
-    """Run an instance; `steps` get the reactor and what asks it to end."""
+@pytest.fixture
+def handlers(monkeypatch):
+    """Keep the handlers of signals here, so that the tests' own stay."""
+    found = {}
+    monkeypatch.setattr(lifecycle.signal, "signal", found.__setitem__)
+    return found
+
+
+def run(handlers, instance, steps=(), endpoints=()):
+    """Run an instance; `steps` get the reactor and what sends SIGTERM."""
     reactor = Reactor()
-    reactor.steps = [lambda step=step: step(reactor, reactor.stop) for step in steps]
+
+    def terminate():
+        handlers[signal.SIGTERM](signal.SIGTERM, None)
+
+    reactor.steps = [lambda step=step: step(reactor, terminate) for step in steps]
     return InstanceProcess(reactor, instance, endpoints).run(), reactor
 
 
-def test_sigterm_lets_an_instance_leave():
+def test_sigterm_lets_an_instance_leave(handlers):
     instance = Instance()
-    code, _ = run(instance, [lambda _, terminate: terminate()])
+    code, _ = run(handlers, instance, [lambda _, terminate: terminate()])
     assert code == EXIT_DONE and instance.calls == ["start", "leave"]
 
 
+def test_a_repeated_sigterm_changes_nothing(handlers):
+    """Guards against a shutdown that fails as its signal comes again."""
+    instance = Instance()
+    code, reactor = run(handlers, instance, [lambda _, terminate: terminate()] * 3)
+    assert code == EXIT_DONE and reactor.stops == 1
+    assert instance.calls == ["start", "leave"]
+    # Later ones must not replace the exit code as the interpreter ends.
+    assert handlers[signal.SIGTERM] == signal.SIG_IGN
+
+
 @pytest.mark.parametrize(
     "error", [CannotListenError(HOST, 5432, OSError()), ValueError("a defect")]
 )
-def test_an_instance_that_cannot_start_ends_its_process(error):
+def test_an_instance_that_cannot_start_ends_its_process(handlers, error):
     """Guards against a process that runs on without its ports and serves nobody."""
-    code, reactor = run(Instance(error))
+    code, reactor = run(handlers, Instance(error))
     assert code == EXIT_FAILED and reactor.stops == 1
 
 
-def test_an_instance_starts_once_its_ports_are_free():
+def test_an_instance_starts_once_its_ports_are_free(handlers):
     """Guards against an end of the process as a port is taken for a moment."""
     instance = Instance()
     with socket.create_server((HOST, 0)) as taken:
@@ -89,11 +114,11 @@
             assert instance.calls == ["start"]
 
         steps = [free, lambda _, terminate: terminate()]
-        code, _ = run(instance, steps, [endpoint])
+        code, _ = run(handlers, instance, steps, [endpoint])
     assert code == EXIT_DONE and instance.calls == ["start", "leave"]
 
 
-def test_sigterm_ends_an_instance_that_waits_for_its_ports():
+def test_sigterm_ends_an_instance_that_waits_for_its_ports(handlers):
     """Guards against a wait for a port that outlives the order to end."""
     instance = Instance()
     with socket.create_server((HOST, 0)) as taken:
@@ -102,7 +127,7 @@
             lambda _, terminate: terminate(),
             lambda reactor, _: reactor.advance(PORT_PAUSE),
         ]
-        code, reactor = run(instance, steps, [endpoint])
+        code, reactor = run(handlers, instance, steps, [endpoint])
         reactor.advance(PORT_PAUSE)
     assert code == EXIT_DONE and instance.calls == []
     assert reactor.getDelayedCalls() == []
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -152,3 +152,29 @@
         finally:
             process.kill()
             process.communicate()
+
+
+def test_a_repeated_sigterm_cuts_off_no_transaction(tmp_path):
+    """Guards against a shutdown that fails as its signal comes again."""
+    with (
+        run_proxies(count=1) as local,
+        connect(local.proxies[0]) as setup,
+        run_daemon(tmp_path, local.site.platform_url) as (process, settings, logged),
+    ):
+        setup.execute("CREATE TABLE item (id integer PRIMARY KEY)")
+        with open_caller(settings) as caller, open_caller(settings) as idle:
+            caller.execute("BEGIN")
+            caller.execute("INSERT INTO item VALUES (1)")
+            process.send_signal(signal.SIGTERM)
+            with pytest.raises(psycopg.OperationalError):
+                while True:
+                    idle.execute("SELECT 1")
+            process.send_signal(signal.SIGTERM)
+            caller.execute("INSERT INTO item VALUES (2)")
+            process.send_signal(signal.SIGTERM)
+            caller.execute("COMMIT")
+        assert process.wait(timeout=PATIENCE) == 0
+        assert setup.execute("SELECT count(*) FROM item").fetchone() == (2,)
+    levels = [json.loads(line)["level"] for line in logged]
+    pairs = zip(levels, logged, strict=True)
+    assert [line for level, line in pairs if level in ("ERROR", "CRITICAL")] == []
