Leave nobody who tells the store's copies for an own pause

What was seen: an instance that was paused left the instance that told it what the store holds as soon as it woke, passed it over for 3 s, and asked the store itself meanwhile. All that were paused at once did so at once.

Cause: the look at the link is a timer; it fires before what has come over the link is read, and measured the silence over the pause.

Change: `FollowTask` goes by `AwakeClock`; all that it times is what it hears of others.

`test_a_pause_makes_no_instance_leave_the_one_that_it_follows` failed before; the other test, of one that falls silent during the pause, passed before and after.

--- a/beryltrack/objects/follow.py
+++ b/beryltrack/objects/follow.py
@@ -15,7 +15,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.task import LoopingCall
 
-from beryltrack.clock import get_seconds
+from beryltrack.awake_clock import get_awake_clock
 from beryltrack.objects.copies import CopyFrame, CopyReceiver
 from beryltrack.objects.feed import MOST_DELAY, FeedTask
 from beryltrack.objects.watchers import is_watcher, list_seeds, order_sources
@@ -87,7 +87,8 @@
         seeds: tuple[Endpoint, ...] = (),
     ):
         self._reactor = reactor
-        self._seconds = get_seconds(reactor)
+        # What is heard of others is all that is timed here.
+        self._seconds = get_awake_clock(reactor).seconds
         self._first = feeds[0]
         self._feeds = {feed.kind: feed for feed in feeds}
         self._own = own
--- a/tests/objects/test_shared_copies.py
+++ b/tests/objects/test_shared_copies.py
@@ -15,6 +15,7 @@
 from twisted.internet.task import Clock, deferLater
 from twisted.python.failure import Failure as Reason
 
+from beryltrack.awake_clock import get_awake_clock
 from beryltrack.objects.copies import CopyFrame, CopyPort, decode_frames, encode_frames
 from beryltrack.objects.eras import make_version
 from beryltrack.objects.feed import FeedTask, compute_wait
@@ -387,3 +388,34 @@
 def test_what_is_no_frame_is_told(data):
     with pytest.raises(ValueError):
         decode_frames(data)
+
+
+def get_sources(fleet):
+    return {name: each.follow.source for name, each in fleet.instances.items()}
+
+
+def test_a_pause_makes_no_instance_leave_the_one_that_it_follows():
+    """Guards against followers that all ask the store as they wake."""
+    fleet = Fleet(20)
+    awake = get_awake_clock(fleet.clock)
+    awake.begin()
+    before = get_sources(fleet)
+    fleet.clock.advance(3.0)
+    assert any(before.values()) and get_sources(fleet) == before
+
+
+def test_an_instance_that_falls_silent_during_a_pause_is_left_after_it():
+    """Guards against a pause that hides the loss of the one that is followed."""
+    fleet = Fleet(20)
+    awake = get_awake_clock(fleet.clock)
+    awake.begin()
+    before = get_sources(fleet)
+    lost = next(filter(None, before.values()))
+    fleet.cut.add(lost)
+    fleet.clock.advance(3.0)
+    for _ in range(round(2.0 / STEP)):
+        fleet.run(STEP)
+        awake.note_turn()
+    sources = get_sources(fleet)
+    followers = [name for name, source in before.items() if source == lost]
+    assert followers and lost not in {sources[name] for name in followers}
