--- a/beryltrack_bench/soak/command.py
+++ b/beryltrack_bench/soak/command.py
@@ -25,6 +25,7 @@
         option("forgetful", None, "Databases start again empty.", True),
         option("accounts", None, "Callers need keys, accounts have limits.", True),
         option("restores", None, "The store is restored from backups.", True),
+        option("pauses", None, "Nodes are paused often, and all at once.", True),
         option("nodes", None, "How many nodes; by the seed if 0.", False, default="0"),
     ]
 
@@ -39,6 +40,7 @@
             is_forgetful=self.option("forgetful"),
             has_accounts=self.option("accounts"),
             loses_writes=self.option("restores"),
+            is_paused_often=self.option("pauses"),
             nodes=int(self.option("nodes")),
         )
         failures = []
--- a/beryltrack_bench/soak/faults.py
+++ b/beryltrack_bench/soak/faults.py
@@ -1,5 +1,6 @@
 """The faults of the soak: each begins, lasts for a while and ends; they overlap."""
 
+import itertools
 import random
 import signal
 from collections.abc import Callable
@@ -30,6 +31,8 @@
         makers += _ACCOUNT_MAKERS
     if site.options.loses_writes:
         makers += _RESTORE_MAKERS
+    if site.options.is_paused_often:
+        makers += _PAUSE_MAKERS
     return rng.choice(makers)(site, rng)
 
 
@@ -80,6 +83,39 @@
     )
 
 
+def _pause_all(site: SoakSite, rng: random.Random) -> Fault:
+    def signal_all(number: int) -> None:
+        for node in site.nodes:
+            site.signal_node(node, number)
+
+    return Fault(
+        "pause all nodes",
+        lambda: signal_all(signal.SIGSTOP),
+        lambda: signal_all(signal.SIGCONT),
+    )
+
+
+def _pause_in_series(site: SoakSite, rng: random.Random) -> Fault:
+    """Let a node run for some tenths of a second between one pause and the next."""
+    node = _draw_node(site, rng)
+    ran, length = rng.uniform(0.1, 0.4), rng.uniform(0.5, 1.0)
+    steps = itertools.cycle(((signal.SIGSTOP, length), (signal.SIGCONT, ran)))
+    until = site.seconds() + 3 * (ran + length)
+
+    def go_on() -> None:
+        number, wait = next(steps)
+        if site.seconds() < until:
+            site.signal_node(node, number)
+            site.call_later(wait, go_on)
+
+    def end() -> None:
+        nonlocal until
+        until = site.seconds()
+        site.signal_node(node, signal.SIGCONT)
+
+    return Fault(f"pause {node.name} again and again", go_on, end)
+
+
 def _crash_database(site: SoakSite, rng: random.Random) -> Fault:
     leads = rng.random() < 0.7 and site.group.primary is not None
     name = site.group.primary.name if leads else rng.choice(DATABASES)
@@ -306,6 +342,12 @@
 
 _RESTORE_MAKERS = (*(_lose_writes,) * 6, _write_late)
 
+_PAUSE_MAKERS = (
+    *(_pause_node,) * 4,
+    *(_pause_in_series,) * 6,
+    *(_pause_all,) * 3,
+)
+
 _ACCOUNT_MAKERS = (*(_take_key,) * 2, *(_lower_limit,) * 2)
 
 # Where nobody stops a former primary, or a call under an old token, what makes them
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -131,6 +131,8 @@
         True if callers need keys, which come and go, and accounts have limits.
     loses_writes : bool
         True if the store is restored from backups.
+    is_paused_often : bool
+        True if nodes are paused often, also one time after the other, and all at once.
     nodes : int
         How many nodes; 0 lets the seed decide. Above 0 nodes may follow others in place
         of the store, as they do from seven on. Each node has addresses of its own for
@@ -141,6 +143,7 @@
     is_forgetful: bool = False
     has_accounts: bool = False
     loses_writes: bool = False
+    is_paused_often: bool = False
     nodes: int = 0
 
 
@@ -183,6 +186,8 @@
         self.options = options
         self._disabled = "" if options.nodes else Mechanism.SHARED_COPIES.value
         self._reactor = reactor
+        self.seconds = reactor.seconds
+        self.call_later = reactor.callLater
         self._rng = rng
         self._folder = folder
         self._limit = max_connections
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -177,6 +177,8 @@
         ("--seed", "523", "--seconds", "10"),
         ("--seed", "206", "--seconds", "10", "--forgetful", "--unfenced"),
         ("--seed", "211", "--seconds", "10", "--forgetful"),
+        ("--seed", "301", "--seconds", "10", "--pauses"),
+        ("--seed", "302", "--seconds", "10", "--pauses", "--unfenced"),
     ],
 )
 def test_real_processes_keep_the_promises_under_faults(words):
