Read the receipts that came during a pause before a commit counts as in doubt

What callers saw: a commit that was under way as its instance was paused came back as in doubt (08007, INDOUBT), though replicas had received it and had said so.

Cause: its time limit is a timer, and fires as the process wakes, before the status is read that holds the receipt. The fault of the pauses, elsewhere.

Change: `CommitWaits` goes by `AwakeClock`. A receipt in the commit's own term is a proof that does not age; one of a later term confirms nothing, whenever it is read.

`test_a_receipt_that_came_during_a_pause_confirms_its_commit` failed before, as did the one of a later term (both were in doubt by then); the one of the usual time passed before and after.

--- a/beryltrack/transactions/waits.py
+++ b/beryltrack/transactions/waits.py
@@ -5,6 +5,7 @@
 
 from twisted.internet.defer import Deferred
 
+from beryltrack.awake_clock import get_awake_clock
 from beryltrack.groups.messages import DatabaseStatus, LogPosition
 from beryltrack.groups.waiters import make_answer
 from beryltrack.transactions.decider import CommitOutcome, ConfirmDecider
@@ -22,7 +23,7 @@
     """
 
     def __init__(self, reactor, size: int):
-        self._reactor = reactor
+        self._awake = get_awake_clock(reactor)
         self._decider = ConfirmDecider(size)
         self._keys = itertools.count()
         self._waiting: dict[int, Deferred] = {}
@@ -47,7 +48,8 @@
         """
         key = next(self._keys)
         primary = self._decider.get_primary(position.term)
-        answer = make_answer(self._reactor, timeout, CommitOutcome.UNKNOWN)
+        # A receipt that has come during a pause of this process is read first.
+        answer = make_answer(self._awake, timeout, CommitOutcome.UNKNOWN)
         self._waiting[key] = answer
         answer.addBoth(self._drop, key)
         if database and primary and primary != database:
--- /dev/null
+++ b/tests/transactions/test_waits.py
@@ -0,0 +1,47 @@
+"""Commits whose outcome is waited for."""
+
+import pytest
+from twisted.internet.task import Clock
+
+from beryltrack.awake_clock import WAKE_TIME, get_awake_clock
+from beryltrack.groups.messages import PRIMARY, LogPosition
+from beryltrack.transactions.decider import CommitOutcome
+from beryltrack.transactions.waits import CommitWaits
+from tests.transactions.test_decider import make_status
+
+TIMEOUT = 0.8
+
+
+@pytest.fixture
+def waits():
+    """A commit at offset 5 of which the primary alone has told, before a pause."""
+    clock = Clock()
+    waits = CommitWaits(clock, 3)
+    get_awake_clock(clock).begin()
+    waits.observe_status(make_status("a", 1, LogPosition(1, 5), role=PRIMARY))
+    answer = waits.wait(LogPosition(1, 5), TIMEOUT, "a")
+    clock.advance(3.0)
+    return waits, answer, clock
+
+
+def test_a_receipt_that_came_during_a_pause_confirms_its_commit(waits):
+    """Guards against commits in doubt whose receipts are read as a process wakes."""
+    commits, answer, _ = waits
+    commits.observe_status(make_status("b", 1, LogPosition(1, 5)))
+    assert answer.result is CommitOutcome.CONFIRMED
+
+
+def test_a_commit_without_a_receipt_after_a_pause_is_in_doubt_in_its_usual_time(waits):
+    """Guards against a pause that lets a caller wait for good."""
+    _, answer, clock = waits
+    for _ in range(round((TIMEOUT + WAKE_TIME) / 0.1)):
+        clock.advance(0.1)
+        get_awake_clock(clock).note_turn()
+    assert answer.result is CommitOutcome.UNKNOWN
+
+
+def test_a_receipt_in_a_later_term_confirms_nothing_after_a_pause(waits):
+    """Guards against a replaced primary's commit that a pause would confirm."""
+    commits, answer, _ = waits
+    commits.observe_status(make_status("b", 2, LogPosition(1, 5)))
+    assert not answer.called
