--- a/beryltrack_bench/soak/history.py
+++ b/beryltrack_bench/soak/history.py
@@ -253,6 +253,9 @@
             gone = each.position in self._group.rolled_back
             if is_due and not gone and each.position not in shown:
                 text = f"{database.name} lacks {each.position} of {request.decode()}"
+                text += f", acknowledged {sent.asked_at - each.at:.3f} s before a read"
+                text += f" of {sent.route}, transaction {sent.transaction}"
+                text += ", by its own session" * is_own
                 self._add("STALE", sent.request, text)
                 return
 
