Count a deposed primary that goes on as a voter only once it is held

Cause: an election must hold both databases beside the former primary, so that their receipts confirm nothing that its candidate lacks. A primary of the term before that one, which still leads its own, was asked without a time since a loss, and its role was taken for a grant; it was not held. Within a second it follows the former primary, receives what the candidate lacks, and its receipts confirm it.

Change: such a database is stepped down first (it was replaced two terms ago) and asked like any other, so that its grant is a hold and tells what it has received. Where databases promise a term themselves, or lose the lead at a promotion, all stays as it was.

`test_a_deposed_primary_grants_only_once_it_is_held` failed before: "b" had granted and was not held.

--- a/beryltrack/failover/grants.py
+++ b/beryltrack/failover/grants.py
@@ -93,7 +93,14 @@
     )
 
     async def ask(database: str) -> None:
-        lost_after = 0.0 if database in election.deposed else election.lost_after
+        lost_after = election.lost_after
+        if database in election.deposed:
+            if election.former:
+                # It leads on, and would follow the former primary soon, and let that
+                # one's commits count, if its word were taken for a grant.
+                await adapter.stop_writes(database, election.term - 1)
+            else:
+                lost_after = 0.0
         result = await adapter.grant(
             database, election.term, election.candidate, lost_after
         )
--- a/tests/failover/test_former_primary.py
+++ b/tests/failover/test_former_primary.py
@@ -178,3 +178,36 @@
 def test_a_primary_that_leaves_is_not_stopped_while_no_permit_can_be_had():
     assert hand_over(has_permit=False).stepped == []
     assert hand_over(has_permit=True).stepped[0] == ("a", 1)
+
+
+class GoingOn(Group):
+    """Of which "a" leads, and "b" led before and does not know that it is over.
+
+    As over the line protocol a primary that is asked without a time since a loss
+    grants by leading, and is not held.
+    """
+
+    def __init__(self):
+        super().__init__(*NAMES)
+        self.roles["b"] = PRIMARY
+        self.held = set()
+
+    async def grant(self, name, term, candidate, lost_after):
+        if self.roles[name] == REPLICA:
+            self.held.add(name)
+        granted = name in self.held or not lost_after
+        return Success(make_reply(name, granted=granted))
+
+
+def test_a_deposed_primary_grants_only_once_it_is_held():
+    """Guards against commits that it receives and confirms after its grant."""
+    clock, group = Clock(), GoingOn()
+    election = Election(
+        ElectionKind.LOST, 3, "node/1", 0.5, "a", 2, "", 0.5, ("b",), former="a"
+    )
+    collecting = Deferred.fromCoroutine(
+        collect_grants(clock, group, NAMES, election, 2)
+    )
+    granted = {reply.status.name for reply in collecting.result if reply.granted}
+    assert granted - {"a"} <= group.held
+    assert group.stepped == [("b", 2)] and "b" in granted
