Take out the turns that groups noted for themselves

`GroupTask.notice_pause` was left for tests alone once the look at overdue requests took the turns for the whole process; with it goes the state that told whether a group had begun to note them. Tests of plain groups note turns of the process's clock, as a node does.

--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -133,7 +133,6 @@
         self._running = False
         self._pace = PlainPace(self._policy)
         self._awake = get_awake_clock(reactor)
-        self._notices_pauses = False
         self._reported = self._decider.view
 
     @property
@@ -169,9 +168,7 @@
         """Watch no more; who still waits is told what is known."""
         if self._running:
             self._awake.unsubscribe(self._take_pause)
-        if self._notices_pauses:
-            self._awake.end()
-        self._notices_pauses = self._running = False
+        self._running = False
         self._watches.stop()
         self._failover.stop()
         self._adapter.close()
@@ -562,16 +559,6 @@
             self._pace.end_confirming()
         return result
 
-    def notice_pause(self) -> None:
-        """Notice pauses of this process from now on, and take a turn of it.
-
-        Has to be called as `AwakeClock.note_turn` does where databases are plain.
-        """
-        if not self._notices_pauses:
-            self._notices_pauses = True
-            self._awake.begin()
-        self._awake.note_turn()
-
     def _take_pause(self, pause: Pause) -> None:
         """Count no pause of the whole process as a silence of the primary.
 
--- a/tests/groups/test_plain.py
+++ b/tests/groups/test_plain.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from beryltrack.awake_clock import get_awake_clock
 from beryltrack.groups.adapter import PromoteReply
 from beryltrack.groups.messages import (
     PRIMARY,
@@ -111,15 +112,16 @@
     clock = Clock()
     databases = PlainDatabases(clock)
     task = GroupTask(clock, make_group(), databases, "node", random.Random(1), POLICY)
+    get_awake_clock(clock).begin()
     task.start()
     run(clock, task, 1.0)
     return clock, databases, task
 
 
 def run(clock, task, seconds):
-    """Let time pass, with the calls by which a pause of the process is noticed."""
+    """Let time pass, with the turns by which a pause of the process is noticed."""
     for _ in range(round(seconds / 0.01)):
-        task.notice_pause()
+        get_awake_clock(clock).note_turn()
         clock.advance(0.01)
 
 
--- a/tests/requests/test_overdue.py
+++ b/tests/requests/test_overdue.py
@@ -25,9 +25,7 @@
 def start_watch(since, is_silent=False):
     clock, connection, signs = Clock(), Connection(since), []
     pool = SimpleNamespace(get_running=lambda: [connection])
-    task = SimpleNamespace(
-        notice_pause=lambda: None, suspect=lambda name, since: signs.append(name)
-    )
+    task = SimpleNamespace(suspect=lambda name, since: signs.append(name))
     runtime = SimpleNamespace(pools={"db-1": pool}, task=task)
     OverdueWatch(
         clock, clock.seconds, lambda: [runtime], Connection.close, lambda _: is_silent
