End the holds of an election only under its permit, so that no later hold is ended

Cause: a RESUME names no term. Elections sent it in the background after they had ended. It waited behind requests to a database that the instance did not reach, or was sent by an instance that learned late that its election was over, and ended the hold of the next election. The database then received and confirmed commits that the next primary lacked.

Change: an election ends its holds before the instance holds the next one, under a permit that is confirmed (unfenced: taken again by compare-and-set; another process takes one 1 s later at the earliest), within 0.5 s however long the request waits, and only if the hold is not for a later term. A hold that stays is ended by a later election, which instances now also hold if the replica is held for the primary's own term. An instance whose token was refused no longer releases what the holder of the higher token holds.

--- a/beryltrack/failover/authority.py
+++ b/beryltrack/failover/authority.py
@@ -11,6 +11,7 @@
 """
 
 import logging
+import math
 from typing import NamedTuple, Protocol
 
 from returns.result import Failure, Result, Success
@@ -38,10 +39,14 @@
         Fencing token: the version of the write that took the permit. The store gives
         no version to two writes, even if a restore from a backup lost the last ones or
         a write from before the restore is carried out late.
+    valid_until : float
+        Time of the instance's clock until which no other instance acts for the group,
+        seconds; infinite if permits do not expire.
     """
 
     holder: str
     token: int
+    valid_until: float = math.inf
 
 
 class PromotionAuthority(Protocol):
@@ -59,6 +64,13 @@
     async def acquire(self, group: str, renew: bool) -> Result[Permit, PlatformError]:
         """Return a permit; with a new token if `renew`."""
 
+    async def confirm(self, group: str) -> Result[Permit, PlatformError]:
+        """Return this instance's permit unless another instance has taken a newer one.
+
+        Where permits are held until another instance takes them, the instance keeps
+        its permit while the store is unavailable.
+        """
+
     def drop(self, group: str) -> None:
         """Discard this instance's permit: another instance has taken a newer one."""
 
@@ -133,6 +145,39 @@
             return Success(held)
         return result
 
+    async def confirm(self, group: str) -> Result[Permit, PlatformError]:
+        """Return this instance's permit unless another instance has taken a newer one.
+
+        The permit is written again on the condition that nobody has taken it since.
+        """
+        held, era = self._permits.get(group), self._eras.era
+        if held is None:
+            return refuse_permit("another instance has taken the permit")
+        path = PATH_PREFIX + group
+        value = make_permit_value(self._holder, held.token)
+        written = await self._client.put(path, value, held.token)
+        if self._eras.era != era:
+            return refuse_permit(
+                "the store was restored while the permit was confirmed"
+            )
+        if not isinstance(written, Success):
+            if written.failure().kind is not ErrorKind.CONFLICT:
+                return Success(held)
+            return await self._confirm_stored(group)
+        self._permits[group] = Permit(self._holder, written.unwrap())
+        return Success(self._permits[group])
+
+    async def _confirm_stored(self, group: str) -> Result[Permit, PlatformError]:
+        """Return the stored permit if this instance wrote it without an answer."""
+        found = await self._client.get(PATH_PREFIX + group)
+        stored = found.value_or(None)
+        value = stored.value if stored is not None else None
+        if not isinstance(value, dict) or value.get("holder") != self._holder:
+            self.drop(group)
+            return refuse_permit("another instance has taken the permit")
+        self._permits[group] = Permit(self._holder, stored.version)
+        return Success(self._permits[group])
+
     async def _take(self, group: str) -> Result[Permit, PlatformError]:
         """Write the permit with the next token."""
         path = PATH_PREFIX + group
@@ -163,6 +208,11 @@
         return failure
 
 
+def refuse_permit(text: str) -> Result:
+    """Return the failure to get or confirm a permit, with its reason."""
+    return Failure(PlatformError(ErrorKind.REFUSED, text))
+
+
 def make_permit_value(holder: str, after: int) -> dict[str, object]:
     """Return the stored form of a permit.
 
--- a/beryltrack/failover/decider.py
+++ b/beryltrack/failover/decider.py
@@ -283,7 +283,10 @@
             return ElectionKind.STALLED
         if leader is None or not self._leads_now(view, leader, now):
             return None
-        if any(self._refuses(item, leader, now) for item in view.databases):
+        if any(
+            self._refuses(item, leader, now) or self._is_left_held(item, now)
+            for item in view.databases
+        ):
             return ElectionKind.RECLAIM
         if leader.leaving and self._can_hand_over(view, leader, quorum):
             return ElectionKind.HAND_OVER
@@ -357,6 +360,15 @@
         silent = item.heard_age >= self._detector.get_timeout(item.name) or item.is_held
         return item.term > leader.term and silent and self._is_fresh(item, now)
 
+    def _is_left_held(self, item: DatabaseView, now: float) -> bool:
+        """Return whether a database is held although the group has a primary.
+
+        The hold may be for any term, also for that of the primary: the instance that
+        set it did not end it in time. Only an election under a permit can end it.
+        """
+        is_held = self._policy.has_authority and item.is_held
+        return is_held and self._is_fresh(item, now)
+
     def _compute_due(self, view: GroupView, kind: ElectionKind) -> float:
         """Return when this instance acts, after those of lower rank; seconds."""
         policy = self._policy
--- a/beryltrack/failover/messages.py
+++ b/beryltrack/failover/messages.py
@@ -15,8 +15,8 @@
     HAND_OVER = "hand-over"
     """The primary is leaving and another database succeeds it (planned)."""
     RECLAIM = "reclaim"
-    """A database granted a term that got no primary and now refuses the current
-    primary, which is elected again in a higher term."""
+    """A database granted a term that got no primary, or its hold was not ended. It
+    refuses the current primary, which is elected again in a higher term."""
 
 
 class Election(NamedTuple):
--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -10,13 +10,19 @@
 from typing import Protocol
 
 from returns.result import Result, Success
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    DeferredList,
+    TimeoutError,
+    gatherResults,
+)
 from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure as TwistedFailure
 
 from beryltrack.clock import get_monotonic_clock
-from beryltrack.failover.authority import PromotionAuthority
+from beryltrack.failover.authority import Permit, PromotionAuthority
 from beryltrack.failover.decider import (
     DEFAULT_POLICY,
     FailoverDecider,
@@ -60,6 +66,20 @@
 STEP_DOWN_INTERVAL = 0.25
 MAX_STEP_DOWN_ATTEMPTS = 20
 
+# Seconds within which holds must be ended after an election, and between two attempts
+# at a database. A hold that is left is ended by a later election.
+RELEASE_TIMEOUT = 0.5
+RELEASE_INTERVAL = 0.05
+
+# Attempts to confirm the permit under which holds are ended, seconds for which each
+# waits for the store, and seconds between two.
+MAX_CONFIRM_ATTEMPTS = 3
+CONFIRM_TIMEOUT = 0.3
+CONFIRM_INTERVAL = 0.1
+
+NO_PERMIT = Permit("", 0)
+"""Stands for the permit where databases need none."""
+
 # Seconds for which the member list must be unchanged before the instance first in rank
 # takes the permit: at a start the instances register one after the other.
 PERMIT_ACQUIRE_DELAY = 2.0
@@ -228,19 +248,31 @@
             self._running.cancel()
 
     async def _run_election(self, election: Election, silence: float) -> None:
-        """Hold one election, from the first request to the report."""
+        """Hold one election, from the first request until the holds are ended."""
         started = self._seconds()
         try:
             primary = await self._elect(election)
+            now = self._seconds()
+            self._decider.observe_outcome(election, primary is not None, now)
+            if primary is None:
+                log.info(
+                    "failover: %s: election for term %d failed.",
+                    self._group,
+                    election.term,
+                )
+                return
+            self._report(election, primary, now - started, silence)
+            # Before the next election of this instance, whose holds it could end.
+            await self._release_databases(
+                election.term, (name for name in self._databases if name != primary)
+            )
         finally:
             self._busy = False
-        now = self._seconds()
-        self._decider.observe_outcome(election, primary is not None, now)
-        if primary is None:
-            log.info(
-                "failover: %s: election for term %d failed.", self._group, election.term
-            )
-            return
+
+    def _report(
+        self, election: Election, primary: str, seconds: float, silence: float
+    ) -> None:
+        """Log and report the change of primary of an election."""
         log.info(
             "failover: %s: primary is %s in term %d.",
             self._group,
@@ -253,7 +285,7 @@
                 election.kind,
                 election.term,
                 primary,
-                now - started,
+                seconds,
                 silence,
             )
         )
@@ -301,11 +333,10 @@
             _run_in_background(self._step_down(election))
         if chosen is None or not await self._promote(election, chosen, replies):
             if not self._has_open_promotion:
-                await self._release_databases(reply.status.name for reply in replies)
+                await self._release_databases(
+                    election.term, (reply.status.name for reply in replies)
+                )
             return None
-        await self._release_databases(
-            name for name in self._databases if name != chosen
-        )
         return chosen
 
     async def _may_stop_writes(self) -> bool:
@@ -323,12 +354,12 @@
     ) -> bool:
         """Promote a database; return True once it leads."""
         for _ in range(MAX_PROMOTE_ATTEMPTS):
-            token = await self._acquire_permit(self._has_open_promotion)
-            if token is None or not self._still_has_log(chosen, replies):
+            permit = await self._acquire_permit(self._has_open_promotion)
+            if permit is None or not self._still_has_log(chosen, replies):
                 return False
             sent_at = self._delegate.get_time()
             result = await self._adapter.promote(
-                chosen, election.term, election.candidate, token
+                chosen, election.term, election.candidate, permit.token
             )
             self._has_open_promotion = not isinstance(result, Success)
             if not self._has_open_promotion:
@@ -379,22 +410,90 @@
                 self._delegate.observe_status(status, sent_at)
         return True
 
-    async def _release_databases(self, databases: Iterable[str]) -> None:
-        """End the databases' hold, so that they follow their primary again."""
+    async def _release_databases(self, term: int, databases: Iterable[str]) -> None:
+        """End the holds of an election, so that the databases follow their primary.
+
+        Another instance may hold the databases for the next term by now. So holds are
+        ended under a permit, which that instance would have taken, and within a time
+        limit, since a request can wait long for a database that is out of reach.
+        """
         if self._authority is None:
             return
-        for database in tuple(databases):
-            Deferred.fromCoroutine(self._adapter.release(database))
+        permit = await self._confirm_permit()
+        if permit is None:
+            return
+        now = self._seconds()
+        send_before = min(permit.valid_until, now + RELEASE_TIMEOUT)
+        releasing = gatherResults(
+            _run_in_background(self._release(database, term, send_before))
+            for database in databases
+        )
+        limit = deferLater(self._reactor, max(0.0, send_before - now))
+        try:
+            await DeferredList((releasing, limit), fireOnOneCallback=True)
+        finally:
+            limit.addErrback(_log_unexpected).cancel()
+
+    async def _confirm_permit(self) -> Permit | None:
+        """Return the permit, None if another instance has taken it or may have."""
+        authority = self._authority
+        for _ in range(MAX_CONFIRM_ATTEMPTS):
+            confirming = Deferred.fromCoroutine(authority.confirm(self._group))
+            try:
+                result = await confirming.addTimeout(CONFIRM_TIMEOUT, self._reactor)
+            except TimeoutError:
+                result = await authority.acquire(self._group, False)
+            permit = self._record_permit(result)
+            if permit is not None:
+                return permit
+            if authority.keeps_permits and not authority.holds(self._group):
+                return None
+            await deferLater(self._reactor, CONFIRM_INTERVAL)
+        return None
+
+    async def _release(self, database: str, term: int, send_before: float) -> None:
+        """End a database's hold unless it is for a later term; retry if it fails."""
+        while self._seconds() < send_before:
+            status = _get_status(await self._adapter.get_status(database))
+            if status is not None and not status.is_held:
+                return
+            if status is not None and status.term > term:
+                log.info(
+                    "failover: %s: %s is held for term %d; the election for term %d"
+                    " leaves it so.",
+                    self._group,
+                    database,
+                    status.term,
+                    term,
+                )
+                return
+            if status is not None:
+                released = await self._adapter.release(database, send_before)
+                if isinstance(released, Success):
+                    return
+            await deferLater(self._reactor, RELEASE_INTERVAL)
+        log.warning(
+            "failover: %s: %s was not released after the election for term %d.",
+            self._group,
+            database,
+            term,
+        )
+
+    async def _acquire_permit(self, renew: bool) -> Permit | None:
+        """Return the permit to promote, `NO_PERMIT` if none is needed, None if lacking.
 
-    async def _acquire_permit(self, renew: bool) -> int | None:
-        """Return the fencing token, 0 if none is needed, None without a permit."""
+        With `renew` it has a new token.
+        """
         if self._authority is None:
-            return 0
-        permit = await self._authority.acquire(self._group, renew)
+            return NO_PERMIT
+        return self._record_permit(await self._authority.acquire(self._group, renew))
+
+    def _record_permit(self, permit: Result) -> Permit | None:
+        """Record whether this instance holds the permit; return it, None on failure."""
         if self._authority.keeps_permits:
             self._decider.set_holds_permit(self._authority.holds(self._group))
         if isinstance(permit, Success):
-            return permit.unwrap().token
+            return permit.unwrap()
         log.warning(
             "failover: %s: no permit to promote: %s.",
             self._group,
--- a/beryltrack/failover/unfenced_authority.py
+++ b/beryltrack/failover/unfenced_authority.py
@@ -21,12 +21,17 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from returns.result import Failure, Result, Success
-
-from beryltrack.failover.authority import PATH_PREFIX, Permit, make_permit_value
+from returns.result import Result, Success
+
+from beryltrack.failover.authority import (
+    PATH_PREFIX,
+    Permit,
+    make_permit_value,
+    refuse_permit,
+)
 from beryltrack.failover.primary_records import ObjectClient
 from beryltrack.objects.eras import EraTracker
-from beryltrack.objects.messages import ErrorKind, PlatformError, PlatformObject
+from beryltrack.objects.messages import PlatformError, PlatformObject
 
 log = logging.getLogger(__name__)
 
@@ -132,11 +137,15 @@
             await self.prepare(group)
             observed = self._get_observed(group)
         if observed is None:
-            return _refuse("the permit could not be read from the store")
+            return refuse_permit("the permit could not be read from the store")
         if not self._may_take_over(observed):
-            return _refuse("another process's permit may still be in use")
+            return refuse_permit("another process's permit may still be in use")
         return await self._take(group, observed)
 
+    async def confirm(self, group: str) -> Result[Permit, PlatformError]:
+        """Return a new permit unless another process has taken one since the last."""
+        return await self.acquire(group, True)
+
     async def _take(self, group: str, observed: ObservedPermit) -> Result:
         """Replace an observed permit by one of this process."""
         sent_at = self._seconds()
@@ -146,19 +155,21 @@
         written = await self._client.put(path, value, observed.version)
         if self._eras.era != observed.era:
             # After a restore the write may have replaced another version than seen.
-            written = _refuse("the store was restored after the permit was read")
+            written = refuse_permit("the store was restored after the permit was read")
         if not isinstance(written, Success):
             # The write may have been carried out, or another process's was.
             self._own_permits.pop(group, None)
             await self.prepare(group)
             return written
         version = written.unwrap()
-        permit = Permit(self._holder, version)
+        permit = Permit(self._holder, version, sent_at + PERMIT_VALIDITY)
         self._observe(group, PlatformObject(path, version, value, False))
         own = self._own_permits[group] = OwnPermit(permit, sent_at)
         log.info("failover: %s: took permit with token %d.", group, permit.token)
         if not self._is_valid(own):
-            return _refuse("the permit expired before the store answered its write")
+            return refuse_permit(
+                "the permit expired before the store answered its write"
+            )
         return Success(permit)
 
     def _observe(self, group: str, stored: PlatformObject | None) -> None:
@@ -190,8 +201,3 @@
 def _get_process(stored: PlatformObject) -> str:
     """Return the process that wrote a permit; empty if it cannot be read."""
     return stored.value.get("process", "") if isinstance(stored.value, dict) else ""
-
-
-def _refuse(text: str) -> Result:
-    """Return the failure to take a permit, with its reason."""
-    return Failure(PlatformError(ErrorKind.REFUSED, text))
--- a/beryltrack/groups/adapter.py
+++ b/beryltrack/groups/adapter.py
@@ -107,8 +107,14 @@
     ) -> Result[DatabaseStatus, ControlFailure]:
         """Make the primary of `term` refuse writes for a while."""
 
-    async def release(self, database: str) -> Result[DatabaseStatus, ControlFailure]:
-        """End the hold of a database that granted a term: it follows its primary."""
+    async def release(
+        self, database: str, send_before: float
+    ) -> Result[DatabaseStatus, ControlFailure]:
+        """End the hold of a database that granted a term: it follows its primary.
+
+        Fails without being sent after `send_before`, seconds of the instance's clock:
+        a later request could end the hold of another election.
+        """
 
     def set_databases(self, databases: tuple[DatabaseSettings, ...]) -> None:
         """Replace the group's members by those of new settings."""
--- a/beryltrack/groups/control_calls.py
+++ b/beryltrack/groups/control_calls.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred, DeferredLock, TimeoutError
 from twisted.internet.interfaces import IDelayedCall
 
+from beryltrack.clock import get_monotonic_clock
 from beryltrack.connections.messages import TargetLost
 from beryltrack.groups.adapter import ControlLimits
 from beryltrack.pause_aware_clock import get_pause_aware_clock
@@ -45,6 +46,10 @@
         """Return a connection to the pool."""
 
 
+class RequestExpired(Exception):
+    """A request was not sent, as its time to be sent was over."""
+
+
 class ControlAnswer(NamedTuple):
     """The rows of an answer as received, and the message that ended it."""
 
@@ -85,6 +90,7 @@
         self._closing: dict[str, IDelayedCall] = {}
         self._reactor = reactor
         self._clock = get_pause_aware_clock(reactor)
+        self._seconds = get_monotonic_clock(reactor)
         self._open = connect
         self._limits = limits
         self._observe_silence = observe_silence
@@ -129,11 +135,24 @@
             if closing.active():
                 closing.cancel()
 
-    async def call(self, database: str, wire: bytes) -> ControlAnswer:
+    async def call(
+        self, database: str, wire: bytes, send_before: float = math.inf
+    ) -> ControlAnswer:
         """Send one request after all earlier requests to the database are answered.
 
+        Parameters
+        ----------
+        database : str
+            The database.
+        wire : bytes
+            The request.
+        send_before : float
+            Time of the instance's clock after which it is not sent any more, seconds.
+
         Raises
         ------
+        RequestExpired
+            If it was not sent.
         ConnectRefused
             If the database, or an owner of its group, refused a new connection.
         TargetLost, TimeoutError, OSError
@@ -142,7 +161,7 @@
         lock = self._locks.setdefault(database, DeferredLock())
         await lock.acquire()
         try:
-            return await self._run(database, wire)
+            return await self._run(database, wire, send_before)
         except (TargetLost, TimeoutError, OSError):
             self._discard(database)
             raise
@@ -150,7 +169,9 @@
             self._close_later(database)
             lock.release()
 
-    async def _run(self, database: str, wire: bytes) -> ControlAnswer:
+    async def _run(
+        self, database: str, wire: bytes, send_before: float
+    ) -> ControlAnswer:
         """Send one request over an open connection, and if that fails over a new one.
 
         An open connection can be dead while its database still works. Without a
@@ -171,7 +192,7 @@
             reused = pooled
         if reused is not None and not reused.broken:
             try:
-                return await self._send(reused, wire, fraction, database)
+                return await self._send(reused, wire, send_before, fraction, database)
             except (TargetLost, TimeoutError) as error:
                 log.info(
                     "groups: an open connection to %s failed, retrying over a new one:"
@@ -185,7 +206,7 @@
                 if pooled is not None:
                     pool.release(pooled, not pooled.busy)
         connection = await self._connect(database)
-        return await self._send(connection, wire, fraction)
+        return await self._send(connection, wire, send_before, fraction)
 
     def _close_later(self, database: str) -> None:
         """Close a dedicated connection once it has been unused for `idle_time`.
@@ -213,6 +234,7 @@
         self,
         connection: RelayedConnection,
         wire: bytes,
+        send_before: float,
         fraction: float,
         database: str = "",
     ) -> ControlAnswer:
@@ -222,6 +244,9 @@
         unless that database has answered other statements: then it is only slow, and
         a new connection would occupy one of its slots for 12 to 30 ms.
         """
+        # By the real time: a pause of this process must not extend the limit.
+        if self._seconds() > send_before:
+            raise RequestExpired("not sent, as its time to be sent is over")
         sink = CollectingSink()
         running = connection.run(wire, sink)
         since = connection.run_since
--- a/beryltrack/groups/postgres_adapter.py
+++ b/beryltrack/groups/postgres_adapter.py
@@ -114,7 +114,9 @@
         row = await self._call(database, f"beryltrack_stop_writes({term})")
         return row.bind(lambda columns: _make_status(database, columns))
 
-    async def release(self, database: str) -> Result[DatabaseStatus, ControlFailure]:
+    async def release(
+        self, database: str, send_before: float
+    ) -> Result[DatabaseStatus, ControlFailure]:
         """Return the status: these databases follow the highest term on their own."""
         return await self.get_status(database)
 
--- a/beryltrack/platform/group.py
+++ b/beryltrack/platform/group.py
@@ -3,6 +3,7 @@
 PAUSE and RESUME set and end a hold; the platform's service carries out promotions.
 """
 
+import math
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
@@ -11,7 +12,7 @@
 from beryltrack.connections.messages import ConnectRefused, TargetLost
 from beryltrack.errors import CANNOT_CONNECT_NOW
 from beryltrack.groups.adapter import PromoteReply, StatusWait
-from beryltrack.groups.control_calls import ControlCalls
+from beryltrack.groups.control_calls import ControlCalls, RequestExpired
 from beryltrack.groups.messages import (
     PRIMARY,
     ControlFailure,
@@ -146,9 +147,9 @@
         """Make the primary of `term` a replica."""
         return await self._call(database, b"STEPDOWN %d" % (term + 1))
 
-    async def release(self, database: str) -> StatusResult:
+    async def release(self, database: str, send_before: float) -> StatusResult:
         """End the hold of a replica: it receives again."""
-        return await self._call(database, b"RESUME")
+        return await self._call(database, b"RESUME", send_before)
 
     def set_allowed_vias(self, vias: tuple[str, ...]) -> None:
         """Replace the connections through owners that are not in `vias`."""
@@ -158,15 +159,17 @@
         """Close all control connections."""
         self._calls.close()
 
-    async def _call(self, database: str, text: bytes) -> StatusResult:
+    async def _call(
+        self, database: str, text: bytes, send_before: float = math.inf
+    ) -> StatusResult:
         """Send one control request and parse the row of its answer."""
         try:
             wire = lines.format_query(lines.NO_ID, text)
-            rows, end = await self._calls.call(database, wire)
+            rows, end = await self._calls.call(database, wire, send_before)
         except ConnectRefused as refused:
             is_answered = refused.sqlstate != CANNOT_CONNECT_NOW
             return Failure(ControlFailure(database, str(refused), is_answered))
-        except (TargetLost, TimeoutError, OSError) as error:
+        except (RequestExpired, TargetLost, TimeoutError, OSError) as error:
             return Failure(ControlFailure(database, f"no answer: {error}"))
         return _make_status(database, rows, end, self._is_role_fenced)
 
--- a/beryltrack_bench/fakes/group.py
+++ b/beryltrack_bench/fakes/group.py
@@ -183,7 +183,7 @@
             database, "stop_writes", lambda each: each.stop_writes(term)
         )
 
-    async def release(self, database: str):
+    async def release(self, database: str, send_before: float):
         """Return the status; the fakes follow the highest term by themselves."""
         return await self.get_status(database)
 
--- a/beryltrack_bench/soak/history.py
+++ b/beryltrack_bench/soak/history.py
@@ -6,7 +6,7 @@
 
 from bisect import bisect
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from beryltrack.groups.messages import LogPosition
@@ -100,9 +100,18 @@
         The group of databases.
     seconds : callable
         The clock of the run.
+    find_node : callable
+        Returns the node that opened a connection to a database; empty if unknown.
     """
 
-    def __init__(self, group: Group, seconds):
+    def __init__(
+        self,
+        group: Group,
+        seconds,
+        find_node: Callable[[DatabaseSession], str] = lambda session: "",
+    ):
+        self._find_node = find_node
+        self._holders: dict[str, str] = {}
         self.violations: list[Violation] = []
         self.outcomes: Counter[str] = Counter()
         self._group = group
@@ -170,6 +179,22 @@
         if position.term < self._group.term:
             self._replaced.add(request)
 
+    def observe_control(
+        self, database: Database, session: DatabaseSession, text: bytes, held: int
+    ) -> None:
+        """Check that no node ends a hold that another node has set since.
+
+        Such a hold protects an election that may still be under way: what the database
+        receives and confirms from then on, the new primary may lack.
+        """
+        node = self._find_node(session)
+        if text == b"PAUSE %d" % database.held:
+            self._holders[database.name] = node
+        holder = self._holders.get(database.name, node)
+        if text == b"RESUME" and held and node and holder and node != holder:
+            text = f"{node} ended the hold of {database.name} by {holder} for {held}"
+            self._add_violation("HOLD", b"-", text)
+
     def check_session_answer(
         self, node: str, route: str, answer: list[bytes], is_served: bool = True
     ) -> None:
--- a/beryltrack_bench/soak/links.py
+++ b/beryltrack_bench/soak/links.py
@@ -96,6 +96,13 @@
         connectProtocol(opening, far).addCallbacks(join, give_up)
         return near
 
+    def carries(self, port: int) -> bool:
+        """Return whether a connection from this local port passes through the link."""
+        transports = (side.transport for side in self.sides)
+        return any(
+            each is not None and each.getHost().port == port for each in transports
+        )
+
     def cut(self, *directions: str) -> None:
         """Hold all bytes in these directions."""
         self.cut_directions = frozenset(directions)
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -31,7 +31,7 @@
     History,
 )
 from beryltrack_bench.soak.links import Link
-from beryltrack_standins.lines.database import DatabaseFactory
+from beryltrack_standins.lines.database import DatabaseFactory, DatabaseSession
 from beryltrack_standins.lines.group import Group
 from beryltrack_standins.lines.store import (
     Backup,
@@ -203,7 +203,7 @@
         self._births = itertools.count(1)
         self._entries: dict[str, dict] = {}
         self.group = Group(reactor, DATABASES, rng, not options.is_fenced)
-        self.history = History(self.group, reactor.seconds)
+        self.history = History(self.group, reactor.seconds, self._find_node)
         self.store = Store()
         self.tokens = FencingTokenLog(options.is_fenced)
         numbers = itertools.count(1)
@@ -378,6 +378,14 @@
             self._addresses[name, key] = f"{host_port.host}:{host_port.port}"
         return Node(name, host, links, store, promotions)
 
+    def _find_node(self, session: DatabaseSession) -> str:
+        """Return the name of the node that opened a connection to a database."""
+        port = session.transport.getPeer().port
+        links = (
+            (node.name, link) for node in self.nodes for link in node.links.values()
+        )
+        return next((name for name, link in links if link.carries(port)), "")
+
     def _make_rewrite(self, node: str):
         """Return a function that puts a node's own addresses into database entries."""
 
--- a/beryltrack_standins/lines/database.py
+++ b/beryltrack_standins/lines/database.py
@@ -36,6 +36,11 @@
     def observe_commit(self, request_id: bytes, position: LogPosition) -> None:
         """Record the position at which a statement has committed."""
 
+    def observe_control(
+        self, database: Database, session: "DatabaseSession", text: bytes, held: int
+    ) -> None:
+        """Record a control request; `held` is the term of the hold before it."""
+
 
 class DatabaseSession(Protocol):
     """One connection to a database."""
@@ -104,7 +109,10 @@
         database, group = self.factory.database, self.factory.group
         keyword = text.split(b" ")[0]
         if request_id == b"-" and keyword in _CONTROL:
-            return _CONTROL[keyword](group, database, text) + self._ready()
+            held = database.held
+            answer = _CONTROL[keyword](group, database, text)
+            self.factory.observer.observe_control(database, self, text, held)
+            return answer + self._ready()
         if keyword in (b"SET", b"PREPARE", b"DEALLOCATE", b"RESET"):
             self._change_session_state(text)
             return b"COMPLETE -\r\n" + self._ready()
--- a/tests/failover/test_authority.py
+++ b/tests/failover/test_authority.py
@@ -83,3 +83,38 @@
     acquire(authority)
     authority.drop("main")
     assert not authority.holds("main")
+
+
+def confirm(authority):
+    result = Deferred.fromCoroutine(authority.confirm("main")).result
+    return result.value_or(None)
+
+
+def test_a_permit_that_another_instance_has_taken_is_not_confirmed():
+    """Guards against an instance that ends the holds of the next holder's election."""
+    store = Store()
+    first, second = StoreAuthority(store, "node-1"), StoreAuthority(store, "node-2")
+    acquire(first)
+    assert confirm(first).token == 2
+    acquire(second)
+    assert confirm(first) is None and not first.holds("main")
+    assert confirm(second).token == 4
+
+
+def test_a_permit_is_kept_while_the_store_cannot_confirm_it():
+    """Guards against databases that stay held during an outage of the store."""
+    store = Store()
+    authority = StoreAuthority(store, "node-1")
+    permit = acquire(authority)
+    store.is_down = True
+    assert confirm(authority) == permit
+
+
+def test_a_confirmation_without_an_answer_is_recognized_later():
+    """Guards against a permit that its holder takes for another instance's."""
+    store = Store()
+    authority = StoreAuthority(store, "node-1")
+    lost = acquire(authority)
+    confirm(authority)
+    authority._permits["main"] = lost
+    assert confirm(authority).token == 2
--- a/tests/failover/test_decider.py
+++ b/tests/failover/test_decider.py
@@ -288,6 +288,18 @@
     assert election.kind is ElectionKind.RECLAIM and election.preferred == "a"
 
 
+def test_a_replica_that_stays_held_in_the_primarys_term_is_reclaimed():
+    """Guards against a hold that nobody ends: the replica would receive nothing."""
+    held = make_replica("b", term=1, is_held=True)
+    view = make_view(held, make_replica("c"), is_role_fenced=True)
+    kinds = []
+    for policy in (FailoverPolicy(has_authority=True), FailoverPolicy()):
+        decider = FailoverDecider("g", "n1", DETECTOR, Random(1), policy)
+        decider.decide(view, 10.0)
+        kinds.append(decider.decide(view, 10.0 + policy.reclaim_after))
+    assert kinds[0].kind is ElectionKind.RECLAIM and kinds[1] is None
+
+
 def test_an_instance_that_is_no_candidate_holds_no_election():
     decider = make_decider(nodes=("n1",))
     decider.set_instances(("n2",), False)
--- a/tests/failover/test_unfenced_authority.py
+++ b/tests/failover/test_unfenced_authority.py
@@ -136,3 +136,18 @@
 def test_the_first_permit_of_a_group_is_taken_at_once():
     site = Site()
     assert acquire(site.make("node-2", "p2")) == 1
+
+
+def test_a_permit_is_confirmed_until_another_process_takes_one():
+    """Guards against an instance that ends the holds of the next holder's election."""
+    site = Site()
+    first, second = site.make_pair()
+
+    def confirm():
+        confirming = Deferred.fromCoroutine(first.confirm("main"))
+        return confirming.result.value_or(None)
+
+    assert confirm().valid_until == site.clock.seconds() + PERMIT_VALIDITY
+    prepare(second)
+    site.pass_time(TAKEOVER_DELAY)
+    assert acquire(second) == 3 and confirm() is None
--- a/tests/groups/test_control_calls.py
+++ b/tests/groups/test_control_calls.py
@@ -4,7 +4,7 @@
 from twisted.internet.task import Clock
 
 from beryltrack.groups.adapter import ControlLimits
-from beryltrack.groups.control_calls import ControlCalls
+from beryltrack.groups.control_calls import ControlCalls, RequestExpired
 from beryltrack.pause_aware_clock import get_pause_aware_clock
 from beryltrack.settings.messages import DatabaseSettings, Endpoint
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
@@ -126,6 +126,18 @@
     assert site.pool.returned == [False]
 
 
+def test_a_request_that_waited_too_long_is_not_sent():
+    """Guards against a late RESUME that ends the hold of a later election."""
+    site = Site(has_pooled=True, is_silent=True)
+    first, wire = site.call(), b"RESUME"
+    late = Deferred.fromCoroutine(site.calls.call("db-1", wire, send_before=0.3))
+    first.addErrback(lambda failure: None)
+    site.clock.pump([0.1] * 5)
+    assert late.result.check(RequestExpired)
+    late.addErrback(lambda failure: None)
+    assert all(connection.requests <= 1 for connection in site.opened)
+
+
 def test_an_answer_during_a_pause_of_the_process_counts():
     """Guards against closing healthy connections after a pause of the process."""
     site = Site(has_pooled=True, is_silent=True)
