Ignore an object of a late watch answer that was deleted meanwhile

Cause: while a watch is under way, other instances forward changes up to a later revision, also deletions. The feed compared versions of known objects only, so that the late answer added an object again; the next watch began after its deletion.

Change: an answer to the feed's own watch adds no unknown object of a version up to which all changes are known already.

--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -264,7 +264,8 @@
         timeout = RELIST_DELAY if self._must_relist else self._watch_timeout
         result = await self._source.watch(self._kind, self._revision, timeout)
         if isinstance(result, Success):
-            self._apply_changes(result.unwrap())
+            # Another instance may have forwarded later changes since the call was sent.
+            self._apply_changes(result.unwrap(), known_until=self.revision)
             if self._must_relist:
                 self._must_relist, self._must_list = False, True
         return result
@@ -307,14 +308,18 @@
             ", ".join(changed[:MAX_LOGGED_PATHS]) or "none",
         )
 
-    def _apply_changes(self, found: ObjectList) -> None:
-        """Apply changed and deleted objects."""
+    def _apply_changes(self, found: ObjectList, known_until: int = 0) -> None:
+        """Apply changed and deleted objects.
+
+        Up to the revision `known_until` all changes are known: an unknown object of an
+        older version has been deleted since.
+        """
         self._revision = max(self.revision, found.revision)
         objects = dict(self._objects)
         for item in found.objects:
             known = objects.get(item.path)
-            if known is not None and known.version > item.version:
-                # This call was sent before another instance forwarded a later version.
+            known_version = known_until if known is None else known.version
+            if known_version > item.version:
                 continue
             if item.deleted:
                 objects.pop(item.path, None)
--- a/tests/objects/test_feed.py
+++ b/tests/objects/test_feed.py
@@ -108,3 +108,11 @@
 def test_a_watch_waits_for_the_watch_timeout():
     _, store, _ = start_feed()
     assert store.watches[0][:2] == (1, 4.0)
+
+
+def test_an_object_deleted_meanwhile_is_not_restored_by_an_older_watch():
+    """Guards against a late answer that brings back what another instance removed."""
+    _, store, seen = start_feed()
+    store.feed.apply_copy(4, (PlatformObject("kind/a", 1, None, True),), False)
+    store.watches[0][2].callback(make_list(3, 3))
+    assert seen[-1] == {} and store.feed.revision == 4
