Let a rollback succeed if the connection it would use is lost

Callers got a second 40001 for the ROLLBACK or COMMIT with which they end a transaction that was answered with 40001, as its primary had been replaced.

Cause: the failed transaction stays open until its caller ends it. When the instance closed the replaced primary's connections meanwhile, the end of the transaction was treated like a statement that could not be run; a COMMIT that had been sent was even reported as unknown.

Change: ROLLBACK, and COMMIT of a failed transaction, are answered as the database would have answered: the loss of the connection has rolled the transaction back. Over the line protocol that holds for ROLLBACK alone, as the success of a COMMIT names its database.

New tests in tests/requests and tests/platform failed before.

--- a/beryltrack/requests/pinned.py
+++ b/beryltrack/requests/pinned.py
@@ -84,6 +84,13 @@
     )
 
 
+def _is_rollback(context: RequestContext) -> bool:
+    """Return whether the unit rolls back; a failed transaction cannot commit."""
+    has_failed = context.caller.status is TransactionStatus.ERROR_TRANSACTION
+    is_commit = context.plan.kind is StatementKind.COMMIT
+    return context.plan.kind is StatementKind.ROLLBACK or (is_commit and has_failed)
+
+
 def _get_state(
     context: RequestContext, pinned: PinnedTransaction, sink: AnswerSink
 ) -> RequestState:
@@ -91,7 +98,8 @@
     return RequestState(
         is_read=pinned.is_read_only,
         in_transaction=True,
-        is_commit=context.plan.kind is StatementKind.COMMIT,
+        is_commit=context.plan.kind is StatementKind.COMMIT
+        and not _is_rollback(context),
         is_at_most_once=context.plan.is_at_most_once,
         is_answered=sink.is_answered,
     )
@@ -113,6 +121,11 @@
 ) -> None:
     """Resolve or report the outcome of a transaction that lost its connection."""
     _unpin(context, pinned, False)
+    if _is_rollback(context) and not sink.is_answered:
+        if context.services.protocol.answer_rolled_back(context.plan, context.caller):
+            count_request(context, TargetKind.NONE)
+            record_step(context, RequestStep.SERVED, LOST_TEXT, pinned.database)
+            return
     state = _get_state(context, pinned, sink)
     step = decide_after_failure(state, RunFailure(lost.is_sent, ""))
     if step is NextStep.RESOLVE:
--- a/beryltrack/requests/postgres.py
+++ b/beryltrack/requests/postgres.py
@@ -1,5 +1,7 @@
 """The PostgreSQL protocol for request flows: planning and running its units."""
 
+import re
+
 from pygwire.messages import CommandComplete, ParameterStatus
 from returns.result import Result, Success
 
@@ -38,7 +40,11 @@
 from beryltrack.sessions.tokens import format_token
 from beryltrack.sessions.variables import parse_change
 from beryltrack.settings.messages import GroupSettings, RuleSettings
-from beryltrack.wire.messages import ResponseEnd
+from beryltrack.wire.messages import ResponseEnd, TransactionStatus
+
+_END_OF_TRANSACTION = re.compile(
+    r"\s*(commit|end|rollback|abort)(\s+(work|transaction))?\s*;?\s*", re.IGNORECASE
+)
 
 ROLLBACK_TAIL = CommandComplete("ROLLBACK").to_wire()
 """End of the answer to ``ROLLBACK``, and to ``COMMIT`` of a failed transaction."""
@@ -76,18 +82,25 @@
         """Answer a unit that concerns only the proxy; return False for all others."""
         described = describe_local(plan)
         if described is not None:
-            _send_result(plan, caller, described)
+            _send_result(plan, caller, described, caller.status)
             return True
         if not is_local(plan):
             return False
         result = run_local(plan, caller)
         if isinstance(result, Success):
-            _send_result(plan, caller, result.unwrap())
+            _send_result(plan, caller, result.unwrap(), caller.status)
         else:
             caller.send_error(result.failure())
             caller.send_ready(caller.status)
         return True
 
+    def answer_rolled_back(self, plan: RequestPlan, caller: Caller) -> bool:
+        """Answer the end of a transaction that was rolled back with its connection."""
+        if not _END_OF_TRANSACTION.fullmatch(plan.text):
+            return False
+        _send_result(plan, caller, LocalResult("ROLLBACK"), TransactionStatus.IDLE)
+        return True
+
     async def run(
         self,
         connection: TargetConnection,
@@ -173,11 +186,13 @@
     return True
 
 
-def _send_result(plan: RequestPlan, caller: Caller, result: LocalResult) -> None:
+def _send_result(
+    plan: RequestPlan, caller: Caller, result: LocalResult, status: TransactionStatus
+) -> None:
     """Send a local result, and record the statements that the batch prepared."""
     if plan.extended is None:
         caller.write(encode_simple_response(result))
     else:
         caller.write(encode_extended_response(plan.request, result))
         apply_plan(plan.extended, caller.statements)
-    caller.send_ready(caller.status)
+    caller.send_ready(status)
--- a/beryltrack/requests/protocol.py
+++ b/beryltrack/requests/protocol.py
@@ -141,6 +141,13 @@
         """Call `callback` when the caller disconnects; at once if it has."""
 
 
+class SessionCaller(UnitCaller, Protocol):
+    """A caller of a protocol whose sessions run some statements by themselves."""
+
+    def answer_local(self, is_done: bool) -> None:
+        """Answer a statement that ran on the session alone."""
+
+
 class UnitHandler(Protocol):
     """Runs the units of callers; `RequestTask` implements it."""
 
@@ -188,6 +195,12 @@
     def answer_locally(self, plan: UnitPlan, caller: UnitCaller) -> bool:
         """Answer a unit that concerns only the proxy; return False for all others."""
 
+    def answer_rolled_back(self, plan: UnitPlan, caller: UnitCaller) -> bool:
+        """Answer the end of a transaction that was rolled back with its connection.
+
+        Return False for a unit that needs the answer of a target.
+        """
+
     async def run(
         self,
         connection: PooledConnection,
@@ -256,6 +269,14 @@
     when it is sent to a target.
     """
 
+    def answer_rolled_back(self, plan: UnitPlan, caller: SessionCaller) -> bool:
+        """Answer a ``ROLLBACK``; the answer to a ``COMMIT`` names its database."""
+        if plan.kind is not StatementKind.ROLLBACK:
+            return False
+        caller.status = TransactionStatus.IDLE
+        caller.answer_local(True)
+        return True
+
     def observe_answer(
         self, plan: UnitPlan, caller: UnitCaller, connection: PooledConnection
     ) -> None:
--- a/tests/platform/test_caller.py
+++ b/tests/platform/test_caller.py
@@ -156,6 +156,22 @@
     assert len(session.handler.plans) == 2
 
 
+@pytest.mark.parametrize(
+    ("text", "is_answered"), [("ROLLBACK", True), ("COMMIT", False)]
+)
+def test_only_a_lost_rollback_is_answered_without_its_database(
+    session, text, is_answered
+):
+    """Guards against a commit that succeeds without the answer of a database."""
+    session.send("QUERY 1 BEGIN")
+    session.finish(TransactionStatus.ERROR_TRANSACTION)
+    session.send(f"QUERY 2 {text}")
+    session.take()
+    protocol, (plan, _) = session.handler.protocol, session.handler.plans[-1]
+    assert protocol.answer_rolled_back(plan, session.caller) is is_answered
+    assert (session.take() == b"COMPLETE -\r\nREADY I -\r\n") is is_answered
+
+
 def test_a_change_of_a_route_applies_from_the_next_transaction_on(session, monkeypatch):
     session.send("QUERY 1 BEGIN")
     session.finish(TransactionStatus.IN_TRANSACTION)
--- a/tests/requests/test_pinned.py
+++ b/tests/requests/test_pinned.py
@@ -1,5 +1,7 @@
 """Units of a transaction run on its connection; its outcome is reported truthfully."""
 
+import pytest
+
 from beryltrack.requests.pinned import run_pinned
 from beryltrack.requests.postgres import ROLLBACK_TAIL
 from beryltrack.requests.session import PinnedTransaction
@@ -17,8 +19,9 @@
 )
 
 
-def run_unit(kind, *script, **options):
-    context, transport = make_context("text", kind, **options)
+def run_unit(kind, *script, text="text", status=OPEN, **options):
+    context, transport = make_context(text, kind, **options)
+    context.caller.status = status
     pool = FakePool()
     connection = ScriptedConnection(*script)
     session = context.caller.session
@@ -72,6 +75,28 @@
     assert b"08007" in run_unit(StatementKind.COMMIT, LOST)[0]
 
 
+@pytest.mark.parametrize(
+    ("kind", "text", "status"),
+    [
+        (StatementKind.COMMIT, "COMMIT", FAILED),
+        (StatementKind.ROLLBACK, "rollback;", FAILED),
+        (StatementKind.ROLLBACK, "ABORT WORK", OPEN),
+    ],
+)
+def test_a_rollback_whose_connection_is_lost_succeeds(kind, text, status):
+    """Guards against an error for what the loss of the connection has done already."""
+    sent, released, pinned = run_unit(kind, LOST, text=text, status=status)
+    assert sent.startswith(ROLLBACK_TAIL) and b"40001" not in sent
+    assert released == [False] and pinned is None
+
+
+def test_a_lost_commit_of_a_failed_transaction_is_not_unknown():
+    """Guards against an unknown outcome of a transaction that cannot commit."""
+    text = "INSERT INTO item VALUES (1); COMMIT"
+    sent, _, _ = run_unit(StatementKind.COMMIT, LOST, text=text, status=FAILED)
+    assert b"40001" in sent and b"08007" not in sent
+
+
 def test_the_connection_stays_while_the_transaction_is_open():
     _, released, pinned = run_unit(StatementKind.READ, make_end(OPEN))
     assert released == [] and pinned is not None
