Confirm a kept permit before an election, so that two holders do not promote at once

Cause: an instance keeps its permit until another one takes it, and is not told. After a pause or a restart two instances act on a loss as holders.

Change: an election confirms a kept permit by compare-and-set before it holds a database, and after 0.5 s without an answer uses it as before. A promotion is not requested once another database has led the term. An election that only ends holds takes a new permit.

Cost: one more write to the store in each election.

New tests, failing before: test_an_instance_whose_permit_was_taken_promotes_no_database, test_a_promotion_is_not_repeated_once_another_database_leads_the_term.

--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -43,6 +43,7 @@
     NEVER,
     GroupView,
     get_database,
+    get_known_primary_term,
     get_recovering,
 )
 from beryltrack.settings.messages import GroupSettings
@@ -71,10 +72,10 @@
 RELEASE_TIMEOUT = 0.5
 RELEASE_INTERVAL = 0.05
 
-# Attempts to confirm the permit under which holds are ended, seconds for which each
-# waits for the store, and seconds between two.
+# Attempts to confirm the permit, seconds for which each waits for the store (a slow one
+# answers in 0.3 s), and seconds between two.
 MAX_CONFIRM_ATTEMPTS = 3
-CONFIRM_TIMEOUT = 0.3
+CONFIRM_TIMEOUT = 0.5
 CONFIRM_INTERVAL = 0.1
 
 NO_PERMIT = Permit("", 0)
@@ -171,6 +172,11 @@
         """True while an election is held."""
         return self._busy
 
+    @property
+    def _keeps_permits(self) -> bool:
+        """True if permits are taken in advance and held."""
+        return self._authority is not None and self._authority.keeps_permits
+
     def set_databases(self, databases: tuple[str, ...]) -> None:
         """Set the names of the group's databases from new settings."""
         self._databases = databases
@@ -300,8 +306,7 @@
             # the election goes on even if the successor has not caught up.
             if not (is_ready or self._has_stepped_down):
                 return None
-        # An earlier promotion call without an answer may still be carried out.
-        if await self._acquire_permit(self._has_open_promotion) is None:
+        if await self._acquire_election_permit(election) is None:
             return None
         sent_at = self._delegate.get_time()
         quorum = self._policy.get_quorum(len(self._databases))
@@ -354,6 +359,8 @@
     ) -> bool:
         """Promote a database; return True once it leads."""
         for _ in range(MAX_PROMOTE_ATTEMPTS):
+            if self._is_superseded(election.term, chosen):
+                return False
             permit = await self._acquire_permit(self._has_open_promotion)
             if permit is None or not self._still_has_log(chosen, replies):
                 return False
@@ -375,6 +382,17 @@
                 return False
         return False
 
+    def _is_superseded(self, term: int, chosen: str) -> bool:
+        """Return whether the term, or a later one, has had another primary by now.
+
+        The votes were cast before it led: the chosen database may lack its commits.
+        Databases that grant terms themselves allow no other primary in a granted term.
+        """
+        if self._authority is None:
+            return False
+        others = (item for item in self._view.databases if item.name != chosen)
+        return any(get_known_primary_term(item) >= term for item in others)
+
     def _still_has_log(self, chosen: str, replies: tuple[GrantReply, ...]) -> bool:
         """Return whether the chosen database still has the log it was chosen for.
 
@@ -434,6 +452,20 @@
         finally:
             limit.addErrback(_log_unexpected).cancel()
 
+    async def _acquire_election_permit(self, election: Election) -> Permit | None:
+        """Return the permit of an election, None without one.
+
+        Another instance may have taken a permit that this one kept since an earlier
+        election. Both would act on a loss at once, and one promote a database that
+        lacks what the other's confirms.
+        """
+        # An earlier promotion call without an answer may still be carried out. An
+        # election that only ends holds is in no hurry and takes a permit for certain.
+        renew = self._has_open_promotion or election.kind is ElectionKind.RECLAIM
+        if self._keeps_permits and not renew and not self._has_lost_permit():
+            return await self._confirm_permit()
+        return await self._acquire_permit(renew)
+
     async def _confirm_permit(self) -> Permit | None:
         """Return the permit, None if another instance has taken it or may have."""
         authority = self._authority
@@ -446,11 +478,15 @@
             permit = self._record_permit(result)
             if permit is not None:
                 return permit
-            if authority.keeps_permits and not authority.holds(self._group):
+            if self._has_lost_permit():
                 return None
             await deferLater(self._reactor, CONFIRM_INTERVAL)
         return None
 
+    def _has_lost_permit(self) -> bool:
+        """Return whether permits are kept and this instance holds none."""
+        return self._keeps_permits and not self._authority.holds(self._group)
+
     async def _release(self, database: str, term: int, send_before: float) -> None:
         """End a database's hold unless it is for a later term; retry if it fails."""
         while self._seconds() < send_before:
--- a/tests/failover/lost_primary.py
+++ b/tests/failover/lost_primary.py
@@ -19,6 +19,7 @@
 
     def __init__(self, clock):
         self.get_time = clock.seconds
+        self.task = None
         self.reports = []
 
     def observe_status(self, status, sent_at):
@@ -46,6 +47,7 @@
         policy,
         authority,
     )
+    delegate.task = task
     lost = [
         DatabaseView(name, REPLICA, 1, END, END, (), True, seen_at=0.0, heard_age=0.6)
         for name in "bc"
--- a/tests/failover/test_permits.py
+++ b/tests/failover/test_permits.py
@@ -1,6 +1,7 @@
 """Elections under a permit: when databases are released, which token is used."""
 
 from returns.result import Failure, Success
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from beryltrack.failover.authority import Permit
@@ -14,6 +15,7 @@
     DatabaseStatus,
     GrantReply,
 )
+from beryltrack.groups.view import DatabaseView, GroupView
 from beryltrack.objects.messages import ErrorKind, PlatformError
 from tests.failover.lost_primary import END, NAMES, lose_primary
 
@@ -48,6 +50,14 @@
         return Success(Permit("node", self.token))
 
 
+class TakenAuthority(Authority):
+    """Issues a permit that another instance takes at once."""
+
+    async def confirm(self, group):
+        self.is_held = False
+        return await super().confirm(group)
+
+
 class ExpiringAuthority(Authority):
     """Issues some permits that are valid for 0.2 s, and then no more."""
 
@@ -78,6 +88,7 @@
         self.held_term = held_term
         self.promotions = list(promotions)
         self.tokens = []
+        self.observe_promotion = lambda: None
         self.released = []
         self.leader = ""
 
@@ -96,6 +107,7 @@
 
     async def promote(self, name, term, candidate, token):
         self.tokens.append(token)
+        self.observe_promotion()
         outcome = self.promotions.pop(0)
         if outcome == "leads":
             self.leader = name
@@ -109,6 +121,19 @@
         return Success(self.make_status(name))
 
 
+class SlowAuthority(Authority):
+    """Issues permits; the first one arrives late."""
+
+    def __init__(self):
+        super().__init__()
+        self.first = Deferred()
+
+    async def acquire(self, group, renew):
+        if not self.token:
+            await self.first
+        return await super().acquire(group, renew)
+
+
 def hold_election(*promotions, authority=None, **fields):
     clock, databases = Clock(), Databases(*promotions, **fields)
     authority = authority or Authority()
@@ -143,6 +168,27 @@
     assert not authority.is_held
 
 
+def test_a_promotion_is_not_repeated_once_another_database_leads_the_term():
+    """Guards against the loss of what the other primary's callers have written."""
+    clock, databases = Clock(), Databases("lost", "leads")
+    authority = SlowAuthority()
+    policy = FailoverPolicy(has_authority=True)
+    task = lose_primary(clock, databases, authority, policy).task
+    leader = DatabaseView("c", PRIMARY, 2, END, END, (), True, seen_at=0.0)
+    others = [DatabaseView(name, REPLICA, 1, END, END) for name in "ab"]
+    view = GroupView("main", 2, "c", databases=(*others, leader))
+    databases.observe_promotion = lambda: task.observe_view(view)
+    authority.first.callback(None)
+    assert databases.tokens == [1] and databases.released == []
+
+
+def test_an_instance_whose_permit_was_taken_promotes_no_database():
+    """Guards against two instances that both act on a loss as the permit's holder."""
+    databases, _, delegate = hold_election(authority=TakenAuthority())
+    assert databases.tokens == [] and databases.released == []
+    assert not delegate.reports
+
+
 def test_a_hold_for_a_later_term_is_not_ended():
     """Guards against a late release that ends the hold of the next election."""
     databases, _, delegate = hold_election("leads", held_term=3)
