Tell the nodes' connections to different databases apart in the soak's check of holds

Connections to different databases can have the same local port, and the check looked at the links to all of them.

It now looks at the links to the database in question, and only at their far ends.

--- a/beryltrack_bench/soak/links.py
+++ b/beryltrack_bench/soak/links.py
@@ -97,11 +97,9 @@
         return near
 
     def carries(self, port: int) -> bool:
-        """Return whether a connection from this local port passes through the link."""
-        transports = (side.transport for side in self.sides)
-        return any(
-            each is not None and each.getHost().port == port for each in transports
-        )
+        """Return whether the link has a connection to its target from a local port."""
+        far = (side.transport for side in self.sides if side.direction == TO_NODE)
+        return any(each is not None and each.getHost().port == port for each in far)
 
     def cut(self, *directions: str) -> None:
         """Hold all bytes in these directions."""
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -380,10 +380,9 @@
 
     def _find_node(self, session: DatabaseSession) -> str:
         """Return the name of the node that opened a connection to a database."""
-        port = session.transport.getPeer().port
-        links = (
-            (node.name, link) for node in self.nodes for link in node.links.values()
-        )
+        port, database = session.transport.getPeer().port, session.factory.database.name
+        # Connections to different databases can have the same local port.
+        links = ((node.name, node.links[database]) for node in self.nodes)
         return next((name for name, link in links if link.carries(port)), "")
 
     def _make_rewrite(self, node: str):
