Count a primary as replaced once a later term is known to have had one

Cause: the successor of a replaced primary restarted without its log. The view then took the replaced one, which continues in its own term, as the primary again.

Evidence: the nodes' logs, in docs/incidents/superseded-primary.md.

Change: where replaced primaries continue, the highest term that is known to have had a primary counts, from earlier reports or from an entry in any database's log. The view keeps that term, and no proof of an earlier one is accepted.

Why it works: an entry or a report of a later term shows that the earlier primary was replaced. The next election steps it down like any deposed primary, so that enough databases vote; without that no node held an election for 6 s.

--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -106,6 +106,16 @@
         """Number of databases that form a majority."""
         return compute_majority(len(self._databases))
 
+    @property
+    def _last_led_term(self) -> int:
+        """The highest term that is known to have had a primary.
+
+        That primary may have restarted without its log and its role. A log with an
+        entry of its term shows it to an instance that has started since.
+        """
+        logged = (item.received.term for item in self._databases.values())
+        return max(*self._leaders, *logged, 0)
+
     def is_recovering(self, database: str) -> bool:
         """Return whether a database has yet to receive again what it may have lost."""
         item = self._databases.get(database)
@@ -469,7 +479,7 @@
         needed, excluded = self.majority, ""
         if self._proof is LeadershipProof.WITNESSES and self.witness_count:
             needed, excluded = self.witness_count, self._leaders.get(term)
-            if excluded is None or term < max(self._leaders):
+            if excluded is None or term < self._last_led_term:
                 # Any database in the term may be its primary, or the term is over.
                 return
         times = sorted(
@@ -510,6 +520,9 @@
         primary = next((item.name for item in leaders if item.term == term), "")
         if later >= self.majority or self._leads_superseded_term(primary):
             primary = ""
+        if self._proof is LeadershipProof.WITNESSES and term < self._last_led_term:
+            # A replaced primary continues to lead its own term.
+            term, primary = self._last_led_term, ""
         is_newer = self._hint.term > max(item.term for item in databases)
         if is_newer and self._hint.primary in self._databases:
             term, primary = self._hint.term, self._hint.primary
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -191,6 +191,10 @@
 # were opened there by an earlier proof.
 # Seed 906, without fences: a RESUME that was sent late ended the hold of the next
 # election, and commits were lost; docs/incidents/lost-commits-late-release.md.
+# Seed 4011, forgetful: two nodes promoted at once, each as the holder of the permit;
+# docs/incidents/two-permit-holders.md.
+# Seed 4123, forgetful, without fences: nodes used a replaced primary whose successor
+# had restarted empty; docs/incidents/superseded-primary.md.
 @pytest.mark.parametrize(
     "words",
     [
@@ -204,6 +208,8 @@
         ("--seed", "342", "--seconds", "8", "--pauses", "--unfenced"),
         ("--seed", "905", "--seconds", "8", "--cuts", "--unfenced"),
         ("--seed", "906", "--seconds", "8", "--cuts", "--unfenced"),
+        ("--seed", "4011", "--seconds", "10", "--forgetful"),
+        ("--seed", "4123", "--seconds", "10", "--forgetful", "--unfenced"),
     ],
 )
 def test_real_processes_keep_the_promises_under_faults(words):
--- a/tests/groups/test_witnesses.py
+++ b/tests/groups/test_witnesses.py
@@ -111,3 +111,23 @@
     group.decider.observe_proof(Sample(LogPosition(1, 9), 3.0), 3.5)
     assert group.confirmed_at == 3.0
     assert group.decider.get_needed_position(2.5) == LogPosition(1, 9)
+
+
+def test_a_former_primary_leads_no_more_when_its_successor_restarts_empty():
+    """Guards against reads and writes at a primary that was replaced."""
+    group = Group()
+    group.observe("b", 2.0, PRIMARY, term=2, offset=9)
+    group.observe("b", 3.0, term=0, offset=0)
+    assert group.decider.is_recovering("b")
+    view = group.decider.view
+    assert (view.term, view.primary) == (2, "")
+
+
+def test_a_log_with_a_later_term_shows_that_a_primary_was_replaced():
+    """Guards against an instance that trusts a former primary since it has started."""
+    group = Group()
+    group.observe("c", 2.0, term=2, offset=9)
+    group.observe("b", 3.0)
+    view = group.decider.view
+    assert (view.term, view.primary) == (2, "")
+    assert group.confirmed_at == NEVER
