Abort a peer link only for what was queued since it was blocked

Callers could get an unknown outcome for all requests that were forwarded over a healthy link: one that had ever sent 8 MiB without being blocked was aborted by its first message to a full send buffer.

Cause: the link counted every byte that it sent and began anew only when a blocked link was writable again.

Change: bytes count while the link is blocked.

Elsewhere: the senders of object copies stop while they are blocked and queue nothing, callers' connections end by a time limit, loans keep 64 messages. No figure of links lost under forwarded load was measured.

--- a/beryltrack/peers/link.py
+++ b/beryltrack/peers/link.py
@@ -50,7 +50,7 @@
 """Maximum frame size after the peer is authenticated."""
 
 MAX_QUEUED_BYTES = 8 * 1024 * 1024
-"""Bytes sent since the send buffer last drained above which a blocked link aborts."""
+"""Bytes sent to a blocked link above which it aborts."""
 
 NORMAL_CLOSE_CODE = 1000
 """WebSocket status of an orderly close (RFC 6455)."""
@@ -102,6 +102,7 @@
         self._handshake = handshake
         self._counters: LinkCounters = counters
         self._timer = None
+        # Bytes sent since the link was blocked.
         self._queued_bytes = 0
         self._orderly = False
 
@@ -140,7 +141,7 @@
         self._handler.handle_link_closed(self, self._orderly)
 
     def send(self, message: Message) -> None:
-        """Send a message; abort the link if more than `MAX_QUEUED_BYTES` are queued.
+        """Send a message; abort a blocked link above `MAX_QUEUED_BYTES`.
 
         Parameters
         ----------
@@ -152,7 +153,7 @@
         self._counters.messages_sent += 1
         self._websocket.send_binary(encode_message(message))
         self._flush_output()
-        if self.is_blocked and self._queued_bytes > MAX_QUEUED_BYTES:
+        if self._queued_bytes > MAX_QUEUED_BYTES:
             log.warning(
                 "peers: the send queue to %s is full; aborting the link",
                 self._describe_peer(),
@@ -278,7 +279,8 @@
         for data in self._websocket.data_to_send():
             if data:
                 self._counters.bytes_sent += len(data)
-                self._queued_bytes += len(data)
+                if self.is_blocked:
+                    self._queued_bytes += len(data)
                 self.transport.write(data)
             else:
                 self._disconnect()
