Test that a silent store does not stop an election under a kept permit

The check of a kept permit waits for the store. The test fails if that wait has no limit: a primary would not be replaced during an outage of the store.

--- a/tests/failover/test_permits.py
+++ b/tests/failover/test_permits.py
@@ -121,6 +121,13 @@
         return Success(self.make_status(name))
 
 
+class SilentAuthority(Authority):
+    """Holds a permit; the store does not answer."""
+
+    async def confirm(self, group):
+        await Deferred()
+
+
 class SlowAuthority(Authority):
     """Issues permits; the first one arrives late."""
 
@@ -189,6 +196,13 @@
     assert not delegate.reports
 
 
+def test_a_kept_permit_serves_an_election_while_the_store_is_silent():
+    """Guards against a primary that is not replaced during an outage of the store."""
+    databases, _, delegate = hold_election("leads", authority=SilentAuthority())
+    assert databases.tokens == [1] and delegate.reports
+    assert "c" in databases.released
+
+
 def test_a_hold_for_a_later_term_is_not_ended():
     """Guards against a late release that ends the hold of the next election."""
     databases, _, delegate = hold_election("leads", held_term=3)
