Move the ends of holds into a module of their own

The requests that end holds, their time limit and their retries are in failover/holds.py; the permit under which they run stays with the elections. Background coroutines start in failover/background.py, which both use.

--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -5,24 +5,18 @@
 """
 
 import logging
-from collections.abc import Coroutine, Iterable
+from collections.abc import Iterable
 from random import Random
 from typing import Protocol
 
 from returns.result import Result, Success
-from twisted.internet.defer import (
-    CancelledError,
-    Deferred,
-    DeferredList,
-    TimeoutError,
-    gatherResults,
-)
+from twisted.internet.defer import Deferred, TimeoutError
 from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.task import deferLater
-from twisted.python.failure import Failure as TwistedFailure
 
 from beryltrack.clock import get_monotonic_clock
 from beryltrack.failover.authority import Permit, PromotionAuthority
+from beryltrack.failover.background import run_in_background
 from beryltrack.failover.decider import (
     DEFAULT_POLICY,
     FailoverDecider,
@@ -31,6 +25,7 @@
 )
 from beryltrack.failover.detector import FailureDetector, compute_primary_silence
 from beryltrack.failover.grants import collect_grants
+from beryltrack.failover.holds import HoldReleaser
 from beryltrack.failover.messages import Election, ElectionKind, FailoverReport
 from beryltrack.groups.adapter import DatabaseGroup, StatusWait
 from beryltrack.groups.messages import (
@@ -67,11 +62,6 @@
 STEP_DOWN_INTERVAL = 0.25
 MAX_STEP_DOWN_ATTEMPTS = 20
 
-# Seconds within which holds must be ended after an election, and between two attempts
-# at a database. A hold that is left is ended by a later election.
-RELEASE_TIMEOUT = 0.5
-RELEASE_INTERVAL = 0.05
-
 # Attempts to confirm the permit, seconds for which each waits for the store (a slow one
 # answers in 0.3 s), and seconds between two.
 MAX_CONFIRM_ATTEMPTS = 3
@@ -151,6 +141,7 @@
         self._group = group_settings.name
         self._databases = tuple(item.name for item in group_settings.databases)
         self._adapter = adapter
+        self._holds = HoldReleaser(reactor, group_settings.name, adapter)
         self._delegate = delegate
         self._policy = policy
         self._decider = FailoverDecider(
@@ -229,13 +220,13 @@
         self._busy = True
         is_loss = election.kind is not ElectionKind.HAND_OVER
         silence = compute_primary_silence(view, now) if is_loss else 0.0
-        self._running = _run_in_background(self._run_election(election, silence))
+        self._running = run_in_background(self._run_election(election, silence))
 
     def _prepare_authority(self) -> None:
         """Prepare the permit once for each election that becomes due."""
         was_due, self._was_due = self._was_due, self._decider.due > NEVER
         if self._authority is not None and self._was_due and not was_due:
-            _run_in_background(self._authority.prepare(self._group))
+            run_in_background(self._authority.prepare(self._group))
 
     def _schedule_decision(self, delay: float) -> None:
         """Decide again after `delay` seconds even without a new view; 0 cancels."""
@@ -335,7 +326,7 @@
             and election.non_voting_primary
         ):
             # It would otherwise keep accepting writes that cannot be confirmed.
-            _run_in_background(self._step_down(election))
+            run_in_background(self._step_down(election))
         if chosen is None or not await self._promote(election, chosen, replies):
             if not self._has_open_promotion:
                 await self._release_databases(
@@ -429,28 +420,12 @@
         return True
 
     async def _release_databases(self, term: int, databases: Iterable[str]) -> None:
-        """End the holds of an election, so that the databases follow their primary.
-
-        Another instance may hold the databases for the next term by now. So holds are
-        ended under a permit, which that instance would have taken, and within a time
-        limit, since a request can wait long for a database that is out of reach.
-        """
+        """End the holds of an election under the permit, if there is one."""
         if self._authority is None:
             return
         permit = await self._confirm_permit()
-        if permit is None:
-            return
-        now = self._seconds()
-        send_before = min(permit.valid_until, now + RELEASE_TIMEOUT)
-        releasing = gatherResults(
-            _run_in_background(self._release(database, term, send_before))
-            for database in databases
-        )
-        limit = deferLater(self._reactor, max(0.0, send_before - now))
-        try:
-            await DeferredList((releasing, limit), fireOnOneCallback=True)
-        finally:
-            limit.addErrback(_log_unexpected).cancel()
+        if permit is not None:
+            await self._holds.end(term, databases, permit)
 
     async def _acquire_election_permit(self, election: Election) -> Permit | None:
         """Return the permit of an election, None without one.
@@ -487,34 +462,6 @@
         """Return whether permits are kept and this instance holds none."""
         return self._keeps_permits and not self._authority.holds(self._group)
 
-    async def _release(self, database: str, term: int, send_before: float) -> None:
-        """End a database's hold unless it is for a later term; retry if it fails."""
-        while self._seconds() < send_before:
-            status = _get_status(await self._adapter.get_status(database))
-            if status is not None and not status.is_held:
-                return
-            if status is not None and status.term > term:
-                log.info(
-                    "failover: %s: %s is held for term %d; the election for term %d"
-                    " leaves it so.",
-                    self._group,
-                    database,
-                    status.term,
-                    term,
-                )
-                return
-            if status is not None:
-                released = await self._adapter.release(database, send_before)
-                if isinstance(released, Success):
-                    return
-            await deferLater(self._reactor, RELEASE_INTERVAL)
-        log.warning(
-            "failover: %s: %s was not released after the election for term %d.",
-            self._group,
-            database,
-            term,
-        )
-
     async def _acquire_permit(self, renew: bool) -> Permit | None:
         """Return the permit to promote, `NO_PERMIT` if none is needed, None if lacking.
 
@@ -551,9 +498,9 @@
         if self._stopped or not is_wanted:
             return
         if not self._authority.keeps_permits:
-            _run_in_background(self._authority.prepare(self._group))
+            run_in_background(self._authority.prepare(self._group))
             return
-        taking = _run_in_background(self._acquire_permit(False))
+        taking = run_in_background(self._acquire_permit(False))
         taking.addCallback(lambda _: self._schedule_permit(PERMIT_RETRY_INTERVAL))
 
     async def _prepare_hand_over(self, election: Election) -> bool:
@@ -600,20 +547,6 @@
         return False
 
 
-def _run_in_background(work: Coroutine) -> Deferred:
-    """Start a coroutine in the background; unexpected errors are logged."""
-    return Deferred.fromCoroutine(work).addErrback(_log_unexpected)
-
-
-def _log_unexpected(failure: TwistedFailure) -> None:
-    """Log an unexpected error of a background coroutine; ignore cancellation."""
-    if not failure.check(CancelledError):
-        log.error(
-            "failover: unexpected error in a background task: %s",
-            failure.getTraceback(),
-        )
-
-
 def _get_status(result: Result) -> DatabaseStatus | None:
     """Return the status of a result, or None if the request failed."""
     return result.value_or(None)
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -114,7 +114,7 @@
         entry of its term shows it to an instance that has started since.
         """
         logged = (item.received.term for item in self._databases.values())
-        return max(*self._leaders, *logged, 0)
+        return max((*self._leaders, *logged), default=0)
 
     def is_recovering(self, database: str) -> bool:
         """Return whether a database has yet to receive again what it may have lost."""
