Give a leaving database one time, however often it is dropped or restarts

Cause: the decider counted the time of a leaving primary from each moment at which it learned that the member leaves. A member that was dropped while it was dark and came back, or that restarted empty, counted anew.

Evidence: GroupDecider with a limit of 5.5 s. A member that leaves at 10.0, is dropped and is back at 17.0: it works until 22.5 before, 15.5 after. A restart at 15.0: until 17.75 before, 15.5 after.

Change: a departure is kept by the database's identifier, through drops, incarnations and restarts, until the database is known not to leave. Settings may date the report (DatabaseSettings.leaving_since). A member that left before the instance knew its group gets no work as the primary, instead of half of the time: its report may be of any age.

--- a/beryltrack/clock.py
+++ b/beryltrack/clock.py
@@ -4,11 +4,15 @@
 wall clock, as the reactor's own `seconds` does.
 """
 
+import math
 import time
 from collections.abc import Callable
 
 from twisted.internet.interfaces import IReactorCore
 
+NEVER = -math.inf
+"""Time of an event that has not happened, or of which nothing is known."""
+
 
 def get_monotonic_clock(reactor: object) -> Callable[[], float]:
     """Return the function that returns the instance's monotonic time in seconds.
--- a/beryltrack/daemon/groups.py
+++ b/beryltrack/daemon/groups.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred, gatherResults
 
 from beryltrack.connections.task import PoolTask
-from beryltrack.groups.task import GroupTask, get_draining
+from beryltrack.groups.task import GroupTask, get_draining, get_leaving_times
 from beryltrack.requests.losses import LossPolicy
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.settings.messages import (
@@ -114,7 +114,7 @@
             return
         elif _get_identity(runtime.settings) == _get_identity(group):
             runtime.settings = group
-            runtime.task.set_draining(get_draining(group))
+            runtime.task.set_draining(get_draining(group), get_leaving_times(group))
         elif self._group_factory.supports_member_changes and _differ_only_in_members(
             runtime.settings, group
         ):
@@ -211,5 +211,7 @@
 
 def _get_identity(group: GroupSettings) -> GroupSettings:
     """Return a group's settings without fields that may change while it runs."""
-    databases = tuple(item._replace(draining=False) for item in group.databases)
+    databases = tuple(
+        item._replace(draining=False, leaving_since=None) for item in group.databases
+    )
     return group._replace(databases=databases, max_age=0.0)
--- a/beryltrack/groups/decider.py
+++ b/beryltrack/groups/decider.py
@@ -9,6 +9,9 @@
 """
 
 import math
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import NamedTuple
 
 from beryltrack.groups.lagging import is_presumed_behind, record_applied, record_refusal
 from beryltrack.groups.messages import (
@@ -28,7 +31,17 @@
     get_database,
     has_applied,
 )
-from beryltrack.settings.incarnations import find_restarted
+from beryltrack.settings.incarnations import find_restarted, get_identifier
+
+DEPARTURE_RETENTION = 600.0
+"""Seconds for which the departure of a database that is no member any more is known."""
+
+
+class _Departure(NamedTuple):
+    """Since when a database leaves at the earliest, and when that was first known."""
+
+    since: float
+    known_at: float
 
 
 class GroupDecider:
@@ -46,6 +59,8 @@
         Evidence that proves the term of a primary.
     drain_limit : float
         Seconds for which a leaving primary gets new work; infinite for no limit.
+    leaving_since : mapping of str to float
+        For draining members, the earliest time at which they can have reported it.
     now : float
         The current time.
     """
@@ -57,9 +72,12 @@
         draining: frozenset[str] = frozenset(),
         proof: LeadershipProof = LeadershipProof.MAJORITY,
         drain_limit: float = math.inf,
+        leaving_since: Mapping[str, float] = MappingProxyType({}),
         now: float = 0.0,
     ):
         self._drain_limit = drain_limit
+        self._leaving_since = leaving_since
+        self._departures: dict[str, _Departure] = {}
         self._proof = proof
         self._leaders: dict[int, str] = {}
         self._last_statuses: dict[str, ReceivedStatus] = {}
@@ -384,6 +402,7 @@
             name: self._databases.get(name) or self._make_database(name, now)
             for name in databases
         }
+        self._forget_departures(now)
         self._last_statuses = {
             name: last
             for name, last in self._last_statuses.items()
@@ -420,9 +439,26 @@
             )
             self._view = None
 
-    def set_draining(self, draining: frozenset[str], now: float) -> None:
-        """Set which members an operator drains."""
+    def set_draining(
+        self,
+        draining: frozenset[str],
+        now: float,
+        leaving_since: Mapping[str, float] = MappingProxyType({}),
+    ) -> None:
+        """Set which members an operator drains.
+
+        Parameters
+        ----------
+        draining : frozenset of str
+            Their names.
+        now : float
+            The current time.
+        leaving_since : mapping of str to float
+            The earliest time at which they can have reported it; `now` for members
+            that are not listed.
+        """
         self._draining = draining
+        self._leaving_since = leaving_since
         self._databases = {
             name: self._set_leaving(item, item.reports_leaving or name in draining, now)
             for name, item in self._databases.items()
@@ -430,23 +466,51 @@
         self._view = None
 
     def _make_database(self, name: str, now: float) -> DatabaseView:
-        """Return the view of a member of which nothing is known but its settings.
-
-        For how long it has been leaving already is unknown: half of the limit remains.
-        """
+        """Return the view of a member of which nothing is known but its settings."""
+        item = DatabaseView(name)
         if name not in self._draining:
-            return DatabaseView(name)
-        works_until = now + self._drain_limit / 2
-        return DatabaseView(name, leaving=True, works_until=works_until)
+            return item
+        # Its report may be of any age, unless the settings date it.
+        return self._start_leaving(item, NEVER, now)
 
     def _set_leaving(
         self, item: DatabaseView, leaving: bool, now: float
     ) -> DatabaseView:
         """Return a member that leaves, or no longer does, from now on."""
-        if leaving == item.leaving:
-            return item
-        works_until = now + self._drain_limit if leaving else math.inf
-        return item._replace(leaving=leaving, works_until=works_until)
+        if leaving:
+            return item if item.leaving else self._start_leaving(item, now, now)
+        self._departures.pop(get_identifier(item.name), None)
+        return item._replace(leaving=False, works_until=math.inf)
+
+    def _start_leaving(
+        self, item: DatabaseView, default_since: float, now: float
+    ) -> DatabaseView:
+        """Return a member that leaves, with the end of its time as the primary.
+
+        A member that was dropped or has restarted since its report gets no more time
+        than before.
+        """
+        identifier = get_identifier(item.name)
+        before = self._departures.get(identifier)
+        since = self._leaving_since.get(
+            item.name, default_since if before is None else before.since
+        )
+        if before is None:
+            self._departures[identifier] = _Departure(since, now)
+        else:
+            since = min(since, before.since)
+        is_limited = self._drain_limit < math.inf
+        works_until = since + self._drain_limit if is_limited else math.inf
+        return item._replace(leaving=True, works_until=works_until)
+
+    def _forget_departures(self, now: float) -> None:
+        """Forget the departures of databases that were dropped long ago."""
+        members = set(map(get_identifier, self._databases))
+        self._departures = {
+            identifier: departure
+            for identifier, departure in self._departures.items()
+            if identifier in members or now < departure.known_at + DEPARTURE_RETENTION
+        }
 
     def learn_view(self, view: GroupView) -> None:
         """Use another instance's view as a hint of the primary, not as a proof.
--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -7,8 +7,9 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
+from types import MappingProxyType
 
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred
@@ -114,7 +115,13 @@
         self._policy = policy or make_probe_policy(group_settings.lost_after)
         self._detector = detector or FixedTimeoutDetector(group_settings.lost_after)
         self._decider = GroupDecider(
-            group_settings.name, names, draining, proof, drain_limit, self._seconds()
+            group_settings.name,
+            names,
+            draining,
+            proof,
+            drain_limit,
+            get_leaving_times(group_settings),
+            self._seconds(),
         )
         self._commits = PendingCommits(reactor, len(names))
         self._watches = GroupWatches(reactor, adapter, self, names)
@@ -181,9 +188,13 @@
         self._waiters.stop()
         self._confirmations.stop()
 
-    def set_draining(self, draining: frozenset[str]) -> None:
-        """Set which databases an operator drains."""
-        self._decider.set_draining(draining, self._seconds())
+    def set_draining(
+        self,
+        draining: frozenset[str],
+        leaving_since: Mapping[str, float] = MappingProxyType({}),
+    ) -> None:
+        """Set which databases an operator drains; see `GroupDecider.set_draining`."""
+        self._decider.set_draining(draining, self._seconds(), leaving_since)
         self._report_view()
 
     def set_databases(self, group_settings: GroupSettings) -> None:
@@ -197,7 +208,11 @@
         names = tuple(item.name for item in group_settings.databases)
         self._adapter.set_databases(group_settings.databases)
         restarted = self._decider.set_databases(names, self._seconds())
-        self._decider.set_draining(get_draining(group_settings), self._seconds())
+        self._decider.set_draining(
+            get_draining(group_settings),
+            self._seconds(),
+            get_leaving_times(group_settings),
+        )
         self._commits.set_databases(names)
         self._failover.set_databases(names)
         self._schedule.keep_databases(names)
@@ -638,3 +653,12 @@
 def get_draining(group_settings: GroupSettings) -> frozenset[str]:
     """Return the names of the databases that an operator drains."""
     return frozenset(item.name for item in group_settings.databases if item.draining)
+
+
+def get_leaving_times(group_settings: GroupSettings) -> dict[str, float]:
+    """Return since when at the earliest databases leave, where that is known."""
+    return {
+        item.name: item.leaving_since
+        for item in group_settings.databases
+        if item.draining and item.leaving_since is not None
+    }
--- a/beryltrack/groups/view.py
+++ b/beryltrack/groups/view.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
+from beryltrack.clock import NEVER
 from beryltrack.groups.lagging import Lag
 from beryltrack.groups.messages import (
     NO_POSITION,
@@ -20,9 +21,6 @@
 )
 from beryltrack.groups.positions import covers
 
-NEVER = -math.inf
-"""Time of an event that has not happened."""
-
 
 class DatabaseView(NamedTuple):
     """What one instance knows of one database.
--- a/beryltrack/settings/messages.py
+++ b/beryltrack/settings/messages.py
@@ -42,6 +42,9 @@
         Number of statements that it runs concurrently.
     draining : bool
         True if it must receive no new work and must not be the primary.
+    leaving_since : float or None
+        If it drains, the earliest time of the instance's clock at which it can have
+        reported that; None if that is not known.
     """
 
     name: str
@@ -50,6 +53,7 @@
     max_connections: int
     slots: int
     draining: bool
+    leaving_since: float | None = None
 
 
 class GroupSettings(NamedTuple):
--- a/tests/settings/test_reference.py
+++ b/tests/settings/test_reference.py
@@ -29,12 +29,13 @@
 
 def test_options_and_fields_correspond():
     by_path = {"name", "team"}
-    for options, kind in (
-        (GROUPS.options, GroupSettings),
-        (RULES.options, RuleSettings),
-        (DATABASE_OPTIONS, DatabaseSettings),
-        (INSTANCE.options, InstanceSettings),
+    # The instance itself dates the reports of databases.
+    for options, kind, others in (
+        (GROUPS.options, GroupSettings, by_path),
+        (RULES.options, RuleSettings, by_path),
+        (DATABASE_OPTIONS, DatabaseSettings, {"leaving_since"}),
+        (INSTANCE.options, InstanceSettings, set()),
     ):
         names = {option.name for option in options}
         assert names - set(kind._fields) == set()
-        assert set(kind._fields) - names <= by_path
+        assert set(kind._fields) - names == others
