Refuse the requests that wait for a leaving primary when its time is over

Cause: the time was asked for when a database was chosen, and not again. The pool of a leaving primary stayed open for as long as it led, and nothing happened at the end of its time.

Change: the runtime drains the pool when the time ends, as it does for a leaving replica at once. All waits at a database pass through its pool: the gate, relayed sessions, lent connections and connections that are opening. A waiting request looks for another target or is refused as not run; open transactions may end. It is logged.

By this the suspected paths without a choice are struck off: retries choose a target anew; a wait for a replica ends at a pool that is drained once the replica leaves (tests/connections); a statement outside of a transaction never keeps a connection.

Test that failed before: test_runtime.py ..that_waits_is_refused_as_the_time_of_a_leaving..

--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -1,18 +1,23 @@
 """The running tasks of one group: its monitoring, its pools and their updates."""
 
+import logging
+import math
 from collections.abc import Callable
 
 from twisted.internet.defer import Deferred
 
+from beryltrack.clock import get_monotonic_clock
 from beryltrack.connections.task import PoolTask
 from beryltrack.groups.task import GroupTask
-from beryltrack.groups.view import GroupView
+from beryltrack.groups.view import DatabaseView, GroupView
 from beryltrack.load.messages import DEFAULT_DEMAND, Demand
 from beryltrack.requests.losses import DEFAULT_POLICY, LossPolicy, LossWatch
 from beryltrack.routing.messages import TargetLoad
 from beryltrack.routing.refresh import AgeRefresher
 from beryltrack.settings.messages import DatabaseSettings, GroupSettings
 
+log = logging.getLogger(__name__)
+
 RECHECK_PERIOD = 0.02
 """Seconds after which a waiting request checks the view again without a reported
 change: the proofs in a view are updated without a report."""
@@ -55,6 +60,8 @@
         self._waiting: list[Deferred[None]] = []
         self._drained: set[str] = set()
         self._reachable: frozenset[str] = frozenset()
+        self._seconds = get_monotonic_clock(reactor)
+        self._end_checked_at = math.inf
         self._losses = LossWatch(reactor, task, pools, losses)
         self._refresher = AgeRefresher(reactor, task, SAMPLE_TIMEOUT)
         task.subscribe(self._handle_change)
@@ -141,12 +148,35 @@
         self._end_backoffs(view)
         members = (item for item in view.databases if item.name in self.pools)
         for database in members:
-            wants_work = not database.leaving or database.name == view.primary
+            leads = database.name == view.primary
+            wants_work = not database.leaving or (leads and self._has_time(database))
+            if leads and not wants_work and database.name not in self._drained:
+                log.info(
+                    "requests: %s, primary of %s, leaves and gets no more requests.",
+                    database.name,
+                    self.settings.name,
+                )
             self._set_draining(database.name, not wants_work)
         waiting, self._waiting = self._waiting, []
         for deferred in waiting:
             deferred.callback(None)
 
+    def _has_time(self, primary: DatabaseView) -> bool:
+        """Return whether a leaving primary may still get work; check again at its end.
+
+        A request that was sent here in time may still wait for a connection then.
+        """
+        left = primary.works_until - self._seconds()
+        if 0.0 < left < math.inf and self._end_checked_at != primary.works_until:
+            self._end_checked_at = primary.works_until
+            self._reactor.callLater(left, self._end_work)
+        return left > 0.0
+
+    def _end_work(self) -> None:
+        """Drain the pool of a primary whose time is over, so that no request waits."""
+        self._end_checked_at = math.inf
+        self._handle_change(self.view)
+
     def _end_backoffs(self, view: GroupView) -> None:
         """End the back-off of the pools of databases that are reachable again."""
         before = self._reachable
--- a/tests/requests/test_runtime.py
+++ b/tests/requests/test_runtime.py
@@ -5,7 +5,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from beryltrack.connections.messages import PoolRefused
+from beryltrack.connections.messages import PoolRefused, RefusalReason
 from beryltrack.connections.pool_policy import PoolPolicy
 from beryltrack.connections.task import PoolTask
 from beryltrack.groups.view import DatabaseView, GroupView
@@ -27,8 +27,9 @@
     def subscribe(self, callback):
         self.callbacks.append(callback)
 
-    def show(self, reachable):
-        self.view = GroupView("g", databases=(DatabaseView("d", reachable=reachable),))
+    def show(self, reachable, primary="", **fields):
+        database = DatabaseView("d", reachable=reachable, **fields)
+        self.view = GroupView("g", 1, primary, databases=(database,))
         for callback in self.callbacks:
             callback(self.view)
 
@@ -59,3 +60,21 @@
     task.show(False)
     task.show(True)
     assert acquire(clock, pool) is target.connections[0]
+
+
+def test_a_request_that_waits_is_refused_as_the_time_of_a_leaving_primary_ends():
+    """Guards against a request that was sent here in time and runs long after it."""
+    clock, target, task = Clock(), FakeTarget(), StubTask()
+    policy, rng = PoolPolicy(refuses_early=False), random.Random(1)
+    pool = PoolTask(clock, DATABASE, target.connect, policy, 1, rng)
+    GroupRuntime(clock, GROUP, task, {"d": pool})
+    task.show(True, "d", leaving=True, works_until=5.0)
+    held, refused = acquire(clock, pool), []
+    pool.acquire(9.0).addErrback(lambda failure: refused.append(failure.value))
+    clock.advance(4.9)
+    assert not refused
+    clock.advance(0.2)
+    assert refused[0].refusal.reason is RefusalReason.LEAVING
+    pool.release(held, True)
+    with pytest.raises(PoolRefused):
+        acquire(clock, pool)
