Date the reports of leaving databases from what the store answered before

Cause: an instance counted from when it heard of a report, the promise from the store's acknowledgement. What delays the news (a watch that went silent, a store or a link that was cut, a pause of the process, a start) took from a margin of 1.5 s, and the wait of a watch alone is up to 4.7 s. A database whose entry was gone got the grace for missing entries on top.

Change: a feed knows the time up to which it knows all changes: when it sent the last list or watch that was answered, or the end of a watch that brought nothing. What it learns later was changed after that, whatever delayed it, so a report is dated from there, and a missing entry as well; no clock but the instance's own is needed. The roster keeps the date of the first report through a crash. A watch of the databases waits for at most 2 s, so that this takes little of the time; the margin is 0.5 s.

Weighed: the revision of the entry (says nothing of time), its heartbeat number (does not show when the state changed), the time that peers know (has to be asked for, and they may be cut off as well).

Tests that failed before: test_feed.py ..is_dated_from_the_answer_before_it and the two after it; test_roster.py ..leaves_since_its_first_report.., ..since_its_entry_was_last_there.

--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -247,24 +247,28 @@
                 kind,
                 callback,
                 rng,
-                compute_watch_timeout(limit),
+                watch_timeout,
                 batch_delay,
             )
-            for kind, callback, limit, batch_delay in (
+            for kind, callback, watch_timeout, batch_delay in (
                 (
                     CONFIG_KIND,
                     self._handle_configuration,
-                    settings.change_limit,
+                    compute_watch_timeout(settings.change_limit),
                     options.SETTINGS_BATCH_DELAY,
                 ),
                 (
                     DATABASES_KIND,
                     self._handle_databases,
-                    settings.drain_limit,
+                    min(
+                        compute_watch_timeout(settings.drain_limit),
+                        options.MAX_DATABASES_WATCH,
+                    ),
                     options.DATABASES_BATCH_DELAY,
                 ),
             )
         ]
+        _, self._databases_feed = self._feeds
         self._overdue = OverdueWatch(
             reactor,
             self._seconds,
@@ -464,18 +468,22 @@
         """Handle a new list of the databases."""
         pairs = [read_entry(item) for item in objects.values()]
         self._rejects.report(finding for _, findings in pairs for finding in findings)
-        entries = tuple(entry for entry, _ in pairs if entry is not None)
+        changed_after = map(self._databases_feed.get_changed_after, objects)
+        entries = tuple(
+            entry._replace(changed_after=time)
+            for (entry, _), time in zip(pairs, changed_after, strict=True)
+            if entry is not None
+        )
         era = get_latest_era(item.version for item in objects.values())
-        self._site.update_databases(entries, era)
+        self._site.update_databases(entries, era, self._databases_feed.removed_after)
         self._apply()
 
     def _get_snapshot(self) -> Snapshot:
         """Return the copies of the store's objects that this instance works with."""
-        _, databases = (feed.objects for feed in self._feeds)
         copies = {
             # A store restored from a backup may have older settings for a while.
             CONFIG_KIND: self._configuration_objects,
-            DATABASES_KIND: databases,
+            DATABASES_KIND: self._databases_feed.objects,
             MEMBERS_KIND: self._members.objects,
         }
         return {
--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -175,9 +175,13 @@
 register within two seconds of a start, each change costs a call of each instance, and a
 draining one still serves for 7 s."""
 
-DRAIN_MARGIN = 1.5
-"""Seconds before the limit of draining from which a leaving primary gets no new work:
-its report is known up to one batch delay later."""
+MAX_DATABASES_WATCH = 2.0
+"""Upper bound of the wait of a watch of the databases, seconds. The report that one
+leaves counts from the end of the watch before: a longer wait leaves it less time."""
+
+DRAIN_MARGIN = 0.5
+"""Seconds before the limit of draining from which a leaving primary gets no new work: a
+statement may be under way, or the instance be busy, for a while."""
 
 STALL_LIMIT = 10.0
 """Seconds that a caller may leave an answer unread."""
--- a/beryltrack/daemon/node_site.py
+++ b/beryltrack/daemon/node_site.py
@@ -61,9 +61,11 @@
         self._configuration = configuration
         return True
 
-    def update_databases(self, entries: tuple[RosterEntry, ...], era: int) -> None:
-        """Set the databases, and the era of the store that lists them."""
-        self._roster.observe(entries, self._seconds(), era)
+    def update_databases(
+        self, entries: tuple[RosterEntry, ...], era: int, removed_after: float
+    ) -> None:
+        """Set the databases; see `Roster.observe`."""
+        self._roster.observe(entries, self._seconds(), era, removed_after)
         self._has_roster = True
 
     def apply(self, now: float) -> SiteSettings:
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -15,7 +15,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
 
-from beryltrack.clock import get_monotonic_clock
+from beryltrack.clock import NEVER, get_monotonic_clock
 from beryltrack.objects.backoff import compute_delay
 from beryltrack.objects.eras import format_version, get_era
 from beryltrack.objects.messages import (
@@ -125,6 +125,8 @@
         self._batch_delay = batch_delay
         self._rng = rng
         self._objects: dict[str, PlatformObject] = {}
+        self._changed_after: dict[str, float] = {}
+        self._complete_at = self._published_complete_at = NEVER
         self._revision: int | None = None
         self._answered_at = self._seconds()
         self._failures = 0
@@ -173,11 +175,28 @@
         """True if the last call failed for any reason."""
         return self._failures > 0
 
+    @property
+    def complete_at(self) -> float:
+        """Time up to which all changes are known; `NEVER` before a list.
+
+        A change that is learned later was made after it, whatever delayed the news.
+        """
+        return self._complete_at
+
+    @property
+    def removed_after(self) -> float:
+        """Time after which the objects were deleted that the last change deleted."""
+        return self._published_complete_at
+
     @property
     def silence(self) -> float:
         """Seconds since the last answer for this kind, or since the start."""
         return self._seconds() - self._answered_at
 
+    def get_changed_after(self, path: str) -> float:
+        """Return a time after which an object was last changed; `NEVER` if unknown."""
+        return self._changed_after.get(path, NEVER)
+
     def start(self) -> None:
         """Start to list and watch the objects."""
         self._loop = Deferred.fromCoroutine(self._run())
@@ -204,7 +223,11 @@
                 resumed.callback(None)
 
     def apply_copy(
-        self, revision: int, objects: tuple[PlatformObject, ...], is_complete: bool
+        self,
+        revision: int,
+        objects: tuple[PlatformObject, ...],
+        is_complete: bool,
+        complete_at: float = NEVER,
     ) -> None:
         """Apply objects that another instance forwards from the store.
 
@@ -217,6 +240,8 @@
             All objects, or those that have changed.
         is_complete : bool
             True if `objects` are all objects of the kind.
+        complete_at : float
+            Time up to which that instance is known to know all changes.
         """
         if revision < self.revision or (not is_complete and self._revision is None):
             return
@@ -228,6 +253,7 @@
             self._revision, self._must_list = revision, False
         else:
             self._apply_list(found)
+        self._complete_at = max(self._complete_at, complete_at)
 
     def stop(self) -> None:
         """Stop all calls."""
@@ -272,16 +298,22 @@
 
     async def _call_store(self) -> Result[ObjectList, PlatformError]:
         """Make one call, a list or a watch, and apply its answer."""
+        sent_at = self._seconds()
         if self._must_list:
             result = await self._source.list(self._kind)
             if isinstance(result, Success):
                 self._apply_list(result.unwrap())
+                self._complete_at = max(self._complete_at, sent_at)
             return result
         timeout = RELIST_DELAY if self._must_relist else self._watch_timeout
         result = await self._source.watch(self._kind, self._revision, timeout)
         if isinstance(result, Success):
             # Another instance may have forwarded later changes since the call was sent.
             self._apply_changes(result.unwrap(), known_until=self.revision)
+            # The store waits before it answers that there is no change.
+            waited = 0.0 if result.unwrap().objects else timeout
+            complete_at = min(sent_at + waited, self._seconds())
+            self._complete_at = max(self._complete_at, complete_at)
             if self._must_relist:
                 self._must_relist, self._must_list = False, True
         return result
@@ -299,6 +331,9 @@
             )
             return
         objects = {item.path: item for item in found.objects}
+        self._changed_after = {
+            path: self._get_change_time(item) for path, item in objects.items()
+        }
         if self._revision and get_era(found.revision) > get_era(self._revision):
             self._log_restore(found.revision, objects)
         self._revision, self._objects = found.revision, objects
@@ -339,14 +374,24 @@
                 continue
             if item.deleted:
                 objects.pop(item.path, None)
+                self._changed_after.pop(item.path, None)
             else:
+                self._changed_after[item.path] = self._get_change_time(item)
                 objects[item.path] = item
         if found.objects:
             self._objects = objects
             self._publish()
 
+    def _get_change_time(self, item: PlatformObject) -> float:
+        """Return a time after which an object got the version that was received."""
+        known = self._objects.get(item.path)
+        if known is not None and known.version == item.version:
+            return self.get_changed_after(item.path)
+        return self._complete_at
+
     def _publish(self) -> None:
         """Pass the objects on; an exception of the callback is logged."""
+        self._published_complete_at = self._complete_at
         try:
             self._callback(self._objects)
         except Exception:
--- a/beryltrack/settings/roster.py
+++ b/beryltrack/settings/roster.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple
 
 from beryltrack.accounts.messages import AccountSettings
+from beryltrack.clock import NEVER
 from beryltrack.settings.incarnations import get_identifier, get_start_time
 from beryltrack.settings.messages import (
     DatabaseSettings,
@@ -60,6 +61,9 @@
         Number of statements that it runs concurrently.
     draining : bool
         True if it is about to leave and must receive no new work.
+    changed_after : float
+        Time of the instance's clock after which the entry was last changed; `NEVER`
+        if that is not known.
     """
 
     name: str
@@ -68,6 +72,7 @@
     zone: str
     slots: int
     draining: bool
+    changed_after: float = NEVER
 
 
 class GroupLimits(NamedTuple):
@@ -111,16 +116,30 @@
 
 
 class _KnownEntry(NamedTuple):
-    """An entry, the time since when it is missing (None if present), and its era."""
+    """An entry and what is known of it.
+
+    `missing_since` is None for one that is present. `leaving_since` is the earliest
+    time at which its database can have reported that it drains, or can have lost its
+    entry; None if it has done neither.
+    """
 
     entry: RosterEntry
     missing_since: float | None
     era: int = 0
+    leaving_since: float | None = None
 
     def mark_missing(self, now: float) -> "_KnownEntry":
         """Return the entry marked as missing since `now`."""
         return self._replace(missing_since=now)
 
+    def mark_leaving(self, since: float) -> "_KnownEntry":
+        """Return the entry as leaving since then, unless it already was."""
+        return (
+            self
+            if self.leaving_since is not None
+            else self._replace(leaving_since=since)
+        )
+
 
 class Roster:
     """The databases of all groups, as registered in the store."""
@@ -131,9 +150,26 @@
         self._older_since: dict[str, float] = {}
 
     def observe(
-        self, entries: tuple[RosterEntry, ...], now: float, era: int = 0
+        self,
+        entries: tuple[RosterEntry, ...],
+        now: float,
+        era: int = 0,
+        removed_after: float | None = None,
     ) -> None:
-        """Record all entries that the store has at `now`, and the store's era."""
+        """Record all entries that the store has.
+
+        Parameters
+        ----------
+        entries : tuple of RosterEntry
+            The entries.
+        now : float
+            The current time.
+        era : int
+            The store's era.
+        removed_after : float or None
+            Time after which entries that are newly missing were removed; None for
+            `now`.
+        """
         if era > self._era:
             # After a restore, entries have the whole grace period to return.
             self._era, self._older_since = era, {}
@@ -145,15 +181,35 @@
             self._select_current(_KnownEntry(entry, None, era), now)
             for entry in map(self._restore_name, entries)
         ]
-        present = {known.entry.name: known for known in reported}
+        present = {known.entry.name: self._date_departure(known) for known in reported}
         identifiers = {get_identifier(name) for name in present}
+        removed_after = now if removed_after is None else removed_after
         missing = {
-            name: known if known.missing_since is not None else known.mark_missing(now)
+            name: known
+            if known.missing_since is not None
+            else known.mark_missing(now).mark_leaving(removed_after)
             for name, known in self._known.items()
             if get_identifier(name) not in identifiers
         }
         self._known = present | missing
 
+    def _date_departure(self, known: _KnownEntry) -> _KnownEntry:
+        """Return a present entry with the time since when its database leaves.
+
+        A database that crashed while it left, and is back, still leaves since its first
+        report.
+        """
+        if not known.entry.draining:
+            return known._replace(leaving_since=None)
+        identifier = get_identifier(known.entry.name)
+        earlier = (
+            before.leaving_since
+            for before in self._known.values()
+            if get_identifier(before.entry.name) == identifier
+            and before.leaving_since is not None
+        )
+        return known.mark_leaving(min(earlier, default=known.entry.changed_after))
+
     def _select_current(self, reported: _KnownEntry, now: float) -> _KnownEntry:
         """Return the known entry if the reported one is older and of a new era.
 
@@ -204,6 +260,10 @@
         members = fresh + [entry._replace(draining=True) for entry in retained]
         return tuple(sorted(members))
 
+    def get_leaving_since(self, entry: RosterEntry) -> float | None:
+        """Return since when at the earliest a member leaves; None if it does not."""
+        return self._known[entry.name].leaving_since if entry.draining else None
+
     def _is_expired(self, entry: RosterEntry, now: float) -> bool:
         """Return whether a missing entry is no longer a member."""
         return now >= self._known[entry.name].missing_since + MEMBER_EXPIRY
@@ -255,8 +315,7 @@
         Groups without databases are omitted.
     """
     groups = (
-        _make_group(limits, roster.get_members(limits.name, now), lost_after)
-        for limits in configuration.groups
+        _make_group(limits, roster, lost_after, now) for limits in configuration.groups
     )
     return SiteSettings(
         configuration.version,
@@ -269,7 +328,7 @@
 
 
 def _make_group(
-    limits: GroupLimits, members: tuple[RosterEntry, ...], lost_after: float
+    limits: GroupLimits, roster: Roster, lost_after: float, now: float
 ) -> GroupSettings:
     """Return the settings of one group."""
     databases = tuple(
@@ -280,7 +339,8 @@
             limits.max_connections,
             entry.slots,
             entry.draining,
+            roster.get_leaving_since(entry),
         )
-        for entry in members
+        for entry in roster.get_members(limits.name, now)
     )
     return GroupSettings(limits.name, "", databases, "", "", 0.0, lost_after)
--- a/tests/objects/test_feed.py
+++ b/tests/objects/test_feed.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from beryltrack.clock import NEVER
 from beryltrack.objects.feed import RELIST_DELAY, FeedTask, compute_watch_timeout
 from beryltrack.objects.messages import (
     ErrorKind,
@@ -147,3 +148,41 @@
     store.feed.stop()
     clock.advance(10.0)
     assert store.lists == len(store.watches) == 1 and not caplog.records
+
+
+def test_a_change_is_dated_from_the_answer_before_it():
+    """Guards against late news, as of a silent store, that count from their arrival."""
+    clock, store, _ = start_feed()
+    assert store.feed.get_changed_after("kind/a") == NEVER
+    clock.advance(4.0)
+    store.watches[0][2].callback(make_list(1))
+    clock.advance(1.0)
+    store.watches[1][2].callback(CUT)
+    store.listed = make_list(9, 9)
+    clock.advance(2.0)
+    assert store.feed.get_changed_after("kind/a") == 4.0
+
+
+def test_an_object_that_is_listed_again_keeps_the_time_of_its_change():
+    """Guards against a list after each failure that makes old reports new."""
+    clock, store, _ = start_feed()
+    clock.advance(4.0)
+    store.watches[0][2].callback(make_list(1))
+    store.watches[1][2].callback(make_list(2, 2))
+    clock.advance(5.0)
+    store.listed = make_list(9, 2)
+    store.watches[2][2].callback(CUT)
+    clock.advance(1.0)
+    assert store.feed.get_changed_after("kind/a") == 4.0
+
+
+def test_deletions_are_dated_from_the_answer_before_them():
+    """Guards against a database that is gone and counts from when that is heard."""
+    clock, store, _ = start_feed()
+    clock.advance(3.0)
+    store.watches[0][2].callback(make_list(2, 2))
+    clock.advance(6.0)
+    gone = PlatformObject("kind/a", 3, None, True)
+    store.watches[1][2].callback(Success(ObjectList(3, (gone,))))
+    assert store.feed.removed_after == 0.0
+    assert store.feed.complete_at == 3.0
--- a/tests/settings/test_roster.py
+++ b/tests/settings/test_roster.py
@@ -156,3 +156,29 @@
     assert roster.get_members("main", 1.0 + MISSING_GRACE - 0.1) == (leaving, B, C)
     roster.observe((A, B, C), 1.0 + MISSING_GRACE, era=2)
     assert roster.get_members("main", 1.0 + MISSING_GRACE) == (A, B, C)
+
+
+def get_leaving_times(roster, now):
+    members = roster.get_members("main", now)
+    return [roster.get_leaving_since(entry) for entry in members]
+
+
+def test_a_database_leaves_since_its_first_report_also_after_a_crash():
+    """Guards against a leaving database that crashes, returns and counts anew."""
+    roster = Roster()
+    leaving = make_entry("a", draining=True)._replace(changed_after=7.0)
+    roster.observe((leaving, B, C), 10.0)
+    roster.observe((B, C), 12.0, removed_after=11.0)
+    assert get_leaving_times(roster, 12.0) == [7.0, None, None]
+    roster.observe((leaving._replace(changed_after=13.0), B, C), 14.0)
+    assert get_leaving_times(roster, 14.0) == [7.0, None, None]
+    roster.observe((A, B, C), 15.0)
+    assert get_leaving_times(roster, 15.0) == [None, None, None]
+
+
+def test_a_missing_database_leaves_since_its_entry_was_last_there():
+    """Guards against a grace that adds to the time of a database that is gone."""
+    roster = Roster()
+    roster.observe((A, B), 0.0)
+    roster.observe((B,), 5.0, removed_after=2.0)
+    assert get_leaving_times(roster, 5.0 + MISSING_GRACE) == [2.0, None]
