Tell followers up to when their watcher knows all changes

Cause: a follower hears of a leaving database by way of a watcher, which may itself hear late, over a link that may stall.

Change: a frame carries the watcher's time up to which it knows all changes, and the time of its sending, both by its own clock. The first frame of a link is sent after the follower began to open it, which bounds the difference of the clocks from one side: the converted time is never too late, however long frames are under way. An encoded frame is reused for 0.1 s only.

Tests: test_copies.py ..however_late_a_frame_arrives, ..of_an_earlier_release.. (new behaviour; they do not run on the code before).

--- a/beryltrack/objects/copies.py
+++ b/beryltrack/objects/copies.py
@@ -19,6 +19,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
+from beryltrack.clock import NEVER, get_monotonic_clock
 from beryltrack.objects.eras import get_era, get_revision, make_version
 from beryltrack.objects.feed import FeedTask
 from beryltrack.objects.messages import PlatformObject
@@ -35,6 +36,9 @@
 MAX_FRAME_BYTES = 8 << 20
 """Largest frame, bytes; all objects of 400 routes and 40 databases have 0.1 MB."""
 
+FRAME_REUSE_TIME = 0.1
+"""Seconds for which an encoded frame is sent to further followers."""
+
 _CBOR_ARRAY = 0x80
 """First byte of a CBOR array of up to 23 items, without their number."""
 
@@ -54,6 +58,11 @@
         True if these are all objects, False if only changed ones.
     objects : tuple of PlatformObject
         The objects.
+    sent_at : float
+        Time of the watcher's clock, at the earliest, at which it sends the frame.
+    complete_at : float
+        Time up to which it knows all changes, by its own clock. A receiver converts it
+        to the follower's clock.
     """
 
     kind: str
@@ -61,6 +70,8 @@
     is_live: bool
     is_complete: bool
     objects: tuple[PlatformObject, ...]
+    sent_at: float = 0.0
+    complete_at: float = NEVER
 
 
 def encode_frames(frames: tuple[CopyFrame, ...]) -> bytes:
@@ -72,8 +83,9 @@
     """Return one encoded frame."""
     version = [get_era(frame.revision), get_revision(frame.revision)]
     objects = [list(item) for item in frame.objects]
+    times = (frame.sent_at, frame.complete_at)
     return cbor2.dumps(
-        [frame.kind, *version, frame.is_live, frame.is_complete, objects]
+        [frame.kind, *version, frame.is_live, frame.is_complete, objects, *times]
     )
 
 
@@ -106,10 +118,12 @@
             bool() as live,
             bool() as complete,
             list() as items,
-        ]:
+            *times,
+        ] if not times or list(map(type, times)) == [float, float]:
             objects = tuple(item for item in map(decode_object, items) if item)
             version = make_version(era, revision)
-            return CopyFrame(kind, version, live, complete, objects)
+            # An earlier release sends no times.
+            return CopyFrame(kind, version, live, complete, objects, *times)
     raise ValueError("a frame is malformed")
 
 
@@ -123,12 +137,15 @@
     current: Objects
     revision: int
     is_live: bool
+    made_at: float
     data: bytes
 
-    def matches(self, feed: FeedTask, known: Objects | None) -> bool:
+    def matches(self, feed: FeedTask, known: Objects | None, now: float) -> bool:
         """Return whether a follower that knows `known` needs this same frame."""
         is_same = (self.revision, self.is_live) == (feed.revision, feed.is_live)
-        return is_same and self.known is known and self.current is feed.objects
+        is_recent = now < self.made_at + FRAME_REUSE_TIME
+        has_same_objects = self.known is known and self.current is feed.objects
+        return is_same and is_recent and has_same_objects
 
 
 class CopySender(Int32StringReceiver):
@@ -192,7 +209,7 @@
         self._sent |= {feed.kind: feed.objects for feed in feeds}
 
 
-def make_frame(feed: FeedTask, known: Objects | None) -> CopyFrame:
+def make_frame(feed: FeedTask, known: Objects | None, now: float = 0.0) -> CopyFrame:
     """Return the frame for a follower that knows `known`, None if it knows nothing."""
     current, previous = feed.objects, known or {}
     changed: tuple[PlatformObject, ...] = ()
@@ -204,7 +221,15 @@
             if path not in current
         )
         changed = (*new, *deleted)
-    return CopyFrame(feed.kind, feed.revision, feed.is_live, known is None, changed)
+    return CopyFrame(
+        feed.kind,
+        feed.revision,
+        feed.is_live,
+        known is None,
+        changed,
+        now,
+        feed.complete_at,
+    )
 
 
 class CopyPublisher(Factory):
@@ -222,6 +247,7 @@
 
     def __init__(self, reactor, feeds: tuple[FeedTask, ...]):
         self.links: set[CopySender] = set()
+        self._seconds = get_monotonic_clock(reactor)
         self._feeds = feeds
         self._last_encoded: dict[str, _EncodedFrame] = {}
         self._heartbeat = LoopingCall(self._send_heartbeat)
@@ -248,10 +274,12 @@
 
     def encode(self, feed: FeedTask, known: Objects | None) -> bytes:
         """Return the encoded frame for a follower that knows `known`."""
-        last = self._last_encoded.get(feed.kind)
-        if last is None or not last.matches(feed, known):
-            data = encode_frame(make_frame(feed, known))
-            last = _EncodedFrame(known, feed.objects, feed.revision, feed.is_live, data)
+        last, now = self._last_encoded.get(feed.kind), self._seconds()
+        if last is None or not last.matches(feed, known, now):
+            data = encode_frame(make_frame(feed, known, now))
+            last = _EncodedFrame(
+                known, feed.objects, feed.revision, feed.is_live, now, data
+            )
             self._last_encoded[feed.kind] = last
         return last.data
 
@@ -275,13 +303,19 @@
         Called with this link and each array of frames.
     on_lost : callable
         Called with this link when it has ended.
+    opened_at : float
+        Time of the instance's clock at which it began to open the link. The watcher
+        sends the first frame later, which bounds the difference of the two clocks
+        however long frames are under way.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
 
-    def __init__(self, on_frames, on_lost):
+    def __init__(self, on_frames, on_lost, opened_at: float = 0.0):
         self._on_frames = on_frames
         self._on_lost = on_lost
+        self._opened_at = opened_at
+        self._clock_difference: float | None = None
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Pass decoded frames on; close the link on a malformed one."""
@@ -290,7 +324,14 @@
         except ValueError:
             self.transport.abortConnection()
             return
-        self._on_frames(self, frames)
+        self._on_frames(self, tuple(map(self._convert_time, frames)))
+
+    def _convert_time(self, frame: CopyFrame) -> CopyFrame:
+        """Return a frame with its time of completeness by the follower's clock."""
+        if self._clock_difference is None:
+            latest_sent_at = frame.sent_at + FRAME_REUSE_TIME
+            self._clock_difference = self._opened_at - latest_sent_at
+        return frame._replace(complete_at=frame.complete_at + self._clock_difference)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Report that the link has ended."""
--- a/beryltrack/objects/follow.py
+++ b/beryltrack/objects/follow.py
@@ -15,6 +15,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.task import LoopingCall
 
+from beryltrack.clock import get_monotonic_clock
 from beryltrack.objects.copies import CopyFrame, CopyReceiver
 from beryltrack.objects.feed import MAX_RETRY_DELAY, FeedTask
 from beryltrack.objects.watchers import is_watcher, list_seeds, order_sources
@@ -89,6 +90,7 @@
         self._reactor = reactor
         # Only the silence of other instances is timed, so that pauses do not count.
         self._seconds = get_pause_aware_clock(reactor).seconds
+        self._monotonic_seconds = get_monotonic_clock(reactor)
         self._first = feeds[0]
         self._feeds = {feed.kind: feed for feed in feeds}
         self._own = own
@@ -179,7 +181,9 @@
         source = sources[0]
         self._source = source.name
         self._last_frame_at = self._last_live_at = now
-        link = CopyReceiver(self._apply_frames, self._handle_link_loss)
+        link = CopyReceiver(
+            self._apply_frames, self._handle_link_loss, self._monotonic_seconds()
+        )
         opening = self._connect(source, link)
         opening.addCallbacks(
             self._adopt_link,
@@ -221,7 +225,12 @@
         for frame in frames:
             feed = self._feeds.get(frame.kind)
             if feed is not None:
-                feed.apply_copy(frame.revision, frame.objects, frame.is_complete)
+                feed.apply_copy(
+                    frame.revision,
+                    frame.objects,
+                    frame.is_complete,
+                    frame.complete_at,
+                )
                 self._last_frames[frame.kind] = _LastFrame(
                     frame.revision, frame.is_live
                 )
--- a/tests/objects/test_copies.py
+++ b/tests/objects/test_copies.py
@@ -1,11 +1,19 @@
 """Frames of a watcher: encoded once for all followers in the same state."""
 
+import cbor2
 import pytest
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from beryltrack.clock import NEVER
 from beryltrack.objects import copies
-from beryltrack.objects.copies import CopyPublisher, decode_frames, make_frame
+from beryltrack.objects.copies import (
+    FRAME_REUSE_TIME,
+    CopyPublisher,
+    CopyReceiver,
+    decode_frames,
+    make_frame,
+)
 from beryltrack.objects.messages import PlatformObject
 
 FOLLOWERS = 20
@@ -14,7 +22,7 @@
 class Feed:
     """A feed of one kind that a test writes to."""
 
-    kind, is_live = "config", True
+    kind, is_live, complete_at = "config", True, 0.0
 
     def __init__(self):
         self.revision, self.objects, self.observers = 0, {}, []
@@ -106,3 +114,29 @@
     before, feed.objects = feed.objects, {}
     (gone,) = make_frame(feed, before).objects
     assert gone.path == "config/main" and gone.deleted and gone.value is None
+
+
+def test_a_follower_dates_the_watchers_knowledge_however_late_a_frame_arrives():
+    """Guards against a stalled link that makes an old report of a database new."""
+    feed, clock, received = Feed(), Clock(), []
+    clock.advance(100.0)
+    feed.complete_at = 98.0
+    sender = CopyPublisher(clock, (feed,)).buildProtocol(None)
+    sender.makeConnection(Transport())
+    follower = CopyReceiver(lambda _, frames: received.extend(frames), None, 20.0)
+    follower.dataReceived(sender.transport.value())
+    assert received[0].complete_at == pytest.approx(18.0 - FRAME_REUSE_TIME)
+    sender.transport.clear()
+    clock.advance(5.0)
+    feed.complete_at = 104.0
+    sender.send_updates((feed,))
+    clock.advance(50.0)
+    follower.dataReceived(sender.transport.value())
+    assert received[1].complete_at == pytest.approx(24.0 - FRAME_REUSE_TIME)
+
+
+def test_a_frame_of_an_earlier_release_says_nothing_of_its_time():
+    """Guards against followers that cannot follow while releases change."""
+    frame = cbor2.loads(copies.encode_frame(make_frame(Feed(), None)))[:-2]
+    (decoded,) = decode_frames(cbor2.dumps([frame]))
+    assert decoded.complete_at == NEVER
