Confirm a kept permit before a promotion that comes late

What callers could see: an acknowledged commit is lost.

Cause: where promotions are fenced, an election confirmed its kept permit before it asked for votes, and not again. A candidate that was paused between the votes and its promotion used them after another instance had taken the permit, held the replicas, given up and released one, which received and confirmed commits. The service had seen no later token. A repeated promotion took a new token whoever held the permit by then.

Change: a promotion that comes more than 0.5 s after the last confirmation, or after one without an answer, first writes the permit again on the condition that nobody has taken it. A usual election takes less, so that it asks the store as often as before.

--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -68,6 +68,10 @@
 CONFIRM_TIMEOUT = 0.5
 CONFIRM_INTERVAL = 0.1
 
+CONFIRMATION_VALIDITY = 0.5
+"""Seconds after the store was asked for a kept permit during which a promotion may
+follow; an election takes less in most cases."""
+
 NO_PERMIT = Permit("", 0)
 """Stands for the permit where databases need none."""
 
@@ -153,6 +157,8 @@
         )
         self._busy = False
         self._stopped = False
+        # When the store was last asked for this instance's permit.
+        self._confirmed_at = NEVER
         self._permit_timer: IDelayedCall | None = None
         self._running: Deferred | None = None
         self._view: GroupView | None = None
@@ -352,7 +358,7 @@
         for _ in range(MAX_PROMOTE_ATTEMPTS):
             if self._is_superseded(election.term, chosen):
                 return False
-            permit = await self._acquire_permit(self._has_open_promotion)
+            permit = await self._acquire_promotion_permit()
             if permit is None or not self._still_has_log(chosen, replies):
                 return False
             sent_at = self._delegate.get_time()
@@ -441,10 +447,24 @@
             return await self._confirm_permit()
         return await self._acquire_permit(renew)
 
+    async def _acquire_promotion_permit(self) -> Permit | None:
+        """Return the permit of a promotion call, None without one.
+
+        This process may have been paused since it asked for the votes. Another instance
+        may have taken the permit meanwhile and have ended the holds that they rely on.
+        """
+        is_old = self._seconds() - self._confirmed_at > CONFIRMATION_VALIDITY
+        if self._keeps_permits and (is_old or self._has_open_promotion):
+            permit = await self._confirm_permit()
+            if permit is None or not self._has_open_promotion:
+                return permit
+        return await self._acquire_permit(self._has_open_promotion)
+
     async def _confirm_permit(self) -> Permit | None:
         """Return the permit, None if another instance has taken it or may have."""
         authority = self._authority
         for _ in range(MAX_CONFIRM_ATTEMPTS):
+            self._confirmed_at = self._seconds()
             confirming = Deferred.fromCoroutine(authority.confirm(self._group))
             try:
                 result = await confirming.addTimeout(CONFIRM_TIMEOUT, self._reactor)
@@ -469,6 +489,8 @@
         """
         if self._authority is None:
             return NO_PERMIT
+        if renew or self._has_lost_permit():
+            self._confirmed_at = self._seconds()
         return self._record_permit(await self._authority.acquire(self._group, renew))
 
     def _record_permit(self, permit: Result) -> Permit | None:
--- a/beryltrack_bench/experiments/holds.py
+++ b/beryltrack_bench/experiments/holds.py
@@ -23,6 +23,9 @@
     "unfenced, a late release": Rules(False, has_late_releases=True),
     "fenced, a late promotion": Rules(True, has_late_promotions=True),
     "unfenced, a late promotion": Rules(False, has_late_promotions=True),
+    "fenced, a paused candidate promotes unchecked": Rules(
+        True, has_paused_candidates=True, confirms_promotions=False
+    ),
 }
 """Rules that lose commits: holds end without a permit, or a call arrives late."""
 
--- a/beryltrack_bench/holds/model.py
+++ b/beryltrack_bench/holds/model.py
@@ -37,6 +37,9 @@
         True if a promotion may be carried out once another election has begun.
     has_paused_candidates : bool
         True if a candidate may go on after another instance has taken the permit.
+    confirms_promotions : bool
+        True if a candidate that has been paused confirms its permit before it asks for
+        a promotion, also where promotions are fenced.
     """
 
     is_fenced: bool
@@ -44,6 +47,7 @@
     has_late_releases: bool = False
     has_late_promotions: bool = False
     has_paused_candidates: bool = False
+    confirms_promotions: bool = True
 
     @property
     def late_kinds(self) -> frozenset[str]:
@@ -227,11 +231,11 @@
 def _may_promote(state: State, instance: int, rules: Rules) -> bool:
     """Return whether an instance still asks for the promotion it has the votes for.
 
-    No later primary may be known, and where promotions are not fenced its permit
-    must be valid.
+    No later primary may be known, and its permit must be valid.
     """
     is_superseded = state.term >= state.attempts[instance].term
-    return not is_superseded and (rules.is_fenced or state.holder == instance)
+    is_unchecked = rules.is_fenced and not rules.confirms_promotions
+    return not is_superseded and (is_unchecked or state.holder == instance)
 
 
 def _promote(state: State, instance: int) -> State:
--- a/tests/failover/test_permits.py
+++ b/tests/failover/test_permits.py
@@ -6,7 +6,7 @@
 
 from beryltrack.failover.authority import Permit
 from beryltrack.failover.decider import FailoverPolicy
-from beryltrack.failover.task import LEAD_TIMEOUT
+from beryltrack.failover.task import CONFIRMATION_VALIDITY, LEAD_TIMEOUT
 from beryltrack.groups.adapter import PromoteReply
 from beryltrack.groups.messages import (
     PRIMARY,
@@ -220,3 +220,45 @@
     databases, authority, _ = hold_election("leads", authority=ExpiringAuthority(2))
     assert authority.token == 2 and "c" in databases.released
     assert databases.send_before <= authority.valid_until
+
+
+class LateGrants(Databases):
+    """Replicas whose grants arrive after a pause of the candidate."""
+
+    def __init__(self, *promotions, authority, pause):
+        super().__init__(*promotions)
+        self.authority, self.pause = authority, pause
+
+    async def grant(self, name, term, candidate, lost_after):
+        if name == "c":
+            self.authority.clock.rightNow += self.pause
+            self.authority.is_held = False
+        return await super().grant(name, term, candidate, lost_after)
+
+
+class KeptAuthority(Authority):
+    """Gives the permit that it keeps, taken or not, unless it is to be confirmed."""
+
+    def holds(self, group):
+        return True
+
+
+def promote_after_pause(seconds):
+    clock, authority = Clock(), KeptAuthority()
+    authority.clock = clock
+    databases = LateGrants("leads", authority=authority, pause=seconds)
+    policy = FailoverPolicy(has_authority=True)
+    lose_primary(clock, databases, authority, policy)
+    clock.pump([0.05] * int(LEAD_TIMEOUT / 0.05 + 5))
+    return databases
+
+
+def test_a_candidate_that_was_paused_does_not_promote_without_its_permit():
+    """Guards against votes whose holds another holder of the permit has ended."""
+    databases = promote_after_pause(CONFIRMATION_VALIDITY + 0.1)
+    assert databases.tokens == [] and databases.released == []
+
+
+def test_an_election_without_a_pause_asks_the_store_once():
+    """Guards against a second call to the store before each promotion."""
+    assert promote_after_pause(0.1).tokens == [1]
