Keep two instances from promoting in turn within a lease

Cause: without fencing a permit is taken over 1 s after it was last seen to change.

Change: a process takes over from its successor no earlier than 3.8 s after its own last permit. Third instances and a holder that nobody followed act as before, so that the first loss, and two losses in a row, take no longer.

Tests: test_unfenced_authority.py ..taken_over_from_does_not_promote_in_turn failed before; ..promotes_again_at_once guards two losses in a row. ..paused_gets_no_older_token asked for the token after 1 s, which is the pattern above, and asks after 3.8 s now.

--- a/beryltrack/failover/unfenced_authority.py
+++ b/beryltrack/failover/unfenced_authority.py
@@ -23,6 +23,7 @@
 
 from returns.result import Result, Success
 
+from beryltrack.clock import NEVER
 from beryltrack.failover.authority import (
     PATH_PREFIX,
     Permit,
@@ -48,6 +49,14 @@
 next one is taken: the two times above and 0.2 s for packets in flight."""
 
 
+LEASE = 3.0
+"""Seconds within which two processes must not promote in turn: one that another process
+took over from leaves the group to that one, or to a third."""
+
+RETURN_DELAY = LEASE + PERMIT_VALIDITY + CONNECT_TIMEOUT
+"""Seconds after a process took its permit before it takes over from its successor."""
+
+
 class ObservedPermit(NamedTuple):
     """A group's permit as last read from, or written to, the store.
 
@@ -112,6 +121,7 @@
         self._seconds = seconds
         self._observed_permits: dict[str, ObservedPermit] = {}
         self._own_permits: dict[str, OwnPermit] = {}
+        self._taken_at: dict[str, float] = {}
 
     def holds(self, group: str) -> bool:
         """Return False: permits are not held in advance."""
@@ -140,6 +150,8 @@
             return refuse_permit("the permit could not be read from the store")
         if not self._may_take_over(observed):
             return refuse_permit("another process's permit may still be in use")
+        if self._is_followed(group, observed):
+            return refuse_permit("another process has just taken over")
         return await self._take(group, observed)
 
     async def confirm(self, group: str) -> Result[Permit, PlatformError]:
@@ -162,6 +174,7 @@
             await self.prepare(group)
             return written
         version = written.unwrap()
+        self._taken_at[group] = sent_at
         permit = Permit(self._holder, version, sent_at + PERMIT_VALIDITY)
         self._observe(group, PlatformObject(path, version, value, False))
         own = self._own_permits[group] = OwnPermit(permit, sent_at)
@@ -172,6 +185,17 @@
             )
         return Success(permit)
 
+    def _is_followed(self, group: str, observed: ObservedPermit) -> bool:
+        """Return whether another process has taken over from this one a moment ago."""
+        taken_at = self._taken_at.get(group, NEVER)
+        is_recent = self._seconds() - taken_at < RETURN_DELAY
+        return is_recent and not self._is_own(observed)
+
+    def _is_own(self, observed: ObservedPermit) -> bool:
+        """Return whether a permit was written by this process, or by none."""
+        stored = observed.stored
+        return stored is None or _get_process(stored) == self._process
+
     def _observe(self, group: str, stored: PlatformObject | None) -> None:
         """Record the stored permit; an unchanged version retains its `seen_at`."""
         observed, era = self._observed_permits.get(group), self._eras.era
@@ -193,7 +217,7 @@
         """Return whether no other process can still send calls under a permit."""
         if self._eras.age < TAKEOVER_DELAY:
             return False
-        if observed.stored is None or _get_process(observed.stored) == self._process:
+        if self._is_own(observed):
             return True
         return self._seconds() - observed.seen_at >= TAKEOVER_DELAY
 
--- a/tests/failover/test_unfenced_authority.py
+++ b/tests/failover/test_unfenced_authority.py
@@ -8,6 +8,7 @@
 from beryltrack.failover.unfenced_authority import (
     CONNECT_TIMEOUT,
     PERMIT_VALIDITY,
+    RETURN_DELAY,
     TAKEOVER_DELAY,
     UnfencedAuthority,
 )
@@ -78,10 +79,34 @@
     assert acquire(second) == 2
     # It resumes without having seen the other holder's permit.
     assert acquire(first) is None
-    site.pass_time(TAKEOVER_DELAY)
+    site.pass_time(RETURN_DELAY)
     assert acquire(first) == 3
 
 
+def test_a_process_that_was_taken_over_from_does_not_promote_in_turn():
+    """Guards against two holders that promote by turns within a lease."""
+    site = Site()
+    first, second = site.make_pair()
+    assert acquire(second) == 2
+    prepare(first)
+    site.pass_time(TAKEOVER_DELAY)
+    assert acquire(first) is None
+    third = site.make("node-3", "p3")
+    prepare(third)
+    site.pass_time(TAKEOVER_DELAY)
+    assert acquire(first) is None
+    assert acquire(third) == 3
+
+
+def test_a_holder_that_nobody_took_over_from_promotes_again_at_once():
+    """Guards against a delay for two losses in a row."""
+    site = Site()
+    first = site.make("node-1")
+    assert acquire(first) == 1
+    site.pass_time(TAKEOVER_DELAY)
+    assert acquire(first) == 2
+
+
 def test_an_instance_that_was_restarted_is_another_holder():
     site = Site()
     assert acquire(site.make("node-1", "p1")) == 1
