Date changes right where a watch ends early, and log how old a report may be

Cause: a watch that the store ends before its time, without a change, was taken to have been complete when its answer arrived, however long that was under way (by reading). And the logs did not tell since when an instance knew that a database leaves.

Change: only a watch that has taken its whole time is complete at its end. The line at the news says for how long the database gets new requests as the primary, which shows how old the report may be.

Test that failed before: test_feed.py ..that_the_store_ends_early_dates_changes_from..

--- a/beryltrack/groups/task.py
+++ b/beryltrack/groups/task.py
@@ -194,9 +194,25 @@
         leaving_since: Mapping[str, float] = MappingProxyType({}),
     ) -> None:
         """Set which databases an operator drains; see `GroupDecider.set_draining`."""
-        self._decider.set_draining(draining, self._seconds(), leaving_since)
+        self._apply_draining(draining, leaving_since)
         self._report_view()
 
+    def _apply_draining(
+        self, draining: frozenset[str], leaving_since: Mapping[str, float]
+    ) -> None:
+        """Set which databases leave; log for how long each may get new work."""
+        before, now = self._decider.draining, self._seconds()
+        self._decider.set_draining(draining, now, leaving_since)
+        for item in self.view.databases:
+            if item.name in draining - before and item.works_until < math.inf:
+                log.info(
+                    "groups: %s of %s leaves; as the primary it gets new requests for "
+                    "%.1f s.",
+                    item.name,
+                    self.view.group,
+                    max(0.0, item.works_until - now),
+                )
+
     def set_databases(self, group_settings: GroupSettings) -> None:
         """Replace the group's members by those of new settings, while it runs.
 
@@ -208,10 +224,8 @@
         names = tuple(item.name for item in group_settings.databases)
         self._adapter.set_databases(group_settings.databases)
         restarted = self._decider.set_databases(names, self._seconds())
-        self._decider.set_draining(
-            get_draining(group_settings),
-            self._seconds(),
-            get_leaving_times(group_settings),
+        self._apply_draining(
+            get_draining(group_settings), get_leaving_times(group_settings)
         )
         self._commits.set_databases(names)
         self._failover.set_databases(names)
--- a/beryltrack/objects/feed.py
+++ b/beryltrack/objects/feed.py
@@ -310,10 +310,11 @@
         if isinstance(result, Success):
             # Another instance may have forwarded later changes since the call was sent.
             self._apply_changes(result.unwrap(), known_until=self.revision)
-            # The store waits before it answers that there is no change.
-            waited = 0.0 if result.unwrap().objects else timeout
-            complete_at = min(sent_at + waited, self._seconds())
-            self._complete_at = max(self._complete_at, complete_at)
+            # The store waits before it answers that there is no change, unless it ends
+            # the watch early.
+            is_over = self._seconds() >= sent_at + timeout
+            waited = timeout if is_over and not result.unwrap().objects else 0.0
+            self._complete_at = max(self._complete_at, sent_at + waited)
             if self._must_relist:
                 self._must_relist, self._must_list = False, True
         return result
--- a/tests/objects/test_feed.py
+++ b/tests/objects/test_feed.py
@@ -186,3 +186,11 @@
     store.watches[1][2].callback(Success(ObjectList(3, (gone,))))
     assert store.feed.removed_after == 0.0
     assert store.feed.complete_at == 3.0
+
+
+def test_a_watch_that_the_store_ends_early_dates_changes_from_its_sending():
+    """Guards against an answer that was under way for a while and counts as new."""
+    clock, store, _ = start_feed()
+    clock.advance(3.0)
+    store.watches[0][2].callback(make_list(1))
+    assert store.feed.complete_at == 0.0
