Ask a silent store only once before a promotion

Change: a look that got no answer counts from its end. Where the store answers, nothing changes.

Test that failed before: test_permits.py ..a_silent_store_delays_a_promotion_only_once.

--- a/beryltrack/failover/task.py
+++ b/beryltrack/failover/task.py
@@ -469,6 +469,8 @@
             try:
                 result = await confirming.addTimeout(CONFIRM_TIMEOUT, self._reactor)
             except TimeoutError:
+                # Another call soon would wait as long, before the promotion too.
+                self._confirmed_at = self._seconds()
                 result = await authority.acquire(self._group, False)
             permit = self._record_permit(result)
             if permit is not None:
--- a/tests/failover/test_permits.py
+++ b/tests/failover/test_permits.py
@@ -124,7 +124,10 @@
 class SilentAuthority(Authority):
     """Holds a permit; the store does not answer."""
 
+    confirmations = 0
+
     async def confirm(self, group):
+        self.confirmations += 1
         await Deferred()
 
 
@@ -203,6 +206,16 @@
     assert "c" in databases.released
 
 
+def test_a_silent_store_delays_a_promotion_only_once():
+    """Guards against callers who wait for the store again before each promotion."""
+    clock, databases, authority = Clock(), Databases("leads"), SilentAuthority()
+    seen = []
+    databases.observe_promotion = lambda: seen.append(authority.confirmations)
+    lose_primary(clock, databases, authority, FailoverPolicy(has_authority=True))
+    clock.pump([0.05] * 20)
+    assert seen == [1]
+
+
 def test_a_hold_for_a_later_term_is_not_ended():
     """Guards against a late release that ends the hold of the next election."""
     databases, _, delegate = hold_election("leads", held_term=3)
