Let a watch of the databases wait for 3 s

Hypothesis: a watch of 3 s makes half of the additional calls (0.25 a second of each watcher, after 0.18 and 0.33, computed).

A leaving primary gets new requests for 2.5 to 6.5 s where nothing delays the news, after 3.5 to 6.5 s.

--- a/beryltrack/daemon/node_options.py
+++ b/beryltrack/daemon/node_options.py
@@ -175,7 +175,7 @@
 register within two seconds of a start, each change costs a call of each instance, and a
 draining one still serves for 7 s."""
 
-MAX_DATABASES_WATCH = 2.0
+MAX_DATABASES_WATCH = 3.0
 """Upper bound of the wait of a watch of the databases, seconds. The report that one
 leaves counts from the end of the watch before: a longer wait leaves it less time."""
 
