--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -470,8 +470,8 @@
         self._rejects.report(finding for _, findings in pairs for finding in findings)
         changed_after = map(self._databases_feed.get_changed_after, objects)
         entries = tuple(
-            entry._replace(changed_after=time)
-            for (entry, _), time in zip(pairs, changed_after, strict=True)
+            entry._replace(changed_after=changed)
+            for (entry, _), changed in zip(pairs, changed_after, strict=True)
             if entry is not None
         )
         era = get_latest_era(item.version for item in objects.values())
