--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -326,11 +326,16 @@
             delay = self._rng.uniform(0.0, 2.0)
             self._reactor.callLater(delay, self._rewrite_entry, name)
 
+    def _write_state(self, name: str, state: str) -> None:
+        """Write a database's entry with another state."""
+        self._entries[name] = self._entries[name] | {"state": state}
+        self.restore_entry(name)
+
     def _rewrite_entry(self, name: str) -> None:
         """Write a database's entry again if the store has a different one."""
         stored = self.store.objects.get(("servers", name))
         if stored is None or stored["spec"] != self._entries[name]:
-            self.store.change("servers", name, self._entries[name])
+            self.restore_entry(name)
 
     def write_start_entry(self, name: str) -> None:
         """Write a new entry of a database, as it does at each start."""
@@ -356,15 +361,13 @@
 
     def report_leaving(self, name: str) -> None:
         """Write that a database leaves."""
-        self._entries[name] = self._entries[name] | {"state": "draining"}
-        self.store.change("servers", name, self._entries[name])
+        self._write_state(name, "draining")
         self.history.record_draining(name)
 
     def end_leaving(self, name: str) -> None:
         """Write that a database does not leave any more."""
         self.history.end_draining(name)
-        self._entries[name] = self._entries[name] | {"state": "ready"}
-        self.store.change("servers", name, self._entries[name])
+        self._write_state(name, "ready")
 
     def remove_entry(self, name: str) -> None:
         """Remove the entry of a database, as the store does after its silence."""
