--- a/review/site_2.py
+++ b/review/site_2.py
@@ -199,9 +199,11 @@
         Receives what happens.
     count : int
         Number of instances.
+    make_database : callable
+        Creates a database; takes the arguments of `DatabaseFactory`.
     """
 
-    def __init__(self, record: Record, count: int):
+    def __init__(self, record: Record, count: int, make_database=RecordingDatabase):
         self.record = record
         self.runs: list[Run] = []
         self._rng = random.Random(1)
@@ -213,7 +215,7 @@
         numbers = itertools.count(1)
         self._endpoints = {}
         for name in names:
-            factory = RecordingDatabase(
+            factory = make_database(
                 reactor, self.group, name, NullObserver(), self._rng, numbers
             )
             factory.record, factory.runs = record, self.runs
