--- a/review/5/run.py
+++ b/review/5/run.py
@@ -56,6 +56,8 @@
         """Run a statement as soon as a slot is free."""
         words = text.split(b" ")
         keyword = words[2] if words[0] == b"AFTER" else words[0]
+        if keyword == b"STATUS" and not self.factory.slots.tokens:
+            return b"ERROR BUSY all slots are taken\r\n" + self._ready()
         if keyword not in (b"READ", b"WRITE", b"COMMIT"):
             return await super()._run(request_id, text)
         self.factory.arrived.add(request_id.decode())
