--- a/review/site_2.py
+++ b/review/site_2.py
@@ -5,11 +5,13 @@
 addresses, with the settings file that the users' pages describe.
 """
 
+import atexit
 import itertools
 import json
 import os
 import random
 import shlex
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -210,6 +212,8 @@
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._ports = []
         self._processes: dict[str, subprocess.Popen] = {}
+        # Also if the case is stopped by its time limit or a signal.
+        atexit.register(self.stop)
         names = ("i-7f3a91c2", "i-8e2b70d3", "i-9d1c6fe4")
         self.group = Group(reactor, names, self._rng)
         numbers = itertools.count(1)
@@ -334,11 +338,12 @@
         return (self._folder / f"{instance.name}.log").read_text(errors="replace")
 
     def stop(self) -> None:
-        """End all processes that this site started."""
+        """End all processes that this site started, and remove its folder."""
         for process in self._processes.values():
             if process.poll() is None:
                 process.kill()
             process.wait()
+        shutil.rmtree(self._folder, ignore_errors=True)
 
     async def connect(self, instance: Instance, name: str, database: str) -> Client:
         """Open a session of a client at an instance."""
