Begin a statement in a shutdown only if it is answered

Cause: Node.leave passed statements on until 0.7 of the grace period and aborted all connections at 0.88 of it. Neither moment knew the route's time limit, nor how long the database takes. New sessions, waits for a connection, retries and relayed statements had no last moment, buffered messages were dropped, and a statement that still ran ended with its caller's connection, also where "rolled back" was known to be true.

A statement begins if its time limit ends before the shutdown does, or if twice the recent run time at its database does; until half of the grace period always, inside a transaction. Pinned statements, the search for a target before and after its wait, retries, and the owner side of the relay ask it, for both protocols. What cannot begin is refused as not run, or its transaction is rolled back and said to be. At the end the connections of statements that still run are closed, so that their flows answer truly, and callers' connections are aborted 0.2 s later. A longer time limit ends no transaction on a fast database earlier than before.

--- a/beryltrack/callers/sequence.py
+++ b/beryltrack/callers/sequence.py
@@ -61,7 +61,6 @@
         self._pending: deque[bytes] = deque()
         self._is_running = False
         self._is_leaving = False
-        self._is_finishing = False
         self._is_full = False
         self._producer: Producer | None = None
         self._on_close: Callable[[], object] | None = None
@@ -130,14 +129,6 @@
         self._is_leaving = True
         self._close_if_idle()
 
-    def finish(self) -> None:
-        """Close the connection as soon as the running message is answered.
-
-        A transaction that is open between two statements is rolled back.
-        """
-        self._is_finishing = True
-        self._close_if_idle()
-
     def abort(self) -> None:
         """Abort the connection."""
         self.transport.abortConnection()
@@ -194,6 +185,7 @@
                 continue
             running.addErrback(self._handle_failure)
             running.addCallback(lambda _: self._finish_message())
+        self._close_if_idle()
 
     def _handle_failure(self, failure: Failure) -> None:
         """Abort the connection after an internal error; the outcome is unknown."""
@@ -212,15 +204,12 @@
             return
         if self.in_transaction:
             self._start_timer(self._factory.limits.get_idle_timeout())
-        self._close_if_idle()
         self._run_next()
 
     def _close_if_idle(self) -> None:
-        """Close a leaving or finishing connection if nothing on it is running."""
-        if self.is_closed or self._is_running:
-            return
-        is_idle = not (self.in_transaction or self._pending)
-        if self._is_finishing or (self._is_leaving and is_idle):
+        """Close a leaving connection between two transactions."""
+        is_busy = self._is_running or self._pending or self.in_transaction
+        if self._is_leaving and not (is_busy or self.is_closed):
             self.transport.loseConnection()
 
     def _start_timer(self, delay: float) -> None:
@@ -283,10 +272,14 @@
         return self._all_closed
 
     def finish(self) -> None:
-        """Close each connection after its running message; accept no new sessions."""
+        """Close each connection between two transactions, and accept no new sessions.
+
+        Statements of open transactions are still handled, so that those which cannot
+        be run are answered truly.
+        """
         self.is_finishing = True
         for caller in tuple(self.callers):
-            caller.finish()
+            caller.leave()
 
     def abort(self) -> None:
         """Abort all connections."""
--- a/beryltrack/connections/exclusive.py
+++ b/beryltrack/connections/exclusive.py
@@ -48,6 +48,7 @@
         self.closed: Deferred[None] = Deferred()
         self.run_since: float | None = None
         self.run_until = math.inf
+        self.last_run_time = 0.0
         # Owner through which the connection goes; empty if direct.
         self.via = ""
         self.last_received_at = -math.inf
@@ -135,6 +136,7 @@
         answer, self._answer = self._answer, None
         self._sink.detach()
         self._sink = None
+        self.last_run_time = self._seconds() - self.run_since
         self.run_since = None
         return answer
 
--- a/beryltrack/connections/messages.py
+++ b/beryltrack/connections/messages.py
@@ -19,13 +19,15 @@
     """A connection to a target, as pools use it.
 
     `run_since` is when the request that runs was sent, in seconds of the instance's
-    clock; None if none runs. `run_until` is when that request counts as overdue. `via`
-    is the owner through which the connection goes; empty if it is direct. `observer`,
-    if set, is notified of each statement.
+    clock; None if none runs. `run_until` is when that request counts as overdue.
+    `last_run_time` is how many seconds the last request took to be answered, 0 before
+    the first. `via` is the owner through which the connection goes; empty if it is
+    direct. `observer`, if set, is notified of each statement.
     """
 
     run_since: float | None
     run_until: float
+    last_run_time: float
     via: str
     observer: "RunObserver | None"
 
--- a/beryltrack/connections/target.py
+++ b/beryltrack/connections/target.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 
 from pygwire.exceptions import ProtocolError
 from pygwire.messages import BackendKeyData, Terminate
@@ -15,6 +16,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from beryltrack.clock import get_monotonic_clock
 from beryltrack.connections.cancel import make_endpoint, send_cancel
 from beryltrack.connections.logon import (
     APPLICATION_NAME,
@@ -67,7 +69,11 @@
         self.position: LogPosition | None = None
         self.broken = False
         self.ready: Deferred[TargetConnection] = Deferred()
+        self.run_since: float | None = None
+        self.run_until = math.inf
+        self.last_run_time = 0.0
         self._reactor = reactor
+        self._seconds = get_monotonic_clock(reactor)
         self._logon: TargetLogon | None = TargetLogon(credentials)
         self._key = BackendKeyData()
         self._reader = ResponseReader()
@@ -114,6 +120,7 @@
         self._sink = sink
         # The answer to a cancelled request must not reach another one.
         self._answer = answer = Deferred(lambda _: self.close())
+        self.run_since = self._seconds()
         self._reader.start(edits)
         sink.attach(self)
         self.transport.write(wire)
@@ -228,6 +235,8 @@
         """Fire the answer's Deferred; the connection is free from then on."""
         answer, sink = self._answer, self._sink
         self._answer = self._sink = self._deferred_end = None
+        self.last_run_time = self._seconds() - self.run_since
+        self.run_since = None
         sink.detach()
         # A sink that was full may have paused the transport.
         if self._paused:
@@ -239,6 +248,7 @@
         if self.broken:
             return
         self.broken = True
+        self.run_since = None
         answer, sink, ready = self._answer, self._sink, self.ready
         end, self._deferred_end = self._deferred_end, None
         self._answer = self._sink = None
--- a/beryltrack/daemon/node.py
+++ b/beryltrack/daemon/node.py
@@ -65,6 +65,11 @@
 from beryltrack.requests.overdue import OverdueWatch
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import make_services
+from beryltrack.requests.shutdown import (
+    SHUTDOWN_REFUSAL,
+    end_statements,
+    schedule_stages,
+)
 from beryltrack.requests.task import RequestTask
 from beryltrack.settings.messages import (
     Endpoint,
@@ -94,14 +99,6 @@
 """Seconds that the load balancer may take to notice that an instance leaves: two
 health checks, one a second."""
 
-FINISH_FRACTION = 0.7
-"""Fraction of the grace period after which open transactions are ended between two
-statements: a statement accepted before has a second left to be answered, the usual
-limit of a statement. Transactions may rely on half of the grace period."""
-
-ABORT_FRACTION = 0.12
-"""Fraction of the grace period that is left when the last callers are cut off."""
-
 
 class NodeState(Enum):
     """The lifecycle state of an instance."""
@@ -236,6 +233,7 @@
             self._incarnation,
             self._policies.routing.lagging_pause,
             self._connections.owns,
+            self._services.shutdown,
         )
         self._relays = LineRelayFactory(
             reactor, self._relay, RelayConnectionLimits(self._get_site)
@@ -364,7 +362,8 @@
         """Shut down without cutting off a request in flight.
 
         The ready page fails first, and callers are served until the load balancer has
-        noticed. Then each caller is disconnected between two transactions.
+        noticed. Then each caller is disconnected between two transactions. Statements
+        that would not be answered in time are refused; see `ShutdownTimes`.
         """
         self.state = NodeState.LEAVING
         log.info("daemon: Instance %s is shutting down.", self.settings.name)
@@ -373,34 +372,38 @@
         self._relay.leave()
         self._accounts.leave()
         relays_left = self._relays.leave()
-        await deferLater(self._reactor, min(BALANCER_DELAY, grace / 2))
-        leaving = gatherResults([self._callers.leave(), relays_left])
-        limit = grace * (1 - ABORT_FRACTION) - min(BALANCER_DELAY, grace / 2)
-        leaving.addTimeout(limit, self._reactor)
-        finishing = self._reactor.callLater(
-            grace * FINISH_FRACTION - min(BALANCER_DELAY, grace / 2),
+        times = self._services.shutdown.begin(grace)
+        cancel_stages = schedule_stages(
+            self._reactor,
+            times,
             self._finish_callers,
+            lambda: end_statements(self._groups.runtimes),
         )
+        await deferLater(self._reactor, min(BALANCER_DELAY, grace / 2))
+        leaving = gatherResults([self._callers.leave(), relays_left])
+        leaving.addTimeout(times.abort_at - self._seconds(), self._reactor)
         try:
             await leaving
         except TimeoutError:
             log.warning(
-                "daemon: Grace period of %g s is nearly over, callers with open "
+                "daemon: Grace period of %g s is nearly over, %d callers with open "
                 "transactions are cut off.",
                 grace,
+                self._callers.transaction_count,
             )
-        if finishing.active():
-            finishing.cancel()
+        cancel_stages()
         self._callers.abort()
         self._relays.abort()
         await self.stop()
 
     def _finish_callers(self) -> None:
-        """Accept no further statements, so that none is cut off at the end."""
+        """Begin no operation any more, and refuse those that still wait."""
         log.info(
-            "daemon: Grace period is ending, open transactions are ended between two "
-            "statements."
+            "daemon: Grace period is ending, only statements of %d open transactions "
+            "that are certain to be answered still begin.",
+            self._callers.transaction_count,
         )
+        self._services.admission.evict_all(SHUTDOWN_REFUSAL)
         self._callers.finish()
         self._relays.finish()
 
--- a/beryltrack/daemon/proxy.py
+++ b/beryltrack/daemon/proxy.py
@@ -31,6 +31,11 @@
 from beryltrack.requests.postgres import PostgresProtocol
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import make_services
+from beryltrack.requests.shutdown import (
+    SHUTDOWN_REFUSAL,
+    end_statements,
+    schedule_stages,
+)
 from beryltrack.requests.task import RequestTask
 from beryltrack.settings.messages import (
     Endpoint,
@@ -145,11 +150,19 @@
         """Shut down without cutting off a request in flight.
 
         New callers are refused, callers are disconnected between two transactions, and
-        transactions that are still open at the drain limit are cut off.
+        transactions that are still open at the drain limit are cut off. Statements that
+        would not be answered in time are refused; see `ShutdownTimes`.
         """
         self.state = ProxyState.LEAVING
         log.info("daemon: Instance %s leaves.", self.settings.name)
         self.fleet.leave()
+        times = self.services.shutdown.begin(self.settings.drain_limit)
+        cancel_stages = schedule_stages(
+            self._reactor,
+            times,
+            lambda: self.services.admission.evict_all(SHUTDOWN_REFUSAL),
+            lambda: end_statements(self.groups.runtimes),
+        )
         await self._ports[0].stopListening()
         leaving = self.callers.leave()
         leaving.addTimeout(self.settings.drain_limit, self._reactor)
@@ -162,6 +175,7 @@
                 self.settings.drain_limit,
             )
             self.callers.abort()
+        cancel_stages()
         await self.stop()
 
     async def stop(self) -> None:
--- a/beryltrack/platform/caller.py
+++ b/beryltrack/platform/caller.py
@@ -4,11 +4,12 @@
 
 from beryltrack.accounts.keys import digest_key
 from beryltrack.callers.sequence import SequentialCaller, SequentialFactory
-from beryltrack.errors import PROTOCOL_VIOLATION, SqlError, make_refusal
+from beryltrack.errors import PROTOCOL_VIOLATION, SqlError
 from beryltrack.platform import lines
 from beryltrack.platform.codes import encode_error
 from beryltrack.platform.statements import parse_query
 from beryltrack.requests.session import CallerSession
+from beryltrack.requests.shutdown import SHUTDOWN_REFUSAL
 from beryltrack.sessions.retained_state import RetainedState
 from beryltrack.settings.messages import RouteSettings
 from beryltrack.wire.line_buffer import LineBuffer
@@ -99,7 +100,7 @@
             self.key_digest = digest_key(fields[2].decode("utf-8", "surrogateescape"))
         error = self._factory.handler.check_session(self)
         if error is None and self._factory.is_finishing:
-            error = make_refusal("the instance leaves", 0.0)
+            error = SHUTDOWN_REFUSAL
         if error is not None:
             self.session = None
             self.send_error(error)
--- a/beryltrack/relay/handler.py
+++ b/beryltrack/relay/handler.py
@@ -20,6 +20,7 @@
     OBJECT_NOT_IN_PREREQUISITE_STATE,
     SqlError,
     make_refusal,
+    make_rolled_back_error,
 )
 from beryltrack.groups.messages import DatabaseStatus, LogPosition
 from beryltrack.groups.task import GroupTask
@@ -29,6 +30,7 @@
 from beryltrack.relay.statuses import StatusSharing
 from beryltrack.requests.outcomes import NOT_RUN_REFUSALS
 from beryltrack.requests.protocol import RunLost, RunResult
+from beryltrack.requests.shutdown import SHUTDOWN_TEXT, Shutdown
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
 
 log = logging.getLogger(__name__)
@@ -119,6 +121,12 @@
     def send_refusal(self, error: SqlError) -> None:
         """Send the error of a statement that was not run."""
 
+    def send_error(self, error: SqlError) -> None:
+        """Send the error of a statement; the transaction status follows."""
+
+    def send_ready(self, status: TransactionStatus) -> None:
+        """Send the end of an answer with the transaction status."""
+
     def send_not_owner(self) -> None:
         """Send that this instance lends no connections to the session's group."""
 
@@ -156,6 +164,8 @@
         position it lacked; with zero it is asked again at once.
     is_owner : callable
         Returns whether this instance lends connections to a group's databases.
+    shutdown : Shutdown, optional
+        Decides which statements may still begin while this instance shuts down.
     """
 
     def __init__(
@@ -167,8 +177,10 @@
         incarnation: int,
         lagging_pause: float = 0.0,
         is_owner: Callable[[str], bool] = lambda group: False,
+        shutdown: Shutdown | None = None,
     ):
         self._is_owner = is_owner
+        self._shutdown = shutdown or Shutdown(seconds)
         self.incarnation = incarnation
         self._reporter = reporter
         self._seconds = seconds
@@ -223,8 +235,11 @@
             connection = await self._lend(session)
             if connection is None:
                 return
-        session.set_close_callback(connection.close)
         pool, task = self._lenders[session]
+        if not self._shutdown.may_start(pool, self._time_limit, not is_first):
+            self._refuse_late(session, connection, is_first)
+            return
+        session.set_close_callback(connection.close)
         sent_at = task.get_time()
         result = await session.run_on(connection, unit)
         session.set_close_callback(None)
@@ -300,6 +315,18 @@
         if lender is not None:
             lender.pool.release(connection, reusable, has_run)
 
+    def _refuse_late(
+        self, session: RelayedSession, connection: PooledConnection, is_first: bool
+    ) -> None:
+        """Refuse a statement that would not be answered before the shutdown ends."""
+        if is_first:
+            self._release(session, connection, True, False)
+            self.refuse(session)
+        else:
+            self._release(session, connection, False)
+            session.send_error(make_rolled_back_error(SHUTDOWN_TEXT))
+            session.send_ready(TransactionStatus.IDLE)
+
     def _finish_lost(
         self, session: RelayedSession, connection: PooledConnection, lost: RunLost
     ) -> None:
--- a/beryltrack/requests/admission_task.py
+++ b/beryltrack/requests/admission_task.py
@@ -171,6 +171,11 @@
         self._tickets[number] = ticket
         return Success(ticket)
 
+    def evict_all(self, error: SqlError) -> None:
+        """Refuse all requests that wait; one that runs ends, but is not repeated."""
+        for ticket in tuple(self._tickets.values()):
+            ticket.evict(error)
+
     def start_request(self, number: int) -> None:
         """Record that a request runs."""
         self._decider.start(number)
--- a/beryltrack/requests/answers.py
+++ b/beryltrack/requests/answers.py
@@ -108,6 +108,7 @@
             deadline,
             self.demand,
             self.wait_until,
+            self.policy.run_timeout,
         )
 
     @property
@@ -158,11 +159,12 @@
     Returns
     -------
     CommitOutcome
-        `UNKNOWN` at the request's deadline.
+        `UNKNOWN` at the request's deadline, or at the end of a shutdown.
     """
     services, runtime = context.services, context.runtime
     started_at = services.seconds()
-    timeout = max(0.0, context.deadline - started_at)
+    latest = min(context.deadline, services.shutdown.end_at)
+    timeout = max(0.0, latest - started_at)
     outcome = await runtime.task.confirm(position, timeout, database)
     services.metrics.record_confirm_wait(services.seconds() - started_at)
     if outcome is CommitOutcome.CONFIRMED:
--- a/beryltrack/requests/flow.py
+++ b/beryltrack/requests/flow.py
@@ -340,8 +340,10 @@
         )
 
     async def _wait_to_retry(self) -> bool:
-        """Wait for the retry delay; return False if the budget permits no retry."""
+        """Wait for the retry delay; return False if no retry is permitted."""
         services = self._context.services
+        if services.shutdown.is_late:
+            return False
         delay = services.retries.choose_retry(
             FailedAttempt(self._attempts, True),
             self._context.deadline,
--- a/beryltrack/requests/pinned.py
+++ b/beryltrack/requests/pinned.py
@@ -26,6 +26,7 @@
 )
 from beryltrack.requests.protocol import RunLost
 from beryltrack.requests.session import PinnedTransaction
+from beryltrack.requests.shutdown import SHUTDOWN_TEXT
 from beryltrack.requests.sink import AnswerSink
 from beryltrack.routing.messages import StatementKind
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
@@ -40,7 +41,14 @@
         The request, whose caller has an open transaction.
     """
     pinned = context.caller.session.pinned
-    protocol = context.services.protocol
+    services = context.services
+    if not services.shutdown.may_start(pinned.pool, context.policy.run_timeout, True):
+        not_sent = RunLost(False, SHUTDOWN_TEXT)
+        await _finish_lost(
+            context, pinned, AnswerSink(context.caller), not_sent, SHUTDOWN_TEXT
+        )
+        return
+    protocol = services.protocol
     if _needs_ledger(context, pinned):
         is_repeat = await protocol.insert_for_commit(context, pinned)
         if is_repeat:
@@ -118,20 +126,24 @@
     pinned: PinnedTransaction,
     sink: AnswerSink,
     lost: RunLost,
+    text: str = LOST_TEXT,
 ) -> None:
-    """Resolve or report the outcome of a transaction that lost its connection."""
+    """Resolve or report the outcome of a transaction whose connection is closed.
+
+    `text` is the cause, for the caller and the log.
+    """
     _unpin(context, pinned, False)
     if _is_rollback(context) and not sink.is_answered:
         if context.services.protocol.answer_rolled_back(context.plan, context.caller):
             count_request(context, TargetKind.NONE)
-            record_step(context, RequestStep.SERVED, LOST_TEXT, pinned.database)
+            record_step(context, RequestStep.SERVED, text, pinned.database)
             return
     state = _get_state(context, pinned, sink)
     step = decide_after_failure(state, RunFailure(lost.is_sent, ""))
     if step is NextStep.RESOLVE:
         await context.services.protocol.resolve_commit(context)
         return
-    send_failure(context, make_step_error(step, LOST_TEXT), TransactionStatus.IDLE)
+    send_failure(context, make_step_error(step, text), TransactionStatus.IDLE)
 
 
 async def _finish_ended(
--- a/beryltrack/requests/services.py
+++ b/beryltrack/requests/services.py
@@ -12,6 +12,7 @@
 from beryltrack.requests.admission_task import AdmissionTask
 from beryltrack.requests.protocol import RequestPolicy, WireProtocol
 from beryltrack.requests.retry import RetryBudget, RetryPolicy
+from beryltrack.requests.shutdown import Shutdown
 from beryltrack.routing.decider import DEFAULT_POLICY, RoutingPolicy
 
 DEFAULT_RETRIES = RetryPolicy(initial_tokens=10.0)
@@ -67,6 +68,8 @@
         Wire protocol of callers and targets.
     policy : RequestPolicy
         Time limits of a request.
+    shutdown : Shutdown
+        Decides which statements may still begin while the instance shuts down.
     sequence : iterator of int
         Numbers requests, for round robin among equal targets.
     routing : RoutingPolicy
@@ -87,6 +90,7 @@
     retries: RetryBudget
     protocol: WireProtocol
     policy: RequestPolicy
+    shutdown: Shutdown
     sequence: Iterator[int]
     routing: RoutingPolicy = DEFAULT_POLICY
     events: RequestEvents = NullRequestEvents()
@@ -151,6 +155,7 @@
         RetryBudget(retries, rng),
         protocol,
         policy or RequestPolicy(),
+        Shutdown(get_monotonic_clock(reactor)),
         count(),
         routing,
         events or NullRequestEvents(),
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -24,6 +24,7 @@
 from beryltrack.requests.admission_task import Evicted, Ticket
 from beryltrack.requests.runtime import GroupRuntime
 from beryltrack.requests.services import RequestServices
+from beryltrack.requests.shutdown import SHUTDOWN_REFUSAL
 from beryltrack.routing.decider import choose_target, compute_needed_time
 from beryltrack.routing.messages import (
     NeedSample,
@@ -94,6 +95,8 @@
         Time, by the instance's clock, until which it waits for a change of the group
         while no database can take it. For a proof that one can, it waits until
         `give_up_at`.
+    run_limit : float or None
+        Seconds that its database may take to answer; None without a limit.
     """
 
     services: RequestServices
@@ -103,6 +106,7 @@
     deadline: float | None = None
     demand: Demand = DEFAULT_DEMAND
     wait_until: float = math.inf
+    run_limit: float | None = None
 
     def may_wait(self, now: float) -> bool:
         """Return whether a request may still wait for a change of the group."""
@@ -126,6 +130,8 @@
     Result of FoundTarget or SqlError
         A refusal means that the request was not run.
     """
+    if search.services.shutdown.is_late:
+        return Failure(SHUTDOWN_REFUSAL)
     search.runtime.ensure_started()
     try:
         found = await _search(search, request)
@@ -273,9 +279,8 @@
 ) -> "Deferred[LogPosition | None]":
     """Request the proof that the primary leads, in parallel to a read at it."""
     services = search.services
-    timeout = min(
-        services.routing.sample_timeout, request.deadline - services.seconds()
-    )
+    latest = min(request.deadline, services.shutdown.end_at)
+    timeout = min(services.routing.sample_timeout, latest - services.seconds())
     sampling = sample_primary(services, search.runtime, max(0.0, timeout))
     return Deferred.fromCoroutine(sampling)
 
@@ -293,6 +298,7 @@
         is_displaced=_is_displaced(request, use)
     )
     pool_deadline = services.reactor.seconds() + remaining
+    _check_shutdown(search, pool)
     try:
         connection = await search.ticket.wait(
             lambda: pool.acquire(pool_deadline, demand)
@@ -303,9 +309,20 @@
             demand.priority, bool(demand.account), waited
         )
     services.metrics.record_queue_time(waited)
+    try:
+        _check_shutdown(search, pool)
+    except Evicted:
+        pool.release(connection, True, False)
+        raise
     return FoundTarget(use.database, use.is_replica, pool, connection, use.after)
 
 
+def _check_shutdown(search: TargetSearch, pool: PoolTask) -> None:
+    """Evict a request that a database would not answer before the shutdown ends."""
+    if not search.services.shutdown.may_start(pool, search.run_limit):
+        raise Evicted(SHUTDOWN_REFUSAL)
+
+
 def _is_displaced(request: TargetRequest, use: UseTarget) -> bool:
     """Return whether a read goes to the primary only because replicas lag behind."""
     if use.is_replica or isinstance(request, WriteRequest):
--- a/tests/relay/test_handler.py
+++ b/tests/relay/test_handler.py
@@ -21,6 +21,7 @@
 from beryltrack.relay.handler import AgedProof, Lender, RelayHandler
 from beryltrack.relay.load_reporter import LoadReporter
 from beryltrack.requests.protocol import RunLost
+from beryltrack.requests.shutdown import Shutdown
 from beryltrack.wire.messages import ResponseEnd, TransactionStatus
 
 IDLE, OPEN = TransactionStatus.IDLE, TransactionStatus.IN_TRANSACTION
@@ -119,6 +120,12 @@
     def set_close_callback(self, callback):
         self.on_gone = callback
 
+    def send_error(self, error):
+        self.sent.append(("error", error.sqlstate))
+
+    def send_ready(self, status):
+        self.sent.append(("ready", status))
+
     def abort(self):
         self.sent.append(("aborted", ""))
 
@@ -405,3 +412,23 @@
     owner.handler.leave()
     owner.handler.handle(READ, session)
     assert session.sent[-1] == ("refused", "the group has other owners")
+
+
+def test_an_owner_that_leaves_rolls_back_a_late_transaction_truly(owner):
+    """Guards against a session that is closed while it may send its commit."""
+    times = [10.0]
+    shutdown = Shutdown(lambda: times[0])
+    reporter = LoadReporter(lambda: 10.0)
+    handler = RelayHandler(
+        lambda: 10.0, owner.get_lender, 2.0, reporter, 7, shutdown=shutdown
+    )
+    session = Session()
+    handler.handle(WRITE, session)
+    owner.give()
+    session.runs[0][2].callback(make_end(OPEN))
+    shutdown.begin(6.0)
+    owner.pool.get_connections = lambda: ()
+    times[0] += 4.3
+    handler.handle(WRITE, session)
+    assert len(session.runs) == 1 and owner.pool.released == [("c1", False)]
+    assert session.sent[1:] == [("error", "40001"), ("ready", IDLE)]
--- a/tests/requests/test_pinned.py
+++ b/tests/requests/test_pinned.py
@@ -5,6 +5,7 @@
 from beryltrack.requests.pinned import run_pinned
 from beryltrack.requests.postgres import ROLLBACK_TAIL
 from beryltrack.requests.session import PinnedTransaction
+from beryltrack.requests.shutdown import Shutdown
 from beryltrack.routing.messages import StatementKind
 from beryltrack.transactions.decider import CommitOutcome
 from tests.requests.scripted import (
@@ -70,6 +71,13 @@
     assert b"40001" in sent and released == [] and pinned is not None
 
 
+def test_a_commit_that_would_outlast_a_shutdown_is_rolled_back(monkeypatch):
+    """Guards against a commit on its way when the drain limit cuts it off."""
+    monkeypatch.setattr(Shutdown, "may_start", lambda self, pool, limit, is_open: False)
+    sent, released, pinned = run_unit(StatementKind.COMMIT)
+    assert b"40001" in sent and released == [False] and pinned is None
+
+
 def test_a_lost_statement_is_rolled_back_and_a_lost_commit_unknown():
     assert b"40001" in run_unit(StatementKind.WRITE, LOST)[0]
     assert b"08007" in run_unit(StatementKind.COMMIT, LOST)[0]
--- a/tests/requests/test_target_wait.py
+++ b/tests/requests/test_target_wait.py
@@ -13,6 +13,7 @@
 from beryltrack.errors import make_refusal
 from beryltrack.groups.view import GroupView
 from beryltrack.requests.protocol import RequestPolicy
+from beryltrack.requests.shutdown import Shutdown
 from beryltrack.requests.targets import TargetSearch, find_target
 from beryltrack.routing.decider import DEFAULT_POLICY
 from beryltrack.routing.messages import (
@@ -43,6 +44,7 @@
             seconds=self.clock.seconds,
             has_group_owners=lambda: has_group_owners,
             routing=DEFAULT_POLICY,
+            shutdown=Shutdown(self.clock.seconds),
         )
 
     def wait_change(self):
