Read numbers above 2^63 - 1 of the store as invalid

Operators of other systems saw: one entry of another writer, with a number too large, and machines no longer follow the list of the databases.

Here: on an owner of a group that others reach through it, each change of the databases logged "The callback for a change of servers failed" after such an entry of that group. Shares and limits of connections were not set any more, and no database expired.

Cause: slots may have up to 4,300 digits; StatementLimit computes a float from it, which raises OverflowError while a change is applied.

Evidence: each field with each of 20 odd values, in simulated time, in a running and in a starting instance; only this one failed, on owners only.

Change: whole and other numbers above 2^63 - 1 are findings, in all objects of the store.

--- a/beryltrack/objects/fields.py
+++ b/beryltrack/objects/fields.py
@@ -16,6 +16,10 @@
 MAX_PORT = 65535
 """Highest TCP port."""
 
+MAX_NUMBER = 2**63 - 1
+"""Largest number: what a signed 64-bit integer holds. Larger ones overflow the floats
+that are computed from them."""
+
 MAX_NAME_LENGTH = 255
 """Characters of a name: more than any platform assigns, and few enough for a line of
 the log and of the protocols that carry it."""
@@ -127,7 +131,7 @@
 
 
 def parse_whole_number(value: object) -> int:
-    """Return a whole number of at least 0; 3.0, true and "3" are invalid.
+    """Return a whole number from 0 to `MAX_NUMBER`; 3.0, true and "3" are invalid.
 
     Raises
     ------
@@ -136,6 +140,8 @@
     """
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
         raise ValueError("is not a whole number of at least 0")
+    if value > MAX_NUMBER:
+        raise ValueError(f"exceeds {MAX_NUMBER}")
     return value
 
 
@@ -153,7 +159,7 @@
 
 
 def parse_number(value: object) -> float:
-    """Return a finite number of at least 0.
+    """Return a number from 0 to `MAX_NUMBER`.
 
     Raises
     ------
@@ -167,6 +173,8 @@
         number = math.nan
     if not math.isfinite(number) or number < 0:
         raise ValueError("is not a number of at least 0")
+    if number > MAX_NUMBER:
+        raise ValueError(f"exceeds {MAX_NUMBER}")
     return number
 
 
--- a/tests/daemon/test_unreadable_entries.py
+++ b/tests/daemon/test_unreadable_entries.py
@@ -28,6 +28,22 @@
     assert f"beryltrack_unreadable_objects_total {len(BAD_FIELDS)}" in text
 
 
+def test_a_number_too_large_does_not_stop_the_sharing_of_connections(
+    make_site,  # noqa: F811
+    caplog,
+):
+    """Guards against an owner that no longer applies any change of the databases."""
+    site = make_site()
+    for number in range(18):
+        site.store.put(f"members/n-9-{number}", MEMBER | {"host": f"10.1.1.{number}"})
+    site.advance(4.0)
+    assert site.node._connections.owns("huvo")
+    site.store.put("servers/i-3", ENTRY | {"state": "ready", "slots": 10**400})
+    site.advance(2.0)
+    assert get_databases(site) == {"i-0", "i-1", "i-2"}
+    assert "The callback for a change of servers failed" not in caplog.text
+
+
 @pytest.mark.parametrize("value", [None, 7, [], {"host": 7}, MEMBER | {"port": "x"}])
 def test_an_invalid_object_is_no_instance(make_site, value):  # noqa: F811
     site = make_site()
