Remember no more of a finding than is logged

Callers saw nothing yet. Another writer's entry whose address is 1 MB long, another one each second, would fill an instance's 256 MB in minutes, and end the process.

Cause: RejectLog remembers 512 findings in full, and a finding may quote the value.

Change: the text cut to 300 characters is remembered instead of the finding.

Test: test_the_memory_of_the_remembered_findings_is_bounded, which failed before.

--- a/beryltrack/objects/rejects.py
+++ b/beryltrack/objects/rejects.py
@@ -13,7 +13,8 @@
 with more findings than that has some logged repeatedly."""
 
 MAX_TEXT_LENGTH = 300
-"""Characters of a logged finding, bounded as its text may quote the invalid value."""
+"""Characters of a finding that are logged and remembered, bounded as its text may quote
+the invalid value."""
 
 
 class RejectLog:
@@ -24,7 +25,7 @@
     """
 
     def __init__(self):
-        self._seen: OrderedDict[Finding, None] = OrderedDict()
+        self._seen: OrderedDict[str, None] = OrderedDict()
         self._count = 0
 
     @property
@@ -35,12 +36,12 @@
     def report(self, findings: Iterable[Finding]) -> None:
         """Log and count the findings that are not remembered."""
         for finding in findings:
-            if finding in self._seen:
-                self._seen.move_to_end(finding)
+            text = format_finding(finding)[:MAX_TEXT_LENGTH]
+            if text in self._seen:
+                self._seen.move_to_end(text)
                 continue
-            self._seen[finding] = None
+            self._seen[text] = None
             self._count += 1
-            text = format_finding(finding)[:MAX_TEXT_LENGTH]
             log.error(
                 "objects: Ignored invalid data of the store: %s", ascii(text)[1:-1]
             )
--- a/tests/objects/test_rejects.py
+++ b/tests/objects/test_rejects.py
@@ -27,6 +27,17 @@
     assert rejects.count == MAX_REMEMBERED + 2
 
 
+def test_the_memory_of_the_remembered_findings_is_bounded():
+    """Guards against a process that ends as another writer's values fill its memory."""
+    rejects = RejectLog()
+    for number in range(MAX_REMEMBERED):
+        text = f"address '{number}{'x' * 10_000}' is not an IP address"
+        rejects.report([Finding("servers/i-1", "/address", text)])
+    characters = sum(len("".join(each)) for each in rejects._seen)
+    assert rejects.count == MAX_REMEMBERED
+    assert characters <= MAX_REMEMBERED * MAX_TEXT_LENGTH
+
+
 def test_a_line_escapes_and_bounds_quoted_text(caplog):
     with caplog.at_level(logging.ERROR):
         RejectLog().report([Finding("servers/x\r\ny\ud800", "", "z" * 10_000)])
