Let a database connection read once its answer has ended

Cause: the row pauses the connection as the caller's send buffer is full. The end of the answer, in the same bytes, detached the caller without resuming it. Flow control existed twice, and only PostgreSQL's connections resumed.

Change: one module for both protocols, wire/flow_control.py. SendBuffer.detach lets the reader read; both kinds of connections to databases are a PausableReader. Callers of both protocols and other instances' sessions use the same SendBuffer, with a timer of its own for unread answers.

--- a/beryltrack/callers/caller.py
+++ b/beryltrack/callers/caller.py
@@ -19,6 +19,7 @@
 from beryltrack.callers.messages import Request
 from beryltrack.callers.statements import StatementTable
 from beryltrack.errors import SqlError
+from beryltrack.wire.flow_control import SendBuffer
 from beryltrack.wire.messages import Producer, TransactionStatus
 from beryltrack.wire.responses import ResponseReader
 
@@ -79,11 +80,10 @@
         self.is_closed = False
         self.account = ""
         self.session: object = None
-        self._reactor = reactor
         self._transport = transport
-        self._producer: Producer | None = None
-        self._is_full = False
-        self._stall_call = None
+        self._output = SendBuffer(
+            reactor, STALL_TIMEOUT, lambda: self._transport.abortConnection()
+        )
         self._on_cancel: Callable[[], object] | None = None
         self._on_close: Callable[[], object] | None = None
         self._on_drained: Callable[[], object] | None = None
@@ -102,7 +102,7 @@
     @property
     def is_full(self) -> bool:
         """True while the send buffer is full because the caller does not read."""
-        return self._is_full
+        return self._output.is_full
 
     @property
     def in_transaction(self) -> bool:
@@ -162,31 +162,20 @@
 
     def attach(self, producer: Producer) -> None:
         """Pause `producer` while the caller is slow; see `ResponseSink`."""
-        self._producer = producer
-        if self._is_full:
-            producer.pauseProducing()
+        self._output.attach(producer)
 
     def detach(self) -> None:
-        """Stop pausing and resuming the producer."""
-        self._producer = None
+        """Release the producer: its response has ended."""
+        self._output.detach()
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause the producer: the transport's send buffer is full."""
-        self._is_full = True
-        if self._producer is not None:
-            self._producer.pauseProducing()
-        if self._stall_call is None:
-            self._stall_call = self._reactor.callLater(
-                STALL_TIMEOUT, self._abort_stalled
-            )
+        self._output.fill()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Resume the producer: the transport's send buffer has drained."""
-        self._is_full = False
-        self._end_stall()
-        if self._producer is not None:
-            self._producer.resumeProducing()
-        elif self._on_drained is not None:
+        self._output.drain()
+        if self._on_drained is not None:
             self._on_drained()
 
     def stopProducing(self) -> None:  # noqa: N802
@@ -203,17 +192,6 @@
         if callback is not None:
             callback()
 
-    def _abort_stalled(self) -> None:
-        """Abort the connection of a caller that has not read for too long."""
-        self._stall_call = None
-        self._transport.abortConnection()
-
-    def _end_stall(self) -> None:
-        """Cancel the stall timer, if it is running."""
-        call, self._stall_call = self._stall_call, None
-        if call is not None:
-            call.cancel()
-
 
 class RequestHandler(Protocol):
     """Runs the units of callers."""
--- a/beryltrack/callers/sequence.py
+++ b/beryltrack/callers/sequence.py
@@ -16,6 +16,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from beryltrack.wire.flow_control import SendBuffer
 from beryltrack.wire.line_buffer import MalformedMessage
 from beryltrack.wire.messages import Producer, TransactionStatus
 from beryltrack.wire.sockets import SocketLimits, tune_socket
@@ -61,8 +62,9 @@
         self._pending: deque[bytes] = deque()
         self._is_running = False
         self._is_leaving = False
-        self._is_full = False
-        self._producer: Producer | None = None
+        self._output = SendBuffer(
+            factory.reactor, factory.limits.stall_timeout, self.abort
+        )
         self._on_close: Callable[[], object] | None = None
         self._timer = None
 
@@ -115,8 +117,7 @@
         self._stop_timer()
         self._pending.clear()
         self._factory.callers.discard(self)
-        if self._producer is not None:
-            self._producer.resumeProducing()
+        self._output.drain()
         callback, self._on_close = self._on_close, None
         if callback is not None:
             callback()
@@ -146,27 +147,19 @@
 
     def attach(self, producer: Producer) -> None:
         """Pause `producer` while the caller reads too slowly."""
-        self._producer = producer
-        if self._is_full:
-            producer.pauseProducing()
+        self._output.attach(producer)
 
     def detach(self) -> None:
-        """Stop pausing and resuming the producer."""
-        self._producer = None
+        """Release the producer: its answer has ended."""
+        self._output.detach()
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Pause the producer: the transport's send buffer is full."""
-        self._is_full = True
-        if self._producer is not None:
-            self._producer.pauseProducing()
-        self._start_timer(self._factory.limits.stall_timeout)
+        self._output.fill()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Resume the producer: the transport's send buffer has drained."""
-        self._is_full = False
-        self._stop_timer()
-        if self._producer is not None:
-            self._producer.resumeProducing()
+        self._output.drain()
         self._run_next()
 
     def stopProducing(self) -> None:  # noqa: N802
@@ -175,7 +168,7 @@
     def _run_next(self) -> None:
         """Run pending messages until one is still running."""
         while self._pending and not (
-            self._is_running or self._is_full or self.is_closed
+            self._is_running or self._output.is_full or self.is_closed
         ):
             self._stop_timer()
             self._is_running = True
--- a/beryltrack/connections/exclusive.py
+++ b/beryltrack/connections/exclusive.py
@@ -15,12 +15,13 @@
 from beryltrack.connections.messages import RunObserver, TargetLost
 from beryltrack.load.messages import DEFAULT_DEMAND
 from beryltrack.load.reports import TimedReport
+from beryltrack.wire.flow_control import PausableReader
 from beryltrack.wire.line_buffer import MalformedMessage
 from beryltrack.wire.messages import ResponseEnd, ResponseSink
 from beryltrack.wire.sockets import SocketLimits, tune_socket
 
 
-class ExclusiveConnection(Protocol):
+class ExclusiveConnection(PausableReader, Protocol):
     """A connection that one request holds; see `PooledConnection`.
 
     Parameters
@@ -136,6 +137,7 @@
         answer, self._answer = self._answer, None
         self._sink.detach()
         self._sink = None
+        self.resumeProducing()
         self.last_run_time = self._seconds() - self.run_since
         self.run_since = None
         return answer
@@ -153,15 +155,6 @@
         if self.transport is not None:
             self.transport.abortConnection()
 
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Stop reading until the sink accepts data."""
-        self.transport.pauseProducing()
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Continue reading."""
-        if not self.broken:
-            self.transport.resumeProducing()
-
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Process bytes from the target; a malformed message ends the connection."""
         self.last_received_at = self._seconds()
--- a/beryltrack/connections/target.py
+++ b/beryltrack/connections/target.py
@@ -32,6 +32,7 @@
 )
 from beryltrack.groups.messages import LogPosition
 from beryltrack.settings.messages import Endpoint
+from beryltrack.wire.flow_control import PausableReader
 from beryltrack.wire.messages import Edit, ResponseEnd, ResponseSink
 from beryltrack.wire.responses import ResponseReader
 from beryltrack.wire.sockets import tune_socket
@@ -45,7 +46,7 @@
 _TERMINATE_WIRE = Terminate().to_wire()
 
 
-class TargetConnection(Protocol):
+class TargetConnection(PausableReader, Protocol):
     """A logged-on connection to a target.
 
     Made by `connect_target`. At most one request runs on it at a time.
@@ -82,7 +83,6 @@
         self._closed: Deferred[None] = Deferred()
         self._deferred_end: ResponseEnd | None = None
         self._cancels = 0
-        self._paused = False
 
     @property
     def busy(self) -> bool:
@@ -157,16 +157,6 @@
             self.transport.abortConnection()
         self._mark_broken("closed by the proxy")
 
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Stop reading the answer until the sink accepts data; see `Producer`."""
-        self._paused = True
-        self.transport.pauseProducing()
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Continue reading."""
-        self._paused = False
-        self.transport.resumeProducing()
-
     def connectionMade(self) -> None:  # noqa: N802
         """Send the start-up packet."""
         tune_socket(self.transport)
@@ -238,9 +228,7 @@
         self.last_run_time = self._seconds() - self.run_since
         self.run_since = None
         sink.detach()
-        # A sink that was full may have paused the transport.
-        if self._paused:
-            self.resumeProducing()
+        self.resumeProducing()
         answer.callback(end)
 
     def _mark_broken(self, reason: str, failure: Exception | None = None) -> None:
--- a/tests/requests/test_shutdown.py
+++ b/tests/requests/test_shutdown.py
@@ -109,7 +109,10 @@
         settings = SimpleNamespace(rules=(), revision=1)
         handler = RequestTask(self.services, lambda: settings, lambda _: self.runtime)
         limits = SimpleNamespace(
-            max_pending=9, get_idle_timeout=lambda: 0.0, sockets=SocketLimits()
+            stall_timeout=9.0,
+            max_pending=9,
+            get_idle_timeout=lambda: 0.0,
+            sockets=SocketLimits(),
         )
         self.factory = LineCallerFactory(self.clock, handler, limits)
         self.caller = self.factory.buildProtocol(None)
