Apply a group's new members before the removed pools drain

Cause: set_databases drained the removed pool first. The requests that waited there chose again at once, by the former settings: get_loads raised KeyError for the removed name.

Change: settings and view first, the drain last. A request whose replica was removed while it waited for it to catch up chooses again instead of a KeyError in _acquire.

Test: test_a_request_that_waits_for_a_removed_database_chooses_among_the_others, which failed before. No run of real processes was made.

--- a/beryltrack/requests/runtime.py
+++ b/beryltrack/requests/runtime.py
@@ -105,10 +105,10 @@
             Returns the pool of a new member.
         """
         names = {item.name for item in settings.databases}
-        removed = [name for name in self.pools if name not in names]
-        for name in removed:
-            self.pools.pop(name).drain()
-            self._drained.discard(name)
+        removed = [
+            self.pools.pop(name) for name in tuple(self.pools) if name not in names
+        ]
+        self._drained &= names
         self.settings = settings
         for item in settings.databases:
             if item.name not in self.pools:
@@ -116,6 +116,9 @@
                 if self.is_started:
                     self.pools[item.name].start()
         self.task.set_databases(settings)
+        # Requests that wait for a drained pool choose at once among the new members.
+        for pool in removed:
+            pool.drain()
 
     def get_loads(self, demand: Demand = DEFAULT_DEMAND) -> tuple[TargetLoad, ...]:
         """Return each database's load: by this instance, and as owners report it."""
--- a/beryltrack/requests/targets.py
+++ b/beryltrack/requests/targets.py
@@ -13,6 +13,7 @@
 
 from beryltrack.connections.messages import (
     PooledConnection,
+    PoolRefusal,
     PoolRefused,
     RefusalReason,
 )
@@ -290,7 +291,10 @@
 ) -> FoundTarget:
     """Acquire a connection to the chosen database."""
     services = search.services
-    pool = search.runtime.pools[use.database]
+    pool = search.runtime.pools.get(use.database)
+    if pool is None:
+        # It was removed while the request waited for it to catch up.
+        raise PoolRefused(PoolRefusal(RefusalReason.LEAVING, 0.0))
     started_at = services.seconds()
     deadline = search.give_up_at if search.deadline is None else search.deadline
     remaining = max(0.0, deadline - started_at)
--- a/tests/requests/test_runtime.py
+++ b/tests/requests/test_runtime.py
@@ -78,3 +78,29 @@
     pool.release(held, True)
     with pytest.raises(PoolRefused):
         acquire(clock, pool)
+
+
+class Replicas(StubTask):
+    """Stands for a GroupTask whose members are those of the settings."""
+
+    def set_databases(self, settings):
+        views = tuple(DatabaseView(each.name) for each in settings.databases)
+        self.view = GroupView("g", 1, "", databases=views)
+
+
+def test_a_request_that_waits_for_a_removed_database_chooses_among_the_others():
+    """Guards against a KeyError that cut off callers whose database was removed."""
+    clock, target, task = Clock(), FakeTarget(at_once=False), Replicas()
+    two = GROUP._replace(databases=(DATABASE, DATABASE._replace(name="e")))
+
+    def make_pool(group, database):
+        return PoolTask(clock, database, target.connect, PoolPolicy(), limit=1)
+
+    pools = {each.name: make_pool(two, each) for each in two.databases}
+    runtime = GroupRuntime(clock, two, task, pools)
+    names = []
+    waiting = pools["d"].acquire(9.0)
+    waiting.addErrback(lambda _: names.extend(each[0] for each in runtime.get_loads()))
+    runtime.set_databases(GROUP._replace(databases=two.databases[1:]), make_pool)
+    assert names == ["e"] and set(runtime.pools) == {"e"}
+    assert [each.name for each in runtime.view.databases] == ["e"]
