Close the connection of a store's answer that stops inside its body

Nobody saw it: a call to the store that ran into its time limit inside the body of its answer left the connection and a coroutine behind.

Cause: BodyCollector called abortConnection on the proxy that Twisted gives to the receiver of a body, which has no such method; the AttributeError left the cancel.

Change: loseConnection, which the proxy has; nothing is left to be sent there. One unused method of the same class goes.

Test: test_a_call_that_ends_inside_its_body_closes_the_connection, which failed before.

--- a/beryltrack/objects/http.py
+++ b/beryltrack/objects/http.py
@@ -77,9 +77,7 @@
     """Collects the body of an answer, up to `MAX_BODY` bytes."""
 
     def __init__(self):
-        self.done: Deferred[bytes] = Deferred(
-            lambda _: self.transport.abortConnection()
-        )
+        self.done: Deferred[bytes] = Deferred(lambda _: self._close())
         self._chunks: list[bytes] = []
         self._size = 0
 
@@ -90,11 +88,7 @@
         if self._size > MAX_BODY and not self.done.called:
             text = f"the answer exceeds {MAX_BODY} bytes"
             self.done.errback(ValueError(text))
-            self.transport.abortConnection()
-
-    def _abort_answer(self, done: Deferred) -> None:
-        """Abort an answer that was cancelled."""
-        self.transport.abortConnection()
+            self._close()
 
     def connectionLost(self, reason: DefectFailure = connectionDone) -> None:  # noqa: N802
         """Return the whole body, or fail if it was cut off."""
@@ -106,6 +100,10 @@
         else:
             self.done.errback(reason)
 
+    def _close(self) -> None:
+        """Close the connection; the proxy of its transport has no other way."""
+        self.transport.loseConnection()
+
 
 class TunedEndpoint(NamedTuple):
     """Client endpoint whose connections detect a silent loss within seconds.
--- a/tests/objects/test_http.py
+++ b/tests/objects/test_http.py
@@ -1,13 +1,14 @@
 """Connections of the HTTP client that open after their timeout."""
 
 import pytest
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectError
 from twisted.internet.protocol import Protocol
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
+from twisted.web._newclient import TransportProxyProducer
 
-from beryltrack.objects.http import TunedEndpoint
+from beryltrack.objects.http import BodyCollector, TunedEndpoint
 
 
 class Transport(StringTransport):
@@ -62,3 +63,14 @@
     with pytest.raises(ConnectError):
         connecting.result.raiseException()
     connecting.addErrback(lambda failure: None)
+
+
+def test_a_call_that_ends_inside_its_body_closes_the_connection():
+    """Guards against a connection and a coroutine that a store's answer leaves behind."""
+    transport, failures = StringTransport(), []
+    collector = BodyCollector()
+    collector.makeConnection(TransportProxyProducer(transport))
+    collector.done.addErrback(failures.append)
+    collector.dataReceived(b"{")
+    collector.done.cancel()
+    assert transport.disconnecting and failures[0].check(CancelledError)
