Close a leaving connection once its last answer is sent

Callers saw: a client that read its last answer slowly while its instance stopped stayed connected until the final abort, and what it sent was not read.

Cause: with a paused producer Twisted resumes the producer when all is sent, and does not go on to close the connection.

Change: the producer is unregistered before the connection is closed.

Test: test_a_leaving_connection_closes_once_its_last_answer_is_sent, which failed before.

--- a/beryltrack/callers/sequence.py
+++ b/beryltrack/callers/sequence.py
@@ -203,6 +203,8 @@
         """Close a leaving connection between two transactions."""
         is_busy = self._is_running or self._pending or self.in_transaction
         if self._is_leaving and not (is_busy or self.is_closed):
+            # With a paused producer the connection would stay open once all is sent.
+            self.transport.unregisterProducer()
             self.transport.loseConnection()
 
     def _start_timer(self, delay: float) -> None:
--- a/tests/callers/test_sequence.py
+++ b/tests/callers/test_sequence.py
@@ -120,6 +120,14 @@
     assert caller.transport.disconnecting
 
 
+def test_a_leaving_connection_closes_once_its_last_answer_is_sent():
+    """Guards against a connection that is neither read nor closed in a shutdown."""
+    _, factory, caller, _ = open_caller()
+    caller.pauseProducing()
+    factory.leave()
+    assert caller.transport.producer is None and caller.transport.disconnecting
+
+
 def test_finish_waits_for_the_running_and_the_buffered_statements():
     """Guards against buffered statements that are dropped without an answer."""
     _, factory, caller, _ = open_caller()
