--- a/tests/objects/test_http.py
+++ b/tests/objects/test_http.py
@@ -66,7 +66,7 @@
 
 
 def test_a_call_that_ends_inside_its_body_closes_the_connection():
-    """Guards against a connection and a coroutine that a store's answer leaves behind."""
+    """Guards against a connection and a coroutine that a call leaves behind."""
     transport, failures = StringTransport(), []
     collector = BodyCollector()
     collector.makeConnection(TransportProxyProducer(transport))
