--- a/beryltrack/callers/sequence.py
+++ b/beryltrack/callers/sequence.py
@@ -62,6 +62,7 @@
         self._pending: deque[bytes] = deque()
         self._is_running = False
         self._is_leaving = False
+        self._is_closing = False
         self._output = SendBuffer(
             factory.reactor, factory.limits.stall_timeout, self.abort
         )
@@ -202,7 +203,9 @@
     def _close_if_idle(self) -> None:
         """Close a leaving connection between two transactions."""
         is_busy = self._is_running or self._pending or self.in_transaction
-        if self._is_leaving and not (is_busy or self.is_closed):
+        is_ending = self.is_closed or self._is_closing
+        if self._is_leaving and not (is_busy or is_ending):
+            self._is_closing = True
             # With a paused producer the connection would stay open once all is sent.
             self.transport.unregisterProducer()
             self.transport.loseConnection()
