Soak: stop nodes in turn before full databases, with large values

The soak had not found that statements are cut off in a stop, nor that a connection stays paused after a large row: its databases had no slots, and its values were a few bytes.

Values have 1 byte to 1 MB with a heavy tail, one session in five reads slowly, callers keep their connections open. CUT is a statement whose connection ended without an answer before its route's time limit, GONE a node that outlives its grace period. Each run prints the median and longest time of its stops.

The tests of the shutdown share a transport with others.

--- a/beryltrack_bench/soak/caller.py
+++ b/beryltrack_bench/soak/caller.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections.abc import Callable
 
 from twisted.internet.defer import Deferred, TimeoutError
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
@@ -26,6 +27,19 @@
 GIVE_UP_TIMES = 0.02, 0.3
 """Seconds after which it leaves if it has no answer by then, least and most."""
 
+SLOW_SHARE = 0.2
+"""Share of the sessions with large values that read slowly."""
+
+SLOW_READ_TIME = 0.05
+"""Longest pause of a slow reader after each part of an answer, seconds."""
+
+VALUE_SHAPE = 0.35
+"""Shape of the Pareto distribution of the sizes of large values: one in 60 exceeds
+64 KiB."""
+
+MAX_VALUE = 1_000_000
+"""Size of the largest value, bytes; a message may have 1 MiB."""
+
 ITEM_COUNT = 12
 """Number of items that callers read and write; small, so that sessions conflict."""
 
@@ -46,6 +60,7 @@
         self.lines: list[bytes] = []
         self.waiting: Deferred | None = None
         self.is_gone = False
+        self.pause_reading: Callable[[], None] | None = None
 
     def send(self, line: bytes) -> Deferred[list[bytes]]:
         """Send a message; the Deferred fires with the lines of its answer."""
@@ -58,6 +73,8 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Collect the lines of an answer until READY."""
+        if self.pause_reading is not None:
+            self.pause_reading()
         for line in self.buffer.feed(data):
             self.lines.append(line)
             if line.startswith(b"READY") and self.waiting is not None:
@@ -93,6 +110,8 @@
         Its client account, and the key that it presents.
     gives_up : bool
         True if it leaves at random while it waits for an answer.
+    has_large_values : bool
+        True if it writes values of up to `MAX_VALUE` bytes, and reads slowly at times.
     """
 
     def __init__(
@@ -106,8 +125,10 @@
         account: str = "",
         key: str = "u",
         gives_up: bool = False,
+        has_large_values: bool = False,
     ):
         self._gives_up = gives_up
+        self._has_large_values = has_large_values
         self._account = account
         self._key = key
         self.is_stopped = False
@@ -135,6 +156,9 @@
         node = self._rng.choice(self._nodes)
         endpoint = TCP4ClientEndpoint(self._reactor, *node, timeout=2)
         connection = await connectProtocol(endpoint, CallerConnection())
+        connection.node = node
+        if self._has_large_values and self._rng.random() < SLOW_SHARE:
+            connection.pause_reading = lambda: self._pause_reading(connection)
         session = next(_numbers)
         values: dict[bytes, bytes] = {}
         try:
@@ -160,6 +184,24 @@
         finally:
             connection.transport.abortConnection()
 
+    def _pause_reading(self, connection: CallerConnection) -> None:
+        """Read nothing for a moment."""
+        connection.transport.pauseProducing()
+        delay = self._rng.uniform(0.0, SLOW_READ_TIME)
+        self._reactor.callLater(delay, connection.transport.resumeProducing)
+
+    async def _query(
+        self, connection: CallerConnection, request: bytes, text: bytes
+    ) -> list[bytes]:
+        """Send a statement; record it if the connection ends without an answer."""
+        sent_at = self._reactor.seconds()
+        try:
+            return await self._send(connection, b"QUERY %s %s" % (request, text))
+        except CallerGone:
+            limit = self._route.statement_timeout
+            self._history.record_cut(connection.node, request, sent_at, limit)
+            raise
+
     def _send(self, connection: CallerConnection, line: bytes) -> Deferred:
         """Send one message; the caller leaves if the answer takes too long."""
         limit = ANSWER_TIMEOUT
@@ -190,7 +232,11 @@
 
     def _make_write(self) -> bytes:
         """Return a write of unique data to a random item."""
-        return b"WRITE i%d d%d" % (self._rng.randrange(ITEM_COUNT), next(_numbers))
+        text = b"WRITE i%d d%d" % (self._rng.randrange(ITEM_COUNT), next(_numbers))
+        if not self._has_large_values:
+            return text
+        size = min(MAX_VALUE, int(self._rng.paretovariate(VALUE_SHAPE)))
+        return text + b"x" * size
 
     def _make_read(self) -> bytes:
         """Return a read of a random item."""
@@ -203,7 +249,7 @@
         request = self._record_statement(
             session, text, 0, self._reactor.seconds(), values
         )
-        answer = await self._send(connection, b"QUERY %s %s" % (request, text))
+        answer = await self._query(connection, request, text)
         return self._record_answer(answer, [request], request if is_write else None)
 
     async def _run_transaction(self, connection, session: int, values: dict) -> bool:
@@ -222,7 +268,7 @@
                 session, text, transaction, sent_at, values
             )
             requests.append(request)
-            answer = await self._send(connection, b"QUERY %s %s" % (request, text))
+            answer = await self._query(connection, request, text)
             is_end = text == b"COMMIT" and has_written
             if not self._record_answer(answer, requests, request if is_end else None):
                 return False
--- a/beryltrack_bench/soak/command.py
+++ b/beryltrack_bench/soak/command.py
@@ -30,6 +30,7 @@
         option("foreign", None, "Others write entries that are no text.", True),
         option("leaving", None, "Some callers leave before their answer.", True),
         option("releases", None, "Primaries leave without a successor.", True),
+        option("stops", None, "Nodes stop in turn before full databases.", True),
         option("nodes", None, "How many nodes; by the seed if 0.", False, default="0"),
     ]
 
@@ -49,6 +50,7 @@
             has_foreign_entries=self.option("foreign"),
             has_leaving_callers=self.option("leaving"),
             has_only_releases=self.option("releases"),
+            has_only_stops=self.option("stops"),
             nodes=int(self.option("nodes")),
         )
         failures = []
--- a/beryltrack_bench/soak/history.py
+++ b/beryltrack_bench/soak/history.py
@@ -5,12 +5,14 @@
 """
 
 import math
+import statistics
 from bisect import bisect
 from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from beryltrack.groups.messages import LogPosition
+from beryltrack.settings.messages import Endpoint
 from beryltrack_standins.lines.database import DatabaseSession
 from beryltrack_standins.lines.group import Database, Group
 
@@ -32,6 +34,13 @@
 """Seconds after its report from which a leaving database must get no new work."""
 
 
+STOP_TIME = 5.0
+"""Seconds from a node's SIGTERM in which it cuts off no statement: its grace period,
+and a second more."""
+
+CUT_SLACK = 0.2
+"""Seconds within which a statement may come too late to be read."""
+
 STABILITY_TIME = 4.0
 """Seconds for which a node must have been undisturbed to be held to that limit."""
 
@@ -135,6 +144,8 @@
         self._limits: dict[str, list[tuple[float, AccountLimit]]] = {}
         self._draining: dict[str, float] = {}
         self._disturbed_at = -math.inf
+        self._stopped: dict[Endpoint, float] = {}
+        self._stop_times: list[float] = []
 
     def record_draining(self, database: str) -> None:
         """Record that a database has reported that it leaves."""
@@ -151,6 +162,48 @@
         """
         self._disturbed_at = self._seconds()
 
+    def record_stop(self, node: Endpoint) -> None:
+        """Record that a node was sent SIGTERM."""
+        self._stopped[node] = self._seconds()
+
+    def record_gone(self, node: str, took: float, grace: float) -> None:
+        """Record how many seconds after SIGTERM a process has ended or was killed."""
+        self._stop_times.append(took)
+        if took > grace:
+            self._add_violation("GONE", b"-", f"{node} still runs after {grace:g} s")
+
+    def summarize_stops(self) -> dict[str, float]:
+        """Return the median and the longest time of a stop, seconds; empty without."""
+        if not self._stop_times:
+            return {}
+        median = statistics.median(self._stop_times)
+        return {"median": round(median, 2), "longest": round(max(self._stop_times), 2)}
+
+    def record_cut(
+        self, node: Endpoint, request: bytes, sent_at: float, limit: float
+    ) -> None:
+        """Record that a connection ended without an answer to a statement.
+
+        Parameters
+        ----------
+        node : Endpoint
+            The address of the node.
+        request : bytes
+            The statement.
+        sent_at : float
+            When it was sent.
+        limit : float
+            Its route's time limit, seconds.
+        """
+        now = self._seconds()
+        stopped_at, ran = self._stopped.get(node, -math.inf), now - sent_at
+        if now <= stopped_at + STOP_TIME and CUT_SLACK < ran < limit:
+            text = (
+                f"sent {sent_at - stopped_at:.2f} s after the SIGTERM, no answer, and "
+                f"the connection ended {ran:.2f} s later"
+            )
+            self._add_violation("CUT", request, text)
+
     def record_limit(self, account: str, limit: AccountLimit) -> None:
         """Record a limit that operators have set for an account."""
         self._limits.setdefault(account, []).append((self._seconds(), limit))
--- a/beryltrack_bench/soak/site.py
+++ b/beryltrack_bench/soak/site.py
@@ -143,6 +143,9 @@
         True if some callers leave before they have an answer.
     has_only_releases : bool
         True if the only faults are releases of the primary; see `releases`.
+    has_only_stops : bool
+        True if the only faults are stops of nodes before full databases, with values of
+        up to 1 MB; see `stops`.
     nodes : int
         Number of nodes; 0 if the seed decides. Above 0, nodes may follow other nodes
         instead of the store, as they do in fleets of seven or more. Each node has its
@@ -158,6 +161,7 @@
     has_foreign_entries: bool = False
     has_leaving_callers: bool = False
     has_only_releases: bool = False
+    has_only_stops: bool = False
     nodes: int = 0
 
 
--- a/beryltrack_standins/lines/database.py
+++ b/beryltrack_standins/lines/database.py
@@ -8,7 +8,7 @@
 import random
 from typing import Protocol as Interface
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredSemaphore
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.internet.task import deferLater
 
@@ -108,6 +108,8 @@
         """Run one statement."""
         database, group = self.factory.database, self.factory.group
         keyword = text.split(b" ")[0]
+        if keyword == b"STATUS" and self.factory.is_full:
+            return b"ERROR BUSY all slots are taken\r\n" + self._ready()
         if request_id == b"-" and keyword in _CONTROL:
             held = database.held
             answer = _CONTROL[keyword](group, database, text)
@@ -116,6 +118,20 @@
         if keyword in (b"SET", b"PREPARE", b"DEALLOCATE", b"RESET"):
             self._change_session_state(text)
             return b"COMPLETE -\r\n" + self._ready()
+        slots = self.factory.slots
+        if slots is None or keyword in (b"BEGIN", b"ROLLBACK"):
+            return await self._run_work(keyword, request_id, text)
+        await slots.acquire()
+        try:
+            return await self._run_work(keyword, request_id, text)
+        finally:
+            slots.release()
+
+    async def _run_work(self, keyword: bytes, request_id: bytes, text: bytes) -> bytes:
+        """Run a statement that takes time."""
+        database = self.factory.database
+        if self.is_closed:
+            return b""
         delay = self.factory.rng.uniform(*WORK_TIME) * self.factory.work_factor
         await deferLater(self.factory.reactor, delay)
         if self.is_closed or not database.is_up:
@@ -271,6 +287,7 @@
         self.rng = rng
         self.numbers = numbers
         self.sessions: set[DatabaseSession] = set()
+        self.slots: DeferredSemaphore | None = None
         self.is_silent = False
         self.work_factor = 1.0
 
@@ -285,6 +302,15 @@
         if not is_silent:
             self.break_connections()
 
+    @property
+    def is_full(self) -> bool:
+        """True if statements occupy all slots."""
+        return self.slots is not None and not self.slots.tokens
+
+    def set_slots(self, count: int) -> None:
+        """Limit how many statements run at once."""
+        self.slots = DeferredSemaphore(count)
+
     def restart(self) -> None:
         """Reset all connections and restart the database with its log."""
         self.is_silent = False
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -245,6 +245,8 @@
 # leaked-connections.md.
 # Seed 1203, releases: nodes that the store did not serve as the primary's report came
 # counted from when they heard of it; docs/incidents/late-reports.md.
+# Seed 1, stops: nodes cut off statements that they had sent to full databases, and read
+# no answer after a large row; docs/incidents/late-statements.md, paused-connection.md.
 @pytest.mark.parametrize(
     "words",
     [
@@ -262,6 +264,7 @@
         ("--seed", "4123", "--seconds", "10", "--forgetful", "--unfenced"),
         ("--seed", "7103", "--seconds", "8", "--nodes", "8", "--foreign", "--leaving"),
         ("--seed", "1203", "--seconds", "1", "--releases"),
+        ("--seed", "1", "--seconds", "20", "--stops"),
     ],
 )
 def test_real_processes_keep_the_promises_under_faults(words):
