--- a/beryltrack/requests/shutdown.py
+++ b/beryltrack/requests/shutdown.py
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 SHUTDOWN_TEXT = "the instance leaves"
+"""Cause of a refusal or a rollback, for callers and the log."""
 
 SHUTDOWN_REFUSAL = make_refusal(SHUTDOWN_TEXT, 0.0)
 """Error of a request that was not run; another instance takes it at once."""
