--- a/tests/requests/test_shutdown.py
+++ b/tests/requests/test_shutdown.py
@@ -129,7 +129,7 @@
 
 
 def test_a_late_statement_at_a_busy_database_is_rolled_back_not_cut_off():
-    """Guards against statements that are passed on although a shutdown cuts them off."""
+    """Guards against statements that are passed on and cut off by the shutdown."""
     site = Site(recent=1.3)
     assert site.send(3.9, b"READ a") == b"" and site.answer == ABORTED
     assert site.pool.released == [(False, True)]
