--- a/beryltrack_standins/lines/database.py
+++ b/beryltrack_standins/lines/database.py
@@ -118,7 +118,7 @@
         if keyword in (b"SET", b"PREPARE", b"DEALLOCATE", b"RESET"):
             self._change_session_state(text)
             return b"COMPLETE -\r\n" + self._ready()
-        slots = self.factory.slots
+        slots = self.factory.statement_slots
         if slots is None or keyword in (b"BEGIN", b"ROLLBACK"):
             return await self._run_work(keyword, request_id, text)
         await slots.acquire()
@@ -287,7 +287,7 @@
         self.rng = rng
         self.numbers = numbers
         self.sessions: set[DatabaseSession] = set()
-        self.slots: DeferredSemaphore | None = None
+        self.statement_slots: DeferredSemaphore | None = None
         self.is_silent = False
         self.work_factor = 1.0
 
@@ -305,11 +305,11 @@
     @property
     def is_full(self) -> bool:
         """True if statements occupy all slots."""
-        return self.slots is not None and not self.slots.tokens
+        return self.statement_slots is not None and not self.statement_slots.tokens
 
     def set_slots(self, count: int) -> None:
         """Limit how many statements run at once."""
-        self.slots = DeferredSemaphore(count)
+        self.statement_slots = DeferredSemaphore(count)
 
     def restart(self) -> None:
         """Reset all connections and restart the database with its log."""
