--- a/beryltrack/connections/exclusive.py
+++ b/beryltrack/connections/exclusive.py
@@ -137,7 +137,8 @@
         answer, self._answer = self._answer, None
         self._sink.detach()
         self._sink = None
-        self.resumeProducing()
+        if self._is_paused:
+            self.resumeProducing()
         self.last_run_time = self._seconds() - self.run_since
         self.run_since = None
         return answer
--- a/beryltrack/connections/target.py
+++ b/beryltrack/connections/target.py
@@ -228,7 +228,8 @@
         self.last_run_time = self._seconds() - self.run_since
         self.run_since = None
         sink.detach()
-        self.resumeProducing()
+        if self._is_paused:
+            self.resumeProducing()
         answer.callback(end)
 
     def _mark_broken(self, reason: str, failure: Exception | None = None) -> None:
--- a/beryltrack/wire/flow_control.py
+++ b/beryltrack/wire/flow_control.py
@@ -74,7 +74,7 @@
     def detach(self) -> None:
         """Let the producer read, and leave it alone from now on."""
         producer, self._producer = self._producer, None
-        if producer is not None:
+        if producer is not None and self._is_full:
             producer.resumeProducing()
 
     def fill(self) -> None:
